--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# The two commands of the README are `make demo` and `make test`.
+
+GOBIN := $(CURDIR)/bin
+export GOFLAGS := -buildvcs=false
+
+GOLANGCI_VERSION := v2.15.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_CONNECT_VERSION := v1.21.1
+
+.PHONY: build
+build: ## Builds every command into bin/.
+	go build -o bin/ ./cmd/...
+
+.PHONY: demo
+demo: build ## Runs the main job on the stand-ins.
+	examples/two-nodes/run.sh
+
+.PHONY: test
+test: ## Sets up and passes the tests.
+	go vet ./...
+	go test ./...
+
+.PHONY: generate
+generate: ## Writes the Go code of the wire types anew. Needs protoc.
+	GOBIN=$(GOBIN) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	GOBIN=$(GOBIN) go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_VERSION)
+	PATH=$(GOBIN):$$PATH protoc -I . --go_out=. --go_opt=paths=source_relative \
+		--connect-go_out=. --connect-go_opt=paths=source_relative wire/*.proto
--- /dev/null
+++ b/burn/line.go
@@ -0,0 +1,9 @@
+package burn
+
+// Line is what one node has counted for one route and client account.
+type Line struct {
+	Route   string `json:"route"`
+	Account string `json:"account"`
+	Short   Count  `json:"short"`
+	Long    Count  `json:"long"`
+}
--- /dev/null
+++ b/cmd/hoistctl/printer.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// printer writes tables for people, or JSON for scripts.
+type printer struct {
+	w    io.Writer
+	json bool
+}
+
+// show writes a message as JSON, or as the table that rows make.
+func (p *printer) show(m proto.Message, header string, rows [][]string) error {
+	if p.json {
+		_, err := fmt.Fprintln(p.w, protojson.Format(m))
+		return err
+	}
+	t := tabwriter.NewWriter(p.w, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(t, strings.ReplaceAll(header, " ", "\t")); err != nil {
+		return err
+	}
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(t, strings.Join(row, "\t")); err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
+
+// cells turns values into the cells of a row.
+func cells(values ...any) []string {
+	row := make([]string, 0, len(values))
+	for _, v := range values {
+		row = append(row, fmt.Sprint(v))
+	}
+	return row
+}
--- /dev/null
+++ b/cmd/hoistreplay/main.go
@@ -0,0 +1,48 @@
+// Command hoistreplay plays recordings of a node's messages to the decision
+// core, and checks their stated outcomes and the promises that always hold.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/record"
+)
+
+type arguments struct {
+	Files []string `arg:"positional,required" help:"recordings"`
+	Print bool     `arg:"--print" help:"print every message and command"`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	failed := false
+	for _, file := range args.Files {
+		var opts []record.ReplayOption
+		if args.Print {
+			opts = append(opts, record.WithPrint(show))
+		}
+		if err := record.File(file, opts...); err != nil {
+			failed = true
+			fmt.Printf("%s: %v\n", file, err)
+			continue
+		}
+		fmt.Printf("%s: as stated\n", file)
+	}
+	if failed {
+		os.Exit(1)
+	}
+}
+
+func show(at clock.Millis, kind string, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		text = []byte(err.Error())
+	}
+	fmt.Printf("%8d %s %s %s\n", at, kind, record.Name(v), text)
+}
--- /dev/null
+++ b/core/affinity.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/pool"
+)
+
+// Constants of the affinity. Engines' caches are small and their events come
+// late and with gaps, so a hint is only believed for a while.
+const (
+	affinityPrefix              = 64
+	affinityLife   clock.Millis = 30_000
+	affinityMost                = 4096
+)
+
+// affinity remembers which upstreams last ran a prompt that began alike.
+type affinity struct {
+	hints map[uint64]hint
+}
+
+type hint struct {
+	chain []*pool.Upstream
+	until clock.Millis
+}
+
+func newAffinity() affinity { return affinity{hints: make(map[uint64]hint)} }
+
+func prefixOf(prompt string) uint64 {
+	return xxhash.Sum64String(prompt[:min(len(prompt), affinityPrefix)])
+}
+
+// put notes that a chain has a prompt's prefix cached. When there is no room
+// for more, all hints are dropped: they would be stale soon in any case.
+func (a *affinity) put(now clock.Millis, prompt string, chain []*pool.Upstream) {
+	if len(a.hints) >= affinityMost {
+		clear(a.hints)
+	}
+	a.hints[prefixOf(prompt)] = hint{chain: chain, until: now.Add(affinityLife)}
+}
+
+// get returns the chain that may have a prompt's prefix cached, or nil.
+func (a *affinity) get(now clock.Millis, prompt string) []*pool.Upstream {
+	h, ok := a.hints[prefixOf(prompt)]
+	if !ok || now >= h.until {
+		return nil
+	}
+	return h.chain
+}
--- /dev/null
+++ b/core/finish.go
@@ -0,0 +1,116 @@
+package core
+
+import (
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/once"
+	"github.com/hoistjunction/hoistjunction/outcome"
+)
+
+// refuse ends a request that has not begun, and says when to ask again. It is
+// the only place that says "not run", and says so of the request, not of this
+// try: where an earlier try with the same key may have run, the answer is
+// "unknown".
+func (m *Model) refuse(r *request, reason Reason, retryAfter clock.Millis) {
+	f := FinishCmd{Outcome: outcome.NotRun, Reason: reason, RetryAfter: retryAfter}
+	if r.begun || r.ambiguous() || reasons[reason].notRun == "" {
+		f.Outcome = outcome.Unknown
+	}
+	m.end(r, f)
+}
+
+// fail ends a request with an error that asking again would not change.
+func (m *Model) fail(r *request, reason Reason) {
+	m.end(r, FinishCmd{Outcome: outcome.Failed, Reason: reason})
+}
+
+// unknown ends a request that may have run, and will not be run again.
+func (m *Model) unknown(r *request, reason Reason) {
+	m.end(r, FinishCmd{Outcome: outcome.Unknown, Reason: reason})
+}
+
+// lose ends a request whose upstream is lost: one that may not be repeated is
+// unknown, any other has failed.
+func (m *Model) lose(r *request, reason Reason) {
+	if r.marked() {
+		m.unknown(r, reason)
+		return
+	}
+	m.fail(r, reason)
+}
+
+// end gives a request its final word, at once, and frees what it held.
+func (m *Model) end(r *request, f FinishCmd) {
+	if r.phase == phaseEnded {
+		return
+	}
+	m.leaveLane(r)
+	r.phase = phaseEnded
+	f.Tokens = len(r.texts)
+	r.final = f
+	for _, caller := range r.callers {
+		final := f
+		final.Caller = caller
+		m.do(&final)
+		delete(m.byCaller, caller)
+	}
+	r.callers = nil
+	delete(m.requests, r.id)
+	r.account.inProgress--
+	m.keepAnswer(r)
+	m.measure(r, f)
+	m.dispatch(r.route.lane)
+}
+
+// keepAnswer holds on to the answer of a key that has run, for callers that
+// ask again. A key that has not run is let go: it may be asked for anew.
+func (m *Model) keepAnswer(r *request) {
+	k := r.key
+	if k == nil {
+		return
+	}
+	if !k.owned || m.ledger.State(k.claim.Sequence) != once.Begun {
+		delete(m.keys, k.name)
+		return
+	}
+	r.step = nil
+	r.chain = nil
+	for _, dropped := range m.answers.put(k) {
+		delete(m.keys, dropped.name)
+	}
+}
+
+// measure counts how a request ended.
+func (m *Model) measure(r *request, f FinishCmd) {
+	m.stats.count(f.Outcome, f.Reason)
+	if f.Reason == ReasonCanceled || (f.Outcome == outcome.Failed && f.Reason.callersFault()) {
+		return
+	}
+	good := f.Outcome == outcome.Done && r.withinBounds(m.now)
+	r.account.meter(r.route.config.GetName()).Record(m.now, good)
+	if good {
+		m.stats.Good++
+	}
+}
+
+// lateShare is the share of an answer's tokens that may come late: the bound
+// is for 95 in 100.
+const lateShare = 0.05
+
+func (r *request) withinBounds(now clock.Millis) bool {
+	if r.route.service() {
+		return now.Sub(r.arrived) <= r.route.firstBound()
+	}
+	if r.firstAt.Sub(r.arrived) > r.route.firstBound() {
+		return false
+	}
+	return float64(r.late) <= lateShare*float64(len(r.texts))
+}
+
+func (r Reason) callersFault() bool {
+	switch r {
+	case ReasonBadRequest, ReasonUnauthorized, ReasonNoRoute, ReasonKeyReused:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/core/gossip.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// beat tells a few peers what this node knows.
+func (m *Model) beat() {
+	m.node.Beat++
+	for _, p := range m.members.Targets(m.rng) {
+		m.beatTo(p.Record().GetAddress())
+	}
+	if len(m.seeds) > 0 && m.members.Running(m.now) == 1 {
+		m.beatTo(m.seeds[m.rng.IntN(len(m.seeds))])
+	}
+}
+
+func (m *Model) beatTo(address string) {
+	if address == "" || address == m.node.GetAddress() {
+		return
+	}
+	m.do(&HeartbeatCmd{Address: address, Beat: &wire.HeartbeatRequest{
+		From:    m.Self(),
+		Heard:   m.members.Digest(m.rng),
+		Leaving: m.members.Marks(),
+	}})
+}
+
+// heartbeat takes in what a peer knows. A peer with a newer version is asked
+// for the records, so that a node that cannot reach the store follows too.
+func (m *Model) heartbeat(msg HeartbeatMsg) {
+	m.learnNodes(NodesMsg{Nodes: append([]*wire.NodeRecord{msg.From}, msg.Heard...)})
+	m.hearMarks(msg.Leaving)
+	if msg.From.GetVersion() > m.tracker.Version() {
+		m.fetchChanges(msg.From.GetAddress())
+	}
+}
+
+func (m *Model) learnNodes(msg NodesMsg) {
+	for _, n := range msg.Nodes {
+		m.members.Learn(m.now, n)
+	}
+	m.answerProposals()
+}
+
+// Self returns a copy of the node's own record.
+func (m *Model) Self() *wire.NodeRecord {
+	return &wire.NodeRecord{
+		Name:        m.node.GetName(),
+		Incarnation: m.node.GetIncarnation(),
+		DataCentre:  m.node.GetDataCentre(),
+		Address:     m.node.GetAddress(),
+		Version:     m.node.GetVersion(),
+		Draining:    m.node.GetDraining(),
+		Beat:        m.node.GetBeat(),
+		StartedMs:   m.node.GetStartedMs(),
+	}
+}
+
+// HeartbeatReply returns what a peer that told this node something is told in
+// return.
+func (m *Model) HeartbeatReply() *wire.HeartbeatReply {
+	return &wire.HeartbeatReply{From: m.Self(), Heard: m.members.Digest(m.rng), Leaving: m.members.Marks()}
+}
--- /dev/null
+++ b/core/model.go
@@ -0,0 +1,175 @@
+package core
+
+import (
+	"math/rand/v2"
+
+	"github.com/hoistjunction/hoistjunction/budget"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/config"
+	"github.com/hoistjunction/hoistjunction/member"
+	"github.com/hoistjunction/hoistjunction/once"
+	"github.com/hoistjunction/hoistjunction/pool"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// DefaultClaimWrites is the share of the platform's hundred writes a second
+// that goes to claims. The rest is for configuration, registrations and
+// orders, so that operators never wait behind callers.
+const DefaultClaimWrites = 60
+
+// Model is the state of an entry node. It is not safe for concurrent use.
+type Model struct {
+	node        *wire.NodeRecord
+	secret      []byte
+	seed        uint64
+	seeds       []string
+	chooser     pool.Chooser
+	policy      Policy
+	grace       clock.Millis
+	claimWrites float64
+
+	now  clock.Millis
+	rng  *rand.Rand
+	cmds []Cmd
+
+	tracker   *config.Tracker
+	accounts  map[KeyHash]*account
+	byName    map[string]*account
+	routes    map[string]*route
+	lanes     []*lane
+	pool      *pool.Pool
+	ledger    *once.Ledger
+	members   *member.Table
+	requests  map[uint64]*request
+	byCaller  map[uint64]*request
+	running   []*request
+	relayed   []*request
+	keys      map[string]*keyRecord
+	answers   answerStore
+	claims    claimBatcher
+	proposals []*proposal
+	timers    timers
+	fetching  bool
+	drain     drainState
+	stats     Stats
+}
+
+// New returns the model of a node that has no configuration yet.
+func New(opts ...Option) *Model {
+	m := &Model{
+		node:        &wire.NodeRecord{Name: "node", Incarnation: 1, DataCentre: "dc"},
+		policy:      DefaultPolicy(),
+		chooser:     pool.TwoChoices{},
+		claimWrites: DefaultClaimWrites,
+		accounts:    make(map[KeyHash]*account),
+		byName:      make(map[string]*account),
+		routes:      make(map[string]*route),
+		requests:    make(map[uint64]*request),
+		byCaller:    make(map[uint64]*request),
+		keys:        make(map[string]*keyRecord),
+		tracker:     config.NewTracker(),
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	m.rng = rand.New(rand.NewPCG(m.seed, m.node.GetIncarnation()))
+	m.pool = pool.New(pool.WithChooser(m.chooser), pool.WithLimits(m.poolLimits()))
+	m.ledger = once.New(once.WithIncarnation(m.node.GetIncarnation()), once.WithSecret(m.secret))
+	m.members = member.New(m.node)
+	return m
+}
+
+// poolLimits fixes the limits of upstreams when the policy does not adapt
+// them.
+func (m *Model) poolLimits() pool.Limits {
+	l := pool.DefaultLimits()
+	if !m.policy.Adapt {
+		l.Start, l.Most = m.policy.FixedLimit, m.policy.FixedLimit
+	}
+	return l
+}
+
+// Update takes in what happened at a time and returns what is to be done. The
+// returned slice is valid until the next Update.
+func (m *Model) Update(now clock.Millis, msg Msg) []Cmd {
+	m.now = max(now, m.now)
+	m.cmds = m.cmds[:0]
+	switch msg := msg.(type) {
+	case TickMsg:
+		m.tick()
+	case SubmitMsg:
+		m.submit(msg)
+	case CancelMsg:
+		m.cancel(msg)
+	case TicketsMsg:
+		m.tickets(msg)
+	case *StepDoneMsg:
+		m.stepDone(msg)
+	case StepFailedMsg:
+		m.stepFailed(msg)
+	case UpstreamDownMsg:
+		m.upstreamDown(msg)
+	case CallDoneMsg:
+		m.callDone(msg)
+	case CallFailedMsg:
+		m.callFailed(msg)
+	case ClaimsMsg:
+		m.claimsAnswered(msg)
+	case ClaimsFailedMsg:
+		m.claimsFailed(msg)
+	case RelayTokensMsg:
+		m.relayTokens(msg)
+	case RelayDoneMsg:
+		m.relayDone(msg)
+	case RelayFailedMsg:
+		m.relayFailed(msg)
+	case ListMsg:
+		m.list(msg)
+	default:
+		m.updateFleet(msg)
+	}
+	return m.cmds
+}
+
+// updateFleet takes in what concerns the fleet and not a single request.
+func (m *Model) updateFleet(msg Msg) {
+	switch msg := msg.(type) {
+	case HeadMsg:
+		m.head(msg)
+	case ChangesMsg:
+		m.changes(msg)
+	case FetchFailedMsg:
+		m.fetching = false
+	case NodesMsg:
+		m.learnNodes(msg)
+	case HeartbeatMsg:
+		m.heartbeat(msg)
+	case ProposeMsg:
+		m.propose(msg)
+	case CommitMsg:
+		m.committed(msg)
+	case MarkLeavingMsg:
+		m.markLeaving(msg.Upstream)
+	case DrainMsg:
+		m.startDrain()
+	}
+}
+
+// do adds a command to what Update returns.
+func (m *Model) do(cmd Cmd) { m.cmds = append(m.cmds, cmd) }
+
+// jitter returns a span drawn evenly from 0 up to span.
+func (m *Model) jitter(span clock.Millis) clock.Millis {
+	if span <= 0 {
+		return 0
+	}
+	return clock.Millis(m.rng.Int64N(int64(span)))
+}
+
+// newBudget returns the retry budget of a lane.
+func (m *Model) newBudget() *budget.Budget {
+	if !m.policy.Budget {
+		return budget.New(budget.WithShare(float64(m.policy.MaxCalls)), budget.WithDepth(1<<20))
+	}
+	return budget.New()
+}
--- /dev/null
+++ b/core/step.go
@@ -0,0 +1,289 @@
+package core
+
+import (
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/outcome"
+	"github.com/hoistjunction/hoistjunction/pool"
+)
+
+// A step is named by request, generation and position. An answer that does
+// not carry exactly the names of the step that is out is dropped and counted:
+// it is late, doubled, or somebody else's.
+
+// bytesPerPosition is about how much prompt text makes one position. It only
+// serves to guess how long the first step takes.
+const bytesPerPosition = 3
+
+// unknownStep is how long a step may take at an upstream that has not yet
+// answered any.
+const unknownStep clock.Millis = 2000
+
+// startGeneration runs the prompt, and what has been emitted of the answer,
+// through a fresh chain of stages. The stages fence out what may still be
+// under way of earlier generations, and nothing emitted is emitted again.
+func (m *Model) startGeneration(r *request) {
+	r.generation++
+	if r.generation > 1 {
+		m.stats.Resumed++
+	}
+	r.step = &StepCmd{
+		Request:    r.id,
+		Generation: r.generation,
+		Prompt:     r.spec.Prompt,
+		Tokens:     slices.Clone(r.tokens),
+		Priority:   r.priority,
+	}
+	r.span = len(r.spec.Prompt)/bytesPerPosition + len(r.tokens) + 1
+	r.stage = 0
+	m.sendStep(r)
+}
+
+// sendStep sends the step that r.step describes to the stage that r.stage
+// names.
+func (m *Model) sendStep(r *request) {
+	u := r.chain[r.stage]
+	if u.Ejected() && m.mayResume(r) {
+		m.resume(r)
+		return
+	}
+	r.step.Upstream = u.Name()
+	r.step.Address = u.Listing().Address
+	r.sentAt = m.now
+	r.limitAt = m.now.Add(m.stepLimit(u, r.span))
+	m.do(r.step)
+}
+
+// stepLimit is how long a step may go unanswered before its stage is taken
+// for lost.
+func (m *Model) stepLimit(u *pool.Upstream, positions int) clock.Millis {
+	if u.StepMillis() == 0 {
+		return unknownStep
+	}
+	usual := u.StepMillis() + u.PrefillMillis()*float64(positions)
+	return max(clock.Millis(usual*m.policy.StepLimitFactor), m.policy.LeastStepLimit)
+}
+
+// stepDone moves a request to its next stage, or emits its next token.
+func (m *Model) stepDone(msg *StepDoneMsg) {
+	u := m.pool.Get(msg.Upstream)
+	if u == nil {
+		m.stats.Stale++
+		return
+	}
+	m.hear(u, msg.Load, msg.Leaving)
+	r := m.requests[msg.Request]
+	if !r.expects(u, msg) {
+		m.stats.Stale++
+		return
+	}
+	m.stats.Steps++
+	m.pool.Observe(u, m.now.Sub(r.sentAt), msg.Positions)
+	r.span = msg.Positions
+	if r.stage+1 < len(r.chain) {
+		m.nextStage(r, msg)
+		return
+	}
+	m.token(r, msg)
+}
+
+// expects reports whether an answer is the one that the request waits for.
+func (r *request) expects(u *pool.Upstream, msg *StepDoneMsg) bool {
+	return r != nil && r.phase == phaseRunning && r.step != nil &&
+		r.chain[r.stage] == u && r.generation == msg.Generation && r.step.Position == msg.Position
+}
+
+func (m *Model) nextStage(r *request, msg *StepDoneMsg) {
+	r.stage++
+	r.step.Prompt = ""
+	r.step.Tokens = nil
+	r.step.Inputs = msg.Outputs
+	m.sendStep(r)
+}
+
+// token emits the token that the last stage chose, and starts the next
+// position at the first stage.
+func (m *Model) token(r *request, msg *StepDoneMsg) {
+	m.judge(r)
+	r.tokens = append(r.tokens, msg.Token)
+	r.texts = append(r.texts, msg.Text)
+	m.stats.Tokens++
+	r.emit = EmitCmd{Callers: r.callers, Texts: r.texts[len(r.texts)-1:]}
+	m.do(&r.emit)
+	if msg.Last || len(r.tokens) >= r.spec.MaxTokens {
+		m.finishPipeline(r)
+		return
+	}
+	r.step.Position += uint32(msg.Positions)
+	r.step.Inputs = nil
+	r.step.Tokens = r.tokens[len(r.tokens)-1:]
+	r.stage = 0
+	r.span = 1
+	m.sendStep(r)
+}
+
+func (m *Model) finishPipeline(r *request) {
+	l := r.route.lane
+	held := m.now.Sub(r.dispatched)
+	l.perToken.add(float64(held) / r.cost())
+	if m.policy.Affinity {
+		l.affinity.put(m.now, r.spec.Prompt, r.chain)
+	}
+	m.end(r, FinishCmd{Outcome: outcome.Done})
+}
+
+// judge compares a token's time with its bound and moves the limits of the
+// stages: up a little when it was met, and down at the slowest stage when it
+// was missed.
+func (m *Model) judge(r *request) {
+	times := &r.route.times
+	if r.firstAt == 0 {
+		r.firstAt = m.now
+		r.lastAt = m.now
+		r.route.lane.first.add(float64(m.now.Sub(r.dispatched)))
+		times.recordFirst(m.now.Sub(r.arrived))
+		return
+	}
+	gap := m.now.Sub(r.lastAt)
+	r.lastAt = m.now
+	times.recordGap(gap)
+	bound := r.route.tokenBound()
+	if gap > bound {
+		r.late++
+	}
+	if m.policy.Adapt {
+		m.pool.Judge(m.now, r.chain, gap, bound)
+	}
+}
+
+// stepFailed deals with a stage that has not run a step.
+func (m *Model) stepFailed(msg StepFailedMsg) {
+	u := m.pool.Get(msg.Upstream)
+	r := m.requests[msg.Request]
+	if u == nil || r == nil || r.phase != phaseRunning || r.step == nil ||
+		r.chain[r.stage] != u || r.generation != msg.Generation || r.step.Position != msg.Position {
+		m.stats.Stale++
+		return
+	}
+	if msg.Leaving {
+		m.markLeaving(msg.Upstream)
+	}
+	if msg.Fault == StepNotSent {
+		m.pool.Fail(m.now, u, false)
+	}
+	r.tried = append(r.tried, u)
+	provenIdle := msg.Fault == StepNotSent || msg.Fault == StepRefused
+	if provenIdle && r.stage == 0 && len(r.tokens) == 0 && (r.generation == 1 || r.marked()) {
+		m.unbegin(r)
+	}
+	m.resume(r)
+}
+
+// upstreamDown resumes every request that has a stage at an engine whose
+// stream has broken.
+func (m *Model) upstreamDown(msg UpstreamDownMsg) {
+	u := m.pool.Get(msg.Upstream)
+	if u == nil {
+		return
+	}
+	m.pool.Fail(m.now, u, false)
+	var hit []*request
+	for _, r := range m.running {
+		if !r.route.service() && slices.Contains(r.chain, u) {
+			hit = append(hit, r)
+		}
+	}
+	for _, r := range hit {
+		if r.phase == phaseRunning {
+			r.tried = append(r.tried, u)
+			m.resume(r)
+		}
+	}
+}
+
+// mayResume reports whether a new generation is allowed. A marked request that
+// has begun, and has emitted nothing, is not started afresh: that would be a
+// repeat. Once it has emitted, going on is not.
+func (m *Model) mayResume(r *request) bool {
+	if r.generation >= m.policy.MaxGenerations {
+		return false
+	}
+	return !r.marked() || !r.begun || len(r.tokens) > 0
+}
+
+// resume puts a request that has lost a stage in line for a new generation.
+func (m *Model) resume(r *request) {
+	if !m.mayResume(r) {
+		m.giveUp(r)
+		return
+	}
+	l := r.route.lane
+	m.leaveLane(r)
+	r.phase = phaseResuming
+	l.resuming = append(l.resuming, r)
+	m.dispatch(l)
+}
+
+func (m *Model) giveUp(r *request) {
+	if r.begun {
+		m.lose(r, ReasonUpstreamLost)
+		return
+	}
+	m.refuse(r, ReasonNotSent, leastPause+m.jitter(leastPause))
+}
+
+// endGeneration frees the request's caches at its stages.
+func (m *Model) endGeneration(r *request) {
+	for _, u := range r.chain {
+		m.do(&EndCmd{
+			Upstream:   u.Name(),
+			Address:    u.Listing().Address,
+			Request:    r.id,
+			Generation: r.generation,
+		})
+	}
+}
+
+// timeOutSteps takes the stages of unanswered steps for lost, and ends
+// requests past their deadline.
+func (m *Model) timeOutSteps() {
+	var due []*request
+	for _, r := range m.running {
+		if m.now >= r.deadline || (!r.route.service() && m.now >= r.limitAt) {
+			due = append(due, r)
+		}
+	}
+	for _, r := range due {
+		if r.phase == phaseRunning {
+			m.overdue(r)
+		}
+	}
+}
+
+func (m *Model) overdue(r *request) {
+	if m.now >= r.deadline {
+		m.pastDeadline(r)
+		return
+	}
+	u := r.chain[r.stage]
+	m.stats.StepTimeouts++
+	m.pool.Fail(m.now, u, true)
+	r.tried = append(r.tried, u)
+	m.resume(r)
+}
+
+// pastDeadline tells the callers that the time is over. A request with a key
+// runs on without them, so that asking again with the key gives the answer.
+func (m *Model) pastDeadline(r *request) {
+	if r.key == nil || r.route.service() {
+		m.lose(r, ReasonDeadline)
+		return
+	}
+	for _, caller := range r.callers {
+		m.do(&FinishCmd{Caller: caller, Outcome: outcome.Unknown, Reason: ReasonDeadline, RetryAfter: leastPause})
+		delete(m.byCaller, caller)
+	}
+	r.callers = nil
+	r.deadline = r.deadline.Add(r.route.usualDeadline(r.spec.MaxTokens))
+}
--- /dev/null
+++ b/core/upstream.go
@@ -0,0 +1,40 @@
+package core
+
+import (
+	"github.com/hoistjunction/hoistjunction/pool"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// list takes in the platform's list of VMs.
+func (m *Model) list(msg ListMsg) {
+	m.pool.Update(m.now, msg.Upstreams)
+	for _, l := range m.lanes {
+		m.dispatch(l)
+	}
+}
+
+// hear takes in what an engine says of itself with an answer.
+func (m *Model) hear(u *pool.Upstream, load int, leaving bool) {
+	m.pool.Report(u, load)
+	if leaving && !u.Leaving() {
+		m.markLeaving(u.Name())
+	}
+}
+
+// markLeaving gives an upstream no more new work, here and, by way of the
+// heartbeats, at every other node. What it has in progress runs to its end.
+func (m *Model) markLeaving(name string) {
+	u := m.pool.Get(name)
+	if u == nil || !m.pool.Leave(name, "") {
+		return
+	}
+	m.members.Mark(m.now, &wire.LeavingMark{Upstream: name, Incarnation: u.Listing().Incarnation})
+}
+
+// hearMarks takes in leaving marks from a peer, and passes new ones on.
+func (m *Model) hearMarks(marks []*wire.LeavingMark) {
+	for _, mark := range marks {
+		m.pool.Leave(mark.GetUpstream(), mark.GetIncarnation())
+		m.members.Mark(m.now, mark)
+	}
+}
--- /dev/null
+++ b/entry/caller.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/callkey"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/core"
+	"github.com/hoistjunction/hoistjunction/logging"
+)
+
+// maxServiceAnswer bounds a plain service's answer, in bytes.
+const maxServiceAnswer = 4 << 20
+
+// serviceCaller carries requests to plain services.
+//
+// net/http sends a request again by itself when a reused connection breaks
+// and the request looks as if that did no harm. For a marked request it must
+// not look so: it is a POST, it has no GetBody to rewind with, and its key
+// travels under a name that net/http does not know.
+type serviceCaller struct {
+	client *http.Client
+	log    *logging.Log
+	tell   func(core.Msg)
+	wg     sync.WaitGroup
+	ctx    context.Context
+	stop   context.CancelFunc
+}
+
+func newServiceCaller(log *logging.Log, tell func(core.Msg)) *serviceCaller {
+	c := &serviceCaller{log: log, tell: tell}
+	c.client = &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	return c
+}
+
+func (c *serviceCaller) call(cmd *core.CallCmd) {
+	c.wg.Go(func() { c.tell(c.exchange(cmd)) })
+}
+
+func (c *serviceCaller) close() {
+	c.stop()
+	c.wg.Wait()
+	c.client.CloseIdleConnections()
+}
+
+// exchange makes one attempt. It says "not sent" only when there never was a
+// connection for the request.
+func (c *serviceCaller) exchange(cmd *core.CallCmd) core.Msg {
+	var connected atomic.Bool
+	ctx, cancel := context.WithTimeout(c.ctx, cmd.Timeout.Duration())
+	defer cancel()
+	req, err := newServiceRequest(watch(ctx, &connected), cmd)
+	if err != nil {
+		return core.CallFailedMsg{Request: cmd.Request, Attempt: cmd.Attempt, NotSent: true}
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return c.failed(cmd, err, !connected.Load())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceAnswer+1))
+	if err != nil || len(body) > maxServiceAnswer {
+		return c.failed(cmd, err, false)
+	}
+	return core.CallDoneMsg{
+		Request: cmd.Request, Attempt: cmd.Attempt, Status: resp.StatusCode,
+		ContentType: resp.Header.Get("Content-Type"), Body: body, RetryAfter: retryAfter(resp),
+	}
+}
+
+func newServiceRequest(ctx context.Context, cmd *core.CallCmd) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+cmd.Address+cmd.Path, bytes.NewReader(cmd.Body))
+	if err != nil {
+		return nil, err
+	}
+	if cmd.NoRepeat {
+		req.GetBody = nil
+	}
+	if cmd.ContentType != "" {
+		req.Header.Set("Content-Type", cmd.ContentType)
+	}
+	if cmd.Key != "" {
+		req.Header.Set(callkey.Header, cmd.Key)
+	}
+	return req, nil
+}
+
+func (c *serviceCaller) failed(cmd *core.CallCmd, err error, notSent bool) core.Msg {
+	c.log.Info("call_failed", zap.Uint64("request", cmd.Request), zap.String("upstream", cmd.Upstream),
+		zap.Uint32("attempt", cmd.Attempt), zap.Bool("not_sent", notSent), zap.Error(err))
+	return core.CallFailedMsg{Request: cmd.Request, Attempt: cmd.Attempt, NotSent: notSent}
+}
+
+func retryAfter(resp *http.Response) clock.Millis {
+	seconds, err := strconv.ParseInt(resp.Header.Get("Retry-After"), 10, 32)
+	if err != nil {
+		return 0
+	}
+	return clock.Millis(seconds) * 1000
+}
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/core"
+	"github.com/hoistjunction/hoistjunction/engine"
+	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/platform"
+	"github.com/hoistjunction/hoistjunction/record"
+	"github.com/hoistjunction/hoistjunction/ring"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// Bounds of the listeners against callers that send slowly or not at all.
+const (
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 30 * time.Second
+	idleTimeout   = 60 * time.Second
+	maxHeader     = 64 << 10
+	stopTimeout   = 2 * time.Second
+)
+
+// Node is an entry node: the core, and the shell around it.
+type Node struct {
+	config   *Config
+	log      *logging.Log
+	clock    *clock.Clock
+	tls      *TLSFiles
+	decider  *decider
+	mail     *mailroom
+	engines  *engine.Pool
+	services *serviceCaller
+	peers    *peerCaller
+	store    *storeWorker
+	platform *platform.Client
+	desk     *proposalDesk
+
+	caller net.Listener
+	peer   net.Listener
+	admin  net.Listener
+	exit   chan struct{}
+}
+
+// NewNode binds the node's ports and builds it. Run makes it work.
+func NewNode(c *Config, log *logging.Log) (*Node, error) {
+	n := &Node{
+		config: c, log: log, clock: clock.New(), mail: newMailroom(), desk: newProposalDesk(),
+		exit: make(chan struct{}),
+	}
+	if c.TLSCert != "" {
+		files, err := NewTLSFiles(c.TLSCert, c.TLSKey, c.TLSCA)
+		if err != nil {
+			return nil, err
+		}
+		n.tls = files
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.build()
+	return n, nil
+}
+
+func (n *Node) listen() error {
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+		what    string
+	}{
+		{&n.caller, n.config.CallerListen, "caller"},
+		{&n.peer, n.config.PeerListen, "peer"},
+		{&n.admin, n.config.AdminListen, "admin"},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			n.closeListeners()
+			return errors.Wrapf(err, "entry: cannot listen for %ss; choose another [%s] listen", l.what, l.what)
+		}
+		*l.into = listener
+		n.log.Info("listening", zap.String("port", l.what), zap.Stringer("address", listener.Addr()))
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.caller, n.peer, n.admin} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// build joins the duties.
+func (n *Node) build() {
+	start := record.Start{
+		Node: n.record(), Seed: uint64(n.config.Seed), Seeds: n.config.PeerSeeds,
+		Grace: n.config.Grace, Policy: n.config.Policy,
+	}
+	secret := randomBytes(32)
+	model := start.Model(core.WithSecret(secret), core.WithChooser(n.config.chooser()))
+	recorder := record.NewRecorder(start, record.WithCapacity(n.config.Recording))
+	n.decider = newDecider(model, n.clock, recorder)
+	n.decider.execute = n.execute
+	n.engines = engine.NewPool(start.Node.GetIncarnation(), n.decider.tell)
+	n.services = newServiceCaller(n.log, n.decider.tell)
+	n.peers = newPeerCaller(n.tls, n.config.PeerSecret, n.log, n.decider.tell)
+	n.platform = platform.NewClient(n.config.Platform)
+	n.store = newStoreWorker(n.platform, n.log, n.decider.tell)
+}
+
+// record is what the node says of itself. Its incarnation is 64 random bits:
+// the ownership of keys rests on no two being equal.
+func (n *Node) record() *wire.NodeRecord {
+	address := n.config.PeerAdvertise
+	if address == "" {
+		address = n.peer.Addr().String()
+	}
+	return &wire.NodeRecord{
+		Name:        n.config.Name,
+		Incarnation: binary.BigEndian.Uint64(randomBytes(8)),
+		DataCentre:  n.config.DataCentre,
+		Address:     address,
+		StartedMs:   n.clock.Wall(),
+	}
+}
+
+func randomBytes(n int) []byte {
+	b := make([]byte, n)
+	_, _ = rand.Read(b) // never fails, as its documentation says
+	return b
+}
+
+// CallerAddress returns where callers are served.
+func (n *Node) CallerAddress() string { return n.caller.Addr().String() }
+
+// PeerAddress returns where peers are served.
+func (n *Node) PeerAddress() string { return n.peer.Addr().String() }
+
+// AdminAddress returns where operators are served.
+func (n *Node) AdminAddress() string { return n.admin.Addr().String() }
+
+// Drain begins a planned stop. Run returns when nothing is in progress.
+func (n *Node) Drain() { n.decider.tell(core.DrainMsg{}) }
+
+// Run serves until the context ends, which cuts off what is in progress, or
+// until a planned stop is through.
+func (n *Node) Run(ctx context.Context) error {
+	callers := &callerServer{log: n.log, decider: n.decider, mail: n.mail, maxBody: int64(n.config.MaxBody)}
+	peers := &peerServer{callers: callers, secret: n.config.PeerSecret}
+	admin := &adminServer{
+		log: n.log, decider: n.decider, recorder: n.decider.recorder, operators: n.config.Operators,
+		proposals: n.desk, wall: n.clock.Wall,
+	}
+	var g run.Group
+	n.addContext(ctx, &g)
+	n.addLoop(&g, n.decider.run)
+	for _, r := range []*ring.Ring[core.Cmd]{n.store.claims, n.store.commits, n.store.reads, n.store.lists} {
+		n.addLoop(&g, func(ctx context.Context) error { return n.store.work(ctx, r) })
+	}
+	n.addServer(&g, n.caller, callers.handler())
+	n.addServer(&g, n.peer, peers.handler())
+	n.addServer(&g, n.admin, admin.handler())
+	err := g.Run()
+	n.close()
+	if errors.Is(err, errDrained) {
+		return nil
+	}
+	return err
+}
+
+// errDrained ends the run group after a planned stop.
+var errDrained = errors.New("entry: drained")
+
+// addContext ends the group when the context ends or the node has drained.
+func (n *Node) addContext(ctx context.Context, g *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	g.Add(func() error {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-n.exit:
+			return errDrained
+		}
+	}, func(error) { cancel() })
+}
+
+func (n *Node) addLoop(g *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+}
+
+// addServer serves a handler over HTTP/1.1 and HTTP/2. When the group ends it
+// lets answers that are being written out finish, for a short while.
+func (n *Node) addServer(g *run.Group, l net.Listener, h http.Handler) {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{
+		Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(n.log.Logger),
+	}
+	if n.tls != nil {
+		protocols.SetHTTP2(true)
+		server.TLSConfig = n.tls.ServerConfig()
+	}
+	g.Add(func() error {
+		if n.tls != nil {
+			return server.ServeTLS(l, "", "")
+		}
+		return server.Serve(l)
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+		defer cancel()
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	})
+}
+
+func (n *Node) close() {
+	n.engines.Close()
+	n.services.close()
+	n.peers.close()
+	n.platform.Close()
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/core"
+	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/outcome"
+	"github.com/hoistjunction/hoistjunction/wire"
+	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
+)
+
+// peerTimeout bounds heartbeats and fetches.
+const peerTimeout = time.Second
+
+// heartbeatsAtOnce bounds the heartbeats on their way. One that finds no
+// place is left out; the next round has others.
+const heartbeatsAtOnce = 16
+
+// peerCaller speaks to the other entry nodes.
+type peerCaller struct {
+	http   *http.Client
+	scheme string
+	secret string
+	log    *logging.Log
+	tell   func(core.Msg)
+	beats  chan struct{}
+	wg     sync.WaitGroup
+	ctx    context.Context
+	stop   context.CancelFunc
+}
+
+func newPeerCaller(tlsFiles *TLSFiles, secret string, log *logging.Log, tell func(core.Msg)) *peerCaller {
+	p := &peerCaller{
+		secret: secret, log: log, tell: tell, scheme: "http://",
+		beats: make(chan struct{}, heartbeatsAtOnce),
+	}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	t := &http.Transport{Protocols: protocols, IdleConnTimeout: 30 * time.Second}
+	t.DialContext = (&net.Dialer{Timeout: peerTimeout}).DialContext
+	if tlsFiles != nil {
+		protocols.SetHTTP2(true)
+		t.TLSClientConfig = tlsFiles.ClientConfig()
+		p.scheme = "https://"
+	}
+	p.http = &http.Client{Transport: t}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	return p
+}
+
+func (p *peerCaller) close() {
+	p.stop()
+	p.wg.Wait()
+	p.http.CloseIdleConnections()
+}
+
+func (p *peerCaller) client(address string) wireconnect.PeerClient {
+	return wireconnect.NewPeerClient(p.http, p.scheme+address, connect.WithInterceptors(bearer(p.secret)))
+}
+
+// heartbeat tells a peer what this node knows, and brings back what it says.
+func (p *peerCaller) heartbeat(cmd *core.HeartbeatCmd) {
+	select {
+	case p.beats <- struct{}{}:
+	default:
+		return
+	}
+	p.wg.Go(func() {
+		defer func() { <-p.beats }()
+		ctx, cancel := context.WithTimeout(p.ctx, peerTimeout)
+		defer cancel()
+		resp, err := p.client(cmd.Address).Heartbeat(ctx, connect.NewRequest(cmd.Beat))
+		if err != nil {
+			p.log.Debug("heartbeat_failed", zap.String("peer", cmd.Address), zap.Error(err))
+			return
+		}
+		p.tell(core.HeartbeatMsg{From: resp.Msg.GetFrom(), Heard: resp.Msg.GetHeard(), Leaving: resp.Msg.GetLeaving()})
+	})
+}
+
+// fetch reads change records from a peer.
+func (p *peerCaller) fetch(cmd *core.FetchChangesCmd) {
+	p.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, peerTimeout)
+		defer cancel()
+		resp, err := p.client(cmd.Address).Changes(ctx, connect.NewRequest(&wire.ChangesRequest{AfterVersion: cmd.After}))
+		if err != nil {
+			p.tell(core.FetchFailedMsg{})
+			return
+		}
+		p.tell(core.ChangesMsg{Snapshot: resp.Msg.GetSnapshot(), Records: resp.Msg.GetRecords()})
+	})
+}
+
+// relay runs a request at the owner of its key. Each relay has a connection
+// that is watched, so that it is certain when the owner has seen nothing.
+func (p *peerCaller) relay(cmd *core.RelayCmd) {
+	p.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(p.ctx, cmd.Deadline.Duration())
+		defer cancel()
+		p.follow(ctx, cmd)
+	})
+}
+
+func (p *peerCaller) follow(ctx context.Context, cmd *core.RelayCmd) {
+	var connected atomic.Bool
+	stream, err := p.client(cmd.Address).Relay(watch(ctx, &connected), connect.NewRequest(relayRequest(cmd)))
+	if err != nil {
+		p.tell(core.RelayFailedMsg{Request: cmd.Request, NotSent: !connected.Load()})
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		event := stream.Msg()
+		if len(event.GetTexts()) > 0 {
+			p.tell(core.RelayTokensMsg{Request: cmd.Request, Texts: event.GetTexts()})
+		}
+		if event.GetOutcome() != "" {
+			p.tell(core.RelayDoneMsg{Request: cmd.Request, Finish: finishOf(event)})
+			return
+		}
+	}
+	p.log.Info("relay_failed", zap.Uint64("request", cmd.Request), zap.Error(stream.Err()))
+	p.tell(core.RelayFailedMsg{Request: cmd.Request, NotSent: !connected.Load()})
+}
+
+func relayRequest(cmd *core.RelayCmd) *wire.RelayRequest {
+	s := cmd.Spec
+	return &wire.RelayRequest{
+		Account:     cmd.Account,
+		Route:       s.Route,
+		Key:         s.Key,
+		Owner:       cmd.Owner.Owner,
+		Sequence:    cmd.Owner.Sequence,
+		Priority:    uint32(s.Priority),
+		DeadlineMs:  int64(cmd.Deadline),
+		Prompt:      s.Prompt,
+		MaxTokens:   uint32(s.MaxTokens),
+		Path:        s.Path,
+		Body:        s.Body,
+		ContentType: s.ContentType,
+		FirstTry:    s.FirstTry,
+	}
+}
+
+func finishOf(e *wire.RelayEvent) core.FinishCmd {
+	o, err := outcome.Parse(e.GetOutcome())
+	if err != nil {
+		o = outcome.Unknown
+	}
+	return core.FinishCmd{
+		Outcome:     o,
+		Reason:      core.ParseReason(e.GetDetail()),
+		RetryAfter:  clock.Millis(e.GetRetryAfterMs()),
+		Status:      int(e.GetStatus()),
+		ContentType: e.GetContentType(),
+		Body:        e.GetBody(),
+	}
+}
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/hoistjunction/hoistjunction/core"
+	"github.com/hoistjunction/hoistjunction/outcome"
+)
+
+// service serves a call to a plain service.
+func (s *callerServer) service(w http.ResponseWriter, r *http.Request) {
+	msg, err := message(r)
+	if err != nil {
+		s.refuseRequest(w, http.StatusBadRequest, err)
+		return
+	}
+	msg.Body, err = s.readBody(w, r)
+	if err != nil {
+		s.refuseRequest(w, bodyStatus(err), err)
+		return
+	}
+	msg.Route = r.PathValue("route")
+	msg.Path = "/" + r.PathValue("path")
+	msg.ContentType = r.Header.Get("Content-Type")
+	box, ok := s.submit(w, &msg)
+	if !ok {
+		return
+	}
+	final := s.await(r, box)
+	defer s.leave(msg.Caller, final != nil)
+	if final != nil {
+		s.writeFinal(w, final)
+	}
+}
+
+// await waits for the final word. It returns nil when the caller hangs up.
+func (s *callerServer) await(r *http.Request, box *mailbox) *core.FinishCmd {
+	for {
+		if _, final := box.take(nil); final != nil {
+			return final
+		}
+		select {
+		case <-r.Context().Done():
+			return nil
+		case <-box.wake:
+		}
+	}
+}
+
+// ticketsAnswer is the JSON of a grant of tickets.
+type ticketsAnswer struct {
+	Tickets []string `json:"tickets"`
+}
+
+// tickets grants keys that only this node will run, and runs without asking
+// the platform.
+func (s *callerServer) tickets(w http.ResponseWriter, r *http.Request) {
+	caller, box := s.mail.open()
+	defer s.mail.close(caller)
+	count, _ := strconv.Atoi(r.URL.Query().Get("count"))
+	ask := core.TicketsMsg{
+		Caller: caller, KeyHash: core.HashKey(tokenOf(r.Header.Get("Authorization"))), Count: count,
+	}
+	if !s.decider.submit(ask) {
+		s.writeFinal(w, &core.FinishCmd{Outcome: outcome.NotRun, Reason: core.ReasonShed, RetryAfter: shedPause})
+		return
+	}
+	for {
+		if t := box.granted(); t != nil {
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(ticketsAnswer{Tickets: t.Tickets})
+			return
+		}
+		if _, final := box.take(nil); final != nil {
+			s.writeFinal(w, final)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-box.wake:
+		}
+	}
+}
--- /dev/null
+++ b/entry/stream.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/hoistjunction/hoistjunction/core"
+	"github.com/hoistjunction/hoistjunction/outcome"
+)
+
+// terminalEvent is the last event of a stream. A stream that has none was cut
+// and is not whole, however it looks.
+type terminalEvent struct {
+	Outcome      string `json:"outcome"`
+	Reason       string `json:"reason,omitempty"`
+	Tokens       int    `json:"tokens"`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
+}
+
+// stream sends the answer as server-sent events, each as soon as it is there.
+// A request that ends before its first token is answered without a stream. It
+// returns whether there was a final word.
+func (s *callerServer) stream(w http.ResponseWriter, r *http.Request, box *mailbox, model string) bool {
+	events := &eventWriter{w: w, control: http.NewResponseController(w)}
+	var texts []string
+	for {
+		var final *core.FinishCmd
+		texts, final = box.take(texts)
+		if final != nil && !events.started && len(texts) == 0 && final.Outcome != outcome.Done {
+			s.writeFinal(w, final)
+			return true
+		}
+		for _, t := range texts {
+			events.data(completionAnswer{
+				Object: "text_completion", Model: model, Choices: []completionChoice{{Text: t}},
+			})
+		}
+		if final != nil {
+			events.terminal(final)
+			return true
+		}
+		events.flush()
+		select {
+		case <-r.Context().Done():
+			return false
+		case <-box.wake:
+		}
+	}
+}
+
+// eventWriter writes server-sent events.
+type eventWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	started bool
+}
+
+func (e *eventWriter) start() {
+	if e.started {
+		return
+	}
+	e.started = true
+	h := e.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+}
+
+func (e *eventWriter) data(v any) {
+	e.start()
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return
+	}
+	_, _ = e.w.Write([]byte("data: "))
+	_, _ = e.w.Write(raw)
+	_, _ = e.w.Write([]byte("\n\n"))
+}
+
+// terminal writes the outcome, and then the mark that clients of model
+// servers know.
+func (e *eventWriter) terminal(f *core.FinishCmd) {
+	t := terminalEvent{Outcome: f.Outcome.String(), Tokens: f.Tokens, RetryAfterMS: int64(f.RetryAfter)}
+	if f.Reason != core.ReasonNone {
+		t.Reason = f.Reason.String()
+	}
+	e.start()
+	_, _ = e.w.Write([]byte("event: outcome\n"))
+	e.data(t)
+	_, _ = e.w.Write([]byte("data: [DONE]\n\n"))
+	e.flush()
+}
+
+func (e *eventWriter) flush() {
+	if e.started {
+		_ = e.control.Flush()
+	}
+}
--- /dev/null
+++ b/logging/logging.go
@@ -0,0 +1,49 @@
+// Package logging sets up the logs: one line of key=value pairs for each
+// event, at a level that can be changed while the process runs.
+package logging
+
+import (
+	"os"
+
+	"github.com/cockroachdb/errors"
+	zaplogfmt "github.com/jsternberg/zap-logfmt"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// ErrLevel is returned for a level that is not debug, info, warn or error.
+var ErrLevel = errors.New("logging: no such level")
+
+// Log is a logger together with its level.
+type Log struct {
+	*zap.Logger
+	level zap.AtomicLevel
+}
+
+// New returns a logger that writes to standard error.
+func New(level string) (*Log, error) {
+	l := &Log{level: zap.NewAtomicLevel()}
+	if err := l.SetLevel(level); err != nil {
+		return nil, err
+	}
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.ISO8601TimeEncoder
+	c.TimeKey = "time"
+	c.MessageKey = "event"
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(c), zapcore.Lock(os.Stderr), l.level)
+	l.Logger = zap.New(core)
+	return l, nil
+}
+
+// Nop returns a logger that drops everything.
+func Nop() *Log { return &Log{Logger: zap.NewNop(), level: zap.NewAtomicLevel()} }
+
+// SetLevel changes the level from here on.
+func (l *Log) SetLevel(level string) error {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return errors.Wrapf(ErrLevel, "%q; use debug, info, warn or error", level)
+	}
+	l.level.SetLevel(parsed)
+	return nil
+}
--- /dev/null
+++ b/member/table.go
@@ -0,0 +1,169 @@
+// Package member knows the other entry nodes: who has been heard of lately,
+// which configuration each has in force, and whom to tell next.
+//
+// Nodes tell a few others, drawn at random, in each round. What one node
+// knows reaches all n in about log n rounds, at a cost for each node that does
+// not grow with n (Demers and others, 1987).
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// Defaults of a Table.
+const (
+	// DefaultFanout is how many peers are told in a round.
+	DefaultFanout = 3
+	// DefaultDigest is how many records about others go with a heartbeat.
+	DefaultDigest = 8
+	// DefaultForget is how long an unheard node is kept.
+	DefaultForget clock.Millis = 120_000
+	// DefaultSilent is how long a node may be unheard and still be counted
+	// as running.
+	DefaultSilent clock.Millis = 5_000
+)
+
+// Table holds the peers. It is not safe for concurrent use.
+type Table struct {
+	self   *wire.NodeRecord
+	peers  []*Peer
+	fanout int
+	digest int
+	forget clock.Millis
+	silent clock.Millis
+	marks  []mark
+}
+
+// Option sets up a Table.
+type Option func(*Table)
+
+// WithFanout sets how many peers are told in a round.
+func WithFanout(n int) Option { return func(t *Table) { t.fanout = n } }
+
+// New returns a table that knows only the node itself.
+func New(self *wire.NodeRecord, opts ...Option) *Table {
+	t := &Table{
+		self:   self,
+		fanout: DefaultFanout,
+		digest: DefaultDigest,
+		forget: DefaultForget,
+		silent: DefaultSilent,
+	}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
+}
+
+// Self returns the node's own record.
+func (t *Table) Self() *wire.NodeRecord { return t.self }
+
+// Len returns the number of other nodes known.
+func (t *Table) Len() int { return len(t.peers) }
+
+// Peers returns the other nodes in the order of their names.
+func (t *Table) Peers() []*Peer { return t.peers }
+
+// Running returns how many nodes have been heard of lately, this one included.
+func (t *Table) Running(now clock.Millis) int {
+	n := 1
+	for _, p := range t.peers {
+		if now.Sub(p.heard) <= t.silent {
+			n++
+		}
+	}
+	return n
+}
+
+// ByIncarnation returns a node by its incarnation, or nil.
+func (t *Table) ByIncarnation(incarnation uint64) *Peer {
+	for _, p := range t.peers {
+		if p.record.GetIncarnation() == incarnation {
+			return p
+		}
+	}
+	return nil
+}
+
+// Learn takes in a record about another node. A record counts if it is newer
+// than what is known: a later beat of the same incarnation, or another
+// incarnation heard from directly or named by the platform's table.
+func (t *Table) Learn(now clock.Millis, r *wire.NodeRecord) {
+	if r.GetName() == "" || r.GetName() == t.self.GetName() {
+		return
+	}
+	at, found := slices.BinarySearchFunc(t.peers, r.GetName(), func(p *Peer, name string) int {
+		return strings.Compare(p.record.GetName(), name)
+	})
+	if !found {
+		t.peers = slices.Insert(t.peers, at, &Peer{record: r, heard: now})
+		return
+	}
+	t.peers[at].learn(now, r)
+}
+
+// Targets draws the peers to tell in this round.
+func (t *Table) Targets(rng *rand.Rand) []*Peer {
+	return draw(t.peers, t.fanout, rng)
+}
+
+// Digest draws records about other nodes to send along.
+func (t *Table) Digest(rng *rand.Rand) []*wire.NodeRecord {
+	var records []*wire.NodeRecord
+	for _, p := range draw(t.peers, t.digest, rng) {
+		records = append(records, p.record)
+	}
+	return records
+}
+
+// Forget drops nodes that have not been heard of for long.
+func (t *Table) Forget(now clock.Millis) {
+	t.peers = slices.DeleteFunc(t.peers, func(p *Peer) bool { return now.Sub(p.heard) > t.forget })
+	t.marks = slices.DeleteFunc(t.marks, func(m mark) bool { return now.Sub(m.since) > markLife })
+}
+
+// Holding returns the number of data centres in which a node, this one
+// included, has a version in force.
+func (t *Table) Holding(version uint64) int {
+	seen := make(map[string]struct{})
+	if t.self.GetVersion() >= version {
+		seen[t.self.GetDataCentre()] = struct{}{}
+	}
+	for _, p := range t.peers {
+		if p.record.GetVersion() >= version {
+			seen[p.record.GetDataCentre()] = struct{}{}
+		}
+	}
+	return len(seen)
+}
+
+// DataCentres returns the number of data centres that nodes lately heard of
+// run in, this one included.
+func (t *Table) DataCentres(now clock.Millis) int {
+	seen := map[string]struct{}{t.self.GetDataCentre(): {}}
+	for _, p := range t.peers {
+		if now.Sub(p.heard) <= t.silent {
+			seen[p.record.GetDataCentre()] = struct{}{}
+		}
+	}
+	return len(seen)
+}
+
+// draw returns up to n items, each set of them as likely as any other.
+func draw[T any](items []T, n int, rng *rand.Rand) []T {
+	if len(items) <= n {
+		return slices.Clone(items)
+	}
+	drawn := make([]T, 0, n)
+	for i, item := range items {
+		if rng.IntN(len(items)-i) < n-len(drawn) {
+			drawn = append(drawn, item)
+		}
+	}
+	return drawn
+}
--- /dev/null
+++ b/once/state.go
@@ -0,0 +1,15 @@
+package once
+
+// State is what a Ledger knows of a sequence number.
+type State uint8
+
+const (
+	// Fresh means that it has not begun and may.
+	Fresh State = iota
+	// Begun means that it has begun and may not again.
+	Begun
+	// Forgotten means that it is too old to tell. It may not begin.
+	Forgotten
+	// NeverIssued means that this incarnation did not give it out.
+	NeverIssued
+)
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,315 @@
+// Package pool knows the upstreams: which there are, which may get new work,
+// how much each can take, and which to choose.
+//
+// What the platform's list says is joined with what calls show. The list
+// lags, so an upstream that it no longer names is not dead and one that it
+// names is not alive: an upstream is taken out of the choice when calls to it
+// fail, and put back slowly. A leaving mark holds for one incarnation and is
+// never taken back.
+//
+//	p := pool.New()
+//	p.Update(0, []pool.Listing{{Name: "e1", Group: "low", Address: "127.0.0.1:9"}})
+//	u, ok := p.Pick(now, "low", rng)
+package pool
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+// Pool holds all upstreams by name and by group. It is not safe for
+// concurrent use.
+type Pool struct {
+	byName  map[string]*Upstream
+	groups  map[string]*Group
+	out     []*Upstream
+	chooser Chooser
+	limits  Limits
+}
+
+// Option sets up a Pool.
+type Option func(*Pool)
+
+// WithChooser sets how one upstream is chosen among those with room.
+func WithChooser(c Chooser) Option { return func(p *Pool) { p.chooser = c } }
+
+// WithLimits sets the constants of the limits, ejection and slow start.
+func WithLimits(l Limits) Option { return func(p *Pool) { p.limits = l } }
+
+// New returns a pool without upstreams.
+func New(opts ...Option) *Pool {
+	p := &Pool{
+		byName:  make(map[string]*Upstream),
+		groups:  make(map[string]*Group),
+		chooser: TwoChoices{},
+		limits:  DefaultLimits(),
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Len returns the number of upstreams known.
+func (p *Pool) Len() int { return len(p.byName) }
+
+// Get returns an upstream by name, or nil.
+func (p *Pool) Get(name string) *Upstream { return p.byName[name] }
+
+// Group returns a group by name. An unknown group is empty.
+func (p *Pool) Group(name string) *Group {
+	g := p.groups[name]
+	if g == nil {
+		g = &Group{name: name}
+		p.groups[name] = g
+	}
+	return g
+}
+
+// All returns every upstream in the order of their names.
+func (p *Pool) All() []*Upstream {
+	all := make([]*Upstream, 0, len(p.byName))
+	for _, g := range p.groups {
+		all = append(all, g.members...)
+	}
+	slices.SortFunc(all, func(a, b *Upstream) int { return strings.Compare(a.name, b.name) })
+	return all
+}
+
+// Update joins the platform's list with what is known. An upstream that the
+// list has not named for Limits.Unlisted is forgotten, once it is idle.
+func (p *Pool) Update(now clock.Millis, list []Listing) {
+	for _, l := range list {
+		u := p.byName[l.Name]
+		if u == nil || u.listing.Group != l.Group {
+			u = p.add(now, l)
+		}
+		if u.listing.Incarnation != l.Incarnation {
+			p.renew(now, u)
+		}
+		u.listing = l
+		u.listed = now
+		if l.Leaving {
+			p.leave(u)
+		}
+	}
+	p.forgetUnlisted(now)
+}
+
+func (p *Pool) add(now clock.Millis, l Listing) *Upstream {
+	if old := p.byName[l.Name]; old != nil {
+		p.remove(old)
+	}
+	g := p.Group(l.Group)
+	u := &Upstream{name: l.Name, listing: l, group: g}
+	p.byName[l.Name] = u
+	at, _ := slices.BinarySearchFunc(g.members, l.Name, func(m *Upstream, name string) int {
+		return strings.Compare(m.name, name)
+	})
+	g.members = slices.Insert(g.members, at, u)
+	p.renew(now, u)
+	return u
+}
+
+// renew starts an upstream afresh: a new incarnation knows nothing of the
+// marks and measurements of the one before.
+func (p *Pool) renew(now clock.Millis, u *Upstream) {
+	u.leaving = false
+	u.ejectedUntil = 0
+	u.failures = 0
+	u.step = average{}
+	u.reported = 0
+	u.limit = p.limits.Start
+	u.slowStart = true
+	u.resized = now
+	u.recount()
+}
+
+func (p *Pool) remove(u *Upstream) {
+	u.gone = true
+	u.recount()
+	delete(p.byName, u.name)
+	g := u.group
+	g.members = slices.DeleteFunc(g.members, func(m *Upstream) bool { return m == u })
+}
+
+func (p *Pool) forgetUnlisted(now clock.Millis) {
+	for _, u := range p.All() {
+		if u.inFlight == 0 && now.Sub(u.listed) > p.limits.Unlisted {
+			p.remove(u)
+		}
+	}
+}
+
+// Leave marks an upstream as leaving, if it still runs as that incarnation.
+// An empty incarnation stands for the present one. It returns whether the
+// mark is new.
+func (p *Pool) Leave(name, incarnation string) bool {
+	u := p.byName[name]
+	if u == nil || (incarnation != "" && u.listing.Incarnation != incarnation) {
+		return false
+	}
+	return p.leave(u)
+}
+
+func (p *Pool) leave(u *Upstream) bool {
+	if u.leaving {
+		return false
+	}
+	u.leaving = true
+	u.recount()
+	return true
+}
+
+// Pick chooses an upstream of a group that has room for one more piece of
+// work, and is none of the excluded. It returns false when there is none.
+func (p *Pool) Pick(now clock.Millis, group string, rng *rand.Rand, exclude ...*Upstream) (*Upstream, bool) {
+	g := p.groups[group]
+	if g == nil || len(g.members) == 0 {
+		return nil, false
+	}
+	u := p.chooser.Choose(g, rng, func(u *Upstream) bool {
+		return u.HasRoom() && !slices.Contains(exclude, u)
+	})
+	return u, u != nil
+}
+
+// Begin counts a piece of work at an upstream.
+func (p *Pool) Begin(u *Upstream) {
+	u.inFlight++
+	u.group.inFlight++
+}
+
+// End takes a piece of work off an upstream's count.
+func (p *Pool) End(u *Upstream) {
+	u.inFlight--
+	u.group.inFlight--
+}
+
+// Observe learns from an answer: it took span for the given number of
+// positions, and reported a load that was measured age ago.
+func (p *Pool) Observe(u *Upstream, span clock.Millis, positions int) {
+	if positions <= p.limits.SmallStep {
+		u.step.add(float64(span))
+	}
+	u.prefill.add(float64(span) / float64(max(positions, 1)))
+	u.failures = 0
+	if u.ejectedUntil != 0 {
+		p.restore(u)
+	}
+}
+
+// Report takes in the number of generations that an engine says it holds for
+// everybody. What is not this node's is taken to be the other nodes'.
+func (p *Pool) Report(u *Upstream, load int) {
+	others := float64(max(load-u.inFlight, 0))
+	u.reported += (others - u.reported) / 8
+}
+
+// Grow raises an upstream's limit after work that met its bound while the
+// limit was in use.
+func (p *Pool) Grow(u *Upstream) {
+	if float64(u.inFlight) < u.limit*p.limits.InUse {
+		return
+	}
+	if u.slowStart {
+		u.setLimit(min(u.limit+0.25, p.limits.Most))
+		return
+	}
+	u.setLimit(min(u.limit+p.limits.Step/u.limit, p.limits.Most))
+}
+
+// Shrink lowers an upstream's limit.
+func (p *Pool) Shrink(u *Upstream) {
+	u.slowStart = false
+	base := min(u.limit, float64(u.inFlight)+1)
+	u.setLimit(max(base*p.limits.Back, p.limits.Least))
+}
+
+// Fail takes an upstream out of the choice for a while that doubles with each
+// failure in a row. A soft failure, such as a slow answer, does so only while
+// enough of the group stays in.
+func (p *Pool) Fail(now clock.Millis, u *Upstream, soft bool) {
+	if soft && !p.maySpare(u.group) {
+		return
+	}
+	if now < u.ejectedUntil {
+		return
+	}
+	pause := p.limits.Ejection << min(u.failures, maxDoublings)
+	u.failures++
+	if u.ejectedUntil == 0 {
+		p.out = append(p.out, u)
+		u.group.out++
+	}
+	u.ejectedUntil = now.Add(min(pause, p.limits.LongestEjection))
+	u.probing = false
+	u.recount()
+}
+
+// maxDoublings keeps the shift in Fail from overflowing; the longest ejection
+// is reached well before.
+const maxDoublings = 16
+
+func (p *Pool) maySpare(g *Group) bool {
+	return float64(g.out+1) <= p.limits.MostOut*float64(len(g.members))
+}
+
+// Tick lets ejected upstreams whose time is over take one piece of work.
+func (p *Pool) Tick(now clock.Millis) {
+	for _, u := range p.out {
+		if !u.probing && now >= u.ejectedUntil {
+			u.probing = true
+			u.setLimit(p.limits.Least)
+		}
+	}
+}
+
+// restore ends an ejection after a success, with a small limit that grows.
+func (p *Pool) restore(u *Upstream) {
+	u.ejectedUntil = 0
+	u.probing = false
+	u.slowStart = true
+	u.group.out--
+	p.out = slices.DeleteFunc(p.out, func(o *Upstream) bool { return o == u })
+	u.setLimit(p.limits.Start)
+}
+
+// Judge compares the time that a chain of upstreams took with its bound. When
+// it was met all of them may grow. When it was missed the slowest is to blame,
+// and shrinks if that happens too often.
+func (p *Pool) Judge(now clock.Millis, chain []*Upstream, took, bound clock.Millis) {
+	met := float64(took) <= float64(bound)*p.limits.Aim
+	slowest := chain[0]
+	for _, u := range chain {
+		u.judged++
+		if met {
+			p.Grow(u)
+		}
+		if u.step.value > slowest.step.value {
+			slowest = u
+		}
+	}
+	if !met {
+		slowest.missed++
+	}
+	for _, u := range chain {
+		p.settle(now, u)
+	}
+}
+
+// settle closes a window of answers: when too many were late, the limit goes
+// down, once for each window.
+func (p *Pool) settle(now clock.Millis, u *Upstream) {
+	if now.Sub(u.resized) < p.limits.Window {
+		return
+	}
+	if float64(u.missed) > p.limits.MayMiss*float64(u.judged) {
+		p.Shrink(u)
+	}
+	u.resized = now
+	u.judged, u.missed = 0, 0
+}
--- /dev/null
+++ b/pool/upstream.go
@@ -0,0 +1,98 @@
+package pool
+
+import "github.com/hoistjunction/hoistjunction/clock"
+
+// Upstream is one model engine or plain service, and what is known of it.
+type Upstream struct {
+	name    string
+	listing Listing
+	group   *Group
+
+	listed       clock.Millis
+	leaving      bool
+	gone         bool
+	probing      bool
+	ejectedUntil clock.Millis
+	failures     int
+
+	inFlight  int
+	reported  float64
+	limit     float64
+	slowStart bool
+	resized   clock.Millis
+	counted   float64
+	judged    int
+	missed    int
+
+	step    average
+	prefill average
+}
+
+// Name returns the upstream's name, unique in the fleet.
+func (u *Upstream) Name() string { return u.name }
+
+// Listing returns the platform's newest word on the upstream.
+func (u *Upstream) Listing() Listing { return u.listing }
+
+// InFlight returns the work that this node has there.
+func (u *Upstream) InFlight() int { return u.inFlight }
+
+// Limit returns how much work this node may have there.
+func (u *Upstream) Limit() float64 { return u.limit }
+
+// StepMillis returns the usual time of a decode step there, link included;
+// zero before the first one.
+func (u *Upstream) StepMillis() float64 { return u.step.value }
+
+// PrefillMillis returns the usual time for each position of a step.
+func (u *Upstream) PrefillMillis() float64 { return u.prefill.value }
+
+// Leaving reports whether the upstream gets no new work.
+func (u *Upstream) Leaving() bool { return u.leaving }
+
+// Ejected reports whether the upstream is out of the choice after a failure.
+func (u *Upstream) Ejected() bool { return u.ejectedUntil != 0 && !u.probing }
+
+// HasRoom reports whether the upstream may be given one more piece of work.
+func (u *Upstream) HasRoom() bool {
+	return u.open() && float64(u.inFlight)+1 <= u.limit
+}
+
+// State returns the upstream's state in a word, for people.
+func (u *Upstream) State() string {
+	switch {
+	case u.leaving:
+		return "leaving"
+	case u.Ejected():
+		return "ejected"
+	case u.probing || u.slowStart:
+		return "starting"
+	default:
+		return "ready"
+	}
+}
+
+func (u *Upstream) open() bool {
+	return !u.gone && !u.leaving && !u.Ejected()
+}
+
+func (u *Upstream) setLimit(limit float64) {
+	u.limit = limit
+	u.recount()
+}
+
+// recount brings the group's sum of limits up to date with this upstream.
+func (u *Upstream) recount() {
+	now := 0.0
+	if u.open() {
+		now = u.limit
+	}
+	u.group.limit += now - u.counted
+	u.counted = now
+}
+
+// crowding is the expected time of a step there, stretched by how full the
+// upstream is with this node's work and the others'. Lower is better.
+func (u *Upstream) crowding() float64 {
+	return (u.step.value + 1) * (float64(u.inFlight) + u.reported + 1) / (u.limit + u.reported)
+}
--- /dev/null
+++ b/record/start.go
@@ -0,0 +1,31 @@
+package record
+
+import (
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/core"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// Start says how a model was made.
+type Start struct {
+	Node    *wire.NodeRecord `json:"node"`
+	Seed    uint64           `json:"seed"`
+	Seeds   []string         `json:"seeds,omitempty"`
+	Grace   clock.Millis     `json:"grace,omitempty"`
+	Policy  core.Policy      `json:"policy"`
+	Dropped uint64           `json:"dropped,omitempty"`
+}
+
+// Model returns a model that is made so. The secret of the tickets is not
+// recorded; a replay has another, the same each time.
+func (s Start) Model(opts ...core.Option) *core.Model {
+	node := &wire.NodeRecord{
+		Name: s.Node.GetName(), Incarnation: s.Node.GetIncarnation(), DataCentre: s.Node.GetDataCentre(),
+		Address: s.Node.GetAddress(), StartedMs: s.Node.GetStartedMs(),
+	}
+	all := []core.Option{
+		core.WithNode(node), core.WithSeed(s.Seed), core.WithSeeds(s.Seeds), core.WithGrace(s.Grace),
+		core.WithPolicy(s.Policy), core.WithSecret([]byte("replay")),
+	}
+	return core.New(append(all, opts...)...)
+}
--- /dev/null
+++ b/standin/table.go
@@ -0,0 +1,51 @@
+package standin
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/platform"
+)
+
+// table is the rows of the table service.
+type table struct {
+	rows map[string][]byte
+}
+
+func newTable() table { return table{rows: make(map[string][]byte)} }
+
+func (t *table) get(key string) ([]byte, bool) {
+	value, ok := t.rows[key]
+	return value, ok
+}
+
+// scan returns the rows after one key and before another, in order.
+func (t *table) scan(after, to string) []platform.Row {
+	rows := []platform.Row{}
+	for key, value := range t.rows {
+		if key > after && key < to {
+			rows = append(rows, platform.Row{Key: key, Value: value})
+		}
+	}
+	slices.SortFunc(rows, func(a, b platform.Row) int { return bytes.Compare([]byte(a.Key), []byte(b.Key)) })
+	return rows
+}
+
+// commit runs a transaction.
+func (t *table) commit(txn platform.Txn) platform.TxnResult {
+	var conflicts []platform.Row
+	for _, c := range txn.Conditions {
+		value, ok := t.rows[c.Key]
+		if c.Absent == !ok && (c.Absent || bytes.Equal(value, c.Value)) {
+			continue
+		}
+		conflicts = append(conflicts, platform.Row{Key: c.Key, Value: value})
+	}
+	if len(conflicts) > 0 {
+		return platform.TxnResult{Conflicts: conflicts}
+	}
+	for _, row := range txn.Puts {
+		t.rows[row.Key] = row.Value
+	}
+	return platform.TxnResult{Committed: true}
+}
