--- /dev/null
+++ b/burn/html.go
@@ -0,0 +1,45 @@
+package burn
+
+import (
+	_ "embed"
+	"html/template"
+	"io"
+)
+
+//go:embed report.html
+var page string
+
+var pageTemplate = template.Must(template.New("report").Funcs(template.FuncMap{
+	"width": barWidth,
+	"fixed": func(row int) int { return row * rowHeight },
+	"class": class,
+	"pct":   func(share float64) float64 { return share * 100 },
+	"missed": func(c Count) uint32 {
+		return c.Total - c.Good
+	},
+}).Parse(page))
+
+// Measures of the chart, in pixels.
+const (
+	rowHeight = 34
+	fullBar   = 420
+	// fullRate is the burn rate at which a bar is full.
+	fullRate = 5.0
+)
+
+func barWidth(rate float64) float64 { return min(rate/fullRate, 1) * fullBar }
+
+// class is the colour of a rate: within budget, burning, or burning fast.
+func class(rate float64) string {
+	switch {
+	case rate <= 1:
+		return "ok"
+	case rate <= 2:
+		return "warn"
+	default:
+		return "bad"
+	}
+}
+
+// HTML writes the report as one page that needs nothing else.
+func (r *Report) HTML(w io.Writer) error { return pageTemplate.Execute(w, r) }
--- /dev/null
+++ b/cmd/hoistburn/main.go
@@ -0,0 +1,101 @@
+// Command hoistburn reads the entry nodes and reports the service-level burn
+// of each route and client account, the worst first.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/burn"
+)
+
+// readTimeout bounds the reading of one node.
+const readTimeout = 3 * time.Second
+
+var errNoNode = errors.New("no node could be read")
+
+type arguments struct {
+	Nodes     []string `arg:"--nodes,required" help:"operators' ports of the entry nodes, as ip:port"`
+	TokenFile string   `arg:"--token-file,env:HOIST_TOKEN_FILE,required" help:"file that holds the operator's token"`
+	Objective float64  `arg:"--objective" default:"0.95" help:"share of requests that must be within their bounds"`
+	JSON      bool     `arg:"--json" help:"print JSON instead of a table"`
+	HTML      string   `arg:"--html" help:"write a page with a chart to this file"`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := run(args); err != nil {
+		fmt.Fprintln(os.Stderr, "hoistburn:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args arguments) error {
+	token, err := os.ReadFile(args.TokenFile)
+	if err != nil {
+		return errors.Newf("cannot read the token from %s", args.TokenFile)
+	}
+	var read [][]burn.Line
+	for _, node := range args.Nodes {
+		lines, err := readNode(node, strings.TrimSpace(string(token)))
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "hoistburn: node %s: %v\n", node, err)
+			continue
+		}
+		read = append(read, lines)
+	}
+	if len(read) == 0 {
+		return errNoNode
+	}
+	report := burn.NewReport(args.Objective, len(args.Nodes)-len(read), read...)
+	if args.HTML != "" {
+		if err := writePage(report, args.HTML); err != nil {
+			return err
+		}
+	}
+	if args.JSON {
+		return json.NewEncoder(os.Stdout).Encode(report)
+	}
+	return report.Text(os.Stdout)
+}
+
+func readNode(node, token string) ([]burn.Line, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/debug/burn", nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("status %d", resp.StatusCode)
+	}
+	var lines []burn.Line
+	return lines, json.NewDecoder(resp.Body).Decode(&lines)
+}
+
+func writePage(report *burn.Report, path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return errors.Newf("cannot write %s", path)
+	}
+	if err := report.HTML(f); err != nil {
+		_ = f.Close()
+		return err
+	}
+	return f.Close()
+}
--- a/core/gossip.go
+++ b/core/gossip.go
@@ -58,7 +58,8 @@
 }
 
 // HeartbeatReply returns what a peer that told this node something is told in
-// return.
+// return. It is asked for outside Update, so it must not draw from the model's
+// random numbers: a replay would not draw with it.
 func (m *Model) HeartbeatReply() *wire.HeartbeatReply {
-	return &wire.HeartbeatReply{From: m.Self(), Heard: m.members.Digest(m.rng), Leaving: m.members.Marks()}
+	return &wire.HeartbeatReply{From: m.Self(), Heard: m.members.Digest(m.replyRNG), Leaving: m.members.Marks()}
 }
--- a/core/model.go
+++ b/core/model.go
@@ -31,6 +31,8 @@
 	now  clock.Millis
 	rng  *rand.Rand
 	cmds []Cmd
+	// replyRNG is for what is asked for outside Update.
+	replyRNG *rand.Rand
 
 	tracker   *config.Tracker
 	accounts  map[KeyHash]*account
@@ -74,6 +76,7 @@
 		opt(m)
 	}
 	m.rng = rand.New(rand.NewPCG(m.seed, m.node.GetIncarnation()))
+	m.replyRNG = rand.New(rand.NewPCG(m.seed, ^m.node.GetIncarnation()))
 	m.pool = pool.New(pool.WithChooser(m.chooser), pool.WithLimits(m.poolLimits()))
 	m.ledger = once.New(once.WithIncarnation(m.node.GetIncarnation()), once.WithSecret(m.secret))
 	m.members = member.New(m.node)
--- a/testbed/options.go
+++ b/testbed/options.go
@@ -34,7 +34,7 @@
 func defaults() options {
 	return options{
 		nodes: 2, stages: Stages(2, standin.DefaultEngineConfig()), services: 1, work: 2 * time.Millisecond,
-		grace: 100, policy: core.DefaultPolicy(), chooser: "two_choices",
+		grace: 100, policy: core.DefaultPolicy(), chooser: "two_choices", recording: 1 << 14,
 	}
 }
 
