--- /dev/null
+++ b/cmd/hoistmeasure/main.go
@@ -0,0 +1,83 @@
+// Command hoistmeasure compares the policy with its baselines on stand-ins in
+// one process, and prints the figures as ratios with their spread over seeds.
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/hoistjunction/hoistjunction/measure"
+)
+
+type arguments struct {
+	Seeds    int     `arg:"--seeds" default:"3" help:"runs of each scenario with each contender"`
+	Capacity float64 `arg:"--capacity" help:"requests a second that the stand-ins hold; found by a climb when left out"`
+	Only     string  `arg:"--only" help:"only scenarios whose name holds this"`
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := run(args); err != nil {
+		fmt.Fprintln(os.Stderr, "hoistmeasure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args arguments) error {
+	capacity, err := findCapacity(args.Capacity)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("capacity: %.1f requests a second within the bounds\n\n", capacity)
+	for _, s := range measure.Scenarios(capacity) {
+		if !strings.Contains(s.Name, args.Only) {
+			continue
+		}
+		if err := compare(s, args.Seeds); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func findCapacity(given float64) (float64, error) {
+	if given > 0 {
+		return given, nil
+	}
+	return measure.Capacity(1, func(name string, rate float64, f *measure.Figures) {
+		fmt.Printf("climb: %-20s %5.0f/s sent %6.1f/s good\n", name, rate, f.Good)
+	})
+}
+
+// compare runs a scenario with every contender, alternating, over the seeds.
+func compare(s measure.Scenario, seeds int) error {
+	contenders := measure.Contenders()
+	all := make([]measure.Series, len(contenders))
+	for seed := range seeds {
+		for i, c := range contenders {
+			f, err := measure.Run(s, c, uint64(seed)+1)
+			if err != nil {
+				return err
+			}
+			all[i].Add(f)
+		}
+	}
+	fmt.Println(s.Name)
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "  contender\tgood/s (spread)\tof policy's\tshare\tsmall\trecovery\tstall\twrong\tmissing\toutcomes")
+	for i, c := range contenders {
+		sum := all[i].Sum()
+		_, _ = fmt.Fprintf(t, "  %s\t%.1f (%.1f-%.1f)\t%.2f\t%.2f\t%.2f\t%v (%v)\t%v\t%d\t%d\t%s\n",
+			c.Name, sum.Good, sum.LeastGood, sum.MostGood, sum.Good/all[0].Sum().Good, sum.Share, sum.Small,
+			sum.Recovery, sum.LongestRecovery, sum.Stall.Round(time.Millisecond), sum.Wrong, sum.Missing, sum.Outcomes)
+	}
+	_ = t.Flush()
+	fmt.Println()
+	return nil
+}
--- a/core/bench_test.go
+++ b/core/bench_test.go
@@ -131,7 +131,10 @@
 		b.ReportAllocs()
 		for b.Loop() {
 			done.Upstream, done.Position = step.Upstream, step.Position
-			step = stepOf(m.Update(now, done))
+			if step = stepOf(m.Update(now, done)); step == nil {
+				done.Request++
+				step = stepOf(m.Update(now, submit(done.Request, 0)))
+			}
 		}
 	})
 }
--- /dev/null
+++ b/measure/run.go
@@ -0,0 +1,82 @@
+package measure
+
+import (
+	"context"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/load"
+	"github.com/hoistjunction/hoistjunction/standin"
+	"github.com/hoistjunction/hoistjunction/testbed"
+)
+
+// warmUp is how long each run is loaded before it is measured, so that limits
+// and averages have been learned.
+const warmUp = 2 * time.Second
+
+// callerPatience bounds one try.
+const callerPatience = 15 * time.Second
+
+// stages returns engines of mixed kinds: in each stage one is half as fast as
+// the other two.
+func stages() []testbed.Stage {
+	c := standin.DefaultEngineConfig()
+	c.Base = 4 * time.Millisecond
+	c.PerStep = time.Millisecond
+	c.PerPosition = 20 * time.Microsecond
+	all := testbed.Stages(3, c)
+	for i := range all {
+		all[i].Speeds = []float64{1, 1, 2}
+	}
+	return all
+}
+
+// Run runs a scenario once with a contender.
+func Run(s Scenario, c Contender, seed uint64) (*Figures, error) {
+	bed, err := testbed.Start(testbed.WithNodes(s.Nodes), testbed.WithStages(stages()...),
+		testbed.WithPolicy(c.Policy, c.Chooser), testbed.WithRecording(0))
+	if err != nil {
+		return nil, err
+	}
+	defer bed.Close()
+	accounts := append([]string{"clinic"}, s.Accounts...)
+	bounds := testbed.ChangesWithin(uint32(FirstBound.Milliseconds()), uint32(TokenBound.Milliseconds()), accounts...)
+	if err := bed.Configure(bounds...); err != nil {
+		return nil, err
+	}
+	send(bed, s, Rate{PerSecond: 30, Length: warmUp}.Items(seed+1000), accounts)
+	start := time.Now()
+	if s.Fault != nil {
+		timer := time.AfterFunc(s.FaultAt, func() { s.Fault(bed) })
+		defer timer.Stop()
+	}
+	results := send(bed, s, s.Load(seed), accounts)
+	return figures(s, results, start), nil
+}
+
+func send(bed *testbed.Bed, s Scenario, items []load.Item, accounts []string) []load.Result {
+	keys := make(map[string]string)
+	for _, a := range accounts {
+		keys[a] = testbed.KeyOf(a)
+	}
+	r := load.NewRunner(bed.Addresses(), load.WithKeys(keys), load.WithLayers(testbed.Layers),
+		load.WithTries(s.Tries), load.WithWait(callerPatience), load.WithSeed(1))
+	return r.Run(context.Background(), items)
+}
+
+// Capacity finds the rate that the stand-ins hold: the highest rate of good
+// answers that any contender reaches over a climb of rates.
+func Capacity(seed uint64, report func(name string, rate float64, f *Figures)) (float64, error) {
+	best := 0.0
+	for _, rate := range []float64{40, 60, 80, 110} {
+		for _, c := range Contenders() {
+			s := Scenario{Nodes: 2, Tries: 1, Length: 4 * time.Second, Load: Rate{PerSecond: rate, Length: 4 * time.Second}.Items}
+			f, err := Run(s, c, seed)
+			if err != nil {
+				return 0, err
+			}
+			report(c.Name, rate, f)
+			best = max(best, f.Good)
+		}
+	}
+	return best, nil
+}
