Move limits once a window, up as well as down

Cause: a limit rose with every good token and fell once a window.

Ruled out: a stricter aim alone (the rise would still outrun the fall forty times over).

--- a/cmd/hoistmeasure/main.go
+++ b/cmd/hoistmeasure/main.go
@@ -15,9 +15,10 @@
 )
 
 type arguments struct {
-	Seeds    int     `arg:"--seeds" default:"3" help:"runs of each scenario with each contender"`
-	Capacity float64 `arg:"--capacity" help:"requests a second that the stand-ins hold; found by a climb when left out"`
-	Only     string  `arg:"--only" help:"only scenarios whose name holds this"`
+	Seeds     int     `arg:"--seeds" default:"3" help:"runs of each scenario with each contender"`
+	Capacity  float64 `arg:"--capacity" help:"requests a second that the stand-ins hold; found by a climb when left out"`
+	Contender string  `arg:"--contender" help:"only contenders whose name holds this"`
+	Only      string  `arg:"--only" help:"only scenarios whose name holds this"`
 }
 
 func main() {
@@ -39,7 +40,7 @@
 		if !strings.Contains(s.Name, args.Only) {
 			continue
 		}
-		if err := compare(s, args.Seeds); err != nil {
+		if err := compare(s, args); err != nil {
 			return err
 		}
 	}
@@ -56,10 +57,10 @@
 }
 
 // compare runs a scenario with every contender, alternating, over the seeds.
-func compare(s measure.Scenario, seeds int) error {
-	contenders := measure.Contenders()
+func compare(s measure.Scenario, args arguments) error {
+	contenders := measure.Contenders(args.Contender)
 	all := make([]measure.Series, len(contenders))
-	for seed := range seeds {
+	for seed := range args.Seeds {
 		for i, c := range contenders {
 			f, err := measure.Run(s, c, uint64(seed)+1)
 			if err != nil {
--- a/measure/contender.go
+++ b/measure/contender.go
@@ -1,6 +1,11 @@
 package measure
 
-import "github.com/hoistjunction/hoistjunction/core"
+import (
+	"slices"
+	"strings"
+
+	"github.com/hoistjunction/hoistjunction/core"
+)
 
 // Contender is a policy that takes part in a comparison.
 type Contender struct {
@@ -14,17 +19,19 @@
 const fixedLimit = 24
 
 // Contenders returns the policy and its baselines: what a plain proxy does,
-// with and without a limit on the requests that an engine gets at a time.
-func Contenders() []Contender {
+// with and without a limit on the requests that an engine gets at a time. Only
+// those whose name holds the given text are returned.
+func Contenders(only string) []Contender {
 	plain := core.Policy{
 		FixedLimit: 4096, MaxQueue: 1 << 20, MaxGenerations: 6, MaxCalls: 3, LeastStepLimit: 400, StepLimitFactor: 8, Margin: 1,
 	}
 	limited := plain
 	limited.FixedLimit = fixedLimit
-	return []Contender{
+	all := []Contender{
 		{Name: "policy", Policy: core.DefaultPolicy(), Chooser: "two_choices"},
 		{Name: "round robin", Policy: plain, Chooser: "round_robin"},
 		{Name: "least in flight", Policy: plain, Chooser: "least_in_flight"},
 		{Name: "least, fixed limit", Policy: limited, Chooser: "least_in_flight"},
 	}
+	return slices.DeleteFunc(all, func(c Contender) bool { return !strings.Contains(c.Name, only) })
 }
--- a/measure/run.go
+++ b/measure/run.go
@@ -68,7 +68,7 @@
 func Capacity(seed uint64, report func(name string, rate float64, f *Figures)) (float64, error) {
 	best := 0.0
 	for _, rate := range []float64{40, 60, 80, 110} {
-		for _, c := range Contenders() {
+		for _, c := range Contenders("") {
 			s := Scenario{Nodes: 2, Tries: 1, Length: 4 * time.Second, Load: Rate{PerSecond: rate, Length: 4 * time.Second}.Items}
 			f, err := Run(s, c, seed)
 			if err != nil {
--- a/pool/limits.go
+++ b/pool/limits.go
@@ -9,8 +9,10 @@
 	// Least and Most bound every limit.
 	Least float64
 	Most  float64
-	// Step is added to the limit with each limit's worth of good answers.
+	// Step is added to the limit after a good window.
 	Step float64
+	// Ahead is the factor after a good window while no bound has been missed.
+	Ahead float64
 	// Back is the factor after a missed bound.
 	Back float64
 	// InUse is the share of the limit that must be taken for it to grow.
@@ -19,7 +21,9 @@
 	Aim float64
 	// MayMiss is the share of answers that may take longer.
 	MayMiss float64
-	// Window is the least time between two cuts.
+	// Enough is how many answers a window must hold at least.
+	Enough int
+	// Window is the least time between two moves of a limit.
 	Window clock.Millis
 	// Ejection is how long the first failure takes an upstream out.
 	Ejection clock.Millis
@@ -41,10 +45,12 @@
 		Least:           1,
 		Most:            4096,
 		Step:            1,
+		Ahead:           1.5,
 		Back:            0.85,
 		InUse:           0.8,
 		Aim:             0.9,
 		MayMiss:         0.02,
+		Enough:          20,
 		Window:          150,
 		Ejection:        250,
 		LongestEjection: 10_000,
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -209,17 +209,16 @@
 	u.reported += (others - u.reported) / 8
 }
 
-// Grow raises an upstream's limit after work that met its bound while the
-// limit was in use.
+// Grow raises an upstream's limit, if it was in use.
 func (p *Pool) Grow(u *Upstream) {
-	if float64(u.inFlight) < u.limit*p.limits.InUse {
+	if float64(u.busiest) < u.limit*p.limits.InUse {
 		return
 	}
 	if u.slowStart {
-		u.setLimit(min(u.limit+0.25, p.limits.Most))
+		u.setLimit(min(u.limit*p.limits.Ahead, p.limits.Most))
 		return
 	}
-	u.setLimit(min(u.limit+p.limits.Step/u.limit, p.limits.Most))
+	u.setLimit(min(u.limit+p.limits.Step, p.limits.Most))
 }
 
 // Shrink lowers an upstream's limit.
@@ -279,21 +278,18 @@
 }
 
 // Judge compares the time that a chain of upstreams took with its bound. When
-// it was met all of them may grow. When it was missed the slowest is to blame,
-// and shrinks if that happens too often.
+// it was missed the slowest is to blame.
 func (p *Pool) Judge(now clock.Millis, chain []*Upstream, took, bound clock.Millis) {
-	met := float64(took) <= float64(bound)*p.limits.Aim
+	missed := float64(took) > float64(bound)*p.limits.Aim
 	slowest := chain[0]
 	for _, u := range chain {
 		u.judged++
-		if met {
-			p.Grow(u)
-		}
+		u.busiest = max(u.busiest, u.inFlight)
 		if u.step.value > slowest.step.value {
 			slowest = u
 		}
 	}
-	if !met {
+	if missed {
 		slowest.missed++
 	}
 	for _, u := range chain {
@@ -301,15 +297,20 @@
 	}
 }
 
-// settle closes a window of answers: when too many were late, the limit goes
-// down, once for each window.
+// settle closes a window of answers, once it holds enough of them: the limit
+// goes down when too many were late, and up when hardly any were. It moves
+// once a window either way, so that what it sees is what its last move did.
 func (p *Pool) settle(now clock.Millis, u *Upstream) {
-	if now.Sub(u.resized) < p.limits.Window {
+	if now.Sub(u.resized) < p.limits.Window || u.judged < p.limits.Enough {
 		return
 	}
-	if float64(u.missed) > p.limits.MayMiss*float64(u.judged) {
+	late := float64(u.missed) / float64(u.judged)
+	switch {
+	case late > p.limits.MayMiss:
 		p.Shrink(u)
+	case late <= p.limits.MayMiss/2:
+		p.Grow(u)
 	}
 	u.resized = now
-	u.judged, u.missed = 0, 0
+	u.judged, u.missed, u.busiest = 0, 0, 0
 }
--- a/pool/upstream.go
+++ b/pool/upstream.go
@@ -23,6 +23,7 @@
 	counted   float64
 	judged    int
 	missed    int
+	busiest   int
 
 	step    average
 	prefill average
