--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,14 @@
 	go vet ./...
 	bin/golangci-lint-$(GOLANGCI_VERSION) run ./...
 
+.PHONY: measure
+measure: build ## Compares the policy with its baselines; takes about a quarter of an hour.
+	bin/hoistmeasure --seeds 2
+
+.PHONY: bench
+bench: ## Costs of the decision core at four fleet sizes.
+	go test ./core -run xxx -bench . -benchtime 0.3s
+
 .PHONY: generate
 generate: ## Writes the Go code of the wire types anew. Needs protoc.
 	GOBIN=$(GOBIN) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
