--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -71,7 +71,7 @@
 	if r.begun {
 		return true
 	}
-	if r.key != nil && !m.ledger.Begin(r.key.claim.Sequence) {
+	if r.key != nil && !r.key.ledger.Begin(r.key.claim.Sequence) {
 		return false
 	}
 	r.begun = true
@@ -82,7 +82,7 @@
 func (m *Model) unbegin(r *request) {
 	r.begun = false
 	if r.key != nil {
-		m.ledger.Undo(r.key.claim.Sequence)
+		r.key.ledger.Undo(r.key.claim.Sequence)
 	}
 }
 
--- a/core/finish.go
+++ b/core/finish.go
@@ -68,7 +68,7 @@
 	if k == nil {
 		return
 	}
-	if !k.owned || m.ledger.State(k.claim.Sequence) != once.Begun {
+	if !k.owned || k.ledger.State(k.claim.Sequence) != once.Begun {
 		delete(m.keys, k.name)
 		return
 	}
--- a/core/gossip.go
+++ b/core/gossip.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -54,6 +56,7 @@
 		Draining:    m.node.GetDraining(),
 		Beat:        m.node.GetBeat(),
 		StartedMs:   m.node.GetStartedMs(),
+		Inherits:    slices.Clone(m.node.GetInherits()),
 	}
 }
 
--- a/core/key_record.go
+++ b/core/key_record.go
@@ -10,6 +10,9 @@
 type keyRecord struct {
 	name  string
 	claim once.Claim
+	// ledger is where the key begins; nil while its owner is not known to be
+	// this node.
+	ledger *once.Ledger
 	// owned is set once it is certain that this node owns the key, so that
 	// the ledger alone tells whether it has run.
 	owned bool
--- a/core/model.go
+++ b/core/model.go
@@ -34,13 +34,16 @@
 	// replyRNG is for what is asked for outside Update.
 	replyRNG *rand.Rand
 
-	tracker   *config.Tracker
-	accounts  map[KeyHash]*account
-	byName    map[string]*account
-	routes    map[string]*route
-	lanes     []*lane
-	pool      *pool.Pool
+	tracker  *config.Tracker
+	accounts map[KeyHash]*account
+	byName   map[string]*account
+	routes   map[string]*route
+	lanes    []*lane
+	pool     *pool.Pool
+	// ledger is this incarnation's own; ledgers holds it too, and those that
+	// have been handed over, by incarnation.
 	ledger    *once.Ledger
+	ledgers   map[uint64]*once.Ledger
 	members   *member.Table
 	requests  map[uint64]*request
 	byCaller  map[uint64]*request
@@ -79,6 +82,7 @@
 	m.replyRNG = rand.New(rand.NewPCG(m.seed, ^m.node.GetIncarnation()))
 	m.pool = pool.New(pool.WithChooser(m.chooser), pool.WithLimits(m.poolLimits()))
 	m.ledger = once.New(once.WithIncarnation(m.node.GetIncarnation()), once.WithSecret(m.secret))
+	m.ledgers = map[uint64]*once.Ledger{m.ledger.Incarnation(): m.ledger}
 	m.members = member.New(m.node)
 	return m
 }
@@ -156,6 +160,10 @@
 		m.markLeaving(msg.Upstream)
 	case DrainMsg:
 		m.startDrain()
+	case HandoverMsg:
+		m.inherit(msg)
+	case HandedOverMsg:
+		m.handedOver(msg)
 	}
 }
 
--- a/core/relay.go
+++ b/core/relay.go
@@ -5,7 +5,7 @@
 // relay hands a request to the owner of its key. When the owner is gone nobody
 // may run the key: what it did is not known.
 func (m *Model) relay(r *request) {
-	owner := m.members.ByIncarnation(r.key.claim.Owner)
+	owner := m.members.Owner(r.key.claim.Owner)
 	if owner == nil {
 		m.ownerGone(r)
 		return
--- a/core/stats.go
+++ b/core/stats.go
@@ -20,6 +20,7 @@
 	Claims       uint64
 	ClaimBatches uint64
 	Versions     uint64
+	Inherited    uint64
 
 	outcomes [outcome.Unknown + 1]uint64
 	reasons  [reasonCount]uint64
@@ -52,6 +53,7 @@
 	f("claims", s.Claims)
 	f("claim_batches", s.ClaimBatches)
 	f("versions", s.Versions)
+	f("inherited", s.Inherited)
 	for o := outcome.Done; o <= outcome.Unknown; o++ {
 		f("outcome_"+o.String(), s.outcomes[o])
 	}
--- a/core/submit.go
+++ b/core/submit.go
@@ -123,7 +123,7 @@
 		m.claim(r)
 		return
 	}
-	if m.ledger.Owns(t.Claim) && !m.ledger.Verify(t, r.account.config.GetName()) {
+	if l := m.ledgers[t.Claim.Owner]; l != nil && !l.Verify(t, r.account.config.GetName()) {
 		m.fail(r, ReasonBadRequest)
 		return
 	}
@@ -133,7 +133,8 @@
 // settleClaim goes on with a request whose key is known to be a claim's.
 func (m *Model) settleClaim(r *request, c once.Claim) {
 	r.key.claim = c
-	if !m.ledger.Owns(c) {
+	l := m.ledgers[c.Owner]
+	if l == nil || m.drain.sealed {
 		if r.spec.Relayed {
 			m.refuse(r, ReasonOwnerGone, rejectPause)
 			return
@@ -141,7 +142,8 @@
 		m.relay(r)
 		return
 	}
-	switch m.ledger.State(c.Sequence) {
+	r.key.ledger = l
+	switch l.State(c.Sequence) {
 	case once.Fresh:
 		r.key.owned = true
 		m.admit(r)
--- a/core/world_property_test.go
+++ b/core/world_property_test.go
@@ -11,6 +11,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/core"
 	"github.com/hoistjunction/hoistjunction/outcome"
+	"github.com/hoistjunction/hoistjunction/wire"
 )
 
 // TestMain fixes the seed and the size of the property tests, so that they
@@ -44,6 +45,8 @@
 			"freeze":        w.actFreeze,
 			"thaw":          w.actThaw,
 			"kill node":     w.actKillNode,
+			"stop node":     w.actStopNode,
+			"gossip":        w.actGossip,
 			"kill engine":   w.actKillEngine,
 			"toggle store":  func(*rapid.T) { w.down = !w.down },
 			"double answer": w.actDouble,
@@ -170,9 +173,20 @@
 }
 
 func (w *world) actKillNode(t *rapid.T) {
-	i := w.draw(t, len(w.nodes), "node")
-	w.nodes[i] = w.newNode(i)
-	w.introduce()
+	w.replace(w.nodes[w.draw(t, len(w.nodes), "node")])
+}
+
+// actStopNode begins a planned stop.
+func (w *world) actStopNode(t *rapid.T) {
+	w.tell(w.nodes[w.draw(t, len(w.nodes), "node")], core.DrainMsg{})
+}
+
+// actGossip tells one node what another says of itself.
+func (w *world) actGossip(t *rapid.T) {
+	from := w.nodes[w.draw(t, len(w.nodes), "from")]
+	record := from.model.Self()
+	record.Beat = uint64(w.now) + w.callers + 2
+	w.tell(w.nodes[w.draw(t, len(w.nodes), "to")], core.NodesMsg{Nodes: []*wire.NodeRecord{record}})
 }
 
 func (w *world) actKillEngine(t *rapid.T) {
--- a/core/world_test.go
+++ b/core/world_test.go
@@ -193,6 +193,13 @@
 		w.send("relay", func() { w.relay(n, relay) }, func() {
 			w.reply(n, "relay not sent", core.RelayFailedMsg{Request: relay.Request, NotSent: true}, nil)
 		})
+	case *core.HandoverCmd:
+		handover := *cmd
+		w.send("handover", func() { w.handOver(n, handover) }, func() {
+			w.reply(n, "handover not sent", core.HandedOverMsg{}, nil)
+		})
+	case *core.ExitCmd:
+		w.replace(n)
 	case *core.EmitCmd:
 		for _, caller := range cmd.Callers {
 			if f := n.callers[caller]; f != nil {
@@ -247,7 +254,7 @@
 // relay hands a request to the owner, if that incarnation still runs.
 func (w *world) relay(from *fakeNode, r core.RelayCmd) {
 	for _, owner := range w.nodes {
-		if owner.self.GetIncarnation() != r.Owner.Owner {
+		if owner.self.GetAddress() != r.Address {
 			continue
 		}
 		w.callers++
@@ -260,6 +267,28 @@
 	w.reply(from, "relay refused", core.RelayFailedMsg{Request: r.Request, NotSent: true}, nil)
 }
 
+// handOver gives keys to whoever now has the address they were sent to.
+func (w *world) handOver(from *fakeNode, h core.HandoverCmd) {
+	for _, to := range w.nodes {
+		if to.self.GetAddress() != h.Address {
+			continue
+		}
+		msg := core.HandoverMsg{To: h.To, Ledgers: h.Ledgers}
+		w.tell(to, msg)
+		w.reply(from, "handover answer", core.HandedOverMsg{Done: to.model.Holds(msg)}, core.HandedOverMsg{})
+	}
+}
+
+// replace puts a new incarnation in the place of a node.
+func (w *world) replace(n *fakeNode) {
+	for i, other := range w.nodes {
+		if other == n {
+			w.nodes[i] = w.newNode(i)
+		}
+	}
+	w.introduce()
+}
+
 func (w *world) relayed(from *fakeNode, request uint64, cmd core.Cmd) {
 	if !w.alive(from) {
 		return
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -27,6 +27,8 @@
 		n.peers.relay(cmd)
 	case *core.HeartbeatCmd:
 		n.peers.heartbeat(cmd)
+	case *core.HandoverCmd:
+		n.peers.handOver(cmd)
 	case *core.ProposedCmd:
 		n.desk.answer(cmd)
 	case *core.ExitCmd:
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -1,10 +1,13 @@
 package entry_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/load"
+	"github.com/hoistjunction/hoistjunction/outcome"
+	"github.com/hoistjunction/hoistjunction/standin"
 	"github.com/hoistjunction/hoistjunction/testbed"
 )
 
@@ -46,3 +49,30 @@
 		}
 	}
 }
+
+// TestTicketsOfAStoppedNodeRunAtItsSuccessor takes tickets from a node, stops
+// it as planned, and uses them at the one that is left.
+func TestTicketsOfAStoppedNodeRunAtItsSuccessor(t *testing.T) {
+	bed := start(t)
+	client := load.NewClient()
+	defer client.Close()
+	stopping := bed.Nodes[0]
+	tickets, err := client.Tickets(context.Background(), stopping.CallerAddress(), testbed.KeyOf("clinic"), 5)
+	if err != nil || len(tickets) != 5 {
+		t.Fatalf("got %d tickets (%v), want 5", len(tickets), err)
+	}
+	items := orders(5)
+	for i := range items {
+		items[i].Key = tickets[i]
+	}
+	wantWhole(t, run(bed, items[:2]))
+	stopping.Drain()
+	<-stopping.Done()
+	bed.Platform.SetFaults(standin.PlatformFaults{Down: true})
+	wantWhole(t, run(bed, items[2:]))
+	again := run(bed, items[:1], load.WithTries(1))
+	if again[0].Outcome != outcome.Unknown {
+		t.Errorf("got %s for a ticket used before the stop, want unknown", again[0].Outcome)
+	}
+	wantOnce(t, bed)
+}
--- a/member/table.go
+++ b/member/table.go
@@ -80,14 +80,34 @@
 	return n
 }
 
-// ByIncarnation returns a node by its incarnation, or nil.
-func (t *Table) ByIncarnation(incarnation uint64) *Peer {
+// Owner returns the node that owns an incarnation's keys: the one that runs as
+// it, or has had them handed over; nil when there is none.
+func (t *Table) Owner(incarnation uint64) *Peer {
+	var found *Peer
 	for _, p := range t.peers {
-		if p.record.GetIncarnation() == incarnation {
+		if slices.Contains(p.record.GetInherits(), incarnation) {
 			return p
 		}
+		if p.record.GetIncarnation() == incarnation {
+			found = p
+		}
+	}
+	return found
+}
+
+// Successor draws a node to hand keys over to: one that has been heard of
+// lately and does not stop itself; nil when there is none.
+func (t *Table) Successor(now clock.Millis, rng *rand.Rand) *Peer {
+	var fit []*Peer
+	for _, p := range t.peers {
+		if now.Sub(p.heard) <= t.silent && !p.record.GetDraining() {
+			fit = append(fit, p)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
 	}
-	return nil
+	return fit[rng.IntN(len(fit))]
 }
 
 // Learn takes in a record about another node. A record counts if it is newer
--- /dev/null
+++ b/proof/process_test.go
@@ -0,0 +1,89 @@
+package proof
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait of the tests.
+const patience = 30 * time.Second
+
+// nodeBinary is the entry node, built once for all tests.
+var nodeBinary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "hoistjunction")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	nodeBinary = filepath.Join(dir, "hoistjunction")
+	build := exec.Command("go", "build", "-o", nodeBinary, "../cmd/hoistjunction")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is an entry node that runs as a process.
+type process struct {
+	*exec.Cmd
+	caller string
+	admin  string
+}
+
+var listening = regexp.MustCompile(`event=listening port=(\w+) address=(\S+)`)
+
+// startProcess starts an entry node, and ends it with the test.
+func startProcess(t *testing.T, settings string) *process {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "node.ini")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{Cmd: exec.Command(nodeBinary, "--settings", path)}
+	logs, err := p.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatalf("got %v, want a process", err)
+	}
+	t.Cleanup(func() {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+	})
+	scanner := bufio.NewScanner(logs)
+	for (p.caller == "" || p.admin == "") && scanner.Scan() {
+		if m := listening.FindStringSubmatch(scanner.Text()); m != nil {
+			p.note(m[1], m[2])
+		}
+	}
+	if p.admin == "" {
+		t.Fatal("got a process that does not listen, want its ports")
+	}
+	go func() {
+		for scanner.Scan() {
+			continue
+		}
+	}()
+	return p
+}
+
+func (p *process) note(port, address string) {
+	switch port {
+	case "caller":
+		p.caller = address
+	case "admin":
+		p.admin = address
+	}
+}
--- a/record/codec.go
+++ b/record/codec.go
@@ -24,7 +24,7 @@
 	core.UpstreamDownMsg{}, core.CallDoneMsg{}, core.CallFailedMsg{}, core.ClaimsMsg{}, core.ClaimsFailedMsg{},
 	core.RelayTokensMsg{}, core.RelayDoneMsg{}, core.RelayFailedMsg{}, core.ListMsg{}, core.HeadMsg{},
 	core.ChangesMsg{}, core.FetchFailedMsg{}, core.NodesMsg{}, core.HeartbeatMsg{}, core.ProposeMsg{},
-	core.CommitMsg{}, core.MarkLeavingMsg{}, core.DrainMsg{},
+	core.CommitMsg{}, core.MarkLeavingMsg{}, core.DrainMsg{}, core.HandoverMsg{}, core.HandedOverMsg{},
 )
 
 func byName(samples ...core.Msg) map[string]reflect.Type {
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -144,7 +144,7 @@
 
 // Admin returns an operator's client of a node.
 func (b *Bed) Admin(n *Node) wireconnect.AdminClient {
-	return wireconnect.NewAdminClient(&http.Client{Transport: operatorTransport{}}, "http://"+n.AdminAddress())
+	return wireconnect.NewAdminClient(&http.Client{Transport: OperatorTransport{}}, "http://"+n.AdminAddress())
 }
 
 // Configure makes changes, and waits until every node has them in force.
@@ -198,12 +198,15 @@
 	b.platform.close()
 }
 
-// operatorTransport makes calls as the operator, each on a connection of its
+// PlatformAddress returns where the platform is served.
+func (b *Bed) PlatformAddress() string { return b.platform.address }
+
+// OperatorTransport makes calls as the operator, each on a connection of its
 // own, so that none is left open.
-type operatorTransport struct{}
+type OperatorTransport struct{}
 
 // RoundTrip implements http.RoundTripper.
-func (operatorTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (OperatorTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+OperatorToken)
 	t := &http.Transport{DisableKeepAlives: true}
--- a/wire/wireconnect/peer.connect.go
+++ b/wire/wireconnect/peer.connect.go
@@ -41,6 +41,8 @@
 	PeerChangesProcedure = "/hoistjunction.v1.Peer/Changes"
 	// PeerRelayProcedure is the fully-qualified name of the Peer's Relay RPC.
 	PeerRelayProcedure = "/hoistjunction.v1.Peer/Relay"
+	// PeerHandoverProcedure is the fully-qualified name of the Peer's Handover RPC.
+	PeerHandoverProcedure = "/hoistjunction.v1.Peer/Handover"
 )
 
 // PeerClient is a client for the hoistjunction.v1.Peer service.
@@ -51,6 +53,8 @@
 	Changes(context.Context, *connect.Request[wire.ChangesRequest]) (*connect.Response[wire.ChangesReply], error)
 	// Relay runs a request at the node that owns its key.
 	Relay(context.Context, *connect.Request[wire.RelayRequest]) (*connect.ServerStreamForClient[wire.RelayEvent], error)
+	// Handover gives a node the keys of one that stops.
+	Handover(context.Context, *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverReply], error)
 }
 
 // NewPeerClient constructs a client for the hoistjunction.v1.Peer service. By default, it uses the
@@ -82,6 +86,12 @@
 			connect.WithSchema(peerMethods.ByName("Relay")),
 			connect.WithClientOptions(opts...),
 		),
+		handover: connect.NewClient[wire.HandoverRequest, wire.HandoverReply](
+			httpClient,
+			baseURL+PeerHandoverProcedure,
+			connect.WithSchema(peerMethods.ByName("Handover")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -90,6 +100,7 @@
 	heartbeat *connect.Client[wire.HeartbeatRequest, wire.HeartbeatReply]
 	changes   *connect.Client[wire.ChangesRequest, wire.ChangesReply]
 	relay     *connect.Client[wire.RelayRequest, wire.RelayEvent]
+	handover  *connect.Client[wire.HandoverRequest, wire.HandoverReply]
 }
 
 // Heartbeat calls hoistjunction.v1.Peer.Heartbeat.
@@ -107,6 +118,11 @@
 	return c.relay.CallServerStream(ctx, req)
 }
 
+// Handover calls hoistjunction.v1.Peer.Handover.
+func (c *peerClient) Handover(ctx context.Context, req *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverReply], error) {
+	return c.handover.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the hoistjunction.v1.Peer service.
 type PeerHandler interface {
 	// Heartbeat exchanges what both sides know of nodes, versions and leavings.
@@ -115,6 +131,8 @@
 	Changes(context.Context, *connect.Request[wire.ChangesRequest]) (*connect.Response[wire.ChangesReply], error)
 	// Relay runs a request at the node that owns its key.
 	Relay(context.Context, *connect.Request[wire.RelayRequest], *connect.ServerStream[wire.RelayEvent]) error
+	// Handover gives a node the keys of one that stops.
+	Handover(context.Context, *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverReply], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -142,6 +160,12 @@
 		connect.WithSchema(peerMethods.ByName("Relay")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerHandoverHandler := connect.NewUnaryHandler(
+		PeerHandoverProcedure,
+		svc.Handover,
+		connect.WithSchema(peerMethods.ByName("Handover")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hoistjunction.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerHeartbeatProcedure:
@@ -150,6 +174,8 @@
 			peerChangesHandler.ServeHTTP(w, r)
 		case PeerRelayProcedure:
 			peerRelayHandler.ServeHTTP(w, r)
+		case PeerHandoverProcedure:
+			peerHandoverHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -170,3 +196,7 @@
 func (UnimplementedPeerHandler) Relay(context.Context, *connect.Request[wire.RelayRequest], *connect.ServerStream[wire.RelayEvent]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("hoistjunction.v1.Peer.Relay is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Handover(context.Context, *connect.Request[wire.HandoverRequest]) (*connect.Response[wire.HandoverReply], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hoistjunction.v1.Peer.Handover is not implemented"))
+}
