--- /dev/null
+++ b/proof/cost_bench_test.go
@@ -0,0 +1,81 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/load"
+	"github.com/hoistjunction/hoistjunction/testbed"
+)
+
+// ticksPerSecond is the unit of processor time in /proc, on Linux.
+const ticksPerSecond = 100
+
+// BenchmarkNodeProcess tells what a node takes as a process: processor time
+// for each step and for each plain call, and memory, at loads that double.
+func BenchmarkNodeProcess(b *testing.B) {
+	for _, rate := range []int{25, 50, 100} {
+		b.Run(fmt.Sprintf("requests=%d/s", rate), func(b *testing.B) {
+			for b.Loop() {
+				measureNode(b, rate)
+			}
+		})
+	}
+}
+
+// measureNode sends requests of 40 tokens for a few seconds.
+func measureNode(b *testing.B, rate int) {
+	const length, tokens = 4 * time.Second, 40
+	w := startWorld(b, 1)
+	var items []load.Item
+	for i := range int(length.Seconds()) * rate {
+		items = append(items, load.Item{
+			AtMS: int64(i * 1000 / rate), Account: "clinic", Route: "notices", MaxTokens: tokens,
+			Prompt: fmt.Sprintf("Expediente %d: audiencia el lunes a las 9:30", i),
+		})
+	}
+	before := w.nodes[0].cpu(b)
+	results := load.NewRunner([]string{w.nodes[0].caller}, load.WithTries(1), load.WithLayers(testbed.Layers),
+		load.WithKeys(map[string]string{"clinic": testbed.KeyOf("clinic")})).Run(context.Background(), items)
+	spent := w.nodes[0].cpu(b) - before
+	emitted := 0
+	for _, r := range results {
+		emitted += len(r.Texts)
+	}
+	const stages = 3
+	b.ReportMetric(float64(spent.Microseconds())/float64(emitted*stages), "cpu-us/step")
+	b.ReportMetric(float64(emitted*stages)/length.Seconds(), "steps/s")
+	b.ReportMetric(float64(w.nodes[0].memory(b))/(1<<20), "rss-MB")
+	idle := w.nodes[0].cpu(b)
+	time.Sleep(2 * time.Second)
+	b.ReportMetric(float64((w.nodes[0].cpu(b)-idle).Milliseconds())/20, "idle-%core")
+}
+
+// cpu returns the processor time that a process has used.
+func (p *process) cpu(t testing.TB) time.Duration {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
+// memory returns the bytes that a process has in memory.
+func (p *process) memory(t testing.TB) int64 {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages, _ := strconv.ParseInt(strings.Fields(string(text))[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
