Let an account have as many requests in progress as it may

Cause: a request counted itself before the limit was looked at, so an account with a limit of one was never served. Found by reading; the recording of the limit had only stated what the second request was told.

Also bounded: open requests (8,192, shed before the body is read), what a recording carries (16 MB), and what an ended request keeps (not what was asked).

Before: 'caller 1: got not_run (account_limit), want none'. After: as stated. Ruled out: raising the limit by one in the configuration.

--- a/core/account.go
+++ b/core/account.go
@@ -28,8 +28,9 @@
 
 func (a *account) weight() float64 { return float64(a.config.GetWeight()) }
 
-// full reports whether the account has as much in progress as it may.
+// full reports whether the account has more in progress than it may. The
+// request that asks counts as in progress.
 func (a *account) full() bool {
 	limit := a.config.GetMaxInFlight()
-	return limit > 0 && a.inProgress >= int(limit)
+	return limit > 0 && a.inProgress > int(limit)
 }
--- a/core/finish.go
+++ b/core/finish.go
@@ -74,6 +74,9 @@
 	}
 	r.step = nil
 	r.chain = nil
+	// The record's digest stands for what was asked.
+	r.spec.Prompt = ""
+	r.spec.Body = nil
 	for _, dropped := range m.answers.put(k) {
 		delete(m.keys, dropped.name)
 	}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -29,19 +29,35 @@
 	decider *decider
 	mail    *mailroom
 	maxBody int64
+	// open has an item for each request that is open.
+	open chan struct{}
 }
 
 // handler routes the callers' paths.
 func (s *callerServer) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/completions", s.completions)
-	mux.HandleFunc("POST /v1/chat/completions", s.completions)
-	mux.HandleFunc("POST /v1/services/{route}/{path...}", s.service)
+	mux.HandleFunc("POST /v1/completions", s.bounded(s.completions))
+	mux.HandleFunc("POST /v1/chat/completions", s.bounded(s.completions))
+	mux.HandleFunc("POST /v1/services/{route}/{path...}", s.bounded(s.service))
 	mux.HandleFunc("POST /v1/tickets", s.tickets)
 	mux.HandleFunc("GET /ready", s.ready)
 	return mux
 }
 
+// bounded sheds a request, before its body is read, when too many are open.
+func (s *callerServer) bounded(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case s.open <- struct{}{}:
+			defer func() { <-s.open }()
+			next(w, r)
+		default:
+			msg, _ := message(r)
+			s.writeFinal(w, shedAnswer(&msg))
+		}
+	}
+}
+
 // ready tells the balancer whether to send requests here.
 func (s *callerServer) ready(w http.ResponseWriter, _ *http.Request) {
 	ready := false
--- a/entry/config.go
+++ b/entry/config.go
@@ -31,17 +31,20 @@
 	PeerSeeds     []string
 	Platform      string
 	MaxBody       int
-	Grace         clock.Millis
-	Seed          int
-	Recording     int
-	TLSCert       string
-	TLSKey        string
-	TLSCA         string
-	Operators     map[string]string
-	Policy        core.Policy
-	Chooser       string
-	FixedLimit    int
-	MaxQueue      int
+	// MaxRequests bounds the callers' requests that are open at a time, and
+	// with MaxBody the memory that they can take.
+	MaxRequests int
+	Grace       clock.Millis
+	Seed        int
+	Recording   int
+	TLSCert     string
+	TLSKey      string
+	TLSCA       string
+	Operators   map[string]string
+	Policy      core.Policy
+	Chooser     string
+	FixedLimit  int
+	MaxQueue    int
 }
 
 // NewConfig returns a configuration with the defaults of a node that is made
@@ -50,18 +53,19 @@
 	return &Config{
 		Name: "node", DataCentre: "dc", LogLevel: "info",
 		CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0",
-		MaxBody: defaultMaxBody, Grace: defaultGrace, Recording: defaultRecording,
+		MaxBody: defaultMaxBody, MaxRequests: defaultMaxRequests, Grace: defaultGrace, Recording: defaultRecording,
 		Operators: make(map[string]string), Policy: core.DefaultPolicy(), Chooser: chooserTwo,
 	}
 }
 
 // Defaults that are numbers.
 const (
-	defaultMaxBody                = 1 << 20
-	defaultGrace     clock.Millis = 3000
-	defaultRecording              = 1 << 14
-	largestBody                   = 64 << 20
-	largestNumber                 = 1 << 30
+	defaultMaxBody                  = 1 << 20
+	defaultMaxRequests              = 8192
+	defaultGrace       clock.Millis = 3000
+	defaultRecording                = 1 << 14
+	largestBody                     = 64 << 20
+	largestNumber                   = 1 << 30
 )
 
 // Settings declares every setting of an entry node.
@@ -74,6 +78,7 @@
 	s.Int("node", "recording", &c.Recording, 0, largestNumber, settings.WithDefault("16384"))
 	s.Address("caller", "listen", &c.CallerListen, settings.WithDefault("127.0.0.1:0"))
 	s.Int("caller", "max_body", &c.MaxBody, 1, largestBody, settings.WithDefault("1048576"))
+	s.Int("caller", "max_requests", &c.MaxRequests, 1, largestNumber, settings.WithDefault("8192"))
 	s.Address("peer", "listen", &c.PeerListen, settings.WithDefault("127.0.0.1:0"))
 	s.Address("peer", "advertise", &c.PeerAdvertise)
 	s.String("peer", "secret", &c.PeerSecret, settings.Required(), settings.Secret())
--- a/entry/node.go
+++ b/entry/node.go
@@ -156,7 +156,10 @@
 // Run serves until the context ends, which cuts off what is in progress, or
 // until a planned stop is through.
 func (n *Node) Run(ctx context.Context) error {
-	callers := &callerServer{log: n.log, decider: n.decider, mail: n.mail, maxBody: int64(n.config.MaxBody)}
+	callers := &callerServer{
+		log: n.log, decider: n.decider, mail: n.mail, maxBody: int64(n.config.MaxBody),
+		open: make(chan struct{}, n.config.MaxRequests),
+	}
 	peers := &peerServer{callers: callers, secret: n.config.PeerSecret}
 	admin := &adminServer{
 		log: n.log, decider: n.decider, recorder: n.decider.recorder, operators: n.config.Operators,
--- a/record/recorder.go
+++ b/record/recorder.go
@@ -12,9 +12,12 @@
 	"github.com/hoistjunction/hoistjunction/core"
 )
 
-// DefaultCapacity is how many messages a Recorder keeps: about the last
-// seconds of a busy node.
-const DefaultCapacity = 1 << 14
+// Bounds of a Recorder: how many messages it keeps, and how many bytes of what
+// they carry.
+const (
+	DefaultCapacity = 1 << 14
+	mostBytes       = 16 << 20
+)
 
 // Recorder keeps the newest messages in a bounded ring. VMs have no disks; an
 // operator reads it while the node runs. It is safe for concurrent use.
@@ -22,7 +25,9 @@
 	mu       sync.Mutex
 	start    Start
 	entries  []entry
-	next     int
+	oldest   int
+	length   int
+	bytes    int
 	dropped  uint64
 	capacity int
 }
@@ -54,15 +59,45 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.entries) < r.capacity {
-		r.entries = append(r.entries, entry{at: at, msg: msg})
-		return
+	if r.entries == nil {
+		r.entries = make([]entry, r.capacity)
+	}
+	if r.length == r.capacity {
+		r.drop()
 	}
-	r.entries[r.next] = entry{at: at, msg: msg}
-	r.next = (r.next + 1) % r.capacity
+	r.entries[(r.oldest+r.length)%r.capacity] = entry{at: at, msg: msg}
+	r.length++
+	r.bytes += carried(msg)
+	for r.bytes > mostBytes && r.length > 1 {
+		r.drop()
+	}
+}
+
+// drop drops the oldest message.
+func (r *Recorder) drop() {
+	r.bytes -= carried(r.entries[r.oldest].msg)
+	r.entries[r.oldest] = entry{}
+	r.oldest = (r.oldest + 1) % r.capacity
+	r.length--
 	r.dropped++
 }
 
+// carried is the bytes of a message that callers and upstreams decide on.
+func carried(msg core.Msg) int {
+	switch msg := msg.(type) {
+	case core.SubmitMsg:
+		return len(msg.Prompt) + len(msg.Body)
+	case core.CallDoneMsg:
+		return len(msg.Body)
+	case core.RelayDoneMsg:
+		return len(msg.Finish.Body)
+	case *core.StepDoneMsg:
+		return 8 * len(msg.Outputs)
+	default:
+		return 0
+	}
+}
+
 // Lines returns the recording, and how many messages have been dropped. One
 // that has dropped any shows what happened last, but does not replay.
 func (r *Recorder) Lines() ([]byte, uint64, error) {
@@ -70,7 +105,10 @@
 	defer r.mu.Unlock()
 	start := r.start
 	start.Dropped = r.dropped
-	ordered := append(append([]entry(nil), r.entries[r.next:]...), r.entries[:r.next]...)
+	ordered := make([]entry, 0, r.length)
+	for i := range r.length {
+		ordered = append(ordered, r.entries[(r.oldest+i)%r.capacity])
+	}
 	lines, err := encode(start, ordered)
 	return lines, r.dropped, err
 }
