--- a/cmd/hoistburn/main.go
+++ b/cmd/hoistburn/main.go
@@ -8,13 +8,13 @@
 	"fmt"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/burn"
+	"github.com/hoistjunction/hoistjunction/operator"
 )
 
 // readTimeout bounds the reading of one node.
@@ -25,6 +25,7 @@
 type arguments struct {
 	Nodes     []string `arg:"--nodes,required" help:"operators' ports of the entry nodes, as ip:port"`
 	TokenFile string   `arg:"--token-file,env:HOIST_TOKEN_FILE,required" help:"file that holds the operator's token"`
+	CA        string   `arg:"--ca" help:"authority of the nodes' certificates; without it the ports are spoken to in clear"`
 	Objective float64  `arg:"--objective" default:"0.95" help:"share of requests that must be within their bounds"`
 	JSON      bool     `arg:"--json" help:"print JSON instead of a table"`
 	HTML      string   `arg:"--html" help:"write a page with a chart to this file"`
@@ -40,13 +41,13 @@
 }
 
 func run(args arguments) error {
-	token, err := os.ReadFile(args.TokenFile)
+	client, err := operator.NewClient(args.TokenFile, args.CA)
 	if err != nil {
-		return errors.Newf("cannot read the token from %s", args.TokenFile)
+		return err
 	}
 	var read [][]burn.Line
 	for _, node := range args.Nodes {
-		lines, err := readNode(node, strings.TrimSpace(string(token)))
+		lines, err := readNode(client, node)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "hoistburn: node %s: %v\n", node, err)
 			continue
@@ -68,15 +69,14 @@
 	return report.Text(os.Stdout)
 }
 
-func readNode(node, token string) ([]burn.Line, error) {
+func readNode(client *operator.Client, node string) ([]burn.Line, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+node+"/debug/burn", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, client.URL(node)+"/debug/burn", nil)
 	if err != nil {
 		return nil, err
 	}
-	req.Header.Set("Authorization", "Bearer "+token)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.HTTP().Do(req)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -9,15 +9,14 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/alexflint/go-arg"
 	"github.com/cockroachdb/errors"
 
+	"github.com/hoistjunction/hoistjunction/operator"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 )
 
@@ -79,18 +78,13 @@
 }
 
 func newSession(args arguments) (*session, error) {
-	token, err := os.ReadFile(args.TokenFile)
-	if err != nil {
-		return nil, errors.Newf("cannot read the token from %s", args.TokenFile)
+	if _, _, err := net.SplitHostPort(args.Node); err != nil {
+		return nil, errors.Newf("--node %q is not ip:port", args.Node)
 	}
-	client, scheme, err := httpClient(args.CA)
+	client, err := operator.NewClient(args.TokenFile, args.CA)
 	if err != nil {
 		return nil, err
 	}
-	if _, _, err := net.SplitHostPort(args.Node); err != nil {
-		return nil, errors.Newf("--node %q is not ip:port", args.Node)
-	}
-	auth := &authorized{token: strings.TrimSpace(string(token)), next: client.Transport}
-	admin := wireconnect.NewAdminClient(&http.Client{Transport: auth}, scheme+args.Node, connect.WithProtoJSON())
+	admin := wireconnect.NewAdminClient(client.HTTP(), client.URL(args.Node), connect.WithProtoJSON())
 	return &session{admin: admin, out: &printer{w: os.Stdout, json: args.JSON}}, nil
 }
--- a/models/check.sh
+++ b/models/check.sh
@@ -41,6 +41,10 @@
 check generation holds
 check generation fails NOMATCH
 check generation fails NOCHECK
+check handover holds
+check handover fails NOSEAL
+check handover fails NOTO
+check handover fails TWICE
 check config holds
 check config fails BLIND
 check config fails BACK
--- a/testbed/bed.go
+++ b/testbed/bed.go
@@ -117,6 +117,7 @@
 	c.Policy = b.options.policy
 	c.Chooser = b.options.chooser
 	c.Recording = b.options.recording
+	c.TLSCert, c.TLSKey, c.TLSCA = b.options.tls[0], b.options.tls[1], b.options.tls[2]
 	for _, n := range b.Nodes {
 		c.PeerSeeds = append(c.PeerSeeds, n.PeerAddress())
 	}
--- a/testbed/options.go
+++ b/testbed/options.go
@@ -26,6 +26,7 @@
 	policy    core.Policy
 	chooser   string
 	recording int
+	tls       [3]string
 }
 
 // Option sets up a testbed.
@@ -69,5 +70,10 @@
 	return func(o *options) { o.policy, o.chooser = p, chooser }
 }
 
+// WithTLS sets the nodes' certificate, its key, and the authority.
+func WithTLS(cert, key, ca string) Option {
+	return func(o *options) { o.tls = [3]string{cert, key, ca} }
+}
+
 // WithRecording sets how many messages the nodes record.
 func WithRecording(n int) Option { return func(o *options) { o.recording = n } }
