--- a/core/claim.go
+++ b/core/claim.go
@@ -118,14 +118,11 @@
 
 // expireClaims refuses requests whose claim has taken too long.
 func (m *Model) expireClaims() {
-	for _, r := range m.claims.waiting {
-		if r.phase == phaseClaiming && m.now.Sub(r.arrived) > m.queueBound(r) {
-			m.refuse(r, ReasonStoreDown, m.claimPause())
-		}
-	}
-	for _, r := range m.claims.out {
-		if r.phase == phaseClaiming && m.now.Sub(r.arrived) > m.queueBound(r) {
-			m.refuse(r, ReasonStoreDown, m.claimPause())
+	for _, list := range [][]*request{m.claims.waiting, m.claims.out} {
+		for _, r := range list {
+			if r.phase == phaseClaiming && m.now.Sub(r.arrived) > m.queueBound(r) {
+				m.refuse(r, ReasonStoreDown, m.claimPause())
+			}
 		}
 	}
 }
--- /dev/null
+++ b/core/tickets.go
@@ -0,0 +1,27 @@
+package core
+
+import (
+	"github.com/hoistjunction/hoistjunction/outcome"
+)
+
+// maxTickets is how many tickets a caller gets at once at the most.
+const maxTickets = 256
+
+// tickets issues tickets: keys that only this node will run.
+func (m *Model) tickets(msg TicketsMsg) {
+	a := m.accounts[msg.KeyHash]
+	if a == nil {
+		m.do(&FinishCmd{Caller: msg.Caller, Outcome: outcome.Failed, Reason: ReasonUnauthorized})
+		return
+	}
+	if m.drain.started {
+		m.do(&FinishCmd{Caller: msg.Caller, Outcome: outcome.NotRun, Reason: ReasonDraining, RetryAfter: rejectPause})
+		return
+	}
+	n := min(max(msg.Count, 1), maxTickets)
+	tickets := make([]string, 0, n)
+	for range n {
+		tickets = append(tickets, m.ledger.Issue(a.config.GetName()).String())
+	}
+	m.do(&TicketsCmd{Caller: msg.Caller, Tickets: tickets})
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -1,15 +1,12 @@
 package entry
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/oklog/run"
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -18,7 +15,6 @@
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/record"
-	"github.com/hoistjunction/hoistjunction/ring"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -152,88 +148,3 @@
 
 // Drain begins a planned stop. Run returns when nothing is in progress.
 func (n *Node) Drain() { n.decider.tell(core.DrainMsg{}) }
-
-// Run serves until the context ends, which cuts off what is in progress, or
-// until a planned stop is through.
-func (n *Node) Run(ctx context.Context) error {
-	callers := &callerServer{
-		log: n.log, decider: n.decider, mail: n.mail, maxBody: int64(n.config.MaxBody),
-		open: make(chan struct{}, n.config.MaxRequests),
-	}
-	peers := &peerServer{callers: callers, secret: n.config.PeerSecret}
-	admin := &adminServer{
-		log: n.log, decider: n.decider, recorder: n.decider.recorder, operators: n.config.Operators,
-		proposals: n.desk, wall: n.clock.Wall,
-	}
-	var g run.Group
-	n.addContext(ctx, &g)
-	n.addLoop(&g, n.decider.run)
-	for _, r := range []*ring.Ring[core.Cmd]{n.store.claims, n.store.commits, n.store.reads, n.store.lists} {
-		n.addLoop(&g, func(ctx context.Context) error { return n.store.work(ctx, r) })
-	}
-	n.addServer(&g, n.caller, callers.handler())
-	n.addServer(&g, n.peer, peers.handler())
-	n.addServer(&g, n.admin, admin.handler())
-	err := g.Run()
-	n.close()
-	if errors.Is(err, errDrained) {
-		return nil
-	}
-	return err
-}
-
-// errDrained ends the run group after a planned stop.
-var errDrained = errors.New("entry: drained")
-
-// addContext ends the group when the context ends or the node has drained.
-func (n *Node) addContext(ctx context.Context, g *run.Group) {
-	ctx, cancel := context.WithCancel(ctx)
-	g.Add(func() error {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-n.exit:
-			return errDrained
-		}
-	}, func(error) { cancel() })
-}
-
-func (n *Node) addLoop(g *run.Group, loop func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
-}
-
-// addServer serves a handler over HTTP/1.1 and HTTP/2. When the group ends it
-// lets answers that are being written out finish, for a short while.
-func (n *Node) addServer(g *run.Group, l net.Listener, h http.Handler) {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	server := &http.Server{
-		Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(n.log.Logger),
-	}
-	if n.tls != nil {
-		protocols.SetHTTP2(true)
-		server.TLSConfig = n.tls.ServerConfig()
-	}
-	g.Add(func() error {
-		if n.tls != nil {
-			return server.ServeTLS(l, "", "")
-		}
-		return server.Serve(l)
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-		defer cancel()
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close()
-		}
-	})
-}
-
-func (n *Node) close() {
-	n.engines.Close()
-	n.services.close()
-	n.peers.close()
-	n.platform.Close()
-}
