Let half-done work stretch the limits, and tell prefill from decode steps

A freeze was also seen late: decode steps counted into the usual time of a prompt's position, so that a prompt's first step was given up after seconds only.

--- a/cmd/hoistmeasure/main.go
+++ b/cmd/hoistmeasure/main.go
@@ -17,7 +17,7 @@
 type arguments struct {
 	Seeds     int     `arg:"--seeds" default:"3" help:"runs of each scenario with each contender"`
 	Capacity  float64 `arg:"--capacity" help:"requests a second that the stand-ins hold; found by a climb when left out"`
-	Contender string  `arg:"--contender" help:"only contenders whose name holds this"`
+	Contender string  `arg:"--contender" help:"only contenders whose name holds one of these words, separated by commas"`
 	Overhead  bool    `arg:"--overhead" help:"only what a node adds to a plain call, and the memory it keeps"`
 	Only      string  `arg:"--only" help:"only scenarios whose name holds this"`
 }
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -108,11 +108,15 @@
 // pickOne avoids upstreams that have failed the request before, unless there
 // are no others.
 func (m *Model) pickOne(g *pool.Group, r *request) (*pool.Upstream, bool) {
-	u, ok := m.pool.Pick(m.now, g.Name(), m.rng, r.tried...)
+	pick := m.pool.Pick
+	if r.phase == phaseResuming {
+		pick = m.pool.PickOver
+	}
+	u, ok := pick(g.Name(), m.rng, r.tried...)
 	if ok || len(r.tried) == 0 || g.Limit() > 0 && g.Len() > 1 {
 		return u, ok
 	}
-	return m.pool.Pick(m.now, g.Name(), m.rng)
+	return pick(g.Name(), m.rng)
 }
 
 // cachedChain returns the chain that may have the prompt's prefix cached, if
--- a/measure/contender.go
+++ b/measure/contender.go
@@ -20,7 +20,8 @@
 
 // Contenders returns the policy and its baselines: what a plain proxy does,
 // with and without a limit on the requests that an engine gets at a time. Only
-// those whose name holds the given text are returned.
+// those whose name holds one of the given words, separated by commas, are
+// returned.
 func Contenders(only string) []Contender {
 	plain := core.Policy{
 		FixedLimit: 4096, MaxQueue: 1 << 20, MaxGenerations: 6, MaxCalls: 3, LeastStepLimit: 400, StepLimitFactor: 8, Margin: 1,
@@ -33,5 +34,14 @@
 		{Name: "least in flight", Policy: plain, Chooser: "least_in_flight"},
 		{Name: "least, fixed limit", Policy: limited, Chooser: "least_in_flight"},
 	}
-	return slices.DeleteFunc(all, func(c Contender) bool { return !strings.Contains(c.Name, only) })
+	return slices.DeleteFunc(all, func(c Contender) bool { return !named(c.Name, only) })
+}
+
+func named(name, words string) bool {
+	for word := range strings.SplitSeq(words, ",") {
+		if strings.Contains(name, word) {
+			return true
+		}
+	}
+	return false
 }
--- a/pool/limits.go
+++ b/pool/limits.go
@@ -17,6 +17,8 @@
 	Back float64
 	// InUse is the share of the limit that must be taken for it to grow.
 	InUse float64
+	// Over is how far work that is half done may stretch a limit.
+	Over float64
 	// Aim is the share of the bound that answers should take at the most.
 	Aim float64
 	// MayMiss is the share of answers that may take longer.
@@ -48,6 +50,7 @@
 		Ahead:           1.5,
 		Back:            0.85,
 		InUse:           0.8,
+		Over:            2,
 		Aim:             0.9,
 		MayMiss:         0.02,
 		Enough:          20,
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -166,13 +166,24 @@
 
 // Pick chooses an upstream of a group that has room for one more piece of
 // work, and is none of the excluded. It returns false when there is none.
-func (p *Pool) Pick(now clock.Millis, group string, rng *rand.Rand, exclude ...*Upstream) (*Upstream, bool) {
+func (p *Pool) Pick(group string, rng *rand.Rand, exclude ...*Upstream) (*Upstream, bool) {
+	return p.pick(group, rng, 1, exclude)
+}
+
+// PickOver is Pick for work that is half done and waits elsewhere: it may go
+// over the limits by Limits.Over, which a short crowding costs less than the
+// wait for room.
+func (p *Pool) PickOver(group string, rng *rand.Rand, exclude ...*Upstream) (*Upstream, bool) {
+	return p.pick(group, rng, p.limits.Over, exclude)
+}
+
+func (p *Pool) pick(group string, rng *rand.Rand, over float64, exclude []*Upstream) (*Upstream, bool) {
 	g := p.groups[group]
 	if g == nil || len(g.members) == 0 {
 		return nil, false
 	}
 	u := p.chooser.Choose(g, rng, func(u *Upstream) bool {
-		return u.HasRoom() && !slices.Contains(exclude, u)
+		return u.hasRoom(over) && !slices.Contains(exclude, u)
 	})
 	return u, u != nil
 }
@@ -194,8 +205,9 @@
 func (p *Pool) Observe(u *Upstream, span clock.Millis, positions int) {
 	if positions <= p.limits.SmallStep {
 		u.step.add(float64(span))
+	} else {
+		u.prefill.add(float64(span) / float64(positions))
 	}
-	u.prefill.add(float64(span) / float64(max(positions, 1)))
 	u.failures = 0
 	if u.ejectedUntil != 0 {
 		p.restore(u)
--- a/pool/upstream.go
+++ b/pool/upstream.go
@@ -55,8 +55,11 @@
 func (u *Upstream) Ejected() bool { return u.ejectedUntil != 0 && !u.probing }
 
 // HasRoom reports whether the upstream may be given one more piece of work.
-func (u *Upstream) HasRoom() bool {
-	return u.open() && float64(u.inFlight)+1 <= u.limit
+func (u *Upstream) HasRoom() bool { return u.hasRoom(1) }
+
+// hasRoom is HasRoom with the limit stretched by a factor.
+func (u *Upstream) hasRoom(over float64) bool {
+	return u.open() && float64(u.inFlight)+1 <= u.limit*over
 }
 
 // State returns the upstream's state in a word, for people.
