Show the service-level burn in the demonstration; hold slow bodies open

Cause: hoistburn had not been run against real processes in any check, and slow bodies not at all. Before: neither. Ruled out: waiting for the 30 s after which a slow body is cut off, in a test.

--- a/entry/input_test.go
+++ b/entry/input_test.go
@@ -80,6 +80,9 @@
 	for range 10 {
 		hangUp(t, address, whole, true)
 	}
+	for range 20 {
+		holdOpen(t, address, whole[:len(whole)-5])
+	}
 	wantWhole(t, run(bed, notices(10, 5)))
 }
 
@@ -98,6 +101,20 @@
 	}
 }
 
+// holdOpen sends a part of a request and leaves the rest out until the test
+// ends, as a slow body does.
+func holdOpen(t *testing.T, address, text string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatalf("got %v, want a connection", err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if _, err := io.WriteString(conn, text); err != nil {
+		t.Fatalf("got %v, want the text sent", err)
+	}
+}
+
 func TestOperatorsNeedAToken(t *testing.T) {
 	bed := start(t)
 	for _, path := range []string{"/debug/vars", "/debug/burn"} {
--- a/examples/two-nodes/run.sh
+++ b/examples/two-nodes/run.sh
@@ -98,3 +98,6 @@
 	accounts+=(--account "$a=$a-key")
 done
 "$bin/hoistload" --nodes "${nodes[@]}" --trace "$root/traces/monday-dawn.jsonl" "${accounts[@]}"
+
+echo "service-level burn"
+"$bin/hoistburn" --nodes "$admin" "$(await entry-2 'port=admin')" --token-file "$work/token"
