--- a/standin/engine.go
+++ b/standin/engine.go
@@ -122,8 +122,11 @@
 func (e *Engine) Steps(ctx context.Context, s *connect.BidiStream[wire.StepRequest, wire.StepReply]) error {
 	replies := make(chan *wire.StepReply, 4096)
 	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	// The stream must not be used once this function has returned.
+	defer wg.Wait()
 	defer cancel()
-	go send(ctx, cancel, s, replies)
+	wg.Go(func() { send(ctx, cancel, s, replies) })
 	answer := func(r *wire.StepReply) {
 		select {
 		case replies <- r:
