Say things once: the awaited answer, going elsewhere, the tests' After

Cause: read again as a whole, the change had its twins. Whether an answer is the awaited one stood in stepDone and stepFailed; putting a request in line for other upstreams in resume and callElsewhere; After in two test packages; and three loops did what slices.DeleteFunc does. A service's Retry-After was read and never looked at; two accessors had no user; a comment spoke of a parameter that is gone. The whole list of VMs sorted all upstreams by name to look for those to forget, though the order plays no part.

Ruled out: changing any bound, check or assertion; the recordings are as they were, and so is what the tests want.

--- a/core/call.go
+++ b/core/call.go
@@ -131,14 +131,9 @@
 	return r.route.lane.budget.Spend()
 }
 
-// callElsewhere puts a request in line for another upstream. It keeps the
-// turn that it has had.
+// callElsewhere tries a request again at another upstream.
 func (m *Model) callElsewhere(r *request) {
 	m.stats.Retried++
 	r.tried = append(r.tried, r.chain[0])
-	m.leaveLane(r)
-	r.phase = phaseResuming
-	l := r.route.lane
-	l.resuming = append(l.resuming, r)
-	m.dispatch(l)
+	m.goElsewhere(r)
 }
--- a/core/cancel.go
+++ b/core/cancel.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/hoistjunction/hoistjunction/outcome"
 )
 
@@ -12,7 +14,7 @@
 		return
 	}
 	delete(m.byCaller, msg.Caller)
-	r.dropCaller(msg.Caller)
+	r.callers = slices.DeleteFunc(r.callers, func(c uint64) bool { return c == msg.Caller })
 	if len(r.callers) > 0 || (r.key != nil && r.begun) {
 		return
 	}
@@ -31,13 +33,3 @@
 	}
 	return outcome.NotRun
 }
-
-func (r *request) dropCaller(caller uint64) {
-	kept := r.callers[:0]
-	for _, c := range r.callers {
-		if c != caller {
-			kept = append(kept, c)
-		}
-	}
-	r.callers = kept
-}
--- a/core/claim.go
+++ b/core/claim.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
@@ -76,14 +78,7 @@
 func (c *claimBatcher) busy() bool { return len(c.waiting)+len(c.out) > 0 }
 
 func (c *claimBatcher) dropEnded() {
-	kept := c.waiting[:0]
-	for _, r := range c.waiting {
-		if r.phase == phaseClaiming {
-			kept = append(kept, r)
-		}
-	}
-	clear(c.waiting[len(kept):])
-	c.waiting = kept
+	c.waiting = slices.DeleteFunc(c.waiting, func(r *request) bool { return r.phase != phaseClaiming })
 }
 
 // claimsAnswered goes on with each key of a batch, at its owner.
--- a/core/propose.go
+++ b/core/propose.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -142,14 +144,7 @@
 
 func (m *Model) answer(p *proposal, reply *wire.ProposeReply) {
 	m.do(&ProposedCmd{Call: p.call, Reply: reply})
-	kept := m.proposals[:0]
-	for _, other := range m.proposals {
-		if other != p {
-			kept = append(kept, other)
-		}
-	}
-	clear(m.proposals[len(kept):])
-	m.proposals = kept
+	m.proposals = slices.DeleteFunc(m.proposals, func(other *proposal) bool { return other == p })
 }
 
 // answerProposals answers the operators whose changes are in force widely
--- a/core/resume.go
+++ b/core/resume.go
@@ -8,8 +8,7 @@
 func (m *Model) stepFailed(msg StepFailedMsg) {
 	u := m.pool.Get(msg.Upstream)
 	r := m.requests[msg.Request]
-	if u == nil || r == nil || r.phase != phaseRunning || r.step == nil ||
-		r.chain[r.stage] != u || r.generation != msg.Generation || r.step.Position != msg.Position {
+	if u == nil || !r.expects(u, msg.Generation, msg.Position) {
 		m.stats.Stale++
 		return
 	}
@@ -65,6 +64,12 @@
 		m.giveUp(r)
 		return
 	}
+	m.goElsewhere(r)
+}
+
+// goElsewhere takes a request off its upstreams and puts it in line for others,
+// before the queue: it has had its turn there.
+func (m *Model) goElsewhere(r *request) {
 	l := r.route.lane
 	m.leaveLane(r)
 	r.phase = phaseResuming
--- a/core/step.go
+++ b/core/step.go
@@ -74,7 +74,7 @@
 	}
 	m.hear(u, msg.Load, msg.Leaving)
 	r := m.requests[msg.Request]
-	if !r.expects(u, msg) {
+	if !r.expects(u, msg.Generation, msg.Position) {
 		m.stats.Stale++
 		return
 	}
@@ -88,10 +88,11 @@
 	m.token(r, msg)
 }
 
-// expects reports whether an answer is the one that the request waits for.
-func (r *request) expects(u *pool.Upstream, msg *StepDoneMsg) bool {
+// expects reports whether an answer, good or bad, is the one that the request
+// waits for.
+func (r *request) expects(u *pool.Upstream, generation, position uint32) bool {
 	return r != nil && r.phase == phaseRunning && r.step != nil &&
-		r.chain[r.stage] == u && r.generation == msg.Generation && r.step.Position == msg.Position
+		r.chain[r.stage] == u && r.generation == generation && r.step.Position == position
 }
 
 func (m *Model) nextStage(r *request, msg *StepDoneMsg) {
--- a/core/step_msg.go
+++ b/core/step_msg.go
@@ -1,7 +1,5 @@
 package core
 
-import "github.com/hoistjunction/hoistjunction/clock"
-
 // StepDoneMsg says that a stage has run a step.
 type StepDoneMsg struct {
 	Upstream   string   `json:"upstream"`
@@ -60,8 +58,6 @@
 	Status      int    `json:"status"`
 	ContentType string `json:"content_type,omitempty"`
 	Body        []byte `json:"body,omitempty"`
-	// RetryAfter is set when the service refused before it began.
-	RetryAfter clock.Millis `json:"retry_after,omitempty"`
 }
 
 // CallFailedMsg says that a plain service gave no whole answer.
--- a/entry/bed_test.go
+++ b/entry/bed_test.go
@@ -108,15 +108,3 @@
 		}
 	}
 }
-
-// after does something a while after the test has gone on.
-func after(t *testing.T, d time.Duration, f func()) {
-	t.Helper()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		time.Sleep(d)
-		f()
-	}()
-	t.Cleanup(func() { <-done })
-}
--- a/entry/caller.go
+++ b/entry/caller.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +12,6 @@
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/callkey"
-	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/core"
 	"github.com/hoistjunction/hoistjunction/logging"
 )
@@ -77,7 +75,7 @@
 	}
 	return core.CallDoneMsg{
 		Request: cmd.Request, Attempt: cmd.Attempt, Status: resp.StatusCode,
-		ContentType: resp.Header.Get("Content-Type"), Body: body, RetryAfter: retryAfter(resp),
+		ContentType: resp.Header.Get("Content-Type"), Body: body,
 	}
 }
 
@@ -103,11 +101,3 @@
 		zap.Uint32("attempt", cmd.Attempt), zap.Bool("not_sent", notSent), zap.Error(err))
 	return core.CallFailedMsg{Request: cmd.Request, Attempt: cmd.Attempt, NotSent: notSent}
 }
-
-func retryAfter(resp *http.Response) clock.Millis {
-	seconds, err := strconv.ParseInt(resp.Header.Get("Retry-After"), 10, 32)
-	if err != nil {
-		return 0
-	}
-	return clock.Millis(seconds) * 1000
-}
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -40,7 +40,7 @@
 	bed := start(t, testbed.WithNodes(3), testbed.WithServices(2, 10*time.Millisecond))
 	items := orders(150)
 	addresses := bed.Addresses()
-	after(t, 200*time.Millisecond, func() { bed.Nodes[1].Kill() })
+	testbed.After(t, 200*time.Millisecond, func() { bed.Nodes[1].Kill() })
 	results := run(bed, items, load.WithTries(6))
 	wantAccounted(t, bed, results)
 	done := load.Summarize(results).Done()
@@ -97,7 +97,7 @@
 func TestLostStoreAnswersAreReadBack(t *testing.T) {
 	bed := start(t)
 	bed.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: true})
-	after(t, 400*time.Millisecond, func() { bed.Platform.SetFaults(standin.PlatformFaults{}) })
+	testbed.After(t, 400*time.Millisecond, func() { bed.Platform.SetFaults(standin.PlatformFaults{}) })
 	results := run(bed, orders(40))
 	wantWhole(t, results)
 	wantAccounted(t, bed, results)
--- a/entry/stage_test.go
+++ b/entry/stage_test.go
@@ -10,13 +10,13 @@
 
 func TestStageKilledMidStream(t *testing.T) {
 	bed := startPatient(t, testbed.WithStages(testbed.Stages(2, slowEngine())...))
-	after(t, 150*time.Millisecond, func() { bed.Engines[2].Kill() })
+	testbed.After(t, 150*time.Millisecond, func() { bed.Engines[2].Kill() })
 	wantWhole(t, run(bed, notices(60, 20)))
 }
 
 func TestStageFrozenMidStream(t *testing.T) {
 	bed := startPatient(t, testbed.WithStages(testbed.Stages(2, slowEngine())...))
-	after(t, 150*time.Millisecond, func() { bed.Engines[0].SetFaults(standin.EngineFaults{Frozen: true}) })
+	testbed.After(t, 150*time.Millisecond, func() { bed.Engines[0].SetFaults(standin.EngineFaults{Frozen: true}) })
 	wantWhole(t, run(bed, notices(60, 20)))
 }
 
@@ -30,7 +30,7 @@
 
 func TestTwoStagesKilledAndOneBack(t *testing.T) {
 	bed := startPatient(t, testbed.WithStages(testbed.Stages(2, slowEngine())...))
-	after(t, 100*time.Millisecond, func() {
+	testbed.After(t, 100*time.Millisecond, func() {
 		bed.Engines[0].Kill()
 		bed.Engines[5].Kill()
 		time.Sleep(150 * time.Millisecond)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -15,7 +15,7 @@
 func TestPlannedStopCutsNothing(t *testing.T) {
 	bed := startPatient(t, testbed.WithStages(testbed.Stages(2, slowEngine())...))
 	stopping := bed.Nodes[0]
-	after(t, 100*time.Millisecond, func() {
+	testbed.After(t, 100*time.Millisecond, func() {
 		stopping.Drain()
 		time.Sleep(20 * time.Millisecond)
 		stopping.Drain()
@@ -39,7 +39,7 @@
 
 func TestPlannedStopFinishesLongStreams(t *testing.T) {
 	bed := startPatient(t, testbed.WithNodes(1), testbed.WithStages(testbed.Stages(1, slowEngine())...))
-	after(t, 150*time.Millisecond, func() { bed.Nodes[0].Drain() })
+	testbed.After(t, 150*time.Millisecond, func() { bed.Nodes[0].Drain() })
 	// As many as a new engine is given at a time, so that none has to queue.
 	items := notices(int(pool.DefaultLimits().Start), 60)
 	for i := range items {
--- a/member/table.go
+++ b/member/table.go
@@ -162,18 +162,6 @@
 	return len(seen)
 }
 
-// DataCentres returns the number of data centres that nodes lately heard of
-// run in, this one included.
-func (t *Table) DataCentres(now clock.Millis) int {
-	seen := map[string]struct{}{t.self.GetDataCentre(): {}}
-	for _, p := range t.peers {
-		if now.Sub(p.heard) <= t.silent {
-			seen[p.record.GetDataCentre()] = struct{}{}
-		}
-	}
-	return len(seen)
-}
-
 // draw returns up to n items, each set of them as likely as any other.
 func draw[T any](items []T, n int, rng *rand.Rand) []T {
 	if len(items) <= n {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -137,9 +137,11 @@
 }
 
 func (p *Pool) forgetUnlisted(now clock.Millis) {
-	for _, u := range p.All() {
-		if u.inFlight == 0 && now.Sub(u.listed) > p.limits.Unlisted {
-			p.remove(u)
+	for _, g := range p.groups {
+		for _, u := range slices.Clone(g.members) {
+			if u.inFlight == 0 && now.Sub(u.listed) > p.limits.Unlisted {
+				p.remove(u)
+			}
 		}
 	}
 }
@@ -201,7 +203,7 @@
 }
 
 // Observe learns from an answer: it took span for the given number of
-// positions, and reported a load that was measured age ago.
+// positions.
 func (p *Pool) Observe(u *Upstream, span clock.Millis, positions int) {
 	if positions <= p.limits.SmallStep {
 		u.step.add(float64(span))
--- a/proof/freeze_test.go
+++ b/proof/freeze_test.go
@@ -118,18 +118,6 @@
 	}
 }
 
-// after does something a while after the test has gone on.
-func after(t testing.TB, d time.Duration, f func()) {
-	t.Helper()
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		time.Sleep(d)
-		f()
-	}()
-	t.Cleanup(func() { <-done })
-}
-
 func signal(t testing.TB, p *process, s syscall.Signal) {
 	t.Helper()
 	if err := p.Process.Signal(s); err != nil {
@@ -142,7 +130,7 @@
 // still has in hand may then run, but nothing twice.
 func TestFrozenNodeWakesAndRepeatsNothing(t *testing.T) {
 	w := startWorld(t, 3)
-	after(t, 300*time.Millisecond, func() {
+	testbed.After(t, 300*time.Millisecond, func() {
 		signal(t, w.nodes[1], syscall.SIGSTOP)
 		time.Sleep(4 * time.Second)
 		signal(t, w.nodes[1], syscall.SIGCONT)
@@ -159,7 +147,7 @@
 // TestKilledNodeUnderStoreOutage kills a node while the store loses answers.
 func TestKilledNodeUnderStoreOutage(t *testing.T) {
 	w := startWorld(t, 3)
-	after(t, 200*time.Millisecond, func() {
+	testbed.After(t, 200*time.Millisecond, func() {
 		w.bed.Platform.SetFaults(standin.PlatformFaults{LoseAnswers: true})
 		signal(t, w.nodes[0], syscall.SIGKILL)
 		time.Sleep(600 * time.Millisecond)
--- a/testbed/upstream.go
+++ b/testbed/upstream.go
@@ -41,14 +41,13 @@
 // Engine is a model engine of the testbed.
 type Engine struct {
 	*standin.Engine
-	Name    string
-	Pool    string
-	config  standin.EngineConfig
-	server  *server
-	stop    context.CancelFunc
-	wg      sync.WaitGroup
-	lives   int
-	leaving bool
+	Name   string
+	Pool   string
+	config standin.EngineConfig
+	server *server
+	stop   context.CancelFunc
+	wg     sync.WaitGroup
+	lives  int
 }
 
 func startEngine(name string, s Stage, i int) (*Engine, error) {
@@ -87,14 +86,10 @@
 // Restart starts the engine again at its address, with an empty memory.
 func (e *Engine) Restart() error { return e.start(e.server.address) }
 
-// SetLeaving sets whether the platform's list has the engine as leaving, from
-// the next List on.
-func (e *Engine) SetLeaving(leaving bool) { e.leaving = leaving }
-
 func (e *Engine) listing() pool.Listing {
 	return pool.Listing{
 		Name: e.Name, Incarnation: strconv.Itoa(e.lives), Group: e.Pool, Address: e.server.address,
-		DataCentre: "dc-" + e.Pool, Leaving: e.leaving,
+		DataCentre: "dc-" + e.Pool,
 	}
 }
 
