--- a/Makefile
+++ b/Makefile
@@ -55,4 +55,4 @@
 	GOBIN=$(GOBIN) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
 	GOBIN=$(GOBIN) go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_VERSION)
 	PATH=$(GOBIN):$$PATH protoc -I . --go_out=. --go_opt=paths=source_relative \
-		--connect-go_out=. --connect-go_opt=paths=source_relative wire/*.proto
+		--connect-go_out=. --connect-go_opt=paths=source_relative wire/*.proto platform/platformpb/*.proto
--- /dev/null
+++ b/catalog/service.go
@@ -0,0 +1,78 @@
+package catalog
+
+import "github.com/hoistjunction/hoistjunction/clock"
+
+// Service is a group of upstreams that answer the same requests.
+type Service struct {
+	Name string
+	// MaxConns is how many connections one upstream takes from all nodes
+	// together.
+	MaxConns int
+	// Pipeline is set where the upstreams are engines that hold parts of a
+	// model, and nil for plain services.
+	Pipeline *Pipeline
+}
+
+// Pipeline describes a model that engines hold in parts, and its costs.
+type Pipeline struct {
+	// Layers is how many layers the model has, and LayerMB the memory of each
+	// in MB.
+	Layers  int
+	LayerMB float64
+	// TokenBytes is the memory of one token over all layers, in bytes.
+	TokenBytes float64
+	// Slots is how many requests an engine takes as the first of a chain.
+	Slots int
+	// StepMS is the time of one token over all layers, in ms, and ReadPerMS how
+	// many prompt tokens are read in one ms, both on an accelerator of factor 1.
+	StepMS    float64
+	ReadPerMS float64
+	// LoadMS is the time to load all layers, in ms.
+	LoadMS float64
+	// LoadsAtOnce is how many loads the weights' store bears at full speed;
+	// zero for no bound.
+	LoadsAtOnce int
+	// ReportLag is how old an engine's report may be.
+	ReportLag clock.Millis
+	// UsualPrompt and UsualAnswer are mean sizes in tokens.
+	UsualPrompt float64
+	UsualAnswer float64
+	// Accelerators are the kinds in use, by name.
+	Accelerators map[string]Accelerator
+}
+
+// Accelerator is a kind of accelerator.
+type Accelerator struct {
+	Name string
+	// MB is its memory.
+	MB float64
+	// StepFactor and ReadFactor multiply the time of a step and of reading.
+	StepFactor float64
+	ReadFactor float64
+}
+
+// MostLayers is how many layers fit into an accelerator's memory.
+func (p *Pipeline) MostLayers(a Accelerator) int {
+	if p.LayerMB <= 0 {
+		return 0
+	}
+	return min(int(a.MB/p.LayerMB), p.Layers)
+}
+
+// bytesPerMB converts the platform's MB.
+const bytesPerMB = 1e6
+
+// Room returns the memory that an accelerator has for requests beside a number
+// of layers, in tokens times layers.
+func (p *Pipeline) Room(a Accelerator, layers int) float64 {
+	perToken := p.TokenBytes / float64(max(p.Layers, 1))
+	if perToken <= 0 {
+		return 0
+	}
+	return max(0, a.MB-float64(layers)*p.LayerMB) * bytesPerMB / perToken
+}
+
+// StepTime returns the time of one token over some layers, in ms.
+func (p *Pipeline) StepTime(a Accelerator, layers int) float64 {
+	return p.StepMS * a.StepFactor * float64(layers) / float64(max(p.Layers, 1))
+}
--- /dev/null
+++ b/chain/chain.go
@@ -0,0 +1,102 @@
+// Package chain chooses which engines a request passes, and which layers each
+// of them runs.
+//
+// A chain runs every layer exactly once, in order, and names no engine twice.
+// Among all such chains the builder takes the cheapest, by the time of a token
+// at each stage, the hops between stages, the crossings between data centres
+// and how full the engines' memory is.
+//
+//	parts, err := chain.Build(80, tokens, "dc-1", holders)
+package chain
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// Errors that callers test for with errors.Is.
+var (
+	// ErrNoHolder means that some layer has no engine that may be used.
+	ErrNoHolder = errors.New("chain: a layer has no engine")
+	// ErrNoRoom means that the engines of some layer lack memory for the
+	// request.
+	ErrNoRoom = errors.New("chain: no memory left for the request")
+)
+
+// Holder is an engine that may take part in a chain.
+type Holder struct {
+	ID         string
+	Address    string
+	DataCentre string
+	Held       fleet.Range
+	// LayerTime is the time of one token through one layer, in ms.
+	LayerTime float64
+	// Room is the memory left for requests, and Total all of it, in tokens
+	// times layers.
+	Room  float64
+	Total float64
+	// Penalty is added to the cost of each part on this engine, in ms for each
+	// token. It speaks for avoiding the engine where there is another.
+	Penalty float64
+}
+
+// Part is a stage of a chain: an engine and the layers that it runs.
+type Part struct {
+	ID      string
+	Address string
+	Layers  fleet.Range
+}
+
+// Weights of the cost, in ms for each token.
+const (
+	// hopCost is a pass from one engine to the next inside a data centre: 0.2
+	// ms on the way and some for the pass itself.
+	hopCost = 0.4
+	// crossingCost is a pass to another data centre. The delay is under 1 ms;
+	// the rest speaks for the shared pipes, which one crossing of all of a data
+	// centre's prompts fills by half (docs/PLATFORM.md).
+	crossingCost = 20.0
+	// crowdCost is added for an engine whose memory is full, and less by the
+	// square of how full it is.
+	crowdCost = 6.0
+)
+
+// Build returns the cheapest chain over all layers for a request of so many
+// tokens that enters at a data centre.
+func Build(layers int, tokens float64, origin string, holders []Holder) ([]Part, error) {
+	return BuildFrom(0, layers, tokens, origin, holders)
+}
+
+// BuildFrom is Build for the layers from a given one on.
+func BuildFrom(from, layers int, tokens float64, origin string, holders []Holder) ([]Part, error) {
+	if from == layers {
+		return nil, nil
+	}
+	b := newBuilder(from, layers, tokens, origin, holders)
+	parts := b.best()
+	if parts != nil {
+		return parts, nil
+	}
+	if b.short {
+		return nil, ErrNoRoom
+	}
+	return nil, ErrNoHolder
+}
+
+// Check tells whether parts run each of the layers once and in order, without
+// naming an engine twice.
+func Check(layers int, parts []Part) bool { return checkFrom(0, layers, parts) }
+
+func checkFrom(from, layers int, parts []Part) bool {
+	next := from
+	seen := make(map[string]bool, len(parts))
+	for _, p := range parts {
+		if p.Layers.From != next || p.Layers.Empty() || seen[p.ID] {
+			return false
+		}
+		seen[p.ID] = true
+		next = p.Layers.To
+	}
+	return next == layers
+}
--- /dev/null
+++ b/dispatch/cmd.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+// Cmd is something to be done.
+type Cmd interface{ dispatchCmd() }
+
+// SendCmd sends a request to an upstream.
+type SendCmd struct {
+	Request RequestID
+	Attempt int
+	// Upstream and Address say where; the address may belong to another
+	// upstream by now, so the id is sent along.
+	Upstream string
+	Address  string
+	// Chain is the way through the engines; nil for plain services.
+	Chain []chain.Part
+	Route *catalog.Route
+	// Account is the client account's name; empty without a key.
+	Account string
+	// Deadline is when the caller stops waiting, and GiveUp when the route's
+	// time is up.
+	Deadline clock.Millis
+	GiveUp   clock.Millis
+	// TryFor bounds this attempt alone; zero for no such bound.
+	TryFor clock.Millis
+	// Keyed requests may be sent only while the configuration is fresh.
+	Keyed bool
+	// Inputs of the decision, for the log.
+	CatalogVersion uint64
+	CatalogAge     clock.Millis
+	InFlight       int
+}
+
+// FinishCmd ends a request with an answer of the node's own.
+type FinishCmd struct {
+	Request RequestID
+	Status  int
+	Reason  Reason
+	// RetryAfter tells the caller when to come back; zero for nothing.
+	RetryAfter     clock.Millis
+	CatalogVersion uint64
+	CatalogAge     clock.Millis
+}
+
+// RelayCmd passes on the upstream's own failure, which the shell holds.
+type RelayCmd struct {
+	Request RequestID
+	Attempt int
+}
+
+// CutCmd ends a stream that cannot go on, so that it looks cut off.
+type CutCmd struct {
+	Request RequestID
+	Reason  Reason
+}
+
+// MoveCmd moves a running stream to other engines. The first part stays.
+type MoveCmd struct {
+	Request RequestID
+	Attempt int
+	Chain   []chain.Part
+	// Away is the engine that the stream leaves.
+	Away string
+}
+
+// ProbeCmd asks an upstream whether it is well.
+type ProbeCmd struct {
+	Upstream string
+	Address  string
+	Engine   bool
+}
+
+// SuspectCmd is for the log: an upstream gets no work for a while.
+type SuspectCmd struct {
+	Upstream string
+	Until    clock.Millis
+	Strikes  int
+	Cause    Cause
+}
+
+func (SendCmd) dispatchCmd()    {}
+func (FinishCmd) dispatchCmd()  {}
+func (RelayCmd) dispatchCmd()   {}
+func (CutCmd) dispatchCmd()     {}
+func (MoveCmd) dispatchCmd()    {}
+func (ProbeCmd) dispatchCmd()   {}
+func (SuspectCmd) dispatchCmd() {}
+
+// Reason says why a request ended without an upstream's answer.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoConfig    Reason = "no_configuration_yet"
+	ReasonStaleConfig Reason = "configuration_too_old"
+	ReasonNoRoute     Reason = "no_such_route"
+	ReasonNoAccount   Reason = "no_such_key"
+	ReasonNoUpstream  Reason = "no_upstream"
+	ReasonNoHolder    Reason = "a_layer_has_no_engine"
+	ReasonNoRoom      Reason = "no_memory_left"
+	ReasonRefused     Reason = "refused_by_upstreams"
+	ReasonNoBudget    Reason = "retry_budget_spent"
+	ReasonUnknown     Reason = "answer_lost"
+	ReasonTimeout     Reason = "time_is_up"
+	ReasonStopping    Reason = "node_is_stopping"
+)
--- /dev/null
+++ b/dispatch/fail.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"net/http"
+
+	"github.com/hoistjunction/hoistjunction/chain"
+)
+
+// attemptFailed decides what follows a failed attempt: another one, the
+// upstream's own failure, or an answer of the node's.
+func (m *Model) attemptFailed(msg AttemptFailedMsg) []Cmd {
+	r := m.requests[msg.Request]
+	if r == nil || msg.Attempt != r.sends {
+		return nil
+	}
+	r.events = msg.Events
+	cmds := m.blame(r, msg)
+	ranAt := ""
+	if r.first != nil {
+		ranAt = r.first.entry.ID
+	}
+	m.endAttempt(r)
+	if msg.Cause == Unknown || msg.Cause == Slow || msg.Cause == Failed {
+		r.runs++
+		r.ranAt[ranAt] = true
+	}
+	return append(cmds, m.next(r, msg)...)
+}
+
+func (m *Model) next(r *request, msg AttemptFailedMsg) []Cmd {
+	if reason := m.mayRepeat(r, msg.Cause); reason != "" {
+		return m.lastWord(r, msg, reason)
+	}
+	if cmds := m.admitKey(r); cmds != nil {
+		if r.events > 0 {
+			return m.giveUp(r, ReasonStaleConfig)
+		}
+		return cmds
+	}
+	cmds := m.send(r)
+	if _, sent := cmds[0].(SendCmd); !sent && msg.Cause == Failed {
+		return m.relay(r, msg)
+	}
+	return cmds
+}
+
+// mayRepeat returns why a request may not be sent again, or nothing.
+func (m *Model) mayRepeat(r *request, cause Cause) Reason {
+	ran := cause == Unknown || cause == Slow || cause == Failed
+	switch {
+	case ran && !r.route.MayRepeat():
+		return ReasonUnknown
+	case cause == Failed && r.route.Kind == 0:
+		return ReasonUnknown
+	case r.runs >= r.mostRuns(), r.sends >= mostSends:
+		return ReasonRefused
+	case r.left(m.now) < leastLeft:
+		return ReasonTimeout
+	case cause != NotSent && !m.budget(r.service.Name).Spend():
+		return ReasonNoBudget
+	}
+	return ""
+}
+
+// lastWord ends a request after its last attempt.
+func (m *Model) lastWord(r *request, msg AttemptFailedMsg, reason Reason) []Cmd {
+	if msg.Cause == Failed {
+		return m.relay(r, msg)
+	}
+	if r.events > 0 {
+		return m.giveUp(r, reason)
+	}
+	if r.runs > 0 {
+		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
+	}
+	return m.giveUp(r, reason)
+}
+
+func (m *Model) relay(r *request, msg AttemptFailedMsg) []Cmd {
+	m.forget(r.msg.Request)
+	return []Cmd{RelayCmd{Request: r.msg.Request, Attempt: msg.Attempt}}
+}
+
+// blame notes what an attempt's failure says about an upstream.
+func (m *Model) blame(r *request, msg AttemptFailedMsg) []Cmd {
+	at := r.first
+	if u := m.byAddress[msg.At]; u != nil {
+		at = u
+	}
+	if r.first != nil {
+		r.tried[r.first.entry.ID] = true
+	}
+	if at == nil {
+		return nil
+	}
+	r.tried[at.entry.ID] = true
+	switch msg.Cause {
+	case NotRunFull:
+		at.fullUntil = m.now.Add(fullFor)
+		return nil
+	case NotRunElsewhere:
+		at.fullUntil = m.now.Add(misplacedFor)
+		return nil
+	case Failed:
+		at.record(m.now.Sub(r.arrived), true)
+		return nil
+	default:
+		at.record(m.now.Sub(r.arrived), true)
+		return m.suspect(at, msg.Cause)
+	}
+}
+
+func (m *Model) suspect(u *upstream, cause Cause) []Cmd {
+	if u.suspect && m.now < u.avoidUntil {
+		return nil
+	}
+	until := u.strike(m.now)
+	return []Cmd{SuspectCmd{Upstream: u.entry.ID, Until: until, Strikes: u.strikes, Cause: cause}}
+}
+
+func (m *Model) attemptDone(msg AttemptDoneMsg) {
+	r := m.requests[msg.Request]
+	if r == nil || msg.Attempt != r.sends {
+		return
+	}
+	if r.first != nil {
+		r.first.record(msg.Took, msg.Failed)
+	}
+	m.forget(msg.Request)
+}
+
+// mostMoves bounds how often one attempt's stream is moved.
+const mostMoves = 3
+
+// stalled moves a stream away from an engine that holds it up, and with it
+// every other stream of this node that passes the engine.
+func (m *Model) stalled(msg StalledMsg) []Cmd {
+	r := m.requests[msg.Request]
+	if r == nil || msg.Attempt != r.sends {
+		return nil
+	}
+	u := m.byAddress[msg.At]
+	if u == nil {
+		return nil
+	}
+	cmds := m.suspect(u, Slow)
+	return append(cmds, m.move(r, u)...)
+}
+
+// move sends a running stream around an engine. The first engine of a chain
+// stays, since the stream comes from there.
+func (m *Model) move(r *request, away *upstream) []Cmd {
+	if r.moving || r.moves >= mostMoves || len(r.parts) == 0 || r.parts[0].ID == away.entry.ID {
+		return nil
+	}
+	parts, err := m.detour(r, away)
+	if err != nil {
+		return nil
+	}
+	r.moving = true
+	r.moves++
+	m.reserve(r, parts)
+	return []Cmd{MoveCmd{Request: r.msg.Request, Attempt: r.sends, Chain: parts, Away: away.entry.ID}}
+}
+
+// detour builds a chain whose first part is the one in use.
+func (m *Model) detour(r *request, away *upstream) ([]chain.Part, error) {
+	first := r.parts[0]
+	list := m.byService[r.service.Name]
+	holders := make([]chain.Holder, 0, len(list))
+	for _, u := range list {
+		if !u.open(m.now) || u == away || u.entry.ID == first.ID || u.entry.Held.Empty() {
+			continue
+		}
+		holders = append(holders, m.holder(r, u))
+	}
+	for _, p := range r.parts[1:] {
+		for i := range holders {
+			if holders[i].ID == p.ID {
+				holders[i].Room += r.tokens * float64(p.Layers.Len())
+				holders[i].Penalty -= keepBonus
+			}
+		}
+	}
+	rest, err := chain.BuildFrom(first.Layers.To, r.service.Pipeline.Layers, r.tokens, m.dataCentre, holders)
+	if err != nil {
+		return nil, err
+	}
+	return append([]chain.Part{first}, rest...), nil
+}
+
+// keepBonus speaks for the engines that a stream passes already, since they
+// have its tokens in memory; in ms for each token.
+const keepBonus = 3.0
+
+// moved takes in what came of a move. A stream that could not be moved is sent
+// again elsewhere once the shell gives the attempt up.
+func (m *Model) moved(msg MovedMsg) []Cmd {
+	r := m.requests[msg.Request]
+	if r == nil || msg.Attempt != r.sends {
+		return nil
+	}
+	r.moving = false
+	if msg.Result != MoveRefused {
+		return nil
+	}
+	u := m.byAddress[msg.At]
+	if u == nil {
+		return nil
+	}
+	u.fullUntil = m.now.Add(fullFor)
+	return m.move(r, u)
+}
--- /dev/null
+++ b/dispatch/model.go
@@ -0,0 +1,205 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/hoistjunction/hoistjunction/budget"
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// Model holds everything that the decisions depend on. It is not safe for
+// concurrent use.
+type Model struct {
+	policy     Policy
+	dataCentre string
+	random     *rand.Rand
+	now        clock.Millis
+
+	catalog   *catalog.Catalog
+	confirmed clock.Millis
+	peers     PeersMsg
+
+	upstreams map[string]*upstream
+	byService map[string][]*upstream
+	byAddress map[string]*upstream
+	requests  map[RequestID]*request
+	budgets   map[string]*budget.Budget
+}
+
+// Option sets up a Model.
+type Option func(*Model)
+
+// WithPolicy sets what operators may set.
+func WithPolicy(p Policy) Option { return func(m *Model) { m.policy = p } }
+
+// WithDataCentre sets where the node stands.
+func WithDataCentre(name string) Option { return func(m *Model) { m.dataCentre = name } }
+
+// WithSeed sets the seed of what is drawn at random.
+func WithSeed(seed uint64) Option {
+	return func(m *Model) { m.random = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// New returns a model that knows no configuration and no upstreams.
+func New(opts ...Option) *Model {
+	m := &Model{
+		upstreams: make(map[string]*upstream),
+		byService: make(map[string][]*upstream),
+		byAddress: make(map[string]*upstream),
+		requests:  make(map[RequestID]*request),
+		budgets:   make(map[string]*budget.Budget),
+	}
+	WithSeed(1)(m)
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+// Update takes in one message and returns what is to be done.
+func (m *Model) Update(now clock.Millis, msg Msg) []Cmd {
+	m.now = now
+	switch msg := msg.(type) {
+	case CatalogMsg:
+		m.setCatalog(msg)
+	case FleetMsg:
+		m.setFleet(msg)
+	case PeersMsg:
+		m.peers = msg
+		clear(m.budgets)
+	case ArriveMsg:
+		return m.arrive(msg)
+	case AttemptFailedMsg:
+		return m.attemptFailed(msg)
+	case AttemptDoneMsg:
+		m.attemptDone(msg)
+	case StalledMsg:
+		return m.stalled(msg)
+	case MovedMsg:
+		return m.moved(msg)
+	case GoneMsg:
+		m.forget(msg.Request)
+	case ProbedMsg:
+		m.probed(msg)
+	case TickMsg:
+		return m.tick()
+	}
+	return nil
+}
+
+// InProgress returns how many requests are under way.
+func (m *Model) InProgress() int { return len(m.requests) }
+
+// Catalog returns the configuration in force, or nil.
+func (m *Model) Catalog() *catalog.Catalog { return m.catalog }
+
+// Ready tells whether the node can serve: it knows a configuration that is
+// fresh enough, and upstreams.
+func (m *Model) Ready(now clock.Millis) bool {
+	return m.catalog != nil && len(m.upstreams) > 0 && m.fresh(now)
+}
+
+// setCatalog takes a newer version. An older one is never taken back, whatever
+// a late answer says.
+func (m *Model) setCatalog(msg CatalogMsg) {
+	m.confirmed = max(m.confirmed, msg.Confirmed)
+	if msg.Catalog == nil || m.catalog != nil && msg.Catalog.Version() <= m.catalog.Version() {
+		return
+	}
+	m.catalog = msg.Catalog
+	for _, u := range m.upstreams {
+		u.measure(m.catalog.Service(u.entry.Service))
+	}
+}
+
+// fresh tells whether the newest configuration is known well enough for a
+// request with a key.
+func (m *Model) fresh(now clock.Millis) bool {
+	return m.policy.RevokeWithin == 0 || now.Sub(m.confirmed) <= m.policy.RevokeWithin-freshMargin
+}
+
+func (m *Model) setFleet(msg FleetMsg) {
+	for _, c := range msg.Changes {
+		u, known := m.upstreams[c.ID]
+		switch {
+		case c.Gone:
+			delete(m.upstreams, c.ID)
+		case known:
+			u.update(c.Upstream)
+		default:
+			u = newUpstream(c.Upstream)
+			m.upstreams[c.ID] = u
+		}
+		if u != nil && m.catalog != nil {
+			u.measure(m.catalog.Service(u.entry.Service))
+		}
+	}
+	m.index()
+}
+
+func (m *Model) index() {
+	clear(m.byService)
+	clear(m.byAddress)
+	for _, u := range m.upstreams {
+		m.byService[u.entry.Service] = append(m.byService[u.entry.Service], u)
+		m.byAddress[u.entry.Address] = u
+	}
+	for _, list := range m.byService {
+		slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(a.entry.ID, b.entry.ID) })
+	}
+}
+
+// budget returns this node's part of a service's budget of repeats.
+func (m *Model) budget(service string) *budget.Budget {
+	b, ok := m.budgets[service]
+	if !ok {
+		nodes := max(m.peers.All, expectedNodes)
+		if m.peers.All > 0 {
+			nodes = m.peers.All
+		}
+		b = budget.New(budget.WithShare(m.policy.RetryShare), budget.WithDepth(m.policy.RetrySlack*slackShare/float64(nodes)))
+		m.budgets[service] = b
+	}
+	return b
+}
+
+// tick probes the upstreams whose time of suspicion is over.
+func (m *Model) tick() []Cmd {
+	var cmds []Cmd
+	for _, u := range m.upstreams {
+		if u.suspect && !u.probing && m.now >= u.avoidUntil {
+			u.probing = true
+			cmds = append(cmds, ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil})
+		}
+	}
+	slices.SortFunc(cmds, func(a, b Cmd) int {
+		return strings.Compare(a.(ProbeCmd).Upstream, b.(ProbeCmd).Upstream)
+	})
+	return cmds
+}
+
+func (m *Model) probed(msg ProbedMsg) {
+	u := m.upstreams[msg.Upstream]
+	if u == nil {
+		return
+	}
+	u.probing = false
+	if msg.Answered {
+		u.suspect = false
+		return
+	}
+	u.avoidUntil = m.now.Add(firstSuspicion)
+}
+
+// FleetOf lists the upstreams of a service, for the reports.
+func (m *Model) FleetOf(service string) []fleet.Upstream {
+	var list []fleet.Upstream
+	for _, u := range m.byService[service] {
+		list = append(list, u.entry)
+	}
+	return list
+}
--- /dev/null
+++ b/dispatch/msg.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// RequestID names a request inside one node.
+type RequestID uint64
+
+// Msg is something that has happened.
+type Msg interface{ dispatchMsg() }
+
+// CatalogMsg brings a version of the configuration that was the newest at a
+// time. Catalog is nil where only the time is new.
+type CatalogMsg struct {
+	Catalog *catalog.Catalog
+	// Confirmed is when the call that showed it was sent.
+	Confirmed clock.Millis
+}
+
+// FleetMsg brings changes of the list of upstreams.
+type FleetMsg struct {
+	Changes []fleet.Change
+}
+
+// PeersMsg tells how many nodes there are, this one included: in all, and in
+// this data centre.
+type PeersMsg struct {
+	All   int
+	Local int
+}
+
+// ArriveMsg brings a request that has been read whole.
+type ArriveMsg struct {
+	Request RequestID
+	// CallerID is the name that the caller gave this try.
+	CallerID string
+	Host     string
+	Path     string
+	// Key is the caller's key; HasKey tells that one was sent.
+	Key    string
+	HasKey bool
+	// Remaining is how long the caller will wait; zero for no bound.
+	Remaining clock.Millis
+	// PromptTokens and AnswerTokens are the sizes of a generation: the prompt
+	// and the most that may come out. HintTokens is the caller's guess of what
+	// will come out. Zero where they were not sent.
+	PromptTokens int
+	AnswerTokens int
+	HintTokens   int
+}
+
+// AttemptFailedMsg tells that an attempt has brought no answer that may be
+// passed on.
+type AttemptFailedMsg struct {
+	Request RequestID
+	Attempt int
+	Cause   Cause
+	// At is the address of the upstream at fault, if the answer named one.
+	At string
+	// Events is how many events of the stream the caller has.
+	Events int
+}
+
+// AttemptDoneMsg tells that an attempt's answer was passed on whole.
+type AttemptDoneMsg struct {
+	Request RequestID
+	Attempt int
+	Took    clock.Millis
+	// Failed tells that the answer was a failure of the upstream's own.
+	Failed bool
+}
+
+// StalledMsg tells that engines hold a running stream up.
+type StalledMsg struct {
+	Request RequestID
+	Attempt int
+	// At is the address of the engine that it waits for.
+	At string
+}
+
+// MovedMsg tells what came of a MoveCmd.
+type MovedMsg struct {
+	Request RequestID
+	Attempt int
+	Result  MoveResult
+	// At is the address of the engine that refused, if the answer named one.
+	At string
+}
+
+// GoneMsg tells that a request is over: its caller has left, its time is up,
+// or its answer is out.
+type GoneMsg struct {
+	Request RequestID
+}
+
+// ProbedMsg tells what came of a ProbeCmd.
+type ProbedMsg struct {
+	Upstream string
+	Answered bool
+}
+
+// TickMsg drives what depends on time alone.
+type TickMsg struct{}
+
+// Cause says why an attempt failed, as far as it matters for what comes next.
+type Cause uint8
+
+// The causes.
+const (
+	// NotSent: no byte of the request was written.
+	NotSent Cause = iota
+	// NotRunFull: the upstream says that it did not run it for want of room.
+	NotRunFull
+	// NotRunElsewhere: the upstream says that it is not the one meant, or does
+	// not hold what was asked of it.
+	NotRunElsewhere
+	// Unknown: the request was sent, and there is no answer to trust.
+	Unknown
+	// Slow: the request was sent, and was taken back for want of an answer.
+	Slow
+	// Failed: the upstream ran it and answered with a failure of its own.
+	Failed
+)
+
+var causeNames = map[Cause]string{
+	NotSent: "not_sent", NotRunFull: "full", NotRunElsewhere: "misdirected",
+	Unknown: "unknown", Slow: "slow", Failed: "upstream_failed",
+}
+
+// String names the cause for logs.
+func (c Cause) String() string { return causeNames[c] }
+
+// MoveResult is what came of moving a stream.
+type MoveResult uint8
+
+// The results of a move.
+const (
+	// Moved: the stream goes on over the new engines.
+	Moved MoveResult = iota
+	// MoveUnknownStream: the first engine does not know the stream.
+	MoveUnknownStream
+	// MoveRefused: an engine of the new chain lacks the layers or room.
+	MoveRefused
+	// MoveUnanswered: the first engine did not answer.
+	MoveUnanswered
+)
+
+func (CatalogMsg) dispatchMsg()       {}
+func (FleetMsg) dispatchMsg()         {}
+func (PeersMsg) dispatchMsg()         {}
+func (ArriveMsg) dispatchMsg()        {}
+func (AttemptFailedMsg) dispatchMsg() {}
+func (AttemptDoneMsg) dispatchMsg()   {}
+func (StalledMsg) dispatchMsg()       {}
+func (MovedMsg) dispatchMsg()         {}
+func (GoneMsg) dispatchMsg()          {}
+func (ProbedMsg) dispatchMsg()        {}
+func (TickMsg) dispatchMsg()          {}
--- /dev/null
+++ b/dispatch/policy.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import "github.com/hoistjunction/hoistjunction/clock"
+
+// Policy is what operators may set.
+type Policy struct {
+	// RevokeWithin is how old the newest configuration may be for a request
+	// with a key; zero for no bound.
+	RevokeWithin clock.Millis
+	// RetryShare and RetrySlack are the whole system's budget of repeats: a
+	// share of the first tries, and a number beyond it in each window.
+	RetryShare float64
+	RetrySlack float64
+}
+
+// Figures of the decisions, with where they come from.
+const (
+	// freshMargin is taken off RevokeWithin: a decision and the write to the
+	// socket lie between the check and the arrival. Ten times the worst pause
+	// of a throttled node's loop.
+	freshMargin clock.Millis = 700
+	// mostSends bounds the sendings of one request, refused ones included, so
+	// that a request does not walk through the whole fleet.
+	mostSends = 5
+	// slackShare is the part of the slack that the nodes spend; the rest is
+	// for nodes that have not heard of each other.
+	slackShare = 0.6
+	// expectedNodes stands in for the number of nodes until it is known.
+	expectedNodes = 16
+	// firstSuspicion is how long an upstream is avoided after a first failure;
+	// it doubles with each further one, up to longestSuspicion.
+	firstSuspicion   clock.Millis = 400
+	longestSuspicion clock.Millis = 6000
+	// fullFor is how long an engine that lacked room is avoided: the time in
+	// which about one request ends there.
+	fullFor clock.Millis = 150
+	// misplacedFor is how long an engine is avoided that did not hold what the
+	// list says: the list's lag.
+	misplacedFor clock.Millis = 1500
+	// tookWeight is the weight of a new reading in the mean time of answers.
+	tookWeight = 0.2
+	// failWeight is the weight of a new reading in the mean rate of failures,
+	// and failTooMany the rate over which an upstream is avoided. Ordinary
+	// upstreams fail up to about one request in seven.
+	failWeight  = 0.2
+	failTooMany = 0.55
+	// firstTook stands in for the time of answers until one is known, in ms.
+	firstTook = 30.0
+	// tryFactor and tryShare bound the first attempt of a repeatable request:
+	// so many times the mean, and at least that share of the aim.
+	tryFactor = 4.0
+	tryShare  = 0.6
+	// leastLeft is the least time for which an attempt is worth sending.
+	leastLeft clock.Millis = 20
+	// answerShare is the part of the most tokens out that is expected where
+	// the caller gives no hint.
+	answerShare = 0.7
+)
+
+// When to come back, by what was missing.
+const (
+	backSoon    clock.Millis = 300
+	backStale   clock.Millis = 1000
+	backHealing clock.Millis = 1500
+)
--- /dev/null
+++ b/dispatch/request.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+// request is a request under way.
+type request struct {
+	msg     ArriveMsg
+	arrived clock.Millis
+	// deadline is when the caller stops waiting, giveUp when the route's time
+	// is up.
+	deadline clock.Millis
+	giveUp   clock.Millis
+	route    *catalog.Route
+	service  *catalog.Service
+	account  catalog.Account
+	keyed    bool
+	// tokens is the size that memory is reserved for.
+	tokens float64
+	// sends counts attempts, and runs those that may have run.
+	sends int
+	runs  int
+	tried map[string]bool
+	// ranAt are the upstreams that may have run it. The operator bounds their
+	// number, not how often one of them is asked.
+	ranAt map[string]bool
+	// events is how many events the caller has.
+	events int
+
+	// The attempt under way.
+	first *upstream
+	parts []chain.Part
+	held  []reservation
+	// moving tells that a move is under way, and moves counts them.
+	moving bool
+	moves  int
+}
+
+// mayUse tells whether an upstream may get the request without exceeding the
+// number of upstreams that may run it.
+func (r *request) mayUse(u *upstream) bool {
+	return r.ranAt[u.entry.ID] || len(r.ranAt) < max(r.route.MaxAttempts, 1)
+}
+
+// mostRuns is how often the request may run. A plain request that may be
+// repeated can be asked once more of an upstream that has failed it; a stream's
+// every run costs the reading of its prompt.
+func (r *request) mostRuns() int {
+	if r.route.Kind == catalog.Repeatable {
+		return max(r.route.MaxAttempts, 1) + 1
+	}
+	return max(r.route.MaxAttempts, 1)
+}
+
+// reservation is memory that a request takes at an engine.
+type reservation struct {
+	upstream *upstream
+	amount   float64
+}
+
+// left returns the time until the request must be answered.
+func (r *request) left(now clock.Millis) clock.Millis {
+	return min(r.deadline, r.giveUp).Sub(now)
+}
+
+// reserve notes the memory that a chain takes.
+func (m *Model) reserve(r *request, parts []chain.Part) {
+	m.release(r)
+	r.parts = parts
+	for _, p := range parts {
+		u := m.upstreams[p.ID]
+		if u == nil {
+			continue
+		}
+		amount := r.tokens * float64(p.Layers.Len())
+		u.reserved += amount
+		r.held = append(r.held, reservation{upstream: u, amount: amount})
+	}
+}
+
+func (m *Model) release(r *request) {
+	for _, h := range r.held {
+		h.upstream.reserved -= h.amount
+	}
+	r.held = r.held[:0]
+}
+
+// endAttempt gives back what the attempt under way has taken.
+func (m *Model) endAttempt(r *request) {
+	m.release(r)
+	if r.first != nil {
+		r.first.inFlight--
+		r.first = nil
+	}
+	r.moving = false
+}
+
+func (m *Model) forget(id RequestID) {
+	r := m.requests[id]
+	if r == nil {
+		return
+	}
+	m.endAttempt(r)
+	delete(m.requests, id)
+}
--- /dev/null
+++ b/dispatch/send.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+// send chooses where a request goes next.
+func (m *Model) send(r *request) []Cmd {
+	var cmd SendCmd
+	var reason Reason
+	if r.service.Pipeline != nil {
+		cmd, reason = m.sendPipeline(r)
+	} else {
+		cmd, reason = m.sendPlain(r)
+	}
+	if reason != "" {
+		return m.giveUp(r, reason)
+	}
+	r.sends++
+	r.first.inFlight++
+	cmd.Request, cmd.Attempt = r.msg.Request, r.sends
+	cmd.Upstream, cmd.Address = r.first.entry.ID, r.first.entry.Address
+	cmd.Route, cmd.Account, cmd.Keyed = r.route, r.account.Name, r.keyed
+	cmd.Deadline, cmd.GiveUp = r.deadline, r.giveUp
+	cmd.CatalogVersion, cmd.CatalogAge = m.catalog.Version(), m.now.Sub(m.confirmed)
+	cmd.InFlight = r.first.inFlight
+	return []Cmd{cmd}
+}
+
+// giveUp ends a request for which there is nothing left to try.
+func (m *Model) giveUp(r *request, reason Reason) []Cmd {
+	if r.events > 0 {
+		m.forget(r.msg.Request)
+		return []Cmd{CutCmd{Request: r.msg.Request, Reason: reason}}
+	}
+	if r.runs > 0 && !r.route.MayRepeat() {
+		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
+	}
+	back := backSoon
+	if reason == ReasonNoHolder || reason == ReasonNoUpstream {
+		back = backHealing
+	}
+	return m.refuse(r.msg.Request, http.StatusServiceUnavailable, reason, back)
+}
+
+// sendPlain takes the upstream that should answer first: by the mean time of
+// its answers and how many of this node's requests it has.
+func (m *Model) sendPlain(r *request) (SendCmd, Reason) {
+	best := m.cheapest(r, func(u *upstream) bool {
+		return r.mayUse(u) && !r.tried[u.entry.ID] && u.open(m.now) && u.failing <= failTooMany
+	})
+	if best == nil {
+		best = m.cheapest(r, func(u *upstream) bool { return r.mayUse(u) && !r.tried[u.entry.ID] })
+	}
+	if best == nil {
+		best = m.cheapest(r, func(u *upstream) bool { return r.mayUse(u) && u.open(m.now) })
+	}
+	if best == nil {
+		return SendCmd{}, ReasonNoUpstream
+	}
+	r.first = best
+	return SendCmd{TryFor: m.tryFor(r, best)}, ""
+}
+
+func (m *Model) cheapest(r *request, may func(*upstream) bool) *upstream {
+	var best *upstream
+	bestCost := 0.0
+	for _, u := range m.byService[r.service.Name] {
+		if u.entry.Leaving || !may(u) {
+			continue
+		}
+		cost := u.took * float64(u.inFlight+1) * (1 + m.random.Float64()*tieSpread)
+		if best == nil || cost < bestCost {
+			best, bestCost = u, cost
+		}
+	}
+	return best
+}
+
+// tieSpread mixes upstreams that are about equally good.
+const tieSpread = 0.3
+
+// tryFor bounds the first attempt of a request that may be repeated, so that a
+// silent upstream does not use up the caller's time.
+func (m *Model) tryFor(r *request, u *upstream) clock.Millis {
+	if r.route.Kind != catalog.Repeatable || r.runs+1 >= r.mostRuns() {
+		return 0
+	}
+	return max(clock.Millis(u.took*tryFactor), clock.Millis(float64(r.route.Aim)*tryShare))
+}
+
+// sendPipeline builds a chain of engines. Engines under suspicion take part
+// only where a layer has no other.
+func (m *Model) sendPipeline(r *request) (SendCmd, Reason) {
+	parts, err := m.build(r, nil)
+	if err != nil {
+		return SendCmd{}, chainReason(err)
+	}
+	first := m.upstreams[parts[0].ID]
+	r.first = first
+	m.reserve(r, parts)
+	return SendCmd{Chain: parts}, ""
+}
+
+func chainReason(err error) Reason {
+	if errors.Is(err, chain.ErrNoRoom) {
+		return ReasonNoRoom
+	}
+	return ReasonNoHolder
+}
+
+// build finds a chain over the engines of the request's service, without
+// those in except.
+func (m *Model) build(r *request, except map[string]bool) ([]chain.Part, error) {
+	list := m.byService[r.service.Name]
+	holders := make([]chain.Holder, 0, len(list))
+	for _, u := range list {
+		if !u.open(m.now) || except[u.entry.ID] || u.entry.Held.Empty() || u.pipeline == nil {
+			continue
+		}
+		holders = append(holders, m.holder(r, u))
+	}
+	return chain.Build(r.service.Pipeline.Layers, r.tokens, m.dataCentre, holders)
+}
+
+// triedPenalty keeps a repeated request off the engines of its last attempt
+// where it can, in ms for each token.
+const triedPenalty = 5.0
+
+func (m *Model) holder(r *request, u *upstream) chain.Holder {
+	h := chain.Holder{
+		ID: u.entry.ID, Address: u.entry.Address, DataCentre: u.entry.DataCentre, Held: u.entry.Held,
+		LayerTime: u.layerTime, Total: u.room, Room: u.room - u.reserved*m.share(u),
+	}
+	if r.tried[u.entry.ID] {
+		h.Penalty = triedPenalty
+	}
+	return h
+}
+
+// share is how many nodes are likely to send as much to an engine as this one.
+func (m *Model) share(u *upstream) float64 {
+	if u.entry.DataCentre != m.dataCentre {
+		return float64(max(m.peers.All-m.peers.Local, 1))
+	}
+	return float64(max(m.peers.Local, 1))
+}
--- /dev/null
+++ b/dispatch/upstream.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// upstream is what the node believes of one upstream beside its entry.
+type upstream struct {
+	entry    fleet.Upstream
+	pipeline *catalog.Pipeline
+	// layerTime is the time of a token through one layer, in ms, and room the
+	// memory for requests, in tokens times layers.
+	layerTime float64
+	room      float64
+
+	// inFlight counts this node's attempts that have it as the first, and
+	// reserved the memory that this node's requests take there.
+	inFlight int
+	reserved float64
+	// took is the mean time of its answers in ms, and failing the mean rate of
+	// its failures.
+	took    float64
+	failing float64
+
+	// suspect upstreams get no work until a probe has found them well.
+	suspect    bool
+	probing    bool
+	strikes    int
+	avoidUntil clock.Millis
+	// fullUntil is until when it is taken as full.
+	fullUntil clock.Millis
+}
+
+func newUpstream(entry fleet.Upstream) *upstream { return &upstream{entry: entry, took: firstTook} }
+
+// update takes a new entry. An engine that holds other layers than before is
+// no longer doubted for what it did not hold.
+func (u *upstream) update(entry fleet.Upstream) {
+	if entry.Held != u.entry.Held {
+		u.fullUntil = 0
+	}
+	u.entry = entry
+}
+
+// measure works out an engine's pace and memory.
+func (u *upstream) measure(s *catalog.Service) {
+	u.pipeline, u.room, u.layerTime = nil, 0, 0
+	if s == nil || s.Pipeline == nil {
+		return
+	}
+	u.pipeline = s.Pipeline
+	kind, ok := s.Pipeline.Accelerators[u.entry.Accelerator]
+	if !ok {
+		return
+	}
+	u.layerTime = s.Pipeline.StepTime(kind, 1)
+	u.room = s.Pipeline.Room(kind, u.entry.Held.Len())
+}
+
+// open tells whether it may get new work.
+func (u *upstream) open(now clock.Millis) bool {
+	return !u.entry.Leaving && !u.suspect && now >= u.fullUntil
+}
+
+// strike notes a failure that speaks against the upstream.
+func (u *upstream) strike(now clock.Millis) clock.Millis {
+	wait := min(firstSuspicion<<min(u.strikes, 8), longestSuspicion)
+	u.strikes++
+	u.suspect = true
+	u.avoidUntil = now.Add(wait)
+	return u.avoidUntil
+}
+
+// record takes in how an answer went.
+func (u *upstream) record(took clock.Millis, failed bool) {
+	u.took += tookWeight * (float64(took) - u.took)
+	rate := 0.0
+	if failed {
+		rate = 1
+	}
+	u.failing += failWeight * (rate - u.failing)
+	if !failed {
+		u.strikes = 0
+	}
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -13,8 +13,8 @@
 	"github.com/hoistjunction/hoistjunction/core"
 	"github.com/hoistjunction/hoistjunction/engine"
 	"github.com/hoistjunction/hoistjunction/logging"
-	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/record"
+	"github.com/hoistjunction/hoistjunction/tablestore"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -39,7 +39,7 @@
 	services *serviceCaller
 	peers    *peerCaller
 	store    *storeWorker
-	platform *platform.Client
+	platform *tablestore.Client
 	desk     *proposalDesk
 
 	caller net.Listener
@@ -111,7 +111,7 @@
 	n.engines = engine.NewPool(start.Node.GetIncarnation(), n.decider.tell)
 	n.services = newServiceCaller(n.log, n.decider.tell)
 	n.peers = newPeerCaller(n.tls, n.config.PeerSecret, n.log, n.decider.tell)
-	n.platform = platform.NewClient(n.config.Platform)
+	n.platform = tablestore.NewClient(n.config.Platform)
 	n.store = newStoreWorker(n.platform, n.log, n.decider.tell)
 }
 
--- a/entry/store_worker.go
+++ b/entry/store_worker.go
@@ -7,8 +7,8 @@
 
 	"github.com/hoistjunction/hoistjunction/core"
 	"github.com/hoistjunction/hoistjunction/logging"
-	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/ring"
+	"github.com/hoistjunction/hoistjunction/tablestore"
 )
 
 // storeRing is how many commands may wait for the platform. Their timers and
@@ -19,8 +19,8 @@
 // the rest each have a goroutine, so that none waits behind another's slow
 // answer.
 type storeWorker struct {
-	client  *platform.Client
-	store   *platform.Store
+	client  *tablestore.Client
+	store   *tablestore.Store
 	log     *logging.Log
 	tell    func(core.Msg)
 	claims  *ring.Ring[core.Cmd]
@@ -30,10 +30,10 @@
 	seen    uint64
 }
 
-func newStoreWorker(c *platform.Client, log *logging.Log, tell func(core.Msg)) *storeWorker {
+func newStoreWorker(c *tablestore.Client, log *logging.Log, tell func(core.Msg)) *storeWorker {
 	return &storeWorker{
 		client:  c,
-		store:   platform.NewStore(c),
+		store:   tablestore.NewStore(c),
 		log:     log,
 		tell:    tell,
 		claims:  ring.New[core.Cmd](storeRing),
--- /dev/null
+++ b/fleet/upstream.go
@@ -0,0 +1,50 @@
+// Package fleet holds what a node believes about upstreams: which there are,
+// which are leaving, and which layers each engine holds.
+//
+// The list comes from the store. While the store is away entries may lapse
+// although the upstream lives, so the View keeps the last known and waits for
+// a short while after the store's return before it takes "missing" for "gone".
+package fleet
+
+// Upstream is one incarnation of a server, under an id that is used once.
+type Upstream struct {
+	ID      string
+	Service string
+	Address string
+	// DataCentre is where it stands.
+	DataCentre string
+	// Slots is how many requests it works on at a time.
+	Slots int
+	// Leaving upstreams get no new work.
+	Leaving bool
+	// Accelerator names its kind of accelerator; empty for plain services.
+	Accelerator string
+	// Held is the range of layers that it holds; empty for none.
+	Held Range
+}
+
+// Range is a run of layers, From included and To not.
+type Range struct {
+	From int
+	To   int
+}
+
+// Len returns how many layers the range has.
+func (r Range) Len() int { return max(0, r.To-r.From) }
+
+// Empty tells whether the range has no layers.
+func (r Range) Empty() bool { return r.To <= r.From }
+
+// Holds tells whether a layer is in the range.
+func (r Range) Holds(layer int) bool { return r.From <= layer && layer < r.To }
+
+// Covers tells whether all of another range is in this one.
+func (r Range) Covers(o Range) bool { return o.Empty() || r.From <= o.From && o.To <= r.To }
+
+// Change is a change of the list: an upstream's new entry, or that it has
+// none any more.
+type Change struct {
+	ID       string
+	Gone     bool
+	Upstream Upstream
+}
--- /dev/null
+++ b/fleet/view.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+// LapseGrace is how long after the store's return an entry may be missing
+// although the upstream lives. The users' letter names about two seconds.
+const LapseGrace clock.Millis = 2200
+
+// View is the node's picture of all upstreams. It is pure: times are handed
+// in. It is not safe for concurrent use.
+type View struct {
+	upstreams map[string]*Upstream
+	// departed are upstreams that were seen leaving. They never come back
+	// under the same id, whatever an older entry says.
+	departed map[string]bool
+	// missing are entries that vanished around an outage, with the time from
+	// which they are taken as gone.
+	missing map[string]clock.Millis
+	away    bool
+}
+
+// NewView returns a view without upstreams.
+func NewView() *View {
+	return &View{
+		upstreams: make(map[string]*Upstream),
+		departed:  make(map[string]bool),
+		missing:   make(map[string]clock.Millis),
+	}
+}
+
+// StoreLost notes that the store does not answer. Entries that vanish from
+// now on may have lapsed.
+func (v *View) StoreLost() { v.away = true }
+
+// StoreBack notes that the store answers. At the end of an outage, entries
+// that are missing get until LapseGrace later to come back.
+func (v *View) StoreBack(now clock.Millis) {
+	if !v.away {
+		return
+	}
+	v.away = false
+	for id := range v.missing {
+		v.missing[id] = now.Add(LapseGrace)
+	}
+}
+
+// Replace takes a whole list. Entries that it lacks are treated as vanished;
+// lapsed tells that the list follows an outage.
+func (v *View) Replace(now clock.Millis, list []Upstream, lapsed bool) []Change {
+	listed := make(map[string]bool, len(list))
+	var changes []Change
+	for _, u := range list {
+		listed[u.ID] = true
+		changes = append(changes, Change{ID: u.ID, Upstream: u})
+	}
+	for id := range v.upstreams {
+		if !listed[id] {
+			changes = append(changes, Change{ID: id, Gone: true})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.ID, b.ID) })
+	return v.Apply(now, changes, lapsed)
+}
+
+// Learn takes a whole list from a peer that has the store while this node has
+// not. Entries that it lacks are gone.
+func (v *View) Learn(now clock.Millis, list []Upstream) []Change {
+	away := v.away
+	v.away = false
+	changes := v.Replace(now, list, false)
+	v.away = away
+	return changes
+}
+
+// Apply takes changes of the list and returns those that made a difference:
+// with Gone for upstreams that get no new work from now on.
+func (v *View) Apply(now clock.Millis, changes []Change, lapsed bool) []Change {
+	var effective []Change
+	for _, c := range changes {
+		if v.apply(now, c, lapsed) {
+			effective = append(effective, c)
+		}
+	}
+	return effective
+}
+
+func (v *View) apply(now clock.Millis, c Change, lapsed bool) bool {
+	if c.Gone {
+		return v.vanish(now, c.ID, lapsed)
+	}
+	delete(v.missing, c.ID)
+	u := c.Upstream
+	if v.departed[u.ID] {
+		u.Leaving = true
+	}
+	if u.Leaving {
+		v.departed[u.ID] = true
+	}
+	known, ok := v.upstreams[u.ID]
+	if ok && *known == u {
+		return false
+	}
+	v.upstreams[u.ID] = &u
+	return true
+}
+
+// vanish handles an entry that is there no more.
+func (v *View) vanish(now clock.Millis, id string, lapsed bool) bool {
+	if _, ok := v.upstreams[id]; !ok {
+		return false
+	}
+	if lapsed || v.away {
+		if _, waiting := v.missing[id]; !waiting {
+			v.missing[id] = now.Add(LapseGrace)
+		}
+		return false
+	}
+	v.remove(id)
+	return true
+}
+
+func (v *View) remove(id string) {
+	delete(v.upstreams, id)
+	delete(v.missing, id)
+}
+
+// Expire removes entries whose time to come back is over, and returns them.
+// Nothing expires while the store is away.
+func (v *View) Expire(now clock.Millis) []Change {
+	if v.away {
+		return nil
+	}
+	var changes []Change
+	for id, until := range v.missing {
+		if now >= until {
+			changes = append(changes, Change{ID: id, Gone: true})
+		}
+	}
+	for _, c := range changes {
+		v.remove(c.ID)
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.ID, b.ID) })
+	return changes
+}
+
+// Get returns an upstream by its id, or nil.
+func (v *View) Get(id string) *Upstream { return v.upstreams[id] }
+
+// Waiting tells whether some entry may still come back.
+func (v *View) Waiting() bool { return len(v.missing) > 0 }
+
+// Missing tells whether an upstream's entry has vanished around an outage.
+func (v *View) Missing(id string) bool {
+	_, ok := v.missing[id]
+	return ok
+}
+
+// Len returns how many upstreams are known.
+func (v *View) Len() int { return len(v.upstreams) }
+
+// All returns the upstreams in the order of their ids.
+func (v *View) All() []*Upstream {
+	all := make([]*Upstream, 0, len(v.upstreams))
+	for _, u := range v.upstreams {
+		all = append(all, u)
+	}
+	slices.SortFunc(all, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
--- /dev/null
+++ b/follow/catalog.go
@@ -0,0 +1,108 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+const (
+	// catalogWait is how long the store may hold a wait for the configuration.
+	// An answered wait proves the configuration fresh as of its sending, so
+	// this is also how old that proof gets; keys must be known within 5 s.
+	catalogWait clock.Millis = 2000
+	// retryPause is the pause after a call that failed.
+	retryPause = 150 * time.Millisecond
+)
+
+// Catalog follows the configuration.
+type Catalog struct {
+	source CatalogSource
+	clock  *clock.Clock
+	log    *zap.Logger
+	outage *Outage
+	// tell takes a configuration, or nil where only the time is new.
+	tell func(c *catalog.Catalog, raw []byte, confirmed clock.Millis)
+}
+
+// NewCatalog returns a follower of the configuration.
+func NewCatalog(source CatalogSource, c *clock.Clock, log *zap.Logger, outage *Outage,
+	tell func(*catalog.Catalog, []byte, clock.Millis),
+) *Catalog {
+	return &Catalog{source: source, clock: c, log: log, outage: outage, tell: tell}
+}
+
+// Run follows until the context ends.
+func (f *Catalog) Run(ctx context.Context) error {
+	var revision uint64
+	whole := true
+	for ctx.Err() == nil {
+		sent := f.clock.Now()
+		reading, err := f.call(ctx, whole, revision)
+		if errors.Is(err, ErrReadAnew) {
+			f.log.Info("config_history_gone", zap.Uint64("revision", revision))
+			whole = true
+			continue
+		}
+		if err != nil {
+			noteLost(ctx, f.log, f.outage, "config", err)
+			whole = true
+			pause(ctx, retryPause)
+			continue
+		}
+		noteBack(f.log, f.outage, f.clock.Now(), "config")
+		whole, revision = false, reading.Revision
+		f.take(reading, sent)
+	}
+	return ctx.Err()
+}
+
+// call reads the whole, or awaits what changes after a revision.
+func (f *Catalog) call(ctx context.Context, whole bool, revision uint64) (CatalogReading, error) {
+	if whole {
+		return f.source.ReadCatalog(ctx)
+	}
+	return f.source.AwaitCatalog(ctx, revision, catalogWait)
+}
+
+// take passes a reading on. A configuration that cannot be read proves nothing
+// fresh: the one in force is older than it.
+func (f *Catalog) take(reading CatalogReading, sent clock.Millis) {
+	if len(reading.Raw) == 0 {
+		f.tell(nil, nil, sent)
+		return
+	}
+	c, err := f.source.DecodeCatalog(reading.Raw)
+	if err != nil {
+		f.log.Error("config_unreadable", zap.Uint64("revision", reading.Revision), zap.Error(err))
+		return
+	}
+	f.tell(c, reading.Raw, sent)
+}
+
+// noteLost logs the first failed call of an outage.
+func noteLost(ctx context.Context, log *zap.Logger, outage *Outage, table string, err error) {
+	if ctx.Err() == nil && outage.Lost() {
+		log.Warn("store_lost", zap.String("table", table), zap.Error(err))
+	}
+}
+
+func noteBack(log *zap.Logger, outage *Outage, now clock.Millis, table string) {
+	if outage.Back(now) {
+		log.Info("store_back", zap.String("table", table))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/follow/doc.go
@@ -0,0 +1,49 @@
+// Package follow keeps a node's picture of the configuration and of the list
+// of upstreams in step with the store.
+//
+// Each of the two is read whole once, and its changes are awaited from then
+// on, so the store is asked about once in the time of a wait and tells of a
+// change at once. What is known is passed on as messages.
+package follow
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// ErrReadAnew marks the errors of waits that cannot go on from a revision:
+// the whole must be read again.
+var ErrReadAnew = errors.New("follow: read anew")
+
+// CatalogReading is what a call has shown of the configuration. Raw is empty
+// where it shows no newer one.
+type CatalogReading struct {
+	Raw      []byte
+	Revision uint64
+}
+
+// FleetReading is what a call has shown of the list of upstreams.
+type FleetReading struct {
+	Changes  []fleet.Change
+	Revision uint64
+	// Unreadable holds an error for each entry that cannot be read.
+	Unreadable []error
+}
+
+// CatalogSource is where the configuration is read.
+type CatalogSource interface {
+	ReadCatalog(ctx context.Context) (CatalogReading, error)
+	AwaitCatalog(ctx context.Context, after uint64, wait clock.Millis) (CatalogReading, error)
+	DecodeCatalog(raw []byte) (*catalog.Catalog, error)
+}
+
+// FleetSource is where the list of upstreams is read.
+type FleetSource interface {
+	ReadUpstreams(ctx context.Context) (FleetReading, error)
+	AwaitUpstreams(ctx context.Context, after uint64, wait clock.Millis) (FleetReading, error)
+}
--- /dev/null
+++ b/follow/fleet.go
@@ -0,0 +1,166 @@
+package follow
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+const (
+	// fleetWait is how long the store may hold a wait for the list. Changes
+	// arrive at once; a longer wait only saves calls.
+	fleetWait clock.Millis = 4000
+	// gather is the pause after a change of the list, in which further ones
+	// gather: at a start each server's entry would cost a call of its own. It
+	// delays what is learnt, not what counts from when it is learnt.
+	gather = 250 * time.Millisecond
+	// expiryCheck is how often entries that lapsed are looked at, in ms.
+	expiryCheck clock.Millis = 500
+)
+
+// Fleet follows the list of upstreams.
+type Fleet struct {
+	source FleetSource
+	clock  *clock.Clock
+	log    *zap.Logger
+	outage *Outage
+	view   *fleet.View
+	tell   func([]fleet.Change)
+	// learnt holds the newest list that a peer has told.
+	learnt chan []fleet.Upstream
+	// shown is the list as it stands, for peers.
+	shown atomic.Pointer[[]fleet.Upstream]
+}
+
+// NewFleet returns a follower of the list.
+func NewFleet(source FleetSource, c *clock.Clock, log *zap.Logger, outage *Outage, tell func([]fleet.Change)) *Fleet {
+	return &Fleet{
+		source: source, clock: c, log: log, outage: outage, view: fleet.NewView(), tell: tell,
+		learnt: make(chan []fleet.Upstream, 1),
+	}
+}
+
+// Run follows until the context ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	var revision uint64
+	whole := true
+	for ctx.Err() == nil {
+		reading, err := f.call(ctx, whole, revision)
+		if errors.Is(err, ErrReadAnew) {
+			f.log.Info("fleet_history_gone", zap.Uint64("revision", revision))
+			whole = true
+			continue
+		}
+		if err != nil {
+			noteLost(ctx, f.log, f.outage, "fleet", err)
+			f.view.StoreLost()
+			whole = true
+			f.takeLearnt()
+			pause(ctx, retryPause)
+			continue
+		}
+		now := f.clock.Now()
+		noteBack(f.log, f.outage, now, "fleet")
+		f.take(now, reading, whole)
+		whole, revision = false, reading.Revision
+		if len(reading.Changes) > 0 {
+			pause(ctx, gather)
+		}
+	}
+	return ctx.Err()
+}
+
+// call reads the whole list, or awaits what changes after a revision.
+func (f *Fleet) call(ctx context.Context, whole bool, revision uint64) (FleetReading, error) {
+	if whole {
+		return f.source.ReadUpstreams(ctx)
+	}
+	wait := fleetWait
+	if f.view.Waiting() {
+		wait = expiryCheck
+	}
+	return f.source.AwaitUpstreams(ctx, revision, wait)
+}
+
+func (f *Fleet) take(now clock.Millis, reading FleetReading, whole bool) {
+	for _, err := range reading.Unreadable {
+		f.log.Warn("entry_unreadable", zap.Error(err))
+	}
+	lapsing := f.outage.Lapsing(now)
+	f.view.StoreBack(now)
+	var changes []fleet.Change
+	if whole {
+		changes = f.view.Replace(now, upstreamsIn(reading.Changes), lapsing)
+	} else {
+		changes = f.view.Apply(now, reading.Changes, lapsing)
+	}
+	f.pass(append(changes, f.view.Expire(now)...), reading.Revision)
+}
+
+// pass tells changes, and keeps the list for peers.
+func (f *Fleet) pass(changes []fleet.Change, revision uint64) {
+	if len(changes) == 0 {
+		return
+	}
+	list := make([]fleet.Upstream, 0, f.view.Len())
+	for _, u := range f.view.All() {
+		list = append(list, *u)
+	}
+	f.shown.Store(&list)
+	f.logChanges(revision, changes)
+	f.tell(changes)
+}
+
+// Learn takes a list from a peer. It counts only while this node has lost the
+// store itself.
+func (f *Fleet) Learn(list []fleet.Upstream) {
+	select {
+	case f.learnt <- list:
+	default:
+		// An older list is still waiting; the next answer brings a newer one.
+	}
+}
+
+func (f *Fleet) takeLearnt() {
+	select {
+	case list := <-f.learnt:
+		f.pass(f.view.Learn(f.clock.Now(), list), 0)
+	default:
+	}
+}
+
+// Shown returns the list as it stands; ok is false around an outage of the
+// store, when the node cannot vouch for it.
+func (f *Fleet) Shown() (list []fleet.Upstream, ok bool) {
+	shown := f.shown.Load()
+	if shown == nil || f.outage.Lapsing(f.clock.Now()) {
+		return nil, false
+	}
+	return *shown, true
+}
+
+func (f *Fleet) logChanges(revision uint64, changes []fleet.Change) {
+	for _, c := range changes {
+		if c.Gone || c.Upstream.Leaving {
+			f.log.Info("upstream_leaving", zap.String("upstream", c.ID), zap.Bool("gone", c.Gone),
+				zap.String("address", c.Upstream.Address), zap.Uint64("revision", revision))
+		}
+	}
+	f.log.Info("fleet", zap.Int("changes", len(changes)), zap.Int("upstreams", f.view.Len()), zap.Uint64("revision", revision))
+}
+
+func upstreamsIn(changes []fleet.Change) []fleet.Upstream {
+	list := make([]fleet.Upstream, 0, len(changes))
+	for _, c := range changes {
+		if !c.Gone {
+			list = append(list, c.Upstream)
+		}
+	}
+	return list
+}
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -21,7 +21,10 @@
 }
 
 // New returns a logger that writes to standard error.
-func New(level string) (*Log, error) {
+func New(level string) (*Log, error) { return NewTo(level, zapcore.Lock(os.Stderr)) }
+
+// NewTo returns a logger that writes to out.
+func NewTo(level string, out zapcore.WriteSyncer) (*Log, error) {
 	l := &Log{level: zap.NewAtomicLevel()}
 	if err := l.SetLevel(level); err != nil {
 		return nil, err
@@ -30,7 +33,7 @@
 	c.EncodeTime = zapcore.ISO8601TimeEncoder
 	c.TimeKey = "time"
 	c.MessageKey = "event"
-	core := zapcore.NewCore(zaplogfmt.NewEncoder(c), zapcore.Lock(os.Stderr), l.level)
+	core := zapcore.NewCore(zaplogfmt.NewEncoder(c), out, l.level)
 	l.Logger = zap.New(core)
 	return l, nil
 }
--- /dev/null
+++ b/node/drain.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+const (
+	// unlisted is how long a stopping node still takes connections. The
+	// platform asks each second and takes a node off at the second miss.
+	unlisted clock.Millis = 3000
+	// lastCut is how long before the end of its grace a node cuts off what is
+	// still in progress, so that it ends by itself.
+	lastCut clock.Millis = 500
+)
+
+// Drain begins a planned stop. The node is not ready from now on; once the
+// platform has taken it off, it takes no more connections and closes idle
+// ones; it ends when its requests are done, or when its grace is over.
+func (n *Node) Drain() {
+	n.log.Info("drain", zap.Int64("in_progress", n.relay.InProgress()), zap.Int64("grace_ms", int64(n.settings.grace())))
+	n.relay.Stop()
+	time.Sleep(min(unlisted, n.settings.grace()-lastCut).Duration())
+	ctx, cancel := context.WithTimeout(n.life, (n.settings.grace() - unlisted - lastCut).Duration())
+	defer cancel()
+	for _, server := range n.servers {
+		// Shutdown closes the listener and idle connections, and waits for
+		// requests in progress.
+		if err := server.Shutdown(ctx); err != nil {
+			n.log.Info("drain_cut_short", zap.Int64("in_progress", n.relay.InProgress()), zap.Error(err))
+		}
+	}
+	n.log.Info("drained", zap.Int64("in_progress", n.relay.InProgress()))
+	close(n.drained)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/follow"
+	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/peering"
+	"github.com/hoistjunction/hoistjunction/placement"
+	"github.com/hoistjunction/hoistjunction/placer"
+	"github.com/hoistjunction/hoistjunction/platform"
+	"github.com/hoistjunction/hoistjunction/relay"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// Bounds of the listeners.
+const (
+	// headerTime bounds the reading of a request's head.
+	headerTime = 5 * time.Second
+	// idleCaller is how long an idle connection of a caller is kept. It must
+	// exceed what the operator grants callers, 15 s on the users' sites.
+	idleCaller = 60 * time.Second
+	// headerBytes bounds a request's head; the operator grants 16 KB.
+	headerBytes = 32 << 10
+)
+
+// Node is a relay node.
+type Node struct {
+	settings *Settings
+	log      *zap.Logger
+	clock    *clock.Clock
+	relay    *relay.Relay
+	placer   *placer.Placer
+	fleets   *follow.Fleet
+	catalogs *follow.Catalog
+	peers    *peering.Peering
+	known    *known
+	store    *platform.Store
+	engines  *platform.Engines
+	life     context.Context
+	end      context.CancelFunc
+
+	caller    net.Listener
+	readiness net.Listener
+	metrics   net.Listener
+	peer      net.Listener
+	servers   []*http.Server
+	drained   chan struct{}
+}
+
+// New binds a node's ports and builds it. Run makes it work.
+func New(s *Settings, log *logging.Log) (*Node, error) {
+	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{})}
+	n.life, n.end = context.WithCancel(context.Background())
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	n.store = platform.NewStore(s.Platform)
+	n.engines = platform.NewEngines()
+	model := dispatch.New(
+		dispatch.WithDataCentre(s.DataCentre),
+		dispatch.WithSeed(hash(s.Name)),
+		dispatch.WithPolicy(dispatch.Policy{RevokeWithin: s.keysWithin(), RetryShare: s.RetryShare, RetrySlack: s.RetrySlack}),
+	)
+	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
+		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()))
+	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%plannerSlots))), placement.WithStart(n.clock.Now()))
+	n.placer = placer.New(planner, n.engines, n.clock, n.log)
+	outage := &follow.Outage{}
+	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, outage, n.setCatalog)
+	n.fleets = follow.NewFleet(n.store, n.clock, n.log, outage, n.setFleet)
+	n.known = &known{node: n}
+	self := &wire.Member{Name: s.Name, DataCentre: s.DataCentre, Address: n.peer.Addr().String()}
+	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, platform.NewPeerTransport(), hash(s.Name))
+	return n, nil
+}
+
+// Nodes leave orders to each other for different times, by their rank among
+// the names (by a hash of the own name while others are unknown), so that they
+// seldom give the same order. An order shows in an engine's report at once.
+const (
+	plannerSlots              = 8
+	plannerSlot  clock.Millis = 400
+)
+
+func plannerDelay(rank int) clock.Millis { return clock.Millis(rank%plannerSlots) * plannerSlot }
+
+func hash(name string) uint64 {
+	h := fnv.New64a()
+	// Writing to a hash cannot fail.
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+func (n *Node) listen() error {
+	config := net.ListenConfig{Control: platform.BoundSilence}
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&n.caller, n.settings.CallerListen},
+		{&n.readiness, n.settings.ReadinessListen},
+		{&n.metrics, n.settings.MetricsListen},
+		{&n.peer, n.settings.PeerListen},
+	} {
+		listener, err := config.Listen(n.life, "tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "node: cannot listen at %s", l.address)
+		}
+		*l.into = listener
+	}
+	return nil
+}
+
+// Run serves until the context ends, or until a planned stop is through.
+func (n *Node) Run(ctx context.Context) error {
+	defer n.end()
+	n.log.Info("start", zap.String("node", n.settings.Name), zap.String("data_centre", n.settings.DataCentre),
+		zap.Stringer("caller", n.caller.Addr()), zap.Stringer("peer", n.peer.Addr()))
+	var g run.Group
+	n.addLoop(&g, func(loop context.Context) error { return n.untilDrained(ctx, loop) })
+	n.addLoop(&g, n.relay.Run)
+	n.addLoop(&g, n.placer.Run)
+	n.addLoop(&g, n.catalogs.Run)
+	n.addLoop(&g, n.fleets.Run)
+	n.addLoop(&g, n.peers.Register)
+	n.addLoop(&g, n.peers.Run)
+	n.addServer(&g, n.caller, n.relay)
+	n.addServer(&g, n.readiness, http.HandlerFunc(n.relay.Readiness))
+	n.addServer(&g, n.peer, n.peers.Handler())
+	n.addServer(&g, n.metrics, http.HandlerFunc(n.relay.Metrics))
+	err := g.Run()
+	n.store.Close()
+	n.engines.Close()
+	n.log.Info("stop", zap.Error(err))
+	if errors.Is(err, errDrained) {
+		return nil
+	}
+	return err
+}
+
+// errDrained ends the node after a planned stop.
+var errDrained = errors.New("node: drained")
+
+func (n *Node) untilDrained(ctx, loop context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-loop.Done():
+		return loop.Err()
+	case <-n.drained:
+		return errDrained
+	}
+}
+
+func (n *Node) addLoop(g *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+}
+
+func (n *Node) addServer(g *run.Group, l net.Listener, h http.Handler) {
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleCaller, MaxHeaderBytes: headerBytes,
+		ErrorLog: zap.NewStdLog(n.log),
+	}
+	n.servers = append(n.servers, server)
+	ended, end := context.WithCancel(context.Background())
+	g.Add(func() error {
+		err := server.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			// A planned stop closes the listeners first; the node goes on until
+			// its requests are done.
+			<-ended.Done()
+		}
+		return err
+	}, func(error) {
+		end()
+		if err := server.Close(); err != nil {
+			n.log.Info("listener_not_closed", zap.Error(err))
+		}
+	})
+}
+
+// setCatalog takes a configuration that was the newest at a time; nil where
+// only the time is new. An older version than the one in force changes nothing.
+func (n *Node) setCatalog(c *catalog.Catalog, raw []byte, confirmed clock.Millis) {
+	newer := n.known.set(c, raw, confirmed)
+	n.relay.SetCatalog(c, confirmed)
+	if !newer {
+		return
+	}
+	n.log.Info("config", zap.Uint64("version", c.Version()), zap.Int64("age_ms", int64(n.clock.Now().Sub(confirmed))))
+	n.placer.Tell(n.life, placement.CatalogMsg{Catalog: c})
+}
+
+func (n *Node) setFleet(changes []fleet.Change) {
+	n.relay.SetFleet(changes)
+	n.placer.Tell(n.life, placement.FleetMsg{Changes: changes})
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,86 @@
+// Package node puts a relay node together: listeners, the followers of the
+// store, the planner of layers, and a planned stop.
+package node
+
+import (
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/settings"
+)
+
+// Settings are a node's settings.
+type Settings struct {
+	Name       string
+	DataCentre string
+	LogLevel   string
+	// GraceSeconds is how long a planned stop may take.
+	GraceSeconds float64
+	// Cores and MemoryMB are what the VM has.
+	Cores    int
+	MemoryMB int
+
+	CallerListen    string
+	ReadinessListen string
+	PeerListen      string
+	// PeerSeeds are addresses where other nodes may be.
+	PeerSeeds     []string
+	MetricsListen string
+	Platform      string
+
+	// KeysFailClosed tells whether requests with keys are refused once the
+	// configuration may be older than KeysWithin.
+	KeysFailClosed bool
+	KeysWithin     clock.Millis
+	// RetryShare, as a part of the requests, and RetrySlack, as a number,
+	// bound the repeats of all nodes together.
+	RetryShare float64
+	RetrySlack float64
+}
+
+const (
+	largestNumber = 1 << 30
+	largestShare  = 1000.0
+	msPerSecond   = 1000
+)
+
+// Set declares every setting.
+func (s *Settings) Set() *settings.Set {
+	set := settings.NewSet()
+	set.String("node", "name", &s.Name, settings.Required())
+	set.String("node", "data_centre", &s.DataCentre, settings.Required())
+	set.Float("node", "grace_s", &s.GraceSeconds, 0, largestNumber, settings.WithDefault("8"))
+	set.Int("node", "cores", &s.Cores, 1, largestNumber, settings.WithDefault("1"))
+	set.Int("node", "memory_mb", &s.MemoryMB, 1, largestNumber, settings.WithDefault("256"))
+	set.OneOf("log", "level", &s.LogLevel, []string{"debug", "info", "warn", "error"}, settings.WithDefault("info"))
+	set.Address("caller", "listen", &s.CallerListen, settings.Required())
+	set.Address("readiness", "listen", &s.ReadinessListen, settings.Required())
+	set.Address("peer", "listen", &s.PeerListen, settings.Required())
+	set.Addresses("peer", "seeds", &s.PeerSeeds)
+	set.Address("metrics", "listen", &s.MetricsListen, settings.Required())
+	set.Address("platform", "address", &s.Platform, settings.Required())
+	set.Bool("keys", "fail_closed", &s.KeysFailClosed, settings.WithDefault("true"))
+	set.Millis("keys", "known_within_ms", &s.KeysWithin, settings.WithDefault("5000"))
+	set.Float("retries", "share", &s.RetryShare, 0, largestShare, settings.WithDefault("0.2"))
+	set.Float("retries", "slack", &s.RetrySlack, 0, largestNumber, settings.WithDefault("200"))
+	return set
+}
+
+// Load reads a settings file.
+func Load(path string) (*Settings, *settings.Set, error) {
+	s := &Settings{}
+	set := s.Set()
+	if err := set.Load(path); err != nil {
+		return nil, nil, err
+	}
+	return s, set, nil
+}
+
+// grace is how long a planned stop may take.
+func (s *Settings) grace() clock.Millis { return clock.Millis(s.GraceSeconds * msPerSecond) }
+
+// keysWithin returns the bound in force; zero for none.
+func (s *Settings) keysWithin() clock.Millis {
+	if !s.KeysFailClosed {
+		return 0
+	}
+	return s.KeysWithin
+}
--- /dev/null
+++ b/peering/doc.go
@@ -0,0 +1,43 @@
+// Package peering lets relay nodes help each other out when some of them have
+// lost the store.
+//
+// A node that has not heard from the store for a while asks its peers how
+// fresh their configuration is. The answer counts from the moment at which the
+// question was sent, so nothing that happens on the way, a frozen process
+// included, makes the configuration look fresher than it is.
+package peering
+
+import (
+	"context"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// Registry is where nodes leave their addresses for each other.
+type Registry interface {
+	Register(ctx context.Context, m *wire.Member) error
+	Members(ctx context.Context) ([]*wire.Member, error)
+}
+
+// Knowledge is what a node knows and can tell others.
+type Knowledge interface {
+	// Config returns the configuration in force as the operator wrote it, its
+	// version, and when it was known to be the newest; version 0 for none.
+	Config() (raw []byte, version uint64, confirmed clock.Millis)
+	// Fleet returns the list of upstreams; ok is false while the node cannot
+	// vouch for it.
+	Fleet() (list []fleet.Upstream, ok bool)
+}
+
+// Learner takes in what a peer has told.
+type Learner interface {
+	// LearnConfig takes a configuration that was the newest at a time. Raw is
+	// empty where it is the one in force.
+	LearnConfig(raw []byte, confirmed clock.Millis)
+	LearnFleet(list []fleet.Upstream)
+	// LearnMembers takes the number of nodes known, this one included: in all
+	// and in this data centre, and this node's rank among them by name.
+	LearnMembers(all, local, rank int)
+}
--- /dev/null
+++ b/peering/peering.go
@@ -0,0 +1,164 @@
+package peering
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/wire"
+	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
+)
+
+const (
+	// lookEvery is how often a node looks whether it needs its peers.
+	lookEvery = 250 * time.Millisecond
+	// askAfter is how old the proof of freshness may get before peers are
+	// asked. An open wait at the store renews it every 2 s.
+	askAfter clock.Millis = 2600
+	// askUnborn is how long after its start a node without a configuration
+	// leaves its peers alone; the store answers within some 10 ms.
+	askUnborn clock.Millis = 1000
+	// askSome is how many peers are asked at a time.
+	askSome = 3
+	// askTimeout bounds a question. Between data centres an answer takes a few
+	// ms; a frozen peer gives none.
+	askTimeout = 500 * time.Millisecond
+	// fleetAfter is how old the proof of freshness may get before peers are
+	// asked for the list of upstreams too: by then the store is lost.
+	fleetAfter clock.Millis = 3200
+	// membersEvery is how often the registry is read again.
+	membersEvery = 20 * time.Second
+	// registerAgain is the pause after a registration that failed, and
+	// membersSoon the time after which nodes that start together have all
+	// registered.
+	registerAgain = time.Second
+	membersSoon   = 2500 * time.Millisecond
+)
+
+// Peering asks and answers peers.
+type Peering struct {
+	clock     *clock.Clock
+	log       *zap.Logger
+	registry  Registry
+	knowledge Knowledge
+	learner   Learner
+	directory *directory
+	random    *rand.Rand
+	http      *http.Client
+}
+
+// New returns a node's peering. Seeds are addresses where peers may be.
+func New(self *wire.Member, seeds []string, registry Registry, knowledge Knowledge, learner Learner,
+	c *clock.Clock, log *zap.Logger, transport http.RoundTripper, seed uint64,
+) *Peering {
+	return &Peering{
+		clock: c, log: log, registry: registry, knowledge: knowledge, learner: learner,
+		directory: newDirectory(self, seeds), random: rand.New(rand.NewPCG(seed, seed)),
+		http: &http.Client{Transport: transport, Timeout: askTimeout},
+	}
+}
+
+// Register leaves the node's address at the registry, and reads those of
+// others from time to time.
+func (p *Peering) Register(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := p.registry.Register(ctx, p.directory.self)
+		if err == nil {
+			break
+		}
+		p.log.Info("not_registered", zap.Error(err))
+		pause(ctx, registerAgain)
+	}
+	pause(ctx, membersSoon)
+	for ctx.Err() == nil {
+		members, err := p.registry.Members(ctx)
+		if err != nil {
+			p.log.Info("members_not_read", zap.Error(err))
+			pause(ctx, registerAgain)
+			continue
+		}
+		p.noteMembers(members...)
+		pause(ctx, membersEvery)
+	}
+	return ctx.Err()
+}
+
+func (p *Peering) noteMembers(members ...*wire.Member) {
+	if !p.directory.add(members...) {
+		return
+	}
+	all, local, rank := p.directory.counts()
+	p.log.Info("members", zap.Int("all", all), zap.Int("local", local), zap.Int("rank", rank))
+	p.learner.LearnMembers(all, local, rank)
+}
+
+// Run asks peers while the store does not tell how fresh the configuration is.
+func (p *Peering) Run(ctx context.Context) error {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			p.look(ctx)
+		}
+	}
+}
+
+func (p *Peering) look(ctx context.Context) {
+	_, version, confirmed := p.knowledge.Config()
+	now := p.clock.Now()
+	age := now.Sub(confirmed)
+	if version != 0 && age < askAfter || version == 0 && now < askUnborn {
+		return
+	}
+	peers := p.directory.others()
+	p.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(askSome, len(peers))] {
+		go p.ask(ctx, peer, version, version == 0 || age >= fleetAfter)
+	}
+}
+
+// ask asks one peer and takes in what it tells.
+func (p *Peering) ask(ctx context.Context, peer *wire.Member, version uint64, wantFleet bool) {
+	client := wireconnect.NewFreshnessClient(p.http, "http://"+peer.GetAddress())
+	sent := p.clock.Now()
+	resp, err := client.Ask(ctx, connect.NewRequest(&wire.AskRequest{
+		Asker: p.directory.self, Version: version, WantFleet: wantFleet,
+	}))
+	if err != nil {
+		p.log.Debug("peer_silent", zap.String("peer", peer.GetName()), zap.String("address", peer.GetAddress()), zap.Error(err))
+		return
+	}
+	p.noteMembers(resp.Msg.GetMembers()...)
+	p.take(sent, peer, version, resp.Msg)
+}
+
+func (p *Peering) take(sent clock.Millis, peer *wire.Member, version uint64, answer *wire.AskResponse) {
+	if answer.GetVersion() == 0 || answer.GetAgeMs() < 0 || answer.GetVersion() < version {
+		return
+	}
+	confirmed := confirmedBy(sent, answer)
+	p.log.Info("freshness_from_peer", zap.String("peer", peer.GetName()), zap.Uint64("version", answer.GetVersion()),
+		zap.Int64("age_ms", int64(p.clock.Now().Sub(confirmed))), zap.Bool("newer", len(answer.GetConfig()) > 0),
+		zap.Int("upstreams", len(answer.GetFleet())))
+	p.learner.LearnConfig(answer.GetConfig(), confirmed)
+	if answer.GetHasFleet() {
+		p.learner.LearnFleet(upstreamsOf(answer.GetFleet()))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/peering/server.go
@@ -0,0 +1,73 @@
+package peering
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/wire"
+	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
+)
+
+// Ask answers a peer. It implements wireconnect.FreshnessHandler.
+func (p *Peering) Ask(_ context.Context, req *connect.Request[wire.AskRequest]) (*connect.Response[wire.AskResponse], error) {
+	p.noteMembers(req.Msg.GetAsker())
+	raw, version, confirmed := p.knowledge.Config()
+	answer := &wire.AskResponse{
+		Version: version, AgeMs: int64(p.clock.Now().Sub(confirmed)),
+		Members: append(p.directory.others(), p.directory.self),
+	}
+	if version == 0 {
+		answer.AgeMs = -1
+	}
+	if version > req.Msg.GetVersion() {
+		answer.Config = raw
+	}
+	if req.Msg.GetWantFleet() {
+		answer.Fleet, answer.HasFleet = p.fleet()
+	}
+	return connect.NewResponse(answer), nil
+}
+
+// Handler serves the peers' questions.
+func (p *Peering) Handler() http.Handler {
+	_, handler := wireconnect.NewFreshnessHandler(p)
+	return handler
+}
+
+func (p *Peering) fleet() ([]*wire.ListedUpstream, bool) {
+	list, ok := p.knowledge.Fleet()
+	if !ok {
+		return nil, false
+	}
+	out := make([]*wire.ListedUpstream, 0, len(list))
+	for _, u := range list {
+		out = append(out, &wire.ListedUpstream{
+			Id: u.ID, Service: u.Service, Address: u.Address, DataCentre: u.DataCentre, Slots: int32(u.Slots),
+			Leaving: u.Leaving, Accelerator: u.Accelerator, HeldFrom: int32(u.Held.From), HeldTo: int32(u.Held.To),
+		})
+	}
+	return out, true
+}
+
+func upstreamsOf(list []*wire.ListedUpstream) []fleet.Upstream {
+	out := make([]fleet.Upstream, 0, len(list))
+	for _, u := range list {
+		out = append(out, fleet.Upstream{
+			ID: u.GetId(), Service: u.GetService(), Address: u.GetAddress(), DataCentre: u.GetDataCentre(),
+			Slots: int(u.GetSlots()), Leaving: u.GetLeaving(), Accelerator: u.GetAccelerator(),
+			Held: fleet.Range{From: int(u.GetHeldFrom()), To: int(u.GetHeldTo())},
+		})
+	}
+	return out
+}
+
+// confirmedBy works out since when an answer shows the asker's configuration
+// to be the newest. The answer was made after the question was sent, so
+// counting its age from the sending errs on the safe side.
+func confirmedBy(sent clock.Millis, answer *wire.AskResponse) clock.Millis {
+	return sent.Sub(clock.Millis(answer.GetAgeMs()))
+}
--- /dev/null
+++ b/placement/model.go
@@ -0,0 +1,291 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// Figures of the planner, in ms.
+const (
+	// stillFor is how long the list must have stood still before the first
+	// plan. Servers write their entries within a heartbeat of 1.2 s; planning
+	// from a partial list left layers uncovered (docs/PLATFORM.md).
+	stillFor clock.Millis = 1500
+	// longestWait bounds the wait for a list that never stands still.
+	longestWait clock.Millis = 5000
+	// orderLasts is how long an order that was taken may take to show in the
+	// list: a load of a quarter of the layers, slowed by others, and the lag.
+	orderLasts clock.Millis = 9000
+	// busyLasts is how long an engine that another node's order keeps busy is
+	// left alone.
+	busyLasts clock.Millis = 3000
+	// retryIn is how soon an order that got no answer is tried again. It may
+	// still be carried out; the engine's count of orders guards against both.
+	retryIn clock.Millis = 2500
+	// healAfter is how long layers must have been without a holder before an
+	// engine that is in use is moved to them. A restarted engine comes back
+	// empty within about that time.
+	healAfter clock.Millis = 1200
+)
+
+// Msg is something that has happened.
+type Msg interface{ placementMsg() }
+
+// CatalogMsg brings a version of the configuration.
+type CatalogMsg struct{ Catalog *catalog.Catalog }
+
+// FleetMsg brings changes of the list of upstreams.
+type FleetMsg struct{ Changes []fleet.Change }
+
+// RankMsg changes how long the planner leaves orders to others first, when the
+// node has learnt of them.
+type RankMsg struct{ Delay clock.Millis }
+
+// OrderedMsg tells what came of an OrderCmd.
+type OrderedMsg struct {
+	Upstream string
+	Result   Result
+	Held     fleet.Range
+}
+
+// TickMsg drives what depends on time alone.
+type TickMsg struct{}
+
+func (CatalogMsg) placementMsg() {}
+func (FleetMsg) placementMsg()   {}
+func (RankMsg) placementMsg()    {}
+func (OrderedMsg) placementMsg() {}
+func (TickMsg) placementMsg()    {}
+
+// Result is what came of an order.
+type Result uint8
+
+// The results of an order.
+const (
+	// Taken: the engine has begun, or holds the layers already.
+	Taken Result = iota
+	// Refused: it does not fit the engine's state, or another order came first.
+	Refused
+	// Busy: the engine carries out another order.
+	Busy
+	// Unanswered: the order may have been taken, or may yet be.
+	Unanswered
+)
+
+var resultNames = [...]string{"taken", "refused", "busy", "unanswered"}
+
+// String names the result for logs.
+func (r Result) String() string { return resultNames[r] }
+
+// OrderCmd has an engine hold a range of layers.
+type OrderCmd struct {
+	Upstream string
+	Address  string
+	Layers   fleet.Range
+	// Believed is what the list says that the engine holds.
+	Believed fleet.Range
+	// Missing is how many of them have no holder in the data centre.
+	Missing int
+}
+
+// Model plans for every pipeline service. It is pure and not safe for
+// concurrent use.
+type Model struct {
+	delay     clock.Millis
+	started   clock.Millis
+	changed   clock.Millis
+	planned   bool
+	catalog   *catalog.Catalog
+	upstreams map[string]fleet.Upstream
+	pending   map[string]pending
+	// needSince is since when a service has had layers without a holder.
+	needSince map[string]clock.Millis
+	// dueSince is since when there have been orders to give.
+	dueSince clock.Millis
+}
+
+// pending is an order that has been given.
+type pending struct {
+	layers fleet.Range
+	until  clock.Millis
+}
+
+// Option sets up a Model.
+type Option func(*Model)
+
+// WithDelay sets how long the planner leaves orders to others first. Nodes
+// with different delays seldom give the same order twice.
+func WithDelay(d clock.Millis) Option { return func(m *Model) { m.delay = d } }
+
+// WithStart sets the time at which the planner begins.
+func WithStart(now clock.Millis) Option {
+	return func(m *Model) { m.started, m.changed = now, now }
+}
+
+// New returns a planner that knows nothing.
+func New(opts ...Option) *Model {
+	m := &Model{
+		upstreams: make(map[string]fleet.Upstream),
+		pending:   make(map[string]pending),
+		needSince: make(map[string]clock.Millis),
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+// Update takes in one message and returns the orders to give.
+func (m *Model) Update(now clock.Millis, msg Msg) []OrderCmd {
+	switch msg := msg.(type) {
+	case CatalogMsg:
+		m.catalog = msg.Catalog
+	case FleetMsg:
+		m.setFleet(now, msg.Changes)
+	case RankMsg:
+		m.delay = msg.Delay
+	case OrderedMsg:
+		m.ordered(now, msg)
+	case TickMsg:
+		return m.tick(now)
+	}
+	return nil
+}
+
+func (m *Model) setFleet(now clock.Millis, changes []fleet.Change) {
+	for _, c := range changes {
+		before, known := m.upstreams[c.ID]
+		if c.Gone {
+			delete(m.upstreams, c.ID)
+			delete(m.pending, c.ID)
+			m.changed = now
+			continue
+		}
+		if !known || before.Leaving != c.Upstream.Leaving {
+			m.changed = now
+		}
+		if p, ok := m.pending[c.ID]; ok && c.Upstream.Held == p.layers {
+			delete(m.pending, c.ID)
+		}
+		m.upstreams[c.ID] = c.Upstream
+	}
+}
+
+func (m *Model) ordered(now clock.Millis, msg OrderedMsg) {
+	p, ok := m.pending[msg.Upstream]
+	if !ok {
+		return
+	}
+	switch msg.Result {
+	case Taken:
+		p.until = now.Add(orderLasts)
+	case Busy:
+		p.until = now.Add(busyLasts)
+	case Refused, Unanswered:
+		p.until = now.Add(retryIn)
+	}
+	m.pending[msg.Upstream] = p
+	if u, known := m.upstreams[msg.Upstream]; known && msg.Result == Busy && u.Held != msg.Held && !msg.Held.Empty() {
+		u.Held = msg.Held
+		m.upstreams[msg.Upstream] = u
+		delete(m.pending, msg.Upstream)
+	}
+}
+
+// tick plans, once the list is settled and others have had their chance.
+func (m *Model) tick(now clock.Millis) []OrderCmd {
+	if m.catalog == nil || !m.settled(now) {
+		return nil
+	}
+	for id, p := range m.pending {
+		if now >= p.until {
+			delete(m.pending, id)
+		}
+	}
+	var cmds []OrderCmd
+	m.catalog.Services(func(s *catalog.Service) {
+		if s.Pipeline != nil {
+			cmds = append(cmds, m.plan(now, s)...)
+		}
+	})
+	return m.whenDue(now, cmds)
+}
+
+func (m *Model) settled(now clock.Millis) bool {
+	if m.planned {
+		return true
+	}
+	m.planned = len(m.upstreams) > 0 && (now >= m.changed.Add(stillFor) || now >= m.started.Add(longestWait))
+	return m.planned
+}
+
+// whenDue holds orders back for the node's delay.
+func (m *Model) whenDue(now clock.Millis, cmds []OrderCmd) []OrderCmd {
+	if len(cmds) == 0 {
+		m.dueSince = 0
+		return nil
+	}
+	if m.dueSince == 0 {
+		m.dueSince = now
+	}
+	if now < m.dueSince.Add(m.delay) {
+		return nil
+	}
+	for _, c := range cmds {
+		m.pending[c.Upstream] = pending{layers: c.Layers, until: now.Add(orderLasts)}
+	}
+	slices.SortFunc(cmds, func(a, b OrderCmd) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return cmds
+}
+
+func (m *Model) plan(now clock.Millis, s *catalog.Service) []OrderCmd {
+	engines := m.engines(s)
+	orders := Plan(s.Pipeline.Layers, engines)
+	need := false
+	var cmds []OrderCmd
+	for _, o := range orders {
+		u := m.upstreams[o.ID]
+		if !u.Held.Empty() {
+			need = true
+			if since, ok := m.needSince[s.Name]; !ok || now < since.Add(healAfter) {
+				continue
+			}
+		}
+		cmds = append(cmds, OrderCmd{Upstream: o.ID, Address: u.Address, Layers: o.Layers, Believed: u.Held, Missing: o.Missing})
+	}
+	m.noteNeed(now, s.Name, need)
+	return cmds
+}
+
+func (m *Model) noteNeed(now clock.Millis, service string, need bool) {
+	if !need {
+		delete(m.needSince, service)
+		return
+	}
+	if _, ok := m.needSince[service]; !ok {
+		m.needSince[service] = now
+	}
+}
+
+func (m *Model) engines(s *catalog.Service) []Engine {
+	var engines []Engine
+	for id, u := range m.upstreams {
+		kind, ok := s.Pipeline.Accelerators[u.Accelerator]
+		if u.Service != s.Name || u.Leaving || !ok {
+			continue
+		}
+		e := Engine{
+			ID: id, DataCentre: u.DataCentre, Most: s.Pipeline.MostLayers(kind),
+			LayerTime: s.Pipeline.StepTime(kind, 1), Held: u.Held,
+		}
+		if p, waiting := m.pending[id]; waiting {
+			e.Coming, e.Fixed = p.layers, true
+		}
+		engines = append(engines, e)
+	}
+	return engines
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,136 @@
+// Package placer carries out what the planner of layers decides: it asks an
+// engine for its state and gives it the order.
+//
+// Every order carries the number of orders that the engine had taken when it
+// was asked. Of two planners only one gets through, and an order that is
+// carried out late, after a newer one, does nothing.
+package placer
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/placement"
+	"github.com/hoistjunction/hoistjunction/ring"
+)
+
+// Results of orders, under the names that engines' clients use.
+const (
+	Taken      = placement.Taken
+	Refused    = placement.Refused
+	Busy       = placement.Busy
+	Unanswered = placement.Unanswered
+)
+
+// Result is what came of an order.
+type Result = placement.Result
+
+// State is an engine's own account of itself.
+type State struct {
+	// Busy tells that it is carrying out an order.
+	Busy bool
+	// OrdersTaken counts its orders since its start.
+	OrdersTaken uint64
+	Held        fleet.Range
+}
+
+// Engines gives orders.
+type Engines interface {
+	State(ctx context.Context, address string) (State, error)
+	Place(ctx context.Context, address, upstream string, layers fleet.Range, ordersTaken uint64) (Result, error)
+}
+
+const (
+	// tickEvery is how often the planner looks at its engines.
+	tickEvery = 250 * time.Millisecond
+	// waiting bounds the messages that wait for the planner.
+	waiting = 256
+	// ordersAtOnce bounds the orders that are given at a time.
+	ordersAtOnce = 8
+)
+
+// Placer runs a planner.
+type Placer struct {
+	model   *placement.Model
+	engines Engines
+	clock   *clock.Clock
+	log     *zap.Logger
+	inbox   *ring.Ring[placement.Msg]
+	orders  chan placement.OrderCmd
+}
+
+// New returns a placer that runs a model.
+func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger) *Placer {
+	return &Placer{
+		model: model, engines: engines, clock: c, log: log,
+		inbox: ring.New[placement.Msg](waiting), orders: make(chan placement.OrderCmd, waiting),
+	}
+}
+
+// Tell hands a message to the planner. It waits for room until the context
+// ends, since a planner that misses a change plans wrongly.
+func (p *Placer) Tell(ctx context.Context, msg placement.Msg) { p.inbox.Put(msg, ctx.Done()) }
+
+// Run plans until the context ends.
+func (p *Placer) Run(ctx context.Context) error {
+	for range ordersAtOnce {
+		go p.work(ctx)
+	}
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case msg := <-p.inbox.Items():
+			p.model.Update(p.clock.Now(), msg)
+		case <-tick.C:
+			p.hand(ctx, p.model.Update(p.clock.Now(), placement.TickMsg{}))
+		}
+	}
+}
+
+func (p *Placer) hand(ctx context.Context, cmds []placement.OrderCmd) {
+	for _, cmd := range cmds {
+		select {
+		case p.orders <- cmd:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// work gives orders one after the other.
+func (p *Placer) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case cmd := <-p.orders:
+			p.Tell(ctx, p.give(ctx, cmd))
+		}
+	}
+}
+
+// give asks an engine for its state, and gives it the order if it is idle and
+// still holds what the planner believes.
+func (p *Placer) give(ctx context.Context, cmd placement.OrderCmd) placement.OrderedMsg {
+	msg := placement.OrderedMsg{Upstream: cmd.Upstream, Result: Unanswered}
+	state, err := p.engines.State(ctx, cmd.Address)
+	if err == nil {
+		msg.Held = state.Held
+		msg.Result = Busy
+		if !state.Busy && state.Held == cmd.Believed {
+			msg.Result, err = p.engines.Place(ctx, cmd.Address, cmd.Upstream, cmd.Layers, state.OrdersTaken)
+		}
+	}
+	p.log.Info("order", zap.String("upstream", cmd.Upstream), zap.String("address", cmd.Address),
+		zap.Int("from", cmd.Layers.From), zap.Int("to", cmd.Layers.To), zap.Int("missing", cmd.Missing),
+		zap.Uint64("orders_taken", state.OrdersTaken), zap.Int("held_from", state.Held.From),
+		zap.Int("held_to", state.Held.To), zap.Stringer("result", msg.Result), zap.Error(err))
+	return msg
+}
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,219 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+)
+
+// Errors of an attempt.
+var (
+	errGateShut    = errors.New("relay: the configuration is too old for a request with a key")
+	errOtherAnswer = errors.New("relay: the answer belongs to another request")
+	errNotSealed   = errors.New("relay: the answer is not the upstream's own")
+	errEncoded     = errors.New("relay: the answer is encoded")
+)
+
+const (
+	// bufferedAnswer is how much of an answer is held back until it is known
+	// to be whole, in bytes. A larger one is passed on as it comes.
+	bufferedAnswer = 512 << 10
+	// pieceSize is the size of the pieces in which a large answer is passed on.
+	pieceSize = 32 << 10
+	// piecesWaiting bounds the pieces that wait for a slow caller.
+	piecesWaiting = 8
+)
+
+// piece is what an attempt tells its session.
+type piece struct {
+	// head is set on the first piece of an answer.
+	head *http.Response
+	// event is set for streams of events, data for all else.
+	event event
+	data  []byte
+	// end tells that the answer is whole with this piece.
+	end bool
+	// failed tells that there is no answer, and why.
+	failed bool
+	cause  dispatch.Cause
+	at     string
+	err    error
+}
+
+// attempt is one sending of a request.
+type attempt struct {
+	protocol  Protocol
+	transport http.RoundTripper
+	gate      *gate
+	cmd       dispatch.SendCmd
+	callerID  string
+	req       *http.Request
+	body      []byte
+	pieces    chan piece
+	cancel    context.CancelCauseFunc
+	wrote     atomic.Bool
+}
+
+// outgoing builds the request of an attempt from the caller's.
+func outgoing(ctx context.Context, r *http.Request, address string, body []byte) *http.Request {
+	target := &url.URL{
+		Scheme: "http", Host: address, Path: r.URL.Path, RawPath: r.URL.RawPath,
+		RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
+	}
+	out := (&http.Request{
+		Method: r.Method, URL: target, Host: r.Host, Header: passedOn(r.Header),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(body)), Body: http.NoBody,
+	}).WithContext(ctx)
+	if len(body) > 0 {
+		// A body without GetBody is never sent a second time by net/http.
+		out.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	if _, ok := out.Header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		out.Header["User-Agent"] = []string{""}
+	}
+	return out
+}
+
+// run sends the request and reads the answer until it ends or the attempt is
+// cancelled.
+func (a *attempt) run(ctx context.Context) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			if a.cmd.Keyed && !a.gate.open() {
+				a.cancel(errGateShut)
+			}
+		},
+		WroteHeaders: func() { a.wrote.Store(true) },
+	})
+	if a.cmd.Keyed && !a.gate.open() {
+		a.fail(ctx, dispatch.NotSent, "", errGateShut)
+		return
+	}
+	resp, err := a.transport.RoundTrip(a.req.WithContext(ctx))
+	if err != nil {
+		a.fail(ctx, a.causeOf(), "", err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a.read(ctx, resp)
+}
+
+func (a *attempt) causeOf() dispatch.Cause {
+	if a.wrote.Load() {
+		return dispatch.Unknown
+	}
+	return dispatch.NotSent
+}
+
+// read judges the head of an answer, and passes the answer on.
+func (a *attempt) read(ctx context.Context, resp *http.Response) {
+	head := a.protocol.AnswerHead(resp.StatusCode, resp.Header)
+	switch {
+	case head.ID != "" && head.ID != a.callerID:
+		a.fail(ctx, dispatch.Unknown, "", errOtherAnswer)
+		return
+	case head.Misdirected:
+		a.fail(ctx, dispatch.NotRunElsewhere, head.At, errors.Newf("status %d", resp.StatusCode))
+		return
+	case head.NotRun:
+		a.fail(ctx, dispatch.NotRunFull, head.At, errors.Newf("status %d", resp.StatusCode))
+		return
+	case !head.Sealed:
+		a.fail(ctx, dispatch.Unknown, "", errNotSealed)
+		return
+	case resp.Header.Get("Content-Encoding") != "":
+		a.fail(ctx, dispatch.Unknown, "", errEncoded)
+		return
+	}
+	if isEvents(resp) && a.cmd.Route.Kind == catalog.Streaming {
+		a.readEvents(ctx, resp)
+		return
+	}
+	a.readWhole(ctx, resp)
+}
+
+func isEvents(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+}
+
+func (a *attempt) readEvents(ctx context.Context, resp *http.Response) {
+	events := newEventReader(resp.Body)
+	head := resp
+	for {
+		ev, err := events.next()
+		if errors.Is(err, io.EOF) {
+			a.send(ctx, piece{head: head, end: true})
+			return
+		}
+		if err != nil {
+			a.fail(ctx, dispatch.Unknown, "", err)
+			return
+		}
+		if !a.send(ctx, piece{head: head, event: ev}) {
+			return
+		}
+		head = nil
+	}
+}
+
+// readWhole holds an answer back until it is whole, if it is not too large.
+func (a *attempt) readWhole(ctx context.Context, resp *http.Response) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, bufferedAnswer))
+	if err != nil {
+		a.fail(ctx, dispatch.Unknown, "", err)
+		return
+	}
+	if len(data) < bufferedAnswer {
+		a.send(ctx, piece{head: resp, data: data, end: true})
+		return
+	}
+	if a.send(ctx, piece{head: resp, data: data}) {
+		a.readRest(ctx, resp.Body)
+	}
+}
+
+// readRest passes on the rest of an answer that is too large to hold back.
+func (a *attempt) readRest(ctx context.Context, body io.Reader) {
+	for {
+		data := make([]byte, pieceSize)
+		n, err := body.Read(data)
+		end := errors.Is(err, io.EOF)
+		if err != nil && !end {
+			a.fail(ctx, dispatch.Unknown, "", err)
+			return
+		}
+		if !a.send(ctx, piece{data: data[:n], end: end}) || end {
+			return
+		}
+	}
+}
+
+func (a *attempt) fail(ctx context.Context, cause dispatch.Cause, at string, err error) {
+	a.send(ctx, piece{failed: true, cause: cause, at: at, err: err})
+}
+
+// send hands a piece to the session, and reports whether it still listens.
+func (a *attempt) send(ctx context.Context, p piece) bool {
+	select {
+	case a.pieces <- p:
+		return true
+	default:
+	}
+	select {
+	case a.pieces <- p:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/relay/decider.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/ring"
+)
+
+const (
+	// decisionsWaiting bounds the messages that wait for a decision. A node
+	// that is this far behind refuses new requests.
+	decisionsWaiting = 4096
+	// mailboxSize bounds the commands that wait for a session: its one answer
+	// and the moves of its stream.
+	mailboxSize = 8
+	// tickEvery is how often the model is told the time. Probes of suspected
+	// upstreams hang on it.
+	tickEvery = 100 * time.Millisecond
+)
+
+// envelope is a message together with where commands for its request go.
+type envelope struct {
+	msg  dispatch.Msg
+	mail chan dispatch.Cmd
+}
+
+// decider is the one goroutine that decides.
+type decider struct {
+	model *dispatch.Model
+	clock *clock.Clock
+	log   *zap.Logger
+	inbox *ring.Ring[envelope]
+	mail  map[dispatch.RequestID]chan dispatch.Cmd
+	probe func(dispatch.ProbeCmd)
+	ready atomic.Bool
+}
+
+func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd)) *decider {
+	return &decider{
+		model: model, clock: c, log: log, probe: probe,
+		inbox: ring.New[envelope](decisionsWaiting), mail: make(map[dispatch.RequestID]chan dispatch.Cmd),
+	}
+}
+
+// arrive hands over a new request, or reports that the node is too far behind.
+func (d *decider) arrive(msg dispatch.ArriveMsg, mail chan dispatch.Cmd) bool {
+	return d.inbox.Offer(envelope{msg: msg, mail: mail})
+}
+
+// tell hands over what has happened, and waits for room until the context ends.
+func (d *decider) tell(ctx context.Context, msg dispatch.Msg) {
+	d.inbox.Put(envelope{msg: msg}, ctx.Done())
+}
+
+// run decides until the context ends.
+func (d *decider) run(ctx context.Context) error {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case e := <-d.inbox.Items():
+			d.decide(e)
+		case <-tick.C:
+			d.decide(envelope{msg: dispatch.TickMsg{}})
+			d.ready.Store(d.model.Ready(d.clock.Now()))
+		}
+	}
+}
+
+func (d *decider) decide(e envelope) {
+	if arrival, ok := e.msg.(dispatch.ArriveMsg); ok {
+		d.mail[arrival.Request] = e.mail
+	}
+	for _, cmd := range d.model.Update(d.clock.Now(), e.msg) {
+		d.carry(cmd)
+	}
+	if gone, ok := e.msg.(dispatch.GoneMsg); ok {
+		delete(d.mail, gone.Request)
+	}
+}
+
+// carry passes a command to whom it concerns.
+func (d *decider) carry(cmd dispatch.Cmd) {
+	switch cmd := cmd.(type) {
+	case dispatch.SendCmd:
+		d.post(cmd.Request, cmd)
+	case dispatch.FinishCmd:
+		d.post(cmd.Request, cmd)
+	case dispatch.RelayCmd:
+		d.post(cmd.Request, cmd)
+	case dispatch.CutCmd:
+		d.post(cmd.Request, cmd)
+	case dispatch.MoveCmd:
+		d.post(cmd.Request, cmd)
+	case dispatch.ProbeCmd:
+		d.probe(cmd)
+	case dispatch.SuspectCmd:
+		d.log.Info("suspect", zap.String("upstream", cmd.Upstream), zap.Int("strikes", cmd.Strikes),
+			zap.Stringer("cause", cmd.Cause), zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
+	}
+}
+
+func (d *decider) post(id dispatch.RequestID, cmd dispatch.Cmd) {
+	mail, ok := d.mail[id]
+	if !ok {
+		return
+	}
+	select {
+	case mail <- cmd:
+	default:
+		d.log.Error("mailbox_full", zap.Uint64("request", uint64(id)))
+	}
+}
--- /dev/null
+++ b/relay/protocol.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+)
+
+// CallerHead is what the head of a caller's request says.
+type CallerHead struct {
+	// ID is the name of this try; answers carry it too.
+	ID string
+	// Key is the caller's key; HasKey tells that one was sent.
+	Key    string
+	HasKey bool
+	// Remaining is how long the caller will wait; zero where it does not say.
+	Remaining clock.Millis
+	// Sizes of a generation in tokens; zero where they were not sent.
+	PromptTokens int
+	AnswerTokens int
+	HintTokens   int
+}
+
+// AttemptHead is what a node says in the head of an attempt.
+type AttemptHead struct {
+	// Upstream is the one meant; any other that has its address refuses.
+	Upstream string
+	Account  string
+	// Remaining is how long the upstream may work on it.
+	Remaining clock.Millis
+	Chain     []chain.Part
+	// LastEvent is the last event that the caller has; empty for none.
+	LastEvent string
+}
+
+// AnswerHead is what the head of an upstream's answer says.
+type AnswerHead struct {
+	// ID is the try that is answered.
+	ID string
+	// Sealed tells that the answer is the upstream's own word on the request.
+	Sealed bool
+	// NotRun tells that the upstream has not run the request and will not.
+	NotRun bool
+	// Misdirected tells that the upstream is not the one meant, or does not
+	// hold what was asked of it.
+	Misdirected bool
+	// At is the address of the upstream at fault, if it is another.
+	At string
+}
+
+// Protocol translates heads.
+type Protocol interface {
+	CallerHead(h http.Header) CallerHead
+	SetAttempt(h http.Header, a AttemptHead)
+	AnswerHead(status int, h http.Header) AnswerHead
+}
+
+// StalledStream is a stream that an engine reports as standing still.
+type StalledStream struct {
+	// ID is the caller's name of the try, and At the address of the engine
+	// that it waits for.
+	ID string
+	At string
+}
+
+// Engines asks upstreams for their state and gives them orders.
+type Engines interface {
+	Stalled(ctx context.Context, address string) ([]StalledStream, error)
+	Move(ctx context.Context, address, callerID string, parts []chain.Part) (result dispatch.MoveResult, at string)
+	Probe(ctx context.Context, address, upstream string) error
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// Relay passes callers' requests on to upstreams.
+type Relay struct {
+	protocol  Protocol
+	engines   Engines
+	clock     *clock.Clock
+	log       *zap.Logger
+	decider   *decider
+	gate      *gate
+	upstreams *upstreamPool
+	stats     *stats
+	limits    atomic.Pointer[catalog.Limits]
+	nextID    atomic.Uint64
+	open      atomic.Int64
+	stopping  atomic.Bool
+	// life ends with the node; what must outlast a request hangs on it.
+	life context.Context
+}
+
+// Option sets up a Relay.
+type Option func(*Relay)
+
+// WithEngines sets who asks engines for their state.
+func WithEngines(e Engines) Option { return func(r *Relay) { r.engines = e } }
+
+// WithDialer sets how upstreams are connected to.
+func WithDialer(dial dialFunc) Option { return func(r *Relay) { r.upstreams = newUpstreamPool(dial) } }
+
+// WithKeysWithin sets how old the newest configuration may be when a request
+// with a key is written; zero for no bound.
+func WithKeysWithin(d clock.Millis) Option { return func(r *Relay) { r.gate = newGate(r.clock, d) } }
+
+// New returns a relay around a model. Run makes it work.
+func New(life context.Context, protocol Protocol, model *dispatch.Model, c *clock.Clock, log *zap.Logger, opts ...Option) *Relay {
+	r := &Relay{protocol: protocol, clock: c, log: log, gate: newGate(c, 0), stats: newStats(), life: life}
+	r.decider = newDecider(model, c, log, r.probe)
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// Run decides until the context ends.
+func (r *Relay) Run(ctx context.Context) error {
+	defer r.upstreams.close()
+	return r.decider.run(ctx)
+}
+
+// SetCatalog takes a configuration that was the newest at a time; nil where
+// only the time is new.
+func (r *Relay) SetCatalog(c *catalog.Catalog, confirmed clock.Millis) {
+	if c != nil {
+		limits := c.Limits()
+		r.limits.Store(&limits)
+	}
+	r.decider.tell(r.life, dispatch.CatalogMsg{Catalog: c, Confirmed: confirmed})
+	r.gate.confirm(confirmed)
+}
+
+// SetFleet takes changes of the list of upstreams.
+func (r *Relay) SetFleet(changes []fleet.Change) {
+	r.decider.tell(r.life, dispatch.FleetMsg{Changes: changes})
+	for _, c := range changes {
+		if c.Gone {
+			r.upstreams.drop(c.ID)
+		}
+	}
+}
+
+// SetPeers tells how many nodes there are, in all and in this data centre.
+func (r *Relay) SetPeers(all, local int) {
+	r.decider.tell(r.life, dispatch.PeersMsg{All: all, Local: local})
+}
+
+// Stop makes the relay say that it is not ready and end connections with
+// their answers. Requests in progress go on.
+func (r *Relay) Stop() { r.stopping.Store(true) }
+
+// Ready tells whether the node can serve.
+func (r *Relay) Ready() bool { return !r.stopping.Load() && r.decider.ready.Load() }
+
+// InProgress returns how many requests are open.
+func (r *Relay) InProgress() int64 { return r.open.Load() }
+
+// Readiness answers the platform's question whether the node can serve.
+func (r *Relay) Readiness(w http.ResponseWriter, _ *http.Request) {
+	if !r.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Metrics serves the counters and histograms.
+func (r *Relay) Metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	gauges := map[string]int64{
+		"open": r.open.Load(), "config_age_ms": int64(r.gate.age()),
+		"decisions_waiting": int64(r.decider.inbox.Len()), "decisions_refused": int64(r.decider.inbox.Refused()),
+	}
+	if err := r.stats.write(w, gauges); err != nil {
+		r.log.Info("metrics_not_sent", zap.Error(err))
+	}
+}
+
+// defaultBody bounds bodies before a configuration is known, in bytes.
+const defaultBody = 4 << 20
+
+// bodyTime bounds the reading of a body, and writeSlack the writing of an
+// answer beyond the caller's own deadline.
+const (
+	bodyTime   = 10 * time.Second
+	writeSlack = 2 * time.Second
+)
+
+// ServeHTTP takes one request of a caller.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	r.open.Add(1)
+	defer r.open.Add(-1)
+	r.stats.count("arrived")
+	answer := newAnswerWriter(w, &r.stopping)
+	head := r.protocol.CallerHead(req.Header)
+	began := r.clock.Now()
+	body, status := r.readBody(w, req)
+	if status != 0 {
+		r.log.Info("refused", zap.String("id", head.ID), zap.Int("status", status), zap.String("reason", "body"))
+		answer.own(status, "body", 0)
+		return
+	}
+	r.boundWriting(w, head)
+	s := &session{
+		relay: r, id: dispatch.RequestID(r.nextID.Add(1)), head: head, body: body, w: answer, r: req,
+		mail: make(chan dispatch.Cmd, mailboxSize), log: r.log, began: began,
+	}
+	s.run()
+}
+
+// readBody reads a request whole, so that it can be sent more than once.
+func (r *Relay) readBody(w http.ResponseWriter, req *http.Request) (body []byte, status int) {
+	if req.Body == nil || req.Body == http.NoBody {
+		return nil, 0
+	}
+	most := int64(defaultBody)
+	if limits := r.limits.Load(); limits != nil && limits.BodyBytes > 0 {
+		most = limits.BodyBytes
+	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
+		r.log.Info("no_read_deadline", zap.Error(err))
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, most))
+	if err == nil {
+		if err := control.SetReadDeadline(time.Time{}); err != nil {
+			r.log.Info("no_read_deadline", zap.Error(err))
+		}
+		return body, 0
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	return nil, http.StatusRequestTimeout
+}
+
+// boundWriting keeps a caller that does not read from holding the node up.
+func (r *Relay) boundWriting(w http.ResponseWriter, head CallerHead) {
+	var deadline time.Time
+	if head.Remaining > 0 {
+		deadline = time.Now().Add(head.Remaining.Duration() + writeSlack)
+	}
+	err := http.NewResponseController(w).SetWriteDeadline(deadline)
+	if err != nil {
+		r.log.Info("no_write_deadline", zap.Error(err))
+	}
+}
--- a/settings/field.go
+++ b/settings/field.go
@@ -150,3 +150,15 @@
 		return fmt.Errorf("%q is not one of %s", v, strings.Join(words, ", "))
 	}, opts)
 }
+
+// Float declares a number in a range.
+func (s *Set) Float(section, key string, into *float64, least, most float64, opts ...Option) {
+	s.add(section, key, func(v string) error {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil || n < least || n > most {
+			return errors.Newf("%q is not a number from %g to %g", v, least, most)
+		}
+		*into = n
+		return nil
+	}, opts)
+}
--- a/standin/lagging_list.go
+++ b/standin/lagging_list.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/pool"
+	"github.com/hoistjunction/hoistjunction/tablestore"
 )
 
 // laggingList is a list of VMs whose changes show late.
 type laggingList struct {
-	shown   platform.VMList
+	shown   tablestore.VMList
 	pending []pendingList
 }
 
@@ -23,9 +23,9 @@
 }
 
 // at returns the list as it shows at a time.
-func (l *laggingList) at(now time.Time) platform.VMList {
+func (l *laggingList) at(now time.Time) tablestore.VMList {
 	for len(l.pending) > 0 && !l.pending[0].due.After(now) {
-		l.shown = platform.VMList{Version: l.shown.Version + 1, VMs: l.pending[0].vms}
+		l.shown = tablestore.VMList{Version: l.shown.Version + 1, VMs: l.pending[0].vms}
 		l.pending = l.pending[1:]
 	}
 	return l.shown
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/pool"
+	"github.com/hoistjunction/hoistjunction/tablestore"
 )
 
 // What the platform handles, a second.
@@ -128,7 +128,7 @@
 		http.NotFound(w, r)
 		return
 	}
-	writeJSON(w, platform.Row{Key: r.URL.Query().Get("key"), Value: value})
+	writeJSON(w, tablestore.Row{Key: r.URL.Query().Get("key"), Value: value})
 }
 
 func (p *Platform) scan(w http.ResponseWriter, r *http.Request) {
@@ -139,7 +139,7 @@
 }
 
 func (p *Platform) txn(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Txn
+	var txn tablestore.Txn
 	if err := json.NewDecoder(r.Body).Decode(&txn); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/standin/table.go
+++ b/standin/table.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"slices"
 
-	"github.com/hoistjunction/hoistjunction/platform"
+	"github.com/hoistjunction/hoistjunction/tablestore"
 )
 
 // table is the rows of the table service.
@@ -20,32 +20,32 @@
 }
 
 // scan returns the rows after one key and before another, in order.
-func (t *table) scan(after, to string) []platform.Row {
-	rows := []platform.Row{}
+func (t *table) scan(after, to string) []tablestore.Row {
+	rows := []tablestore.Row{}
 	for key, value := range t.rows {
 		if key > after && key < to {
-			rows = append(rows, platform.Row{Key: key, Value: value})
+			rows = append(rows, tablestore.Row{Key: key, Value: value})
 		}
 	}
-	slices.SortFunc(rows, func(a, b platform.Row) int { return bytes.Compare([]byte(a.Key), []byte(b.Key)) })
+	slices.SortFunc(rows, func(a, b tablestore.Row) int { return bytes.Compare([]byte(a.Key), []byte(b.Key)) })
 	return rows
 }
 
 // commit runs a transaction.
-func (t *table) commit(txn platform.Txn) platform.TxnResult {
-	var conflicts []platform.Row
+func (t *table) commit(txn tablestore.Txn) tablestore.TxnResult {
+	var conflicts []tablestore.Row
 	for _, c := range txn.Conditions {
 		value, ok := t.rows[c.Key]
 		if c.Absent == !ok && (c.Absent || bytes.Equal(value, c.Value)) {
 			continue
 		}
-		conflicts = append(conflicts, platform.Row{Key: c.Key, Value: value})
+		conflicts = append(conflicts, tablestore.Row{Key: c.Key, Value: value})
 	}
 	if len(conflicts) > 0 {
-		return platform.TxnResult{Conflicts: conflicts}
+		return tablestore.TxnResult{Conflicts: conflicts}
 	}
 	for _, row := range txn.Puts {
 		t.rows[row.Key] = row.Value
 	}
-	return platform.TxnResult{Committed: true}
+	return tablestore.TxnResult{Committed: true}
 }
--- a/platform/client.go
+++ b/tablestore/client.go
@@ -1,7 +1,7 @@
-// Package platform speaks to the platform's table service, object store and
+// Package tablestore speaks to the platform's table service, object store and
 // list of VMs. It says what has been asked for and what came of it, and
 // nothing about what that means: the core decides.
-package platform
+package tablestore
 
 import (
 	"bytes"
@@ -20,11 +20,11 @@
 var (
 	// ErrNoAnswer means that a call brought no answer. A write may have taken
 	// effect, or may yet.
-	ErrNoAnswer = errors.New("platform: no answer")
+	ErrNoAnswer = errors.New("tablestore: no answer")
 	// ErrNotFound means that there is no such row or object.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("tablestore: not found")
 	// ErrUnchanged means that the list of VMs is still the one known.
-	ErrUnchanged = errors.New("platform: unchanged")
+	ErrUnchanged = errors.New("tablestore: unchanged")
 )
 
 // DefaultTimeout bounds each call.
@@ -65,7 +65,7 @@
 	var result TxnResult
 	body, err := json.Marshal(txn)
 	if err != nil {
-		return result, errors.Wrap(err, "platform: transaction")
+		return result, errors.Wrap(err, "tablestore: transaction")
 	}
 	err = c.do(ctx, http.MethodPost, "/table/txn", body, &result)
 	return result, err
@@ -112,16 +112,16 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrap(err, "platform: request")
+		return errors.Wrap(err, "tablestore: request")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "platform"), ErrNoAnswer)
+		return errors.Mark(errors.Wrap(err, "tablestore"), ErrNoAnswer)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "platform"), ErrNoAnswer)
+		return errors.Mark(errors.Wrap(err, "tablestore"), ErrNoAnswer)
 	}
 	return read(resp.StatusCode, data, into)
 }
@@ -142,7 +142,7 @@
 		return nil
 	}
 	if err := json.Unmarshal(data, into); err != nil {
-		return errors.Mark(errors.Wrap(err, "platform: answer"), ErrNoAnswer)
+		return errors.Mark(errors.Wrap(err, "tablestore: answer"), ErrNoAnswer)
 	}
 	return nil
 }
--- a/platform/config.go
+++ b/tablestore/config.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"context"
@@ -134,7 +134,7 @@
 func (s *Store) PutSnapshot(ctx context.Context, c *wire.Config) error {
 	data, err := proto.Marshal(c)
 	if err != nil {
-		return errors.Wrap(err, "platform: snapshot")
+		return errors.Wrap(err, "tablestore: snapshot")
 	}
 	name := snapshotObject + strconv.FormatUint(c.GetVersion(), 10)
 	if err := s.client.PutObject(ctx, name, data); err != nil {
--- a/platform/nodes.go
+++ b/tablestore/nodes.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 func (s *Store) Register(ctx context.Context, n *wire.NodeRecord) error {
 	value, err := proto.Marshal(n)
 	if err != nil {
-		return errors.Wrap(err, "platform: node")
+		return errors.Wrap(err, "tablestore: node")
 	}
 	_, err = s.client.Commit(ctx, Txn{Puts: []Row{{Key: nodePrefix + n.GetName(), Value: value}}})
 	return err
--- a/platform/types.go
+++ b/tablestore/types.go
@@ -1,4 +1,4 @@
-package platform
+package tablestore
 
 import "github.com/hoistjunction/hoistjunction/pool"
 
