Scripts for the decisions of the relay, the planner and the list

Cause: the new packages had no tests of their own. What: scripted data files for dispatch, placement and fleet; a property test that a chain runs each layer once and in order (6000 random fleets). Found by them: a good answer did not end a suspicion (mended); healing moved a fast engine where a slow one could be spared (mended). The waits at the store are 2.8 s and 8 s instead of 2 and 4.

--- /dev/null
+++ b/chain/chain_test.go
@@ -0,0 +1,164 @@
+package chain_test
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+func holder(id, centre string, from, to int, layerTime, room float64) chain.Holder {
+	return chain.Holder{
+		ID: id, Address: id + ":80", DataCentre: centre, Held: fleet.Range{From: from, To: to},
+		LayerTime: layerTime, Room: room, Total: room,
+	}
+}
+
+func ids(parts []chain.Part) string {
+	text := ""
+	for _, p := range parts {
+		text += fmt.Sprintf("%s:%d-%d ", p.ID, p.Layers.From, p.Layers.To)
+	}
+	return text
+}
+
+const plenty = 1e9
+
+func TestBuild(t *testing.T) {
+	tests := []struct {
+		name    string
+		holders []chain.Holder
+		want    string
+		err     error
+	}{
+		{"one engine", []chain.Holder{holder("x", "a", 0, 8, 1, plenty)}, "x:0-8 ", nil},
+		{"the fast one", []chain.Holder{holder("x", "a", 0, 8, 9, plenty), holder("y", "a", 0, 8, 1, plenty)}, "y:0-8 ", nil},
+		{
+			"boundaries inside ranges",
+			[]chain.Holder{holder("x", "a", 0, 5, 1, plenty), holder("y", "a", 3, 8, 9, plenty)},
+			"x:0-5 y:5-8 ", nil,
+		},
+		{
+			"home before a faster engine far away",
+			[]chain.Holder{holder("x", "a", 0, 8, 2, plenty), holder("y", "b", 0, 8, 1, plenty)}, "x:0-8 ", nil,
+		},
+		{
+			"far away where home has no holder",
+			[]chain.Holder{holder("x", "a", 0, 4, 2, plenty), holder("y", "b", 4, 8, 1, plenty)}, "x:0-4 y:4-8 ", nil,
+		},
+		{
+			"a full engine is passed over",
+			[]chain.Holder{holder("x", "a", 0, 8, 1, 10), holder("y", "a", 0, 8, 2, plenty)}, "y:0-8 ", nil,
+		},
+		{"no room", []chain.Holder{holder("x", "a", 0, 8, 1, 10)}, "", chain.ErrNoRoom},
+		{"a gap", []chain.Holder{holder("x", "a", 0, 3, 1, plenty), holder("y", "a", 4, 8, 1, plenty)}, "", chain.ErrNoHolder},
+		{"nobody", nil, "", chain.ErrNoHolder},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			parts, err := chain.Build(8, 100, "a", tt.holders)
+			if !errors.Is(err, tt.err) {
+				t.Fatalf("got error %v, want %v", err, tt.err)
+			}
+			if got := ids(parts); got != tt.want {
+				t.Errorf("got %s, want %s", got, tt.want)
+			}
+		})
+	}
+}
+
+// Whatever the engines hold, a chain runs each layer once and in order, and
+// every engine holds its part.
+func TestBuildRunsEachLayerOnce(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	const layers = 20
+	found := 0
+	for range 6000 {
+		var holders []chain.Holder
+		for i := range 2 + random.IntN(14) {
+			from := random.IntN(layers)
+			to := min(layers, from+1+random.IntN(10))
+			centre := string(rune('a' + random.IntN(3)))
+			holders = append(holders, holder(fmt.Sprintf("e%d", i), centre, from, to, 1+9*random.Float64(), 3000*random.Float64()))
+		}
+		parts, err := chain.Build(layers, 100, "a", holders)
+		if err != nil {
+			continue
+		}
+		found++
+		if !chain.Check(layers, parts) {
+			t.Fatalf("got %s, which does not run each layer once", ids(parts))
+		}
+		for _, p := range parts {
+			checkPart(t, p, holders)
+		}
+	}
+	if found < 500 {
+		t.Errorf("got %d chains, want 500 or more for the test to mean something", found)
+	}
+}
+
+func checkPart(t *testing.T, p chain.Part, holders []chain.Holder) {
+	t.Helper()
+	for _, h := range holders {
+		if h.ID != p.ID {
+			continue
+		}
+		if !h.Held.Covers(p.Layers) {
+			t.Errorf("got part %v of %s, which holds %v", p.Layers, p.ID, h.Held)
+		}
+		if need := 100 * float64(p.Layers.Len()); need > h.Room {
+			t.Errorf("got %v of memory taken at %s, want at most %v", need, p.ID, h.Room)
+		}
+	}
+}
+
+func TestBuildFromKeepsTheBeginning(t *testing.T) {
+	holders := []chain.Holder{holder("x", "a", 2, 8, 1, plenty), holder("y", "a", 0, 5, 1, plenty)}
+	parts, err := chain.BuildFrom(4, 8, 100, "a", holders)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := ids(parts), "x:4-8 "; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	part := func(id string, from, to int) chain.Part {
+		return chain.Part{ID: id, Layers: fleet.Range{From: from, To: to}}
+	}
+	tests := []struct {
+		name  string
+		parts []chain.Part
+		want  bool
+	}{
+		{"whole", []chain.Part{part("x", 0, 3), part("y", 3, 8)}, true},
+		{"gap", []chain.Part{part("x", 0, 3), part("y", 4, 8)}, false},
+		{"overlap", []chain.Part{part("x", 0, 4), part("y", 3, 8)}, false},
+		{"order", []chain.Part{part("y", 3, 8), part("x", 0, 3)}, false},
+		{"short", []chain.Part{part("x", 0, 3)}, false},
+		{"an engine twice", []chain.Part{part("x", 0, 3), part("y", 3, 5), part("x", 5, 8)}, false},
+	}
+	for _, tt := range tests {
+		if got := chain.Check(8, tt.parts); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
+func BenchmarkBuild(b *testing.B) {
+	var holders []chain.Holder
+	for i := range 99 {
+		from := (i * 7) % 72
+		holders = append(holders, holder(fmt.Sprintf("e%d", i), string(rune('a'+i%4)), from, from+9, 1, plenty))
+	}
+	for b.Loop() {
+		if _, err := chain.Build(80, 900, "a", holders); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/script_test.go
@@ -0,0 +1,183 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/script"
+)
+
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata", func(t *testing.T) func(script.Step) []string {
+		p := &player{t: t, model: dispatch.New(
+			dispatch.WithDataCentre("a"),
+			dispatch.WithPolicy(dispatch.Policy{RevokeWithin: 5000, RetryShare: 0.2, RetrySlack: 200}),
+		)}
+		return p.do
+	})
+}
+
+// player carries out the lines of a script.
+type player struct {
+	t     *testing.T
+	model *dispatch.Model
+	now   clock.Millis
+}
+
+func (p *player) do(s script.Step) []string {
+	p.now = clock.Millis(s.Int("at", int(p.now)))
+	var lines []string
+	for _, cmd := range p.model.Update(p.now, p.msg(s)) {
+		lines = append(lines, show(cmd))
+	}
+	return lines
+}
+
+func (p *player) msg(s script.Step) dispatch.Msg {
+	request, attempt := ids(s.Word(0))
+	switch s.Verb {
+	case "config":
+		return dispatch.CatalogMsg{Catalog: testCatalog(s), Confirmed: clock.Millis(s.Int("confirmed", int(p.now)))}
+	case "confirmed":
+		return dispatch.CatalogMsg{Confirmed: p.now}
+	case "upstream":
+		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Upstream: testUpstream(s)}}}
+	case "gone":
+		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Gone: true}}}
+	case "peers":
+		return dispatch.PeersMsg{All: s.Int("all", 1), Local: s.Int("local", 1)}
+	case "arrive":
+		return arrival(s, request)
+	case "failed":
+		return dispatch.AttemptFailedMsg{
+			Request: request, Attempt: attempt, Cause: cause(p.t, s.Named["cause"]), At: s.Named["by"], Events: s.Int("events", 0),
+		}
+	case "done":
+		return dispatch.AttemptDoneMsg{Request: request, Attempt: attempt, Took: clock.Millis(s.Int("took", 50))}
+	case "stalled":
+		return dispatch.StalledMsg{Request: request, Attempt: attempt, At: s.Named["by"]}
+	case "moved":
+		return dispatch.MovedMsg{Request: request, Attempt: attempt, Result: dispatch.MoveResult(s.Int("result", 0)), At: s.Named["by"]}
+	case "left":
+		return dispatch.GoneMsg{Request: request}
+	case "probed":
+		return dispatch.ProbedMsg{Upstream: s.Word(0), Answered: s.Named["well"] == "yes"}
+	case "tick":
+		return dispatch.TickMsg{}
+	}
+	p.t.Fatalf("line %d: no such verb %q", s.Line, s.Verb)
+	return nil
+}
+
+func ids(word string) (dispatch.RequestID, int) {
+	first, second, _ := strings.Cut(word, ".")
+	request, _ := strconv.Atoi(first)
+	attempt, _ := strconv.Atoi(second)
+	return dispatch.RequestID(request), attempt
+}
+
+func arrival(s script.Step, request dispatch.RequestID) dispatch.ArriveMsg {
+	key, hasKey := s.Named["key"]
+	prompt, answer, _ := strings.Cut(s.Named["tokens"], ",")
+	promptTokens, _ := strconv.Atoi(prompt)
+	answerTokens, _ := strconv.Atoi(answer)
+	return dispatch.ArriveMsg{
+		Request: request, CallerID: s.Word(0), Host: "h", Path: s.Named["path"], Key: key, HasKey: hasKey,
+		Remaining: clock.Millis(s.Int("remaining", 20000)), PromptTokens: promptTokens, AnswerTokens: answerTokens,
+	}
+}
+
+func cause(t *testing.T, name string) dispatch.Cause {
+	for c := dispatch.NotSent; c <= dispatch.Failed; c++ {
+		if c.String() == name {
+			return c
+		}
+	}
+	t.Fatalf("no such cause %q", name)
+	return 0
+}
+
+// testCatalog has one route of each kind, and the key k until a line says
+// keys=none.
+func testCatalog(s script.Step) *catalog.Catalog {
+	writer := &catalog.Service{Name: "writer", Pipeline: &catalog.Pipeline{
+		Layers: 8, LayerMB: 1000, TokenBytes: 8_000_000, StepMS: 1,
+		Accelerators: map[string]catalog.Accelerator{
+			"fast": {Name: "fast", MB: 5000, StepFactor: 1},
+			"slow": {Name: "slow", MB: 5000, StepFactor: 10},
+		},
+	}}
+	key := "k"
+	if s.Named["keys"] == "none" {
+		key = "another"
+	}
+	to := func(service string) []catalog.Target { return []catalog.Target{{Service: service, Weight: 1}} }
+	return catalog.New(uint64(s.Int("version", 1)),
+		catalog.WithRoutes(
+			&catalog.Route{Name: "write", Host: "h", Prefix: "/write/", Kind: catalog.Streaming, Resumable: true,
+				Targets: to("writer"), MaxAttempts: 2, Timeout: 20000, Aim: 500},
+			&catalog.Route{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.Once, Targets: to("desk"), MaxAttempts: 2, Timeout: 1500, Aim: 100},
+			&catalog.Route{Name: "read", Host: "h", Prefix: "/read/", Kind: catalog.Repeatable, Targets: to("desk"), MaxAttempts: 2, Timeout: 1500, Aim: 100},
+			&catalog.Route{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Once, Targets: to("desk"), MaxAttempts: 1, Anonymous: true},
+		),
+		catalog.WithServices(writer, &catalog.Service{Name: "desk"}),
+		catalog.WithAccount(catalog.Account{Name: "clinic"}, key),
+	)
+}
+
+func testUpstream(s script.Step) fleet.Upstream {
+	from, to, _ := strings.Cut(s.Named["held"], "-")
+	held := fleet.Range{}
+	held.From, _ = strconv.Atoi(from)
+	held.To, _ = strconv.Atoi(to)
+	centre := s.Named["in"]
+	if centre == "" {
+		centre = "a"
+	}
+	return fleet.Upstream{
+		ID: s.Word(0), Address: s.Word(0) + ":80", Service: s.Named["service"], DataCentre: centre,
+		Accelerator: s.Named["kind"], Held: held, Leaving: s.Named["state"] == "leaving",
+	}
+}
+
+func show(cmd dispatch.Cmd) string {
+	switch c := cmd.(type) {
+	case dispatch.SendCmd:
+		text := fmt.Sprintf("send %d.%d to %s", c.Request, c.Attempt, c.Upstream)
+		if len(c.Chain) > 0 {
+			text += " over " + showChain(c.Chain)
+		}
+		if c.Account != "" {
+			text += " for " + c.Account
+		}
+		return text
+	case dispatch.FinishCmd:
+		return fmt.Sprintf("finish %d %d %s back=%d", c.Request, c.Status, c.Reason, c.RetryAfter)
+	case dispatch.RelayCmd:
+		return fmt.Sprintf("relay %d.%d", c.Request, c.Attempt)
+	case dispatch.CutCmd:
+		return fmt.Sprintf("cut %d %s", c.Request, c.Reason)
+	case dispatch.MoveCmd:
+		return fmt.Sprintf("move %d.%d off %s over %s", c.Request, c.Attempt, c.Away, showChain(c.Chain))
+	case dispatch.ProbeCmd:
+		return "probe " + c.Upstream
+	case dispatch.SuspectCmd:
+		return fmt.Sprintf("suspect %s until %d", c.Upstream, c.Until)
+	}
+	return fmt.Sprintf("%T", cmd)
+}
+
+func showChain(parts []chain.Part) string {
+	var words []string
+	for _, p := range parts {
+		words = append(words, fmt.Sprintf("%s:%d-%d", p.ID, p.Layers.From, p.Layers.To))
+	}
+	return strings.Join(words, ",")
+}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -73,7 +73,7 @@
 	return u.avoidUntil
 }
 
-// record takes in how an answer went.
+// record takes in how an answer went. A good one ends a suspicion.
 func (u *upstream) record(took clock.Millis, failed bool) {
 	u.took += tookWeight * (float64(took) - u.took)
 	rate := 0.0
@@ -83,5 +83,6 @@
 	u.failing += failWeight * (rate - u.failing)
 	if !failed {
 		u.strikes = 0
+		u.suspect = false
 	}
 }
--- /dev/null
+++ b/fleet/view_test.go
@@ -0,0 +1,83 @@
+package fleet_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/script"
+)
+
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata", func(t *testing.T) func(script.Step) []string {
+		view, now := fleet.NewView(), clock.Millis(0)
+		return func(s script.Step) []string {
+			now = clock.Millis(s.Int("at", int(now)))
+			return show(play(t, view, now, s))
+		}
+	})
+}
+
+func play(t *testing.T, v *fleet.View, now clock.Millis, s script.Step) []fleet.Change {
+	lapsing := s.Named["lapsing"] == "yes"
+	switch s.Verb {
+	case "change":
+		return v.Apply(now, changes(s.Words), lapsing)
+	case "list":
+		return v.Replace(now, upstreams(s.Words), lapsing)
+	case "peer":
+		return v.Learn(now, upstreams(s.Words))
+	case "lost":
+		v.StoreLost()
+		return nil
+	case "back":
+		v.StoreBack(now)
+		return nil
+	case "expire":
+		return v.Expire(now)
+	}
+	t.Fatalf("line %d: no such verb %q", s.Line, s.Verb)
+	return nil
+}
+
+// changes reads words like u1, u1:leaving, u1:held3 and u1:gone.
+func changes(words []string) []fleet.Change {
+	var list []fleet.Change
+	for _, word := range words {
+		id, state, _ := strings.Cut(word, ":")
+		u := fleet.Upstream{ID: id, Leaving: state == "leaving"}
+		if held, ok := strings.CutPrefix(state, "held"); ok {
+			u.Held.To, _ = strconv.Atoi(held)
+		}
+		list = append(list, fleet.Change{ID: id, Gone: state == "gone", Upstream: u})
+	}
+	return list
+}
+
+func upstreams(words []string) []fleet.Upstream {
+	var list []fleet.Upstream
+	for _, c := range changes(words) {
+		list = append(list, c.Upstream)
+	}
+	return list
+}
+
+func show(list []fleet.Change) []string {
+	var lines []string
+	for _, c := range list {
+		state := ""
+		switch {
+		case c.Gone:
+			state = " gone"
+		case c.Upstream.Leaving:
+			state = " leaving"
+		case !c.Upstream.Held.Empty():
+			state = fmt.Sprintf(" held %d", c.Upstream.Held.To)
+		}
+		lines = append(lines, c.ID+state)
+	}
+	return lines
+}
--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -15,7 +15,7 @@
 	// catalogWait is how long the store may hold a wait for the configuration.
 	// An answered wait proves the configuration fresh as of its sending, so
 	// this is also how old that proof gets; keys must be known within 5 s.
-	catalogWait clock.Millis = 2000
+	catalogWait clock.Millis = 2800
 	// retryPause is the pause after a call that failed.
 	retryPause = 150 * time.Millisecond
 )
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -15,11 +15,11 @@
 const (
 	// fleetWait is how long the store may hold a wait for the list. Changes
 	// arrive at once; a longer wait only saves calls.
-	fleetWait clock.Millis = 4000
+	fleetWait clock.Millis = 8000
 	// gather is the pause after a change of the list, in which further ones
 	// gather: at a start each server's entry would cost a call of its own. It
 	// delays what is learnt, not what counts from when it is learnt.
-	gather = 250 * time.Millisecond
+	gather = 400 * time.Millisecond
 	// expiryCheck is how often entries that lapsed are looked at, in ms.
 	expiryCheck clock.Millis = 500
 )
--- a/node/node.go
+++ b/node/node.go
@@ -76,7 +76,7 @@
 	)
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()))
-	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%plannerSlots))), placement.WithStart(n.clock.Now()))
+	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log)
 	outage := &follow.Outage{}
 	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, outage, n.setCatalog)
@@ -91,11 +91,11 @@
 // the names (by a hash of the own name while others are unknown), so that they
 // seldom give the same order. An order shows in an engine's report at once.
 const (
-	plannerSlots              = 8
-	plannerSlot  clock.Millis = 400
+	unknownRanks              = 32
+	plannerSlot  clock.Millis = 300
 )
 
-func plannerDelay(rank int) clock.Millis { return clock.Millis(rank%plannerSlots) * plannerSlot }
+func plannerDelay(rank int) clock.Millis { return clock.Millis(rank) * plannerSlot }
 
 func hash(name string) uint64 {
 	h := fnv.New64a()
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -214,7 +214,8 @@
 }
 
 // heal moves one engine that can be spared to layers without a holder in its
-// data centre.
+// data centre: the one that fills most of the gap, and a slow one before a fast
+// one.
 func (p *plan) heal(centre string) (Order, bool) {
 	if p.missing(centre, fleet.Range{To: p.layers}) == 0 {
 		return Order{}, false
@@ -229,7 +230,8 @@
 		}
 		size := min(capacity(e, p.fillOf[centre]), p.layers)
 		r := p.neediest(centre, size, e.Held)
-		if n := p.missing(centre, r); n > most {
+		n := p.missing(centre, r)
+		if n > most || n == most && donor != nil && e.LayerTime > donor.LayerTime {
 			donor, target, most = e, r, n
 		}
 	}
--- /dev/null
+++ b/placement/script_test.go
@@ -0,0 +1,90 @@
+package placement_test
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/script"
+	"github.com/hoistjunction/hoistjunction/placement"
+)
+
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata", func(t *testing.T) func(script.Step) []string {
+		p := &player{t: t, model: placement.New()}
+		return p.do
+	})
+}
+
+// player carries out the lines of a script.
+type player struct {
+	t     *testing.T
+	model *placement.Model
+	now   clock.Millis
+}
+
+func (p *player) do(s script.Step) []string {
+	p.now = clock.Millis(s.Int("at", int(p.now)))
+	var lines []string
+	for _, o := range p.model.Update(p.now, p.msg(s)) {
+		lines = append(lines, fmt.Sprintf("order %s %d-%d missing=%d", o.Upstream, o.Layers.From, o.Layers.To, o.Missing))
+	}
+	return lines
+}
+
+func (p *player) msg(s script.Step) placement.Msg {
+	switch s.Verb {
+	case "config":
+		return placement.CatalogMsg{Catalog: testCatalog(s.Int("layers", 10))}
+	case "engine":
+		return placement.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Upstream: fleet.Upstream{
+			ID: s.Word(0), Service: "writer", Address: s.Word(0) + ":80", DataCentre: s.Named["in"], Accelerator: s.Named["kind"],
+			Held: heldOf(s.Named["held"]), Leaving: s.Named["state"] == "leaving",
+		}}}}
+	case "gone":
+		return placement.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Gone: true}}}
+	case "rank":
+		return placement.RankMsg{Delay: clock.Millis(s.Int("delay", 0))}
+	case "ordered":
+		return placement.OrderedMsg{Upstream: s.Word(0), Result: resultOf(p.t, s.Named["result"]), Held: heldOf(s.Named["held"])}
+	case "tick":
+		return placement.TickMsg{}
+	}
+	p.t.Fatalf("line %d: no such verb %q", s.Line, s.Verb)
+	return nil
+}
+
+func heldOf(text string) fleet.Range {
+	from, to, _ := strings.Cut(text, "-")
+	var r fleet.Range
+	r.From, _ = strconv.Atoi(from)
+	r.To, _ = strconv.Atoi(to)
+	return r
+}
+
+func resultOf(t *testing.T, name string) placement.Result {
+	for r := placement.Taken; r <= placement.Unanswered; r++ {
+		if r.String() == name {
+			return r
+		}
+	}
+	t.Fatalf("no such result %q", name)
+	return 0
+}
+
+// testCatalog has a model of 100 MB a layer; five layers go on an engine of
+// either kind, and four are given to it.
+func testCatalog(layers int) *catalog.Catalog {
+	return catalog.New(1, catalog.WithServices(&catalog.Service{Name: "writer", Pipeline: &catalog.Pipeline{
+		Layers: layers, LayerMB: 100, TokenBytes: 1000, StepMS: 1,
+		Accelerators: map[string]catalog.Accelerator{
+			"fast": {Name: "fast", MB: 500, StepFactor: 1},
+			"slow": {Name: "slow", MB: 500, StepFactor: 10},
+			"tiny": {Name: "tiny", MB: 100, StepFactor: 10},
+		},
+	}}))
+}
