--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 .PHONY: demo
 demo: build ## Runs the main job on the stand-ins.
 	examples/two-nodes/run.sh
+	examples/relay/run.sh
 
 .PHONY: test
 test: lint ## Sets up and passes the tests, the models and the linter.
--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -14,8 +14,10 @@
 const (
 	// catalogWait is how long the store may hold a wait for the configuration.
 	// An answered wait proves the configuration fresh as of its sending, so
-	// this is also how old that proof gets; keys must be known within 5 s.
-	catalogWait clock.Millis = 2800
+	// while the next one is open the proof gets up to twice as old as a wait
+	// lasts. Keys must be known within 5 s, less a margin of 0.7 s; 0.7 s
+	// remain to ask a peer.
+	catalogWait clock.Millis = 1800
 	// retryPause is the pause after a call that failed.
 	retryPause = 150 * time.Millisecond
 )
--- /dev/null
+++ b/node/site_test.go
@@ -0,0 +1,207 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/node"
+	"github.com/hoistjunction/hoistjunction/platform/platformpb"
+	"github.com/hoistjunction/hoistjunction/standin"
+)
+
+// patience bounds every wait of these tests. Nothing is measured against it.
+const patience = 60 * time.Second
+
+// site is the outside world of a test, in this process.
+type site struct {
+	t       *testing.T
+	store   *standin.RowStore
+	storeAt string
+	engines map[string]*engineProcess
+	desk    *standin.Desk
+}
+
+// engineProcess is an engine that can be killed.
+type engineProcess struct {
+	server *httptest.Server
+	stop   context.CancelFunc
+}
+
+// newSite starts a store, a desk, and engines in one data centre.
+func newSite(t *testing.T, engines int) *site {
+	s := &site{t: t, store: standin.NewRowStore(), engines: make(map[string]*engineProcess)}
+	server := httptest.NewServer(s.store.Handler())
+	t.Cleanup(server.Close)
+	s.storeAt = server.Listener.Addr().String()
+	s.store.Put("op", "config", standin.SiteConfig(1, "k1", "k2"))
+	for i := range engines {
+		s.startEngine(fmt.Sprintf("e%d", i+1))
+	}
+	s.startDesk()
+	return s
+}
+
+// serve serves another store and returns its address.
+func (s *site) serve(store *standin.RowStore) string {
+	server := httptest.NewServer(store.Handler())
+	s.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+func (s *site) startEngine(id string) {
+	server := httptest.NewUnstartedServer(nil)
+	engine := standin.NewChainEngine(id, server.Listener.Addr().String())
+	server.Config.Handler = engine.Handler()
+	server.Start()
+	s.engines[id] = &engineProcess{server: server, stop: s.beat(id, func() *platformpb.Server { return engine.Entry("dc") })}
+	s.t.Cleanup(func() { s.killEngine(id) })
+}
+
+func (s *site) startDesk() {
+	server := httptest.NewUnstartedServer(nil)
+	s.desk = standin.NewDesk("desk1", server.Listener.Addr().String(), time.Millisecond)
+	server.Config.Handler = s.desk.Handler()
+	server.Start()
+	s.beat("desk1", func() *platformpb.Server { return s.desk.Entry("dc") })
+	s.t.Cleanup(server.Close)
+}
+
+func (s *site) beat(id string, entry func() *platformpb.Server) context.CancelFunc {
+	ctx, cancel := context.WithCancel(context.Background())
+	go standin.Beat(ctx, s.storeAt, id, entry)
+	s.t.Cleanup(cancel)
+	return cancel
+}
+
+// killEngine ends an engine at once, with its connections.
+func (s *site) killEngine(id string) {
+	e := s.engines[id]
+	if e == nil {
+		return
+	}
+	delete(s.engines, id)
+	e.stop()
+	e.server.CloseClientConnections()
+	_ = e.server.Listener.Close()
+	go e.server.Close()
+}
+
+// testNode is a node and where it listens.
+type testNode struct {
+	*node.Node
+	caller    string
+	readiness string
+	peer      string
+	ended     chan error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (s *site) startNode(name, storeAt string, seeds ...string) *testNode {
+	s.t.Helper()
+	settings := &node.Settings{
+		Name: name, DataCentre: "dc", LogLevel: "info", GraceSeconds: 8, Cores: 1, MemoryMB: 256,
+		CallerListen: freeAddress(s.t), ReadinessListen: freeAddress(s.t), PeerListen: freeAddress(s.t),
+		MetricsListen: freeAddress(s.t), PeerSeeds: seeds, Platform: storeAt,
+		KeysFailClosed: true, KeysWithin: 5000, RetryShare: 0.2, RetrySlack: 200,
+	}
+	n, err := node.New(settings, logging.Nop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	tn := &testNode{Node: n, caller: settings.CallerListen, readiness: settings.ReadinessListen, peer: settings.PeerListen, ended: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { tn.ended <- n.Run(ctx) }()
+	s.t.Cleanup(cancel)
+	return tn
+}
+
+func (n *testNode) ready() bool {
+	resp, err := http.Get("http://" + n.readiness + "/")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+func (n *testNode) request(method, path, id, key string) *http.Request {
+	req, err := http.NewRequest(method, "http://"+n.caller+path, strings.NewReader("x"))
+	if err != nil {
+		panic(err)
+	}
+	req.Host = standin.SiteHost
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Remaining-Ms", "20000")
+	req.Header.Set("Token-Count", "40,40")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	return req
+}
+
+func (n *testNode) do(method, path, id, key string) answer {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(n.request(method, path, id, key))
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(body), header: resp.Header, err: err}
+}
+
+// await waits until something holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("got no %s in %v", what, patience)
+}
+
+// awaitServing waits until a node serves streams.
+func (n *testNode) awaitServing(t *testing.T) {
+	t.Helper()
+	i := 0
+	await(t, "stream served", func() bool {
+		i++
+		return n.do(http.MethodPost, "/write/first", fmt.Sprintf("first-%d", i), "k1").status == http.StatusOK
+	})
+}
+
+// wholeStream is the answer to a path.
+func wholeStream(path string) string {
+	var b strings.Builder
+	for n := 1; n <= standin.SiteEvents(path); n++ {
+		b.WriteString(standin.SiteEvent(path, n))
+	}
+	return b.String()
+}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -16,10 +16,10 @@
 
 const (
 	// lookEvery is how often a node looks whether it needs its peers.
-	lookEvery = 250 * time.Millisecond
+	lookEvery = 150 * time.Millisecond
 	// askAfter is how old the proof of freshness may get before peers are
-	// asked. An open wait at the store renews it every 2.8 s.
-	askAfter clock.Millis = 3200
+	// asked. With the store well it stays under 3.6 s, twice a wait there.
+	askAfter clock.Millis = 3700
 	// askUnborn is how long after its start a node without a configuration
 	// leaves its peers alone; the store answers within some 10 ms.
 	askUnborn clock.Millis = 1000
@@ -30,7 +30,7 @@
 	askTimeout = 500 * time.Millisecond
 	// fleetAfter is how old the proof of freshness may get before peers are
 	// asked for the list of upstreams too: by then the store is lost.
-	fleetAfter clock.Millis = 3700
+	fleetAfter clock.Millis = 4200
 	// membersEvery is how often the registry is read again.
 	membersEvery = 20 * time.Second
 	// registerAgain is the pause after a registration that failed, and
--- /dev/null
+++ b/standin/chain_engine.go
@@ -0,0 +1,317 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/platform/platformpb"
+)
+
+// Times of the stand-in engine.
+const (
+	// eventEvery is the time between two events, and loadTime that of a load.
+	eventEvery = 15 * time.Millisecond
+	loadTime   = 150 * time.Millisecond
+	// stallTime is how long a stream waits for a part that is lost before it is
+	// cut, and askPart bounds one question to a part.
+	stallTime = 2500 * time.Millisecond
+	askPart   = 80 * time.Millisecond
+)
+
+// ChainEngine is a stand-in for an engine that runs pipelines by itself: it
+// holds a range of layers, and the first of a chain asks the others for every
+// event of its streams.
+type ChainEngine struct {
+	id string
+	// advertised is the address by which callers and other engines know it.
+	advertised string
+	client     *http.Client
+
+	mu      sync.Mutex
+	held    fleet.Range
+	loading bool
+	orders  uint64
+	streams map[string]*engineStream
+}
+
+// engineStream is a stream that began at this engine.
+type engineStream struct {
+	parts     []enginePart
+	stalledAt string
+}
+
+// enginePart is a stage as the chain's header names it.
+type enginePart struct {
+	address string
+	layers  fleet.Range
+}
+
+// NewChainEngine returns an empty engine.
+func NewChainEngine(id, advertised string) *ChainEngine {
+	return &ChainEngine{
+		id: id, advertised: advertised, client: &http.Client{Timeout: askPart}, streams: make(map[string]*engineStream),
+	}
+}
+
+// Entry returns the engine's entry in the list of servers.
+func (e *ChainEngine) Entry(centre string) *platformpb.Server {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return &platformpb.Server{
+		Service: SiteWriter, Address: e.advertised, Zone: centre, State: "ready", Slots: 64, Kind: SiteKind, Layers: e.layers(),
+	}
+}
+
+func (e *ChainEngine) layers() *platformpb.Layers {
+	if e.held.Empty() {
+		return nil
+	}
+	return &platformpb.Layers{From: float64(e.held.From), To: float64(e.held.To)}
+}
+
+// Handler serves orders, reports, questions of other engines, and streams.
+func (e *ChainEngine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /report", e.report)
+	mux.HandleFunc("POST /order", e.order)
+	mux.HandleFunc("GET /part", e.part)
+	mux.HandleFunc("/", e.generate)
+	return mux
+}
+
+func (e *ChainEngine) report(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	report := &platformpb.Report{Busy: e.loading, OrdersTaken: e.orders, Layers: e.layers(), Kind: SiteKind}
+	for id, s := range e.streams {
+		if s.stalledAt != "" {
+			report.Stalled = append(report.Stalled, &platformpb.Stalled{Id: id, Address: s.stalledAt})
+		}
+	}
+	e.mu.Unlock()
+	writeProto(w, http.StatusOK, report)
+}
+
+// engineOrder is an order in any of its forms.
+type engineOrder struct {
+	Op       string  `json:"op"`
+	From     float64 `json:"from"`
+	To       float64 `json:"targetVersion"`
+	ID       string  `json:"id"`
+	Path     string  `json:"path"`
+	Expected any     `json:"expectedRevision"`
+}
+
+func (e *ChainEngine) order(w http.ResponseWriter, r *http.Request) {
+	if !e.meant(w, r) {
+		return
+	}
+	var o engineOrder
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case o.Op == "repath":
+		e.repath(w, o)
+	case e.loading || o.Expected != nil && fmt.Sprint(o.Expected) != strconv.FormatUint(e.orders, 10):
+		w.WriteHeader(http.StatusConflict)
+	default:
+		e.orders++
+		e.loading = true
+		e.held = fleet.Range{}
+		time.AfterFunc(loadTime, func() { e.loaded(fleet.Range{From: int(o.From), To: int(o.To)}) })
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
+
+func (e *ChainEngine) loaded(r fleet.Range) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held, e.loading = r, false
+}
+
+func (e *ChainEngine) repath(w http.ResponseWriter, o engineOrder) {
+	s, ok := e.streams[o.ID]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.parts, s.stalledAt = parseParts(o.Path), ""
+	w.WriteHeader(http.StatusAccepted)
+}
+
+// part answers another engine whether this one holds a range.
+func (e *ChainEngine) part(w http.ResponseWriter, r *http.Request) {
+	if !e.holds(parseRange(r.URL.Query().Get("layers"))) {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *ChainEngine) holds(r fleet.Range) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !r.Empty() && e.held.Covers(r)
+}
+
+// meant refuses what is meant for another engine.
+func (e *ChainEngine) meant(w http.ResponseWriter, r *http.Request) bool {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
+		w.Header().Set("Instance-Id", e.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return false
+	}
+	return true
+}
+
+// generate runs a stream, or refuses it.
+func (e *ChainEngine) generate(w http.ResponseWriter, r *http.Request) {
+	if !e.meant(w, r) {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	parts := parseParts(r.Header.Get("Path"))
+	if bad := e.unfit(r.Context(), parts); bad != "" {
+		w.Header().Set("At-Server", bad)
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	id := r.Header.Get("Attempt-Id")
+	stream := &engineStream{parts: parts}
+	e.mu.Lock()
+	e.streams[id] = stream
+	e.mu.Unlock()
+	defer e.end(id, stream)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Response-Seal", e.id)
+	e.stream(w, r, stream)
+}
+
+func (e *ChainEngine) end(id string, stream *engineStream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.streams[id] == stream {
+		delete(e.streams, id)
+	}
+}
+
+// unfit returns the address of the first part that cannot run, if any.
+func (e *ChainEngine) unfit(ctx context.Context, parts []enginePart) string {
+	next := 0
+	for i, p := range parts {
+		if p.layers.From != next || i == 0 && !e.holds(p.layers) || i > 0 && !e.ask(ctx, p) {
+			return p.address
+		}
+		next = p.layers.To
+	}
+	if next != SiteLayers {
+		return e.advertised
+	}
+	return ""
+}
+
+// ask asks another engine whether it holds its part.
+func (e *ChainEngine) ask(ctx context.Context, p enginePart) bool {
+	url := fmt.Sprintf("http://%s/part?layers=%d-%d", p.address, p.layers.From, p.layers.To)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := e.client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusNoContent
+}
+
+// stream writes the events after the last one that the caller has.
+func (e *ChainEngine) stream(w http.ResponseWriter, r *http.Request, stream *engineStream) {
+	first := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	control := http.NewResponseController(w)
+	for n := first; n <= SiteEvents(r.URL.Path); n++ {
+		time.Sleep(eventEvery)
+		if !e.passAll(r.Context(), stream) {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := io.WriteString(w, SiteEvent(r.URL.Path, n)); err != nil {
+			return
+		}
+		if err := control.Flush(); err != nil {
+			return
+		}
+	}
+}
+
+// passAll has every part run one event. It waits for a part that is lost, and
+// reports whether the stream may go on.
+func (e *ChainEngine) passAll(ctx context.Context, stream *engineStream) bool {
+	until := time.Now().Add(stallTime)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		e.mu.Lock()
+		parts := stream.parts
+		e.mu.Unlock()
+		lost := ""
+		for _, p := range parts[1:] {
+			if !e.ask(ctx, p) {
+				lost = p.address
+				break
+			}
+		}
+		e.mu.Lock()
+		stream.stalledAt = lost
+		e.mu.Unlock()
+		if lost == "" {
+			return true
+		}
+		time.Sleep(eventEvery)
+	}
+	return false
+}
+
+// SiteEvents is how many events the stream of a path has.
+func SiteEvents(path string) int { return 10 + len(path)%30 }
+
+// SiteEvent is one event of the stream of a path.
+func SiteEvent(path string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, path, n) }
+
+func parseParts(text string) []enginePart {
+	var parts []enginePart
+	for word := range strings.SplitSeq(text, ",") {
+		address, layers, _ := strings.Cut(word, "=")
+		parts = append(parts, enginePart{address: address, layers: parseRange(layers)})
+	}
+	return parts
+}
+
+func parseRange(text string) fleet.Range {
+	from, to, _ := strings.Cut(text, "-")
+	var r fleet.Range
+	// What is no number leaves an empty range, which no engine holds.
+	r.From, _ = strconv.Atoi(from)
+	r.To, _ = strconv.Atoi(to)
+	return r
+}
+
+// EntryBytes encodes an entry as a server writes it.
+func EntryBytes(entry *platformpb.Server) ([]byte, error) { return protojson.Marshal(entry) }
--- /dev/null
+++ b/standin/desk.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/platform/platformpb"
+)
+
+// Desk is a stand-in for a plain service of the users' platform. It counts how
+// often it has run each try, which is what at-most-once is judged by.
+type Desk struct {
+	id         string
+	advertised string
+	work       time.Duration
+	slots      chan struct{}
+	mu         sync.Mutex
+	runs       map[string]DeskRun
+}
+
+// DeskRun is what became of one try.
+type DeskRun struct {
+	Runs    int    `json:"runs"`
+	Account string `json:"account"`
+	// LastMS is the wall time of the last run, in ms since 1970.
+	LastMS int64 `json:"last_ms"`
+}
+
+// deskSlots is how many requests a desk works on at a time.
+const deskSlots = 6
+
+// NewDesk returns a desk that takes a time for each request.
+func NewDesk(id, advertised string, work time.Duration) *Desk {
+	return &Desk{id: id, advertised: advertised, work: work, slots: make(chan struct{}, deskSlots), runs: make(map[string]DeskRun)}
+}
+
+// Entry returns the desk's entry in the list of servers.
+func (d *Desk) Entry(centre string) *platformpb.Server {
+	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: "ready", Slots: deskSlots}
+}
+
+// Handler serves requests, and what was run at /runs.
+func (d *Desk) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /runs", jsonHandler(func() any { return d.Runs() }))
+	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	mux.HandleFunc("/", d.serve)
+	return mux
+}
+
+// Runs returns what was run, by the callers' names of the tries.
+func (d *Desk) Runs() map[string]DeskRun {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	runs := make(map[string]DeskRun, len(d.runs))
+	for id, r := range d.runs {
+		runs[id] = r
+	}
+	return runs
+}
+
+func (d *Desk) serve(w http.ResponseWriter, r *http.Request) {
+	if want := r.Header.Get("Expect-Instance"); want != "" && want != d.id {
+		w.Header().Set("Instance-Id", d.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	select {
+	case d.slots <- struct{}{}:
+		defer func() { <-d.slots }()
+	default:
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	id := r.Header.Get("Attempt-Id")
+	d.note(id, r.Header.Get("Tenant-Id"))
+	time.Sleep(d.work)
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Response-Seal", d.id)
+	// A caller that has left needs no answer.
+	_, _ = io.WriteString(w, DeskAnswer(r.URL.Path))
+}
+
+func (d *Desk) note(id, account string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	run := d.runs[id]
+	run.Runs++
+	run.Account, run.LastMS = account, time.Now().UnixMilli()
+	d.runs[id] = run
+}
+
+// DeskAnswer is the answer to a path.
+func DeskAnswer(path string) string { return fmt.Sprintf("done %s\n", path) }
--- /dev/null
+++ b/standin/rowstore.go
@@ -0,0 +1,281 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/hoistjunction/hoistjunction/platform/platformpb"
+)
+
+// beatsLife is after how many missed heartbeats an entry lapses.
+const beatsLife = 3
+
+// RowStore is a stand-in for the users' platform's store: rows in tables with
+// conditional writes and feeds, and the list of servers that lapses.
+type RowStore struct {
+	mu       sync.Mutex
+	rows     map[string]*platformpb.Row
+	log      []*platformpb.Row
+	revision uint64
+	floor    uint64
+	beats    map[string]beat
+	changed  chan struct{}
+	faults   RowStoreFaults
+}
+
+// RowStoreFaults are what goes wrong with a store.
+type RowStoreFaults struct {
+	// Down answers 503 to everything, Silent answers nothing.
+	Down   bool `json:"down"`
+	Silent bool `json:"silent"`
+	// SlowMS delays each answer.
+	SlowMS int64 `json:"slow_ms"`
+	// LoseWrites does writes and breaks their connection.
+	LoseWrites bool `json:"lose_writes"`
+	// Forget drops the history of changes at once.
+	Forget bool `json:"forget"`
+}
+
+// beat is when an entry was last renewed, and for how long that holds.
+type beat struct {
+	at    time.Time
+	every time.Duration
+}
+
+// NewRowStore returns an empty store.
+func NewRowStore() *RowStore {
+	return &RowStore{rows: make(map[string]*platformpb.Row), beats: make(map[string]beat), changed: make(chan struct{})}
+}
+
+// Handler serves the platform's calls, the servers' heartbeats at /beat/ID,
+// and the store's faults at /faults.
+func (s *RowStore) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rows-get", s.faulty(s.get))
+	mux.HandleFunc("GET /rows-feed", s.faulty(s.feed))
+	mux.HandleFunc("POST /rows-tx", s.faulty(s.transact))
+	mux.HandleFunc("POST /beat/{id}", s.faulty(s.heartbeat))
+	mux.Handle("POST /faults", faultHandler(s.SetFaults))
+	return mux
+}
+
+// SetFaults changes what goes wrong.
+func (s *RowStore) SetFaults(f RowStoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	if f.Forget {
+		s.log, s.floor = nil, s.revision
+		s.wake()
+	}
+}
+
+func (s *RowStore) faulty(call http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		f := s.faults
+		s.lapse(time.Now())
+		s.mu.Unlock()
+		switch {
+		case f.Silent:
+			hang(r)
+			return
+		case f.Down:
+			http.Error(w, "not now", http.StatusServiceUnavailable)
+			return
+		case f.LoseWrites && r.Method == http.MethodPost:
+			call(discard{}, r)
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+		call(w, r)
+	}
+}
+
+// longestHang bounds for how long a call is left without an answer.
+const longestHang = 10 * time.Second
+
+// hang leaves a call without an answer until its caller gives up. The body must
+// be read first: net/http sees a caller leave only then.
+func hang(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	select {
+	case <-r.Context().Done():
+	case <-time.After(longestHang):
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// Put writes a row, as the operator does.
+func (s *RowStore) Put(table, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(table, key, value)
+}
+
+func (s *RowStore) put(table, key string, value []byte) {
+	s.revision++
+	row := &platformpb.Row{Table: table, Key: key, Value: value, Revision: s.revision}
+	s.rows[table+"/"+key] = row
+	s.log = append(s.log, row)
+	s.wake()
+}
+
+func (s *RowStore) remove(table, key string) {
+	if _, ok := s.rows[table+"/"+key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.rows, table+"/"+key)
+	s.log = append(s.log, &platformpb.Row{Table: table, Key: key, Revision: s.revision, Gone: true})
+	s.wake()
+}
+
+func (s *RowStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// lapse removes the entries whose servers have been silent.
+func (s *RowStore) lapse(now time.Time) {
+	for id, b := range s.beats {
+		if now.Sub(b.at) > beatsLife*b.every {
+			delete(s.beats, id)
+			s.remove("servers", id)
+		}
+	}
+}
+
+// heartbeat takes a server's entry. It counts as a change only if it differs.
+func (s *RowStore) heartbeat(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	every, err := strconv.Atoi(r.URL.Query().Get("every"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := r.PathValue("id")
+	s.beats[id] = beat{at: time.Now(), every: time.Duration(every) * time.Millisecond}
+	if known := s.rows["servers/"+id]; known == nil || string(known.GetValue()) != string(value) {
+		s.put("servers", id, value)
+	}
+}
+
+func (s *RowStore) get(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	s.mu.Lock()
+	answer := &platformpb.Rows{Revision: s.revision}
+	for _, row := range s.rows {
+		to := query.Get("targetVersion")
+		if row.GetTable() == query.Get("table") && row.GetKey() >= query.Get("from") && (to == "" || row.GetKey() < to) {
+			answer.Rows = append(answer.Rows, row)
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(answer.GetRows(), func(a, b *platformpb.Row) int { return strings.Compare(a.GetKey(), b.GetKey()) })
+	writeProto(w, http.StatusOK, answer)
+}
+
+func (s *RowStore) feed(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(query.Get("waitMs"))
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		answer, gone, changed := s.since(query.Get("table"), after), after < s.floor, s.changed
+		s.mu.Unlock()
+		if gone {
+			http.Error(w, "forgotten", http.StatusGone)
+			return
+		}
+		if len(answer.GetRows()) == 0 {
+			select {
+			case <-changed:
+				continue
+			case <-timer.C:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if s.silent() {
+			hang(r)
+			return
+		}
+		writeProto(w, http.StatusOK, answer)
+		return
+	}
+}
+
+func (s *RowStore) silent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Silent
+}
+
+// since returns the newest state of each row of a table that has changed.
+func (s *RowStore) since(table string, after uint64) *platformpb.Rows {
+	answer := &platformpb.Rows{Revision: s.revision}
+	newest := make(map[string]*platformpb.Row)
+	for _, row := range s.log {
+		if row.GetTable() == table && row.GetRevision() > after {
+			newest[row.GetKey()] = row
+		}
+	}
+	for _, row := range newest {
+		answer.Rows = append(answer.Rows, row)
+	}
+	slices.SortFunc(answer.GetRows(), func(a, b *platformpb.Row) int { return int(a.GetRevision()) - int(b.GetRevision()) })
+	return answer
+}
+
+func (s *RowStore) transact(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	var txn platformpb.Transaction
+	if err != nil || protojson.Unmarshal(body, &txn) != nil {
+		http.Error(w, "cannot be read", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range txn.GetConditions() {
+		if s.rows[c.GetTable()+"/"+c.GetKey()].GetRevision() != c.GetRevision() {
+			writeProto(w, http.StatusPreconditionFailed, &platformpb.Rows{Revision: s.revision})
+			return
+		}
+	}
+	for _, row := range txn.GetPuts() {
+		s.put(row.GetTable(), row.GetKey(), row.GetValue())
+	}
+	for _, row := range txn.GetRemoves() {
+		s.remove(row.GetTable(), row.GetKey())
+	}
+	writeProto(w, http.StatusOK, &platformpb.Rows{Revision: s.revision})
+}
+
+func writeProto(w http.ResponseWriter, status int, m proto.Message) {
+	body, err := protojson.Marshal(m)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A caller that has left needs no answer.
+	_, _ = w.Write(body)
+}
