Tell other nodes of orders; share reports; leave slow engines

Streams on slow engines were given up after 1 s and read again elsewhere, which slowed all. Ruled out: the store's outage (only 2 nodes of 7 had one), memory (the gaps came first in the coverage lines), a lease (healing would wait for it).

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -171,6 +171,9 @@
 	if u == nil {
 		return nil
 	}
+	if msg.Slow {
+		return m.move(r, u)
+	}
 	cmds := m.suspect(u, Slow, r)
 	return append(cmds, m.move(r, u)...)
 }
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -88,6 +88,8 @@
 		m.attemptDone(msg)
 	case StalledMsg:
 		return m.stalled(msg)
+	case PaceMsg:
+		m.notePace(msg.Upstream, msg.Pace)
 	case MovedMsg:
 		return m.moved(msg)
 	case GoneMsg:
@@ -188,7 +190,7 @@
 func (m *Model) probes() []Cmd {
 	var cmds []Cmd
 	for _, u := range m.upstreams {
-		if u.suspect && !u.probing && m.now >= u.avoidUntil {
+		if !u.probing && (u.suspect && m.now >= u.avoidUntil || u.pace > usualPace && m.now >= u.paceAt.Add(paceLasts)) {
 			u.probing = true
 			cmds = append(cmds, ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil})
 		}
@@ -199,6 +201,13 @@
 	return cmds
 }
 
+// notePace notes how slow an engine is.
+func (m *Model) notePace(id string, pace float64) {
+	if u := m.upstreams[id]; u != nil && pace > 0 {
+		u.pace, u.paceAt = pace, m.now
+	}
+}
+
 // probed ends a suspicion, or goes on with it. An engine that was suspected and
 // does not answer a probe either is taken as lost.
 func (m *Model) probed(msg ProbedMsg) []Cmd {
@@ -208,6 +217,7 @@
 	}
 	u.probing = false
 	u.suspect = !msg.Answered
+	m.notePace(msg.Upstream, msg.Pace)
 	if !msg.Answered {
 		u.avoidUntil = m.now.Add(firstSuspicion)
 	}
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -87,6 +87,15 @@
 	Attempt int
 	// At is the address of the engine that it waits for.
 	At string
+	// Slow tells that the engine is alive, and only slow.
+	Slow bool
+}
+
+// PaceMsg tells how slow an engine is.
+type PaceMsg struct {
+	Upstream string
+	// Pace is how many times slower than usual it is.
+	Pace float64
 }
 
 // MovedMsg tells what came of a MoveCmd.
@@ -108,6 +117,8 @@
 type ProbedMsg struct {
 	Upstream string
 	Answered bool
+	// Pace is how many times slower than usual an engine is.
+	Pace float64
 }
 
 // TickMsg drives what depends on time alone.
@@ -164,6 +175,7 @@
 func (AttemptFailedMsg) dispatchMsg() {}
 func (AttemptDoneMsg) dispatchMsg()   {}
 func (StalledMsg) dispatchMsg()       {}
+func (PaceMsg) dispatchMsg()          {}
 func (MovedMsg) dispatchMsg()         {}
 func (GoneMsg) dispatchMsg()          {}
 func (ProbedMsg) dispatchMsg()        {}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -38,10 +38,14 @@
 	// longestFull bounds that time, which doubles with each refusal in a row,
 	// and refusalsToProbe is after how many of them the engine is probed.
 	longestFull     clock.Millis = 3000
-	refusalsToProbe              = 2
+	refusalsToProbe int          = 2
 	// misplacedFor is how long an engine is avoided that did not hold what the
 	// list says: the list's lag.
 	misplacedFor clock.Millis = 1500
+	// usualPace is up to which pace an engine counts as well, and paceLasts
+	// after how long a slow one is asked again.
+	usualPace              = 1.3
+	paceLasts clock.Millis = 1000
 	// tookWeight is the weight of a new reading in the mean time of answers.
 	tookWeight = 0.2
 	// failWeight is the weight of a new reading in the mean rate of failures,
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -55,6 +55,8 @@
 		return dispatch.PeersMsg{All: s.Int("all", 1), Local: s.Int("local", 1)}
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Word(0), DataCentre: "a", Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}}
+	case "pace":
+		return dispatch.PaceMsg{Upstream: s.Word(0), Pace: float64(s.Int("pace", 1))}
 	case "arrive":
 		return arrival(s, request)
 	case "failed":
@@ -64,13 +66,13 @@
 	case "done":
 		return dispatch.AttemptDoneMsg{Request: request, Attempt: attempt, Took: clock.Millis(s.Int("took", 50))}
 	case "stalled":
-		return dispatch.StalledMsg{Request: request, Attempt: attempt, At: s.Named["by"]}
+		return dispatch.StalledMsg{Request: request, Attempt: attempt, At: s.Named["by"], Slow: s.Named["slow"] == "yes"}
 	case "moved":
 		return dispatch.MovedMsg{Request: request, Attempt: attempt, Result: dispatch.MoveResult(s.Int("result", 0)), At: s.Named["by"]}
 	case "left":
 		return dispatch.GoneMsg{Request: request}
 	case "probed":
-		return dispatch.ProbedMsg{Upstream: s.Word(0), Answered: s.Named["well"] == "yes"}
+		return dispatch.ProbedMsg{Upstream: s.Word(0), Answered: s.Named["well"] == "yes", Pace: float64(s.Int("pace", 0))}
 	case "tick":
 		return dispatch.TickMsg{}
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -137,7 +137,7 @@
 func (m *Model) holder(r *request, u *upstream, unheard float64) chain.Holder {
 	h := chain.Holder{
 		ID: u.entry.ID, Address: u.entry.Address, DataCentre: u.entry.DataCentre, Held: u.entry.Held,
-		LayerTime: u.layerTime, Total: u.room, Room: m.free(u, unheard),
+		LayerTime: u.layerTime * max(u.pace, 1), Total: u.room, Room: m.free(u, unheard),
 	}
 	if r.tried[u.entry.ID] {
 		h.Penalty = triedPenalty
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -24,6 +24,10 @@
 	took    float64
 	failing float64
 
+	// pace is how many times slower than usual an engine was at paceAt.
+	pace   float64
+	paceAt clock.Millis
+
 	// suspect upstreams get no work until a probe has found them well.
 	suspect bool
 	probing bool
@@ -36,7 +40,9 @@
 	fullUntil clock.Millis
 }
 
-func newUpstream(entry fleet.Upstream) *upstream { return &upstream{entry: entry, took: firstTook} }
+func newUpstream(entry fleet.Upstream) *upstream {
+	return &upstream{entry: entry, took: firstTook, pace: 1}
+}
 
 // update takes a new entry. An engine that holds other layers than before is
 // no longer doubted for what it did not hold.
--- a/node/known.go
+++ b/node/known.go
@@ -70,18 +70,22 @@
 
 // LearnMembers implements peering.Learner.
 func (k *known) LearnMembers(others []*wire.Member, rank int) {
-	var told []string
+	var near, all []string
 	local := 1
 	for _, m := range others {
 		here := m.GetDataCentre() == k.node.settings.DataCentre
 		if here && m.GetName() != "" {
 			local++
 		}
-		if (here || len(others) < nearAll) && m.GetUsageAddress() != "" {
-			told = append(told, m.GetUsageAddress())
+		if m.GetUsageAddress() == "" {
+			continue
+		}
+		all = append(all, m.GetUsageAddress())
+		if here || len(others) < nearAll {
+			near = append(near, m.GetUsageAddress())
 		}
 	}
-	k.node.usage.SetPeers(told)
+	k.node.usage.SetPeers(near, all)
 	k.node.relay.SetPeers(len(others)+1, local)
 	k.node.placer.Tell(k.node.life, placement.RankMsg{Delay: plannerDelay(rank)})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -80,7 +80,7 @@
 		}),
 	)
 	self := &wire.Member{Name: s.Name, DataCentre: s.DataCentre, Address: n.peer.Addr().String()}
-	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.setUsage)
+	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.setUsage, n.setPlaced)
 	if err != nil {
 		return nil, err
 	}
@@ -90,7 +90,7 @@
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
 		relay.WithSilence(n.setSilent), relay.WithSharing(n.usage.Share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
-	n.placer = placer.New(planner, n.engines, n.clock, n.log)
+	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.usage.Placed)
 	outage := &follow.Outage{}
 	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, outage, n.setCatalog)
 	n.fleets = follow.NewFleet(n.store, n.clock, n.log, outage, n.setFleet)
@@ -227,6 +227,10 @@
 	n.relay.SetUsage(node, centre, used)
 }
 
+func (n *Node) setPlaced(upstream string, layers fleet.Range) {
+	n.placer.Tell(n.life, placement.PlacedMsg{Upstream: upstream, Layers: layers})
+}
+
 func (n *Node) setFleet(changes []fleet.Change) {
 	n.relay.SetFleet(changes)
 	n.placer.Tell(n.life, placement.FleetMsg{Changes: changes})
--- a/placement/model.go
+++ b/placement/model.go
@@ -61,6 +61,12 @@
 	Held     fleet.Range
 }
 
+// PlacedMsg tells of an order that another node has given.
+type PlacedMsg struct {
+	Upstream string
+	Layers   fleet.Range
+}
+
 // TickMsg drives what depends on time alone.
 type TickMsg struct{}
 
@@ -69,6 +75,7 @@
 func (RankMsg) placementMsg()    {}
 func (SilentMsg) placementMsg()  {}
 func (OrderedMsg) placementMsg() {}
+func (PlacedMsg) placementMsg()  {}
 func (TickMsg) placementMsg()    {}
 
 // Result is what came of an order.
@@ -165,6 +172,10 @@
 		m.setSilent(msg)
 	case OrderedMsg:
 		m.ordered(now, msg)
+	case PlacedMsg:
+		if u, known := m.upstreams[msg.Upstream]; known && u.Held != msg.Layers {
+			m.pending[msg.Upstream] = pending{layers: msg.Layers, until: now.Add(orderLasts)}
+		}
 	case TickMsg:
 		return m.tick(now)
 	}
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -53,6 +53,8 @@
 		return placement.SilentMsg{Upstream: s.Word(0), Silent: s.Named["silent"] != "no"}
 	case "ordered":
 		return placement.OrderedMsg{Upstream: s.Word(0), Result: resultOf(p.t, s.Named["result"]), Held: heldOf(s.Named["held"])}
+	case "placed":
+		return placement.PlacedMsg{Upstream: s.Word(0), Layers: heldOf(s.Named["layers"])}
 	case "tick":
 		return placement.TickMsg{}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -63,14 +63,17 @@
 	log     *zap.Logger
 	inbox   *ring.Ring[placement.Msg]
 	orders  chan placement.OrderCmd
+	// placed tells other nodes of an order that was taken.
+	placed func(upstream string, layers fleet.Range)
 	// coverage is what was logged last.
 	coverage []string
 }
 
-// New returns a placer that runs a model.
-func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger) *Placer {
+// New returns a placer that runs a model. Placed tells other nodes of an order
+// that an engine has taken.
+func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger, placed func(string, fleet.Range)) *Placer {
 	return &Placer{
-		model: model, engines: engines, clock: c, log: log,
+		model: model, engines: engines, clock: c, log: log, placed: placed,
 		inbox: ring.New[placement.Msg](waiting), orders: make(chan placement.OrderCmd, waiting),
 	}
 }
@@ -149,5 +152,8 @@
 		zap.Int("from", cmd.Layers.From), zap.Int("to", cmd.Layers.To), zap.Int("missing", cmd.Missing),
 		zap.Uint64("orders_taken", state.OrdersTaken), zap.Int("held_from", state.Held.From),
 		zap.Int("held_to", state.Held.To), zap.Stringer("result", msg.Result), logging.Err(err))
+	if msg.Result == Taken {
+		go p.placed(cmd.Upstream, cmd.Layers)
+	}
 	return msg
 }
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -66,9 +66,17 @@
 	At string
 }
 
+// EngineReport is an engine's own account of itself.
+type EngineReport struct {
+	// Stalled are the streams that began there and stand still.
+	Stalled []StalledStream
+	// Pace is over 1 for an engine that is slow: how many times slower.
+	Pace float64
+}
+
 // Engines asks upstreams for their state and gives them orders.
 type Engines interface {
-	Stalled(ctx context.Context, address string) ([]StalledStream, error)
+	Report(ctx context.Context, address, upstream string) (EngineReport, error)
 	Move(ctx context.Context, address, callerID string, parts []chain.Part) (result dispatch.MoveResult, at string)
 	Probe(ctx context.Context, address, upstream string) error
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,6 +21,7 @@
 type Relay struct {
 	protocol  Protocol
 	engines   Engines
+	reports   *reports
 	clock     *clock.Clock
 	log       *zap.Logger
 	decider   *decider
@@ -39,7 +40,9 @@
 type Option func(*Relay)
 
 // WithEngines sets who asks engines for their state.
-func WithEngines(e Engines) Option { return func(r *Relay) { r.engines = e } }
+func WithEngines(e Engines) Option {
+	return func(r *Relay) { r.engines, r.reports = e, newReports(e, r.clock) }
+}
 
 // WithSilence sets who is told of engines that do not answer, or do again.
 func WithSilence(tell func(upstream string, silent bool)) Option {
@@ -91,6 +94,7 @@
 	for _, c := range changes {
 		if c.Gone {
 			r.upstreams.drop(c.ID)
+			r.reports.forget(c.ID)
 		}
 	}
 }
--- /dev/null
+++ b/relay/reports.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"context"
+	"sync"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+// reportLasts is for how long a report is not asked for again. When an engine
+// is lost, all streams that pass it ask for the same reports at once; each
+// question costs what a health check costs.
+const reportLasts clock.Millis = 80
+
+// reports asks engines for their reports, once for all who want to know.
+type reports struct {
+	engines Engines
+	clock   *clock.Clock
+	group   singleflight.Group
+	mu      sync.Mutex
+	recent  map[string]recentReport
+}
+
+// recentReport is what an engine has answered, or that it has not.
+type recentReport struct {
+	at     clock.Millis
+	report EngineReport
+	err    error
+}
+
+func newReports(engines Engines, c *clock.Clock) *reports {
+	return &reports{engines: engines, clock: c, recent: make(map[string]recentReport)}
+}
+
+// get returns an engine's report; it may be reportLasts old.
+func (r *reports) get(ctx context.Context, address, upstream string) (EngineReport, error) {
+	r.mu.Lock()
+	known, ok := r.recent[upstream]
+	r.mu.Unlock()
+	if ok && r.clock.Now() < known.at.Add(reportLasts) {
+		return known.report, known.err
+	}
+	answer, err, _ := r.group.Do(upstream, func() (any, error) {
+		report, err := r.engines.Report(ctx, address, upstream)
+		r.keep(upstream, recentReport{at: r.clock.Now(), report: report, err: err})
+		return report, err
+	})
+	return answer.(EngineReport), err
+}
+
+func (r *reports) keep(upstream string, report recentReport) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recent[upstream] = report
+}
+
+// forget drops what is known of an upstream that is gone.
+func (r *reports) forget(upstream string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.recent, upstream)
+}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -29,10 +28,15 @@
 	flowing clock.Millis = 60
 	// askAgain is how soon the engines are asked again; a report is that old.
 	askAgain clock.Millis = 200
+	// slowPace is how much slower than usual an engine must be to be left for
+	// its slowness, and slowAfter for how long the stream must have stood still.
+	slowPace               = 2.5
+	slowAfter clock.Millis = 400
 	// abandonAfter is after how long without an event a stream is taken up
-	// elsewhere although nobody knows why it stands still. Callers give a
-	// stream up after two seconds.
-	abandonAfter clock.Millis = 1000
+	// elsewhere although every engine answers: they have too much to read, and
+	// reading it all again elsewhere adds to that. Callers give a stream up
+	// after two seconds.
+	abandonAfter clock.Millis = 1600
 )
 
 // errTakenBack is the error of an attempt that the session gave up.
@@ -41,12 +45,13 @@
 // stallAnswer is what the engines of a chain say when a stream stands still.
 type stallAnswer struct {
 	attempt *attempt
-	// streams are those that the first engine reports as standing still; err
-	// tells that it did not answer.
+	// streams are those that the first engine reports as standing still.
 	streams []StalledStream
-	err     error
-	// silent are the addresses of the other engines that did not answer.
-	silent []string
+	// silent are the parts whose engines did not answer, and slow the one that
+	// is slowest, with its pace.
+	silent []chain.Part
+	slow   chain.Part
+	pace   float64
 }
 
 func (s *session) armStall() {
@@ -69,23 +74,27 @@
 	go func() { s.asked <- s.relay.askChain(a) }()
 }
 
-// askChain asks the first engine for what stands still, and the others whether
-// they answer at all. A dead engine is silent before the report names it.
+// askChain asks all engines for their reports. A dead engine is silent before
+// the first engine's report names it.
 func (r *Relay) askChain(a *attempt) stallAnswer {
-	answer := stallAnswer{attempt: a}
+	parts := a.cmd.Chain
+	got := make([]recentReport, len(parts))
 	var group sync.WaitGroup
-	var mu sync.Mutex
-	for _, part := range a.cmd.Chain[1:] {
-		group.Go(func() {
-			if err := r.engines.Probe(r.life, part.Address, part.ID); err != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				answer.silent = append(answer.silent, part.Address)
-			}
-		})
+	for i, part := range parts {
+		group.Go(func() { got[i].report, got[i].err = r.reports.get(r.life, part.Address, part.ID) })
 	}
-	answer.streams, answer.err = r.engines.Stalled(r.life, a.cmd.Address)
 	group.Wait()
+	answer := stallAnswer{attempt: a, streams: got[0].report.Stalled}
+	for i, part := range parts {
+		if got[i].err != nil {
+			answer.silent = append(answer.silent, part)
+			continue
+		}
+		r.decider.tell(r.life, dispatch.PaceMsg{Upstream: part.ID, Pace: got[i].report.Pace})
+		if got[i].report.Pace > answer.pace {
+			answer.slow, answer.pace = part, got[i].report.Pace
+		}
+	}
 	return answer
 }
 
@@ -101,19 +110,29 @@
 	case quiet < gapStall:
 		// It goes on.
 	case at != "":
-		s.log.Info("stalled", zap.String("id", s.head.ID), zap.String("at", at), zap.Int64("quiet_ms", int64(quiet)),
-			zap.Int("events", s.events), zap.Int("silent", len(answer.silent)))
+		s.logStall("stalled", at, quiet, answer)
 		s.stalledAt(at)
+	case quiet >= slowAfter && answer.pace >= slowPace && s.events > 0 && answer.slow.Address != s.firstAddress():
+		s.logStall("slow", answer.slow.Address, quiet, answer)
+		s.relay.decider.tell(s.relay.life, dispatch.StalledMsg{
+			Request: s.id, Attempt: s.attempt.cmd.Attempt, At: answer.slow.Address, Slow: true,
+		})
 	case quiet >= abandonAfter:
 		s.abandon("", "no_event_for_too_long")
 	}
 }
 
+func (s *session) logStall(event, at string, quiet clock.Millis, answer stallAnswer) {
+	s.log.Info(event, zap.String("id", s.head.ID), zap.String("at", at), zap.Int64("quiet_ms", int64(quiet)),
+		zap.Int("events", s.events), zap.Int("silent", len(answer.silent)), zap.Float64("slowest_pace", answer.pace))
+}
+
 // culprit returns the address of the engine that holds a stream up, if known.
 // A silent first engine comes first: the stream comes from there.
 func (a stallAnswer) culprit(callerID string) string {
-	if a.err != nil {
-		return a.attempt.cmd.Address
+	first := a.attempt.cmd.Address
+	if len(a.silent) > 0 && a.silent[0].Address == first {
+		return first
 	}
 	for _, stream := range a.streams {
 		if stream.ID == callerID {
@@ -121,7 +140,7 @@
 		}
 	}
 	if len(a.silent) > 0 {
-		return a.silent[0]
+		return a.silent[0].Address
 	}
 	return ""
 }
@@ -185,22 +204,22 @@
 // probe asks an upstream whether it is well, for the decider.
 func (r *Relay) probe(cmd dispatch.ProbeCmd) {
 	go func() {
-		err := r.probeOnce(cmd)
-		r.log.Info("probe", zap.String("upstream", cmd.Upstream), zap.String("address", cmd.Address), logging.Err(err))
-		r.decider.tell(r.life, dispatch.ProbedMsg{Upstream: cmd.Upstream, Answered: err == nil})
+		msg := dispatch.ProbedMsg{Upstream: cmd.Upstream}
+		var err error
+		if cmd.Engine {
+			var report EngineReport
+			report, err = r.reports.get(r.life, cmd.Address, cmd.Upstream)
+			msg.Pace = report.Pace
+		} else {
+			err = r.engines.Probe(r.life, cmd.Address, cmd.Upstream)
+		}
+		msg.Answered = err == nil
+		r.log.Info("probe", zap.String("upstream", cmd.Upstream), zap.String("address", cmd.Address),
+			zap.Float64("pace", msg.Pace), logging.Err(err))
+		r.decider.tell(r.life, msg)
 	}()
 }
 
-// errNoEngines means that nothing can be asked of upstreams.
-var errNoEngines = errors.New("relay: upstreams cannot be probed")
-
-func (r *Relay) probeOnce(cmd dispatch.ProbeCmd) error {
-	if r.engines == nil {
-		return errNoEngines
-	}
-	return r.engines.Probe(context.WithoutCancel(r.life), cmd.Address, cmd.Upstream)
-}
-
 func chainText(parts []chain.Part) string {
 	text := make([]byte, 0, len(parts)*bytesEachPart)
 	for i, p := range parts {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Mode is what a proxy does to the bytes that pass it.
@@ -141,7 +143,7 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			p.hold(back)
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
@@ -168,6 +170,7 @@
 			if !back {
 				return
 			}
+		case Silence:
 		}
 		time.Sleep(holdCheck)
 	}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -1,19 +1,23 @@
-// Package usage lets the nodes of a data centre tell each other what their
-// requests take at engines, so that together they do not overfill one.
+// Package usage lets nodes tell each other what the list and the engines show
+// only seconds later: what their requests take at engines, so that together
+// they do not overfill one, and which engines they have ordered to hold what,
+// so that two planners do not move the two holders of a layer at once.
 //
-// It is a datagram to each of them a few times a second. A lost one is made up
-// for by the next, so nothing is repeated or acknowledged.
+// Both are datagrams. What is in use is told a few times a second, and a lost
+// datagram is made up for by the next; an order is told three times.
 package usage
 
 import (
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
@@ -24,30 +28,40 @@
 
 // Sharing sends and receives usage.
 type Sharing struct {
-	self  *wire.Member
-	conn  net.PacketConn
-	log   *zap.Logger
-	tell  func(node, centre string, used map[string]float64)
-	peers atomic.Pointer[[]net.Addr]
+	self *wire.Member
+	conn net.PacketConn
+	log  *zap.Logger
+	tell func(node, centre string, used map[string]float64)
+	// placed takes orders that other nodes have given.
+	placed func(upstream string, layers fleet.Range)
+	// near are told what is in use, and all what was ordered.
+	near atomic.Pointer[[]net.Addr]
+	all  atomic.Pointer[[]net.Addr]
 }
 
-// New binds an address for a node. Tell takes what other nodes have in use.
+// New binds an address for a node. Tell takes what other nodes have in use, and
+// placed the orders that they have given.
 func New(ctx context.Context, self *wire.Member, address string, log *zap.Logger,
-	tell func(node, centre string, used map[string]float64),
+	tell func(node, centre string, used map[string]float64), placed func(string, fleet.Range),
 ) (*Sharing, error) {
 	var config net.ListenConfig
 	conn, err := config.ListenPacket(ctx, "udp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "usage: cannot listen at %s", address)
 	}
-	return &Sharing{self: self, conn: conn, log: log, tell: tell}, nil
+	return &Sharing{self: self, conn: conn, log: log, tell: tell, placed: placed}, nil
 }
 
 // Address returns where the node takes datagrams.
 func (s *Sharing) Address() string { return s.conn.LocalAddr().String() }
 
-// SetPeers sets who is told.
-func (s *Sharing) SetPeers(addresses []string) {
+// SetPeers sets who is told what is in use, and who is told of orders.
+func (s *Sharing) SetPeers(near, all []string) {
+	s.near.Store(s.resolve(near))
+	s.all.Store(s.resolve(all))
+}
+
+func (s *Sharing) resolve(addresses []string) *[]net.Addr {
 	peers := make([]net.Addr, 0, len(addresses))
 	for _, address := range addresses {
 		peer, err := net.ResolveUDPAddr("udp", address)
@@ -57,19 +71,40 @@
 		}
 		peers = append(peers, peer)
 	}
-	s.peers.Store(&peers)
+	return &peers
 }
 
-// Share tells the peers what this node has in use.
+// Share tells the near peers what this node has in use.
 func (s *Sharing) Share(used map[string]float64) {
-	peers := s.peers.Load()
-	if peers == nil {
-		return
-	}
 	msg := &wire.Usage{Node: s.self.GetName(), DataCentre: s.self.GetDataCentre()}
 	for id, amount := range used {
 		msg.Engines = append(msg.Engines, &wire.EngineUse{Id: id, Amount: amount})
 	}
+	s.send(msg, s.near.Load())
+}
+
+const (
+	// placedTimes is how often an order is told, and placedEvery the pause
+	// between: a datagram in thirty is lost on a bad link.
+	placedTimes = 3
+	placedEvery = 100 * time.Millisecond
+)
+
+// Placed tells all peers of an order that an engine has taken.
+func (s *Sharing) Placed(upstream string, layers fleet.Range) {
+	msg := &wire.Usage{Node: s.self.GetName(), DataCentre: s.self.GetDataCentre(), Placed: []*wire.PlacedEngine{
+		{Id: upstream, From: int32(layers.From), To: int32(layers.To)},
+	}}
+	for range placedTimes {
+		s.send(msg, s.all.Load())
+		time.Sleep(placedEvery)
+	}
+}
+
+func (s *Sharing) send(msg *wire.Usage, peers *[]net.Addr) {
+	if peers == nil {
+		return
+	}
 	data, err := proto.Marshal(msg)
 	if err != nil {
 		s.log.Info("usage_not_sent", logging.Err(err))
@@ -110,6 +145,12 @@
 		s.log.Debug("usage_unreadable", logging.Err(err))
 		return
 	}
+	for _, p := range msg.GetPlaced() {
+		s.placed(p.GetId(), fleet.Range{From: int(p.GetFrom()), To: int(p.GetTo())})
+	}
+	if len(msg.GetPlaced()) > 0 {
+		return
+	}
 	used := make(map[string]float64, len(msg.GetEngines()))
 	for _, e := range msg.GetEngines() {
 		used[e.GetId()] = e.GetAmount()
