Close gaps with any engine whose given-up layers have another holder

What: a move may also shift or stretch an engine, up to 0.93 of its memory, as long as what it gives up has another holder.

--- /dev/null
+++ b/placement/heal.go
@@ -0,0 +1,92 @@
+package placement
+
+import "github.com/hoistjunction/hoistjunction/fleet"
+
+const (
+	// stretchedFill is the share of an engine's memory that layers may take
+	// where that closes a gap. What it leaves holds some 40 requests.
+	stretchedFill = 0.93
+	// Weights of a move: each layer that it covers counts far more than what it
+	// costs, which is the layers to be loaded, second holders that are given up,
+	// and memory beyond the usual fill.
+	coverGain   = 1000.0
+	loadCost    = 1.0
+	secondCost  = 2.0
+	stretchCost = 8.0
+	// fastCost is for moving a fast engine; slow ones go first. A layer takes a
+	// fast one some fastTime, in ms.
+	fastCost = 1.0
+	fastTime = 0.1
+)
+
+// heal closes the gaps of a data centre with engines that are in use: each may
+// hold another run of layers if what it gives up has another holder. A neighbour
+// that takes on a layer or two is loaded in a fraction of a second; an engine
+// that can be spared as a whole closes larger gaps.
+func (p *plan) heal(centre string) []Order {
+	var orders []Order
+	for p.missing(centre, fleet.Range{To: p.layers}) > 0 {
+		e, r := p.bestMove(centre)
+		if e == nil {
+			break
+		}
+		orders = append(orders, p.order(e, r))
+	}
+	return orders
+}
+
+// bestMove returns the engine and its new run that gain most, or nil.
+func (p *plan) bestMove(centre string) (*Engine, fleet.Range) {
+	var best *Engine
+	var run fleet.Range
+	most := 0.0
+	for i := range p.engines {
+		e := &p.engines[i]
+		if e.DataCentre != centre || e.Fixed || !e.Coming.Empty() || e.Held.Empty() {
+			continue
+		}
+		for size := capacity(e, p.fillOf[centre]); size <= p.stretched(e); size++ {
+			for from := 0; from+size <= p.layers; from++ {
+				r := fleet.Range{From: from, To: from + size}
+				if gain := p.gain(e, r); gain > most {
+					best, run, most = e, r, gain
+				}
+			}
+		}
+	}
+	return best, run
+}
+
+// stretched is the most layers that an engine is given to close a gap.
+func (p *plan) stretched(e *Engine) int {
+	return min(max(capacity(e, stretchedFill), capacity(e, p.fillOf[e.DataCentre])), p.layers)
+}
+
+// gain weighs a new run of layers for an engine. It is zero or less where the
+// move covers nothing, or gives up a layer that has no other holder.
+func (p *plan) gain(e *Engine, r fleet.Range) float64 {
+	local := p.local[e.DataCentre]
+	gain := 0.0
+	for layer := r.From; layer < r.To; layer++ {
+		if e.Held.Holds(layer) {
+			continue
+		}
+		gain -= loadCost
+		if local[layer] == 0 {
+			gain += coverGain
+		}
+	}
+	for layer := e.Held.From; layer < e.Held.To; layer++ {
+		if r.Holds(layer) {
+			continue
+		}
+		if local[layer] < 2 {
+			return 0
+		}
+		gain -= secondCost
+	}
+	if over := r.Len() - capacity(e, p.fillOf[e.DataCentre]); over > 0 {
+		gain -= stretchCost * float64(over)
+	}
+	return gain - fastCost/(1+e.LayerTime/fastTime)
+}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -64,9 +64,7 @@
 		}
 	}
 	for _, centre := range p.centres {
-		if o, ok := p.heal(centre); ok {
-			orders = append(orders, o)
-		}
+		orders = append(orders, p.heal(centre)...)
 	}
 	return orders
 }
@@ -153,7 +151,7 @@
 // fill gives an empty engine the run of layers that is missing most.
 func (p *plan) fill(e *Engine) (Order, bool) {
 	size := min(capacity(e, p.fillOf[e.DataCentre]), p.layers)
-	r := p.neediest(e.DataCentre, size, fleet.Range{})
+	r := p.neediest(e.DataCentre, size)
 	if r.Empty() {
 		return Order{}, false
 	}
@@ -179,13 +177,13 @@
 }
 
 // neediest returns the run of layers of a size whose layers have the fewest
-// holders. Without is a range that its engine would give up.
-func (p *plan) neediest(centre string, size int, without fleet.Range) fleet.Range {
+// holders.
+func (p *plan) neediest(centre string, size int) fleet.Range {
 	best, bestNeed := fleet.Range{}, 0.0
 	for from := 0; from+size <= p.layers; from++ {
 		need := 0.0
 		for layer := from; layer < from+size; layer++ {
-			need += p.need(centre, layer, without.Holds(layer))
+			need += p.need(centre, layer)
 		}
 		if need > bestNeed+1e-9 {
 			best, bestNeed = fleet.Range{From: from, To: from + size}, need
@@ -204,11 +202,8 @@
 	needThird   = 1e-3
 )
 
-func (p *plan) need(centre string, layer int, own bool) float64 {
+func (p *plan) need(centre string, layer int) float64 {
 	local, global := p.local[centre][layer], p.global[layer]
-	if own {
-		local, global = local-1, global-1
-	}
 	switch {
 	case global == 0:
 		return needNowhere
@@ -220,42 +215,3 @@
 		return needThird / float64(local)
 	}
 }
-
-// heal moves one engine that can be spared to layers without a holder in its
-// data centre: the one that fills most of the gap, and a slow one before a fast
-// one.
-func (p *plan) heal(centre string) (Order, bool) {
-	if p.missing(centre, fleet.Range{To: p.layers}) == 0 {
-		return Order{}, false
-	}
-	var donor *Engine
-	var target fleet.Range
-	most := 0
-	for i := range p.engines {
-		e := &p.engines[i]
-		if e.DataCentre != centre || e.Fixed || !e.Coming.Empty() || e.Held.Empty() || !p.spare(e) {
-			continue
-		}
-		size := min(capacity(e, p.fillOf[centre]), p.layers)
-		r := p.neediest(centre, size, e.Held)
-		n := p.missing(centre, r)
-		if n > most || n == most && donor != nil && e.LayerTime > donor.LayerTime {
-			donor, target, most = e, r, n
-		}
-	}
-	if donor == nil {
-		return Order{}, false
-	}
-	return p.order(donor, target), true
-}
-
-// spare tells whether each layer of an engine has another holder in the data
-// centre.
-func (p *plan) spare(e *Engine) bool {
-	for layer := e.Held.From; layer < e.Held.To; layer++ {
-		if p.local[e.DataCentre][layer] < 2 {
-			return false
-		}
-	}
-	return true
-}
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -88,6 +88,7 @@
 		Accelerators: map[string]catalog.Accelerator{
 			"fast": {Name: "fast", MB: 500, StepFactor: 1},
 			"slow": {Name: "slow", MB: 500, StepFactor: 10},
+			"big":  {Name: "big", MB: 1000, StepFactor: 1},
 			"tiny": {Name: "tiny", MB: 100, StepFactor: 10},
 		},
 	}}))
