--- a/node/node_test.go
+++ b/node/node_test.go
@@ -127,9 +127,7 @@
 	if got := s.desk.Runs()[refused].Runs; got != 0 {
 		t.Errorf("got %d runs of a refused request, want 0", got)
 	}
-	if n.ready() {
-		t.Error("got ready, want not ready while keys cannot be judged")
-	}
+	await(t, "refusal to be ready", func() bool { return !n.ready() })
 	s.store.SetFaults(standin.RowStoreFaults{})
 	await(t, "answer", func() bool { return n.do(http.MethodPost, "/once/a", "after"+refused, "k1").status == http.StatusOK })
 }
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -27,6 +27,8 @@
 	storeAt string
 	engines map[string]*engineProcess
 	desk    *standin.Desk
+	// stopDesk ends the desk, and waits until its entry has lapsed.
+	stopDesk func()
 }
 
 // engineProcess is an engine that can be killed.
@@ -70,10 +72,29 @@
 	s.desk = standin.NewDesk("desk1", server.Listener.Addr().String(), time.Millisecond)
 	server.Config.Handler = s.desk.Handler()
 	server.Start()
-	s.beat("desk1", func() *platformpb.Server { return s.desk.Entry("dc") })
+	stop := s.beat("desk1", func() *platformpb.Server { return s.desk.Entry("dc") })
+	s.stopDesk = func() {
+		stop()
+		server.Close()
+		await(s.t, "end of the desk's entry", func() bool { return !s.listed("desk1") })
+	}
 	s.t.Cleanup(server.Close)
 }
 
+// listed tells whether the store shows a server's entry.
+func (s *site) listed(id string) bool {
+	resp, err := http.Get("http://" + s.storeAt + "/rows-get?table=servers")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return strings.Contains(string(body), id)
+}
+
 func (s *site) beat(id string, entry func() *platformpb.Server) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
 	go standin.Beat(ctx, s.storeAt, id, entry)
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -24,6 +24,9 @@
 	// askUnborn is how long after its start a node without a configuration
 	// leaves its peers alone; the store answers within some 10 ms.
 	askUnborn clock.Millis = 1000
+	// longestLook bounds the pause between two rounds of questions that brought
+	// nothing newer: the store is then away for everybody, and all nodes ask.
+	longestLook clock.Millis = 1200
 	// askSome is how many peers are asked at a time.
 	askSome = 3
 	// askTimeout bounds a question. Between data centres an answer takes a few
@@ -51,6 +54,10 @@
 	directory *directory
 	random    *rand.Rand
 	http      *http.Client
+	// Of the rounds of questions; only the loop of Run uses them.
+	nextLook clock.Millis
+	pause    clock.Millis
+	best     clock.Millis
 }
 
 // New returns a node's peering. Seeds are addresses where peers may be.
@@ -119,6 +126,10 @@
 	if version != 0 && age < askAfter || version == 0 && now < askUnborn {
 		return
 	}
+	if now < p.nextLook {
+		return
+	}
+	p.backOff(now, confirmed)
 	peers := p.directory.others()
 	p.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(askSome, len(peers))] {
@@ -126,6 +137,15 @@
 	}
 }
 
+// backOff lengthens the pause while questions bring nothing newer.
+func (p *Peering) backOff(now, confirmed clock.Millis) {
+	p.pause = min(max(2*p.pause, clock.FromDuration(lookEvery)), longestLook)
+	if confirmed > p.best {
+		p.best, p.pause = confirmed, clock.FromDuration(lookEvery)
+	}
+	p.nextLook = now.Add(p.pause)
+}
+
 // ask asks one peer and takes in what it tells.
 func (p *Peering) ask(ctx context.Context, peer *wire.Member, version uint64, wantFleet bool) {
 	client := wireconnect.NewFreshnessClient(p.http, "http://"+peer.GetAddress())
@@ -146,6 +166,9 @@
 		return
 	}
 	confirmed := confirmedBy(sent, answer)
+	if _, _, known := p.knowledge.Config(); confirmed <= known && len(answer.GetConfig()) == 0 && !answer.GetHasFleet() {
+		return
+	}
 	p.log.Info("freshness_from_peer", zap.String("peer", peer.GetName()), zap.Uint64("version", answer.GetVersion()),
 		zap.Int64("age_ms", int64(p.clock.Now().Sub(confirmed))), zap.Bool("newer", len(answer.GetConfig()) > 0),
 		zap.Int("upstreams", len(answer.GetFleet())))
--- /dev/null
+++ b/peering/peering_test.go
@@ -0,0 +1,115 @@
+package peering
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// fakeNode is what a node knows, and what it has learnt.
+type fakeNode struct {
+	raw       []byte
+	version   uint64
+	confirmed clock.Millis
+	list      []fleet.Upstream
+	vouches   bool
+
+	learntRaw       string
+	learntConfirmed clock.Millis
+	learntList      []fleet.Upstream
+	others          int
+	rank            int
+}
+
+func (f *fakeNode) Config() ([]byte, uint64, clock.Millis) { return f.raw, f.version, f.confirmed }
+func (f *fakeNode) Fleet() ([]fleet.Upstream, bool)        { return f.list, f.vouches }
+func (f *fakeNode) LearnConfig(raw []byte, confirmed clock.Millis) {
+	f.learntRaw, f.learntConfirmed = string(raw), confirmed
+}
+func (f *fakeNode) LearnFleet(list []fleet.Upstream) { f.learntList = list }
+func (f *fakeNode) LearnMembers(others []*wire.Member, rank int) {
+	f.others, f.rank = len(others), rank
+}
+
+func newFake(t *testing.T, name string, node *fakeNode, c *clock.Clock) (*Peering, *wire.Member) {
+	t.Helper()
+	self := &wire.Member{Name: name, DataCentre: "dc"}
+	p := New(self, nil, nil, node, node, c, zap.NewNop(), http.DefaultTransport, 1)
+	server := httptest.NewServer(p.Handler())
+	t.Cleanup(server.Close)
+	self.Address = server.Listener.Addr().String()
+	return p, self
+}
+
+// A peer's word counts from the moment at which it was asked for, less the age
+// that the peer gives; never from when it arrived.
+func TestConfirmedCountsFromTheQuestion(t *testing.T) {
+	tests := []struct {
+		sent, age, want clock.Millis
+	}{{1000, 0, 1000}, {1000, 300, 700}, {50, 4000, -3950}}
+	for _, tt := range tests {
+		if got := confirmedBy(tt.sent, &wire.AskResponse{AgeMs: int64(tt.age)}); got != tt.want {
+			t.Errorf("got %d for age %d asked at %d, want %d", got, tt.age, tt.sent, tt.want)
+		}
+	}
+}
+
+func TestAskLearnsWhatIsNewer(t *testing.T) {
+	c := clock.New()
+	knowing := &fakeNode{raw: []byte("v7"), version: 7, confirmed: c.Now(), list: []fleet.Upstream{{ID: "u1"}}, vouches: true}
+	_, peer := newFake(t, "a", knowing, c)
+	asking := &fakeNode{version: 5, confirmed: -9000}
+	p, _ := newFake(t, "b", asking, c)
+	p.ask(context.Background(), peer, 5, true)
+	if got, want := asking.learntRaw, "v7"; got != want {
+		t.Errorf("got configuration %q, want %q", got, want)
+	}
+	if got := asking.learntConfirmed; got > c.Now() || got < knowing.confirmed-c.Now() {
+		t.Errorf("got confirmed at %d, want no later than now", got)
+	}
+	if got, want := len(asking.learntList), 1; got != want {
+		t.Errorf("got %d upstreams, want %d", got, want)
+	}
+	if got, want := asking.others, 1; got != want {
+		t.Errorf("got %d other nodes, want %d", got, want)
+	}
+	if got, want := asking.rank, 1; got != want {
+		t.Errorf("got rank %d, want %d", got, want)
+	}
+}
+
+// A peer that is behind, or has nothing, proves nothing.
+func TestAskIgnoresWhatProvesNothing(t *testing.T) {
+	c := clock.New()
+	for name, behind := range map[string]*fakeNode{
+		"older":   {raw: []byte("v4"), version: 4, confirmed: 0},
+		"nothing": {},
+	} {
+		_, peer := newFake(t, "a", behind, c)
+		asking := &fakeNode{version: 5, confirmed: -9000, learntConfirmed: -1}
+		p, _ := newFake(t, "b", asking, c)
+		p.ask(context.Background(), peer, 5, false)
+		if got, want := asking.learntConfirmed, clock.Millis(-1); got != want {
+			t.Errorf("%s: got confirmed at %d, want nothing learnt", name, got)
+		}
+	}
+}
+
+// A peer that cannot vouch for its list does not pass it on.
+func TestAskPassesOnNoDoubtfulList(t *testing.T) {
+	c := clock.New()
+	_, peer := newFake(t, "a", &fakeNode{version: 5, confirmed: 0, list: []fleet.Upstream{{ID: "u1"}}}, c)
+	asking := &fakeNode{version: 5, confirmed: -9000}
+	p, _ := newFake(t, "b", asking, c)
+	p.ask(context.Background(), peer, 5, true)
+	if got := asking.learntList; got != nil {
+		t.Errorf("got list %v, want none", got)
+	}
+}
