--- /dev/null
+++ b/dispatch/depart.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+const (
+	// departAfter is how long streams may go on over an engine that is leaving
+	// before they are moved. It serves for two seconds at least; most streams
+	// end in that time, and a move while it still serves costs a short pause
+	// instead of a stall.
+	departAfter clock.Millis = 1200
+	// departEach bounds the streams that are moved at each tick, since all of
+	// them are read again by the same few engines.
+	departEach = 6
+)
+
+// noteDeparture notes that an engine is leaving, or has no entry any more.
+func (m *Model) noteDeparture(id string) {
+	if _, known := m.departing[id]; !known {
+		m.departing[id] = m.now
+	}
+}
+
+// depart moves streams off engines that have been leaving for a while.
+func (m *Model) depart() []Cmd {
+	var cmds []Cmd
+	for _, id := range slices.Sorted(maps.Keys(m.departing)) {
+		if m.now < m.departing[id].Add(departAfter) {
+			continue
+		}
+		if !m.departFrom(id, &cmds) {
+			delete(m.departing, id)
+		}
+	}
+	return cmds
+}
+
+// departFrom moves some streams off an engine, and reports whether any are left
+// that may still be moved.
+func (m *Model) departFrom(id string, cmds *[]Cmd) bool {
+	left := false
+	for _, request := range slices.Sorted(maps.Keys(m.requests)) {
+		r := m.requests[request]
+		if !r.passes(id) || r.parts[0].ID == id || r.moves >= mostMoves {
+			continue
+		}
+		left = true
+		if len(*cmds) >= departEach {
+			break
+		}
+		*cmds = append(*cmds, m.move(r, id)...)
+	}
+	return left
+}
+
+// passes tells whether the attempt under way passes an engine.
+func (r *request) passes(id string) bool {
+	return slices.ContainsFunc(r.parts, func(p chain.Part) bool { return p.ID == id })
+}
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -30,8 +30,10 @@
 	budgets   map[string]*budget.Window
 	// usage is what other nodes have in use, by their names, and shared when
 	// this one last told.
-	usage  map[string]peerUsage
-	shared clock.Millis
+	usage map[string]peerUsage
+	// departing are engines that are leaving, and since when.
+	departing map[string]clock.Millis
+	shared    clock.Millis
 }
 
 // Option sets up a Model.
@@ -57,6 +59,7 @@
 		requests:  make(map[RequestID]*request),
 		budgets:   make(map[string]*budget.Window),
 		usage:     make(map[string]peerUsage),
+		departing: make(map[string]clock.Millis),
 	}
 	WithSeed(1)(m)
 	for _, opt := range opts {
@@ -136,6 +139,9 @@
 func (m *Model) setFleet(msg FleetMsg) {
 	for _, c := range msg.Changes {
 		u, known := m.upstreams[c.ID]
+		if known && u.pipeline != nil && (c.Gone || c.Upstream.Leaving) {
+			m.noteDeparture(c.ID)
+		}
 		switch {
 		case c.Gone:
 			delete(m.upstreams, c.ID)
@@ -183,9 +189,11 @@
 	return m.policy.RetrySlack * slackShare / float64(nodes)
 }
 
-// tick probes the upstreams whose time of suspicion is over, and tells others
-// what is in use.
-func (m *Model) tick() []Cmd { return append(m.probes(), m.share()...) }
+// tick does what depends on time: it probes suspected upstreams, moves streams
+// off engines that are leaving, and tells others what is in use.
+func (m *Model) tick() []Cmd {
+	return slices.Concat(m.probes(), m.depart(), m.share())
+}
 
 func (m *Model) probes() []Cmd {
 	var cmds []Cmd
--- /dev/null
+++ b/dispatch/move.go
@@ -0,0 +1,90 @@
+package dispatch
+
+import "github.com/hoistjunction/hoistjunction/chain"
+
+// mostMoves bounds how often one attempt's stream is moved.
+const mostMoves = 3
+
+// stalled moves a stream away from an engine that holds it up, and with it
+// every other stream of this node that passes the engine.
+func (m *Model) stalled(msg StalledMsg) []Cmd {
+	r := m.requests[msg.Request]
+	if r == nil || msg.Attempt != r.sends {
+		return nil
+	}
+	u := m.byAddress[msg.At]
+	if u == nil {
+		return nil
+	}
+	if msg.Slow {
+		return m.move(r, u.entry.ID)
+	}
+	cmds := m.suspect(u, Slow, r)
+	return append(cmds, m.move(r, u.entry.ID)...)
+}
+
+// move sends a running stream around an engine. The first engine of a chain
+// stays, since the stream comes from there.
+func (m *Model) move(r *request, away string) []Cmd {
+	if r.moving || r.moves >= mostMoves || len(r.parts) == 0 || r.parts[0].ID == away {
+		return nil
+	}
+	parts, err := m.detour(r, away)
+	if err != nil {
+		return nil
+	}
+	r.moving = true
+	r.moves++
+	m.reserve(r, parts)
+	return []Cmd{MoveCmd{Request: r.msg.Request, Attempt: r.sends, Chain: parts, Away: away}}
+}
+
+// detour builds a chain whose first part is the one in use.
+func (m *Model) detour(r *request, away string) ([]chain.Part, error) {
+	first := r.parts[0]
+	list := m.byService[r.service.Name]
+	holders := make([]chain.Holder, 0, len(list))
+	unheard := m.unheard()
+	for _, u := range list {
+		if !u.open(m.now) || u.entry.ID == away || u.entry.ID == first.ID || u.entry.Held.Empty() {
+			continue
+		}
+		holders = append(holders, m.holder(r, u, unheard))
+	}
+	for _, p := range r.parts[1:] {
+		for i := range holders {
+			if holders[i].ID == p.ID {
+				holders[i].Room += r.tokens * float64(p.Layers.Len())
+				holders[i].Penalty -= keepBonus
+			}
+		}
+	}
+	rest, err := chain.BuildFrom(first.Layers.To, r.service.Pipeline.Layers, r.tokens, m.dataCentre, holders)
+	if err != nil {
+		return nil, err
+	}
+	return append([]chain.Part{first}, rest...), nil
+}
+
+// keepBonus speaks for the engines that a stream passes already, since they
+// have its tokens in memory; in ms for each token.
+const keepBonus = 3.0
+
+// moved takes in what came of a move. A stream that could not be moved is sent
+// again elsewhere once the shell gives the attempt up.
+func (m *Model) moved(msg MovedMsg) []Cmd {
+	r := m.requests[msg.Request]
+	if r == nil || msg.Attempt != r.sends {
+		return nil
+	}
+	r.moving = false
+	if msg.Result != MoveRefused {
+		return nil
+	}
+	u := m.byAddress[msg.At]
+	if u == nil {
+		return nil
+	}
+	u.refused(m.now)
+	return m.move(r, u.entry.ID)
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"slices"
-
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -47,11 +45,6 @@
 	return r.ranAt[u.entry.ID] || len(r.ranAt) < max(r.route.MaxAttempts, 1)
 }
 
-// passes tells whether the attempt under way passes an engine.
-func (r *request) passes(u *upstream) bool {
-	return slices.ContainsFunc(r.parts, func(p chain.Part) bool { return p.ID == u.entry.ID })
-}
-
 // mostRuns is how often the request may run. A plain request that may be
 // repeated can be asked once more of an upstream that has failed it; a stream's
 // every run costs the reading of its prompt.
