--- a/dispatch/depart.go
+++ b/dispatch/depart.go
@@ -26,6 +26,22 @@
 	}
 }
 
+// placed takes the layers that an engine gives up out of use, and moves the
+// streams that pass them at once: the engine loads the new ones only when they
+// have gone.
+func (m *Model) placed(msg PlacedMsg) {
+	u := m.upstreams[msg.Upstream]
+	if u == nil || u.entry.Held.Empty() {
+		return
+	}
+	kept := u.entry.Held.Overlap(msg.Layers)
+	if kept == u.entry.Held {
+		return
+	}
+	u.entry.Held = kept
+	m.departing[msg.Upstream] = m.now.Sub(departAfter)
+}
+
 // depart moves streams off engines that have been leaving for a while.
 func (m *Model) depart() []Cmd {
 	var cmds []Cmd
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -83,6 +83,8 @@
 		}
 	case UsageMsg:
 		m.noteUsage(msg)
+	case PlacedMsg:
+		m.placed(msg)
 	case ArriveMsg:
 		return m.arrive(msg)
 	case AttemptFailedMsg:
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -44,12 +44,11 @@
 	first := r.parts[0]
 	list := m.byService[r.service.Name]
 	holders := make([]chain.Holder, 0, len(list))
-	unheard := m.unheard()
 	for _, u := range list {
 		if !u.open(m.now) || u.entry.ID == away || u.entry.ID == first.ID || u.entry.Held.Empty() {
 			continue
 		}
-		holders = append(holders, m.holder(r, u, unheard))
+		holders = append(holders, m.holder(r, u))
 	}
 	for _, p := range r.parts[1:] {
 		for i := range holders {
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -34,12 +34,18 @@
 
 // UsageMsg brings what another node's requests take at engines.
 type UsageMsg struct {
-	Node       string
-	DataCentre string
+	Node string
 	// Used is memory by engine, in tokens times layers.
 	Used map[string]float64
 }
 
+// PlacedMsg tells that an engine has been ordered to hold other layers. It
+// waits for what passes through those that it gives up.
+type PlacedMsg struct {
+	Upstream string
+	Layers   fleet.Range
+}
+
 // ArriveMsg brings a request that has been read whole.
 type ArriveMsg struct {
 	Request RequestID
@@ -171,6 +177,7 @@
 func (FleetMsg) dispatchMsg()         {}
 func (PeersMsg) dispatchMsg()         {}
 func (UsageMsg) dispatchMsg()         {}
+func (PlacedMsg) dispatchMsg()        {}
 func (ArriveMsg) dispatchMsg()        {}
 func (AttemptFailedMsg) dispatchMsg() {}
 func (AttemptDoneMsg) dispatchMsg()   {}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -54,7 +54,9 @@
 	case "peers":
 		return dispatch.PeersMsg{All: s.Int("all", 1), Local: s.Int("local", 1)}
 	case "usage":
-		return dispatch.UsageMsg{Node: s.Word(0), DataCentre: "a", Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}}
+		return dispatch.UsageMsg{Node: s.Word(0), Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}}
+	case "placed":
+		return dispatch.PlacedMsg{Upstream: s.Word(0), Layers: testUpstream(s).Held}
 	case "pace":
 		return dispatch.PaceMsg{Upstream: s.Word(0), Pace: float64(s.Int("pace", 1))}
 	case "arrive":
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -120,12 +120,11 @@
 func (m *Model) build(r *request, except map[string]bool) ([]chain.Part, error) {
 	list := m.byService[r.service.Name]
 	holders := make([]chain.Holder, 0, len(list))
-	unheard := m.unheard()
 	for _, u := range list {
 		if !u.open(m.now) || except[u.entry.ID] || u.entry.Held.Empty() || u.pipeline == nil {
 			continue
 		}
-		holders = append(holders, m.holder(r, u, unheard))
+		holders = append(holders, m.holder(r, u))
 	}
 	return chain.Build(r.service.Pipeline.Layers, r.tokens, m.dataCentre, holders)
 }
@@ -134,10 +133,10 @@
 // where it can, in ms for each token.
 const triedPenalty = 5.0
 
-func (m *Model) holder(r *request, u *upstream, unheard float64) chain.Holder {
+func (m *Model) holder(r *request, u *upstream) chain.Holder {
 	h := chain.Holder{
 		ID: u.entry.ID, Address: u.entry.Address, DataCentre: u.entry.DataCentre, Held: u.entry.Held,
-		LayerTime: u.layerTime * max(u.pace, 1), Total: u.room, Room: m.free(u, unheard),
+		LayerTime: u.layerTime * max(u.pace, 1), Total: u.room, Room: m.free(u),
 	}
 	if r.tried[u.entry.ID] {
 		h.Penalty = triedPenalty
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -12,10 +12,8 @@
 
 // peerUsage is what another node has in use.
 type peerUsage struct {
-	at clock.Millis
-	// local tells that the node stands in this one's data centre.
-	local bool
-	used  map[string]float64
+	at   clock.Millis
+	used map[string]float64
 }
 
 // share tells the others what this node has in use, when it is time for that.
@@ -34,30 +32,19 @@
 }
 
 func (m *Model) noteUsage(msg UsageMsg) {
-	m.usage[msg.Node] = peerUsage{at: m.now, local: msg.DataCentre == m.dataCentre, used: msg.Used}
+	m.usage[msg.Node] = peerUsage{at: m.now, used: msg.Used}
 }
 
-// unheard is how many nodes of the data centre have not told what they have in
-// use. Each is taken to use as much as this one.
-func (m *Model) unheard() float64 {
-	heard := 0
-	for node, u := range m.usage {
-		if m.now > u.at.Add(usageLasts) {
-			delete(m.usage, node)
-			continue
-		}
-		if u.local {
-			heard++
-		}
-	}
-	return float64(max(m.peers.Local-1-heard, 0))
-}
-
-// free returns the memory that is left at an engine, as far as is known.
-func (m *Model) free(u *upstream, unheard float64) float64 {
-	free := u.room - u.reserved*(1+unheard)
+// free returns the memory that is left at an engine, as far as is known. A node
+// that has not been heard of lately is taken to use nothing: it is dead or cut
+// off far more often than its datagrams are all lost. Where that is wrong the
+// engine refuses, and is taken as full for a moment.
+func (m *Model) free(u *upstream) float64 {
+	free := u.room - u.reserved
 	for _, peer := range m.usage {
-		free -= peer.used[u.entry.ID]
+		if m.now <= peer.at.Add(usageLasts) {
+			free -= peer.used[u.entry.ID]
+		}
 	}
 	return free
 }
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -41,6 +41,15 @@
 // Covers tells whether all of another range is in this one.
 func (r Range) Covers(o Range) bool { return o.Empty() || r.From <= o.From && o.To <= r.To }
 
+// Overlap returns the layers that two ranges share.
+func (r Range) Overlap(o Range) Range {
+	shared := Range{From: max(r.From, o.From), To: min(r.To, o.To)}
+	if shared.Empty() {
+		return Range{}
+	}
+	return shared
+}
+
 // Change is a change of the list: an upstream's new entry, or that it has
 // none any more.
 type Change struct {
--- a/node/node.go
+++ b/node/node.go
@@ -90,7 +90,7 @@
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
 		relay.WithSilence(n.setSilent), relay.WithSharing(n.usage.Share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
-	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.usage.Placed)
+	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced)
 	outage := &follow.Outage{}
 	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, outage, n.setCatalog)
 	n.fleets = follow.NewFleet(n.store, n.clock, n.log, outage, n.setFleet)
@@ -223,11 +223,19 @@
 	n.placer.Tell(n.life, placement.SilentMsg{Upstream: upstream, Silent: silent})
 }
 
-func (n *Node) setUsage(node, centre string, used map[string]float64) {
-	n.relay.SetUsage(node, centre, used)
+func (n *Node) setUsage(node string, used map[string]float64) {
+	n.relay.SetUsage(node, used)
 }
 
+// tellPlaced tells the own relay and other nodes of an order of this node's.
+func (n *Node) tellPlaced(upstream string, layers fleet.Range) {
+	n.relay.SetPlaced(upstream, layers)
+	n.usage.Placed(upstream, layers)
+}
+
+// setPlaced takes an order that another node has given.
 func (n *Node) setPlaced(upstream string, layers fleet.Range) {
+	n.relay.SetPlaced(upstream, layers)
 	n.placer.Tell(n.life, placement.PlacedMsg{Upstream: upstream, Layers: layers})
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -105,8 +105,13 @@
 }
 
 // SetUsage takes what another node has in use.
-func (r *Relay) SetUsage(node, centre string, used map[string]float64) {
-	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, DataCentre: centre, Used: used})
+func (r *Relay) SetUsage(node string, used map[string]float64) {
+	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used})
+}
+
+// SetPlaced takes an order that an engine has taken.
+func (r *Relay) SetPlaced(upstream string, layers fleet.Range) {
+	r.decider.tell(r.life, dispatch.PlacedMsg{Upstream: upstream, Layers: layers})
 }
 
 // Stop makes the relay say that it is not ready and end connections with
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -31,7 +31,7 @@
 	self *wire.Member
 	conn net.PacketConn
 	log  *zap.Logger
-	tell func(node, centre string, used map[string]float64)
+	tell func(node string, used map[string]float64)
 	// placed takes orders that other nodes have given.
 	placed func(upstream string, layers fleet.Range)
 	// near are told what is in use, and all what was ordered.
@@ -42,7 +42,7 @@
 // New binds an address for a node. Tell takes what other nodes have in use, and
 // placed the orders that they have given.
 func New(ctx context.Context, self *wire.Member, address string, log *zap.Logger,
-	tell func(node, centre string, used map[string]float64), placed func(string, fleet.Range),
+	tell func(node string, used map[string]float64), placed func(string, fleet.Range),
 ) (*Sharing, error) {
 	var config net.ListenConfig
 	conn, err := config.ListenPacket(ctx, "udp", address)
@@ -76,7 +76,7 @@
 
 // Share tells the near peers what this node has in use.
 func (s *Sharing) Share(used map[string]float64) {
-	msg := &wire.Usage{Node: s.self.GetName(), DataCentre: s.self.GetDataCentre()}
+	msg := &wire.Usage{Node: s.self.GetName()}
 	for id, amount := range used {
 		msg.Engines = append(msg.Engines, &wire.EngineUse{Id: id, Amount: amount})
 	}
@@ -92,7 +92,7 @@
 
 // Placed tells all peers of an order that an engine has taken.
 func (s *Sharing) Placed(upstream string, layers fleet.Range) {
-	msg := &wire.Usage{Node: s.self.GetName(), DataCentre: s.self.GetDataCentre(), Placed: []*wire.PlacedEngine{
+	msg := &wire.Usage{Node: s.self.GetName(), Placed: []*wire.PlacedEngine{
 		{Id: upstream, From: int32(layers.From), To: int32(layers.To)},
 	}}
 	for range placedTimes {
@@ -155,5 +155,5 @@
 	for _, e := range msg.GetEngines() {
 		used[e.GetId()] = e.GetAmount()
 	}
-	s.tell(msg.GetNode(), msg.GetDataCentre(), used)
+	s.tell(msg.GetNode(), used)
 }
