--- a/Makefile
+++ b/Makefile
@@ -20,12 +20,18 @@
 test: lint ## Sets up and passes the tests, the models and the linter.
 	go test -timeout 10m ./...
 	models/check.sh
+	$(MAKE) soak
+
+.PHONY: soak
+soak: build ## Plays one short seed of the fault soak.
+	bin/hoistsoak --seed 7 --for 8s
 
 .PHONY: fuzz
 fuzz: ## Lets the fuzzer look for new inputs, half a minute for each target.
 	go test ./once -run xxx -fuzz . -fuzztime 30s
 	go test ./record -run xxx -fuzz . -fuzztime 30s
 	go test ./entry -run xxx -fuzz . -fuzztime 30s
+	go test ./relay -run xxx -fuzz . -fuzztime 30s
 	go test ./settings -run xxx -fuzz . -fuzztime 30s
 
 .PHONY: models
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -1,7 +1,5 @@
 package catalog
 
-import "github.com/hoistjunction/hoistjunction/clock"
-
 // Service is a group of upstreams that answer the same requests.
 type Service struct {
 	Name string
@@ -21,22 +19,9 @@
 	LayerMB float64
 	// TokenBytes is the memory of one token over all layers, in bytes.
 	TokenBytes float64
-	// Slots is how many requests an engine takes as the first of a chain.
-	Slots int
-	// StepMS is the time of one token over all layers, in ms, and ReadPerMS how
-	// many prompt tokens are read in one ms, both on an accelerator of factor 1.
-	StepMS    float64
-	ReadPerMS float64
-	// LoadMS is the time to load all layers, in ms.
-	LoadMS float64
-	// LoadsAtOnce is how many loads the weights' store bears at full speed;
-	// zero for no bound.
-	LoadsAtOnce int
-	// ReportLag is how old an engine's report may be.
-	ReportLag clock.Millis
-	// UsualPrompt and UsualAnswer are mean sizes in tokens.
-	UsualPrompt float64
-	UsualAnswer float64
+	// StepMS is the time of one token over all layers on an accelerator of factor
+	// 1, in ms.
+	StepMS float64
 	// Accelerators are the kinds in use, by name.
 	Accelerators map[string]Accelerator
 }
@@ -46,9 +31,8 @@
 	Name string
 	// MB is its memory.
 	MB float64
-	// StepFactor and ReadFactor multiply the time of a step and of reading.
+	// StepFactor multiplies the time of a step: larger is slower.
 	StepFactor float64
-	ReadFactor float64
 }
 
 // MostLayers is how many layers fit into an accelerator's memory.
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -8,7 +8,6 @@
 	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
-	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // Model holds everything that the decisions depend on. It is not safe for
@@ -237,12 +236,3 @@
 	u.silent = !msg.Answered
 	return []Cmd{SilentCmd{Upstream: msg.Upstream, Silent: u.silent}}
 }
-
-// FleetOf lists the upstreams of a service, for the reports.
-func (m *Model) FleetOf(service string) []fleet.Upstream {
-	var list []fleet.Upstream
-	for _, u := range m.byService[service] {
-		list = append(list, u.entry)
-	}
-	return list
-}
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -42,14 +42,7 @@
 // detour builds a chain whose first part is the one in use.
 func (m *Model) detour(r *request, away string) ([]chain.Part, error) {
 	first := r.parts[0]
-	list := m.byService[r.service.Name]
-	holders := make([]chain.Holder, 0, len(list))
-	for _, u := range list {
-		if !u.open(m.now) || u.entry.ID == away || u.entry.ID == first.ID || u.entry.Held.Empty() {
-			continue
-		}
-		holders = append(holders, m.holder(r, u))
-	}
+	holders := m.holders(r, first.ID, away)
 	for _, p := range r.parts[1:] {
 		for i := range holders {
 			if holders[i].ID == p.ID {
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -98,7 +99,7 @@
 // sendPipeline builds a chain of engines. Engines under suspicion take part
 // only where a layer has no other.
 func (m *Model) sendPipeline(r *request) (SendCmd, Reason) {
-	parts, err := m.build(r, nil)
+	parts, err := chain.Build(r.service.Pipeline.Layers, r.tokens, m.dataCentre, m.holders(r))
 	if err != nil {
 		return SendCmd{}, chainReason(err)
 	}
@@ -115,18 +116,18 @@
 	return ReasonNoHolder
 }
 
-// build finds a chain over the engines of the request's service, without
-// those in except.
-func (m *Model) build(r *request, except map[string]bool) ([]chain.Part, error) {
+// holders returns the engines of the request's service that may take part in a
+// chain now, without one.
+func (m *Model) holders(r *request, without ...string) []chain.Holder {
 	list := m.byService[r.service.Name]
 	holders := make([]chain.Holder, 0, len(list))
 	for _, u := range list {
-		if !u.open(m.now) || except[u.entry.ID] || u.entry.Held.Empty() || u.pipeline == nil {
+		if !u.open(m.now) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
 			continue
 		}
 		holders = append(holders, m.holder(r, u))
 	}
-	return chain.Build(r.service.Pipeline.Layers, r.tokens, m.dataCentre, holders)
+	return holders
 }
 
 // triedPenalty keeps a repeated request off the engines of its last attempt
--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -64,7 +64,7 @@
 			noteLost(ctx, f.log, f.outage, "config", err)
 			whole = true
 			failures++
-			pause(ctx, retryPause(failures))
+			clock.Pause(ctx, retryPause(failures))
 			continue
 		}
 		failures = 0
@@ -110,12 +110,3 @@
 		log.Info("store_back", zap.String("table", table))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -73,7 +73,7 @@
 		f.take(now, reading, whole)
 		whole, revision = false, reading.Revision
 		if len(reading.Changes) > 0 {
-			pause(ctx, gather)
+			clock.Pause(ctx, gather)
 		}
 	}
 	return ctx.Err()
@@ -84,10 +84,10 @@
 // a while in case only the list cannot be had.
 func (f *Fleet) sitOut(ctx context.Context) {
 	until := f.clock.Now().Add(longestSitOut)
-	pause(ctx, firstRetry)
+	clock.Pause(ctx, firstRetry)
 	for ctx.Err() == nil && f.outage.Away() && f.clock.Now() < until {
 		f.takeLearnt()
-		pause(ctx, firstRetry)
+		clock.Pause(ctx, firstRetry)
 	}
 }
 
--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,164 @@
+package follow
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// errAway is what the scripted store answers while it is away.
+var errAway = errors.New("away")
+
+// scripted answers calls from a list, and ends the test's context after it.
+type scripted struct {
+	t       *testing.T
+	end     context.CancelFunc
+	answers []scriptedAnswer
+	calls   []string
+}
+
+type scriptedAnswer struct {
+	raw     string
+	changes []fleet.Change
+	err     error
+}
+
+func (s *scripted) next(call string) scriptedAnswer {
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		s.end()
+		return scriptedAnswer{err: errAway}
+	}
+	answer := s.answers[0]
+	s.answers = s.answers[1:]
+	return answer
+}
+
+func (s *scripted) catalog(call string) (CatalogReading, error) {
+	answer := s.next(call)
+	return CatalogReading{Raw: []byte(answer.raw), Revision: uint64(len(s.calls))}, answer.err
+}
+
+func (s *scripted) ReadCatalog(context.Context) (CatalogReading, error) { return s.catalog("read") }
+func (s *scripted) AwaitCatalog(context.Context, uint64, clock.Millis) (CatalogReading, error) {
+	return s.catalog("await")
+}
+
+func (s *scripted) DecodeCatalog(raw []byte) (*catalog.Catalog, error) {
+	if string(raw) == "bad" {
+		return nil, errAway
+	}
+	return catalog.New(uint64(raw[0] - '0')), nil
+}
+
+func (s *scripted) fleet(call string) (FleetReading, error) {
+	answer := s.next(call)
+	return FleetReading{Changes: answer.changes, Revision: uint64(len(s.calls))}, answer.err
+}
+
+func (s *scripted) ReadUpstreams(context.Context) (FleetReading, error) { return s.fleet("read") }
+func (s *scripted) AwaitUpstreams(context.Context, uint64, clock.Millis) (FleetReading, error) {
+	return s.fleet("await")
+}
+
+func checkCalls(t *testing.T, got, want []string) {
+	t.Helper()
+	if len(got) < len(want) {
+		t.Fatalf("got calls %v, want %v", got, want)
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("got calls %v, want %v", got, want)
+		}
+	}
+}
+
+func TestCatalogFollows(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{
+		{raw: "1"}, {}, {raw: "2"}, {err: ErrReadAnew}, {raw: "2"}, {raw: "bad"}, {err: errAway}, {raw: "3"},
+	}}
+	var told []uint64
+	confirmations := 0
+	f := NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, func(c *catalog.Catalog, _ []byte, _ clock.Millis) {
+		confirmations++
+		if c != nil {
+			told = append(told, c.Version())
+		}
+	})
+	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got error %v, want %v", err, context.Canceled)
+	}
+	checkCalls(t, source.calls, []string{"read", "await", "await", "await", "read", "await", "await", "read"})
+	if got, want := len(told), 4; got != want {
+		t.Errorf("got versions %v, want %d of them", told, want)
+	}
+	// An unreadable configuration and a failed call prove nothing fresh.
+	if got, want := confirmations, 5; got != want {
+		t.Errorf("got %d confirmations, want %d", got, want)
+	}
+}
+
+func TestOutage(t *testing.T) {
+	o := &Outage{}
+	steps := []struct {
+		what    string
+		do      func() bool
+		news    bool
+		at      clock.Millis
+		lapsing bool
+	}{
+		{"an answer in good times", func() bool { return o.Back(0) }, false, 0, false},
+		{"a first failure", o.Lost, true, 10, true},
+		{"a further one", o.Lost, false, 20, true},
+		{"an answer", func() bool { return o.Back(100) }, true, 100, true},
+		{"a further one", func() bool { return o.Back(200) }, false, 100 + fleet.LapseGrace - 1, true},
+		{"later", func() bool { return o.Back(9000) }, false, 100 + fleet.LapseGrace, false},
+	}
+	for _, s := range steps {
+		if got := s.do(); got != s.news {
+			t.Errorf("%s: got news %v, want %v", s.what, got, s.news)
+		}
+		if got := o.Lapsing(s.at); got != s.lapsing {
+			t.Errorf("%s: got lapsing %v at %d, want %v", s.what, got, s.at, s.lapsing)
+		}
+	}
+}
+
+func TestFleetReadsWholeAfterAnOutage(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	up := func(id string) fleet.Change { return fleet.Change{ID: id, Upstream: fleet.Upstream{ID: id}} }
+	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{
+		{changes: []fleet.Change{up("u1"), up("u2")}}, {err: errAway}, {changes: []fleet.Change{up("u2")}},
+	}}
+	outage := &Outage{}
+	c := clock.New()
+	gone := 0
+	f := NewFleet(source, c, zap.NewNop(), outage, func(changes []fleet.Change) {
+		for _, change := range changes {
+			if change.Gone {
+				gone++
+			}
+		}
+	})
+	// The follower of the configuration finds the store again.
+	go func() {
+		for ctx.Err() == nil {
+			outage.Back(c.Now())
+			clock.Pause(ctx, firstRetry)
+		}
+	}()
+	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got error %v, want %v", err, context.Canceled)
+	}
+	checkCalls(t, source.calls, []string{"read", "await", "read"})
+	if got, want := gone, 0; got != want {
+		t.Errorf("got %d upstreams gone right after an outage, want %d", got, want)
+	}
+}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -80,18 +80,18 @@
 			break
 		}
 		p.log.Info("not_registered", logging.Err(err))
-		pause(ctx, registerAgain)
+		clock.Pause(ctx, registerAgain)
 	}
-	pause(ctx, membersSoon)
+	clock.Pause(ctx, membersSoon)
 	for ctx.Err() == nil {
 		members, err := p.registry.Members(ctx)
 		if err != nil {
 			p.log.Info("members_not_read", logging.Err(err))
-			pause(ctx, registerAgain)
+			clock.Pause(ctx, registerAgain)
 			continue
 		}
 		p.noteMembers(members...)
-		pause(ctx, membersEvery)
+		clock.Pause(ctx, membersEvery)
 	}
 	return ctx.Err()
 }
@@ -177,12 +177,3 @@
 		p.learner.LearnFleet(upstreamsOf(answer.GetFleet()))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- /dev/null
+++ b/placement/msg.go
@@ -0,0 +1,81 @@
+package placement
+
+import (
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// Msg is something that has happened.
+type Msg interface{ placementMsg() }
+
+// CatalogMsg brings a version of the configuration.
+type CatalogMsg struct{ Catalog *catalog.Catalog }
+
+// FleetMsg brings changes of the list of upstreams.
+type FleetMsg struct{ Changes []fleet.Change }
+
+// RankMsg changes how long the planner leaves orders to others first, when the
+// node has learnt of them.
+type RankMsg struct{ Delay clock.Millis }
+
+// SilentMsg tells that an engine does not answer this node, or does again.
+type SilentMsg struct {
+	Upstream string
+	Silent   bool
+}
+
+// OrderedMsg tells what came of an OrderCmd.
+type OrderedMsg struct {
+	Upstream string
+	Result   Result
+	Held     fleet.Range
+}
+
+// PlacedMsg tells of an order that another node has given.
+type PlacedMsg struct {
+	Upstream string
+	Layers   fleet.Range
+}
+
+// TickMsg drives what depends on time alone.
+type TickMsg struct{}
+
+func (CatalogMsg) placementMsg() {}
+func (FleetMsg) placementMsg()   {}
+func (RankMsg) placementMsg()    {}
+func (SilentMsg) placementMsg()  {}
+func (OrderedMsg) placementMsg() {}
+func (PlacedMsg) placementMsg()  {}
+func (TickMsg) placementMsg()    {}
+
+// Result is what came of an order.
+type Result uint8
+
+// The results of an order.
+const (
+	// Taken: the engine has begun, or holds the layers already.
+	Taken Result = iota
+	// Refused: it does not fit the engine's state, or another order came first.
+	Refused
+	// Busy: the engine carries out another order.
+	Busy
+	// Unanswered: the order may have been taken, or may yet be.
+	Unanswered
+)
+
+var resultNames = [...]string{"taken", "refused", "busy", "unanswered"}
+
+// String names the result for logs.
+func (r Result) String() string { return resultNames[r] }
+
+// OrderCmd has an engine hold a range of layers.
+type OrderCmd struct {
+	Upstream string
+	Address  string
+	Layers   fleet.Range
+	// Believed is what the list says that the engine holds.
+	Believed fleet.Range
+	// Missing is how many of them have no holder in the data centre.
+	Missing int
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -58,7 +58,6 @@
 	cmd       dispatch.SendCmd
 	callerID  string
 	req       *http.Request
-	body      []byte
 	pieces    chan piece
 	cancel    context.CancelCauseFunc
 	wrote     atomic.Bool
--- a/relay/session.go
+++ b/relay/session.go
@@ -160,7 +160,7 @@
 	ctx, cancel := context.WithCancelCause(s.r.Context())
 	a := &attempt{
 		protocol: s.relay.protocol, transport: s.relay.upstreams.get(cmd.Upstream), gate: s.relay.gate, cmd: cmd,
-		callerID: s.head.ID, body: s.body, pieces: make(chan piece, piecesWaiting), cancel: cancel,
+		callerID: s.head.ID, pieces: make(chan piece, piecesWaiting), cancel: cancel,
 	}
 	a.req = outgoing(ctx, s.r, cmd.Address, s.body)
 	s.relay.protocol.SetAttempt(a.req.Header, AttemptHead{
@@ -288,42 +288,3 @@
 	s.try.Stop()
 	s.stall.Stop()
 }
-
-// timeUp ends a request whose time is up.
-func (s *session) timeUp() bool {
-	if s.w.begun() {
-		s.cut(dispatch.ReasonTimeout)
-	}
-	status, back := http.StatusGatewayTimeout, clock.Millis(0)
-	if s.attempt == nil && s.attempts == 0 {
-		status, back = http.StatusServiceUnavailable, overloadBack
-	}
-	s.logFinish(dispatch.FinishCmd{Request: s.id, Status: status, Reason: dispatch.ReasonTimeout, RetryAfter: back})
-	s.answer(status, dispatch.ReasonTimeout, back)
-	return true
-}
-
-// answer gives an answer of the node's own.
-func (s *session) answer(status int, reason dispatch.Reason, back clock.Millis) {
-	s.relay.stats.count("own_" + string(reason))
-	if s.w.begun() {
-		s.cut(reason)
-	}
-	s.w.own(status, string(reason), back)
-}
-
-// cut breaks the connection to the caller, so that a stream that cannot go on
-// does not look whole.
-func (s *session) cut(reason dispatch.Reason) {
-	s.log.Warn("cut", zap.String("id", s.head.ID), zap.String("reason", string(reason)), zap.Int("events", s.events),
-		zap.String("last_event", s.lastEvent), zap.Int("attempts", s.attempts), zap.Int64("after_ms", int64(s.age())))
-	s.relay.stats.count("cut")
-	panic(http.ErrAbortHandler)
-}
-
-// end gives back what the request has taken.
-func (s *session) end() {
-	s.drop()
-	s.giveUp.Stop()
-	s.relay.decider.tell(s.relay.life, dispatch.GoneMsg{Request: s.id})
-}
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -25,6 +25,9 @@
 	body  string
 }
 
+// patience is how long a caller waits for an answer, in ms.
+const patience = 8000
+
 // callers send requests to the nodes and write down what they get.
 type callers struct {
 	world *world
@@ -65,7 +68,7 @@
 
 // askPath sends one request and writes down what comes back.
 func (c *callers) askPath(ctx context.Context, transport http.RoundTripper, node int, t try) try {
-	ctx, cancel := context.WithTimeout(ctx, 8*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, patience*time.Millisecond)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.world.nodes[node].at()+t.path, strings.NewReader("x"))
 	if err != nil {
@@ -73,10 +76,7 @@
 	}
 	req.GetBody = nil
 	req.Host = standin.SiteHost
-	req.Header.Set("Attempt-Id", t.id)
-	req.Header.Set("Authorization", "Bearer "+t.key)
-	req.Header.Set("Deadline-Remaining-Ms", "8000")
-	req.Header.Set("Token-Count", "30,30")
+	req.Header = standin.CallerHeader(t.id, t.key, patience)
 	t.sent = time.Now()
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
