--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -176,6 +176,10 @@
 	b, ok := m.budgets[service]
 	if !ok {
 		b = budget.NewWindow(m.policy.RetryWindow, m.policy.RetryShare, m.slack())
+		if m.now < m.policy.RetryWindow {
+			// A node of this name may have run, and spent, until just now.
+			b.Spent(m.now, int(m.slack()*restartSpent))
+		}
 		m.budgets[service] = b
 	}
 	return b
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -23,9 +23,12 @@
 	// mostSends bounds the sendings of one request, refused ones included, so
 	// that a request does not walk through the whole fleet.
 	mostSends = 5
-	// slackShare is the part of the slack that the nodes spend; the rest is
-	// for nodes that have not heard of each other yet.
-	slackShare = 0.85
+	// slackShare is the part of the slack that the nodes spend, and restartSpent
+	// the part of its own that a node counts as spent when it starts: with all
+	// nodes restarted in one window they stay within 1.05 of the whole, and the
+	// rest is what a service's own requests add.
+	slackShare   = 0.7
+	restartSpent = 0.5
 	// expectedNodes stands in for the number of nodes until it is known.
 	expectedNodes = 16
 	// firstSuspicion is how long an upstream is avoided after a first failure;
