Tell all nodes when an order has been carried out

Cause: the list shows a loaded engine up to three seconds late, while its layers lack a holder. What: the node that ordered asks the engine each 0.3 s and tells the others.

--- a/dispatch/depart.go
+++ b/dispatch/depart.go
@@ -6,6 +6,7 @@
 
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 const (
@@ -31,7 +32,11 @@
 // have gone.
 func (m *Model) placed(msg PlacedMsg) {
 	u := m.upstreams[msg.Upstream]
-	if u == nil || u.entry.Held.Empty() {
+	if u == nil {
+		return
+	}
+	if msg.Holds {
+		m.holds(u, msg.Layers)
 		return
 	}
 	kept := u.entry.Held.Overlap(msg.Layers)
@@ -42,6 +47,17 @@
 	m.departing[msg.Upstream] = m.now.Sub(departAfter)
 }
 
+// holds takes in that an engine holds layers, before the list shows it.
+func (m *Model) holds(u *upstream, layers fleet.Range) {
+	u.entry.Held = layers
+	u.heldAt = m.now
+	u.fullUntil = 0
+	delete(m.departing, u.entry.ID)
+	if m.catalog != nil {
+		u.measure(m.catalog.Service(u.entry.Service))
+	}
+}
+
 // depart moves streams off engines that have been leaving for a while.
 func (m *Model) depart() []Cmd {
 	var cmds []Cmd
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -147,7 +147,7 @@
 		case c.Gone:
 			delete(m.upstreams, c.ID)
 		case known:
-			u.update(c.Upstream)
+			u.update(m.now, c.Upstream)
 		default:
 			u = newUpstream(c.Upstream)
 			m.upstreams[c.ID] = u
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -39,11 +39,12 @@
 	Used map[string]float64
 }
 
-// PlacedMsg tells that an engine has been ordered to hold other layers. It
-// waits for what passes through those that it gives up.
+// PlacedMsg tells that an engine has been ordered to hold other layers, or, with
+// Holds, that it does. It waits for what passes through those that it gives up.
 type PlacedMsg struct {
 	Upstream string
 	Layers   fleet.Range
+	Holds    bool
 }
 
 // ArriveMsg brings a request that has been read whole.
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -56,7 +56,7 @@
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Word(0), Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}}
 	case "placed":
-		return dispatch.PlacedMsg{Upstream: s.Word(0), Layers: testUpstream(s).Held}
+		return dispatch.PlacedMsg{Upstream: s.Word(0), Layers: testUpstream(s).Held, Holds: s.Named["holds"] == "yes"}
 	case "pace":
 		return dispatch.PaceMsg{Upstream: s.Word(0), Pace: float64(s.Int("pace", 1))}
 	case "arrive":
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -24,6 +24,8 @@
 	took    float64
 	failing float64
 
+	// heldAt is when another node told what it holds.
+	heldAt clock.Millis
 	// pace is how many times slower than usual an engine was at paceAt.
 	pace   float64
 	paceAt clock.Millis
@@ -44,9 +46,16 @@
 	return &upstream{entry: entry, took: firstTook, pace: 1}
 }
 
+// heldLasts is for how long word of what an engine holds counts more than an
+// entry without layers: the list's lag and a heartbeat.
+const heldLasts clock.Millis = 3000
+
 // update takes a new entry. An engine that holds other layers than before is
 // no longer doubted for what it did not hold.
-func (u *upstream) update(entry fleet.Upstream) {
+func (u *upstream) update(now clock.Millis, entry fleet.Upstream) {
+	if entry.Held.Empty() && u.heldAt > 0 && now < u.heldAt.Add(heldLasts) {
+		entry.Held = u.entry.Held
+	}
 	if entry.Held != u.entry.Held {
 		u.fullUntil = 0
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -228,15 +228,15 @@
 }
 
 // tellPlaced tells the own relay and other nodes of an order of this node's.
-func (n *Node) tellPlaced(upstream string, layers fleet.Range) {
-	n.relay.SetPlaced(upstream, layers)
-	n.usage.Placed(upstream, layers)
+func (n *Node) tellPlaced(upstream string, layers fleet.Range, holds bool) {
+	n.setPlaced(upstream, layers, holds)
+	n.usage.Placed(upstream, layers, holds)
 }
 
 // setPlaced takes an order that another node has given.
-func (n *Node) setPlaced(upstream string, layers fleet.Range) {
-	n.relay.SetPlaced(upstream, layers)
-	n.placer.Tell(n.life, placement.PlacedMsg{Upstream: upstream, Layers: layers})
+func (n *Node) setPlaced(upstream string, layers fleet.Range, holds bool) {
+	n.relay.SetPlaced(upstream, layers, holds)
+	n.placer.Tell(n.life, placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
 }
 
 func (n *Node) setFleet(changes []fleet.Change) {
--- a/placement/model.go
+++ b/placement/model.go
@@ -26,6 +26,9 @@
 	// retryIn is how soon an order that got no answer is tried again. It may
 	// still be carried out; the engine's count of orders guards against both.
 	retryIn clock.Millis = 2500
+	// heldLasts is for how long word of what an engine holds counts more than
+	// the list: its lag and a heartbeat.
+	heldLasts clock.Millis = 3000
 	// healAfter is how long layers must have been without a holder before an
 	// engine that is in use is moved to them, so that one change of the list is
 	// seen whole.
@@ -47,6 +50,9 @@
 	// silent are engines that are in the list and do not answer.
 	silent  map[string]bool
 	pending map[string]pending
+	// heldSure is until when word of what an engine holds counts more than an
+	// entry without layers.
+	heldSure map[string]clock.Millis
 	// needSince is since when a service has had layers without a holder.
 	needSince map[string]clock.Millis
 	// dueSince is since when there have been orders to give.
@@ -76,6 +82,7 @@
 	m := &Model{
 		upstreams: make(map[string]fleet.Upstream),
 		silent:    make(map[string]bool),
+		heldSure:  make(map[string]clock.Millis),
 		pending:   make(map[string]pending),
 		needSince: make(map[string]clock.Millis),
 	}
@@ -99,9 +106,7 @@
 	case OrderedMsg:
 		m.ordered(now, msg)
 	case PlacedMsg:
-		if u, known := m.upstreams[msg.Upstream]; known && u.Held != msg.Layers {
-			m.pending[msg.Upstream] = pending{layers: msg.Layers, until: now.Add(orderLasts)}
-		}
+		m.placed(now, msg)
 	case TickMsg:
 		return m.tick(now)
 	}
@@ -115,12 +120,17 @@
 			delete(m.upstreams, c.ID)
 			delete(m.pending, c.ID)
 			delete(m.silent, c.ID)
+			delete(m.heldSure, c.ID)
 			m.changed = now
 			continue
 		}
 		if !known || before.Leaving != c.Upstream.Leaving {
 			m.changed = now
 		}
+		if known && c.Upstream.Held.Empty() && now < m.heldSure[c.ID] {
+			// The list still shows what was before an order was carried out.
+			c.Upstream.Held = before.Held
+		}
 		if p, ok := m.pending[c.ID]; ok && c.Upstream.Held == p.layers {
 			delete(m.pending, c.ID)
 		}
@@ -128,6 +138,20 @@
 	}
 }
 
+func (m *Model) placed(now clock.Millis, msg PlacedMsg) {
+	u, known := m.upstreams[msg.Upstream]
+	switch {
+	case !known:
+	case msg.Holds:
+		u.Held = msg.Layers
+		m.upstreams[msg.Upstream] = u
+		m.heldSure[msg.Upstream] = now.Add(heldLasts)
+		delete(m.pending, msg.Upstream)
+	case u.Held != msg.Layers:
+		m.pending[msg.Upstream] = pending{layers: msg.Layers, until: now.Add(orderLasts)}
+	}
+}
+
 func (m *Model) setSilent(msg SilentMsg) {
 	if _, known := m.upstreams[msg.Upstream]; !known || !msg.Silent {
 		delete(m.silent, msg.Upstream)
--- a/placement/msg.go
+++ b/placement/msg.go
@@ -32,10 +32,12 @@
 	Held     fleet.Range
 }
 
-// PlacedMsg tells of an order that another node has given.
+// PlacedMsg tells of an order that another node has given, or, with Holds, that
+// an engine has carried one out.
 type PlacedMsg struct {
 	Upstream string
 	Layers   fleet.Range
+	Holds    bool
 }
 
 // TickMsg drives what depends on time alone.
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -54,7 +54,7 @@
 	case "ordered":
 		return placement.OrderedMsg{Upstream: s.Word(0), Result: resultOf(p.t, s.Named["result"]), Held: heldOf(s.Named["held"])}
 	case "placed":
-		return placement.PlacedMsg{Upstream: s.Word(0), Layers: heldOf(s.Named["layers"])}
+		return placement.PlacedMsg{Upstream: s.Word(0), Layers: heldOf(s.Named["layers"]), Holds: s.Named["holds"] == "yes"}
 	case "tick":
 		return placement.TickMsg{}
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -51,6 +51,11 @@
 	tickEvery = 250 * time.Millisecond
 	// waiting bounds the messages that wait for the planner.
 	waiting = 256
+	// watchEvery is how often an engine that loads is asked whether it is done,
+	// and watchFor for how long. A load takes 0.2 s to some three seconds; the
+	// list shows its end up to three seconds late.
+	watchEvery = 300 * time.Millisecond
+	watchFor   = 12 * time.Second
 	// ordersAtOnce bounds the orders that are given at a time.
 	ordersAtOnce = 8
 )
@@ -63,15 +68,18 @@
 	log     *zap.Logger
 	inbox   *ring.Ring[placement.Msg]
 	orders  chan placement.OrderCmd
-	// placed tells other nodes of an order that was taken.
-	placed func(upstream string, layers fleet.Range)
+	// placed tells all nodes, this one included, of an order that was taken or,
+	// with holds, carried out.
+	placed func(upstream string, layers fleet.Range, holds bool)
 	// coverage is what was logged last.
 	coverage []string
 }
 
-// New returns a placer that runs a model. Placed tells other nodes of an order
-// that an engine has taken.
-func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger, placed func(string, fleet.Range)) *Placer {
+// New returns a placer that runs a model. Placed tells all nodes of an order
+// that an engine has taken or carried out.
+func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger,
+	placed func(upstream string, layers fleet.Range, holds bool),
+) *Placer {
 	return &Placer{
 		model: model, engines: engines, clock: c, log: log, placed: placed,
 		inbox: ring.New[placement.Msg](waiting), orders: make(chan placement.OrderCmd, waiting),
@@ -153,7 +161,22 @@
 		zap.Uint64("orders_taken", state.OrdersTaken), zap.Int("held_from", state.Held.From),
 		zap.Int("held_to", state.Held.To), zap.Stringer("result", msg.Result), logging.Err(err))
 	if msg.Result == Taken {
-		go p.placed(cmd.Upstream, cmd.Layers)
+		go p.watch(ctx, cmd)
 	}
 	return msg
 }
+
+// watch tells all nodes that an order was taken, and that it was carried out.
+func (p *Placer) watch(ctx context.Context, cmd placement.OrderCmd) {
+	p.placed(cmd.Upstream, cmd.Layers, false)
+	for until := p.clock.Now().Add(clock.FromDuration(watchFor)); p.clock.Now() < until && ctx.Err() == nil; {
+		clock.Pause(ctx, watchEvery)
+		state, err := p.engines.State(ctx, cmd.Address)
+		if err != nil || state.Busy || state.Held != cmd.Layers {
+			continue
+		}
+		p.log.Info("carried_out", zap.String("upstream", cmd.Upstream), zap.Int("from", cmd.Layers.From), zap.Int("to", cmd.Layers.To))
+		p.placed(cmd.Upstream, cmd.Layers, true)
+		return
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -109,9 +109,9 @@
 	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used})
 }
 
-// SetPlaced takes an order that an engine has taken.
-func (r *Relay) SetPlaced(upstream string, layers fleet.Range) {
-	r.decider.tell(r.life, dispatch.PlacedMsg{Upstream: upstream, Layers: layers})
+// SetPlaced takes an order that an engine has taken or, with holds, carried out.
+func (r *Relay) SetPlaced(upstream string, layers fleet.Range, holds bool) {
+	r.decider.tell(r.life, dispatch.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
 }
 
 // Stop makes the relay say that it is not ready and end connections with
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -33,7 +33,7 @@
 	log  *zap.Logger
 	tell func(node string, used map[string]float64)
 	// placed takes orders that other nodes have given.
-	placed func(upstream string, layers fleet.Range)
+	placed func(upstream string, layers fleet.Range, holds bool)
 	// near are told what is in use, and all what was ordered.
 	near atomic.Pointer[[]net.Addr]
 	all  atomic.Pointer[[]net.Addr]
@@ -42,7 +42,7 @@
 // New binds an address for a node. Tell takes what other nodes have in use, and
 // placed the orders that they have given.
 func New(ctx context.Context, self *wire.Member, address string, log *zap.Logger,
-	tell func(node string, used map[string]float64), placed func(string, fleet.Range),
+	tell func(node string, used map[string]float64), placed func(upstream string, layers fleet.Range, holds bool),
 ) (*Sharing, error) {
 	var config net.ListenConfig
 	conn, err := config.ListenPacket(ctx, "udp", address)
@@ -90,10 +90,11 @@
 	placedEvery = 100 * time.Millisecond
 )
 
-// Placed tells all peers of an order that an engine has taken.
-func (s *Sharing) Placed(upstream string, layers fleet.Range) {
+// Placed tells all peers of an order that an engine has taken or, with holds,
+// carried out.
+func (s *Sharing) Placed(upstream string, layers fleet.Range, holds bool) {
 	msg := &wire.Usage{Node: s.self.GetName(), Placed: []*wire.PlacedEngine{
-		{Id: upstream, From: int32(layers.From), To: int32(layers.To)},
+		{Id: upstream, From: int32(layers.From), To: int32(layers.To), Holds: holds},
 	}}
 	for range placedTimes {
 		s.send(msg, s.all.Load())
@@ -146,7 +147,7 @@
 		return
 	}
 	for _, p := range msg.GetPlaced() {
-		s.placed(p.GetId(), fleet.Range{From: int(p.GetFrom()), To: int(p.GetTo())})
+		s.placed(p.GetId(), fleet.Range{From: int(p.GetFrom()), To: int(p.GetTo())}, p.GetHolds())
 	}
 	if len(msg.GetPlaced()) > 0 {
 		return
