Keep new engines in reserve; let begun streams wait before they are cut

A new engine was given second copies of something at once, and then another had to be moved when the old one left; streams that nothing could take up at that moment were cut at once; attempts that had brought no event counted against the bound on upstreams. Also found: a stream that was taken back without an answer could end 503 with 'come back', although it may have run; it is 502 now.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -4,6 +4,8 @@
 	"maps"
 	"net/http"
 	"slices"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
 )
 
 // attemptFailed decides what follows a failed attempt: another one, the
@@ -13,6 +15,7 @@
 	if r == nil || msg.Attempt != r.sends {
 		return nil
 	}
+	began := msg.Events > r.events
 	r.events = msg.Events
 	cmds := m.blame(r, msg)
 	ranAt := ""
@@ -22,7 +25,9 @@
 	m.endAttempt(r)
 	if msg.Cause == Unknown || msg.Cause == Slow || msg.Cause == Failed {
 		r.runs++
-		r.ranAt[ranAt] = true
+		if began || r.route.Kind != catalog.Streaming {
+			r.ranAt[ranAt] = true
+		}
 	}
 	return append(cmds, m.next(r, msg)...)
 }
@@ -31,19 +36,18 @@
 	if reason := m.mayRepeat(r, msg.Cause); reason != "" {
 		return m.lastWord(r, msg, reason)
 	}
-	if cmds := m.admitKey(r); cmds != nil {
-		if r.events > 0 {
-			return m.giveUp(r, ReasonStaleConfig)
-		}
-		return cmds
-	}
-	cmds := m.send(r)
-	if _, sent := cmds[0].(SendCmd); !sent && msg.Cause == Failed {
+	cmds := m.resend(r)
+	if msg.Cause == Failed && !slices.ContainsFunc(cmds, isSend) {
 		return m.relay(r, msg)
 	}
 	return cmds
 }
 
+func isSend(cmd Cmd) bool {
+	_, ok := cmd.(SendCmd)
+	return ok
+}
+
 // mayRepeat returns why a request may not be sent again, or nothing.
 func (m *Model) mayRepeat(r *request, cause Cause) Reason {
 	ran := cause == Unknown || cause == Slow || cause == Failed
@@ -52,7 +56,7 @@
 		return ReasonUnknown
 	case cause == Failed && r.route.Kind == 0:
 		return ReasonUnknown
-	case r.runs >= r.mostRuns(), r.sends >= mostSends:
+	case m.runsThatCount(r) >= r.mostRuns(), r.sends >= mostSends:
 		return ReasonRefused
 	case r.left(m.now) < leastLeft:
 		return ReasonTimeout
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -195,9 +195,10 @@
 }
 
 // tick does what depends on time: it probes suspected upstreams, moves streams
-// off engines that are leaving, and tells others what is in use.
+// off engines that are leaving, takes up those that wait, and tells others what
+// is in use.
 func (m *Model) tick() []Cmd {
-	return slices.Concat(m.probes(), m.depart(), m.share())
+	return slices.Concat(m.probes(), m.depart(), m.resume(), m.share())
 }
 
 func (m *Model) probes() []Cmd {
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -21,8 +21,9 @@
 	// of a throttled node's loop.
 	freshMargin clock.Millis = 700
 	// mostSends bounds the sendings of one request, refused ones included, so
-	// that a request does not walk through the whole fleet.
-	mostSends = 5
+	// that a request does not walk through the whole fleet. A long stream may
+	// outlive several engines while servers are replaced.
+	mostSends = 8
 	// slackShare is the part of the slack that the nodes spend, and restartSpent
 	// the part of its own that a node counts as spent when it starts: with all
 	// nodes restarted in one window they stay within 1.05 of the whole, and the
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -24,11 +24,16 @@
 	sends int
 	runs  int
 	tried map[string]bool
-	// ranAt are the upstreams that may have run it. The operator bounds their
-	// number, not how often one of them is asked.
+	// ranAt are the upstreams that have run it, as far as is known: a stream runs
+	// from its first event. The operator bounds their number, not how often one
+	// of them is asked.
 	ranAt map[string]bool
 	// events is how many events the caller has.
 	events int
+	// waitingFor tells that a stream that has begun waits for something to go on
+	// with, until waitUntil.
+	waitingFor Reason
+	waitUntil  clock.Millis
 
 	// The attempt under way.
 	first *upstream
@@ -45,6 +50,22 @@
 	return r.ranAt[u.entry.ID] || len(r.ranAt) < max(r.route.MaxAttempts, 1)
 }
 
+// runsThatCount is how many upstreams have run a stream, without those that have
+// ended since: the operator's bound is not for them. One that was leaving when
+// its stream broke off has ended.
+func (m *Model) runsThatCount(r *request) int {
+	if r.route.Kind != catalog.Streaming {
+		return r.runs
+	}
+	n := 0
+	for id := range r.ranAt {
+		if u := m.upstreams[id]; u != nil && !u.silent && !u.entry.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // mostRuns is how often the request may run. A plain request that may be
 // repeated can be asked once more of an upstream that has failed it; a stream's
 // every run costs the reading of its prompt.
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -37,10 +37,9 @@
 // giveUp ends a request for which there is nothing left to try.
 func (m *Model) giveUp(r *request, reason Reason) []Cmd {
 	if r.events > 0 {
-		m.forget(r.msg.Request)
-		return []Cmd{CutCmd{Request: r.msg.Request, Reason: reason}}
+		return m.waitOrCut(r, reason)
 	}
-	if r.runs > 0 && !r.route.MayRepeat() {
+	if r.runs > 0 {
 		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
 	}
 	back := backSoon
--- a/placement/coverage.go
+++ b/placement/coverage.go
@@ -6,12 +6,13 @@
 	"strings"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
 )
 
 // Coverage says, for each pipeline service and data centre, which layers have
 // no holder there, as "writer dc-1 missing=0-9,32-40 empty=2". It is for the
 // log.
-func (m *Model) Coverage() []string {
+func (m *Model) Coverage(now clock.Millis) []string {
 	if m.catalog == nil {
 		return nil
 	}
@@ -20,7 +21,7 @@
 		if s.Pipeline == nil {
 			return
 		}
-		p := newPlan(s.Pipeline.Layers, m.engines(s))
+		p := newPlan(s.Pipeline.Layers, m.engines(now, s))
 		empty := make(map[string]int)
 		for _, e := range p.empties() {
 			empty[e.DataCentre]++
--- a/placement/model.go
+++ b/placement/model.go
@@ -26,6 +26,10 @@
 	// retryIn is how soon an order that got no answer is tried again. It may
 	// still be carried out; the engine's count of orders guards against both.
 	retryIn clock.Millis = 2500
+	// reserveFor is for how long a new engine is kept for layers that lose their
+	// holder: servers of a service are replaced about a second apart, and the old
+	// one states that it is leaving after the new one has started.
+	reserveFor clock.Millis = 4000
 	// heldLasts is for how long word of what an engine holds counts more than
 	// the list: its lag and a heartbeat.
 	heldLasts clock.Millis = 3000
@@ -45,6 +49,7 @@
 	started   clock.Millis
 	changed   clock.Millis
 	planned   bool
+	plannedAt clock.Millis
 	catalog   *catalog.Catalog
 	upstreams map[string]fleet.Upstream
 	// silent are engines that are in the list and do not answer.
@@ -53,6 +58,8 @@
 	// heldSure is until when word of what an engine holds counts more than an
 	// entry without layers.
 	heldSure map[string]clock.Millis
+	// seen is when an engine was first in the list.
+	seen map[string]clock.Millis
 	// needSince is since when a service has had layers without a holder.
 	needSince map[string]clock.Millis
 	// dueSince is since when there have been orders to give.
@@ -83,6 +90,7 @@
 		upstreams: make(map[string]fleet.Upstream),
 		silent:    make(map[string]bool),
 		heldSure:  make(map[string]clock.Millis),
+		seen:      make(map[string]clock.Millis),
 		pending:   make(map[string]pending),
 		needSince: make(map[string]clock.Millis),
 	}
@@ -121,9 +129,13 @@
 			delete(m.pending, c.ID)
 			delete(m.silent, c.ID)
 			delete(m.heldSure, c.ID)
+			delete(m.seen, c.ID)
 			m.changed = now
 			continue
 		}
+		if !known {
+			m.seen[c.ID] = now
+		}
 		if !known || before.Leaving != c.Upstream.Leaving {
 			m.changed = now
 		}
@@ -208,6 +220,7 @@
 		return true
 	}
 	m.planned = len(m.upstreams) > 0 && (now >= m.changed.Add(stillFor) || now >= m.started.Add(longestWait))
+	m.plannedAt = now
 	return m.planned
 }
 
@@ -231,7 +244,7 @@
 }
 
 func (m *Model) plan(now clock.Millis, s *catalog.Service) []OrderCmd {
-	engines := m.engines(s)
+	engines := m.engines(now, s)
 	orders := Plan(s.Pipeline.Layers, engines)
 	need := false
 	var cmds []OrderCmd
@@ -259,7 +272,7 @@
 	}
 }
 
-func (m *Model) engines(s *catalog.Service) []Engine {
+func (m *Model) engines(now clock.Millis, s *catalog.Service) []Engine {
 	var engines []Engine
 	for id, u := range m.upstreams {
 		kind, ok := s.Pipeline.Accelerators[u.Accelerator]
@@ -270,6 +283,7 @@
 			ID: id, DataCentre: u.DataCentre, Most: s.Pipeline.MostLayers(kind),
 			LayerTime: s.Pipeline.StepTime(kind, 1), Held: u.Held,
 		}
+		e.Reserve = m.planned && m.seen[id] > m.plannedAt && now < m.seen[id].Add(reserveFor)
 		if p, waiting := m.pending[id]; waiting {
 			e.Coming, e.Fixed = p.layers, true
 		}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -30,6 +30,8 @@
 	Coming fleet.Range
 	// Fixed engines get no orders now.
 	Fixed bool
+	// Reserve engines are new; they are kept for layers without a holder.
+	Reserve bool
 }
 
 // standing is the range that the engine holds or will.
@@ -138,7 +140,7 @@
 	var empty []*Engine
 	for i := range p.engines {
 		e := &p.engines[i]
-		if e.standing().Empty() && !e.Fixed && e.Most > 0 {
+		if e.standing().Empty() && !e.Fixed && e.Most > 0 && !p.keep(e) {
 			empty = append(empty, e)
 		}
 	}
@@ -148,6 +150,12 @@
 	return empty
 }
 
+// keep tells whether an engine is held in reserve: servers are replaced one
+// after the other, the new one first, so layers will soon want a holder.
+func (p *plan) keep(e *Engine) bool {
+	return e.Reserve && p.missing(e.DataCentre, fleet.Range{To: p.layers}) == 0
+}
+
 // fill gives an empty engine the run of layers that is missing most.
 func (p *plan) fill(e *Engine) (Order, bool) {
 	size := min(capacity(e, p.fillOf[e.DataCentre]), p.layers)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -112,7 +112,7 @@
 
 // logCoverage logs which layers are held where, when that has changed.
 func (p *Placer) logCoverage() {
-	coverage := p.model.Coverage()
+	coverage := p.model.Coverage(p.clock.Now())
 	if slices.Equal(coverage, p.coverage) {
 		return
 	}
