--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -28,6 +28,8 @@
 	GiveUp   clock.Millis
 	// TryFor bounds this attempt alone; zero for no such bound.
 	TryFor clock.Millis
+	// Last tells that no further upstream may run the request once this one has.
+	Last bool
 	// Keyed requests may be sent only while the configuration is fresh.
 	Keyed bool
 	// Inputs of the decision, for the log.
--- a/relay/session.go
+++ b/relay/session.go
@@ -262,9 +262,11 @@
 	s.relay.decider.tell(s.relay.life, msg)
 }
 
-// abandon takes an attempt back for want of an answer.
+// abandon takes an attempt back for want of an answer. A stream that has begun
+// and that no further upstream may run is left as it is: it may still go on, and
+// taking it back would cut it for sure.
 func (s *session) abandon(at, why string) {
-	if s.attempt == nil {
+	if s.attempt == nil || s.events > 0 && s.attempt.cmd.Last {
 		return
 	}
 	s.attemptFailed(dispatch.Slow, at, errors.Wrap(errTakenBack, why))
