--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,58 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// benchModel has engines of one kind, eight of 80 layers each, in data centres
+// of 33.
+func benchModel(engines int) *dispatch.Model {
+	m := dispatch.New(dispatch.WithDataCentre("dc-0"), dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000}))
+	m.Update(0, dispatch.CatalogMsg{Catalog: catalog.New(1,
+		catalog.WithRoutes(&catalog.Route{
+			Name: "write", Host: "h", Prefix: "/write/", Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2,
+			Targets: []catalog.Target{{Service: "writer", Weight: 1}},
+		}),
+		catalog.WithServices(&catalog.Service{Name: "writer", Pipeline: &catalog.Pipeline{
+			Layers: 80, LayerMB: 1000, TokenBytes: 400_000, StepMS: 1,
+			Accelerators: map[string]catalog.Accelerator{"k": {Name: "k", MB: 1e6, StepFactor: 1}},
+		}}),
+	)})
+	var changes []fleet.Change
+	for i := range engines {
+		from := (i * 8) % 80
+		u := fleet.Upstream{
+			ID: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("a%d", i), Service: "writer", Accelerator: "k",
+			DataCentre: fmt.Sprintf("dc-%d", i/33), Held: fleet.Range{From: from, To: from + 8},
+		}
+		changes = append(changes, fleet.Change{ID: u.ID, Upstream: u})
+	}
+	m.Update(0, dispatch.FleetMsg{Changes: changes})
+	return m
+}
+
+func BenchmarkArriveAndLeave(b *testing.B) {
+	for _, engines := range []int{38, 99, 330, 990} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			m := benchModel(engines)
+			id := dispatch.RequestID(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				cmds := m.Update(clock.Millis(id/100), dispatch.ArriveMsg{
+					Request: id, CallerID: "c", Host: "h", Path: "/write/a", PromptTokens: 700, AnswerTokens: 200,
+				})
+				if _, ok := cmds[0].(dispatch.SendCmd); !ok {
+					b.Fatalf("got %+v, want a request sent", cmds[0])
+				}
+				m.Update(clock.Millis(id/100), dispatch.GoneMsg{Request: id})
+			}
+		})
+	}
+}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -4,21 +4,33 @@
 	"maps"
 	"slices"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
-// resumeWait is for how long a stream that has begun waits for a chain to go on
-// with. Its caller gives it up after two seconds without an event, of which the
-// search for the cause has taken some.
-const resumeWait clock.Millis = 1500
+// A caller gives a stream up after a pause of this many times its aims, and of
+// leastPatience at least. A stream that waits for something to go on with is kept
+// until then and patienceMargin longer: cutting it before would take away what
+// the caller still waits for.
+const (
+	aimsOfPatience              = 4
+	gapsOfPatience              = 8
+	leastPatience  clock.Millis = 2000
+	patienceMargin clock.Millis = 600
+)
+
+// patience is for how long a caller waits for the next event.
+func patience(route *catalog.Route) clock.Millis {
+	return max(leastPatience, aimsOfPatience*route.Aim, gapsOfPatience*route.GapAim) + patienceMargin
+}
 
 // waitOrCut keeps a stream that has begun for a while when nothing can take it
 // up just now: engines are being loaded, others end and leave room, and the
-// budget of repeats is filled again. A stream is cut only when that has not
-// helped.
+// budget of repeats is filled again. It is cut only after its caller should have
+// left.
 func (m *Model) waitOrCut(r *request, reason Reason) []Cmd {
 	if r.waitUntil == 0 {
-		r.waitUntil = m.now.Add(resumeWait)
+		r.waitUntil = m.now.Add(patience(r.route))
 	}
 	passing := reason == ReasonNoRoom || reason == ReasonNoHolder || reason == ReasonNoBudget
 	if passing && m.now < r.waitUntil {
--- /dev/null
+++ b/placement/bench_test.go
@@ -0,0 +1,34 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/placement"
+)
+
+func benchEngines(n int, placed bool) []placement.Engine {
+	engines := make([]placement.Engine, n)
+	for i := range engines {
+		engines[i] = placement.Engine{ID: fmt.Sprintf("e%04d", i), DataCentre: fmt.Sprintf("dc-%d", i/33), Most: 10, LayerTime: 0.1}
+		if placed {
+			from := (i * 8) % 80
+			engines[i].Held = fleet.Range{From: from, To: from + 8}
+		}
+	}
+	return engines
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{38, 99, 330, 990} {
+		for name, placed := range map[string]bool{"empty": false, "placed": true} {
+			engines := benchEngines(n, placed)
+			b.Run(fmt.Sprintf("%s-%d", name, n), func(b *testing.B) {
+				for b.Loop() {
+					placement.Plan(80, engines)
+				}
+			})
+		}
+	}
+}
