Remove state that nobody reads, and mend comments that say something else

Cause: read the whole change once more. The number of nodes in a data centre has had no reader since silent nodes count as using nothing; two accessors of the planner of requests, two of the list, and three decoded limits had none at all. Four comments told what the code no longer does (suspected engines in chains, what a stall moves, what a bound counts, whom usage is told). What: no behaviour changes. A script's line lost a word that nobody read; its expectations are the same.

--- a/catalog/route.go
+++ b/catalog/route.go
@@ -90,11 +90,7 @@
 	HasPriority bool
 }
 
-// Limits bound what callers may send, and how long they may take for it.
-// Zero means that there is no bound.
+// Limits bound what callers may send. Zero means that there is no bound.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout clock.Millis
-	IdleTimeout   clock.Millis
+	BodyBytes int64
 }
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -3,9 +3,6 @@
 // Service is a group of upstreams that answer the same requests.
 type Service struct {
 	Name string
-	// MaxConns is how many connections one upstream takes from all nodes
-	// together.
-	MaxConns int
 	// Pipeline is set where the upstreams are engines that hold parts of a
 	// model, and nil for plain services.
 	Pipeline *Pipeline
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -70,8 +70,7 @@
 	Away string
 }
 
-// ShareCmd tells the other nodes of the data centre what this node's requests
-// take at engines.
+// ShareCmd tells other nodes what this node's requests take at engines.
 type ShareCmd struct {
 	Used map[string]float64
 }
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -20,19 +20,20 @@
 
 	catalog   *catalog.Catalog
 	confirmed clock.Millis
-	peers     PeersMsg
+	// nodes is how many nodes there are, 0 while that is not known.
+	nodes int
 
 	upstreams map[string]*upstream
 	byService map[string][]*upstream
 	byAddress map[string]*upstream
 	requests  map[RequestID]*request
 	budgets   map[string]*budget.Window
-	// usage is what other nodes have in use, by their names, and shared when
-	// this one last told.
+	// usage is what other nodes have in use, by their names.
 	usage map[string]peerUsage
+	// shared is when this node last told what it has in use.
+	shared clock.Millis
 	// departing are engines that are leaving, and since when.
 	departing map[string]clock.Millis
-	shared    clock.Millis
 }
 
 // Option sets up a Model.
@@ -76,7 +77,7 @@
 	case FleetMsg:
 		m.setFleet(msg)
 	case PeersMsg:
-		m.peers = msg
+		m.nodes = msg.All
 		for _, b := range m.budgets {
 			b.SetSlack(m.slack())
 		}
@@ -106,12 +107,6 @@
 	return nil
 }
 
-// InProgress returns how many requests are under way.
-func (m *Model) InProgress() int { return len(m.requests) }
-
-// Catalog returns the configuration in force, or nil.
-func (m *Model) Catalog() *catalog.Catalog { return m.catalog }
-
 // Ready tells whether the node can serve: it knows a configuration that is
 // fresh enough, and upstreams.
 func (m *Model) Ready(now clock.Millis) bool {
@@ -187,9 +182,9 @@
 
 // slack is this node's part of the repeats beyond the share.
 func (m *Model) slack() float64 {
-	nodes := expectedNodes
-	if m.peers.All > 0 {
-		nodes = m.peers.All
+	nodes := m.nodes
+	if nodes == 0 {
+		nodes = expectedNodes
 	}
 	return m.policy.RetrySlack * slackShare / float64(nodes)
 }
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -2,11 +2,11 @@
 
 import "github.com/hoistjunction/hoistjunction/chain"
 
-// mostMoves bounds how often one attempt's stream is moved.
+// mostMoves bounds how often one request's stream is moved, over all attempts.
 const mostMoves = 3
 
-// stalled moves a stream away from an engine that holds it up, and with it
-// every other stream of this node that passes the engine.
+// stalled moves a stream away from an engine that holds it up. One that is not
+// only slow is suspected, and the other streams that pass it are told.
 func (m *Model) stalled(msg StalledMsg) []Cmd {
 	r := m.requests[msg.Request]
 	if r == nil || msg.Attempt != r.sends {
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -25,11 +25,9 @@
 	Changes []fleet.Change
 }
 
-// PeersMsg tells how many nodes there are, this one included: in all, and in
-// this data centre.
+// PeersMsg tells how many nodes there are, this one included.
 type PeersMsg struct {
-	All   int
-	Local int
+	All int
 }
 
 // UsageMsg brings what another node's requests take at engines.
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -52,7 +52,7 @@
 	case "gone":
 		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Gone: true}}}
 	case "peers":
-		return dispatch.PeersMsg{All: s.Int("all", 1), Local: s.Int("local", 1)}
+		return dispatch.PeersMsg{All: s.Int("all", 1)}
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Word(0), Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}}
 	case "placed":
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -96,8 +96,7 @@
 	return max(clock.Millis(u.took*tryFactor), clock.Millis(float64(r.route.Aim)*tryShare))
 }
 
-// sendPipeline builds a chain of engines. Engines under suspicion take part
-// only where a layer has no other.
+// sendPipeline builds a chain of engines. Engines under suspicion take no part.
 func (m *Model) sendPipeline(r *request) (SendCmd, Reason) {
 	parts, err := chain.Build(r.service.Pipeline.Layers, r.tokens, m.dataCentre, m.holders(r))
 	if err != nil {
@@ -117,7 +116,7 @@
 }
 
 // holders returns the engines of the request's service that may take part in a
-// chain now, without one.
+// chain now, without those named.
 func (m *Model) holders(r *request, without ...string) []chain.Holder {
 	list := m.byService[r.service.Name]
 	holders := make([]chain.Holder, 0, len(list))
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -18,7 +18,7 @@
 
 // share tells the others what this node has in use, when it is time for that.
 func (m *Model) share() []Cmd {
-	if m.peers.All < 2 || m.now < m.shared.Add(shareEvery) {
+	if m.nodes < 2 || m.now < m.shared.Add(shareEvery) {
 		return nil
 	}
 	m.shared = m.now
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -148,18 +148,9 @@
 	return changes
 }
 
-// Get returns an upstream by its id, or nil.
-func (v *View) Get(id string) *Upstream { return v.upstreams[id] }
-
 // Waiting tells whether some entry may still come back.
 func (v *View) Waiting() bool { return len(v.missing) > 0 }
 
-// Missing tells whether an upstream's entry has vanished around an outage.
-func (v *View) Missing(id string) bool {
-	_, ok := v.missing[id]
-	return ok
-}
-
 // Len returns how many upstreams are known.
 func (v *View) Len() int { return len(v.upstreams) }
 
--- a/node/known.go
+++ b/node/known.go
@@ -71,12 +71,8 @@
 // LearnMembers implements peering.Learner.
 func (k *known) LearnMembers(others []*wire.Member, rank int) {
 	var near, all []string
-	local := 1
 	for _, m := range others {
 		here := m.GetDataCentre() == k.node.settings.DataCentre
-		if here && m.GetName() != "" {
-			local++
-		}
 		if m.GetUsageAddress() == "" {
 			continue
 		}
@@ -86,6 +82,6 @@
 		}
 	}
 	k.node.usage.SetPeers(near, all)
-	k.node.relay.SetPeers(len(others)+1, local)
+	k.node.relay.SetPeers(len(others) + 1)
 	k.node.placer.Tell(k.node.life, placement.RankMsg{Delay: plannerDelay(rank)})
 }
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -40,7 +40,7 @@
 	probe func(dispatch.ProbeCmd)
 	// silent tells the planner of layers of engines that do not answer.
 	silent func(upstream string, silent bool)
-	// share tells the other nodes of the data centre what is in use.
+	// share tells other nodes what this one has in use.
 	share func(used map[string]float64)
 	ready atomic.Bool
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -99,9 +99,9 @@
 	}
 }
 
-// SetPeers tells how many nodes there are, in all and in this data centre.
-func (r *Relay) SetPeers(all, local int) {
-	r.decider.tell(r.life, dispatch.PeersMsg{All: all, Local: local})
+// SetPeers tells how many nodes there are, this one included.
+func (r *Relay) SetPeers(all int) {
+	r.decider.tell(r.life, dispatch.PeersMsg{All: all})
 }
 
 // SetUsage takes what another node has in use.
