Ask at the write itself whether a request may go out, and write it once

Cause: net/http repeats a GET without a body on its own when a kept connection breaks, whatever the route's kind, and it writes a request to a connection that it has got even if the context ended in GotConn. So a request of a route that runs at most once could run twice, and the check of the configuration's age before the write did not stop the write.

Ruled out: GetBody (it only matters with a body), the decisions (they were told of one attempt).

Before: TestAttemptIsSentOnce/GET read 3 requests instead of 2, TestAttemptStopsAtTheGate ended unknown. After: both pass, 20 times in a row.

Conclusion: connections to upstreams are guarded; the attempt's guard is asked at the first write of each request.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -19,6 +19,7 @@
 // Errors of an attempt.
 var (
 	errGateShut    = errors.New("relay: the configuration is too old for a request with a key")
+	errSentTwice   = errors.New("relay: the request was written before")
 	errOtherAnswer = errors.New("relay: the answer belongs to another request")
 	errNotSealed   = errors.New("relay: the answer is not the upstream's own")
 	errEncoded     = errors.New("relay: the answer is encoded")
@@ -60,7 +61,8 @@
 	req       *http.Request
 	pieces    chan piece
 	cancel    context.CancelCauseFunc
-	wrote     atomic.Bool
+	// wrote tells that bytes of the request have gone out, or are about to.
+	wrote atomic.Bool
 }
 
 // outgoing builds the request of an attempt from the caller's.
@@ -88,17 +90,12 @@
 // cancelled.
 func (a *attempt) run(ctx context.Context) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			if a.cmd.Keyed && !a.gate.open() {
-				a.cancel(errGateShut)
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*guardedConn); ok {
+				conn.arm(a)
 			}
 		},
-		WroteHeaders: func() { a.wrote.Store(true) },
 	})
-	if a.cmd.Keyed && !a.gate.open() {
-		a.fail(ctx, dispatch.NotSent, "", errGateShut)
-		return
-	}
 	resp, err := a.transport.RoundTrip(a.req.WithContext(ctx))
 	if err != nil {
 		a.fail(ctx, a.causeOf(), "", err)
@@ -108,6 +105,23 @@
 	a.read(ctx, resp)
 }
 
+// mayWrite implements sendGuard. An attempt is written once: whether it is
+// repeated is the decider's to say.
+func (a *attempt) mayWrite() error {
+	if a.cmd.Keyed && !a.gate.open() {
+		a.cancel(errGateShut)
+		return errGateShut
+	}
+	if a.wrote.Swap(true) {
+		a.cancel(errSentTwice)
+		return errSentTwice
+	}
+	return nil
+}
+
+// notWritten implements sendGuard.
+func (a *attempt) notWritten() { a.wrote.Store(false) }
+
 func (a *attempt) causeOf() dispatch.Cause {
 	if a.wrote.Load() {
 		return dispatch.Unknown
--- /dev/null
+++ b/relay/guarded_conn.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// sendGuard is asked right before the first bytes of a request go out.
+type sendGuard interface {
+	// mayWrite returns why the request must not be written; nil if it may.
+	mayWrite() error
+	// notWritten takes back that it was written: none of its bytes went out.
+	notWritten()
+}
+
+// guardedConn is a connection to an upstream. net/http decides by itself which
+// connection a request goes out on, and writes it even if its context has ended
+// in the meantime; it also repeats some requests on its own when a kept
+// connection breaks. So the request's guard is asked here, at the write.
+type guardedConn struct {
+	net.Conn
+	guard atomic.Pointer[sendGuard]
+}
+
+// arm sets the guard of the request that is written next.
+func (c *guardedConn) arm(g sendGuard) { c.guard.Store(&g) }
+
+// Write implements net.Conn. Only a request's first write asks its guard.
+func (c *guardedConn) Write(data []byte) (int, error) {
+	guard := c.guard.Swap(nil)
+	if guard == nil {
+		return c.Conn.Write(data)
+	}
+	if err := (*guard).mayWrite(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(data)
+	if n == 0 && err != nil {
+		(*guard).notWritten()
+	}
+	return n, err
+}
+
+// guarded makes a dialer's connections guarded ones.
+func guarded(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &guardedConn{Conn: conn}, nil
+	}
+}
--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -33,7 +33,7 @@
 }
 
 func newUpstreamPool(dial dialFunc) *upstreamPool {
-	return &upstreamPool{dial: dial, byID: make(map[string]*http.Transport)}
+	return &upstreamPool{dial: guarded(dial), byID: make(map[string]*http.Transport)}
 }
 
 // get returns the connections to an upstream.
