Know a proof of freshness that is older than the process; hold keys back by version

Cause: times before the process's start are negative, and 'not yet known' was zero. And the gate at the write asked only for freshness: a process that stood still between the decision and the write, and then learnt of a newer configuration, wrote a request whose key that configuration had taken away.

Ruled out: the reading from the store, which counts from after the start.

Conclusion: clock.Never stands for what has not happened; the gate compares the version that decided; what it holds back is decided anew, blames no upstream and costs no budget.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -65,7 +65,7 @@
 // refuse ends a request that has not been sent.
 func (m *Model) refuse(id RequestID, status int, reason Reason, back clock.Millis) []Cmd {
 	m.forget(id)
-	cmd := FinishCmd{Request: id, Status: status, Reason: reason, RetryAfter: back, CatalogAge: m.now.Sub(m.confirmed)}
+	cmd := FinishCmd{Request: id, Status: status, Reason: reason, RetryAfter: back, CatalogAge: clock.AgeOf(m.confirmed, m.now)}
 	if m.catalog != nil {
 		cmd.CatalogVersion = m.catalog.Version()
 	}
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -60,7 +60,7 @@
 		return ReasonRefused
 	case r.left(m.now) < leastLeft:
 		return ReasonTimeout
-	case cause != NotSent && !m.budget(r.service.Name).Spend(m.now):
+	case cause != NotSent && cause != HeldBack && !m.budget(r.service.Name).Spend(m.now):
 		return ReasonNoBudget
 	}
 	return ""
@@ -87,6 +87,9 @@
 
 // blame notes what an attempt's failure says about an upstream.
 func (m *Model) blame(r *request, msg AttemptFailedMsg) []Cmd {
+	if msg.Cause == HeldBack {
+		return nil
+	}
 	if r.first != nil {
 		r.tried[r.first.entry.ID] = true
 	}
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -60,6 +60,7 @@
 		budgets:   make(map[string]*budget.Window),
 		usage:     make(map[string]peerUsage),
 		departing: make(map[string]clock.Millis),
+		confirmed: clock.Never,
 	}
 	WithSeed(1)(m)
 	for _, opt := range opts {
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -136,6 +136,9 @@
 const (
 	// NotSent: no byte of the request was written.
 	NotSent Cause = iota
+	// HeldBack: the node itself did not write it, since the configuration that
+	// decided it was no longer in force or fresh.
+	HeldBack
 	// NotRunFull: the upstream says that it did not run it for want of room.
 	NotRunFull
 	// NotRunElsewhere: the upstream says that it is not the one meant, or does
@@ -150,7 +153,7 @@
 )
 
 var causeNames = map[Cause]string{
-	NotSent: "not_sent", NotRunFull: "full", NotRunElsewhere: "misdirected",
+	NotSent: "not_sent", HeldBack: "held_back", NotRunFull: "full", NotRunElsewhere: "misdirected",
 	Unknown: "unknown", Slow: "slow", Failed: "upstream_failed",
 }
 
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -30,7 +30,7 @@
 	cmd.Route, cmd.Account, cmd.Keyed = r.route, r.account.Name, r.keyed
 	cmd.Deadline, cmd.GiveUp = r.deadline, r.giveUp
 	cmd.Last = m.runsThatCount(r)+1 >= r.mostRuns()
-	cmd.CatalogVersion, cmd.CatalogAge = m.catalog.Version(), m.now.Sub(m.confirmed)
+	cmd.CatalogVersion, cmd.CatalogAge = m.catalog.Version(), clock.AgeOf(m.confirmed, m.now)
 	cmd.InFlight = r.first.inFlight
 	return []Cmd{cmd}
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -98,7 +98,7 @@
 	})
 	resp, err := a.transport.RoundTrip(a.req.WithContext(ctx))
 	if err != nil {
-		a.fail(ctx, a.causeOf(), "", err)
+		a.fail(ctx, a.causeOf(ctx), "", err)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -108,7 +108,7 @@
 // mayWrite implements sendGuard. An attempt is written once: whether it is
 // repeated is the decider's to say.
 func (a *attempt) mayWrite() error {
-	if a.cmd.Keyed && !a.gate.open() {
+	if a.cmd.Keyed && !a.gate.open(a.cmd.CatalogVersion) {
 		a.cancel(errGateShut)
 		return errGateShut
 	}
@@ -122,11 +122,16 @@
 // notWritten implements sendGuard.
 func (a *attempt) notWritten() { a.wrote.Store(false) }
 
-func (a *attempt) causeOf() dispatch.Cause {
-	if a.wrote.Load() {
+// causeOf says why there is no answer.
+func (a *attempt) causeOf(ctx context.Context) dispatch.Cause {
+	switch {
+	case a.wrote.Load():
 		return dispatch.Unknown
+	case errors.Is(context.Cause(ctx), errGateShut):
+		return dispatch.HeldBack
+	default:
+		return dispatch.NotSent
 	}
-	return dispatch.NotSent
 }
 
 // read judges the head of an answer, and passes the answer on.
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -83,7 +83,7 @@
 	}
 	a := &attempt{
 		protocol: plainProtocol{}, transport: ta.pool.get("u1"), gate: ta.gate, cancel: cancel,
-		cmd:    dispatch.SendCmd{Route: &catalog.Route{Kind: ta.kind}, Keyed: true},
+		cmd:    dispatch.SendCmd{Route: &catalog.Route{Kind: ta.kind}, Keyed: true, CatalogVersion: 1},
 		pieces: make(chan piece, piecesWaiting),
 	}
 	a.req = outgoing(ctx, caller, address, nil)
@@ -120,16 +120,19 @@
 func TestAttemptStopsAtTheGate(t *testing.T) {
 	u := newFickleUpstream(t)
 	g := newGate(clock.New(), 5000)
+	g.confirm(1, 0)
 	pool := newUpstreamPool(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-		g.confirmed.Store(-10_000)
+		g.mu.Lock()
+		g.confirmed = -10_000
+		g.mu.Unlock()
 		return conn, err
 	})
 	t.Cleanup(pool.close)
 
 	got := testAttempt{pool: pool, gate: g, kind: catalog.Repeatable}.run(t, http.MethodPost, u.listener.Addr().String())
-	if !got.failed || got.cause != dispatch.NotSent {
-		t.Errorf("got failed=%v cause=%v, want it not sent", got.failed, got.cause)
+	if !got.failed || got.cause != dispatch.HeldBack {
+		t.Errorf("got failed=%v cause=%v, want it held back", got.failed, got.cause)
 	}
 	if got, want := u.read.Load(), int64(0); got != want {
 		t.Errorf("got %d requests read, want %d", got, want)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,12 +80,16 @@
 // SetCatalog takes a configuration that was the newest at a time; nil where
 // only the time is new.
 func (r *Relay) SetCatalog(c *catalog.Catalog, confirmed clock.Millis) {
+	version := uint64(0)
 	if c != nil {
 		limits := c.Limits()
 		r.limits.Store(&limits)
+		version = c.Version()
 	}
+	// The decider is told first: what the gate holds back is decided anew, and
+	// must not be by the old version.
 	r.decider.tell(r.life, dispatch.CatalogMsg{Catalog: c, Confirmed: confirmed})
-	r.gate.confirm(confirmed)
+	r.gate.confirm(version, confirmed)
 }
 
 // SetFleet takes changes of the list of upstreams.
@@ -118,6 +122,9 @@
 // their answers. Requests in progress go on.
 func (r *Relay) Stop() { r.stopping.Store(true) }
 
+// Stopping tells whether Stop has been called.
+func (r *Relay) Stopping() bool { return r.stopping.Load() }
+
 // Ready tells whether the node can serve.
 func (r *Relay) Ready() bool { return !r.stopping.Load() && r.decider.ready.Load() }
 
