Let one node of a data centre read the store for the others

All nodes want to know the same.

Now the first by name of a data centre's nodes that may be followed waits at the store, and the others wait at it, with the store's own revisions. It answers only while its proof is under 1.4 s old; the others count from their question, less the age that it gives, and read the store at once when it fails. Around an outage everybody reads the store.

--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -19,6 +19,11 @@
 	// lasts. Keys must be known within 5 s, less a margin of 0.7 s; 0.7 s
 	// remain to ask a peer.
 	catalogWait clock.Millis = 1800
+	// followedWait is the same at a node that others follow, and of those others
+	// at that node. Its proof gets up to twice as old, 1.2 s, and within 1.4 s
+	// (reading.Log) its followers notice that it has lost the store; a change
+	// must be in force within 2 s.
+	followedWait clock.Millis = 600
 	// firstRetry is the pause after a first call that failed; it doubles with
 	// each further one up to longestRetry. Every call costs, refused ones too,
 	// and all nodes lose the store together.
@@ -33,33 +38,39 @@
 
 // Catalog follows the configuration.
 type Catalog struct {
+	shared
 	source CatalogSource
-	clock  *clock.Clock
-	log    *zap.Logger
-	outage *Outage
 	// tell takes a configuration, or nil where only the time is new.
 	tell func(c *catalog.Catalog, raw []byte, confirmed clock.Millis)
 }
 
 // NewCatalog returns a follower of the configuration.
 func NewCatalog(source CatalogSource, c *clock.Clock, log *zap.Logger, outage *Outage,
-	tell func(*catalog.Catalog, []byte, clock.Millis),
+	tell func(*catalog.Catalog, []byte, clock.Millis), opts ...Option,
 ) *Catalog {
-	return &Catalog{source: source, clock: c, log: log, outage: outage, tell: tell}
+	return &Catalog{shared: newShared(c, log, outage, opts), source: source, tell: tell}
 }
 
 // Run follows until the context ends.
 func (f *Catalog) Run(ctx context.Context) error {
 	var revision uint64
 	whole, failures := true, 0
+	// told says that the last reading came from another node.
+	told := false
 	for ctx.Err() == nil {
 		sent := f.clock.Now()
-		reading, err := f.call(ctx, whole, revision)
+		reader := f.reader()
+		reading, err := f.call(ctx, reader, whole, revision)
 		if errors.Is(err, ErrReadAnew) {
 			f.log.Info("config_history_gone", zap.Uint64("revision", revision))
 			whole = true
 			continue
 		}
+		if errors.Is(err, errReaderFailed) {
+			// What another node has told may be old by now.
+			whole, told = told, false
+			continue
+		}
 		if err != nil {
 			noteLost(ctx, f.log, f.outage, "config", err)
 			whole = true
@@ -69,25 +80,39 @@
 		}
 		failures = 0
 		noteBack(f.log, f.outage, f.clock.Now(), "config")
+		told = reader != nil && !whole
 		whole, revision = false, reading.Revision
-		f.take(reading, sent)
+		f.take(reading, sent.Sub(reading.Age))
 	}
 	return ctx.Err()
 }
 
-// call reads the whole, or awaits what changes after a revision.
-func (f *Catalog) call(ctx context.Context, whole bool, revision uint64) (CatalogReading, error) {
+// call reads the whole, or awaits what changes after a revision, from another
+// node if there is one to follow.
+func (f *Catalog) call(ctx context.Context, reader Reader, whole bool, revision uint64) (CatalogReading, error) {
 	if whole {
 		return f.source.ReadCatalog(ctx)
 	}
-	return f.source.AwaitCatalog(ctx, revision, catalogWait)
+	if reader != nil {
+		reading, err := reader.AwaitCatalog(ctx, revision, followedWait)
+		if err != nil {
+			return reading, f.readerFailed(ctx, "config", err)
+		}
+		return reading, nil
+	}
+	wait := catalogWait
+	if f.readers.Followed() {
+		wait = followedWait
+	}
+	return f.source.AwaitCatalog(ctx, revision, wait)
 }
 
 // take passes a reading on. A configuration that cannot be read proves nothing
 // fresh: the one in force is older than it.
-func (f *Catalog) take(reading CatalogReading, sent clock.Millis) {
+func (f *Catalog) take(reading CatalogReading, confirmed clock.Millis) {
 	if len(reading.Raw) == 0 {
-		f.tell(nil, nil, sent)
+		f.followers.SetConfig(nil, reading.Revision, confirmed)
+		f.tell(nil, nil, confirmed)
 		return
 	}
 	c, err := f.source.DecodeCatalog(reading.Raw)
@@ -95,7 +120,8 @@
 		f.log.Error("config_unreadable", zap.Uint64("revision", reading.Revision), logging.Err(err))
 		return
 	}
-	f.tell(c, reading.Raw, sent)
+	f.followers.SetConfig(reading.Raw, reading.Revision, confirmed)
+	f.tell(c, reading.Raw, confirmed)
 }
 
 // noteLost logs the first failed call of an outage.
--- a/follow/doc.go
+++ b/follow/doc.go
@@ -3,7 +3,9 @@
 //
 // Each of the two is read whole once, and its changes are awaited from then
 // on, so the store is asked about once in the time of a wait and tells of a
-// change at once. What is known is passed on as messages.
+// change at once. What is known is passed on as messages. Where another node of
+// the data centre reads the store (package reading), its word is awaited
+// instead, and the store is read as soon as that node fails.
 package follow
 
 import (
@@ -25,6 +27,9 @@
 type CatalogReading struct {
 	Raw      []byte
 	Revision uint64
+	// Age is how much older than the call's sending the proof is that there is
+	// no newer one: nothing for the store, and what another node says of its own.
+	Age clock.Millis
 }
 
 // FleetReading is what a call has shown of the list of upstreams.
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -20,20 +20,29 @@
 	// longestSitOut is how long the follower leaves the store alone while it
 	// seems to be away.
 	longestSitOut clock.Millis = 3000
-	// gather is the pause after a change of the list, in which further ones
+	// followedFleetWait is the same at a node that others follow, and of those
+	// others at that node. Within it and a margin they notice that it is dead; an
+	// upstream that is leaving must be known to be within 2 s.
+	followedFleetWait clock.Millis = 1000
+	// gatherAlone is the pause after a change of the list, in which further ones
 	// gather: at a start each server's entry would cost a call of its own. It
 	// delays what is learnt, not what counts from when it is learnt.
-	gather = 800 * time.Millisecond
+	gatherAlone = 800 * time.Millisecond
+	// gatherFollowed is the same where few nodes call the store: an engine that
+	// ends should be known everywhere soon.
+	gatherFollowed = 200 * time.Millisecond
+	// gatherYoung is the same in a node's first moments, up to young: where all
+	// start together, so do the servers.
+	gatherYoung              = 1500 * time.Millisecond
+	young       clock.Millis = 3000
 	// expiryCheck is how often entries that lapsed are looked at, in ms.
 	expiryCheck clock.Millis = 500
 )
 
 // Fleet follows the list of upstreams.
 type Fleet struct {
+	shared
 	source FleetSource
-	clock  *clock.Clock
-	log    *zap.Logger
-	outage *Outage
 	view   *fleet.View
 	tell   func([]fleet.Change)
 	// learnt holds the newest list that a peer has told.
@@ -43,9 +52,9 @@
 }
 
 // NewFleet returns a follower of the list.
-func NewFleet(source FleetSource, c *clock.Clock, log *zap.Logger, outage *Outage, tell func([]fleet.Change)) *Fleet {
+func NewFleet(source FleetSource, c *clock.Clock, log *zap.Logger, outage *Outage, tell func([]fleet.Change), opts ...Option) *Fleet {
 	return &Fleet{
-		source: source, clock: c, log: log, outage: outage, view: fleet.NewView(), tell: tell,
+		shared: newShared(c, log, outage, opts), source: source, view: fleet.NewView(), tell: tell,
 		learnt: make(chan []fleet.Upstream, 1),
 	}
 }
@@ -61,9 +70,13 @@
 			whole = true
 			continue
 		}
+		if errors.Is(err, errReaderFailed) {
+			continue
+		}
 		if err != nil {
 			noteLost(ctx, f.log, f.outage, "fleet", err)
 			f.view.StoreLost()
+			f.followers.Suspend()
 			whole = true
 			f.sitOut(ctx)
 			continue
@@ -73,7 +86,7 @@
 		f.take(now, reading, whole)
 		whole, revision = false, reading.Revision
 		if len(reading.Changes) > 0 {
-			clock.Pause(ctx, gather)
+			clock.Pause(ctx, f.gather())
 		}
 	}
 	return ctx.Err()
@@ -96,13 +109,36 @@
 	if whole {
 		return f.source.ReadUpstreams(ctx)
 	}
-	wait := fleetWait
 	if f.view.Waiting() {
-		wait = expiryCheck
+		return f.source.AwaitUpstreams(ctx, revision, expiryCheck)
+	}
+	if reader := f.reader(); reader != nil {
+		reading, err := reader.AwaitUpstreams(ctx, revision, followedFleetWait)
+		if err != nil {
+			return reading, f.readerFailed(ctx, "fleet", err)
+		}
+		return reading, nil
+	}
+	wait := fleetWait
+	if f.readers.Followed() {
+		wait = followedFleetWait
 	}
 	return f.source.AwaitUpstreams(ctx, revision, wait)
 }
 
+// gather returns the pause after a change of the list. Calls to another node
+// cost next to nothing, and those of a node that others follow are few.
+func (f *Fleet) gather() time.Duration {
+	switch {
+	case f.readers.Followed(), f.reader() != nil:
+		return gatherFollowed
+	case f.clock.Now() < young:
+		return gatherYoung
+	default:
+		return gatherAlone
+	}
+}
+
 func (f *Fleet) take(now clock.Millis, reading FleetReading, whole bool) {
 	for _, err := range reading.Unreadable {
 		f.log.Warn("entry_unreadable", logging.Err(err))
@@ -115,6 +151,11 @@
 	} else {
 		changes = f.view.Apply(now, reading.Changes, lapsing)
 	}
+	if lapsing || f.view.Waiting() {
+		f.followers.Suspend()
+	} else {
+		f.followers.AddFleet(reading.Revision, changes)
+	}
 	f.pass(append(changes, f.view.Expire(now)...), reading.Revision)
 }
 
--- /dev/null
+++ b/follow/reader_test.go
@@ -0,0 +1,145 @@
+package follow
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// scriptedReader is another node. Its calls go into the list of the store's.
+type scriptedReader struct {
+	store *scripted
+	// answers are its answers, in order; after them it fails.
+	answers []scriptedAnswer
+	// offered is how often it is still offered, and failed counts failures.
+	offered int
+	failed  int
+}
+
+func (r *scriptedReader) next() scriptedAnswer {
+	if len(r.answers) == 0 {
+		r.store.calls = append(r.store.calls, "reader fails")
+		return scriptedAnswer{err: errAway}
+	}
+	r.store.calls = append(r.store.calls, "reader")
+	answer := r.answers[0]
+	r.answers = r.answers[1:]
+	return answer
+}
+
+func (r *scriptedReader) AwaitCatalog(context.Context, uint64, clock.Millis) (CatalogReading, error) {
+	answer := r.next()
+	return CatalogReading{Raw: []byte(answer.raw), Revision: 1, Age: 500}, answer.err
+}
+
+func (r *scriptedReader) AwaitUpstreams(context.Context, uint64, clock.Millis) (FleetReading, error) {
+	answer := r.next()
+	return FleetReading{Changes: answer.changes, Revision: 1}, answer.err
+}
+
+func (r *scriptedReader) Reader() Reader {
+	if r.offered == 0 {
+		return nil
+	}
+	r.offered--
+	return r
+}
+
+func (r *scriptedReader) Failed() { r.failed, r.offered = r.failed+1, 0 }
+
+func (r *scriptedReader) Followed() bool { return false }
+
+// A node follows the reader after it has read the store itself, and reads the
+// store whole as soon as the reader fails. The reader's failure is no outage.
+func TestCatalogFollowsAReader(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{raw: "1"}, {raw: "3"}, {}}}
+	reader := &scriptedReader{store: source, answers: []scriptedAnswer{{}, {raw: "2"}}, offered: 4}
+	outage := &Outage{}
+	var told []uint64
+	f := NewCatalog(source, clock.New(), zap.NewNop(), outage, func(c *catalog.Catalog, _ []byte, _ clock.Millis) {
+		if c != nil {
+			told = append(told, c.Version())
+		}
+	}, WithReaders(reader, noReaders{}))
+	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got error %v, want %v", err, context.Canceled)
+	}
+	checkCalls(t, source.calls, []string{"read", "reader", "reader", "reader fails", "read", "await"})
+	if got, want := len(told), 3; got != want {
+		t.Errorf("got versions %v, want 1, 2 and 3", told)
+	}
+	if got, want := reader.failed, 1; got != want {
+		t.Errorf("got %d failures noted, want %d", got, want)
+	}
+}
+
+// The first contact with a reader may fail, since it does not yet know that it
+// is one. What this node has read itself is no older for it.
+func TestCatalogDoesNotReadAnewAfterAFirstContact(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{raw: "1"}, {}}}
+	reader := &scriptedReader{store: source, offered: 2}
+	f := NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) {}, WithReaders(reader, noReaders{}))
+	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got error %v, want %v", err, context.Canceled)
+	}
+	checkCalls(t, source.calls, []string{"read", "reader fails", "await"})
+}
+
+// The proof counts from the question, less the age that the reader gives.
+func TestCatalogCountsTheReadersAge(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{raw: "1"}}}
+	reader := &scriptedReader{store: source, answers: []scriptedAnswer{{}}, offered: 2}
+	c := clock.New()
+	var proofs []clock.Millis
+	f := NewCatalog(source, c, zap.NewNop(), &Outage{}, func(_ *catalog.Catalog, _ []byte, confirmed clock.Millis) {
+		proofs = append(proofs, confirmed.Sub(c.Now()))
+	}, WithReaders(reader, noReaders{}))
+	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got error %v, want %v", err, context.Canceled)
+	}
+	if len(proofs) != 2 || proofs[1] > -500 {
+		t.Errorf("got proofs %v before now, want two, the second 500 or more", proofs)
+	}
+}
+
+// followersLog notes what goes to the nodes that follow this one.
+type followersLog struct {
+	noReaders
+	calls []string
+}
+
+func (l *followersLog) AddFleet(uint64, []fleet.Change) { l.calls = append(l.calls, "add") }
+func (l *followersLog) Suspend()                        { l.calls = append(l.calls, "suspend") }
+
+// Around an outage the list is not passed on, and nobody is followed.
+func TestFleetPassesNothingOnAroundAnOutage(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	up := func(id string) fleet.Change { return fleet.Change{ID: id, Upstream: fleet.Upstream{ID: id}} }
+	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{
+		{changes: []fleet.Change{up("u1"), up("u2")}}, {err: errAway}, {changes: []fleet.Change{up("u1")}},
+	}}
+	outage := &Outage{}
+	c := clock.New()
+	followers := &followersLog{}
+	reader := &scriptedReader{store: source, offered: 0}
+	f := NewFleet(source, c, zap.NewNop(), outage, func([]fleet.Change) {}, WithReaders(reader, followers))
+	go func() {
+		for ctx.Err() == nil {
+			outage.Back(c.Now())
+			clock.Pause(ctx, firstRetry)
+		}
+	}()
+	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got error %v, want %v", err, context.Canceled)
+	}
+	checkCalls(t, followers.calls, []string{"add", "suspend", "suspend"})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/placer"
 	"github.com/hoistjunction/hoistjunction/platform"
+	"github.com/hoistjunction/hoistjunction/reading"
 	"github.com/hoistjunction/hoistjunction/relay"
 	"github.com/hoistjunction/hoistjunction/usage"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -35,6 +36,9 @@
 	idleCaller = 60 * time.Second
 	// headerBytes bounds a request's head; the operator grants 16 KB.
 	headerBytes = 32 << 10
+	// vouchFor is how old the proof may be with which a node tells others that
+	// there is nothing newer. A change must be in force within 2 s.
+	vouchFor clock.Millis = 1400
 )
 
 // Node is a relay node.
@@ -49,6 +53,8 @@
 	peers    *peering.Peering
 	usage    *usage.Sharing
 	known    *known
+	roster   *reading.Roster
+	shared   *reading.Log
 	store    *platform.Store
 	engines  *platform.Engines
 	life     context.Context
@@ -80,7 +86,7 @@
 		}),
 	)
 	self := &wire.Member{Name: s.Name, DataCentre: s.DataCentre, Address: n.peer.Addr().String()}
-	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.setUsage, n.setPlaced)
+	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.followable, n.setUsage, n.setPlaced)
 	if err != nil {
 		return nil, err
 	}
@@ -91,11 +97,15 @@
 		relay.WithSilence(n.setSilent), relay.WithSharing(n.usage.Share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced)
+	n.roster = reading.NewRoster(s.Name, n.clock.Now())
+	n.shared = reading.NewLog(n.clock, vouchFor)
 	outage := &follow.Outage{}
-	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, outage, n.setCatalog)
-	n.fleets = follow.NewFleet(n.store, n.clock, n.log, outage, n.setFleet)
-	n.known = &known{node: n}
-	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, platform.NewPeerTransport(), hash(s.Name))
+	peerTransport := platform.NewPeerTransport()
+	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
+	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, outage, n.setCatalog, share)
+	n.fleets = follow.NewFleet(n.store, n.clock, n.log, outage, n.setFleet, share)
+	n.known = &known{node: n, confirmed: clock.Never}
+	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, peerTransport, hash(s.Name))
 	return n, nil
 }
 
@@ -152,7 +162,7 @@
 	n.addLoop(&g, n.usage.Run)
 	n.addServer(&g, n.caller, n.relay)
 	n.addServer(&g, n.readiness, http.HandlerFunc(n.relay.Readiness))
-	n.addServer(&g, n.peer, n.peers.Handler())
+	n.addServer(&g, n.peer, n.peerHandler())
 	n.addServer(&g, n.metrics, http.HandlerFunc(n.relay.Metrics))
 	err := g.Run()
 	n.store.Close()
@@ -214,7 +224,7 @@
 	if !newer {
 		return
 	}
-	n.log.Info("config", zap.Uint64("version", c.Version()), zap.Int64("age_ms", int64(n.clock.Now().Sub(confirmed))))
+	n.log.Info("config", zap.Uint64("version", c.Version()), zap.Int64("age_ms", int64(clock.AgeOf(confirmed, n.clock.Now()))))
 	n.placer.Tell(n.life, placement.CatalogMsg{Catalog: c})
 }
 
@@ -223,8 +233,18 @@
 	n.placer.Tell(n.life, placement.SilentMsg{Upstream: upstream, Silent: silent})
 }
 
-func (n *Node) setUsage(node string, used map[string]float64) {
-	n.relay.SetUsage(node, used)
+// peerHandler serves what other nodes ask.
+func (n *Node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(n.peers.Handler())
+	mux.Handle(reading.Handler(n.shared))
+	return mux
+}
+
+func (n *Node) setUsage(from *wire.Member, used map[string]float64, followable bool) {
+	n.peers.Heard(from)
+	n.roster.Heard(n.clock.Now(), from.GetName(), followable)
+	n.relay.SetUsage(from.GetName(), used)
 }
 
 // tellPlaced tells the own relay and other nodes of an order of this node's.
--- /dev/null
+++ b/node/readers.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"net/http"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/follow"
+	"github.com/hoistjunction/hoistjunction/reading"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// followableWithin is how old the proof may be that the configuration is the
+// newest for others to follow this node: twice the wait of a node that is not
+// followed yet, and a margin.
+const followableWithin clock.Millis = 4000
+
+// readers says which node reads the store for this one. It implements
+// follow.Readers and is safe for concurrent use.
+type readers struct {
+	node   *Node
+	client *http.Client
+
+	mu sync.Mutex
+	// at is the address of the node that is followed, empty for none, and source
+	// follows it.
+	at     string
+	source *reading.Source
+}
+
+// Reader implements follow.Readers.
+func (r *readers) Reader() follow.Reader {
+	m := r.node.roster.Reader(r.node.clock.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m.GetAddress() != r.at {
+		r.at, r.source = m.GetAddress(), reading.NewSource(r.client, m.GetAddress())
+		r.node.log.Info("reader", zap.String("follows", m.GetName()), zap.String("address", r.at))
+	}
+	if m == nil {
+		return nil
+	}
+	return r.source
+}
+
+// Failed implements follow.Readers.
+func (r *readers) Failed() { r.node.roster.Failed(r.node.clock.Now()) }
+
+// Followed implements follow.Readers. A node whose turn it is to read for others
+// is ready before they ask.
+func (r *readers) Followed() bool {
+	return r.node.roster.Reads(r.node.clock.Now()) || r.node.shared.Followed()
+}
+
+// followable tells whether other nodes may follow this one in place of the
+// store.
+func (n *Node) followable() bool {
+	_, version, confirmed := n.known.Config()
+	return !n.relay.Stopping() && version != 0 && n.clock.Now().Sub(confirmed) <= followableWithin
+}
+
+// nearMembers returns the nodes of a data centre.
+func nearMembers(members []*wire.Member, dataCentre string) []*wire.Member {
+	var near []*wire.Member
+	for _, m := range members {
+		if m.GetDataCentre() == dataCentre {
+			near = append(near, m)
+		}
+	}
+	return near
+}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -35,8 +35,9 @@
 	// fleetAfter is how old the proof of freshness may get before peers are
 	// asked for the list of upstreams too: by then the store is lost.
 	fleetAfter clock.Millis = 4200
-	// membersEvery is how often the registry is read again.
-	membersEvery = 20 * time.Second
+	// membersEvery is how often the registry is read again. Between that, nodes
+	// learn of new ones of their data centre from what those tell.
+	membersEvery = 60 * time.Second
 	// registerAgain is the pause after a registration that failed, and
 	// membersSoon the time after which nodes that start together have all
 	// registered.
@@ -66,7 +67,7 @@
 ) *Peering {
 	return &Peering{
 		clock: c, log: log, registry: registry, knowledge: knowledge, learner: learner,
-		directory: newDirectory(self, seeds), random: rand.New(rand.NewPCG(seed, seed)),
+		directory: newDirectory(self, seeds), random: rand.New(rand.NewPCG(seed, seed)), best: clock.Never,
 		http: &http.Client{Transport: transport, Timeout: askTimeout},
 	}
 }
@@ -96,6 +97,9 @@
 	return ctx.Err()
 }
 
+// Heard notes a node that has told something.
+func (p *Peering) Heard(m *wire.Member) { p.noteMembers(m) }
+
 func (p *Peering) noteMembers(members ...*wire.Member) {
 	if !p.directory.add(members...) {
 		return
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -42,7 +42,8 @@
 	t.Helper()
 	self := &wire.Member{Name: name, DataCentre: "dc"}
 	p := New(self, nil, nil, node, node, c, zap.NewNop(), http.DefaultTransport, 1)
-	server := httptest.NewServer(p.Handler())
+	_, handler := p.Handler()
+	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	self.Address = server.Listener.Addr().String()
 	return p, self
--- a/peering/server.go
+++ b/peering/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/reading"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 )
@@ -32,10 +33,9 @@
 	return connect.NewResponse(answer), nil
 }
 
-// Handler serves the peers' questions.
-func (p *Peering) Handler() http.Handler {
-	_, handler := wireconnect.NewFreshnessHandler(p)
-	return handler
+// Handler serves the peers' questions, at the path that it returns.
+func (p *Peering) Handler() (path string, handler http.Handler) {
+	return wireconnect.NewFreshnessHandler(p)
 }
 
 func (p *Peering) fleet() ([]*wire.ListedUpstream, bool) {
@@ -45,10 +45,7 @@
 	}
 	out := make([]*wire.ListedUpstream, 0, len(list))
 	for _, u := range list {
-		out = append(out, &wire.ListedUpstream{
-			Id: u.ID, Service: u.Service, Address: u.Address, DataCentre: u.DataCentre, Slots: int32(u.Slots),
-			Leaving: u.Leaving, Accelerator: u.Accelerator, HeldFrom: int32(u.Held.From), HeldTo: int32(u.Held.To),
-		})
+		out = append(out, reading.Entry(u))
 	}
 	return out, true
 }
@@ -56,11 +53,7 @@
 func upstreamsOf(list []*wire.ListedUpstream) []fleet.Upstream {
 	out := make([]fleet.Upstream, 0, len(list))
 	for _, u := range list {
-		out = append(out, fleet.Upstream{
-			ID: u.GetId(), Service: u.GetService(), Address: u.GetAddress(), DataCentre: u.GetDataCentre(),
-			Slots: int(u.GetSlots()), Leaving: u.GetLeaving(), Accelerator: u.GetAccelerator(),
-			Held: fleet.Range{From: int(u.GetHeldFrom()), To: int(u.GetHeldTo())},
-		})
+		out = append(out, reading.Upstream(u))
 	}
 	return out
 }
--- /dev/null
+++ b/reading/log_test.go
@@ -0,0 +1,207 @@
+package reading_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"connectrpc.com/connect"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/reading"
+)
+
+// vouchFor is long enough for these tests not to depend on it; proofs that are
+// too old are made so by when they count from.
+const (
+	vouchFor clock.Millis = 600_000
+	tooOld   clock.Millis = -700_000
+	longWait clock.Millis = 500_000
+)
+
+func gone(id string) []fleet.Change { return []fleet.Change{{ID: id, Gone: true}} }
+
+// newLog returns a log that knows a configuration and the list.
+func newLog(t *testing.T) *reading.Log {
+	t.Helper()
+	l := reading.NewLog(clock.New(), vouchFor)
+	l.SetConfig([]byte("v1"), 10, 0)
+	l.AddFleet(10, nil)
+	return l
+}
+
+// follower is a source that follows a log over HTTP.
+func follower(t *testing.T, l *reading.Log) *reading.Source {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(reading.Handler(l))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return reading.NewSource(server.Client(), server.Listener.Addr().String())
+}
+
+func TestAwaitConfig(t *testing.T) {
+	tests := []struct {
+		name         string
+		after        uint64
+		raw          string
+		wantRevision uint64
+	}{
+		{"the asker is behind", 9, "v1", 10},
+		{"the asker knows it", 10, "", 10},
+		{"the asker knows more", 12, "", 12},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got, err := follower(t, newLog(t)).AwaitCatalog(context.Background(), tt.after, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if string(got.Raw) != tt.raw || got.Revision != tt.wantRevision {
+				t.Errorf("got %q at %d, want %q at %d", got.Raw, got.Revision, tt.raw, tt.wantRevision)
+			}
+		})
+	}
+}
+
+// The answer tells how old the proof is, so that the asker can count it from
+// when it asked.
+func TestAwaitConfigTellsTheAge(t *testing.T) {
+	l := reading.NewLog(clock.New(), vouchFor)
+	l.SetConfig([]byte("v1"), 10, -5000)
+	got, err := follower(t, l).AwaitCatalog(context.Background(), 10, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Age < 5000 {
+		t.Errorf("got age %d, want 5000 or more", got.Age)
+	}
+}
+
+func TestAwaitEndsWithAChange(t *testing.T) {
+	l := newLog(t)
+	source := follower(t, l)
+	type answer struct {
+		raw string
+		id  string
+		err error
+	}
+	answers := make(chan answer, 2)
+	go func() {
+		got, err := source.AwaitCatalog(context.Background(), 10, longWait)
+		answers <- answer{raw: string(got.Raw), err: err}
+	}()
+	go func() {
+		got, err := source.AwaitUpstreams(context.Background(), 10, longWait)
+		a := answer{err: err}
+		if len(got.Changes) > 0 {
+			a.id = got.Changes[0].ID
+		}
+		answers <- a
+	}()
+	l.SetConfig([]byte("v2"), 11, 1)
+	l.AddFleet(12, gone("u1"))
+	raw, id := "", ""
+	for range 2 {
+		a := <-answers
+		if a.err != nil {
+			t.Fatal(a.err)
+		}
+		raw, id = raw+a.raw, id+a.id
+	}
+	if raw != "v2" || id != "u1" {
+		t.Errorf("got configuration %q and change of %q, want v2 and u1", raw, id)
+	}
+}
+
+func TestAwaitFleet(t *testing.T) {
+	l := newLog(t)
+	l.AddFleet(11, gone("u1"))
+	l.AddFleet(12, nil)
+	l.AddFleet(13, gone("u2"))
+	tests := []struct {
+		after uint64
+		want  int
+	}{{10, 2}, {11, 1}, {12, 1}, {13, 0}}
+	for _, tt := range tests {
+		got, err := follower(t, l).AwaitUpstreams(context.Background(), tt.after, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(got.Changes) != tt.want || got.Revision != 13 {
+			t.Errorf("after %d: got %d changes at %d, want %d at 13", tt.after, len(got.Changes), got.Revision, tt.want)
+		}
+	}
+}
+
+// A node answers for nothing that it does not know well enough.
+func TestLogThatCannotVouch(t *testing.T) {
+	old := reading.NewLog(clock.New(), vouchFor)
+	old.SetConfig([]byte("v1"), 10, tooOld)
+	old.AddFleet(10, nil)
+	suspended := newLog(t)
+	suspended.Suspend()
+	unlisted := reading.NewLog(clock.New(), vouchFor)
+	unlisted.SetConfig([]byte("v1"), 10, 0)
+	tests := []struct {
+		name   string
+		log    *reading.Log
+		config bool
+		want   connect.Code
+	}{
+		{"nothing known", reading.NewLog(clock.New(), vouchFor), true, connect.CodeUnavailable},
+		{"the proof is too old", old, true, connect.CodeUnavailable},
+		{"the proof is too old for the list", old, false, connect.CodeUnavailable},
+		{"around an outage", suspended, false, connect.CodeUnavailable},
+		{"no list yet", unlisted, false, connect.CodeUnavailable},
+		{"too far back", newLog(t), false, connect.CodeOutOfRange},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			source := follower(t, tt.log)
+			var err error
+			if tt.config {
+				_, err = source.AwaitCatalog(context.Background(), 9, longWait)
+			} else {
+				_, err = source.AwaitUpstreams(context.Background(), 9, longWait)
+			}
+			var failure *connect.Error
+			if !errors.As(err, &failure) || failure.Code() != tt.want {
+				t.Errorf("got error %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
+
+// A wait that is under way ends when the list cannot be vouched for any more.
+func TestSuspendEndsTheWaits(t *testing.T) {
+	l := newLog(t)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := l.AwaitFleet(context.Background(), 10, longWait)
+		failed <- err
+	}()
+	l.Suspend()
+	if got := <-failed; !errors.Is(got, reading.ErrCannotVouch) {
+		t.Errorf("got error %v, want %v", got, reading.ErrCannotVouch)
+	}
+}
+
+// A follower that is further behind than what is kept reads the store.
+func TestLogForgets(t *testing.T) {
+	l := newLog(t)
+	const many = 100
+	for i := range uint64(many) {
+		l.AddFleet(11+i, gone("u"))
+	}
+	if _, err := l.AwaitFleet(context.Background(), 10, 0); !errors.Is(err, reading.ErrTooFarBack) {
+		t.Errorf("got error %v, want %v", err, reading.ErrTooFarBack)
+	}
+	got, err := l.AwaitFleet(context.Background(), 10+many-1, 0)
+	if err != nil || len(got.Changes) != 1 {
+		t.Errorf("got %d changes and error %v, want 1 and none", len(got.Changes), err)
+	}
+}
--- /dev/null
+++ b/reading/roster_test.go
@@ -0,0 +1,51 @@
+package reading_test
+
+import (
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/internal/script"
+	"github.com/hoistjunction/hoistjunction/reading"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+func TestRosterScripts(t *testing.T) {
+	script.Run(t, "testdata", func(t *testing.T) func(script.Step) []string {
+		roster := reading.NewRoster("n3", 0)
+		return func(s script.Step) []string { return playRoster(t, roster, s) }
+	})
+}
+
+func playRoster(t *testing.T, r *reading.Roster, s script.Step) []string {
+	now := clock.Millis(s.Int("at", 0))
+	switch s.Verb {
+	case "near":
+		var members []*wire.Member
+		for _, name := range s.Words {
+			members = append(members, &wire.Member{Name: name, Address: name + ":1"})
+		}
+		r.SetNear(members)
+	case "heard", "refuses":
+		for _, name := range s.Words {
+			r.Heard(now, name, s.Verb == "heard")
+		}
+	case "failed":
+		r.Failed(now)
+	case "reader":
+		return []string{readerOf(r, now)}
+	default:
+		t.Fatalf("line %d: no verb %q", s.Line, s.Verb)
+	}
+	return nil
+}
+
+func readerOf(r *reading.Roster, now clock.Millis) string {
+	switch m := r.Reader(now); {
+	case m != nil:
+		return m.GetName()
+	case r.Reads(now):
+		return "itself for all"
+	default:
+		return "itself alone"
+	}
+}
--- /dev/null
+++ b/reading/server.go
@@ -0,0 +1,70 @@
+package reading
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/wire"
+	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
+)
+
+// longestWait bounds a wait that another node asks for.
+const longestWait clock.Millis = 10_000
+
+// server answers other nodes from a log. It implements
+// wireconnect.ReadingHandler.
+type server struct{ log *Log }
+
+// Handler serves a log to other nodes, at the path that it returns.
+func Handler(l *Log) (path string, handler http.Handler) {
+	return wireconnect.NewReadingHandler(server{log: l})
+}
+
+// AwaitConfig implements wireconnect.ReadingHandler.
+func (s server) AwaitConfig(ctx context.Context, req *connect.Request[wire.AwaitConfigRequest]) (*connect.Response[wire.AwaitConfigResponse], error) {
+	reading, err := s.log.AwaitConfig(ctx, req.Msg.GetAfter(), boundedWait(req.Msg.GetWaitMs()))
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	return connect.NewResponse(&wire.AwaitConfigResponse{
+		Revision: reading.Revision, AgeMs: int64(reading.Age), Config: reading.Raw,
+	}), nil
+}
+
+// AwaitFleet implements wireconnect.ReadingHandler.
+func (s server) AwaitFleet(ctx context.Context, req *connect.Request[wire.AwaitFleetRequest]) (*connect.Response[wire.AwaitFleetResponse], error) {
+	reading, err := s.log.AwaitFleet(ctx, req.Msg.GetAfter(), boundedWait(req.Msg.GetWaitMs()))
+	if err != nil {
+		return nil, asConnect(err)
+	}
+	answer := &wire.AwaitFleetResponse{Revision: reading.Revision}
+	for _, c := range reading.Changes {
+		answer.Changes = append(answer.Changes, listed(c))
+	}
+	return connect.NewResponse(answer), nil
+}
+
+func boundedWait(ms int64) clock.Millis { return min(max(clock.Millis(ms), 0), longestWait) }
+
+func asConnect(err error) error {
+	switch {
+	case errors.Is(err, ErrCannotVouch):
+		return connect.NewError(connect.CodeUnavailable, err)
+	case errors.Is(err, ErrTooFarBack):
+		return connect.NewError(connect.CodeOutOfRange, err)
+	default:
+		return err
+	}
+}
+
+func listed(c fleet.Change) *wire.ListedChange {
+	if c.Gone {
+		return &wire.ListedChange{Id: c.ID, Gone: true}
+	}
+	return &wire.ListedChange{Id: c.ID, Upstream: Entry(c.Upstream)}
+}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -31,7 +31,9 @@
 	self *wire.Member
 	conn net.PacketConn
 	log  *zap.Logger
-	tell func(node string, used map[string]float64)
+	tell func(from *wire.Member, used map[string]float64, followable bool)
+	// followable tells whether other nodes may follow this one.
+	followable func() bool
 	// placed takes orders that other nodes have given.
 	placed func(upstream string, layers fleet.Range, holds bool)
 	// near are told what is in use, and all what was ordered.
@@ -39,17 +41,18 @@
 	all  atomic.Pointer[[]net.Addr]
 }
 
-// New binds an address for a node. Tell takes what other nodes have in use, and
-// placed the orders that they have given.
+// New binds an address for a node. Followable tells whether other nodes may
+// follow this one in place of the store; tell takes that and what they have in
+// use of other nodes, and placed the orders that they have given.
 func New(ctx context.Context, self *wire.Member, address string, log *zap.Logger,
-	tell func(node string, used map[string]float64), placed func(upstream string, layers fleet.Range, holds bool),
+	followable func() bool, tell func(from *wire.Member, used map[string]float64, followable bool), placed func(upstream string, layers fleet.Range, holds bool),
 ) (*Sharing, error) {
 	var config net.ListenConfig
 	conn, err := config.ListenPacket(ctx, "udp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "usage: cannot listen at %s", address)
 	}
-	return &Sharing{self: self, conn: conn, log: log, tell: tell, placed: placed}, nil
+	return &Sharing{self: self, conn: conn, log: log, followable: followable, tell: tell, placed: placed}, nil
 }
 
 // Address returns where the node takes datagrams.
@@ -76,7 +79,7 @@
 
 // Share tells the near peers what this node has in use.
 func (s *Sharing) Share(used map[string]float64) {
-	msg := &wire.Usage{Node: s.self.GetName()}
+	msg := &wire.Usage{From: s.self, Followable: s.followable()}
 	for id, amount := range used {
 		msg.Engines = append(msg.Engines, &wire.EngineUse{Id: id, Amount: amount})
 	}
@@ -93,7 +96,7 @@
 // Placed tells all peers of an order that an engine has taken or, with holds,
 // carried out.
 func (s *Sharing) Placed(upstream string, layers fleet.Range, holds bool) {
-	msg := &wire.Usage{Node: s.self.GetName(), Placed: []*wire.PlacedEngine{
+	msg := &wire.Usage{From: s.self, Placed: []*wire.PlacedEngine{
 		{Id: upstream, From: int32(layers.From), To: int32(layers.To), Holds: holds},
 	}}
 	for range placedTimes {
@@ -142,7 +145,7 @@
 
 func (s *Sharing) take(data []byte) {
 	var msg wire.Usage
-	if err := proto.Unmarshal(data, &msg); err != nil || msg.GetNode() == "" {
+	if err := proto.Unmarshal(data, &msg); err != nil || msg.GetFrom().GetName() == "" {
 		s.log.Debug("usage_unreadable", logging.Err(err))
 		return
 	}
@@ -156,5 +159,5 @@
 	for _, e := range msg.GetEngines() {
 		used[e.GetId()] = e.GetAmount()
 	}
-	s.tell(msg.GetNode(), used)
+	s.tell(msg.GetFrom(), used, msg.GetFollowable())
 }
