Know what other data centres and engines say of memory; go on asking for the list

Cause 1: with 24 nodes or more, nodes told only their own data centre what they have in use. Now the node that reads the store for its data centre adds up what all of it has in use, and tells the others of engines that are a quarter full or more; and an engine that refuses is asked for its report, whose word on its memory counts for 0.6 s.

Ruled out: dead engines (probes answered, at pace 1), a lack of orders.

A node without the store asked its peers for the list only together with its first question for a configuration, or with a proof over 4.2 s old, which prompt answers never let happen; a peer that did not know the list yet at that moment was never asked again. Now it is asked until a list is known (peering: TestNeeds).

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -70,9 +70,14 @@
 	Away string
 }
 
-// ShareCmd tells other nodes what this node's requests take at engines.
+// ShareCmd tells other nodes what requests take at engines, in tokens times
+// layers.
 type ShareCmd struct {
+	// Used is what this node's requests take.
 	Used map[string]float64
+	// Total is what those of all nodes that tell each other take, at engines that
+	// are worth telling others of.
+	Total map[string]float64
 }
 
 // SilentCmd tells the planner of layers that an engine does not answer, or does
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -94,8 +94,8 @@
 		m.attemptDone(msg)
 	case StalledMsg:
 		return m.stalled(msg)
-	case PaceMsg:
-		m.notePace(msg.Upstream, msg.Pace)
+	case ReportMsg:
+		m.noteReport(msg.Upstream, msg.Report)
 	case MovedMsg:
 		return m.moved(msg)
 	case GoneMsg:
@@ -200,8 +200,8 @@
 func (m *Model) probes() []Cmd {
 	var cmds []Cmd
 	for _, u := range m.upstreams {
-		if !u.probing && (u.suspect && m.now >= u.avoidUntil || u.pace > usualPace && m.now >= u.paceAt.Add(paceLasts)) {
-			u.probing = true
+		if u.needsProbe(m.now) {
+			u.probing, u.wantsReport = true, false
 			cmds = append(cmds, ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil})
 		}
 	}
@@ -211,10 +211,17 @@
 	return cmds
 }
 
-// notePace notes how slow an engine is.
-func (m *Model) notePace(id string, pace float64) {
-	if u := m.upstreams[id]; u != nil && pace > 0 {
-		u.pace, u.paceAt = pace, m.now
+// noteReport notes how slow an engine is, and how much memory it has left.
+func (m *Model) noteReport(id string, report Report) {
+	u := m.upstreams[id]
+	if u == nil {
+		return
+	}
+	if report.Pace > 0 {
+		u.pace, u.paceAt = report.Pace, m.now
+	}
+	if report.All > 0 {
+		u.reportedFree, u.reportedAt, u.reservedThen = report.Free, m.now, u.reserved
 	}
 }
 
@@ -227,7 +234,7 @@
 	}
 	u.probing = false
 	u.suspect = !msg.Answered
-	m.notePace(msg.Upstream, msg.Pace)
+	m.noteReport(msg.Upstream, msg.Report)
 	if !msg.Answered {
 		u.avoidUntil = m.now.Add(firstSuspicion)
 	}
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -35,6 +35,9 @@
 	Node string
 	// Used is memory by engine, in tokens times layers.
 	Used map[string]float64
+	// Total tells that it is that of all nodes of another data centre, which Node
+	// names.
+	Total bool
 }
 
 // PlacedMsg tells that an engine has been ordered to hold other layers, or, with
@@ -96,11 +99,20 @@
 	Slow bool
 }
 
-// PaceMsg tells how slow an engine is.
-type PaceMsg struct {
+// ReportMsg brings what an engine says of itself.
+type ReportMsg struct {
 	Upstream string
-	// Pace is how many times slower than usual it is.
+	Report   Report
+}
+
+// Report is what an engine says of itself, some hundred ms late.
+type Report struct {
+	// Pace is how many times slower than usual it is; zero if it does not say.
 	Pace float64
+	// Free is the memory that it has left, in tokens times layers, and All what
+	// it has in all; All is zero if it does not say.
+	Free float64
+	All  float64
 }
 
 // MovedMsg tells what came of a MoveCmd.
@@ -122,8 +134,7 @@
 type ProbedMsg struct {
 	Upstream string
 	Answered bool
-	// Pace is how many times slower than usual an engine is.
-	Pace float64
+	Report   Report
 }
 
 // TickMsg drives what depends on time alone.
@@ -184,7 +195,7 @@
 func (AttemptFailedMsg) dispatchMsg() {}
 func (AttemptDoneMsg) dispatchMsg()   {}
 func (StalledMsg) dispatchMsg()       {}
-func (PaceMsg) dispatchMsg()          {}
+func (ReportMsg) dispatchMsg()        {}
 func (MovedMsg) dispatchMsg()         {}
 func (GoneMsg) dispatchMsg()          {}
 func (ProbedMsg) dispatchMsg()        {}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -43,6 +43,9 @@
 	// and refusalsToProbe is after how many of them the engine is probed.
 	longestFull     clock.Millis = 3000
 	refusalsToProbe int          = 2
+	// reportLasts is for how long an engine's word on its memory counts: it is a
+	// few hundred ms old when it comes, and a request ends there each 20 ms.
+	reportLasts clock.Millis = 600
 	// misplacedFor is how long an engine is avoided that did not hold what the
 	// list says: the list's lag.
 	misplacedFor clock.Millis = 1500
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -54,11 +54,11 @@
 	case "peers":
 		return dispatch.PeersMsg{All: s.Int("all", 1)}
 	case "usage":
-		return dispatch.UsageMsg{Node: s.Word(0), Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}}
+		return dispatch.UsageMsg{Node: s.Word(0), Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}, Total: s.Named["total"] == "yes"}
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: s.Word(0), Layers: testUpstream(s).Held, Holds: s.Named["holds"] == "yes"}
-	case "pace":
-		return dispatch.PaceMsg{Upstream: s.Word(0), Pace: float64(s.Int("pace", 1))}
+	case "report":
+		return dispatch.ReportMsg{Upstream: s.Word(0), Report: testReport(s)}
 	case "arrive":
 		return arrival(s, request)
 	case "failed":
@@ -74,7 +74,7 @@
 	case "left":
 		return dispatch.GoneMsg{Request: request}
 	case "probed":
-		return dispatch.ProbedMsg{Upstream: s.Word(0), Answered: s.Named["well"] == "yes", Pace: float64(s.Int("pace", 0))}
+		return dispatch.ProbedMsg{Upstream: s.Word(0), Answered: s.Named["well"] == "yes", Report: testReport(s)}
 	case "tick":
 		return dispatch.TickMsg{}
 	}
@@ -82,6 +82,10 @@
 	return nil
 }
 
+func testReport(s script.Step) dispatch.Report {
+	return dispatch.Report{Pace: float64(s.Int("pace", 0)), Free: float64(s.Int("free", 0)), All: float64(s.Int("all", 0))}
+}
+
 func ids(word string) (dispatch.RequestID, int) {
 	first, second, _ := strings.Cut(word, ".")
 	request, _ := strconv.Atoi(first)
@@ -175,7 +179,7 @@
 	case dispatch.ReconsiderCmd:
 		return fmt.Sprintf("reconsider %d.%d at %s", c.Request, c.Attempt, c.At)
 	case dispatch.ShareCmd:
-		return "share " + fmt.Sprint(c.Used)
+		return fmt.Sprintf("share %v total %v", c.Used, c.Total)
 	case dispatch.SilentCmd:
 		return fmt.Sprintf("silent %s %v", c.Upstream, c.Silent)
 	case dispatch.ProbeCmd:
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -121,7 +121,7 @@
 	list := m.byService[r.service.Name]
 	holders := make([]chain.Holder, 0, len(list))
 	for _, u := range list {
-		if !u.open(m.now) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
+		if !u.well() || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
 			continue
 		}
 		holders = append(holders, m.holder(r, u))
@@ -141,5 +141,8 @@
 	if r.tried[u.entry.ID] {
 		h.Penalty = triedPenalty
 	}
+	if u.full(m.now) {
+		h.Room = 0
+	}
 	return h
 }
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -30,6 +30,13 @@
 	pace   float64
 	paceAt clock.Millis
 
+	// reportedFree is the memory that an engine had left by its own word at
+	// reportedAt, when reservedThen was reserved.
+	reportedFree float64
+	reportedAt   clock.Millis
+	reservedThen float64
+	// wantsReport tells that an engine is to be asked how much memory it has.
+	wantsReport bool
 	// suspect upstreams get no work until a probe has found them well.
 	suspect bool
 	probing bool
@@ -43,7 +50,7 @@
 }
 
 func newUpstream(entry fleet.Upstream) *upstream {
-	return &upstream{entry: entry, took: firstTook, pace: 1}
+	return &upstream{entry: entry, took: firstTook, pace: 1, reportedAt: clock.Never}
 }
 
 // heldLasts is for how long word of what an engine holds counts more than an
@@ -78,9 +85,13 @@
 }
 
 // open tells whether it may get new work.
-func (u *upstream) open(now clock.Millis) bool {
-	return !u.entry.Leaving && !u.suspect && now >= u.fullUntil
-}
+func (u *upstream) open(now clock.Millis) bool { return u.well() && !u.full(now) }
+
+// well tells whether nothing speaks against the upstream but a lack of room.
+func (u *upstream) well() bool { return !u.entry.Leaving && !u.suspect }
+
+// full tells whether it has refused work for want of room just now.
+func (u *upstream) full(now clock.Millis) bool { return now < u.fullUntil }
 
 // strike notes a failure that speaks against the upstream.
 func (u *upstream) strike(now clock.Millis) clock.Millis {
@@ -91,17 +102,31 @@
 	return u.avoidUntil
 }
 
-// refused notes a refusal for want of room. An engine that goes on refusing is
-// leaving or dead: it is asked less and less, and probed.
+// refused notes a refusal for want of room. The next tick asks an engine for its
+// report, since others may use it of whom this node does not know. One that goes
+// on refusing is leaving or dead: it is used less and less, and probed.
 func (u *upstream) refused(now clock.Millis) {
 	u.fullUntil = now.Add(min(fullFor<<min(u.refusals, 8), longestFull))
 	u.refusals++
+	u.wantsReport = u.pipeline != nil
 	if u.refusals == refusalsToProbe && !u.suspect {
 		u.suspect = true
 		u.avoidUntil = now
 	}
 }
 
+// needsProbe tells whether it is time to ask the upstream how it is.
+func (u *upstream) needsProbe(now clock.Millis) bool {
+	switch {
+	case u.probing:
+		return false
+	case u.suspect:
+		return now >= u.avoidUntil
+	default:
+		return u.wantsReport || u.pace > usualPace && now >= u.paceAt.Add(paceLasts)
+	}
+}
+
 // record takes in how an answer went. A good one ends a suspicion.
 func (u *upstream) record(took clock.Millis, failed bool) {
 	u.took += tookWeight * (float64(took) - u.took)
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "github.com/hoistjunction/hoistjunction/clock"
+import (
+	"maps"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+)
 
 const (
 	// shareEvery is how often a node tells others what it has in use. A stream
@@ -8,12 +12,17 @@
 	shareEvery clock.Millis = 300
 	// usageLasts is for how long that counts: some datagrams are lost.
 	usageLasts clock.Millis = 1500
+	// worthTelling is the part of an engine's memory from which other data
+	// centres are told of its use: below it nobody runs out of it.
+	worthTelling = 0.25
 )
 
 // peerUsage is what another node has in use.
 type peerUsage struct {
 	at   clock.Millis
 	used map[string]float64
+	// total tells that it is another data centre's.
+	total bool
 }
 
 // share tells the others what this node has in use, when it is time for that.
@@ -28,11 +37,29 @@
 			used[id] = u.reserved
 		}
 	}
-	return []Cmd{ShareCmd{Used: used}}
+	return []Cmd{ShareCmd{Used: used, Total: m.total(used)}}
+}
+
+// total adds up what this node and those that tell it alone have in use.
+func (m *Model) total(own map[string]float64) map[string]float64 {
+	total := maps.Clone(own)
+	for _, peer := range m.usage {
+		if peer.total || m.now > peer.at.Add(usageLasts) {
+			continue
+		}
+		for id, amount := range peer.used {
+			total[id] += amount
+		}
+	}
+	maps.DeleteFunc(total, func(id string, amount float64) bool {
+		u := m.upstreams[id]
+		return u == nil || amount < worthTelling*u.room
+	})
+	return total
 }
 
 func (m *Model) noteUsage(msg UsageMsg) {
-	m.usage[msg.Node] = peerUsage{at: m.now, used: msg.Used}
+	m.usage[msg.Node] = peerUsage{at: m.now, used: msg.Used, total: msg.Total}
 }
 
 // free returns the memory that is left at an engine, as far as is known. A node
@@ -46,5 +73,8 @@
 			free -= peer.used[u.entry.ID]
 		}
 	}
+	if m.now <= u.reportedAt.Add(reportLasts) {
+		free = min(free, u.reportedFree-max(0, u.reserved-u.reservedThen))
+	}
 	return free
 }
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -201,6 +201,9 @@
 	return *shown, true
 }
 
+// Listed tells whether any list is known.
+func (f *Fleet) Listed() bool { return f.shown.Load() != nil }
+
 func (f *Fleet) logChanges(revision uint64, changes []fleet.Change) {
 	for _, c := range changes {
 		if c.Gone || c.Upstream.Leaving {
--- a/node/known.go
+++ b/node/known.go
@@ -45,6 +45,9 @@
 // Fleet implements peering.Knowledge.
 func (k *known) Fleet() ([]fleet.Upstream, bool) { return k.node.fleets.Shown() }
 
+// Listed implements peering.Knowledge.
+func (k *known) Listed() bool { return k.node.fleets.Listed() }
+
 // LearnConfig implements peering.Learner.
 func (k *known) LearnConfig(raw []byte, confirmed clock.Millis) {
 	if len(raw) == 0 {
@@ -64,24 +67,26 @@
 
 // nearAll is up to how many nodes tell each other what they have in use across
 // data centres too, where chains go when an engine is lost. In larger systems
-// it is told inside a data centre only: the datagrams grow with the square of
+// each tells its own data centre only, and one node adds up what its data centre
+// has in use and tells the others: the datagrams would grow with the square of
 // the nodes, and bytes between data centres are dear.
 const nearAll = 24
 
 // LearnMembers implements peering.Learner.
 func (k *known) LearnMembers(others []*wire.Member, rank int) {
-	var near, all []string
+	var near, far []string
 	for _, m := range others {
 		here := m.GetDataCentre() == k.node.settings.DataCentre
 		if m.GetUsageAddress() == "" {
 			continue
 		}
-		all = append(all, m.GetUsageAddress())
 		if here || len(others) < nearAll {
 			near = append(near, m.GetUsageAddress())
+		} else {
+			far = append(far, m.GetUsageAddress())
 		}
 	}
-	k.node.usage.SetPeers(near, all)
+	k.node.usage.SetPeers(near, far)
 	k.node.roster.SetNear(nearMembers(others, k.node.settings.DataCentre))
 	k.node.relay.SetPeers(len(others) + 1)
 	k.node.placer.Tell(k.node.life, placement.RankMsg{Delay: plannerDelay(rank)})
--- a/node/node.go
+++ b/node/node.go
@@ -94,7 +94,7 @@
 	self.UsageAddress = sharing.Address()
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
-		relay.WithSilence(n.setSilent), relay.WithSharing(n.usage.Share))
+		relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced)
 	n.roster = reading.NewRoster(s.Name, n.clock.Now())
@@ -241,10 +241,24 @@
 	return mux
 }
 
-func (n *Node) setUsage(from *wire.Member, used map[string]float64, followable bool) {
+// share tells other nodes what this one has in use. The node that reads the
+// store for its data centre tells others what all of them have.
+func (n *Node) share(used, total map[string]float64) {
+	n.usage.Share(used)
+	if n.roster.Reads(n.clock.Now()) {
+		n.usage.ShareTotal(total)
+	}
+}
+
+// setUsage takes what another node has told.
+func (n *Node) setUsage(from *wire.Member, msg usage.Msg) {
 	n.peers.Heard(from)
-	n.roster.Heard(n.clock.Now(), from.GetName(), followable)
-	n.relay.SetUsage(from.GetName(), used)
+	if msg.Total {
+		n.relay.SetUsage("all of "+from.GetDataCentre(), msg.Used, true)
+		return
+	}
+	n.roster.Heard(n.clock.Now(), from.GetName(), msg.Followable)
+	n.relay.SetUsage(from.GetName(), msg.Used, false)
 }
 
 // tellPlaced tells the own relay and other nodes of an order of this node's.
--- a/peering/doc.go
+++ b/peering/doc.go
@@ -29,6 +29,9 @@
 	// Fleet returns the list of upstreams; ok is false while the node cannot
 	// vouch for it.
 	Fleet() (list []fleet.Upstream, ok bool)
+	// Listed tells whether the node knows any list of upstreams, vouched for or
+	// not.
+	Listed() bool
 }
 
 // Learner takes in what a peer has told.
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -127,18 +127,24 @@
 	_, version, confirmed := p.knowledge.Config()
 	now := p.clock.Now()
 	age := now.Sub(confirmed)
-	if version != 0 && age < askAfter || version == 0 && now < askUnborn {
-		return
-	}
-	if now < p.nextLook {
+	if now < p.nextLook || !p.needs(now, version, age) {
 		return
 	}
 	p.backOff(now, confirmed)
 	peers := p.directory.others()
 	p.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(askSome, len(peers))] {
-		go p.ask(ctx, peer, version, version == 0 || age >= fleetAfter)
+		go p.ask(ctx, peer, version, !p.knowledge.Listed() || age >= fleetAfter)
+	}
+}
+
+// needs tells whether the node needs its peers. A peer may know the
+// configuration before it knows the list, so each may be lacking by itself.
+func (p *Peering) needs(now clock.Millis, version uint64, age clock.Millis) bool {
+	if version == 0 || !p.knowledge.Listed() {
+		return now >= askUnborn
 	}
+	return age >= askAfter
 }
 
 // backOff lengthens the pause while questions bring nothing newer.
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -30,6 +30,7 @@
 
 func (f *fakeNode) Config() ([]byte, uint64, clock.Millis) { return f.raw, f.version, f.confirmed }
 func (f *fakeNode) Fleet() ([]fleet.Upstream, bool)        { return f.list, f.vouches }
+func (f *fakeNode) Listed() bool                           { return len(f.list) > 0 || len(f.learntList) > 0 }
 func (f *fakeNode) LearnConfig(raw []byte, confirmed clock.Millis) {
 	f.learntRaw, f.learntConfirmed = string(raw), confirmed
 }
@@ -86,6 +87,32 @@
 	}
 }
 
+// A node whose peer knew the configuration before it knew the list goes on
+// asking for the list.
+func TestNeeds(t *testing.T) {
+	tests := []struct {
+		name    string
+		list    []fleet.Upstream
+		version uint64
+		now     clock.Millis
+		age     clock.Millis
+		want    bool
+	}{
+		{"just started", nil, 0, askUnborn - 1, 0, false},
+		{"nothing from the store", nil, 0, askUnborn, 0, true},
+		{"no list yet", nil, 3, askUnborn, 200, true},
+		{"all known and fresh", []fleet.Upstream{{ID: "u1"}}, 3, 9000, askAfter - 1, false},
+		{"the proof gets old", []fleet.Upstream{{ID: "u1"}}, 3, 9000, askAfter, true},
+	}
+	for _, tt := range tests {
+		node := &fakeNode{list: tt.list}
+		p, _ := newFake(t, "a", node, clock.New())
+		if got := p.needs(tt.now, tt.version, tt.age); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 // A peer that is behind, or has nothing, proves nothing.
 func TestAskIgnoresWhatProvesNothing(t *testing.T) {
 	c := clock.New()
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -70,8 +70,7 @@
 type EngineReport struct {
 	// Stalled are the streams that began there and stand still.
 	Stalled []StalledStream
-	// Pace is over 1 for an engine that is slow: how many times slower.
-	Pace float64
+	dispatch.Report
 }
 
 // Engines asks upstreams for their state and gives them orders.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,8 +49,9 @@
 	return func(r *Relay) { r.decider.silent = tell }
 }
 
-// WithSharing sets who tells other nodes what this one has in use.
-func WithSharing(share func(used map[string]float64)) Option {
+// WithSharing sets who tells other nodes what this one has in use, and what all
+// do that tell each other.
+func WithSharing(share func(used, total map[string]float64)) Option {
 	return func(r *Relay) { r.decider.share = share }
 }
 
@@ -108,9 +109,10 @@
 	r.decider.tell(r.life, dispatch.PeersMsg{All: all})
 }
 
-// SetUsage takes what another node has in use.
-func (r *Relay) SetUsage(node string, used map[string]float64) {
-	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used})
+// SetUsage takes what another node has in use or, with total, all nodes of
+// another data centre.
+func (r *Relay) SetUsage(node string, used map[string]float64, total bool) {
+	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used, Total: total})
 }
 
 // SetPlaced takes an order that an engine has taken or, with holds, carried out.
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -90,7 +90,7 @@
 			answer.silent = append(answer.silent, part)
 			continue
 		}
-		r.decider.tell(r.life, dispatch.PaceMsg{Upstream: part.ID, Pace: got[i].report.Pace})
+		r.decider.tell(r.life, dispatch.ReportMsg{Upstream: part.ID, Report: got[i].report.Report})
 		if got[i].report.Pace > answer.pace {
 			answer.slow, answer.pace = part, got[i].report.Pace
 		}
@@ -209,13 +209,13 @@
 		if cmd.Engine {
 			var report EngineReport
 			report, err = r.reports.get(r.life, cmd.Address, cmd.Upstream)
-			msg.Pace = report.Pace
+			msg.Report = report.Report
 		} else {
 			err = r.engines.Probe(r.life, cmd.Address, cmd.Upstream)
 		}
 		msg.Answered = err == nil
 		r.log.Info("probe", zap.String("upstream", cmd.Upstream), zap.String("address", cmd.Address),
-			zap.Float64("pace", msg.Pace), logging.Err(err))
+			zap.Float64("pace", msg.Report.Pace), zap.Float64("free", msg.Report.Free), zap.Float64("all", msg.Report.All), logging.Err(err))
 		r.decider.tell(r.life, msg)
 	}()
 }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -31,21 +31,32 @@
 	self *wire.Member
 	conn net.PacketConn
 	log  *zap.Logger
-	tell func(from *wire.Member, used map[string]float64, followable bool)
+	tell func(from *wire.Member, msg Msg)
 	// followable tells whether other nodes may follow this one.
 	followable func() bool
 	// placed takes orders that other nodes have given.
 	placed func(upstream string, layers fleet.Range, holds bool)
-	// near are told what is in use, and all what was ordered.
+	// near are told what this node has in use, and far what its data centre has.
 	near atomic.Pointer[[]net.Addr]
-	all  atomic.Pointer[[]net.Addr]
+	far  atomic.Pointer[[]net.Addr]
+}
+
+// Msg is what a node tells of engines' memory.
+type Msg struct {
+	// Used is what is in use by engine, in tokens times layers.
+	Used map[string]float64
+	// Total tells that all nodes of the sender's data centre have it in use.
+	Total bool
+	// Followable tells whether other nodes may follow the sender in place of the
+	// store.
+	Followable bool
 }
 
 // New binds an address for a node. Followable tells whether other nodes may
 // follow this one in place of the store; tell takes that and what they have in
 // use of other nodes, and placed the orders that they have given.
 func New(ctx context.Context, self *wire.Member, address string, log *zap.Logger,
-	followable func() bool, tell func(from *wire.Member, used map[string]float64, followable bool), placed func(upstream string, layers fleet.Range, holds bool),
+	followable func() bool, tell func(from *wire.Member, msg Msg), placed func(upstream string, layers fleet.Range, holds bool),
 ) (*Sharing, error) {
 	var config net.ListenConfig
 	conn, err := config.ListenPacket(ctx, "udp", address)
@@ -58,10 +69,11 @@
 // Address returns where the node takes datagrams.
 func (s *Sharing) Address() string { return s.conn.LocalAddr().String() }
 
-// SetPeers sets who is told what is in use, and who is told of orders.
-func (s *Sharing) SetPeers(near, all []string) {
+// SetPeers sets who is told what this node has in use, and who is told what its
+// data centre has.
+func (s *Sharing) SetPeers(near, far []string) {
 	s.near.Store(s.resolve(near))
-	s.all.Store(s.resolve(all))
+	s.far.Store(s.resolve(far))
 }
 
 func (s *Sharing) resolve(addresses []string) *[]net.Addr {
@@ -79,11 +91,20 @@
 
 // Share tells the near peers what this node has in use.
 func (s *Sharing) Share(used map[string]float64) {
-	msg := &wire.Usage{From: s.self, Followable: s.followable()}
+	s.send(&wire.Usage{From: s.self, Followable: s.followable(), Engines: engineUse(used)}, s.near.Load())
+}
+
+// ShareTotal tells the far peers what this node's data centre has in use.
+func (s *Sharing) ShareTotal(total map[string]float64) {
+	s.send(&wire.Usage{From: s.self, Total: true, Engines: engineUse(total)}, s.far.Load())
+}
+
+func engineUse(used map[string]float64) []*wire.EngineUse {
+	list := make([]*wire.EngineUse, 0, len(used))
 	for id, amount := range used {
-		msg.Engines = append(msg.Engines, &wire.EngineUse{Id: id, Amount: amount})
+		list = append(list, &wire.EngineUse{Id: id, Amount: amount})
 	}
-	s.send(msg, s.near.Load())
+	return list
 }
 
 const (
@@ -100,7 +121,8 @@
 		{Id: upstream, From: int32(layers.From), To: int32(layers.To), Holds: holds},
 	}}
 	for range placedTimes {
-		s.send(msg, s.all.Load())
+		s.send(msg, s.near.Load())
+		s.send(msg, s.far.Load())
 		time.Sleep(placedEvery)
 	}
 }
@@ -159,5 +181,5 @@
 	for _, e := range msg.GetEngines() {
 		used[e.GetId()] = e.GetAmount()
 	}
-	s.tell(msg.GetFrom(), used, msg.GetFollowable())
+	s.tell(msg.GetFrom(), Msg{Used: used, Total: msg.GetTotal(), Followable: msg.GetFollowable()})
 }
