Follow another node while this one alone has lost the store; never confirm an unreadable configuration

Its data centre's reader has the list and the configuration to the second, from the very revision at which the node stopped. And after a configuration that could not be read, the next empty wait confirmed the one in force as the newest.

Ruled out: lapsed entries, since a reader answers for no list that it is in doubt of, and what the node itself missed comes with the reader's changes.

Before: TestUnreadableConfigurationIsNeverConfirmed counted 4 confirmations; after 2. TestFleetFollowsAReaderWhileTheStoreIsLost holds the new way.

--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -40,6 +40,8 @@
 type Catalog struct {
 	shared
 	source CatalogSource
+	// unreadable tells that the newest configuration cannot be read.
+	unreadable bool
 	// tell takes a configuration, or nil where only the time is new.
 	tell func(c *catalog.Catalog, raw []byte, confirmed clock.Millis)
 }
@@ -59,7 +61,7 @@
 	told := false
 	for ctx.Err() == nil {
 		sent := f.clock.Now()
-		reader := f.reader()
+		reader := f.reader(whole)
 		reading, err := f.call(ctx, reader, whole, revision)
 		if errors.Is(err, ErrReadAnew) {
 			f.log.Info("config_history_gone", zap.Uint64("revision", revision))
@@ -73,14 +75,19 @@
 		}
 		if err != nil {
 			noteLost(ctx, f.log, f.outage, "config", err)
+			if f.reader(whole) != nil {
+				continue
+			}
 			whole = true
 			failures++
 			clock.Pause(ctx, retryPause(failures))
 			continue
 		}
 		failures = 0
-		noteBack(f.log, f.outage, f.clock.Now(), "config")
-		told = reader != nil && !whole
+		told = reader != nil
+		if !told {
+			noteBack(f.log, f.outage, f.clock.Now(), "config")
+		}
 		whole, revision = false, reading.Revision
 		f.take(reading, sent.Sub(reading.Age))
 	}
@@ -111,11 +118,15 @@
 // fresh: the one in force is older than it.
 func (f *Catalog) take(reading CatalogReading, confirmed clock.Millis) {
 	if len(reading.Raw) == 0 {
+		if f.unreadable {
+			return
+		}
 		f.followers.SetConfig(nil, reading.Revision, confirmed)
 		f.tell(nil, nil, confirmed)
 		return
 	}
 	c, err := f.source.DecodeCatalog(reading.Raw)
+	f.unreadable = err != nil
 	if err != nil {
 		f.log.Error("config_unreadable", zap.Uint64("revision", reading.Revision), logging.Err(err))
 		return
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -64,7 +64,8 @@
 	var revision uint64
 	whole := true
 	for ctx.Err() == nil {
-		reading, err := f.call(ctx, whole, revision)
+		reader := f.reader(whole)
+		reading, err := f.call(ctx, reader, whole, revision)
 		if errors.Is(err, ErrReadAnew) {
 			f.log.Info("fleet_history_gone", zap.Uint64("revision", revision))
 			whole = true
@@ -77,16 +78,23 @@
 			noteLost(ctx, f.log, f.outage, "fleet", err)
 			f.view.StoreLost()
 			f.followers.Suspend()
+			if f.reader(whole) != nil {
+				continue
+			}
 			whole = true
 			f.sitOut(ctx)
 			continue
 		}
 		now := f.clock.Now()
-		noteBack(f.log, f.outage, now, "fleet")
-		f.take(now, reading, whole)
+		if reader == nil {
+			noteBack(f.log, f.outage, now, "fleet")
+		}
+		// What another node tells has lapsed nowhere: it answers for no list that
+		// it is in doubt of.
+		f.take(now, reading, whole, reader == nil && f.outage.Lapsing(now))
 		whole, revision = false, reading.Revision
 		if len(reading.Changes) > 0 {
-			clock.Pause(ctx, f.gather())
+			clock.Pause(ctx, f.gather(reader != nil))
 		}
 	}
 	return ctx.Err()
@@ -104,33 +112,40 @@
 	}
 }
 
-// call reads the whole list, or awaits what changes after a revision.
-func (f *Fleet) call(ctx context.Context, whole bool, revision uint64) (FleetReading, error) {
+// call reads the whole list, or awaits what changes after a revision, from
+// another node if there is one to follow.
+func (f *Fleet) call(ctx context.Context, reader Reader, whole bool, revision uint64) (FleetReading, error) {
 	if whole {
 		return f.source.ReadUpstreams(ctx)
 	}
-	if f.view.Waiting() {
-		return f.source.AwaitUpstreams(ctx, revision, expiryCheck)
+	wait := f.wait(reader != nil)
+	if reader == nil {
+		return f.source.AwaitUpstreams(ctx, revision, wait)
 	}
-	if reader := f.reader(); reader != nil {
-		reading, err := reader.AwaitUpstreams(ctx, revision, followedFleetWait)
-		if err != nil {
-			return reading, f.readerFailed(ctx, "fleet", err)
-		}
-		return reading, nil
+	reading, err := reader.AwaitUpstreams(ctx, revision, wait)
+	if err != nil {
+		return reading, f.readerFailed(ctx, "fleet", err)
 	}
-	wait := fleetWait
-	if f.readers.Followed() {
-		wait = followedFleetWait
+	return reading, nil
+}
+
+// wait is how long the next change is awaited; told, from another node.
+func (f *Fleet) wait(told bool) clock.Millis {
+	switch {
+	case f.view.Waiting():
+		return expiryCheck
+	case told, f.readers.Followed():
+		return followedFleetWait
+	default:
+		return fleetWait
 	}
-	return f.source.AwaitUpstreams(ctx, revision, wait)
 }
 
 // gather returns the pause after a change of the list. Calls to another node
 // cost next to nothing, and those of a node that others follow are few.
-func (f *Fleet) gather() time.Duration {
+func (f *Fleet) gather(told bool) time.Duration {
 	switch {
-	case f.readers.Followed(), f.reader() != nil:
+	case told, f.readers.Followed():
 		return gatherFollowed
 	case f.clock.Now() < young:
 		return gatherYoung
@@ -139,11 +154,12 @@
 	}
 }
 
-func (f *Fleet) take(now clock.Millis, reading FleetReading, whole bool) {
+// take passes a reading on. Lapsing tells that entries may be missing although
+// their upstreams live.
+func (f *Fleet) take(now clock.Millis, reading FleetReading, whole, lapsing bool) {
 	for _, err := range reading.Unreadable {
 		f.log.Warn("entry_unreadable", logging.Err(err))
 	}
-	lapsing := f.outage.Lapsing(now)
 	f.view.StoreBack(now)
 	var changes []fleet.Change
 	if whole {
@@ -151,7 +167,7 @@
 	} else {
 		changes = f.view.Apply(now, reading.Changes, lapsing)
 	}
-	if lapsing || f.view.Waiting() {
+	if f.outage.Lapsing(now) || f.view.Waiting() {
 		f.followers.Suspend()
 	} else {
 		f.followers.AddFleet(reading.Revision, changes)
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -75,10 +75,11 @@
 	return s
 }
 
-// reader returns the node to follow; nil around an outage of the store, when
-// each node reads it itself.
-func (s *shared) reader() Reader {
-	if s.outage.Lapsing(s.clock.Now()) {
+// reader returns the node to follow; nil where the whole is to be read, which
+// only the store tells, and right after the store's return, when each node reads
+// it itself. While this node alone has lost the store it follows another.
+func (s *shared) reader(whole bool) Reader {
+	if whole || !s.outage.Away() && s.outage.Lapsing(s.clock.Now()) {
 		return nil
 	}
 	return s.readers.Reader()
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -143,3 +145,54 @@
 	}
 	checkCalls(t, followers.calls, []string{"add", "suspend", "suspend"})
 }
+
+// A node that alone has lost the store follows another one from where it was,
+// without reading the whole again.
+func TestFleetFollowsAReaderWhileTheStoreIsLost(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	up := func(id string) fleet.Change { return fleet.Change{ID: id, Upstream: fleet.Upstream{ID: id}} }
+	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{changes: []fleet.Change{up("u1")}}, {err: errAway}}}
+	reader := &scriptedReader{store: source, answers: []scriptedAnswer{{changes: []fleet.Change{up("u2")}}, {changes: []fleet.Change{{ID: "u1", Gone: true}}}}}
+	outage := &Outage{}
+	var seen []string
+	f := NewFleet(source, clock.New(), zap.NewNop(), outage, func(changes []fleet.Change) {
+		for _, c := range changes {
+			seen = append(seen, fmt.Sprint(c.ID, c.Gone))
+		}
+	}, WithReaders(offeredInOutage{reader, outage}, noReaders{}))
+	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got error %v, want %v", err, context.Canceled)
+	}
+	checkCalls(t, source.calls, []string{"read", "await", "reader", "reader", "reader fails", "await"})
+	if got, want := strings.Join(seen, " "), "u1false u2false u1true"; got != want {
+		t.Errorf("got %q, want %q: a reader's word on what is gone counts at once", got, want)
+	}
+}
+
+// offeredInOutage offers a reader while the store is lost, until it fails.
+type offeredInOutage struct {
+	*scriptedReader
+	outage *Outage
+}
+
+func (r offeredInOutage) Reader() Reader {
+	if !r.outage.Away() || r.failed > 0 {
+		return nil
+	}
+	return r.scriptedReader
+}
+
+// The newest configuration cannot be read: that there is no newer one proves
+// nothing about the one in force.
+func TestUnreadableConfigurationIsNeverConfirmed(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{raw: "1"}, {raw: "bad"}, {}, {}, {raw: "2"}}}
+	confirmations := 0
+	f := NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) { confirmations++ })
+	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got error %v, want %v", err, context.Canceled)
+	}
+	if got, want := confirmations, 2; got != want {
+		t.Errorf("got %d confirmations, want %d", got, want)
+	}
+}
