Tell refused callers to come back after the time that the shortage has lasted

Cause: callers were told 300 ms (1,500 ms without a holder) whatever the shortage.

Ruled out: queues (the memory is short for seconds, not for moments).

--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -30,6 +30,8 @@
 	budgets   map[string]*budget.Window
 	// usage is what other nodes have in use, by their names.
 	usage map[string]peerUsage
+	// shortages are by service.
+	shortages map[string]*shortage
 	// shared is when this node last told what it has in use.
 	shared clock.Millis
 	// departing are engines that are leaving, and since when.
@@ -60,6 +62,7 @@
 		budgets:   make(map[string]*budget.Window),
 		usage:     make(map[string]peerUsage),
 		departing: make(map[string]clock.Millis),
+		shortages: make(map[string]*shortage),
 		confirmed: clock.Never,
 	}
 	WithSeed(1)(m)
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -43,11 +43,7 @@
 	if r.runs > 0 {
 		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
 	}
-	back := backSoon
-	if reason == ReasonNoHolder || reason == ReasonNoUpstream {
-		back = backHealing
-	}
-	return m.refuse(r.msg.Request, http.StatusServiceUnavailable, reason, back)
+	return m.refuse(r.msg.Request, http.StatusServiceUnavailable, reason, m.comeBack(r, reason))
 }
 
 // sendPlain takes the upstream that should answer first: by the mean time of
