--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -30,7 +30,7 @@
 	gatherAlone = 800 * time.Millisecond
 	// gatherFollowed is the same where few nodes call the store: an engine that
 	// ends should be known everywhere soon.
-	gatherFollowed = 200 * time.Millisecond
+	gatherFollowed = 400 * time.Millisecond
 	// gatherYoung is the same in a node's first moments, up to young: where all
 	// start together, so do the servers.
 	gatherYoung              = 1500 * time.Millisecond
--- a/relay/reports.go
+++ b/relay/reports.go
@@ -10,9 +10,10 @@
 )
 
 // reportLasts is for how long a report is not asked for again. When an engine
-// is lost, all streams that pass it ask for the same reports at once; each
-// question costs what a health check costs.
-const reportLasts clock.Millis = 80
+// is lost, all streams that pass it ask for the same reports within the time
+// between two events; each question costs what a health check costs, and reports
+// are 200 ms old when they come.
+const reportLasts clock.Millis = 120
 
 // reports asks engines for their reports, once for all who want to know.
 type reports struct {
--- a/relay/session.go
+++ b/relay/session.go
@@ -43,6 +43,8 @@
 	asked  chan stallAnswer
 	moves  chan dispatch.MovedMsg
 	asking bool
+	// asks counts the questions since the last event.
+	asks int
 }
 
 // stopped returns a timer that does not run.
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -26,8 +26,12 @@
 	// flowing is how old the last event may be for a stream to count as
 	// unharmed by an engine under suspicion.
 	flowing clock.Millis = 60
-	// askAgain is how soon the engines are asked again; a report is that old.
+	// askAgain is how soon the engines are asked again; a report is that old. It
+	// doubles with each time that brings nothing: every question costs what a
+	// health check costs, and a stream that waits for a load waits for seconds.
 	askAgain clock.Millis = 200
+	// mostDoublings bounds that: a stream is given up after abandonAfter.
+	mostDoublings = 2
 	// slowPace is how much slower than usual an engine must be to be left for
 	// its slowness, and slowAfter for how long the stream must have stood still.
 	slowPace               = 2.5
@@ -55,6 +59,7 @@
 }
 
 func (s *session) armStall() {
+	s.asks = 0
 	if s.attempt != nil && len(s.attempt.cmd.Chain) > 0 {
 		s.stall.Reset(gapStall.Duration())
 	}
@@ -65,7 +70,8 @@
 	if s.attempt == nil {
 		return
 	}
-	s.stall.Reset(askAgain.Duration())
+	s.stall.Reset((askAgain << min(s.asks, mostDoublings)).Duration())
+	s.asks++
 	if s.asking {
 		return
 	}
