Load what is missing first, and no more at a time than the weights' store serves; take back a trial

Cause: when servers are replaced one after the other all new engines loaded at once, second holders among them, and slowed the loads of layers that nobody held. The operator's configuration says how many loads run at full speed.

Before: placement/testdata/loads.txt ordered all at once. After: it passes.

--- a/placement/model.go
+++ b/placement/model.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 
@@ -259,7 +260,26 @@
 		cmds = append(cmds, OrderCmd{Upstream: o.ID, Address: u.Address, Layers: o.Layers, Believed: u.Held, Missing: o.Missing})
 	}
 	m.noteNeed(now, s.Name, need)
-	return cmds
+	return m.limitLoads(s, engines, cmds)
+}
+
+// limitLoads holds back the less urgent orders while the store of the weights
+// has enough to do: more loads than it serves at full speed slow each other, and
+// the layers that are missing would come later. Where nothing is held yet all
+// engines load together, before the first request.
+func (m *Model) limitLoads(s *catalog.Service, engines []Engine, cmds []OrderCmd) []OrderCmd {
+	holds := slices.ContainsFunc(engines, func(e Engine) bool { return !e.Held.Empty() })
+	if s.Pipeline.LoadsAtOnce == 0 || !holds {
+		return cmds
+	}
+	free := s.Pipeline.LoadsAtOnce
+	for i := range engines {
+		if engines[i].Fixed {
+			free--
+		}
+	}
+	slices.SortStableFunc(cmds, func(a, b OrderCmd) int { return cmp.Compare(b.Missing, a.Missing) })
+	return cmds[:min(max(free, 0), len(cmds))]
 }
 
 func (m *Model) noteNeed(now clock.Millis, service string, need bool) {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -54,7 +54,7 @@
 // that gives a data centre a whole copy is taken. With 0.8 a third of the
 // layers have a second holder and engines keep room for some 60 requests; fuller
 // engines ran out of memory on calm days (docs/PLATFORM.md).
-var fills = []float64{0.7, 0.75, 0.8, 0.85, 0.9, 0.95, 1}
+var fills = []float64{0.8, 0.85, 0.9, 0.95, 1}
 
 // Plan returns the orders to be given now, most urgent first.
 func Plan(layers int, engines []Engine) []Order {
