Tell engines a request's priority; keep the door shut when every key is gone

Cause 1: the operator ranks routes and client accounts, and engines let the more urgent in first if they are told; they were not. Cause 2: requests had to carry a key where some key existed, not where there are client accounts. A configuration that takes every key away would have opened the system to all.

Before: catalog TestHasAccounts failed on the third case. After: it passes; dispatch/testdata/priority.txt and platform TestSetAttempt hold the priority.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -26,7 +26,9 @@
 	hosts    map[string]*host
 	services map[string]*Service
 	accounts map[string]Account
-	limits   Limits
+	// keyed tells that there are client accounts, with keys or without.
+	keyed  bool
+	limits Limits
 }
 
 // Option sets up a Catalog.
@@ -53,6 +55,7 @@
 // WithAccount adds a client account with its keys.
 func WithAccount(a Account, keys ...string) Option {
 	return func(c *Catalog) {
+		c.keyed = true
 		for _, key := range keys {
 			c.accounts[key] = a
 		}
@@ -101,8 +104,9 @@
 	return a, nil
 }
 
-// HasAccounts tells whether requests must carry a key at all.
-func (c *Catalog) HasAccounts() bool { return len(c.accounts) > 0 }
+// HasAccounts tells whether requests must carry a key at all. They must also
+// where every key has been taken away.
+func (c *Catalog) HasAccounts() bool { return c.keyed }
 
 // Route returns the route with the longest prefix of a path under a host, or
 // ErrNoRoute. Prefixes end at a slash, so only whole segments match.
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -22,6 +22,8 @@
 	Route *catalog.Route
 	// Account is the client account's name; empty without a key.
 	Account string
+	// Priority is the request's rank at an engine, 0 being the first.
+	Priority int
 	// Deadline is when the caller stops waiting, and GiveUp when the route's
 	// time is up.
 	Deadline clock.Millis
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -44,6 +44,14 @@
 	moves  int
 }
 
+// priority is the account's where it has one, and the route's otherwise.
+func (r *request) priority() int {
+	if r.account.HasPriority {
+		return r.account.Priority
+	}
+	return r.route.Priority
+}
+
 // mayUse tells whether an upstream may get the request without exceeding the
 // number of upstreams that may run it.
 func (r *request) mayUse(u *upstream) bool {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -139,6 +139,7 @@
 		),
 		catalog.WithServices(writer, &catalog.Service{Name: "desk"}),
 		catalog.WithAccount(catalog.Account{Name: "clinic"}, key),
+		catalog.WithAccount(catalog.Account{Name: "radio", Priority: 2, HasPriority: true}, "radio"),
 	)
 }
 
@@ -167,6 +168,9 @@
 		if c.Account != "" {
 			text += " for " + c.Account
 		}
+		if c.Priority != 0 {
+			text += fmt.Sprintf(" priority=%d", c.Priority)
+		}
 		return text
 	case dispatch.FinishCmd:
 		return fmt.Sprintf("finish %d %d %s back=%d", c.Request, c.Status, c.Reason, c.RetryAfter)
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -27,7 +27,7 @@
 	r.first.inFlight++
 	cmd.Request, cmd.Attempt = r.msg.Request, r.sends
 	cmd.Upstream, cmd.Address = r.first.entry.ID, r.first.entry.Address
-	cmd.Route, cmd.Account, cmd.Keyed = r.route, r.account.Name, r.keyed
+	cmd.Route, cmd.Account, cmd.Keyed, cmd.Priority = r.route, r.account.Name, r.keyed, r.priority()
 	cmd.Deadline, cmd.GiveUp = r.deadline, r.giveUp
 	cmd.Last = m.runsThatCount(r)+1 >= r.mostRuns()
 	cmd.CatalogVersion, cmd.CatalogAge = m.catalog.Version(), clock.AgeOf(m.confirmed, m.now)
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -29,6 +29,9 @@
 	// Upstream is the one meant; any other that has its address refuses.
 	Upstream string
 	Account  string
+	// Priority is the request's rank at an engine, 0 being the first. Plain
+	// services know none.
+	Priority int
 	// Remaining is how long the upstream may work on it.
 	Remaining clock.Millis
 	Chain     []chain.Part
--- a/relay/session.go
+++ b/relay/session.go
@@ -166,7 +166,7 @@
 	}
 	a.req = outgoing(ctx, s.r, cmd.Address, s.body)
 	s.relay.protocol.SetAttempt(a.req.Header, AttemptHead{
-		Upstream: cmd.Upstream, Account: cmd.Account, Remaining: remaining, Chain: cmd.Chain, LastEvent: s.lastEvent,
+		Upstream: cmd.Upstream, Account: cmd.Account, Priority: cmd.Priority, Remaining: remaining, Chain: cmd.Chain, LastEvent: s.lastEvent,
 	})
 	s.attempt, s.sent, s.lastPiece = a, now, now
 	if len(cmd.Chain) > 0 {
