Measure a stream's standing still by its own rhythm; models of keys and placement

Slow engines are asked for their pace each two seconds instead of each.

Two models: keys fail closed with a reader, a follower and processes that stand still anywhere (9.3 million states), orders of two planners carried out late and an engine that is lost (7.0 million); four and three variants fail as they must.

--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -52,7 +52,7 @@
 	// usualPace is up to which pace an engine counts as well, and paceLasts
 	// after how long a slow one is asked again.
 	usualPace              = 1.3
-	paceLasts clock.Millis = 1000
+	paceLasts clock.Millis = 2000
 	// tookWeight is the weight of a new reading in the mean time of answers.
 	tookWeight = 0.2
 	// failWeight is the weight of a new reading in the mean rate of failures,
--- a/models/check.sh
+++ b/models/check.sh
@@ -48,5 +48,14 @@
 check config holds
 check config fails BLIND
 check config fails BACK
+check keys holds
+check keys fails ARRIVAL
+check keys fails NOAGE
+check keys fails NORECHECK
+check keys fails NOVERSION
+check placement holds
+check placement fails NOCOUNT
+check placement fails NONAME
+check placement fails NOCHECK
 echo "models: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- /dev/null
+++ b/relay/rhythm_test.go
@@ -0,0 +1,31 @@
+package relay
+
+import (
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+func TestRhythm(t *testing.T) {
+	tests := []struct {
+		name  string
+		times []clock.Millis
+		want  clock.Millis
+	}{
+		{"no event yet", nil, gapStall},
+		{"a first event, however late", []clock.Millis{900}, gapStall},
+		{"a usual stream", []clock.Millis{900, 940, 980, 1020}, gapStall},
+		{"a slow stream", []clock.Millis{0, 200, 400, 600}, 500},
+		{"one pause in a usual stream", []clock.Millis{0, 40, 80, 120, 420}, 230},
+		{"two events at once", []clock.Millis{0, 0, 0}, gapStall},
+	}
+	for _, tt := range tests {
+		var r rhythm
+		for _, at := range tt.times {
+			r.note(at)
+		}
+		if got := r.stallAfter(); got != tt.want {
+			t.Errorf("%s: got %d, want %d", tt.name, got, tt.want)
+		}
+	}
+}
--- a/relay/session.go
+++ b/relay/session.go
@@ -43,6 +43,7 @@
 	asked  chan stallAnswer
 	moves  chan dispatch.MovedMsg
 	asking bool
+	rhythm rhythm
 	// asks counts the questions since the last event.
 	asks int
 }
@@ -194,6 +195,9 @@
 		s.done(p)
 		return true
 	}
+	if len(p.event.raw) > 0 {
+		s.rhythm.note(s.lastPiece)
+	}
 	s.armStall()
 	return false
 }
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -17,10 +17,7 @@
 	// what holds the stream up. First events come within 45 to 75 ms at the
 	// median and 130 ms for 99 in 100 (docs/MEASUREMENTS.md); their aim is 500.
 	firstStall clock.Millis = 220
-	// gapStall is the same between events, which come every 20 to 40 ms. A
-	// pause of 200 ms is late already.
-	gapStall clock.Millis = 150
-	// rereadStall is gapStall after a move: the new engines read the prompt and
+	// rereadStall is the same after a move: the new engines read the prompt and
 	// the answer so far, and the report still names the old one.
 	rereadStall clock.Millis = 400
 	// flowing is how old the last event may be for a stream to count as
@@ -61,7 +58,7 @@
 func (s *session) armStall() {
 	s.asks = 0
 	if s.attempt != nil && len(s.attempt.cmd.Chain) > 0 {
-		s.stall.Reset(gapStall.Duration())
+		s.stall.Reset(s.rhythm.stallAfter().Duration())
 	}
 }
 
@@ -113,7 +110,7 @@
 	quiet := s.relay.clock.Now().Sub(s.lastPiece)
 	at := answer.culprit(s.head.ID)
 	switch {
-	case quiet < gapStall:
+	case quiet < s.rhythm.stallAfter():
 		// It goes on.
 	case at != "":
 		s.logStall("stalled", at, quiet, answer)
