Let registrations of nodes that are gone run out; soak with requests without a body

Cause: VMs are replaced under other names all the time, and nothing in the store runs out by itself. Every node that ever was stayed in the registry and in all directories: each node's part of the budget of repeats shrinks with them, and orders and questions go to dead addresses. One row that cannot be read kept a node from learning of any other.

Ruled out: times in the rows (two clocks would be compared); the platform's own list (it shows servers, not nodes).

Now a node renews its registration each two minutes, and takes one away that it has not seen change for five, on condition that it is still that revision. Hearsay does not bring it back; the node's own word does.

The soak's callers send half of their plain requests as GET without a body, which HTTP libraries repeat by themselves (see TestAttemptIsSentOnce).

--- a/peering/directory.go
+++ b/peering/directory.go
@@ -1,13 +1,19 @@
 package peering
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 
+	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
+// registrationLasts is for how long a registration counts that is not renewed:
+// two renewals and a half.
+const registrationLasts clock.Millis = 300_000
+
 // directory holds the nodes that are known. It is safe for concurrent use.
 type directory struct {
 	self *wire.Member
@@ -15,10 +21,26 @@
 	// byName holds the others. Seeds that have not told their name yet stand
 	// under their address.
 	byName map[string]*wire.Member
+	// renewals are the registrations as they were seen to change. VMs are
+	// replaced under other names all the time, and nothing in the store runs out
+	// by itself.
+	renewals map[string]renewal
+	// expired are the addresses of nodes whose registrations have run out, by
+	// name. Hearsay does not bring them back.
+	expired map[string]string
+}
+
+// renewal is the revision of a registration, and when it was first seen.
+type renewal struct {
+	revision uint64
+	seen     clock.Millis
 }
 
 func newDirectory(self *wire.Member, seeds []string) *directory {
-	d := &directory{self: self, byName: make(map[string]*wire.Member)}
+	d := &directory{
+		self: self, byName: make(map[string]*wire.Member),
+		renewals: make(map[string]renewal), expired: make(map[string]string),
+	}
 	for _, address := range seeds {
 		if address != self.GetAddress() {
 			d.byName[address] = &wire.Member{Address: address}
@@ -27,25 +49,70 @@
 	return d
 }
 
-// add notes nodes, and returns whether any of them is new or has moved.
+// add notes nodes of which others have told, and returns whether any of them is
+// new or has moved.
 func (d *directory) add(members ...*wire.Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	news := false
 	for _, m := range members {
-		if m.GetName() == "" || m.GetName() == d.self.GetName() {
-			continue
-		}
-		delete(d.byName, m.GetAddress())
-		if known, ok := d.byName[m.GetName()]; ok && known.GetAddress() == m.GetAddress() {
+		if address, ok := d.expired[m.GetName()]; ok && address == m.GetAddress() {
 			continue
 		}
-		d.byName[m.GetName()] = m
-		news = true
+		news = d.note(m) || news
 	}
 	return news
 }
 
+// heard notes a node that has spoken itself.
+func (d *directory) heard(m *wire.Member) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.expired, m.GetName())
+	return d.note(m)
+}
+
+// note takes in a node. The caller holds the lock.
+func (d *directory) note(m *wire.Member) bool {
+	if m.GetName() == "" || m.GetName() == d.self.GetName() {
+		return false
+	}
+	delete(d.byName, m.GetAddress())
+	if known, ok := d.byName[m.GetName()]; ok && known.GetAddress() == m.GetAddress() {
+		return false
+	}
+	d.byName[m.GetName()] = m
+	return true
+}
+
+// registered notes all registrations, and returns whether the nodes have
+// changed, and the registrations that have not been renewed for too long. What
+// counts is when this node saw them change, so no two clocks are compared.
+func (d *directory) registered(now clock.Millis, list []Registration) (news bool, expired []Registration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for _, r := range list {
+		name := r.Member.GetName()
+		listed[name] = true
+		known, ok := d.renewals[name]
+		switch {
+		case !ok || known.revision != r.Revision:
+			d.renewals[name] = renewal{revision: r.Revision, seen: now}
+			delete(d.expired, name)
+			news = d.note(r.Member) || news
+		case name != d.self.GetName() && now >= known.seen.Add(registrationLasts):
+			expired = append(expired, r)
+			d.expired[name] = r.Member.GetAddress()
+			_, had := d.byName[name]
+			news = news || had
+			delete(d.byName, name)
+		}
+	}
+	maps.DeleteFunc(d.renewals, func(name string, _ renewal) bool { return !listed[name] })
+	return news, expired
+}
+
 // others returns the other nodes, in the order of their names.
 func (d *directory) others() []*wire.Member {
 	d.mu.Lock()
--- a/peering/doc.go
+++ b/peering/doc.go
@@ -17,8 +17,20 @@
 
 // Registry is where nodes leave their addresses for each other.
 type Registry interface {
+	// Register leaves a node's address, or renews it.
 	Register(ctx context.Context, m *wire.Member) error
-	Members(ctx context.Context) ([]*wire.Member, error)
+	// Registrations returns those that can be read, and an error for each that
+	// cannot.
+	Registrations(ctx context.Context) (list []Registration, unreadable []error, err error)
+	// Remove takes registrations away that have not changed since.
+	Remove(ctx context.Context, list []Registration) error
+}
+
+// Registration is a node's address in the registry.
+type Registration struct {
+	Member *wire.Member
+	// Revision changes with each renewal.
+	Revision uint64
 }
 
 // Knowledge is what a node knows and can tell others.
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -38,6 +38,8 @@
 	// membersEvery is how often the registry is read again. Between that, nodes
 	// learn of new ones of their data centre from what those tell.
 	membersEvery = 60 * time.Second
+	// renewReads is after how many readings a node renews its own registration.
+	renewReads = 2
 	// registerAgain is the pause after a registration that failed, and
 	// membersSoon the time after which nodes that start together have all
 	// registered.
@@ -84,26 +86,60 @@
 		clock.Pause(ctx, registerAgain)
 	}
 	clock.Pause(ctx, membersSoon)
-	for ctx.Err() == nil {
-		members, err := p.registry.Members(ctx)
-		if err != nil {
+	for reads := 1; ctx.Err() == nil; reads++ {
+		if err := p.readRegistry(ctx); err != nil {
 			p.log.Info("members_not_read", logging.Err(err))
 			clock.Pause(ctx, registerAgain)
 			continue
 		}
-		p.noteMembers(members...)
 		clock.Pause(ctx, membersEvery)
+		if reads%renewReads != 0 {
+			continue
+		}
+		if err := p.registry.Register(ctx, p.directory.self); err != nil {
+			p.log.Info("not_renewed", logging.Err(err))
+		}
 	}
 	return ctx.Err()
 }
 
+// readRegistry reads all registrations, and removes those of nodes that have not
+// renewed theirs for long. Several nodes may do so at once; each removes only
+// what has not changed since.
+func (p *Peering) readRegistry(ctx context.Context) error {
+	list, unreadable, err := p.registry.Registrations(ctx)
+	if err != nil {
+		return err
+	}
+	for _, err := range unreadable {
+		p.log.Warn("member_unreadable", logging.Err(err))
+	}
+	news, expired := p.directory.registered(p.clock.Now(), list)
+	if news {
+		p.tellMembers()
+	}
+	if len(expired) == 0 {
+		return nil
+	}
+	err = p.registry.Remove(ctx, expired)
+	p.log.Info("members_expired", zap.Int("count", len(expired)), zap.String("first", expired[0].Member.GetName()), logging.Err(err))
+	return nil
+}
+
 // Heard notes a node that has told something.
-func (p *Peering) Heard(m *wire.Member) { p.noteMembers(m) }
+func (p *Peering) Heard(m *wire.Member) {
+	if p.directory.heard(m) {
+		p.tellMembers()
+	}
+}
 
 func (p *Peering) noteMembers(members ...*wire.Member) {
-	if !p.directory.add(members...) {
-		return
+	if p.directory.add(members...) {
+		p.tellMembers()
 	}
+}
+
+func (p *Peering) tellMembers() {
 	others, rank := p.directory.others(), p.directory.rank()
 	p.log.Info("members", zap.Int("others", len(others)), zap.Int("rank", rank))
 	p.learner.LearnMembers(others, rank)
--- a/peering/server.go
+++ b/peering/server.go
@@ -15,7 +15,7 @@
 
 // Ask answers a peer. It implements wireconnect.FreshnessHandler.
 func (p *Peering) Ask(_ context.Context, req *connect.Request[wire.AskRequest]) (*connect.Response[wire.AskResponse], error) {
-	p.noteMembers(req.Msg.GetAsker())
+	p.Heard(req.Msg.GetAsker())
 	raw, version, confirmed := p.knowledge.Config()
 	answer := &wire.AskResponse{
 		Version: version, AgeMs: int64(p.clock.Now().Sub(confirmed)),
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -16,6 +16,7 @@
 // try is what a caller knows of one of its requests.
 type try struct {
 	id     string
+	method string
 	path   string
 	key    string
 	sent   time.Time
@@ -59,7 +60,11 @@
 }
 
 func (c *callers) ask(ctx context.Context, transport http.RoundTripper, node int, id string, random *rand.Rand) try {
-	t := try{id: id, key: keptKey, path: pathFor(id, random)}
+	t := try{id: id, key: keptKey, method: http.MethodPost, path: pathFor(id, random)}
+	if random.IntN(2) == 0 && !strings.HasPrefix(t.path, "/write/") {
+		// Without a body: HTTP libraries repeat such requests by themselves.
+		t.method = http.MethodGet
+	}
 	if random.IntN(3) == 0 {
 		t.key = c.second
 	}
@@ -70,7 +75,11 @@
 func (c *callers) askPath(ctx context.Context, transport http.RoundTripper, node int, t try) try {
 	ctx, cancel := context.WithTimeout(ctx, patience*time.Millisecond)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.world.nodes[node].at()+t.path, strings.NewReader("x"))
+	var body io.Reader
+	if t.method == http.MethodPost {
+		body = strings.NewReader("x")
+	}
+	req, err := http.NewRequestWithContext(ctx, t.method, "http://"+c.world.nodes[node].at()+t.path, body)
 	if err != nil {
 		return t
 	}
@@ -84,8 +93,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	t.status = resp.StatusCode
-	body, err := io.ReadAll(resp.Body)
-	t.body, t.whole = string(body), err == nil
+	answer, err := io.ReadAll(resp.Body)
+	t.body, t.whole = string(answer), err == nil
 	return t
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -217,7 +217,7 @@
 func (s *soak) serves(node int, id string) bool {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
-	t := s.callers.askPath(context.Background(), transport, node, try{id: id, key: keptKey, path: "/write/" + id})
+	t := s.callers.askPath(context.Background(), transport, node, try{id: id, key: keptKey, method: http.MethodPost, path: "/write/" + id})
 	return t.status == http.StatusOK && t.whole && t.body == wanted(t.path)
 }
 
