--- a/placement/orders.go
+++ b/placement/orders.go
@@ -28,10 +28,11 @@
 	return m.limitLoads(s, engines, cmds)
 }
 
-// limitLoads holds back the less urgent orders while the store of the weights
+// limitLoads holds back orders for second holders while the store of the weights
 // has enough to do: more loads than it serves at full speed slow each other, and
-// the layers that are missing would come later. Where nothing is held yet all
-// engines load together, before the first request.
+// the layers that are missing would come later. Those go out at once, since a
+// load that is believed to go on may long have failed. Where nothing is held yet
+// all engines load together, before the first request.
 func (m *Model) limitLoads(s *catalog.Service, engines []Engine, cmds []OrderCmd) []OrderCmd {
 	holds := slices.ContainsFunc(engines, func(e Engine) bool { return !e.Held.Empty() })
 	if s.Pipeline.LoadsAtOnce == 0 || !holds {
@@ -44,7 +45,11 @@
 		}
 	}
 	slices.SortStableFunc(cmds, func(a, b OrderCmd) int { return cmp.Compare(b.Missing, a.Missing) })
-	return cmds[:min(max(free, 0), len(cmds))]
+	urgent := 0
+	for urgent < len(cmds) && cmds[urgent].Missing > 0 {
+		urgent++
+	}
+	return cmds[:min(max(free, urgent), len(cmds))]
 }
 
 // noteNeed notes since when a service has had layers without a holder.
