--- /dev/null
+++ b/node/reader_test.go
@@ -0,0 +1,69 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/standin"
+)
+
+// storeFront passes one node's calls on to the store, and counts them.
+type storeFront struct {
+	store http.Handler
+	calls atomic.Int64
+}
+
+func (f *storeFront) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.calls.Add(1)
+	f.store.ServeHTTP(w, r)
+}
+
+// front starts a front of the site's store, and returns its address.
+func (s *site) front() (*storeFront, string) {
+	f := &storeFront{store: s.store.Handler()}
+	server := httptest.NewServer(f)
+	s.t.Cleanup(server.Close)
+	return f, server.Listener.Addr().String()
+}
+
+// quiet tells whether a node leaves the store alone for longer than it would
+// wait there itself.
+func (f *storeFront) quiet() bool {
+	before := f.calls.Load()
+	time.Sleep(2500 * time.Millisecond)
+	return f.calls.Load() == before
+}
+
+// Of six nodes of a data centre one reads the store for the others. When it ends
+// they go on, and a key that is taken away then is refused everywhere.
+func TestReaderDies(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2)
+	var nodes []*testNode
+	var last *storeFront
+	for i := range 6 {
+		front, address := s.front()
+		nodes = append(nodes, s.startNode(fmt.Sprintf("n%d", i+1), address))
+		last = front
+	}
+	for _, n := range nodes {
+		n.awaitServing(t)
+	}
+	await(t, "node that leaves the store to another", last.quiet)
+
+	nodes[0].stop()
+	<-nodes[0].ended
+	s.store.Put("op", "config", standin.SiteConfig(2, "k1"))
+	for i, n := range nodes[1:] {
+		await(t, "refusal of a revoked key", func() bool {
+			return n.do(http.MethodPost, "/once/a", fmt.Sprintf("revoked-%d", i), "k2").status == http.StatusUnauthorized
+		})
+		if got, want := n.do(http.MethodPost, "/once/a", fmt.Sprintf("kept-%d", i), "k1").status, http.StatusOK; got != want {
+			t.Errorf("node %d: got %d with the key that was kept, want %d", i+2, got, want)
+		}
+	}
+}
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -122,6 +122,8 @@
 	readiness string
 	peer      string
 	ended     chan error
+	// stop ends it at once.
+	stop context.CancelFunc
 }
 
 func freeAddress(t *testing.T) string {
@@ -148,6 +150,7 @@
 	}
 	tn := &testNode{Node: n, caller: settings.CallerListen, readiness: settings.ReadinessListen, peer: settings.PeerListen, ended: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
+	tn.stop = cancel
 	go func() { tn.ended <- n.Run(ctx) }()
 	s.t.Cleanup(cancel)
 	return tn
