--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -80,8 +80,6 @@
 	// Total is what those of all nodes that tell each other take, at engines that
 	// are worth telling others of.
 	Total map[string]float64
-	// Silent are the engines that did not answer this node.
-	Silent []string
 }
 
 // SilentCmd tells the planner of layers that an engine does not answer, or does
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -38,8 +38,6 @@
 	// Total tells that it is that of all nodes of another data centre, which Node
 	// names.
 	Total bool
-	// Silent are the engines that did not answer that node.
-	Silent []string
 }
 
 // PlacedMsg tells that an engine has been ordered to hold other layers, or, with
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -43,10 +43,6 @@
 	// and refusalsToProbe is after how many of them the engine is probed.
 	longestFull     clock.Millis = 3000
 	refusalsToProbe int          = 2
-	// doubtAgain is how soon another node's word that an engine is silent counts
-	// again, once this node has asked it: the list shows a lost one within four
-	// seconds.
-	doubtAgain clock.Millis = 2000
 	// reportLasts is for how long an engine's word on its memory counts: it is a
 	// few hundred ms old when it comes, and a request ends there each 20 ms.
 	reportLasts clock.Millis = 600
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"strings"
-
-	"github.com/hoistjunction/hoistjunction/clock"
 )
 
 // probes asks the upstreams that it is time to ask.
@@ -44,7 +42,7 @@
 		return nil
 	}
 	u.probing = false
-	u.suspect, u.doubted = !msg.Answered, false
+	u.suspect = !msg.Answered
 	m.noteReport(msg.Upstream, msg.Report)
 	if !msg.Answered {
 		u.avoidUntil = m.now.Add(firstSuspicion)
@@ -53,11 +51,5 @@
 		return nil
 	}
 	u.silent = !msg.Answered
-	cmds := []Cmd{SilentCmd{Upstream: msg.Upstream, Silent: u.silent}}
-	if u.silent {
-		// Others should not have to find out by requests of their own.
-		m.shared = clock.Never
-		cmds = append(cmds, m.share()...)
-	}
-	return cmds
+	return []Cmd{SilentCmd{Upstream: msg.Upstream, Silent: u.silent}}
 }
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -54,7 +54,7 @@
 	case "peers":
 		return dispatch.PeersMsg{All: s.Int("all", 1)}
 	case "usage":
-		return dispatch.UsageMsg{Node: s.Word(0), Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}, Total: s.Named["total"] == "yes", Silent: split(s.Named["silent"])}
+		return dispatch.UsageMsg{Node: s.Word(0), Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}, Total: s.Named["total"] == "yes"}
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: s.Word(0), Layers: testUpstream(s).Held, Holds: s.Named["holds"] == "yes"}
 	case "report":
@@ -82,14 +82,6 @@
 	return nil
 }
 
-// split returns the words between commas; none for an empty text.
-func split(text string) []string {
-	if text == "" {
-		return nil
-	}
-	return strings.Split(text, ",")
-}
-
 func testReport(s script.Step) dispatch.Report {
 	return dispatch.Report{Pace: float64(s.Int("pace", 0)), Free: float64(s.Int("free", 0)), All: float64(s.Int("all", 0))}
 }
@@ -191,7 +183,7 @@
 	case dispatch.ReconsiderCmd:
 		return fmt.Sprintf("reconsider %d.%d at %s", c.Request, c.Attempt, c.At)
 	case dispatch.ShareCmd:
-		return fmt.Sprintf("share %v total %v%s", c.Used, c.Total, showSilent(c.Silent))
+		return fmt.Sprintf("share %v total %v", c.Used, c.Total)
 	case dispatch.SilentCmd:
 		return fmt.Sprintf("silent %s %v", c.Upstream, c.Silent)
 	case dispatch.ProbeCmd:
@@ -202,13 +194,6 @@
 	return fmt.Sprintf("%T", cmd)
 }
 
-func showSilent(ids []string) string {
-	if len(ids) == 0 {
-		return ""
-	}
-	return " silent " + strings.Join(ids, ",")
-}
-
 func showChain(parts []chain.Part) string {
 	var words []string
 	for _, p := range parts {
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -125,10 +125,6 @@
 	return holders
 }
 
-// doubtedPenalty keeps requests off an engine that did not answer another node,
-// in ms for each token: more than a crossing between data centres.
-const doubtedPenalty = 50.0
-
 // triedPenalty keeps a repeated request off the engines of its last attempt
 // where it can, in ms for each token.
 const triedPenalty = 5.0
@@ -141,9 +137,6 @@
 	if r.tried[u.entry.ID] {
 		h.Penalty = triedPenalty
 	}
-	if u.doubted {
-		h.Penalty += doubtedPenalty
-	}
 	if u.full(m.now) {
 		h.Room = 0
 	}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -37,10 +37,6 @@
 	reservedThen float64
 	// wantsReport tells that an engine is to be asked how much memory it has.
 	wantsReport bool
-	// doubted tells that another node got no answer, and that this one has not
-	// asked since; doubtedAt is when that was.
-	doubted   bool
-	doubtedAt clock.Millis
 	// suspect upstreams get no work until a probe has found them well.
 	suspect bool
 	probing bool
@@ -54,7 +50,7 @@
 }
 
 func newUpstream(entry fleet.Upstream) *upstream {
-	return &upstream{entry: entry, took: firstTook, pace: 1, reportedAt: clock.Never, doubtedAt: clock.Never}
+	return &upstream{entry: entry, took: firstTook, pace: 1, reportedAt: clock.Never}
 }
 
 // heldLasts is for how long word of what an engine holds counts more than an
@@ -119,14 +115,6 @@
 	}
 }
 
-// doubt notes that the upstream did not answer another node.
-func (u *upstream) doubt(now clock.Millis) {
-	if u.suspect || now < u.doubtedAt.Add(doubtAgain) {
-		return
-	}
-	u.doubted, u.doubtedAt, u.wantsReport = true, now, true
-}
-
 // needsProbe tells whether it is time to ask the upstream how it is.
 func (u *upstream) needsProbe(now clock.Millis) bool {
 	switch {
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 
 	"github.com/hoistjunction/hoistjunction/clock"
 )
@@ -16,9 +15,6 @@
 	// worthTelling is the part of an engine's memory from which other data
 	// centres are told of its use: below it nobody runs out of it.
 	worthTelling = 0.25
-	// mostBelieved is up to how many engines a node's word on silence counts: a
-	// data centre loses a few at a time.
-	mostBelieved = 6
 )
 
 // peerUsage is what another node has in use.
@@ -41,33 +37,7 @@
 			used[id] = u.reserved
 		}
 	}
-	return []Cmd{ShareCmd{Used: used, Total: m.total(used), Silent: m.silent()}}
-}
-
-// silent returns the engines that do not answer this node.
-func (m *Model) silent() []string {
-	var ids []string
-	for id, u := range m.upstreams {
-		if u.silent {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
-// noteSilent takes in which engines did not answer another node. They are asked
-// before long, and used last until they have answered: a node believes in nobody's
-// silence but by its own question. One to which many are silent is cut off itself.
-func (m *Model) noteSilent(ids []string) {
-	if len(ids) > mostBelieved {
-		return
-	}
-	for _, id := range ids {
-		if u := m.upstreams[id]; u != nil && u.pipeline != nil {
-			u.doubt(m.now)
-		}
-	}
+	return []Cmd{ShareCmd{Used: used, Total: m.total(used)}}
 }
 
 // total adds up what this node and those that tell it alone have in use.
@@ -90,7 +60,6 @@
 
 func (m *Model) noteUsage(msg UsageMsg) {
 	m.usage[msg.Node] = peerUsage{at: m.now, used: msg.Used, total: msg.Total}
-	m.noteSilent(msg.Silent)
 }
 
 // free returns the memory that is left at an engine, as far as is known. A node
--- a/node/learn.go
+++ b/node/learn.go
@@ -5,7 +5,6 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
-	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/usage"
@@ -29,12 +28,12 @@
 	n.placer.Tell(n.life, placement.SilentMsg{Upstream: upstream, Silent: silent})
 }
 
-// share tells other nodes what this one knows of engines. The node that reads the
+// share tells other nodes what this one has in use. The node that reads the
 // store for its data centre tells others what all of them have.
-func (n *Node) share(cmd dispatch.ShareCmd) {
-	n.usage.Share(cmd.Used, cmd.Silent)
+func (n *Node) share(used, total map[string]float64) {
+	n.usage.Share(used)
 	if n.roster.Reads(n.clock.Now()) {
-		n.usage.ShareTotal(cmd.Total)
+		n.usage.ShareTotal(total)
 	}
 }
 
@@ -42,11 +41,11 @@
 func (n *Node) setUsage(from *wire.Member, msg usage.Msg) {
 	n.peers.Heard(from)
 	if msg.Total {
-		n.relay.SetUsage(dispatch.UsageMsg{Node: "all of " + from.GetDataCentre(), Used: msg.Used, Total: true})
+		n.relay.SetUsage("all of "+from.GetDataCentre(), msg.Used, true)
 		return
 	}
 	n.roster.Heard(n.clock.Now(), from.GetName(), msg.Followable)
-	n.relay.SetUsage(dispatch.UsageMsg{Node: from.GetName(), Used: msg.Used, Silent: msg.Silent})
+	n.relay.SetUsage(from.GetName(), msg.Used, false)
 }
 
 // tellPlaced tells the own relay and other nodes of an order of this node's.
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -40,15 +40,16 @@
 	probe func(dispatch.ProbeCmd)
 	// silent tells the planner of layers of engines that do not answer.
 	silent func(upstream string, silent bool)
-	// share tells other nodes what this one knows of engines.
-	share func(dispatch.ShareCmd)
+	// share tells other nodes what this one has in use, and what all do that
+	// tell each other.
+	share func(used, total map[string]float64)
 	ready atomic.Bool
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd)) *decider {
 	return &decider{
 		model: model, clock: c, log: log, probe: probe, silent: func(string, bool) {},
-		share: func(dispatch.ShareCmd) {},
+		share: func(used, total map[string]float64) {},
 		inbox: ring.New[envelope](decisionsWaiting), mail: make(map[dispatch.RequestID]chan dispatch.Cmd),
 	}
 }
@@ -108,7 +109,7 @@
 	case dispatch.ReconsiderCmd:
 		d.post(cmd.Request, cmd)
 	case dispatch.ShareCmd:
-		d.share(cmd)
+		d.share(cmd.Used, cmd.Total)
 	case dispatch.SilentCmd:
 		d.silent(cmd.Upstream, cmd.Silent)
 	case dispatch.ProbeCmd:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,8 +49,9 @@
 	return func(r *Relay) { r.decider.silent = tell }
 }
 
-// WithSharing sets who tells other nodes what this one knows of engines.
-func WithSharing(share func(dispatch.ShareCmd)) Option {
+// WithSharing sets who tells other nodes what this one has in use, and what all
+// do that tell each other.
+func WithSharing(share func(used, total map[string]float64)) Option {
 	return func(r *Relay) { r.decider.share = share }
 }
 
@@ -108,8 +109,11 @@
 	r.decider.tell(r.life, dispatch.PeersMsg{All: all})
 }
 
-// SetUsage takes what another node, or another data centre, tells of engines.
-func (r *Relay) SetUsage(msg dispatch.UsageMsg) { r.decider.tell(r.life, msg) }
+// SetUsage takes what another node has in use or, with total, all nodes of
+// another data centre.
+func (r *Relay) SetUsage(node string, used map[string]float64, total bool) {
+	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used, Total: total})
+}
 
 // SetPlaced takes an order that an engine has taken or, with holds, carried out.
 func (r *Relay) SetPlaced(upstream string, layers fleet.Range, holds bool) {
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -50,8 +50,6 @@
 	// Followable tells whether other nodes may follow the sender in place of the
 	// store.
 	Followable bool
-	// Silent are the engines that did not answer the sender.
-	Silent []string
 }
 
 // New binds an address for a node. Followable tells whether other nodes may
@@ -91,10 +89,9 @@
 	return &peers
 }
 
-// Share tells the near peers what this node has in use, and which engines did not
-// answer it.
-func (s *Sharing) Share(used map[string]float64, silent []string) {
-	s.send(&wire.Usage{From: s.self, Followable: s.followable(), Engines: engineUse(used), Silent: silent}, s.near.Load())
+// Share tells the near peers what this node has in use.
+func (s *Sharing) Share(used map[string]float64) {
+	s.send(&wire.Usage{From: s.self, Followable: s.followable(), Engines: engineUse(used)}, s.near.Load())
 }
 
 // ShareTotal tells the far peers what this node's data centre has in use.
@@ -184,5 +181,5 @@
 	for _, e := range msg.GetEngines() {
 		used[e.GetId()] = e.GetAmount()
 	}
-	s.tell(msg.GetFrom(), Msg{Used: used, Total: msg.GetTotal(), Followable: msg.GetFollowable(), Silent: msg.GetSilent()})
+	s.tell(msg.GetFrom(), Msg{Used: used, Total: msg.GetTotal(), Followable: msg.GetFollowable()})
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"testing"
 
 	"go.uber.org/zap"
@@ -43,10 +42,10 @@
 	far, farHeard := newNode(t, "c")
 	teller.SetPeers([]string{near.Address()}, []string{far.Address()})
 
-	teller.Share(map[string]float64{"e1": 5}, []string{"e2"})
+	teller.Share(map[string]float64{"e1": 5})
 	got := <-nearHeard
-	if got.from != "a" || !got.msg.Followable || got.msg.Total || got.msg.Used["e1"] != 5 || !slices.Equal(got.msg.Silent, []string{"e2"}) {
-		t.Errorf("got %+v, want what a has in use, and e2 silent", got)
+	if got.from != "a" || !got.msg.Followable || got.msg.Total || got.msg.Used["e1"] != 5 {
+		t.Errorf("got %+v, want what a has in use", got)
 	}
 
 	teller.ShareTotal(map[string]float64{"e1": 50})
