--- a/node/reader_test.go
+++ b/node/reader_test.go
@@ -1,6 +1,8 @@
 package node_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -56,7 +58,9 @@
 	await(t, "node that leaves the store to another", last.quiet)
 
 	nodes[0].stop()
-	<-nodes[0].ended
+	if err := <-nodes[0].ended; !errors.Is(err, context.Canceled) {
+		t.Errorf("got error %v from the reader's end, want %v", err, context.Canceled)
+	}
 	s.store.Put("op", "config", standin.SiteConfig(2, "k1"))
 	for i, n := range nodes[1:] {
 		await(t, "refusal of a revoked key", func() bool {
