Say things shorter: the follower's progress, what was never asked, stale usage

No change of behaviour: the loop of the configuration's follower is split, a flag becomes clock.Never, and what other nodes told is dropped once it has run out instead of being passed over. Tests of follow, reading, node and dispatch pass with the race detector.

--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -31,6 +31,7 @@
 		return nil
 	}
 	m.shared = m.now
+	maps.DeleteFunc(m.usage, func(_ string, p peerUsage) bool { return m.now > p.at.Add(usageLasts) })
 	used := make(map[string]float64)
 	for id, u := range m.upstreams {
 		if u.reserved > 0 {
@@ -44,7 +45,7 @@
 func (m *Model) total(own map[string]float64) map[string]float64 {
 	total := maps.Clone(own)
 	for _, peer := range m.usage {
-		if peer.total || m.now > peer.at.Add(usageLasts) {
+		if peer.total {
 			continue
 		}
 		for id, amount := range peer.used {
--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -53,47 +53,57 @@
 	return &Catalog{shared: newShared(c, log, outage, opts), source: source, tell: tell}
 }
 
+// catalogProgress is how far a follower of the configuration has come.
+type catalogProgress struct {
+	revision uint64
+	// whole says that the whole is to be read next.
+	whole bool
+	// told says that the last reading came from another node.
+	told bool
+	// failures counts the store's failed calls in a row.
+	failures int
+}
+
 // Run follows until the context ends.
 func (f *Catalog) Run(ctx context.Context) error {
-	var revision uint64
-	whole, failures := true, 0
-	// told says that the last reading came from another node.
-	told := false
+	p := catalogProgress{whole: true}
 	for ctx.Err() == nil {
 		sent := f.clock.Now()
-		reader := f.reader(whole)
-		reading, err := f.call(ctx, reader, whole, revision)
-		if errors.Is(err, ErrReadAnew) {
-			f.log.Info("config_history_gone", zap.Uint64("revision", revision))
-			whole = true
-			continue
-		}
-		if errors.Is(err, errReaderFailed) {
-			// What another node has told may be old by now.
-			whole, told = told, false
-			continue
-		}
+		reader := f.reader(p.whole)
+		reading, err := f.call(ctx, reader, p.whole, p.revision)
 		if err != nil {
-			noteLost(ctx, f.log, f.outage, "config", err)
-			if f.reader(whole) != nil {
-				continue
-			}
-			whole = true
-			failures++
-			clock.Pause(ctx, retryPause(failures))
+			f.failed(ctx, &p, err)
 			continue
 		}
-		failures = 0
-		told = reader != nil
-		if !told {
+		if reader == nil {
 			noteBack(f.log, f.outage, f.clock.Now(), "config")
 		}
-		whole, revision = false, reading.Revision
+		p = catalogProgress{revision: reading.Revision, told: reader != nil}
 		f.take(reading, sent.Sub(reading.Age))
 	}
 	return ctx.Err()
 }
 
+// failed says how to go on after a call that failed.
+func (f *Catalog) failed(ctx context.Context, p *catalogProgress, err error) {
+	switch {
+	case errors.Is(err, ErrReadAnew):
+		f.log.Info("config_history_gone", zap.Uint64("revision", p.revision))
+		p.whole = true
+	case errors.Is(err, errReaderFailed):
+		// What another node has told may be old by now.
+		p.whole, p.told = p.told, false
+	default:
+		noteLost(ctx, f.log, f.outage, "config", err)
+		if f.reader(p.whole) != nil {
+			return
+		}
+		p.whole = true
+		p.failures++
+		clock.Pause(ctx, retryPause(p.failures))
+	}
+}
+
 // call reads the whole, or awaits what changes after a revision, from another
 // node if there is one to follow.
 func (f *Catalog) call(ctx context.Context, reader Reader, whole bool, revision uint64) (CatalogReading, error) {
--- a/node/readers.go
+++ b/node/readers.go
@@ -40,6 +40,7 @@
 		r.node.log.Info("reader", zap.String("follows", m.GetName()), zap.String("address", r.at))
 	}
 	if m == nil {
+		// Not r.source: a nil pointer in an interface is not nil.
 		return nil
 	}
 	return r.source
--- a/reading/log.go
+++ b/reading/log.go
@@ -60,13 +60,13 @@
 	floor         uint64
 	fleetRevision uint64
 	batches       []batch
-	asked         clock.Millis
-	ever          bool
+	// asked is when another node last asked.
+	asked clock.Millis
 }
 
 // NewLog returns an empty log, which vouches for what it knows for a time.
 func NewLog(c *clock.Clock, vouchFor clock.Millis) *Log {
-	return &Log{clock: c, vouchFor: vouchFor, changed: make(chan struct{}), confirmed: clock.Never}
+	return &Log{clock: c, vouchFor: vouchFor, changed: make(chan struct{}), confirmed: clock.Never, asked: clock.Never}
 }
 
 // SetConfig notes that as of a time a revision is the store's newest. Raw is the
@@ -125,7 +125,7 @@
 func (l *Log) Followed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.ever && l.clock.Now() < l.asked.Add(followedFor)
+	return l.clock.Now() < l.asked.Add(followedFor)
 }
 
 // AwaitConfig returns the configuration if it is newer than a revision, as soon
@@ -191,7 +191,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now = l.clock.Now()
-	l.asked, l.ever = now, true
+	l.asked = now
 	vouched = l.confirmed.Add(l.vouchFor)
 	if now > vouched {
 		return now, vouched, nil, false, ErrCannotVouch
