--- a/catalog/service.go
+++ b/catalog/service.go
@@ -19,9 +19,6 @@
 	// StepMS is the time of one token over all layers on an accelerator of factor
 	// 1, in ms.
 	StepMS float64
-	// LoadsAtOnce is how many loads the store of the weights serves at full speed
-	// at a time; zero for any number.
-	LoadsAtOnce int
 	// Accelerators are the kinds in use, by name.
 	Accelerators map[string]Accelerator
 }
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -1,9 +1,6 @@
 package placement
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 )
@@ -25,31 +22,7 @@
 		cmds = append(cmds, OrderCmd{Upstream: o.ID, Address: u.Address, Layers: o.Layers, Believed: u.Held, Missing: o.Missing})
 	}
 	m.noteNeed(now, s.Name, need)
-	return m.limitLoads(s, engines, cmds)
-}
-
-// limitLoads holds back orders for second holders while the store of the weights
-// has enough to do: more loads than it serves at full speed slow each other, and
-// the layers that are missing would come later. Those go out at once, since a
-// load that is believed to go on may long have failed. Where nothing is held yet
-// all engines load together, before the first request.
-func (m *Model) limitLoads(s *catalog.Service, engines []Engine, cmds []OrderCmd) []OrderCmd {
-	holds := slices.ContainsFunc(engines, func(e Engine) bool { return !e.Held.Empty() })
-	if s.Pipeline.LoadsAtOnce == 0 || !holds {
-		return cmds
-	}
-	free := s.Pipeline.LoadsAtOnce
-	for i := range engines {
-		if engines[i].Fixed {
-			free--
-		}
-	}
-	slices.SortStableFunc(cmds, func(a, b OrderCmd) int { return cmp.Compare(b.Missing, a.Missing) })
-	urgent := 0
-	for urgent < len(cmds) && cmds[urgent].Missing > 0 {
-		urgent++
-	}
-	return cmds[:min(max(free, urgent), len(cmds))]
+	return cmds
 }
 
 // noteNeed notes since when a service has had layers without a holder.
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -39,7 +39,7 @@
 func (p *player) msg(s script.Step) placement.Msg {
 	switch s.Verb {
 	case "config":
-		return placement.CatalogMsg{Catalog: testCatalog(s.Int("layers", 10), s.Int("loads", 0))}
+		return placement.CatalogMsg{Catalog: testCatalog(s.Int("layers", 10))}
 	case "engine":
 		return placement.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Upstream: fleet.Upstream{
 			ID: s.Word(0), Service: "writer", Address: s.Word(0) + ":80", DataCentre: s.Named["in"], Accelerator: s.Named["kind"],
@@ -82,9 +82,9 @@
 
 // testCatalog has a model of 100 MB a layer; five layers go on an engine of
 // either kind, and four are given to it.
-func testCatalog(layers, loads int) *catalog.Catalog {
+func testCatalog(layers int) *catalog.Catalog {
 	return catalog.New(1, catalog.WithServices(&catalog.Service{Name: "writer", Pipeline: &catalog.Pipeline{
-		Layers: layers, LoadsAtOnce: loads, LayerMB: 100, TokenBytes: 1000, StepMS: 1,
+		Layers: layers, LayerMB: 100, TokenBytes: 1000, StepMS: 1,
 		Accelerators: map[string]catalog.Accelerator{
 			"fast": {Name: "fast", MB: 500, StepFactor: 1},
 			"slow": {Name: "slow", MB: 500, StepFactor: 10},
