End what the soak has started when it is ended itself

Cause: hoistsoak ended by a signal left its stand-ins and nodes running (20 processes, ended by their ids). Now a signal ends the seed under way, which closes its processes.

--- a/cmd/hoistsoak/main.go
+++ b/cmd/hoistsoak/main.go
@@ -8,7 +8,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -30,11 +32,18 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
+	// A signal ends the seed under way, and with it the processes it started.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	failed := 0
 	for i := range args.Seeds {
-		if !play(args, args.Seed+uint64(i)) {
+		if !play(ctx, args, args.Seed+uint64(i)) {
 			failed++
 		}
+		if ctx.Err() != nil {
+			fmt.Println("stopped by a signal")
+			os.Exit(1)
+		}
 	}
 	fmt.Printf("%d passed, %d failed\n", args.Seeds-failed, failed)
 	if failed > 0 {
@@ -42,13 +51,13 @@
 	}
 }
 
-func play(args arguments, seed uint64) bool {
+func play(ctx context.Context, args arguments, seed uint64) bool {
 	dir := args.Logs
 	if dir == "" {
 		dir = filepath.Join(os.TempDir(), "hoistsoak")
 	}
 	dir = filepath.Join(dir, fmt.Sprint(seed))
-	err := soak.Run(context.Background(), soak.Options{
+	err := soak.Run(ctx, soak.Options{
 		Seed: seed, For: args.For, Bin: args.Bin, Dir: dir, Out: os.Stdout,
 		Size: soak.Size{Nodes: args.Nodes, Engines: args.Engines, Callers: args.Callers},
 	})
