hoistctl explain: what bears on a request, from log files; reader lines bear on it

Cause: the operators' tool had no reader of logs, and the reader that there is left out which node's word on the store a node relied on. Before: cmd/hoistctl/testdata/explain.txt found no line event=reader. After: it passes; hoistexplain and hoistctl share explain.Files.

--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -24,8 +24,8 @@
 const callTimeout = 15 * time.Second
 
 type arguments struct {
-	Node      string `arg:"--node,env:HOIST_NODE,required" help:"operators' port of any entry node, as ip:port"`
-	TokenFile string `arg:"--token-file,env:HOIST_TOKEN_FILE,required" help:"file that holds the operator's token"`
+	Node      string `arg:"--node,env:HOIST_NODE" help:"operators' port of any entry node, as ip:port"`
+	TokenFile string `arg:"--token-file,env:HOIST_TOKEN_FILE" help:"file that holds the operator's token"`
 	CA        string `arg:"--ca" help:"authority of the node's certificate; without it the port is spoken to in clear"`
 	JSON      bool   `arg:"--json" help:"print JSON instead of tables"`
 
@@ -40,6 +40,7 @@
 	Drain    *drainCommand    `arg:"subcommand:drain" help:"stop the node when its work is done"`
 	LogLevel *logLevelCommand `arg:"subcommand:log-level" help:"change the node's log level"`
 	Record   *recordCommand   `arg:"subcommand:recording" help:"print the node's recorded messages"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"print what bears on a request, from log files; needs no node"`
 }
 
 // command is one of the subcommands.
@@ -47,14 +48,26 @@
 	run(ctx context.Context, s *session) error
 }
 
+// offlineCommand is a subcommand that speaks to no node.
+type offlineCommand interface {
+	runOffline() error
+}
+
 func main() {
 	var args arguments
 	p := arg.MustParse(&args)
-	c, ok := p.Subcommand().(command)
-	if !ok {
+	var err error
+	switch c := p.Subcommand().(type) {
+	case offlineCommand:
+		err = c.runOffline()
+	case command:
+		if args.Node == "" || args.TokenFile == "" {
+			p.Fail("--node and --token-file are required (or the environment variables HOIST_NODE and HOIST_TOKEN_FILE)")
+		}
+		err = start(args, c)
+	default:
 		p.Fail("say what to do; see --help")
 	}
-	err := start(args, c)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "hoistctl:", err)
 	}
--- a/cmd/hoistexplain/main.go
+++ b/cmd/hoistexplain/main.go
@@ -26,36 +26,8 @@
 func main() {
 	var args arguments
 	arg.MustParse(&args)
-	if err := run(args); err != nil {
+	if err := explain.Files(os.Stdout, args.ID, args.Logs); err != nil {
 		fmt.Fprintln(os.Stderr, "hoistexplain:", err)
 		os.Exit(1)
 	}
 }
-
-func run(args arguments) error {
-	var all []explain.Line
-	for _, path := range args.Logs {
-		lines, err := read(path)
-		if err != nil {
-			return err
-		}
-		all = append(all, lines...)
-	}
-	found, err := explain.Request(args.ID, all)
-	if err != nil {
-		return err
-	}
-	for _, line := range found {
-		fmt.Println(line.Text)
-	}
-	return nil
-}
-
-func read(path string) ([]explain.Line, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = file.Close() }()
-	return explain.Read(file)
-}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -31,7 +31,7 @@
 // whole node.
 var (
 	beliefs    = []string{"suspect", "silent", "probe", "upstream_leaving", "order"}
-	conditions = []string{"store_lost", "store_back", "config", "freshness_from_peer", "coverage", "drain", "start", "stop"}
+	conditions = []string{"store_lost", "store_back", "config", "freshness_from_peer", "reader", "reader_failed", "coverage", "drain", "start", "stop"}
 )
 
 // Line is one line of a log.
