Placement by value: what a layout is worth decides, not a fill and a greedy order

Hypothesis: on the new customer's deployment requests are refused for want of memory because layers are laid on the largest engines first. These are slow; a stream then takes 13 ms a token and holds its memory for three seconds (Little's law). Change: placement/layout.go weighs what the engines of a data centre hold, in streams a second (memory left, time of a token and of reading with a full batch), less what is lost while engines are replaced; placement/search.go seeks the first plan, within bounds, from layouts that fill engines alike, fast ones first. Empty engines later get the range worth most. The sizes of requests are the operator's word. A first plan takes 26 ms for 38 engines, 78 ms for 99, 680 ms for 990 on a busy machine.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -19,6 +19,19 @@
 	// StepMS is the time of one token over all layers on an accelerator of factor
 	// 1, in ms.
 	StepMS float64
+	// SequenceMS is what each further stream in a batch adds to that, and
+	// ContextMS what each 1,000 tokens of its context do, in ms.
+	SequenceMS float64
+	ContextMS  float64
+	// ReadRate is how many tokens of a prompt an accelerator of factor 1 reads
+	// through all layers, in tokens a ms.
+	ReadRate float64
+	// LoadMS is the time of loading all layers, in ms.
+	LoadMS float64
+	// UsualPrompt and UsualAnswer are the operator's word on the mean tokens of a
+	// request; zero where it gives none.
+	UsualPrompt float64
+	UsualAnswer float64
 	// Accelerators are the kinds in use, by name.
 	Accelerators map[string]Accelerator
 }
@@ -30,16 +43,22 @@
 	MB float64
 	// StepFactor multiplies the time of a step: larger is slower.
 	StepFactor float64
+	// ReadFactor multiplies the time of reading a prompt: larger is slower.
+	ReadFactor float64
 }
 
-// MostLayers is how many layers fit into an accelerator's memory.
-func (p *Pipeline) MostLayers(a Accelerator) int {
+// LayersOf is an accelerator's memory in layers, with the part of one that is
+// left over.
+func (p *Pipeline) LayersOf(a Accelerator) float64 {
 	if p.LayerMB <= 0 {
 		return 0
 	}
-	return min(int(a.MB/p.LayerMB), p.Layers)
+	return a.MB / p.LayerMB
 }
 
+// MostLayers is how many layers fit into an accelerator's memory.
+func (p *Pipeline) MostLayers(a Accelerator) int { return min(int(p.LayersOf(a)), p.Layers) }
+
 // bytesPerMB converts the platform's MB.
 const bytesPerMB = 1e6
 
@@ -53,6 +72,25 @@
 	return max(0, a.MB-float64(layers)*p.LayerMB) * bytesPerMB / perToken
 }
 
+// LayerTokens returns what the memory of one layer's weights would hold, in
+// tokens times layers.
+func (p *Pipeline) LayerTokens() float64 {
+	perToken := p.TokenBytes / float64(max(p.Layers, 1))
+	if perToken <= 0 {
+		return 0
+	}
+	return p.LayerMB * bytesPerMB / perToken
+}
+
+// ReadTime returns the time of reading one token of a prompt through some
+// layers, in ms.
+func (p *Pipeline) ReadTime(a Accelerator, layers int) float64 {
+	if p.ReadRate <= 0 {
+		return 0
+	}
+	return a.ReadFactor * float64(layers) / float64(max(p.Layers, 1)) / p.ReadRate
+}
+
 // StepTime returns the time of one token over some layers, in ms.
 func (p *Pipeline) StepTime(a Accelerator, layers int) float64 {
 	return p.StepMS * a.StepFactor * float64(layers) / float64(max(p.Layers, 1))
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -8,10 +8,13 @@
 	"github.com/hoistjunction/hoistjunction/placement"
 )
 
+// benchShape is a model of 80 layers.
+var benchShape = placement.Shape{Layers: 80, LayerTokens: 237_000, LoadTime: 175, Prompt: 775, Answer: 220, Slowdown: 0.01}
+
 func benchEngines(n int, placed bool) []placement.Engine {
 	engines := make([]placement.Engine, n)
 	for i := range engines {
-		engines[i] = placement.Engine{ID: fmt.Sprintf("e%04d", i), DataCentre: fmt.Sprintf("dc-%d", i/33), Most: 10, LayerTime: 0.1}
+		engines[i] = placement.Engine{ID: fmt.Sprintf("e%04d", i), DataCentre: fmt.Sprintf("dc-%d", i/33), Most: 10, Memory: 10.5, LayerTime: 0.1, ReadTime: 0.0005}
 		if placed {
 			from := (i * 8) % 80
 			engines[i].Held = fleet.Range{From: from, To: from + 8}
@@ -26,7 +29,7 @@
 			engines := benchEngines(n, placed)
 			b.Run(fmt.Sprintf("%s-%d", name, n), func(b *testing.B) {
 				for b.Loop() {
-					placement.Plan(80, engines)
+					placement.Plan(benchShape, engines)
 				}
 			})
 		}
--- a/placement/coverage.go
+++ b/placement/coverage.go
@@ -21,10 +21,12 @@
 		if s.Pipeline == nil {
 			return
 		}
-		p := newPlan(s.Pipeline.Layers, m.engines(now, s))
+		p := newPlan(ShapeOf(s.Pipeline), m.engines(now, s))
 		empty := make(map[string]int)
-		for _, e := range p.empties() {
-			empty[e.DataCentre]++
+		for _, e := range p.engines {
+			if e.standing().Empty() {
+				empty[e.DataCentre]++
+			}
 		}
 		for _, centre := range p.centres {
 			lines = append(lines, fmt.Sprintf("%s %s missing=%s empty=%d", s.Name, centre, p.gaps(centre), empty[centre]))
@@ -37,9 +39,9 @@
 // gaps lists the runs of layers without a holder in a data centre.
 func (p *plan) gaps(centre string) string {
 	var gaps []string
-	for from := 0; from < p.layers; from++ {
+	for from := 0; from < p.shape.Layers; from++ {
 		to := from
-		for to < p.layers && p.local[centre][to] == 0 {
+		for to < p.shape.Layers && p.local[centre][to] == 0 {
 			to++
 		}
 		if to > from {
--- a/placement/heal.go
+++ b/placement/heal.go
@@ -2,6 +2,10 @@
 
 import "github.com/hoistjunction/hoistjunction/fleet"
 
+// healFills are the shares of an engine's memory that layers may take where it is
+// moved to close a gap. The first that gives the data centre a whole copy is taken.
+var healFills = []float64{0.8, 0.85, 0.9, 0.95, 1}
+
 const (
 	// stretchedFill is the share of an engine's memory that layers may take
 	// where that closes a gap. What it leaves holds some 40 requests.
@@ -25,8 +29,9 @@
 // that can be spared as a whole closes larger gaps.
 func (p *plan) heal(centre string) []Order {
 	var orders []Order
-	for p.missing(centre, fleet.Range{To: p.layers}) > 0 {
-		e, r := p.bestMove(centre)
+	fill := p.fillFor(centre)
+	for p.missing(centre, p.whole()) > 0 {
+		e, r := p.bestMove(centre, fill)
 		if e == nil {
 			break
 		}
@@ -35,8 +40,23 @@
 	return orders
 }
 
+// fillFor returns the smallest fill that gives the data centre a whole copy,
+// and the first where none does.
+func (p *plan) fillFor(centre string) float64 {
+	for _, fill := range healFills {
+		sum := 0
+		for _, e := range p.of(centre) {
+			sum += capacity(e, fill)
+		}
+		if sum >= p.shape.Layers {
+			return fill
+		}
+	}
+	return healFills[0]
+}
+
 // bestMove returns the engine and its new run that gain most, or nil.
-func (p *plan) bestMove(centre string) (*Engine, fleet.Range) {
+func (p *plan) bestMove(centre string, fill float64) (*Engine, fleet.Range) {
 	var best *Engine
 	var run fleet.Range
 	most := 0.0
@@ -45,10 +65,10 @@
 		if e.DataCentre != centre || e.Fixed || !e.Coming.Empty() || e.Held.Empty() {
 			continue
 		}
-		for size := capacity(e, p.fillOf[centre]); size <= p.stretched(e); size++ {
-			for from := 0; from+size <= p.layers; from++ {
+		for size := capacity(e, fill); size <= p.stretched(e, fill); size++ {
+			for from := 0; from+size <= p.shape.Layers; from++ {
 				r := fleet.Range{From: from, To: from + size}
-				if gain := p.gain(e, r); gain > most {
+				if gain := p.gain(e, r, fill); gain > most {
 					best, run, most = e, r, gain
 				}
 			}
@@ -58,13 +78,13 @@
 }
 
 // stretched is the most layers that an engine is given to close a gap.
-func (p *plan) stretched(e *Engine) int {
-	return min(max(capacity(e, stretchedFill), capacity(e, p.fillOf[e.DataCentre])), p.layers)
+func (p *plan) stretched(e *Engine, fill float64) int {
+	return min(max(capacity(e, stretchedFill), capacity(e, fill)), p.shape.Layers)
 }
 
 // gain weighs a new run of layers for an engine. It is zero or less where the
 // move covers nothing, or gives up a layer that has no other holder.
-func (p *plan) gain(e *Engine, r fleet.Range) float64 {
+func (p *plan) gain(e *Engine, r fleet.Range, fill float64) float64 {
 	local := p.local[e.DataCentre]
 	gain := 0.0
 	for layer := r.From; layer < r.To; layer++ {
@@ -85,7 +105,7 @@
 		}
 		gain -= secondCost
 	}
-	if over := r.Len() - capacity(e, p.fillOf[e.DataCentre]); over > 0 {
+	if over := r.Len() - capacity(e, fill); over > 0 {
 		gain -= stretchCost * float64(over)
 	}
 	return gain - fastCost/(1+e.LayerTime/fastTime)
--- /dev/null
+++ b/placement/layout.go
@@ -0,0 +1,235 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// Figures of what a layout is worth.
+const (
+	// uncovered is taken off for each layer without a holder in the data centre. It
+	// outweighs all that a layout can gain otherwise.
+	uncovered = 10.0
+	// hopTime is a pass from one engine to the next inside a data centre, in ms for
+	// each token: 0.2 ms on the way and some for the pass itself.
+	hopTime = 0.4
+	// lossEvery is how long an engine is planned to last, in ms. It weighs second
+	// holders against memory for requests: an engine is lost, replaced or taken
+	// away this often at the users' busiest.
+	lossEvery = 100_000.0
+	// foundAfter is how long it takes until a lost engine is replaced beside the
+	// loads: it is found after some 0.35 s, a plan follows within 0.55 s, and all
+	// nodes know the new holder after half a second more.
+	foundAfter = 1500.0
+	// servedInGap is the share of a data centre's requests that the others serve
+	// while it lacks a layer.
+	servedInGap = 0.3
+)
+
+// layout is what the engines of one data centre hold, and weighs it. It is not
+// safe for concurrent use.
+type layout struct {
+	shape Shape
+	// engines are the fast ones first, and ranges what each of them holds.
+	engines []*Engine
+	ranges  []fleet.Range
+
+	// By layer: the tokens of requests that its holders have memory for, how many
+	// they are, the sum of their places (the place itself where there is one), the
+	// tokens that are given to holders so far, and the time that these take.
+	capacity []float64
+	holders  []int
+	places   []int
+	given    []float64
+	// solo is by engine: how many layers it holds alone.
+	solo []int
+}
+
+// newLayout returns a layout of a data centre's engines with what they hold or
+// will hold.
+func newLayout(shape Shape, engines []*Engine) *layout {
+	l := &layout{
+		shape: shape, engines: slices.Clone(engines), ranges: make([]fleet.Range, len(engines)),
+		capacity: make([]float64, shape.Layers), holders: make([]int, shape.Layers),
+		places: make([]int, shape.Layers), given: make([]float64, shape.Layers), solo: make([]int, len(engines)),
+	}
+	slices.SortStableFunc(l.engines, func(a, b *Engine) int {
+		return cmp.Or(cmp.Compare(a.LayerTime, b.LayerTime), cmp.Compare(b.Most, a.Most), cmp.Compare(a.ID, b.ID))
+	})
+	for i, e := range l.engines {
+		l.ranges[i] = e.standing()
+	}
+	return l
+}
+
+// share returns how many tokens of requests an engine has memory for at each of
+// its layers.
+func (l *layout) share(i int) float64 {
+	n := float64(l.ranges[i].Len())
+	return max(0, l.engines[i].Memory-n) * l.shape.LayerTokens / n
+}
+
+// value is the logarithm of the streams a second that the data centre bears,
+// less what it is expected to lose of them while engines are replaced, and less
+// uncovered for each layer without a holder.
+func (l *layout) value() float64 {
+	missing := l.count()
+	room := l.room()
+	if room <= 0 {
+		return -uncovered * float64(l.shape.Layers+missing)
+	}
+	return math.Log(room/l.shape.tokens()/l.lasts(room)) - l.losses(room)/lossEvery - uncovered*float64(missing)
+}
+
+// count fills in what is kept by layer, and returns how many layers have no
+// holder.
+func (l *layout) count() int {
+	clear(l.capacity)
+	clear(l.holders)
+	clear(l.places)
+	for i, r := range l.ranges {
+		if r.Empty() {
+			continue
+		}
+		share := l.share(i)
+		for layer := r.From; layer < r.To; layer++ {
+			l.capacity[layer] += share
+			l.holders[layer]++
+			l.places[layer] += i
+		}
+	}
+	missing := 0
+	for _, n := range l.holders {
+		if n == 0 {
+			missing++
+		}
+	}
+	return missing
+}
+
+// room is how many tokens the layers have memory for: that of the scarcest ones,
+// by the mean of the twelfth powers, which also tells of two layouts with one
+// scarcest layer each which has more of them.
+func (l *layout) room() float64 {
+	sum, covered := 0.0, 0
+	for layer, c := range l.capacity {
+		if l.holders[layer] == 0 {
+			continue
+		}
+		covered++
+		x := l.shape.tokens() / max(c, 1)
+		x *= x * x
+		x *= x
+		sum += x * x
+	}
+	if covered == 0 {
+		return 0
+	}
+	return l.shape.tokens() / math.Pow(sum/float64(covered), 1.0/12)
+}
+
+// lasts is how long a stream holds its memory when there are as many as there is
+// room for, in ms. At each layer the fast holders are filled first.
+func (l *layout) lasts(room float64) float64 {
+	clear(l.given)
+	step, read := 0.0, 0.0
+	for i, r := range l.ranges {
+		if r.Empty() {
+			continue
+		}
+		e, share, hop := l.engines[i], l.share(i), hopTime/float64(r.Len())
+		for layer := r.From; layer < r.To; layer++ {
+			part := 1 / float64(l.holders[layer])
+			if l.capacity[layer] >= 1 {
+				part = min(share, max(room-l.given[layer], 0)) / min(room, l.capacity[layer])
+			}
+			l.given[layer] += share
+			step += part * (e.LayerTime + hop)
+			read += part * e.ReadTime
+		}
+	}
+	crowded := 1 + l.shape.Slowdown*room/l.shape.tokens()
+	return l.shape.Prompt*read + l.shape.Answer*step*crowded
+}
+
+// losses adds up, for the loss of each engine, how long it takes to replace what
+// it holds alone or what the rest lack without it, times the logarithm of what
+// is served meanwhile.
+func (l *layout) losses(room float64) float64 {
+	clear(l.solo)
+	for layer, n := range l.holders {
+		if n == 1 {
+			l.solo[l.places[layer]]++
+		}
+	}
+	sum := 0.0
+	for i, r := range l.ranges {
+		switch {
+		case r.Empty():
+		case l.solo[i] > 0:
+			sum += (foundAfter + l.shape.LoadTime*float64(l.solo[i])) * -math.Log(servedInGap)
+		default:
+			served := min(1, max(servedInGap, l.roomWithout(i)/room))
+			sum += (foundAfter + l.shape.LoadTime*float64(r.Len())) * -math.Log(served)
+		}
+	}
+	return sum
+}
+
+// roomWithout is how many tokens an engine's layers have memory for without it.
+func (l *layout) roomWithout(i int) float64 {
+	least := math.Inf(1)
+	for layer := l.ranges[i].From; layer < l.ranges[i].To; layer++ {
+		least = min(least, l.capacity[layer])
+	}
+	return least - l.share(i)
+}
+
+// Weights of a layer's need of a holder while a layout is spread. A second holder
+// matters more the more layers would be lost with the first, since they take that
+// much longer to be loaded again.
+const (
+	needFirst  = 1e5
+	needSecond = 1.0
+	needThird  = 1e-3
+)
+
+// spread gives each engine, the fast ones first, the run of layers that needs a
+// holder most, as long as the fill lets it be.
+func (l *layout) spread(fill float64) {
+	spans := make([]int, l.shape.Layers)
+	holders := make([]int, l.shape.Layers)
+	for i, e := range l.engines {
+		r := neediest(holders, spans, min(capacity(e, fill), l.shape.Layers))
+		l.ranges[i] = r
+		for layer := r.From; layer < r.To; layer++ {
+			holders[layer]++
+			spans[layer] += r.Len()
+		}
+	}
+}
+
+// neediest returns the run of layers of a size whose layers need a holder most.
+func neediest(holders, spans []int, size int) fleet.Range {
+	best, most := fleet.Range{}, 0.0
+	for from := 0; from+size <= len(holders); from++ {
+		need := 0.0
+		for layer := from; layer < from+size; layer++ {
+			switch holders[layer] {
+			case 0:
+				need += needFirst
+			case 1:
+				need += needSecond * float64(spans[layer])
+			default:
+				need += needThird / float64(holders[layer])
+			}
+		}
+		if need > most+1e-9 {
+			best, most = fleet.Range{From: from, To: from + size}, need
+		}
+	}
+	return best
+}
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -8,7 +8,7 @@
 // plan returns the orders for a service that may be given now.
 func (m *Model) plan(now clock.Millis, s *catalog.Service) []OrderCmd {
 	engines := m.engines(now, s)
-	orders := Plan(s.Pipeline.Layers, engines)
+	orders := Plan(ShapeOf(s.Pipeline), engines)
 	need := false
 	var cmds []OrderCmd
 	for _, o := range orders {
@@ -46,8 +46,8 @@
 			continue
 		}
 		e := Engine{
-			ID: id, DataCentre: u.DataCentre, Most: s.Pipeline.MostLayers(kind),
-			LayerTime: s.Pipeline.StepTime(kind, 1), Held: u.Held,
+			ID: id, DataCentre: u.DataCentre, Most: s.Pipeline.MostLayers(kind), Memory: s.Pipeline.LayersOf(kind),
+			LayerTime: s.Pipeline.StepTime(kind, 1), ReadTime: s.Pipeline.ReadTime(kind, 1), Held: u.Held,
 		}
 		e.Reserve = m.planned && m.seen[id] > m.plannedAt && now < m.seen[id].Add(reserveFor)
 		if p, waiting := m.pending[id]; waiting {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -1,10 +1,13 @@
 // Package placement decides which engine holds which layers of a model.
 //
-// Each data centre gets a whole copy if its engines can hold one, and a second
-// holder for as many layers as fit beside it. An engine is filled only in part,
-// since what the layers leave is the memory for requests. Empty engines are
-// given what is missing most; where a layer has lost its only holder in a data
-// centre, an engine whose layers all have another holder moves there.
+// Each data centre gets a whole copy if its engines can hold one. What engines
+// hold is chosen by what it is worth (layout.value): the streams a second that the
+// data centre bears, which falls with the memory that layers take away from
+// requests and with the time that slow engines hold it, less what is lost while
+// an engine that goes is replaced, which second holders save. The first plan is
+// sought as a whole. Later, empty engines are given the range that is worth most,
+// and where a layer has lost its only holder in a data centre, an engine whose
+// layers all have another holder moves there.
 //
 // Plan is pure, and the same engines give the same plan, so that two nodes
 // that plan at the same time ask for the same.
@@ -21,10 +24,14 @@
 type Engine struct {
 	ID         string
 	DataCentre string
-	// Most is how many layers fit into its memory.
-	Most int
-	// LayerTime is the time of one token through one layer, in ms.
+	// Most is how many layers fit into its memory, and Memory the same with the
+	// part of a layer that is left over.
+	Most   int
+	Memory float64
+	// LayerTime is the time of one token through one layer, and ReadTime that of
+	// one token of a prompt, in ms.
 	LayerTime float64
+	ReadTime  float64
 	// Held is what it holds, and Coming what it has been ordered to hold.
 	Held   fleet.Range
 	Coming fleet.Range
@@ -50,122 +57,126 @@
 	Missing int
 }
 
-// fills are the shares of an engine's memory that layers may take. The first
-// that gives a data centre a whole copy is taken. With 0.8 a third of the
-// layers have a second holder and engines keep room for some 60 requests; fuller
-// engines ran out of memory on calm days (docs/PLATFORM.md).
-var fills = []float64{0.8, 0.85, 0.9, 0.95, 1}
+// fills are the shares of an engine's memory that layers may take when a first
+// plan is sought, and from which the best is improved on.
+var fills = []float64{0.55, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85, 0.9, 0.95, 1}
 
 // Plan returns the orders to be given now, most urgent first.
-func Plan(layers int, engines []Engine) []Order {
-	p := newPlan(layers, engines)
+func Plan(shape Shape, engines []Engine) []Order {
+	p := newPlan(shape, engines)
 	var orders []Order
-	for _, e := range p.empties() {
-		if o, ok := p.fill(e); ok {
-			orders = append(orders, o)
-		}
-	}
 	for _, centre := range p.centres {
+		if p.untouched(centre) {
+			orders = append(orders, p.design(centre)...)
+			continue
+		}
+		orders = append(orders, p.fill(centre)...)
 		orders = append(orders, p.heal(centre)...)
 	}
+	slices.SortStableFunc(orders, func(a, b Order) int { return cmp.Compare(b.Missing, a.Missing) })
 	return orders
 }
 
 // plan counts the holders of each layer while orders are added.
 type plan struct {
-	layers  int
+	shape   Shape
 	engines []Engine
 	centres []string
-	fillOf  map[string]float64
 	local   map[string][]int
-	global  []int
-	// spans sums up the lengths of a layer's holders in a data centre; where
-	// there is one, it is how much would be lost with it.
-	spans map[string][]int
 }
 
-func newPlan(layers int, engines []Engine) *plan {
-	p := &plan{
-		layers: layers, engines: slices.Clone(engines), fillOf: make(map[string]float64),
-		local: make(map[string][]int), global: make([]int, layers), spans: make(map[string][]int),
-	}
+func newPlan(shape Shape, engines []Engine) *plan {
+	p := &plan{shape: shape, engines: slices.Clone(engines), local: make(map[string][]int)}
 	slices.SortFunc(p.engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range p.engines {
 		e := &p.engines[i]
 		if p.local[e.DataCentre] == nil {
-			p.local[e.DataCentre] = make([]int, layers)
-			p.spans[e.DataCentre] = make([]int, layers)
+			p.local[e.DataCentre] = make([]int, shape.Layers)
 			p.centres = append(p.centres, e.DataCentre)
 		}
 		p.count(e.DataCentre, e.standing(), 1)
 	}
 	slices.Sort(p.centres)
-	for _, centre := range p.centres {
-		p.fillOf[centre] = p.fillFor(centre)
-	}
 	return p
 }
 
 func (p *plan) count(centre string, r fleet.Range, by int) {
-	for layer := max(r.From, 0); layer < min(r.To, p.layers); layer++ {
+	for layer := max(r.From, 0); layer < min(r.To, p.shape.Layers); layer++ {
 		p.local[centre][layer] += by
-		p.spans[centre][layer] += by * r.Len()
-		p.global[layer] += by
 	}
 }
 
-// fillFor returns the smallest fill that gives the data centre a whole copy,
-// and the first where none does.
-func (p *plan) fillFor(centre string) float64 {
-	for _, fill := range fills {
-		sum := 0
-		for i := range p.engines {
-			if p.engines[i].DataCentre == centre {
-				sum += capacity(&p.engines[i], fill)
-			}
+// whole is the range of all layers.
+func (p *plan) whole() fleet.Range { return fleet.Range{To: p.shape.Layers} }
+
+// of returns the engines of a data centre that can hold a layer.
+func (p *plan) of(centre string) []*Engine {
+	var list []*Engine
+	for i := range p.engines {
+		if e := &p.engines[i]; e.DataCentre == centre && e.Most > 0 {
+			list = append(list, e)
 		}
-		if sum >= p.layers {
-			return fill
+	}
+	return list
+}
+
+// untouched tells whether no engine of a data centre holds anything or is to.
+func (p *plan) untouched(centre string) bool {
+	for _, e := range p.of(centre) {
+		if !e.standing().Empty() || e.Fixed {
+			return false
 		}
 	}
-	return fills[0]
+	return true
 }
 
-// capacity is how many layers an engine is given.
+// capacity is how many layers an engine is given at a fill.
 func capacity(e *Engine, fill float64) int { return max(1, int(float64(e.Most)*fill)) }
 
-// empties returns the engines that hold nothing and await nothing, the fast
-// and large ones first.
-func (p *plan) empties() []*Engine {
-	var empty []*Engine
-	for i := range p.engines {
-		e := &p.engines[i]
-		if e.standing().Empty() && !e.Fixed && e.Most > 0 && !p.keep(e) {
-			empty = append(empty, e)
+// design plans a data centre whose engines are all empty: of the layouts that
+// fill engines in the same part, fast ones first, the best is improved on.
+func (p *plan) design(centre string) []Order {
+	var best *layout
+	most := 0.0
+	for _, fill := range fills {
+		l := newLayout(p.shape, p.of(centre))
+		l.spread(fill)
+		if v := l.value(); best == nil || v > most {
+			best, most = l, v
 		}
 	}
-	slices.SortStableFunc(empty, func(a, b *Engine) int {
-		return cmp.Or(cmp.Compare(b.Most, a.Most), cmp.Compare(a.LayerTime, b.LayerTime))
-	})
-	return empty
-}
-
-// keep tells whether an engine is held in reserve: servers are replaced one
-// after the other, the new one first, so layers will soon want a holder.
-func (p *plan) keep(e *Engine) bool {
-	return e.Reserve && p.missing(e.DataCentre, fleet.Range{To: p.layers}) == 0
+	best.improve(func(*Engine) bool { return true })
+	var orders []Order
+	for i, e := range best.engines {
+		if !best.ranges[i].Empty() {
+			orders = append(orders, p.order(e, best.ranges[i]))
+		}
+	}
+	return orders
 }
 
-// fill gives an empty engine the run of layers that is missing most.
-func (p *plan) fill(e *Engine) (Order, bool) {
-	size := min(capacity(e, p.fillOf[e.DataCentre]), p.layers)
-	r := p.neediest(e.DataCentre, size)
-	if r.Empty() {
-		return Order{}, false
+// fill gives the empty engines of a data centre the ranges that are worth most.
+func (p *plan) fill(centre string) []Order {
+	var orders []Order
+	l := newLayout(p.shape, p.of(centre))
+	for i, e := range l.engines {
+		if !e.standing().Empty() || e.Fixed || p.keep(e) {
+			continue
+		}
+		r := l.roomiest(i)
+		if r.Empty() {
+			continue
+		}
+		l.ranges[i] = r
+		orders = append(orders, p.order(e, r))
 	}
-	return p.order(e, r), true
+	return orders
 }
 
+// keep tells whether an engine is held in reserve: servers are replaced one
+// after the other, the new one first, so layers will soon want a holder.
+func (p *plan) keep(e *Engine) bool { return e.Reserve && p.missing(e.DataCentre, p.whole()) == 0 }
+
 func (p *plan) order(e *Engine, r fleet.Range) Order {
 	o := Order{ID: e.ID, Layers: r, Missing: p.missing(e.DataCentre, r)}
 	p.count(e.DataCentre, e.standing(), -1)
@@ -183,43 +194,3 @@
 	}
 	return n
 }
-
-// neediest returns the run of layers of a size whose layers have the fewest
-// holders.
-func (p *plan) neediest(centre string, size int) fleet.Range {
-	best, bestNeed := fleet.Range{}, 0.0
-	for from := 0; from+size <= p.layers; from++ {
-		need := 0.0
-		for layer := from; layer < from+size; layer++ {
-			need += p.need(centre, layer)
-		}
-		if need > bestNeed+1e-9 {
-			best, bestNeed = fleet.Range{From: from, To: from + size}, need
-		}
-	}
-	return best
-}
-
-// Weights of a layer's need. Each step outweighs all layers of the next one. A
-// second holder matters more the more layers would be lost with the first,
-// since they take that much longer to be loaded again.
-const (
-	needNowhere = 1e8
-	needLocal   = 1e5
-	needSecond  = 1.0
-	needThird   = 1e-3
-)
-
-func (p *plan) need(centre string, layer int) float64 {
-	local, global := p.local[centre][layer], p.global[layer]
-	switch {
-	case global == 0:
-		return needNowhere
-	case local == 0:
-		return needLocal
-	case local == 1:
-		return needSecond*float64(max(p.spans[centre][layer], 1)) + needThird/float64(global)
-	default:
-		return needThird / float64(local)
-	}
-}
--- /dev/null
+++ b/placement/plan_test.go
@@ -0,0 +1,122 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/placement"
+)
+
+// kind is a kind of accelerator of the tests: its memory in layers, and the time
+// of a token and of reading one through a layer, in ms.
+type kind struct {
+	name   string
+	memory float64
+	step   float64
+	read   float64
+}
+
+var (
+	largeFast = kind{"large", 41.1, 0.031, 0.00024}
+	smallFast = kind{"small", 8.2, 0.068, 0.0006}
+	slow      = kind{"slow", 12.3, 0.2, 0.0006}
+)
+
+func engines(centre string, k kind, n int) []placement.Engine {
+	list := make([]placement.Engine, n)
+	for i := range list {
+		list[i] = placement.Engine{
+			ID: fmt.Sprintf("%s-%s-%02d", centre, k.name, i), DataCentre: centre,
+			Most: int(k.memory), Memory: k.memory, LayerTime: k.step, ReadTime: k.read,
+		}
+	}
+	return list
+}
+
+// holders counts the holders of each layer after the orders.
+func holders(orders []placement.Order, layers int) []int {
+	n := make([]int, layers)
+	for _, o := range orders {
+		for layer := o.Layers.From; layer < o.Layers.To; layer++ {
+			n[layer]++
+		}
+	}
+	return n
+}
+
+// The fast engines carry the model where they can, and every engine keeps room
+// for requests.
+func TestPlanPutsFastEnginesFirst(t *testing.T) {
+	list := slices.Concat(engines("a", largeFast, 1), engines("a", smallFast, 10), engines("a", slow, 4))
+	orders := placement.Plan(benchShape, list)
+	fast := 0
+	for _, o := range orders {
+		i := slices.IndexFunc(list, func(e placement.Engine) bool { return e.ID == o.ID })
+		if share := float64(o.Layers.Len()) / list[i].Memory; share > 0.9 {
+			t.Errorf("%s: got %v of its memory for layers, want at most 0.9", o.ID, share)
+		}
+		if list[i].LayerTime < slow.step {
+			fast += o.Layers.Len()
+		}
+	}
+	if fast < benchShape.Layers {
+		t.Errorf("got %d layers on fast engines, want %d or more", fast, benchShape.Layers)
+	}
+	if least := slices.Min(holders(orders, benchShape.Layers)); least < 1 {
+		t.Errorf("got %d holders of some layer, want 1 or more", least)
+	}
+}
+
+// Whatever the engines are, no order exceeds an engine's memory, and a data
+// centre that can hold the model does.
+func TestPlanOfAnyEngines(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 3))
+	for range 60 {
+		list := anyEngines(random)
+		most, room := 0, 0
+		orders := placement.Plan(benchShape, list)
+		for _, e := range list {
+			room += e.Most
+			most = max(most, e.Most)
+			for _, o := range orders {
+				if o.ID == e.ID && (o.Layers.Len() > e.Most || o.Layers.From < 0 || o.Layers.To > benchShape.Layers) {
+					t.Errorf("got order %v for an engine of %d layers", o, e.Most)
+				}
+			}
+		}
+		// Ranges of one length seldom fill a model exactly: one engine is left out.
+		if room-most < benchShape.Layers {
+			continue
+		}
+		if least := slices.Min(holders(orders, benchShape.Layers)); least < 1 {
+			t.Errorf("got a layer without a holder of %d engines with room for %d layers, want none", len(list), room)
+		}
+	}
+}
+
+func anyEngines(random *rand.Rand) []placement.Engine {
+	list := make([]placement.Engine, 1+random.IntN(30))
+	for i := range list {
+		memory := 14 * random.Float64()
+		if random.IntN(6) == 0 {
+			memory = 50 * random.Float64()
+		}
+		list[i] = placement.Engine{
+			ID: fmt.Sprintf("e%02d", i), DataCentre: "a", Most: int(memory), Memory: memory,
+			LayerTime: 0.02 + random.Float64(), ReadTime: 0.001 * random.Float64(),
+		}
+	}
+	return list
+}
+
+// The same engines give the same plan, in whatever order they are listed.
+func TestPlanIsTheSameEverywhere(t *testing.T) {
+	list := slices.Concat(engines("a", slow, 9), engines("b", smallFast, 14), engines("b", largeFast, 2))
+	want := fmt.Sprint(placement.Plan(benchShape, list))
+	slices.Reverse(list)
+	if got := fmt.Sprint(placement.Plan(benchShape, list)); got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
--- /dev/null
+++ b/placement/search.go
@@ -0,0 +1,99 @@
+package placement
+
+import "github.com/hoistjunction/hoistjunction/fleet"
+
+const (
+	// sweeps bounds how often all engines of a data centre are looked at for a
+	// better range; a sweep without a change ends the search.
+	sweeps = 6
+	// leastGain is the least gain in value for which a range is changed while a
+	// first plan is sought.
+	leastGain = 1e-6
+	// stride is the step of the ranges that lie elsewhere in the model.
+	stride = 8
+)
+
+// change is a new range for an engine, by its place in the layout.
+type change struct {
+	place  int
+	layers fleet.Range
+	gain   float64
+}
+
+// improve changes ranges of engines for as long as each change raises the value,
+// within bounds.
+func (l *layout) improve(may func(*Engine) bool) {
+	for range sweeps {
+		changed := false
+		for i := range l.engines {
+			if !may(l.engines[i]) {
+				continue
+			}
+			if c := l.bestFor(i); c.gain > leastGain {
+				l.ranges[i] = c.layers
+				changed = true
+			}
+		}
+		if !changed {
+			return
+		}
+	}
+}
+
+// bestFor returns the range for an engine that raises the value most; the gain is
+// zero where none does.
+func (l *layout) bestFor(i int) change {
+	was := l.ranges[i]
+	before := l.value()
+	best := change{place: i, layers: was}
+	try := func(r fleet.Range) {
+		if r.Empty() || r.From < 0 || r.To > l.shape.Layers || r.Len() > l.engines[i].Most || r == was {
+			return
+		}
+		l.ranges[i] = r
+		if gain := l.value() - before; gain > best.gain {
+			best.layers, best.gain = r, gain
+		}
+	}
+	l.nearby(was, try)
+	l.elsewhere(was, try)
+	l.ranges[i] = was
+	return best
+}
+
+// nearby tries a range's ends a layer further in or out, and the range shifted by
+// a layer or two.
+func (l *layout) nearby(r fleet.Range, try func(fleet.Range)) {
+	for from := -1; from <= 1; from++ {
+		for to := -1; to <= 1; to++ {
+			try(fleet.Range{From: r.From + from, To: r.To + to})
+		}
+	}
+	try(fleet.Range{From: r.From - 2, To: r.To - 2})
+	try(fleet.Range{From: r.From + 2, To: r.To + 2})
+}
+
+// elsewhere tries ranges of the same length and of half of it all over the model.
+func (l *layout) elsewhere(r fleet.Range, try func(fleet.Range)) {
+	for _, size := range []int{r.Len(), r.Len() / 2} {
+		for from := 0; from+size <= l.shape.Layers; from += stride {
+			try(fleet.Range{From: from, To: from + size})
+		}
+		try(fleet.Range{From: l.shape.Layers - size, To: l.shape.Layers})
+	}
+}
+
+// roomiest returns the range for an empty engine with the highest value.
+func (l *layout) roomiest(i int) fleet.Range {
+	best, most := fleet.Range{}, l.value()
+	for size := 1; size <= min(l.engines[i].Most, l.shape.Layers); size++ {
+		for from := 0; from+size <= l.shape.Layers; from++ {
+			l.ranges[i] = fleet.Range{From: from, To: from + size}
+			if v := l.value(); v > most+leastGain {
+				best, most = l.ranges[i], v
+			}
+		}
+	}
+	l.ranges[i] = fleet.Range{}
+	return best
+}
