hoistctl losses, and refusals that say what ran short; a plan that stands is improved

Cause: on-call engineers could not tell from the logs why requests are refused or late. A refusal now names the layers, holders, memory left and asked for, by whose word and how old; the line of an answer says by what it was late, its longest pause and its moves; hoistctl losses adds them up by cause, route, data centre, layers and second. Change: first orders only once the list has stood still for 2.5 s, counted until the node's turn (placement/testdata/growing_list.txt failed before); a plan that stands is improved, one engine at a time, where the gain in value over 16 s exceeds the load and the harm to moved streams (improve.txt).

--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -41,6 +41,7 @@
 	LogLevel *logLevelCommand `arg:"subcommand:log-level" help:"change the node's log level"`
 	Record   *recordCommand   `arg:"subcommand:recording" help:"print the node's recorded messages"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"print what bears on a request, from log files; needs no node"`
+	Losses   *lossesCommand   `arg:"subcommand:losses" help:"print why requests were lost or late, from log files; needs no node"`
 }
 
 // command is one of the subcommands.
--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -64,12 +64,23 @@
 
 // refuse ends a request that has not been sent.
 func (m *Model) refuse(id RequestID, status int, reason Reason, back clock.Millis) []Cmd {
+	return []Cmd{m.finish(id, status, reason, back)}
+}
+
+// refuseFor ends a request that has not run for want of something.
+func (m *Model) refuseFor(id RequestID, reason Reason, back clock.Millis, lack *Lack) []Cmd {
+	cmd := m.finish(id, http.StatusServiceUnavailable, reason, back)
+	cmd.Lack = lack
+	return []Cmd{cmd}
+}
+
+func (m *Model) finish(id RequestID, status int, reason Reason, back clock.Millis) FinishCmd {
 	m.forget(id)
 	cmd := FinishCmd{Request: id, Status: status, Reason: reason, RetryAfter: back, CatalogAge: clock.AgeOf(m.confirmed, m.now)}
 	if m.catalog != nil {
 		cmd.CatalogVersion = m.catalog.Version()
 	}
-	return []Cmd{cmd}
+	return cmd
 }
 
 // position spreads callers' names evenly from 0 up to 1.
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -49,8 +49,33 @@
 	RetryAfter     clock.Millis
 	CatalogVersion uint64
 	CatalogAge     clock.Millis
+	// Lack says what ran short; nil where that is not it.
+	Lack *Lack
 }
 
+// Lack says what ran short when no chain could be built, for the log.
+type Lack struct {
+	chain.Lack
+	// Word says whose word on the memory left counted, and Age how old it was.
+	Word Word
+	Age  clock.Millis
+}
+
+// Word says whose word on an engine's memory counts.
+type Word string
+
+// The words on an engine's memory.
+const (
+	// WordOwn: what this node alone has in use there.
+	WordOwn Word = "own"
+	// WordNodes: what other nodes have told that they use there too.
+	WordNodes Word = "nodes"
+	// WordEngine: the engine's own report.
+	WordEngine Word = "engine"
+	// WordRefusal: the engine has refused a request just now.
+	WordRefusal Word = "refusal"
+)
+
 // RelayCmd passes on the upstream's own failure, which the shell holds.
 type RelayCmd struct {
 	Request RequestID
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -43,7 +43,11 @@
 	if r.runs > 0 {
 		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
 	}
-	return m.refuse(r.msg.Request, http.StatusServiceUnavailable, reason, m.comeBack(r, reason))
+	var lack *Lack
+	if r.service.Pipeline != nil && (reason == ReasonNoRoom || reason == ReasonNoHolder) {
+		lack = m.whatLacks(r)
+	}
+	return m.refuseFor(r.msg.Request, reason, m.comeBack(r, reason), lack)
 }
 
 // sendPlain takes the upstream that should answer first: by the mean time of
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -47,6 +47,7 @@
 	// refusals counts refusals in a row, and fullUntil is until when it is taken as full.
 	refusals  int
 	fullUntil clock.Millis
+	refusedAt clock.Millis
 }
 
 func newUpstream(entry fleet.Upstream) *upstream {
@@ -108,6 +109,7 @@
 func (u *upstream) refused(now clock.Millis) {
 	u.fullUntil = now.Add(min(fullFor<<min(u.refusals, 8), longestFull))
 	u.refusals++
+	u.refusedAt = now
 	u.wantsReport = u.pipeline != nil
 	if u.refusals == refusalsToProbe && !u.suspect {
 		u.suspect = true
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
@@ -74,8 +75,47 @@
 			free -= peer.used[u.entry.ID]
 		}
 	}
-	if m.now <= u.reportedAt.Add(reportLasts) {
-		free = min(free, u.reportedFree-max(0, u.reserved-u.reservedThen))
+	if reported, ok := m.reported(u); ok {
+		free = min(free, reported)
 	}
 	return free
 }
+
+// reported returns the memory that is left at an engine by its own word, if that
+// is recent.
+func (m *Model) reported(u *upstream) (free float64, ok bool) {
+	if m.now > u.reportedAt.Add(reportLasts) {
+		return 0, false
+	}
+	return u.reportedFree - max(0, u.reserved-u.reservedThen), true
+}
+
+// word tells whose word on an engine's memory counts now, and how old it is.
+func (m *Model) word(u *upstream) (Word, clock.Millis) {
+	if u.full(m.now) {
+		return WordRefusal, m.now.Sub(u.refusedAt)
+	}
+	free := m.free(u)
+	if reported, ok := m.reported(u); ok && reported <= free {
+		return WordEngine, m.now.Sub(u.reportedAt)
+	}
+	oldest := clock.Millis(-1)
+	for _, peer := range m.usage {
+		if m.now <= peer.at.Add(usageLasts) && peer.used[u.entry.ID] > 0 {
+			oldest = max(oldest, m.now.Sub(peer.at))
+		}
+	}
+	if oldest < 0 {
+		return WordOwn, 0
+	}
+	return WordNodes, oldest
+}
+
+// whatLacks says why no chain could be built for a request.
+func (m *Model) whatLacks(r *request) *Lack {
+	lack := &Lack{Lack: chain.WhatLacks(0, r.service.Pipeline.Layers, r.tokens, m.holders(r)), Word: WordOwn}
+	if u := m.upstreams[lack.ID]; u != nil {
+		lack.Word, lack.Age = m.word(u)
+	}
+	return lack
+}
--- /dev/null
+++ b/explain/losses.go
@@ -0,0 +1,225 @@
+package explain
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// Loss is a request that did not end as its caller wants it: refused, cut, failed,
+// left by its caller, or late.
+type Loss struct {
+	Time time.Time
+	// Cause is what became of it and why, as "refused no_memory_left".
+	Cause string
+	// Route names the request's kind; empty where it was refused before it was
+	// known.
+	Route string
+	// DataCentre is that of the node which took it; empty if the log does not say.
+	DataCentre string
+	// Layers are those that ran short; empty where that is not it.
+	Layers string
+}
+
+// Account is all that the logs say of how requests ended.
+type Account struct {
+	// Ended counts the requests that ended, well or not.
+	Ended  int
+	Losses []Loss
+}
+
+var (
+	sourcePattern = regexp.MustCompile(`(\S+)\s+time=`)
+	fieldPattern  = regexp.MustCompile(`\b([a-z_]+)=("[^"]*"|\S*)`)
+)
+
+// fields returns the values of a line by their names.
+func (l Line) fields() map[string]string {
+	values := make(map[string]string)
+	for _, m := range fieldPattern.FindAllStringSubmatch(l.Text, -1) {
+		if _, known := values[m[1]]; !known {
+			values[m[1]] = strings.Trim(m[2], `"`)
+		}
+	}
+	return values
+}
+
+// source names the node that wrote a line, where all nodes' lines stand in one
+// file and each begins with its node.
+func (l Line) source(file string) string {
+	if m := sourcePattern.FindStringSubmatch(l.Text); m != nil {
+		return m[1]
+	}
+	return file
+}
+
+// add takes in the lines of one file.
+func (a *Account) add(file string, lines []Line) {
+	centres := make(map[string]string)
+	for _, line := range lines {
+		source := line.source(file)
+		if line.Event == "start" {
+			centres[source] = line.fields()["data_centre"]
+			continue
+		}
+		if !slices.Contains(ends, line.Event) {
+			continue
+		}
+		f := line.fields()
+		a.Ended++
+		cause := causeOf(line.Event, f)
+		if cause == "" {
+			continue
+		}
+		a.Losses = append(a.Losses, Loss{Time: line.Time, Cause: cause, Route: f["route"], DataCentre: centres[source], Layers: f["lacks"]})
+	}
+}
+
+// ends are the events that end a request.
+var ends = []string{"refused", "answered", "cut", "caller_left", "caller_lost"}
+
+// causeOf says why a request counts as lost, from the fields of its last line;
+// empty where it does not.
+func causeOf(event string, f map[string]string) string {
+	switch event {
+	case "refused":
+		if f["reason"] == "no_such_route" || f["reason"] == "no_such_key" {
+			return ""
+		}
+		return "refused " + f["reason"]
+	case "cut":
+		return "cut " + f["reason"]
+	case "caller_left", "caller_lost":
+		return event
+	}
+	switch {
+	case strings.HasPrefix(f["status"], "5"):
+		return "failed by its upstream"
+	case f["late"] == "":
+		return ""
+	}
+	return "late " + f["late"] + afterwards(f)
+}
+
+// afterwards says what had happened to a late answer on its way.
+func afterwards(f map[string]string) string {
+	switch {
+	case f["attempts"] > "1":
+		return ", repeated"
+	case f["moves"] > "0":
+		return ", moved"
+	}
+	return ""
+}
+
+// Losses reads log files and returns how the requests in them ended.
+func Losses(paths []string) (*Account, error) {
+	a := &Account{}
+	for _, path := range paths {
+		lines, err := readFile(path)
+		if err != nil {
+			return nil, err
+		}
+		a.add(filepath.Base(path), lines)
+	}
+	slices.SortStableFunc(a.Losses, func(x, y Loss) int { return x.Time.Compare(y.Time) })
+	return a, nil
+}
+
+// Write prints the account: losses by cause, by second, by route, by data centre
+// and by what ran short.
+func (a *Account) Write(out io.Writer) error {
+	if _, err := fmt.Fprintf(out, "%d requests ended, %d of them lost or late\n", a.Ended, len(a.Losses)); err != nil {
+		return err
+	}
+	for _, by := range []struct {
+		name string
+		of   func(Loss) string
+	}{
+		{"cause", func(l Loss) string { return l.Cause }},
+		{"route", func(l Loss) string { return l.Route }},
+		{"data centre", func(l Loss) string { return l.DataCentre }},
+		{"layers that ran short", func(l Loss) string { return l.Layers }},
+	} {
+		if err := a.writeBy(out, by.name, by.of); err != nil {
+			return err
+		}
+	}
+	return a.writeSeconds(out)
+}
+
+// mostRows bounds each table but the one by second.
+const mostRows = 14
+
+// group is the losses that share a value.
+type group struct {
+	name   string
+	losses []Loss
+}
+
+// groups sorts losses by a value, the largest group first.
+func groups(losses []Loss, of func(Loss) string) []group {
+	var list []group
+	place := make(map[string]int)
+	for _, loss := range losses {
+		name := of(loss)
+		i, known := place[name]
+		if !known {
+			i = len(list)
+			place[name] = i
+			list = append(list, group{name: name})
+		}
+		list[i].losses = append(list[i].losses, loss)
+	}
+	slices.SortStableFunc(list, func(x, y group) int { return cmp.Compare(len(y.losses), len(x.losses)) })
+	return list
+}
+
+// writeBy prints one table: how many, from when to when, and the worst second.
+func (a *Account) writeBy(out io.Writer, name string, of func(Loss) string) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, err := fmt.Fprintf(w, "\nby %s\tlost\tfirst\tlast\tworst second\n", name)
+	if err != nil {
+		return err
+	}
+	for i, g := range groups(a.Losses, of) {
+		if g.name == "" || i >= mostRows {
+			continue
+		}
+		worst := groups(g.losses, bySecond)[0]
+		_, err = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%d at %s\n", g.name, len(g.losses),
+			bySecond(g.losses[0]), bySecond(g.losses[len(g.losses)-1]), len(worst.losses), worst.name)
+		if err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+func bySecond(l Loss) string { return l.Time.Format(time.TimeOnly) }
+
+// writeSeconds prints the losses of each second with its largest causes.
+func (a *Account) writeSeconds(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprint(w, "\nsecond\tlost\tlargest causes\n"); err != nil {
+		return err
+	}
+	seconds := groups(a.Losses, bySecond)
+	slices.SortStableFunc(seconds, func(x, y group) int { return strings.Compare(x.name, y.name) })
+	for _, s := range seconds {
+		var causes []string
+		for _, c := range groups(s.losses, func(l Loss) string { return l.Cause }) {
+			causes = append(causes, fmt.Sprintf("%d %s", len(c.losses), c.name))
+		}
+		if _, err := fmt.Fprintf(w, "%s\t%d\t%s\n", s.name, len(s.losses), strings.Join(causes[:min(len(causes), 3)], "; ")); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
--- a/placement/model.go
+++ b/placement/model.go
@@ -11,10 +11,15 @@
 
 // Figures of the planner, in ms.
 const (
-	// stillFor is how long the list must have stood still before the first
-	// plan. Servers write their entries within a heartbeat of 1.2 s; planning
-	// from a partial list left layers uncovered (docs/PLATFORM.md).
-	stillFor clock.Millis = 1500
+	// stillFor is how long the list must have stood still before the first orders,
+	// where no engine holds anything yet: servers write their entries within a
+	// heartbeat of 1.2 s, and the list shows them up to 0.8 s late, in batches that
+	// came 1.5 s apart. A first plan from one such batch had engines filled to the
+	// last layer for the whole day (docs/CUSTOMER.md).
+	stillFor clock.Millis = 2500
+	// takenOverFor is the same where engines hold layers already, for a node that
+	// has started again: the list is there as a whole.
+	takenOverFor clock.Millis = 1500
 	// longestWait bounds the wait for a list that never stands still.
 	longestWait clock.Millis = 5000
 	// orderLasts is how long an order that was taken may take to show in the
@@ -37,6 +42,9 @@
 	// engine that is in use is moved to them, so that one change of the list is
 	// seen whole.
 	healAfter clock.Millis = 300
+	// improveAfter is how long the list must have stood still before a plan that
+	// stands is improved: losses and new engines seldom come alone.
+	improveAfter clock.Millis = 2000
 	// mostSilent is how many engines of a service may be silent to this node at
 	// a time. With more it is the node that is cut off, and only the list counts.
 	mostSilent = 4
@@ -62,6 +70,9 @@
 	seen map[string]clock.Millis
 	// needSince is since when a service has had layers without a holder.
 	needSince map[string]clock.Millis
+	// improved is, by service, what the engines were when no change of a plan that
+	// stands was worth its cost.
+	improved map[string][]Engine
 	// dueSince is since when there have been orders to give.
 	dueSince clock.Millis
 }
@@ -93,6 +104,7 @@
 		seen:      make(map[string]clock.Millis),
 		pending:   make(map[string]pending),
 		needSince: make(map[string]clock.Millis),
+		improved:  make(map[string][]Engine),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -199,6 +211,7 @@
 // tick plans, once the list is settled and others have had their chance.
 func (m *Model) tick(now clock.Millis) []OrderCmd {
 	if m.catalog == nil || !m.settled(now) {
+		m.dueSince = 0
 		return nil
 	}
 	for id, p := range m.pending {
@@ -219,9 +232,18 @@
 	if m.planned {
 		return true
 	}
-	m.planned = len(m.upstreams) > 0 && (now >= m.changed.Add(stillFor) || now >= m.started.Add(longestWait))
+	wait := stillFor
+	for _, u := range m.upstreams {
+		if !u.Held.Empty() {
+			wait = takenOverFor
+		}
+	}
+	still := len(m.upstreams) > 0 && now >= m.changed.Add(wait)
+	// Orders are held back for the node's delay, and the list may go on growing
+	// meanwhile.
+	m.planned = still && now >= m.changed.Add(wait+m.delay) || now >= m.started.Add(longestWait)
 	m.plannedAt = now
-	return m.planned
+	return still || m.planned
 }
 
 // whenDue holds orders back for the node's delay.
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 )
@@ -9,6 +12,9 @@
 func (m *Model) plan(now clock.Millis, s *catalog.Service) []OrderCmd {
 	engines := m.engines(now, s)
 	orders := Plan(ShapeOf(s.Pipeline), engines)
+	if len(orders) == 0 {
+		orders = m.improve(now, s, engines)
+	}
 	need := false
 	var cmds []OrderCmd
 	for _, o := range orders {
@@ -25,6 +31,18 @@
 	return cmds
 }
 
+// improve returns changes of a plan that stands, where they are worth their cost.
+func (m *Model) improve(now clock.Millis, s *catalog.Service, engines []Engine) []Order {
+	if now < m.changed.Add(improveAfter) || slices.Equal(engines, m.improved[s.Name]) {
+		return nil
+	}
+	orders := Improve(ShapeOf(s.Pipeline), engines)
+	if len(orders) == 0 {
+		m.improved[s.Name] = engines
+	}
+	return orders
+}
+
 // noteNeed notes since when a service has had layers without a holder.
 func (m *Model) noteNeed(now clock.Millis, service string, need bool) {
 	if !need {
@@ -55,5 +73,6 @@
 		}
 		engines = append(engines, e)
 	}
+	slices.SortFunc(engines, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
 	return engines
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -6,7 +6,9 @@
 	"strings"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/logging"
@@ -41,8 +43,51 @@
 func (s *session) logAnswer(status int) {
 	s.relay.stats.count("answered")
 	s.relay.stats.whole(s.age())
-	s.log.Info("answered", zap.String("id", s.head.ID), zap.Int("status", status), zap.Int("events", s.events),
-		zap.Int("attempts", s.attempts), zap.Int64("after_ms", int64(s.age())))
+	late := s.late()
+	if late != "" {
+		s.relay.stats.count("late_" + string(late))
+	}
+	s.log.Info("answered", s.fields(zap.Int("status", status), zap.String("late", string(late)))...)
+}
+
+// fields are what is logged at the end of a request, whatever it is.
+func (s *session) fields(more ...zap.Field) []zap.Field {
+	name := ""
+	if s.route != nil {
+		name = s.route.Name
+	}
+	return append([]zap.Field{zap.String("id", s.head.ID), zap.String("route", name)}, append(more,
+		zap.Int("events", s.events), zap.Int("attempts", s.attempts), zap.Int("moves", s.moved),
+		zap.Int64("first_ms", int64(s.first)), zap.Int64("pause_ms", int64(s.pause)), zap.Int64("after_ms", int64(s.age())))...)
+}
+
+// lateness says by what an answer has missed its route's aims; empty if it has
+// not.
+type lateness string
+
+const (
+	lateFirst lateness = "first_event"
+	latePause lateness = "pause"
+	lateWhole lateness = "whole_answer"
+)
+
+func (s *session) late() lateness {
+	switch {
+	case s.route == nil:
+		return ""
+	case s.route.Kind == catalog.Streaming && s.route.Aim > 0 && s.first > s.route.Aim:
+		return lateFirst
+	case s.route.Kind == catalog.Streaming && s.route.GapAim > 0 && s.pause > s.route.GapAim:
+		return latePause
+	case s.route.Kind != catalog.Streaming && s.route.Aim > 0 && s.age() > s.route.Aim:
+		return lateWhole
+	}
+	return ""
+}
+
+func (s *session) logLeft() {
+	s.relay.stats.count("caller_left")
+	s.log.Info("caller_left", s.fields()...)
 }
 
 func (s *session) logFinish(cmd dispatch.FinishCmd) {
@@ -50,7 +95,24 @@
 		zap.Int("status", cmd.Status), zap.String("reason", string(cmd.Reason)),
 		zap.Int64("retry_after_ms", int64(cmd.RetryAfter)), zap.Int("attempts", s.attempts),
 		zap.Uint64("config", cmd.CatalogVersion), zap.Int64("config_age_ms", int64(cmd.CatalogAge)),
-		zap.Int64("after_ms", int64(s.age())))
+		zap.Int64("after_ms", int64(s.age())), lackField(cmd.Lack))
+}
+
+// lackField says what ran short, and by whose word.
+func lackField(lack *dispatch.Lack) zap.Field {
+	if lack == nil {
+		return zap.Skip()
+	}
+	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
+		e.AddString("lacks", string(appendRange(nil, lack.Layers.From, lack.Layers.To)))
+		e.AddInt("holders", lack.Holders)
+		e.AddString("at", lack.ID)
+		e.AddInt64("left", int64(lack.Room))
+		e.AddInt64("asked", int64(lack.Need))
+		e.AddString("word_of", string(lack.Word))
+		e.AddInt64("word_age_ms", int64(lack.Age))
+		return nil
+	}))
 }
 
 func (s *session) logFailure(cause dispatch.Cause, at string, err error) {
--- a/relay/session.go
+++ b/relay/session.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 )
@@ -36,6 +37,15 @@
 	events     int
 	lastPiece  clock.Millis
 	attempts   int
+	moved      int
+	// first is the age at which the caller had the first event, and pause the
+	// longest time between two events so far.
+	first clock.Millis
+	pause clock.Millis
+	// lastEventAt is when the last event was passed on.
+	lastEventAt clock.Millis
+	// route is that of the last attempt; nil before the first.
+	route *catalog.Route
 
 	giveUp *time.Timer
 	try    *time.Timer
@@ -102,11 +112,9 @@
 	case answer := <-s.asked:
 		s.stallAnswered(answer)
 	case msg := <-s.moves:
-		s.moved(msg)
+		s.moveEnded(msg)
 	case <-s.r.Context().Done():
-		s.log.Info("caller_left", zap.String("id", s.head.ID), zap.Int("events", s.events),
-			zap.Int64("after_ms", int64(s.age())), zap.Int("attempts", s.attempts))
-		s.relay.stats.count("caller_left")
+		s.logLeft()
 		return true
 	}
 	return false
@@ -153,6 +161,7 @@
 	now := s.relay.clock.Now()
 	remaining := min(cmd.Deadline, cmd.GiveUp).Sub(now)
 	s.attempts++
+	s.route = cmd.Route
 	s.logSend(cmd, remaining)
 	if s.attempts == 1 {
 		s.giveUp.Reset(max(remaining, 1).Duration())
@@ -237,16 +246,26 @@
 	if err := s.w.piece(ev.raw); err != nil {
 		return err
 	}
-	s.events++
-	if s.events == 1 {
-		s.relay.stats.first(s.age())
-	}
+	s.noteEvent()
 	if ev.hasID {
 		s.lastEvent, s.lastNumber, s.hasNumber = ev.id, ev.number, true
 	}
 	return nil
 }
 
+// noteEvent takes in that the caller has one more event.
+func (s *session) noteEvent() {
+	now := s.relay.clock.Now()
+	s.events++
+	if s.events == 1 {
+		s.first = s.age()
+		s.relay.stats.first(s.first)
+	} else {
+		s.pause = max(s.pause, now.Sub(s.lastEventAt))
+	}
+	s.lastEventAt = now
+}
+
 // done ends a request whose answer is out.
 func (s *session) done(p piece) {
 	status := http.StatusOK
--- a/relay/session_end.go
+++ b/relay/session_end.go
@@ -35,8 +35,7 @@
 // cut breaks the connection to the caller, so that a stream that cannot go on
 // does not look whole.
 func (s *session) cut(reason dispatch.Reason) {
-	s.log.Warn("cut", zap.String("id", s.head.ID), zap.String("reason", string(reason)), zap.Int("events", s.events),
-		zap.String("last_event", s.lastEvent), zap.Int("attempts", s.attempts), zap.Int64("after_ms", int64(s.age())))
+	s.log.Warn("cut", s.fields(zap.String("reason", string(reason)), zap.String("last_event", s.lastEvent))...)
 	s.relay.stats.count("cut")
 	panic(http.ErrAbortHandler)
 }
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -182,9 +182,10 @@
 	}()
 }
 
-// moved passes on what came of a move. A stream whose first engine does not
+// moveEnded passes on what came of a move. A stream whose first engine does not
 // know it, or does not answer, is taken up elsewhere.
-func (s *session) moved(msg dispatch.MovedMsg) {
+func (s *session) moveEnded(msg dispatch.MovedMsg) {
+	s.moved++
 	s.relay.stats.count("moved")
 	s.relay.decider.tell(s.relay.life, msg)
 	if s.attempt == nil || s.attempt.cmd.Attempt != msg.Attempt {
