--- a/fleet/view.go
+++ b/fleet/view.go
@@ -22,6 +22,8 @@
 	// which they are taken as gone.
 	missing map[string]clock.Millis
 	away    bool
+	// back is when the store was back last.
+	back clock.Millis
 }
 
 // NewView returns a view without upstreams.
@@ -43,7 +45,7 @@
 	if !v.away {
 		return
 	}
-	v.away = false
+	v.away, v.back = false, now
 	for id := range v.missing {
 		v.missing[id] = now.Add(LapseGrace)
 	}
@@ -116,7 +118,7 @@
 	}
 	if lapsed || v.away {
 		if _, waiting := v.missing[id]; !waiting {
-			v.missing[id] = now.Add(LapseGrace)
+			v.missing[id] = v.graceEnds(now)
 		}
 		return false
 	}
@@ -124,6 +126,18 @@
 	return true
 }
 
+// graceEnds is until when an entry that vanishes now may come back. Once the store
+// is back the grace counts from its return, not from when the entry vanished. Where
+// others have noticed an outage and this view has not, there is no return to count
+// from.
+func (v *View) graceEnds(now clock.Millis) clock.Millis {
+	ends := v.back.Add(LapseGrace)
+	if v.away || now >= ends {
+		return now.Add(LapseGrace)
+	}
+	return ends
+}
+
 func (v *View) remove(id string) {
 	delete(v.upstreams, id)
 	delete(v.missing, id)
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -145,7 +145,8 @@
 // cost next to nothing, and those of a node that others follow are few.
 func (f *Fleet) gather(told bool) time.Duration {
 	switch {
-	case told, f.readers.Followed():
+	case told, f.readers.Followed(), f.view.Waiting():
+		// Entries that may come back are looked at again soon.
 		return gatherFollowed
 	case f.clock.Now() < young:
 		return gatherYoung
