One reader of the store where data centres are small; peers are asked for the list again

Cause: a node without the store whose peers vouch for its configuration asked for the list once, or when its proof was over 4.2 s old, which vouching prevents; it kept the list of a peer that had been started just before it, without the plain service. It asks again each 1.2 s now; TestWantsFleetAgain failed before. Ruled out: the reader (two nodes have none).

--- a/node/readers.go
+++ b/node/readers.go
@@ -62,8 +62,19 @@
 	return !n.relay.Stopping() && version != 0 && n.clock.Now().Sub(confirmed) <= followableWithin
 }
 
-// nearMembers returns the nodes of a data centre.
-func nearMembers(members []*wire.Member, dataCentre string) []*wire.Member {
+// readingGroup returns the nodes of which one reads the store for all: those of the
+// data centre or, where it has too few and the system is so small that all nodes
+// tell each other of themselves, all.
+func readingGroup(others []*wire.Member, dataCentre string) []*wire.Member {
+	here := membersOf(others, dataCentre)
+	if len(here)+1 < reading.FewestNodes && len(others) < nearAll {
+		return others
+	}
+	return here
+}
+
+// membersOf returns the nodes of a data centre.
+func membersOf(members []*wire.Member, dataCentre string) []*wire.Member {
 	var near []*wire.Member
 	for _, m := range members {
 		if m.GetDataCentre() == dataCentre {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -35,6 +35,10 @@
 	// fleetAfter is how old the proof of freshness may get before peers are
 	// asked for the list of upstreams too: by then the store is lost.
 	fleetAfter clock.Millis = 4200
+	// fleetEvery is how often they are asked for it while they vouch for the
+	// configuration, which keeps the proof younger than that. What leaves must be
+	// known within 2 s.
+	fleetEvery clock.Millis = 1200
 	// membersEvery is how often the registry is read again. Between that, nodes
 	// learn of new ones of their data centre from what those tell.
 	membersEvery = 60 * time.Second
@@ -61,6 +65,8 @@
 	nextLook clock.Millis
 	pause    clock.Millis
 	best     clock.Millis
+	// listAsked is when peers were last asked for the list of upstreams.
+	listAsked clock.Millis
 }
 
 // New returns a node's peering. Seeds are addresses where peers may be.
@@ -167,13 +173,24 @@
 		return
 	}
 	p.backOff(now, confirmed)
+	wantFleet := p.wantsFleet(now, age)
 	peers := p.directory.others()
 	p.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(askSome, len(peers))] {
-		go p.ask(ctx, peer, version, !p.knowledge.Listed() || age >= fleetAfter)
+		go p.ask(ctx, peer, version, wantFleet)
 	}
 }
 
+// wantsFleet tells whether peers are to be asked for the list of upstreams too. A
+// list may have been a part of the whole, and gets old.
+func (p *Peering) wantsFleet(now, age clock.Millis) bool {
+	if p.knowledge.Listed() && age < fleetAfter && now < p.listAsked.Add(fleetEvery) {
+		return false
+	}
+	p.listAsked = now
+	return true
+}
+
 // needs tells whether the node needs its peers. A peer may know the
 // configuration before it knows the list, so each may be lacking by itself.
 func (p *Peering) needs(now clock.Millis, version uint64, age clock.Millis) bool {
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -113,6 +113,22 @@
 	}
 }
 
+// A node that has a list, and whose peers vouch for its configuration, still asks
+// for the list again: the one that it has may be a part of the whole.
+func TestWantsFleetAgain(t *testing.T) {
+	node := &fakeNode{list: []fleet.Upstream{{ID: "u1"}}}
+	p, _ := newFake(t, "a", node, clock.New())
+	steps := []struct {
+		now  clock.Millis
+		want bool
+	}{{5000, true}, {5000 + fleetEvery - 1, false}, {5000 + fleetEvery, true}, {5100 + fleetEvery, false}}
+	for _, s := range steps {
+		if got := p.wantsFleet(s.now, askAfter); got != s.want {
+			t.Errorf("at %d: got %v, want %v", s.now, got, s.want)
+		}
+	}
+}
+
 // A peer that is behind, or has nothing, proves nothing.
 func TestAskIgnoresWhatProvesNothing(t *testing.T) {
 	c := clock.New()
--- a/reading/log.go
+++ b/reading/log.go
@@ -129,11 +129,13 @@
 }
 
 // AwaitConfig returns the configuration if it is newer than a revision, as soon
-// as it is, or none when the wait is over.
+// as it is, or none when the wait is over. The age of the proof counts from the
+// question, and is negative for one that came meanwhile: who asked knows when.
 func (l *Log) AwaitConfig(ctx context.Context, after uint64, wait clock.Millis) (follow.CatalogReading, error) {
 	var reading follow.CatalogReading
-	err := l.await(ctx, wait, func(now clock.Millis) (bool, error) {
-		reading = follow.CatalogReading{Revision: max(l.revision, after), Age: now.Sub(l.confirmed)}
+	asked := l.clock.Now()
+	err := l.await(ctx, wait, func(clock.Millis) (bool, error) {
+		reading = follow.CatalogReading{Revision: max(l.revision, after), Age: asked.Sub(l.confirmed)}
 		if l.configAt > after {
 			reading.Raw = l.config
 		}
--- a/reading/log_test.go
+++ b/reading/log_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/reading"
 )
 
@@ -205,3 +206,28 @@
 		t.Errorf("got %d changes and error %v, want 1 and none", len(got.Changes), err)
 	}
 }
+
+// A proof that comes while a question waits counts from the question: its age is
+// negative, so that who asked knows the configuration to be as fresh as the reader
+// does.
+func TestAgeCountsFromTheQuestion(t *testing.T) {
+	c := clock.New()
+	l := reading.NewLog(c, vouchFor)
+	l.SetConfig([]byte("v1"), 10, c.Now()-500)
+	asked := make(chan struct{})
+	got := make(chan follow.CatalogReading, 1)
+	go func() {
+		close(asked)
+		// The wait ends with the new configuration below.
+		reading, err := l.AwaitConfig(context.Background(), 10, longWait)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- reading
+	}()
+	<-asked
+	l.SetConfig([]byte("v2"), 11, c.Now()+300_000)
+	if reading := <-got; reading.Age > 0 {
+		t.Errorf("got age %d, want none or a negative one", reading.Age)
+	}
+}
--- a/reading/roster.go
+++ b/reading/roster.go
@@ -11,22 +11,23 @@
 	// heardWithin is how recently a node must have been heard to count: nodes
 	// tell what they have in use each 0.3 s, and some datagrams are lost.
 	heardWithin clock.Millis = 1000
-	// fewestNodes is how many nodes of a data centre must be there for one to
-	// read for the others. With fewer it saves next to nothing.
-	fewestNodes = 5
+	// FewestNodes is how many nodes must be there for one to read for the others.
+	// With fewer it saves next to nothing.
+	FewestNodes = 5
 	// settle is for how long a node reads the store itself after its reader has
 	// failed it, and after its own start.
 	settle clock.Millis = 2500
 )
 
-// Roster knows the nodes of a data centre, and which of them reads the store for
-// the others. It is safe for concurrent use; times are handed in.
+// Roster knows the nodes of a group, most often those of a data centre, and which
+// of them reads the store for the others. It is safe for concurrent use; times are
+// handed in.
 type Roster struct {
 	self string
 	mu   sync.Mutex
-	// near holds the other nodes of the data centre by name, and heard when each
-	// last said that it may be followed.
-	near  map[string]*wire.Member
+	// group holds the other nodes by name, and heard when each last said that it
+	// may be followed.
+	group map[string]*wire.Member
 	heard map[string]clock.Millis
 	// alone is until when the node reads the store itself.
 	alone clock.Millis
@@ -35,18 +36,18 @@
 // NewRoster returns a node's roster as of a time.
 func NewRoster(self string, now clock.Millis) *Roster {
 	return &Roster{
-		self: self, near: make(map[string]*wire.Member), heard: make(map[string]clock.Millis),
+		self: self, group: make(map[string]*wire.Member), heard: make(map[string]clock.Millis),
 		alone: now.Add(settle),
 	}
 }
 
-// SetNear sets the other nodes of the data centre.
-func (r *Roster) SetNear(members []*wire.Member) {
+// SetGroup sets the other nodes of the group.
+func (r *Roster) SetGroup(members []*wire.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	clear(r.near)
+	clear(r.group)
 	for _, m := range members {
-		r.near[m.GetName()] = m
+		r.group[m.GetName()] = m
 	}
 }
 
@@ -76,7 +77,7 @@
 	if now < r.alone {
 		return nil
 	}
-	return r.near[r.first(now)]
+	return r.group[r.first(now)]
 }
 
 // Reads tells whether this node reads the store for the others.
@@ -95,13 +96,13 @@
 			delete(r.heard, name)
 			continue
 		}
-		if r.near[name] == nil {
+		if r.group[name] == nil {
 			continue
 		}
 		nodes++
 		first = min(first, name)
 	}
-	if nodes < fewestNodes {
+	if nodes < FewestNodes {
 		return ""
 	}
 	return first
--- a/reading/roster_test.go
+++ b/reading/roster_test.go
@@ -24,7 +24,7 @@
 		for _, name := range s.Words {
 			members = append(members, &wire.Member{Name: name, Address: name + ":1"})
 		}
-		r.SetNear(members)
+		r.SetGroup(members)
 	case "heard", "refuses":
 		for _, name := range s.Words {
 			r.Heard(now, name, s.Verb == "heard")
