Reserve memory for what an answer takes on average, not for its whole length

Hypothesis: engines' memory is what runs short (no_memory_left), and a request reserves the whole of its answer for as long as it lasts, while it takes memory only as it grows.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -88,7 +88,8 @@
 	return float64(xxhash.Sum64String(name)>>11) / (1 << 53)
 }
 
-// expectedTokens is how large a generation is likely to be.
+// expectedTokens is how much memory a generation is likely to take on average
+// while it lasts, in tokens.
 func expectedTokens(msg ArriveMsg) float64 {
 	out := float64(msg.AnswerTokens) * answerShare
 	if msg.HintTokens > 0 {
@@ -97,5 +98,5 @@
 	if msg.AnswerTokens > 0 {
 		out = min(out, float64(msg.AnswerTokens))
 	}
-	return float64(msg.PromptTokens) + out
+	return float64(msg.PromptTokens) + answerHeld*out
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -71,6 +71,10 @@
 	// answerShare is the part of the most tokens out that is expected where
 	// the caller gives no hint.
 	answerShare = 0.7
+	// answerHeld is the part of an answer that memory is reserved for. An answer
+	// takes memory as it grows; those at an engine are half written on average, and
+	// the rest is for answers that grow beyond the callers' guesses.
+	answerHeld = 0.6
 )
 
 // When to come back, by what was missing.
