Weigh layouts by what is served of a demand, with waits for passes; engines last longer

Hypothesis: a value without end in the streams a second buys room nobody needs, or second holders where there is no room; and a time of a token without the wait for an engine's next pass is 1.6 times too short (8 ms worked out, 12.5 ms in the logs). Change: the value is the share of the demand that is served (two fifths of the most that a data centre could bear, until demand is observed), a token waits half a pass at each engine, a batch is those streams that are at an engine just then; an engine is planned to last 300 s instead of 100 s. A plan that knew the demand would not have to choose one figure for both.

--- a/placement/layout.go
+++ b/placement/layout.go
@@ -16,10 +16,18 @@
 	// hopTime is a pass from one engine to the next inside a data centre, in ms for
 	// each token: 0.2 ms on the way and some for the pass itself.
 	hopTime = 0.4
+	// waiting is the time at an engine in parts of the time of a pass: what comes
+	// waits for half a pass on average.
+	waiting = 1.5
 	// lossEvery is how long an engine is planned to last, in ms. It weighs second
 	// holders against memory for requests: an engine is lost, replaced or taken
 	// away this often at the users' busiest.
-	lossEvery = 100_000.0
+	lossEvery = 300_000.0
+	// usualDemand is the part of the most that a data centre could bear, with no
+	// thought for losses, which it is planned for while its demand is not known:
+	// fleets are sized so that the busiest hour and the loss of an engine leave as
+	// much again.
+	usualDemand = 0.4
 	// foundAfter is how long it takes until a lost engine is replaced beside the
 	// loads: it is found after some 0.35 s, a plan follows within 0.55 s, and all
 	// nodes know the new holder after half a second more.
@@ -46,6 +54,8 @@
 	given    []float64
 	// solo is by engine: how many layers it holds alone.
 	solo []int
+	// demand is how many streams a ms are to be borne.
+	demand float64
 }
 
 // newLayout returns a layout of a data centre's engines with what they hold or
@@ -59,12 +69,29 @@
 	slices.SortStableFunc(l.engines, func(a, b *Engine) int {
 		return cmp.Or(cmp.Compare(a.LayerTime, b.LayerTime), cmp.Compare(b.Most, a.Most), cmp.Compare(a.ID, b.ID))
 	})
+	l.demand = usualDemand * l.mostRate()
 	for i, e := range l.engines {
 		l.ranges[i] = e.standing()
 	}
 	return l
 }
 
+// mostRate is how many streams a ms the data centre bears at the most, whatever
+// happens when engines are lost: of layouts that fill all engines in the same part.
+func (l *layout) mostRate() float64 {
+	most := 0.0
+	for _, fill := range fills {
+		l.spread(fill)
+		if l.count() > 0 {
+			continue
+		}
+		if room := l.room(); room > 0 {
+			most = max(most, l.rate(room))
+		}
+	}
+	return most
+}
+
 // share returns how many tokens of requests an engine has memory for at each of
 // its layers.
 func (l *layout) share(i int) float64 {
@@ -72,16 +99,30 @@
 	return max(0, l.engines[i].Memory-n) * l.shape.LayerTokens / n
 }
 
-// value is the logarithm of the streams a second that the data centre bears,
-// less what it is expected to lose of them while engines are replaced, and less
-// uncovered for each layer without a holder.
+// value is about the logarithm of the share of its requests that the data centre
+// serves, less what it is expected to lose of that while engines are replaced, and
+// less uncovered for each layer without a holder. It is never over zero.
 func (l *layout) value() float64 {
 	missing := l.count()
 	room := l.room()
 	if room <= 0 {
 		return -uncovered * float64(l.shape.Layers+missing)
 	}
-	return math.Log(room/l.shape.tokens()/l.lasts(room)) - l.losses(room)/lossEvery - uncovered*float64(missing)
+	rate := l.rate(room)
+	return l.served(rate) - l.losses(room, rate)/lossEvery - uncovered*float64(missing)
+}
+
+// rate is how many streams a ms the data centre bears, by Little's law.
+func (l *layout) rate(room float64) float64 { return room / l.shape.tokens() / l.lasts(room) }
+
+// served is the logarithm of the share of requests that is served at a rate. It
+// has no edge at the demand: requests come unevenly, in sizes that differ.
+func (l *layout) served(rate float64) float64 {
+	if rate <= 0 {
+		return -uncovered
+	}
+	lack := l.demand / rate
+	return -math.Log1p(lack*lack*lack) / 3
 }
 
 // count fills in what is kept by layer, and returns how many layers have no
@@ -132,33 +173,38 @@
 }
 
 // lasts is how long a stream holds its memory when there are as many as there is
-// room for, in ms. At each layer the fast holders are filled first.
+// room for, in ms. At each layer the fast holders are filled first. An engine's
+// batch is the streams that are at it just then or wait for its next pass.
 func (l *layout) lasts(room float64) float64 {
 	clear(l.given)
-	step, read := 0.0, 0.0
+	step, squares, hops, read := 0.0, 0.0, 0.0, 0.0
 	for i, r := range l.ranges {
 		if r.Empty() {
 			continue
 		}
-		e, share, hop := l.engines[i], l.share(i), hopTime/float64(r.Len())
+		e, share, passes := l.engines[i], l.share(i), 0.0
 		for layer := r.From; layer < r.To; layer++ {
 			part := 1 / float64(l.holders[layer])
 			if l.capacity[layer] >= 1 {
 				part = min(share, max(room-l.given[layer], 0)) / min(room, l.capacity[layer])
 			}
 			l.given[layer] += share
-			step += part * (e.LayerTime + hop)
-			read += part * e.ReadTime
+			passes += part
 		}
+		step += passes * e.LayerTime
+		hops += passes * hopTime / float64(r.Len())
+		squares += passes * e.LayerTime * passes * e.LayerTime
+		read += passes * e.ReadTime
 	}
-	crowded := 1 + l.shape.Slowdown*room/l.shape.tokens()
-	return l.shape.Prompt*read + l.shape.Answer*step*crowded
+	crowd := l.shape.Slowdown * room / l.shape.tokens() * squares / step
+	return waiting*(l.shape.Prompt*read+l.shape.Answer*(step+crowd)) + l.shape.Answer*hops
 }
 
 // losses adds up, for the loss of each engine, how long it takes to replace what
-// it holds alone or what the rest lack without it, times the logarithm of what
-// is served meanwhile.
-func (l *layout) losses(room float64) float64 {
+// it holds alone or what the rest lack without it, times what is
+// served less meanwhile.
+func (l *layout) losses(room, rate float64) float64 {
+	served := l.served(rate)
 	clear(l.solo)
 	for layer, n := range l.holders {
 		if n == 1 {
@@ -170,10 +216,10 @@
 		switch {
 		case r.Empty():
 		case l.solo[i] > 0:
-			sum += (foundAfter + l.shape.LoadTime*float64(l.solo[i])) * -math.Log(servedInGap)
+			sum += (foundAfter + l.shape.LoadTime*float64(l.solo[i])) * max(0, served-math.Log(servedInGap))
 		default:
-			served := min(1, max(servedInGap, l.roomWithout(i)/room))
-			sum += (foundAfter + l.shape.LoadTime*float64(r.Len())) * -math.Log(served)
+			left := max(servedInGap, min(1, l.roomWithout(i)/room))
+			sum += (foundAfter + l.shape.LoadTime*float64(r.Len())) * (served - l.served(rate*left))
 		}
 	}
 	return sum
