Suspects that answer probes are used where nobody else holds their layers

Ruled out: gaps in the layers (coverage shows none). Change: where suspicion leaves a layer without an engine, suspects are probed at the next tick, and those that have answered a probe within 2 s and only break connections off get work. dispatch/testdata/suspects_alone.txt failed before; chains.txt and waiting_stream.txt show the earlier probes.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -130,6 +130,7 @@
 // suspect keeps an upstream from getting work until a probe has found it well,
 // and tells the other streams that pass it.
 func (m *Model) suspect(u *upstream, cause Cause, by *request) []Cmd {
+	u.cause = cause
 	if u.suspect && m.now < u.avoidUntil {
 		return nil
 	}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -36,6 +36,9 @@
 	// it doubles with each further one, up to longestSuspicion.
 	firstSuspicion   clock.Millis = 400
 	longestSuspicion clock.Millis = 6000
+	// answerLasts is for how long a suspect that has answered a probe may get work
+	// where nobody else holds its layers.
+	answerLasts clock.Millis = 2000
 	// fullFor is how long an engine that lacked room is avoided: the time in
 	// which about one request ends there.
 	fullFor clock.Millis = 150
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -10,7 +10,7 @@
 	var cmds []Cmd
 	for _, u := range m.upstreams {
 		if u.needsProbe(m.now) {
-			u.probing, u.wantsReport = true, false
+			u.probing, u.wantsReport, u.wantsProbe = true, false, false
 			cmds = append(cmds, ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil})
 		}
 	}
@@ -44,7 +44,9 @@
 	u.probing = false
 	u.suspect = !msg.Answered
 	m.noteReport(msg.Upstream, msg.Report)
-	if !msg.Answered {
+	if msg.Answered {
+		u.answeredAt = m.now
+	} else {
 		u.avoidUntil = m.now.Add(firstSuspicion)
 	}
 	if u.pipeline == nil || u.silent == !msg.Answered {
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -98,7 +98,14 @@
 
 // sendPipeline builds a chain of engines. Engines under suspicion take no part.
 func (m *Model) sendPipeline(r *request) (SendCmd, Reason) {
-	parts, err := chain.Build(r.service.Pipeline.Layers, r.tokens, m.dataCentre, m.holders(r))
+	layers := r.service.Pipeline.Layers
+	parts, err := chain.Build(layers, r.tokens, m.dataCentre, m.holders(r, (*upstream).well))
+	if errors.Is(err, chain.ErrNoHolder) {
+		// Where suspicion has left a layer without an engine it does more harm than
+		// the suspects that still answer.
+		m.probeSoon(r.service.Name)
+		parts, err = chain.Build(layers, r.tokens, m.dataCentre, m.holders(r, m.answers))
+	}
 	if err != nil {
 		return SendCmd{}, chainReason(err)
 	}
@@ -108,6 +115,25 @@
 	return SendCmd{Chain: parts}, ""
 }
 
+// probeSoon has the suspects of a service probed at the next tick, but for those
+// that have left a probe unanswered.
+func (m *Model) probeSoon(service string) {
+	for _, u := range m.byService[service] {
+		if u.suspect && !u.silent && !u.probing {
+			u.wantsProbe = true
+		}
+	}
+}
+
+// answers tells whether an engine may get work where nobody else can: it is well,
+// or its connections break off, but it has answered a probe just now.
+func (m *Model) answers(u *upstream) bool {
+	if u.well() {
+		return true
+	}
+	return !u.entry.Leaving && u.cause == Unknown && !u.silent && m.now <= u.answeredAt.Add(answerLasts)
+}
+
 func chainReason(err error) Reason {
 	if errors.Is(err, chain.ErrNoRoom) {
 		return ReasonNoRoom
@@ -117,11 +143,11 @@
 
 // holders returns the engines of the request's service that may take part in a
 // chain now, without those named.
-func (m *Model) holders(r *request, without ...string) []chain.Holder {
+func (m *Model) holders(r *request, may func(*upstream) bool, without ...string) []chain.Holder {
 	list := m.byService[r.service.Name]
 	holders := make([]chain.Holder, 0, len(list))
 	for _, u := range list {
-		if !u.well() || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
+		if !may(u) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
 			continue
 		}
 		holders = append(holders, m.holder(r, u))
@@ -133,6 +159,10 @@
 // where it can, in ms for each token.
 const triedPenalty = 5.0
 
+// suspectPenalty keeps requests off suspects where another engine holds the layers,
+// in ms for each token. It outweighs a crossing.
+const suspectPenalty = 50.0
+
 func (m *Model) holder(r *request, u *upstream) chain.Holder {
 	h := chain.Holder{
 		ID: u.entry.ID, Address: u.entry.Address, DataCentre: u.entry.DataCentre, Held: u.entry.Held,
@@ -141,6 +171,9 @@
 	if r.tried[u.entry.ID] {
 		h.Penalty = triedPenalty
 	}
+	if u.suspect {
+		h.Penalty += suspectPenalty
+	}
 	if u.full(m.now) {
 		h.Room = 0
 	}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -40,6 +40,12 @@
 	// suspect upstreams get no work until a probe has found them well.
 	suspect bool
 	probing bool
+	// wantsProbe tells that a suspect is to be probed before its time.
+	wantsProbe bool
+	// cause is that of the last failure that speaks against it, and answeredAt is
+	// when it answered a probe last.
+	cause      Cause
+	answeredAt clock.Millis
 	// silent tells that the planner was told of its silence.
 	silent     bool
 	strikes    int
@@ -51,7 +57,7 @@
 }
 
 func newUpstream(entry fleet.Upstream) *upstream {
-	return &upstream{entry: entry, took: firstTook, pace: 1, reportedAt: clock.Never}
+	return &upstream{entry: entry, took: firstTook, pace: 1, reportedAt: clock.Never, answeredAt: clock.Never}
 }
 
 // heldLasts is for how long word of what an engine holds counts more than an
@@ -123,7 +129,7 @@
 	case u.probing:
 		return false
 	case u.suspect:
-		return now >= u.avoidUntil
+		return u.wantsProbe || now >= u.avoidUntil
 	default:
 		return u.wantsReport || u.pace > usualPace && now >= u.paceAt.Add(paceLasts)
 	}
