Plans are sought once, by the node whose turn it is; crowded engines cost less

All 59 nodes sought a first plan at each tick (50 ms of a whole core, a quarter of a second on theirs) until their turn came, and planned for each empty engine anew while orders were being told; 145 processor seconds in 20 s. Improvements of standing plans were wanted at all times, so that after a while every node was due and all gave orders at once (740). Ruled out: the reader (followers' proofs count from their questions). Change: whether something is wanted is looked at for next to nothing, a plan is sought when it is the node's turn, and once for the same engines (TestNodeThatIsNotDueDoesNotPlan failed before).

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -61,7 +61,7 @@
 	// fourth power of how full it is: a slower engine with memory left takes
 	// over at about two thirds. An engine that runs out of memory puts requests
 	// back in the middle of their streams.
-	crowdCost = 20.0
+	crowdCost = 8.0
 	// spareRoom is the part of an engine's memory that is left free, for
 	// requests that grow beyond what was expected of them.
 	spareRoom = 0.06
--- a/placement/model.go
+++ b/placement/model.go
@@ -42,9 +42,6 @@
 	// engine that is in use is moved to them, so that one change of the list is
 	// seen whole.
 	healAfter clock.Millis = 300
-	// improveAfter is how long the list must have stood still before a plan that
-	// stands is improved: losses and new engines seldom come alone.
-	improveAfter clock.Millis = 2000
 	// mostSilent is how many engines of a service may be silent to this node at
 	// a time. With more it is the node that is cut off, and only the list counts.
 	mostSilent = 4
@@ -70,9 +67,8 @@
 	seen map[string]clock.Millis
 	// needSince is since when a service has had layers without a holder.
 	needSince map[string]clock.Millis
-	// improved is, by service, what the engines were when no change of a plan that
-	// stands was worth its cost.
-	improved map[string][]Engine
+	// plans are by service.
+	plans map[string]planned
 	// dueSince is since when there have been orders to give.
 	dueSince clock.Millis
 }
@@ -104,7 +100,7 @@
 		seen:      make(map[string]clock.Millis),
 		pending:   make(map[string]pending),
 		needSince: make(map[string]clock.Millis),
-		improved:  make(map[string][]Engine),
+		plans:     make(map[string]planned),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -219,13 +215,16 @@
 			delete(m.pending, id)
 		}
 	}
-	var cmds []OrderCmd
+	var wanting []*catalog.Service
 	m.catalog.Services(func(s *catalog.Service) {
-		if s.Pipeline != nil {
-			cmds = append(cmds, m.plan(now, s)...)
+		if s.Pipeline != nil && m.wants(now, s) {
+			wanting = append(wanting, s)
 		}
 	})
-	return m.whenDue(now, cmds)
+	if !m.due(now, len(wanting) > 0) {
+		return nil
+	}
+	return m.give(now, wanting)
 }
 
 func (m *Model) settled(now clock.Millis) bool {
@@ -246,17 +245,28 @@
 	return still || m.planned
 }
 
-// whenDue holds orders back for the node's delay.
-func (m *Model) whenDue(now clock.Millis, cmds []OrderCmd) []OrderCmd {
-	if len(cmds) == 0 {
+// due tells whether it is this node's turn: others have left something to be ordered
+// for its delay.
+func (m *Model) due(now clock.Millis, wanted bool) bool {
+	if !wanted {
 		m.dueSince = 0
-		return nil
+		return false
 	}
 	if m.dueSince == 0 {
 		m.dueSince = now
 	}
-	if now < m.dueSince.Add(m.delay) {
-		return nil
+	return now >= m.dueSince.Add(m.delay)
+}
+
+// give plans for services, and returns the orders.
+func (m *Model) give(now clock.Millis, services []*catalog.Service) []OrderCmd {
+	var cmds []OrderCmd
+	for _, s := range services {
+		cmds = append(cmds, m.plan(now, s)...)
+	}
+	if len(cmds) == 0 {
+		// What is wanted cannot be had now. Others get their turn again.
+		m.dueSince = 0
 	}
 	for _, c := range cmds {
 		m.pending[c.Upstream] = pending{layers: c.Layers, until: now.Add(orderLasts)}
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -8,52 +8,53 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
+// planned is a plan and the engines that it is for. A plan is sought once for the
+// same engines: on the smallest VMs the first one takes a quarter of a second.
+type planned struct {
+	engines []Engine
+	orders  []Order
+}
+
+// wants tells whether a service has engines to be filled, or layers that have been
+// without a holder for a while. It costs next to nothing.
+func (m *Model) wants(now clock.Millis, s *catalog.Service) bool {
+	p := newPlan(ShapeOf(s.Pipeline), m.engines(now, s))
+	missing, empty := p.wants()
+	if !missing {
+		delete(m.needSince, s.Name)
+		return empty
+	}
+	if _, known := m.needSince[s.Name]; !known {
+		m.needSince[s.Name] = now
+	}
+	return empty || m.mayHeal(now, s.Name)
+}
+
+// mayHeal tells whether engines that are in use may be moved.
+func (m *Model) mayHeal(now clock.Millis, service string) bool {
+	since, missing := m.needSince[service]
+	return missing && now >= since.Add(healAfter)
+}
+
 // plan returns the orders for a service that may be given now.
 func (m *Model) plan(now clock.Millis, s *catalog.Service) []OrderCmd {
 	engines := m.engines(now, s)
-	orders := Plan(ShapeOf(s.Pipeline), engines)
-	if len(orders) == 0 {
-		orders = m.improve(now, s, engines)
+	last, known := m.plans[s.Name]
+	if !known || !slices.Equal(engines, last.engines) {
+		last = planned{engines: engines, orders: Plan(ShapeOf(s.Pipeline), engines)}
+		m.plans[s.Name] = last
 	}
-	need := false
 	var cmds []OrderCmd
-	for _, o := range orders {
+	for _, o := range last.orders {
 		u := m.upstreams[o.ID]
-		if !u.Held.Empty() {
-			need = true
-			if since, ok := m.needSince[s.Name]; !ok || now < since.Add(healAfter) {
-				continue
-			}
+		if !u.Held.Empty() && !m.mayHeal(now, s.Name) {
+			continue
 		}
 		cmds = append(cmds, OrderCmd{Upstream: o.ID, Address: u.Address, Layers: o.Layers, Believed: u.Held, Missing: o.Missing})
 	}
-	m.noteNeed(now, s.Name, need)
 	return cmds
 }
 
-// improve returns changes of a plan that stands, where they are worth their cost.
-func (m *Model) improve(now clock.Millis, s *catalog.Service, engines []Engine) []Order {
-	if now < m.changed.Add(improveAfter) || slices.Equal(engines, m.improved[s.Name]) {
-		return nil
-	}
-	orders := Improve(ShapeOf(s.Pipeline), engines)
-	if len(orders) == 0 {
-		m.improved[s.Name] = engines
-	}
-	return orders
-}
-
-// noteNeed notes since when a service has had layers without a holder.
-func (m *Model) noteNeed(now clock.Millis, service string, need bool) {
-	if !need {
-		delete(m.needSince, service)
-		return
-	}
-	if _, ok := m.needSince[service]; !ok {
-		m.needSince[service] = now
-	}
-}
-
 // engines returns a service's engines that may hold layers, as the planner is to
 // see them.
 func (m *Model) engines(now clock.Millis, s *catalog.Service) []Engine {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -155,12 +155,33 @@
 	return orders
 }
 
+// wants tells whether some layer lacks a holder in a data centre, and whether some
+// engine is to be filled.
+func (p *plan) wants() (missing, empty bool) {
+	for _, centre := range p.centres {
+		missing = missing || p.missing(centre, p.whole()) > 0
+	}
+	for i := range p.engines {
+		empty = empty || p.fillable(&p.engines[i])
+	}
+	return missing, empty
+}
+
+// fillable tells whether an engine is empty and may get an order now.
+func (p *plan) fillable(e *Engine) bool {
+	return e.Most > 0 && e.standing().Empty() && !e.Fixed && !p.keep(e)
+}
+
 // fill gives the empty engines of a data centre the ranges that are worth most.
 func (p *plan) fill(centre string) []Order {
+	engines := p.of(centre)
+	if !slices.ContainsFunc(engines, p.fillable) {
+		return nil
+	}
 	var orders []Order
-	l := newLayout(p.shape, p.of(centre))
+	l := newLayout(p.shape, engines)
 	for i, e := range l.engines {
-		if !e.standing().Empty() || e.Fixed || p.keep(e) {
+		if !p.fillable(e) {
 			continue
 		}
 		r := l.roomiest(i)
--- a/placement/search.go
+++ b/placement/search.go
@@ -86,7 +86,13 @@
 // roomiest returns the range for an empty engine with the highest value.
 func (l *layout) roomiest(i int) fleet.Range {
 	best, most := fleet.Range{}, l.value()
-	for size := 1; size <= min(l.engines[i].Most, l.shape.Layers); size++ {
+	tried := 0
+	for _, fill := range fills {
+		size := min(capacity(l.engines[i], fill), l.shape.Layers)
+		if size == tried {
+			continue
+		}
+		tried = size
 		for from := 0; from+size <= l.shape.Layers; from++ {
 			l.ranges[i] = fleet.Range{From: from, To: from + size}
 			if v := l.value(); v > most+leastGain {
