What engines read of prompts bounds layouts, and makes engines dear

Ruled out: pipes (no chain crossed), memory. Change: the rate of a layout is bounded by what its layers' holders read in time (catalog.Pipeline.ReadsInTime), and a chain's engines cost more the busier they are with reading, by the memory in use there and how long streams last.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -1,5 +1,7 @@
 package catalog
 
+import "math"
+
 // Service is a group of upstreams that answer the same requests.
 type Service struct {
 	Name string
@@ -26,6 +28,11 @@
 	// ReadRate is how many tokens of a prompt an accelerator of factor 1 reads
 	// through all layers, in tokens a ms.
 	ReadRate float64
+	// StepsInPass is how many tokens of each stream an engine writes in a pass, and
+	// ReadInPass how many of prompts it reads beside them at the most; zero for no
+	// bound.
+	StepsInPass float64
+	ReadInPass  float64
 	// LoadMS is the time of loading all layers, in ms.
 	LoadMS float64
 	// UsualPrompt and UsualAnswer are the operator's word on the mean tokens of a
@@ -91,6 +98,54 @@
 	return a.ReadFactor * float64(layers) / float64(max(p.Layers, 1)) / p.ReadRate
 }
 
+// Slowdown is by which part of its time each further stream of a batch, with so many
+// tokens, makes a step slower.
+func (p *Pipeline) Slowdown(tokens float64) float64 {
+	if p.StepMS <= 0 {
+		return 0
+	}
+	return (p.SequenceMS + p.ContextMS*tokens/tokensPerK) / p.StepMS
+}
+
+// tokensPerK converts a cost for each 1,000 tokens.
+const tokensPerK = 1000
+
+// Usual returns the mean tokens of a request's prompt and answer, by the operator's
+// word or, without it, those of the first users' drafts.
+func (p *Pipeline) Usual() (prompt, answer float64) {
+	prompt, answer = p.UsualPrompt, p.UsualAnswer
+	if prompt <= 0 {
+		prompt = defaultPrompt
+	}
+	if answer <= 0 {
+		answer = defaultAnswer
+	}
+	return prompt, answer
+}
+
+// Sizes of a request where the operator gives none, in tokens.
+const (
+	defaultPrompt = 750
+	defaultAnswer = 150
+)
+
+// ReadsInTime returns how many prompts an accelerator reads in a ms at the most while
+// a number of streams is in its batch. Each pass reads a bounded part of what waits,
+// and takes as long as the steps of the streams and the reading do. It is infinite
+// where passes are not bounded.
+func (p *Pipeline) ReadsInTime(a Accelerator, layers int, batch float64) float64 {
+	prompt, answer := p.Usual()
+	if p.ReadInPass <= 0 || layers == 0 {
+		return math.Inf(1)
+	}
+	steps := p.StepsInPass * p.StepTime(a, layers) * (1 + p.Slowdown(prompt+answer)*batch)
+	pass := steps + p.ReadInPass*p.ReadTime(a, layers)
+	if pass <= 0 {
+		return math.Inf(1)
+	}
+	return p.ReadInPass / pass / prompt
+}
+
 // StepTime returns the time of one token over some layers, in ms.
 func (p *Pipeline) StepTime(a Accelerator, layers int) float64 {
 	return p.StepMS * a.StepFactor * float64(layers) / float64(max(p.Layers, 1))
--- a/chain/builder.go
+++ b/chain/builder.go
@@ -121,12 +121,13 @@
 	}
 }
 
-// crowd prices an engine by how full it would be.
+// crowd prices an engine by how full its memory would be, or how busy it is with
+// reading.
 func crowd(h *Holder, need float64) float64 {
-	if h.Total <= 0 {
-		return 0
+	full := h.Busy
+	if h.Total > 0 {
+		full = max(full, 1-(h.Room-need)/h.Total)
 	}
-	full := 1 - (h.Room-need)/h.Total
 	return crowdCost * full * full * full * full
 }
 
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -36,6 +36,9 @@
 	// times layers.
 	Room  float64
 	Total float64
+	// Busy is the part of the prompts that it can read in time which it gets; over
+	// one, prompts wait there ever longer.
+	Busy float64
 	// Penalty is added to the cost of each part on this engine, in ms for each
 	// token. It speaks for avoiding the engine where there is another.
 	Penalty float64
--- a/chain/chain_test.go
+++ b/chain/chain_test.go
@@ -162,3 +162,22 @@
 		}
 	}
 }
+
+// An engine whose prompts wait is left for a slower one with time left.
+func TestBuildPassesBusyEnginesOver(t *testing.T) {
+	busy := holder("x", "a", 0, 8, 1, plenty)
+	idle := holder("y", "a", 0, 8, 1.5, plenty)
+	for _, tt := range []struct {
+		busy float64
+		want string
+	}{{0.2, "x:0-8 "}, {0.95, "y:0-8 "}} {
+		busy.Busy = tt.busy
+		parts, err := chain.Build(8, 100, "a", []chain.Holder{busy, idle})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := ids(parts); got != tt.want {
+			t.Errorf("busy for %v: got %s, want %s", tt.busy, got, tt.want)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/busy.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import "github.com/hoistjunction/hoistjunction/clock"
+
+const (
+	// firstLasts stands in for how long a stream lasts until that is known, in ms.
+	firstLasts = 3000.0
+	// lastsWeight is the weight of a new reading in the mean time of streams.
+	lastsWeight = 0.05
+	// inBatch is the part of an engine's streams that is in its batch at a time; the
+	// others are at other stages of their chains.
+	inBatch = 0.5
+)
+
+// noteLasts takes in how long a stream has lasted.
+func (m *Model) noteLasts(took clock.Millis) {
+	if m.lasts == 0 {
+		m.lasts = firstLasts
+	}
+	m.lasts += lastsWeight * (float64(took) - m.lasts)
+}
+
+// busy is the part of the prompts that an engine can read in time which it gets, as
+// far as its memory in use tells: streams that last for so long have come at such a
+// rate.
+func (m *Model) busy(u *upstream, free float64) float64 {
+	layers := u.entry.Held.Len()
+	kind, known := u.pipeline.Accelerators[u.entry.Accelerator]
+	if used := u.room - free; !known || layers == 0 || used <= 0 {
+		return 0
+	}
+	prompt, answer := u.pipeline.Usual()
+	streams := (u.room - free) / (prompt + answerHeld*answer) / float64(layers)
+	lasts := m.lasts
+	if lasts == 0 {
+		lasts = firstLasts
+	}
+	return streams / lasts * max(u.pace, 1) / u.pipeline.ReadsInTime(kind, layers, inBatch*streams)
+}
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -155,6 +155,9 @@
 	if r.first != nil {
 		r.first.record(msg.Took, msg.Failed)
 	}
+	if r.route.Kind == catalog.Streaming {
+		m.noteLasts(msg.Took)
+	}
 	for _, p := range r.parts {
 		if u := m.upstreams[p.ID]; u != nil {
 			u.refusals = 0
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -30,6 +30,8 @@
 	budgets   map[string]*budget.Window
 	// usage is what other nodes have in use, by their names.
 	usage map[string]peerUsage
+	// lasts is the mean time of streams in ms; zero until one has ended.
+	lasts float64
 	// shortages are by service.
 	shortages map[string]*shortage
 	// shared is when this node last told what it has in use.
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -168,6 +168,7 @@
 		ID: u.entry.ID, Address: u.entry.Address, DataCentre: u.entry.DataCentre, Held: u.entry.Held,
 		LayerTime: u.layerTime * max(u.pace, 1), Total: u.room, Room: m.free(u),
 	}
+	h.Busy = m.busy(u, h.Room)
 	if r.tried[u.entry.ID] {
 		h.Penalty = triedPenalty
 	}
--- a/placement/layout.go
+++ b/placement/layout.go
@@ -49,6 +49,7 @@
 	// they are, the sum of their places (the place itself where there is one), the
 	// tokens that are given to holders so far, and the time that these take.
 	capacity []float64
+	reads    []float64
 	holders  []int
 	places   []int
 	given    []float64
@@ -63,7 +64,7 @@
 func newLayout(shape Shape, engines []*Engine) *layout {
 	l := &layout{
 		shape: shape, engines: slices.Clone(engines), ranges: make([]fleet.Range, len(engines)),
-		capacity: make([]float64, shape.Layers), holders: make([]int, shape.Layers),
+		capacity: make([]float64, shape.Layers), reads: make([]float64, shape.Layers), holders: make([]int, shape.Layers),
 		places: make([]int, shape.Layers), given: make([]float64, shape.Layers), solo: make([]int, len(engines)),
 	}
 	slices.SortStableFunc(l.engines, func(a, b *Engine) int {
@@ -112,8 +113,29 @@
 	return l.served(rate) - l.losses(room, rate)/lossEvery - uncovered*float64(missing)
 }
 
-// rate is how many streams a ms the data centre bears, by Little's law.
-func (l *layout) rate(room float64) float64 { return room / l.shape.tokens() / l.lasts(room) }
+// rate is how many streams a ms the data centre bears: by Little's law what there is
+// memory for, and no more prompts than the slowest layers read.
+func (l *layout) rate(room float64) float64 {
+	held := room / l.shape.tokens() / l.lasts(room)
+	if l.shape.ReadInPass <= 0 {
+		return held
+	}
+	read := scarcest(l.reads, l.holders, 1)
+	return 1 / math.Cbrt(1/(held*held*held)+1/(read*read*read))
+}
+
+// readsInTime is how many prompts an engine reads in a ms at the most, with half of
+// the streams in its batch that it has memory for. The figures are those of
+// catalog.Pipeline.ReadsInTime.
+func (l *layout) readsInTime(i int) float64 {
+	if l.shape.ReadInPass <= 0 {
+		return 0
+	}
+	e, n := l.engines[i], float64(l.ranges[i].Len())
+	batch := l.share(i) / l.shape.tokens() / 2
+	pass := l.shape.StepsInPass*e.LayerTime*n*(1+l.shape.Slowdown*batch) + l.shape.ReadInPass*e.ReadTime*n
+	return l.shape.ReadInPass / pass / l.shape.Prompt
+}
 
 // served is the logarithm of the share of requests that is served at a rate. It
 // has no edge at the demand: requests come unevenly, in sizes that differ.
@@ -129,15 +151,17 @@
 // holder.
 func (l *layout) count() int {
 	clear(l.capacity)
+	clear(l.reads)
 	clear(l.holders)
 	clear(l.places)
 	for i, r := range l.ranges {
 		if r.Empty() {
 			continue
 		}
-		share := l.share(i)
+		share, reads := l.share(i), l.readsInTime(i)
 		for layer := r.From; layer < r.To; layer++ {
 			l.capacity[layer] += share
+			l.reads[layer] += reads
 			l.holders[layer]++
 			l.places[layer] += i
 		}
@@ -155,13 +179,18 @@
 // by the mean of the twelfth powers, which also tells of two layouts with one
 // scarcest layer each which has more of them.
 func (l *layout) room() float64 {
+	return l.shape.tokens() * scarcest(l.capacity, l.holders, l.shape.tokens())
+}
+
+// scarcest is about the least of what layers with holders have, in a unit.
+func scarcest(has []float64, holders []int, unit float64) float64 {
 	sum, covered := 0.0, 0
-	for layer, c := range l.capacity {
-		if l.holders[layer] == 0 {
+	for layer, c := range has {
+		if holders[layer] == 0 {
 			continue
 		}
 		covered++
-		x := l.shape.tokens() / max(c, 1)
+		x := unit / max(c, leastShare*unit)
 		x *= x * x
 		x *= x
 		sum += x * x
@@ -169,9 +198,12 @@
 	if covered == 0 {
 		return 0
 	}
-	return l.shape.tokens() / math.Pow(sum/float64(covered), 1.0/12)
+	return 1 / math.Pow(sum/float64(covered), 1.0/12)
 }
 
+// leastShare keeps what is as good as nothing from dividing by zero.
+const leastShare = 1e-3
+
 // lasts is how long a stream holds its memory when there are as many as there is
 // room for, in ms. At each layer the fast holders are filled first. An engine's
 // batch is the streams that are at it just then or wait for its next pass.
