Plan for engines that last 100 s again, now that reading bounds layouts

The sites differ in how much of what they could bear is asked of them, which nobody knows before the first plan.

--- a/placement/layout.go
+++ b/placement/layout.go
@@ -22,7 +22,7 @@
 	// lossEvery is how long an engine is planned to last, in ms. It weighs second
 	// holders against memory for requests: an engine is lost, replaced or taken
 	// away this often at the users' busiest.
-	lossEvery = 300_000.0
+	lossEvery = 100_000.0
 	// usualDemand is the part of the most that a data centre could bear, with no
 	// thought for losses, which it is planned for while its demand is not known:
 	// fleets are sized so that the busiest hour and the loss of an engine leave as
