hoistctl size: what a fleet bears, what the worst loss costs, which engine to add

Cause: an operator had no way to see what the planner expects of a fleet, or which accelerator to add next. Change: placement.Outlooks reports on a first plan; sizing reads a fleet file, checked as settings are, and prints what each data centre bears, its worst loss and the gain of one more engine of each kind (cmd/hoistctl/testdata/size.txt; examples/fleet).

--- /dev/null
+++ b/sizing/fleet.go
@@ -0,0 +1,138 @@
+package sizing
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/placement"
+	"github.com/hoistjunction/hoistjunction/settings"
+)
+
+// ErrFleet means that a fleet file says something that cannot be.
+var ErrFleet = errors.New("sizing: the fleet file is not valid")
+
+// Bounds of what a fleet file may say.
+const (
+	mostLayers  = 10_000
+	mostNumber  = 1e12
+	mostEngines = 100_000
+)
+
+// Fleet is a model and the engines that are to hold it.
+type Fleet struct {
+	pipeline catalog.Pipeline
+	// engines counts them by data centre and kind of accelerator.
+	engines map[string]map[string]int
+}
+
+// Load reads a fleet file.
+func Load(path string) (*Fleet, error) {
+	f := &Fleet{engines: make(map[string]map[string]int)}
+	kinds, centres := make(map[string]string), make(map[string]string)
+	if err := f.set(kinds, centres).Load(path); err != nil {
+		return nil, err
+	}
+	if err := f.readKinds(kinds); err != nil {
+		return nil, err
+	}
+	if err := f.readEngines(centres); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// set declares what a fleet file may hold.
+func (f *Fleet) set(kinds, centres map[string]string) *settings.Set {
+	p := &f.pipeline
+	set := settings.NewSet()
+	set.Int("model", "layers", &p.Layers, 1, mostLayers, settings.Required())
+	set.Float("model", "layer_mb", &p.LayerMB, 0, mostNumber, settings.Required())
+	set.Float("model", "token_bytes", &p.TokenBytes, 0, mostNumber, settings.Required())
+	set.Float("model", "step_ms", &p.StepMS, 0, mostNumber, settings.Required())
+	set.Float("model", "sequence_ms", &p.SequenceMS, 0, mostNumber, settings.WithDefault("0"))
+	set.Float("model", "context_ms", &p.ContextMS, 0, mostNumber, settings.WithDefault("0"))
+	set.Float("model", "read_tokens_in_ms", &p.ReadRate, 0, mostNumber, settings.Required())
+	set.Float("model", "read_in_pass", &p.ReadInPass, 0, mostNumber, settings.WithDefault("0"))
+	set.Float("model", "steps_in_pass", &p.StepsInPass, 1, mostNumber, settings.WithDefault("1"))
+	set.Float("model", "load_ms", &p.LoadMS, 0, mostNumber, settings.Required())
+	set.Float("model", "prompt_tokens", &p.UsualPrompt, 0, mostNumber, settings.Required())
+	set.Float("model", "answer_tokens", &p.UsualAnswer, 0, mostNumber, settings.Required())
+	set.Map("accelerators", kinds)
+	set.Map("engines", centres)
+	return set
+}
+
+// readKinds reads lines like "large = 72000 2.4 3.2": the memory in MB, and the
+// factors on the time of a step and of reading.
+func (f *Fleet) readKinds(kinds map[string]string) error {
+	f.pipeline.Accelerators = make(map[string]catalog.Accelerator)
+	for name, text := range kinds {
+		a := catalog.Accelerator{Name: name}
+		if _, err := fmt.Sscan(text, &a.MB, &a.StepFactor, &a.ReadFactor); err != nil || a.MB <= 0 || a.StepFactor <= 0 || a.ReadFactor <= 0 {
+			return errors.Wrapf(ErrFleet, "[accelerators] %s = %q: write its memory in MB, its factor on a step and its factor on reading, as in 72000 2.4 3.2", name, text)
+		}
+		f.pipeline.Accelerators[name] = a
+	}
+	return nil
+}
+
+// readEngines reads lines like "north = large:2 small:4".
+func (f *Fleet) readEngines(centres map[string]string) error {
+	for centre, text := range centres {
+		f.engines[centre] = make(map[string]int)
+		for _, word := range strings.Fields(text) {
+			kind, number, _ := strings.Cut(word, ":")
+			n, err := strconv.Atoi(number)
+			if _, known := f.pipeline.Accelerators[kind]; !known || err != nil || n < 0 || n > mostEngines {
+				return errors.Wrapf(ErrFleet, "[engines] %s: %q: write a kind from [accelerators] and a number, as in large:2", centre, word)
+			}
+			f.engines[centre][kind] += n
+		}
+	}
+	if len(f.engines) == 0 {
+		return errors.Wrap(ErrFleet, "[engines] names no data centre; add one, as in north = large:2")
+	}
+	return nil
+}
+
+// list returns the engines of a data centre, with some more of a kind; extra may be
+// empty.
+func (f *Fleet) list(centre, extra string) []placement.Engine {
+	var list []placement.Engine
+	for _, kind := range f.kinds() {
+		n := f.engines[centre][kind]
+		if kind == extra {
+			n++
+		}
+		a := f.pipeline.Accelerators[kind]
+		for i := range n {
+			list = append(list, placement.Engine{
+				ID: fmt.Sprintf("%s-%s-%d", centre, kind, i+1), DataCentre: centre,
+				Most: f.pipeline.MostLayers(a), Memory: f.pipeline.LayersOf(a),
+				LayerTime: f.pipeline.StepTime(a, 1), ReadTime: f.pipeline.ReadTime(a, 1),
+			})
+		}
+	}
+	return list
+}
+
+// kinds returns the names of the accelerators, sorted.
+func (f *Fleet) kinds() []string { return sorted(f.pipeline.Accelerators) }
+
+// centres returns the names of the data centres, sorted.
+func (f *Fleet) centres() []string { return sorted(f.engines) }
+
+func sorted[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, cmp.Compare[string])
+	return names
+}
--- /dev/null
+++ b/sizing/report.go
@@ -0,0 +1,96 @@
+package sizing
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/hoistjunction/hoistjunction/placement"
+)
+
+// Report prints what the fleet bears, what the worst loss costs, and what one more
+// engine of each kind brings.
+func (f *Fleet) Report(out io.Writer) error {
+	if err := f.reportBorne(out); err != nil {
+		return err
+	}
+	if err := f.reportLoss(out); err != nil {
+		return err
+	}
+	return f.reportMore(out)
+}
+
+// outlook returns a data centre's outlook, with one more engine of a kind; extra may
+// be empty.
+func (f *Fleet) outlook(centre, extra string) placement.Outlook {
+	list := placement.Outlooks(placement.ShapeOf(&f.pipeline), f.list(centre, extra))
+	if len(list) == 0 {
+		return placement.Outlook{DataCentre: centre, Missing: f.pipeline.Layers}
+	}
+	return list[0]
+}
+
+func (f *Fleet) reportBorne(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(w, "data centre\tengines\trequests/s\tat once\tlasting"); err != nil {
+		return err
+	}
+	for _, centre := range f.centres() {
+		o := f.outlook(centre, "")
+		var err error
+		if o.Missing > 0 {
+			_, err = fmt.Fprintf(w, "%s\t%d\tnone: %d layers fit nowhere\t\t\n", centre, o.Engines, o.Missing)
+		} else {
+			_, err = fmt.Fprintf(w, "%s\t%d\t%.1f\t%.0f\t%d ms\n", centre, o.Engines, o.Rate, o.AtOnce, o.Lasts)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+func (f *Fleet) reportLoss(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(w, "\nworst loss in\tengine\tlayers that nobody else holds\tleft meanwhile\treplaced in"); err != nil {
+		return err
+	}
+	for _, centre := range f.centres() {
+		o := f.outlook(centre, "")
+		if o.Worst == "" {
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "%s\t%s\t%d\t%.0f%%\t%d ms\n", centre, o.Worst, o.Alone, o.Left*percent, o.Replaced); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+const percent = 100
+
+func (f *Fleet) reportMore(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if _, err := fmt.Fprintln(w, "\none more\tdata centre\trequests/s\tgain"); err != nil {
+		return err
+	}
+	for _, kind := range f.kinds() {
+		centre, before, after := f.bestPlace(kind)
+		if _, err := fmt.Fprintf(w, "%s\t%s\t%.1f\t%+.1f\n", kind, centre, after, after-before); err != nil {
+			return err
+		}
+	}
+	return w.Flush()
+}
+
+// bestPlace returns the data centre that gains most by one more engine of a kind, and
+// what it bears without and with it.
+func (f *Fleet) bestPlace(kind string) (centre string, before, after float64) {
+	for _, c := range f.centres() {
+		without, with := f.outlook(c, "").Rate, f.outlook(c, kind).Rate
+		if centre == "" || with-without > after-before {
+			centre, before, after = c, without, with
+		}
+	}
+	return centre, before, after
+}
