The planner's layout in files by job; what a pass does stands once

Change: layout, pace, loss, spread and search are files of their own; catalog.Pass does the sum for both.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -98,18 +98,6 @@
 	return a.ReadFactor * float64(layers) / float64(max(p.Layers, 1)) / p.ReadRate
 }
 
-// Slowdown is by which part of its time each further stream of a batch, with so many
-// tokens, makes a step slower.
-func (p *Pipeline) Slowdown(tokens float64) float64 {
-	if p.StepMS <= 0 {
-		return 0
-	}
-	return (p.SequenceMS + p.ContextMS*tokens/tokensPerK) / p.StepMS
-}
-
-// tokensPerK converts a cost for each 1,000 tokens.
-const tokensPerK = 1000
-
 // Usual returns the mean tokens of a request's prompt and answer, by the operator's
 // word or, without it, those of the first users' drafts.
 func (p *Pipeline) Usual() (prompt, answer float64) {
@@ -129,21 +117,13 @@
 	defaultAnswer = 150
 )
 
-// ReadsInTime returns how many prompts an accelerator reads in a ms at the most while
-// a number of streams is in its batch. Each pass reads a bounded part of what waits,
-// and takes as long as the steps of the streams and the reading do. It is infinite
-// where passes are not bounded.
+// ReadsInTime is how many prompts an accelerator reads in a ms at the most while a
+// number of streams is in its batch.
 func (p *Pipeline) ReadsInTime(a Accelerator, layers int, batch float64) float64 {
-	prompt, answer := p.Usual()
-	if p.ReadInPass <= 0 || layers == 0 {
-		return math.Inf(1)
-	}
-	steps := p.StepsInPass * p.StepTime(a, layers) * (1 + p.Slowdown(prompt+answer)*batch)
-	pass := steps + p.ReadInPass*p.ReadTime(a, layers)
-	if pass <= 0 {
+	if layers == 0 {
 		return math.Inf(1)
 	}
-	return p.ReadInPass / pass / prompt
+	return p.Pass().Reads(p.StepTime(a, layers), p.ReadTime(a, layers), batch)
 }
 
 // StepTime returns the time of one token over some layers, in ms.
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -4,12 +4,13 @@
 	"fmt"
 	"testing"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/placement"
 )
 
 // benchShape is a model of 80 layers.
-var benchShape = placement.Shape{Layers: 80, LayerTokens: 237_000, LoadTime: 175, Prompt: 775, Answer: 220, Slowdown: 0.01}
+var benchShape = placement.Shape{Layers: 80, LayerTokens: 237_000, LoadTime: 175, Prompt: 775, Answer: 220, Pass: catalog.Pass{Slowdown: 0.01}}
 
 func benchEngines(n int, placed bool) []placement.Engine {
 	engines := make([]placement.Engine, n)
--- a/placement/layout.go
+++ b/placement/layout.go
@@ -13,12 +13,6 @@
 	// uncovered is taken off for each layer without a holder in the data centre. It
 	// outweighs all that a layout can gain otherwise.
 	uncovered = 10.0
-	// hopTime is a pass from one engine to the next inside a data centre, in ms for
-	// each token: 0.2 ms on the way and some for the pass itself.
-	hopTime = 0.4
-	// waiting is the time at an engine in parts of the time of a pass: what comes
-	// waits for half a pass on average.
-	waiting = 1.5
 	// lossEvery is how long an engine is planned to last, in ms. It weighs second
 	// holders against memory for requests. Of 50, 100, 180 and 300 s it is the one
 	// that served best on three deployments together (docs/CUSTOMER.md).
@@ -28,13 +22,6 @@
 	// fleets are sized so that the busiest hour and the loss of an engine leave as
 	// much again.
 	usualDemand = 0.4
-	// foundAfter is how long it takes until a lost engine is replaced beside the
-	// loads: it is found after some 0.35 s, a plan follows within 0.55 s, and all
-	// nodes know the new holder after half a second more.
-	foundAfter = 1500.0
-	// servedInGap is the share of a data centre's requests that the others serve
-	// while it lacks a layer.
-	servedInGap = 0.3
 )
 
 // layout is what the engines of one data centre hold, and weighs it. It is not
@@ -45,9 +32,10 @@
 	engines []*Engine
 	ranges  []fleet.Range
 
-	// By layer: the tokens of requests that its holders have memory for, how many
-	// they are, the sum of their places (the place itself where there is one), the
-	// tokens that are given to holders so far, and the time that these take.
+	// By layer: capacity is the tokens of requests that its holders have memory for,
+	// reads the prompts that they read in a ms, holders how many they are, places the
+	// sum of their places (the place itself where there is one), and given the tokens
+	// that are shared out among them so far.
 	capacity []float64
 	reads    []float64
 	holders  []int
@@ -113,30 +101,6 @@
 	return l.served(rate) - l.losses(room, rate)/lossEvery - uncovered*float64(missing)
 }
 
-// rate is how many streams a ms the data centre bears: by Little's law what there is
-// memory for, and no more prompts than the slowest layers read.
-func (l *layout) rate(room float64) float64 {
-	held := room / l.shape.tokens() / l.lasts(room)
-	if l.shape.ReadInPass <= 0 {
-		return held
-	}
-	read := scarcest(l.reads, l.holders, 1)
-	return 1 / math.Cbrt(1/(held*held*held)+1/(read*read*read))
-}
-
-// readsInTime is how many prompts an engine reads in a ms at the most, with half of
-// the streams in its batch that it has memory for. The figures are those of
-// catalog.Pipeline.ReadsInTime.
-func (l *layout) readsInTime(i int) float64 {
-	if l.shape.ReadInPass <= 0 {
-		return 0
-	}
-	e, n := l.engines[i], float64(l.ranges[i].Len())
-	batch := l.share(i) / l.shape.tokens() / 2
-	pass := l.shape.StepsInPass*e.LayerTime*n*(1+l.shape.Slowdown*batch) + l.shape.ReadInPass*e.ReadTime*n
-	return l.shape.ReadInPass / pass / l.shape.Prompt
-}
-
 // served is the logarithm of the share of requests that is served at a rate. It
 // has no edge at the demand: requests come unevenly, in sizes that differ.
 func (l *layout) served(rate float64) float64 {
@@ -174,140 +138,3 @@
 	}
 	return missing
 }
-
-// room is how many tokens the layers have memory for: that of the scarcest ones,
-// by the mean of the twelfth powers, which also tells of two layouts with one
-// scarcest layer each which has more of them.
-func (l *layout) room() float64 {
-	return l.shape.tokens() * scarcest(l.capacity, l.holders, l.shape.tokens())
-}
-
-// scarcest is about the least of what layers with holders have, in a unit.
-func scarcest(has []float64, holders []int, unit float64) float64 {
-	sum, covered := 0.0, 0
-	for layer, c := range has {
-		if holders[layer] == 0 {
-			continue
-		}
-		covered++
-		x := unit / max(c, leastShare*unit)
-		x *= x * x
-		x *= x
-		sum += x * x
-	}
-	if covered == 0 {
-		return 0
-	}
-	return 1 / math.Pow(sum/float64(covered), 1.0/12)
-}
-
-// leastShare keeps what is as good as nothing from dividing by zero.
-const leastShare = 1e-3
-
-// lasts is how long a stream holds its memory when there are as many as there is
-// room for, in ms. At each layer the fast holders are filled first. An engine's
-// batch is the streams that are at it just then or wait for its next pass.
-func (l *layout) lasts(room float64) float64 {
-	clear(l.given)
-	step, squares, hops, read := 0.0, 0.0, 0.0, 0.0
-	for i, r := range l.ranges {
-		if r.Empty() {
-			continue
-		}
-		e, share, passes := l.engines[i], l.share(i), 0.0
-		for layer := r.From; layer < r.To; layer++ {
-			part := 1 / float64(l.holders[layer])
-			if l.capacity[layer] >= 1 {
-				part = min(share, max(room-l.given[layer], 0)) / min(room, l.capacity[layer])
-			}
-			l.given[layer] += share
-			passes += part
-		}
-		step += passes * e.LayerTime
-		hops += passes * hopTime / float64(r.Len())
-		squares += passes * e.LayerTime * passes * e.LayerTime
-		read += passes * e.ReadTime
-	}
-	crowd := l.shape.Slowdown * room / l.shape.tokens() * squares / step
-	return waiting*(l.shape.Prompt*read+l.shape.Answer*(step+crowd)) + l.shape.Answer*hops
-}
-
-// losses adds up, for the loss of each engine, how long it takes to replace what
-// it holds alone or what the rest lack without it, times what is
-// served less meanwhile.
-func (l *layout) losses(room, rate float64) float64 {
-	served := l.served(rate)
-	clear(l.solo)
-	for layer, n := range l.holders {
-		if n == 1 {
-			l.solo[l.places[layer]]++
-		}
-	}
-	sum := 0.0
-	for i, r := range l.ranges {
-		switch {
-		case r.Empty():
-		case l.solo[i] > 0:
-			sum += (foundAfter + l.shape.LoadTime*float64(l.solo[i])) * max(0, served-math.Log(servedInGap))
-		default:
-			left := max(servedInGap, min(1, l.roomWithout(i)/room))
-			sum += (foundAfter + l.shape.LoadTime*float64(r.Len())) * (served - l.served(rate*left))
-		}
-	}
-	return sum
-}
-
-// roomWithout is how many tokens an engine's layers have memory for without it.
-func (l *layout) roomWithout(i int) float64 {
-	least := math.Inf(1)
-	for layer := l.ranges[i].From; layer < l.ranges[i].To; layer++ {
-		least = min(least, l.capacity[layer])
-	}
-	return least - l.share(i)
-}
-
-// Weights of a layer's need of a holder while a layout is spread. A second holder
-// matters more the more layers would be lost with the first, since they take that
-// much longer to be loaded again.
-const (
-	needFirst  = 1e5
-	needSecond = 1.0
-	needThird  = 1e-3
-)
-
-// spread gives each engine, the fast ones first, the run of layers that needs a
-// holder most, as long as the fill lets it be.
-func (l *layout) spread(fill float64) {
-	spans := make([]int, l.shape.Layers)
-	holders := make([]int, l.shape.Layers)
-	for i, e := range l.engines {
-		r := neediest(holders, spans, min(capacity(e, fill), l.shape.Layers))
-		l.ranges[i] = r
-		for layer := r.From; layer < r.To; layer++ {
-			holders[layer]++
-			spans[layer] += r.Len()
-		}
-	}
-}
-
-// neediest returns the run of layers of a size whose layers need a holder most.
-func neediest(holders, spans []int, size int) fleet.Range {
-	best, most := fleet.Range{}, 0.0
-	for from := 0; from+size <= len(holders); from++ {
-		need := 0.0
-		for layer := from; layer < from+size; layer++ {
-			switch holders[layer] {
-			case 0:
-				need += needFirst
-			case 1:
-				need += needSecond * float64(spans[layer])
-			default:
-				need += needThird / float64(holders[layer])
-			}
-		}
-		if need > most+1e-9 {
-			best, most = fleet.Range{From: from, To: from + size}, need
-		}
-	}
-	return best
-}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -145,7 +145,7 @@
 			best, most = l, v
 		}
 	}
-	best.improve(func(*Engine) bool { return true })
+	best.improve()
 	var orders []Order
 	for i, e := range best.engines {
 		if !best.ranges[i].Empty() {
--- a/placement/search.go
+++ b/placement/search.go
@@ -13,24 +13,14 @@
 	stride = 8
 )
 
-// change is a new range for an engine, by its place in the layout.
-type change struct {
-	place  int
-	layers fleet.Range
-	gain   float64
-}
-
 // improve changes ranges of engines for as long as each change raises the value,
 // within bounds.
-func (l *layout) improve(may func(*Engine) bool) {
+func (l *layout) improve() {
 	for range sweeps {
 		changed := false
 		for i := range l.engines {
-			if !may(l.engines[i]) {
-				continue
-			}
-			if c := l.bestFor(i); c.gain > leastGain {
-				l.ranges[i] = c.layers
+			if r, gain := l.bestFor(i); gain > leastGain {
+				l.ranges[i] = r
 				changed = true
 			}
 		}
@@ -40,25 +30,24 @@
 	}
 }
 
-// bestFor returns the range for an engine that raises the value most; the gain is
-// zero where none does.
-func (l *layout) bestFor(i int) change {
-	was := l.ranges[i]
-	before := l.value()
-	best := change{place: i, layers: was}
+// bestFor returns the range for an engine that raises the value most, and by how
+// much; that is nothing where none does.
+func (l *layout) bestFor(i int) (best fleet.Range, most float64) {
+	was, before := l.ranges[i], l.value()
+	best = was
 	try := func(r fleet.Range) {
 		if r.Empty() || r.From < 0 || r.To > l.shape.Layers || r.Len() > l.engines[i].Most || r == was {
 			return
 		}
 		l.ranges[i] = r
-		if gain := l.value() - before; gain > best.gain {
-			best.layers, best.gain = r, gain
+		if gain := l.value() - before; gain > most {
+			best, most = r, gain
 		}
 	}
 	l.nearby(was, try)
 	l.elsewhere(was, try)
 	l.ranges[i] = was
-	return best
+	return best, most
 }
 
 // nearby tries a range's ends a layer further in or out, and the range shifted by
--- a/placement/shape.go
+++ b/placement/shape.go
@@ -13,23 +13,17 @@
 	// Prompt and Answer are the tokens of a usual request.
 	Prompt float64
 	Answer float64
-	// Slowdown is by which part of its time each further stream of a batch makes a
-	// token slower.
-	Slowdown float64
-	// StepsInPass is how many tokens of each stream an engine writes in a pass, and
-	// ReadInPass how many of prompts it reads beside them at the most.
-	StepsInPass float64
-	ReadInPass  float64
+	// Pass is what an engine does in a pass.
+	Pass catalog.Pass
 }
 
 // ShapeOf returns the shape of a pipeline.
 func ShapeOf(p *catalog.Pipeline) Shape {
 	s := Shape{
 		Layers: p.Layers, LayerTokens: p.LayerTokens(), LoadTime: p.LoadMS / float64(max(p.Layers, 1)),
-		StepsInPass: p.StepsInPass, ReadInPass: p.ReadInPass,
+		Pass: p.Pass(),
 	}
 	s.Prompt, s.Answer = p.Usual()
-	s.Slowdown = p.Slowdown(s.tokens())
 	return s
 }
 
