--- a/reading/doc.go
+++ b/reading/doc.go
@@ -1,10 +1,10 @@
-// Package reading lets one relay node of a data centre read the store for the
-// others.
+// Package reading lets one relay node of a data centre, or of a small system with
+// small data centres, read the store for the others.
 //
 // Every call to the store costs, and all nodes want the same of it: what has
-// changed in the configuration and in the list of upstreams. So in a data centre
-// with enough nodes the first by name waits at the store, and the others wait at
-// that node. The Roster says which node that is, the Log holds what a node has
+// changed in the configuration and in the list of upstreams. So in a group with
+// enough nodes the first by name waits at the store, and the others wait at that
+// node. The Roster says which node that is, the Log holds what a node has
 // read and answers the waits of others, and a Source follows another node's Log.
 //
 // Nobody depends on the reader: it answers only while its own proof that it
