Tests of nodes leave the port to the kernel when the node listens

The test opened a port, closed it and gave its number to the node; in between another took it. Ruled out: the node (it names the address that it could not have). Change: nodes in tests listen at port 0, and say where (CallerAddress, ReadinessAddress, PeerAddress). No assertion has changed.

--- a/node/node.go
+++ b/node/node.go
@@ -124,6 +124,16 @@
 	return h.Sum64()
 }
 
+// CallerAddress returns where the node takes callers' requests. Settings may leave the
+// port to the kernel.
+func (n *Node) CallerAddress() string { return n.caller.Addr().String() }
+
+// ReadinessAddress returns where the platform asks whether the node is ready.
+func (n *Node) ReadinessAddress() string { return n.readiness.Addr().String() }
+
+// PeerAddress returns where other nodes ask this one.
+func (n *Node) PeerAddress() string { return n.peer.Addr().String() }
+
 func (n *Node) listen() error {
 	config := net.ListenConfig{Control: platform.BoundSilence}
 	for _, l := range []struct {
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -126,29 +125,23 @@
 	stop context.CancelFunc
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
+// anyPort leaves the port to the kernel when the node listens: one that is chosen
+// before may be taken by then.
+const anyPort = "127.0.0.1:0"
 
 func (s *site) startNode(name, storeAt string, seeds ...string) *testNode {
 	s.t.Helper()
 	settings := &node.Settings{
 		Name: name, DataCentre: "dc", LogLevel: "info", GraceSeconds: 8, Cores: 1, MemoryMB: 256,
-		CallerListen: freeAddress(s.t), ReadinessListen: freeAddress(s.t), PeerListen: freeAddress(s.t),
-		MetricsListen: freeAddress(s.t), UsageListen: "127.0.0.1:0", PeerSeeds: seeds, Platform: storeAt,
+		CallerListen: anyPort, ReadinessListen: anyPort, PeerListen: anyPort,
+		MetricsListen: anyPort, UsageListen: anyPort, PeerSeeds: seeds, Platform: storeAt,
 		KeysFailClosed: true, KeysWithin: 5000, RetryWindowSeconds: 10, RetryShare: 0.2, RetrySlack: 200,
 	}
 	n, err := node.New(settings, logging.Nop())
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	tn := &testNode{Node: n, caller: settings.CallerListen, readiness: settings.ReadinessListen, peer: settings.PeerListen, ended: make(chan error, 1)}
+	tn := &testNode{Node: n, caller: n.CallerAddress(), readiness: n.ReadinessAddress(), peer: n.PeerAddress(), ended: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	tn.stop = cancel
 	go func() { tn.ended <- n.Run(ctx) }()
