Read again: one count of an engine's replacement, plans kept by pipeline too

How long an engine's replacement takes, and which layers it holds alone, stood in losses and in outlook, which called losses for its side effect; a stream's mean time had its first value in two places; a kept plan was looked up by its engines alone, although it also depends on the sizes and load times that a configuration names (a change of layers or kinds changes the engines, so it was not missed). Change: countSolo and replacing serve both; the mean begins with its first value; the kept plan's pipeline is compared too. No script can show the last with today's test catalogue.

--- a/dispatch/busy.go
+++ b/dispatch/busy.go
@@ -14,9 +14,6 @@
 
 // noteLasts takes in how long a stream has lasted.
 func (m *Model) noteLasts(took clock.Millis) {
-	if m.lasts == 0 {
-		m.lasts = firstLasts
-	}
 	m.lasts += lastsWeight * (float64(took) - m.lasts)
 }
 
@@ -25,15 +22,12 @@
 // rate.
 func (m *Model) busy(u *upstream, free float64) float64 {
 	layers := u.entry.Held.Len()
+	used := u.room - free
 	kind, known := u.pipeline.Accelerators[u.entry.Accelerator]
-	if used := u.room - free; !known || layers == 0 || used <= 0 {
+	if !known || layers == 0 || used <= 0 {
 		return 0
 	}
 	prompt, answer := u.pipeline.Usual()
-	streams := (u.room - free) / (prompt + answerHeld*answer) / float64(layers)
-	lasts := m.lasts
-	if lasts == 0 {
-		lasts = firstLasts
-	}
-	return streams / lasts * max(u.pace, 1) / u.pipeline.ReadsInTime(kind, layers, inBatch*streams)
+	streams := used / (prompt + answerHeld*answer) / float64(layers)
+	return streams / m.lasts * max(u.pace, 1) / u.pipeline.ReadsInTime(kind, layers, inBatch*streams)
 }
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -30,7 +30,7 @@
 	budgets   map[string]*budget.Window
 	// usage is what other nodes have in use, by their names.
 	usage map[string]peerUsage
-	// lasts is the mean time of streams in ms; zero until one has ended.
+	// lasts is the mean time of streams, in ms.
 	lasts float64
 	// shortages are by service.
 	shortages map[string]*shortage
@@ -66,6 +66,7 @@
 		departing: make(map[string]clock.Millis),
 		shortages: make(map[string]*shortage),
 		confirmed: clock.Never,
+		lasts:     firstLasts,
 	}
 	WithSeed(1)(m)
 	for _, opt := range opts {
--- a/placement/loss.go
+++ b/placement/loss.go
@@ -17,26 +17,41 @@
 // served less meanwhile.
 func (l *layout) losses(room, rate float64) float64 {
 	served := l.served(rate)
-	clear(l.solo)
-	for layer, n := range l.holders {
-		if n == 1 {
-			l.solo[l.places[layer]]++
-		}
-	}
+	l.countSolo()
 	sum := 0.0
 	for i, r := range l.ranges {
 		switch {
 		case r.Empty():
 		case l.solo[i] > 0:
-			sum += (foundAfter + l.shape.LoadTime*float64(l.solo[i])) * max(0, served-math.Log(servedInGap))
+			sum += l.replacing(i) * max(0, served-math.Log(servedInGap))
 		default:
 			left := max(servedInGap, min(1, l.roomWithout(i)/room))
-			sum += (foundAfter + l.shape.LoadTime*float64(r.Len())) * (served - l.served(rate*left))
+			sum += l.replacing(i) * (served - l.served(rate*left))
 		}
 	}
 	return sum
 }
 
+// countSolo fills in how many layers each engine holds alone.
+func (l *layout) countSolo() {
+	clear(l.solo)
+	for layer, n := range l.holders {
+		if n == 1 {
+			l.solo[l.places[layer]]++
+		}
+	}
+}
+
+// replacing is how long it takes until others hold what an engine holds alone or, if
+// it holds nothing alone, all that it holds, in ms.
+func (l *layout) replacing(i int) float64 {
+	layers := l.ranges[i].Len()
+	if l.solo[i] > 0 {
+		layers = l.solo[i]
+	}
+	return foundAfter + l.shape.LoadTime*float64(layers)
+}
+
 // roomWithout is how many tokens an engine's layers have memory for without it.
 func (l *layout) roomWithout(i int) float64 {
 	least := math.Inf(1)
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -8,9 +8,10 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
-// planned is a plan and the engines that it is for. A plan is sought once for the
-// same engines: on the smallest VMs the first one takes a quarter of a second.
+// planned is a plan, and the pipeline and engines that it is for. A plan is sought
+// once for the same: on the smallest VMs the first one takes a quarter of a second.
 type planned struct {
+	shape   Shape
 	engines []Engine
 	orders  []Order
 }
@@ -38,10 +39,10 @@
 
 // plan returns the orders for a service that may be given now.
 func (m *Model) plan(now clock.Millis, s *catalog.Service) []OrderCmd {
-	engines := m.engines(now, s)
-	last, known := m.plans[s.Name]
-	if !known || !slices.Equal(engines, last.engines) {
-		last = planned{engines: engines, orders: Plan(ShapeOf(s.Pipeline), engines)}
+	shape, engines := ShapeOf(s.Pipeline), m.engines(now, s)
+	last := m.plans[s.Name]
+	if shape != last.shape || !slices.Equal(engines, last.engines) {
+		last = planned{shape: shape, engines: engines, orders: Plan(shape, engines)}
 		m.plans[s.Name] = last
 	}
 	var cmds []OrderCmd
--- a/placement/outlook.go
+++ b/placement/outlook.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"math"
-
-	"github.com/hoistjunction/hoistjunction/clock"
-)
+import "github.com/hoistjunction/hoistjunction/clock"
 
 // Outlook is what a data centre's engines bear when a first plan has placed the
 // layers.
@@ -51,20 +47,21 @@
 		return o
 	}
 	rate := l.rate(room)
-	o.Rate, o.AtOnce, o.Lasts = rate*msPerSecond, rate*l.lasts(room), clock.Millis(l.lasts(room))
-	l.losses(room, rate)
+	lasts := l.lasts(room)
+	o.Rate, o.AtOnce, o.Lasts = rate*msPerSecond, rate*lasts, clock.Millis(lasts)
+	l.countSolo()
 	most := 0.0
 	for i, r := range l.ranges {
 		if r.Empty() {
 			continue
 		}
-		left, load := math.Max(0, l.roomWithout(i)/room), foundAfter+l.shape.LoadTime*float64(r.Len())
-		if l.solo[i] > 0 {
-			left, load = 0, foundAfter+l.shape.LoadTime*float64(l.solo[i])
+		left, takes := 0.0, l.replacing(i)
+		if l.solo[i] == 0 {
+			left = min(1, max(0, l.roomWithout(i)/room))
 		}
-		if cost := (1 - math.Min(left, 1)) * load; cost > most {
+		if cost := (1 - left) * takes; cost > most {
 			most = cost
-			o.Worst, o.Alone, o.Left, o.Replaced = l.engines[i].ID, l.solo[i], math.Min(left, 1), clock.Millis(load)
+			o.Worst, o.Alone, o.Left, o.Replaced = l.engines[i].ID, l.solo[i], left, clock.Millis(takes)
 		}
 	}
 	return o
