--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -34,6 +35,8 @@
 	stopping  atomic.Bool
 	// life ends with the node; what must outlast a request hangs on it.
 	life context.Context
+	// more are counters of other parts of the node, by name.
+	more map[string]expvar.Var
 }
 
 // Option sets up a Relay.
@@ -44,6 +47,9 @@
 	return func(r *Relay) { r.engines, r.reports = e, newReports(e, r.clock) }
 }
 
+// WithCounters adds another part's counters to the metrics.
+func WithCounters(name string, v expvar.Var) Option { return func(r *Relay) { r.more[name] = v } }
+
 // WithSilence sets who is told of engines that do not answer, or do again.
 func WithSilence(tell func(upstream string, silent bool)) Option {
 	return func(r *Relay) { r.decider.silent = tell }
@@ -64,7 +70,7 @@
 
 // New returns a relay around a model. Run makes it work.
 func New(life context.Context, protocol Protocol, model *dispatch.Model, c *clock.Clock, log *zap.Logger, opts ...Option) *Relay {
-	r := &Relay{protocol: protocol, clock: c, log: log, gate: newGate(c, 0), stats: newStats(), life: life}
+	r := &Relay{protocol: protocol, clock: c, log: log, gate: newGate(c, 0), stats: newStats(), life: life, more: make(map[string]expvar.Var)}
 	r.decider = newDecider(model, c, log, r.probe)
 	for _, opt := range opts {
 		opt(r)
@@ -149,7 +155,7 @@
 		"open": r.open.Load(), "config_age_ms": int64(r.gate.age()),
 		"decisions_waiting": int64(r.decider.inbox.Len()), "decisions_refused": int64(r.decider.inbox.Refused()),
 	}
-	if err := r.stats.write(w, gauges); err != nil {
+	if err := r.stats.write(w, gauges, r.more); err != nil {
 		r.log.Info("metrics_not_sent", logging.Err(err))
 	}
 }
--- a/relay/stats.go
+++ b/relay/stats.go
@@ -51,8 +51,11 @@
 }
 
 // write prints everything as one JSON object.
-func (s *stats) write(w io.Writer, gauges map[string]int64) error {
+func (s *stats) write(w io.Writer, gauges map[string]int64, more map[string]expvar.Var) error {
 	all := new(expvar.Map).Init()
+	for name, v := range more {
+		all.Set(name, v)
+	}
 	all.Set("requests", s.counters)
 	for name, value := range gauges {
 		v := new(expvar.Int)
