--- a/fleet/view.go
+++ b/fleet/view.go
@@ -165,6 +165,9 @@
 // Waiting tells whether some entry may still come back.
 func (v *View) Waiting() bool { return len(v.missing) > 0 }
 
+// Holds tells whether an upstream is known.
+func (v *View) Holds(id string) bool { return v.upstreams[id] != nil }
+
 // Len returns how many upstreams are known.
 func (v *View) Len() int { return len(v.upstreams) }
 
--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -56,7 +56,9 @@
 // catalogProgress is how far a follower of the configuration has come.
 type catalogProgress struct {
 	revision uint64
-	// whole says that the whole is to be read next.
+	// read says that something has been read, and whole that the whole is to be
+	// read next if the store is asked.
+	read  bool
 	whole bool
 	// told says that the last reading came from another node.
 	told bool
@@ -68,17 +70,19 @@
 func (f *Catalog) Run(ctx context.Context) error {
 	p := catalogProgress{whole: true}
 	for ctx.Err() == nil {
+		reader, waits := f.reader(p.read)
+		if waits {
+			clock.Pause(ctx, lookAgain)
+			continue
+		}
 		sent := f.clock.Now()
-		reader := f.reader(p.whole)
-		reading, err := f.call(ctx, reader, p.whole, p.revision)
+		reading, err := f.call(ctx, reader, p)
 		if err != nil {
 			f.failed(ctx, &p, err)
 			continue
 		}
-		if reader == nil {
-			noteBack(f.log, f.outage, f.clock.Now(), "config")
-		}
-		p = catalogProgress{revision: reading.Revision, told: reader != nil}
+		f.back("config", reader)
+		p = catalogProgress{revision: reading.Revision, read: true, told: reader != nil}
 		f.take(reading, sent.Sub(reading.Age))
 	}
 	return ctx.Err()
@@ -91,14 +95,15 @@
 		f.log.Info("config_history_gone", zap.Uint64("revision", p.revision))
 		p.whole = true
 	case errors.Is(err, errReaderFailed):
-		// What another node has told may be old by now.
-		p.whole, p.told = p.told, false
+		// What another node has told may be old by now, and a whole reading proves
+		// it fresh sooner than a wait does.
+		p.whole = p.whole || p.told
 	default:
-		noteLost(ctx, f.log, f.outage, "config", err)
-		if f.reader(p.whole) != nil {
+		f.lost(ctx, "config", err)
+		p.whole = true
+		if reader, _ := f.reader(p.read); reader != nil {
 			return
 		}
-		p.whole = true
 		p.failures++
 		clock.Pause(ctx, retryPause(p.failures))
 	}
@@ -106,22 +111,25 @@
 
 // call reads the whole, or awaits what changes after a revision, from another
 // node if there is one to follow.
-func (f *Catalog) call(ctx context.Context, reader Reader, whole bool, revision uint64) (CatalogReading, error) {
-	if whole {
-		return f.source.ReadCatalog(ctx)
-	}
+func (f *Catalog) call(ctx context.Context, reader Reader, p catalogProgress) (CatalogReading, error) {
 	if reader != nil {
-		reading, err := reader.AwaitCatalog(ctx, revision, followedWait)
+		reading, err := reader.AwaitCatalog(ctx, p.revision, followedWait)
 		if err != nil {
-			return reading, f.readerFailed(ctx, "config", err)
+			return reading, f.readerFailed(ctx, "config", reader, err)
 		}
 		return reading, nil
 	}
+	if p.whole {
+		return f.source.ReadCatalog(ctx)
+	}
 	wait := catalogWait
-	if f.readers.Followed() {
+	switch {
+	case f.readers.Overdue():
+		wait = 0
+	case f.readers.Followed():
 		wait = followedWait
 	}
-	return f.source.AwaitCatalog(ctx, revision, wait)
+	return f.source.AwaitCatalog(ctx, p.revision, wait)
 }
 
 // take passes a reading on. A configuration that cannot be read proves nothing
@@ -144,16 +152,3 @@
 	f.followers.SetConfig(reading.Raw, reading.Revision, confirmed)
 	f.tell(c, reading.Raw, confirmed)
 }
-
-// noteLost logs the first failed call of an outage.
-func noteLost(ctx context.Context, log *zap.Logger, outage *Outage, table string, err error) {
-	if ctx.Err() == nil && outage.Lost() {
-		log.Warn("store_lost", zap.String("table", table), logging.Err(err))
-	}
-}
-
-func noteBack(log *zap.Logger, outage *Outage, now clock.Millis, table string) {
-	if outage.Back(now) {
-		log.Info("store_back", zap.String("table", table))
-	}
-}
--- a/follow/doc.go
+++ b/follow/doc.go
@@ -5,7 +5,9 @@
 // on, so the store is asked about once in the time of a wait and tells of a
 // change at once. What is known is passed on as messages. Where another node of
 // the data centre reads the store (package reading), its word is awaited
-// instead, and the store is read as soon as that node fails.
+// instead. When that node fails the next one is followed, and only where there is
+// none the nodes try the store themselves, one after the other: every call to it
+// costs, and hundreds of nodes lose their reader, or the store, at the same moment.
 package follow
 
 import (
@@ -36,6 +38,8 @@
 type FleetReading struct {
 	Changes  []fleet.Change
 	Revision uint64
+	// Whole tells that the changes are the whole list. What it lacks is gone.
+	Whole bool
 	// Unreadable holds an error for each entry that cannot be read.
 	Unreadable []error
 }
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +50,10 @@
 	learnt chan []fleet.Upstream
 	// shown is the list as it stands, for peers.
 	shown atomic.Pointer[[]fleet.Upstream]
+	// inDoubt tells that the store was lost since the list was last passed on, and
+	// partial that it may lack what has lapsed.
+	inDoubt bool
+	partial bool
 }
 
 // NewFleet returns a follower of the list.
@@ -59,40 +64,37 @@
 	}
 }
 
+// fleetProgress is how far a follower of the list has come.
+type fleetProgress struct {
+	revision uint64
+	// read says that something has been read, and whole that the whole is to be
+	// read next if the store is asked.
+	read  bool
+	whole bool
+}
+
 // Run follows until the context ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	var revision uint64
-	whole := true
+	p := fleetProgress{whole: true}
 	for ctx.Err() == nil {
-		reader := f.reader(whole)
-		reading, err := f.call(ctx, reader, whole, revision)
-		if errors.Is(err, ErrReadAnew) {
-			f.log.Info("fleet_history_gone", zap.Uint64("revision", revision))
-			whole = true
-			continue
-		}
-		if errors.Is(err, errReaderFailed) {
+		reader, waits := f.reader(p.read)
+		if waits {
+			f.takeLearnt()
+			clock.Pause(ctx, lookAgain)
 			continue
 		}
+		reading, err := f.call(ctx, reader, p)
 		if err != nil {
-			noteLost(ctx, f.log, f.outage, "fleet", err)
-			f.view.StoreLost()
-			f.followers.Suspend()
-			if f.reader(whole) != nil {
-				continue
-			}
-			whole = true
-			f.sitOut(ctx)
+			f.failed(ctx, &p, err)
 			continue
 		}
 		now := f.clock.Now()
-		if reader == nil {
-			noteBack(f.log, f.outage, now, "fleet")
-		}
+		f.back("fleet", reader)
 		// What another node tells has lapsed nowhere: it answers for no list that
 		// it is in doubt of.
-		f.take(now, reading, whole, reader == nil && f.outage.Lapsing(now))
-		whole, revision = false, reading.Revision
+		reading.Whole = reading.Whole || reader == nil && p.whole
+		f.take(now, reading, reader == nil && f.outage.Lapsing(now))
+		p = fleetProgress{revision: reading.Revision, read: true}
 		if len(reading.Changes) > 0 {
 			clock.Pause(ctx, f.gather(reader != nil))
 		}
@@ -100,31 +102,58 @@
 	return ctx.Err()
 }
 
-// sitOut waits until the store is back. The follower of the configuration
-// tries it; this one only looks whether it has succeeded, or tries itself after
-// a while in case only the list cannot be had.
-func (f *Fleet) sitOut(ctx context.Context) {
+// failed says how to go on after a call that failed.
+func (f *Fleet) failed(ctx context.Context, p *fleetProgress, err error) {
+	switch {
+	case errors.Is(err, ErrReadAnew):
+		f.log.Info("fleet_history_gone", zap.Uint64("revision", p.revision))
+		p.whole = true
+	case errors.Is(err, errReaderFailed):
+	default:
+		f.lost(ctx, "fleet", err)
+		f.view.StoreLost()
+		f.inDoubt = true
+		f.followers.Suspend()
+		p.whole = true
+		f.sitOut(ctx, p.read)
+	}
+}
+
+// sitOut waits until the store is back, or another node can be followed. The
+// follower of the configuration tries the store; this one only looks whether it has
+// succeeded, or tries itself after a while in case only the list cannot be had.
+func (f *Fleet) sitOut(ctx context.Context, read bool) {
 	until := f.clock.Now().Add(longestSitOut)
-	clock.Pause(ctx, firstRetry)
-	for ctx.Err() == nil && f.outage.Away() && f.clock.Now() < until {
+	for ctx.Err() == nil {
+		if reader, _ := f.reader(read); reader != nil {
+			return
+		}
 		f.takeLearnt()
 		clock.Pause(ctx, firstRetry)
+		if !f.outage.Away() || f.clock.Now() >= until {
+			return
+		}
 	}
 }
 
 // call reads the whole list, or awaits what changes after a revision, from
-// another node if there is one to follow.
-func (f *Fleet) call(ctx context.Context, reader Reader, whole bool, revision uint64) (FleetReading, error) {
-	if whole {
+// another node if there is one to follow. A list that is in doubt is asked for
+// whole there too: what this node misses, that one may never have missed.
+func (f *Fleet) call(ctx context.Context, reader Reader, p fleetProgress) (FleetReading, error) {
+	if reader == nil && p.whole {
 		return f.source.ReadUpstreams(ctx)
 	}
 	wait := f.wait(reader != nil)
 	if reader == nil {
-		return f.source.AwaitUpstreams(ctx, revision, wait)
+		return f.source.AwaitUpstreams(ctx, p.revision, wait)
+	}
+	after := p.revision
+	if f.view.Waiting() {
+		after = 0
 	}
-	reading, err := reader.AwaitUpstreams(ctx, revision, wait)
+	reading, err := reader.AwaitUpstreams(ctx, after, wait)
 	if err != nil {
-		return reading, f.readerFailed(ctx, "fleet", err)
+		return reading, f.readerFailed(ctx, "fleet", reader, err)
 	}
 	return reading, nil
 }
@@ -157,23 +186,55 @@
 
 // take passes a reading on. Lapsing tells that entries may be missing although
 // their upstreams live.
-func (f *Fleet) take(now clock.Millis, reading FleetReading, whole, lapsing bool) {
+func (f *Fleet) take(now clock.Millis, reading FleetReading, lapsing bool) {
 	for _, err := range reading.Unreadable {
 		f.log.Warn("entry_unreadable", logging.Err(err))
 	}
 	f.view.StoreBack(now)
+	if f.view.Len() == 0 && lapsing {
+		// A node that has started in an outage cannot know what has lapsed in it.
+		f.partial = true
+	}
 	var changes []fleet.Change
-	if whole {
+	if reading.Whole {
 		changes = f.view.Replace(now, upstreamsIn(reading.Changes), lapsing)
 	} else {
 		changes = f.view.Apply(now, reading.Changes, lapsing)
 	}
-	if f.outage.Lapsing(now) || f.view.Waiting() {
+	expired := f.view.Expire(now)
+	f.show(reading, slices.Concat(changes, expired), lapsing)
+	f.pass(append(changes, expired...), reading.Revision)
+}
+
+// show passes a reading on to the nodes that follow this one, as it has changed the
+// view. Entries that may come back stand in it until their time is over.
+func (f *Fleet) show(reading FleetReading, changes []fleet.Change, lapsing bool) {
+	anew := reading.Whole || f.inDoubt || f.partial
+	f.partial = f.partial && lapsing
+	switch {
+	case f.partial:
 		f.followers.Suspend()
-	} else {
+	case anew:
+		f.followers.SetFleet(reading.Revision, f.list())
+		f.inDoubt = false
+	default:
+		// One that follows may know of an entry that has come and gone before this
+		// node has seen it.
+		for _, c := range reading.Changes {
+			if c.Gone && !f.view.Holds(c.ID) {
+				changes = append(changes, c)
+			}
+		}
 		f.followers.AddFleet(reading.Revision, changes)
 	}
-	f.pass(append(changes, f.view.Expire(now)...), reading.Revision)
+}
+
+func (f *Fleet) list() []fleet.Upstream {
+	list := make([]fleet.Upstream, 0, f.view.Len())
+	for _, u := range f.view.All() {
+		list = append(list, *u)
+	}
+	return list
 }
 
 // pass tells changes, and keeps the list for peers.
@@ -181,10 +242,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	list := make([]fleet.Upstream, 0, f.view.Len())
-	for _, u := range f.view.All() {
-		list = append(list, *u)
-	}
+	list := f.list()
 	f.shown.Store(&list)
 	f.logChanges(revision, changes)
 	f.tell(changes)
--- a/follow/outage.go
+++ b/follow/outage.go
@@ -12,19 +12,36 @@
 type Outage struct {
 	mu    sync.Mutex
 	away  bool
+	since clock.Millis
 	ended clock.Millis
 	ever  bool
 }
 
 // Lost notes a call without an answer, and returns whether that is news.
-func (o *Outage) Lost() bool {
+func (o *Outage) Lost(now clock.Millis) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	news := !o.away
-	o.away, o.ever = true, true
+	o.away, o.ever, o.since = true, true, now
 	return news
 }
 
+// forgottenAfter is after how long a node that has lost the store, and follows
+// another one since, may try it again when its turn comes.
+const forgottenAfter clock.Millis = 30_000
+
+// Told notes an answer of another node, and returns whether the outage is so long
+// ago that it no longer counts.
+func (o *Outage) Told(now clock.Millis) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.away || now < o.since.Add(forgottenAfter) {
+		return false
+	}
+	o.away, o.ended = false, now
+	return true
+}
+
 // Back notes an answer, and returns whether that is news.
 func (o *Outage) Back(now clock.Millis) bool {
 	o.mu.Lock()
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -23,17 +24,27 @@
 
 // Readers says which node reads the store for this one.
 type Readers interface {
-	// Reader returns that node; nil where this one reads the store itself.
+	// Reader returns that node; nil where there is none.
 	Reader() Reader
-	// Failed notes that following it did not work.
-	Failed()
+	// Failed notes that following a node did not work.
+	Failed(r Reader)
 	// Followed tells whether other nodes follow this one.
 	Followed() bool
+	// Overdue tells whether they wait for a proof that this node does not have.
+	Overdue() bool
+	// Waits tells whether this node, which has nobody to follow, is to leave the
+	// store to others for now.
+	Waits() bool
+	// StoreLost notes that this node has tried the store in vain, and StoreBack that
+	// it has it.
+	StoreLost()
+	StoreBack()
 }
 
 // Followers is where what has been read goes for the nodes that follow this one.
 type Followers interface {
 	SetConfig(raw []byte, revision uint64, confirmed clock.Millis)
+	SetFleet(revision uint64, list []fleet.Upstream)
 	AddFleet(revision uint64, changes []fleet.Change)
 	// Suspend notes that the list cannot be passed on for now.
 	Suspend()
@@ -43,9 +54,14 @@
 type noReaders struct{}
 
 func (noReaders) Reader() Reader                         { return nil }
-func (noReaders) Failed()                                {}
+func (noReaders) Failed(Reader)                          {}
 func (noReaders) Followed() bool                         { return false }
+func (noReaders) Overdue() bool                          { return false }
+func (noReaders) Waits() bool                            { return false }
+func (noReaders) StoreLost()                             {}
+func (noReaders) StoreBack()                             {}
 func (noReaders) SetConfig([]byte, uint64, clock.Millis) {}
+func (noReaders) SetFleet(uint64, []fleet.Upstream)      {}
 func (noReaders) AddFleet(uint64, []fleet.Change)        {}
 func (noReaders) Suspend()                               {}
 
@@ -75,21 +91,54 @@
 	return s
 }
 
-// reader returns the node to follow; nil where the whole is to be read, which
-// only the store tells, and right after the store's return, when each node reads
-// it itself. While this node alone has lost the store it follows another.
-func (s *shared) reader(whole bool) Reader {
-	if whole || !s.outage.Away() && s.outage.Lapsing(s.clock.Now()) {
-		return nil
+// lookAgain is how often a node that leaves the store to others looks whether one
+// of them can be followed.
+const lookAgain = 100 * time.Millisecond
+
+// reader returns the node to follow, nil for the store. Waits tells that the store
+// is to be left to others for now. A node that has read nothing yet asks the store
+// at once: it may have to serve in a moment.
+func (s *shared) reader(read bool) (reader Reader, waits bool) {
+	if !read {
+		return nil, false
 	}
-	return s.readers.Reader()
+	reader = s.readers.Reader()
+	return reader, reader == nil && s.readers.Waits()
 }
 
 // readerFailed notes that following another node did not work.
-func (s *shared) readerFailed(ctx context.Context, table string, err error) error {
-	s.readers.Failed()
+func (s *shared) readerFailed(ctx context.Context, table string, reader Reader, err error) error {
+	s.readers.Failed(reader)
 	if ctx.Err() == nil {
 		s.log.Info("reader_failed", zap.String("table", table), logging.Err(err))
 	}
 	return errors.Mark(err, errReaderFailed)
 }
+
+// lost notes a call to the store that failed, and logs the first of an outage.
+func (s *shared) lost(ctx context.Context, table string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	s.readers.StoreLost()
+	if s.outage.Lost(s.clock.Now()) {
+		s.log.Warn("store_lost", zap.String("table", table), logging.Err(err))
+	}
+}
+
+// back notes a call that was answered, by the store or by the node that is
+// followed, and logs the end of an outage.
+func (s *shared) back(table string, reader Reader) {
+	now := s.clock.Now()
+	if reader != nil {
+		if s.outage.Told(now) {
+			s.readers.StoreBack()
+			s.log.Info("store_lost_long_ago", zap.String("table", table))
+		}
+		return
+	}
+	if s.outage.Back(now) {
+		s.readers.StoreBack()
+		s.log.Info("store_back", zap.String("table", table))
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,7 @@
 	known    *known
 	roster   *reading.Roster
 	shared   *reading.Log
+	outage   *follow.Outage
 	store    *platform.Store
 	engines  *platform.Engines
 	life     context.Context
@@ -97,13 +98,14 @@
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced)
 	n.roster = reading.NewRoster(s.Name, n.clock.Now())
 	n.shared = reading.NewLog(n.clock, vouchFor)
-	outage := &follow.Outage{}
+	n.outage = &follow.Outage{}
 	peerTransport := platform.NewPeerTransport()
 	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
-	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, outage, n.setCatalog, share)
-	n.fleets = follow.NewFleet(n.store, n.clock, n.log, outage, n.setFleet, share)
+	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, n.setCatalog, share)
+	n.fleets = follow.NewFleet(n.store, n.clock, n.log, n.outage, n.setFleet, share)
 	n.known = &known{node: n, confirmed: clock.Never}
-	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, peerTransport, hash(s.Name))
+	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, peerTransport, hash(s.Name),
+		peering.WithFirstStart(s.FirstStart))
 	return n, nil
 }
 
--- a/node/readers.go
+++ b/node/readers.go
@@ -13,9 +13,9 @@
 )
 
 // followableWithin is how old the proof may be that the configuration is the
-// newest for others to follow this node: twice the wait of a node that is not
-// followed yet, and a margin.
-const followableWithin clock.Millis = 4000
+// newest for others to follow this node. That of a node that reads for others gets
+// 1.2 s old, and a little more where the store is slow.
+const followableWithin clock.Millis = 2000
 
 // readers says which node reads the store for this one. It implements
 // follow.Readers and is safe for concurrent use.
@@ -27,7 +27,13 @@
 	// at is the address of the node that is followed, empty for none, and source
 	// follows it.
 	at     string
-	source *reading.Source
+	source *namedSource
+}
+
+// namedSource follows a node of a name.
+type namedSource struct {
+	*reading.Source
+	name string
 }
 
 // Reader implements follow.Readers.
@@ -36,7 +42,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if m.GetAddress() != r.at {
-		r.at, r.source = m.GetAddress(), reading.NewSource(r.client, m.GetAddress())
+		r.at = m.GetAddress()
+		r.source = &namedSource{Source: reading.NewSource(r.client, m.GetAddress()), name: m.GetName()}
 		r.node.log.Info("reader", zap.String("follows", m.GetName()), zap.String("address", r.at))
 	}
 	if m == nil {
@@ -47,7 +54,25 @@
 }
 
 // Failed implements follow.Readers.
-func (r *readers) Failed() { r.node.roster.Failed(r.node.clock.Now()) }
+func (r *readers) Failed(reader follow.Reader) {
+	if source, ok := reader.(*namedSource); ok {
+		r.node.roster.Failed(r.node.clock.Now(), source.name)
+	}
+}
+
+// Overdue implements follow.Readers.
+func (r *readers) Overdue() bool { return r.node.shared.Overdue() }
+
+// Waits implements follow.Readers.
+func (r *readers) Waits() bool {
+	return r.node.roster.Waits(r.node.clock.Now(), r.node.shared.Followed())
+}
+
+// StoreLost implements follow.Readers.
+func (r *readers) StoreLost() { r.node.roster.StoreLost(r.node.clock.Now()) }
+
+// StoreBack implements follow.Readers.
+func (r *readers) StoreBack() { r.node.roster.StoreBack() }
 
 // Followed implements follow.Readers. A node whose turn it is to read for others
 // is ready before they ask.
@@ -59,7 +84,7 @@
 // store.
 func (n *Node) followable() bool {
 	_, version, confirmed := n.known.Config()
-	return !n.relay.Stopping() && version != 0 && n.clock.Now().Sub(confirmed) <= followableWithin
+	return !n.relay.Stopping() && !n.outage.Away() && version != 0 && n.clock.Now().Sub(confirmed) <= followableWithin
 }
 
 // readingGroup returns the nodes of which one reads the store for all: those of the
--- a/node/settings.go
+++ b/node/settings.go
@@ -11,6 +11,8 @@
 type Settings struct {
 	Name       string
 	DataCentre string
+	// FirstStart tells that the whole system starts for the first time.
+	FirstStart bool
 	LogLevel   string
 	// GraceSeconds is how long a planned stop may take.
 	GraceSeconds float64
@@ -50,6 +52,7 @@
 	set := settings.NewSet()
 	set.String("node", "name", &s.Name, settings.Required())
 	set.String("node", "data_centre", &s.DataCentre, settings.Required())
+	set.Bool("node", "first_start", &s.FirstStart, settings.WithDefault("false"))
 	set.Float("node", "grace_s", &s.GraceSeconds, 0, largestNumber, settings.WithDefault("8"))
 	set.Int("node", "cores", &s.Cores, 1, largestNumber, settings.WithDefault("1"))
 	set.Int("node", "memory_mb", &s.MemoryMB, 1, largestNumber, settings.WithDefault("256"))
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -4,10 +4,12 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/logging"
@@ -49,6 +51,10 @@
 	// registered.
 	registerAgain = time.Second
 	membersSoon   = 2500 * time.Millisecond
+	// registerSpread is the time over which the nodes of a system that starts for
+	// the first time register: the store takes 200 writes a second to one table,
+	// and refuses what would wait for over a second.
+	registerSpread clock.Millis = 1500
 )
 
 // Peering asks and answers peers.
@@ -61,6 +67,10 @@
 	directory *directory
 	random    *rand.Rand
 	http      *http.Client
+	// firstStart tells that the whole system starts for the first time, and
+	// registerAfter is this node's part of registerSpread.
+	firstStart    bool
+	registerAfter clock.Millis
 	// Of the rounds of questions; only the loop of Run uses them.
 	nextLook clock.Millis
 	pause    clock.Millis
@@ -69,36 +79,40 @@
 	listAsked clock.Millis
 }
 
+// Option sets up a Peering.
+type Option func(*Peering)
+
+// WithFirstStart sets whether the whole system starts for the first time, so that
+// nobody can be registered yet.
+func WithFirstStart(first bool) Option { return func(p *Peering) { p.firstStart = first } }
+
 // New returns a node's peering. Seeds are addresses where peers may be.
 func New(self *wire.Member, seeds []string, registry Registry, knowledge Knowledge, learner Learner,
-	c *clock.Clock, log *zap.Logger, transport http.RoundTripper, seed uint64,
+	c *clock.Clock, log *zap.Logger, transport http.RoundTripper, seed uint64, opts ...Option,
 ) *Peering {
-	return &Peering{
+	p := &Peering{
 		clock: c, log: log, registry: registry, knowledge: knowledge, learner: learner,
 		directory: newDirectory(self, seeds), random: rand.New(rand.NewPCG(seed, seed)), best: clock.Never,
-		http: &http.Client{Transport: transport, Timeout: askTimeout},
+		http:          &http.Client{Transport: transport, Timeout: askTimeout},
+		registerAfter: clock.Millis(seed % uint64(registerSpread)),
 	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Register leaves the node's address at the registry, and reads those of
 // others from time to time.
 func (p *Peering) Register(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := p.registry.Register(ctx, p.directory.self)
-		if err == nil {
-			break
-		}
-		p.log.Info("not_registered", logging.Err(err))
-		clock.Pause(ctx, registerAgain)
+	if !p.stillRegistered(ctx) {
+		p.registerAnew(ctx)
 	}
-	clock.Pause(ctx, membersSoon)
 	for reads := 1; ctx.Err() == nil; reads++ {
-		if err := p.readRegistry(ctx); err != nil {
+		clock.Pause(ctx, membersEvery)
+		if _, err := p.readRegistry(ctx); err != nil {
 			p.log.Info("members_not_read", logging.Err(err))
-			clock.Pause(ctx, registerAgain)
-			continue
 		}
-		clock.Pause(ctx, membersEvery)
 		if reads%renewReads != 0 {
 			continue
 		}
@@ -109,27 +123,65 @@
 	return ctx.Err()
 }
 
+// stillRegistered reads the registry, and tells whether this node is registered
+// since an earlier life: then so are the others.
+func (p *Peering) stillRegistered(ctx context.Context) bool {
+	if p.firstStart {
+		clock.Pause(ctx, p.registerAfter.Duration())
+		return false
+	}
+	registered, err := p.readRegistry(ctx)
+	if err != nil {
+		p.log.Info("members_not_read", logging.Err(err))
+	}
+	return registered
+}
+
+// registerAnew registers the node and, when those that start with it have
+// registered too, reads the registry.
+func (p *Peering) registerAnew(ctx context.Context) {
+	p.until(ctx, "not_registered", func() error { return p.registry.Register(ctx, p.directory.self) })
+	clock.Pause(ctx, membersSoon)
+	p.until(ctx, "members_not_read", func() error {
+		_, err := p.readRegistry(ctx)
+		return err
+	})
+}
+
+// until tries a call until it succeeds or the context ends.
+func (p *Peering) until(ctx context.Context, event string, call func() error) {
+	for ctx.Err() == nil {
+		err := call()
+		if err == nil {
+			return
+		}
+		p.log.Info(event, logging.Err(err))
+		clock.Pause(ctx, registerAgain)
+	}
+}
+
 // readRegistry reads all registrations, and removes those of nodes that have not
 // renewed theirs for long. Several nodes may do so at once; each removes only
-// what has not changed since.
-func (p *Peering) readRegistry(ctx context.Context) error {
+// what has not changed since. It tells whether this node is registered.
+func (p *Peering) readRegistry(ctx context.Context) (registered bool, err error) {
 	list, unreadable, err := p.registry.Registrations(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 	for _, err := range unreadable {
 		p.log.Warn("member_unreadable", logging.Err(err))
 	}
+	registered = slices.ContainsFunc(list, func(r Registration) bool { return proto.Equal(r.Member, p.directory.self) })
 	news, expired := p.directory.registered(p.clock.Now(), list)
 	if news {
 		p.tellMembers()
 	}
 	if len(expired) == 0 {
-		return nil
+		return registered, nil
 	}
 	err = p.registry.Remove(ctx, expired)
 	p.log.Info("members_expired", zap.Int("count", len(expired)), zap.String("first", expired[0].Member.GetName()), logging.Err(err))
-	return nil
+	return registered, nil
 }
 
 // Heard notes a node that has told something.
--- a/reading/log.go
+++ b/reading/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,9 +19,6 @@
 	// ErrCannotVouch means that a node does not know well enough whether it
 	// knows the newest.
 	ErrCannotVouch = errors.New("reading: cannot vouch for what it knows")
-	// ErrTooFarBack means that a node no longer knows what has changed since a
-	// revision.
-	ErrTooFarBack = errors.New("reading: the changes since then are not known any more")
 )
 
 const (
@@ -30,6 +29,10 @@
 	// followedFor is for how long a node counts as followed after a question:
 	// several waits of its followers.
 	followedFor clock.Millis = 5000
+	// vouchSoon is for how long a node that is asked for the first time lets the
+	// question wait until it can vouch: it may learn only now that it reads for
+	// others (claimAfter), and its first call to the store then takes 0.6 s.
+	vouchSoon clock.Millis = 1000
 )
 
 // batch is what one answer of the store has changed in the list.
@@ -54,19 +57,25 @@
 	revision  uint64
 	config    []byte
 	configAt  uint64
-	// The list is known from floor on, up to fleetRevision; listed tells whether
-	// it is known at all.
+	// The list stands in upstreams as of fleetRevision, and its changes are known
+	// from floor on; listed tells whether it is known at all.
 	listed        bool
+	upstreams     map[string]fleet.Upstream
 	floor         uint64
 	fleetRevision uint64
 	batches       []batch
-	// asked is when another node last asked.
-	asked clock.Millis
+	// asked is when another node last asked, and followedSince when the first did
+	// after a time in which none had.
+	asked         clock.Millis
+	followedSince clock.Millis
 }
 
 // NewLog returns an empty log, which vouches for what it knows for a time.
 func NewLog(c *clock.Clock, vouchFor clock.Millis) *Log {
-	return &Log{clock: c, vouchFor: vouchFor, changed: make(chan struct{}), confirmed: clock.Never, asked: clock.Never}
+	return &Log{
+		clock: c, vouchFor: vouchFor, changed: make(chan struct{}), confirmed: clock.Never,
+		asked: clock.Never, followedSince: clock.Never, upstreams: make(map[string]fleet.Upstream),
+	}
 }
 
 // SetConfig notes that as of a time a revision is the store's newest. Raw is the
@@ -74,7 +83,10 @@
 func (l *Log) SetConfig(raw []byte, revision uint64, confirmed clock.Millis) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.confirmed = max(l.confirmed, confirmed)
+	if confirmed > l.confirmed {
+		l.confirmed = confirmed
+		l.wake()
+	}
 	l.revision = max(l.revision, revision)
 	if len(raw) == 0 || revision < l.configAt {
 		return
@@ -83,19 +95,38 @@
 	l.wake()
 }
 
-// AddFleet notes changes of the list up to a revision.
+// SetFleet notes the whole list as of a revision. What has led to it is not known.
+func (l *Log) SetFleet(revision uint64, list []fleet.Upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.upstreams)
+	for _, u := range list {
+		l.upstreams[u.ID] = u
+	}
+	l.listed, l.floor, l.fleetRevision = true, revision, revision
+	l.batches = nil
+	l.wake()
+}
+
+// AddFleet notes changes of the list up to a revision. They count only while the
+// list is known.
 func (l *Log) AddFleet(revision uint64, changes []fleet.Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.listed {
-		l.listed, l.floor, l.fleetRevision = true, revision, revision
-		l.batches = nil
 		return
 	}
 	l.fleetRevision = max(l.fleetRevision, revision)
 	if len(changes) == 0 {
 		return
 	}
+	for _, c := range changes {
+		if c.Gone {
+			delete(l.upstreams, c.ID)
+		} else {
+			l.upstreams[c.ID] = c.Upstream
+		}
+	}
 	l.batches = append(l.batches, batch{revision: revision, changes: changes})
 	if len(l.batches) > keptBatches {
 		l.floor = l.batches[0].revision
@@ -128,33 +159,51 @@
 	return l.clock.Now() < l.asked.Add(followedFor)
 }
 
+// Overdue tells whether other nodes wait for a proof that this one does not have.
+func (l *Log) Overdue() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	return now < l.asked.Add(followedFor) && !l.vouches(now)
+}
+
 // AwaitConfig returns the configuration if it is newer than a revision, as soon
-// as it is, or none when the wait is over. The age of the proof counts from the
-// question, and is negative for one that came meanwhile: who asked knows when.
+// as it is, or none when the wait is over or there is a newer proof that it is the
+// newest: who asks knows it to be as fresh as this node does. The age of the proof
+// counts from the question, and is negative for one that came meanwhile.
 func (l *Log) AwaitConfig(ctx context.Context, after uint64, wait clock.Millis) (follow.CatalogReading, error) {
 	var reading follow.CatalogReading
-	asked := l.clock.Now()
-	err := l.await(ctx, wait, func(clock.Millis) (bool, error) {
+	asked, known := l.clock.Now(), l.proof()
+	err := l.await(ctx, wait, func() (bool, error) {
 		reading = follow.CatalogReading{Revision: max(l.revision, after), Age: asked.Sub(l.confirmed)}
 		if l.configAt > after {
 			reading.Raw = l.config
 		}
-		return len(reading.Raw) > 0, nil
+		return len(reading.Raw) > 0 || l.confirmed > known, nil
 	})
 	return reading, err
 }
 
+// proof is when the configuration was known to be the newest.
+func (l *Log) proof() clock.Millis {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.confirmed
+}
+
 // AwaitFleet returns the changes of the list after a revision, as soon as there
-// are some, or none when the wait is over.
+// are some, or none when the wait is over. Where they are not known it returns the
+// whole list.
 func (l *Log) AwaitFleet(ctx context.Context, after uint64, wait clock.Millis) (follow.FleetReading, error) {
 	var reading follow.FleetReading
-	err := l.await(ctx, wait, func(clock.Millis) (bool, error) {
+	err := l.await(ctx, wait, func() (bool, error) {
 		reading = follow.FleetReading{Revision: max(l.fleetRevision, after)}
 		switch {
 		case !l.listed:
 			return false, ErrCannotVouch
 		case after < l.floor:
-			return false, ErrTooFarBack
+			reading.Whole, reading.Changes = true, l.whole()
+			return true, nil
 		}
 		for _, b := range l.batches {
 			if b.revision > after {
@@ -166,38 +215,76 @@
 	return reading, err
 }
 
+// whole returns the list as changes from nothing. The caller holds the lock.
+func (l *Log) whole() []fleet.Change {
+	list := make([]fleet.Change, 0, len(l.upstreams))
+	for _, id := range slices.Sorted(maps.Keys(l.upstreams)) {
+		list = append(list, fleet.Change{ID: id, Upstream: l.upstreams[id]})
+	}
+	return list
+}
+
+// vouches tells whether the proof is recent enough. The caller holds the lock.
+func (l *Log) vouches(now clock.Millis) bool { return now <= l.confirmed.Add(l.vouchFor) }
+
+// glance is what one look at the log has shown.
+type glance struct {
+	at clock.Millis
+	// found tells that there is something new, and vouched that the log can vouch.
+	found, vouched bool
+	// next is when to look again if changed is not closed before.
+	next    clock.Millis
+	changed <-chan struct{}
+}
+
 // await looks, under the lock, until there is something new or the wait is over.
 // It fails as soon as the log cannot vouch any more.
-func (l *Log) await(ctx context.Context, wait clock.Millis, look func(now clock.Millis) (bool, error)) error {
+func (l *Log) await(ctx context.Context, wait clock.Millis, look func() (bool, error)) error {
 	until := l.clock.Now().Add(wait)
 	for {
-		now, vouched, changed, found, err := l.look(look)
-		if err != nil || found || now >= until {
+		g, err := l.look(look)
+		switch {
+		case err != nil || g.found:
 			return err
+		case g.at >= until && g.vouched:
+			return nil
+		}
+		next := g.next
+		if g.vouched {
+			next = min(until, next)
 		}
 		// One more, since the clock rounds down.
-		timer := time.NewTimer((min(until, vouched).Sub(now) + 1).Duration())
+		timer := time.NewTimer((next.Sub(g.at) + 1).Duration())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return ctx.Err()
-		case <-changed:
+		case <-g.changed:
 		case <-timer.C:
 		}
 		timer.Stop()
 	}
 }
 
-// look is one look of await. Vouched is until when the log can vouch.
-func (l *Log) look(look func(now clock.Millis) (bool, error)) (now, vouched clock.Millis, changed <-chan struct{}, found bool, err error) {
+// look looks once. On a first question the log may become able to vouch; later it
+// fails where it is not.
+func (l *Log) look(look func() (bool, error)) (glance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now = l.clock.Now()
-	l.asked = now
-	vouched = l.confirmed.Add(l.vouchFor)
-	if now > vouched {
-		return now, vouched, nil, false, ErrCannotVouch
+	g := glance{at: l.clock.Now(), changed: l.changed}
+	if g.at >= l.asked.Add(followedFor) {
+		l.followedSince = g.at
+	}
+	l.asked = g.at
+	if !l.vouches(g.at) {
+		g.next = l.followedSince.Add(vouchSoon)
+		if g.at > g.next {
+			return g, ErrCannotVouch
+		}
+		return g, nil
 	}
-	found, err = look(now)
-	return now, vouched, l.changed, found, err
+	g.vouched, g.next = true, l.confirmed.Add(l.vouchFor)
+	var err error
+	g.found, err = look()
+	return g, err
 }
--- a/reading/roster.go
+++ b/reading/roster.go
@@ -14,30 +14,75 @@
 	// FewestNodes is how many nodes must be there for one to read for the others.
 	// With fewer it saves next to nothing.
 	FewestNodes = 5
-	// settle is for how long a node reads the store itself after its reader has
-	// failed it, and after its own start.
+	// settle is for how long a node does not follow another one that has failed
+	// it, and how long it leaves the store alone after its start until it has
+	// heard of others. What it has read at its start counts for 4.3 s.
 	settle clock.Millis = 2500
+	// claimAfter is how long a node that has begun to hear enough others waits
+	// before it takes itself for their first: each tells of itself every 0.3 s.
+	claimAfter clock.Millis = 350
+	// mostRefused is how many readers may fail a node in the time of settle. It
+	// then follows nobody, and tries the store when its turn comes: either the store
+	// is away for all, or the node is cut off from others.
+	mostRefused = 2
 )
 
+// When nobody can be followed the store is away for some nodes or for all. The
+// first nodes by name find out which, and each call to it costs.
+const (
+	// firstToTry is how many nodes try the store one after the other, turnEvery
+	// apart. A third of the nodes may be turned away while the others are served;
+	// that all of the first four are happens in one case of seventy.
+	firstToTry              = 4
+	turnEvery  clock.Millis = 250
+	// restAfter is when the rest try it, lastEvery apart, up to longestTurn. A
+	// proof of freshness is 2 s old at the most when its reader is lost, and
+	// counts for 4.3 s.
+	restAfter   clock.Millis = 2000
+	lastEvery   clock.Millis = 100
+	longestTurn clock.Millis = 6000
+	// restPause is for how long one of the rest leaves the store alone after it
+	// has tried in vain.
+	restPause clock.Millis = 3000
+)
+
+// hearing is what another node has said last of itself.
+type hearing struct {
+	at         clock.Millis
+	followable bool
+}
+
 // Roster knows the nodes of a group, most often those of a data centre, and which
 // of them reads the store for the others. It is safe for concurrent use; times are
 // handed in.
 type Roster struct {
 	self string
-	mu   sync.Mutex
-	// group holds the other nodes by name, and heard when each last said that it
-	// may be followed.
+
+	mu sync.Mutex
+	// group holds the other nodes by name, and heard what each has said last.
 	group map[string]*wire.Member
-	heard map[string]clock.Millis
-	// alone is until when the node reads the store itself.
-	alone clock.Millis
+	heard map[string]hearing
+	// refused is until when a node is not followed that has failed this one.
+	refused map[string]clock.Millis
+	started clock.Millis
+	// grouped is since when enough others have been heard, clock.Never while they
+	// have not.
+	grouped clock.Millis
+	// away tells that this node has lost the store.
+	away bool
+	// unledSince is since when there has been nobody to follow, clock.Never
+	// while there is.
+	unledSince clock.Millis
+	// restUntil is until when this node leaves the store to others.
+	restUntil clock.Millis
 }
 
 // NewRoster returns a node's roster as of a time.
 func NewRoster(self string, now clock.Millis) *Roster {
 	return &Roster{
-		self: self, group: make(map[string]*wire.Member), heard: make(map[string]clock.Millis),
-		alone: now.Add(settle),
+		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing),
+		refused: make(map[string]clock.Millis), started: now,
+		grouped: clock.Never, unledSince: clock.Never,
 	}
 }
 
@@ -55,55 +100,142 @@
 func (r *Roster) Heard(now clock.Millis, name string, followable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if followable {
-		r.heard[name] = now
-		return
+	r.heard[name] = hearing{at: now, followable: followable}
+}
+
+// Failed notes that following a node did not work.
+func (r *Roster) Failed(now clock.Millis, name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused[name] = now.Add(settle)
+}
+
+// StoreLost notes that this node has tried the store in vain.
+func (r *Roster) StoreLost(now clock.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = true
+	if r.view(now).before >= firstToTry {
+		r.restUntil = now.Add(restPause)
 	}
-	delete(r.heard, name)
 }
 
-// Failed notes that following another node did not work.
-func (r *Roster) Failed(now clock.Millis) {
+// StoreBack notes that this node has the store.
+func (r *Roster) StoreBack() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.alone = now.Add(settle)
+	r.away = false
 }
 
-// Reader returns the node that reads the store for this one; nil where this one
-// reads it itself.
+// Reader returns the node that reads the store for this one; nil where there is
+// none.
 func (r *Roster) Reader(now clock.Millis) *wire.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now < r.alone {
+	v := r.view(now)
+	if r.alone(v) {
 		return nil
 	}
-	return r.group[r.first(now)]
+	return r.group[v.first]
 }
 
 // Reads tells whether this node reads the store for the others.
 func (r *Roster) Reads(now clock.Millis) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.first(now) == r.self
+	v := r.view(now)
+	return !r.alone(v) && v.first == r.self && now >= r.turn(v)
+}
+
+// Waits tells whether this node, which has nobody to follow, is to leave the
+// store to others for now. Asked tells that others already follow it.
+func (r *Roster) Waits(now clock.Millis, asked bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := r.view(now)
+	switch {
+	case r.alone(v):
+		return now < r.started.Add(settle)
+	case v.first == r.self && asked:
+		return false
+	case v.first == r.self || v.first == "":
+		return now < max(r.turn(v), r.restUntil)
+	default:
+		return false
+	}
+}
+
+// view is how the group stands.
+type view struct {
+	// nodes is how many there are, this one included.
+	nodes int
+	// first is the first by name that may be followed, empty for none. It is this
+	// node where it has not lost the store and no other comes before it.
+	first string
+	// before is how many of those that may not be followed come before this node by
+	// name.
+	before int
+	// refused is how many have failed this node lately.
+	refused int
 }
 
-// first returns the name of the node that reads for all; empty where each reads
-// for itself. The caller holds the lock.
-func (r *Roster) first(now clock.Millis) string {
-	first, nodes := r.self, 1
-	for name, at := range r.heard {
-		if now > at.Add(heardWithin) {
+// view looks at the group, and notes since when there has been nobody to follow.
+// The caller holds the lock.
+func (r *Roster) view(now clock.Millis) view {
+	v := view{nodes: 1}
+	if !r.away {
+		v.first = r.self
+	}
+	for name, h := range r.heard {
+		if now > h.at.Add(heardWithin) {
 			delete(r.heard, name)
 			continue
 		}
 		if r.group[name] == nil {
 			continue
 		}
-		nodes++
-		first = min(first, name)
+		v.nodes++
+		refused := now < r.refused[name]
+		switch {
+		case h.followable && !refused && (v.first == "" || name < v.first):
+			v.first = name
+		case (!h.followable || refused) && name < r.self:
+			v.before++
+		}
+		if refused {
+			v.refused++
+		}
 	}
-	if nodes < FewestNodes {
-		return ""
+	if v.refused >= mostRefused && !r.away {
+		v.first = r.self
+	}
+	switch {
+	case v.nodes < FewestNodes:
+		r.grouped = clock.Never
+	case r.grouped == clock.Never:
+		r.grouped = now
+	}
+	led := v.first != "" && v.first != r.self
+	switch {
+	case led:
+		r.unledSince = clock.Never
+	case r.unledSince == clock.Never:
+		r.unledSince = now
+	}
+	return v
+}
+
+// alone tells whether there are too few nodes for one to read for all.
+func (r *Roster) alone(v view) bool { return v.nodes < FewestNodes }
+
+// turn is from when on this node tries the store while there is nobody to follow.
+func (r *Roster) turn(v view) clock.Millis {
+	return max(r.turnByName(v), r.grouped.Add(claimAfter))
+}
+
+func (r *Roster) turnByName(v view) clock.Millis {
+	if v.before < firstToTry {
+		return r.unledSince.Add(clock.Millis(v.before) * turnEvery)
 	}
-	return first
+	return r.unledSince.Add(min(restAfter+clock.Millis(v.before)*lastEvery, longestTurn))
 }
--- a/reading/server.go
+++ b/reading/server.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, asConnect(err)
 	}
-	answer := &wire.AwaitFleetResponse{Revision: reading.Revision}
+	answer := &wire.AwaitFleetResponse{Revision: reading.Revision, Whole: reading.Whole}
 	for _, c := range reading.Changes {
 		answer.Changes = append(answer.Changes, listed(c))
 	}
@@ -55,8 +55,6 @@
 	switch {
 	case errors.Is(err, ErrCannotVouch):
 		return connect.NewError(connect.CodeUnavailable, err)
-	case errors.Is(err, ErrTooFarBack):
-		return connect.NewError(connect.CodeOutOfRange, err)
 	default:
 		return err
 	}
--- a/reading/source.go
+++ b/reading/source.go
@@ -16,9 +16,9 @@
 )
 
 // waitMargin is how much longer than asked another node may take to answer. It
-// stands in the same data centre and answers in a few ms; a busy one may be
-// throttled for 0.1 s.
-const waitMargin = 300 * time.Millisecond
+// stands in the same data centre and answers in a few ms, but one that does not yet
+// know that it reads for others may take a second in all (vouchSoon).
+const waitMargin = 500 * time.Millisecond
 
 // Source follows another node's log. It implements follow.Reader.
 type Source struct {
@@ -51,7 +51,7 @@
 	if err != nil {
 		return follow.FleetReading{}, errors.Wrap(err, "reading: list of upstreams")
 	}
-	reading := follow.FleetReading{Revision: resp.Msg.GetRevision()}
+	reading := follow.FleetReading{Revision: resp.Msg.GetRevision(), Whole: resp.Msg.GetWhole()}
 	for _, c := range resp.Msg.GetChanges() {
 		reading.Changes = append(reading.Changes, changeOf(c))
 	}
