Nodes without a reader take turns at the store instead of all asking it

Cause: calls to the store are the largest price on the large deployment. It read by itself for 2.5 s after its start, and again for 2.5 s after its reader had failed it, which the first question nearly always did: a reader that did not yet know that it was one could not vouch. When the store was lost, or a reader, all nodes asked at once, and around an outage all read whole lists themselves. Change: a node that has read once leaves the store to others until it has heard who reads. A reader that fails is passed over for the next by name; where nobody can be followed the first four by name try the store in turn, the rest two seconds later.

--- a/reading/doc.go
+++ b/reading/doc.go
@@ -8,7 +8,11 @@
 // read and answers the waits of others, and a Source follows another node's Log.
 //
 // Nobody depends on the reader: it answers only while its own proof that it
-// knows the newest is recent, and a node whose reader does not answer, or cannot
-// vouch, reads the store at once. Around an outage of the store all nodes read
-// it themselves.
+// knows the newest is recent. A node whose reader does not answer, or cannot
+// vouch, follows the next one by name, and after a second such failure none. Where
+// nobody can be followed the store is away for some nodes or for all; the first
+// four by name try it one after the other, the rest two seconds later, so that
+// hundreds of nodes do not ask at the same moment. Whoever has the store again is
+// followed at once. A node that has just started reads the store itself, since it
+// may have to serve in a moment, and then leaves it to others.
 package reading
