Lists told by peers grow old; a slow store is asked for shorter waits

Ruled out: the turns at the store themselves (no node refused for want of a proof). Change: the newest list that a peer has told counts, for a second. A node that others follow takes twice the slowness of the store off its wait.

--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -24,6 +24,10 @@
 	// (reading.Log) its followers notice that it has lost the store; a change
 	// must be in force within 2 s.
 	followedWait clock.Millis = 600
+	// slownessCounted is how many times the time that the store needs beside the wait
+	// is taken off the next wait of a node that others follow: once for that call and
+	// once for the one before, since a proof counts from its sending.
+	slownessCounted = 2
 	// firstRetry is the pause after a first call that failed; it doubles with
 	// each further one up to longestRetry. Every call costs, refused ones too,
 	// and all nodes lose the store together.
@@ -64,6 +68,10 @@
 	told bool
 	// failures counts the store's failed calls in a row.
 	failures int
+	// wait is how long the store may hold the next wait, and slowness the time that it
+	// took beside the wait when it was asked last.
+	wait     clock.Millis
+	slowness clock.Millis
 }
 
 // Run follows until the context ends.
@@ -76,13 +84,17 @@
 			continue
 		}
 		sent := f.clock.Now()
+		p.wait = f.wait(p.slowness)
 		reading, err := f.call(ctx, reader, p)
 		if err != nil {
 			f.failed(ctx, &p, err)
 			continue
 		}
 		f.back("config", reader)
-		p = catalogProgress{revision: reading.Revision, read: true, told: reader != nil}
+		p = catalogProgress{
+			revision: reading.Revision, read: true, told: reader != nil,
+			slowness: p.slownessAfter(reader, reading, f.clock.Now().Sub(sent)),
+		}
 		f.take(reading, sent.Sub(reading.Age))
 	}
 	return ctx.Err()
@@ -122,14 +134,29 @@
 	if p.whole {
 		return f.source.ReadCatalog(ctx)
 	}
-	wait := catalogWait
+	return f.source.AwaitCatalog(ctx, p.revision, p.wait)
+}
+
+// wait is how long the store may hold the next wait. Where it is slow it is asked for
+// less, so that what this node tells others is no older.
+func (f *Catalog) wait(slowness clock.Millis) clock.Millis {
 	switch {
 	case f.readers.Overdue():
-		wait = 0
+		return 0
 	case f.readers.Followed():
-		wait = followedWait
+		return max(followedWait-slownessCounted*slowness, 0)
+	default:
+		return catalogWait
+	}
+}
+
+// slownessAfter is the slowness that is known after a call. One that brought a change
+// ended before its time and tells nothing, nor does one to another node.
+func (p *catalogProgress) slownessAfter(reader Reader, reading CatalogReading, took clock.Millis) clock.Millis {
+	if reader != nil || p.whole || len(reading.Raw) > 0 {
+		return p.slowness
 	}
-	return f.source.AwaitCatalog(ctx, p.revision, wait)
+	return max(took-p.wait, 0)
 }
 
 // take passes a reading on. A configuration that cannot be read proves nothing
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -36,6 +36,9 @@
 	// start together, so do the servers.
 	gatherYoung              = 1500 * time.Millisecond
 	young       clock.Millis = 3000
+	// learntLasts is for how long a list counts that a peer has told. It is asked for
+	// again within 1.2 s while the store is away.
+	learntLasts clock.Millis = 1000
 	// expiryCheck is how often entries that lapsed are looked at, in ms.
 	expiryCheck clock.Millis = 500
 )
@@ -46,8 +49,8 @@
 	source FleetSource
 	view   *fleet.View
 	tell   func([]fleet.Change)
-	// learnt holds the newest list that a peer has told.
-	learnt chan []fleet.Upstream
+	// learnt is the newest list that a peer has told.
+	learnt atomic.Pointer[learntList]
 	// shown is the list as it stands, for peers.
 	shown atomic.Pointer[[]fleet.Upstream]
 	// inDoubt tells that the store was lost since the list was last passed on, and
@@ -60,10 +63,15 @@
 func NewFleet(source FleetSource, c *clock.Clock, log *zap.Logger, outage *Outage, tell func([]fleet.Change), opts ...Option) *Fleet {
 	return &Fleet{
 		shared: newShared(c, log, outage, opts), source: source, view: fleet.NewView(), tell: tell,
-		learnt: make(chan []fleet.Upstream, 1),
 	}
 }
 
+// learntList is a list that a peer has told at a time.
+type learntList struct {
+	upstreams []fleet.Upstream
+	at        clock.Millis
+}
+
 // fleetProgress is how far a follower of the list has come.
 type fleetProgress struct {
 	revision uint64
@@ -79,7 +87,7 @@
 	for ctx.Err() == nil {
 		reader, waits := f.reader(p.read)
 		if waits {
-			f.takeLearnt()
+			f.takeLearnt(f.clock.Now())
 			clock.Pause(ctx, lookAgain)
 			continue
 		}
@@ -128,7 +136,7 @@
 		if reader, _ := f.reader(read); reader != nil {
 			return
 		}
-		f.takeLearnt()
+		f.takeLearnt(f.clock.Now())
 		clock.Pause(ctx, firstRetry)
 		if !f.outage.Away() || f.clock.Now() >= until {
 			return
@@ -251,18 +259,14 @@
 // Learn takes a list from a peer. It counts only while this node has lost the
 // store itself.
 func (f *Fleet) Learn(list []fleet.Upstream) {
-	select {
-	case f.learnt <- list:
-	default:
-		// An older list is still waiting; the next answer brings a newer one.
-	}
+	f.learnt.Store(&learntList{upstreams: list, at: f.clock.Now()})
 }
 
-func (f *Fleet) takeLearnt() {
-	select {
-	case list := <-f.learnt:
-		f.pass(f.view.Learn(f.clock.Now(), list), 0)
-	default:
+// takeLearnt takes the list that a peer has told last, once, if it is recent: peers
+// also answer while this node has the store, and nobody takes their lists then.
+func (f *Fleet) takeLearnt(now clock.Millis) {
+	if l := f.learnt.Swap(nil); l != nil && now <= l.at.Add(learntLasts) {
+		f.pass(f.view.Learn(now, l.upstreams), 0)
 	}
 }
 
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -279,3 +279,67 @@
 		t.Errorf("got %d confirmations, want %d", got, want)
 	}
 }
+
+// A list that a peer has told counts only for a moment, and the newest counts: one
+// from the time of the node's start lacks what has registered since.
+func TestLearntListsGrowOld(t *testing.T) {
+	c := clock.New()
+	var told []string
+	f := NewFleet(&scripted{t: t}, c, zap.NewNop(), &Outage{}, func(changes []fleet.Change) {
+		for _, change := range changes {
+			told = append(told, fmt.Sprint(change.ID, change.Gone))
+		}
+	})
+	f.view.Apply(c.Now(), []fleet.Change{listed("u1"), listed("u2")}, false)
+	f.Learn([]fleet.Upstream{{ID: "u1"}})
+	f.Learn([]fleet.Upstream{{ID: "u1"}, {ID: "u2"}, {ID: "u3"}})
+	f.takeLearnt(c.Now())
+	if got, want := strings.Join(told, " "), "u3false"; got != want {
+		t.Errorf("got %q of two lists, want %q of the newer", got, want)
+	}
+	told = nil
+	f.Learn([]fleet.Upstream{{ID: "u1"}})
+	f.takeLearnt(c.Now().Add(learntLasts + 1))
+	if len(told) > 0 {
+		t.Errorf("got %q of an old list, want nothing", told)
+	}
+}
+
+// followedReaders are those of a node that others follow.
+type followedReaders struct {
+	noReaders
+	overdue bool
+}
+
+func (followedReaders) Followed() bool  { return true }
+func (r followedReaders) Overdue() bool { return r.overdue }
+
+// A node that others follow asks a slow store for shorter waits, so that its proofs get
+// no older than they may, and for none while others wait for a proof.
+func TestSlowStoreIsAskedForShorterWaits(t *testing.T) {
+	tests := []struct {
+		name     string
+		readers  Readers
+		slowness clock.Millis
+		want     clock.Millis
+	}{
+		{"nobody follows", noReaders{}, 240, catalogWait},
+		{"a quick store", followedReaders{}, 0, followedWait},
+		{"a slow store", followedReaders{}, 240, followedWait - 480},
+		{"a very slow store", followedReaders{}, 900, 0},
+		{"others wait for a proof", followedReaders{overdue: true}, 0, 0},
+	}
+	for _, tt := range tests {
+		f := NewCatalog(nil, clock.New(), zap.NewNop(), &Outage{}, nil, WithReaders(tt.readers, noReaders{}))
+		if got := f.wait(tt.slowness); got != tt.want {
+			t.Errorf("%s: got a wait of %d ms, want %d", tt.name, got, tt.want)
+		}
+	}
+	p := catalogProgress{wait: 600, slowness: 7}
+	if got, want := p.slownessAfter(nil, CatalogReading{}, 840), clock.Millis(240); got != want {
+		t.Errorf("got slowness %d after a wait of 840 ms for 600, want %d", got, want)
+	}
+	if got, want := p.slownessAfter(nil, CatalogReading{Raw: []byte("1")}, 100), clock.Millis(7); got != want {
+		t.Errorf("got slowness %d after a change, want %d as before", got, want)
+	}
+}
