Nodes wait for each other no longer than a change may take

It counts from the first failure of a run. Where nothing is left, nodes ask the store at once, as they did; those systems are small.

--- a/node/node.go
+++ b/node/node.go
@@ -96,8 +96,8 @@
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced)
-	n.roster = reading.NewRoster(s.Name, n.clock.Now())
-	n.shared = reading.NewLog(n.clock, vouchFor)
+	n.roster = reading.NewRoster(s.Name, n.clock.Now(), s.readerPatience())
+	n.shared = reading.NewLog(n.clock, vouchFor, s.readerPatience())
 	n.outage = &follow.Outage{}
 	peerTransport := platform.NewPeerTransport()
 	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
--- a/node/settings.go
+++ b/node/settings.go
@@ -34,6 +34,11 @@
 	// configuration may be older than KeysWithin.
 	KeysFailClosed bool
 	KeysWithin     clock.Millis
+	// ConfigWithin is within what time a change of the configuration must be in force
+	// everywhere, and LeavingWithin within what time an upstream that leaves must get
+	// no more work.
+	ConfigWithin  clock.Millis
+	LeavingWithin clock.Millis
 	// RetryShare, as a part of the requests, and RetrySlack, as a number,
 	// bound the repeats of all nodes together in each window.
 	RetryWindowSeconds float64
@@ -66,6 +71,8 @@
 	set.Address("platform", "address", &s.Platform, settings.Required())
 	set.Bool("keys", "fail_closed", &s.KeysFailClosed, settings.WithDefault("true"))
 	set.Millis("keys", "known_within_ms", &s.KeysWithin, settings.WithDefault("5000"))
+	set.Millis("changes", "config_within_ms", &s.ConfigWithin, settings.WithDefault("2000"))
+	set.Millis("changes", "leaving_within_ms", &s.LeavingWithin, settings.WithDefault("2000"))
 	set.Float("retries", "window_s", &s.RetryWindowSeconds, 0, largestNumber, settings.WithDefault("10"))
 	set.Float("retries", "share", &s.RetryShare, 0, largestShare, settings.WithDefault("0.2"))
 	set.Float("retries", "slack", &s.RetrySlack, 0, largestNumber, settings.WithDefault("200"))
@@ -85,6 +92,16 @@
 // grace is how long a planned stop may take.
 func (s *Settings) grace() clock.Millis { return clock.Millis(s.GraceSeconds * msPerSecond) }
 
+// changeMargin is what a call to a slow store and the spreading of what it brings take.
+const changeMargin clock.Millis = 600
+
+// readerPatience is how long a node whose reader can no longer vouch may wait for
+// another one to have the store, before it must ask the store itself: what is left of
+// the time in which a change must be known, less what a call and the work on it take.
+func (s *Settings) readerPatience() clock.Millis {
+	return max(min(s.ConfigWithin, s.LeavingWithin)-vouchFor-changeMargin, 0)
+}
+
 // keysWithin returns the bound in force; zero for none.
 func (s *Settings) keysWithin() clock.Millis {
 	if !s.KeysFailClosed {
--- a/reading/log.go
+++ b/reading/log.go
@@ -45,8 +45,10 @@
 // follow it. It is safe for concurrent use.
 type Log struct {
 	clock *clock.Clock
-	// vouchFor is how old the proof may be that the newest is known.
-	vouchFor clock.Millis
+	// vouchFor is how old the proof may be that the newest is known, and vouchSoon
+	// for how long a first question may wait for one.
+	vouchFor  clock.Millis
+	vouchSoon clock.Millis
 
 	mu sync.Mutex
 	// changed is closed, and replaced, when something has changed.
@@ -70,10 +72,11 @@
 	followedSince clock.Millis
 }
 
-// NewLog returns an empty log, which vouches for what it knows for a time.
-func NewLog(c *clock.Clock, vouchFor clock.Millis) *Log {
+// NewLog returns an empty log, which vouches for what it knows for a time. Patience is
+// how long the nodes that ask may wait for a proof that it does not have.
+func NewLog(c *clock.Clock, vouchFor, patience clock.Millis) *Log {
 	return &Log{
-		clock: c, vouchFor: vouchFor, changed: make(chan struct{}), confirmed: clock.Never,
+		clock: c, vouchFor: vouchFor, vouchSoon: min(vouchSoon, patience), changed: make(chan struct{}), confirmed: clock.Never,
 		asked: clock.Never, followedSince: clock.Never, upstreams: make(map[string]fleet.Upstream),
 	}
 }
@@ -277,7 +280,7 @@
 	}
 	l.asked = g.at
 	if !l.vouches(g.at) {
-		g.next = l.followedSince.Add(vouchSoon)
+		g.next = l.followedSince.Add(l.vouchSoon)
 		if g.at > g.next {
 			return g, ErrCannotVouch
 		}
--- a/reading/roster.go
+++ b/reading/roster.go
@@ -31,16 +31,11 @@
 // first nodes by name find out which, and each call to it costs.
 const (
 	// firstToTry is how many nodes try the store one after the other, turnEvery
-	// apart. A third of the nodes may be turned away while the others are served;
-	// that all of the first four are happens in one case of seventy.
+	// apart, as far as the patience goes. A third of the nodes may be turned away
+	// while the others are served; that all of the first four are happens in one case
+	// of seventy. The rest wait for the whole of the patience.
 	firstToTry              = 4
 	turnEvery  clock.Millis = 250
-	// restAfter is when the rest try it, lastEvery apart, up to longestTurn. A
-	// proof of freshness is 2 s old at the most when its reader is lost, and
-	// counts for 4.3 s.
-	restAfter   clock.Millis = 2000
-	lastEvery   clock.Millis = 100
-	longestTurn clock.Millis = 6000
 	// restPause is for how long one of the rest leaves the store alone after it
 	// has tried in vain.
 	restPause clock.Millis = 3000
@@ -65,6 +60,11 @@
 	// refused is until when a node is not followed that has failed this one.
 	refused map[string]clock.Millis
 	started clock.Millis
+	// patience is how long a node may wait for another one to have the store.
+	patience clock.Millis
+	// failedSince is when a reader has failed this node first, in a run of failures
+	// that are less than settle apart; clock.Never for none.
+	failedSince clock.Millis
 	// grouped is since when enough others have been heard, clock.Never while they
 	// have not.
 	grouped clock.Millis
@@ -77,9 +77,11 @@
 	restUntil clock.Millis
 }
 
-// NewRoster returns a node's roster as of a time.
-func NewRoster(self string, now clock.Millis) *Roster {
+// NewRoster returns a node's roster as of a time. Patience is how long the node may
+// wait for another one to have the store, when its reader has failed it.
+func NewRoster(self string, now, patience clock.Millis) *Roster {
 	return &Roster{
+		patience: patience, failedSince: clock.Never,
 		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing),
 		refused: make(map[string]clock.Millis), started: now,
 		grouped: clock.Never, unledSince: clock.Never,
@@ -107,9 +109,21 @@
 func (r *Roster) Failed(now clock.Millis, name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.failedSince == clock.Never || now >= r.lastRefusal() {
+		r.failedSince = now
+	}
 	r.refused[name] = now.Add(settle)
 }
 
+// lastRefusal is until when a node that has failed this one last is not followed.
+func (r *Roster) lastRefusal() clock.Millis {
+	last := clock.Never
+	for _, until := range r.refused {
+		last = max(last, until)
+	}
+	return last
+}
+
 // StoreLost notes that this node has tried the store in vain.
 func (r *Roster) StoreLost(now clock.Millis) {
 	r.mu.Lock()
@@ -234,8 +248,12 @@
 }
 
 func (r *Roster) turnByName(v view) clock.Millis {
-	if v.before < firstToTry {
-		return r.unledSince.Add(clock.Millis(v.before) * turnEvery)
+	since := r.unledSince
+	if v.refused > 0 {
+		since = min(since, r.failedSince)
+	}
+	if v.before >= firstToTry {
+		return since.Add(r.patience)
 	}
-	return r.unledSince.Add(min(restAfter+clock.Millis(v.before)*lastEvery, longestTurn))
+	return since.Add(min(clock.Millis(v.before)*turnEvery, r.patience))
 }
