Nodes tell each other of engines that do not answer

The first nodes had found them silent at 15.35 s; each of the 61 nodes there went on to find out for itself, sending requests over each of the nine until a 503 named it: 492 refused attempts by 19 s, and the nodes' budgets of repeats were spent (317 requests refused for that, up to 110 a second). After the store's outage 974 attempts were answered with 421 between 27.5 and 33 s: nine engines had started again under the same addresses, their old entries might still come back and stood in every list, and each node sent there again every 1.5 s (577 refusals for the budget). Ruled out: memory (9 of 1,052 failed attempts lacked room), the list's lag alone. Change: a node that has found an engine silent tells the others of its data centre by datagram, twice; they suspect it at once, look after their streams there and probe it at the next tick, which ends a wrong suspicion. One that answers 421 is probed as the incarnation that the list names. Where a new upstream has the address of one that was known, the old one has ended. The planner takes engines as lost that others find silent too, also more than four at a time.

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -112,6 +112,8 @@
 type SilentCmd struct {
 	Upstream string
 	Silent   bool
+	// Agreed tells that another node has found it silent before.
+	Agreed bool
 }
 
 // ReconsiderCmd tells a stream that an engine on its way is under suspicion.
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -103,7 +103,7 @@
 		at.refused(m.now)
 		return nil
 	case NotRunElsewhere:
-		at.fullUntil = m.now.Add(misplacedFor)
+		at.misplaced(m.now)
 		return nil
 	case Failed:
 		at.record(m.now.Sub(r.arrived), true)
@@ -139,6 +139,13 @@
 	if u.pipeline == nil {
 		return cmds
 	}
+	return append(cmds, m.reconsider(u, by)...)
+}
+
+// reconsider tells the streams that pass an engine under suspicion, but for one that
+// has found it out.
+func (m *Model) reconsider(u *upstream, by *request) []Cmd {
+	var cmds []Cmd
 	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
 		if r := m.requests[id]; r != by && r.passes(u.entry.ID) {
 			cmds = append(cmds, ReconsiderCmd{Request: id, Attempt: r.sends, At: u.entry.Address})
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -106,6 +106,8 @@
 		return m.moved(msg)
 	case GoneMsg:
 		m.forget(msg.Request)
+	case ToldSilentMsg:
+		return m.toldSilent(msg)
 	case ProbedMsg:
 		return m.probed(msg)
 	case TickMsg:
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -137,6 +137,12 @@
 	Report   Report
 }
 
+// ToldSilentMsg tells that another node has found an engine that answers neither
+// streams nor a probe.
+type ToldSilentMsg struct {
+	Upstream string
+}
+
 // TickMsg drives what depends on time alone.
 type TickMsg struct{}
 
@@ -199,4 +205,5 @@
 func (MovedMsg) dispatchMsg()         {}
 func (GoneMsg) dispatchMsg()          {}
 func (ProbedMsg) dispatchMsg()        {}
+func (ToldSilentMsg) dispatchMsg()    {}
 func (TickMsg) dispatchMsg()          {}
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"strings"
+
+	"github.com/hoistjunction/hoistjunction/clock"
 )
 
 // probes asks the upstreams that it is time to ask.
@@ -53,5 +55,28 @@
 		return nil
 	}
 	u.silent = !msg.Answered
-	return []Cmd{SilentCmd{Upstream: msg.Upstream, Silent: u.silent}}
+	agreed := u.silent && m.now <= u.toldAt.Add(toldLasts)
+	return []Cmd{SilentCmd{Upstream: msg.Upstream, Silent: u.silent, Agreed: agreed}}
+}
+
+// toldLasts is for how long another node's word on an engine's silence agrees with this
+// node's own finding: a probe follows within 0.1 s, and takes 0.16 s at the most.
+const toldLasts clock.Millis = 1000
+
+// toldSilent suspects an engine that another node has found silent. Without that each
+// of sixty nodes sent requests over each of nine lost engines until it had found out by
+// itself, and spent its budget of repeats on them. The probe at the next tick ends the
+// suspicion where the word was wrong.
+func (m *Model) toldSilent(msg ToldSilentMsg) []Cmd {
+	u := m.upstreams[msg.Upstream]
+	if u == nil || u.pipeline == nil {
+		return nil
+	}
+	u.toldAt = m.now
+	if u.suspect {
+		return nil
+	}
+	u.suspect, u.cause = true, Slow
+	u.avoidUntil = m.now
+	return m.reconsider(u, nil)
 }
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -75,6 +75,8 @@
 		return dispatch.GoneMsg{Request: request}
 	case "probed":
 		return dispatch.ProbedMsg{Upstream: s.Word(0), Answered: s.Named["well"] == "yes", Report: testReport(s)}
+	case "told":
+		return dispatch.ToldSilentMsg{Upstream: s.Word(0)}
 	case "tick":
 		return dispatch.TickMsg{}
 	}
@@ -185,7 +187,11 @@
 	case dispatch.ShareCmd:
 		return fmt.Sprintf("share %v total %v", c.Used, c.Total)
 	case dispatch.SilentCmd:
-		return fmt.Sprintf("silent %s %v", c.Upstream, c.Silent)
+		text := fmt.Sprintf("silent %s %v", c.Upstream, c.Silent)
+		if c.Agreed {
+			text += " agreed"
+		}
+		return text
 	case dispatch.ProbeCmd:
 		return "probe " + c.Upstream
 	case dispatch.SuspectCmd:
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -46,8 +46,10 @@
 	// when it answered a probe last.
 	cause      Cause
 	answeredAt clock.Millis
-	// silent tells that the planner was told of its silence.
+	// silent tells that the planner was told of its silence, and toldAt is when another
+	// node told this one of it.
 	silent     bool
+	toldAt     clock.Millis
 	strikes    int
 	avoidUntil clock.Millis
 	// refusals counts refusals in a row, and fullUntil is until when it is taken as full.
@@ -57,7 +59,7 @@
 }
 
 func newUpstream(entry fleet.Upstream) *upstream {
-	return &upstream{entry: entry, took: firstTook, pace: 1, reportedAt: clock.Never, answeredAt: clock.Never}
+	return &upstream{entry: entry, took: firstTook, pace: 1, reportedAt: clock.Never, answeredAt: clock.Never, toldAt: clock.Never}
 }
 
 // heldLasts is for how long word of what an engine holds counts more than an
@@ -123,6 +125,16 @@
 	}
 }
 
+// misplaced notes that an engine says that it is not the one meant, or does not hold
+// what the list says. It is probed as the incarnation that the list names, so that one
+// that has ended is found silent and others are told.
+func (u *upstream) misplaced(now clock.Millis) {
+	u.fullUntil = now.Add(misplacedFor)
+	if !u.suspect {
+		u.suspect, u.cause, u.avoidUntil = true, NotRunElsewhere, now
+	}
+}
+
 // needsProbe tells whether it is time to ask the upstream how it is.
 func (u *upstream) needsProbe(now clock.Millis) bool {
 	switch {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -18,6 +18,11 @@
 	// departed are upstreams that were seen leaving. They never come back
 	// under the same id, whatever an older entry says.
 	departed map[string]bool
+	// ended are upstreams whose address another incarnation has. They never come
+	// back either.
+	ended map[string]bool
+	// atAddress names the upstream at an address.
+	atAddress map[string]string
 	// missing are entries that vanished around an outage, with the time from
 	// which they are taken as gone.
 	missing map[string]clock.Millis
@@ -31,6 +36,8 @@
 	return &View{
 		upstreams: make(map[string]*Upstream),
 		departed:  make(map[string]bool),
+		ended:     make(map[string]bool),
+		atAddress: make(map[string]string),
 		missing:   make(map[string]clock.Millis),
 	}
 }
@@ -82,7 +89,7 @@
 // Apply takes changes of the list and returns those that made a difference:
 // with Gone for upstreams that get no new work from now on.
 func (v *View) Apply(now clock.Millis, changes []Change, lapsed bool) []Change {
-	var effective []Change
+	effective := v.displace(changes)
 	for _, c := range changes {
 		if v.apply(now, c, lapsed) {
 			effective = append(effective, c)
@@ -91,10 +98,32 @@
 	return effective
 }
 
+// displace removes upstreams that were known at an address at which a new one is, and
+// returns them: every start of an upstream is a new incarnation, so they have ended,
+// whether their entries linger or may come back after an outage.
+func (v *View) displace(changes []Change) []Change {
+	var displaced []Change
+	for _, c := range changes {
+		old := v.atAddress[c.Upstream.Address]
+		if c.Gone || c.Upstream.Address == "" || old == "" || old == c.ID || v.upstreams[c.ID] != nil || v.ended[c.ID] {
+			continue
+		}
+		v.ended[old] = true
+		if v.upstreams[old] != nil {
+			displaced = append(displaced, Change{ID: old, Gone: true})
+			v.remove(old)
+		}
+	}
+	return displaced
+}
+
 func (v *View) apply(now clock.Millis, c Change, lapsed bool) bool {
 	if c.Gone {
 		return v.vanish(now, c.ID, lapsed)
 	}
+	if v.ended[c.ID] {
+		return false
+	}
 	delete(v.missing, c.ID)
 	u := c.Upstream
 	if v.departed[u.ID] {
@@ -108,6 +137,7 @@
 		return false
 	}
 	v.upstreams[u.ID] = &u
+	v.atAddress[u.Address] = u.ID
 	return true
 }
 
@@ -139,6 +169,9 @@
 }
 
 func (v *View) remove(id string) {
+	if u := v.upstreams[id]; u != nil && v.atAddress[u.Address] == id {
+		delete(v.atAddress, u.Address)
+	}
 	delete(v.upstreams, id)
 	delete(v.missing, id)
 }
--- a/node/learn.go
+++ b/node/learn.go
@@ -5,6 +5,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/usage"
@@ -23,9 +24,14 @@
 	n.placer.Tell(n.life, placement.CatalogMsg{Catalog: c})
 }
 
-func (n *Node) setSilent(upstream string, silent bool) {
-	n.log.Info("silent", zap.String("upstream", upstream), zap.Bool("silent", silent))
-	n.placer.Tell(n.life, placement.SilentMsg{Upstream: upstream, Silent: silent})
+// setSilent tells the planner that an engine does not answer, or does again, and other
+// nodes of one that they have not told of.
+func (n *Node) setSilent(cmd dispatch.SilentCmd) {
+	n.log.Info("silent", zap.String("upstream", cmd.Upstream), zap.Bool("silent", cmd.Silent), zap.Bool("agreed", cmd.Agreed))
+	n.placer.Tell(n.life, placement.SilentMsg{Upstream: cmd.Upstream, Silent: cmd.Silent, Agreed: cmd.Agreed})
+	if cmd.Silent && !cmd.Agreed {
+		go n.usage.Silent(cmd.Upstream)
+	}
 }
 
 // share tells other nodes what this one has in use. The node that reads the
@@ -37,8 +43,12 @@
 	}
 }
 
-// setUsage takes what another node has told.
-func (n *Node) setUsage(from *wire.Member, msg usage.Msg) {
+// listener takes what other nodes tell. It implements usage.Listener.
+type listener struct{ node *Node }
+
+// HearUse implements usage.Listener.
+func (l listener) HearUse(from *wire.Member, msg usage.Msg) {
+	n := l.node
 	n.peers.Heard(from)
 	if msg.Total {
 		n.relay.SetUsage("all of "+from.GetDataCentre(), msg.Used, true)
@@ -48,13 +58,24 @@
 	n.relay.SetUsage(from.GetName(), msg.Used, false)
 }
 
+// HearPlaced implements usage.Listener.
+func (l listener) HearPlaced(upstream string, layers fleet.Range, holds bool) {
+	l.node.setPlaced(upstream, layers, holds)
+}
+
+// HearSilent implements usage.Listener.
+func (l listener) HearSilent(from *wire.Member, upstream string) {
+	l.node.log.Info("silent_told", zap.String("upstream", upstream), zap.String("by", from.GetName()))
+	l.node.relay.SetSilent(upstream)
+}
+
 // tellPlaced tells the own relay and other nodes of an order of this node's.
 func (n *Node) tellPlaced(upstream string, layers fleet.Range, holds bool) {
 	n.setPlaced(upstream, layers, holds)
 	n.usage.Placed(upstream, layers, holds)
 }
 
-// setPlaced takes an order that another node has given.
+// setPlaced takes an order that this node or another one has given.
 func (n *Node) setPlaced(upstream string, layers fleet.Range, holds bool) {
 	n.relay.SetPlaced(upstream, layers, holds)
 	n.placer.Tell(n.life, placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
--- a/node/node.go
+++ b/node/node.go
@@ -85,7 +85,7 @@
 		}),
 	)
 	self := &wire.Member{Name: s.Name, DataCentre: s.DataCentre, Address: n.peer.Addr().String()}
-	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.followable, n.setUsage, n.setPlaced)
+	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.followable, listener{n})
 	if err != nil {
 		return nil, err
 	}
--- a/placement/model.go
+++ b/placement/model.go
@@ -42,8 +42,9 @@
 	// engine that is in use is moved to them, so that one change of the list is
 	// seen whole.
 	healAfter clock.Millis = 300
-	// mostSilent is how many engines of a service may be silent to this node at
-	// a time. With more it is the node that is cut off, and only the list counts.
+	// mostSilent is how many engines of a service may be silent to this node alone at
+	// a time. With more it is the node that is cut off, and only the list and what
+	// other nodes have found too counts.
 	mostSilent = 4
 )
 
@@ -57,8 +58,10 @@
 	plannedAt clock.Millis
 	catalog   *catalog.Catalog
 	upstreams map[string]fleet.Upstream
-	// silent are engines that are in the list and do not answer.
+	// silent are engines that are in the list and do not answer this node alone, and
+	// agreed those that do not answer others either.
 	silent  map[string]bool
+	agreed  map[string]bool
 	pending map[string]pending
 	// heldSure is until when word of what an engine holds counts more than an
 	// entry without layers.
@@ -96,6 +99,7 @@
 	m := &Model{
 		upstreams: make(map[string]fleet.Upstream),
 		silent:    make(map[string]bool),
+		agreed:    make(map[string]bool),
 		heldSure:  make(map[string]clock.Millis),
 		seen:      make(map[string]clock.Millis),
 		pending:   make(map[string]pending),
@@ -136,6 +140,7 @@
 			delete(m.upstreams, c.ID)
 			delete(m.pending, c.ID)
 			delete(m.silent, c.ID)
+			delete(m.agreed, c.ID)
 			delete(m.heldSure, c.ID)
 			delete(m.seen, c.ID)
 			m.changed = now
@@ -173,15 +178,22 @@
 }
 
 func (m *Model) setSilent(msg SilentMsg) {
-	if _, known := m.upstreams[msg.Upstream]; !known || !msg.Silent {
-		delete(m.silent, msg.Upstream)
-		return
+	delete(m.silent, msg.Upstream)
+	delete(m.agreed, msg.Upstream)
+	_, known := m.upstreams[msg.Upstream]
+	switch {
+	case !known || !msg.Silent:
+	case msg.Agreed:
+		m.agreed[msg.Upstream] = true
+	default:
+		m.silent[msg.Upstream] = true
 	}
-	m.silent[msg.Upstream] = true
 }
 
 // lost tells whether an engine counts as lost for its silence.
-func (m *Model) lost(id string) bool { return m.silent[id] && len(m.silent) <= mostSilent }
+func (m *Model) lost(id string) bool {
+	return m.agreed[id] || m.silent[id] && len(m.silent) <= mostSilent
+}
 
 func (m *Model) ordered(now clock.Millis, msg OrderedMsg) {
 	p, ok := m.pending[msg.Upstream]
--- a/placement/msg.go
+++ b/placement/msg.go
@@ -23,6 +23,8 @@
 type SilentMsg struct {
 	Upstream string
 	Silent   bool
+	// Agreed tells that another node has found it silent too.
+	Agreed bool
 }
 
 // OrderedMsg tells what came of an OrderCmd.
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -50,7 +50,7 @@
 	case "rank":
 		return placement.RankMsg{Delay: clock.Millis(s.Int("delay", 0))}
 	case "silent":
-		return placement.SilentMsg{Upstream: s.Word(0), Silent: s.Named["silent"] != "no"}
+		return placement.SilentMsg{Upstream: s.Word(0), Silent: s.Named["silent"] != "no", Agreed: s.Named["agreed"] == "yes"}
 	case "ordered":
 		return placement.OrderedMsg{Upstream: s.Word(0), Result: resultOf(p.t, s.Named["result"]), Held: heldOf(s.Named["held"])}
 	case "placed":
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -39,7 +39,7 @@
 	mail  map[dispatch.RequestID]chan dispatch.Cmd
 	probe func(dispatch.ProbeCmd)
 	// silent tells the planner of layers of engines that do not answer.
-	silent func(upstream string, silent bool)
+	silent func(dispatch.SilentCmd)
 	// share tells other nodes what this one has in use, and what all do that
 	// tell each other.
 	share func(used, total map[string]float64)
@@ -48,7 +48,7 @@
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd)) *decider {
 	return &decider{
-		model: model, clock: c, log: log, probe: probe, silent: func(string, bool) {},
+		model: model, clock: c, log: log, probe: probe, silent: func(dispatch.SilentCmd) {},
 		share: func(used, total map[string]float64) {},
 		inbox: ring.New[envelope](decisionsWaiting), mail: make(map[dispatch.RequestID]chan dispatch.Cmd),
 	}
@@ -111,7 +111,7 @@
 	case dispatch.ShareCmd:
 		d.share(cmd.Used, cmd.Total)
 	case dispatch.SilentCmd:
-		d.silent(cmd.Upstream, cmd.Silent)
+		d.silent(cmd)
 	case dispatch.ProbeCmd:
 		d.probe(cmd)
 	case dispatch.SuspectCmd:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,7 +51,7 @@
 func WithCounters(name string, v expvar.Var) Option { return func(r *Relay) { r.more[name] = v } }
 
 // WithSilence sets who is told of engines that do not answer, or do again.
-func WithSilence(tell func(upstream string, silent bool)) Option {
+func WithSilence(tell func(dispatch.SilentCmd)) Option {
 	return func(r *Relay) { r.decider.silent = tell }
 }
 
@@ -121,6 +121,11 @@
 	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used, Total: total})
 }
 
+// SetSilent takes an engine that another node has found silent.
+func (r *Relay) SetSilent(upstream string) {
+	r.decider.tell(r.life, dispatch.ToldSilentMsg{Upstream: upstream})
+}
+
 // SetPlaced takes an order that an engine has taken or, with holds, carried out.
 func (r *Relay) SetPlaced(upstream string, layers fleet.Range, holds bool) {
 	r.decider.tell(r.life, dispatch.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -1,10 +1,12 @@
 // Package usage lets nodes tell each other what the list and the engines show
 // only seconds later: what their requests take at engines, so that together
 // they do not overfill one, and which engines they have ordered to hold what,
-// so that two planners do not move the two holders of a layer at once.
+// so that two planners do not move the two holders of a layer at once, and which
+// engines they have found silent, so that not each node has to find out by itself.
 //
-// Both are datagrams. What is in use is told a few times a second, and a lost
-// datagram is made up for by the next; an order is told three times.
+// All are datagrams. What is in use is told a few times a second, and a lost
+// datagram is made up for by the next; an order is told three times, and a silent
+// engine twice.
 package usage
 
 import (
@@ -31,16 +33,24 @@
 	self *wire.Member
 	conn net.PacketConn
 	log  *zap.Logger
-	tell func(from *wire.Member, msg Msg)
 	// followable tells whether other nodes may follow this one.
 	followable func() bool
-	// placed takes orders that other nodes have given.
-	placed func(upstream string, layers fleet.Range, holds bool)
+	listener   Listener
 	// near are told what this node has in use, and far what its data centre has.
 	near atomic.Pointer[[]net.Addr]
 	far  atomic.Pointer[[]net.Addr]
 }
 
+// Listener takes what other nodes tell.
+type Listener interface {
+	// HearUse takes what a node has in use, and whether it may be followed.
+	HearUse(from *wire.Member, msg Msg)
+	// HearPlaced takes an order that an engine has taken or, with holds, carried out.
+	HearPlaced(upstream string, layers fleet.Range, holds bool)
+	// HearSilent takes an engine that a node has found silent.
+	HearSilent(from *wire.Member, upstream string)
+}
+
 // Msg is what a node tells of engines' memory.
 type Msg struct {
 	// Used is what is in use by engine, in tokens times layers.
@@ -52,18 +62,15 @@
 	Followable bool
 }
 
-// New binds an address for a node. Followable tells whether other nodes may
-// follow this one in place of the store; tell takes that and what they have in
-// use of other nodes, and placed the orders that they have given.
-func New(ctx context.Context, self *wire.Member, address string, log *zap.Logger,
-	followable func() bool, tell func(from *wire.Member, msg Msg), placed func(upstream string, layers fleet.Range, holds bool),
-) (*Sharing, error) {
+// New binds an address for a node. Followable tells whether other nodes may follow
+// this one in place of the store; the listener takes what they tell.
+func New(ctx context.Context, self *wire.Member, address string, log *zap.Logger, followable func() bool, listener Listener) (*Sharing, error) {
 	var config net.ListenConfig
 	conn, err := config.ListenPacket(ctx, "udp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "usage: cannot listen at %s", address)
 	}
-	return &Sharing{self: self, conn: conn, log: log, followable: followable, tell: tell, placed: placed}, nil
+	return &Sharing{self: self, conn: conn, log: log, followable: followable, listener: listener}, nil
 }
 
 // Address returns where the node takes datagrams.
@@ -127,6 +134,22 @@
 	}
 }
 
+// silentTimes is how often near peers are told of a silent engine, silentEvery apart.
+// Each of them finds out by itself a little later.
+const (
+	silentTimes = 2
+	silentEvery = 50 * time.Millisecond
+)
+
+// Silent tells the near peers that this node has found an engine silent.
+func (s *Sharing) Silent(upstream string) {
+	msg := &wire.Usage{From: s.self, Silent: []string{upstream}}
+	for range silentTimes {
+		s.send(msg, s.near.Load())
+		time.Sleep(silentEvery)
+	}
+}
+
 func (s *Sharing) send(msg *wire.Usage, peers *[]net.Addr) {
 	if peers == nil {
 		return
@@ -172,14 +195,17 @@
 		return
 	}
 	for _, p := range msg.GetPlaced() {
-		s.placed(p.GetId(), fleet.Range{From: int(p.GetFrom()), To: int(p.GetTo())}, p.GetHolds())
+		s.listener.HearPlaced(p.GetId(), fleet.Range{From: int(p.GetFrom()), To: int(p.GetTo())}, p.GetHolds())
+	}
+	for _, id := range msg.GetSilent() {
+		s.listener.HearSilent(msg.GetFrom(), id)
 	}
-	if len(msg.GetPlaced()) > 0 {
+	if len(msg.GetPlaced())+len(msg.GetSilent()) > 0 {
 		return
 	}
 	used := make(map[string]float64, len(msg.GetEngines()))
 	for _, e := range msg.GetEngines() {
 		used[e.GetId()] = e.GetAmount()
 	}
-	s.tell(msg.GetFrom(), Msg{Used: used, Total: msg.GetTotal(), Followable: msg.GetFollowable()})
+	s.listener.HearUse(msg.GetFrom(), Msg{Used: used, Total: msg.GetTotal(), Followable: msg.GetFollowable()})
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -16,24 +16,36 @@
 type heard struct {
 	from string
 	msg  usage.Msg
-	// placed is set where an order was told.
+	// placed is set where an order was told, and silent where a silent engine was.
 	placed string
 	layers fleet.Range
+	silent string
 }
 
-func newNode(t *testing.T, name string) (*usage.Sharing, chan heard) {
+// inbox notes what a node hears.
+type inbox chan heard
+
+func (i inbox) HearUse(from *wire.Member, msg usage.Msg) { i <- heard{from: from.GetName(), msg: msg} }
+
+func (i inbox) HearPlaced(upstream string, layers fleet.Range, _ bool) {
+	i <- heard{placed: upstream, layers: layers}
+}
+
+func (i inbox) HearSilent(from *wire.Member, upstream string) {
+	i <- heard{from: from.GetName(), silent: upstream}
+}
+
+func newNode(t *testing.T, name string) (*usage.Sharing, inbox) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	inbox := make(chan heard, 16)
-	s, err := usage.New(ctx, &wire.Member{Name: name}, "127.0.0.1:0", zap.NewNop(), func() bool { return true },
-		func(from *wire.Member, msg usage.Msg) { inbox <- heard{from: from.GetName(), msg: msg} },
-		func(upstream string, layers fleet.Range, _ bool) { inbox <- heard{placed: upstream, layers: layers} })
+	heard := make(inbox, 16)
+	s, err := usage.New(ctx, &wire.Member{Name: name}, "127.0.0.1:0", zap.NewNop(), func() bool { return true }, heard)
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = s.Run(ctx) }()
-	return s, inbox
+	return s, heard
 }
 
 func TestNodesTellEachOther(t *testing.T) {
@@ -55,9 +67,22 @@
 	}
 
 	teller.Placed("e3", fleet.Range{From: 4, To: 8}, true)
-	for _, inbox := range []chan heard{nearHeard, farHeard} {
-		if got := <-inbox; got.placed != "e3" || got.layers != (fleet.Range{From: 4, To: 8}) {
+	for _, heard := range []inbox{nearHeard, farHeard} {
+		if got := <-heard; got.placed != "e3" || got.layers != (fleet.Range{From: 4, To: 8}) {
 			t.Errorf("got %+v, want the order to e3", got)
 		}
 	}
+
+	teller.Silent("e4")
+	for {
+		got := <-nearHeard
+		if got.placed != "" {
+			// An order is told more than once.
+			continue
+		}
+		if got.from != "a" || got.silent != "e4" {
+			t.Errorf("got %+v, want a's word on e4", got)
+		}
+		break
+	}
 }
