--- a/relay/rhythm.go
+++ b/relay/rhythm.go
@@ -4,9 +4,11 @@
 
 const (
 	// gapStall is after how long without an event the engines are asked what
-	// holds a stream up; events come every 20 to 40 ms. A pause of 200 ms is late
-	// already.
-	gapStall clock.Millis = 150
+	// holds a stream up; events come every 20 to 40 ms. Of 4,700 streams in a calm
+	// time of the large deployment the longest pause was under 104 ms for 99 in 100,
+	// and a pause of 200 to 300 ms is late: at 150 ms half of the streams that were
+	// moved off lost engines missed that by under 100 ms.
+	gapStall clock.Millis = 110
 	// stallPauses is the same in the stream's own usual pauses. One that passes a
 	// slow engine would ask at every event: 65,000 questions on a day with 13 slow
 	// engines, each at the price of a health check.
