Silent engines are told of in one datagram for a moment's findings

Change: findings of 30 ms go into one datagram; word of an engine is news to a node once in half a second. Test: TestSilencesAreNewsOnce.

--- a/node/learn.go
+++ b/node/learn.go
@@ -30,7 +30,7 @@
 	n.log.Info("silent", zap.String("upstream", cmd.Upstream), zap.Bool("silent", cmd.Silent), zap.Bool("agreed", cmd.Agreed))
 	n.placer.Tell(n.life, placement.SilentMsg{Upstream: cmd.Upstream, Silent: cmd.Silent, Agreed: cmd.Agreed})
 	if cmd.Silent && !cmd.Agreed {
-		go n.usage.Silent(cmd.Upstream)
+		n.usage.Silent(cmd.Upstream)
 	}
 }
 
@@ -65,6 +65,9 @@
 
 // HearSilent implements usage.Listener.
 func (l listener) HearSilent(from *wire.Member, upstream string) {
+	if !l.node.silences.news(l.node.clock.Now(), upstream) {
+		return
+	}
 	l.node.log.Info("silent_told", zap.String("upstream", upstream), zap.String("by", from.GetName()))
 	l.node.relay.SetSilent(upstream)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,7 @@
 	known    *known
 	roster   *reading.Roster
 	shared   *reading.Log
+	silences *silences
 	outage   *follow.Outage
 	store    *platform.Store
 	engines  *platform.Engines
@@ -69,7 +70,7 @@
 
 // New binds a node's ports and builds it. Run makes it work.
 func New(s *Settings, log *logging.Log) (*Node, error) {
-	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{})}
+	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), silences: newSilences()}
 	n.life, n.end = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
--- /dev/null
+++ b/node/silences_test.go
@@ -0,0 +1,27 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+func TestSilencesAreNewsOnce(t *testing.T) {
+	s := newSilences()
+	steps := []struct {
+		upstream string
+		at       clock.Millis
+		want     bool
+	}{
+		{"e1", 100, true},
+		{"e1", 150, false},
+		{"e2", 150, true},
+		{"e1", 599, false},
+		{"e1", 600, true},
+	}
+	for _, step := range steps {
+		if got := s.news(step.at, step.upstream); got != step.want {
+			t.Errorf("%s at %d: got news %v, want %v", step.upstream, step.at, got, step.want)
+		}
+	}
+}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -36,6 +36,8 @@
 	// followable tells whether other nodes may follow this one.
 	followable func() bool
 	listener   Listener
+	// silent gathers the engines that near peers are to be told of.
+	silent *gathering
 	// near are told what this node has in use, and far what its data centre has.
 	near atomic.Pointer[[]net.Addr]
 	far  atomic.Pointer[[]net.Addr]
@@ -70,7 +72,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "usage: cannot listen at %s", address)
 	}
-	return &Sharing{self: self, conn: conn, log: log, followable: followable, listener: listener}, nil
+	s := &Sharing{self: self, conn: conn, log: log, followable: followable, listener: listener}
+	s.silent = newGathering(s.tellSilent)
+	return s, nil
 }
 
 // Address returns where the node takes datagrams.
@@ -134,22 +138,6 @@
 	}
 }
 
-// silentTimes is how often near peers are told of a silent engine, silentEvery apart.
-// Each of them finds out by itself a little later.
-const (
-	silentTimes = 2
-	silentEvery = 50 * time.Millisecond
-)
-
-// Silent tells the near peers that this node has found an engine silent.
-func (s *Sharing) Silent(upstream string) {
-	msg := &wire.Usage{From: s.self, Silent: []string{upstream}}
-	for range silentTimes {
-		s.send(msg, s.near.Load())
-		time.Sleep(silentEvery)
-	}
-}
-
 func (s *Sharing) send(msg *wire.Usage, peers *[]net.Addr) {
 	if peers == nil {
 		return
