A node's half budget of repeats follows how many nodes there are

A node that starts counts half of its part of the slack as spent, since a node of its name may have spent it. It counted that when the first request came, with the part of one of 16 nodes, since it did not know how many there are: 16 repeats, which it had to make good in its first 10 s once it knew that its part of 774 is 1.8. Ruled out: the earned share (0.2 of a first try) and the slack itself: half of 1.8 and 0.2 allow one repeat of the first request. Change: the part is halved while the node's first window lasts, whatever is known when.

--- a/budget/window.go
+++ b/budget/window.go
@@ -33,10 +33,6 @@
 	return &Window{part: max(length/windowParts, 1), share: share, slack: slack}
 }
 
-// Spent counts retries that somebody else may have made in this window, such as
-// this process before it was started again.
-func (w *Window) Spent(now clock.Millis, retries int) { w.at(now).retries += retries }
-
 // SetSlack changes the number of retries beyond the share.
 func (w *Window) SetSlack(slack float64) { w.slack = slack }
 
--- a/budget/window_test.go
+++ b/budget/window_test.go
@@ -34,18 +34,6 @@
 	}
 }
 
-func TestWindowCountsWhatOthersSpent(t *testing.T) {
-	w := budget.NewWindow(10_000, 0.2, 4)
-	w.Spent(100, 2)
-	got := 0
-	for w.Spend(200) {
-		got++
-	}
-	if want := 2; got != want {
-		t.Errorf("got %d retries, want %d", got, want)
-	}
-}
-
 // No window of ten seconds, wherever it begins, holds more retries than its
 // first tries and those just before it allow.
 func TestWindowNeverExceeds(t *testing.T) {
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -89,9 +89,7 @@
 		return m.takeEarly()
 	case PeersMsg:
 		m.nodes = msg.All
-		for _, b := range m.budgets {
-			b.SetSlack(m.slack())
-		}
+		m.setSlacks()
 	case UsageMsg:
 		m.noteUsage(msg)
 	case PlacedMsg:
@@ -185,27 +183,37 @@
 	b, ok := m.budgets[service]
 	if !ok {
 		b = budget.NewWindow(m.policy.RetryWindow, m.policy.RetryShare, m.slack())
-		if m.now < m.policy.RetryWindow {
-			// A node of this name may have run, and spent, until just now.
-			b.Spent(m.now, int(m.slack()*restartSpent))
-		}
 		m.budgets[service] = b
 	}
 	return b
 }
 
-// slack is this node's part of the repeats beyond the share.
+// slack is this node's part of the repeats beyond the share. It is smaller in the
+// first window of its life, since a node of this name may have run, and spent, until
+// just now.
 func (m *Model) slack() float64 {
 	nodes := m.nodes
 	if nodes == 0 {
 		nodes = expectedNodes
 	}
-	return m.policy.RetrySlack * slackShare / float64(nodes)
+	part := m.policy.RetrySlack * slackShare / float64(nodes)
+	if m.now < m.policy.RetryWindow {
+		part *= 1 - restartSpent
+	}
+	return part
+}
+
+// setSlacks sets this node's part of all budgets.
+func (m *Model) setSlacks() {
+	for _, b := range m.budgets {
+		b.SetSlack(m.slack())
+	}
 }
 
 // tick does what depends on time: it probes suspected upstreams, moves streams
 // off engines that are leaving, takes up those that wait, and tells others what
 // is in use.
 func (m *Model) tick() []Cmd {
+	m.setSlacks()
 	return slices.Concat(m.takeEarly(), m.probes(), m.depart(), m.resume(), m.share())
 }
