--- /dev/null
+++ b/relay/session_attempt.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/dispatch"
+)
+
+// send begins an attempt.
+func (s *session) send(cmd dispatch.SendCmd) {
+	now := s.relay.clock.Now()
+	remaining := min(cmd.Deadline, cmd.GiveUp).Sub(now)
+	s.attempts++
+	s.route = cmd.Route
+	s.logSend(cmd, remaining)
+	if s.attempts == 1 {
+		s.giveUp.Reset(max(remaining, 1).Duration())
+	}
+	if cmd.TryFor > 0 && cmd.TryFor < remaining {
+		s.try.Reset(cmd.TryFor.Duration())
+	}
+	ctx, cancel := context.WithCancelCause(s.r.Context())
+	a := &attempt{
+		protocol: s.relay.protocol, transport: s.relay.upstreams.get(cmd.Upstream), gate: s.relay.gate, cmd: cmd,
+		callerID: s.head.ID, pieces: make(chan piece, piecesWaiting), cancel: cancel,
+	}
+	a.req = outgoing(ctx, s.r, cmd.Address, s.body)
+	s.relay.protocol.SetAttempt(a.req.Header, AttemptHead{
+		Upstream: cmd.Upstream, Account: cmd.Account, Priority: cmd.Priority, Remaining: remaining, Chain: cmd.Chain, LastEvent: s.lastEvent,
+	})
+	s.attempt, s.sent, s.lastPiece = a, now, now
+	if len(cmd.Chain) > 0 {
+		s.stall.Reset(firstStall.Duration())
+	}
+	go a.run(ctx)
+}
+
+// attemptFailed ends the attempt and asks what comes next.
+func (s *session) attemptFailed(cause dispatch.Cause, at string, err error) {
+	s.logFailure(cause, at, err)
+	msg := dispatch.AttemptFailedMsg{Request: s.id, Attempt: s.attempt.cmd.Attempt, Cause: cause, At: at, Events: s.events}
+	s.drop()
+	s.relay.decider.tell(s.relay.life, msg)
+}
+
+// abandon takes an attempt back for want of an answer. A stream that has begun
+// and that no further upstream may run is left as it is: it may still go on, and
+// taking it back would cut it for sure.
+func (s *session) abandon(at, why string) {
+	if s.attempt == nil || s.events > 0 && s.attempt.cmd.Last {
+		return
+	}
+	s.attemptFailed(dispatch.Slow, at, errors.Wrap(errTakenBack, why))
+}
+
+// firstAddress is where the attempt under way was sent.
+func (s *session) firstAddress() string {
+	if s.attempt == nil {
+		return ""
+	}
+	return s.attempt.cmd.Address
+}
+
+// drop cancels the attempt under way, which closes its connection.
+func (s *session) drop() {
+	if s.attempt == nil {
+		return
+	}
+	s.attempt.cancel(context.Canceled)
+	s.attempt = nil
+	s.try.Stop()
+	s.stall.Stop()
+}
