--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,7 +10,6 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
-	"github.com/hoistjunction/hoistjunction/logging"
 )
 
 const (
@@ -36,9 +34,6 @@
 	// start together, so do the servers.
 	gatherYoung              = 1500 * time.Millisecond
 	young       clock.Millis = 3000
-	// learntLasts is for how long a list counts that a peer has told. It is asked for
-	// again within 1.2 s while the store is away.
-	learntLasts clock.Millis = 1000
 	// expiryCheck is how often entries that lapsed are looked at, in ms.
 	expiryCheck clock.Millis = 500
 )
@@ -66,12 +61,6 @@
 	}
 }
 
-// learntList is a list that a peer has told at a time.
-type learntList struct {
-	upstreams []fleet.Upstream
-	at        clock.Millis
-}
-
 // fleetProgress is how far a follower of the list has come.
 type fleetProgress struct {
 	revision uint64
@@ -192,113 +181,5 @@
 	}
 }
 
-// take passes a reading on. Lapsing tells that entries may be missing although
-// their upstreams live.
-func (f *Fleet) take(now clock.Millis, reading FleetReading, lapsing bool) {
-	for _, err := range reading.Unreadable {
-		f.log.Warn("entry_unreadable", logging.Err(err))
-	}
-	f.view.StoreBack(now)
-	if f.view.Len() == 0 && lapsing {
-		// A node that has started in an outage cannot know what has lapsed in it.
-		f.partial = true
-	}
-	var changes []fleet.Change
-	if reading.Whole {
-		changes = f.view.Replace(now, upstreamsIn(reading.Changes), lapsing)
-	} else {
-		changes = f.view.Apply(now, reading.Changes, lapsing)
-	}
-	expired := f.view.Expire(now)
-	f.show(reading, slices.Concat(changes, expired), lapsing)
-	f.pass(append(changes, expired...), reading.Revision)
-}
-
-// show passes a reading on to the nodes that follow this one, as it has changed the
-// view. Entries that may come back stand in it until their time is over.
-func (f *Fleet) show(reading FleetReading, changes []fleet.Change, lapsing bool) {
-	anew := reading.Whole || f.inDoubt || f.partial
-	f.partial = f.partial && lapsing
-	switch {
-	case f.partial:
-		f.followers.Suspend()
-	case anew:
-		f.followers.SetFleet(reading.Revision, f.list())
-		f.inDoubt = false
-	default:
-		// One that follows may know of an entry that has come and gone before this
-		// node has seen it.
-		for _, c := range reading.Changes {
-			if c.Gone && !f.view.Holds(c.ID) {
-				changes = append(changes, c)
-			}
-		}
-		f.followers.AddFleet(reading.Revision, changes)
-	}
-}
-
-func (f *Fleet) list() []fleet.Upstream {
-	list := make([]fleet.Upstream, 0, f.view.Len())
-	for _, u := range f.view.All() {
-		list = append(list, *u)
-	}
-	return list
-}
-
-// pass tells changes, and keeps the list for peers.
-func (f *Fleet) pass(changes []fleet.Change, revision uint64) {
-	if len(changes) == 0 {
-		return
-	}
-	list := f.list()
-	f.shown.Store(&list)
-	f.logChanges(revision, changes)
-	f.tell(changes)
-}
-
-// Learn takes a list from a peer. It counts only while this node has lost the
-// store itself.
-func (f *Fleet) Learn(list []fleet.Upstream) {
-	f.learnt.Store(&learntList{upstreams: list, at: f.clock.Now()})
-}
-
-// takeLearnt takes the list that a peer has told last, once, if it is recent: peers
-// also answer while this node has the store, and nobody takes their lists then.
-func (f *Fleet) takeLearnt(now clock.Millis) {
-	if l := f.learnt.Swap(nil); l != nil && now <= l.at.Add(learntLasts) {
-		f.pass(f.view.Learn(now, l.upstreams), 0)
-	}
-}
-
-// Shown returns the list as it stands; ok is false around an outage of the
-// store, when the node cannot vouch for it.
-func (f *Fleet) Shown() (list []fleet.Upstream, ok bool) {
-	shown := f.shown.Load()
-	if shown == nil || f.outage.Lapsing(f.clock.Now()) {
-		return nil, false
-	}
-	return *shown, true
-}
-
 // Listed tells whether any list is known.
 func (f *Fleet) Listed() bool { return f.shown.Load() != nil }
-
-func (f *Fleet) logChanges(revision uint64, changes []fleet.Change) {
-	for _, c := range changes {
-		if c.Gone || c.Upstream.Leaving {
-			f.log.Info("upstream_leaving", zap.String("upstream", c.ID), zap.Bool("gone", c.Gone),
-				zap.String("address", c.Upstream.Address), zap.Uint64("revision", revision))
-		}
-	}
-	f.log.Info("fleet", zap.Int("changes", len(changes)), zap.Int("upstreams", f.view.Len()), zap.Uint64("revision", revision))
-}
-
-func upstreamsIn(changes []fleet.Change) []fleet.Upstream {
-	list := make([]fleet.Upstream, 0, len(changes))
-	for _, c := range changes {
-		if !c.Gone {
-			list = append(list, c.Upstream)
-		}
-	}
-	return list
-}
--- /dev/null
+++ b/follow/fleet_take.go
@@ -0,0 +1,105 @@
+package follow
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/logging"
+)
+
+// take passes a reading on. Lapsing tells that entries may be missing although
+// their upstreams live.
+func (f *Fleet) take(now clock.Millis, reading FleetReading, lapsing bool) {
+	for _, err := range reading.Unreadable {
+		f.log.Warn("entry_unreadable", logging.Err(err))
+	}
+	f.view.StoreBack(now)
+	if f.view.Len() == 0 && lapsing {
+		// A node that has started in an outage cannot know what has lapsed in it.
+		f.partial = true
+	}
+	var changes []fleet.Change
+	if reading.Whole {
+		changes = f.view.Replace(now, upstreamsIn(reading.Changes), lapsing)
+	} else {
+		changes = f.view.Apply(now, reading.Changes, lapsing)
+	}
+	expired := f.view.Expire(now)
+	f.show(reading, slices.Concat(changes, expired), lapsing)
+	f.pass(append(changes, expired...), reading.Revision)
+}
+
+// show passes a reading on to the nodes that follow this one, as it has changed the
+// view. Entries that may come back stand in it until their time is over.
+func (f *Fleet) show(reading FleetReading, changes []fleet.Change, lapsing bool) {
+	anew := reading.Whole || f.inDoubt || f.partial
+	f.partial = f.partial && lapsing
+	switch {
+	case f.partial:
+		f.followers.Suspend()
+	case anew:
+		f.followers.SetFleet(reading.Revision, f.list())
+		f.inDoubt = false
+	default:
+		// One that follows may know of an entry that has come and gone before this
+		// node has seen it.
+		for _, c := range reading.Changes {
+			if c.Gone && !f.view.Holds(c.ID) {
+				changes = append(changes, c)
+			}
+		}
+		f.followers.AddFleet(reading.Revision, changes)
+	}
+}
+
+func (f *Fleet) list() []fleet.Upstream {
+	list := make([]fleet.Upstream, 0, f.view.Len())
+	for _, u := range f.view.All() {
+		list = append(list, *u)
+	}
+	return list
+}
+
+// pass tells changes, and keeps the list for peers.
+func (f *Fleet) pass(changes []fleet.Change, revision uint64) {
+	if len(changes) == 0 {
+		return
+	}
+	list := f.list()
+	f.shown.Store(&list)
+	f.logChanges(revision, changes)
+	f.tell(changes)
+}
+
+// Shown returns the list as it stands; ok is false around an outage of the
+// store, when the node cannot vouch for it.
+func (f *Fleet) Shown() (list []fleet.Upstream, ok bool) {
+	shown := f.shown.Load()
+	if shown == nil || f.outage.Lapsing(f.clock.Now()) {
+		return nil, false
+	}
+	return *shown, true
+}
+
+func (f *Fleet) logChanges(revision uint64, changes []fleet.Change) {
+	for _, c := range changes {
+		if c.Gone || c.Upstream.Leaving {
+			f.log.Info("upstream_leaving", zap.String("upstream", c.ID), zap.Bool("gone", c.Gone),
+				zap.String("address", c.Upstream.Address), zap.Uint64("revision", revision))
+		}
+	}
+	f.log.Info("fleet", zap.Int("changes", len(changes)), zap.Int("upstreams", f.view.Len()), zap.Uint64("revision", revision))
+}
+
+func upstreamsIn(changes []fleet.Change) []fleet.Upstream {
+	list := make([]fleet.Upstream, 0, len(changes))
+	for _, c := range changes {
+		if !c.Gone {
+			list = append(list, c.Upstream)
+		}
+	}
+	return list
+}
