--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -14,6 +14,8 @@
 type badDesk struct {
 	asked atomic.Int64
 	wrong func(w http.ResponseWriter, r *http.Request)
+	// firstAsked is closed when it is asked for the first time.
+	firstAsked chan struct{}
 }
 
 func (d *badDesk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -21,7 +23,9 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	d.asked.Add(1)
+	if d.asked.Add(1) == 1 {
+		close(d.firstAsked)
+	}
 	d.wrong(w, r)
 }
 
@@ -89,7 +93,7 @@
 // replaceDesk starts a desk that does one thing wrong, as the only one.
 func (s *site) replaceDesk(wrong func(http.ResponseWriter, *http.Request)) *badDesk {
 	s.stopDesk()
-	desk := &badDesk{wrong: wrong}
+	desk := &badDesk{wrong: wrong, firstAsked: make(chan struct{})}
 	server := httptest.NewServer(desk)
 	s.t.Cleanup(server.Close)
 	address := server.Listener.Addr().String()
