A proof that others wait for is asked for at once, but not twice in a row

Cause: found by reading: a node whose followers wait for a proof asks the store without a wait. Where the answer brings no proof, as with a configuration that cannot be read, it would ask again at once, 250 times a second and without end. A very slow store was asked without a wait too. Change: after such a call the next one waits; the least wait is 0.1 s.

--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -28,6 +28,8 @@
 	// is taken off the next wait of a node that others follow: once for that call and
 	// once for the one before, since a proof counts from its sending.
 	slownessCounted = 2
+	// leastWait is the least wait that is left of it.
+	leastWait clock.Millis = 100
 	// firstRetry is the pause after a first call that failed; it doubles with
 	// each further one up to longestRetry. Every call costs, refused ones too,
 	// and all nodes lose the store together.
@@ -72,6 +74,8 @@
 	// took beside the wait when it was asked last.
 	wait     clock.Millis
 	slowness clock.Millis
+	// urged says that the last wait was left out for the nodes that follow.
+	urged bool
 }
 
 // Run follows until the context ends.
@@ -84,7 +88,7 @@
 			continue
 		}
 		sent := f.clock.Now()
-		p.wait = f.wait(p.slowness)
+		p.wait, p.urged = f.wait(p)
 		reading, err := f.call(ctx, reader, p)
 		if err != nil {
 			f.failed(ctx, &p, err)
@@ -93,7 +97,7 @@
 		f.back("config", reader)
 		p = catalogProgress{
 			revision: reading.Revision, read: true, told: reader != nil,
-			slowness: p.slownessAfter(reader, reading, f.clock.Now().Sub(sent)),
+			slowness: p.slownessAfter(reader, reading, f.clock.Now().Sub(sent)), urged: p.urged,
 		}
 		f.take(reading, sent.Sub(reading.Age))
 	}
@@ -138,15 +142,17 @@
 }
 
 // wait is how long the store may hold the next wait. Where it is slow it is asked for
-// less, so that what this node tells others is no older.
-func (f *Catalog) wait(slowness clock.Millis) clock.Millis {
+// less, so that what this node tells others is no older. Where others wait for a proof
+// it is asked for none, but not twice in a row: an answer that brings no proof, such as
+// a configuration that cannot be read, would be asked for without end.
+func (f *Catalog) wait(p catalogProgress) (wait clock.Millis, urged bool) {
 	switch {
-	case f.readers.Overdue():
-		return 0
+	case f.readers.Overdue() && !p.urged:
+		return 0, true
 	case f.readers.Followed():
-		return max(followedWait-slownessCounted*slowness, 0)
+		return max(followedWait-slownessCounted*p.slowness, leastWait), false
 	default:
-		return catalogWait
+		return catalogWait, false
 	}
 }
 
