Nodes that failed a reader's follower long ago are forgotten

Cause: found by reading: the roster kept the names of all nodes that had ever failed it. A first failure counted by which names were heard would also have begun the time anew where the first reader was dead; it counts while any refusal lasts. No change of what is decided; the scripts of the roster pass as they are.

--- a/reading/roster.go
+++ b/reading/roster.go
@@ -1,6 +1,7 @@
 package reading
 
 import (
+	"maps"
 	"sync"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -109,19 +110,16 @@
 func (r *Roster) Failed(now clock.Millis, name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.failedSince == clock.Never || now >= r.lastRefusal() {
+	r.forgetRefused(now)
+	if len(r.refused) == 0 {
 		r.failedSince = now
 	}
 	r.refused[name] = now.Add(settle)
 }
 
-// lastRefusal is until when a node that has failed this one last is not followed.
-func (r *Roster) lastRefusal() clock.Millis {
-	last := clock.Never
-	for _, until := range r.refused {
-		last = max(last, until)
-	}
-	return last
+// forgetRefused lets nodes be followed again that have failed this one a while ago.
+func (r *Roster) forgetRefused(now clock.Millis) {
+	maps.DeleteFunc(r.refused, func(_ string, until clock.Millis) bool { return now >= until })
 }
 
 // StoreLost notes that this node has tried the store in vain.
@@ -196,6 +194,7 @@
 // view looks at the group, and notes since when there has been nobody to follow.
 // The caller holds the lock.
 func (r *Roster) view(now clock.Millis) view {
+	r.forgetRefused(now)
 	v := view{nodes: 1}
 	if !r.away {
 		v.first = r.self
@@ -209,7 +208,7 @@
 			continue
 		}
 		v.nodes++
-		refused := now < r.refused[name]
+		_, refused := r.refused[name]
 		switch {
 		case h.followable && !refused && (v.first == "" || name < v.first):
 			v.first = name
@@ -249,7 +248,7 @@
 
 func (r *Roster) turnByName(v view) clock.Millis {
 	since := r.unledSince
-	if v.refused > 0 {
+	if len(r.refused) > 0 {
 		since = min(since, r.failedSince)
 	}
 	if v.before >= firstToTry {
