--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -165,14 +165,12 @@
 	}
 }
 
-// While the store is away nobody can follow the list. Once it is back, what has
-// lapsed meanwhile still stands in what is passed on.
-func TestFleetPassesOnWhatMayComeBack(t *testing.T) {
+// passedOn plays answers of the store to a follower of the list, and returns what it
+// passes on to the nodes that follow it.
+func passedOn(t *testing.T, answers []scriptedAnswer) []string {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{
-		{changes: []fleet.Change{listed("u1"), listed("u2")}}, {err: errAway}, {changes: []fleet.Change{listed("u1")}},
-		{changes: []fleet.Change{listed("u3")}},
-	}}
+	source := &scripted{t: t, end: cancel, answers: answers}
 	outage := &Outage{}
 	c := clock.New()
 	followers := &followersLog{}
@@ -181,40 +179,37 @@
 	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
 		t.Fatalf("got error %v, want %v", err, context.Canceled)
 	}
-	checkCalls(t, followers.calls, []string{"set u1 u2", "suspend", "set u1 u2", "add u3false", "suspend"})
+	return followers.calls
 }
 
-// A node that has started in an outage cannot know what has lapsed in it, and
-// passes nothing on until all that lives is back.
-func TestFleetPassesNoPartOn(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{
-		{err: errAway}, {changes: []fleet.Change{listed("u1")}}, {changes: []fleet.Change{listed("u2")}},
-	}}
-	outage := &Outage{}
-	c := clock.New()
-	followers := &followersLog{}
-	f := NewFleet(source, c, zap.NewNop(), outage, func([]fleet.Change) {}, WithReaders(&scriptedReader{store: source}, followers))
-	go backSoon(ctx, outage, c)
-	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
-		t.Fatalf("got error %v, want %v", err, context.Canceled)
-	}
-	checkCalls(t, followers.calls, []string{"suspend", "suspend", "suspend", "suspend"})
-}
-
-// What has gone before this node has seen it is passed on all the same: one that
+// While the store is away nobody can follow the list. Once it is back, what has
+// lapsed meanwhile still stands in what is passed on. A node that has started in an
+// outage cannot know what has lapsed in it, and passes nothing on until all that lives
+// is back. What has gone before a node has seen it is passed on all the same: one that
 // follows may have seen it.
-func TestFleetPassesUnknownEndsOn(t *testing.T) {
-	ctx, cancel := context.WithCancel(context.Background())
-	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{
-		{changes: []fleet.Change{listed("u1")}}, {changes: []fleet.Change{{ID: "u9", Gone: true}}},
-	}}
-	followers := &followersLog{}
-	f := NewFleet(source, clock.New(), zap.NewNop(), &Outage{}, func([]fleet.Change) {}, WithReaders(&scriptedReader{store: source}, followers))
-	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
-		t.Fatalf("got error %v, want %v", err, context.Canceled)
+func TestFleetPassesOn(t *testing.T) {
+	tests := []struct {
+		name    string
+		answers []scriptedAnswer
+		want    []string
+	}{
+		{"what may come back", []scriptedAnswer{
+			{changes: []fleet.Change{listed("u1"), listed("u2")}}, {err: errAway}, {changes: []fleet.Change{listed("u1")}},
+			{changes: []fleet.Change{listed("u3")}},
+		}, []string{"set u1 u2", "suspend", "set u1 u2", "add u3false", "suspend"}},
+		{"no part of a list", []scriptedAnswer{
+			{err: errAway}, {changes: []fleet.Change{listed("u1")}}, {changes: []fleet.Change{listed("u2")}},
+		}, []string{"suspend", "suspend", "suspend", "suspend"}},
+		{"unknown ends", []scriptedAnswer{
+			{changes: []fleet.Change{listed("u1")}}, {changes: []fleet.Change{{ID: "u9", Gone: true}}},
+		}, []string{"set u1", "add u9true", "suspend"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			checkCalls(t, passedOn(t, tt.answers), tt.want)
+		})
 	}
-	checkCalls(t, followers.calls[:2], []string{"set u1", "add u9true"})
 }
 
 // A node without anybody to follow leaves the store to others while it is told to,
