A request looks at its own data centre first; what others use is kept as a sum

A request's chain was sought over all engines of all data centres, and each of them asked for the sum of what 60 nodes had told: 1.76 ms for 990 engines on this machine, nine on a VM of 0.2 cores. The planner looked at all engines four times a second whether anything had happened or not, and twice, for the log. Ruled out: the list itself (memory and bytes grow with a power of 0.2 and 0.4). Change: the chain is sought at home first and taken if it costs less than any that leaves; what other nodes have told is kept as a sum by engine; a planner that has found nothing to do looks again when something has happened or may have run out, after a second at the latest; coverage is looked at once a second.

--- a/chain/builder.go
+++ b/chain/builder.go
@@ -58,8 +58,8 @@
 	return b
 }
 
-// best returns the cheapest chain, or nil.
-func (b *builder) best() []Part {
+// best returns the cheapest chain and what it costs, or nil.
+func (b *builder) best() (parts []Part, cost float64) {
 	for at := range b.cuts {
 		for centre := range len(b.centres) {
 			if !math.IsInf(b.steps[b.index(at, centre)].cost, 1) {
@@ -76,13 +76,13 @@
 		}
 	}
 	if end < 0 {
-		return nil
+		return nil, 0
 	}
-	parts := b.walk(end)
+	parts = b.walk(end)
 	if !checkFrom(b.from, b.layers, parts) {
-		return nil
+		return nil, 0
 	}
-	return parts
+	return parts, b.steps[end].cost
 }
 
 func (b *builder) index(at, centre int) int { return at*len(b.centres) + centre }
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -78,13 +78,22 @@
 	return BuildFrom(0, layers, tokens, origin, holders)
 }
 
+// BuildAtHome returns the cheapest chain over the holders of the origin's data centre,
+// if it costs less than any that leaves it: then the others need not be looked at. The
+// holders are those of the data centre alone.
+func BuildAtHome(layers int, tokens float64, origin string, holders []Holder) (parts []Part, ok bool) {
+	b := newBuilder(0, layers, tokens, origin, holders)
+	parts, cost := b.best()
+	return parts, parts != nil && cost < crossingCost
+}
+
 // BuildFrom is Build for the layers from a given one on.
 func BuildFrom(from, layers int, tokens float64, origin string, holders []Holder) ([]Part, error) {
 	if from == layers {
 		return nil, nil
 	}
 	b := newBuilder(from, layers, tokens, origin, holders)
-	parts := b.best()
+	parts, _ := b.best()
 	if parts != nil {
 		return parts, nil
 	}
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -157,6 +157,7 @@
 			u.update(m.now, c.Upstream)
 		default:
 			u = newUpstream(c.Upstream)
+			u.others = m.usageOf(c.ID)
 			m.upstreams[c.ID] = u
 		}
 		if u != nil && m.catalog != nil {
@@ -215,5 +216,6 @@
 // is in use.
 func (m *Model) tick() []Cmd {
 	m.setSlacks()
+	m.expireUsage()
 	return slices.Concat(m.takeEarly(), m.probes(), m.depart(), m.resume(), m.share())
 }
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -98,7 +98,24 @@
 
 // sendPipeline builds a chain of engines. Engines under suspicion take no part.
 func (m *Model) sendPipeline(r *request) (SendCmd, Reason) {
+	parts, err := m.chainFor(r)
+	if err != nil {
+		return SendCmd{}, chainReason(err)
+	}
+	first := m.upstreams[parts[0].ID]
+	r.first = first
+	m.reserve(r, parts)
+	return SendCmd{Chain: parts}, ""
+}
+
+// chainFor builds the chain of a request. The engines of other data centres are looked
+// at only where those at home do not give the cheapest: there may be ten times as many.
+func (m *Model) chainFor(r *request) ([]chain.Part, error) {
+	m.expireUsage()
 	layers := r.service.Pipeline.Layers
+	if parts, ok := chain.BuildAtHome(layers, r.tokens, m.dataCentre, m.holders(r, m.wellAtHome)); ok {
+		return parts, nil
+	}
 	parts, err := chain.Build(layers, r.tokens, m.dataCentre, m.holders(r, (*upstream).well))
 	if errors.Is(err, chain.ErrNoHolder) {
 		// Where suspicion has left a layer without an engine it does more harm than
@@ -106,13 +123,12 @@
 		m.probeSoon(r.service.Name)
 		parts, err = chain.Build(layers, r.tokens, m.dataCentre, m.holders(r, m.answers))
 	}
-	if err != nil {
-		return SendCmd{}, chainReason(err)
-	}
-	first := m.upstreams[parts[0].ID]
-	r.first = first
-	m.reserve(r, parts)
-	return SendCmd{Chain: parts}, ""
+	return parts, err
+}
+
+// wellAtHome tells whether nothing speaks against an engine of the own data centre.
+func (m *Model) wellAtHome(u *upstream) bool {
+	return u.entry.DataCentre == m.dataCentre && u.well()
 }
 
 // probeSoon has the suspects of a service probed at the next tick, but for those
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -32,7 +32,6 @@
 		return nil
 	}
 	m.shared = m.now
-	maps.DeleteFunc(m.usage, func(_ string, p peerUsage) bool { return m.now > p.at.Add(usageLasts) })
 	used := make(map[string]float64)
 	for id, u := range m.upstreams {
 		if u.reserved > 0 {
@@ -60,8 +59,39 @@
 	return total
 }
 
+// noteUsage takes what another node has in use, in place of what it has told before.
+// The sum for each engine is kept, since every request asks for it.
 func (m *Model) noteUsage(msg UsageMsg) {
+	m.addUsage(m.usage[msg.Node].used, -1)
 	m.usage[msg.Node] = peerUsage{at: m.now, used: msg.Used, total: msg.Total}
+	m.addUsage(msg.Used, 1)
+}
+
+func (m *Model) addUsage(used map[string]float64, sign float64) {
+	for id, amount := range used {
+		if u := m.upstreams[id]; u != nil {
+			u.others += sign * amount
+		}
+	}
+}
+
+// usageOf adds up what other nodes have told of an engine that is new here.
+func (m *Model) usageOf(id string) float64 {
+	sum := 0.0
+	for _, peer := range m.usage {
+		sum += peer.used[id]
+	}
+	return sum
+}
+
+// expireUsage drops what was told too long ago.
+func (m *Model) expireUsage() {
+	for node, peer := range m.usage {
+		if m.now > peer.at.Add(usageLasts) {
+			m.addUsage(peer.used, -1)
+			delete(m.usage, node)
+		}
+	}
 }
 
 // free returns the memory that is left at an engine, as far as is known. A node
@@ -69,12 +99,7 @@
 // off far more often than its datagrams are all lost. Where that is wrong the
 // engine refuses, and is taken as full for a moment.
 func (m *Model) free(u *upstream) float64 {
-	free := u.room - u.reserved
-	for _, peer := range m.usage {
-		if m.now <= peer.at.Add(usageLasts) {
-			free -= peer.used[u.entry.ID]
-		}
-	}
+	free := u.room - u.reserved - u.others
 	if reported, ok := m.reported(u); ok {
 		free = min(free, reported)
 	}
--- a/placement/model.go
+++ b/placement/model.go
@@ -42,6 +42,10 @@
 	// engine that is in use is moved to them, so that one change of the list is
 	// seen whole.
 	healAfter clock.Millis = 300
+	// idleFor is for how long at the most a planner that has found nothing to do looks
+	// at nothing while nothing happens. A look costs some 2 µs an engine, four times
+	// a second, and five times that on the smallest VMs.
+	idleFor clock.Millis = 1000
 	// mostSilent is how many engines of a service may be silent to this node alone at
 	// a time. With more it is the node that is cut off, and only the list and what
 	// other nodes have found too counts.
@@ -74,6 +78,8 @@
 	plans map[string]planned
 	// dueSince is since when there have been orders to give.
 	dueSince clock.Millis
+	// idleUntil is until when nothing is to be looked at if nothing happens.
+	idleUntil clock.Millis
 }
 
 // pending is an order that has been given.
@@ -114,6 +120,9 @@
 
 // Update takes in one message and returns the orders to give.
 func (m *Model) Update(now clock.Millis, msg Msg) []OrderCmd {
+	if _, tick := msg.(TickMsg); !tick {
+		m.idleUntil = 0
+	}
 	switch msg := msg.(type) {
 	case CatalogMsg:
 		m.catalog = msg.Catalog
@@ -218,6 +227,9 @@
 
 // tick plans, once the list is settled and others have had their chance.
 func (m *Model) tick(now clock.Millis) []OrderCmd {
+	if now < m.idleUntil {
+		return nil
+	}
 	if m.catalog == nil || !m.settled(now) {
 		m.dueSince = 0
 		return nil
@@ -233,12 +245,30 @@
 			wanting = append(wanting, s)
 		}
 	})
+	if len(wanting) == 0 && len(m.needSince) == 0 {
+		m.idleUntil = m.nextLook(now)
+	}
 	if !m.due(now, len(wanting) > 0) {
 		return nil
 	}
 	return m.give(now, wanting)
 }
 
+// nextLook is when to look again if nothing happens: in a while, or when an order has
+// lasted too long or an engine is kept in reserve no longer.
+func (m *Model) nextLook(now clock.Millis) clock.Millis {
+	next := now.Add(idleFor)
+	for _, p := range m.pending {
+		next = min(next, p.until)
+	}
+	for _, seen := range m.seen {
+		if until := seen.Add(reserveFor); until > now {
+			next = min(next, until)
+		}
+	}
+	return next
+}
+
 func (m *Model) settled(now clock.Millis) bool {
 	if m.planned {
 		return true
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -49,6 +49,9 @@
 const (
 	// tickEvery is how often the planner looks at its engines.
 	tickEvery = 250 * time.Millisecond
+	// coverageTicks is at which of the planner's ticks it is looked whether other
+	// layers are held than were logged last: once a second.
+	coverageTicks = 4
 	// waiting bounds the messages that wait for the planner.
 	waiting = 256
 	// watchEvery is how often an engine that loads is asked whether it is done,
@@ -97,6 +100,7 @@
 	}
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	ticks := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -105,7 +109,9 @@
 			p.model.Update(p.clock.Now(), msg)
 		case <-tick.C:
 			p.hand(ctx, p.model.Update(p.clock.Now(), placement.TickMsg{}))
-			p.logCoverage()
+			if ticks++; ticks%coverageTicks == 0 {
+				p.logCoverage()
+			}
 		}
 	}
 }
