Home chains count as cheapest by what any other would cost at least

Chains over slow engines cost 18 to 25 ms a token at home, and were sought everywhere where that is over the 20 of a crossing. Change: a chain that leaves home costs a crossing and, for all layers, at least the time of the fastest engine anywhere; what is found at home for less is taken.

--- a/chain/chain.go
+++ b/chain/chain.go
@@ -80,11 +80,12 @@
 
 // BuildAtHome returns the cheapest chain over the holders of the origin's data centre,
 // if it costs less than any that leaves it: then the others need not be looked at. The
-// holders are those of the data centre alone.
-func BuildAtHome(layers int, tokens float64, origin string, holders []Holder) (parts []Part, ok bool) {
+// holders are those of the data centre alone; fastest is the time of a token through all
+// layers on the fastest engine anywhere, in ms.
+func BuildAtHome(layers int, tokens float64, origin string, holders []Holder, fastest float64) (parts []Part, ok bool) {
 	b := newBuilder(0, layers, tokens, origin, holders)
 	parts, cost := b.best()
-	return parts, parts != nil && cost < crossingCost
+	return parts, parts != nil && cost < crossingCost+fastest
 }
 
 // BuildFrom is Build for the layers from a given one on.
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -26,7 +26,10 @@
 	upstreams map[string]*upstream
 	byService map[string][]*upstream
 	byAddress map[string]*upstream
-	requests  map[RequestID]*request
+	// fastest is the time of a token through all layers of a service's pipeline on its
+	// fastest engine, in ms.
+	fastest  map[string]float64
+	requests map[RequestID]*request
 	// early are the requests that wait for the node's start.
 	early   []early
 	budgets map[string]*budget.Window
@@ -62,6 +65,7 @@
 		upstreams: make(map[string]*upstream),
 		byService: make(map[string][]*upstream),
 		byAddress: make(map[string]*upstream),
+		fastest:   make(map[string]float64),
 		requests:  make(map[RequestID]*request),
 		budgets:   make(map[string]*budget.Window),
 		usage:     make(map[string]peerUsage),
@@ -136,6 +140,7 @@
 	for _, u := range m.upstreams {
 		u.measure(m.catalog.Service(u.entry.Service))
 	}
+	m.index()
 }
 
 // fresh tells whether the newest configuration is known well enough for a
@@ -170,7 +175,9 @@
 func (m *Model) index() {
 	clear(m.byService)
 	clear(m.byAddress)
+	clear(m.fastest)
 	for _, u := range m.upstreams {
+		m.noteFastest(u)
 		m.byService[u.entry.Service] = append(m.byService[u.entry.Service], u)
 		m.byAddress[u.entry.Address] = u
 	}
@@ -179,6 +186,17 @@
 	}
 }
 
+// noteFastest takes in an engine for the time of a token on the fastest one.
+func (m *Model) noteFastest(u *upstream) {
+	if u.pipeline == nil || u.layerTime <= 0 {
+		return
+	}
+	whole := u.layerTime * float64(u.pipeline.Layers)
+	if least, known := m.fastest[u.entry.Service]; !known || whole < least {
+		m.fastest[u.entry.Service] = whole
+	}
+}
+
 // budget returns this node's part of a service's budget of repeats.
 func (m *Model) budget(service string) *budget.Window {
 	b, ok := m.budgets[service]
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -113,7 +113,7 @@
 func (m *Model) chainFor(r *request) ([]chain.Part, error) {
 	m.expireUsage()
 	layers := r.service.Pipeline.Layers
-	if parts, ok := chain.BuildAtHome(layers, r.tokens, m.dataCentre, m.holders(r, m.wellAtHome)); ok {
+	if parts, ok := chain.BuildAtHome(layers, r.tokens, m.dataCentre, m.holders(r, m.wellAtHome), m.fastest[r.service.Name]); ok {
 		return parts, nil
 	}
 	parts, err := chain.Build(layers, r.tokens, m.dataCentre, m.holders(r, (*upstream).well))
