The soak has engines fail, connections go silent for good, and upstreams leave after it

Now engines answer each second stream with a failure and break each third off partway for a time; open connections to the store or to an engine are muted for good, while new ones work; and when the nodes have recovered, all connections to the store are muted once or twice, a desk and an engine leave, and the last request to reach them is compared with the promise (2 s, 3 s after the silence, 1.5 s for a busy machine).

With a failed leaving the rest is still judged.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -45,6 +45,8 @@
 	mu       sync.Mutex
 	target   string
 	open     map[net.Conn]bool
+	// muted is closed when the connections that are open now go silent for good.
+	muted chan struct{}
 }
 
 // newProxy returns a proxy without a target; it resets until it has one.
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, open: make(map[net.Conn]bool)}
+	p := &proxy{listener: l, open: make(map[net.Conn]bool), muted: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -79,6 +81,14 @@
 	}
 }
 
+// mute has the open connections say nothing any more, without a reset. New ones work.
+func (p *proxy) mute() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.muted)
+	p.muted = make(chan struct{})
+}
+
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
@@ -98,7 +108,7 @@
 
 func (p *proxy) serve(caller net.Conn) {
 	p.mu.Lock()
-	target := p.target
+	target, muted := p.target, p.muted
 	p.mu.Unlock()
 	if Mode(p.mode.Load()) == Reset || target == "" {
 		reset(caller)
@@ -111,16 +121,28 @@
 	}
 	p.track(caller, true)
 	p.track(server, true)
-	done := make(chan struct{}, 2)
-	go p.pump(server, caller, false, done)
-	go p.pump(caller, server, true, done)
-	<-done
+	// Each pump says when it has ended, and whether it is the one back to the caller.
+	ended := make(chan bool, 2)
+	go func() { p.pump(server, caller, false, muted); ended <- false }()
+	go func() { p.pump(caller, server, true, muted); ended <- true }()
+	for back := <-ended; back && closed(muted); back = <-ended {
+		// The caller of a muted connection is not told that the server has ended it.
+	}
 	p.track(caller, false)
 	p.track(server, false)
 	_ = caller.Close()
 	_ = server.Close()
 }
 
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *proxy) track(c net.Conn, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -131,12 +153,18 @@
 	delete(p.open, c)
 }
 
-// pump passes bytes one way. Back tells that they go to the caller.
-func (p *proxy) pump(to, from net.Conn, back bool, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+// pump passes bytes one way, until the connection is muted. Back tells that they go to
+// the caller.
+func (p *proxy) pump(to, from net.Conn, back bool, muted <-chan struct{}) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
+		if closed(muted) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if n > 0 {
 			p.hold(back)
 			if _, werr := to.Write(buffer[:n]); werr != nil {
--- a/soak/run.go
+++ b/soak/run.go
@@ -29,6 +29,8 @@
 	longestFault = 2500 * time.Millisecond
 	// faultPause bounds the pause between two faults of a series.
 	faultPause = 700 * time.Millisecond
+	// leavePart is the leaving's part of the seed.
+	leavePart = 50
 	// series is how many series of faults go on at a time.
 	series = 2
 )
@@ -78,12 +80,12 @@
 	time.Sleep(settle)
 	s.harm(ctx)
 	err := s.recovered()
+	if err == nil {
+		err = s.leave(rand.New(rand.NewPCG(s.Seed, leavePart)))
+	}
 	stop()
 	group.Wait()
-	if err != nil {
-		return err
-	}
-	return s.judge()
+	return errors.Join(err, s.judge())
 }
 
 // harm runs the series of faults side by side.
@@ -106,7 +108,7 @@
 // fault does one harm and undoes it.
 func (s *soak) fault(random *rand.Rand) {
 	lasts := time.Duration(random.Int64N(int64(longestFault)))
-	kind, which, mode := random.IntN(8), random.IntN(1<<20), Mode(1+random.IntN(4))
+	kind, which, mode := random.IntN(10), random.IntN(1<<20), Mode(1+random.IntN(4))
 	what, err := "", error(nil)
 	switch kind {
 	case 0, 1, 2:
@@ -123,8 +125,12 @@
 		s.cut(s.world.storeLink[link], mode, lasts)
 	case 6:
 		what, err = s.storeFault(random, lasts)
-	default:
+	case 7:
 		what, err = s.revoke(lasts)
+	case 8:
+		what, err = s.enginesFail(lasts)
+	default:
+		what = s.mute(which)
 	}
 	s.note(what, lasts, err)
 }
@@ -159,6 +165,44 @@
 	return fmt.Sprintf("kill engine-%d", which), s.world.startEngine(which)
 }
 
+// failing engines answer each second stream with a failure of their own, and break each
+// third off partway: what is taken up elsewhere meets failures too.
+var failing = standin.ChainFaults{FailEach: 2, CutEach: 3}
+
+// enginesFail has all engines fail a part of their streams.
+func (s *soak) enginesFail(lasts time.Duration) (string, error) {
+	err := s.engineFaults(failing)
+	time.Sleep(lasts)
+	return "engines fail", errors.CombineErrors(err, s.engineFaults(standin.ChainFaults{}))
+}
+
+// engineFaults sets what goes wrong with all engines. One that is just being started
+// again gets none.
+func (s *soak) engineFaults(f standin.ChainFaults) error {
+	var failed error
+	for i, engine := range s.world.engines {
+		if !s.world.engineBusy[i].TryLock() {
+			continue
+		}
+		failed = errors.CombineErrors(failed, post("http://"+engine.at()+"/faults", f))
+		s.world.engineBusy[i].Unlock()
+	}
+	return failed
+}
+
+// mute has the open connections of an engine, or of a node to the store, go silent for
+// good, while new ones work.
+func (s *soak) mute(which int) string {
+	if which%2 == 0 {
+		engine := which / 2 % len(s.world.links)
+		s.world.links[engine].mute()
+		return fmt.Sprintf("mute engine-%d", engine)
+	}
+	node := which / 2 % len(s.world.storeLink)
+	s.world.storeLink[node].mute()
+	return fmt.Sprintf("mute store and node-%d", node)
+}
+
 func (s *soak) note(what string, lasts time.Duration, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/soak/world.go
+++ b/soak/world.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,8 +39,9 @@
 	nodes     []*process
 	engines   []*process
 	links     []*proxy
-	desk      *process
-	deskLink  *proxy
+	// desks are all that have been started, the last one in use.
+	desks     []*process
+	deskLinks []*proxy
 	// generation numbers the engines' restarts, since ids are used once.
 	generation atomic.Int64
 	version    uint64
@@ -60,15 +62,9 @@
 	if w.store, err = w.launch("store", "listening ", "standin-site", "store", "--key", keptKey, "--key", "key-2"); err != nil {
 		return w, err
 	}
-	if w.deskLink, err = newProxy(); err != nil {
+	if err := w.startDesk("desk-1"); err != nil {
 		return w, err
 	}
-	w.desk, err = w.launch("desk", "listening ", "standin-site", "desk", "--id", "desk-1", "--store", w.store.at(),
-		"--through", w.deskLink.address())
-	if err != nil {
-		return w, err
-	}
-	w.deskLink.setTarget(w.desk.at())
 	for i := range size.Engines {
 		link, err := newProxy()
 		if err != nil {
@@ -96,6 +92,21 @@
 	return p, p.start(mark)
 }
 
+// startDesk starts another desk, behind a link of its own, in the place of the last.
+func (w *world) startDesk(id string) error {
+	link, err := newProxy()
+	if err != nil {
+		return err
+	}
+	desk, err := w.launch(id, "listening ", "standin-site", "desk", "--id", id, "--store", w.store.at(), "--through", link.address())
+	if err != nil {
+		return err
+	}
+	link.setTarget(desk.at())
+	w.desks, w.deskLinks = append(w.desks, desk), append(w.deskLinks, link)
+	return nil
+}
+
 // startEngine starts an engine under a new id, behind its old address.
 func (w *world) startEngine(i int) error {
 	generation := w.generation.Add(1)
@@ -135,14 +146,13 @@
 func (w *world) restart(p *process) error { return p.start(" caller=") }
 
 func (w *world) close() {
-	all := append([]*process{w.store, w.desk}, append(w.nodes, w.engines...)...)
-	for _, p := range all {
+	for _, p := range slices.Concat([]*process{w.store}, w.desks, w.nodes, w.engines) {
 		if p != nil {
 			p.kill()
 			_ = p.log.Close()
 		}
 	}
-	for _, l := range append(append([]*proxy{w.deskLink}, w.links...), w.storeLink...) {
+	for _, l := range slices.Concat(w.deskLinks, w.links, w.storeLink) {
 		if l != nil {
 			l.close()
 		}
@@ -184,9 +194,25 @@
 	return nil
 }
 
-// runs asks the desk what it has run.
+// runs asks the desks what they have run. A request that two of them have run counts
+// twice.
 func (w *world) runs() (map[string]standin.DeskRun, error) {
-	resp, err := calls.Get("http://" + w.desk.at() + "/runs")
+	all := make(map[string]standin.DeskRun)
+	for _, desk := range w.desks {
+		runs, err := runsOf(desk)
+		if err != nil {
+			return nil, err
+		}
+		for id, run := range runs {
+			run.Runs += all[id].Runs
+			all[id] = run
+		}
+	}
+	return all, nil
+}
+
+func runsOf(desk *process) (map[string]standin.DeskRun, error) {
+	resp, err := calls.Get("http://" + desk.at() + "/runs")
 	if err != nil {
 		return nil, err
 	}
--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -25,6 +25,8 @@
 	// cut, and askPart bounds one question to a part.
 	stallTime = 2500 * time.Millisecond
 	askPart   = 80 * time.Millisecond
+	// cutAfter is how many events a stream has that is broken off.
+	cutAfter = 3
 )
 
 // ChainEngine is a stand-in for an engine that runs pipelines by itself: it
@@ -35,18 +37,63 @@
 	// advertised is the address by which callers and other engines know it.
 	advertised string
 	client     *http.Client
+	departure  departure
 
 	mu      sync.Mutex
 	held    fleet.Range
 	loading bool
 	orders  uint64
 	streams map[string]*engineStream
+	faults  ChainFaults
+	// taken counts the streams that were taken since the faults were set.
+	taken int
+}
+
+// ChainFaults are what goes wrong with an engine that runs pipelines.
+type ChainFaults struct {
+	// FailEach makes the engine run each so manieth stream and answer it with a
+	// failure of its own; zero for none.
+	FailEach int `json:"fail_each"`
+	// CutEach makes it break each so manieth stream off partway; zero for none.
+	CutEach int `json:"cut_each"`
+}
+
+// SetFaults changes what goes wrong.
+func (e *ChainEngine) SetFaults(f ChainFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults, e.taken = f, 0
+}
+
+// fate is what becomes of a stream that the engine takes.
+type fate int
+
+const (
+	fateWhole fate = iota
+	fateFailed
+	fateCut
+)
+
+// take says what becomes of the stream that is taken now.
+func (e *ChainEngine) take() fate {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.taken++
+	switch {
+	case e.faults.FailEach > 0 && e.taken%e.faults.FailEach == 0:
+		return fateFailed
+	case e.faults.CutEach > 0 && e.taken%e.faults.CutEach == 0:
+		return fateCut
+	}
+	return fateWhole
 }
 
 // engineStream is a stream that began at this engine.
 type engineStream struct {
 	parts     []enginePart
 	stalledAt string
+	// cut tells that it is broken off after cutAfter events.
+	cut bool
 }
 
 // enginePart is a stage as the chain's header names it.
@@ -67,7 +114,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return &platformpb.Server{
-		Service: SiteWriter, Address: e.advertised, Zone: centre, State: "ready", Slots: 64, Kind: SiteKind, Layers: e.layers(),
+		Service: SiteWriter, Address: e.advertised, Zone: centre, State: e.departure.state(), Slots: 64, Kind: SiteKind, Layers: e.layers(),
 	}
 }
 
@@ -78,12 +125,15 @@
 	return &platformpb.Layers{From: float64(e.held.From), To: float64(e.held.To)}
 }
 
-// Handler serves orders, reports, questions of other engines, and streams.
+// Handler serves orders, reports, questions of other engines, and streams; its faults
+// at /faults, and its leaving at /leave.
 func (e *ChainEngine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.report)
 	mux.HandleFunc("POST /order", e.order)
 	mux.HandleFunc("GET /part", e.part)
+	mux.Handle("POST /faults", faultHandler(e.SetFaults))
+	e.departure.serve(mux)
 	mux.HandleFunc("/", e.generate)
 	return mux
 }
@@ -130,6 +180,7 @@
 	if !e.meant(w, r) {
 		return
 	}
+	e.departure.arrived()
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -141,14 +192,19 @@
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
-	stream := &engineStream{parts: parts}
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Response-Seal", e.id)
+	fate := e.take()
+	if fate == fateFailed {
+		http.Error(w, "the engine fails", http.StatusInternalServerError)
+		return
+	}
+	stream := &engineStream{parts: parts, cut: fate == fateCut}
 	e.mu.Lock()
 	e.streams[id] = stream
 	e.mu.Unlock()
 	defer e.end(id, stream)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Response-Seal", e.id)
 	e.stream(w, r, stream)
 }
 
@@ -199,7 +255,7 @@
 	control := http.NewResponseController(w)
 	for n := first; n <= SiteEvents(r.URL.Path); n++ {
 		time.Sleep(eventEvery)
-		if !e.passAll(r.Context(), stream) {
+		if stream.cut && n == first+cutAfter || !e.passAll(r.Context(), stream) {
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := io.WriteString(w, SiteEvent(r.URL.Path, n)); err != nil {
--- /dev/null
+++ b/standin/departure.go
@@ -0,0 +1,38 @@
+package standin
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// departure is a server's leaving, and what still reaches it.
+type departure struct {
+	leaving atomic.Bool
+	// last is the wall time of the last request, in ms since 1970.
+	last atomic.Int64
+}
+
+// Arrival is when a request has reached a server last.
+type Arrival struct {
+	// LastMS is a wall time in ms since 1970; zero for never.
+	LastMS int64 `json:"last_ms"`
+}
+
+// arrived notes a request that was meant for this server.
+func (d *departure) arrived() { d.last.Store(time.Now().UnixMilli()) }
+
+// state is what the server says of itself in the list.
+func (d *departure) state() string {
+	if d.leaving.Load() {
+		return "draining"
+	}
+	return "ready"
+}
+
+// serve adds the calls that make a server say that it leaves, and that tell when a
+// request has reached it last.
+func (d *departure) serve(mux *http.ServeMux) {
+	mux.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { d.leaving.Store(true) })
+	mux.Handle("GET /arrival", jsonHandler(func() any { return Arrival{LastMS: d.last.Load()} }))
+}
--- a/standin/desk.go
+++ b/standin/desk.go
@@ -17,6 +17,7 @@
 	advertised string
 	work       time.Duration
 	slots      chan struct{}
+	departure  departure
 	mu         sync.Mutex
 	runs       map[string]DeskRun
 }
@@ -39,14 +40,15 @@
 
 // Entry returns the desk's entry in the list of servers.
 func (d *Desk) Entry(centre string) *platformpb.Server {
-	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: "ready", Slots: deskSlots}
+	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: d.departure.state(), Slots: deskSlots}
 }
 
-// Handler serves requests, and what was run at /runs.
+// Handler serves requests, what was run at /runs, and the desk's leaving at /leave.
 func (d *Desk) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /runs", jsonHandler(func() any { return d.Runs() }))
 	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	d.departure.serve(mux)
 	mux.HandleFunc("/", d.serve)
 	return mux
 }
@@ -68,6 +70,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	d.departure.arrived()
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
