--- /dev/null
+++ b/relay/begun_test.go
@@ -0,0 +1,219 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/hoistjunction/hoistjunction/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m, map[string]string{"rapid.checks": "300"}) }
+
+// answerSeen is what a caller has got.
+type answerSeen struct {
+	status int
+	sealed bool
+	body   string
+	// whole tells that the answer looks complete.
+	whole bool
+}
+
+func call(t testing.TB, client *http.Client, address, path string) answerSeen {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("question"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	resp, err := client.Do(req)
+	if err != nil {
+		return answerSeen{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answerSeen{status: resp.StatusCode, sealed: resp.Header.Get(headerSeal) != "", body: string(body), whole: err == nil}
+}
+
+// A caller saw a stream end as complete that was not: it broke off, and the upstreams
+// that should have taken it up answered with failures. The last failure's body was
+// written into the open answer, which then ended in good order. What is no stream
+// cannot take a stream up.
+func TestBegunStreamIsNotEndedByAnotherAnswer(t *testing.T) {
+	for _, o := range []outcome{failure, failedAtOnce, notFound, otherType, notRun, reset, large, largeBroken} {
+		t.Run(o.String(), func(t *testing.T) {
+			_, address := newTestRelay(t, &scriptedUpstreams{script: []outcome{brokenStream, o}})
+			got := call(t, http.DefaultClient, address, "/write/a")
+			if got.whole {
+				t.Errorf("got a complete answer of %d bytes, want one that breaks off", len(got.body))
+			}
+			if want := eventsText(0, eventsEach); got.body != want {
+				t.Errorf("got %d bytes that end in %q, want the events so far", len(got.body), last(got.body, 40))
+			}
+		})
+	}
+}
+
+// An upstream may name the length of its stream. Another one that takes it up need
+// not cut the rest into the same events.
+func TestResumedStreamHasNoLength(t *testing.T) {
+	_, address := newTestRelay(t, &scriptedUpstreams{script: []outcome{measuredStream, wholeStream}})
+	got := call(t, http.DefaultClient, address, "/write/a")
+	if want := eventsText(0, lastEvent); !got.whole || got.body != want {
+		t.Errorf("got whole=%v and %d bytes, want all %d", got.whole, len(got.body), len(want))
+	}
+}
+
+func last(text string, n int) string { return text[max(0, len(text)-n):] }
+
+// Whatever upstreams answer, an answer that looks complete is exactly one of
+// theirs, all events of a stream, or the node's own refusal.
+func TestCompleteAnswersAreWhole(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		script := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) outcome {
+			return outcome(rapid.IntRange(0, int(outcomes)-1).Draw(rt, "outcome"))
+		}), 1, 6).Draw(rt, "script")
+		path := rapid.SampledFrom([]string{"/write/a", "/tell/a", "/read/a", "/once/a"}).Draw(rt, "path")
+		upstreams := &scriptedUpstreams{script: script}
+		t.Run("", func(t *testing.T) {
+			_, address := newTestRelay(t, upstreams)
+			got := call(t, &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, address, path)
+			if got.whole && !isWhole(got, upstreams) {
+				rt.Errorf("%s %v: got a complete answer %d of %d bytes that end in %q", path, script, got.status, len(got.body), last(got.body, 40))
+			}
+		})
+	})
+}
+
+// isWhole tells whether an answer is one that may look complete.
+func isWhole(got answerSeen, upstreams *scriptedUpstreams) bool {
+	if !got.sealed {
+		return got.status >= http.StatusBadRequest && strings.HasPrefix(got.body, `{"error":`)
+	}
+	if got.body == eventsText(0, lastEvent) && got.status == http.StatusOK {
+		return true
+	}
+	upstreams.mu.Lock()
+	defer upstreams.mu.Unlock()
+	for attempt := 1; attempt <= upstreams.attempts; attempt++ {
+		if got.body == wholeBody(upstreams.outcome(attempt), attempt) {
+			return true
+		}
+	}
+	return false
+}
+
+// A caller that has closed its half of the connection has left, but it still reads:
+// an answer that nobody has ended must not look complete to it, and neither must one
+// that has not begun.
+func TestHalfClosedCallerSeesNoEnd(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		events int
+	}{{"before the answer", 0}, {"within a stream", eventsEach}} {
+		t.Run(tt.name, func(t *testing.T) {
+			_, address := newTestRelay(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headerSeal, "1")
+				if tt.events > 0 {
+					writeEvents(w, 0, tt.events)
+				}
+				<-r.Context().Done()
+			}))
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := conn.Write([]byte("GET /write/a HTTP/1.1\r\nHost: h\r\n\r\n")); err != nil {
+				t.Fatal(err)
+			}
+			answer := bufio.NewReader(conn)
+			if tt.events > 0 {
+				if _, err := answer.Peek(1); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(answer, nil)
+			if err != nil {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("got a complete answer %d of %d bytes, want none", resp.StatusCode, len(body))
+			}
+		})
+	}
+}
+
+// A whole answer leaves its connection to the next request, also where it has no
+// body.
+func TestWholeAnswerKeepsTheConnection(t *testing.T) {
+	tests := []struct {
+		name, method, path string
+		upstream           http.HandlerFunc
+	}{
+		{"stream", http.MethodPost, "/write/a", func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 0, lastEvent) }},
+		{"empty stream", http.MethodPost, "/write/a", func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 0, 0) }},
+		{"stream with a length", http.MethodPost, "/write/a", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(len(eventsText(0, lastEvent))))
+			writeEvents(w, 0, lastEvent)
+		}},
+		{"failure", http.MethodPost, "/once/a", func(w http.ResponseWriter, _ *http.Request) { answer(w, http.StatusInternalServerError, "no") }},
+		{"large", http.MethodPost, "/read/a", func(w http.ResponseWriter, _ *http.Request) {
+			answer(w, http.StatusOK, wholeBody(large, 1))
+		}},
+		{"head", http.MethodHead, "/read/a", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "12")
+			w.WriteHeader(http.StatusOK)
+		}},
+		{"head of a stream", http.MethodHead, "/write/a", func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 0, 0) }},
+		{"no content", http.MethodPost, "/once/a", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }},
+		{"not modified", http.MethodGet, "/read/a", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotModified) }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, address := newTestRelay(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headerSeal, "1")
+				tt.upstream(w, r)
+			}))
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			for i, want := range []bool{false, true} {
+				if got := reused(t, client, tt.method, "http://"+address+tt.path); got != want {
+					t.Errorf("request %d: got a kept connection %v, want %v", i+1, got, want)
+				}
+			}
+		})
+	}
+}
+
+// reused makes a request and tells whether it went out on a kept connection.
+func reused(t *testing.T, client *http.Client, method, url string) bool {
+	t.Helper()
+	kept := false
+	req, err := http.NewRequest(method, url, http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h"
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { kept = info.Reused }}
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	return kept
+}
--- /dev/null
+++ b/relay/fixture_test.go
@@ -0,0 +1,248 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// Headers of the fixture's protocol.
+const (
+	headerSeal  = "Test-Seal"
+	headerAfter = "Test-After"
+)
+
+// sealedProtocol is a protocol in which an answer without a seal has not run.
+type sealedProtocol struct{}
+
+func (sealedProtocol) CallerHead(h http.Header) CallerHead { return CallerHead{ID: h.Get("Test-Id")} }
+
+func (sealedProtocol) SetAttempt(h http.Header, a AttemptHead) {
+	if a.LastEvent != "" {
+		h.Set(headerAfter, a.LastEvent)
+	}
+}
+
+func (sealedProtocol) AnswerHead(_ int, h http.Header) AnswerHead {
+	sealed := h.Get(headerSeal) != ""
+	return AnswerHead{Sealed: sealed, NotRun: !sealed}
+}
+
+// noEngines stands for engines that answer no question.
+type noEngines struct{}
+
+func (noEngines) Report(context.Context, string, string) (EngineReport, error) {
+	return EngineReport{}, errTakenBack
+}
+
+func (noEngines) Move(context.Context, string, string, []chain.Part) (result dispatch.MoveResult, at string) {
+	return dispatch.MoveUnanswered, ""
+}
+
+func (noEngines) Probe(context.Context, string, string) error { return nil }
+
+// outcome is how an upstream answers one attempt.
+type outcome uint8
+
+// The outcomes. A stream has lastEvent events; the broken ones end after some, and a
+// measured one has named a length that is not that of the stream as others go on
+// with it.
+const (
+	wholeStream outcome = iota
+	brokenStream
+	partialEvent
+	measuredStream
+	failure
+	failedAtOnce
+	otherType
+	notFound
+	notRun
+	reset
+	large
+	largeBroken
+	outcomes
+)
+
+var outcomeNames = [outcomes]string{
+	"whole stream", "broken stream", "partial event", "measured stream", "500", "504", "other type", "404", "not run", "reset", "large", "large broken",
+}
+
+func (o outcome) String() string { return outcomeNames[o] }
+
+const (
+	// lastEvent is the id of the last event of each stream, and eventsEach how many
+	// of them a broken one brings.
+	lastEvent  = 7
+	eventsEach = 2
+	// measuredLength is the length in bytes that a measured stream names.
+	measuredLength = 100
+	// largeAnswer is the size of a large answer in bytes, and largePart how much a
+	// broken one brings.
+	largeAnswer = bufferedAnswer + 3*pieceSize
+	largePart   = bufferedAnswer + pieceSize
+)
+
+// scriptedUpstreams answer the attempts of one request in turn; those beyond the
+// script as the last of it.
+type scriptedUpstreams struct {
+	script []outcome
+
+	mu       sync.Mutex
+	attempts int
+}
+
+func (u *scriptedUpstreams) next() (attempt int, o outcome) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.attempts++
+	return u.attempts, u.outcome(u.attempts)
+}
+
+// outcome is that of an attempt, counted from 1.
+func (u *scriptedUpstreams) outcome(attempt int) outcome {
+	return u.script[min(attempt, len(u.script))-1]
+}
+
+// ServeHTTP implements http.Handler.
+func (u *scriptedUpstreams) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	attempt, o := u.next()
+	after, _ := strconv.Atoi(r.Header.Get(headerAfter))
+	if o != notRun {
+		w.Header().Set(headerSeal, strconv.Itoa(attempt))
+	}
+	switch o {
+	case wholeStream:
+		writeEvents(w, after, lastEvent)
+	case brokenStream:
+		writeEvents(w, after, min(after+eventsEach, lastEvent))
+		breakOff(w)
+	case partialEvent:
+		writeEvents(w, after, min(after+eventsEach, lastEvent))
+		write(w, "id: 9")
+		breakOff(w)
+	case measuredStream:
+		w.Header().Set("Content-Length", strconv.Itoa(measuredLength))
+		writeEvents(w, after, min(after+eventsEach, lastEvent))
+		breakOff(w)
+	case failure:
+		answer(w, http.StatusInternalServerError, wholeBody(o, attempt))
+	case failedAtOnce:
+		answer(w, http.StatusGatewayTimeout, wholeBody(o, attempt))
+	case otherType:
+		answer(w, http.StatusOK, wholeBody(o, attempt))
+	case notFound:
+		answer(w, http.StatusNotFound, wholeBody(o, attempt))
+	case notRun:
+		answer(w, http.StatusServiceUnavailable, "not run")
+	case reset:
+		breakOff(w)
+	case large:
+		answer(w, http.StatusOK, wholeBody(o, attempt))
+	case largeBroken:
+		answer(w, http.StatusOK, wholeBody(o, attempt)[:largePart])
+		breakOff(w)
+	}
+}
+
+// wholeBody is the body of an answer that is no stream. It names the attempt, so
+// that those of two attempts differ throughout.
+func wholeBody(o outcome, attempt int) string {
+	if o == large || o == largeBroken {
+		return strings.Repeat(strconv.Itoa(attempt%10), largeAnswer)
+	}
+	return fmt.Sprintf("%v of attempt %d", o, attempt)
+}
+
+func answer(w http.ResponseWriter, status int, body string) {
+	w.Header().Set("Content-Type", "text/plain")
+	w.WriteHeader(status)
+	write(w, body)
+}
+
+func writeEvents(w http.ResponseWriter, after, last int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	write(w, eventsText(after, last))
+}
+
+// eventsText is the events after one up to another.
+func eventsText(after, last int) string {
+	var text strings.Builder
+	for id := after + 1; id <= last; id++ {
+		fmt.Fprintf(&text, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return text.String()
+}
+
+func write(w http.ResponseWriter, text string) {
+	// An upstream whose caller has left has nobody to tell.
+	_, _ = w.Write([]byte(text))
+	_ = http.NewResponseController(w).Flush()
+}
+
+func breakOff(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// upstreamsOfTest is how many upstreams there are, and how many of them a route lets
+// run a request.
+const upstreamsOfTest = 4
+
+// newTestRelay runs a relay in front of upstreams that answer alike. It returns the
+// address at which callers reach it.
+func newTestRelay(t *testing.T, upstreams http.Handler) (r *Relay, address string) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9}))
+	r = New(ctx, sealedProtocol{}, model, clock.New(), zap.NewNop(),
+		WithDialer((&net.Dialer{}).DialContext), WithEngines(noEngines{}))
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	r.SetCatalog(testCatalog(), r.clock.Now())
+	r.SetPeers(1)
+	for i := range upstreamsOfTest {
+		server := httptest.NewServer(upstreams)
+		t.Cleanup(server.Close)
+		id := "u" + strconv.Itoa(i)
+		r.SetFleet([]fleet.Change{{ID: id, Upstream: fleet.Upstream{
+			ID: id, Service: "desk", Address: server.Listener.Addr().String(),
+		}}})
+	}
+	front := httptest.NewServer(r)
+	t.Cleanup(front.Close)
+	return r, front.Listener.Addr().String()
+}
+
+// testCatalog has one route of each kind.
+func testCatalog() *catalog.Catalog {
+	route := func(name string, kind catalog.Kind, resumable bool) *catalog.Route {
+		return &catalog.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, Anonymous: true,
+			Targets: []catalog.Target{{Service: "desk", Weight: 1}}, MaxAttempts: upstreamsOfTest,
+			Timeout: 10_000, Aim: 10_000,
+		}
+	}
+	return catalog.New(1,
+		catalog.WithRoutes(
+			route("write", catalog.Streaming, true), route("tell", catalog.Streaming, false),
+			route("read", catalog.Repeatable, false), route("once", catalog.Once, false),
+		),
+		catalog.WithServices(&catalog.Service{Name: "desk"}),
+	)
+}
