An answer that has begun is gone on with or breaks off

Cause: an ending that is right before the first byte was used after it, in several places. The model ordered an upstream's failure to be passed on whatever the caller had, since it knew how many events were out but asked that in three places of five, and knew nothing of large answers; the shell wrote what it was told to into the open answer; and net/http ends an answer in good order whenever its handler returns, be it that the caller had closed its half or that nothing had been answered at all (an implicit 200 without a body).

Change: the model is told what the caller has (nothing, events that can be gone on with, part of something else). All its requests end in one function, which cuts those that have begun, and a begun stream is sent again, waits or is cut, also after an upstream's failure. The answer writer knows whether it has not begun, is open or has ended; whole answers are refused once one has begun, only whole, own and end make it an ended one, and ServeHTTP breaks off what has not ended, whatever the way out. An attempt that resumes takes nothing but a stream of events. A stream's length is not passed on, since another upstream may go on with it. An attempt's own time no longer takes back an answer that is half out.

Also: a request that had run and was not repeated, as the configuration had grown old meanwhile, was refused with 503, which promises that it had not run; it gets 502.

Ruled out: a stream that ends by the close of its connection. That is one of the ways in which upstreams answer, and a broken one is reset; the code says so now.

New: the log line left_open and the counters left_open and broken_off.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -66,20 +66,41 @@
 	return nil
 }
 
-// refuse ends a request that has not been sent.
+// refuse ends a request with an answer of the node's own.
 func (m *Model) refuse(id RequestID, status int, reason Reason, back clock.Millis) []Cmd {
-	return []Cmd{m.finish(id, status, reason, back)}
+	return m.end(id, m.finish(id, status, reason, back), reason)
 }
 
 // refuseFor ends a request that has not run for want of something.
 func (m *Model) refuseFor(id RequestID, reason Reason, back clock.Millis, lack *Lack) []Cmd {
 	cmd := m.finish(id, http.StatusServiceUnavailable, reason, back)
 	cmd.Lack = lack
-	return []Cmd{cmd}
+	return m.end(id, cmd, reason)
 }
 
-func (m *Model) finish(id RequestID, status int, reason Reason, back clock.Millis) FinishCmd {
+// end ends a request with a whole answer, or cuts it where its answer has begun: two
+// answers in one would look like one that is complete. All requests end here or with
+// cut.
+func (m *Model) end(id RequestID, answer Cmd, reason Reason) []Cmd {
+	if r := m.requests[id]; r != nil && r.begun() {
+		return m.cut(id, reason)
+	}
+	m.forget(id)
+	return []Cmd{answer}
+}
+
+// cut ends a request whose answer has begun.
+func (m *Model) cut(id RequestID, reason Reason) []Cmd {
 	m.forget(id)
+	return []Cmd{CutCmd{Request: id, Reason: reason}}
+}
+
+// finish makes an answer of the node's own. A 503 promises that the request has not
+// run, so it becomes a 502 where it may have.
+func (m *Model) finish(id RequestID, status int, reason Reason, back clock.Millis) FinishCmd {
+	if r := m.requests[id]; r != nil && r.runs > 0 && status == http.StatusServiceUnavailable {
+		status, reason, back = http.StatusBadGateway, ReasonUnknown, 0
+	}
 	cmd := FinishCmd{Request: id, Status: status, Reason: reason, RetryAfter: back, CatalogAge: clock.AgeOf(m.confirmed, m.now)}
 	if m.catalog != nil {
 		cmd.CatalogVersion = m.catalog.Version()
--- /dev/null
+++ b/dispatch/begun_test.go
@@ -0,0 +1,124 @@
+package dispatch_test
+
+import (
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/fixedseed"
+	"github.com/hoistjunction/hoistjunction/internal/script"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m, map[string]string{"rapid.checks": "1000"}) }
+
+// caller is one request as its caller sees it.
+type caller struct {
+	t *rapid.T
+	// attempt is the one under way; 0 for none.
+	attempt   int
+	events    int
+	delivered dispatch.Delivered
+	// over tells that the request has ended, or its caller has left.
+	over bool
+}
+
+// take carries out a command, and checks that it may be given.
+func (c *caller) take(cmd dispatch.Cmd) {
+	switch cmd := cmd.(type) {
+	case dispatch.SendCmd:
+		c.attempt = cmd.Attempt
+		if c.over || c.delivered == dispatch.DeliveredPart {
+			c.t.Errorf("got attempt %d, want none: over=%v delivered=%d", cmd.Attempt, c.over, c.delivered)
+		}
+	case dispatch.FinishCmd, dispatch.RelayCmd:
+		if c.over || c.delivered != dispatch.DeliveredNothing {
+			c.t.Errorf("got %s, want an answer that has begun gone on with or cut: over=%v delivered=%d", show(cmd), c.over, c.delivered)
+		}
+		c.over = true
+	case dispatch.CutCmd:
+		if c.over || c.delivered == dispatch.DeliveredNothing {
+			c.t.Errorf("got %s of an answer that has not begun: over=%v", show(cmd), c.over)
+		}
+		c.over = true
+	}
+}
+
+// deliver draws what the attempt under way has brought its caller before it failed.
+func (c *caller) deliver() {
+	switch {
+	case rapid.Bool().Draw(c.t, "nothing"):
+	case c.delivered == dispatch.DeliveredNothing && rapid.Bool().Draw(c.t, "part"):
+		c.delivered = dispatch.DeliveredPart
+	case c.delivered != dispatch.DeliveredPart:
+		c.delivered = dispatch.DeliveredEvents
+		c.events += rapid.IntRange(1, 3).Draw(c.t, "events")
+	}
+}
+
+// An answer that has begun is never ended by another one, whatever becomes of its
+// attempts, the engines, the keys and the configuration: it is gone on with, waits or
+// is cut. One that has not begun is never cut.
+func TestBegunAnswersGoOnOrAreCut(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := dispatch.New(dispatch.WithDataCentre("a"), dispatch.WithPolicy(dispatch.Policy{
+			RevokeWithin: 5000, RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: rapid.SampledFrom([]float64{0, 100, 1000}).Draw(rt, "slack"),
+		}))
+		now := clock.Millis(1000)
+		version := 1
+		c := &caller{t: rt}
+		step := func(msg dispatch.Msg) {
+			for _, cmd := range m.Update(now, msg) {
+				c.take(cmd)
+			}
+		}
+		step(dispatch.CatalogMsg{Catalog: testCatalog(script.Step{}), Confirmed: now})
+		step(dispatch.FleetMsg{Changes: randomFleet(rt)})
+		path := rapid.SampledFrom([]string{"/write/a", "/read/a", "/once/a"}).Draw(rt, "path")
+		step(dispatch.ArriveMsg{Request: 1, CallerID: "c", Host: "h", Path: path, Key: "k", HasKey: true, PromptTokens: 10, AnswerTokens: 10, Remaining: 20_000})
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			now = now.Add(clock.Millis(rapid.IntRange(1, 400).Draw(rt, "pause")))
+			switch rapid.IntRange(0, 7).Draw(rt, "what") {
+			case 0:
+				step(dispatch.FleetMsg{Changes: randomFleet(rt)})
+			case 1:
+				step(dispatch.TickMsg{})
+			case 2:
+				keys := rapid.SampledFrom([]string{"all", "none"}).Draw(rt, "keys")
+				version++
+				step(dispatch.CatalogMsg{Catalog: testCatalog(script.Step{Named: map[string]string{"keys": keys, "version": strconv.Itoa(version)}}), Confirmed: now})
+			default:
+				if c.over || c.attempt == 0 {
+					continue
+				}
+				c.deliver()
+				failed := c.attempt
+				c.attempt = 0
+				step(dispatch.AttemptFailedMsg{
+					Request: 1, Attempt: failed, Events: c.events, Delivered: c.delivered,
+					Cause: dispatch.Cause(rapid.IntRange(int(dispatch.NotSent), int(dispatch.Failed)).Draw(rt, "cause")),
+				})
+			}
+		}
+	})
+}
+
+// randomFleet draws what becomes of a few upstreams.
+func randomFleet(t *rapid.T) []fleet.Change {
+	var changes []fleet.Change
+	for _, named := range []map[string]string{
+		{"service": "writer", "kind": "fast", "held": "0-8"}, {"service": "writer", "kind": "fast", "held": "0-4"},
+		{"service": "writer", "kind": "slow", "held": "4-8"}, {"service": "desk"}, {"service": "desk"},
+	} {
+		named["state"] = rapid.SampledFrom([]string{"ready", "ready", "leaving"}).Draw(t, "state")
+		id := "u" + strconv.Itoa(len(changes))
+		changes = append(changes, fleet.Change{
+			ID: id, Gone: rapid.IntRange(0, 4).Draw(t, "gone") == 0,
+			Upstream: testUpstream(script.Step{Words: []string{id}, Named: named}),
+		})
+	}
+	return changes
+}
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -76,13 +76,14 @@
 	WordRefusal Word = "refusal"
 )
 
-// RelayCmd passes on the upstream's own failure, which the shell holds.
+// RelayCmd passes on the upstream's own failure, which the shell holds. Like FinishCmd
+// it is only for requests whose answer has not begun.
 type RelayCmd struct {
 	Request RequestID
 	Attempt int
 }
 
-// CutCmd ends a stream that cannot go on, so that it looks cut off.
+// CutCmd ends an answer that has begun and cannot go on, so that it looks cut off.
 type CutCmd struct {
 	Request RequestID
 	Reason  Reason
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/http"
 	"slices"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
@@ -16,7 +15,7 @@
 		return nil
 	}
 	began := msg.Events > r.events
-	r.events = msg.Events
+	r.events, r.delivered = msg.Events, msg.Delivered
 	cmds := m.blame(r, msg)
 	ranAt := ""
 	if r.first != nil {
@@ -37,7 +36,7 @@
 		return m.lastWord(r, msg, reason)
 	}
 	cmds := m.resend(r)
-	if msg.Cause == Failed && !slices.ContainsFunc(cmds, isSend) {
+	if msg.Cause == Failed && !r.begun() && !slices.ContainsFunc(cmds, isSend) {
 		return m.relay(r, msg)
 	}
 	return cmds
@@ -52,6 +51,8 @@
 func (m *Model) mayRepeat(r *request, cause Cause) Reason {
 	ran := cause == Unknown || cause == Slow || cause == Failed
 	switch {
+	case r.delivered == DeliveredPart:
+		return ReasonUnknown
 	case ran && !r.route.MayRepeat():
 		return ReasonUnknown
 	case cause == Failed && r.route.Kind == 0:
@@ -68,21 +69,17 @@
 
 // lastWord ends a request after its last attempt.
 func (m *Model) lastWord(r *request, msg AttemptFailedMsg, reason Reason) []Cmd {
-	if msg.Cause == Failed {
-		return m.relay(r, msg)
-	}
-	if r.events > 0 {
+	if r.begun() {
 		return m.giveUp(r, reason)
 	}
-	if r.runs > 0 {
-		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
+	if msg.Cause == Failed {
+		return m.relay(r, msg)
 	}
 	return m.giveUp(r, reason)
 }
 
 func (m *Model) relay(r *request, msg AttemptFailedMsg) []Cmd {
-	m.forget(r.msg.Request)
-	return []Cmd{RelayCmd{Request: r.msg.Request, Attempt: msg.Attempt}}
+	return m.end(r.msg.Request, RelayCmd{Request: r.msg.Request, Attempt: msg.Attempt}, ReasonUnknown)
 }
 
 // blame notes what an attempt's failure says about an upstream.
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -76,10 +76,27 @@
 	Cause   Cause
 	// At is the address of the upstream at fault, if the answer named one.
 	At string
-	// Events is how many events of the stream the caller has.
-	Events int
+	// Delivered says what the caller has of the answer, and Events how many events
+	// of a stream that is.
+	Delivered Delivered
+	Events    int
 }
 
+// Delivered says what a caller has of its answer. One that has begun can only be gone
+// on with or broken off: any other answer would be written into it.
+type Delivered uint8
+
+const (
+	// DeliveredNothing means that the answer has not begun.
+	DeliveredNothing Delivered = iota
+	// DeliveredEvents means that the caller has the events of a stream up to one that
+	// can be named, so another attempt may go on after it.
+	DeliveredEvents
+	// DeliveredPart means that the caller has some of an answer that nothing can go on
+	// with.
+	DeliveredPart
+)
+
 // AttemptDoneMsg tells that an attempt's answer was passed on whole.
 type AttemptDoneMsg struct {
 	Request RequestID
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -28,8 +28,10 @@
 	// from its first event. The operator bounds their number, not how often one
 	// of them is asked.
 	ranAt map[string]bool
-	// events is how many events the caller has.
-	events int
+	// delivered says what the caller has of the answer, and events how many events
+	// that is.
+	delivered Delivered
+	events    int
 	// waitingFor tells that a stream that has begun waits for something to go on
 	// with, until waitUntil.
 	waitingFor Reason
@@ -52,6 +54,9 @@
 	return r.route.Priority
 }
 
+// begun tells whether the caller has some of the answer.
+func (r *request) begun() bool { return r.delivered != DeliveredNothing }
+
 // mayUse tells whether an upstream may get the request without exceeding the
 // number of upstreams that may run it.
 func (r *request) mayUse(u *upstream) bool {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -63,7 +63,8 @@
 		return arrival(s, request)
 	case "failed":
 		return dispatch.AttemptFailedMsg{
-			Request: request, Attempt: attempt, Cause: cause(p.t, s.Named["cause"]), At: s.Named["by"], Events: s.Int("events", 0),
+			Request: request, Attempt: attempt, Cause: cause(p.t, s.Named["cause"]), At: s.Named["by"],
+			Events: s.Int("events", 0), Delivered: delivered(s),
 		}
 	case "done":
 		return dispatch.AttemptDoneMsg{Request: request, Attempt: attempt, Took: clock.Millis(s.Int("took", 50))}
@@ -106,6 +107,18 @@
 	}
 }
 
+// delivered is what the caller has: part of an answer that is no stream (part=yes), or
+// the events that a line names.
+func delivered(s script.Step) dispatch.Delivered {
+	switch {
+	case s.Named["part"] == "yes":
+		return dispatch.DeliveredPart
+	case s.Int("events", 0) > 0:
+		return dispatch.DeliveredEvents
+	}
+	return dispatch.DeliveredNothing
+}
+
 func cause(t *testing.T, name string) dispatch.Cause {
 	for c := dispatch.NotSent; c <= dispatch.Failed; c++ {
 		if c.String() == name {
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -37,7 +37,7 @@
 
 // giveUp ends a request for which there is nothing left to try.
 func (m *Model) giveUp(r *request, reason Reason) []Cmd {
-	if r.events > 0 {
+	if r.begun() {
 		return m.waitOrCut(r, reason)
 	}
 	if r.runs > 0 {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -37,8 +37,7 @@
 		r.waitingFor = reason
 		return nil
 	}
-	m.forget(r.msg.Request)
-	return []Cmd{CutCmd{Request: r.msg.Request, Reason: reason}}
+	return m.cut(r.msg.Request, reason)
 }
 
 // resume tries again to send the streams that wait.
@@ -63,9 +62,6 @@
 // resend sends a request again, if its key is still good.
 func (m *Model) resend(r *request) []Cmd {
 	if cmds := m.admitKey(r); cmds != nil {
-		if r.events > 0 {
-			return m.waitOrCut(r, ReasonStaleConfig)
-		}
 		return cmds
 	}
 	return m.send(r)
--- a/explain/losses.go
+++ b/explain/losses.go
@@ -82,7 +82,7 @@
 }
 
 // ends are the events that end a request.
-var ends = []string{"refused", "answered", "cut", "caller_left", "caller_lost"}
+var ends = []string{"refused", "answered", "cut", "caller_left", "caller_lost", "left_open"}
 
 // causeOf says why a request counts as lost, from the fields of its last line;
 // empty where it does not.
@@ -95,7 +95,7 @@
 		return "refused " + f["reason"]
 	case "cut":
 		return "cut " + f["reason"]
-	case "caller_left", "caller_lost":
+	case "caller_left", "caller_lost", "left_open":
 		return event
 	}
 	switch {
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -5,17 +5,39 @@
 	"strconv"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
+// errBegun means that an answer cannot be given, since another one has begun.
+var errBegun = errors.New("relay: an answer has begun")
+
+// answerState is how far the answer to a caller is.
+type answerState uint8
+
+const (
+	// answerNone: nothing of it is out.
+	answerNone answerState = iota
+	// answerOpen: some of it is out, and more is to come.
+	answerOpen
+	// answerEnded: all of it is out.
+	answerEnded
+)
+
 // answerWriter writes one answer to a caller.
+//
+// net/http ends an answer in good order when its handler returns, whatever is out by
+// then: part of a stream then looks like all of it, and nothing at all like an empty
+// 200. So only whole, own and end make an answer an ended one, each where it is known
+// to be whole, and ServeHTTP breaks off whatever has not ended.
 type answerWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
 	// closing tells that the node is stopping, so connections end with their
 	// answers.
 	closing *atomic.Bool
-	started bool
+	state   answerState
 }
 
 func newAnswerWriter(w http.ResponseWriter, closing *atomic.Bool) *answerWriter {
@@ -23,20 +45,27 @@
 }
 
 // begun tells whether some of the answer is out.
-func (a *answerWriter) begun() bool { return a.started }
+func (a *answerWriter) begun() bool { return a.state != answerNone }
+
+// ended tells whether all of the answer is out.
+func (a *answerWriter) ended() bool { return a.state == answerEnded }
 
 // begin writes the head of an upstream's answer.
 func (a *answerWriter) begin(head *http.Response) error {
-	if a.started {
-		return nil
+	if a.begun() {
+		return errBegun
 	}
 	a.copyHead(head)
+	if isEvents(head) {
+		// Another upstream may go on with it, and cut the rest into other events.
+		a.w.Header().Del("Content-Length")
+	}
 	a.w.WriteHeader(head.StatusCode)
 	return nil
 }
 
 func (a *answerWriter) copyHead(head *http.Response) {
-	a.started = true
+	a.state = answerOpen
 	out := a.w.Header()
 	for name, values := range passedOn(head.Header) {
 		out[name] = values
@@ -50,15 +79,21 @@
 	}
 }
 
-// whole writes an upstream's answer at once.
+// whole writes an upstream's answer at once, and ends it.
 func (a *answerWriter) whole(head *http.Response, body []byte) error {
+	if a.begun() {
+		return errBegun
+	}
 	a.copyHead(head)
 	if head.Request == nil || head.Request.Method != http.MethodHead {
 		a.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	a.w.WriteHeader(head.StatusCode)
-	_, err := a.w.Write(body)
-	return err
+	if _, err := a.w.Write(body); err != nil {
+		return err
+	}
+	a.end()
+	return nil
 }
 
 // piece writes some of the body and sends it off.
@@ -72,9 +107,15 @@
 	return a.control.Flush()
 }
 
-// own writes an answer of the node's own. Back tells when to come back.
-func (a *answerWriter) own(status int, reason string, back clock.Millis) {
-	a.started = true
+// end makes an open answer a whole one.
+func (a *answerWriter) end() { a.state = answerEnded }
+
+// own writes an answer of the node's own, and ends it. Back tells when to come back.
+func (a *answerWriter) own(status int, reason string, back clock.Millis) error {
+	if a.begun() {
+		return errBegun
+	}
+	a.state = answerOpen
 	h := a.w.Header()
 	h.Set("Content-Type", "application/json")
 	if back > 0 {
@@ -84,9 +125,11 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	a.markClosing()
 	a.w.WriteHeader(status)
-	// A caller that does not take its refusal has left; the session ends
-	// either way.
-	_, _ = a.w.Write(body)
+	if _, err := a.w.Write(body); err != nil {
+		return err
+	}
+	a.end()
+	return nil
 }
 
 func formatSeconds(m clock.Millis) string {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -23,6 +23,7 @@
 	errOtherAnswer = errors.New("relay: the answer belongs to another request")
 	errNotSealed   = errors.New("relay: the answer is not the upstream's own")
 	errEncoded     = errors.New("relay: the answer is encoded")
+	errNoStream    = errors.New("relay: an answer that has begun is not gone on with")
 )
 
 const (
@@ -58,9 +59,12 @@
 	gate      *gate
 	cmd       dispatch.SendCmd
 	callerID  string
-	req       *http.Request
-	pieces    chan piece
-	cancel    context.CancelCauseFunc
+	// resumes tells that the caller's answer has begun. Only a stream of events can
+	// go on with it; what else an upstream says is its failure to do so.
+	resumes bool
+	req     *http.Request
+	pieces  chan piece
+	cancel  context.CancelCauseFunc
 	// wrote tells that bytes of the request have gone out, or are about to.
 	wrote atomic.Bool
 }
@@ -154,17 +158,27 @@
 		a.fail(ctx, dispatch.Unknown, "", errEncoded)
 		return
 	}
-	if isEvents(resp) && a.cmd.Route.Kind == catalog.Streaming {
+	switch {
+	case isEvents(resp) && a.cmd.Route.Kind == catalog.Streaming:
 		a.readEvents(ctx, resp)
-		return
+	case a.resumes:
+		a.fail(ctx, dispatch.Failed, "", errors.Wrapf(errNoStream, "status %d", resp.StatusCode))
+	default:
+		a.readWhole(ctx, resp)
 	}
-	a.readWhole(ctx, resp)
 }
 
 func isEvents(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
+// readEvents passes the events of a stream on. One that has neither a length nor
+// chunks ends when its connection is closed. That is a way to answer that upstreams
+// have, and an end like any other: whoever breaks such a stream off resets its
+// connection, which is an error here, and one that stops within an event is told by
+// that. A close between two events cannot be told from the end, since events do not
+// say which is the last, and asking another upstream for what may follow would run
+// each such stream twice.
 func (a *attempt) readEvents(ctx context.Context, resp *http.Response) {
 	events := newEventReader(resp.Body)
 	head := resp
--- a/relay/begun_test.go
+++ b/relay/begun_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"strconv"
 	"strings"
@@ -78,7 +80,7 @@
 func TestCompleteAnswersAreWhole(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		script := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) outcome {
-			return outcome(rapid.IntRange(0, int(outcomes)-1).Draw(rt, "outcome"))
+			return outcome(rapid.IntRange(0, outcomes-1).Draw(rt, "outcome"))
 		}), 1, 6).Draw(rt, "script")
 		path := rapid.SampledFrom([]string{"/write/a", "/tell/a", "/read/a", "/once/a"}).Draw(rt, "path")
 		upstreams := &scriptedUpstreams{script: script}
@@ -217,3 +219,45 @@
 	}
 	return kept
 }
+
+// Whatever part of the node leaves an answer open, it breaks off, and that is counted.
+func TestAnswerLeftOpenBreaksOff(t *testing.T) {
+	head := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}}
+	tests := []struct {
+		name  string
+		leave func(*answerWriter) error
+	}{
+		{"not begun", func(*answerWriter) error { return nil }},
+		{"head alone", func(a *answerWriter) error { return a.begin(head) }},
+		{"begun", func(a *answerWriter) error { return errors.Join(a.begin(head), a.piece([]byte("id: 1\n\n"))) }},
+		{"another answer", func(a *answerWriter) error {
+			err := a.begin(head)
+			if got := a.own(http.StatusBadGateway, "late", 0); !errors.Is(got, errBegun) {
+				t.Errorf("got %v, want %v", got, errBegun)
+			}
+			if got := a.whole(head, []byte("late")); !errors.Is(got, errBegun) {
+				t.Errorf("got %v, want %v", got, errBegun)
+			}
+			return err
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r, _ := newTestRelay(t, http.NotFoundHandler())
+			front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				answer := newAnswerWriter(w, &r.stopping)
+				if err := tt.leave(answer); err != nil {
+					t.Error(err)
+				}
+				r.settle(answer, "id", false)
+			}))
+			defer front.Close()
+			if got := call(t, http.DefaultClient, front.Listener.Addr().String(), "/"); got.whole {
+				t.Errorf("got a complete answer %+v, want one that breaks off", got)
+			}
+			if got, want := r.stats.counters.Get("left_open"), "1"; got == nil || got.String() != want {
+				t.Errorf("got %v answers counted, want %s", got, want)
+			}
+		})
+	}
+}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -74,9 +75,11 @@
 	reset
 	large
 	largeBroken
-	outcomes
 )
 
+// outcomes is how many there are.
+const outcomes = int(largeBroken) + 1
+
 var outcomeNames = [outcomes]string{
 	"whole stream", "broken stream", "partial event", "measured stream", "500", "504", "other type", "404", "not run", "reset", "large", "large broken",
 }
@@ -211,9 +214,17 @@
 	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9}))
 	r = New(ctx, sealedProtocol{}, model, clock.New(), zap.NewNop(),
 		WithDialer((&net.Dialer{}).DialContext), WithEngines(noEngines{}))
-	ended := make(chan error, 1)
-	go func() { ended <- r.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-ended })
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := r.Run(ctx); !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v from the relay, want it to run until it is stopped", err)
+		}
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
 	r.SetCatalog(testCatalog(), r.clock.Now())
 	r.SetPeers(1)
 	for i := range upstreamsOfTest {
--- a/relay/log.go
+++ b/relay/log.go
@@ -86,6 +86,7 @@
 }
 
 func (s *session) logLeft() {
+	s.explained = true
 	s.relay.stats.count("caller_left")
 	s.log.Info("caller_left", s.fields()...)
 }
@@ -124,6 +125,7 @@
 
 // logLost notes that a caller could not be given its answer.
 func (s *session) logLost(err error) {
+	s.explained = true
 	s.relay.stats.count("caller_lost")
 	s.log.Info("caller_lost", zap.String("id", s.head.ID), zap.Int("events", s.events), logging.Err(err))
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -175,19 +175,42 @@
 	writeSlack = 2 * time.Second
 )
 
-// ServeHTTP takes one request of a caller.
+// ServeHTTP takes one request of a caller. It is the one place where answers are
+// broken off: when it returns, net/http takes the answer for whole.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.open.Add(1)
 	defer r.open.Add(-1)
 	r.stats.count("arrived")
 	answer := newAnswerWriter(w, &r.stopping)
 	head := r.protocol.CallerHead(req.Header)
+	explained := r.serve(answer, head, w, req)
+	r.settle(answer, head.ID, explained)
+}
+
+// settle breaks an answer off that has not ended.
+func (r *Relay) settle(answer *answerWriter, id string, explained bool) {
+	if answer.ended() {
+		return
+	}
+	if !explained {
+		r.stats.count("left_open")
+		r.log.Error("left_open", zap.String("id", id), zap.Bool("begun", answer.begun()))
+	}
+	r.stats.count("broken_off")
+	panic(http.ErrAbortHandler)
+}
+
+// serve answers a request. It returns whether the log says why the answer has not
+// ended, if it has not.
+func (r *Relay) serve(answer *answerWriter, head CallerHead, w http.ResponseWriter, req *http.Request) (explained bool) {
 	began := r.clock.Now()
 	body, status := r.readBody(w, req)
 	if status != 0 {
 		r.log.Info("refused", zap.String("id", head.ID), zap.Int("status", status), zap.String("reason", "body"))
-		answer.own(status, "body", 0)
-		return
+		if err := answer.own(status, "body", 0); err != nil {
+			r.log.Info("caller_lost", zap.String("id", head.ID), logging.Err(err))
+		}
+		return true
 	}
 	r.boundWriting(w, head)
 	s := &session{
@@ -195,6 +218,7 @@
 		mail: make(chan dispatch.Cmd, mailboxSize), log: r.log, began: began,
 	}
 	s.run()
+	return s.explained
 }
 
 // readBody reads a request whole, so that it can be sent more than once.
--- a/relay/session.go
+++ b/relay/session.go
@@ -36,6 +36,8 @@
 	lastPiece  clock.Millis
 	attempts   int
 	moved      int
+	// explained tells that the log says why the answer has not ended.
+	explained bool
 	// first is the age at which the caller had the first event, and pause the
 	// longest time between two events so far.
 	first clock.Millis
@@ -133,6 +135,7 @@
 		return s.relayHeld()
 	case dispatch.CutCmd:
 		s.cut(cmd.Reason)
+		return true
 	case dispatch.MoveCmd:
 		s.move(cmd)
 	case dispatch.ReconsiderCmd:
@@ -147,9 +150,23 @@
 		s.answer(http.StatusBadGateway, dispatch.ReasonUnknown, 0)
 		return true
 	}
-	s.logAnswer(s.held.head.StatusCode)
 	if err := s.w.whole(s.held.head, s.held.data); err != nil {
 		s.logLost(err)
+		return true
 	}
+	s.logAnswer(s.held.head.StatusCode)
 	return true
 }
+
+// delivered says what the caller has of its answer. Events without a number cannot be
+// gone on with: which of them another attempt brings again would not be known.
+func (s *session) delivered() dispatch.Delivered {
+	switch {
+	case !s.w.begun():
+		return dispatch.DeliveredNothing
+	case s.events > 0 && s.hasNumber:
+		return dispatch.DeliveredEvents
+	default:
+		return dispatch.DeliveredPart
+	}
+}
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -24,7 +24,7 @@
 	ctx, cancel := context.WithCancelCause(s.r.Context())
 	a := &attempt{
 		protocol: s.relay.protocol, transport: s.relay.upstreams.get(cmd.Upstream), gate: s.relay.gate, cmd: cmd,
-		callerID: s.head.ID, pieces: make(chan piece, piecesWaiting), cancel: cancel,
+		callerID: s.head.ID, resumes: s.w.begun(), pieces: make(chan piece, piecesWaiting), cancel: cancel,
 	}
 	a.req = outgoing(ctx, s.r, cmd.Address, s.body)
 	s.relay.protocol.SetAttempt(a.req.Header, AttemptHead{
@@ -40,16 +40,16 @@
 // attemptFailed ends the attempt and asks what comes next.
 func (s *session) attemptFailed(cause dispatch.Cause, at string, err error) {
 	s.logFailure(cause, at, err)
-	msg := dispatch.AttemptFailedMsg{Request: s.id, Attempt: s.attempt.cmd.Attempt, Cause: cause, At: at, Events: s.events}
+	msg := dispatch.AttemptFailedMsg{Request: s.id, Attempt: s.attempt.cmd.Attempt, Cause: cause, At: at, Events: s.events, Delivered: s.delivered()}
 	s.drop()
 	s.relay.decider.tell(s.relay.life, msg)
 }
 
-// abandon takes an attempt back for want of an answer. A stream that has begun
-// and that no further upstream may run is left as it is: it may still go on, and
+// abandon takes an attempt back for want of an answer. An answer that has begun and
+// that no further upstream may go on with is left as it is: it may still go on, and
 // taking it back would cut it for sure.
 func (s *session) abandon(at, why string) {
-	if s.attempt == nil || s.events > 0 && s.attempt.cmd.Last {
+	if s.attempt == nil || s.w.begun() && (s.attempt.cmd.Last || s.delivered() == dispatch.DeliveredPart) {
 		return
 	}
 	s.attemptFailed(dispatch.Slow, at, errors.Wrap(errTakenBack, why))
--- a/relay/session_end.go
+++ b/relay/session_end.go
@@ -13,6 +13,7 @@
 func (s *session) timeUp() bool {
 	if s.w.begun() {
 		s.cut(dispatch.ReasonTimeout)
+		return true
 	}
 	status, back := http.StatusGatewayTimeout, clock.Millis(0)
 	if s.attempt == nil && s.attempts == 0 {
@@ -26,18 +27,17 @@
 // answer gives an answer of the node's own.
 func (s *session) answer(status int, reason dispatch.Reason, back clock.Millis) {
 	s.relay.stats.count("own_" + string(reason))
-	if s.w.begun() {
-		s.cut(reason)
+	if err := s.w.own(status, string(reason), back); err != nil {
+		s.logLost(err)
 	}
-	s.w.own(status, string(reason), back)
 }
 
-// cut breaks the connection to the caller, so that a stream that cannot go on
-// does not look whole.
+// cut leaves an answer that cannot go on as it is. ServeHTTP breaks it off, so that
+// it does not look whole.
 func (s *session) cut(reason dispatch.Reason) {
 	s.log.Warn("cut", s.fields(zap.String("reason", string(reason)), zap.String("last_event", s.lastEvent))...)
 	s.relay.stats.count("cut")
-	panic(http.ErrAbortHandler)
+	s.explained = true
 }
 
 // end gives back what the request has taken.
--- a/relay/session_pass.go
+++ b/relay/session_pass.go
@@ -22,6 +22,7 @@
 		return true
 	}
 	if p.end {
+		s.w.end()
 		s.done(p)
 		return true
 	}
@@ -42,7 +43,7 @@
 
 // pass writes a piece to the caller.
 func (s *session) pass(p piece) error {
-	if p.head != nil && s.events == 0 {
+	if p.head != nil && !s.w.begun() {
 		if p.end && len(p.event.raw) == 0 {
 			return s.w.whole(p.head, p.data)
 		}
