--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -49,45 +49,6 @@
 	taken int
 }
 
-// ChainFaults are what goes wrong with an engine that runs pipelines.
-type ChainFaults struct {
-	// FailEach makes the engine run each so manieth stream and answer it with a
-	// failure of its own; zero for none.
-	FailEach int `json:"fail_each"`
-	// CutEach makes it break each so manieth stream off partway; zero for none.
-	CutEach int `json:"cut_each"`
-}
-
-// SetFaults changes what goes wrong.
-func (e *ChainEngine) SetFaults(f ChainFaults) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.faults, e.taken = f, 0
-}
-
-// fate is what becomes of a stream that the engine takes.
-type fate int
-
-const (
-	fateWhole fate = iota
-	fateFailed
-	fateCut
-)
-
-// take says what becomes of the stream that is taken now.
-func (e *ChainEngine) take() fate {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.taken++
-	switch {
-	case e.faults.FailEach > 0 && e.taken%e.faults.FailEach == 0:
-		return fateFailed
-	case e.faults.CutEach > 0 && e.taken%e.faults.CutEach == 0:
-		return fateCut
-	}
-	return fateWhole
-}
-
 // engineStream is a stream that began at this engine.
 type engineStream struct {
 	parts     []enginePart
@@ -246,59 +207,6 @@
 	return resp.StatusCode == http.StatusNoContent
 }
 
-// stream writes the events after the last one that the caller has.
-func (e *ChainEngine) stream(w http.ResponseWriter, r *http.Request, stream *engineStream) {
-	first := 1
-	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-		first = last + 1
-	}
-	control := http.NewResponseController(w)
-	for n := first; n <= SiteEvents(r.URL.Path); n++ {
-		time.Sleep(eventEvery)
-		if stream.cut && n == first+cutAfter || !e.passAll(r.Context(), stream) {
-			panic(http.ErrAbortHandler)
-		}
-		if _, err := io.WriteString(w, SiteEvent(r.URL.Path, n)); err != nil {
-			return
-		}
-		if err := control.Flush(); err != nil {
-			return
-		}
-	}
-}
-
-// passAll has every part run one event. It waits for a part that is lost, and
-// reports whether the stream may go on.
-func (e *ChainEngine) passAll(ctx context.Context, stream *engineStream) bool {
-	until := time.Now().Add(stallTime)
-	for time.Now().Before(until) && ctx.Err() == nil {
-		e.mu.Lock()
-		parts := stream.parts
-		e.mu.Unlock()
-		lost := ""
-		for _, p := range parts[1:] {
-			if !e.ask(ctx, p) {
-				lost = p.address
-				break
-			}
-		}
-		e.mu.Lock()
-		stream.stalledAt = lost
-		e.mu.Unlock()
-		if lost == "" {
-			return true
-		}
-		time.Sleep(eventEvery)
-	}
-	return false
-}
-
-// SiteEvents is how many events the stream of a path has.
-func SiteEvents(path string) int { return 10 + len(path)%30 }
-
-// SiteEvent is one event of the stream of a path.
-func SiteEvent(path string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, path, n) }
-
 func parseParts(text string) []enginePart {
 	var parts []enginePart
 	for word := range strings.SplitSeq(text, ",") {
