A stream that is answered with a failure has run

Cause: a stream counted as run only from its first event on, so one that two engines had answered with failures went on to a third, where its route allows two.

Change: an upstream that answers with a failure of its own has run the request. Where as many have run a stream as the operator allows, another attempt may begin only at one of these, as often as the budget of repeats leaves; engines that have not run it may take any part of its chain but the first. If none of them can be used, a begun stream is cut at once: its caller may take it up anywhere, with a bound of its own.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -24,8 +24,8 @@
 	m.endAttempt(r)
 	if msg.Cause == Unknown || msg.Cause == Slow || msg.Cause == Failed {
 		r.runs++
-		if began || r.route.Kind != catalog.Streaming {
-			r.ranAt[ranAt] = true
+		if began || msg.Cause == Failed || r.route.Kind != catalog.Streaming {
+			r.ranAt[ranAt] = msg.Cause
 		}
 	}
 	return append(cmds, m.next(r, msg)...)
@@ -57,7 +57,7 @@
 		return ReasonUnknown
 	case cause == Failed && r.route.Kind == 0:
 		return ReasonUnknown
-	case m.runsThatCount(r) >= r.mostRuns(), r.sends >= mostSends:
+	case !r.mayRunAgain(), r.sends >= mostSends:
 		return ReasonRefused
 	case r.left(m.now) < leastLeft:
 		return ReasonTimeout
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -29,12 +29,22 @@
 	cmd.Upstream, cmd.Address = r.first.entry.ID, r.first.entry.Address
 	cmd.Route, cmd.Account, cmd.Keyed, cmd.Priority = r.route, r.account.Name, r.keyed, r.priority()
 	cmd.Deadline, cmd.GiveUp = r.deadline, r.giveUp
-	cmd.Last = m.runsThatCount(r)+1 >= r.mostRuns()
+	cmd.Last = m.isLast(r)
 	cmd.CatalogVersion, cmd.CatalogAge = m.catalog.Version(), clock.AgeOf(m.confirmed, m.now)
 	cmd.InFlight = r.first.inFlight
 	return []Cmd{cmd}
 }
 
+// isLast tells whether no upstream but those that have run the request, and the one
+// that it is being sent to, may run it.
+func (m *Model) isLast(r *request) bool {
+	n := m.ranOn(r)
+	if !r.ran(r.first) {
+		n++
+	}
+	return n >= r.mostUpstreams()
+}
+
 // giveUp ends a request for which there is nothing left to try.
 func (m *Model) giveUp(r *request, reason Reason) []Cmd {
 	if r.begun() {
@@ -90,7 +100,7 @@
 // tryFor bounds the first attempt of a request that may be repeated, so that a
 // silent upstream does not use up the caller's time.
 func (m *Model) tryFor(r *request, u *upstream) clock.Millis {
-	if r.route.Kind != catalog.Repeatable || r.runs+1 >= r.mostRuns() {
+	if r.route.Kind != catalog.Repeatable || r.runs >= r.mostUpstreams() {
 		return 0
 	}
 	return max(clock.Millis(u.took*tryFactor), clock.Millis(float64(r.route.Aim)*tryShare))
@@ -99,6 +109,11 @@
 // sendPipeline builds a chain of engines. Engines under suspicion take no part.
 func (m *Model) sendPipeline(r *request) (SendCmd, Reason) {
 	parts, err := m.chainFor(r)
+	if err != nil && m.bounded(r) {
+		// Its caller may take a cut stream up at once, and anywhere; here it would
+		// have to wait for the engines that have run it.
+		return SendCmd{}, ReasonRefused
+	}
 	if err != nil {
 		return SendCmd{}, chainReason(err)
 	}
@@ -162,11 +177,18 @@
 func (m *Model) holders(r *request, may func(*upstream) bool, without ...string) []chain.Holder {
 	list := m.byService[r.service.Name]
 	holders := make([]chain.Holder, 0, len(list))
+	bounded := m.bounded(r)
 	for _, u := range list {
 		if !may(u) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
 			continue
 		}
-		holders = append(holders, m.holder(r, u))
+		h := m.holder(r, u)
+		if bounded && !r.ran(u) {
+			// A chain begins at the engine with the first layer, and the bound is on
+			// these.
+			h.Held.From = max(h.Held.From, 1)
+		}
+		holders = append(holders, h)
 	}
 	return holders
 }
