Test: callers of hoistjunction's own that close their half of the connection

The same class as in the relay: a handler that returns without a final word is ended by net/http in good order, with an empty 200 or a stream that does not break off. Callers that go by Hoist-Outcome and the outcome event are not misled; whoever stands between sees a good answer.

--- /dev/null
+++ b/entry/left_test.go
@@ -0,0 +1,62 @@
+package entry_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/testbed"
+)
+
+// A caller that has closed its half of the connection has left, but it still reads.
+// net/http ends an answer in good order when its handler returns: such a caller got an
+// empty 200 where nothing had been answered, and a stream that ended without a break.
+// Found by reading the handlers for returns without a final word.
+func TestHalfClosedCallerSeesNoEnd(t *testing.T) {
+	bed := startPatient(t, testbed.WithNodes(1),
+		testbed.WithStages(testbed.Stages(1, slowEngine())...), testbed.WithServices(1, patience))
+	for _, tt := range []struct {
+		name, path, body string
+		begun            bool
+	}{
+		{"service", "/v1/services/orders/confirm", `{"order":1}`, false},
+		{"completion", "/v1/completions", `{"model":"notices","prompt":"hola","max_tokens":400}`, false},
+		{"stream", "/v1/completions", `{"model":"notices","prompt":"hola","max_tokens":400,"stream":true}`, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", bed.Nodes[0].CallerAddress())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if err := conn.SetDeadline(time.Now().Add(patience)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+				tt.path, testbed.KeyOf("clinic"), len(tt.body), tt.body); err != nil {
+				t.Fatal(err)
+			}
+			answer := bufio.NewReader(conn)
+			if tt.begun {
+				if _, err := answer.Peek(1); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(answer, nil)
+			if err != nil {
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if body, err := io.ReadAll(resp.Body); err == nil {
+				t.Errorf("got a complete answer %d %q of %d bytes, want none", resp.StatusCode, resp.Header.Get("Hoist-Outcome"), len(body))
+			}
+		})
+	}
+}
