Callers of hoistjunction's own see answers without a final word break off

The handlers now tell whether they have ended their answer, and one wrapper breaks off those that have not.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -36,14 +36,25 @@
 // handler routes the callers' paths.
 func (s *callerServer) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/completions", s.bounded(s.completions))
-	mux.HandleFunc("POST /v1/chat/completions", s.bounded(s.completions))
-	mux.HandleFunc("POST /v1/services/{route}/{path...}", s.bounded(s.service))
-	mux.HandleFunc("POST /v1/tickets", s.tickets)
+	mux.HandleFunc("POST /v1/completions", s.bounded(ending(s.completions)))
+	mux.HandleFunc("POST /v1/chat/completions", s.bounded(ending(s.completions)))
+	mux.HandleFunc("POST /v1/services/{route}/{path...}", s.bounded(ending(s.service)))
+	mux.HandleFunc("POST /v1/tickets", ending(s.tickets))
 	mux.HandleFunc("GET /ready", s.ready)
 	return mux
 }
 
+// ending makes a handler that tells whether it has ended its answer into one that
+// breaks the answer off if not. net/http would end it in good order: as an empty 200
+// where nothing is out, and as a whole stream where some is.
+func ending(answer func(http.ResponseWriter, *http.Request) (ended bool)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !answer(w, r) {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
 // bounded sheds a request, before its body is read, when too many are open.
 func (s *callerServer) bounded(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/entry/completions.go
+++ b/entry/completions.go
@@ -30,35 +30,34 @@
 	Content string `json:"content"`
 }
 
-// completions serves a request to a pipeline, streamed or in one piece.
-func (s *callerServer) completions(w http.ResponseWriter, r *http.Request) {
+// completions serves a request to a pipeline, streamed or in one piece. It returns
+// whether the answer has ended.
+func (s *callerServer) completions(w http.ResponseWriter, r *http.Request) (ended bool) {
 	msg, err := message(r)
 	if err != nil {
 		s.refuseRequest(w, http.StatusBadRequest, err)
-		return
+		return true
 	}
 	body, err := s.readBody(w, r)
 	if err != nil {
 		s.refuseRequest(w, bodyStatus(err), err)
-		return
+		return true
 	}
 	req, err := parseCompletion(body)
 	if err != nil {
 		s.refuseRequest(w, http.StatusBadRequest, err)
-		return
+		return true
 	}
 	msg.Route, msg.Prompt, msg.MaxTokens = req.Model, req.Prompt, req.MaxTokens
 	box, ok := s.submit(w, &msg)
 	if !ok {
-		return
+		return true
 	}
-	final := false
-	defer func() { s.leave(msg.Caller, final) }()
+	defer func() { s.leave(msg.Caller, ended) }()
 	if req.Stream {
-		final = s.stream(w, r, box, req.Model)
-		return
+		return s.stream(w, r, box, req.Model)
 	}
-	final = s.whole(w, r, box, req.Model)
+	return s.whole(w, r, box, req.Model)
 }
 
 func (s *callerServer) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
--- a/entry/service.go
+++ b/entry/service.go
@@ -9,30 +9,32 @@
 	"github.com/hoistjunction/hoistjunction/outcome"
 )
 
-// service serves a call to a plain service.
-func (s *callerServer) service(w http.ResponseWriter, r *http.Request) {
+// service serves a call to a plain service. It returns whether the answer has ended.
+func (s *callerServer) service(w http.ResponseWriter, r *http.Request) (ended bool) {
 	msg, err := message(r)
 	if err != nil {
 		s.refuseRequest(w, http.StatusBadRequest, err)
-		return
+		return true
 	}
 	msg.Body, err = s.readBody(w, r)
 	if err != nil {
 		s.refuseRequest(w, bodyStatus(err), err)
-		return
+		return true
 	}
 	msg.Route = r.PathValue("route")
 	msg.Path = "/" + r.PathValue("path")
 	msg.ContentType = r.Header.Get("Content-Type")
 	box, ok := s.submit(w, &msg)
 	if !ok {
-		return
+		return true
 	}
 	final := s.await(r, box)
 	defer s.leave(msg.Caller, final != nil)
-	if final != nil {
-		s.writeFinal(w, final)
+	if final == nil {
+		return false
 	}
+	s.writeFinal(w, final)
+	return true
 }
 
 // await waits for the final word. It returns nil when the caller hangs up.
@@ -55,8 +57,8 @@
 }
 
 // tickets grants keys that only this node will run, and runs without asking
-// the platform.
-func (s *callerServer) tickets(w http.ResponseWriter, r *http.Request) {
+// the platform. It returns whether the answer has ended.
+func (s *callerServer) tickets(w http.ResponseWriter, r *http.Request) (ended bool) {
 	caller, box := s.mail.open()
 	defer s.mail.close(caller)
 	count, _ := strconv.Atoi(r.URL.Query().Get("count"))
@@ -65,21 +67,21 @@
 	}
 	if !s.decider.submit(ask) {
 		s.writeFinal(w, &core.FinishCmd{Outcome: outcome.NotRun, Reason: core.ReasonShed, RetryAfter: shedPause})
-		return
+		return true
 	}
 	for {
 		if t := box.granted(); t != nil {
 			w.Header().Set("Content-Type", "application/json")
 			_ = json.NewEncoder(w).Encode(ticketsAnswer{Tickets: t.Tickets})
-			return
+			return true
 		}
 		if _, final := box.take(nil); final != nil {
 			s.writeFinal(w, final)
-			return
+			return true
 		}
 		select {
 		case <-r.Context().Done():
-			return
+			return false
 		case <-box.wake:
 		}
 	}
