Test: an upstream whose stream breaks off within its first event has run it

A sealed 200 comes from an upstream that runs the request. One that broke off before its first event was whole was not counted, so a request went to 4 upstreams where its route allows 2.

--- a/relay/begun_test.go
+++ b/relay/begun_test.go
@@ -261,3 +261,20 @@
 		})
 	}
 }
+
+// The operator bounds how many upstreams may run a request. One that has begun to
+// answer has run it, also where its stream breaks off within the first event.
+func TestUpstreamsThatRanAreBounded(t *testing.T) {
+	for _, o := range []outcome{partialFirst, brokenStream, failure} {
+		t.Run(o.String(), func(t *testing.T) {
+			upstreams := &scriptedUpstreams{script: []outcome{o}}
+			_, address := newTestRelay(t, upstreams)
+			call(t, http.DefaultClient, address, "/few/a")
+			upstreams.mu.Lock()
+			defer upstreams.mu.Unlock()
+			if got := len(upstreams.asked); got > fewUpstreams {
+				t.Errorf("got a request at %d upstreams, want at most %d", got, fewUpstreams)
+			}
+		})
+	}
+}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -66,6 +66,7 @@
 	wholeStream outcome = iota
 	brokenStream
 	partialEvent
+	partialFirst
 	measuredStream
 	failure
 	failedAtOnce
@@ -81,7 +82,7 @@
 const outcomes = int(largeBroken) + 1
 
 var outcomeNames = [outcomes]string{
-	"whole stream", "broken stream", "partial event", "measured stream", "500", "504", "other type", "404", "not run", "reset", "large", "large broken",
+	"whole stream", "broken stream", "partial event", "partial first event", "measured stream", "500", "504", "other type", "404", "not run", "reset", "large", "large broken",
 }
 
 func (o outcome) String() string { return outcomeNames[o] }
@@ -106,12 +107,18 @@
 
 	mu       sync.Mutex
 	attempts int
+	// asked are the addresses of the upstreams that got the request.
+	asked map[string]bool
 }
 
-func (u *scriptedUpstreams) next() (attempt int, o outcome) {
+func (u *scriptedUpstreams) next(r *http.Request) (attempt int, o outcome) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.attempts++
+	if u.asked == nil {
+		u.asked = make(map[string]bool)
+	}
+	u.asked[fmt.Sprint(r.Context().Value(http.LocalAddrContextKey))] = true
 	return u.attempts, u.outcome(u.attempts)
 }
 
@@ -122,7 +129,7 @@
 
 // ServeHTTP implements http.Handler.
 func (u *scriptedUpstreams) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	attempt, o := u.next()
+	attempt, o := u.next(r)
 	after, _ := strconv.Atoi(r.Header.Get(headerAfter))
 	if o != notRun {
 		w.Header().Set(headerSeal, strconv.Itoa(attempt))
@@ -137,6 +144,10 @@
 		writeEvents(w, after, min(after+eventsEach, lastEvent))
 		write(w, "id: 9")
 		breakOff(w)
+	case partialFirst:
+		writeEvents(w, 0, 0)
+		write(w, "id: 1")
+		breakOff(w)
 	case measuredStream:
 		w.Header().Set("Content-Length", strconv.Itoa(measuredLength))
 		writeEvents(w, after, min(after+eventsEach, lastEvent))
@@ -202,9 +213,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// upstreamsOfTest is how many upstreams there are, and how many of them a route lets
-// run a request.
-const upstreamsOfTest = 4
+const (
+	// upstreamsOfTest is how many upstreams there are, and how many of them most routes
+	// let run a request.
+	upstreamsOfTest = 4
+	// fewUpstreams is how many of them the route of few lets do so.
+	fewUpstreams = 2
+)
 
 // newTestRelay runs a relay in front of upstreams that answer alike. It returns the
 // address at which callers reach it.
@@ -249,8 +264,10 @@
 			Timeout: 10_000, Aim: 10_000,
 		}
 	}
+	few := route("few", catalog.Streaming, true)
+	few.MaxAttempts = fewUpstreams
 	return catalog.New(1,
-		catalog.WithRoutes(
+		catalog.WithRoutes(few,
 			route("write", catalog.Streaming, true), route("tell", catalog.Streaming, false),
 			route("read", catalog.Repeatable, false), route("once", catalog.Once, false),
 		),
