A stream whose connection was lost may have run

Cause: one that was lost before its first event was not counted, though an upstream that has begun to answer has run it, and one that was asked may have.

Change: every attempt counts but those that were refused, not sent, or taken back for want of an event.

Tried and dropped: counting only what had begun to answer (the head of an answer was there). It needs a word from the shell, and what may have run is still not counted.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -14,23 +14,28 @@
 	if r == nil || msg.Attempt != r.sends {
 		return nil
 	}
-	began := msg.Events > r.events
-	r.events, r.delivered = msg.Events, msg.Delivered
 	cmds := m.blame(r, msg)
-	ranAt := ""
-	if r.first != nil {
-		ranAt = r.first.entry.ID
-	}
+	r.noteRun(msg)
+	r.events, r.delivered = msg.Events, msg.Delivered
 	m.endAttempt(r)
-	if msg.Cause == Unknown || msg.Cause == Slow || msg.Cause == Failed {
-		r.runs++
-		if began || msg.Cause == Failed || r.route.Kind != catalog.Streaming {
-			r.ranAt[ranAt] = msg.Cause
-		}
-	}
 	return append(cmds, m.next(r, msg)...)
 }
 
+// noteRun takes in that the upstream of a failed attempt has run the request, or may
+// have. A stream runs from its first token, so one that was taken back for want of an
+// event has not.
+func (r *request) noteRun(msg AttemptFailedMsg) {
+	if msg.Cause != Unknown && msg.Cause != Slow && msg.Cause != Failed {
+		return
+	}
+	r.runs++
+	inVain := msg.Cause == Slow && msg.Events == r.events
+	if r.first == nil || inVain && r.route.Kind == catalog.Streaming {
+		return
+	}
+	r.ranAt[r.first.entry.ID] = msg.Cause
+}
+
 func (m *Model) next(r *request, msg AttemptFailedMsg) []Cmd {
 	if reason := m.mayRepeat(r, msg.Cause); reason != "" {
 		return m.lastWord(r, msg, reason)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -24,10 +24,9 @@
 	sends int
 	runs  int
 	tried map[string]bool
-	// ranAt are the upstreams that have run it, as far as is known, and why the last
-	// attempt there ended. A stream runs from its first event, and has run where it
-	// is answered with a failure. The operator bounds their number, not how often
-	// one of them is asked.
+	// ranAt are the upstreams that have run it or may have, and why the last attempt
+	// there ended. The operator bounds their number, not how often one of them is
+	// asked.
 	ranAt map[string]Cause
 	// delivered says what the caller has of the answer, and events how many events
 	// that is.
