--- /dev/null
+++ b/relay/silent_connections_test.go
@@ -0,0 +1,162 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/pipenet"
+	"github.com/hoistjunction/hoistjunction/platform"
+	"github.com/hoistjunction/hoistjunction/relay"
+	"github.com/hoistjunction/hoistjunction/standin"
+)
+
+const (
+	// deskWork is how long a desk takes for a request.
+	deskWork = 20 * time.Millisecond
+	// warmEach is how many requests at a time leave kept connections to a desk behind.
+	warmEach = 4
+)
+
+// silentSite is a relay and its plain upstreams in a network of their own.
+type silentSite struct {
+	t       *testing.T
+	network *pipenet.Network
+	relay   *relay.Relay
+	desks   int
+	asked   int
+}
+
+// newSilentSite starts a relay and desks, in virtual time.
+func newSilentSite(t *testing.T, desks int) *silentSite {
+	t.Helper()
+	s := &silentSite{t: t, network: pipenet.New(), desks: desks}
+	life, end := context.WithCancel(context.Background())
+	engines := platform.NewEngines(platform.WithEngineDialer(s.network.DialContext))
+	model := dispatch.New(dispatch.WithSeed(1), dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}))
+	s.relay = relay.New(life, platform.Headers{}, model, clock.New(), zap.NewNop(),
+		relay.WithEngines(engines), relay.WithDialer(s.network.DialContext))
+	ended := make(chan error)
+	go func() { ended <- s.relay.Run(life) }()
+	t.Cleanup(func() {
+		end()
+		<-ended
+		engines.Close()
+	})
+	catalog, err := platform.DecodeCatalog(standin.SiteConfig(1, "k1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.relay.SetCatalog(catalog, 0)
+	for i := range desks {
+		s.startDesk(fmt.Sprintf("d%d", i+1))
+	}
+	return s
+}
+
+func (s *silentSite) startDesk(id string) {
+	address := id + ":80"
+	server := &http.Server{Handler: standin.NewDesk(id, address, deskWork).Handler()}
+	listener := s.network.Listen(address)
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+	s.relay.SetFleet([]fleet.Change{{ID: id, Upstream: fleet.Upstream{ID: id, Service: standin.SiteDesk, Address: address, Slots: 6}}})
+}
+
+// ask asks for a path in the background, and hands over the status.
+func (s *silentSite) ask(method, path string) <-chan int {
+	s.asked++
+	req := httptest.NewRequest(method, path, nil)
+	req.Host = standin.SiteHost
+	req.Header.Set("Attempt-Id", fmt.Sprintf("a%d", s.asked))
+	req.Header.Set("Deadline-Remaining-Ms", "3000")
+	req.Header.Set("Authorization", "Bearer k1")
+	status := make(chan int, 1)
+	go func() {
+		answer := httptest.NewRecorder()
+		s.relay.ServeHTTP(answer, req)
+		status <- answer.Code
+	}()
+	return status
+}
+
+// warm leaves kept connections to the desks behind.
+func (s *silentSite) warm() {
+	s.t.Helper()
+	var answers []<-chan int
+	for range warmEach * s.desks {
+		answers = append(answers, s.ask(http.MethodPost, "/once/a"))
+	}
+	for _, answer := range answers {
+		if got := <-answer; got != http.StatusOK {
+			s.t.Fatalf("got status %d before any connection went silent, want 200", got)
+		}
+	}
+}
+
+// The kept connections to all upstreams of a service went silent for good. A request
+// that may be repeated went out on one, was taken back, went out on the next, and used
+// up its upstreams or its time, although each of them would have answered on a new one.
+func TestRepeatAfterASilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentSite(t, 3)
+		s.warm()
+		s.network.Mute()
+		began := time.Now()
+		if got := <-s.ask(http.MethodGet, "/read/a"); got != http.StatusOK {
+			t.Errorf("got status %d, want 200", got)
+		}
+		// Four times the first guess of an answer's time, and the second upstream's.
+		const want = 200 * time.Millisecond
+		if got := time.Since(began); got > want {
+			t.Errorf("got an answer after %v, want it after %v at most: one attempt in vain", got, want)
+		}
+	})
+}
+
+// A request that may run only once is lost where its connection has gone silent. Those
+// that followed went out on the other silent connections and were lost as well.
+func TestOnceOnlyAfterASilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentSite(t, 1)
+		s.warm()
+		s.network.Mute()
+		lost := s.ask(http.MethodPost, "/once/a")
+		time.Sleep(time.Second / 2)
+		for range 3 {
+			if got := <-s.ask(http.MethodPost, "/once/b"); got != http.StatusOK {
+				t.Errorf("got status %d half a second after a request without an answer, want 200", got)
+			}
+		}
+		if got := <-lost; got != http.StatusGatewayTimeout {
+			t.Errorf("got status %d for the request that was lost, want 504", got)
+		}
+	})
+}
+
+// An upstream that is only slow keeps its connections: new ones are dear.
+func TestConnectionsOfASlowUpstreamAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentSite(t, 1)
+		s.warm()
+		before := s.network.Dials("d1:80")
+		for range 10 {
+			if got := <-s.ask(http.MethodPost, "/once/a"); got != http.StatusOK {
+				t.Errorf("got status %d, want 200", got)
+			}
+			time.Sleep(time.Second)
+		}
+		if got := s.network.Dials("d1:80"); got != before {
+			t.Errorf("got %d new connections, want none", got-before)
+		}
+	})
+}
