--- a/entry/peers.go
+++ b/entry/peers.go
@@ -39,7 +39,15 @@
 	stop   context.CancelFunc
 }
 
-func newPeerCaller(tlsFiles *TLSFiles, secret string, log *logging.Log, tell func(core.Msg)) *peerCaller {
+// peerOption sets up a peerCaller.
+type peerOption func(*http.Transport)
+
+// withPeerDialer sets how peers are connected to.
+func withPeerDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) peerOption {
+	return func(t *http.Transport) { t.DialContext = dial }
+}
+
+func newPeerCaller(tlsFiles *TLSFiles, secret string, log *logging.Log, tell func(core.Msg), opts ...peerOption) *peerCaller {
 	p := &peerCaller{
 		secret: secret, log: log, tell: tell, scheme: "http://",
 		beats: make(chan struct{}, heartbeatsAtOnce),
@@ -53,6 +61,9 @@
 		t.TLSClientConfig = tlsFiles.ClientConfig()
 		p.scheme = "https://"
 	}
+	for _, opt := range opts {
+		opt(t)
+	}
 	p.http = &http.Client{Transport: t}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p
