Connections between entry nodes are pinged

Cause: HTTP/2 keeps one connection to a peer, and a call's time limit does not end it. Once it had gone silent for good each heartbeat, fetch and handover on it was lost until the system gave a packet up, minutes later; after 5 s the nodes took each other for gone.

Ruled out: a connection for each heartbeat (two a second and peer, with a handshake), and closing it when a call fails, which would break what it carries for others.

Change: nothing heard for 1 s brings a ping, and 2 s without its answer the end of the connection; the next heartbeat opens another. The stream to an engine has had the same since before (2 s and 2 s); a peer is to be heard within 5 s.

TestHeartbeatsAfterASilentConnection: no heartbeat answered in 5 s before, one within 3.5 s after.

--- a/entry/peers.go
+++ b/entry/peers.go
@@ -22,6 +22,16 @@
 // peerTimeout bounds heartbeats and fetches.
 const peerTimeout = time.Second
 
+// A connection to a peer on which nothing has come for peerPingAfter is pinged, and
+// closed if that brings nothing in peerPingPatience. With the half second between
+// heartbeats that leaves 1.5 s of the five after which a silent peer counts as gone. The
+// patience is that for engines: what a peer runs for this node breaks with it, and one
+// that stands still for a second or two goes on afterwards.
+const (
+	peerPingAfter    = time.Second
+	peerPingPatience = 2 * time.Second
+)
+
 // heartbeatsAtOnce bounds the heartbeats on their way. One that finds no
 // place is left out; the next round has others.
 const heartbeatsAtOnce = 16
@@ -54,7 +64,10 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	t := &http.Transport{Protocols: protocols, IdleConnTimeout: 30 * time.Second}
+	t := &http.Transport{
+		Protocols: protocols, IdleConnTimeout: 30 * time.Second,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingPatience},
+	}
 	t.DialContext = (&net.Dialer{Timeout: peerTimeout}).DialContext
 	if tlsFiles != nil {
 		protocols.SetHTTP2(true)
