--- a/entry/caller.go
+++ b/entry/caller.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,10 +35,22 @@
 	stop   context.CancelFunc
 }
 
-func newServiceCaller(log *logging.Log, tell func(core.Msg)) *serviceCaller {
+// serviceOption sets up a serviceCaller.
+type serviceOption func(*http.Transport)
+
+// withServiceDialer sets how services are connected to.
+func withServiceDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) serviceOption {
+	return func(t *http.Transport) { t.DialContext = dial }
+}
+
+func newServiceCaller(log *logging.Log, tell func(core.Msg), opts ...serviceOption) *serviceCaller {
 	c := &serviceCaller{log: log, tell: tell}
+	transport := &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second}
+	for _, opt := range opts {
+		opt(transport)
+	}
 	c.client = &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second},
+		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	c.ctx, c.stop = context.WithCancel(context.Background())
--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -30,14 +31,18 @@
 // DefaultTimeout bounds each call.
 const DefaultTimeout = 2 * time.Second
 
+// idleMost is how many connections are kept that are not in use.
+const idleMost = 8
+
 // maxAnswer bounds what is read of an answer, in bytes.
 const maxAnswer = 64 << 20
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
-	base    string
-	http    *http.Client
-	timeout time.Duration
+	base      string
+	http      *http.Client
+	transport *http.Transport
+	timeout   time.Duration
 }
 
 // Option sets up a Client.
@@ -46,14 +51,22 @@
 // WithTimeout bounds each call.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
+// WithDialer sets how the platform is connected to.
+func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.transport.DialContext = dial }
+}
+
 // NewClient returns a client of the platform at an address, an IP number and
 // port.
 func NewClient(address string, opts ...Option) *Client {
-	c := &Client{base: "http://" + address, timeout: DefaultTimeout}
+	c := &Client{
+		base: "http://" + address, timeout: DefaultTimeout,
+		transport: &http.Transport{MaxIdleConnsPerHost: idleMost},
+	}
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	c.http = &http.Client{Transport: c.transport}
 	return c
 }
 
