Own core: repeats and the table store's next call go out on new connections

Cause: kept connections that went silent for good were used one after the other. The table store's client keeps up to eight without an end, two seconds of each: sixteen in the worst case. A request to a plain service that was tried elsewhere met the next silent connection there, with a part of its time gone each time.

Change: a call to the table store that brings nothing closes the idle connections (all lead to the store); attempts at plain services after the first have a connection each.

Ruled out: closing all idle connections to services when one call brings nothing, since one slow service would then cost the connections to all others.

--- a/entry/caller.go
+++ b/entry/caller.go
@@ -28,11 +28,15 @@
 // travels under a name that net/http does not know.
 type serviceCaller struct {
 	client *http.Client
-	log    *logging.Log
-	tell   func(core.Msg)
-	wg     sync.WaitGroup
-	ctx    context.Context
-	stop   context.CancelFunc
+	// fresh makes a connection for each call. Every attempt after the first goes out
+	// on one: connections may go silent for good, all at once, and the caller's time
+	// does not last for one after the other.
+	fresh *http.Client
+	log   *logging.Log
+	tell  func(core.Msg)
+	wg    sync.WaitGroup
+	ctx   context.Context
+	stop  context.CancelFunc
 }
 
 // serviceOption sets up a serviceCaller.
@@ -49,12 +53,30 @@
 	for _, opt := range opts {
 		opt(transport)
 	}
-	c.client = &http.Client{
+	c.client = withoutRedirects(transport)
+	single := transport.Clone()
+	single.DisableKeepAlives = true
+	c.fresh = withoutRedirects(single)
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	return c
+}
+
+func withoutRedirects(transport *http.Transport) *http.Client {
+	return &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	c.ctx, c.stop = context.WithCancel(context.Background())
-	return c
+}
+
+// firstAttempt is the number of a request's first attempt.
+const firstAttempt = 1
+
+// clientFor returns what an attempt is made with.
+func (c *serviceCaller) clientFor(cmd *core.CallCmd) *http.Client {
+	if cmd.Attempt > firstAttempt {
+		return c.fresh
+	}
+	return c.client
 }
 
 func (c *serviceCaller) call(cmd *core.CallCmd) {
@@ -77,7 +99,7 @@
 	if err != nil {
 		return core.CallFailedMsg{Request: cmd.Request, Attempt: cmd.Attempt, NotSent: true}
 	}
-	resp, err := c.client.Do(req)
+	resp, err := c.clientFor(cmd).Do(req)
 	if err != nil {
 		return c.failed(cmd, err, !connected.Load())
 	}
--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -129,6 +129,9 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		// Connections may go silent for good, all at once: the next call must not be
+		// lost on another one that was kept.
+		c.http.CloseIdleConnections()
 		return errors.Mark(errors.Wrap(err, "tablestore"), ErrNoAnswer)
 	}
 	defer func() { _ = resp.Body.Close() }()
