A stream is given up at 1.6 s without an event, not at 2.3

Cause: the checks of a stream that stands still fall 0.11, 0.31, 0.71, 1.51 and 2.31 s after its last event, since the pauses between them double, and only a check gives it up. The limit of 1.6 s was kept before the first event alone (0.22, 0.42, 0.82, 1.62); callers wait 2 s.

Ruled out: fixed pauses of 0.2 s, since every question costs what a health check does.

--- a/relay/stall.go
+++ b/relay/stall.go
@@ -67,7 +67,7 @@
 	if s.attempt == nil {
 		return
 	}
-	s.stall.Reset((askAgain << min(s.asks, mostDoublings)).Duration())
+	s.stall.Reset(s.nextCheck().Duration())
 	s.asks++
 	if s.asking {
 		return
@@ -77,6 +77,17 @@
 	go func() { s.asked <- s.relay.askChain(a) }()
 }
 
+// nextCheck is after which pause the engines are asked again. A check falls on
+// abandonAfter: with the pauses between the questions alone a stream that had begun was
+// given up after 2.3 s, when its caller had left.
+func (s *session) nextCheck() clock.Millis {
+	next := askAgain << min(s.asks, mostDoublings)
+	if left := abandonAfter - s.relay.clock.Now().Sub(s.lastPiece); left > 0 {
+		return min(next, left)
+	}
+	return next
+}
+
 // askChain asks all engines for their reports. A dead engine is silent before
 // the first engine's report names it.
 func (r *Relay) askChain(a *attempt) stallAnswer {
