--- a/entry/peers.go
+++ b/entry/peers.go
@@ -22,6 +22,16 @@
 // peerTimeout bounds heartbeats and fetches.
 const peerTimeout = time.Second
 
+// A connection to a peer on which nothing has come for peerPingAfter is pinged, and
+// closed if that brings nothing in peerPingPatience. With the half second between
+// heartbeats that leaves 1.5 s of the five after which a silent peer counts as gone. The
+// patience is that for engines: what a peer runs for this node breaks with it, and one
+// that stands still for a second or two goes on afterwards.
+const (
+	peerPingAfter    = time.Second
+	peerPingPatience = 2 * time.Second
+)
+
 // heartbeatsAtOnce bounds the heartbeats on their way. One that finds no
 // place is left out; the next round has others.
 const heartbeatsAtOnce = 16
@@ -39,20 +49,34 @@
 	stop   context.CancelFunc
 }
 
-func newPeerCaller(tlsFiles *TLSFiles, secret string, log *logging.Log, tell func(core.Msg)) *peerCaller {
+// peerOption sets up a peerCaller.
+type peerOption func(*http.Transport)
+
+// withPeerDialer sets how peers are connected to.
+func withPeerDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) peerOption {
+	return func(t *http.Transport) { t.DialContext = dial }
+}
+
+func newPeerCaller(tlsFiles *TLSFiles, secret string, log *logging.Log, tell func(core.Msg), opts ...peerOption) *peerCaller {
 	p := &peerCaller{
 		secret: secret, log: log, tell: tell, scheme: "http://",
 		beats: make(chan struct{}, heartbeatsAtOnce),
 	}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	t := &http.Transport{Protocols: protocols, IdleConnTimeout: 30 * time.Second}
+	t := &http.Transport{
+		Protocols: protocols, IdleConnTimeout: 30 * time.Second,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingPatience},
+	}
 	t.DialContext = (&net.Dialer{Timeout: peerTimeout}).DialContext
 	if tlsFiles != nil {
 		protocols.SetHTTP2(true)
 		t.TLSClientConfig = tlsFiles.ClientConfig()
 		p.scheme = "https://"
 	}
+	for _, opt := range opts {
+		opt(t)
+	}
 	p.http = &http.Client{Transport: t}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p
