A stream is not gone on with after an event without an id

Found by reading what 'events that can be gone on with' rests on: a stream counted as such once any of its events had a number, though a later one without would come again with the next attempt.

--- a/relay/begun_test.go
+++ b/relay/begun_test.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// Nothing can go on after an event without an id: the next attempt would bring it again.
+func TestUnnamedEventIsNotResumed(t *testing.T) {
+	_, address := newTestRelay(t, &scriptedUpstreams{script: []outcome{unnamedEvent, wholeStream}})
+	if got := call(t, http.DefaultClient, address, "/write/a"); got.whole {
+		t.Errorf("got a complete answer that ends in %q, want one that breaks off", last(got.body, 60))
+	}
+}
+
 func last(text string, n int) string { return text[max(0, len(text)-n):] }
 
 // Whatever upstreams answer, an answer that looks complete is exactly one of
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -61,13 +61,14 @@
 
 // The outcomes. A stream has lastEvent events; the broken ones end after some, and a
 // measured one has named a length that is not that of the stream as others go on
-// with it.
+// with it, and one with an unnamed event ends with it.
 const (
 	wholeStream outcome = iota
 	brokenStream
 	partialEvent
 	partialFirst
 	measuredStream
+	unnamedEvent
 	failure
 	failedAtOnce
 	otherType
@@ -82,7 +83,7 @@
 const outcomes = int(largeBroken) + 1
 
 var outcomeNames = [outcomes]string{
-	"whole stream", "broken stream", "partial event", "partial first event", "measured stream", "500", "504", "other type", "404", "not run", "reset", "large", "large broken",
+	"whole stream", "broken stream", "partial event", "partial first event", "measured stream", "unnamed event", "500", "504", "other type", "404", "not run", "reset", "large", "large broken",
 }
 
 func (o outcome) String() string { return outcomeNames[o] }
@@ -152,6 +153,10 @@
 		w.Header().Set("Content-Length", strconv.Itoa(measuredLength))
 		writeEvents(w, after, min(after+eventsEach, lastEvent))
 		breakOff(w)
+	case unnamedEvent:
+		writeEvents(w, after, min(after+eventsEach, lastEvent))
+		write(w, "data: piece without an id\n\n")
+		breakOff(w)
 	case failure:
 		answer(w, http.StatusInternalServerError, wholeBody(o, attempt))
 	case failedAtOnce:
--- a/relay/session.go
+++ b/relay/session.go
@@ -32,10 +32,12 @@
 	lastEvent  string
 	lastNumber int64
 	hasNumber  bool
-	events     int
-	lastPiece  clock.Millis
-	attempts   int
-	moved      int
+	// unnamed tells that the caller has an event after it that has no id.
+	unnamed   bool
+	events    int
+	lastPiece clock.Millis
+	attempts  int
+	moved     int
 	// explained tells that the log says why the answer has not ended.
 	explained bool
 	// first is the age at which the caller had the first event, and pause the
@@ -158,13 +160,13 @@
 	return true
 }
 
-// delivered says what the caller has of its answer. Events without a number cannot be
-// gone on with: which of them another attempt brings again would not be known.
+// delivered says what the caller has of its answer. Nothing can go on after an event
+// without a number: another attempt would bring it again.
 func (s *session) delivered() dispatch.Delivered {
 	switch {
 	case !s.w.begun():
 		return dispatch.DeliveredNothing
-	case s.events > 0 && s.hasNumber:
+	case s.events > 0 && !s.unnamed:
 		return dispatch.DeliveredEvents
 	default:
 		return dispatch.DeliveredPart
--- a/relay/session_pass.go
+++ b/relay/session_pass.go
@@ -69,6 +69,7 @@
 		return err
 	}
 	s.noteEvent()
+	s.unnamed = !ev.hasID
 	if ev.hasID {
 		s.lastEvent, s.lastNumber, s.hasNumber = ev.id, ev.number, true
 	}
