--- a/relay/silent_streams_test.go
+++ b/relay/silent_streams_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,11 +25,48 @@
 )
 
 // streamEngine is an engine whose streams go on after the last event that is named.
-type streamEngine struct{}
+type streamEngine struct {
+	// stalled is what it reports as standing still, in the platform's form, until it is
+	// told to move it.
+	mu      sync.Mutex
+	stalled string
+	moves   int
+}
+
+// stallAt makes it report a stream as waiting for another engine.
+func (e *streamEngine) stallAt(id, address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stalled = fmt.Sprintf(`{"id":%q,"address":%q}`, id, address)
+}
+
+// moved takes the order to move the stream, which no longer stands still.
+func (e *streamEngine) moved() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stalled = ""
+	e.moves++
+}
+
+func (e *streamEngine) movesTaken() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.moves
+}
 
-func (streamEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/report" {
-		_, _ = io.WriteString(w, `{"pace":1}`)
+func (e *streamEngine) report(w io.Writer) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, _ = fmt.Fprintf(w, `{"pace":1,"stalled":[%s]}`, e.stalled)
+}
+
+func (e *streamEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/report":
+		e.report(w)
+		return
+	case "/order":
+		e.moved()
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -50,15 +88,17 @@
 func eventText(n int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", n) }
 
 // startEngine starts an engine that holds some layers.
-func (s *silentSite) startEngine(id string, held fleet.Range) {
+func (s *silentSite) startEngine(id string, held fleet.Range) *streamEngine {
 	address := id + ":80"
-	server := &http.Server{Handler: streamEngine{}}
+	engine := &streamEngine{}
+	server := &http.Server{Handler: engine}
 	listener := s.network.Listen(address)
 	go func() { _ = server.Serve(listener) }()
 	s.t.Cleanup(func() { _ = server.Close() })
 	s.relay.SetFleet([]fleet.Change{{ID: id, Upstream: fleet.Upstream{
 		ID: id, Service: standin.SiteWriter, Address: address, Slots: 64, Accelerator: standin.SiteKind, Held: held,
 	}}})
+	return engine
 }
 
 // pausedRecorder notes the longest time between two pieces of an answer.
@@ -113,16 +153,44 @@
 		running := s.stream("running")
 		time.Sleep(10 * eventEvery)
 		s.network.Mute()
+		(<-running).check(t)
+	})
+}
+
+// check tells whether a stream came whole, without a pause at which its caller leaves.
+func (p *pausedRecorder) check(t *testing.T) {
+	t.Helper()
+	var whole strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		whole.WriteString(eventText(n))
+	}
+	if got := p.Body.String(); got != whole.String() {
+		t.Errorf("got %d bytes of events, want all %d once", len(got), whole.Len())
+	}
+	if p.longest >= callersPatience {
+		t.Errorf("got a pause of %v, want less than callers wait, %v", p.longest, callersPatience)
+	}
+}
+
+// A stream was moved off a lost engine, and nothing came of it. The time after which it
+// is taken up elsewhere began anew with the move, on top of that until the engine was
+// found, and its caller had left by then.
+func TestStreamThatStandsStillAfterItsMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSilentSite(t, 0)
+		first := s.startEngine("e1", fleet.Range{From: 0, To: 6})
+		s.startEngine("e2", fleet.Range{From: 6, To: 12})
+		running := s.stream("running")
+		time.Sleep(10 * eventEvery)
+		s.startEngine("e3", fleet.Range{From: 6, To: 12})
+		s.network.Mute()
+		// The engines' reports are some hundred ms behind.
+		time.Sleep(600 * time.Millisecond)
+		first.stallAt("running", "e2:80")
 		answer := <-running
-		var whole strings.Builder
-		for n := 1; n <= streamEvents; n++ {
-			whole.WriteString(eventText(n))
-		}
-		if got := answer.Body.String(); got != whole.String() {
-			t.Errorf("got %d bytes of events, want all %d once", len(got), whole.Len())
-		}
-		if answer.longest >= callersPatience {
-			t.Errorf("got a pause of %v, want less than callers wait, %v", answer.longest, callersPatience)
+		answer.check(t)
+		if got := first.movesTaken(); got == 0 {
+			t.Error("got no move, want one before the stream was taken up elsewhere")
 		}
 	})
 }
