A move does not prolong the time after which a stream is given up

Cause: when a stream was moved off a lost engine, the 1.6 s began anew with the move: 0.11 s to the first question, 0.16 s for it, up to 0.35 s for the order, then 1.6 s. Callers leave 2 s after their last event.

Change: the time counts from the last event; the new engines' time to read all tokens still keeps a stream from being taken for one that stands still.

--- a/relay/session.go
+++ b/relay/session.go
@@ -36,8 +36,11 @@
 	hasNumber  bool
 	events     int
 	lastPiece  clock.Millis
-	attempts   int
-	moved      int
+	// since is from when on a stream that stands still counts as doing so: its last
+	// piece, or a move after which the new engines read all tokens first.
+	since    clock.Millis
+	attempts int
+	moved    int
 	// first is the age at which the caller had the first event, and pause the
 	// longest time between two events so far.
 	first clock.Millis
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -43,7 +43,7 @@
 	s.relay.protocol.SetAttempt(a.req.Header, AttemptHead{
 		Upstream: cmd.Upstream, Account: cmd.Account, Priority: cmd.Priority, Remaining: remaining, Chain: cmd.Chain, LastEvent: s.lastEvent,
 	})
-	s.attempt, s.sent, s.lastPiece = a, now, now
+	s.attempt, s.sent, s.lastPiece, s.since = a, now, now, now
 	if len(cmd.Chain) > 0 {
 		s.stall.Reset(firstStall.Duration())
 	}
--- a/relay/session_pass.go
+++ b/relay/session_pass.go
@@ -10,6 +10,7 @@
 // over.
 func (s *session) take(p piece) bool {
 	s.lastPiece = s.relay.clock.Now()
+	s.since = s.lastPiece
 	s.doubt.Stop()
 	switch {
 	case p.failed:
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -118,7 +118,8 @@
 	if s.attempt == nil || answer.attempt != s.attempt {
 		return
 	}
-	quiet := s.relay.clock.Now().Sub(s.lastPiece)
+	now := s.relay.clock.Now()
+	quiet := now.Sub(s.since)
 	at := answer.culprit(s.head.ID)
 	switch {
 	case quiet < s.rhythm.stallAfter():
@@ -131,7 +132,8 @@
 		s.relay.decider.tell(s.relay.life, dispatch.StalledMsg{
 			Request: s.id, Attempt: s.attempt.cmd.Attempt, At: answer.slow.Address, Slow: true,
 		})
-	case quiet >= abandonAfter:
+	case now.Sub(s.lastPiece) >= abandonAfter:
+		// Also after a move: the caller has waited since the last piece.
 		s.abandon("", "no_event_for_too_long")
 	}
 }
@@ -162,7 +164,7 @@
 // reconsider acts on the suspicion that others have of an engine on the way. A
 // stream that still flows is left alone; if it stops, its own check follows.
 func (s *session) reconsider(cmd dispatch.ReconsiderCmd) {
-	if s.attempt == nil || s.attempt.cmd.Attempt != cmd.Attempt || s.relay.clock.Now().Sub(s.lastPiece) < flowing {
+	if s.attempt == nil || s.attempt.cmd.Attempt != cmd.Attempt || s.relay.clock.Now().Sub(s.since) < flowing {
 		return
 	}
 	s.stalledAt(cmd.At)
@@ -209,7 +211,7 @@
 		s.abandon(s.firstAddress(), "first_engine_is_silent")
 	case dispatch.Moved:
 		// The new engines read all tokens first; until then silence is no sign.
-		s.lastPiece = s.relay.clock.Now()
+		s.since = s.relay.clock.Now()
 		s.stall.Reset(rereadStall.Duration())
 	case dispatch.MoveRefused:
 		// The decider tries another way.
