--- a/node/node.go
+++ b/node/node.go
@@ -105,7 +105,7 @@
 	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, n.setCatalog, share)
 	n.fleets = follow.NewFleet(n.store, n.clock, n.log, n.outage, n.setFleet, share)
 	n.known = &known{node: n, confirmed: clock.Never}
-	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, peerTransport, hash(s.Name),
+	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, platform.NewQuestionTransport(), hash(s.Name),
 		peering.WithFirstStart(s.FirstStart))
 	return n, nil
 }
