--- a/relay/session.go
+++ b/relay/session.go
@@ -38,8 +38,11 @@
 	unnamed   bool
 	events    int
 	lastPiece clock.Millis
-	attempts  int
-	moved     int
+	// since is from when on a stream that stands still counts as doing so: its last
+	// piece, or a move after which the new engines read all tokens first.
+	since    clock.Millis
+	attempts int
+	moved    int
 	// explained tells that the log says why the answer has not ended.
 	explained bool
 	// first is the age at which the caller had the first event, and pause the
