--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -22,18 +22,16 @@
 }
 
 // noteRun takes in that the upstream of a failed attempt has run the request, or may
-// have. A stream runs from its first token, so one that was taken back for want of an
-// event has not.
+// have. A stream that was taken back for want of an event may have run as well: an
+// engine that has hung says nothing of it.
 func (r *request) noteRun(msg AttemptFailedMsg) {
 	if msg.Cause != Unknown && msg.Cause != Slow && msg.Cause != Failed {
 		return
 	}
 	r.runs++
-	inVain := msg.Cause == Slow && msg.Events == r.events
-	if r.first == nil || inVain && r.route.Kind == catalog.Streaming {
-		return
+	if r.first != nil {
+		r.ranAt[r.first.entry.ID] = msg.Cause
 	}
-	r.ranAt[r.first.entry.ID] = msg.Cause
 }
 
 func (m *Model) next(r *request, msg AttemptFailedMsg) []Cmd {
