--- a/placer/placer.go
+++ b/placer/placer.go
@@ -61,6 +61,9 @@
 	watchFor   = 12 * time.Second
 	// ordersAtOnce bounds the orders that are given at a time.
 	ordersAtOnce = 8
+	// slowPlan is from which time on a plan without orders is logged too: it takes a
+	// VM's processor from requests for several turns of the scheduler, of 10 ms each.
+	slowPlan clock.Millis = 50
 )
 
 // Placer runs a planner.
@@ -108,7 +111,7 @@
 		case msg := <-p.inbox.Items():
 			p.model.Update(p.clock.Now(), msg)
 		case <-tick.C:
-			p.hand(ctx, p.model.Update(p.clock.Now(), placement.TickMsg{}))
+			p.hand(ctx, p.plan())
 			if ticks++; ticks%coverageTicks == 0 {
 				p.logCoverage()
 			}
@@ -116,6 +119,16 @@
 	}
 }
 
+// plan has the planner look at its engines, and logs what that took.
+func (p *Placer) plan() []placement.OrderCmd {
+	began := p.clock.Now()
+	cmds := p.model.Update(began, placement.TickMsg{})
+	if took := p.clock.Now().Sub(began); took >= slowPlan || len(cmds) > 0 {
+		p.log.Info("planned", zap.Int("orders", len(cmds)), zap.Int64("took_ms", int64(took)))
+	}
+	return cmds
+}
+
 // logCoverage logs which layers are held where, when that has changed.
 func (p *Placer) logCoverage() {
 	coverage := p.model.Coverage(p.clock.Now())
