--- a/placement/layout.go
+++ b/placement/layout.go
@@ -45,6 +45,8 @@
 	solo []int
 	// demand is how many streams a ms are to be borne.
 	demand float64
+	// weighed counts the engines that have been looked at for values.
+	weighed int
 }
 
 // newLayout returns a layout of a data centre's engines with what they hold or
@@ -92,6 +94,7 @@
 // serves, less what it is expected to lose of that while engines are replaced, and
 // less uncovered for each layer without a holder. It is never over zero.
 func (l *layout) value() float64 {
+	l.weighed += len(l.engines)
 	missing := l.count()
 	room := l.room()
 	if room <= 0 {
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -62,8 +62,10 @@
 var fills = []float64{0.55, 0.6, 0.65, 0.7, 0.75, 0.8, 0.85, 0.9, 0.95, 1}
 
 // Plan returns the orders to be given now, most urgent first.
-func Plan(shape Shape, engines []Engine) []Order {
-	p := newPlan(shape, engines)
+func Plan(shape Shape, engines []Engine) []Order { return newPlan(shape, engines).seek() }
+
+// seek returns the orders to be given now.
+func (p *plan) seek() []Order {
 	var orders []Order
 	for _, centre := range p.centres {
 		if p.untouched(centre) {
@@ -83,6 +85,8 @@
 	engines []Engine
 	centres []string
 	local   map[string][]int
+	// weighed counts the engines that have been looked at for the values of layouts.
+	weighed int
 }
 
 func newPlan(shape Shape, engines []Engine) *plan {
@@ -146,6 +150,7 @@
 		}
 	}
 	best.improve()
+	p.weighed += best.weighed
 	var orders []Order
 	for i, e := range best.engines {
 		if !best.ranges[i].Empty() {
@@ -191,6 +196,7 @@
 		l.ranges[i] = r
 		orders = append(orders, p.order(e, r))
 	}
+	p.weighed += l.weighed
 	return orders
 }
 
