A node's turn to order engines comes once nobody else has given an order for its delay

Cause: a turn counted from when there was something to be ordered, so with 99 nodes in steps of 0.3 s a dozen and more sought a plan of what the first was still ordering. Change: an order of another node's that is news restarts the wait. Own orders do not, and neither do the repeats of what was told. Ruled out: longer steps between turns, which would only move the size at which it breaks, and delay the healing of small sites.

--- a/placement/model.go
+++ b/placement/model.go
@@ -76,7 +76,7 @@
 	needSince map[string]clock.Millis
 	// plans are by service.
 	plans map[string]planned
-	// dueSince is since when there have been orders to give.
+	// dueSince is since when there have been orders to give and nobody else gave any.
 	dueSince clock.Millis
 	// idleUntil is until when nothing is to be looked at if nothing happens.
 	idleUntil clock.Millis
@@ -182,6 +182,10 @@
 		m.heldSure[msg.Upstream] = now.Add(heldLasts)
 		delete(m.pending, msg.Upstream)
 	case u.Held != msg.Layers:
+		if m.pending[msg.Upstream].layers != msg.Layers {
+			// Another node is at it. Its plan goes on, and would be sought here in vain.
+			m.dueSince = 0
+		}
 		m.pending[msg.Upstream] = pending{layers: msg.Layers, until: now.Add(orderLasts)}
 	}
 }
@@ -287,8 +291,8 @@
 	return still || m.planned
 }
 
-// due tells whether it is this node's turn: others have left something to be ordered
-// for its delay.
+// due tells whether it is this node's turn: others have left something to be ordered,
+// and given no order, for its delay.
 func (m *Model) due(now clock.Millis, wanted bool) bool {
 	if !wanted {
 		m.dueSince = 0
