The planner's messages and orders never wait for each other

Cause: the planner waited for room among 256 orders, those who give orders for room among 256 messages to tell what came of them, and behind them, for ever, the follower of the list, the receiver of datagrams and, at the word of a silent engine, the goroutine that decides. A first plan of more than 264 orders stopped a node so that it used upstreams after they had left and planned nothing more; a plan that took seconds stopped it for as long. Change: telling the planner does not wait, whatever it does; orders wait with the planner, which takes in messages meanwhile, and before each plan. Ruled out: more room, which moves the size at which it happens.

--- a/node/known.go
+++ b/node/known.go
@@ -89,5 +89,5 @@
 	k.node.usage.SetPeers(near, far)
 	k.node.roster.SetGroup(readingGroup(others, k.node.settings.DataCentre))
 	k.node.relay.SetPeers(len(others) + 1)
-	k.node.placer.Tell(k.node.life, placement.RankMsg{Delay: plannerDelay(rank)})
+	k.node.placer.Tell(placement.RankMsg{Delay: plannerDelay(rank)})
 }
--- a/node/learn.go
+++ b/node/learn.go
@@ -21,14 +21,14 @@
 		return
 	}
 	n.log.Info("config", zap.Uint64("version", c.Version()), zap.Int64("age_ms", int64(clock.AgeOf(confirmed, n.clock.Now()))))
-	n.placer.Tell(n.life, placement.CatalogMsg{Catalog: c})
+	n.placer.Tell(placement.CatalogMsg{Catalog: c})
 }
 
 // setSilent tells the planner that an engine does not answer, or does again, and other
 // nodes of one that they have not told of.
 func (n *Node) setSilent(cmd dispatch.SilentCmd) {
 	n.log.Info("silent", zap.String("upstream", cmd.Upstream), zap.Bool("silent", cmd.Silent), zap.Bool("agreed", cmd.Agreed))
-	n.placer.Tell(n.life, placement.SilentMsg{Upstream: cmd.Upstream, Silent: cmd.Silent, Agreed: cmd.Agreed})
+	n.placer.Tell(placement.SilentMsg{Upstream: cmd.Upstream, Silent: cmd.Silent, Agreed: cmd.Agreed})
 	if cmd.Silent && !cmd.Agreed {
 		n.usage.Silent(cmd.Upstream)
 	}
@@ -81,10 +81,10 @@
 // setPlaced takes an order that this node or another one has given.
 func (n *Node) setPlaced(upstream string, layers fleet.Range, holds bool) {
 	n.relay.SetPlaced(upstream, layers, holds)
-	n.placer.Tell(n.life, placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
+	n.placer.Tell(placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
 }
 
 func (n *Node) setFleet(changes []fleet.Change) {
 	n.relay.SetFleet(changes)
-	n.placer.Tell(n.life, placement.FleetMsg{Changes: changes})
+	n.placer.Tell(placement.FleetMsg{Changes: changes})
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -17,7 +17,6 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/placement"
-	"github.com/hoistjunction/hoistjunction/ring"
 )
 
 // Results of orders, under the names that engines' clients use.
@@ -52,8 +51,6 @@
 	// coverageTicks is at which of the planner's ticks it is looked whether other
 	// layers are held than were logged last: once a second.
 	coverageTicks = 4
-	// waiting bounds the messages that wait for the planner.
-	waiting = 256
 	// watchEvery is how often an engine that loads is asked whether it is done,
 	// and watchFor for how long. A load takes 0.2 s to some three seconds; the
 	// list shows its end up to three seconds late.
@@ -72,7 +69,10 @@
 	engines Engines
 	clock   *clock.Clock
 	log     *zap.Logger
-	inbox   *ring.Ring[placement.Msg]
+	inbox   *inbox
+	// waiting are orders that nobody gives yet, and orders takes them to who does. The
+	// planner itself never waits for that.
+	waiting []placement.OrderCmd
 	orders  chan placement.OrderCmd
 	// placed tells all nodes, this one included, of an order that was taken or,
 	// with holds, carried out.
@@ -88,13 +88,12 @@
 ) *Placer {
 	return &Placer{
 		model: model, engines: engines, clock: c, log: log, placed: placed,
-		inbox: ring.New[placement.Msg](waiting), orders: make(chan placement.OrderCmd, waiting),
+		inbox: newInbox(), orders: make(chan placement.OrderCmd),
 	}
 }
 
-// Tell hands a message to the planner. It waits for room until the context
-// ends, since a planner that misses a change plans wrongly.
-func (p *Placer) Tell(ctx context.Context, msg placement.Msg) { p.inbox.Put(msg, ctx.Done()) }
+// Tell hands a message to the planner. It does not wait.
+func (p *Placer) Tell(msg placement.Msg) { p.inbox.put(msg) }
 
 // Run plans until the context ends.
 func (p *Placer) Run(ctx context.Context) error {
@@ -108,10 +107,14 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case msg := <-p.inbox.Items():
-			p.model.Update(p.clock.Now(), msg)
+		case <-p.inbox.some:
+			p.takeIn()
+		case p.next() <- p.first():
+			p.waiting = p.waiting[1:]
 		case <-tick.C:
-			p.hand(ctx, p.plan())
+			// A plan is for what is known by now.
+			p.takeIn()
+			p.waiting = append(p.waiting, p.plan()...)
 			if ticks++; ticks%coverageTicks == 0 {
 				p.logCoverage()
 			}
@@ -119,6 +122,13 @@
 	}
 }
 
+// takeIn hands the planner what it has been told.
+func (p *Placer) takeIn() {
+	for _, msg := range p.inbox.take() {
+		p.model.Update(p.clock.Now(), msg)
+	}
+}
+
 // plan has the planner look at its engines, and logs what that took.
 func (p *Placer) plan() []placement.OrderCmd {
 	began := p.clock.Now()
@@ -141,14 +151,20 @@
 	}
 }
 
-func (p *Placer) hand(ctx context.Context, cmds []placement.OrderCmd) {
-	for _, cmd := range cmds {
-		select {
-		case p.orders <- cmd:
-		case <-ctx.Done():
-			return
-		}
+// next is where the first order that waits goes; nil where none does.
+func (p *Placer) next() chan<- placement.OrderCmd {
+	if len(p.waiting) == 0 {
+		return nil
+	}
+	return p.orders
+}
+
+// first is the first order that waits, if any does.
+func (p *Placer) first() placement.OrderCmd {
+	if len(p.waiting) == 0 {
+		return placement.OrderCmd{}
 	}
+	return p.waiting[0]
 }
 
 // work gives orders one after the other.
@@ -158,7 +174,7 @@
 		case <-ctx.Done():
 			return
 		case cmd := <-p.orders:
-			p.Tell(ctx, p.give(ctx, cmd))
+			p.Tell(p.give(ctx, cmd))
 		}
 	}
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -81,12 +81,12 @@
 		engines := &promptEngines{held: make(map[string]fleet.Range)}
 		var p *placer.Placer
 		placed := func(upstream string, layers fleet.Range, holds bool) {
-			p.Tell(ctx, placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
+			p.Tell(placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
 		}
 		p = placer.New(placement.New(placement.WithStart(c.Now())), engines, c, logging.Nop().Logger, placed)
 		go func() { _ = p.Run(ctx) }()
-		p.Tell(ctx, placement.CatalogMsg{Catalog: smallModel()})
-		p.Tell(ctx, placement.FleetMsg{Changes: emptyEngines()})
+		p.Tell(placement.CatalogMsg{Catalog: smallModel()})
+		p.Tell(placement.FleetMsg{Changes: emptyEngines()})
 		time.Sleep(time.Minute)
 		if got := engines.ordered(); got != manyEngines {
 			t.Errorf("got %d engines ordered to hold something, want %d", got, manyEngines)
@@ -98,15 +98,13 @@
 // something goes on: the follower of the list has others to tell too.
 func TestTellingDoesNotWaitForThePlanner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		defer cancel()
 		c := clock.New()
 		// Nobody runs this one, as if it sought a plan all the while.
 		p := placer.New(placement.New(), &promptEngines{}, c, logging.Nop().Logger, func(string, fleet.Range, bool) {})
 		told := 0
 		go func() {
 			for _, change := range emptyEngines() {
-				p.Tell(ctx, placement.FleetMsg{Changes: []fleet.Change{change}})
+				p.Tell(placement.FleetMsg{Changes: []fleet.Change{change}})
 				told++
 			}
 		}()
