Nodes that find the same plan share its orders

Change: each node begins elsewhere in a plan's orders, by a hash of its name, and drops those of engines that anybody has ordered meanwhile.

--- a/node/node.go
+++ b/node/node.go
@@ -96,7 +96,7 @@
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
-	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced)
+	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)))
 	n.roster = reading.NewRoster(s.Name, n.clock.Now(), s.readerPatience())
 	n.shared = reading.NewLog(n.clock, vouchFor, s.readerPatience())
 	n.outage = &follow.Outage{}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -74,7 +74,7 @@
 	inbox   *inbox
 	// waiting are orders that nobody gives yet, and orders takes them to who does. The
 	// planner itself never waits for that.
-	waiting []placement.OrderCmd
+	waiting queue
 	orders  chan placement.OrderCmd
 	// placed tells all nodes, this one included, of an order that was taken or,
 	// with holds, carried out.
@@ -83,15 +83,26 @@
 	coverage []string
 }
 
+// Option sets up a Placer.
+type Option func(*Placer)
+
+// WithSeed sets which of a plan's orders a node gives first. Nodes that find the same
+// plan share its orders where their seeds differ.
+func WithSeed(seed uint64) Option { return func(p *Placer) { p.waiting.seed = seed } }
+
 // New returns a placer that runs a model. Placed tells all nodes of an order
 // that an engine has taken or carried out.
 func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger,
-	placed func(upstream string, layers fleet.Range, holds bool),
+	placed func(upstream string, layers fleet.Range, holds bool), opts ...Option,
 ) *Placer {
-	return &Placer{
+	p := &Placer{
 		model: model, engines: engines, clock: c, log: log, placed: placed,
 		inbox: newInbox(), orders: make(chan placement.OrderCmd),
 	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // Tell hands a message to the planner. It does not wait.
@@ -106,17 +117,18 @@
 	defer tick.Stop()
 	ticks := 0
 	for {
+		to, order := p.next()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-p.inbox.some:
 			p.takeIn()
-		case p.next() <- p.first():
-			p.waiting = p.waiting[1:]
+		case to <- order:
+			p.waiting.removeFirst()
 		case <-tick.C:
 			// A plan is for what is known by now.
 			p.takeIn()
-			p.waiting = append(p.waiting, p.plan()...)
+			p.waiting.add(p.plan())
 			if ticks++; ticks%coverageTicks == 0 {
 				p.logCoverage()
 			}
@@ -127,6 +139,9 @@
 // takeIn hands the planner what it has been told.
 func (p *Placer) takeIn() {
 	for _, msg := range p.inbox.take() {
+		if placed, ok := msg.(placement.PlacedMsg); ok {
+			p.waiting.ordered(placed.Upstream)
+		}
 		p.model.Update(p.clock.Now(), msg)
 	}
 }
@@ -153,20 +168,13 @@
 	}
 }
 
-// next is where the first order that waits goes; nil where none does.
-func (p *Placer) next() chan<- placement.OrderCmd {
-	if len(p.waiting) == 0 {
-		return nil
-	}
-	return p.orders
-}
-
-// first is the first order that waits, if any does.
-func (p *Placer) first() placement.OrderCmd {
-	if len(p.waiting) == 0 {
-		return placement.OrderCmd{}
+// next returns the first order that waits, and where it goes; nowhere if none does.
+func (p *Placer) next() (to chan<- placement.OrderCmd, order placement.OrderCmd) {
+	order, ok := p.waiting.first()
+	if !ok {
+		return nil, order
 	}
-	return p.waiting[0]
+	return p.orders, order
 }
 
 // work gives orders one after the other.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -114,3 +114,60 @@
 		}
 	})
 }
+
+// slowEngines take an order after a while, and count the orders.
+type slowEngines struct {
+	promptEngines
+	orders int
+}
+
+// orderTakes is how long an engine takes to answer.
+const orderTakes = 2 * time.Millisecond
+
+func (e *slowEngines) State(ctx context.Context, address string) (placer.State, error) {
+	time.Sleep(orderTakes)
+	return e.promptEngines.State(ctx, address)
+}
+
+func (e *slowEngines) Place(ctx context.Context, address, upstream string, layers fleet.Range, taken uint64) (placer.Result, error) {
+	time.Sleep(orderTakes)
+	e.mu.Lock()
+	e.orders++
+	e.mu.Unlock()
+	return e.promptEngines.Place(ctx, address, upstream, layers, taken)
+}
+
+// Where a plan takes longer than a turn, several nodes find the same one. 912 engines
+// then got 3,400 orders, each of which is paid for: all gave theirs in the same sequence,
+// at the same moments. They are to share them: each begins elsewhere, and what another
+// node has ordered by then is not ordered again.
+func TestPlannersOfOnePlanShareItsOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		c := clock.New()
+		engines := &slowEngines{promptEngines: promptEngines{held: make(map[string]fleet.Range)}}
+		var placers []*placer.Placer
+		placed := func(upstream string, layers fleet.Range, holds bool) {
+			for _, p := range placers {
+				p.Tell(placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
+			}
+		}
+		for seed := range uint64(3) {
+			model := placement.New(placement.WithStart(c.Now()))
+			placers = append(placers, placer.New(model, engines, c, logging.Nop().Logger, placed, placer.WithSeed(200*seed)))
+		}
+		for _, p := range placers {
+			go func() { _ = p.Run(ctx) }()
+			p.Tell(placement.CatalogMsg{Catalog: smallModel()})
+			p.Tell(placement.FleetMsg{Changes: emptyEngines()})
+		}
+		time.Sleep(time.Minute)
+		if got := engines.ordered(); got != manyEngines {
+			t.Errorf("got %d engines ordered to hold something, want %d", got, manyEngines)
+		}
+		if got := engines.orders; got > manyEngines {
+			t.Errorf("got %d orders to %d engines, want one each", got, manyEngines)
+		}
+	})
+}
