--- a/placer/placer.go
+++ b/placer/placer.go
@@ -17,7 +17,6 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/placement"
-	"github.com/hoistjunction/hoistjunction/ring"
 )
 
 // Results of orders, under the names that engines' clients use.
@@ -52,15 +51,18 @@
 	// coverageTicks is at which of the planner's ticks it is looked whether other
 	// layers are held than were logged last: once a second.
 	coverageTicks = 4
-	// waiting bounds the messages that wait for the planner.
-	waiting = 256
 	// watchEvery is how often an engine that loads is asked whether it is done,
-	// and watchFor for how long. A load takes 0.2 s to some three seconds; the
-	// list shows its end up to three seconds late.
+	// and watchFor for how long; it is first asked after watchFirst, when all have been
+	// told of the order. A load takes 0.2 s to some three seconds; the list shows its end
+	// up to three seconds late.
+	watchFirst = 600 * time.Millisecond
 	watchEvery = 300 * time.Millisecond
 	watchFor   = 12 * time.Second
 	// ordersAtOnce bounds the orders that are given at a time.
 	ordersAtOnce = 8
+	// slowPlan is from which time on a plan without orders is logged too: it takes a
+	// VM's processor from requests for several turns of the scheduler, of 10 ms each.
+	slowPlan clock.Millis = 50
 )
 
 // Placer runs a planner.
@@ -69,7 +71,10 @@
 	engines Engines
 	clock   *clock.Clock
 	log     *zap.Logger
-	inbox   *ring.Ring[placement.Msg]
+	inbox   *inbox
+	// waiting are orders that nobody gives yet, and orders takes them to who does. The
+	// planner itself never waits for that.
+	waiting queue
 	orders  chan placement.OrderCmd
 	// placed tells all nodes, this one included, of an order that was taken or,
 	// with holds, carried out.
@@ -78,20 +83,30 @@
 	coverage []string
 }
 
+// Option sets up a Placer.
+type Option func(*Placer)
+
+// WithSeed sets which of a plan's orders a node gives first. Nodes that find the same
+// plan share its orders where their seeds differ.
+func WithSeed(seed uint64) Option { return func(p *Placer) { p.waiting.seed = seed } }
+
 // New returns a placer that runs a model. Placed tells all nodes of an order
 // that an engine has taken or carried out.
 func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger,
-	placed func(upstream string, layers fleet.Range, holds bool),
+	placed func(upstream string, layers fleet.Range, holds bool), opts ...Option,
 ) *Placer {
-	return &Placer{
+	p := &Placer{
 		model: model, engines: engines, clock: c, log: log, placed: placed,
-		inbox: ring.New[placement.Msg](waiting), orders: make(chan placement.OrderCmd, waiting),
+		inbox: newInbox(), orders: make(chan placement.OrderCmd),
 	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
-// Tell hands a message to the planner. It waits for room until the context
-// ends, since a planner that misses a change plans wrongly.
-func (p *Placer) Tell(ctx context.Context, msg placement.Msg) { p.inbox.Put(msg, ctx.Done()) }
+// Tell hands a message to the planner. It does not wait.
+func (p *Placer) Tell(msg placement.Msg) { p.inbox.put(msg) }
 
 // Run plans until the context ends.
 func (p *Placer) Run(ctx context.Context) error {
@@ -102,13 +117,18 @@
 	defer tick.Stop()
 	ticks := 0
 	for {
+		to, order := p.next()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case msg := <-p.inbox.Items():
-			p.model.Update(p.clock.Now(), msg)
+		case <-p.inbox.some:
+			p.takeIn()
+		case to <- order:
+			p.waiting.removeFirst()
 		case <-tick.C:
-			p.hand(ctx, p.model.Update(p.clock.Now(), placement.TickMsg{}))
+			// A plan is for what is known by now.
+			p.takeIn()
+			p.waiting.add(p.plan())
 			if ticks++; ticks%coverageTicks == 0 {
 				p.logCoverage()
 			}
@@ -116,6 +136,26 @@
 	}
 }
 
+// takeIn hands the planner what it has been told.
+func (p *Placer) takeIn() {
+	for _, msg := range p.inbox.take() {
+		if placed, ok := msg.(placement.PlacedMsg); ok {
+			p.waiting.ordered(placed.Upstream)
+		}
+		p.model.Update(p.clock.Now(), msg)
+	}
+}
+
+// plan has the planner look at its engines, and logs what that took.
+func (p *Placer) plan() []placement.OrderCmd {
+	began := p.clock.Now()
+	cmds := p.model.Update(began, placement.TickMsg{})
+	if took := p.clock.Now().Sub(began); took >= slowPlan || len(cmds) > 0 {
+		p.log.Info("planned", zap.Int("orders", len(cmds)), zap.Int64("took_ms", int64(took)))
+	}
+	return cmds
+}
+
 // logCoverage logs which layers are held where, when that has changed.
 func (p *Placer) logCoverage() {
 	coverage := p.model.Coverage(p.clock.Now())
@@ -128,14 +168,13 @@
 	}
 }
 
-func (p *Placer) hand(ctx context.Context, cmds []placement.OrderCmd) {
-	for _, cmd := range cmds {
-		select {
-		case p.orders <- cmd:
-		case <-ctx.Done():
-			return
-		}
+// next returns the first order that waits, and where it goes; nowhere if none does.
+func (p *Placer) next() (to chan<- placement.OrderCmd, order placement.OrderCmd) {
+	order, ok := p.waiting.first()
+	if !ok {
+		return nil, order
 	}
+	return p.orders, order
 }
 
 // work gives orders one after the other.
@@ -145,7 +184,7 @@
 		case <-ctx.Done():
 			return
 		case cmd := <-p.orders:
-			p.Tell(ctx, p.give(ctx, cmd))
+			p.Tell(p.give(ctx, cmd))
 		}
 	}
 }
@@ -175,8 +214,9 @@
 // watch tells all nodes that an order was taken, and that it was carried out.
 func (p *Placer) watch(ctx context.Context, cmd placement.OrderCmd) {
 	p.placed(cmd.Upstream, cmd.Layers, false)
-	for until := p.clock.Now().Add(clock.FromDuration(watchFor)); p.clock.Now() < until && ctx.Err() == nil; {
-		clock.Pause(ctx, watchEvery)
+	until := p.clock.Now().Add(clock.FromDuration(watchFor))
+	for pause := watchFirst; p.clock.Now() < until && ctx.Err() == nil; pause = watchEvery {
+		clock.Pause(ctx, pause)
 		state, err := p.engines.State(ctx, cmd.Address)
 		if err != nil || state.Busy || state.Held != cmd.Layers {
 			continue
