Sight: how old the list of upstreams is, in logs and metrics

Cause: a request that reached an upstream long after it had said that it leaves shows in the logs only by what is missing. Lines of sends carry the age of the configuration; the list's follower could sit in a wait on a silent connection for 8.7 s while the configuration was well, and nothing said so.

A list that is older than leaving_within_ms is told of once (list_old), and so is its end (list_confirmed). The age that the followed node's own list has is not part of it: that wants a field on the wire, whose generator is not on this machine.

No change of behaviour. Nothing was ruled out here.

--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -48,6 +48,8 @@
 	learnt atomic.Pointer[learntList]
 	// shown is the list as it stands, for peers.
 	shown atomic.Pointer[[]fleet.Upstream]
+	// confirmed is when the list was last confirmed: a clock.Millis.
+	confirmed atomic.Int64
 	// inDoubt tells that the store was lost since the list was last passed on, and
 	// partial that it may lack what has lapsed.
 	inDoubt bool
@@ -56,9 +58,11 @@
 
 // NewFleet returns a follower of the list.
 func NewFleet(source FleetSource, c *clock.Clock, log *zap.Logger, outage *Outage, tell func([]fleet.Change), opts ...Option) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		shared: newShared(c, log, outage, opts), source: source, view: fleet.NewView(), tell: tell,
 	}
+	f.confirmed.Store(int64(clock.Never))
+	return f
 }
 
 // fleetProgress is how far a follower of the list has come.
@@ -86,6 +90,7 @@
 			continue
 		}
 		now := f.clock.Now()
+		f.confirmed.Store(int64(now))
 		f.back("fleet", reader)
 		// What another node tells has lapsed nowhere: it answers for no list that
 		// it is in doubt of.
@@ -183,3 +188,9 @@
 
 // Listed tells whether any list is known.
 func (f *Fleet) Listed() bool { return f.shown.Load() != nil }
+
+// ListAge returns how long ago the store, the node that is followed in its place or a
+// peer last told what the list is; -1 if none ever did.
+func (f *Fleet) ListAge() clock.Millis {
+	return clock.AgeOf(clock.Millis(f.confirmed.Load()), f.clock.Now())
+}
--- a/follow/learnt.go
+++ b/follow/learnt.go
@@ -25,6 +25,7 @@
 // also answer while this node has the store, and nobody takes their lists then.
 func (f *Fleet) takeLearnt(now clock.Millis) {
 	if l := f.learnt.Swap(nil); l != nil && now <= l.at.Add(learntLasts) {
+		f.confirmed.Store(int64(l.at))
 		f.pass(f.view.Learn(now, l.upstreams), 0)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -94,7 +94,8 @@
 	self.UsageAddress = sharing.Address()
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
-		relay.WithCounters("store_calls", n.store.Calls()), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
+		relay.WithCounters("store_calls", n.store.Calls()),
+		relay.WithListAge(func() clock.Millis { return n.fleets.ListAge() }), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced)
 	n.roster = reading.NewRoster(s.Name, n.clock.Now(), s.readerPatience())
@@ -172,6 +173,7 @@
 	n.addLoop(&g, n.peers.Run)
 	n.addLoop(&g, n.usage.Run)
 	n.addLoop(&g, n.logStoreCalls)
+	n.addLoop(&g, n.watchList)
 	n.addServer(&g, n.caller, n.relay)
 	n.addServer(&g, n.readiness, http.HandlerFunc(n.relay.Readiness))
 	n.addServer(&g, n.peer, n.peerHandler())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,6 +37,8 @@
 	life context.Context
 	// more are counters of other parts of the node, by name.
 	more map[string]expvar.Var
+	// listAge tells how long ago the list of upstreams was last confirmed.
+	listAge func() clock.Millis
 }
 
 // Option sets up a Relay.
@@ -50,6 +52,10 @@
 // WithCounters adds another part's counters to the metrics.
 func WithCounters(name string, v expvar.Var) Option { return func(r *Relay) { r.more[name] = v } }
 
+// WithListAge sets who tells how long ago the list of upstreams was last confirmed, for
+// logs and metrics; -1 for never.
+func WithListAge(age func() clock.Millis) Option { return func(r *Relay) { r.listAge = age } }
+
 // WithSilence sets who is told of engines that do not answer, or do again.
 func WithSilence(tell func(dispatch.SilentCmd)) Option {
 	return func(r *Relay) { r.decider.silent = tell }
@@ -70,7 +76,10 @@
 
 // New returns a relay around a model. Run makes it work.
 func New(life context.Context, protocol Protocol, model *dispatch.Model, c *clock.Clock, log *zap.Logger, opts ...Option) *Relay {
-	r := &Relay{protocol: protocol, clock: c, log: log, gate: newGate(c, 0), stats: newStats(), life: life, more: make(map[string]expvar.Var)}
+	r := &Relay{
+		protocol: protocol, clock: c, log: log, gate: newGate(c, 0), stats: newStats(), life: life,
+		more: make(map[string]expvar.Var), listAge: neverListed,
+	}
 	r.decider = newDecider(model, c, log, r.probe)
 	for _, opt := range opts {
 		opt(r)
@@ -78,6 +87,9 @@
 	return r
 }
 
+// neverListed is the age of the list in a relay that nobody tells of it.
+func neverListed() clock.Millis { return clock.AgeOf(clock.Never, 0) }
+
 // Run decides until the context ends.
 func (r *Relay) Run(ctx context.Context) error {
 	defer r.upstreams.close()
@@ -157,7 +169,7 @@
 func (r *Relay) Metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	gauges := map[string]int64{
-		"open": r.open.Load(), "config_age_ms": int64(r.gate.age()),
+		"open": r.open.Load(), "config_age_ms": int64(r.gate.age()), "list_age_ms": int64(r.listAge()),
 		"decisions_waiting": int64(r.decider.inbox.Len()), "decisions_refused": int64(r.decider.inbox.Refused()),
 	}
 	if err := r.stats.write(w, gauges, r.more); err != nil {
