Test: the followers of whole sites in virtual time; fails on waits that add up

Seen: requests went to upstreams 4 s after they had said that they leave; the list of upstreams stood still for 8.7 s at some nodes after connections had gone silent.

The real followers, readers and store client run in virtual time on a network in memory: connections go silent, wholly or in part, nodes are frozen, killed or cut off, the store turns nodes away, hangs or is slow, once or in series. Whoever has been without disruption for 3 s must know each change 2 s after the store took it.

Ruled out: that the incident's phases alone bring it about (400 plays with all connections silent twice, none late); it takes nodes that learn of it one after the other. Peers' questions are not part of the simulation: they only add ways to know.

--- /dev/null
+++ b/node/follow_sim_test.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/internal/script"
+)
+
+// A list of upstreams stood still for 8.7 s at some nodes while others knew within
+// 0.1 s that upstreams left, and requests went on to those. Connections had gone silent
+// without a reset, twice within 1.3 s: the nodes had just lost the node that read the
+// store for them, nobody else could vouch, and nobody followed them, so each awaited the
+// list for as long as a lone node did, 8 s and a margin, on a connection that was silent.
+// The logs of all nodes show the wait begin and end to 10 ms. Limits of waits and pauses
+// were each chosen by themselves, and no one summed them.
+//
+// Here the followers of whole sites run in virtual time, with connections that go silent,
+// nodes that are frozen, killed or cut off and stores that fail, in series: whoever has
+// been without disruption for 3 s knows each change 2 s after the store has taken it.
+func TestChangesAreKnownInTime(t *testing.T) {
+	script.Run(t, "testdata/follow", func(t *testing.T) func(script.Step) []string {
+		p := &simPlay{}
+		return func(s script.Step) []string { return p.step(t, s) }
+	})
+}
+
+// simPlay collects the events of a script.
+type simPlay struct {
+	events []simEvent
+}
+
+func (p *simPlay) step(t *testing.T, s script.Step) []string {
+	switch s.Verb {
+	case "run":
+		result := playSim(t, uint64(s.Int("seed", 1)), s.Int("nodes", 0), millis(s.Int("until", 0)), p.events)
+		p.events = nil
+		if most := s.Int("calls", 0); most > 0 {
+			return []string{fmt.Sprintf("%d calls or fewer: %v", most, result.calls <= most)}
+		}
+		return verdict(result.missed)
+	case "seeds":
+		return playSeeds(t, s.Int("from", 1), s.Int("to", 1))
+	case "seed":
+		missed, _ := playSeed(t, uint64(s.Int("of", 0)))
+		return verdict(missed)
+	}
+	share, err := strconv.ParseFloat(s.Named["share"], 64)
+	if err != nil {
+		share = 1
+	}
+	e := simEvent{
+		at: millis(s.Int("at", 0)), what: s.Verb, node: s.Named["node"], lasts: millis(s.Int("for", 0)),
+		share: share, how: s.Named["how"],
+	}
+	times := s.Int("times", 1)
+	for i := range times {
+		again := e
+		again.at += millis(i * s.Int("every", 0))
+		p.events = append(p.events, again)
+	}
+	return nil
+}
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// mostTold is how many misses are told of.
+const mostTold = 5
+
+func verdict(missed []string) []string {
+	if len(missed) == 0 {
+		return []string{"all know in time"}
+	}
+	return append(missed[:min(len(missed), mostTold)], fmt.Sprintf("%d missed in all", len(missed)))
+}
+
+// playSeeds plays seeds, and tells of those in which a change was not known in time.
+func playSeeds(t *testing.T, from, to int) []string {
+	var failed []string
+	for seed := from; seed <= to; seed++ {
+		missed, events := playSeed(t, uint64(seed))
+		if len(missed) == 0 {
+			continue
+		}
+		failed = append(failed, fmt.Sprintf("seed %d: %s; %d missed in all", seed, missed[0], len(missed)))
+		if os.Getenv("SIM_EVENTS") != "" {
+			t.Logf("seed %d: %s\n%s", seed, strings.Join(missed, "; "), eventsText(events))
+		}
+	}
+	if len(failed) == 0 {
+		return []string{"all know in time"}
+	}
+	return failed
+}
+
+func eventsText(events []simEvent) string {
+	var lines []string
+	for _, e := range events {
+		if e.what != "leaves" && e.what != "ends" && e.what != "config" {
+			lines = append(lines, e.String())
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+// The events of a seed begin after seedBegins and end before seedEnds; seedUntil is
+// when all must be known.
+const (
+	seedBegins = 4 * time.Second
+	seedEnds   = 14 * time.Second
+	seedUntil  = 22 * time.Second
+)
+
+// playSeed plays what a seed says.
+func playSeed(t *testing.T, seed uint64) (missed []string, events []simEvent) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	sizes := []int{1, 3, 5, 6, 9, 9, 12}
+	nodes := sizes[random.IntN(len(sizes))]
+	events = seedEvents(random, nodes)
+	return playSim(t, seed, nodes, seedUntil, slices.Clone(events)).missed, events
+}
+
+// seedEvents draws faults, in series, and changes throughout.
+func seedEvents(random *rand.Rand, nodes int) []simEvent {
+	var events []simEvent
+	at := seedBegins
+	gaps := []time.Duration{400 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}
+	gap := gaps[random.IntN(len(gaps))]
+	for range 1 + random.IntN(4) {
+		at += time.Duration(random.Int64N(int64(gap)))
+		if at < seedEnds {
+			events = append(events, seedFault(random, at, nodes))
+		}
+	}
+	every := []time.Duration{150 * time.Millisecond, 500 * time.Millisecond, 1500 * time.Millisecond}
+	pause := every[random.IntN(len(every))]
+	for at := seedBegins; at < seedUntil-simWithin; at += time.Duration(random.ExpFloat64() * float64(pause)) {
+		events = append(events, simEvent{at: at, what: []string{"leaves", "leaves", "ends", "config"}[random.IntN(4)]})
+	}
+	return events
+}
+
+func seedFault(random *rand.Rand, at time.Duration, nodes int) simEvent {
+	// The first by name reads for the others, and most depends on it.
+	node := fmt.Sprintf("n%02d", 1+random.IntN(min(nodes, 1+random.IntN(nodes))))
+	lasts := time.Duration(200+random.IntN(5000)) * time.Millisecond
+	e := simEvent{at: at, lasts: lasts, node: node, share: 1}
+	switch kind := random.IntN(12); kind {
+	case 0, 1, 2, 3:
+		e = simEvent{at: at, what: "silent", share: 1}
+	case 4:
+		e = simEvent{at: at, what: "silent", share: 0.3 + 0.6*random.Float64()}
+	case 5:
+		e.what, e.lasts = "silent", 0
+	case 6:
+		e.what = "freeze"
+	case 7:
+		e.what = "kill"
+	case 8:
+		e.what = "cut_store"
+	case 9:
+		e.what = "cut_nodes"
+	case 10:
+		e.what, e.node, e.share = "refuse", "", 0.2+0.8*random.Float64()
+		e.how = []string{"503", "429", "silence"}[random.IntN(3)]
+	default:
+		e.what, e.node = []string{"down", "hang", "slow"}[random.IntN(3)], ""
+	}
+	return e
+}
--- a/node/node.go
+++ b/node/node.go
@@ -11,8 +11,10 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/peering"
@@ -98,19 +100,25 @@
 		relay.WithListAge(func() clock.Millis { return n.fleets.ListAge() }), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced)
-	n.roster = reading.NewRoster(s.Name, n.clock.Now(), s.readerPatience())
-	n.shared = reading.NewLog(n.clock, vouchFor, s.readerPatience())
-	n.outage = &follow.Outage{}
 	peerTransport := platform.NewPeerTransport()
-	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
-	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, n.setCatalog, share)
-	n.fleets = follow.NewFleet(n.store, n.clock, n.log, n.outage, n.setFleet, share)
-	n.known = &known{node: n, confirmed: clock.Never}
+	n.follow(peerTransport, n.setCatalog, n.setFleet)
 	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, peerTransport, hash(s.Name),
 		peering.WithFirstStart(s.FirstStart))
 	return n, nil
 }
 
+// follow builds the followers of the store, and what they know of other nodes.
+func (n *Node) follow(peerTransport http.RoundTripper, setCatalog func(*catalog.Catalog, []byte, clock.Millis), setFleet func([]fleet.Change)) {
+	patience := n.settings.readerPatience()
+	n.roster = reading.NewRoster(n.settings.Name, n.clock.Now(), patience)
+	n.shared = reading.NewLog(n.clock, vouchFor, patience)
+	n.outage = &follow.Outage{}
+	n.known = &known{node: n, confirmed: clock.Never}
+	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
+	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, setCatalog, share)
+	n.fleets = follow.NewFleet(n.store, n.clock, n.log, n.outage, setFleet, share)
+}
+
 // Nodes leave orders to each other for different times, by their rank among
 // the names (by a hash of the own name while others are unknown), so that they
 // seldom give the same order. An order shows in an engine's report at once.
--- /dev/null
+++ b/node/simnet_test.go
@@ -0,0 +1,252 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"time"
+)
+
+// simConnectTimeout bounds a new connection, as platform.Dialer does.
+const simConnectTimeout = 400 * time.Millisecond
+
+var errRefused = errors.New("connection refused")
+
+// simNet is a network in memory. Its connections may go silent for good, and hosts
+// may be frozen, be dead or be cut off from each other.
+type simNet struct {
+	mu        sync.Mutex
+	listeners map[string]*simListener
+	// links are the open connections, in the order in which they were opened.
+	links  []*simLink
+	opened map[[2]string]int
+	frozen map[string]bool
+	// cut holds pairs of hosts between which nothing passes.
+	cut map[[2]string]bool
+	// changed is closed, and replaced, when frozen or cut changes.
+	changed chan struct{}
+}
+
+func newSimNet() *simNet {
+	return &simNet{
+		listeners: make(map[string]*simListener), frozen: make(map[string]bool),
+		cut: make(map[[2]string]bool), opened: make(map[[2]string]int), changed: make(chan struct{}),
+	}
+}
+
+// simLink is a connection between two hosts.
+type simLink struct {
+	net      *simNet
+	from, to string
+	// nth is how many connections the one has opened to the other.
+	nth    int
+	silent chan struct{}
+	once   sync.Once
+}
+
+// mute makes the connection silent: what is sent on it from now on is lost, and neither
+// end learns that the other one closes it.
+func (l *simLink) mute() { l.once.Do(func() { close(l.silent) }) }
+
+func (l *simLink) muted() bool {
+	select {
+	case <-l.silent:
+		return true
+	default:
+		return false
+	}
+}
+
+// simConn is an end of a link.
+type simConn struct {
+	net.Conn
+	link         *simLink
+	local        string
+	remote       string
+	closed       chan struct{}
+	closedByOnce sync.Once
+}
+
+type simAddr string
+
+func (simAddr) Network() string  { return "sim" }
+func (a simAddr) String() string { return string(a) }
+
+func (c *simConn) LocalAddr() net.Addr  { return simAddr(c.local + ":1") }
+func (c *simConn) RemoteAddr() net.Addr { return simAddr(c.remote + ":1") }
+
+// Write passes on what is written once the way is free.
+func (c *simConn) Write(p []byte) (int, error) {
+	for {
+		free, changed := c.link.net.free(c.local, c.remote)
+		switch {
+		case c.link.muted():
+			return len(p), nil
+		case free:
+			return c.Conn.Write(p)
+		}
+		select {
+		case <-changed:
+		case <-c.link.silent:
+		case <-c.closed:
+			return 0, net.ErrClosed
+		}
+	}
+}
+
+// Close closes the connection. Of a silent one the other end learns nothing.
+func (c *simConn) Close() error {
+	c.closedByOnce.Do(func() { close(c.closed) })
+	if c.link.muted() {
+		return c.SetDeadline(time.Unix(1, 0))
+	}
+	return c.Conn.Close()
+}
+
+// free tells whether anything passes between two hosts, and when to look again.
+func (n *simNet) free(a, b string) (bool, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.frozen[a] && !n.frozen[b] && !n.cut[pair(a, b)], n.changed
+}
+
+func pair(a, b string) [2]string { return [2]string{min(a, b), max(a, b)} }
+
+// change changes what is frozen or cut.
+func (n *simNet) change(do func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	do()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// silence makes open connections go silent: each with a chance, and of one host alone
+// if it is named. The chance hangs on the two hosts and on how many connections they
+// have opened, not on the order in which goroutines run at one moment.
+func (n *simNet) silence(seed uint64, share float64, host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links = slices.DeleteFunc(n.links, func(l *simLink) bool {
+		random := rand.New(rand.NewPCG(seed, hash(fmt.Sprint(l.from, l.to, l.nth))))
+		if host != "" && l.from != host && l.to != host || random.Float64() >= share {
+			return false
+		}
+		l.mute()
+		return true
+	})
+}
+
+// dial returns the dialer of a host.
+func (n *simNet) dial(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, simConnectTimeout)
+		defer cancel()
+		for {
+			n.mu.Lock()
+			cut, changed, listener := n.cut[pair(from, host)], n.changed, n.listeners[host]
+			n.mu.Unlock()
+			if !cut {
+				return n.open(from, host, listener)
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return nil, os.ErrDeadlineExceeded
+			}
+		}
+	}
+}
+
+func (n *simNet) open(from, to string, listener *simListener) (net.Conn, error) {
+	if listener == nil {
+		return nil, errRefused
+	}
+	near, far := net.Pipe()
+	link := &simLink{net: n, from: from, to: to, silent: make(chan struct{})}
+	dialed := &simConn{Conn: near, link: link, local: from, remote: to, closed: make(chan struct{})}
+	accepted := &simConn{Conn: far, link: link, local: to, remote: from, closed: make(chan struct{})}
+	if !listener.offer(accepted) {
+		return nil, errRefused
+	}
+	n.mu.Lock()
+	n.opened[[2]string{from, to}]++
+	link.nth = n.opened[[2]string{from, to}]
+	n.links = append(n.links, link)
+	n.mu.Unlock()
+	listener.note(near, far)
+	return dialed, nil
+}
+
+// listen returns where a host takes connections.
+func (n *simNet) listen(host string) *simListener {
+	l := &simListener{host: host, net: n, accepted: make(chan net.Conn, 64), closed: make(chan struct{})}
+	n.mu.Lock()
+	n.listeners[host] = l
+	n.mu.Unlock()
+	return l
+}
+
+// simListener takes connections. It keeps the pipes, to close them for good.
+type simListener struct {
+	host     string
+	net      *simNet
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+	mu       sync.Mutex
+	pipes    []net.Conn
+}
+
+func (l *simListener) offer(c net.Conn) bool {
+	select {
+	case <-l.closed:
+		return false
+	case l.accepted <- c:
+		return true
+	}
+}
+
+func (l *simListener) note(pipes ...net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pipes = append(l.pipes, pipes...)
+}
+
+// Accept implements net.Listener.
+func (l *simListener) Accept() (net.Conn, error) {
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case c := <-l.accepted:
+		return c, nil
+	}
+}
+
+// Close implements net.Listener. Open connections end too, as with their process.
+func (l *simListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	l.net.mu.Lock()
+	if l.net.listeners[l.host] == l {
+		delete(l.net.listeners, l.host)
+	}
+	l.net.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.pipes {
+		_ = p.Close()
+	}
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *simListener) Addr() net.Addr { return simAddr(l.host + ":1") }
--- /dev/null
+++ b/node/simsite_test.go
@@ -0,0 +1,505 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/platform"
+	"github.com/hoistjunction/hoistjunction/platform/platformpb"
+	"github.com/hoistjunction/hoistjunction/reading"
+	"github.com/hoistjunction/hoistjunction/relay"
+	"github.com/hoistjunction/hoistjunction/standin"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+const (
+	// simContact is for how long a node must have had no disruption to be judged, and
+	// simWithin within what time it must know a change: the users' bounds.
+	simContact = 3 * time.Second
+	simWithin  = 2 * time.Second
+	// simReserve is what is left of a bound for the work on what a change brings.
+	simReserve = 50 * time.Millisecond
+	// simWord is how often nodes tell each other of themselves.
+	simWord = 300 * time.Millisecond
+	// simAnswer is what the store takes for an answer.
+	simAnswer clock.Millis = 4
+	// simLook is how often what nodes know is looked at.
+	simLook  = 10 * time.Millisecond
+	simStore = "store"
+)
+
+// simEvent is something that happens at a time of a play.
+type simEvent struct {
+	at time.Duration
+	// what is the verb: silent, freeze, kill, cut_store, cut_nodes, refuse, down, slow,
+	// leaves, ends or config.
+	what string
+	// node is the node that it strikes; empty for all, or for the store.
+	node string
+	// lasts is how long it lasts, share how many connections it strikes.
+	lasts time.Duration
+	share float64
+	// how is what a store answers that refuses: 503, 429, or silence.
+	how string
+}
+
+func (e simEvent) String() string {
+	text := fmt.Sprintf("at=%d %s", e.at.Milliseconds(), e.what)
+	if e.node != "" {
+		text += " node=" + e.node
+	}
+	if e.lasts > 0 {
+		text += fmt.Sprintf(" for=%d", e.lasts.Milliseconds())
+	}
+	if e.share > 0 && e.share < 1 {
+		text += fmt.Sprintf(" share=%.2f", e.share)
+	}
+	if e.how != "" {
+		text += " how=" + e.how
+	}
+	return text
+}
+
+// simChange is a change that the store has taken.
+type simChange struct {
+	at time.Time
+	// upstream has said that it leaves, or has no entry any more; empty for a
+	// configuration, of a version.
+	upstream string
+	version  uint64
+	// reported are the nodes that are known to have missed it.
+	reported map[string]bool
+}
+
+// simSite is a store and the nodes that follow it, in virtual time.
+type simSite struct {
+	t       *testing.T
+	net     *simNet
+	store   *standin.RowStore
+	random  *rand.Rand
+	began   time.Time
+	names   []string
+	mu      sync.Mutex
+	nodes   map[string]*simNode
+	refuses map[string]string
+	calls   int
+	// disturbed is until when something lasts that disturbs a node, by name, or the
+	// store.
+	disturbed map[string]time.Time
+	changes   []*simChange
+	next      int
+	version   uint64
+	missed    []string
+}
+
+// simNode is a node's followers.
+type simNode struct {
+	*Node
+	end     context.CancelFunc
+	ended   sync.WaitGroup
+	idle    func()
+	mu      sync.Mutex
+	left    map[string]bool
+	listed  map[string]bool
+	version uint64
+}
+
+// simResult is what has come of a play: which nodes in touch did not know a change in
+// time, and how often the store was called.
+type simResult struct {
+	missed []string
+	calls  int
+}
+
+// playSim plays events on a site of some nodes.
+func playSim(t *testing.T, seed uint64, nodes int, until time.Duration, events []simEvent) (result simResult) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimSite(t, seed, nodes)
+		defer s.close()
+		slices.SortStableFunc(events, func(a, b simEvent) int { return int(a.at - b.at) })
+		for at := time.Duration(0); at < until; at += simLook {
+			for len(events) > 0 && events[0].at <= at {
+				s.do(events[0])
+				events = events[1:]
+			}
+			time.Sleep(simLook)
+			s.judge()
+		}
+		result = simResult{missed: s.missed, calls: s.calls}
+	})
+	return result
+}
+
+// simUpstreams is how many upstreams there are at the start.
+const simUpstreams = 40
+
+func newSimSite(t *testing.T, seed uint64, nodes int) *simSite {
+	s := &simSite{
+		t: t, net: newSimNet(), store: standin.NewRowStore(), random: rand.New(rand.NewPCG(seed, seed)), began: time.Now(),
+		nodes: make(map[string]*simNode), refuses: make(map[string]string), disturbed: make(map[string]time.Time), version: 1,
+	}
+	s.store.Put("op", "config", standin.SiteConfig(s.version, "k1"))
+	for i := range simUpstreams {
+		s.put(fmt.Sprintf("u%d", i), "ready")
+	}
+	s.store.SetFaults(s.faults())
+	server := &http.Server{Handler: s.front(s.store.Handler())}
+	listener := s.net.listen(simStore)
+	go func() { _ = server.Serve(listener) }()
+	for i := range nodes {
+		s.names = append(s.names, fmt.Sprintf("n%02d", i+1))
+	}
+	for _, name := range s.names {
+		s.start(name)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+func (s *simSite) faults() standin.RowStoreFaults {
+	return standin.RowStoreFaults{SlowMS: int64(simAnswer)}
+}
+
+// front turns nodes away, and counts calls.
+func (s *simSite) front(store http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		host, _, _ := net.SplitHostPort(r.RemoteAddr)
+		s.mu.Lock()
+		s.calls++
+		how := s.refuses[host]
+		s.mu.Unlock()
+		switch how {
+		case "":
+			store.ServeHTTP(w, r)
+		case "silence":
+			<-r.Context().Done()
+		case "429":
+			w.WriteHeader(http.StatusTooManyRequests)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (s *simSite) put(id, state string) {
+	entry, err := standin.EntryBytes(&platformpb.Server{Service: "writer", Address: id + ":1", Zone: "z", State: state})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put("servers", id, entry)
+}
+
+// start starts a node.
+func (s *simSite) start(name string) {
+	log := zap.NewNop()
+	if os.Getenv("SIM_LOG") != "" {
+		to, err := logging.NewTo("debug", zapcore.Lock(os.Stdout))
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		log = to.With(zap.String("node", name))
+	}
+	life, end := context.WithCancel(context.Background())
+	n := &simNode{end: end, left: make(map[string]bool), listed: make(map[string]bool)}
+	c := clock.New()
+	n.Node = &Node{
+		settings: &Settings{Name: name, DataCentre: "z", ConfigWithin: clock.FromDuration(simWithin), LeavingWithin: clock.FromDuration(simWithin)},
+		log:      log, clock: c, life: life, silences: newSilences(),
+		store: platform.NewStore(simStore+":1", platform.WithDial(s.net.dial(name))),
+		relay: relay.New(life, platform.Headers{}, dispatch.New(), c, log),
+	}
+	peers := platform.NewPeerTransport(platform.WithDial(s.net.dial(name)))
+	n.idle = peers.CloseIdleConnections
+	n.follow(peers, n.tellCatalog, n.tellFleet)
+	n.roster.SetGroup(s.others(name))
+	mux := http.NewServeMux()
+	mux.Handle(reading.Handler(n.shared))
+	server := &http.Server{Handler: mux}
+	listener := s.net.listen(name)
+	n.ended.Go(func() { _ = server.Serve(listener) })
+	n.ended.Go(func() { _ = n.catalogs.Run(life) })
+	n.ended.Go(func() { _ = n.fleets.Run(life) })
+	offset := time.Duration(s.random.Int64N(int64(simWord)))
+	n.ended.Go(func() { s.tellOthers(life, n, offset) })
+	n.ended.Go(func() {
+		<-life.Done()
+		_ = server.Close()
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nodes[name] = n
+	s.disturbed[name] = time.Now()
+}
+
+func (s *simSite) others(name string) []*wire.Member {
+	var others []*wire.Member
+	for _, other := range s.names {
+		if other != name {
+			others = append(others, &wire.Member{Name: other, DataCentre: "z", Address: other + ":1"})
+		}
+	}
+	return others
+}
+
+// tellOthers tells other nodes of a node from time to time.
+func (s *simSite) tellOthers(ctx context.Context, n *simNode, offset time.Duration) {
+	clock.Pause(ctx, offset)
+	for ctx.Err() == nil {
+		for _, other := range s.peersOf(n) {
+			other.roster.Heard(other.clock.Now(), n.settings.Name, n.followable())
+		}
+		clock.Pause(ctx, simWord)
+	}
+}
+
+// peersOf returns the nodes that a node's word reaches.
+func (s *simSite) peersOf(n *simNode) []*simNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var peers []*simNode
+	for name, other := range s.nodes {
+		if free, _ := s.net.free(n.settings.Name, name); free && other != n {
+			peers = append(peers, other)
+		}
+	}
+	return peers
+}
+
+// tellCatalog takes what the follower of the configuration tells.
+func (n *simNode) tellCatalog(c *catalog.Catalog, raw []byte, confirmed clock.Millis) {
+	n.known.set(c, raw, confirmed)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c != nil {
+		n.version = max(n.version, c.Version())
+	}
+}
+
+// tellFleet takes what the follower of the list tells.
+func (n *simNode) tellFleet(changes []fleet.Change) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range changes {
+		n.left[c.ID] = c.Gone || c.Upstream.Leaving
+	}
+}
+
+// knows tells whether the node knows a change. One that has started since needs not.
+func (n *simNode) knows(c *simChange) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if c.upstream == "" {
+		return n.version >= c.version
+	}
+	left, listed := n.left[c.upstream]
+	return left || !listed
+}
+
+// do lets an event happen.
+func (s *simSite) do(e simEvent) {
+	ends := time.Now().Add(e.lasts)
+	switch e.what {
+	case "silent":
+		s.net.silence(s.random.Uint64(), e.share, e.node)
+		s.disturb(ends, s.names...)
+	case "freeze":
+		s.lasting(e, ends, func(on bool) { s.net.change(func() { s.net.frozen[e.node] = on }) }, e.node)
+	case "cut_store":
+		s.lasting(e, ends, func(on bool) { s.net.change(func() { s.net.cut[pair(e.node, simStore)] = on }) }, e.node)
+	case "cut_nodes":
+		s.lasting(e, ends, func(on bool) {
+			s.net.change(func() {
+				for _, other := range s.names {
+					s.net.cut[pair(e.node, other)] = on && other != e.node
+				}
+			})
+		}, e.node)
+	case "refuse":
+		s.lasting(e, ends, func(on bool) { s.refuse(e, on) }, simStore)
+	case "down", "hang", "slow":
+		s.lasting(e, ends, func(on bool) { s.fail(e.what, on) }, simStore)
+	case "kill":
+		s.lasting(e, ends, func(on bool) { s.kill(e.node, on) }, e.node)
+	case "leaves", "ends", "config":
+		s.changeStore(e.what)
+	default:
+		s.t.Fatalf("no event %q", e.what)
+	}
+}
+
+// disturb notes that hosts are disturbed until a time.
+func (s *simSite) disturb(until time.Time, hosts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, host := range hosts {
+		if until.After(s.disturbed[host]) {
+			s.disturbed[host] = until
+		}
+	}
+}
+
+// lasting turns a fault on, and off when its time is over.
+func (s *simSite) lasting(e simEvent, ends time.Time, turn func(on bool), host string) {
+	s.disturb(ends, host)
+	turn(true)
+	go func() {
+		time.Sleep(e.lasts)
+		turn(false)
+	}()
+}
+
+func (s *simSite) refuse(e simEvent, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, name := range s.names {
+		if e.node == name || e.node == "" && float64(i) < e.share*float64(len(s.names)) {
+			s.refuses[name] = ""
+			if on {
+				s.refuses[name] = e.how
+			}
+		}
+	}
+}
+
+// simSlow is what a slow store takes for an answer: sixty times the usual.
+const simSlow = 60 * simAnswer
+
+func (s *simSite) fail(what string, on bool) {
+	f := s.faults()
+	if on {
+		f.Down, f.Silent = what == "down", what == "hang"
+		if what == "slow" {
+			f.SlowMS = int64(simSlow)
+		}
+	}
+	s.store.SetFaults(f)
+}
+
+// kill ends a node's process, or starts it anew.
+func (s *simSite) kill(name string, on bool) {
+	if !on {
+		s.start(name)
+		return
+	}
+	s.mu.Lock()
+	n := s.nodes[name]
+	delete(s.nodes, name)
+	s.mu.Unlock()
+	if n != nil {
+		s.end(n)
+	}
+}
+
+func (s *simSite) end(n *simNode) {
+	n.end()
+	s.net.mu.Lock()
+	listener := s.net.listeners[n.settings.Name]
+	s.net.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+	n.store.Close()
+	n.idle()
+	n.ended.Wait()
+}
+
+// changeStore lets an upstream leave, or end without a word, or changes the
+// configuration.
+func (s *simSite) changeStore(what string) {
+	c := &simChange{at: time.Now(), reported: make(map[string]bool)}
+	switch {
+	case what == "config":
+		s.version++
+		c.version = s.version
+		s.store.Put("op", "config", standin.SiteConfig(s.version, "k1"))
+	case s.next >= simUpstreams:
+		return
+	default:
+		c.upstream = fmt.Sprintf("u%d", s.next)
+		s.next++
+		if what == "leaves" {
+			s.put(c.upstream, "draining")
+		} else {
+			s.store.Remove("servers", c.upstream)
+		}
+	}
+	s.changes = append(s.changes, c)
+}
+
+// judge notes what nodes in touch should know and do not. Only what the store has
+// taken while it was well counts.
+func (s *simSite) judge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for name, n := range s.nodes {
+		since := now.Add(simReserve)
+		if since.Before(s.disturbed[name].Add(simContact)) || since.Before(s.disturbed[simStore].Add(simContact)) {
+			continue
+		}
+		for _, c := range s.changes {
+			if c.reported[name] || since.Before(c.at.Add(simWithin)) || n.knows(c) {
+				continue
+			}
+			c.reported[name] = true
+			s.missed = append(s.missed, fmt.Sprintf("at %d %s does not know %s%s of %d",
+				now.Sub(s.began).Milliseconds(), name, c.upstream, versionText(c.version), c.at.Sub(s.began).Milliseconds()))
+		}
+	}
+}
+
+func versionText(version uint64) string {
+	if version == 0 {
+		return ""
+	}
+	return fmt.Sprintf("version %d", version)
+}
+
+// close ends all, silent connections too.
+func (s *simSite) close() {
+	s.net.change(func() {
+		clear(s.net.frozen)
+		clear(s.net.cut)
+	})
+	s.mu.Lock()
+	nodes := s.nodes
+	s.nodes = make(map[string]*simNode)
+	s.mu.Unlock()
+	for _, n := range nodes {
+		n.end()
+	}
+	s.net.mu.Lock()
+	var listeners []*simListener
+	for _, l := range s.net.listeners {
+		listeners = append(listeners, l)
+	}
+	s.net.mu.Unlock()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+	for _, n := range nodes {
+		s.end(n)
+	}
+	time.Sleep(longestFault)
+}
+
+// longestFault bounds how long an event lasts, and a call without an answer.
+const longestFault = 30 * time.Second
--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -129,6 +129,13 @@
 	s.wake()
 }
 
+// Remove removes a row.
+func (s *RowStore) Remove(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(table, key)
+}
+
 func (s *RowStore) remove(table, key string) {
 	if _, ok := s.rows[table+"/"+key]; !ok {
 		return
