Waits for the store's news end within the bound that they serve

Cause: each wait and pause of the followers had a limit of its own. A lone node awaited the list for 8 s and a margin of 0.7 s, though a change must be known within 2 s; the node that loses its reader is such a lone node for a moment. After a wait in vain another idle connection, as silent, was used; the list's follower then left the store alone for up to 3 s; and a connection gone silent counted as an outage of the store, in which entries that end are kept for 2.2 s more.

Change: all limits stand in follow/limits.go and derive from the time within which a change must be known; a test sums the worst orders. One wait for lone nodes and those that others follow (1.25 s; the list 8 and 1 s, the configuration 1.8 s before); the pause in which changes gather is taken off the next wait. A call that brings no answer on an open connection is made once more at once, on a new one and without a wait, before anybody is taken to be lost; the idle ones are closed, and kept for 0.5 s (20 and 5 s before). The pause after failed calls for the list grows from 0.3 to 3 s (3 s before). A node that is followed has 0.8 s for a wait and 0.25 s beside it (1 and 0.5 s); its successor is asked without a wait first. Where changes may take longer than 2 s the patience is 2.85 s of 6 (4 s before).

In the simulation an entry that ends around an outage of the store is not counted any more, since it cannot be told from one that lapsed; the users do not count it either.

--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -12,35 +11,10 @@
 	"github.com/hoistjunction/hoistjunction/logging"
 )
 
-const (
-	// catalogWait is how long the store may hold a wait for the configuration.
-	// An answered wait proves the configuration fresh as of its sending, so
-	// while the next one is open the proof gets up to twice as old as a wait
-	// lasts. Keys must be known within 5 s, less a margin of 0.7 s; 0.7 s
-	// remain to ask a peer.
-	catalogWait clock.Millis = 1800
-	// followedWait is the same at a node that others follow, and of those others
-	// at that node. Its proof gets up to twice as old, 1.2 s, and within 1.4 s
-	// (reading.Log) its followers notice that it has lost the store; a change
-	// must be in force within 2 s.
-	followedWait clock.Millis = 600
-	// slownessCounted is how many times the time that the store needs beside the wait
-	// is taken off the next wait of a node that others follow: once for that call and
-	// once for the one before, since a proof counts from its sending.
-	slownessCounted = 2
-	// leastWait is the least wait that is left of it.
-	leastWait clock.Millis = 100
-	// firstRetry is the pause after a first call that failed; it doubles with
-	// each further one up to longestRetry. Every call costs, refused ones too,
-	// and all nodes lose the store together.
-	firstRetry   = 150 * time.Millisecond
-	longestRetry = 1200 * time.Millisecond
-)
-
-// retryPause is the pause after a number of failed calls in a row.
-func retryPause(failures int) time.Duration {
-	return min(firstRetry<<min(failures-1, 8), longestRetry)
-}
+// slownessCounted is how many times the time that the store needs beside the wait
+// is taken off the next wait of a node that others follow: once for that call and
+// once for the one before, since a proof counts from its sending.
+const slownessCounted = 2
 
 // Catalog follows the configuration.
 type Catalog struct {
@@ -76,6 +50,8 @@
 	slowness clock.Millis
 	// urged says that the last wait was left out for the nodes that follow.
 	urged bool
+	// doubt says how sure it is that whoever is asked next is there.
+	doubt doubt
 }
 
 // Run follows until the context ends.
@@ -106,7 +82,10 @@
 
 // failed says how to go on after a call that failed.
 func (f *Catalog) failed(ctx context.Context, p *catalogProgress, err error) {
+	p.doubt = p.doubt.after(err, p.failures)
 	switch {
+	case p.doubt == silent:
+		f.askAgain("config", err)
 	case errors.Is(err, ErrReadAnew):
 		f.log.Info("config_history_gone", zap.Uint64("revision", p.revision))
 		p.whole = true
@@ -121,7 +100,7 @@
 			return
 		}
 		p.failures++
-		clock.Pause(ctx, retryPause(p.failures))
+		clock.Pause(ctx, retryPause(p.failures).Duration())
 	}
 }
 
@@ -129,9 +108,9 @@
 // node if there is one to follow.
 func (f *Catalog) call(ctx context.Context, reader Reader, p catalogProgress) (CatalogReading, error) {
 	if reader != nil {
-		reading, err := reader.AwaitCatalog(ctx, p.revision, followedWait)
+		reading, err := reader.AwaitCatalog(ctx, p.revision, p.doubt.wait(readerConfigWait))
 		if err != nil {
-			return reading, f.readerFailed(ctx, "config", reader, err)
+			return reading, f.readerFailed(ctx, "config", reader, p.doubt, err)
 		}
 		return reading, nil
 	}
@@ -147,12 +126,14 @@
 // a configuration that cannot be read, would be asked for without end.
 func (f *Catalog) wait(p catalogProgress) (wait clock.Millis, urged bool) {
 	switch {
+	case p.doubt == silent:
+		return 0, p.urged
 	case f.readers.Overdue() && !p.urged:
 		return 0, true
 	case f.readers.Followed():
-		return max(followedWait-slownessCounted*p.slowness, leastWait), false
+		return max(followedConfigWait-slownessCounted*p.slowness, leastWait), false
 	default:
-		return catalogWait, false
+		return f.limits.configWait, false
 	}
 }
 
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -12,31 +11,8 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
-const (
-	// fleetWait is how long the store may hold a wait for the list. Changes
-	// arrive at once; a longer wait only saves calls.
-	fleetWait clock.Millis = 8000
-	// longestSitOut is how long the follower leaves the store alone while it
-	// seems to be away.
-	longestSitOut clock.Millis = 3000
-	// followedFleetWait is the same at a node that others follow, and of those
-	// others at that node. Within it and a margin they notice that it is dead; an
-	// upstream that is leaving must be known to be within 2 s.
-	followedFleetWait clock.Millis = 1000
-	// gatherAlone is the pause after a change of the list, in which further ones
-	// gather: at a start each server's entry would cost a call of its own. It
-	// delays what is learnt, not what counts from when it is learnt.
-	gatherAlone = 800 * time.Millisecond
-	// gatherFollowed is the same where few nodes call the store: an engine that
-	// ends should be known everywhere soon.
-	gatherFollowed = 400 * time.Millisecond
-	// gatherYoung is the same in a node's first moments, up to young: where all
-	// start together, so do the servers.
-	gatherYoung              = 1500 * time.Millisecond
-	young       clock.Millis = 3000
-	// expiryCheck is how often entries that lapsed are looked at, in ms.
-	expiryCheck clock.Millis = 500
-)
+// expiryCheck is how often entries that lapsed are looked at.
+const expiryCheck clock.Millis = 500
 
 // Fleet follows the list of upstreams.
 type Fleet struct {
@@ -72,6 +48,12 @@
 	// read next if the store is asked.
 	read  bool
 	whole bool
+	// paused is for how long further changes have gathered since the last answer.
+	paused clock.Millis
+	// failures counts the store's failed calls in a row.
+	failures int
+	// doubt says how sure it is that whoever is asked next is there.
+	doubt doubt
 }
 
 // Run follows until the context ends.
@@ -98,7 +80,8 @@
 		f.take(now, reading, reader == nil && f.outage.Lapsing(now))
 		p = fleetProgress{revision: reading.Revision, read: true}
 		if len(reading.Changes) > 0 {
-			clock.Pause(ctx, f.gather(reader != nil))
+			p.paused = f.gather(reader != nil)
+			clock.Pause(ctx, p.paused.Duration())
 		}
 	}
 	return ctx.Err()
@@ -106,7 +89,10 @@
 
 // failed says how to go on after a call that failed.
 func (f *Fleet) failed(ctx context.Context, p *fleetProgress, err error) {
+	p.paused, p.doubt = 0, p.doubt.after(err, p.failures)
 	switch {
+	case p.doubt == silent:
+		f.askAgain("fleet", err)
 	case errors.Is(err, ErrReadAnew):
 		f.log.Info("fleet_history_gone", zap.Uint64("revision", p.revision))
 		p.whole = true
@@ -117,21 +103,22 @@
 		f.inDoubt = true
 		f.followers.Suspend()
 		p.whole = true
-		f.sitOut(ctx, p.read)
+		p.failures++
+		f.sitOut(ctx, p.read, sitOutFor(p.failures))
 	}
 }
 
 // sitOut waits until the store is back, or another node can be followed. The
 // follower of the configuration tries the store; this one only looks whether it has
 // succeeded, or tries itself after a while in case only the list cannot be had.
-func (f *Fleet) sitOut(ctx context.Context, read bool) {
-	until := f.clock.Now().Add(longestSitOut)
+func (f *Fleet) sitOut(ctx context.Context, read bool, longest clock.Millis) {
+	until := f.clock.Now().Add(longest)
 	for ctx.Err() == nil {
 		if reader, _ := f.reader(read); reader != nil {
 			return
 		}
 		f.takeLearnt(f.clock.Now())
-		clock.Pause(ctx, firstRetry)
+		clock.Pause(ctx, firstRetry.Duration())
 		if !f.outage.Away() || f.clock.Now() >= until {
 			return
 		}
@@ -145,7 +132,7 @@
 	if reader == nil && p.whole {
 		return f.source.ReadUpstreams(ctx)
 	}
-	wait := f.wait(reader != nil)
+	wait := p.doubt.wait(max(f.wait(reader != nil)-p.paused, leastWait))
 	if reader == nil {
 		return f.source.AwaitUpstreams(ctx, p.revision, wait)
 	}
@@ -155,7 +142,7 @@
 	}
 	reading, err := reader.AwaitUpstreams(ctx, after, wait)
 	if err != nil {
-		return reading, f.readerFailed(ctx, "fleet", reader, err)
+		return reading, f.readerFailed(ctx, "fleet", reader, p.doubt, err)
 	}
 	return reading, nil
 }
@@ -165,16 +152,18 @@
 	switch {
 	case f.view.Waiting():
 		return expiryCheck
-	case told, f.readers.Followed():
-		return followedFleetWait
+	case told:
+		return readerWait
+	case f.readers.Followed():
+		return min(f.limits.wait, followedWait)
 	default:
-		return fleetWait
+		return f.limits.wait
 	}
 }
 
 // gather returns the pause after a change of the list. Calls to another node
 // cost next to nothing, and those of a node that others follow are few.
-func (f *Fleet) gather(told bool) time.Duration {
+func (f *Fleet) gather(told bool) clock.Millis {
 	switch {
 	case told, f.readers.Followed(), f.view.Waiting():
 		// Entries that may come back are looked at again soon.
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -72,6 +72,7 @@
 	outage    *Outage
 	readers   Readers
 	followers Followers
+	limits    limits
 }
 
 // Option sets up a follower.
@@ -83,8 +84,13 @@
 	return func(s *shared) { s.readers, s.followers = r, f }
 }
 
+// WithChangesWithin sets within what time a change must be known.
+func WithChangesWithin(within clock.Millis) Option {
+	return func(s *shared) { s.limits = limitsFor(within) }
+}
+
 func newShared(c *clock.Clock, log *zap.Logger, outage *Outage, opts []Option) shared {
-	s := shared{clock: c, log: log, outage: outage, readers: noReaders{}, followers: noReaders{}}
+	s := shared{clock: c, log: log, outage: outage, readers: noReaders{}, followers: noReaders{}, limits: limitsFor(usualWithin)}
 	for _, opt := range opts {
 		opt(&s)
 	}
@@ -106,8 +112,52 @@
 	return reader, reader == nil && s.readers.Waits()
 }
 
-// readerFailed notes that following another node did not work.
-func (s *shared) readerFailed(ctx context.Context, table string, reader Reader, err error) error {
+// doubt is how sure a follower is that whoever it asks next is there.
+type doubt int
+
+const (
+	// sure: whoever is asked has answered before, or nothing is known against it.
+	sure doubt = iota
+	// silent: the last call brought no answer on its connection. Whoever was asked may
+	// be well, so it is asked once more, on a new connection.
+	silent
+	// successor: another node has failed, and the next one may be as dead.
+	successor
+)
+
+// after returns the doubt after a call that failed. While the store is away it is not
+// asked twice in a row: every call costs.
+func (d doubt) after(err error, failures int) doubt {
+	switch {
+	case errors.Is(err, errReaderFailed):
+		return successor
+	case errors.Is(err, ErrSilent) && d != silent && failures == 0:
+		return silent
+	default:
+		return sure
+	}
+}
+
+// wait is how long whoever is asked may hold a wait: in doubt not at all, so that it
+// shows at once whether it is there.
+func (d doubt) wait(usual clock.Millis) clock.Millis {
+	if d == sure {
+		return usual
+	}
+	return 0
+}
+
+// askAgain logs that the last call is made once more.
+func (s *shared) askAgain(table string, err error) {
+	s.log.Info("ask_again", zap.String("table", table), logging.Err(err))
+}
+
+// readerFailed notes that following another node did not work, but for a connection that
+// has gone silent.
+func (s *shared) readerFailed(ctx context.Context, table string, reader Reader, d doubt, err error) error {
+	if d == sure && errors.Is(err, ErrSilent) {
+		return err
+	}
 	s.readers.Failed(reader)
 	if ctx.Err() == nil {
 		s.log.Info("reader_failed", zap.String("table", table), logging.Err(err))
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -161,7 +161,7 @@
 func backSoon(ctx context.Context, outage *Outage, c *clock.Clock) {
 	for ctx.Err() == nil {
 		outage.Back(c.Now())
-		clock.Pause(ctx, firstRetry)
+		clock.Pause(ctx, firstRetry.Duration())
 	}
 }
 
@@ -318,12 +318,12 @@
 		progress catalogProgress
 		want     clock.Millis
 	}{
-		{"nobody follows", noReaders{}, catalogProgress{slowness: 240}, catalogWait},
-		{"a quick store", followedReaders{}, catalogProgress{}, followedWait},
-		{"a slow store", followedReaders{}, catalogProgress{slowness: 240}, followedWait - 480},
+		{"nobody follows", noReaders{}, catalogProgress{slowness: 240}, limitsFor(usualWithin).configWait},
+		{"a quick store", followedReaders{}, catalogProgress{}, followedConfigWait},
+		{"a slow store", followedReaders{}, catalogProgress{slowness: 240}, followedConfigWait - 480},
 		{"a very slow store", followedReaders{}, catalogProgress{slowness: 900}, leastWait},
 		{"others wait for a proof", followedReaders{overdue: true}, catalogProgress{}, 0},
-		{"they still do", followedReaders{overdue: true}, catalogProgress{urged: true}, followedWait},
+		{"they still do", followedReaders{overdue: true}, catalogProgress{urged: true}, followedConfigWait},
 	}
 	for _, tt := range tests {
 		f := NewCatalog(nil, clock.New(), zap.NewNop(), &Outage{}, nil, WithReaders(tt.readers, noReaders{}))
--- a/node/node.go
+++ b/node/node.go
@@ -36,9 +36,6 @@
 	idleCaller = 60 * time.Second
 	// headerBytes bounds a request's head; the operator grants 16 KB.
 	headerBytes = 32 << 10
-	// vouchFor is how old the proof may be with which a node tells others that
-	// there is nothing newer. A change must be in force within 2 s.
-	vouchFor clock.Millis = 1400
 )
 
 // Node is a relay node.
@@ -109,14 +106,15 @@
 
 // follow builds the followers of the store, and what they know of other nodes.
 func (n *Node) follow(peerTransport http.RoundTripper, setCatalog func(*catalog.Catalog, []byte, clock.Millis), setFleet func([]fleet.Change)) {
-	patience := n.settings.readerPatience()
-	n.roster = reading.NewRoster(n.settings.Name, n.clock.Now(), patience)
-	n.shared = reading.NewLog(n.clock, vouchFor, patience)
+	within := n.settings.changesWithin()
+	n.roster = reading.NewRoster(n.settings.Name, n.clock.Now(), follow.Patience(within))
+	n.shared = reading.NewLog(n.clock, follow.VouchFor, follow.VouchSoon(within))
 	n.outage = &follow.Outage{}
 	n.known = &known{node: n, confirmed: clock.Never}
 	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
-	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, setCatalog, share)
-	n.fleets = follow.NewFleet(n.store, n.clock, n.log, n.outage, setFleet, share)
+	bound := follow.WithChangesWithin(within)
+	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, setCatalog, share, bound)
+	n.fleets = follow.NewFleet(n.store, n.clock, n.log, n.outage, setFleet, share, bound)
 }
 
 // Nodes leave orders to each other for different times, by their rank among
--- a/node/readers.go
+++ b/node/readers.go
@@ -43,7 +43,7 @@
 	defer r.mu.Unlock()
 	if m.GetAddress() != r.at {
 		r.at = m.GetAddress()
-		r.source = &namedSource{Source: reading.NewSource(r.client, m.GetAddress()), name: m.GetName()}
+		r.source = &namedSource{Source: reading.NewSource(r.client, m.GetAddress(), follow.VouchSoon(r.node.settings.changesWithin())), name: m.GetName()}
 		r.node.log.Info("reader", zap.String("follows", m.GetName()), zap.String("address", r.at))
 	}
 	if m == nil {
--- a/node/settings.go
+++ b/node/settings.go
@@ -92,15 +92,8 @@
 // grace is how long a planned stop may take.
 func (s *Settings) grace() clock.Millis { return clock.Millis(s.GraceSeconds * msPerSecond) }
 
-// changeMargin is what a call to a slow store and the spreading of what it brings take.
-const changeMargin clock.Millis = 600
-
-// readerPatience is how long a node whose reader can no longer vouch may wait for
-// another one to have the store, before it must ask the store itself: what is left of
-// the time in which a change must be known, less what a call and the work on it take.
-func (s *Settings) readerPatience() clock.Millis {
-	return max(min(s.ConfigWithin, s.LeavingWithin)-vouchFor-changeMargin, 0)
-}
+// changesWithin is within what time any change that the store has taken must be known.
+func (s *Settings) changesWithin() clock.Millis { return min(s.ConfigWithin, s.LeavingWithin) }
 
 // keysWithin returns the bound in force; zero for none.
 func (s *Settings) keysWithin() clock.Millis {
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -441,9 +441,21 @@
 			s.store.Remove("servers", c.upstream)
 		}
 	}
+	// Around an outage an entry may vanish whose upstream lives, and counts on for a
+	// while. The users count only what a store has taken that was well.
+	if what == "ends" && !s.storeWell() {
+		return
+	}
 	s.changes = append(s.changes, c)
 }
 
+// storeWell tells whether the store has had no disruption for a while.
+func (s *simSite) storeWell() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.disturbed[simStore]) >= simContact
+}
+
 // judge notes what nodes in touch should know and do not. Only what the store has
 // taken while it was well counts.
 func (s *simSite) judge() {
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -135,7 +135,7 @@
 		Name: name, DataCentre: "dc", LogLevel: "info", GraceSeconds: 8, Cores: 1, MemoryMB: 256,
 		CallerListen: anyPort, ReadinessListen: anyPort, PeerListen: anyPort,
 		MetricsListen: anyPort, UsageListen: anyPort, PeerSeeds: seeds, Platform: storeAt,
-		KeysFailClosed: true, KeysWithin: 5000, RetryWindowSeconds: 10, RetryShare: 0.2, RetrySlack: 200,
+		KeysFailClosed: true, KeysWithin: 5000, ConfigWithin: 2000, LeavingWithin: 2000, RetryWindowSeconds: 10, RetryShare: 0.2, RetrySlack: 200,
 	}
 	n, err := node.New(settings, logging.Nop())
 	if err != nil {
--- a/reading/log.go
+++ b/reading/log.go
@@ -29,10 +29,6 @@
 	// followedFor is for how long a node counts as followed after a question:
 	// several waits of its followers.
 	followedFor clock.Millis = 5000
-	// vouchSoon is for how long a node that is asked for the first time lets the
-	// question wait until it can vouch: it may learn only now that it reads for
-	// others (claimAfter), and its first call to the store then takes 0.6 s.
-	vouchSoon clock.Millis = 1000
 )
 
 // batch is what one answer of the store has changed in the list.
@@ -72,11 +68,12 @@
 	followedSince clock.Millis
 }
 
-// NewLog returns an empty log, which vouches for what it knows for a time. Patience is
-// how long the nodes that ask may wait for a proof that it does not have.
-func NewLog(c *clock.Clock, vouchFor, patience clock.Millis) *Log {
+// NewLog returns an empty log, which vouches for what it knows for a time. VouchSoon is
+// how long a first question may wait for a proof that it does not have: the node may learn
+// only now that it reads for others.
+func NewLog(c *clock.Clock, vouchFor, vouchSoon clock.Millis) *Log {
 	return &Log{
-		clock: c, vouchFor: vouchFor, vouchSoon: min(vouchSoon, patience), changed: make(chan struct{}), confirmed: clock.Never,
+		clock: c, vouchFor: vouchFor, vouchSoon: vouchSoon, changed: make(chan struct{}), confirmed: clock.Never,
 		asked: clock.Never, followedSince: clock.Never, upstreams: make(map[string]fleet.Upstream),
 	}
 }
--- a/reading/log_test.go
+++ b/reading/log_test.go
@@ -18,10 +18,10 @@
 // vouchFor is long enough for these tests not to depend on it; proofs that are
 // too old are made so by when they count from.
 const (
-	vouchFor clock.Millis = 600_000
-	tooOld   clock.Millis = -700_000
-	longWait clock.Millis = 500_000
-	patience clock.Millis = 1000
+	vouchFor  clock.Millis = 600_000
+	tooOld    clock.Millis = -700_000
+	longWait  clock.Millis = 500_000
+	vouchSoon clock.Millis = 1000
 )
 
 func gone(id string) []fleet.Change { return []fleet.Change{{ID: id, Gone: true}} }
@@ -29,7 +29,7 @@
 // newLog returns a log that knows a configuration and the list.
 func newLog(t *testing.T) *reading.Log {
 	t.Helper()
-	l := reading.NewLog(clock.New(), vouchFor, patience)
+	l := reading.NewLog(clock.New(), vouchFor, vouchSoon)
 	l.SetConfig([]byte("v1"), 10, 0)
 	l.SetFleet(10, nil)
 	return l
@@ -42,7 +42,7 @@
 	mux.Handle(reading.Handler(l))
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	return reading.NewSource(server.Client(), server.Listener.Addr().String())
+	return reading.NewSource(server.Client(), server.Listener.Addr().String(), vouchSoon)
 }
 
 func TestAwaitConfig(t *testing.T) {
@@ -72,7 +72,7 @@
 // The answer tells how old the proof is, so that the asker can count it from
 // when it asked.
 func TestAwaitConfigTellsTheAge(t *testing.T) {
-	l := reading.NewLog(clock.New(), vouchFor, patience)
+	l := reading.NewLog(clock.New(), vouchFor, vouchSoon)
 	l.SetConfig([]byte("v1"), 10, -5000)
 	got, err := follower(t, l).AwaitCatalog(context.Background(), 10, 0)
 	if err != nil {
@@ -141,12 +141,12 @@
 
 // A node answers for nothing that it does not know well enough.
 func TestLogThatCannotVouch(t *testing.T) {
-	old := reading.NewLog(clock.New(), vouchFor, patience)
+	old := reading.NewLog(clock.New(), vouchFor, vouchSoon)
 	old.SetConfig([]byte("v1"), 10, tooOld)
 	old.SetFleet(10, nil)
 	suspended := newLog(t)
 	suspended.Suspend()
-	unlisted := reading.NewLog(clock.New(), vouchFor, patience)
+	unlisted := reading.NewLog(clock.New(), vouchFor, vouchSoon)
 	unlisted.SetConfig([]byte("v1"), 10, 0)
 	tests := []struct {
 		name   string
@@ -154,7 +154,7 @@
 		config bool
 		want   connect.Code
 	}{
-		{"nothing known", reading.NewLog(clock.New(), vouchFor, patience), true, connect.CodeUnavailable},
+		{"nothing known", reading.NewLog(clock.New(), vouchFor, vouchSoon), true, connect.CodeUnavailable},
 		{"the proof is too old", old, true, connect.CodeUnavailable},
 		{"the proof is too old for the list", old, false, connect.CodeUnavailable},
 		{"around an outage", suspended, false, connect.CodeUnavailable},
@@ -216,7 +216,7 @@
 // wait until it can vouch; later ones fail at once where it cannot.
 func TestFirstQuestionsWaitForAProof(t *testing.T) {
 	c := clock.New()
-	l := reading.NewLog(c, vouchFor, patience)
+	l := reading.NewLog(c, vouchFor, vouchSoon)
 	l.SetConfig([]byte("v1"), 10, tooOld)
 	got := make(chan error, 1)
 	go func() {
@@ -244,7 +244,7 @@
 // does.
 func TestAgeCountsFromTheQuestion(t *testing.T) {
 	c := clock.New()
-	l := reading.NewLog(c, vouchFor, patience)
+	l := reading.NewLog(c, vouchFor, vouchSoon)
 	l.SetConfig([]byte("v1"), 10, c.Now()-500)
 	asked := make(chan struct{})
 	got := make(chan follow.CatalogReading, 1)
--- a/reading/source.go
+++ b/reading/source.go
@@ -15,28 +15,46 @@
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 )
 
-// waitMargin is how much longer than asked another node may take to answer. It
-// stands in the same data centre and answers in a few ms, but one that does not yet
-// know that it reads for others may take a second in all (vouchSoon).
-const waitMargin = 500 * time.Millisecond
-
 // Source follows another node's log. It implements follow.Reader.
 type Source struct {
 	client wireconnect.ReadingClient
+	http   *http.Client
+	// vouchSoon is for how long the node may let a first question wait.
+	vouchSoon clock.Millis
+}
+
+// NewSource returns a source that follows the node at an address, which may let a first
+// question wait for a time.
+func NewSource(client *http.Client, address string, vouchSoon clock.Millis) *Source {
+	return &Source{client: wireconnect.NewReadingClient(client, "http://"+address), http: client, vouchSoon: vouchSoon}
 }
 
-// NewSource returns a source that follows the node at an address.
-func NewSource(client *http.Client, address string) *Source {
-	return &Source{client: wireconnect.NewReadingClient(client, "http://"+address)}
+// limit is how long a call may take. A first question to a node has no wait of its own.
+func (s *Source) limit(wait clock.Millis) time.Duration {
+	if wait == 0 {
+		wait = s.vouchSoon
+	}
+	return (wait + follow.ReaderMargin).Duration()
+}
+
+// failed takes a call that failed. Where it brought no answer, other connections that
+// were open may be as silent as its own, so none of them is used again.
+func (s *Source) failed(err error, what string) error {
+	err = errors.Wrap(err, what)
+	if connect.IsWireError(err) {
+		return err
+	}
+	s.http.CloseIdleConnections()
+	return follow.MarkSilent(err)
 }
 
 // AwaitCatalog implements follow.Reader.
 func (s *Source) AwaitCatalog(ctx context.Context, after uint64, wait clock.Millis) (follow.CatalogReading, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait.Duration()+waitMargin)
+	ctx, cancel := context.WithTimeout(ctx, s.limit(wait))
 	defer cancel()
 	resp, err := s.client.AwaitConfig(ctx, connect.NewRequest(&wire.AwaitConfigRequest{After: after, WaitMs: int64(wait)}))
 	if err != nil {
-		return follow.CatalogReading{}, errors.Wrap(err, "reading: configuration")
+		return follow.CatalogReading{}, s.failed(err, "reading: configuration")
 	}
 	return follow.CatalogReading{
 		Raw: resp.Msg.GetConfig(), Revision: resp.Msg.GetRevision(), Age: clock.Millis(resp.Msg.GetAgeMs()),
@@ -45,11 +63,11 @@
 
 // AwaitUpstreams implements follow.Reader.
 func (s *Source) AwaitUpstreams(ctx context.Context, after uint64, wait clock.Millis) (follow.FleetReading, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait.Duration()+waitMargin)
+	ctx, cancel := context.WithTimeout(ctx, s.limit(wait))
 	defer cancel()
 	resp, err := s.client.AwaitFleet(ctx, connect.NewRequest(&wire.AwaitFleetRequest{After: after, WaitMs: int64(wait)}))
 	if err != nil {
-		return follow.FleetReading{}, errors.Wrap(err, "reading: list of upstreams")
+		return follow.FleetReading{}, s.failed(err, "reading: list of upstreams")
 	}
 	reading := follow.FleetReading{Revision: resp.Msg.GetRevision(), Whole: resp.Msg.GetWhole()}
 	for _, c := range resp.Msg.GetChanges() {
