The end of an entry that might have come back reaches those that follow; its grace counts from the outage's end

After an outage a node keeps an entry that vanishes for 2.2 s. It passed the revision on at which the entry had vanished, and later its end as of the same revision: nodes that followed and knew that revision were never told, and went on sending there. And where only the configuration's follower had noticed the outage, the grace counted from when the entry vanished, and was looked at every 0.5 s.

Change: while something may come back, what is passed on counts as known up to the revision before it vanished (Hold, Release). The view learns when an outage ended that others have noticed, and the next wait ends when the next grace does.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -58,6 +58,14 @@
 	}
 }
 
+// OutageEnded notes when an outage has ended that others have noticed and this view has
+// not: the grace of entries that vanish counts from then too.
+func (v *View) OutageEnded(at clock.Millis) {
+	if !v.away {
+		v.back = max(v.back, at)
+	}
+}
+
 // Replace takes a whole list. Entries that it lacks are treated as vanished;
 // lapsed tells that the list follows an outage.
 func (v *View) Replace(now clock.Millis, list []Upstream, lapsed bool) []Change {
@@ -158,8 +166,7 @@
 
 // graceEnds is until when an entry that vanishes now may come back. Once the store
 // is back the grace counts from its return, not from when the entry vanished. Where
-// others have noticed an outage and this view has not, there is no return to count
-// from.
+// others have noticed an outage that still lasts, there is no return to count from.
 func (v *View) graceEnds(now clock.Millis) clock.Millis {
 	ends := v.back.Add(LapseGrace)
 	if v.away || now >= ends {
@@ -198,6 +205,16 @@
 // Waiting tells whether some entry may still come back.
 func (v *View) Waiting() bool { return len(v.missing) > 0 }
 
+// NextExpiry is when the next of them may be taken as gone; ok is false for none.
+func (v *View) NextExpiry() (at clock.Millis, ok bool) {
+	for _, until := range v.missing {
+		if !ok || until < at {
+			at, ok = until, true
+		}
+	}
+	return at, ok
+}
+
 // Holds tells whether an upstream is known.
 func (v *View) Holds(id string) bool { return v.upstreams[id] != nil }
 
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
-// expiryCheck is how often entries that lapsed are looked at.
+// expiryCheck is how often entries that may come back are looked at.
 const expiryCheck clock.Millis = 500
 
 // Fleet follows the list of upstreams.
@@ -26,6 +26,8 @@
 	shown atomic.Pointer[[]fleet.Upstream]
 	// confirmed is when the list was last confirmed: a clock.Millis.
 	confirmed atomic.Int64
+	// holds tells that what has vanished may come back.
+	holds bool
 	// inDoubt tells that the store was lost since the list was last passed on, and
 	// partial that it may lack what has lapsed.
 	inDoubt bool
@@ -149,9 +151,9 @@
 
 // wait is how long the next change is awaited; told, from another node.
 func (f *Fleet) wait(told bool) clock.Millis {
-	switch {
-	case f.view.Waiting():
-		return expiryCheck
+	switch next, ok := f.view.NextExpiry(); {
+	case ok:
+		return min(max(next.Sub(f.clock.Now()), leastWait), expiryCheck)
 	case told:
 		return readerWait
 	case f.readers.Followed():
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -17,6 +17,7 @@
 		f.log.Warn("entry_unreadable", logging.Err(err))
 	}
 	f.view.StoreBack(now)
+	f.view.OutageEnded(f.outage.Ended())
 	if f.view.Len() == 0 && lapsing {
 		// A node that has started in an outage cannot know what has lapsed in it.
 		f.partial = true
@@ -35,6 +36,7 @@
 // show passes a reading on to the nodes that follow this one, as it has changed the
 // view. Entries that may come back stand in it until their time is over.
 func (f *Fleet) show(reading FleetReading, changes []fleet.Change, lapsing bool) {
+	f.hold(reading.Revision)
 	anew := reading.Whole || f.inDoubt || f.partial
 	f.partial = f.partial && lapsing
 	switch {
@@ -55,6 +57,19 @@
 	}
 }
 
+// hold keeps those that follow from counting the revision as known whose vanished
+// entries may come back: when their time is over they must be told that these are gone.
+func (f *Fleet) hold(revision uint64) {
+	waiting := f.view.Waiting()
+	switch {
+	case waiting && !f.holds:
+		f.followers.Hold(revision - 1)
+	case !waiting && f.holds:
+		f.followers.Release()
+	}
+	f.holds = waiting
+}
+
 func (f *Fleet) list() []fleet.Upstream {
 	list := make([]fleet.Upstream, 0, f.view.Len())
 	for _, u := range f.view.All() {
--- a/follow/outage.go
+++ b/follow/outage.go
@@ -60,6 +60,17 @@
 	return o.away
 }
 
+// Ended returns when the last outage ended; clock.Never while one lasts, or if there was
+// none.
+func (o *Outage) Ended() clock.Millis {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.away || !o.ever {
+		return clock.Never
+	}
+	return o.ended
+}
+
 // Lapsing tells whether entries that vanish may have lapsed while the store
 // was away.
 func (o *Outage) Lapsing(now clock.Millis) bool {
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -46,6 +46,10 @@
 	SetConfig(raw []byte, revision uint64, confirmed clock.Millis)
 	SetFleet(revision uint64, list []fleet.Upstream)
 	AddFleet(revision uint64, changes []fleet.Change)
+	// Hold notes that nothing newer than a revision may be told as settled: what has
+	// vanished after it may come back, or be told as gone later; Release ends that.
+	Hold(revision uint64)
+	Release()
 	// Suspend notes that the list cannot be passed on for now.
 	Suspend()
 }
@@ -63,6 +67,8 @@
 func (noReaders) SetConfig([]byte, uint64, clock.Millis) {}
 func (noReaders) SetFleet(uint64, []fleet.Upstream)      {}
 func (noReaders) AddFleet(uint64, []fleet.Change)        {}
+func (noReaders) Hold(uint64)                            {}
+func (noReaders) Release()                               {}
 func (noReaders) Suspend()                               {}
 
 // shared is what both followers of a node have in common.
--- a/reading/log.go
+++ b/reading/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -62,6 +63,8 @@
 	floor         uint64
 	fleetRevision uint64
 	batches       []batch
+	// held is the newest revision that may be told as known; clear of it, all may.
+	held uint64
 	// asked is when another node last asked, and followedSince when the first did
 	// after a time in which none had.
 	asked         clock.Millis
@@ -74,7 +77,7 @@
 func NewLog(c *clock.Clock, vouchFor, vouchSoon clock.Millis) *Log {
 	return &Log{
 		clock: c, vouchFor: vouchFor, vouchSoon: vouchSoon, changed: make(chan struct{}), confirmed: clock.Never,
-		asked: clock.Never, followedSince: clock.Never, upstreams: make(map[string]fleet.Upstream),
+		held: all, asked: clock.Never, followedSince: clock.Never, upstreams: make(map[string]fleet.Upstream),
 	}
 }
 
@@ -135,6 +138,20 @@
 	l.wake()
 }
 
+// Hold notes that nothing newer than a revision may be told as known: what has vanished
+// after it may be told as gone later, and must reach those that know the rest.
+func (l *Log) Hold(revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = revision
+}
+
+// Release ends a Hold.
+func (l *Log) Release() { l.Hold(all) }
+
+// all is a revision that is newer than any.
+const all = math.MaxUint64
+
 // Suspend notes that what the list shows cannot be passed on: the store is, or
 // was just now, away.
 func (l *Log) Suspend() {
@@ -197,11 +214,11 @@
 func (l *Log) AwaitFleet(ctx context.Context, after uint64, wait clock.Millis) (follow.FleetReading, error) {
 	var reading follow.FleetReading
 	err := l.await(ctx, wait, func() (bool, error) {
-		reading = follow.FleetReading{Revision: max(l.fleetRevision, after)}
+		reading = follow.FleetReading{Revision: max(min(l.fleetRevision, l.held), after)}
 		switch {
 		case !l.listed:
 			return false, ErrCannotVouch
-		case after < l.floor:
+		case after < min(l.floor, l.held):
 			reading.Whole, reading.Changes = true, l.whole()
 			return true, nil
 		}
