A node that has the store again is followed only where nobody else may be, for a while

A node that had been frozen, and lost the store by that, was followed again as the first by name within 0.3 s, by nodes that had never lost it. What had vanished from its list counted there for 2.2 s more, and so they learnt 2 s late that upstreams were gone.

Change: a node that could not be followed, or was not heard, and may be followed again counts for 2.7 s only where there is no other; so does a node itself that has the store again. One that is heard for the first time counts at once, so starts cost nothing. The pause in which changes gather ends with the next grace.

--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -166,9 +166,12 @@
 // gather returns the pause after a change of the list. Calls to another node
 // cost next to nothing, and those of a node that others follow are few.
 func (f *Fleet) gather(told bool) clock.Millis {
+	next, ok := f.view.NextExpiry()
 	switch {
-	case told, f.readers.Followed(), f.view.Waiting():
-		// Entries that may come back are looked at again soon.
+	case ok:
+		// Entries that may come back are looked at in time.
+		return min(max(next.Sub(f.clock.Now()), leastWait), gatherFollowed)
+	case told, f.readers.Followed():
 		return gatherFollowed
 	case f.clock.Now() < young:
 		return gatherYoung
--- a/node/readers.go
+++ b/node/readers.go
@@ -72,7 +72,7 @@
 func (r *readers) StoreLost() { r.node.roster.StoreLost(r.node.clock.Now()) }
 
 // StoreBack implements follow.Readers.
-func (r *readers) StoreBack() { r.node.roster.StoreBack() }
+func (r *readers) StoreBack() { r.node.roster.StoreBack(r.node.clock.Now()) }
 
 // Followed implements follow.Readers. A node whose turn it is to read for others
 // is ready before they ask.
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -107,6 +107,7 @@
 	next      int
 	version   uint64
 	missed    []string
+	closed    bool
 }
 
 // simNode is a node's followers.
@@ -246,7 +247,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.nodes[name] = n
-	s.disturbed[name] = time.Now()
+	if now := time.Now(); now.After(s.disturbed[name]) {
+		s.disturbed[name] = now
+	}
 }
 
 func (s *simSite) others(name string) []*wire.Member {
@@ -393,18 +396,19 @@
 	s.store.SetFaults(f)
 }
 
-// kill ends a node's process, or starts it anew.
+// kill ends a node's process, or starts it anew unless it runs.
 func (s *simSite) kill(name string, on bool) {
-	if !on {
-		s.start(name)
-		return
-	}
 	s.mu.Lock()
-	n := s.nodes[name]
-	delete(s.nodes, name)
+	n, closed := s.nodes[name], s.closed
+	if on {
+		delete(s.nodes, name)
+	}
 	s.mu.Unlock()
-	if n != nil {
+	switch {
+	case on && n != nil:
 		s.end(n)
+	case !on && n == nil && !closed:
+		s.start(name)
 	}
 }
 
@@ -493,7 +497,7 @@
 	})
 	s.mu.Lock()
 	nodes := s.nodes
-	s.nodes = make(map[string]*simNode)
+	s.nodes, s.closed = make(map[string]*simNode), true
 	s.mu.Unlock()
 	for _, n := range nodes {
 		n.end()
--- a/reading/roster.go
+++ b/reading/roster.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -26,6 +27,10 @@
 	// then follows nobody, and tries the store when its turn comes: either the store
 	// is away for all, or the node is cut off from others.
 	mostRefused = 2
+	// doubted is for how long a node that has the store again is followed only where
+	// nobody else may be: what vanishes from its list counts on until fleet.LapseGrace
+	// after its outage, and a little longer until it has told so.
+	doubted = fleet.LapseGrace + 500
 )
 
 // When nobody can be followed the store is away for some nodes or for all. The
@@ -46,6 +51,8 @@
 type hearing struct {
 	at         clock.Millis
 	followable bool
+	// doubtedUntil is until when it is followed only where nobody else may be.
+	doubtedUntil clock.Millis
 }
 
 // Roster knows the nodes of a group, most often those of a data centre, and which
@@ -58,6 +65,8 @@
 	// group holds the other nodes by name, and heard what each has said last.
 	group map[string]*wire.Member
 	heard map[string]hearing
+	// met are the nodes that have ever been heard.
+	met map[string]bool
 	// refused is until when a node is not followed that has failed this one.
 	refused map[string]clock.Millis
 	started clock.Millis
@@ -71,6 +80,9 @@
 	grouped clock.Millis
 	// away tells that this node has lost the store.
 	away bool
+	// doubtedUntil is until when this node, which has the store again, follows others
+	// that have not lost it.
+	doubtedUntil clock.Millis
 	// unledSince is since when there has been nobody to follow, clock.Never
 	// while there is.
 	unledSince clock.Millis
@@ -83,9 +95,9 @@
 func NewRoster(self string, now, patience clock.Millis) *Roster {
 	return &Roster{
 		patience: patience, failedSince: clock.Never,
-		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing),
+		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing), met: make(map[string]bool),
 		refused: make(map[string]clock.Millis), started: now,
-		grouped: clock.Never, unledSince: clock.Never,
+		grouped: clock.Never, unledSince: clock.Never, doubtedUntil: clock.Never,
 	}
 }
 
@@ -103,7 +115,12 @@
 func (r *Roster) Heard(now clock.Millis, name string, followable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.heard[name] = hearing{at: now, followable: followable}
+	h, there := r.heard[name]
+	if followable && !h.followable && (there || r.met[name]) {
+		h.doubtedUntil = now.Add(doubted)
+	}
+	h.at, h.followable = now, followable
+	r.heard[name], r.met[name] = h, true
 }
 
 // Failed notes that following a node did not work.
@@ -132,11 +149,11 @@
 	}
 }
 
-// StoreBack notes that this node has the store.
-func (r *Roster) StoreBack() {
+// StoreBack notes that this node has the store again.
+func (r *Roster) StoreBack(now clock.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.away = false
+	r.away, r.doubtedUntil = false, now.Add(doubted)
 }
 
 // Reader returns the node that reads the store for this one; nil where there is
@@ -181,8 +198,9 @@
 type view struct {
 	// nodes is how many there are, this one included.
 	nodes int
-	// first is the first by name that may be followed, empty for none. It is this
-	// node where it has not lost the store and no other comes before it.
+	// first is the first by name that may be followed, empty for none; of those that
+	// have the store again only where there is no other. It is this node where it has
+	// not lost the store and no other comes before it.
 	first string
 	// before is how many of those that may not be followed come before this node by
 	// name.
@@ -196,8 +214,18 @@
 func (r *Roster) view(now clock.Millis) view {
 	r.forgetRefused(now)
 	v := view{nodes: 1}
+	var doubtful string
+	offer := func(name string, doubtedUntil clock.Millis) {
+		into := &v.first
+		if now < doubtedUntil {
+			into = &doubtful
+		}
+		if *into == "" || name < *into {
+			*into = name
+		}
+	}
 	if !r.away {
-		v.first = r.self
+		offer(r.self, r.doubtedUntil)
 	}
 	for name, h := range r.heard {
 		if now > h.at.Add(heardWithin) {
@@ -210,15 +238,18 @@
 		v.nodes++
 		_, refused := r.refused[name]
 		switch {
-		case h.followable && !refused && (v.first == "" || name < v.first):
-			v.first = name
-		case (!h.followable || refused) && name < r.self:
+		case h.followable && !refused:
+			offer(name, h.doubtedUntil)
+		case name < r.self:
 			v.before++
 		}
 		if refused {
 			v.refused++
 		}
 	}
+	if v.first == "" {
+		v.first = doubtful
+	}
 	if v.refused >= mostRefused && !r.away {
 		v.first = r.self
 	}
--- a/reading/roster_test.go
+++ b/reading/roster_test.go
@@ -36,7 +36,7 @@
 	case "away":
 		r.StoreLost(now)
 	case "back":
-		r.StoreBack()
+		r.StoreBack(now)
 	case "reader":
 		return []string{readerOf(r, now, s.Named["asked"] != "")}
 	default:
