Ends of upstreams without a change at the store are told by themselves, not by a revision

A node that held an entry told those that follow an older revision than its list had, and took the whole list anew meanwhile: the batch of changes between was dropped, and a node never learnt that an upstream was leaving. What is known as of a revision must not be told as of another.

Change: Hold and Release are gone. Ends that come of a grace that is over are noted apart (AddEnded), answered at once, and told again with each answer for a minute, since who asks may have been cut off meanwhile; ids never come back but for an entry that lapsed, which clears its end.

--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -26,8 +26,8 @@
 	shown atomic.Pointer[[]fleet.Upstream]
 	// confirmed is when the list was last confirmed: a clock.Millis.
 	confirmed atomic.Int64
-	// holds tells that what has vanished may come back.
-	holds bool
+	// passedOn is the newest revision that nodes that follow have been told.
+	passedOn uint64
 	// inDoubt tells that the store was lost since the list was last passed on, and
 	// partial that it may lack what has lapsed.
 	inDoubt bool
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -1,8 +1,6 @@
 package follow
 
 import (
-	"slices"
-
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -29,14 +27,13 @@
 		changes = f.view.Apply(now, reading.Changes, lapsing)
 	}
 	expired := f.view.Expire(now)
-	f.show(reading, slices.Concat(changes, expired), lapsing)
+	f.show(reading, changes, expired, lapsing)
 	f.pass(append(changes, expired...), reading.Revision)
 }
 
 // show passes a reading on to the nodes that follow this one, as it has changed the
 // view. Entries that may come back stand in it until their time is over.
-func (f *Fleet) show(reading FleetReading, changes []fleet.Change, lapsing bool) {
-	f.hold(reading.Revision)
+func (f *Fleet) show(reading FleetReading, changes, expired []fleet.Change, lapsing bool) {
 	anew := reading.Whole || f.inDoubt || f.partial
 	f.partial = f.partial && lapsing
 	switch {
@@ -46,28 +43,26 @@
 		f.followers.SetFleet(reading.Revision, f.list())
 		f.inDoubt = false
 	default:
-		// One that follows may know of an entry that has come and gone before this
-		// node has seen it.
-		for _, c := range reading.Changes {
-			if c.Gone && !f.view.Holds(c.ID) {
-				changes = append(changes, c)
-			}
-		}
-		f.followers.AddFleet(reading.Revision, changes)
+		f.showChanges(reading, changes)
 	}
+	f.passedOn = reading.Revision
+	// Those that follow know the revision at which these have vanished.
+	f.followers.AddEnded(expired)
 }
 
-// hold keeps those that follow from counting the revision as known whose vanished
-// entries may come back: when their time is over they must be told that these are gone.
-func (f *Fleet) hold(revision uint64) {
-	waiting := f.view.Waiting()
-	switch {
-	case waiting && !f.holds:
-		f.followers.Hold(revision - 1)
-	case !waiting && f.holds:
-		f.followers.Release()
+func (f *Fleet) showChanges(reading FleetReading, changes []fleet.Change) {
+	if reading.Revision <= f.passedOn {
+		f.followers.AddEnded(changes)
+		return
+	}
+	// One that follows may know of an entry that has come and gone before this node
+	// has seen it.
+	for _, c := range reading.Changes {
+		if c.Gone && !f.view.Holds(c.ID) {
+			changes = append(changes, c)
+		}
 	}
-	f.holds = waiting
+	f.followers.AddFleet(reading.Revision, changes)
 }
 
 func (f *Fleet) list() []fleet.Upstream {
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -46,10 +46,9 @@
 	SetConfig(raw []byte, revision uint64, confirmed clock.Millis)
 	SetFleet(revision uint64, list []fleet.Upstream)
 	AddFleet(revision uint64, changes []fleet.Change)
-	// Hold notes that nothing newer than a revision may be told as settled: what has
-	// vanished after it may come back, or be told as gone later; Release ends that.
-	Hold(revision uint64)
-	Release()
+	// AddEnded notes upstreams that have turned out to be gone although nothing has
+	// changed at the store meanwhile.
+	AddEnded(ended []fleet.Change)
 	// Suspend notes that the list cannot be passed on for now.
 	Suspend()
 }
@@ -67,8 +66,7 @@
 func (noReaders) SetConfig([]byte, uint64, clock.Millis) {}
 func (noReaders) SetFleet(uint64, []fleet.Upstream)      {}
 func (noReaders) AddFleet(uint64, []fleet.Change)        {}
-func (noReaders) Hold(uint64)                            {}
-func (noReaders) Release()                               {}
+func (noReaders) AddEnded([]fleet.Change)                {}
 func (noReaders) Suspend()                               {}
 
 // shared is what both followers of a node have in common.
--- a/reading/log.go
+++ b/reading/log.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -30,6 +29,12 @@
 	// followedFor is for how long a node counts as followed after a question:
 	// several waits of its followers.
 	followedFor clock.Millis = 5000
+	// endedTold is for how long answers tell of upstreams that ended without a change at
+	// the store, each time: who asks may have been frozen or cut off meanwhile.
+	endedTold clock.Millis = 60_000
+	// endedMissed is for how long a question is answered at once for such an end: some
+	// more than a follower's pause between two questions.
+	endedMissed clock.Millis = 700
 )
 
 // batch is what one answer of the store has changed in the list.
@@ -63,8 +68,9 @@
 	floor         uint64
 	fleetRevision uint64
 	batches       []batch
-	// held is the newest revision that may be told as known; clear of it, all may.
-	held uint64
+	// ended are upstreams that were found to be gone without a change at the store, by
+	// when.
+	ended map[string]clock.Millis
 	// asked is when another node last asked, and followedSince when the first did
 	// after a time in which none had.
 	asked         clock.Millis
@@ -77,7 +83,7 @@
 func NewLog(c *clock.Clock, vouchFor, vouchSoon clock.Millis) *Log {
 	return &Log{
 		clock: c, vouchFor: vouchFor, vouchSoon: vouchSoon, changed: make(chan struct{}), confirmed: clock.Never,
-		held: all, asked: clock.Never, followedSince: clock.Never, upstreams: make(map[string]fleet.Upstream),
+		ended: make(map[string]clock.Millis), asked: clock.Never, followedSince: clock.Never, upstreams: make(map[string]fleet.Upstream),
 	}
 }
 
@@ -105,6 +111,7 @@
 	clear(l.upstreams)
 	for _, u := range list {
 		l.upstreams[u.ID] = u
+		delete(l.ended, u.ID)
 	}
 	l.listed, l.floor, l.fleetRevision = true, revision, revision
 	l.batches = nil
@@ -126,9 +133,10 @@
 	for _, c := range changes {
 		if c.Gone {
 			delete(l.upstreams, c.ID)
-		} else {
-			l.upstreams[c.ID] = c.Upstream
+			continue
 		}
+		l.upstreams[c.ID] = c.Upstream
+		delete(l.ended, c.ID)
 	}
 	l.batches = append(l.batches, batch{revision: revision, changes: changes})
 	if len(l.batches) > keptBatches {
@@ -138,20 +146,24 @@
 	l.wake()
 }
 
-// Hold notes that nothing newer than a revision may be told as known: what has vanished
-// after it may be told as gone later, and must reach those that know the rest.
-func (l *Log) Hold(revision uint64) {
+// AddEnded notes upstreams that are gone although nothing has changed at the store: who
+// asks may know the newest revision and still count on them.
+func (l *Log) AddEnded(ended []fleet.Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.held = revision
+	now := l.clock.Now()
+	for _, c := range ended {
+		if c.Gone {
+			delete(l.upstreams, c.ID)
+			l.ended[c.ID] = now
+		}
+	}
+	maps.DeleteFunc(l.ended, func(_ string, at clock.Millis) bool { return now >= at.Add(endedTold) })
+	if len(ended) > 0 {
+		l.wake()
+	}
 }
 
-// Release ends a Hold.
-func (l *Log) Release() { l.Hold(all) }
-
-// all is a revision that is newer than any.
-const all = math.MaxUint64
-
 // Suspend notes that what the list shows cannot be passed on: the store is, or
 // was just now, away.
 func (l *Log) Suspend() {
@@ -213,12 +225,13 @@
 // whole list.
 func (l *Log) AwaitFleet(ctx context.Context, after uint64, wait clock.Millis) (follow.FleetReading, error) {
 	var reading follow.FleetReading
+	asked := l.clock.Now()
 	err := l.await(ctx, wait, func() (bool, error) {
-		reading = follow.FleetReading{Revision: max(min(l.fleetRevision, l.held), after)}
+		reading = follow.FleetReading{Revision: max(l.fleetRevision, after)}
 		switch {
 		case !l.listed:
 			return false, ErrCannotVouch
-		case after < min(l.floor, l.held):
+		case after < l.floor:
 			reading.Whole, reading.Changes = true, l.whole()
 			return true, nil
 		}
@@ -227,11 +240,24 @@
 				reading.Changes = append(reading.Changes, b.changes...)
 			}
 		}
-		return len(reading.Changes) > 0, nil
+		news := len(reading.Changes) > 0
+		ended, soon := l.endedSince(asked.Sub(endedMissed))
+		reading.Changes = append(reading.Changes, ended...)
+		return news || soon, nil
 	})
 	return reading, err
 }
 
+// endedSince returns what has ended without a change at the store, and whether some of
+// it has after a time. The caller holds the lock.
+func (l *Log) endedSince(after clock.Millis) (list []fleet.Change, soon bool) {
+	for _, id := range slices.Sorted(maps.Keys(l.ended)) {
+		list = append(list, fleet.Change{ID: id, Gone: true})
+		soon = soon || l.ended[id] > after
+	}
+	return list, soon
+}
+
 // whole returns the list as changes from nothing. The caller holds the lock.
 func (l *Log) whole() []fleet.Change {
 	list := make([]fleet.Change, 0, len(l.upstreams))
