--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -14,23 +14,26 @@
 	if r == nil || msg.Attempt != r.sends {
 		return nil
 	}
-	began := msg.Events > r.events
-	r.events, r.delivered = msg.Events, msg.Delivered
 	cmds := m.blame(r, msg)
-	ranAt := ""
-	if r.first != nil {
-		ranAt = r.first.entry.ID
-	}
+	r.noteRun(msg)
+	r.events, r.delivered = msg.Events, msg.Delivered
 	m.endAttempt(r)
-	if msg.Cause == Unknown || msg.Cause == Slow || msg.Cause == Failed {
-		r.runs++
-		if began || r.route.Kind != catalog.Streaming {
-			r.ranAt[ranAt] = true
-		}
-	}
 	return append(cmds, m.next(r, msg)...)
 }
 
+// noteRun takes in that the upstream of a failed attempt has run the request, or may
+// have. A stream that was taken back for want of an event may have run as well: an
+// engine that has hung says nothing of it.
+func (r *request) noteRun(msg AttemptFailedMsg) {
+	if msg.Cause != Unknown && msg.Cause != Slow && msg.Cause != Failed {
+		return
+	}
+	r.runs++
+	if r.first != nil {
+		r.ranAt[r.first.entry.ID] = msg.Cause
+	}
+}
+
 func (m *Model) next(r *request, msg AttemptFailedMsg) []Cmd {
 	if reason := m.mayRepeat(r, msg.Cause); reason != "" {
 		return m.lastWord(r, msg, reason)
@@ -57,7 +60,7 @@
 		return ReasonUnknown
 	case cause == Failed && r.route.Kind == 0:
 		return ReasonUnknown
-	case m.runsThatCount(r) >= r.mostRuns(), r.sends >= mostSends:
+	case !r.mayRunAgain(), r.sends >= mostSends:
 		return ReasonRefused
 	case r.left(m.now) < leastLeft:
 		return ReasonTimeout
--- a/node/node.go
+++ b/node/node.go
@@ -11,8 +11,10 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/peering"
@@ -34,9 +36,6 @@
 	idleCaller = 60 * time.Second
 	// headerBytes bounds a request's head; the operator grants 16 KB.
 	headerBytes = 32 << 10
-	// vouchFor is how old the proof may be with which a node tells others that
-	// there is nothing newer. A change must be in force within 2 s.
-	vouchFor clock.Millis = 1400
 )
 
 // Node is a relay node.
@@ -94,22 +93,29 @@
 	self.UsageAddress = sharing.Address()
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
-		relay.WithCounters("store_calls", n.store.Calls()), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
+		relay.WithCounters("store_calls", n.store.Calls()),
+		relay.WithListAge(func() clock.Millis { return n.fleets.ListAge() }), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
-	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced)
-	n.roster = reading.NewRoster(s.Name, n.clock.Now(), s.readerPatience())
-	n.shared = reading.NewLog(n.clock, vouchFor, s.readerPatience())
-	n.outage = &follow.Outage{}
-	peerTransport := platform.NewPeerTransport()
-	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
-	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, n.setCatalog, share)
-	n.fleets = follow.NewFleet(n.store, n.clock, n.log, n.outage, n.setFleet, share)
-	n.known = &known{node: n, confirmed: clock.Never}
-	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, peerTransport, hash(s.Name),
+	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)))
+	n.follow(platform.NewPeerTransport(), n.setCatalog, n.setFleet)
+	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, platform.NewQuestionTransport(), hash(s.Name),
 		peering.WithFirstStart(s.FirstStart))
 	return n, nil
 }
 
+// follow builds the followers of the store, and what they know of other nodes.
+func (n *Node) follow(peerTransport http.RoundTripper, setCatalog func(*catalog.Catalog, []byte, clock.Millis), setFleet func([]fleet.Change)) {
+	within := n.settings.changesWithin()
+	n.roster = reading.NewRoster(n.settings.Name, n.clock.Now(), follow.Patience(within))
+	n.shared = reading.NewLog(n.clock, follow.VouchFor, follow.VouchSoon(within))
+	n.outage = &follow.Outage{}
+	n.known = &known{node: n, confirmed: clock.Never}
+	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
+	bound := follow.WithChangesWithin(within)
+	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, setCatalog, share, bound)
+	n.fleets = follow.NewFleet(n.store, n.clock, n.log, n.outage, setFleet, share, bound)
+}
+
 // Nodes leave orders to each other for different times, by their rank among
 // the names (by a hash of the own name while others are unknown), so that they
 // seldom give the same order. An order shows in an engine's report at once.
@@ -172,6 +178,7 @@
 	n.addLoop(&g, n.peers.Run)
 	n.addLoop(&g, n.usage.Run)
 	n.addLoop(&g, n.logStoreCalls)
+	n.addLoop(&g, n.watchList)
 	n.addServer(&g, n.caller, n.relay)
 	n.addServer(&g, n.readiness, http.HandlerFunc(n.relay.Readiness))
 	n.addServer(&g, n.peer, n.peerHandler())
--- a/node/readers.go
+++ b/node/readers.go
@@ -43,7 +43,7 @@
 	defer r.mu.Unlock()
 	if m.GetAddress() != r.at {
 		r.at = m.GetAddress()
-		r.source = &namedSource{Source: reading.NewSource(r.client, m.GetAddress()), name: m.GetName()}
+		r.source = &namedSource{Source: reading.NewSource(r.client, m.GetAddress(), follow.VouchSoon(r.node.settings.changesWithin())), name: m.GetName()}
 		r.node.log.Info("reader", zap.String("follows", m.GetName()), zap.String("address", r.at))
 	}
 	if m == nil {
@@ -72,7 +72,7 @@
 func (r *readers) StoreLost() { r.node.roster.StoreLost(r.node.clock.Now()) }
 
 // StoreBack implements follow.Readers.
-func (r *readers) StoreBack() { r.node.roster.StoreBack() }
+func (r *readers) StoreBack() { r.node.roster.StoreBack(r.node.clock.Now()) }
 
 // Followed implements follow.Readers. A node whose turn it is to read for others
 // is ready before they ask.
--- a/relay/begun_test.go
+++ b/relay/begun_test.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// Nothing can go on after an event without an id: the next attempt would bring it again.
+func TestUnnamedEventIsNotResumed(t *testing.T) {
+	_, address := newTestRelay(t, &scriptedUpstreams{script: []outcome{unnamedEvent, wholeStream}})
+	if got := call(t, http.DefaultClient, address, "/write/a"); got.whole {
+		t.Errorf("got a complete answer that ends in %q, want one that breaks off", last(got.body, 60))
+	}
+}
+
 func last(text string, n int) string { return text[max(0, len(text)-n):] }
 
 // Whatever upstreams answer, an answer that looks complete is exactly one of
@@ -261,3 +269,20 @@
 		})
 	}
 }
+
+// The operator bounds how many upstreams may run a request. One that has begun to
+// answer has run it, also where its stream breaks off within the first event.
+func TestUpstreamsThatRanAreBounded(t *testing.T) {
+	for _, o := range []outcome{partialFirst, brokenStream, failure} {
+		t.Run(o.String(), func(t *testing.T) {
+			upstreams := &scriptedUpstreams{script: []outcome{o}}
+			_, address := newTestRelay(t, upstreams)
+			call(t, http.DefaultClient, address, "/few/a")
+			upstreams.mu.Lock()
+			defer upstreams.mu.Unlock()
+			if got := len(upstreams.asked); got > fewUpstreams {
+				t.Errorf("got a request at %d upstreams, want at most %d", got, fewUpstreams)
+			}
+		})
+	}
+}
--- a/relay/session.go
+++ b/relay/session.go
@@ -26,16 +26,23 @@
 	// The attempt under way; nil between attempts.
 	attempt *attempt
 	sent    clock.Millis
+	// inVain tells that an attempt was taken back for want of an answer.
+	inVain bool
 	// held is the upstream's own failure, kept for a RelayCmd.
 	held *piece
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent  string
 	lastNumber int64
 	hasNumber  bool
-	events     int
-	lastPiece  clock.Millis
-	attempts   int
-	moved      int
+	// unnamed tells that the caller has an event after it that has no id.
+	unnamed   bool
+	events    int
+	lastPiece clock.Millis
+	// since is from when on a stream that stands still counts as doing so: its last
+	// piece, or a move after which the new engines read all tokens first.
+	since    clock.Millis
+	attempts int
+	moved    int
 	// explained tells that the log says why the answer has not ended.
 	explained bool
 	// first is the age at which the caller had the first event, and pause the
@@ -49,6 +56,7 @@
 
 	giveUp *time.Timer
 	try    *time.Timer
+	doubt  *time.Timer
 	stall  *time.Timer
 	asked  chan stallAnswer
 	moves  chan dispatch.MovedMsg
@@ -67,7 +75,7 @@
 
 // run lives the request from its arrival to its end.
 func (s *session) run() {
-	s.giveUp, s.try, s.stall = stopped(), stopped(), stopped()
+	s.giveUp, s.try, s.doubt, s.stall = stopped(), stopped(), stopped(), stopped()
 	s.asked, s.moves = make(chan stallAnswer, 1), make(chan dispatch.MovedMsg, mailboxSize)
 	defer s.end()
 	if !s.relay.decider.arrive(s.arrival(), s.mail) {
@@ -107,6 +115,8 @@
 		return s.timeUp()
 	case <-s.try.C:
 		s.abandon(s.firstAddress(), "attempt_time_is_up")
+	case <-s.doubt.C:
+		s.doubtConnections()
 	case <-s.stall.C:
 		s.checkStall()
 	case answer := <-s.asked:
@@ -158,13 +168,13 @@
 	return true
 }
 
-// delivered says what the caller has of its answer. Events without a number cannot be
-// gone on with: which of them another attempt brings again would not be known.
+// delivered says what the caller has of its answer. Nothing can go on after an event
+// without a number: another attempt would bring it again.
 func (s *session) delivered() dispatch.Delivered {
 	switch {
 	case !s.w.begun():
 		return dispatch.DeliveredNothing
-	case s.events > 0 && s.hasNumber:
+	case s.events > 0 && !s.unnamed:
 		return dispatch.DeliveredEvents
 	default:
 		return dispatch.DeliveredPart
--- a/relay/session_pass.go
+++ b/relay/session_pass.go
@@ -10,6 +10,8 @@
 // over.
 func (s *session) take(p piece) bool {
 	s.lastPiece = s.relay.clock.Now()
+	s.since = s.lastPiece
+	s.doubt.Stop()
 	switch {
 	case p.failed:
 		s.attemptFailed(p.cause, p.at, p.err)
@@ -69,6 +71,7 @@
 		return err
 	}
 	s.noteEvent()
+	s.unnamed = !ev.hasID
 	if ev.hasID {
 		s.lastEvent, s.lastNumber, s.hasNumber = ev.id, ev.number, true
 	}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -67,7 +67,7 @@
 	if s.attempt == nil {
 		return
 	}
-	s.stall.Reset((askAgain << min(s.asks, mostDoublings)).Duration())
+	s.stall.Reset(s.nextCheck().Duration())
 	s.asks++
 	if s.asking {
 		return
@@ -77,6 +77,17 @@
 	go func() { s.asked <- s.relay.askChain(a) }()
 }
 
+// nextCheck is after which pause the engines are asked again. A check falls on
+// abandonAfter: with the pauses between the questions alone a stream that had begun was
+// given up after 2.3 s, when its caller had left.
+func (s *session) nextCheck() clock.Millis {
+	next := askAgain << min(s.asks, mostDoublings)
+	if left := abandonAfter - s.relay.clock.Now().Sub(s.lastPiece); left > 0 {
+		return min(next, left)
+	}
+	return next
+}
+
 // askChain asks all engines for their reports. A dead engine is silent before
 // the first engine's report names it.
 func (r *Relay) askChain(a *attempt) stallAnswer {
@@ -107,7 +118,8 @@
 	if s.attempt == nil || answer.attempt != s.attempt {
 		return
 	}
-	quiet := s.relay.clock.Now().Sub(s.lastPiece)
+	now := s.relay.clock.Now()
+	quiet := now.Sub(s.since)
 	at := answer.culprit(s.head.ID)
 	switch {
 	case quiet < s.rhythm.stallAfter():
@@ -120,7 +132,8 @@
 		s.relay.decider.tell(s.relay.life, dispatch.StalledMsg{
 			Request: s.id, Attempt: s.attempt.cmd.Attempt, At: answer.slow.Address, Slow: true,
 		})
-	case quiet >= abandonAfter:
+	case now.Sub(s.lastPiece) >= abandonAfter:
+		// Also after a move: the caller has waited since the last piece.
 		s.abandon("", "no_event_for_too_long")
 	}
 }
@@ -151,7 +164,7 @@
 // reconsider acts on the suspicion that others have of an engine on the way. A
 // stream that still flows is left alone; if it stops, its own check follows.
 func (s *session) reconsider(cmd dispatch.ReconsiderCmd) {
-	if s.attempt == nil || s.attempt.cmd.Attempt != cmd.Attempt || s.relay.clock.Now().Sub(s.lastPiece) < flowing {
+	if s.attempt == nil || s.attempt.cmd.Attempt != cmd.Attempt || s.relay.clock.Now().Sub(s.since) < flowing {
 		return
 	}
 	s.stalledAt(cmd.At)
@@ -198,7 +211,7 @@
 		s.abandon(s.firstAddress(), "first_engine_is_silent")
 	case dispatch.Moved:
 		// The new engines read all tokens first; until then silence is no sign.
-		s.lastPiece = s.relay.clock.Now()
+		s.since = s.relay.clock.Now()
 		s.stall.Reset(rereadStall.Duration())
 	case dispatch.MoveRefused:
 		// The decider tries another way.
