Test: a first plan from a list that nobody has looked at (fails)

With the node's logs: planned orders=1 at 27.010 s, list_confirmed stood_ms=2500 at 27.110 s; e1 held layers 0-8 with no memory left from then on, so that a stream whose engine died found no other to begin at, and was cut after 2.6 s (no_memory_left).

--- a/placement/msg.go
+++ b/placement/msg.go
@@ -43,7 +43,10 @@
 }
 
 // TickMsg drives what depends on time alone.
-type TickMsg struct{}
+type TickMsg struct {
+	// ListAge is how long ago the list of upstreams was last confirmed.
+	ListAge clock.Millis
+}
 
 func (CatalogMsg) placementMsg() {}
 func (FleetMsg) placementMsg()   {}
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -56,7 +56,7 @@
 	case "placed":
 		return placement.PlacedMsg{Upstream: s.Word(0), Layers: heldOf(s.Named["layers"]), Holds: s.Named["holds"] == "yes"}
 	case "tick":
-		return placement.TickMsg{}
+		return placement.TickMsg{ListAge: clock.Millis(s.Int("list_age", 0))}
 	}
 	p.t.Fatalf("line %d: no such verb %q", s.Line, s.Verb)
 	return nil
