A first plan waits until the list has stood still while it was looked at

Cause: the planner takes a list for whole when it has not changed for 2.5 s. A node that starts alone leaves the store to others for just as long, so its list had not changed because nobody had asked, and of plan and next answer either came first. A plan from a part of the list fills engines to the last layer, with no memory left for requests.

Ruled out: another figure for either limit, which only moves the race; orders from any list younger than some age, which would let a list that grows be planned.

Change: what counts as standing still ends at the last confirmation of the list, which each tick brings along (the age that the logs of requests carry too). The longest wait for a list stays 5 s.

--- a/node/node.go
+++ b/node/node.go
@@ -91,12 +91,13 @@
 	}
 	n.usage = sharing
 	self.UsageAddress = sharing.Address()
+	listAge := func() clock.Millis { return n.fleets.ListAge() }
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
 		relay.WithCounters("store_calls", n.store.Calls()),
-		relay.WithListAge(func() clock.Millis { return n.fleets.ListAge() }), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
+		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
-	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)))
+	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge))
 	n.follow(platform.NewPeerTransport(), n.setCatalog, n.setFleet)
 	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, platform.NewQuestionTransport(), hash(s.Name),
 		peering.WithFirstStart(s.FirstStart))
--- a/placement/model.go
+++ b/placement/model.go
@@ -55,9 +55,11 @@
 // Model plans for every pipeline service. It is pure and not safe for
 // concurrent use.
 type Model struct {
-	delay     clock.Millis
-	started   clock.Millis
-	changed   clock.Millis
+	delay   clock.Millis
+	started clock.Millis
+	changed clock.Millis
+	// confirmed is when the list was last confirmed.
+	confirmed clock.Millis
 	planned   bool
 	plannedAt clock.Millis
 	catalog   *catalog.Catalog
@@ -137,6 +139,7 @@
 	case PlacedMsg:
 		m.placed(now, msg)
 	case TickMsg:
+		m.confirmed = now.Sub(msg.ListAge)
 		return m.tick(now)
 	}
 	return nil
@@ -283,7 +286,8 @@
 			wait = takenOverFor
 		}
 	}
-	still := len(m.upstreams) > 0 && now >= m.changed.Add(wait)
+	// A list that nobody has looked at may have grown meanwhile.
+	still := len(m.upstreams) > 0 && m.confirmed >= m.changed.Add(wait)
 	// Orders are held back for the node's delay, and the list may go on growing
 	// meanwhile.
 	m.planned = still && now >= m.changed.Add(wait+m.delay) || now >= m.started.Add(longestWait)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -76,6 +76,8 @@
 	// planner itself never waits for that.
 	waiting queue
 	orders  chan placement.OrderCmd
+	// listAge tells how long ago the list of upstreams was last confirmed.
+	listAge func() clock.Millis
 	// placed tells all nodes, this one included, of an order that was taken or,
 	// with holds, carried out.
 	placed func(upstream string, layers fleet.Range, holds bool)
@@ -90,6 +92,10 @@
 // plan share its orders where their seeds differ.
 func WithSeed(seed uint64) Option { return func(p *Placer) { p.waiting.seed = seed } }
 
+// WithListAge sets who tells how long ago the list of upstreams was last confirmed. Without
+// it the list counts as confirmed at all times.
+func WithListAge(age func() clock.Millis) Option { return func(p *Placer) { p.listAge = age } }
+
 // New returns a placer that runs a model. Placed tells all nodes of an order
 // that an engine has taken or carried out.
 func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger,
@@ -97,7 +103,7 @@
 ) *Placer {
 	p := &Placer{
 		model: model, engines: engines, clock: c, log: log, placed: placed,
-		inbox: newInbox(), orders: make(chan placement.OrderCmd),
+		listAge: func() clock.Millis { return 0 }, inbox: newInbox(), orders: make(chan placement.OrderCmd),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -149,7 +155,7 @@
 // plan has the planner look at its engines, and logs what that took.
 func (p *Placer) plan() []placement.OrderCmd {
 	began := p.clock.Now()
-	cmds := p.model.Update(began, placement.TickMsg{})
+	cmds := p.model.Update(began, placement.TickMsg{ListAge: p.listAge()})
 	if took := p.clock.Now().Sub(began); took >= slowPlan || len(cmds) > 0 {
 		p.log.Info("planned", zap.Int("orders", len(cmds)), zap.Int64("took_ms", int64(took)))
 	}
