A request's decision no longer looks at the engines of other data centres

Cause: engines at home were picked out of all of a service's for each request, into room for all of them. Change: those at home stand in a list of their own, which is made where the list of all is.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -56,3 +56,51 @@
 		})
 	}
 }
+
+// sizes are how many upstreams the users' sites have, and the size of two years from now.
+var sizes = []int{38, 218, 998, 7100}
+
+// BenchmarkTick is what the decider costs ten times a second while nothing happens.
+func BenchmarkTick(b *testing.B) {
+	for _, engines := range sizes {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			m := benchModel(engines)
+			for b.Loop() {
+				m.Update(1000, dispatch.TickMsg{})
+			}
+		})
+	}
+}
+
+// BenchmarkListChange is an engine that comes to hold other layers.
+func BenchmarkListChange(b *testing.B) {
+	for _, engines := range sizes {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			m := benchModel(engines)
+			n := 0
+			for b.Loop() {
+				n++
+				u := fleet.Upstream{ID: "e1", Address: "a1", Service: "writer", Accelerator: "k", DataCentre: "dc-0", Held: fleet.Range{From: n % 9, To: n%9 + 8}}
+				m.Update(1000, dispatch.FleetMsg{Changes: []fleet.Change{{ID: u.ID, Upstream: u}}})
+			}
+		})
+	}
+}
+
+// BenchmarkHearUsage is a node that tells of as many engines as its streams pass at most:
+// 24 streams over nine engines.
+func BenchmarkHearUsage(b *testing.B) {
+	const told = 24 * 9
+	for _, engines := range sizes {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			m := benchModel(engines)
+			used := make(map[string]float64)
+			for i := range min(told, engines) {
+				used[fmt.Sprintf("e%d", i)] = float64(i)
+			}
+			for b.Loop() {
+				m.Update(1000, dispatch.UsageMsg{Node: "n", Used: used})
+			}
+		})
+	}
+}
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -25,6 +25,8 @@
 
 	upstreams map[string]*upstream
 	byService map[string][]*upstream
+	// atHome are those of the own data centre, by service.
+	atHome    map[string][]*upstream
 	byAddress map[string]*upstream
 	// fastest is the time of a token through all layers of a service's pipeline on its
 	// fastest engine, in ms.
@@ -64,6 +66,7 @@
 	m := &Model{
 		upstreams: make(map[string]*upstream),
 		byService: make(map[string][]*upstream),
+		atHome:    make(map[string][]*upstream),
 		byAddress: make(map[string]*upstream),
 		fastest:   make(map[string]float64),
 		requests:  make(map[RequestID]*request),
@@ -174,6 +177,7 @@
 
 func (m *Model) index() {
 	clear(m.byService)
+	clear(m.atHome)
 	clear(m.byAddress)
 	clear(m.fastest)
 	for _, u := range m.upstreams {
@@ -181,8 +185,13 @@
 		m.byService[u.entry.Service] = append(m.byService[u.entry.Service], u)
 		m.byAddress[u.entry.Address] = u
 	}
-	for _, list := range m.byService {
+	for service, list := range m.byService {
 		slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(a.entry.ID, b.entry.ID) })
+		for _, u := range list {
+			if u.entry.DataCentre == m.dataCentre {
+				m.atHome[service] = append(m.atHome[service], u)
+			}
+		}
 	}
 }
 
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -42,7 +42,7 @@
 // detour builds a chain whose first part is the one in use.
 func (m *Model) detour(r *request, away string) ([]chain.Part, error) {
 	first := r.parts[0]
-	holders := m.holders(r, (*upstream).well, first.ID, away)
+	holders := m.holders(r, m.byService[r.service.Name], (*upstream).well, first.ID, away)
 	for _, p := range r.parts[1:] {
 		for i := range holders {
 			if holders[i].ID == p.ID {
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -113,24 +113,20 @@
 func (m *Model) chainFor(r *request) ([]chain.Part, error) {
 	m.expireUsage()
 	layers := r.service.Pipeline.Layers
-	if parts, ok := chain.BuildAtHome(layers, r.tokens, m.dataCentre, m.holders(r, m.wellAtHome), m.fastest[r.service.Name]); ok {
+	if parts, ok := chain.BuildAtHome(layers, r.tokens, m.dataCentre, m.holders(r, m.atHome[r.service.Name], (*upstream).well), m.fastest[r.service.Name]); ok {
 		return parts, nil
 	}
-	parts, err := chain.Build(layers, r.tokens, m.dataCentre, m.holders(r, (*upstream).well))
+	all := m.byService[r.service.Name]
+	parts, err := chain.Build(layers, r.tokens, m.dataCentre, m.holders(r, all, (*upstream).well))
 	if errors.Is(err, chain.ErrNoHolder) {
 		// Where suspicion has left a layer without an engine it does more harm than
 		// the suspects that still answer.
 		m.probeSoon(r.service.Name)
-		parts, err = chain.Build(layers, r.tokens, m.dataCentre, m.holders(r, m.answers))
+		parts, err = chain.Build(layers, r.tokens, m.dataCentre, m.holders(r, all, m.answers))
 	}
 	return parts, err
 }
 
-// wellAtHome tells whether nothing speaks against an engine of the own data centre.
-func (m *Model) wellAtHome(u *upstream) bool {
-	return u.entry.DataCentre == m.dataCentre && u.well()
-}
-
 // probeSoon has the suspects of a service probed at the next tick, but for those
 // that have left a probe unanswered.
 func (m *Model) probeSoon(service string) {
@@ -157,10 +153,9 @@
 	return ReasonNoHolder
 }
 
-// holders returns the engines of the request's service that may take part in a
-// chain now, without those named.
-func (m *Model) holders(r *request, may func(*upstream) bool, without ...string) []chain.Holder {
-	list := m.byService[r.service.Name]
+// holders returns those of some engines of the request's service that may take part in
+// a chain now, without those named.
+func (m *Model) holders(r *request, list []*upstream, may func(*upstream) bool, without ...string) []chain.Holder {
 	holders := make([]chain.Holder, 0, len(list))
 	for _, u := range list {
 		if !may(u) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
