--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"net/http"
 	"slices"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
@@ -15,29 +14,32 @@
 	if r == nil || msg.Attempt != r.sends {
 		return nil
 	}
-	began := msg.Events > r.events
-	r.events = msg.Events
 	cmds := m.blame(r, msg)
-	ranAt := ""
-	if r.first != nil {
-		ranAt = r.first.entry.ID
-	}
+	r.noteRun(msg)
+	r.events, r.delivered = msg.Events, msg.Delivered
 	m.endAttempt(r)
-	if msg.Cause == Unknown || msg.Cause == Slow || msg.Cause == Failed {
-		r.runs++
-		if began || r.route.Kind != catalog.Streaming {
-			r.ranAt[ranAt] = true
-		}
-	}
 	return append(cmds, m.next(r, msg)...)
 }
 
+// noteRun takes in that the upstream of a failed attempt has run the request, or may
+// have. A stream that was taken back for want of an event may have run as well: an
+// engine that has hung says nothing of it.
+func (r *request) noteRun(msg AttemptFailedMsg) {
+	if msg.Cause != Unknown && msg.Cause != Slow && msg.Cause != Failed {
+		return
+	}
+	r.runs++
+	if r.first != nil {
+		r.ranAt[r.first.entry.ID] = msg.Cause
+	}
+}
+
 func (m *Model) next(r *request, msg AttemptFailedMsg) []Cmd {
 	if reason := m.mayRepeat(r, msg.Cause); reason != "" {
 		return m.lastWord(r, msg, reason)
 	}
 	cmds := m.resend(r)
-	if msg.Cause == Failed && !slices.ContainsFunc(cmds, isSend) {
+	if msg.Cause == Failed && !r.begun() && !slices.ContainsFunc(cmds, isSend) {
 		return m.relay(r, msg)
 	}
 	return cmds
@@ -52,11 +54,13 @@
 func (m *Model) mayRepeat(r *request, cause Cause) Reason {
 	ran := cause == Unknown || cause == Slow || cause == Failed
 	switch {
+	case r.delivered == DeliveredPart:
+		return ReasonUnknown
 	case ran && !r.route.MayRepeat():
 		return ReasonUnknown
 	case cause == Failed && r.route.Kind == 0:
 		return ReasonUnknown
-	case m.runsThatCount(r) >= r.mostRuns(), r.sends >= mostSends:
+	case !r.mayRunAgain(), r.sends >= mostSends:
 		return ReasonRefused
 	case r.left(m.now) < leastLeft:
 		return ReasonTimeout
@@ -68,21 +72,17 @@
 
 // lastWord ends a request after its last attempt.
 func (m *Model) lastWord(r *request, msg AttemptFailedMsg, reason Reason) []Cmd {
-	if msg.Cause == Failed {
-		return m.relay(r, msg)
-	}
-	if r.events > 0 {
+	if r.begun() {
 		return m.giveUp(r, reason)
 	}
-	if r.runs > 0 {
-		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
+	if msg.Cause == Failed {
+		return m.relay(r, msg)
 	}
 	return m.giveUp(r, reason)
 }
 
 func (m *Model) relay(r *request, msg AttemptFailedMsg) []Cmd {
-	m.forget(r.msg.Request)
-	return []Cmd{RelayCmd{Request: r.msg.Request, Attempt: msg.Attempt}}
+	return m.end(r.msg.Request, RelayCmd{Request: r.msg.Request, Attempt: msg.Attempt}, ReasonUnknown)
 }
 
 // blame notes what an attempt's failure says about an upstream.
--- a/placement/layout.go
+++ b/placement/layout.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"math"
 	"slices"
 
@@ -45,6 +44,8 @@
 	solo []int
 	// demand is how many streams a ms are to be borne.
 	demand float64
+	// weighed counts the engines that have been looked at for values.
+	weighed int
 }
 
 // newLayout returns a layout of a data centre's engines with what they hold or
@@ -55,9 +56,7 @@
 		capacity: make([]float64, shape.Layers), reads: make([]float64, shape.Layers), holders: make([]int, shape.Layers),
 		places: make([]int, shape.Layers), given: make([]float64, shape.Layers), solo: make([]int, len(engines)),
 	}
-	slices.SortStableFunc(l.engines, func(a, b *Engine) int {
-		return cmp.Or(cmp.Compare(a.LayerTime, b.LayerTime), cmp.Compare(b.Most, a.Most), cmp.Compare(a.ID, b.ID))
-	})
+	slices.SortStableFunc(l.engines, fastFirst)
 	l.demand = usualDemand * l.mostRate()
 	for i, e := range l.engines {
 		l.ranges[i] = e.standing()
@@ -92,6 +91,7 @@
 // serves, less what it is expected to lose of that while engines are replaced, and
 // less uncovered for each layer without a holder. It is never over zero.
 func (l *layout) value() float64 {
+	l.weighed += len(l.engines)
 	missing := l.count()
 	room := l.room()
 	if room <= 0 {
--- a/relay/log.go
+++ b/relay/log.go
@@ -37,6 +37,7 @@
 		zap.String("account", cmd.Account), zap.String("upstream", cmd.Upstream), zap.String("address", cmd.Address),
 		zap.String("chain", chainText(cmd.Chain)), zap.Int("in_flight", cmd.InFlight), zap.Int("priority", cmd.Priority),
 		zap.Uint64("config", cmd.CatalogVersion), zap.Int64("config_age_ms", int64(cmd.CatalogAge)),
+		zap.Int64("list_age_ms", int64(s.relay.listAge())),
 		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEvent))
 }
 
@@ -86,6 +87,7 @@
 }
 
 func (s *session) logLeft() {
+	s.explained = true
 	s.relay.stats.count("caller_left")
 	s.log.Info("caller_left", s.fields()...)
 }
@@ -124,6 +126,7 @@
 
 // logLost notes that a caller could not be given its answer.
 func (s *session) logLost(err error) {
+	s.explained = true
 	s.relay.stats.count("caller_lost")
 	s.log.Info("caller_lost", zap.String("id", s.head.ID), zap.Int("events", s.events), logging.Err(err))
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,6 +37,8 @@
 	life context.Context
 	// more are counters of other parts of the node, by name.
 	more map[string]expvar.Var
+	// listAge tells how long ago the list of upstreams was last confirmed.
+	listAge func() clock.Millis
 }
 
 // Option sets up a Relay.
@@ -50,6 +52,10 @@
 // WithCounters adds another part's counters to the metrics.
 func WithCounters(name string, v expvar.Var) Option { return func(r *Relay) { r.more[name] = v } }
 
+// WithListAge sets who tells how long ago the list of upstreams was last confirmed, for
+// logs and metrics; -1 for never.
+func WithListAge(age func() clock.Millis) Option { return func(r *Relay) { r.listAge = age } }
+
 // WithSilence sets who is told of engines that do not answer, or do again.
 func WithSilence(tell func(dispatch.SilentCmd)) Option {
 	return func(r *Relay) { r.decider.silent = tell }
@@ -62,7 +68,9 @@
 }
 
 // WithDialer sets how upstreams are connected to.
-func WithDialer(dial dialFunc) Option { return func(r *Relay) { r.upstreams = newUpstreamPool(dial) } }
+func WithDialer(dial dialFunc) Option {
+	return func(r *Relay) { r.upstreams = newUpstreamPool(dial, r.clock) }
+}
 
 // WithKeysWithin sets how old the newest configuration may be when a request
 // with a key is written; zero for no bound.
@@ -70,7 +78,10 @@
 
 // New returns a relay around a model. Run makes it work.
 func New(life context.Context, protocol Protocol, model *dispatch.Model, c *clock.Clock, log *zap.Logger, opts ...Option) *Relay {
-	r := &Relay{protocol: protocol, clock: c, log: log, gate: newGate(c, 0), stats: newStats(), life: life, more: make(map[string]expvar.Var)}
+	r := &Relay{
+		protocol: protocol, clock: c, log: log, gate: newGate(c, 0), stats: newStats(), life: life,
+		more: make(map[string]expvar.Var), listAge: neverListed,
+	}
 	r.decider = newDecider(model, c, log, r.probe)
 	for _, opt := range opts {
 		opt(r)
@@ -78,6 +89,9 @@
 	return r
 }
 
+// neverListed is the age of the list in a relay that nobody tells of it.
+func neverListed() clock.Millis { return clock.AgeOf(clock.Never, 0) }
+
 // Run decides until the context ends.
 func (r *Relay) Run(ctx context.Context) error {
 	defer r.upstreams.close()
@@ -157,7 +171,7 @@
 func (r *Relay) Metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	gauges := map[string]int64{
-		"open": r.open.Load(), "config_age_ms": int64(r.gate.age()),
+		"open": r.open.Load(), "config_age_ms": int64(r.gate.age()), "list_age_ms": int64(r.listAge()),
 		"decisions_waiting": int64(r.decider.inbox.Len()), "decisions_refused": int64(r.decider.inbox.Refused()),
 	}
 	if err := r.stats.write(w, gauges, r.more); err != nil {
@@ -175,19 +189,42 @@
 	writeSlack = 2 * time.Second
 )
 
-// ServeHTTP takes one request of a caller.
+// ServeHTTP takes one request of a caller. It is the one place where answers are
+// broken off: when it returns, net/http takes the answer for whole.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.open.Add(1)
 	defer r.open.Add(-1)
 	r.stats.count("arrived")
 	answer := newAnswerWriter(w, &r.stopping)
 	head := r.protocol.CallerHead(req.Header)
+	explained := r.serve(answer, head, w, req)
+	r.settle(answer, head.ID, explained)
+}
+
+// settle breaks an answer off that has not ended.
+func (r *Relay) settle(answer *answerWriter, id string, explained bool) {
+	if answer.ended() {
+		return
+	}
+	if !explained {
+		r.stats.count("left_open")
+		r.log.Error("left_open", zap.String("id", id), zap.Bool("begun", answer.begun()))
+	}
+	r.stats.count("broken_off")
+	panic(http.ErrAbortHandler)
+}
+
+// serve answers a request. It returns whether the log says why the answer has not
+// ended, if it has not.
+func (r *Relay) serve(answer *answerWriter, head CallerHead, w http.ResponseWriter, req *http.Request) (explained bool) {
 	began := r.clock.Now()
 	body, status := r.readBody(w, req)
 	if status != 0 {
 		r.log.Info("refused", zap.String("id", head.ID), zap.Int("status", status), zap.String("reason", "body"))
-		answer.own(status, "body", 0)
-		return
+		if err := answer.own(status, "body", 0); err != nil {
+			r.log.Info("caller_lost", zap.String("id", head.ID), logging.Err(err))
+		}
+		return true
 	}
 	r.boundWriting(w, head)
 	s := &session{
@@ -195,6 +232,7 @@
 		mail: make(chan dispatch.Cmd, mailboxSize), log: r.log, began: began,
 	}
 	s.run()
+	return s.explained
 }
 
 // readBody reads a request whole, so that it can be sent more than once.
--- a/relay/session_pass.go
+++ b/relay/session_pass.go
@@ -10,6 +10,8 @@
 // over.
 func (s *session) take(p piece) bool {
 	s.lastPiece = s.relay.clock.Now()
+	s.since = s.lastPiece
+	s.doubt.Stop()
 	switch {
 	case p.failed:
 		s.attemptFailed(p.cause, p.at, p.err)
@@ -22,6 +24,7 @@
 		return true
 	}
 	if p.end {
+		s.w.end()
 		s.done(p)
 		return true
 	}
@@ -42,7 +45,7 @@
 
 // pass writes a piece to the caller.
 func (s *session) pass(p piece) error {
-	if p.head != nil && s.events == 0 {
+	if p.head != nil && !s.w.begun() {
 		if p.end && len(p.event.raw) == 0 {
 			return s.w.whole(p.head, p.data)
 		}
@@ -68,6 +71,7 @@
 		return err
 	}
 	s.noteEvent()
+	s.unnamed = !ev.hasID
 	if ev.hasID {
 		s.lastEvent, s.lastNumber, s.hasNumber = ev.id, ev.number, true
 	}
