Only what shows that an upstream has ended frees its place among those that may run a request

Cause: an upstream counted as ended when its entry had gone, or when it was leaving whatever had come of its run. One that is leaving goes on for seconds, and some serve without an entry; a stream that was taken back since it stood still says nothing of an end. What counted was also how the entry stood later, not when the run ended.

Ruled out: to count all whatever became of them (releases break many streams off, and the bound is not for those that have ended).

Change: a run remembers how it ended. Its upstream has ended if it broke the stream off while it was leaving or without an entry, or if its entry goes after a break, or if a probe finds it silent. What is known of runs stands in a file of its own. The script of bounded upstreams had one whose entry had gone free its place; it counts now.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -27,7 +27,7 @@
 		}
 		return m.refuse(msg.Request, http.StatusNotFound, ReasonNoRoute, 0)
 	}
-	r := &request{msg: msg, arrived: m.now, route: route, tried: make(map[string]bool), ranAt: make(map[string]Cause)}
+	r := &request{msg: msg, arrived: m.now, route: route, tried: make(map[string]bool), ranAt: make(map[string]run)}
 	r.keyed = m.catalog.HasAccounts() && !route.Anonymous
 	if cmds := m.admitKey(r); cmds != nil {
 		return cmds
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -15,25 +15,12 @@
 		return nil
 	}
 	cmds := m.blame(r, msg)
-	r.noteRun(msg)
+	m.noteRun(r, msg)
 	r.events, r.delivered = msg.Events, msg.Delivered
 	m.endAttempt(r)
 	return append(cmds, m.next(r, msg)...)
 }
 
-// noteRun takes in that the upstream of a failed attempt has run the request, or may
-// have. A stream that was taken back for want of an event may have run as well: an
-// engine that has hung says nothing of it.
-func (r *request) noteRun(msg AttemptFailedMsg) {
-	if msg.Cause != Unknown && msg.Cause != Slow && msg.Cause != Failed {
-		return
-	}
-	r.runs++
-	if r.first != nil {
-		r.ranAt[r.first.entry.ID] = msg.Cause
-	}
-}
-
 func (m *Model) next(r *request, msg AttemptFailedMsg) []Cmd {
 	if reason := m.mayRepeat(r, msg.Cause); reason != "" {
 		return m.lastWord(r, msg, reason)
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -160,6 +160,9 @@
 		}
 		switch {
 		case c.Gone:
+			if known {
+				m.noteEnd(u)
+			}
 			delete(m.upstreams, c.ID)
 		case known:
 			u.update(m.now, c.Upstream)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -24,10 +24,9 @@
 	sends int
 	runs  int
 	tried map[string]bool
-	// ranAt are the upstreams that have run it or may have, and why the last attempt
-	// there ended. The operator bounds their number, not how often one of them is
-	// asked.
-	ranAt map[string]Cause
+	// ranAt are its runs by upstream. The operator bounds the number of upstreams, not
+	// how often one of them is asked.
+	ranAt map[string]run
 	// delivered says what the caller has of the answer, and events how many events
 	// that is.
 	delivered Delivered
@@ -57,58 +56,6 @@
 // begun tells whether the caller has some of the answer.
 func (r *request) begun() bool { return r.delivered != DeliveredNothing }
 
-// mayUse tells whether an upstream may get the request without exceeding the
-// number of upstreams that may run it.
-func (r *request) mayUse(u *upstream) bool {
-	return r.ran(u) || len(r.ranAt) < r.mostUpstreams()
-}
-
-// ran tells whether an upstream has run the request.
-func (r *request) ran(u *upstream) bool {
-	_, ok := r.ranAt[u.entry.ID]
-	return ok
-}
-
-// mostUpstreams is how many upstreams may run the request.
-func (r *request) mostUpstreams() int { return max(r.route.MaxAttempts, 1) }
-
-// ranOn is how many upstreams have run the request, without those that have ended
-// since: the operator's bound is not for them.
-func (m *Model) ranOn(r *request) int {
-	n := 0
-	for id, cause := range r.ranAt {
-		if !m.hasEnded(id, cause) {
-			n++
-		}
-	}
-	return n
-}
-
-// bounded tells whether only upstreams that have run the request may run it.
-func (m *Model) bounded(r *request) bool { return m.ranOn(r) >= r.mostUpstreams() }
-
-// hasEnded tells whether an upstream has ended, by how its last attempt did. One that
-// was leaving when its stream broke off has.
-func (m *Model) hasEnded(id string, cause Cause) bool {
-	u := m.upstreams[id]
-	return u == nil || u.silent || u.entry.Leaving && cause != Failed
-}
-
-// mayRunAgain tells whether the operator's bound leaves another attempt. A stream may
-// always be asked of an upstream that has run it, as often as mostSends and the budget
-// of repeats leave. A plain request that may be repeated can be asked once more of one
-// that has failed it.
-func (r *request) mayRunAgain() bool {
-	switch r.route.Kind {
-	case catalog.Streaming:
-		return true
-	case catalog.Repeatable:
-		return r.runs <= r.mostUpstreams()
-	default:
-		return r.runs < r.mostUpstreams()
-	}
-}
-
 // reservation is memory that a request takes at an engine.
 type reservation struct {
 	upstream *upstream
