A silent node is asked twice and no more; grace counts from the end of the outage, calls to a lost store come each 0.6 s

Change: a node whose connection is silent is one state, whoever failed before. Grace counts from when either follower has the store again.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -46,8 +46,8 @@
 // now on may have lapsed.
 func (v *View) StoreLost() { v.away = true }
 
-// StoreBack notes that the store answers. At the end of an outage, entries
-// that are missing get until LapseGrace later to come back.
+// StoreBack notes that the store answers, and since when. At the end of an outage,
+// entries that are missing get until LapseGrace later to come back.
 func (v *View) StoreBack(now clock.Millis) {
 	if !v.away {
 		return
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -14,8 +14,11 @@
 	for _, err := range reading.Unreadable {
 		f.log.Warn("entry_unreadable", logging.Err(err))
 	}
+	if ended := f.outage.Ended(); ended != clock.Never {
+		f.view.StoreBack(ended)
+		f.view.OutageEnded(ended)
+	}
 	f.view.StoreBack(now)
-	f.view.OutageEnded(f.outage.Ended())
 	if f.view.Len() == 0 && lapsing {
 		// A node that has started in an outage cannot know what has lapsed in it.
 		f.partial = true
--- a/follow/limits.go
+++ b/follow/limits.go
@@ -82,8 +82,10 @@
 // Pauses after calls that failed. Every call costs, refused ones too, and all nodes lose
 // the store together: a pause doubles with each further failure.
 const (
-	firstRetry   clock.Millis = 150
-	longestRetry clock.Millis = 1200
+	firstRetry clock.Millis = 150
+	// longestRetry leaves the time, of the 3 s after the store's return, in which entries
+	// that vanished may come back.
+	longestRetry clock.Millis = 600
 	// firstSitOut is for how long the follower of the list leaves it to that of the
 	// configuration to find the store again, and longestSitOut the same after further
 	// failures.
--- a/follow/limits_test.go
+++ b/follow/limits_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // Connections went silent for good, and requests went on to upstreams that had long said
@@ -29,6 +30,7 @@
 		{"the call in which silence shows is silent too", StoreMargin + sitOutFor(1) + firstRetry + storeAnswer, within},
 		{"and the configuration's as well", StoreMargin + retryPause(1) + firstRetry + storeAnswer, within},
 		{"the store is away for long, and back", callAtTheStore + longestRetry + firstRetry + storeAnswer, silenceWithin},
+		{"what vanished meanwhile is taken as gone", longestRetry + fleet.LapseGrace + leastWait, silenceWithin},
 		{"the node that is followed is frozen", gatherFollowed + readerWait - gatherFollowed + 2*ReaderMargin + storeAnswer, within},
 		{"so is the next one", readerLost + storeAnswer, within},
 		{"the node that is followed has lost the store", VouchFor + ReaderMargin + storeAnswer, within},
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -16,6 +16,10 @@
 // the store. The store is asked next.
 var errReaderFailed = errors.New("follow: the reader failed")
 
+// errReaderSilent marks the errors of another node whose connection may have gone silent.
+// It is asked once more before it counts as failed.
+var errReaderSilent = errors.New("follow: the reader is silent")
+
 // Reader is another node that reads the store.
 type Reader interface {
 	AwaitCatalog(ctx context.Context, after uint64, wait clock.Millis) (CatalogReading, error)
@@ -130,12 +134,12 @@
 )
 
 // after returns the doubt after a call that failed. While the store is away it is not
-// asked twice in a row: every call costs.
+// asked twice in a row: every call to it costs.
 func (d doubt) after(err error, failures int) doubt {
 	switch {
 	case errors.Is(err, errReaderFailed):
 		return successor
-	case errors.Is(err, ErrSilent) && d != silent && failures == 0:
+	case errors.Is(err, errReaderSilent), errors.Is(err, ErrSilent) && d != silent && failures == 0:
 		return silent
 	default:
 		return sure
@@ -160,7 +164,7 @@
 // has gone silent.
 func (s *shared) readerFailed(ctx context.Context, table string, reader Reader, d doubt, err error) error {
 	if d == sure && errors.Is(err, ErrSilent) {
-		return err
+		return errors.Mark(err, errReaderSilent)
 	}
 	s.readers.Failed(reader)
 	if ctx.Err() == nil {
