A node that has lost the store asks others again soon that could not vouch

A node thawed just after all connections had gone silent; nobody could vouch for a moment, and each was left alone for 2.5 s, the store for 3 s, since others by name come first. It learnt for 2.3 s nothing.

Change: while the store is lost to a node, one that failed it is asked again after 0.5 s. Calls between nodes only.

--- a/reading/roster.go
+++ b/reading/roster.go
@@ -20,6 +20,9 @@
 	// it, and how long it leaves the store alone after its start until it has
 	// heard of others. What it has read at its start counts for 4.3 s.
 	settle clock.Millis = 2500
+	// refusedAway is the same for a node that has lost the store: it has nobody else, and
+	// one that cannot vouch now finds the store again within about a second.
+	refusedAway clock.Millis = 500
 	// claimAfter is how long a node that has begun to hear enough others waits
 	// before it takes itself for their first: each tells of itself every 0.3 s.
 	claimAfter clock.Millis = 350
@@ -236,7 +239,7 @@
 			continue
 		}
 		v.nodes++
-		_, refused := r.refused[name]
+		refused := r.refuses(now, name)
 		switch {
 		case h.followable && !refused:
 			offer(name, h.doubtedUntil)
@@ -269,6 +272,16 @@
 	return v
 }
 
+// refuses tells whether a node is not followed for now since it has failed this one. The
+// caller holds the lock.
+func (r *Roster) refuses(now clock.Millis, name string) bool {
+	until, ok := r.refused[name]
+	if r.away {
+		until = until.Sub(settle).Add(refusedAway)
+	}
+	return ok && now < until
+}
+
 // alone tells whether there are too few nodes for one to read for all.
 func (r *Roster) alone(v view) bool { return v.nodes < FewestNodes }
 
