The grace of what vanished ends with the outage that another node has seen end, and without an answer

A node that had lost the store followed others for 4 s, lost them, and had the store again: what had vanished counted for 2.2 s from then, though those others had long told the list as it was. Entries were also taken as gone only with the next answer.

Change: an outage is over for the list when another node that has the store answers.

--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -62,6 +62,7 @@
 func (f *Fleet) Run(ctx context.Context) error {
 	p := fleetProgress{whole: true}
 	for ctx.Err() == nil {
+		f.expire(f.clock.Now())
 		reader, waits := f.reader(p.read)
 		if waits {
 			f.takeLearnt(f.clock.Now())
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -34,6 +34,16 @@
 	f.pass(append(changes, expired...), reading.Revision)
 }
 
+// expire takes entries as gone whose time to come back is over.
+func (f *Fleet) expire(now clock.Millis) {
+	expired := f.view.Expire(now)
+	if len(expired) == 0 {
+		return
+	}
+	f.followers.AddEnded(expired)
+	f.pass(expired, f.passedOn)
+}
+
 // show passes a reading on to the nodes that follow this one, as it has changed the
 // view. Entries that may come back stand in it until their time is over.
 func (f *Fleet) show(reading FleetReading, changes, expired []fleet.Change, lapsing bool) {
--- a/follow/outage.go
+++ b/follow/outage.go
@@ -15,6 +15,10 @@
 	since clock.Millis
 	ended clock.Millis
 	ever  bool
+	// told tells that another node that has the store has answered since, at toldAt
+	// first: the outage is over by then, although this node has not tried the store.
+	told   bool
+	toldAt clock.Millis
 }
 
 // Lost notes a call without an answer, and returns whether that is news.
@@ -22,7 +26,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	news := !o.away
-	o.away, o.ever, o.since = true, true, now
+	o.away, o.ever, o.since, o.told = true, true, now, false
 	return news
 }
 
@@ -35,10 +39,13 @@
 func (o *Outage) Told(now clock.Millis) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.away && !o.told {
+		o.told, o.toldAt = true, now
+	}
 	if !o.away || now < o.since.Add(forgottenAfter) {
 		return false
 	}
-	o.away, o.ended = false, now
+	o.away, o.ended = false, o.toldAt
 	return true
 }
 
@@ -50,6 +57,9 @@
 	if news {
 		o.away, o.ended = false, now
 	}
+	if news && o.told {
+		o.ended = o.toldAt
+	}
 	return news
 }
 
@@ -65,10 +75,19 @@
 func (o *Outage) Ended() clock.Millis {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.away || !o.ever {
+	return o.end()
+}
+
+// end is when the last outage ended. The caller holds the lock.
+func (o *Outage) end() clock.Millis {
+	switch {
+	case o.away && o.told:
+		return o.toldAt
+	case o.away || !o.ever:
 		return clock.Never
+	default:
+		return o.ended
 	}
-	return o.ended
 }
 
 // Lapsing tells whether entries that vanish may have lapsed while the store
@@ -76,5 +95,5 @@
 func (o *Outage) Lapsing(now clock.Millis) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.away || o.ever && now < o.ended.Add(fleet.LapseGrace)
+	return o.away && !o.told || now < o.end().Add(fleet.LapseGrace)
 }
--- a/reading/roster.go
+++ b/reading/roster.go
@@ -68,8 +68,8 @@
 	// group holds the other nodes by name, and heard what each has said last.
 	group map[string]*wire.Member
 	heard map[string]hearing
-	// met are the nodes that have ever been heard.
-	met map[string]bool
+	// led are the nodes that could ever be followed. At a start none can at first.
+	led map[string]bool
 	// refused is until when a node is not followed that has failed this one.
 	refused map[string]clock.Millis
 	started clock.Millis
@@ -98,7 +98,7 @@
 func NewRoster(self string, now, patience clock.Millis) *Roster {
 	return &Roster{
 		patience: patience, failedSince: clock.Never,
-		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing), met: make(map[string]bool),
+		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing), led: make(map[string]bool),
 		refused: make(map[string]clock.Millis), started: now,
 		grouped: clock.Never, unledSince: clock.Never, doubtedUntil: clock.Never,
 	}
@@ -118,12 +118,12 @@
 func (r *Roster) Heard(now clock.Millis, name string, followable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	h, there := r.heard[name]
-	if followable && !h.followable && (there || r.met[name]) {
+	h := r.heard[name]
+	if followable && !h.followable && r.led[name] {
 		h.doubtedUntil = now.Add(doubted)
 	}
 	h.at, h.followable = now, followable
-	r.heard[name], r.met[name] = h, true
+	r.heard[name], r.led[name] = h, followable || r.led[name]
 }
 
 // Failed notes that following a node did not work.
