Who leaves a node that it has followed for a moment reads the list anew

A node that has just had an outage holds what has vanished, and tells the newest revision all the same; who went from it to the store, or to another node, from that revision on never learnt of those ends.

--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -11,6 +11,10 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
+// followedBriefly is for how long a node that has begun to be followed may be one that has
+// just had an outage, and holds what has vanished in it.
+const followedBriefly = fleet.LapseGrace + 800
+
 // expiryCheck is how often entries that may come back are looked at.
 const expiryCheck clock.Millis = 500
 
@@ -56,6 +60,20 @@
 	failures int
 	// doubt says how sure it is that whoever is asked next is there.
 	doubt doubt
+	// followed is the node that is followed, nil for none, and since when.
+	followed      Reader
+	followedSince clock.Millis
+}
+
+// follows notes whom the next call goes to. A node that has had an outage holds what
+// vanished in it, and tells the revision at which it has: who leaves it meanwhile must not
+// count on that revision.
+func (p *fleetProgress) follows(reader Reader, now clock.Millis) {
+	if reader == p.followed {
+		return
+	}
+	p.whole = p.whole || p.followed != nil && now < p.followedSince.Add(followedBriefly)
+	p.followed, p.followedSince = reader, now
 }
 
 // Run follows until the context ends.
@@ -69,6 +87,7 @@
 			clock.Pause(ctx, lookAgain)
 			continue
 		}
+		p.follows(reader, f.clock.Now())
 		reading, err := f.call(ctx, reader, p)
 		if err != nil {
 			f.failed(ctx, &p, err)
@@ -81,7 +100,7 @@
 		// it is in doubt of.
 		reading.Whole = reading.Whole || reader == nil && p.whole
 		f.take(now, reading, reader == nil && f.outage.Lapsing(now))
-		p = fleetProgress{revision: reading.Revision, read: true}
+		p = fleetProgress{revision: reading.Revision, read: true, followed: p.followed, followedSince: p.followedSince}
 		if len(reading.Changes) > 0 {
 			p.paused = f.gather(reader != nil)
 			clock.Pause(ctx, p.paused.Duration())
@@ -140,7 +159,7 @@
 		return f.source.AwaitUpstreams(ctx, p.revision, wait)
 	}
 	after := p.revision
-	if f.view.Waiting() {
+	if p.whole || f.view.Waiting() {
 		after = 0
 	}
 	reading, err := reader.AwaitUpstreams(ctx, after, wait)
