--- a/follow/doc.go
+++ b/follow/doc.go
@@ -8,6 +8,10 @@
 // instead. When that node fails the next one is followed, and only where there is
 // none the nodes try the store themselves, one after the other: every call to it
 // costs, and hundreds of nodes lose their reader, or the store, at the same moment.
+//
+// A call without an answer says first that its connection may be silent: it is made once
+// more, on a new one, before anybody is taken to be lost. The limits of all waits and
+// pauses, and how they add up, stand in limits.go.
 package follow
 
 import (
--- a/reading/doc.go
+++ b/reading/doc.go
@@ -15,4 +15,8 @@
 // hundreds of nodes do not ask at the same moment. Whoever has the store again is
 // followed at once. A node that has just started reads the store itself, since it
 // may have to serve in a moment, and then leaves it to others.
+//
+// A node that has lost the store and has it again holds for a while what vanished from
+// the list meanwhile, since it may only have lapsed. It is then followed only where nobody
+// else may be, and tells the ends of what does not come back apart (Log.AddEnded).
 package reading
