--- /dev/null
+++ b/relay/callers_test.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// An answer in HTTP/1.0 that has no length ends with its connection. One that was
+// broken off was closed in good order, like a whole one, so a caller took part of a
+// stream for all of it. Found by reading how net/http ends answers.
+func TestOldCallerSeesThatAnAnswerBreaksOff(t *testing.T) {
+	for _, tt := range []struct {
+		path   string
+		script []outcome
+		whole  bool
+	}{
+		{"/write/a", []outcome{brokenStream, notFound}, false},
+		{"/tell/a", []outcome{brokenStream}, false},
+		{"/read/a", []outcome{largeBroken}, false},
+		{"/write/a", []outcome{brokenStream, wholeStream}, true},
+		{"/once/a", []outcome{failure}, true},
+	} {
+		t.Run(fmt.Sprint(tt.path, tt.script), func(t *testing.T) {
+			_, address := newTestRelay(t, &scriptedUpstreams{script: tt.script})
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.0\r\nHost: h\r\n\r\n", tt.path); err != nil {
+				t.Fatal(err)
+			}
+			got, err := readOldAnswer(conn)
+			if (err == nil) != tt.whole {
+				t.Errorf("got %d bytes and the end %v, want whole=%v", got, err, tt.whole)
+			}
+		})
+	}
+}
+
+// readOldAnswer reads an answer to its end.
+func readOldAnswer(conn net.Conn) (size int, err error) {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return len(body), err
+}
