Callers in HTTP/1.0 see that an answer breaks off

Such an answer's connection is reset now, which is an error to whoever reads it. Answers in HTTP/1.1 are left as they are: their length or chunks say that they are not whole, and a reset would take events away that are still on their way.

Before: got 42, 42 and 557,056 bytes that look complete; after: an error each time, and whole answers end as before. The package's tests pass.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -132,6 +133,19 @@
 	return nil
 }
 
+// reset closes the caller's connection so that its end is an error. An answer in
+// HTTP/1.0 ends with its connection, and one that is closed in good order looks whole.
+func (a *answerWriter) reset() error {
+	conn, _, err := a.control.Hijack()
+	if err != nil {
+		return err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	return errors.CombineErrors(err, conn.Close())
+}
+
 func formatSeconds(m clock.Millis) string {
 	const msPerSecond = 1000
 	return strconv.FormatFloat(float64(m)/msPerSecond, 'f', -1, 64)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -186,6 +186,11 @@
 	answer := newAnswerWriter(w, &r.stopping)
 	head := r.protocol.CallerHead(req.Header)
 	explained := r.serve(answer, head, w, req)
+	if !answer.ended() && !req.ProtoAtLeast(1, 1) {
+		if err := answer.reset(); err != nil {
+			r.log.Warn("not_reset", zap.String("id", head.ID), logging.Err(err))
+		}
+	}
 	r.settle(answer, head.ID, explained)
 }
 
