A repeat at an upstream that was asked before has a connection of its own

The attempt after one that was taken back for want of an answer has one too, as before, but no longer closes the other kept connections to its upstream for it: at a well upstream they serve other requests, and each close is followed by a new connection.

The tests of silent connections pass as they were. Not played: the price of one more new connection for each such repeat.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -54,11 +54,13 @@
 
 // attempt is one sending of a request.
 type attempt struct {
-	protocol  Protocol
-	transport *upstreamConns
-	gate      *gate
-	cmd       dispatch.SendCmd
-	callerID  string
+	protocol Protocol
+	conns    *upstreamConns
+	// alone tells that the attempt has a connection of its own.
+	alone    bool
+	gate     *gate
+	cmd      dispatch.SendCmd
+	callerID string
 	// resumes tells that the caller's answer has begun. Only a stream of events can
 	// go on with it; what else an upstream says is its failure to do so.
 	resumes bool
@@ -100,7 +102,7 @@
 			}
 		},
 	})
-	resp, err := a.transport.RoundTrip(a.req.WithContext(ctx))
+	resp, err := a.conns.choose(a.alone).RoundTrip(a.req.WithContext(ctx))
 	if err != nil {
 		a.fail(ctx, a.causeOf(ctx), "", err)
 		return
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	a := &attempt{
-		protocol: plainProtocol{}, transport: ta.pool.get("u1"), gate: ta.gate, cancel: cancel,
+		protocol: plainProtocol{}, conns: ta.pool.get("u1"), gate: ta.gate, cancel: cancel,
 		cmd:    dispatch.SendCmd{Route: &catalog.Route{Kind: ta.kind}, Keyed: true, CatalogVersion: 1},
 		pieces: make(chan piece, piecesWaiting),
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -223,6 +223,7 @@
 	s := &session{
 		relay: r, id: dispatch.RequestID(r.nextID.Add(1)), head: head, body: body, w: answer, r: req,
 		mail: make(chan dispatch.Cmd, mailboxSize), log: r.log, began: began,
+		sentTo: make(map[string]bool),
 	}
 	s.run()
 	return s.explained
--- a/relay/session.go
+++ b/relay/session.go
@@ -28,6 +28,8 @@
 	sent    clock.Millis
 	// inVain tells that an attempt was taken back for want of an answer.
 	inVain bool
+	// sentTo are the upstreams to which the request was sent.
+	sentTo map[string]bool
 	// held is the upstream's own failure, kept for a RelayCmd.
 	held *piece
 	// lastEvent is the id of the last event that the caller has.
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -14,9 +14,7 @@
 // within 350 (docs/MEASUREMENTS.md).
 const doubtAfter clock.Millis = 300
 
-// send begins an attempt. Where one has brought nothing the next goes out on a new
-// connection: kept ones may all have gone silent, and the caller's time does not last
-// for one after the other.
+// send begins an attempt.
 func (s *session) send(cmd dispatch.SendCmd) {
 	now := s.relay.clock.Now()
 	remaining := min(cmd.Deadline, cmd.GiveUp).Sub(now)
@@ -31,12 +29,9 @@
 	}
 	s.doubt.Reset(doubtAfter.Duration())
 	conns := s.relay.upstreams.get(cmd.Upstream)
-	if s.inVain {
-		conns.CloseIdleConnections()
-	}
 	ctx, cancel := context.WithCancelCause(s.r.Context())
 	a := &attempt{
-		protocol: s.relay.protocol, transport: conns, gate: s.relay.gate, cmd: cmd,
+		protocol: s.relay.protocol, conns: conns, alone: s.needsOwnConnection(cmd.Upstream), gate: s.relay.gate, cmd: cmd,
 		callerID: s.head.ID, resumes: s.w.begun(), pieces: make(chan piece, piecesWaiting), cancel: cancel,
 	}
 	a.req = outgoing(ctx, s.r, cmd.Address, s.body)
@@ -50,6 +45,17 @@
 	go a.run(ctx)
 }
 
+// needsOwnConnection tells whether the next attempt goes out on a connection of its own.
+// It does where one has brought nothing: kept ones may all have gone silent, and the
+// caller's time does not last for one after the other. And it does where the upstream
+// has been asked before: it may answer once more, late, and on the same connection that
+// would be taken for the answer to this attempt.
+func (s *session) needsOwnConnection(upstream string) bool {
+	again := s.sentTo[upstream]
+	s.sentTo[upstream] = true
+	return s.inVain || again
+}
+
 // attemptFailed ends the attempt and asks what comes next.
 func (s *session) attemptFailed(cause dispatch.Cause, at string, err error) {
 	s.logFailure(cause, at, err)
@@ -74,7 +80,7 @@
 // the last piece of the attempt under way, if its upstream has brought nothing since.
 func (s *session) doubtConnections() {
 	if s.attempt != nil {
-		s.attempt.transport.renewUnheard(s.lastPiece)
+		s.attempt.conns.renewUnheard(s.lastPiece)
 	}
 }
 
--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -39,6 +39,8 @@
 // upstreamConns are the connections to one upstream.
 type upstreamConns struct {
 	*http.Transport
+	// single makes a connection for each attempt.
+	single *http.Transport
 	// heard is when the last byte came on any of them, in ms of the pool's clock.
 	heard atomic.Int64
 }
@@ -59,11 +61,22 @@
 			DisableCompression: true, MaxIdleConnsPerHost: idleEach, IdleConnTimeout: idleUpstream,
 			ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
 		}
+		conns.single = conns.Clone()
+		conns.single.DisableKeepAlives = true
 		p.byID[id] = conns
 	}
 	return conns
 }
 
+// choose returns what an attempt goes out with: a connection of its own, or one that may
+// have been kept.
+func (u *upstreamConns) choose(own bool) http.RoundTripper {
+	if own {
+		return u.single
+	}
+	return u.Transport
+}
+
 // renewUnheard closes the idle connections to an upstream that has brought nothing
 // since a time, on any connection. Connections may go silent for good: those that are
 // kept may be as silent as the one on which an answer is missing.
