--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -25,6 +25,8 @@
 	// cut, and askPart bounds one question to a part.
 	stallTime = 2500 * time.Millisecond
 	askPart   = 80 * time.Millisecond
+	// cutAfter is how many events a stream has that is broken off.
+	cutAfter = 3
 )
 
 // ChainEngine is a stand-in for an engine that runs pipelines by itself: it
@@ -35,18 +37,24 @@
 	// advertised is the address by which callers and other engines know it.
 	advertised string
 	client     *http.Client
+	departure  departure
 
 	mu      sync.Mutex
 	held    fleet.Range
 	loading bool
 	orders  uint64
 	streams map[string]*engineStream
+	faults  ChainFaults
+	// taken counts the streams that were taken since the faults were set.
+	taken int
 }
 
 // engineStream is a stream that began at this engine.
 type engineStream struct {
 	parts     []enginePart
 	stalledAt string
+	// cut tells that it is broken off after cutAfter events.
+	cut bool
 }
 
 // enginePart is a stage as the chain's header names it.
@@ -67,7 +75,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return &platformpb.Server{
-		Service: SiteWriter, Address: e.advertised, Zone: centre, State: "ready", Slots: 64, Kind: SiteKind, Layers: e.layers(),
+		Service: SiteWriter, Address: e.advertised, Zone: centre, State: e.departure.state(), Slots: 64, Kind: SiteKind, Layers: e.layers(),
 	}
 }
 
@@ -78,12 +86,15 @@
 	return &platformpb.Layers{From: float64(e.held.From), To: float64(e.held.To)}
 }
 
-// Handler serves orders, reports, questions of other engines, and streams.
+// Handler serves orders, reports, questions of other engines, and streams; its faults
+// at /faults, and its leaving at /leave.
 func (e *ChainEngine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /report", e.report)
 	mux.HandleFunc("POST /order", e.order)
 	mux.HandleFunc("GET /part", e.part)
+	mux.Handle("POST /faults", faultHandler(e.SetFaults))
+	e.departure.serve(mux)
 	mux.HandleFunc("/", e.generate)
 	return mux
 }
@@ -130,6 +141,7 @@
 	if !e.meant(w, r) {
 		return
 	}
+	e.departure.arrived()
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
@@ -141,14 +153,19 @@
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
-	stream := &engineStream{parts: parts}
+	w.Header().Set("Attempt-Id", id)
+	w.Header().Set("Response-Seal", e.id)
+	fate := e.take()
+	if fate == fateFailed {
+		http.Error(w, "the engine fails", http.StatusInternalServerError)
+		return
+	}
+	stream := &engineStream{parts: parts, cut: fate == fateCut}
 	e.mu.Lock()
 	e.streams[id] = stream
 	e.mu.Unlock()
 	defer e.end(id, stream)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Attempt-Id", id)
-	w.Header().Set("Response-Seal", e.id)
 	e.stream(w, r, stream)
 }
 
@@ -190,59 +207,6 @@
 	return resp.StatusCode == http.StatusNoContent
 }
 
-// stream writes the events after the last one that the caller has.
-func (e *ChainEngine) stream(w http.ResponseWriter, r *http.Request, stream *engineStream) {
-	first := 1
-	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-		first = last + 1
-	}
-	control := http.NewResponseController(w)
-	for n := first; n <= SiteEvents(r.URL.Path); n++ {
-		time.Sleep(eventEvery)
-		if !e.passAll(r.Context(), stream) {
-			panic(http.ErrAbortHandler)
-		}
-		if _, err := io.WriteString(w, SiteEvent(r.URL.Path, n)); err != nil {
-			return
-		}
-		if err := control.Flush(); err != nil {
-			return
-		}
-	}
-}
-
-// passAll has every part run one event. It waits for a part that is lost, and
-// reports whether the stream may go on.
-func (e *ChainEngine) passAll(ctx context.Context, stream *engineStream) bool {
-	until := time.Now().Add(stallTime)
-	for time.Now().Before(until) && ctx.Err() == nil {
-		e.mu.Lock()
-		parts := stream.parts
-		e.mu.Unlock()
-		lost := ""
-		for _, p := range parts[1:] {
-			if !e.ask(ctx, p) {
-				lost = p.address
-				break
-			}
-		}
-		e.mu.Lock()
-		stream.stalledAt = lost
-		e.mu.Unlock()
-		if lost == "" {
-			return true
-		}
-		time.Sleep(eventEvery)
-	}
-	return false
-}
-
-// SiteEvents is how many events the stream of a path has.
-func SiteEvents(path string) int { return 10 + len(path)%30 }
-
-// SiteEvent is one event of the stream of a path.
-func SiteEvent(path string, n int) string { return fmt.Sprintf("id: %d\ndata: %s %d\n\n", n, path, n) }
-
 func parseParts(text string) []enginePart {
 	var parts []enginePart
 	for word := range strings.SplitSeq(text, ",") {
