--- a/relay/callers_test.go
+++ b/relay/callers_test.go
@@ -24,7 +24,7 @@
 		{"/write/a", []outcome{brokenStream, wholeStream}, true},
 		{"/once/a", []outcome{failure}, true},
 	} {
-		t.Run(fmt.Sprint(tt.path, tt.script), func(t *testing.T) {
+		t.Run(tt.path+fmt.Sprint(tt.script), func(t *testing.T) {
 			_, address := newTestRelay(t, &scriptedUpstreams{script: tt.script})
 			conn, err := net.Dial("tcp", address)
 			if err != nil {
