A node that others follow renews its proof before the last one is too old

A wait for the configuration at such a node ends 50 ms before its last proof is too old, and the store is asked once more on a new connection.

Not played with whole nodes.

--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -48,6 +48,8 @@
 	// took beside the wait when it was asked last.
 	wait     clock.Millis
 	slowness clock.Millis
+	// proved is as of when the configuration is known to be the newest.
+	proved clock.Millis
 	// urged says that the last wait was left out for the nodes that follow.
 	urged bool
 	// doubt says how sure it is that whoever is asked next is there.
@@ -72,7 +74,7 @@
 		}
 		f.back("config", reader)
 		p = catalogProgress{
-			revision: reading.Revision, read: true, told: reader != nil,
+			revision: reading.Revision, read: true, told: reader != nil, proved: sent.Sub(reading.Age),
 			slowness: p.slownessAfter(reader, reading, f.clock.Now().Sub(sent)), urged: p.urged,
 		}
 		f.take(reading, sent.Sub(reading.Age))
@@ -117,9 +119,23 @@
 	if p.whole {
 		return f.source.ReadCatalog(ctx)
 	}
+	if limit, ok := f.renewWithin(p); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit.Duration())
+		defer cancel()
+	}
 	return f.source.AwaitCatalog(ctx, p.revision, p.wait)
 }
 
+// renewWithin is how long a wait may take at a node that others follow, whatever the
+// store may take at most. Where the connection has gone silent the store is asked once
+// more while the last proof counts: otherwise all that follow, which lose their own
+// connections with this node, find that it cannot vouch, and turn to the store.
+func (f *Catalog) renewWithin(p catalogProgress) (clock.Millis, bool) {
+	limit := p.proved.Add(VouchFor - renewal).Sub(f.clock.Now())
+	return limit, p.doubt == sure && f.readers.Followed() && limit >= p.wait+renewal
+}
+
 // wait is how long the store may hold the next wait. Where it is slow it is asked for
 // less, so that what this node tells others is no older. Where others wait for a proof
 // it is asked for none, but not twice in a row: an answer that brings no proof, such as
--- a/follow/limits.go
+++ b/follow/limits.go
@@ -55,6 +55,9 @@
 	// VouchFor is how old the proof may be with which a node tells others that there is
 	// nothing newer.
 	VouchFor clock.Millis = 1400
+	// renewal is what is left of VouchFor to ask the store once more on a new connection:
+	// it answers in 4 ms.
+	renewal clock.Millis = 50
 	// vouchSoon is for how long a node that is asked for the first time may let the
 	// question wait until it can vouch, where there is time for that: it may learn only
 	// now that it reads for others, and its first call to the store then takes 0.6 s.
--- a/follow/limits_test.go
+++ b/follow/limits_test.go
@@ -33,6 +33,7 @@
 		{"so is the next one", readerLost + storeAnswer, within},
 		{"the node that is followed has lost the store", VouchFor + ReaderMargin + storeAnswer, within},
 		{"the proof of a node that others follow, while its next wait is open", 2 * followedConfigWait, VouchFor},
+		{"the same where that wait is silent, and it asks once more", 2*followedConfigWait + 2*renewal, VouchFor},
 	} {
 		if tt.sum > tt.most {
 			t.Errorf("%s: got a sum of %d ms, want %d at most", tt.name, tt.sum, tt.most)
