A node that is first heard long after others is not followed at once

Cause: a node that has just started followed one that had been frozen, and took over what that one held back of upstreams that had ended; others do not follow such a node for 2.7 s, since they have seen it be silent, but the one that had started had not. The roster's scripts, the followers' tests and the simulation pass. A node that thaws within a second of the other's start is not covered: only its own word could say that it is in doubt.

--- a/reading/roster.go
+++ b/reading/roster.go
@@ -65,8 +65,9 @@
 	// group holds the other nodes by name, and heard what each has said last.
 	group map[string]*wire.Member
 	heard map[string]hearing
-	// met are the nodes that have ever been heard.
-	met map[string]bool
+	// met are the nodes that have ever been heard, the first of them at metFirst.
+	met      map[string]bool
+	metFirst clock.Millis
 	// refused is until when a node is not followed that has failed this one.
 	refused map[string]clock.Millis
 	started clock.Millis
@@ -116,7 +117,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h, there := r.heard[name]
-	if followable && !h.followable && (there || r.met[name]) {
+	if len(r.met) == 0 {
+		r.metFirst = now
+	}
+	// One that is heard for the first time long after others was frozen, or has started.
+	late := now > r.metFirst.Add(heardWithin)
+	if followable && !h.followable && (there || r.met[name] || late) {
 		h.doubtedUntil = now.Add(doubted)
 	}
 	h.at, h.followable = now, followable
