--- a/relay/callers_test.go
+++ b/relay/callers_test.go
@@ -14,17 +14,18 @@
 // stream for all of it. Found by reading how net/http ends answers.
 func TestOldCallerSeesThatAnAnswerBreaksOff(t *testing.T) {
 	for _, tt := range []struct {
+		name   string
 		path   string
 		script []outcome
 		whole  bool
 	}{
-		{"/write/a", []outcome{brokenStream, notFound}, false},
-		{"/tell/a", []outcome{brokenStream}, false},
-		{"/read/a", []outcome{largeBroken}, false},
-		{"/write/a", []outcome{brokenStream, wholeStream}, true},
-		{"/once/a", []outcome{failure}, true},
+		{"stream that nobody takes up", "/write/a", []outcome{brokenStream, notFound}, false},
+		{"stream that may not be taken up", "/tell/a", []outcome{brokenStream}, false},
+		{"large answer", "/read/a", []outcome{largeBroken}, false},
+		{"resumed stream", "/write/a", []outcome{brokenStream, wholeStream}, true},
+		{"failure", "/once/a", []outcome{failure}, true},
 	} {
-		t.Run(tt.path+fmt.Sprint(tt.script), func(t *testing.T) {
+		t.Run(tt.name, func(t *testing.T) {
 			_, address := newTestRelay(t, &scriptedUpstreams{script: tt.script})
 			conn, err := net.Dial("tcp", address)
 			if err != nil {
