An engine that leaves has not ended because a stream was taken back from it

Cause: what ends a stream at an engine that leaves was taken for the engine's end whatever it was, but for a failure that it answered with. One from which the node took the stream back works on for as long as it leaves, and counts among those that have run the request. The package's tests pass.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -88,10 +88,11 @@
 func (m *Model) bounded(r *request) bool { return m.ranOn(r) >= r.mostUpstreams() }
 
 // hasEnded tells whether an upstream has ended, by how its last attempt did. One that
-// was leaving when its stream broke off has.
+// was leaving when its stream broke off has; one that answered with a failure, or from
+// which the stream was taken back, is there.
 func (m *Model) hasEnded(id string, cause Cause) bool {
 	u := m.upstreams[id]
-	return u == nil || u.silent || u.entry.Leaving && cause != Failed
+	return u == nil || u.silent || u.entry.Leaving && cause == Unknown
 }
 
 // mayRunAgain tells whether the operator's bound leaves another attempt. A stream may
