--- a/reading/roster.go
+++ b/reading/roster.go
@@ -68,8 +68,10 @@
 	// group holds the other nodes by name, and heard what each has said last.
 	group map[string]*wire.Member
 	heard map[string]hearing
-	// led are the nodes that could ever be followed. At a start none can at first.
-	led map[string]bool
+	// led tells of each node that was ever heard whether it could ever be followed. At
+	// a start none can at first. heardFirst is when the first of them was heard.
+	led        map[string]bool
+	heardFirst clock.Millis
 	// refused is until when a node is not followed that has failed this one.
 	refused map[string]clock.Millis
 	started clock.Millis
@@ -119,11 +121,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	h := r.heard[name]
-	if followable && !h.followable && r.led[name] {
+	if len(r.led) == 0 {
+		r.heardFirst = now
+	}
+	led, met := r.led[name]
+	// One that is heard for the first time long after others was frozen, or has started.
+	late := !met && now > r.heardFirst.Add(heardWithin)
+	if followable && !h.followable && (led || late) {
 		h.doubtedUntil = now.Add(doubted)
 	}
 	h.at, h.followable = now, followable
-	r.heard[name], r.led[name] = h, followable || r.led[name]
+	r.heard[name], r.led[name] = h, followable || led
 }
 
 // Failed notes that following a node did not work.
