--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -85,7 +85,7 @@
 	p.doubt = p.doubt.after(err, p.failures)
 	switch {
 	case p.doubt == silent:
-		f.askAgain("config", err)
+		f.askAgain(ctx, "config", err)
 	case errors.Is(err, ErrReadAnew):
 		f.log.Info("config_history_gone", zap.Uint64("revision", p.revision))
 		p.whole = true
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -114,7 +114,7 @@
 	p.paused, p.doubt = 0, p.doubt.after(err, p.failures)
 	switch {
 	case p.doubt == silent:
-		f.askAgain("fleet", err)
+		f.askAgain(ctx, "fleet", err)
 	case errors.Is(err, ErrReadAnew):
 		f.log.Info("fleet_history_gone", zap.Uint64("revision", p.revision))
 		p.whole = true
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -156,7 +156,10 @@
 }
 
 // askAgain logs that the last call is made once more.
-func (s *shared) askAgain(table string, err error) {
+func (s *shared) askAgain(ctx context.Context, table string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
 	s.log.Info("ask_again", zap.String("table", table), logging.Err(err))
 }
 
