--- /dev/null
+++ b/follow/silent_reader_test.go
@@ -0,0 +1,89 @@
+package follow
+
+import (
+	"context"
+	"slices"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// mostAsked bounds the questions to a node that brings no answer.
+const mostAsked = 20
+
+// silentReader is another node that may be followed once the store is lost, and on whose
+// connections no answer comes.
+type silentReader struct {
+	noReaders
+	store *scripted
+	// asked counts the questions to it, and lost the calls to the store in vain.
+	asked, lost int
+	failed      bool
+}
+
+func (r *silentReader) ask() error {
+	r.asked++
+	r.store.calls = append(r.store.calls, "reader is silent")
+	if r.asked >= mostAsked {
+		r.store.end()
+	}
+	return errors.Mark(errAway, ErrSilent)
+}
+
+func (r *silentReader) AwaitCatalog(context.Context, uint64, clock.Millis) (CatalogReading, error) {
+	return CatalogReading{}, r.ask()
+}
+
+func (r *silentReader) AwaitUpstreams(context.Context, uint64, clock.Millis) (FleetReading, error) {
+	return FleetReading{}, r.ask()
+}
+
+func (r *silentReader) Reader() Reader {
+	if r.lost == 0 || r.failed {
+		return nil
+	}
+	return r
+}
+
+func (r *silentReader) Failed(Reader) { r.failed = true }
+func (r *silentReader) StoreLost()    { r.lost++ }
+
+// A node that had lost the store followed another one, whose connections ended without an
+// answer. That was taken for a call to the store, which is not made twice while it is
+// away: the node noted the store as lost again, and asked the other one again at once,
+// without a pause and without an end. Plays of the followers' simulation stood still in
+// it; the stack of one shows the loop.
+func TestReaderThatIsSilentWhileTheStoreIsLost(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		run  func(ctx context.Context, source *scripted, r *silentReader) error
+	}{
+		{"configuration", func(ctx context.Context, source *scripted, r *silentReader) error {
+			tell := func(*catalog.Catalog, []byte, clock.Millis) {}
+			return NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, tell, WithReaders(r, noReaders{})).Run(ctx)
+		}},
+		{"list", func(ctx context.Context, source *scripted, r *silentReader) error {
+			return NewFleet(source, clock.New(), zap.NewNop(), &Outage{}, func([]fleet.Change) {}, WithReaders(r, noReaders{})).Run(ctx)
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{raw: "1"}, {err: errAway}, {err: errAway}, {raw: "2"}}}
+			r := &silentReader{store: source}
+			if err := tt.run(ctx, source, r); !errors.Is(err, context.Canceled) {
+				t.Fatalf("got error %v, want %v", err, context.Canceled)
+			}
+			if got, want := r.asked, 2; got != want {
+				t.Errorf("got calls %v, want the other node asked %d times", source.calls, want)
+			}
+			if !slices.Contains(source.calls, "reader is silent") || !r.failed {
+				t.Errorf("got calls %v, want the other node asked and given up", source.calls)
+			}
+		})
+	}
+}
