A followed node that is silent while the store is lost is asked once more, and then given up

Cause: whether a call without an answer is made once more hung on how often the store had failed, also where another node had been asked; the failure then counted as one of the store, and since the other node was still offered, it was asked again at once. Now the error says who was silent.

--- a/follow/reader.go
+++ b/follow/reader.go
@@ -16,6 +16,10 @@
 // the store. The store is asked next.
 var errReaderFailed = errors.New("follow: the reader failed")
 
+// errReaderSilent marks the errors of another node on whose connection no answer came.
+// It is asked once more.
+var errReaderSilent = errors.New("follow: the reader is silent")
+
 // Reader is another node that reads the store.
 type Reader interface {
 	AwaitCatalog(ctx context.Context, after uint64, wait clock.Millis) (CatalogReading, error)
@@ -135,6 +139,8 @@
 	switch {
 	case errors.Is(err, errReaderFailed):
 		return successor
+	case errors.Is(err, errReaderSilent):
+		return silent
 	case errors.Is(err, ErrSilent) && d != silent && failures == 0:
 		return silent
 	default:
@@ -160,7 +166,7 @@
 // has gone silent.
 func (s *shared) readerFailed(ctx context.Context, table string, reader Reader, d doubt, err error) error {
 	if d == sure && errors.Is(err, ErrSilent) {
-		return err
+		return errors.Mark(err, errReaderSilent)
 	}
 	s.readers.Failed(reader)
 	if ctx.Err() == nil {
