An outage has ended for a node once another one has had the store in its place

Cause: a node that had lost the store, and followed others that had it, took its own next answer of the store for the end of its outage, and held back for 2.2 s what ended then. Where no other node has answered for 1.65 s the outage ends as before.

--- a/follow/outage.go
+++ b/follow/outage.go
@@ -15,6 +15,10 @@
 	since clock.Millis
 	ended clock.Millis
 	ever  bool
+	// told is when another node first answered in its place since it was lost, and
+	// toldLast when one did last; clock.Never if none has.
+	told     clock.Millis
+	toldLast clock.Millis
 }
 
 // Lost notes a call without an answer, and returns whether that is news.
@@ -23,6 +27,7 @@
 	defer o.mu.Unlock()
 	news := !o.away
 	o.away, o.ever, o.since = true, true, now
+	o.told, o.toldLast = clock.Never, clock.Never
 	return news
 }
 
@@ -35,6 +40,10 @@
 func (o *Outage) Told(now clock.Millis) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.told == clock.Never {
+		o.told = now
+	}
+	o.toldLast = now
 	if !o.away || now < o.since.Add(forgottenAfter) {
 		return false
 	}
@@ -42,13 +51,18 @@
 	return true
 }
 
-// Back notes an answer, and returns whether that is news.
+// Back notes an answer, and returns whether that is news. The outage has ended when
+// another node had the store, if one did until just now: what has vanished since then
+// that one has told.
 func (o *Outage) Back(now clock.Millis) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	news := o.away
 	if news {
 		o.away, o.ended = false, now
+		if now <= o.toldLast.Add(readerLost) {
+			o.ended = o.told
+		}
 	}
 	return news
 }
--- a/follow/outage_test.go
+++ b/follow/outage_test.go
@@ -21,4 +21,10 @@
 	if got := o.Lapsing(7500); !got {
 		t.Error("got no entries held back right after an outage, want some")
 	}
+	o.Lost(8000)
+	o.Told(9000)
+	o.Back(19_000)
+	if got := o.Lapsing(19_500); !got {
+		t.Error("got no entries held back 10 s after another node had the store, want some: it may have lost it too")
+	}
 }
