--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -14,7 +14,7 @@
 	for _, err := range reading.Unreadable {
 		f.log.Warn("entry_unreadable", logging.Err(err))
 	}
-	if ended := f.outage.Ended(); ended != clock.Never {
+	if ended := f.outage.Ended(now); ended != clock.Never {
 		f.view.StoreBack(ended)
 		f.view.OutageEnded(ended)
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -127,7 +127,11 @@
 		{"a further one", func() bool { return o.Told(90_000) }, false, 90_000, false},
 		{"a third failure", func() bool { return o.Lost(100_000) }, true, 100_000, true},
 		{"another node's answer", func() bool { return o.Told(101_000) }, false, 101_000, true},
-		{"the store's own, later", func() bool { return o.Back(109_000) }, true, 109_000, false},
+		{"its last one", func() bool { return o.Told(108_000) }, false, 108_000, false},
+		{"the store's own, soon after", func() bool { return o.Back(109_000) }, true, 109_000, false},
+		{"a fourth failure", func() bool { return o.Lost(120_000) }, true, 120_000, true},
+		{"another node's only answer", func() bool { return o.Told(121_000) }, false, 121_000, true},
+		{"the store's own, long after", func() bool { return o.Back(129_000) }, true, 129_000, true},
 	}
 	for _, s := range steps {
 		if got := s.do(); got != s.news {
--- a/follow/outage.go
+++ b/follow/outage.go
@@ -15,10 +15,11 @@
 	since clock.Millis
 	ended clock.Millis
 	ever  bool
-	// told tells that another node that has the store has answered since, at toldAt
-	// first: the outage is over by then, although this node has not tried the store.
-	told   bool
-	toldAt clock.Millis
+	// told tells that another node that has the store has answered since, first at
+	// toldAt and last at toldLast: while such answers come the outage is over, although
+	// this node has not tried the store.
+	told             bool
+	toldAt, toldLast clock.Millis
 }
 
 // Lost notes a call without an answer, and returns whether that is news.
@@ -39,9 +40,10 @@
 func (o *Outage) Told(now clock.Millis) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.away && !o.told {
+	if !o.told {
 		o.told, o.toldAt = true, now
 	}
+	o.toldLast = now
 	if !o.away || now < o.since.Add(forgottenAfter) {
 		return false
 	}
@@ -57,12 +59,18 @@
 	if news {
 		o.away, o.ended = false, now
 	}
-	if news && o.told {
+	if news && o.othersHave(now) {
 		o.ended = o.toldAt
 	}
 	return news
 }
 
+// othersHave tells whether another node has had the store until just now. Afterwards it
+// may have lost it too. The caller holds the lock.
+func (o *Outage) othersHave(now clock.Millis) bool {
+	return o.told && now <= o.toldLast.Add(readerLost)
+}
+
 // Away tells whether the store does not answer.
 func (o *Outage) Away() bool {
 	o.mu.Lock()
@@ -72,16 +80,16 @@
 
 // Ended returns when the last outage ended; clock.Never while one lasts, or if there was
 // none.
-func (o *Outage) Ended() clock.Millis {
+func (o *Outage) Ended(now clock.Millis) clock.Millis {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.end()
+	return o.end(now)
 }
 
 // end is when the last outage ended. The caller holds the lock.
-func (o *Outage) end() clock.Millis {
+func (o *Outage) end(now clock.Millis) clock.Millis {
 	switch {
-	case o.away && o.told:
+	case o.away && o.othersHave(now):
 		return o.toldAt
 	case o.away || !o.ever:
 		return clock.Never
@@ -95,5 +103,5 @@
 func (o *Outage) Lapsing(now clock.Millis) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.away && !o.told || now < o.end().Add(fleet.LapseGrace)
+	return o.away && !o.othersHave(now) || now < o.end(now).Add(fleet.LapseGrace)
 }
--- a/follow/silent_test.go
+++ b/follow/silent_test.go
@@ -11,24 +11,24 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
-// silentReader is a node whose connections bring no answer at all.
-type silentReader struct {
+// muteReader is a node whose connections bring no answer at all.
+type muteReader struct {
 	*scriptedReader
 }
 
-func (r silentReader) Reader() Reader {
+func (r muteReader) Reader() Reader {
 	if r.offered == 0 {
 		return nil
 	}
 	return r
 }
 
-func (r silentReader) AwaitCatalog(context.Context, uint64, clock.Millis) (CatalogReading, error) {
+func (r muteReader) AwaitCatalog(context.Context, uint64, clock.Millis) (CatalogReading, error) {
 	r.store.calls = append(r.store.calls, "silent")
 	return CatalogReading{}, errors.Mark(errAway, ErrSilent)
 }
 
-func (r silentReader) Failed(Reader) { r.offered = 0 }
+func (r muteReader) Failed(Reader) { r.offered = 0 }
 
 // A node that had lost the store was offered another one whose connections were dead,
 // and asked it without end and without a pause: what is asked once more before it counts
@@ -48,7 +48,7 @@
 	for _, tt := range tests {
 		ctx, cancel := context.WithCancel(context.Background())
 		source := &scripted{t: t, end: cancel, answers: tt.answers}
-		reader := silentReader{&scriptedReader{store: source, offered: 1}}
+		reader := muteReader{&scriptedReader{store: source, offered: 1}}
 		f := NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) {}, WithReaders(reader, noReaders{}))
 		if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
 			t.Fatalf("%s: got error %v, want %v", tt.name, err, context.Canceled)
