--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -212,6 +212,22 @@
 	}
 }
 
+// Seen: nodes refused requests for want of an upstream, since the node that they had just
+// begun to follow told a whole list of one upstream out of three. That node had read an
+// empty list at its start and then learnt the list from peers; what it read from the store
+// afterwards brought one change that was news to it, and only that was passed on. The logs
+// of both showed the list learnt (revision=0), and the ends of upstreams that lived.
+func TestFleetPassesOnWhatPeersHaveTold(t *testing.T) {
+	followers := &followersLog{}
+	f := NewFleet(&scripted{t: t}, clock.New(), zap.NewNop(), &Outage{}, func([]fleet.Change) {}, WithReaders(noReaders{}, followers))
+	now := f.clock.Now()
+	f.take(now, FleetReading{Revision: 1, Whole: true}, false)
+	f.Learn([]fleet.Upstream{{ID: "u1"}, {ID: "u2"}})
+	f.takeLearnt(now)
+	f.take(now, FleetReading{Revision: 4, Changes: []fleet.Change{listed("u1"), listed("u2"), listed("u3")}}, false)
+	checkCalls(t, followers.calls, []string{"set", "set u1 u2 u3"})
+}
+
 // A node without anybody to follow leaves the store to others while it is told to,
 // but for its first reading.
 func TestLeavesTheStoreToOthers(t *testing.T) {
