What peers have told is passed on with the next answer of the store

Cause: what goes to the nodes that follow is made of what an answer of the store has changed in this node's view. What peers had told had changed the view before, so the store's answer showed nothing new, and nothing of it was ever passed on. Who then asked for the whole list was told that the rest had ended.

Ruled out: not reading anew when a node changes whom it follows, which hid the hole; another node that follows from the start would have met it.

Change: after a peer's list has changed the view, the next answer passes the whole on.

--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -32,8 +32,8 @@
 	confirmed atomic.Int64
 	// passedOn is the newest revision that nodes that follow have been told.
 	passedOn uint64
-	// inDoubt tells that the store was lost since the list was last passed on, and
-	// partial that it may lack what has lapsed.
+	// inDoubt tells that the store was lost, or peers were listened to, since the list
+	// was last passed on, and partial that it may lack what has lapsed.
 	inDoubt bool
 	partial bool
 }
--- a/follow/learnt.go
+++ b/follow/learnt.go
@@ -26,6 +26,10 @@
 func (f *Fleet) takeLearnt(now clock.Millis) {
 	if l := f.learnt.Swap(nil); l != nil && now <= l.at.Add(learntLasts) {
 		f.confirmed.Store(int64(l.at))
-		f.pass(f.view.Learn(now, l.upstreams), 0)
+		changes := f.view.Learn(now, l.upstreams)
+		// Those that follow have not been told of it, and the store's next answer will
+		// show it as nothing new.
+		f.inDoubt = f.inDoubt || len(changes) > 0
+		f.pass(changes, 0)
 	}
 }
