--- a/placement/model.go
+++ b/placement/model.go
@@ -55,9 +55,11 @@
 // Model plans for every pipeline service. It is pure and not safe for
 // concurrent use.
 type Model struct {
-	delay     clock.Millis
-	started   clock.Millis
-	changed   clock.Millis
+	delay   clock.Millis
+	started clock.Millis
+	changed clock.Millis
+	// confirmed is when the list was last confirmed.
+	confirmed clock.Millis
 	planned   bool
 	plannedAt clock.Millis
 	catalog   *catalog.Catalog
@@ -80,6 +82,9 @@
 	dueSince clock.Millis
 	// idleUntil is until when nothing is to be looked at if nothing happens.
 	idleUntil clock.Millis
+	// changes counts what may have changed who holds what, and covered is for Coverage.
+	changes uint64
+	covered covered
 }
 
 // pending is an order that has been given.
@@ -122,6 +127,7 @@
 func (m *Model) Update(now clock.Millis, msg Msg) []OrderCmd {
 	if _, tick := msg.(TickMsg); !tick {
 		m.idleUntil = 0
+		m.changes++
 	}
 	switch msg := msg.(type) {
 	case CatalogMsg:
@@ -137,6 +143,7 @@
 	case PlacedMsg:
 		m.placed(now, msg)
 	case TickMsg:
+		m.confirmed = now.Sub(msg.ListAge)
 		return m.tick(now)
 	}
 	return nil
@@ -241,6 +248,7 @@
 	for id, p := range m.pending {
 		if now >= p.until {
 			delete(m.pending, id)
+			m.changes++
 		}
 	}
 	var wanting []*catalog.Service
@@ -283,7 +291,8 @@
 			wait = takenOverFor
 		}
 	}
-	still := len(m.upstreams) > 0 && now >= m.changed.Add(wait)
+	// A list that nobody has looked at may have grown meanwhile.
+	still := len(m.upstreams) > 0 && m.confirmed >= m.changed.Add(wait)
 	// Orders are held back for the node's delay, and the list may go on growing
 	// meanwhile.
 	m.planned = still && now >= m.changed.Add(wait+m.delay) || now >= m.started.Add(longestWait)
@@ -315,6 +324,7 @@
 		m.dueSince = 0
 	}
 	for _, c := range cmds {
+		m.changes++
 		m.pending[c.Upstream] = pending{layers: c.Layers, until: now.Add(orderLasts)}
 	}
 	slices.SortFunc(cmds, func(a, b OrderCmd) int { return strings.Compare(a.Upstream, b.Upstream) })
