--- a/reading/roster.go
+++ b/reading/roster.go
@@ -20,6 +20,9 @@
 	// it, and how long it leaves the store alone after its start until it has
 	// heard of others. What it has read at its start counts for 4.3 s.
 	settle clock.Millis = 2500
+	// refusedAway is the same for a node that has lost the store: it has nobody else, and
+	// one that cannot vouch now finds the store again within about a second.
+	refusedAway clock.Millis = 500
 	// claimAfter is how long a node that has begun to hear enough others waits
 	// before it takes itself for their first: each tells of itself every 0.3 s.
 	claimAfter clock.Millis = 350
@@ -65,8 +68,10 @@
 	// group holds the other nodes by name, and heard what each has said last.
 	group map[string]*wire.Member
 	heard map[string]hearing
-	// met are the nodes that have ever been heard.
-	met map[string]bool
+	// led tells of each node that was ever heard whether it could ever be followed. At
+	// a start none can at first. heardFirst is when the first of them was heard.
+	led        map[string]bool
+	heardFirst clock.Millis
 	// refused is until when a node is not followed that has failed this one.
 	refused map[string]clock.Millis
 	started clock.Millis
@@ -95,7 +100,7 @@
 func NewRoster(self string, now, patience clock.Millis) *Roster {
 	return &Roster{
 		patience: patience, failedSince: clock.Never,
-		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing), met: make(map[string]bool),
+		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing), led: make(map[string]bool),
 		refused: make(map[string]clock.Millis), started: now,
 		grouped: clock.Never, unledSince: clock.Never, doubtedUntil: clock.Never,
 	}
@@ -115,12 +120,18 @@
 func (r *Roster) Heard(now clock.Millis, name string, followable bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	h, there := r.heard[name]
-	if followable && !h.followable && (there || r.met[name]) {
+	h := r.heard[name]
+	if len(r.led) == 0 {
+		r.heardFirst = now
+	}
+	led, met := r.led[name]
+	// One that is heard for the first time long after others was frozen, or has started.
+	late := !met && now > r.heardFirst.Add(heardWithin)
+	if followable && !h.followable && (led || late) {
 		h.doubtedUntil = now.Add(doubted)
 	}
 	h.at, h.followable = now, followable
-	r.heard[name], r.met[name] = h, true
+	r.heard[name], r.led[name] = h, followable || led
 }
 
 // Failed notes that following a node did not work.
@@ -236,7 +247,7 @@
 			continue
 		}
 		v.nodes++
-		_, refused := r.refused[name]
+		refused := r.refuses(now, name)
 		switch {
 		case h.followable && !refused:
 			offer(name, h.doubtedUntil)
@@ -269,6 +280,16 @@
 	return v
 }
 
+// refuses tells whether a node is not followed for now since it has failed this one. The
+// caller holds the lock.
+func (r *Roster) refuses(now clock.Millis, name string) bool {
+	until, ok := r.refused[name]
+	if r.away {
+		until = until.Sub(settle).Add(refusedAway)
+	}
+	return ok && now < until
+}
+
 // alone tells whether there are too few nodes for one to read for all.
 func (r *Roster) alone(v view) bool { return v.nodes < FewestNodes }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -198,6 +198,11 @@
 	answer := newAnswerWriter(w, &r.stopping)
 	head := r.protocol.CallerHead(req.Header)
 	explained := r.serve(answer, head, w, req)
+	if !answer.ended() && !req.ProtoAtLeast(1, 1) {
+		if err := answer.reset(); err != nil {
+			r.log.Warn("not_reset", zap.String("id", head.ID), logging.Err(err))
+		}
+	}
 	r.settle(answer, head.ID, explained)
 }
 
@@ -230,6 +235,7 @@
 	s := &session{
 		relay: r, id: dispatch.RequestID(r.nextID.Add(1)), head: head, body: body, w: answer, r: req,
 		mail: make(chan dispatch.Cmd, mailboxSize), log: r.log, began: began,
+		sentTo: make(map[string]bool),
 	}
 	s.run()
 	return s.explained
