--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"expvar"
-	"io"
 	"net/http"
 	"sync/atomic"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
@@ -179,16 +176,6 @@
 	}
 }
 
-// defaultBody bounds bodies before a configuration is known, in bytes.
-const defaultBody = 4 << 20
-
-// bodyTime bounds the reading of a body, and writeSlack the writing of an
-// answer beyond the caller's own deadline.
-const (
-	bodyTime   = 10 * time.Second
-	writeSlack = 2 * time.Second
-)
-
 // ServeHTTP takes one request of a caller. It is the one place where answers are
 // broken off: when it returns, net/http takes the answer for whole.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
@@ -240,42 +227,3 @@
 	s.run()
 	return s.explained
 }
-
-// readBody reads a request whole, so that it can be sent more than once.
-func (r *Relay) readBody(w http.ResponseWriter, req *http.Request) (body []byte, status int) {
-	if req.Body == nil || req.Body == http.NoBody {
-		return nil, 0
-	}
-	most := int64(defaultBody)
-	if limits := r.limits.Load(); limits != nil && limits.BodyBytes > 0 {
-		most = limits.BodyBytes
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTime)); err != nil {
-		r.log.Info("no_read_deadline", logging.Err(err))
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, most))
-	if err == nil {
-		if err := control.SetReadDeadline(time.Time{}); err != nil {
-			r.log.Info("no_read_deadline", logging.Err(err))
-		}
-		return body, 0
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	return nil, http.StatusRequestTimeout
-}
-
-// boundWriting keeps a caller that does not read from holding the node up.
-func (r *Relay) boundWriting(w http.ResponseWriter, head CallerHead) {
-	var deadline time.Time
-	if head.Remaining > 0 {
-		deadline = time.Now().Add(head.Remaining.Duration() + writeSlack)
-	}
-	err := http.NewResponseController(w).SetWriteDeadline(deadline)
-	if err != nil {
-		r.log.Info("no_write_deadline", logging.Err(err))
-	}
-}
