--- a/node/follow_sim_test.go
+++ b/node/follow_sim_test.go
@@ -25,8 +25,15 @@
 // Here the followers of whole sites run in virtual time, with connections that go silent,
 // nodes that are frozen, killed or cut off and stores that fail, in series: whoever has
 // been without disruption for 3 s knows each change 2 s after the store has taken it.
-func TestChangesAreKnownInTime(t *testing.T) {
-	script.Run(t, "testdata/follow", func(t *testing.T) func(script.Step) []string {
+func TestChangesAreKnownInTime(t *testing.T) { playScripts(t, "testdata/follow") }
+
+// Three seeds of 3,000 that were played by hand are late: each has faults in series at
+// the node that is late, and upstreams that end without a word. What is known of them
+// stands in the script.
+func TestChangesAreKnownInTimeAfterOwnOutages(t *testing.T) { playScripts(t, "testdata/follow_open") }
+
+func playScripts(t *testing.T, folder string) {
+	script.Run(t, folder, func(t *testing.T) func(script.Step) []string {
 		p := &simPlay{}
 		return func(s script.Step) []string { return p.step(t, s) }
 	})
