A node knows 2.9 s after the store's return what has ended, whatever hung

Ruled out: a shorter time limit of calls (a starved VM needs it for the list), a shorter grace (living upstreams would count as gone for up to two seconds).

Change: the store is asked again at the pace of retries beside a call that hangs; a call that was sent before the end of an outage was noticed says nothing; entries that may come back are told as such (ListedUpstream.lapsed), and who does not know them does not learn them.

--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -21,6 +21,9 @@
 	Accelerator string
 	// Held is the range of layers that it holds; empty for none.
 	Held Range
+	// Lapsed upstreams had an entry before an outage of the store, and have had none since
+	// its return. Who knows one keeps it for a while; who does not must not learn it.
+	Lapsed bool
 }
 
 // Range is a run of layers, From included and To not.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -113,7 +114,7 @@
 	var displaced []Change
 	for _, c := range changes {
 		old := v.atAddress[c.Upstream.Address]
-		if c.Gone || c.Upstream.Address == "" || old == "" || old == c.ID || v.upstreams[c.ID] != nil || v.ended[c.ID] {
+		if c.Gone || c.Upstream.Lapsed || c.Upstream.Address == "" || old == "" || old == c.ID || v.upstreams[c.ID] != nil || v.ended[c.ID] {
 			continue
 		}
 		v.ended[old] = true
@@ -132,6 +133,9 @@
 	if v.ended[c.ID] {
 		return false
 	}
+	if c.Upstream.Lapsed {
+		return v.vanish(now, c.ID, true)
+	}
 	delete(v.missing, c.ID)
 	u := c.Upstream
 	if v.departed[u.ID] {
@@ -205,6 +209,15 @@
 // Waiting tells whether some entry may still come back.
 func (v *View) Waiting() bool { return len(v.missing) > 0 }
 
+// Lapsed returns the upstreams whose entries may still come back.
+func (v *View) Lapsed() []string { return slices.Sorted(maps.Keys(v.missing)) }
+
+// Listed tells whether an upstream is known and has an entry.
+func (v *View) Listed(id string) bool {
+	_, waiting := v.missing[id]
+	return v.Holds(id) && !waiting
+}
+
 // NextExpiry is when the next of them may be taken as gone; ok is false for none.
 func (v *View) NextExpiry() (at clock.Millis, ok bool) {
 	for _, until := range v.missing {
@@ -221,12 +234,15 @@
 // Len returns how many upstreams are known.
 func (v *View) Len() int { return len(v.upstreams) }
 
-// All returns the upstreams in the order of their ids.
-func (v *View) All() []*Upstream {
-	all := make([]*Upstream, 0, len(v.upstreams))
-	for _, u := range v.upstreams {
+// All returns the upstreams in the order of their ids, those among them that may come
+// back as Lapsed.
+func (v *View) All() []Upstream {
+	all := make([]Upstream, 0, len(v.upstreams))
+	for id, known := range v.upstreams {
+		u := *known
+		_, u.Lapsed = v.missing[id]
 		all = append(all, u)
 	}
-	slices.SortFunc(all, func(a, b *Upstream) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
 	return all
 }
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -46,13 +46,13 @@
 	return nil
 }
 
-// changes reads words like u1, u1@address, u1:leaving, u1:held3 and u1:gone.
+// changes reads words like u1, u1@address, u1:leaving, u1:held3, u1:lapsed and u1:gone.
 func changes(words []string) []fleet.Change {
 	var list []fleet.Change
 	for _, word := range words {
 		id, state, _ := strings.Cut(word, ":")
 		id, address, _ := strings.Cut(id, "@")
-		u := fleet.Upstream{ID: id, Address: address, Leaving: state == "leaving"}
+		u := fleet.Upstream{ID: id, Address: address, Leaving: state == "leaving", Lapsed: state == "lapsed"}
 		if held, ok := strings.CutPrefix(state, "held"); ok {
 			u.Held.To, _ = strconv.Atoi(held)
 		}
--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -22,6 +23,8 @@
 	source CatalogSource
 	// unreadable tells that the newest configuration cannot be read.
 	unreadable bool
+	// asked is when the store was last asked.
+	asked clock.Millis
 	// tell takes a configuration, or nil where only the time is new.
 	tell func(c *catalog.Catalog, raw []byte, confirmed clock.Millis)
 }
@@ -96,13 +99,16 @@
 		// it fresh sooner than a wait does.
 		p.whole = p.whole || p.told
 	default:
-		f.lost(ctx, "config", err)
 		p.whole = true
+		if !f.lost(ctx, "config", f.asked, err) {
+			return
+		}
 		if reader, _ := f.reader(p.read); reader != nil {
 			return
 		}
 		p.failures++
-		clock.Pause(ctx, retryPause(p.failures).Duration())
+		// The time in which the call hung is part of the pause.
+		clock.Pause(ctx, f.asked.Add(retryPause(p.failures)).Sub(f.clock.Now()).Duration())
 	}
 }
 
@@ -117,8 +123,9 @@
 		return reading, nil
 	}
 	if p.whole {
-		return f.source.ReadCatalog(ctx)
+		return f.read(ctx, p.failures)
 	}
+	f.asked = f.clock.Now()
 	if limit, ok := f.renewWithin(p); ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, limit.Duration())
@@ -127,6 +134,42 @@
 	return f.source.AwaitCatalog(ctx, p.revision, p.wait)
 }
 
+// catalogAnswer is what came of a call for the whole configuration.
+type catalogAnswer struct {
+	reading CatalogReading
+	err     error
+}
+
+// read reads the whole from the store. While the store is away a call may hang that went
+// out right before its return, so the store is asked again at the pace of retries, whether
+// or not the last call has ended. It is then known to be back longestRetry after it is;
+// with calls that were waited for one by one it took up to 1.5 s.
+func (f *Catalog) read(ctx context.Context, failures int) (CatalogReading, error) {
+	f.asked = f.clock.Now()
+	if failures == 0 {
+		return f.source.ReadCatalog(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan catalogAnswer, 2)
+	ask := func() {
+		reading, err := f.source.ReadCatalog(ctx)
+		answers <- catalogAnswer{reading: reading, err: err}
+	}
+	go ask()
+	again := time.NewTimer(max(retryPause(failures), leastHang).Duration())
+	defer again.Stop()
+	select {
+	case answer := <-answers:
+		return answer.reading, answer.err
+	case <-again.C:
+	}
+	f.asked = f.clock.Now()
+	go ask()
+	answer := <-answers
+	return answer.reading, answer.err
+}
+
 // renewWithin is how long a wait may take at a node that others follow, whatever the
 // store may take at most. Where the connection has gone silent the store is asked once
 // more while the last proof counts: otherwise all that follow, which lose their own
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -88,9 +88,10 @@
 			continue
 		}
 		p.follows(reader, f.clock.Now())
+		sent := f.clock.Now()
 		reading, err := f.call(ctx, reader, p)
 		if err != nil {
-			f.failed(ctx, &p, err)
+			f.failed(ctx, &p, sent, err)
 			continue
 		}
 		now := f.clock.Now()
@@ -109,8 +110,8 @@
 	return ctx.Err()
 }
 
-// failed says how to go on after a call that failed.
-func (f *Fleet) failed(ctx context.Context, p *fleetProgress, err error) {
+// failed says how to go on after a call that was sent at a time and failed.
+func (f *Fleet) failed(ctx context.Context, p *fleetProgress, sent clock.Millis, err error) {
 	p.paused, p.doubt = 0, p.doubt.after(err, p.failures)
 	switch {
 	case p.doubt == silent:
@@ -120,11 +121,13 @@
 		p.whole = true
 	case errors.Is(err, errReaderFailed):
 	default:
-		f.lost(ctx, "fleet", err)
+		p.whole = true
+		if !f.lost(ctx, "fleet", sent, err) {
+			return
+		}
 		f.view.StoreLost()
 		f.inDoubt = true
 		f.followers.Suspend()
-		p.whole = true
 		p.failures++
 		f.sitOut(ctx, p.read, sitOutFor(p.failures))
 	}
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -19,6 +21,7 @@
 		f.view.OutageEnded(ended)
 	}
 	f.view.StoreBack(now)
+	lapsed := f.view.Lapsed()
 	if f.view.Len() == 0 && lapsing {
 		// A node that has started in an outage cannot know what has lapsed in it.
 		f.partial = true
@@ -30,10 +33,20 @@
 		changes = f.view.Apply(now, reading.Changes, lapsing)
 	}
 	expired := f.view.Expire(now)
+	f.inDoubt = f.inDoubt || f.lapsedOthers(lapsed)
 	f.show(reading, changes, expired, lapsing)
 	f.pass(append(changes, expired...), reading.Revision)
 }
 
+// lapsedOthers tells whether other entries have lapsed than had before: one of these is
+// listed again, or further ones vanished. Those that follow are told which have.
+func (f *Fleet) lapsedOthers(before []string) bool {
+	if slices.ContainsFunc(before, f.view.Listed) {
+		return true
+	}
+	return slices.ContainsFunc(f.view.Lapsed(), func(id string) bool { return !slices.Contains(before, id) })
+}
+
 // expire takes entries as gone whose time to come back is over.
 func (f *Fleet) expire(now clock.Millis) {
 	expired := f.view.Expire(now)
@@ -53,7 +66,7 @@
 	case f.partial:
 		f.followers.Suspend()
 	case anew:
-		f.followers.SetFleet(reading.Revision, f.list())
+		f.followers.SetFleet(reading.Revision, f.view.All())
 		f.inDoubt = false
 	default:
 		f.showChanges(reading, changes)
@@ -78,20 +91,12 @@
 	f.followers.AddFleet(reading.Revision, changes)
 }
 
-func (f *Fleet) list() []fleet.Upstream {
-	list := make([]fleet.Upstream, 0, f.view.Len())
-	for _, u := range f.view.All() {
-		list = append(list, *u)
-	}
-	return list
-}
-
 // pass tells changes, and keeps the list for peers.
 func (f *Fleet) pass(changes []fleet.Change, revision uint64) {
 	if len(changes) == 0 {
 		return
 	}
-	list := f.list()
+	list := f.view.All()
 	f.shown.Store(&list)
 	f.logChanges(revision, changes)
 	f.tell(changes)
--- a/follow/limits.go
+++ b/follow/limits.go
@@ -89,6 +89,9 @@
 	// longestRetry leaves the time, of the 3 s after the store's return, in which entries
 	// that vanished may come back.
 	longestRetry clock.Millis = 600
+	// leastHang is how long a call must have hung before the store is asked beside it:
+	// longer than an answer of a slow store takes.
+	leastHang = storeAnswer + 50
 	// firstSitOut is for how long the follower of the list leaves it to that of the
 	// configuration to find the store again, and longestSitOut the same after further
 	// failures.
--- a/follow/limits_test.go
+++ b/follow/limits_test.go
@@ -29,8 +29,8 @@
 		{"so is a connection to another node", IdleConnection + readerWait + 2*ReaderMargin + ReaderMargin + storeAnswer, silenceWithin},
 		{"the call in which silence shows is silent too", StoreMargin + sitOutFor(1) + firstRetry + storeAnswer, within},
 		{"and the configuration's as well", StoreMargin + retryPause(1) + firstRetry + storeAnswer, within},
-		{"the store is away for long, and back", callAtTheStore + longestRetry + firstRetry + storeAnswer, silenceWithin},
-		{"what vanished meanwhile is taken as gone", longestRetry + fleet.LapseGrace + leastWait, silenceWithin},
+		{"the store is away for long, and back", max(longestRetry, leastHang) + firstRetry + storeAnswer, silenceWithin},
+		{"what vanished meanwhile is taken as gone", max(longestRetry, leastHang) + fleet.LapseGrace + leastWait, silenceWithin},
 		{"the node that is followed is frozen", gatherFollowed + readerWait - gatherFollowed + 2*ReaderMargin + storeAnswer, within},
 		{"so is the next one", readerLost + storeAnswer, within},
 		{"the node that is followed has lost the store", VouchFor + ReaderMargin + storeAnswer, within},
@@ -50,6 +50,3 @@
 		}
 	}
 }
-
-// callAtTheStore bounds a call to the store that does not wait (platform.callTimeout).
-const callAtTheStore clock.Millis = 900
--- a/follow/outage.go
+++ b/follow/outage.go
@@ -15,6 +15,8 @@
 	since clock.Millis
 	ended clock.Millis
 	ever  bool
+	// noticed is when this node was first answered again.
+	noticed clock.Millis
 	// told tells that another node that has the store has answered since, first at
 	// toldAt and last at toldLast: while such answers come the outage is over, although
 	// this node has not tried the store.
@@ -22,6 +24,14 @@
 	toldAt, toldLast clock.Millis
 }
 
+// Outlived tells whether an outage has ended since a call was sent. That the call has
+// failed says nothing of the store as it is now: it may have hung since the outage.
+func (o *Outage) Outlived(sent clock.Millis) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ever && !o.away && sent < o.noticed
+}
+
 // Lost notes a call without an answer, and returns whether that is news.
 func (o *Outage) Lost(now clock.Millis) bool {
 	o.mu.Lock()
@@ -57,7 +67,7 @@
 	defer o.mu.Unlock()
 	news := o.away
 	if news {
-		o.away, o.ended = false, now
+		o.away, o.ended, o.noticed = false, now, now
 	}
 	if news && o.othersHave(now) {
 		o.ended = o.toldAt
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -176,15 +176,22 @@
 	return errors.Mark(err, errReaderFailed)
 }
 
-// lost notes a call to the store that failed, and logs the first of an outage.
-func (s *shared) lost(ctx context.Context, table string, err error) {
+// lost notes a call to the store that was sent at a time and failed, and logs the first of
+// an outage. It returns whether the call speaks against the store: one that has outlived
+// an outage does not, and is made again at once.
+func (s *shared) lost(ctx context.Context, table string, sent clock.Millis, err error) bool {
 	if ctx.Err() != nil {
-		return
+		return true
+	}
+	if s.outage.Outlived(sent) {
+		s.askAgain(ctx, table, err)
+		return false
 	}
 	s.readers.StoreLost()
 	if s.outage.Lost(s.clock.Now()) {
 		s.log.Warn("store_lost", zap.String("table", table), logging.Err(err))
 	}
+	return true
 }
 
 // back notes a call that was answered, by the store or by the node that is
--- a/node/follow_sim_test.go
+++ b/node/follow_sim_test.go
@@ -27,9 +27,9 @@
 // been without disruption for 3 s knows each change 2 s after the store has taken it.
 func TestChangesAreKnownInTime(t *testing.T) { playScripts(t, "testdata/follow") }
 
-// Three seeds of 3,000 that were played by hand are late: each has faults in series at
-// the node that is late, and upstreams that end without a word. What is known of them
-// stands in the script.
+// Three seeds of 3,000 that were played by hand were late: each has faults in series at
+// the node that was late, and upstreams that end without a word. The script names the cause
+// of each.
 func TestChangesAreKnownInTimeAfterOwnOutages(t *testing.T) { playScripts(t, "testdata/follow_open") }
 
 func playScripts(t *testing.T, folder string) {
--- a/reading/entry.go
+++ b/reading/entry.go
@@ -9,7 +9,7 @@
 func Entry(u fleet.Upstream) *wire.ListedUpstream {
 	return &wire.ListedUpstream{
 		Id: u.ID, Service: u.Service, Address: u.Address, DataCentre: u.DataCentre, Slots: int32(u.Slots),
-		Leaving: u.Leaving, Accelerator: u.Accelerator, HeldFrom: int32(u.Held.From), HeldTo: int32(u.Held.To),
+		Leaving: u.Leaving, Accelerator: u.Accelerator, HeldFrom: int32(u.Held.From), HeldTo: int32(u.Held.To), Lapsed: u.Lapsed,
 	}
 }
 
@@ -18,6 +18,6 @@
 	return fleet.Upstream{
 		ID: e.GetId(), Service: e.GetService(), Address: e.GetAddress(), DataCentre: e.GetDataCentre(),
 		Slots: int(e.GetSlots()), Leaving: e.GetLeaving(), Accelerator: e.GetAccelerator(),
-		Held: fleet.Range{From: int(e.GetHeldFrom()), To: int(e.GetHeldTo())},
+		Held: fleet.Range{From: int(e.GetHeldFrom()), To: int(e.GetHeldTo())}, Lapsed: e.GetLapsed(),
 	}
 }
