--- a/chain/chain.go
+++ b/chain/chain.go
@@ -26,7 +26,7 @@
 
 // Holder is an engine that may take part in a chain.
 type Holder struct {
-	ID         string
+	ID         fleet.Incarnation
 	Address    string
 	DataCentre string
 	Held       fleet.Range
@@ -46,7 +46,7 @@
 
 // Part is a stage of a chain: an engine and the layers that it runs.
 type Part struct {
-	ID      string
+	ID      fleet.Incarnation
 	Address string
 	Layers  fleet.Range
 }
@@ -110,7 +110,7 @@
 
 func checkFrom(from, layers int, parts []Part) bool {
 	next := from
-	seen := make(map[string]bool, len(parts))
+	seen := make(map[fleet.Incarnation]bool, len(parts))
 	for _, p := range parts {
 		if p.Layers.From != next || p.Layers.Empty() || seen[p.ID] {
 			return false
--- a/chain/lack.go
+++ b/chain/lack.go
@@ -9,10 +9,10 @@
 	Layers fleet.Range
 	// Holders is how many engines hold the first of them.
 	Holders int
-	// ID names the one of them with the most memory left; empty for none. Room is
+	// ID names the one of them with the most memory left; zero for none. Room is
 	// what it has left beside what is kept free, and Need what the request takes for
 	// these layers, in tokens times layers.
-	ID   string
+	ID   fleet.Incarnation
 	Room float64
 	Need float64
 }
@@ -37,14 +37,14 @@
 
 // roomiest returns how many engines hold a layer, and which of them has the most
 // memory left.
-func roomiest(layer int, holders []Holder) (n int, id string, room float64) {
+func roomiest(layer int, holders []Holder) (n int, id fleet.Incarnation, room float64) {
 	for i := range holders {
 		h := &holders[i]
 		if !h.Held.Holds(layer) {
 			continue
 		}
 		n++
-		if left := h.Room - spareRoom*h.Total; id == "" || left > room {
+		if left := h.Room - spareRoom*h.Total; id.IsZero() || left > room {
 			id, room = h.ID, left
 		}
 	}
--- a/chain/lack_test.go
+++ b/chain/lack_test.go
@@ -21,7 +21,7 @@
 		{
 			"the fullest layers",
 			[]chain.Holder{holder("x", "a", 0, 4, 1, 1000), holder("y", "a", 4, 8, 1, 100), holder("z", "a", 4, 6, 1, 500)},
-			chain.Lack{Layers: fleet.Range{From: 6, To: 8}, Holders: 1, ID: "y", Room: 94, Need: 200},
+			chain.Lack{Layers: fleet.Range{From: 6, To: 8}, Holders: 1, ID: fleet.Undated("y"), Room: 94, Need: 200},
 		},
 		{"nobody", nil, chain.Lack{Layers: fleet.Range{From: 0, To: 8}, Need: 800}},
 	}
--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // noDeadline stands in for the deadline of a caller that names none.
@@ -27,7 +28,7 @@
 		}
 		return m.refuse(msg.Request, http.StatusNotFound, ReasonNoRoute, 0)
 	}
-	r := &request{msg: msg, arrived: m.now, route: route, tried: make(map[string]bool), ranAt: make(map[string]run)}
+	r := &request{msg: msg, arrived: m.now, route: route, tried: make(map[fleet.Incarnation]bool), ranAt: make(map[fleet.Incarnation]run)}
 	r.keyed = m.catalog.HasAccounts() && !route.Anonymous
 	if cmds := m.admitKey(r); cmds != nil {
 		return cmds
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -4,6 +4,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // Cmd is something to be done.
@@ -15,7 +16,7 @@
 	Attempt int
 	// Upstream and Address say where; the address may belong to another
 	// upstream by now, so the id is sent along.
-	Upstream string
+	Upstream fleet.Incarnation
 	Address  string
 	// Chain is the way through the engines; nil for plain services.
 	Chain []chain.Part
@@ -95,46 +96,48 @@
 	Attempt int
 	Chain   []chain.Part
 	// Away is the engine that the stream leaves.
-	Away string
+	Away fleet.Incarnation
 }
 
 // ShareCmd tells other nodes what requests take at engines, in tokens times
 // layers.
 type ShareCmd struct {
 	// Used is what this node's requests take.
-	Used map[string]float64
+	Used map[fleet.Incarnation]float64
 	// Total is what those of all nodes that tell each other take, at engines that
 	// are worth telling others of.
-	Total map[string]float64
+	Total map[fleet.Incarnation]float64
 }
 
 // SilentCmd tells the planner of layers that an engine does not answer, or does
 // again.
 type SilentCmd struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Silent   bool
 	// Agreed tells that another node has found it silent before.
 	Agreed bool
 }
 
-// ReconsiderCmd tells a stream that an engine on its way is under suspicion.
+// ReconsiderCmd tells a request that an upstream on its way is under suspicion.
 type ReconsiderCmd struct {
 	Request RequestID
 	Attempt int
-	// At is the engine's address.
+	// At is the upstream's address.
 	At string
+	// Ended tells that its process has ended for certain.
+	Ended bool
 }
 
 // ProbeCmd asks an upstream whether it is well.
 type ProbeCmd struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Address  string
 	Engine   bool
 }
 
 // SuspectCmd is for the log: an upstream gets no work for a while.
 type SuspectCmd struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Until    clock.Millis
 	Strikes  int
 	Cause    Cause
--- a/dispatch/depart.go
+++ b/dispatch/depart.go
@@ -21,7 +21,7 @@
 )
 
 // noteDeparture notes that an engine is leaving, or has no entry any more.
-func (m *Model) noteDeparture(id string) {
+func (m *Model) noteDeparture(id fleet.Incarnation) {
 	if _, known := m.departing[id]; !known {
 		m.departing[id] = m.now
 	}
@@ -61,7 +61,7 @@
 // depart moves streams off engines that have been leaving for a while.
 func (m *Model) depart() []Cmd {
 	var cmds []Cmd
-	for _, id := range slices.Sorted(maps.Keys(m.departing)) {
+	for _, id := range slices.SortedFunc(maps.Keys(m.departing), fleet.Incarnation.Compare) {
 		if m.now < m.departing[id].Add(departAfter) {
 			continue
 		}
@@ -74,7 +74,7 @@
 
 // departFrom moves some streams off an engine, and reports whether any are left
 // that may still be moved.
-func (m *Model) departFrom(id string, cmds *[]Cmd) bool {
+func (m *Model) departFrom(id fleet.Incarnation, cmds *[]Cmd) bool {
 	left := false
 	for _, request := range slices.Sorted(maps.Keys(m.requests)) {
 		r := m.requests[request]
@@ -91,6 +91,6 @@
 }
 
 // passes tells whether the attempt under way passes an engine.
-func (r *request) passes(id string) bool {
+func (r *request) passes(id fleet.Incarnation) bool {
 	return slices.ContainsFunc(r.parts, func(p chain.Part) bool { return p.ID == id })
 }
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -105,8 +105,9 @@
 // was taken back for want of events speaks against nobody, unless somebody was
 // found silent.
 func (m *Model) atFault(r *request, msg AttemptFailedMsg) *upstream {
-	if u := m.byAddress[msg.At]; u != nil {
-		return u
+	if at, ok := r.at(msg.At); ok {
+		// Who has ended since cannot be blamed, nor can who has its address now.
+		return m.upstreams[at]
 	}
 	if msg.Cause == Slow {
 		return nil
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -3,11 +3,11 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 
 	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // Model holds everything that the decisions depend on. It is not safe for
@@ -23,11 +23,10 @@
 	// nodes is how many nodes there are, 0 while that is not known.
 	nodes int
 
-	upstreams map[string]*upstream
+	upstreams map[fleet.Incarnation]*upstream
 	byService map[string][]*upstream
 	// atHome are those of the own data centre, by service.
-	atHome    map[string][]*upstream
-	byAddress map[string]*upstream
+	atHome map[string][]*upstream
 	// fastest is the time of a token through all layers of a service's pipeline on its
 	// fastest engine, in ms.
 	fastest  map[string]float64
@@ -44,7 +43,7 @@
 	// shared is when this node last told what it has in use.
 	shared clock.Millis
 	// departing are engines that are leaving, and since when.
-	departing map[string]clock.Millis
+	departing map[fleet.Incarnation]clock.Millis
 }
 
 // Option sets up a Model.
@@ -64,15 +63,14 @@
 // New returns a model that knows no configuration and no upstreams.
 func New(opts ...Option) *Model {
 	m := &Model{
-		upstreams: make(map[string]*upstream),
+		upstreams: make(map[fleet.Incarnation]*upstream),
 		byService: make(map[string][]*upstream),
 		atHome:    make(map[string][]*upstream),
-		byAddress: make(map[string]*upstream),
 		fastest:   make(map[string]float64),
 		requests:  make(map[RequestID]*request),
 		budgets:   make(map[string]*budget.Window),
 		usage:     make(map[string]peerUsage),
-		departing: make(map[string]clock.Millis),
+		departing: make(map[fleet.Incarnation]clock.Millis),
 		shortages: make(map[string]*shortage),
 		confirmed: clock.Never,
 		lasts:     firstLasts,
@@ -92,8 +90,7 @@
 		m.setCatalog(msg)
 		return m.takeEarly()
 	case FleetMsg:
-		m.setFleet(msg)
-		return m.takeEarly()
+		return append(m.setFleet(msg), m.takeEarly()...)
 	case PeersMsg:
 		m.nodes = msg.All
 		m.setSlacks()
@@ -152,7 +149,8 @@
 	return m.policy.RevokeWithin == 0 || now.Sub(m.confirmed) <= m.policy.RevokeWithin-freshMargin
 }
 
-func (m *Model) setFleet(msg FleetMsg) {
+func (m *Model) setFleet(msg FleetMsg) []Cmd {
+	var cmds []Cmd
 	for _, c := range msg.Changes {
 		u, known := m.upstreams[c.ID]
 		if known && u.pipeline != nil && (c.Gone || c.Upstream.Leaving) {
@@ -164,6 +162,9 @@
 				m.noteEnd(u)
 			}
 			delete(m.upstreams, c.ID)
+			if known && c.Ended {
+				cmds = append(cmds, m.endedFor(u)...)
+			}
 		case known:
 			u.update(m.now, c.Upstream)
 		default:
@@ -176,20 +177,19 @@
 		}
 	}
 	m.index()
+	return cmds
 }
 
 func (m *Model) index() {
 	clear(m.byService)
 	clear(m.atHome)
-	clear(m.byAddress)
 	clear(m.fastest)
 	for _, u := range m.upstreams {
 		m.noteFastest(u)
 		m.byService[u.entry.Service] = append(m.byService[u.entry.Service], u)
-		m.byAddress[u.entry.Address] = u
 	}
 	for service, list := range m.byService {
-		slices.SortFunc(list, func(a, b *upstream) int { return strings.Compare(a.entry.ID, b.entry.ID) })
+		slices.SortFunc(list, func(a, b *upstream) int { return a.entry.ID.Compare(b.entry.ID) })
 		for _, u := range list {
 			if u.entry.DataCentre == m.dataCentre {
 				m.atHome[service] = append(m.atHome[service], u)
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "github.com/hoistjunction/hoistjunction/chain"
+import (
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
 
 // mostMoves bounds how often one request's stream is moved, over all attempts.
 const mostMoves = 3
@@ -12,20 +15,21 @@
 	if r == nil || msg.Attempt != r.sends {
 		return nil
 	}
-	u := m.byAddress[msg.At]
-	if u == nil {
+	at, ok := r.at(msg.At)
+	if !ok {
 		return nil
 	}
-	if msg.Slow {
-		return m.move(r, u.entry.ID)
+	u := m.upstreams[at]
+	if msg.Slow || u == nil {
+		return m.move(r, at)
 	}
 	cmds := m.suspect(u, Slow, r)
-	return append(cmds, m.move(r, u.entry.ID)...)
+	return append(cmds, m.move(r, at)...)
 }
 
 // move sends a running stream around an engine. The first engine of a chain
 // stays, since the stream comes from there.
-func (m *Model) move(r *request, away string) []Cmd {
+func (m *Model) move(r *request, away fleet.Incarnation) []Cmd {
 	if r.moving || r.moves >= mostMoves || len(r.parts) == 0 || r.parts[0].ID == away {
 		return nil
 	}
@@ -40,7 +44,7 @@
 }
 
 // detour builds a chain whose first part is the one in use.
-func (m *Model) detour(r *request, away string) ([]chain.Part, error) {
+func (m *Model) detour(r *request, away fleet.Incarnation) ([]chain.Part, error) {
 	first := r.parts[0]
 	holders := m.holders(r, m.byService[r.service.Name], (*upstream).well, first.ID, away)
 	for _, p := range r.parts[1:] {
@@ -73,10 +77,12 @@
 	if msg.Result != MoveRefused {
 		return nil
 	}
-	u := m.byAddress[msg.At]
-	if u == nil {
+	at, ok := r.at(msg.At)
+	if !ok {
 		return nil
 	}
-	u.refused(m.now)
-	return m.move(r, u.entry.ID)
+	if u := m.upstreams[at]; u != nil {
+		u.refused(m.now)
+	}
+	return m.move(r, at)
 }
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -34,7 +34,7 @@
 type UsageMsg struct {
 	Node string
 	// Used is memory by engine, in tokens times layers.
-	Used map[string]float64
+	Used map[fleet.Incarnation]float64
 	// Total tells that it is that of all nodes of another data centre, which Node
 	// names.
 	Total bool
@@ -43,7 +43,7 @@
 // PlacedMsg tells that an engine has been ordered to hold other layers, or, with
 // Holds, that it does. It waits for what passes through those that it gives up.
 type PlacedMsg struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Layers   fleet.Range
 	Holds    bool
 }
@@ -118,7 +118,7 @@
 
 // ReportMsg brings what an engine says of itself.
 type ReportMsg struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Report   Report
 }
 
@@ -149,7 +149,7 @@
 
 // ProbedMsg tells what came of a ProbeCmd.
 type ProbedMsg struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Answered bool
 	Report   Report
 }
@@ -157,7 +157,7 @@
 // ToldSilentMsg tells that another node has found an engine that answers neither
 // streams nor a probe.
 type ToldSilentMsg struct {
-	Upstream string
+	Upstream fleet.Incarnation
 }
 
 // TickMsg drives what depends on time alone.
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // probes asks the upstreams that it is time to ask.
@@ -17,13 +17,13 @@
 		}
 	}
 	slices.SortFunc(cmds, func(a, b Cmd) int {
-		return strings.Compare(a.(ProbeCmd).Upstream, b.(ProbeCmd).Upstream)
+		return a.(ProbeCmd).Upstream.Compare(b.(ProbeCmd).Upstream)
 	})
 	return cmds
 }
 
 // noteReport notes how slow an engine is, and how much memory it has left.
-func (m *Model) noteReport(id string, report Report) {
+func (m *Model) noteReport(id fleet.Incarnation, report Report) {
 	u := m.upstreams[id]
 	if u == nil {
 		return
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -4,6 +4,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // request is a request under way.
@@ -23,10 +24,10 @@
 	// sends counts attempts, and runs those that may have run.
 	sends int
 	runs  int
-	tried map[string]bool
+	tried map[fleet.Incarnation]bool
 	// ranAt are its runs by upstream. The operator bounds the number of upstreams, not
 	// how often one of them is asked.
-	ranAt map[string]run
+	ranAt map[fleet.Incarnation]run
 	// delivered says what the caller has of the answer, and events how many events
 	// that is.
 	delivered Delivered
@@ -45,6 +46,20 @@
 	moves  int
 }
 
+// at returns the upstream at an address that the attempt under way passes. The address may
+// be another one's by now.
+func (r *request) at(address string) (fleet.Incarnation, bool) {
+	if r.first != nil && r.first.entry.Address == address {
+		return r.first.entry.ID, true
+	}
+	for _, p := range r.parts {
+		if p.Address == address {
+			return p.ID, true
+		}
+	}
+	return fleet.Incarnation{}, false
+}
+
 // priority is the account's where it has one, and the route's otherwise.
 func (r *request) priority() int {
 	if r.account.HasPriority {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -1,6 +1,12 @@
 package dispatch
 
-import "github.com/hoistjunction/hoistjunction/catalog"
+import (
+	"maps"
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
 
 // run is what is known of an upstream's run of a request, or of what may be one.
 type run struct {
@@ -23,7 +29,7 @@
 	}
 	u := r.first
 	left := u.entry.Leaving || m.upstreams[u.entry.ID] == nil
-	r.ranAt[u.entry.ID] = run{cause: msg.Cause, ended: u.silent || left && msg.Cause == Unknown}
+	r.ranAt[u.entry.ID] = run{cause: msg.Cause, ended: u.ended || u.silent || left && msg.Cause == Unknown}
 }
 
 // noteEnd takes in that an upstream's entry has gone. That alone is no end: some serve
@@ -38,8 +44,28 @@
 	}
 }
 
+// endedFor takes in that an upstream's process has ended for certain, and has what is
+// under way there given up at once: engines that wait for it stand still for seconds, and
+// whoever has its address now knows nothing of the request.
+func (m *Model) endedFor(u *upstream) []Cmd {
+	u.ended = true
+	delete(m.departing, u.entry.ID)
+	var cmds []Cmd
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		r := m.requests[id]
+		if at, ok := r.ranAt[u.entry.ID]; ok {
+			at.ended = true
+			r.ranAt[u.entry.ID] = at
+		}
+		if r.first == u || r.passes(u.entry.ID) {
+			cmds = append(cmds, ReconsiderCmd{Request: id, Attempt: r.sends, At: u.entry.Address, Ended: true})
+		}
+	}
+	return cmds
+}
+
 // hasEnded tells whether an upstream has ended since its run of a request.
-func (m *Model) hasEnded(id string, at run) bool {
+func (m *Model) hasEnded(id fleet.Incarnation, at run) bool {
 	u := m.upstreams[id]
 	return at.ended || u != nil && u.silent
 }
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -48,17 +48,17 @@
 	case "confirmed":
 		return dispatch.CatalogMsg{Confirmed: p.now}
 	case "upstream":
-		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Upstream: testUpstream(s)}}}
-	case "gone":
-		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Gone: true}}}
+		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Word(0)), Upstream: testUpstream(s)}}}
+	case "gone", "ended":
+		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Word(0)), Gone: true, Ended: s.Verb == "ended"}}}
 	case "peers":
 		return dispatch.PeersMsg{All: s.Int("all", 1)}
 	case "usage":
-		return dispatch.UsageMsg{Node: s.Word(0), Used: map[string]float64{s.Word(1): float64(s.Int("amount", 0))}, Total: s.Named["total"] == "yes"}
+		return dispatch.UsageMsg{Node: s.Word(0), Used: map[fleet.Incarnation]float64{script.Incarnation(s.Word(1)): float64(s.Int("amount", 0))}, Total: s.Named["total"] == "yes"}
 	case "placed":
-		return dispatch.PlacedMsg{Upstream: s.Word(0), Layers: testUpstream(s).Held, Holds: s.Named["holds"] == "yes"}
+		return dispatch.PlacedMsg{Upstream: script.Incarnation(s.Word(0)), Layers: testUpstream(s).Held, Holds: s.Named["holds"] == "yes"}
 	case "report":
-		return dispatch.ReportMsg{Upstream: s.Word(0), Report: testReport(s)}
+		return dispatch.ReportMsg{Upstream: script.Incarnation(s.Word(0)), Report: testReport(s)}
 	case "arrive":
 		return arrival(s, request)
 	case "failed":
@@ -75,9 +75,9 @@
 	case "left":
 		return dispatch.GoneMsg{Request: request}
 	case "probed":
-		return dispatch.ProbedMsg{Upstream: s.Word(0), Answered: s.Named["well"] == "yes", Report: testReport(s)}
+		return dispatch.ProbedMsg{Upstream: script.Incarnation(s.Word(0)), Answered: s.Named["well"] == "yes", Report: testReport(s)}
 	case "told":
-		return dispatch.ToldSilentMsg{Upstream: s.Word(0)}
+		return dispatch.ToldSilentMsg{Upstream: script.Incarnation(s.Word(0))}
 	case "tick":
 		return dispatch.TickMsg{}
 	}
@@ -168,11 +168,14 @@
 		centre = "a"
 	}
 	return fleet.Upstream{
-		ID: s.Word(0), Address: s.Word(0) + ":80", Service: s.Named["service"], DataCentre: centre,
+		ID: script.Incarnation(s.Word(0)), Address: addressOf(s), Service: s.Named["service"], DataCentre: centre,
 		Accelerator: s.Named["kind"], Held: held, Leaving: s.Named["state"] == "leaving",
 	}
 }
 
+// addressOf is an upstream's: all of its runs have the same one.
+func addressOf(s script.Step) string { return string(script.Incarnation(s.Word(0)).ID()) + ":80" }
+
 func show(cmd dispatch.Cmd) string {
 	switch c := cmd.(type) {
 	case dispatch.SendCmd:
@@ -196,7 +199,7 @@
 	case dispatch.MoveCmd:
 		return fmt.Sprintf("move %d.%d off %s over %s", c.Request, c.Attempt, c.Away, showChain(c.Chain))
 	case dispatch.ReconsiderCmd:
-		return fmt.Sprintf("reconsider %d.%d at %s", c.Request, c.Attempt, c.At)
+		return fmt.Sprintf("reconsider %d.%d at %s", c.Request, c.Attempt, c.At) + map[bool]string{true: " ended"}[c.Ended]
 	case dispatch.ShareCmd:
 		return fmt.Sprintf("share %v total %v", c.Used, c.Total)
 	case dispatch.SilentCmd:
@@ -206,7 +209,7 @@
 		}
 		return text
 	case dispatch.ProbeCmd:
-		return "probe " + c.Upstream
+		return "probe " + c.Upstream.String()
 	case dispatch.SuspectCmd:
 		return fmt.Sprintf("suspect %s until %d", c.Upstream, c.Until)
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -9,6 +9,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // send chooses where a request goes next.
@@ -170,7 +171,7 @@
 
 // holders returns those of some engines of the request's service that may take part in
 // a chain now, without those named.
-func (m *Model) holders(r *request, list []*upstream, may func(*upstream) bool, without ...string) []chain.Holder {
+func (m *Model) holders(r *request, list []*upstream, may func(*upstream) bool, without ...fleet.Incarnation) []chain.Holder {
 	holders := make([]chain.Holder, 0, len(list))
 	bounded := m.bounded(r)
 	for _, u := range list {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -26,6 +26,8 @@
 	took    float64
 	failing float64
 
+	// ended tells that its process has ended for certain.
+	ended bool
 	// heldAt is when another node told what it holds.
 	heldAt clock.Millis
 	// pace is how many times slower than usual an engine was at paceAt.
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -5,6 +5,7 @@
 
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 const (
@@ -21,7 +22,7 @@
 // peerUsage is what another node has in use.
 type peerUsage struct {
 	at   clock.Millis
-	used map[string]float64
+	used map[fleet.Incarnation]float64
 	// total tells that it is another data centre's.
 	total bool
 }
@@ -32,7 +33,7 @@
 		return nil
 	}
 	m.shared = m.now
-	used := make(map[string]float64)
+	used := make(map[fleet.Incarnation]float64)
 	for id, u := range m.upstreams {
 		if u.reserved > 0 {
 			used[id] = u.reserved
@@ -42,7 +43,7 @@
 }
 
 // total adds up what this node and those that tell it alone have in use.
-func (m *Model) total(own map[string]float64) map[string]float64 {
+func (m *Model) total(own map[fleet.Incarnation]float64) map[fleet.Incarnation]float64 {
 	total := maps.Clone(own)
 	for _, peer := range m.usage {
 		if peer.total {
@@ -52,7 +53,7 @@
 			total[id] += amount
 		}
 	}
-	maps.DeleteFunc(total, func(id string, amount float64) bool {
+	maps.DeleteFunc(total, func(id fleet.Incarnation, amount float64) bool {
 		u := m.upstreams[id]
 		return u == nil || amount < worthTelling*u.room
 	})
@@ -67,7 +68,7 @@
 	m.addUsage(msg.Used, 1)
 }
 
-func (m *Model) addUsage(used map[string]float64, sign float64) {
+func (m *Model) addUsage(used map[fleet.Incarnation]float64, sign float64) {
 	for id, amount := range used {
 		if u := m.upstreams[id]; u != nil {
 			u.others += sign * amount
@@ -76,7 +77,7 @@
 }
 
 // usageOf adds up what other nodes have told of an engine that is new here.
-func (m *Model) usageOf(id string) float64 {
+func (m *Model) usageOf(id fleet.Incarnation) float64 {
 	sum := 0.0
 	for _, peer := range m.usage {
 		sum += peer.used[id]
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -6,9 +6,9 @@
 // a short while after the store's return before it takes "missing" for "gone".
 package fleet
 
-// Upstream is one incarnation of a server, under an id that is used once.
+// Upstream is what an incarnation of an upstream says of itself.
 type Upstream struct {
-	ID      string
+	ID      Incarnation
 	Service string
 	Address string
 	// DataCentre is where it stands.
@@ -56,7 +56,9 @@
 // Change is a change of the list: an upstream's new entry, or that it has
 // none any more.
 type Change struct {
-	ID       string
-	Gone     bool
+	ID   Incarnation
+	Gone bool
+	// Ended tells of an upstream that is gone that its process has ended for certain.
+	Ended    bool
 	Upstream Upstream
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/hoistjunction/hoistjunction/clock"
 )
@@ -15,18 +14,20 @@
 // View is the node's picture of all upstreams. It is pure: times are handed
 // in. It is not safe for concurrent use.
 type View struct {
-	upstreams map[string]*Upstream
-	// departed are upstreams that were seen leaving. They never come back
-	// under the same id, whatever an older entry says.
-	departed map[string]bool
-	// ended are upstreams whose address another incarnation has. They never come
-	// back either.
-	ended map[string]bool
-	// atAddress names the upstream at an address.
-	atAddress map[string]string
+	upstreams map[Incarnation]*Upstream
+	// departed are incarnations that were seen leaving. They go on leaving, whatever an
+	// older entry says.
+	departed map[Incarnation]bool
+	// ended are incarnations whose address another one has. They never come back.
+	ended map[Incarnation]bool
+	// latest says which incarnations a later run of their upstream has followed. These
+	// never come back either.
+	latest latest
+	// atAddress names the incarnation at an address.
+	atAddress map[string]Incarnation
 	// missing are entries that vanished around an outage, with the time from
 	// which they are taken as gone.
-	missing map[string]clock.Millis
+	missing map[Incarnation]clock.Millis
 	away    bool
 	// back is when the store was back last.
 	back clock.Millis
@@ -35,11 +36,12 @@
 // NewView returns a view without upstreams.
 func NewView() *View {
 	return &View{
-		upstreams: make(map[string]*Upstream),
-		departed:  make(map[string]bool),
-		ended:     make(map[string]bool),
-		atAddress: make(map[string]string),
-		missing:   make(map[string]clock.Millis),
+		upstreams: make(map[Incarnation]*Upstream),
+		departed:  make(map[Incarnation]bool),
+		ended:     make(map[Incarnation]bool),
+		latest:    make(latest),
+		atAddress: make(map[string]Incarnation),
+		missing:   make(map[Incarnation]clock.Millis),
 	}
 }
 
@@ -68,12 +70,13 @@
 }
 
 // Replace takes a whole list. Entries that it lacks are treated as vanished;
-// lapsed tells that the list follows an outage.
+// lapsed tells that the list follows an outage. One that names an earlier run of an
+// upstream says nothing of the latest.
 func (v *View) Replace(now clock.Millis, list []Upstream, lapsed bool) []Change {
-	listed := make(map[string]bool, len(list))
+	listed := make(map[Incarnation]bool, len(list))
 	var changes []Change
 	for _, u := range list {
-		listed[u.ID] = true
+		listed[v.latest.run(u.ID)] = true
 		changes = append(changes, Change{ID: u.ID, Upstream: u})
 	}
 	for id := range v.upstreams {
@@ -81,7 +84,7 @@
 			changes = append(changes, Change{ID: id, Gone: true})
 		}
 	}
-	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(changes, func(a, b Change) int { return a.ID.Compare(b.ID) })
 	return v.Apply(now, changes, lapsed)
 }
 
@@ -98,8 +101,10 @@
 // Apply takes changes of the list and returns those that made a difference:
 // with Gone for upstreams that get no new work from now on.
 func (v *View) Apply(now clock.Millis, changes []Change, lapsed bool) []Change {
-	effective := v.displace(changes)
+	effective := v.supersede(changes)
+	effective = append(effective, v.displace(changes)...)
 	for _, c := range changes {
+		c.ID = v.Resolve(c)
 		if v.apply(now, c, lapsed) {
 			effective = append(effective, c)
 		}
@@ -107,30 +112,79 @@
 	return effective
 }
 
-// displace removes upstreams that were known at an address at which a new one is, and
-// returns them: every start of an upstream is a new incarnation, so they have ended,
-// whether their entries linger or may come back after an outage.
+// Supersede notes that somebody has heard of a run of an upstream, and returns the
+// earlier one as ended if it was known. The run itself counts once the list shows it.
+func (v *View) Supersede(run Incarnation) []Change {
+	earlier, later := v.latest.note(run)
+	if !later {
+		return nil
+	}
+	if !v.drop(earlier) {
+		return nil
+	}
+	return []Change{{ID: earlier, Gone: true, Ended: true}}
+}
+
+// supersede ends the incarnations that entries name a later run of.
+func (v *View) supersede(changes []Change) []Change {
+	var ended []Change
+	for _, c := range changes {
+		if !c.Gone {
+			ended = append(ended, v.Supersede(c.ID)...)
+		}
+	}
+	return ended
+}
+
+// Resolve returns the incarnation that a change is about. The store takes entries away
+// without a word on which run they were of: that is the latest.
+func (v *View) Resolve(c Change) Incarnation {
+	if c.Gone && c.ID.Born() == 0 {
+		return v.latest.run(c.ID)
+	}
+	return c.ID
+}
+
+// displace ends the incarnations that were known at an address at which a new one is,
+// and returns them: whether their entries linger or may come back after an outage, their
+// processes are gone.
 func (v *View) displace(changes []Change) []Change {
 	var displaced []Change
 	for _, c := range changes {
 		old := v.atAddress[c.Upstream.Address]
-		if c.Gone || c.Upstream.Lapsed || c.Upstream.Address == "" || old == "" || old == c.ID || v.upstreams[c.ID] != nil || v.ended[c.ID] {
+		if c.Gone || c.Upstream.Lapsed || c.Upstream.Address == "" || old.IsZero() || old == c.ID || v.upstreams[c.ID] != nil || v.over(c.ID) {
 			continue
 		}
-		v.ended[old] = true
-		if v.upstreams[old] != nil {
+		if v.end(old) {
 			displaced = append(displaced, Change{ID: old, Gone: true})
-			v.remove(old)
 		}
 	}
 	return displaced
 }
 
+// end notes that an incarnation has ended, and returns whether it was known.
+func (v *View) end(i Incarnation) bool {
+	v.ended[i] = true
+	return v.drop(i)
+}
+
+// drop removes an incarnation, and returns whether it was known.
+func (v *View) drop(i Incarnation) bool {
+	known := v.Holds(i)
+	v.remove(i)
+	return known
+}
+
+// over tells whether an incarnation has ended for certain, whatever is said of it.
+func (v *View) over(i Incarnation) bool { return v.ended[i] || v.latest.outdated(i) }
+
 func (v *View) apply(now clock.Millis, c Change, lapsed bool) bool {
-	if c.Gone {
+	switch {
+	case c.Ended:
+		return v.end(c.ID)
+	case c.Gone:
 		return v.vanish(now, c.ID, lapsed)
-	}
-	if v.ended[c.ID] {
+	case v.over(c.ID):
 		return false
 	}
 	if c.Upstream.Lapsed {
@@ -154,7 +208,7 @@
 }
 
 // vanish handles an entry that is there no more.
-func (v *View) vanish(now clock.Millis, id string, lapsed bool) bool {
+func (v *View) vanish(now clock.Millis, id Incarnation, lapsed bool) bool {
 	if _, ok := v.upstreams[id]; !ok {
 		return false
 	}
@@ -179,7 +233,7 @@
 	return ends
 }
 
-func (v *View) remove(id string) {
+func (v *View) remove(id Incarnation) {
 	if u := v.upstreams[id]; u != nil && v.atAddress[u.Address] == id {
 		delete(v.atAddress, u.Address)
 	}
@@ -202,7 +256,7 @@
 	for _, c := range changes {
 		v.remove(c.ID)
 	}
-	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(changes, func(a, b Change) int { return a.ID.Compare(b.ID) })
 	return changes
 }
 
@@ -210,10 +264,12 @@
 func (v *View) Waiting() bool { return len(v.missing) > 0 }
 
 // Lapsed returns the upstreams whose entries may still come back.
-func (v *View) Lapsed() []string { return slices.Sorted(maps.Keys(v.missing)) }
+func (v *View) Lapsed() []Incarnation {
+	return slices.SortedFunc(maps.Keys(v.missing), Incarnation.Compare)
+}
 
 // Listed tells whether an upstream is known and has an entry.
-func (v *View) Listed(id string) bool {
+func (v *View) Listed(id Incarnation) bool {
 	_, waiting := v.missing[id]
 	return v.Holds(id) && !waiting
 }
@@ -229,12 +285,12 @@
 }
 
 // Holds tells whether an upstream is known.
-func (v *View) Holds(id string) bool { return v.upstreams[id] != nil }
+func (v *View) Holds(id Incarnation) bool { return v.upstreams[id] != nil }
 
 // Len returns how many upstreams are known.
 func (v *View) Len() int { return len(v.upstreams) }
 
-// All returns the upstreams in the order of their ids, those among them that may come
+// All returns the upstreams in their order, those among them that may come
 // back as Lapsed.
 func (v *View) All() []Upstream {
 	all := make([]Upstream, 0, len(v.upstreams))
@@ -243,6 +299,6 @@
 		_, u.Lapsed = v.missing[id]
 		all = append(all, u)
 	}
-	slices.SortFunc(all, func(a, b Upstream) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(all, func(a, b Upstream) int { return a.ID.Compare(b.ID) })
 	return all
 }
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -39,6 +39,8 @@
 	case "ended":
 		v.OutageEnded(now)
 		return nil
+	case "heard":
+		return v.Supersede(script.Incarnation(s.Word(0)))
 	case "expire":
 		return v.Expire(now)
 	}
@@ -46,12 +48,13 @@
 	return nil
 }
 
-// changes reads words like u1, u1@address, u1:leaving, u1:held3, u1:lapsed and u1:gone.
+// changes reads words like u1, u1/address, u1@17 for a run that began at 17, u1:leaving, u1:held3, u1:lapsed and u1:gone.
 func changes(words []string) []fleet.Change {
 	var list []fleet.Change
 	for _, word := range words {
-		id, state, _ := strings.Cut(word, ":")
-		id, address, _ := strings.Cut(id, "@")
+		name, state, _ := strings.Cut(word, ":")
+		name, address, _ := strings.Cut(name, "/")
+		id := script.Incarnation(name)
 		u := fleet.Upstream{ID: id, Address: address, Leaving: state == "leaving", Lapsed: state == "lapsed"}
 		if held, ok := strings.CutPrefix(state, "held"); ok {
 			u.Held.To, _ = strconv.Atoi(held)
@@ -81,7 +84,10 @@
 		case !c.Upstream.Held.Empty():
 			state = fmt.Sprintf(" held %d", c.Upstream.Held.To)
 		}
-		lines = append(lines, c.ID+state)
+		if c.Ended {
+			state = " ended"
+		}
+		lines = append(lines, c.ID.String()+state)
 	}
 	return lines
 }
--- /dev/null
+++ b/fleetwire/entry.go
@@ -0,0 +1,57 @@
+// Package fleetwire translates what nodes tell each other of upstreams.
+package fleetwire
+
+import (
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// named is a message that names an incarnation.
+type named interface {
+	GetId() string
+	GetBorn() int64
+}
+
+// IncarnationOf returns the incarnation that a message names.
+func IncarnationOf(msg named) fleet.Incarnation {
+	return fleet.NewIncarnation(fleet.ID(msg.GetId()), fleet.Start(msg.GetBorn()))
+}
+
+// Name is the reverse of IncarnationOf, for the fields of a message.
+func Name(i fleet.Incarnation) (id string, born int64) { return string(i.ID()), int64(i.Born()) }
+
+// Entry returns an upstream in the form in which nodes tell each other of it.
+func Entry(u fleet.Upstream) *wire.ListedUpstream {
+	id, born := Name(u.ID)
+	return &wire.ListedUpstream{
+		Id: id, Born: born, Service: u.Service, Address: u.Address, DataCentre: u.DataCentre, Slots: int32(u.Slots),
+		Leaving: u.Leaving, Accelerator: u.Accelerator, HeldFrom: int32(u.Held.From), HeldTo: int32(u.Held.To), Lapsed: u.Lapsed,
+	}
+}
+
+// Upstream is the reverse of Entry.
+func Upstream(e *wire.ListedUpstream) fleet.Upstream {
+	return fleet.Upstream{
+		ID: IncarnationOf(e), Service: e.GetService(), Address: e.GetAddress(), DataCentre: e.GetDataCentre(),
+		Slots: int(e.GetSlots()), Leaving: e.GetLeaving(), Accelerator: e.GetAccelerator(),
+		Held: fleet.Range{From: int(e.GetHeldFrom()), To: int(e.GetHeldTo())}, Lapsed: e.GetLapsed(),
+	}
+}
+
+// Change returns a change of the list in the form in which nodes tell each other of it.
+func Change(c fleet.Change) *wire.ListedChange {
+	id, born := Name(c.ID)
+	told := &wire.ListedChange{Id: id, Born: born, Gone: c.Gone, Ended: c.Ended}
+	if !c.Gone {
+		told.Upstream = Entry(c.Upstream)
+	}
+	return told
+}
+
+// ChangeOf is the reverse of Change.
+func ChangeOf(told *wire.ListedChange) fleet.Change {
+	if told.GetGone() {
+		return fleet.Change{ID: IncarnationOf(told), Gone: true, Ended: told.GetEnded()}
+	}
+	return fleet.Change{ID: IncarnationOf(told), Upstream: Upstream(told.GetUpstream())}
+}
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -22,8 +23,11 @@
 type Fleet struct {
 	shared
 	source FleetSource
-	view   *fleet.View
-	tell   func([]fleet.Change)
+	// mu guards view, passedOn, inDoubt and partial: later runs of upstreams are told by
+	// whoever hears of them.
+	mu   sync.Mutex
+	view *fleet.View
+	tell func([]fleet.Change)
 	// learnt is the newest list that a peer has told.
 	learnt atomic.Pointer[learntList]
 	// shown is the list as it stands, for peers.
@@ -125,8 +129,10 @@
 		if !f.lost(ctx, "fleet", sent, err) {
 			return
 		}
+		f.mu.Lock()
 		f.view.StoreLost()
 		f.inDoubt = true
+		f.mu.Unlock()
 		f.followers.Suspend()
 		p.failures++
 		f.sitOut(ctx, p.read, sitOutFor(p.failures))
@@ -162,7 +168,7 @@
 		return f.source.AwaitUpstreams(ctx, p.revision, wait)
 	}
 	after := p.revision
-	if p.whole || f.view.Waiting() {
+	if p.whole || f.waiting() {
 		after = 0
 	}
 	reading, err := reader.AwaitUpstreams(ctx, after, wait)
@@ -174,7 +180,7 @@
 
 // wait is how long the next change is awaited; told, from another node.
 func (f *Fleet) wait(told bool) clock.Millis {
-	switch next, ok := f.view.NextExpiry(); {
+	switch next, ok := f.nextExpiry(); {
 	case ok:
 		return min(max(next.Sub(f.clock.Now()), leastWait), expiryCheck)
 	case told:
@@ -189,7 +195,7 @@
 // gather returns the pause after a change of the list. Calls to another node
 // cost next to nothing, and those of a node that others follow are few.
 func (f *Fleet) gather(told bool) clock.Millis {
-	next, ok := f.view.NextExpiry()
+	next, ok := f.nextExpiry()
 	switch {
 	case ok:
 		// Entries that may come back are looked at in time.
@@ -203,6 +209,20 @@
 	}
 }
 
+// waiting tells whether some entry may still come back.
+func (f *Fleet) waiting() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.Waiting()
+}
+
+// nextExpiry is when the next of them is taken as gone; ok is false for none.
+func (f *Fleet) nextExpiry() (at clock.Millis, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.NextExpiry()
+}
+
 // Listed tells whether any list is known.
 func (f *Fleet) Listed() bool { return f.shown.Load() != nil }
 
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -13,6 +13,8 @@
 // take passes a reading on. Lapsing tells that entries may be missing although
 // their upstreams live.
 func (f *Fleet) take(now clock.Millis, reading FleetReading, lapsing bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, err := range reading.Unreadable {
 		f.log.Warn("entry_unreadable", logging.Err(err))
 	}
@@ -40,15 +42,17 @@
 
 // lapsedOthers tells whether other entries have lapsed than had before: one of these is
 // listed again, or further ones vanished. Those that follow are told which have.
-func (f *Fleet) lapsedOthers(before []string) bool {
+func (f *Fleet) lapsedOthers(before []fleet.Incarnation) bool {
 	if slices.ContainsFunc(before, f.view.Listed) {
 		return true
 	}
-	return slices.ContainsFunc(f.view.Lapsed(), func(id string) bool { return !slices.Contains(before, id) })
+	return slices.ContainsFunc(f.view.Lapsed(), func(id fleet.Incarnation) bool { return !slices.Contains(before, id) })
 }
 
 // expire takes entries as gone whose time to come back is over.
 func (f *Fleet) expire(now clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	expired := f.view.Expire(now)
 	if len(expired) == 0 {
 		return
@@ -57,6 +61,20 @@
 	f.pass(expired, f.passedOn)
 }
 
+// Supersede notes that somebody has heard of a run of an upstream: an engine has answered
+// as it, or another node speaks of it. An earlier run that is known has ended.
+func (f *Fleet) Supersede(run fleet.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ended := f.view.Supersede(run)
+	if len(ended) == 0 {
+		return
+	}
+	f.log.Info("upstream_started_again", zap.Stringer("upstream", run), zap.Stringer("ended", ended[0].ID))
+	f.followers.AddEnded(ended)
+	f.pass(ended, f.passedOn)
+}
+
 // show passes a reading on to the nodes that follow this one, as it has changed the
 // view. Entries that may come back stand in it until their time is over.
 func (f *Fleet) show(reading FleetReading, changes, expired []fleet.Change, lapsing bool) {
@@ -84,6 +102,7 @@
 	// One that follows may know of an entry that has come and gone before this node
 	// has seen it.
 	for _, c := range reading.Changes {
+		c.ID = f.view.Resolve(c)
 		if c.Gone && !f.view.Holds(c.ID) {
 			changes = append(changes, c)
 		}
@@ -115,7 +134,7 @@
 func (f *Fleet) logChanges(revision uint64, changes []fleet.Change) {
 	for _, c := range changes {
 		if c.Gone || c.Upstream.Leaving {
-			f.log.Info("upstream_leaving", zap.String("upstream", c.ID), zap.Bool("gone", c.Gone),
+			f.log.Info("upstream_leaving", zap.Stringer("upstream", c.ID), zap.Bool("gone", c.Gone), zap.Bool("ended", c.Ended),
 				zap.String("address", c.Upstream.Address), zap.Uint64("revision", revision))
 		}
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -145,7 +145,9 @@
 
 func TestFleetReadsWholeAfterAnOutage(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
-	up := func(id string) fleet.Change { return fleet.Change{ID: id, Upstream: fleet.Upstream{ID: id}} }
+	up := func(id string) fleet.Change {
+		return fleet.Change{ID: fleet.Undated(fleet.ID(id)), Upstream: fleet.Upstream{ID: fleet.Undated(fleet.ID(id))}}
+	}
 	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{
 		{changes: []fleet.Change{up("u1"), up("u2")}}, {err: errAway}, {changes: []fleet.Change{up("u2")}},
 	}}
--- a/follow/learnt.go
+++ b/follow/learnt.go
@@ -24,6 +24,8 @@
 // takeLearnt takes the list that a peer has told last, once, if it is recent: peers
 // also answer while this node has the store, and nobody takes their lists then.
 func (f *Fleet) takeLearnt(now clock.Millis) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if l := f.learnt.Swap(nil); l != nil && now <= l.at.Add(learntLasts) {
 		f.confirmed.Store(int64(l.at))
 		changes := f.view.Learn(now, l.upstreams)
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -140,7 +140,7 @@
 func (l *followersLog) AddFleet(_ uint64, changes []fleet.Change) {
 	text := "add"
 	for _, c := range changes {
-		text += fmt.Sprint(" ", c.ID, c.Gone)
+		text += fmt.Sprint(" ", c.ID.String(), c.Gone)
 	}
 	l.calls = append(l.calls, text)
 }
@@ -148,14 +148,22 @@
 func (l *followersLog) SetFleet(_ uint64, list []fleet.Upstream) {
 	text := "set"
 	for _, u := range list {
-		text += " " + u.ID
+		text += " " + u.ID.String()
 	}
 	l.calls = append(l.calls, text)
 }
 
+func (l *followersLog) AddEnded(ended []fleet.Change) {
+	for _, c := range ended {
+		l.calls = append(l.calls, "ended "+c.ID.String())
+	}
+}
+
 func (l *followersLog) Suspend() { l.calls = append(l.calls, "suspend") }
 
-func listed(id string) fleet.Change { return fleet.Change{ID: id, Upstream: fleet.Upstream{ID: id}} }
+func listed(id string) fleet.Change {
+	return fleet.Change{ID: fleet.Undated(fleet.ID(id)), Upstream: fleet.Upstream{ID: fleet.Undated(fleet.ID(id))}}
+}
 
 // backSoon ends an outage as the follower of the configuration would.
 func backSoon(ctx context.Context, outage *Outage, c *clock.Clock) {
@@ -201,7 +209,7 @@
 			{err: errAway}, {changes: []fleet.Change{listed("u1")}}, {changes: []fleet.Change{listed("u2")}},
 		}, []string{"suspend", "suspend", "suspend", "suspend"}},
 		{"unknown ends", []scriptedAnswer{
-			{changes: []fleet.Change{listed("u1")}}, {changes: []fleet.Change{{ID: "u9", Gone: true}}},
+			{changes: []fleet.Change{listed("u1")}}, {changes: []fleet.Change{{ID: fleet.Undated("u9"), Gone: true}}},
 		}, []string{"set u1", "add u9true", "suspend"}},
 	}
 	for _, tt := range tests {
@@ -222,7 +230,7 @@
 	f := NewFleet(&scripted{t: t}, clock.New(), zap.NewNop(), &Outage{}, func([]fleet.Change) {}, WithReaders(noReaders{}, followers))
 	now := f.clock.Now()
 	f.take(now, FleetReading{Revision: 1, Whole: true}, false)
-	f.Learn([]fleet.Upstream{{ID: "u1"}, {ID: "u2"}})
+	f.Learn([]fleet.Upstream{{ID: fleet.Undated("u1")}, {ID: fleet.Undated("u2")}})
 	f.takeLearnt(now)
 	f.take(now, FleetReading{Revision: 4, Changes: []fleet.Change{listed("u1"), listed("u2"), listed("u3")}}, false)
 	checkCalls(t, followers.calls, []string{"set", "set u1 u2 u3"})
@@ -247,12 +255,12 @@
 func TestFleetFollowsAReaderWhileTheStoreIsLost(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{changes: []fleet.Change{listed("u1")}}, {err: errAway}}}
-	reader := &scriptedReader{store: source, answers: []scriptedAnswer{{changes: []fleet.Change{listed("u2")}}, {changes: []fleet.Change{{ID: "u1", Gone: true}}}}}
+	reader := &scriptedReader{store: source, answers: []scriptedAnswer{{changes: []fleet.Change{listed("u2")}}, {changes: []fleet.Change{{ID: fleet.Undated("u1"), Gone: true}}}}}
 	outage := &Outage{}
 	var seen []string
 	f := NewFleet(source, clock.New(), zap.NewNop(), outage, func(changes []fleet.Change) {
 		for _, c := range changes {
-			seen = append(seen, fmt.Sprint(c.ID, c.Gone))
+			seen = append(seen, fmt.Sprint(c.ID.String(), c.Gone))
 		}
 	}, WithReaders(offeredInOutage{reader, outage}, noReaders{}))
 	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
@@ -299,18 +307,18 @@
 	var told []string
 	f := NewFleet(&scripted{t: t}, c, zap.NewNop(), &Outage{}, func(changes []fleet.Change) {
 		for _, change := range changes {
-			told = append(told, fmt.Sprint(change.ID, change.Gone))
+			told = append(told, fmt.Sprint(change.ID.String(), change.Gone))
 		}
 	})
 	f.view.Apply(c.Now(), []fleet.Change{listed("u1"), listed("u2")}, false)
-	f.Learn([]fleet.Upstream{{ID: "u1"}})
-	f.Learn([]fleet.Upstream{{ID: "u1"}, {ID: "u2"}, {ID: "u3"}})
+	f.Learn([]fleet.Upstream{{ID: fleet.Undated("u1")}})
+	f.Learn([]fleet.Upstream{{ID: fleet.Undated("u1")}, {ID: fleet.Undated("u2")}, {ID: fleet.Undated("u3")}})
 	f.takeLearnt(c.Now())
 	if got, want := strings.Join(told, " "), "u3false"; got != want {
 		t.Errorf("got %q of two lists, want %q of the newer", got, want)
 	}
 	told = nil
-	f.Learn([]fleet.Upstream{{ID: "u1"}})
+	f.Learn([]fleet.Upstream{{ID: fleet.Undated("u1")}})
 	f.takeLearnt(c.Now().Add(learntLasts + 1))
 	if len(told) > 0 {
 		t.Errorf("got %q of an old list, want nothing", told)
@@ -356,3 +364,31 @@
 		t.Errorf("got slowness %d after a change, want %d as before", got, want)
 	}
 }
+
+// An engine answers as a later run of its process than the list shows. The earlier run ends
+// at once, here and for those that follow, and no list that is late brings it back.
+func TestLaterRunEndsTheEarlierOne(t *testing.T) {
+	c := clock.New()
+	earlier, later := fleet.NewIncarnation("u1", 100), fleet.NewIncarnation("u1", 200)
+	list := []fleet.Upstream{{ID: earlier}}
+	var told []fleet.Change
+	followers := &followersLog{}
+	f := NewFleet(&scripted{t: t}, c, zap.NewNop(), &Outage{}, func(changes []fleet.Change) { told = append(told, changes...) },
+		WithReaders(noReaders{}, followers))
+	f.take(c.Now(), FleetReading{Revision: 1, Whole: true, Changes: []fleet.Change{{ID: earlier, Upstream: list[0]}}}, false)
+	told = nil
+	f.Supersede(later)
+	if len(told) != 1 || told[0].ID != earlier || !told[0].Ended {
+		t.Fatalf("got %v told, want that %s has ended", told, earlier)
+	}
+	if got, want := strings.Join(followers.calls, " "), "set u1@100 ended u1@100"; got != want {
+		t.Errorf("got %q for those that follow, want %q", got, want)
+	}
+	f.Supersede(later)
+	f.Learn(list)
+	f.takeLearnt(c.Now())
+	f.take(c.Now(), FleetReading{Revision: 2, Whole: true, Changes: []fleet.Change{{ID: earlier, Upstream: list[0]}}}, false)
+	if len(told) != 1 {
+		t.Errorf("got %v told after that, want nothing more", told[1:])
+	}
+}
--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // Step is one line and what must come of it.
@@ -99,3 +101,14 @@
 	}
 	return s
 }
+
+// Incarnation reads the name of an upstream, with the start of its run where that is known:
+// e1 or e1@17.
+func Incarnation(word string) fleet.Incarnation {
+	id, born, _ := strings.Cut(word, "@")
+	start, err := strconv.ParseInt(born, 10, 64)
+	if err != nil {
+		return fleet.Undated(fleet.ID(id))
+	}
+	return fleet.NewIncarnation(fleet.ID(id), fleet.Start(start))
+}
--- a/node/learn.go
+++ b/node/learn.go
@@ -27,7 +27,7 @@
 // setSilent tells the planner that an engine does not answer, or does again, and other
 // nodes of one that they have not told of.
 func (n *Node) setSilent(cmd dispatch.SilentCmd) {
-	n.log.Info("silent", zap.String("upstream", cmd.Upstream), zap.Bool("silent", cmd.Silent), zap.Bool("agreed", cmd.Agreed))
+	n.log.Info("silent", zap.Stringer("upstream", cmd.Upstream), zap.Bool("silent", cmd.Silent), zap.Bool("agreed", cmd.Agreed))
 	n.placer.Tell(placement.SilentMsg{Upstream: cmd.Upstream, Silent: cmd.Silent, Agreed: cmd.Agreed})
 	if cmd.Silent && !cmd.Agreed {
 		n.usage.Silent(cmd.Upstream)
@@ -36,7 +36,7 @@
 
 // share tells other nodes what this one has in use. The node that reads the
 // store for its data centre tells others what all of them have.
-func (n *Node) share(used, total map[string]float64) {
+func (n *Node) share(used, total map[fleet.Incarnation]float64) {
 	n.usage.Share(used)
 	if n.roster.Reads(n.clock.Now()) {
 		n.usage.ShareTotal(total)
@@ -50,6 +50,9 @@
 func (l listener) HearUse(from *wire.Member, msg usage.Msg) {
 	n := l.node
 	n.peers.Heard(from)
+	for engine := range msg.Used {
+		n.meet(engine)
+	}
 	if msg.Total {
 		n.relay.SetUsage("all of "+from.GetDataCentre(), msg.Used, true)
 		return
@@ -59,27 +62,37 @@
 }
 
 // HearPlaced implements usage.Listener.
-func (l listener) HearPlaced(upstream string, layers fleet.Range, holds bool) {
+func (l listener) HearPlaced(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
+	l.node.meet(upstream)
 	l.node.setPlaced(upstream, layers, holds)
 }
 
 // HearSilent implements usage.Listener.
-func (l listener) HearSilent(from *wire.Member, upstream string) {
+func (l listener) HearSilent(from *wire.Member, upstream fleet.Incarnation) {
+	l.node.meet(upstream)
 	if !l.node.silences.news(l.node.clock.Now(), upstream) {
 		return
 	}
-	l.node.log.Info("silent_told", zap.String("upstream", upstream), zap.String("by", from.GetName()))
+	l.node.log.Info("silent_told", zap.Stringer("upstream", upstream), zap.String("by", from.GetName()))
 	l.node.relay.SetSilent(upstream)
 }
 
+// meet takes in that another node speaks of a run of an upstream, which may be a later one
+// than the one that this node knows.
+func (n *Node) meet(upstream fleet.Incarnation) {
+	if upstream.Born() != 0 {
+		n.fleets.Supersede(upstream)
+	}
+}
+
 // tellPlaced tells the own relay and other nodes of an order of this node's.
-func (n *Node) tellPlaced(upstream string, layers fleet.Range, holds bool) {
+func (n *Node) tellPlaced(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
 	n.setPlaced(upstream, layers, holds)
 	n.usage.Placed(upstream, layers, holds)
 }
 
 // setPlaced takes an order that this node or another one has given.
-func (n *Node) setPlaced(upstream string, layers fleet.Range, holds bool) {
+func (n *Node) setPlaced(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
 	n.relay.SetPlaced(upstream, layers, holds)
 	n.placer.Tell(placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	n.store = platform.NewStore(s.Platform)
-	n.engines = platform.NewEngines()
+	n.engines = platform.NewEngines(platform.WithLaterRuns(func(run fleet.Incarnation) { n.fleets.Supersede(run) }))
 	model := dispatch.New(
 		dispatch.WithDataCentre(s.DataCentre),
 		dispatch.WithSeed(hash(s.Name)),
--- a/node/silences.go
+++ b/node/silences.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // silenceLasts is for how long further word of an engine's silence is no news. All nodes
@@ -15,16 +16,16 @@
 // concurrent use.
 type silences struct {
 	mu   sync.Mutex
-	told map[string]clock.Millis
+	told map[fleet.Incarnation]clock.Millis
 }
 
-func newSilences() *silences { return &silences{told: make(map[string]clock.Millis)} }
+func newSilences() *silences { return &silences{told: make(map[fleet.Incarnation]clock.Millis)} }
 
 // news notes a word, and tells whether it is news.
-func (s *silences) news(now clock.Millis, upstream string) bool {
+func (s *silences) news(now clock.Millis, upstream fleet.Incarnation) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maps.DeleteFunc(s.told, func(_ string, at clock.Millis) bool { return now >= at.Add(silenceLasts) })
+	maps.DeleteFunc(s.told, func(_ fleet.Incarnation, at clock.Millis) bool { return now >= at.Add(silenceLasts) })
 	if _, known := s.told[upstream]; known {
 		return false
 	}
--- a/node/silences_test.go
+++ b/node/silences_test.go
@@ -4,12 +4,13 @@
 	"testing"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 func TestSilencesAreNewsOnce(t *testing.T) {
 	s := newSilences()
 	steps := []struct {
-		upstream string
+		upstream fleet.ID
 		at       clock.Millis
 		want     bool
 	}{
@@ -20,7 +21,7 @@
 		{"e1", 600, true},
 	}
 	for _, step := range steps {
-		if got := s.news(step.at, step.upstream); got != step.want {
+		if got := s.news(step.at, fleet.Undated(step.upstream)); got != step.want {
 			t.Errorf("%s at %d: got news %v, want %v", step.upstream, step.at, got, step.want)
 		}
 	}
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -328,7 +328,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range changes {
-		n.left[c.ID] = c.Gone || c.Upstream.Leaving
+		n.left[string(c.ID.ID())] = c.Gone || c.Upstream.Leaving
 	}
 }
 
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -65,7 +65,7 @@
 
 func TestAskLearnsWhatIsNewer(t *testing.T) {
 	c := clock.New()
-	knowing := &fakeNode{raw: []byte("v7"), version: 7, confirmed: c.Now(), list: []fleet.Upstream{{ID: "u1"}}, vouches: true}
+	knowing := &fakeNode{raw: []byte("v7"), version: 7, confirmed: c.Now(), list: []fleet.Upstream{{ID: fleet.Undated("u1")}}, vouches: true}
 	_, peer := newFake(t, "a", knowing, c)
 	asking := &fakeNode{version: 5, confirmed: -9000}
 	p, _ := newFake(t, "b", asking, c)
@@ -101,8 +101,8 @@
 		{"just started", nil, 0, askUnborn - 1, 0, false},
 		{"nothing from the store", nil, 0, askUnborn, 0, true},
 		{"no list yet", nil, 3, askUnborn, 200, true},
-		{"all known and fresh", []fleet.Upstream{{ID: "u1"}}, 3, 9000, askAfter - 1, false},
-		{"the proof gets old", []fleet.Upstream{{ID: "u1"}}, 3, 9000, askAfter, true},
+		{"all known and fresh", []fleet.Upstream{{ID: fleet.Undated("u1")}}, 3, 9000, askAfter - 1, false},
+		{"the proof gets old", []fleet.Upstream{{ID: fleet.Undated("u1")}}, 3, 9000, askAfter, true},
 	}
 	for _, tt := range tests {
 		node := &fakeNode{list: tt.list}
@@ -116,7 +116,7 @@
 // A node that has a list, and whose peers vouch for its configuration, still asks
 // for the list again: the one that it has may be a part of the whole.
 func TestWantsFleetAgain(t *testing.T) {
-	node := &fakeNode{list: []fleet.Upstream{{ID: "u1"}}}
+	node := &fakeNode{list: []fleet.Upstream{{ID: fleet.Undated("u1")}}}
 	p, _ := newFake(t, "a", node, clock.New())
 	steps := []struct {
 		now  clock.Millis
@@ -149,7 +149,7 @@
 // A peer that cannot vouch for its list does not pass it on.
 func TestAskPassesOnNoDoubtfulList(t *testing.T) {
 	c := clock.New()
-	_, peer := newFake(t, "a", &fakeNode{version: 5, confirmed: 0, list: []fleet.Upstream{{ID: "u1"}}}, c)
+	_, peer := newFake(t, "a", &fakeNode{version: 5, confirmed: 0, list: []fleet.Upstream{{ID: fleet.Undated("u1")}}}, c)
 	asking := &fakeNode{version: 5, confirmed: -9000}
 	p, _ := newFake(t, "b", asking, c)
 	p.ask(context.Background(), peer, 5, true)
--- a/peering/server.go
+++ b/peering/server.go
@@ -8,7 +8,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
-	"github.com/hoistjunction/hoistjunction/reading"
+	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 )
@@ -45,7 +45,7 @@
 	}
 	out := make([]*wire.ListedUpstream, 0, len(list))
 	for _, u := range list {
-		out = append(out, reading.Entry(u))
+		out = append(out, fleetwire.Entry(u))
 	}
 	return out, true
 }
@@ -53,7 +53,7 @@
 func upstreamsOf(list []*wire.ListedUpstream) []fleet.Upstream {
 	out := make([]fleet.Upstream, 0, len(list))
 	for _, u := range list {
-		out = append(out, reading.Upstream(u))
+		out = append(out, fleetwire.Upstream(u))
 	}
 	return out
 }
--- a/peering/silent_connections_test.go
+++ b/peering/silent_connections_test.go
@@ -44,7 +44,9 @@
 	k.confirmed = max(k.confirmed, confirmed)
 }
 
-func (*knowing) Fleet() ([]fleet.Upstream, bool)  { return []fleet.Upstream{{ID: "u"}}, true }
+func (*knowing) Fleet() ([]fleet.Upstream, bool) {
+	return []fleet.Upstream{{ID: fleet.Undated("u")}}, true
+}
 func (*knowing) Listed() bool                     { return true }
 func (*knowing) LearnFleet([]fleet.Upstream)      {}
 func (*knowing) LearnMembers([]*wire.Member, int) {}
--- a/placement/coverage_test.go
+++ b/placement/coverage_test.go
@@ -29,7 +29,8 @@
 
 // anyMsg is something that may happen to a few engines of a model of ten layers.
 func anyMsg(random *rand.Rand) Msg {
-	id := fmt.Sprintf("e%d", random.IntN(6))
+	name := fmt.Sprintf("e%d", random.IntN(6))
+	id := fleet.Undated(fleet.ID(name))
 	from := random.IntN(8)
 	layers := fleet.Range{From: from, To: from + random.IntN(4)}
 	switch random.IntN(9) {
@@ -40,7 +41,7 @@
 		}}))}
 	case 1, 2:
 		return FleetMsg{Changes: []fleet.Change{{ID: id, Gone: random.IntN(3) == 0, Upstream: fleet.Upstream{
-			ID: id, Service: "writer", Address: id, DataCentre: "a", Accelerator: "k", Leaving: random.IntN(5) == 0, Held: layers,
+			ID: id, Service: "writer", Address: name, DataCentre: "a", Accelerator: "k", Leaving: random.IntN(5) == 0, Held: layers,
 		}}}}
 	case 3:
 		return SilentMsg{Upstream: id, Silent: random.IntN(2) == 0, Agreed: random.IntN(2) == 0}
--- a/placement/groups.go
+++ b/placement/groups.go
@@ -48,7 +48,7 @@
 
 // fastFirst orders engines by speed, then by memory, then by name.
 func fastFirst(a, b *Engine) int {
-	return cmp.Or(cmp.Compare(a.LayerTime, b.LayerTime), cmp.Compare(b.Most, a.Most), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.LayerTime, b.LayerTime), cmp.Compare(b.Most, a.Most), a.ID.Compare(b.ID))
 }
 
 // alike tells whether another layout has engines of the same kinds in the same order,
--- a/placement/model.go
+++ b/placement/model.go
@@ -60,17 +60,17 @@
 	planned   bool
 	plannedAt clock.Millis
 	catalog   *catalog.Catalog
-	upstreams map[string]fleet.Upstream
+	upstreams map[fleet.Incarnation]fleet.Upstream
 	// silent are engines that are in the list and do not answer this node alone, and
 	// agreed those that do not answer others either.
-	silent  map[string]bool
-	agreed  map[string]bool
-	pending map[string]pending
+	silent  map[fleet.Incarnation]bool
+	agreed  map[fleet.Incarnation]bool
+	pending map[fleet.Incarnation]pending
 	// heldSure is until when word of what an engine holds counts more than an
 	// entry without layers.
-	heldSure map[string]clock.Millis
+	heldSure map[fleet.Incarnation]clock.Millis
 	// seen is when an engine was first in the list.
-	seen map[string]clock.Millis
+	seen map[fleet.Incarnation]clock.Millis
 	// needSince is since when a service has had layers without a holder.
 	needSince map[string]clock.Millis
 	// plans are by service.
@@ -105,12 +105,12 @@
 // New returns a planner that knows nothing.
 func New(opts ...Option) *Model {
 	m := &Model{
-		upstreams: make(map[string]fleet.Upstream),
-		silent:    make(map[string]bool),
-		agreed:    make(map[string]bool),
-		heldSure:  make(map[string]clock.Millis),
-		seen:      make(map[string]clock.Millis),
-		pending:   make(map[string]pending),
+		upstreams: make(map[fleet.Incarnation]fleet.Upstream),
+		silent:    make(map[fleet.Incarnation]bool),
+		agreed:    make(map[fleet.Incarnation]bool),
+		heldSure:  make(map[fleet.Incarnation]clock.Millis),
+		seen:      make(map[fleet.Incarnation]clock.Millis),
+		pending:   make(map[fleet.Incarnation]pending),
 		needSince: make(map[string]clock.Millis),
 		plans:     make(map[string]planned),
 	}
@@ -208,7 +208,7 @@
 }
 
 // lost tells whether an engine counts as lost for its silence.
-func (m *Model) lost(id string) bool {
+func (m *Model) lost(id fleet.Incarnation) bool {
 	return m.agreed[id] || m.silent[id] && len(m.silent) <= mostSilent
 }
 
--- a/placement/msg.go
+++ b/placement/msg.go
@@ -21,7 +21,7 @@
 
 // SilentMsg tells that an engine does not answer this node, or does again.
 type SilentMsg struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Silent   bool
 	// Agreed tells that another node has found it silent too.
 	Agreed bool
@@ -29,7 +29,7 @@
 
 // OrderedMsg tells what came of an OrderCmd.
 type OrderedMsg struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Result   Result
 	Held     fleet.Range
 }
@@ -37,7 +37,7 @@
 // PlacedMsg tells of an order that another node has given, or, with Holds, that
 // an engine has carried one out.
 type PlacedMsg struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Layers   fleet.Range
 	Holds    bool
 }
@@ -78,7 +78,7 @@
 
 // OrderCmd has an engine hold a range of layers.
 type OrderCmd struct {
-	Upstream string
+	Upstream fleet.Incarnation
 	Address  string
 	Layers   fleet.Range
 	// Believed is what the list says that the engine holds.
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -75,6 +74,6 @@
 		}
 		engines = append(engines, e)
 	}
-	slices.SortFunc(engines, func(a, b Engine) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(engines, func(a, b Engine) int { return a.ID.Compare(b.ID) })
 	return engines
 }
--- a/placement/outlook.go
+++ b/placement/outlook.go
@@ -1,6 +1,9 @@
 package placement
 
-import "github.com/hoistjunction/hoistjunction/clock"
+import (
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
 
 // Outlook is what a data centre's engines bear when a first plan has placed the
 // layers.
@@ -17,7 +20,7 @@
 	// Worst is the engine whose loss costs most, Alone how many layers it holds that
 	// nobody else does, Left the part of the rate that is left without it, and
 	// Replaced how long the loading of what it held takes.
-	Worst    string
+	Worst    fleet.Incarnation
 	Alone    int
 	Left     float64
 	Replaced clock.Millis
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -22,7 +22,7 @@
 
 // Engine is an engine as the planner sees it.
 type Engine struct {
-	ID         string
+	ID         fleet.Incarnation
 	DataCentre string
 	// Most is how many layers fit into its memory, and Memory the same with the
 	// part of a layer that is left over.
@@ -51,7 +51,7 @@
 
 // Order tells an engine which layers to hold.
 type Order struct {
-	ID     string
+	ID     fleet.Incarnation
 	Layers fleet.Range
 	// Missing is how many of the layers had no holder in the data centre.
 	Missing int
@@ -91,7 +91,7 @@
 
 func newPlan(shape Shape, engines []Engine) *plan {
 	p := &plan{shape: shape, engines: slices.Clone(engines), local: make(map[string][]int)}
-	slices.SortFunc(p.engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(p.engines, func(a, b Engine) int { return a.ID.Compare(b.ID) })
 	for i := range p.engines {
 		e := &p.engines[i]
 		if p.local[e.DataCentre] == nil {
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -41,20 +41,20 @@
 	case "config":
 		return placement.CatalogMsg{Catalog: testCatalog(s.Int("layers", 10))}
 	case "engine":
-		return placement.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Upstream: fleet.Upstream{
-			ID: s.Word(0), Service: "writer", Address: s.Word(0) + ":80", DataCentre: s.Named["in"], Accelerator: s.Named["kind"],
+		return placement.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Word(0)), Upstream: fleet.Upstream{
+			ID: script.Incarnation(s.Word(0)), Service: "writer", Address: s.Word(0) + ":80", DataCentre: s.Named["in"], Accelerator: s.Named["kind"],
 			Held: heldOf(s.Named["held"]), Leaving: s.Named["state"] == "leaving",
 		}}}}
 	case "gone":
-		return placement.FleetMsg{Changes: []fleet.Change{{ID: s.Word(0), Gone: true}}}
+		return placement.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Word(0)), Gone: true}}}
 	case "rank":
 		return placement.RankMsg{Delay: clock.Millis(s.Int("delay", 0))}
 	case "silent":
-		return placement.SilentMsg{Upstream: s.Word(0), Silent: s.Named["silent"] != "no", Agreed: s.Named["agreed"] == "yes"}
+		return placement.SilentMsg{Upstream: script.Incarnation(s.Word(0)), Silent: s.Named["silent"] != "no", Agreed: s.Named["agreed"] == "yes"}
 	case "ordered":
-		return placement.OrderedMsg{Upstream: s.Word(0), Result: resultOf(p.t, s.Named["result"]), Held: heldOf(s.Named["held"])}
+		return placement.OrderedMsg{Upstream: script.Incarnation(s.Word(0)), Result: resultOf(p.t, s.Named["result"]), Held: heldOf(s.Named["held"])}
 	case "placed":
-		return placement.PlacedMsg{Upstream: s.Word(0), Layers: heldOf(s.Named["layers"]), Holds: s.Named["holds"] == "yes"}
+		return placement.PlacedMsg{Upstream: script.Incarnation(s.Word(0)), Layers: heldOf(s.Named["layers"]), Holds: s.Named["holds"] == "yes"}
 	case "tick":
 		return placement.TickMsg{ListAge: clock.Millis(s.Int("list_age", 0))}
 	}
--- a/placement/size_test.go
+++ b/placement/size_test.go
@@ -33,7 +33,7 @@
 			kind = 0
 		}
 		list[i] = sizeKinds[kind]
-		list[i].ID, list[i].DataCentre = fmt.Sprintf("e%04d", i), "a"
+		list[i].ID, list[i].DataCentre = fleet.Undated(fleet.ID(fmt.Sprintf("e%04d", i))), "a"
 	}
 	return list
 }
@@ -123,7 +123,7 @@
 	list := make([]Engine, n)
 	for i := range list {
 		list[i] = kinds[random.IntN(len(kinds))]
-		list[i].ID, list[i].DataCentre = fmt.Sprintf("e%04d", i), "a"
+		list[i].ID, list[i].DataCentre = fleet.Undated(fleet.ID(fmt.Sprintf("e%04d", i))), "a"
 	}
 	return list
 }
--- a/placement/tick.go
+++ b/placement/tick.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -101,6 +100,6 @@
 		m.changes++
 		m.pending[c.Upstream] = pending{layers: c.Layers, until: now.Add(orderLasts)}
 	}
-	slices.SortFunc(cmds, func(a, b OrderCmd) int { return strings.Compare(a.Upstream, b.Upstream) })
+	slices.SortFunc(cmds, func(a, b OrderCmd) int { return a.Upstream.Compare(b.Upstream) })
 	return cmds
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -19,6 +20,10 @@
 	"github.com/hoistjunction/hoistjunction/placement"
 )
 
+// ErrOtherRun means that whoever answered is another run of the upstream's process than
+// the one that was asked: nothing that was known of that one holds for it.
+var ErrOtherRun = errors.New("placer: another run of the upstream answered")
+
 // Results of orders, under the names that engines' clients use.
 const (
 	Taken      = placement.Taken
@@ -41,8 +46,8 @@
 
 // Engines gives orders.
 type Engines interface {
-	State(ctx context.Context, address string) (State, error)
-	Place(ctx context.Context, address, upstream string, layers fleet.Range, ordersTaken uint64) (Result, error)
+	State(ctx context.Context, address string, upstream fleet.Incarnation) (State, error)
+	Place(ctx context.Context, address string, upstream fleet.Incarnation, layers fleet.Range, ordersTaken uint64) (Result, error)
 }
 
 const (
@@ -80,7 +85,7 @@
 	listAge func() clock.Millis
 	// placed tells all nodes, this one included, of an order that was taken or,
 	// with holds, carried out.
-	placed func(upstream string, layers fleet.Range, holds bool)
+	placed func(upstream fleet.Incarnation, layers fleet.Range, holds bool)
 	// coverage is what was logged last.
 	coverage []string
 }
@@ -99,7 +104,7 @@
 // New returns a placer that runs a model. Placed tells all nodes of an order
 // that an engine has taken or carried out.
 func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger,
-	placed func(upstream string, layers fleet.Range, holds bool), opts ...Option,
+	placed func(upstream fleet.Incarnation, layers fleet.Range, holds bool), opts ...Option,
 ) *Placer {
 	p := &Placer{
 		model: model, engines: engines, clock: c, log: log, placed: placed,
@@ -199,7 +204,7 @@
 // still holds what the planner believes.
 func (p *Placer) give(ctx context.Context, cmd placement.OrderCmd) placement.OrderedMsg {
 	msg := placement.OrderedMsg{Upstream: cmd.Upstream, Result: Unanswered}
-	state, err := p.engines.State(ctx, cmd.Address)
+	state, err := p.engines.State(ctx, cmd.Address, cmd.Upstream)
 	if err == nil {
 		msg.Held = state.Held
 		msg.Result = Busy
@@ -207,7 +212,7 @@
 			msg.Result, err = p.engines.Place(ctx, cmd.Address, cmd.Upstream, cmd.Layers, state.OrdersTaken)
 		}
 	}
-	p.log.Info("order", zap.String("upstream", cmd.Upstream), zap.String("address", cmd.Address),
+	p.log.Info("order", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
 		zap.Int("from", cmd.Layers.From), zap.Int("to", cmd.Layers.To), zap.Int("missing", cmd.Missing),
 		zap.Uint64("orders_taken", state.OrdersTaken), zap.Int("held_from", state.Held.From),
 		zap.Int("held_to", state.Held.To), zap.Stringer("result", msg.Result), logging.Err(err))
@@ -223,11 +228,14 @@
 	until := p.clock.Now().Add(clock.FromDuration(watchFor))
 	for pause := watchFirst; p.clock.Now() < until && ctx.Err() == nil; pause = watchEvery {
 		clock.Pause(ctx, pause)
-		state, err := p.engines.State(ctx, cmd.Address)
+		state, err := p.engines.State(ctx, cmd.Address, cmd.Upstream)
+		if errors.Is(err, ErrOtherRun) {
+			return
+		}
 		if err != nil || state.Busy || state.Held != cmd.Layers {
 			continue
 		}
-		p.log.Info("carried_out", zap.String("upstream", cmd.Upstream), zap.Int("from", cmd.Layers.From), zap.Int("to", cmd.Layers.To))
+		p.log.Info("carried_out", zap.Stringer("upstream", cmd.Upstream), zap.Int("from", cmd.Layers.From), zap.Int("to", cmd.Layers.To))
 		p.placed(cmd.Upstream, cmd.Layers, true)
 		return
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -22,13 +22,13 @@
 	held map[string]fleet.Range
 }
 
-func (e *promptEngines) State(_ context.Context, address string) (placer.State, error) {
+func (e *promptEngines) State(_ context.Context, address string, _ fleet.Incarnation) (placer.State, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return placer.State{Held: e.held[address]}, nil
 }
 
-func (e *promptEngines) Place(_ context.Context, address, _ string, layers fleet.Range, _ uint64) (placer.Result, error) {
+func (e *promptEngines) Place(_ context.Context, address string, _ fleet.Incarnation, layers fleet.Range, _ uint64) (placer.Result, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.held[address] = layers
@@ -53,8 +53,8 @@
 	changes := make([]fleet.Change, manyEngines)
 	for i := range changes {
 		id := fmt.Sprintf("e%03d", i)
-		changes[i] = fleet.Change{ID: id, Upstream: fleet.Upstream{
-			ID: id, Address: id, Service: "writer", Accelerator: "k", DataCentre: fmt.Sprintf("dc-%d", i/aCentre),
+		changes[i] = fleet.Change{ID: fleet.Undated(fleet.ID(id)), Upstream: fleet.Upstream{
+			ID: fleet.Undated(fleet.ID(id)), Address: id, Service: "writer", Accelerator: "k", DataCentre: fmt.Sprintf("dc-%d", i/aCentre),
 		}}
 	}
 	return changes
@@ -80,7 +80,7 @@
 		c := clock.New()
 		engines := &promptEngines{held: make(map[string]fleet.Range)}
 		var p *placer.Placer
-		placed := func(upstream string, layers fleet.Range, holds bool) {
+		placed := func(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
 			p.Tell(placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
 		}
 		p = placer.New(placement.New(placement.WithStart(c.Now())), engines, c, logging.Nop().Logger, placed)
@@ -100,7 +100,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := clock.New()
 		// Nobody runs this one, as if it sought a plan all the while.
-		p := placer.New(placement.New(), &promptEngines{}, c, logging.Nop().Logger, func(string, fleet.Range, bool) {})
+		p := placer.New(placement.New(), &promptEngines{}, c, logging.Nop().Logger, func(fleet.Incarnation, fleet.Range, bool) {})
 		told := 0
 		go func() {
 			for _, change := range emptyEngines() {
@@ -124,12 +124,12 @@
 // orderTakes is how long an engine takes to answer.
 const orderTakes = 2 * time.Millisecond
 
-func (e *slowEngines) State(ctx context.Context, address string) (placer.State, error) {
+func (e *slowEngines) State(ctx context.Context, address string, upstream fleet.Incarnation) (placer.State, error) {
 	time.Sleep(orderTakes)
-	return e.promptEngines.State(ctx, address)
+	return e.promptEngines.State(ctx, address, upstream)
 }
 
-func (e *slowEngines) Place(ctx context.Context, address, upstream string, layers fleet.Range, taken uint64) (placer.Result, error) {
+func (e *slowEngines) Place(ctx context.Context, address string, upstream fleet.Incarnation, layers fleet.Range, taken uint64) (placer.Result, error) {
 	time.Sleep(orderTakes)
 	e.mu.Lock()
 	e.orders++
@@ -148,7 +148,7 @@
 		c := clock.New()
 		engines := &slowEngines{promptEngines: promptEngines{held: make(map[string]fleet.Range)}}
 		var placers []*placer.Placer
-		placed := func(upstream string, layers fleet.Range, holds bool) {
+		placed := func(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
 			for _, p := range placers {
 				p.Tell(placement.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
 			}
--- a/placer/queue.go
+++ b/placer/queue.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/placement"
 )
 
@@ -14,7 +15,7 @@
 	orders []placement.OrderCmd
 	// moot are engines that have been ordered since the last orders were added, by
 	// whichever node.
-	moot map[string]bool
+	moot map[fleet.Incarnation]bool
 }
 
 // add adds the orders of a new plan.
@@ -23,14 +24,14 @@
 		return
 	}
 	q.orders = slices.DeleteFunc(q.orders, func(o placement.OrderCmd) bool { return q.moot[o.Upstream] })
-	q.moot = make(map[string]bool)
+	q.moot = make(map[fleet.Incarnation]bool)
 	begin := int(q.seed % uint64(len(orders)))
 	q.orders = append(append(q.orders, orders[begin:]...), orders[:begin]...)
 }
 
 // ordered notes that an engine has been ordered to hold something: it takes no second
 // order that believes what was before.
-func (q *queue) ordered(upstream string) {
+func (q *queue) ordered(upstream fleet.Incarnation) {
 	if len(q.orders) > 0 {
 		q.moot[upstream] = true
 	}
--- a/reading/log.go
+++ b/reading/log.go
@@ -42,6 +42,13 @@
 	changes  []fleet.Change
 }
 
+// ending is when an upstream was found to be gone, and whether its process has ended for
+// certain.
+type ending struct {
+	at      clock.Millis
+	certain bool
+}
+
 // Log holds what a node has learnt of the store lately, for the nodes that
 // follow it. It is safe for concurrent use.
 type Log struct {
@@ -63,13 +70,13 @@
 	// The list stands in upstreams as of fleetRevision, and its changes are known
 	// from floor on; listed tells whether it is known at all.
 	listed        bool
-	upstreams     map[string]fleet.Upstream
+	upstreams     map[fleet.Incarnation]fleet.Upstream
 	floor         uint64
 	fleetRevision uint64
 	batches       []batch
 	// ended are upstreams that were found to be gone without a change at the store, by
 	// when.
-	ended map[string]clock.Millis
+	ended map[fleet.Incarnation]ending
 	// asked is when another node last asked, and followedSince when the first did
 	// after a time in which none had.
 	asked         clock.Millis
@@ -82,7 +89,7 @@
 func NewLog(c *clock.Clock, vouchFor, vouchSoon clock.Millis) *Log {
 	return &Log{
 		clock: c, vouchFor: vouchFor, vouchSoon: vouchSoon, changed: make(chan struct{}), confirmed: clock.Never,
-		ended: make(map[string]clock.Millis), asked: clock.Never, followedSince: clock.Never, upstreams: make(map[string]fleet.Upstream),
+		ended: make(map[fleet.Incarnation]ending), asked: clock.Never, followedSince: clock.Never, upstreams: make(map[fleet.Incarnation]fleet.Upstream),
 	}
 }
 
@@ -154,10 +161,10 @@
 	for _, c := range ended {
 		if c.Gone {
 			delete(l.upstreams, c.ID)
-			l.ended[c.ID] = now
+			l.ended[c.ID] = ending{at: now, certain: c.Ended || l.ended[c.ID].certain}
 		}
 	}
-	maps.DeleteFunc(l.ended, func(_ string, at clock.Millis) bool { return now >= at.Add(endedTold) })
+	maps.DeleteFunc(l.ended, func(_ fleet.Incarnation, e ending) bool { return now >= e.at.Add(endedTold) })
 	if len(ended) > 0 {
 		l.wake()
 	}
@@ -250,9 +257,9 @@
 // endedSince returns what has ended without a change at the store, and whether some of
 // it has after a time. The caller holds the lock.
 func (l *Log) endedSince(after clock.Millis) (list []fleet.Change, soon bool) {
-	for _, id := range slices.Sorted(maps.Keys(l.ended)) {
-		list = append(list, fleet.Change{ID: id, Gone: true})
-		soon = soon || l.ended[id] > after
+	for _, id := range slices.SortedFunc(maps.Keys(l.ended), fleet.Incarnation.Compare) {
+		list = append(list, fleet.Change{ID: id, Gone: true, Ended: l.ended[id].certain})
+		soon = soon || l.ended[id].at > after
 	}
 	return list, soon
 }
@@ -260,7 +267,7 @@
 // whole returns the list as changes from nothing. The caller holds the lock.
 func (l *Log) whole() []fleet.Change {
 	list := make([]fleet.Change, 0, len(l.upstreams))
-	for _, id := range slices.Sorted(maps.Keys(l.upstreams)) {
+	for _, id := range slices.SortedFunc(maps.Keys(l.upstreams), fleet.Incarnation.Compare) {
 		list = append(list, fleet.Change{ID: id, Upstream: l.upstreams[id]})
 	}
 	return list
--- a/reading/log_test.go
+++ b/reading/log_test.go
@@ -24,7 +24,7 @@
 	vouchSoon clock.Millis = 1000
 )
 
-func gone(id string) []fleet.Change { return []fleet.Change{{ID: id, Gone: true}} }
+func gone(id fleet.ID) []fleet.Change { return []fleet.Change{{ID: fleet.Undated(id), Gone: true}} }
 
 // newLog returns a log that knows a configuration and the list.
 func newLog(t *testing.T) *reading.Log {
@@ -100,7 +100,7 @@
 		got, err := source.AwaitUpstreams(context.Background(), 10, longWait)
 		a := answer{err: err}
 		if len(got.Changes) > 0 {
-			a.id = got.Changes[0].ID
+			a.id = got.Changes[0].ID.String()
 		}
 		answers <- a
 	}()
@@ -198,11 +198,11 @@
 	for i := range uint64(many) {
 		l.AddFleet(11+i, gone("u"))
 	}
-	l.AddFleet(11+many, []fleet.Change{{ID: "u1", Upstream: fleet.Upstream{ID: "u1"}}})
+	l.AddFleet(11+many, []fleet.Change{{ID: fleet.Undated("u1"), Upstream: fleet.Upstream{ID: fleet.Undated("u1")}}})
 	source := follower(t, l)
 	for _, after := range []uint64{0, 10} {
 		got, err := source.AwaitUpstreams(context.Background(), after, 0)
-		if err != nil || !got.Whole || len(got.Changes) != 1 || got.Changes[0].ID != "u1" {
+		if err != nil || !got.Whole || len(got.Changes) != 1 || got.Changes[0].ID != fleet.Undated("u1") {
 			t.Errorf("after %d: got whole=%v, %v and error %v, want u1 alone as the whole", after, got.Whole, got.Changes, err)
 		}
 	}
@@ -278,7 +278,7 @@
 		}
 		return r
 	}
-	listed := []fleet.Change{{ID: "u1", Upstream: fleet.Upstream{ID: "u1"}}}
+	listed := []fleet.Change{{ID: fleet.Undated("u1"), Upstream: fleet.Upstream{ID: fleet.Undated("u1")}}}
 	l.AddFleet(12, listed)
 	if got := await(12); len(got.Changes) != 0 {
 		t.Fatalf("got %+v at the newest revision, want no change", got)
--- a/reading/server.go
+++ b/reading/server.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/clock"
-	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 )
@@ -44,7 +44,7 @@
 	}
 	answer := &wire.AwaitFleetResponse{Revision: reading.Revision, Whole: reading.Whole}
 	for _, c := range reading.Changes {
-		answer.Changes = append(answer.Changes, listed(c))
+		answer.Changes = append(answer.Changes, fleetwire.Change(c))
 	}
 	return connect.NewResponse(answer), nil
 }
@@ -59,10 +59,3 @@
 		return err
 	}
 }
-
-func listed(c fleet.Change) *wire.ListedChange {
-	if c.Gone {
-		return &wire.ListedChange{Id: c.ID, Gone: true}
-	}
-	return &wire.ListedChange{Id: c.ID, Upstream: Entry(c.Upstream)}
-}
--- a/reading/source.go
+++ b/reading/source.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/clock"
-	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
@@ -71,14 +71,7 @@
 	}
 	reading := follow.FleetReading{Revision: resp.Msg.GetRevision(), Whole: resp.Msg.GetWhole()}
 	for _, c := range resp.Msg.GetChanges() {
-		reading.Changes = append(reading.Changes, changeOf(c))
+		reading.Changes = append(reading.Changes, fleetwire.ChangeOf(c))
 	}
 	return reading, nil
 }
-
-func changeOf(c *wire.ListedChange) fleet.Change {
-	if c.GetGone() {
-		return fleet.Change{ID: c.GetId(), Gone: true}
-	}
-	return fleet.Change{ID: c.GetId(), Upstream: Upstream(c.GetUpstream())}
-}
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -12,6 +12,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // plainProtocol is a protocol in which every answer is sealed and names no
@@ -82,7 +83,7 @@
 		t.Fatal(err)
 	}
 	a := &attempt{
-		protocol: plainProtocol{}, conns: ta.pool.get("u1"), gate: ta.gate, cancel: cancel,
+		protocol: plainProtocol{}, conns: ta.pool.get(fleet.Undated("u1")), gate: ta.gate, cancel: cancel,
 		cmd:    dispatch.SendCmd{Route: &catalog.Route{Kind: ta.kind}, Keyed: true, CatalogVersion: 1},
 		pieces: make(chan piece, piecesWaiting),
 	}
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -9,6 +9,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/ring"
 )
 
@@ -42,14 +43,14 @@
 	silent func(dispatch.SilentCmd)
 	// share tells other nodes what this one has in use, and what all do that
 	// tell each other.
-	share func(used, total map[string]float64)
+	share func(used, total map[fleet.Incarnation]float64)
 	ready atomic.Bool
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd)) *decider {
 	return &decider{
 		model: model, clock: c, log: log, probe: probe, silent: func(dispatch.SilentCmd) {},
-		share: func(used, total map[string]float64) {},
+		share: func(used, total map[fleet.Incarnation]float64) {},
 		inbox: ring.New[envelope](decisionsWaiting), mail: make(map[dispatch.RequestID]chan dispatch.Cmd),
 	}
 }
@@ -115,7 +116,7 @@
 	case dispatch.ProbeCmd:
 		d.probe(cmd)
 	case dispatch.SuspectCmd:
-		d.log.Info("suspect", zap.String("upstream", cmd.Upstream), zap.Int("strikes", cmd.Strikes),
+		d.log.Info("suspect", zap.Stringer("upstream", cmd.Upstream), zap.Int("strikes", cmd.Strikes),
 			zap.Stringer("cause", cmd.Cause), zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
 	}
 }
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -46,7 +46,7 @@
 // noEngines stands for engines that answer no question.
 type noEngines struct{}
 
-func (noEngines) Report(context.Context, string, string) (EngineReport, error) {
+func (noEngines) Report(context.Context, string, fleet.Incarnation) (EngineReport, error) {
 	return EngineReport{}, errTakenBack
 }
 
@@ -54,7 +54,7 @@
 	return dispatch.MoveUnanswered, ""
 }
 
-func (noEngines) Probe(context.Context, string, string) error { return nil }
+func (noEngines) Probe(context.Context, string, fleet.Incarnation) error { return nil }
 
 // outcome is how an upstream answers one attempt.
 type outcome uint8
@@ -250,7 +250,7 @@
 	for i := range upstreamsOfTest {
 		server := httptest.NewServer(upstreams)
 		t.Cleanup(server.Close)
-		id := "u" + strconv.Itoa(i)
+		id := fleet.Undated(fleet.ID("u" + strconv.Itoa(i)))
 		r.SetFleet([]fleet.Change{{ID: id, Upstream: fleet.Upstream{
 			ID: id, Service: "desk", Address: server.Listener.Addr().String(),
 		}}})
--- a/relay/log.go
+++ b/relay/log.go
@@ -34,7 +34,7 @@
 func (s *session) logSend(cmd dispatch.SendCmd, remaining clock.Millis) {
 	s.relay.stats.count("sent")
 	s.log.Info("sent", zap.String("id", s.head.ID), zap.Int("attempt", cmd.Attempt), zap.String("route", cmd.Route.Name),
-		zap.String("account", cmd.Account), zap.String("upstream", cmd.Upstream), zap.String("address", cmd.Address),
+		zap.String("account", cmd.Account), zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
 		zap.String("chain", chainText(cmd.Chain)), zap.Int("in_flight", cmd.InFlight), zap.Int("priority", cmd.Priority),
 		zap.Uint64("config", cmd.CatalogVersion), zap.Int64("config_age_ms", int64(cmd.CatalogAge)),
 		zap.Int64("list_age_ms", int64(s.relay.listAge())),
@@ -108,7 +108,7 @@
 	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
 		e.AddString("lacks", string(appendRange(nil, lack.Layers.From, lack.Layers.To)))
 		e.AddInt("holders", lack.Holders)
-		e.AddString("at", lack.ID)
+		e.AddString("at", lack.ID.String())
 		e.AddInt64("left", int64(lack.Room))
 		e.AddInt64("asked", int64(lack.Need))
 		e.AddString("word_of", string(lack.Word))
@@ -120,7 +120,7 @@
 func (s *session) logFailure(cause dispatch.Cause, at string, err error) {
 	s.relay.stats.count("attempt_" + cause.String())
 	s.log.Info("attempt_failed", zap.String("id", s.head.ID), zap.Int("attempt", s.attempt.cmd.Attempt),
-		zap.String("upstream", s.attempt.cmd.Upstream), zap.Stringer("cause", cause), zap.String("at", at),
+		zap.Stringer("upstream", s.attempt.cmd.Upstream), zap.Stringer("cause", cause), zap.String("at", at),
 		zap.Int("events", s.events), zap.Int64("after_ms", int64(s.relay.clock.Now().Sub(s.sent))), logging.Err(err))
 }
 
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -7,6 +7,7 @@
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // CallerHead is what the head of a caller's request says.
@@ -27,7 +28,7 @@
 // AttemptHead is what a node says in the head of an attempt.
 type AttemptHead struct {
 	// Upstream is the one meant; any other that has its address refuses.
-	Upstream string
+	Upstream fleet.Incarnation
 	Account  string
 	// Priority is the request's rank at an engine, 0 being the first. Plain
 	// services know none.
@@ -78,7 +79,7 @@
 
 // Engines asks upstreams for their state and gives them orders.
 type Engines interface {
-	Report(ctx context.Context, address, upstream string) (EngineReport, error)
+	Report(ctx context.Context, address string, upstream fleet.Incarnation) (EngineReport, error)
 	Move(ctx context.Context, address, callerID string, parts []chain.Part) (result dispatch.MoveResult, at string)
-	Probe(ctx context.Context, address, upstream string) error
+	Probe(ctx context.Context, address string, upstream fleet.Incarnation) error
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -60,7 +60,7 @@
 
 // WithSharing sets who tells other nodes what this one has in use, and what all
 // do that tell each other.
-func WithSharing(share func(used, total map[string]float64)) Option {
+func WithSharing(share func(used, total map[fleet.Incarnation]float64)) Option {
 	return func(r *Relay) { r.decider.share = share }
 }
 
@@ -128,17 +128,17 @@
 
 // SetUsage takes what another node has in use or, with total, all nodes of
 // another data centre.
-func (r *Relay) SetUsage(node string, used map[string]float64, total bool) {
+func (r *Relay) SetUsage(node string, used map[fleet.Incarnation]float64, total bool) {
 	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used, Total: total})
 }
 
 // SetSilent takes an engine that another node has found silent.
-func (r *Relay) SetSilent(upstream string) {
+func (r *Relay) SetSilent(upstream fleet.Incarnation) {
 	r.decider.tell(r.life, dispatch.ToldSilentMsg{Upstream: upstream})
 }
 
 // SetPlaced takes an order that an engine has taken or, with holds, carried out.
-func (r *Relay) SetPlaced(upstream string, layers fleet.Range, holds bool) {
+func (r *Relay) SetPlaced(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
 	r.decider.tell(r.life, dispatch.PlacedMsg{Upstream: upstream, Layers: layers, Holds: holds})
 }
 
@@ -222,7 +222,7 @@
 	s := &session{
 		relay: r, id: dispatch.RequestID(r.nextID.Add(1)), head: head, body: body, w: answer, r: req,
 		mail: make(chan dispatch.Cmd, mailboxSize), log: r.log, began: began,
-		sentTo: make(map[string]bool),
+		sentTo: make(map[fleet.Incarnation]bool),
 	}
 	s.run()
 	return s.explained
--- a/relay/reports.go
+++ b/relay/reports.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // reportLasts is for how long a report is not asked for again. When an engine
@@ -21,7 +22,7 @@
 	clock   *clock.Clock
 	group   singleflight.Group
 	mu      sync.Mutex
-	recent  map[string]recentReport
+	recent  map[fleet.Incarnation]recentReport
 }
 
 // recentReport is what an engine has answered, or that it has not.
@@ -32,18 +33,18 @@
 }
 
 func newReports(engines Engines, c *clock.Clock) *reports {
-	return &reports{engines: engines, clock: c, recent: make(map[string]recentReport)}
+	return &reports{engines: engines, clock: c, recent: make(map[fleet.Incarnation]recentReport)}
 }
 
 // get returns an engine's report; it may be reportLasts old.
-func (r *reports) get(ctx context.Context, address, upstream string) (EngineReport, error) {
+func (r *reports) get(ctx context.Context, address string, upstream fleet.Incarnation) (EngineReport, error) {
 	r.mu.Lock()
 	known, ok := r.recent[upstream]
 	r.mu.Unlock()
 	if ok && r.clock.Now() < known.at.Add(reportLasts) {
 		return known.report, known.err
 	}
-	answer, err, _ := r.group.Do(upstream, func() (any, error) {
+	answer, err, _ := r.group.Do(upstream.String(), func() (any, error) {
 		report, err := r.engines.Report(ctx, address, upstream)
 		r.keep(upstream, recentReport{at: r.clock.Now(), report: report, err: err})
 		return report, err
@@ -51,14 +52,14 @@
 	return answer.(EngineReport), err
 }
 
-func (r *reports) keep(upstream string, report recentReport) {
+func (r *reports) keep(upstream fleet.Incarnation, report recentReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.recent[upstream] = report
 }
 
 // forget drops what is known of an upstream that is gone.
-func (r *reports) forget(upstream string) {
+func (r *reports) forget(upstream fleet.Incarnation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.recent, upstream)
--- a/relay/session.go
+++ b/relay/session.go
@@ -9,6 +9,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // session is the life of one request of a caller.
@@ -28,8 +29,8 @@
 	sent    clock.Millis
 	// inVain tells that an attempt was taken back for want of an answer.
 	inVain bool
-	// sentTo are the upstreams to which the request was sent.
-	sentTo map[string]bool
+	// sentTo are the incarnations of upstreams to which the request was sent.
+	sentTo map[fleet.Incarnation]bool
 	// held is the upstream's own failure, kept for a RelayCmd.
 	held *piece
 	// lastEvent is the id of the last event that the caller has.
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -7,6 +7,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // doubtAfter is after how long without a byte of an upstream its kept connections are
@@ -50,7 +51,7 @@
 // caller's time does not last for one after the other. And it does where the upstream
 // has been asked before: it may answer once more, late, and on the same connection that
 // would be taken for the answer to this attempt.
-func (s *session) needsOwnConnection(upstream string) bool {
+func (s *session) needsOwnConnection(upstream fleet.Incarnation) bool {
 	again := s.sentTo[upstream]
 	s.sentTo[upstream] = true
 	return s.inVain || again
--- a/relay/silent_streams_test.go
+++ b/relay/silent_streams_test.go
@@ -95,8 +95,8 @@
 	listener := s.network.Listen(address)
 	go func() { _ = server.Serve(listener) }()
 	s.t.Cleanup(func() { _ = server.Close() })
-	s.relay.SetFleet([]fleet.Change{{ID: id, Upstream: fleet.Upstream{
-		ID: id, Service: standin.SiteWriter, Address: address, Slots: 64, Accelerator: standin.SiteKind, Held: held,
+	s.relay.SetFleet([]fleet.Change{{ID: fleet.Undated(fleet.ID(id)), Upstream: fleet.Upstream{
+		ID: fleet.Undated(fleet.ID(id)), Service: standin.SiteWriter, Address: address, Slots: 64, Accelerator: standin.SiteKind, Held: held,
 	}}})
 	return engine
 }
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -43,6 +43,9 @@
 // errTakenBack is the error of an attempt that the session gave up.
 var errTakenBack = errors.New("relay: taken back")
 
+// errUpstreamEnded is the error of an attempt whose upstream's process has ended.
+var errUpstreamEnded = errors.New("relay: the upstream has ended")
+
 // stallAnswer is what the engines of a chain say when a stream stands still.
 type stallAnswer struct {
 	attempt *attempt
@@ -164,10 +167,22 @@
 // reconsider acts on the suspicion that others have of an engine on the way. A
 // stream that still flows is left alone; if it stops, its own check follows.
 func (s *session) reconsider(cmd dispatch.ReconsiderCmd) {
-	if s.attempt == nil || s.attempt.cmd.Attempt != cmd.Attempt || s.relay.clock.Now().Sub(s.since) < flowing {
+	if s.attempt == nil || s.attempt.cmd.Attempt != cmd.Attempt {
 		return
 	}
-	s.stalledAt(cmd.At)
+	switch {
+	case cmd.Ended && cmd.At == s.attempt.cmd.Address:
+		s.upstreamEnded()
+	case cmd.Ended || s.relay.clock.Now().Sub(s.since) >= flowing:
+		s.stalledAt(cmd.At)
+	}
+}
+
+// upstreamEnded gives an attempt up whose upstream's process has ended: no answer of it
+// will come, and none that has begun goes on.
+func (s *session) upstreamEnded() {
+	s.inVain = true
+	s.attemptFailed(dispatch.Slow, "", errUpstreamEnded)
 }
 
 // stalledAt moves the stream away from an engine, or takes it up elsewhere if
@@ -189,7 +204,7 @@
 	address := s.attempt.cmd.Address
 	go func() {
 		result, at := s.relay.engines.Move(s.relay.life, address, s.head.ID, cmd.Chain)
-		s.log.Info("move", zap.String("id", s.head.ID), zap.String("away_from", cmd.Away),
+		s.log.Info("move", zap.String("id", s.head.ID), zap.Stringer("away_from", cmd.Away),
 			zap.String("chain", chainText(cmd.Chain)), zap.Int("result", int(result)), zap.String("at", at))
 		s.moves <- dispatch.MovedMsg{Request: s.id, Attempt: cmd.Attempt, Result: result, At: at}
 	}()
@@ -231,7 +246,7 @@
 			err = r.engines.Probe(r.life, cmd.Address, cmd.Upstream)
 		}
 		msg.Answered = err == nil
-		r.log.Info("probe", zap.String("upstream", cmd.Upstream), zap.String("address", cmd.Address),
+		r.log.Info("probe", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
 			zap.Float64("pace", msg.Report.Pace), zap.Float64("free", msg.Report.Free), zap.Float64("all", msg.Report.All), logging.Err(err))
 		r.decider.tell(r.life, msg)
 	}()
@@ -243,7 +258,7 @@
 		if i > 0 {
 			text = append(text, ' ')
 		}
-		text = append(text, p.ID...)
+		text = append(text, p.ID.String()...)
 		text = append(text, ':')
 		text = appendRange(text, p.Layers.From, p.Layers.To)
 	}
--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 const (
@@ -33,7 +34,7 @@
 	dial  dialFunc
 	clock *clock.Clock
 	mu    sync.Mutex
-	byID  map[string]*upstreamConns
+	conns map[fleet.Incarnation]*upstreamConns
 }
 
 // upstreamConns are the connections to one upstream.
@@ -46,14 +47,14 @@
 }
 
 func newUpstreamPool(dial dialFunc, c *clock.Clock) *upstreamPool {
-	return &upstreamPool{dial: dial, clock: c, byID: make(map[string]*upstreamConns)}
+	return &upstreamPool{dial: dial, clock: c, conns: make(map[fleet.Incarnation]*upstreamConns)}
 }
 
 // get returns the connections to an upstream.
-func (p *upstreamPool) get(id string) *upstreamConns {
+func (p *upstreamPool) get(id fleet.Incarnation) *upstreamConns {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns, ok := p.byID[id]
+	conns, ok := p.conns[id]
 	if !ok {
 		conns = &upstreamConns{}
 		conns.Transport = &http.Transport{
@@ -63,7 +64,7 @@
 		}
 		conns.single = conns.Clone()
 		conns.single.DisableKeepAlives = true
-		p.byID[id] = conns
+		p.conns[id] = conns
 	}
 	return conns
 }
@@ -87,10 +88,10 @@
 }
 
 // drop closes the idle connections to an upstream that is gone.
-func (p *upstreamPool) drop(id string) {
+func (p *upstreamPool) drop(id fleet.Incarnation) {
 	p.mu.Lock()
-	conns, ok := p.byID[id]
-	delete(p.byID, id)
+	conns, ok := p.conns[id]
+	delete(p.conns, id)
 	p.mu.Unlock()
 	if ok {
 		conns.CloseIdleConnections()
@@ -100,7 +101,7 @@
 func (p *upstreamPool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conns := range p.byID {
+	for _, conns := range p.conns {
 		conns.CloseIdleConnections()
 	}
 }
--- a/sizing/fleet.go
+++ b/sizing/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/settings"
 )
@@ -113,7 +114,7 @@
 		a := f.pipeline.Accelerators[kind]
 		for i := range n {
 			list = append(list, placement.Engine{
-				ID: fmt.Sprintf("%s-%s-%d", centre, kind, i+1), DataCentre: centre,
+				ID: fleet.Undated(fleet.ID(fmt.Sprintf("%s-%s-%d", centre, kind, i+1))), DataCentre: centre,
 				Most: f.pipeline.MostLayers(a), Memory: f.pipeline.LayersOf(a),
 				LayerTime: f.pipeline.StepTime(a, 1), ReadTime: f.pipeline.ReadTime(a, 1),
 			})
--- a/sizing/report.go
+++ b/sizing/report.go
@@ -57,7 +57,7 @@
 	}
 	for _, centre := range f.centres() {
 		o := f.outlook(centre, "")
-		if o.Worst == "" {
+		if o.Worst.IsZero() {
 			continue
 		}
 		if _, err := fmt.Fprintf(w, "%s\t%s\t%d\t%.0f%%\t%d ms\n", centre, o.Worst, o.Alone, o.Left*percent, o.Replaced); err != nil {
--- a/soak/leave.go
+++ b/soak/leave.go
@@ -145,6 +145,6 @@
 		return false, err
 	}
 	return slices.ContainsFunc(reading.Changes, func(c fleet.Change) bool {
-		return strings.HasPrefix(c.ID, id) && c.Upstream.Leaving
+		return strings.HasPrefix(c.ID.String(), id) && c.Upstream.Leaving
 	}), nil
 }
--- a/usage/placed.go
+++ b/usage/placed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -20,14 +21,14 @@
 
 // placed is an order that an engine has taken or, with holds, carried out.
 type placed struct {
-	upstream string
+	upstream fleet.Incarnation
 	layers   fleet.Range
 	holds    bool
 }
 
 // Placed tells all peers of an order that an engine has taken or, with holds,
 // carried out. It does not wait for that.
-func (s *Sharing) Placed(upstream string, layers fleet.Range, holds bool) {
+func (s *Sharing) Placed(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
 	s.placed.add(placed{upstream: upstream, layers: layers, holds: holds})
 }
 
@@ -36,8 +37,9 @@
 	for some := range slices.Chunk(orders, placedTogether) {
 		msg := &wire.Usage{From: s.self}
 		for _, o := range some {
+			id, born := fleetwire.Name(o.upstream)
 			msg.Placed = append(msg.Placed, &wire.PlacedEngine{
-				Id: o.upstream, From: int32(o.layers.From), To: int32(o.layers.To), Holds: o.holds,
+				Id: id, Born: born, From: int32(o.layers.From), To: int32(o.layers.To), Holds: o.holds,
 			})
 		}
 		msgs = append(msgs, msg)
--- a/usage/silent.go
+++ b/usage/silent.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -11,10 +13,14 @@
 const tellAgain = 50 * time.Millisecond
 
 // Silent tells the near peers soon that this node has found an engine silent.
-func (s *Sharing) Silent(upstream string) { s.silent.add(upstream) }
+func (s *Sharing) Silent(upstream fleet.Incarnation) { s.silent.add(upstream) }
 
-func (s *Sharing) tellSilent(upstreams []string) {
-	msg := &wire.Usage{From: s.self, Silent: upstreams}
+func (s *Sharing) tellSilent(upstreams []fleet.Incarnation) {
+	msg := &wire.Usage{From: s.self}
+	for _, u := range upstreams {
+		id, born := fleetwire.Name(u)
+		msg.Silent = append(msg.Silent, &wire.Incarnation{Id: id, Born: born})
+	}
 	s.send(msg, s.near.Load())
 	time.Sleep(tellAgain)
 	s.send(msg, s.near.Load())
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
@@ -37,7 +38,7 @@
 	listener   Listener
 	// silent gathers the engines that near peers are to be told of, and placed the
 	// orders that all are.
-	silent *gathering[string]
+	silent *gathering[fleet.Incarnation]
 	placed *gathering[placed]
 	// near are told what this node has in use, and far what its data centre has.
 	near atomic.Pointer[[]net.Addr]
@@ -49,15 +50,15 @@
 	// HearUse takes what a node has in use, and whether it may be followed.
 	HearUse(from *wire.Member, msg Msg)
 	// HearPlaced takes an order that an engine has taken or, with holds, carried out.
-	HearPlaced(upstream string, layers fleet.Range, holds bool)
+	HearPlaced(upstream fleet.Incarnation, layers fleet.Range, holds bool)
 	// HearSilent takes an engine that a node has found silent.
-	HearSilent(from *wire.Member, upstream string)
+	HearSilent(from *wire.Member, upstream fleet.Incarnation)
 }
 
 // Msg is what a node tells of engines' memory.
 type Msg struct {
 	// Used is what is in use by engine, in tokens times layers.
-	Used map[string]float64
+	Used map[fleet.Incarnation]float64
 	// Total tells that all nodes of the sender's data centre have it in use.
 	Total bool
 	// Followable tells whether other nodes may follow the sender in place of the
@@ -102,19 +103,20 @@
 }
 
 // Share tells the near peers what this node has in use.
-func (s *Sharing) Share(used map[string]float64) {
+func (s *Sharing) Share(used map[fleet.Incarnation]float64) {
 	s.send(&wire.Usage{From: s.self, Followable: s.followable(), Engines: engineUse(used)}, s.near.Load())
 }
 
 // ShareTotal tells the far peers what this node's data centre has in use.
-func (s *Sharing) ShareTotal(total map[string]float64) {
+func (s *Sharing) ShareTotal(total map[fleet.Incarnation]float64) {
 	s.send(&wire.Usage{From: s.self, Total: true, Engines: engineUse(total)}, s.far.Load())
 }
 
-func engineUse(used map[string]float64) []*wire.EngineUse {
+func engineUse(used map[fleet.Incarnation]float64) []*wire.EngineUse {
 	list := make([]*wire.EngineUse, 0, len(used))
-	for id, amount := range used {
-		list = append(list, &wire.EngineUse{Id: id, Amount: amount})
+	for engine, amount := range used {
+		id, born := fleetwire.Name(engine)
+		list = append(list, &wire.EngineUse{Id: id, Born: born, Amount: amount})
 	}
 	return list
 }
@@ -164,17 +166,17 @@
 		return
 	}
 	for _, p := range msg.GetPlaced() {
-		s.listener.HearPlaced(p.GetId(), fleet.Range{From: int(p.GetFrom()), To: int(p.GetTo())}, p.GetHolds())
+		s.listener.HearPlaced(fleetwire.IncarnationOf(p), fleet.Range{From: int(p.GetFrom()), To: int(p.GetTo())}, p.GetHolds())
 	}
-	for _, id := range msg.GetSilent() {
-		s.listener.HearSilent(msg.GetFrom(), id)
+	for _, u := range msg.GetSilent() {
+		s.listener.HearSilent(msg.GetFrom(), fleetwire.IncarnationOf(u))
 	}
 	if len(msg.GetPlaced())+len(msg.GetSilent()) > 0 {
 		return
 	}
-	used := make(map[string]float64, len(msg.GetEngines()))
+	used := make(map[fleet.Incarnation]float64, len(msg.GetEngines()))
 	for _, e := range msg.GetEngines() {
-		used[e.GetId()] = e.GetAmount()
+		used[fleetwire.IncarnationOf(e)] = e.GetAmount()
 	}
 	s.listener.HearUse(msg.GetFrom(), Msg{Used: used, Total: msg.GetTotal(), Followable: msg.GetFollowable()})
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -27,12 +27,12 @@
 
 func (i inbox) HearUse(from *wire.Member, msg usage.Msg) { i <- heard{from: from.GetName(), msg: msg} }
 
-func (i inbox) HearPlaced(upstream string, layers fleet.Range, _ bool) {
-	i <- heard{placed: upstream, layers: layers}
+func (i inbox) HearPlaced(upstream fleet.Incarnation, layers fleet.Range, _ bool) {
+	i <- heard{placed: upstream.String(), layers: layers}
 }
 
-func (i inbox) HearSilent(from *wire.Member, upstream string) {
-	i <- heard{from: from.GetName(), silent: upstream}
+func (i inbox) HearSilent(from *wire.Member, upstream fleet.Incarnation) {
+	i <- heard{from: from.GetName(), silent: upstream.String()}
 }
 
 func newNode(t *testing.T, name string) (*usage.Sharing, inbox) {
@@ -54,26 +54,26 @@
 	far, farHeard := newNode(t, "c")
 	teller.SetPeers([]string{near.Address()}, []string{far.Address()})
 
-	teller.Share(map[string]float64{"e1": 5})
+	teller.Share(map[fleet.Incarnation]float64{fleet.Undated("e1"): 5})
 	got := <-nearHeard
-	if got.from != "a" || !got.msg.Followable || got.msg.Total || got.msg.Used["e1"] != 5 {
+	if got.from != "a" || !got.msg.Followable || got.msg.Total || got.msg.Used[fleet.Undated("e1")] != 5 {
 		t.Errorf("got %+v, want what a has in use", got)
 	}
 
-	teller.ShareTotal(map[string]float64{"e1": 50})
+	teller.ShareTotal(map[fleet.Incarnation]float64{fleet.Undated("e1"): 50})
 	got = <-farHeard
-	if !got.msg.Total || !maps.Equal(got.msg.Used, map[string]float64{"e1": 50}) {
+	if !got.msg.Total || !maps.Equal(got.msg.Used, map[fleet.Incarnation]float64{fleet.Undated("e1"): 50}) {
 		t.Errorf("got %+v, want a total of 50", got)
 	}
 
-	teller.Placed("e3", fleet.Range{From: 4, To: 8}, true)
+	teller.Placed(fleet.Undated("e3"), fleet.Range{From: 4, To: 8}, true)
 	for _, heard := range []inbox{nearHeard, farHeard} {
 		if got := <-heard; got.placed != "e3" || got.layers != (fleet.Range{From: 4, To: 8}) {
 			t.Errorf("got %+v, want the order to e3", got)
 		}
 	}
 
-	teller.Silent("e4")
+	teller.Silent(fleet.Undated("e4"))
 	for {
 		got := <-nearHeard
 		if got.placed != "" {
