--- a/soak/world.go
+++ b/soak/world.go
@@ -42,7 +42,8 @@
 	// desks are all that have been started, the last one in use.
 	desks     []*process
 	deskLinks []*proxy
-	// generation numbers the engines' restarts, since ids are used once.
+	// generation counts the starts of engines, and engineIDs are their ids.
+	engineIDs  []string
 	generation atomic.Int64
 	version    uint64
 	// nodeBusy and engineBusy keep two series from restarting the same process.
@@ -70,7 +71,7 @@
 		if err != nil {
 			return w, err
 		}
-		w.links, w.engines = append(w.links, link), append(w.engines, nil)
+		w.links, w.engines, w.engineIDs = append(w.links, link), append(w.engines, nil), append(w.engineIDs, "")
 		if err := w.startEngine(i); err != nil {
 			return w, err
 		}
@@ -107,12 +108,18 @@
 	return nil
 }
 
-// startEngine starts an engine under a new id, behind its old address.
+// newID is at which of all starts of engines an engine gets an id of its own; at the others
+// it starts again under the one that it had.
+const newID = 3
+
+// startEngine starts an engine behind its old address.
 func (w *world) startEngine(i int) error {
-	generation := w.generation.Add(1)
+	if w.generation.Add(1)%newID == 0 || w.engineIDs[i] == "" {
+		w.engineIDs[i] = fmt.Sprintf("engine-%d-%d", i, w.generation.Load())
+	}
 	centre := fmt.Sprintf("dc-%d", i%2+1)
 	p, err := w.launch(fmt.Sprintf("engine-%d", i), "listening ", "standin-site", "engine",
-		"--id", fmt.Sprintf("engine-%d-%d", i, generation), "--centre", centre, "--store", w.store.at(), "--through", w.links[i].address())
+		"--id", w.engineIDs[i], "--centre", centre, "--store", w.store.at(), "--through", w.links[i].address())
 	if err != nil {
 		return err
 	}
--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -34,6 +34,8 @@
 // event of its streams.
 type ChainEngine struct {
 	id string
+	// born is when it started, in ms since 1970.
+	born float64
 	// advertised is the address by which callers and other engines know it.
 	advertised string
 	client     *http.Client
@@ -66,7 +68,7 @@
 // NewChainEngine returns an empty engine.
 func NewChainEngine(id, advertised string) *ChainEngine {
 	return &ChainEngine{
-		id: id, advertised: advertised, client: &http.Client{Timeout: askPart}, streams: make(map[string]*engineStream),
+		id: id, born: startTime(), advertised: advertised, client: &http.Client{Timeout: askPart}, streams: make(map[string]*engineStream),
 	}
 }
 
@@ -75,7 +77,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return &platformpb.Server{
-		Service: SiteWriter, Address: e.advertised, Zone: centre, State: e.departure.state(), Slots: 64, Kind: SiteKind, Layers: e.layers(),
+		Service: SiteWriter, Address: e.advertised, Zone: centre, State: e.departure.state(), Slots: 64, Kind: SiteKind,
+		Layers: e.layers(), Born: e.born,
 	}
 }
 
@@ -101,7 +104,7 @@
 
 func (e *ChainEngine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	report := &platformpb.Report{Busy: e.loading, OrdersTaken: e.orders, Layers: e.layers(), Kind: SiteKind}
+	report := &platformpb.Report{Busy: e.loading, OrdersTaken: e.orders, Layers: e.layers(), Kind: SiteKind, Born: e.born}
 	for id, s := range e.streams {
 		if s.stalledAt != "" {
 			report.Stalled = append(report.Stalled, &platformpb.Stalled{Id: id, Address: s.stalledAt})
@@ -225,5 +228,8 @@
 	return r
 }
 
+// startTime is the start of a server that begins now, as it tells it.
+func startTime() float64 { return float64(time.Now().UnixMilli()) }
+
 // EntryBytes encodes an entry as a server writes it.
 func EntryBytes(entry *platformpb.Server) ([]byte, error) { return protojson.Marshal(entry) }
--- a/standin/desk.go
+++ b/standin/desk.go
@@ -14,6 +14,7 @@
 // often it has run each try, which is what at-most-once is judged by.
 type Desk struct {
 	id         string
+	born       float64
 	advertised string
 	work       time.Duration
 	slots      chan struct{}
@@ -35,12 +36,12 @@
 
 // NewDesk returns a desk that takes a time for each request.
 func NewDesk(id, advertised string, work time.Duration) *Desk {
-	return &Desk{id: id, advertised: advertised, work: work, slots: make(chan struct{}, deskSlots), runs: make(map[string]DeskRun)}
+	return &Desk{id: id, born: startTime(), advertised: advertised, work: work, slots: make(chan struct{}, deskSlots), runs: make(map[string]DeskRun)}
 }
 
 // Entry returns the desk's entry in the list of servers.
 func (d *Desk) Entry(centre string) *platformpb.Server {
-	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: d.departure.state(), Slots: deskSlots}
+	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: d.departure.state(), Slots: deskSlots, Born: d.born}
 }
 
 // Handler serves requests, what was run at /runs, and the desk's leaving at /leave.
