Entries of other writers name no upstream, and the others hold

Cause: entries were decoded leniently (numbers as texts, missing fields, unknown states as ready, ranges below zero). Of twelve entries that name no upstream eight were taken for one.

An upstream in use whose entry cannot be read, or names a service that the configuration does not, is withheld: no new work, what it works on goes on, the planner leaves it its layers for 3 s. An entry for an unknown service neither displaces nor ends another one; it is taken up when the configuration names the service. Of two entries with one address that are both listed both stay (who is asked as the wrong one says so); a chain names an address once.

Stand-ins write all fields.

--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -184,8 +184,15 @@
 	clear(m.byService)
 	clear(m.atHome)
 	clear(m.fastest)
+	atAddress := make(map[string]*upstream, len(m.upstreams))
 	for _, u := range m.upstreams {
 		m.noteFastest(u)
+		other := atAddress[u.entry.Address]
+		u.rivals = other != nil
+		if other != nil {
+			other.rivals = true
+		}
+		atAddress[u.entry.Address] = u
 		m.byService[u.entry.Service] = append(m.byService[u.entry.Service], u)
 	}
 	for service, list := range m.byService {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -170,11 +170,17 @@
 	return fleet.Upstream{
 		ID: script.Incarnation(s.Word(0)), Address: addressOf(s), Service: s.Named["service"], DataCentre: centre,
 		Accelerator: s.Named["kind"], Held: held, Leaving: s.Named["state"] == "leaving",
+		Withheld: s.Named["state"] == "withheld",
 	}
 }
 
-// addressOf is an upstream's: all of its runs have the same one.
-func addressOf(s script.Step) string { return string(script.Incarnation(s.Word(0)).ID()) + ":80" }
+// addressOf is an upstream's. All of its runs have the same one unless a line names it.
+func addressOf(s script.Step) string {
+	if address, ok := s.Named["address"]; ok {
+		return address
+	}
+	return string(script.Incarnation(s.Word(0)).ID()) + ":80"
+}
 
 func show(cmd dispatch.Cmd) string {
 	switch c := cmd.(type) {
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -84,7 +84,7 @@
 	var best *upstream
 	bestCost := 0.0
 	for _, u := range m.byService[r.service.Name] {
-		if u.entry.Leaving || !may(u) {
+		if !u.usable() || !may(u) {
 			continue
 		}
 		cost := u.took * float64(u.inFlight+1) * (1 + m.random.Float64()*tieSpread)
@@ -159,7 +159,7 @@
 	if u.well() {
 		return true
 	}
-	return !u.entry.Leaving && u.cause == Unknown && !u.silent && m.now <= u.answeredAt.Add(answerLasts)
+	return u.usable() && u.cause == Unknown && !u.silent && m.now <= u.answeredAt.Add(answerLasts)
 }
 
 func chainReason(err error) Reason {
@@ -178,6 +178,10 @@
 		if !may(u) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
 			continue
 		}
+		if u.rivals && slices.ContainsFunc(holders, func(h chain.Holder) bool { return h.Address == u.entry.Address }) {
+			// A chain may name an address once.
+			continue
+		}
 		h := m.holder(r, u)
 		if bounded && !r.ran(u) {
 			// A chain begins at the engine with the first layer, and the bound is on
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -26,6 +26,9 @@
 	took    float64
 	failing float64
 
+	// rivals tells that another upstream is listed at its address: one of the two is not
+	// there.
+	rivals bool
 	// ended tells that its process has ended for certain.
 	ended bool
 	// heldAt is when another node told what it holds.
@@ -103,7 +106,10 @@
 func (u *upstream) open(now clock.Millis) bool { return u.well() && !u.full(now) }
 
 // well tells whether nothing speaks against the upstream but a lack of room.
-func (u *upstream) well() bool { return !u.entry.Leaving && !u.suspect }
+func (u *upstream) well() bool { return u.usable() && !u.suspect }
+
+// usable tells whether the list speaks for giving the upstream new work.
+func (u *upstream) usable() bool { return !u.entry.Leaving && !u.entry.Withheld }
 
 // full tells whether it has refused work for want of room just now.
 func (u *upstream) full(now clock.Millis) bool { return now < u.fullUntil }
--- a/fleet/runs_test.go
+++ b/fleet/runs_test.go
@@ -79,6 +79,6 @@
 	case w.by == "peer":
 		return v.Learn(now, list)
 	default:
-		return v.Replace(now, list, false)
+		return v.Replace(now, []fleet.Change{w.change}, false)
 	}
 }
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -24,6 +24,9 @@
 	// Lapsed upstreams had an entry before an outage of the store, and have had none since
 	// its return. Who knows one keeps it for a while; who does not must not learn it.
 	Lapsed bool
+	// Withheld upstreams get no new work until their entry is whole again: it cannot be
+	// read, or names a service that nobody has. What they are working on goes on.
+	Withheld bool
 }
 
 // Range is a run of layers, From included and To not.
@@ -59,6 +62,8 @@
 	ID   Incarnation
 	Gone bool
 	// Ended tells of an upstream that is gone that its process has ended for certain.
-	Ended    bool
-	Upstream Upstream
+	Ended bool
+	// Unreadable tells that an entry is there and cannot be read.
+	Unreadable bool
+	Upstream   Upstream
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -11,6 +11,9 @@
 // although the upstream lives. The users' letter names about two seconds.
 const LapseGrace clock.Millis = 2200
 
+// mostStrangers bounds the entries that are kept aside. A deployment has some hundred.
+const mostStrangers = 1024
+
 // View is the node's picture of all upstreams. It is pure: times are handed
 // in. It is not safe for concurrent use.
 type View struct {
@@ -28,7 +31,11 @@
 	// missing are entries that vanished around an outage, with the time from
 	// which they are taken as gone.
 	missing map[Incarnation]clock.Millis
-	away    bool
+	// services are those that there are, nil while that is not known, and strangers the
+	// entries that name another one.
+	services  map[string]bool
+	strangers map[Incarnation]Upstream
+	away      bool
 	// back is when the store was back last.
 	back clock.Millis
 }
@@ -42,6 +49,7 @@
 		latest:    make(latest),
 		atAddress: make(map[string]Incarnation),
 		missing:   make(map[Incarnation]clock.Millis),
+		strangers: make(map[Incarnation]Upstream),
 	}
 }
 
@@ -72,13 +80,13 @@
 // Replace takes a whole list. Entries that it lacks are treated as vanished;
 // lapsed tells that the list follows an outage. One that names an earlier run of an
 // upstream says nothing of the latest.
-func (v *View) Replace(now clock.Millis, list []Upstream, lapsed bool) []Change {
+func (v *View) Replace(now clock.Millis, list []Change, lapsed bool) []Change {
 	listed := make(map[Incarnation]bool, len(list))
-	var changes []Change
-	for _, u := range list {
-		listed[v.latest.run(u.ID)] = true
-		changes = append(changes, Change{ID: u.ID, Upstream: u})
+	changes := slices.Clone(list)
+	for _, c := range list {
+		listed[v.latest.run(c.ID)] = true
 	}
+	clear(v.strangers)
 	for id := range v.upstreams {
 		if !listed[id] {
 			changes = append(changes, Change{ID: id, Gone: true})
@@ -93,7 +101,11 @@
 func (v *View) Learn(now clock.Millis, list []Upstream) []Change {
 	away := v.away
 	v.away = false
-	changes := v.Replace(now, list, false)
+	changes := make([]Change, 0, len(list))
+	for _, u := range list {
+		changes = append(changes, Change{ID: u.ID, Upstream: u})
+	}
+	changes = v.Replace(now, changes, false)
 	v.away = away
 	return changes
 }
@@ -105,6 +117,13 @@
 	effective = append(effective, v.displace(changes)...)
 	for _, c := range changes {
 		c.ID = v.Resolve(c)
+		if v.stranger(c) {
+			c.Unreadable = true
+		}
+		if c.Unreadable {
+			effective = append(effective, v.withhold(c.ID)...)
+			continue
+		}
 		if v.apply(now, c, lapsed) {
 			effective = append(effective, c)
 		}
@@ -112,6 +131,59 @@
 	return effective
 }
 
+// SetServices sets the services that there are, and takes up the entries that have named
+// one of them before. Others have no place to be used, and entries that name one may come
+// from another writer: they must not take the address of an upstream that is.
+func (v *View) SetServices(now clock.Millis, names []string) []Change {
+	v.services = make(map[string]bool, len(names))
+	for _, name := range names {
+		v.services[name] = true
+	}
+	var known []Change
+	for id, u := range v.strangers {
+		if v.services[u.Service] {
+			delete(v.strangers, id)
+			known = append(known, Change{ID: id, Upstream: u})
+		}
+	}
+	slices.SortFunc(known, func(a, b Change) int { return a.ID.Compare(b.ID) })
+	return v.Apply(now, known, false)
+}
+
+// stranger keeps an entry aside that names a service that there is not, and tells whether
+// it did.
+func (v *View) stranger(c Change) bool {
+	if c.Gone {
+		delete(v.strangers, c.ID)
+		return false
+	}
+	if !v.unserved(c) {
+		return false
+	}
+	if len(v.strangers) < mostStrangers {
+		v.strangers[c.ID] = c.Upstream
+	}
+	return true
+}
+
+// unserved tells whether a change brings an entry that names a service that there is not.
+func (v *View) unserved(c Change) bool {
+	return !c.Gone && !c.Unreadable && v.services != nil && !v.services[c.Upstream.Service]
+}
+
+// withhold keeps new work from an upstream whose entry cannot be used.
+func (v *View) withhold(id Incarnation) []Change {
+	known := v.upstreams[id]
+	delete(v.missing, id)
+	if known == nil || known.Withheld {
+		return nil
+	}
+	u := *known
+	u.Withheld = true
+	v.upstreams[id] = &u
+	return []Change{{ID: id, Upstream: u}}
+}
+
 // Supersede notes that somebody has heard of a run of an upstream, and returns the
 // earlier one as ended if it was known. The run itself counts once the list shows it.
 func (v *View) Supersede(run Incarnation) []Change {
@@ -129,30 +201,39 @@
 func (v *View) supersede(changes []Change) []Change {
 	var ended []Change
 	for _, c := range changes {
-		if !c.Gone {
+		if !c.Gone && !v.unserved(c) {
 			ended = append(ended, v.Supersede(c.ID)...)
 		}
 	}
 	return ended
 }
 
-// Resolve returns the incarnation that a change is about. The store takes entries away
-// without a word on which run they were of: that is the latest.
+// Resolve returns the incarnation that a change is about. Where an entry is gone, or cannot
+// be read, nothing says of which run it was: of the latest.
 func (v *View) Resolve(c Change) Incarnation {
-	if c.Gone && c.ID.Born() == 0 {
+	if (c.Gone || c.Unreadable) && c.ID.Born() == 0 {
 		return v.latest.run(c.ID)
 	}
 	return c.ID
 }
 
-// displace ends the incarnations that were known at an address at which a new one is,
-// and returns them: whether their entries linger or may come back after an outage, their
-// processes are gone.
+// displace ends the incarnations without an entry, or that are leaving, that were known at
+// an address at which a new one is, and returns them: whether their entries linger or may
+// come back after an outage, their processes are gone. One that is listed stays beside the
+// new one: either may come from another writer, and who is asked as the one that it is not
+// says so.
 func (v *View) displace(changes []Change) []Change {
+	over := make(map[Incarnation]bool)
+	for _, c := range changes {
+		over[v.Resolve(c)] = c.Gone || c.Upstream.Leaving || c.Upstream.Lapsed
+	}
 	var displaced []Change
 	for _, c := range changes {
 		old := v.atAddress[c.Upstream.Address]
-		if c.Gone || c.Upstream.Lapsed || c.Upstream.Address == "" || old.IsZero() || old == c.ID || v.upstreams[c.ID] != nil || v.over(c.ID) {
+		if v.unserved(c) || v.Listed(old) && !v.upstreams[old].Leaving && !over[old] {
+			continue
+		}
+		if c.Gone || c.Unreadable || c.Upstream.Lapsed || c.Upstream.Address == "" || old.IsZero() || old == c.ID || v.upstreams[c.ID] != nil || v.over(c.ID) {
 			continue
 		}
 		if v.end(old) {
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -27,7 +27,7 @@
 	case "change":
 		return v.Apply(now, changes(s.Words), lapsing)
 	case "list":
-		return v.Replace(now, upstreams(s.Words), lapsing)
+		return v.Replace(now, changes(s.Words), lapsing)
 	case "peer":
 		return v.Learn(now, upstreams(s.Words))
 	case "lost":
@@ -39,6 +39,8 @@
 	case "ended":
 		v.OutageEnded(now)
 		return nil
+	case "services":
+		return v.SetServices(now, s.Words)
 	case "heard":
 		return v.Supersede(script.Incarnation(s.Word(0)))
 	case "expire":
@@ -48,18 +50,19 @@
 	return nil
 }
 
-// changes reads words like u1, u1/address, u1@17 for a run that began at 17, u1:leaving, u1:held3, u1:lapsed and u1:gone.
+// changes reads words like u1, u1/address+service, u1:unreadable, u1@17 for a run that began at 17, u1:leaving, u1:held3, u1:lapsed and u1:gone.
 func changes(words []string) []fleet.Change {
 	var list []fleet.Change
 	for _, word := range words {
 		name, state, _ := strings.Cut(word, ":")
+		name, service, _ := strings.Cut(name, "+")
 		name, address, _ := strings.Cut(name, "/")
 		id := script.Incarnation(name)
-		u := fleet.Upstream{ID: id, Address: address, Leaving: state == "leaving", Lapsed: state == "lapsed"}
+		u := fleet.Upstream{ID: id, Service: service, Address: address, Leaving: state == "leaving", Lapsed: state == "lapsed"}
 		if held, ok := strings.CutPrefix(state, "held"); ok {
 			u.Held.To, _ = strconv.Atoi(held)
 		}
-		list = append(list, fleet.Change{ID: id, Gone: state == "gone", Upstream: u})
+		list = append(list, fleet.Change{ID: id, Gone: state == "gone", Unreadable: state == "unreadable", Upstream: u})
 	}
 	return list
 }
@@ -79,6 +82,8 @@
 		switch {
 		case c.Gone:
 			state = " gone"
+		case c.Upstream.Withheld:
+			state = " withheld"
 		case c.Upstream.Leaving:
 			state = " leaving"
 		case !c.Upstream.Held.Empty():
--- a/fleetwire/entry.go
+++ b/fleetwire/entry.go
@@ -26,6 +26,7 @@
 	return &wire.ListedUpstream{
 		Id: id, Born: born, Service: u.Service, Address: u.Address, DataCentre: u.DataCentre, Slots: int32(u.Slots),
 		Leaving: u.Leaving, Accelerator: u.Accelerator, HeldFrom: int32(u.Held.From), HeldTo: int32(u.Held.To), Lapsed: u.Lapsed,
+		Withheld: u.Withheld,
 	}
 }
 
@@ -35,6 +36,7 @@
 		ID: IncarnationOf(e), Service: e.GetService(), Address: e.GetAddress(), DataCentre: e.GetDataCentre(),
 		Slots: int(e.GetSlots()), Leaving: e.GetLeaving(), Accelerator: e.GetAccelerator(),
 		Held: fleet.Range{From: int(e.GetHeldFrom()), To: int(e.GetHeldTo())}, Lapsed: e.GetLapsed(),
+		Withheld: e.GetWithheld(),
 	}
 }
 
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -30,7 +30,7 @@
 	}
 	var changes []fleet.Change
 	if reading.Whole {
-		changes = f.view.Replace(now, upstreamsIn(reading.Changes), lapsing)
+		changes = f.view.Replace(now, entriesIn(reading.Changes), lapsing)
 	} else {
 		changes = f.view.Apply(now, reading.Changes, lapsing)
 	}
@@ -141,12 +141,19 @@
 	f.log.Info("fleet", zap.Int("changes", len(changes)), zap.Int("upstreams", f.view.Len()), zap.Uint64("revision", revision))
 }
 
-func upstreamsIn(changes []fleet.Change) []fleet.Upstream {
-	list := make([]fleet.Upstream, 0, len(changes))
-	for _, c := range changes {
-		if !c.Gone {
-			list = append(list, c.Upstream)
-		}
+// entriesIn returns the changes of a whole list that are entries.
+func entriesIn(changes []fleet.Change) []fleet.Change {
+	return slices.DeleteFunc(slices.Clone(changes), func(c fleet.Change) bool { return c.Gone })
+}
+
+// SetServices sets the services that the configuration names. Entries that name others are
+// kept aside until it does.
+func (f *Fleet) SetServices(names []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if changes := f.view.SetServices(f.clock.Now(), names); len(changes) > 0 {
+		// Those that follow have been told the list without these.
+		f.inDoubt = true
+		f.pass(changes, f.passedOn)
 	}
-	return list
 }
--- a/node/learn.go
+++ b/node/learn.go
@@ -22,6 +22,14 @@
 	}
 	n.log.Info("config", zap.Uint64("version", c.Version()), zap.Int64("age_ms", int64(clock.AgeOf(confirmed, n.clock.Now()))))
 	n.placer.Tell(placement.CatalogMsg{Catalog: c})
+	n.fleets.SetServices(serviceNames(c))
+}
+
+// serviceNames returns the services of a configuration.
+func serviceNames(c *catalog.Catalog) []string {
+	var names []string
+	c.Services(func(s *catalog.Service) { names = append(names, s.Name) })
+	return names
 }
 
 // setSilent tells the planner that an engine does not answer, or does again, and other
--- a/node/node.go
+++ b/node/node.go
@@ -94,7 +94,7 @@
 	listAge := func() clock.Millis { return n.fleets.ListAge() }
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
-		relay.WithCounters("store_calls", n.store.Calls()),
+		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
 		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge))
--- a/placement/model.go
+++ b/placement/model.go
@@ -35,6 +35,10 @@
 	// heldLasts is for how long word of what an engine holds counts more than
 	// the list: its lag and a heartbeat.
 	heldLasts clock.Millis = 3000
+	// withheldFor is for how long an engine whose entry cannot be used counts as holding
+	// its layers: it writes its entry again within a heartbeat of 1.2 s, and the list shows
+	// that up to 0.8 s late. Moving other engines for it costs seconds of their work.
+	withheldFor clock.Millis = 3000
 	// healAfter is how long layers must have been without a holder before an
 	// engine that is in use is moved to them, so that one change of the list is
 	// seen whole.
@@ -71,6 +75,8 @@
 	heldSure map[fleet.Incarnation]clock.Millis
 	// seen is when an engine was first in the list.
 	seen map[fleet.Incarnation]clock.Millis
+	// withheldSince is since when an engine's entry cannot be used.
+	withheldSince map[fleet.Incarnation]clock.Millis
 	// needSince is since when a service has had layers without a holder.
 	needSince map[string]clock.Millis
 	// plans are by service.
@@ -112,7 +118,9 @@
 		seen:      make(map[fleet.Incarnation]clock.Millis),
 		pending:   make(map[fleet.Incarnation]pending),
 		needSince: make(map[string]clock.Millis),
-		plans:     make(map[string]planned),
+
+		withheldSince: make(map[fleet.Incarnation]clock.Millis),
+		plans:         make(map[string]planned),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -156,6 +164,7 @@
 			delete(m.agreed, c.ID)
 			delete(m.heldSure, c.ID)
 			delete(m.seen, c.ID)
+			delete(m.withheldSince, c.ID)
 			m.changed = now
 			continue
 		}
@@ -165,6 +174,11 @@
 		if !known || before.Leaving != c.Upstream.Leaving {
 			m.changed = now
 		}
+		if !c.Upstream.Withheld {
+			delete(m.withheldSince, c.ID)
+		} else if !before.Withheld {
+			m.withheldSince[c.ID] = now
+		}
 		if known && c.Upstream.Held.Empty() && now < m.heldSure[c.ID] {
 			// The list still shows what was before an order was carried out.
 			c.Upstream.Held = before.Held
@@ -207,6 +221,13 @@
 	}
 }
 
+// withheld tells whether an engine's entry has not been usable for so long that it counts
+// as lost.
+func (m *Model) withheld(now clock.Millis, id fleet.Incarnation) bool {
+	since, ok := m.withheldSince[id]
+	return ok && now >= since.Add(withheldFor)
+}
+
 // lost tells whether an engine counts as lost for its silence.
 func (m *Model) lost(id fleet.Incarnation) bool {
 	return m.agreed[id] || m.silent[id] && len(m.silent) <= mostSilent
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -61,7 +61,7 @@
 	var engines []Engine
 	for id, u := range m.upstreams {
 		kind, ok := s.Pipeline.Accelerators[u.Accelerator]
-		if u.Service != s.Name || u.Leaving || !ok || m.lost(id) {
+		if u.Service != s.Name || u.Leaving || !ok || m.lost(id) || m.withheld(now, id) {
 			continue
 		}
 		e := Engine{
@@ -69,6 +69,7 @@
 			LayerTime: s.Pipeline.StepTime(kind, 1), ReadTime: s.Pipeline.ReadTime(kind, 1), Held: u.Held,
 		}
 		e.Reserve = m.planned && m.seen[id] > m.plannedAt && now < m.seen[id].Add(reserveFor)
+		e.Fixed = u.Withheld
 		if p, waiting := m.pending[id]; waiting {
 			e.Coming, e.Fixed = p.layers, true
 		}
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -43,7 +43,7 @@
 	case "engine":
 		return placement.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Word(0)), Upstream: fleet.Upstream{
 			ID: script.Incarnation(s.Word(0)), Service: "writer", Address: s.Word(0) + ":80", DataCentre: s.Named["in"], Accelerator: s.Named["kind"],
-			Held: heldOf(s.Named["held"]), Leaving: s.Named["state"] == "leaving",
+			Held: heldOf(s.Named["held"]), Leaving: s.Named["state"] == "leaving", Withheld: s.Named["state"] == "withheld",
 		}}}}
 	case "gone":
 		return placement.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Word(0)), Gone: true}}}
--- a/placement/tick.go
+++ b/placement/tick.go
@@ -44,6 +44,11 @@
 	for _, p := range m.pending {
 		next = min(next, p.until)
 	}
+	for _, since := range m.withheldSince {
+		if until := since.Add(withheldFor); until > now {
+			next = min(next, until)
+		}
+	}
 	for _, seen := range m.seen {
 		if until := seen.Add(reserveFor); until > now {
 			next = min(next, until)
--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -78,7 +78,7 @@
 	defer e.mu.Unlock()
 	return &platformpb.Server{
 		Service: SiteWriter, Address: e.advertised, Zone: centre, State: e.departure.state(), Slots: 64, Kind: SiteKind,
-		Layers: e.layers(), Born: e.born,
+		Layers: e.layers(), Born: &e.born, Software: standinSoftware, OrdersTaken: float64(e.orders),
 	}
 }
 
@@ -231,5 +231,10 @@
 // startTime is the start of a server that begins now, as it tells it.
 func startTime() float64 { return float64(time.Now().UnixMilli()) }
 
-// EntryBytes encodes an entry as a server writes it.
-func EntryBytes(entry *platformpb.Server) ([]byte, error) { return protojson.Marshal(entry) }
+// standinSoftware is the version of the stand-ins' software.
+const standinSoftware = "v1"
+
+// EntryBytes encodes an entry as a server writes it: with all of its fields.
+func EntryBytes(entry *platformpb.Server) ([]byte, error) {
+	return protojson.MarshalOptions{EmitUnpopulated: true}.Marshal(entry)
+}
--- a/standin/desk.go
+++ b/standin/desk.go
@@ -41,7 +41,7 @@
 
 // Entry returns the desk's entry in the list of servers.
 func (d *Desk) Entry(centre string) *platformpb.Server {
-	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: d.departure.state(), Slots: deskSlots, Born: d.born}
+	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: d.departure.state(), Slots: deskSlots, Born: &d.born, Software: standinSoftware}
 }
 
 // Handler serves requests, what was run at /runs, and the desk's leaving at /leave.
