--- a/node/other_writers_test.go
+++ b/node/other_writers_test.go
@@ -23,7 +23,7 @@
 		s.store.Put("servers", fmt.Sprintf("x%d", i), fmt.Appendf(nil, `{"state":%d}`, i))
 		s.store.Remove("servers", fmt.Sprintf("x%d", many-1-i))
 		id := fmt.Sprint("s", i)
-		if got := n.do(http.MethodPost, long, id, "k1"); got.status != http.StatusOK || got.body != wholeStream(long) {
+		if got := n.do(http.MethodPost, "/write/"+id, id, "k1"); got.status != http.StatusOK || got.body != wholeStream("/write/"+id) {
 			t.Errorf("got status %d, %v, want a whole stream", got.status, got.err)
 		}
 		if got := n.do(http.MethodPost, "/once/a", "o"+id, "k2"); got.status != http.StatusOK || got.body != standin.DeskAnswer("/once/a") {
