Trial: streams begin where slots are left

Hypothesis: an engine works on 192 streams that begin there, whatever memory it has left. Nodes count memory alone.

--- a/chain/builder.go
+++ b/chain/builder.go
@@ -106,6 +106,9 @@
 	if to != centre {
 		base += crossingCost
 	}
+	if b.cuts[at] == 0 {
+		base += h.Begin
+	}
 	for next := at + 1; next < len(b.cuts) && b.cuts[next] <= h.Held.To; next++ {
 		span := b.cuts[next] - b.cuts[at]
 		need := b.tokens * float64(span)
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -39,6 +39,9 @@
 	// Busy is the part of the prompts that it can read in time which it gets; over
 	// one, prompts wait there ever longer.
 	Busy float64
+	// Begin is added to the cost of a chain that begins with this engine, in ms for each
+	// token: it works on a bounded number of those.
+	Begin float64
 	// Penalty is added to the cost of each part on this engine, in ms for each
 	// token. It speaks for avoiding the engine where there is another.
 	Penalty float64
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -94,9 +94,9 @@
 	for _, engines := range sizes {
 		b.Run(fmt.Sprint(engines), func(b *testing.B) {
 			m := benchModel(engines)
-			used := make(map[fleet.Incarnation]float64)
+			used := make(map[fleet.Incarnation]fleet.Use)
 			for i := range min(told, engines) {
-				used[fleet.Undated(fleet.ID(fmt.Sprintf("e%d", i)))] = float64(i)
+				used[fleet.Undated(fleet.ID(fmt.Sprintf("e%d", i)))] = fleet.Use{Memory: float64(i)}
 			}
 			for b.Loop() {
 				m.Update(1000, dispatch.UsageMsg{Node: "n", Used: used})
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -99,14 +99,13 @@
 	Away fleet.Incarnation
 }
 
-// ShareCmd tells other nodes what requests take at engines, in tokens times
-// layers.
+// ShareCmd tells other nodes what requests take at engines.
 type ShareCmd struct {
 	// Used is what this node's requests take.
-	Used map[fleet.Incarnation]float64
+	Used map[fleet.Incarnation]fleet.Use
 	// Total is what those of all nodes that tell each other take, at engines that
 	// are worth telling others of.
-	Total map[fleet.Incarnation]float64
+	Total map[fleet.Incarnation]fleet.Use
 }
 
 // SilentCmd tells the planner of layers that an engine does not answer, or does
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -33,8 +33,8 @@
 // UsageMsg brings what another node's requests take at engines.
 type UsageMsg struct {
 	Node string
-	// Used is memory by engine, in tokens times layers.
-	Used map[fleet.Incarnation]float64
+	// Used is by engine.
+	Used map[fleet.Incarnation]fleet.Use
 	// Total tells that it is that of all nodes of another data centre, which Node
 	// names.
 	Total bool
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -54,7 +54,9 @@
 	case "peers":
 		return dispatch.PeersMsg{All: s.Int("all", 1)}
 	case "usage":
-		return dispatch.UsageMsg{Node: s.Word(0), Used: map[fleet.Incarnation]float64{script.Incarnation(s.Word(1)): float64(s.Int("amount", 0))}, Total: s.Named["total"] == "yes"}
+		return dispatch.UsageMsg{Node: s.Word(0), Used: map[fleet.Incarnation]fleet.Use{
+			script.Incarnation(s.Word(1)): {Memory: float64(s.Int("amount", 0)), Streams: s.Int("streams", 0)},
+		}, Total: s.Named["total"] == "yes"}
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: script.Incarnation(s.Word(0)), Layers: testUpstream(s).Held, Holds: s.Named["holds"] == "yes"}
 	case "report":
@@ -169,7 +171,7 @@
 	}
 	return fleet.Upstream{
 		ID: script.Incarnation(s.Word(0)), Address: addressOf(s), Service: s.Named["service"], DataCentre: centre,
-		Accelerator: s.Named["kind"], Held: held, Leaving: s.Named["state"] == "leaving",
+		Accelerator: s.Named["kind"], Held: held, Slots: s.Int("slots", 0), Leaving: s.Named["state"] == "leaving",
 		Withheld: s.Named["state"] == "withheld",
 	}
 }
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -207,6 +207,7 @@
 		LayerTime: u.layerTime * max(u.pace, 1), Total: u.room, Room: m.free(u),
 	}
 	h.Busy = m.busy(u, h.Room)
+	h.Begin = m.slotCost(u)
 	if r.tried[u.entry.ID] {
 		h.Penalty = triedPenalty
 	}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -19,8 +19,8 @@
 	// reserved the memory that this node's requests take there.
 	inFlight int
 	reserved float64
-	// others is the memory that other nodes have told that theirs take.
-	others float64
+	// others is what other nodes have told that their requests take.
+	others fleet.Use
 	// took is the mean time of its answers in ms, and failing the mean rate of
 	// its failures.
 	took    float64
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -14,7 +14,7 @@
 	shareEvery clock.Millis = 300
 	// usageLasts is for how long that counts: some datagrams are lost.
 	usageLasts clock.Millis = 1500
-	// worthTelling is the part of an engine's memory from which other data
+	// worthTelling is the part of an engine's memory, or slots, from which other data
 	// centres are told of its use: below it nobody runs out of it.
 	worthTelling = 0.25
 )
@@ -22,7 +22,7 @@
 // peerUsage is what another node has in use.
 type peerUsage struct {
 	at   clock.Millis
-	used map[fleet.Incarnation]float64
+	used map[fleet.Incarnation]fleet.Use
 	// total tells that it is another data centre's.
 	total bool
 }
@@ -33,29 +33,29 @@
 		return nil
 	}
 	m.shared = m.now
-	used := make(map[fleet.Incarnation]float64)
+	used := make(map[fleet.Incarnation]fleet.Use)
 	for id, u := range m.upstreams {
 		if u.reserved > 0 {
-			used[id] = u.reserved
+			used[id] = fleet.Use{Memory: u.reserved, Streams: u.inFlight}
 		}
 	}
 	return []Cmd{ShareCmd{Used: used, Total: m.total(used)}}
 }
 
 // total adds up what this node and those that tell it alone have in use.
-func (m *Model) total(own map[fleet.Incarnation]float64) map[fleet.Incarnation]float64 {
+func (m *Model) total(own map[fleet.Incarnation]fleet.Use) map[fleet.Incarnation]fleet.Use {
 	total := maps.Clone(own)
 	for _, peer := range m.usage {
 		if peer.total {
 			continue
 		}
-		for id, amount := range peer.used {
-			total[id] += amount
+		for id, use := range peer.used {
+			total[id] = total[id].Plus(use)
 		}
 	}
-	maps.DeleteFunc(total, func(id fleet.Incarnation, amount float64) bool {
+	maps.DeleteFunc(total, func(id fleet.Incarnation, use fleet.Use) bool {
 		u := m.upstreams[id]
-		return u == nil || amount < worthTelling*u.room
+		return u == nil || use.Memory < worthTelling*u.room && float64(use.Streams) < worthTelling*float64(u.entry.Slots)
 	})
 	return total
 }
@@ -63,24 +63,29 @@
 // noteUsage takes what another node has in use, in place of what it has told before.
 // The sum for each engine is kept, since every request asks for it.
 func (m *Model) noteUsage(msg UsageMsg) {
-	m.addUsage(m.usage[msg.Node].used, -1)
+	m.takeOff(m.usage[msg.Node].used)
 	m.usage[msg.Node] = peerUsage{at: m.now, used: msg.Used, total: msg.Total}
-	m.addUsage(msg.Used, 1)
+	for id, use := range msg.Used {
+		if u := m.upstreams[id]; u != nil {
+			u.others = u.others.Plus(use)
+		}
+	}
 }
 
-func (m *Model) addUsage(used map[fleet.Incarnation]float64, sign float64) {
-	for id, amount := range used {
+// takeOff takes what a node has told off the sums.
+func (m *Model) takeOff(used map[fleet.Incarnation]fleet.Use) {
+	for id, use := range used {
 		if u := m.upstreams[id]; u != nil {
-			u.others += sign * amount
+			u.others = u.others.Minus(use)
 		}
 	}
 }
 
 // usageOf adds up what other nodes have told of an engine that is new here.
-func (m *Model) usageOf(id fleet.Incarnation) float64 {
-	sum := 0.0
+func (m *Model) usageOf(id fleet.Incarnation) fleet.Use {
+	var sum fleet.Use
 	for _, peer := range m.usage {
-		sum += peer.used[id]
+		sum = sum.Plus(peer.used[id])
 	}
 	return sum
 }
@@ -89,7 +94,7 @@
 func (m *Model) expireUsage() {
 	for node, peer := range m.usage {
 		if m.now > peer.at.Add(usageLasts) {
-			m.addUsage(peer.used, -1)
+			m.takeOff(peer.used)
 			delete(m.usage, node)
 		}
 	}
@@ -100,7 +105,7 @@
 // off far more often than its datagrams are all lost. Where that is wrong the
 // engine refuses, and is taken as full for a moment.
 func (m *Model) free(u *upstream) float64 {
-	free := u.room - u.reserved - u.others
+	free := u.room - u.reserved - u.others.Memory
 	if reported, ok := m.reported(u); ok {
 		free = min(free, reported)
 	}
@@ -127,7 +132,7 @@
 	}
 	oldest := clock.Millis(-1)
 	for _, peer := range m.usage {
-		if m.now <= peer.at.Add(usageLasts) && peer.used[u.entry.ID] > 0 {
+		if m.now <= peer.at.Add(usageLasts) && peer.used[u.entry.ID].Memory > 0 {
 			oldest = max(oldest, m.now.Sub(peer.at))
 		}
 	}
--- a/node/learn.go
+++ b/node/learn.go
@@ -44,7 +44,7 @@
 
 // share tells other nodes what this one has in use. The node that reads the
 // store for its data centre tells others what all of them have.
-func (n *Node) share(used, total map[fleet.Incarnation]float64) {
+func (n *Node) share(used, total map[fleet.Incarnation]fleet.Use) {
 	n.usage.Share(used)
 	if n.roster.Reads(n.clock.Now()) {
 		n.usage.ShareTotal(total)
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -43,14 +43,14 @@
 	silent func(dispatch.SilentCmd)
 	// share tells other nodes what this one has in use, and what all do that
 	// tell each other.
-	share func(used, total map[fleet.Incarnation]float64)
+	share func(used, total map[fleet.Incarnation]fleet.Use)
 	ready atomic.Bool
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd)) *decider {
 	return &decider{
 		model: model, clock: c, log: log, probe: probe, silent: func(dispatch.SilentCmd) {},
-		share: func(used, total map[fleet.Incarnation]float64) {},
+		share: func(used, total map[fleet.Incarnation]fleet.Use) {},
 		inbox: ring.New[envelope](decisionsWaiting), mail: make(map[dispatch.RequestID]chan dispatch.Cmd),
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -60,7 +60,7 @@
 
 // WithSharing sets who tells other nodes what this one has in use, and what all
 // do that tell each other.
-func WithSharing(share func(used, total map[fleet.Incarnation]float64)) Option {
+func WithSharing(share func(used, total map[fleet.Incarnation]fleet.Use)) Option {
 	return func(r *Relay) { r.decider.share = share }
 }
 
@@ -128,7 +128,7 @@
 
 // SetUsage takes what another node has in use or, with total, all nodes of
 // another data centre.
-func (r *Relay) SetUsage(node string, used map[fleet.Incarnation]float64, total bool) {
+func (r *Relay) SetUsage(node string, used map[fleet.Incarnation]fleet.Use, total bool) {
 	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used, Total: total})
 }
 
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -57,8 +57,8 @@
 
 // Msg is what a node tells of engines' memory.
 type Msg struct {
-	// Used is what is in use by engine, in tokens times layers.
-	Used map[fleet.Incarnation]float64
+	// Used is what is in use by engine.
+	Used map[fleet.Incarnation]fleet.Use
 	// Total tells that all nodes of the sender's data centre have it in use.
 	Total bool
 	// Followable tells whether other nodes may follow the sender in place of the
@@ -103,20 +103,20 @@
 }
 
 // Share tells the near peers what this node has in use.
-func (s *Sharing) Share(used map[fleet.Incarnation]float64) {
+func (s *Sharing) Share(used map[fleet.Incarnation]fleet.Use) {
 	s.send(&wire.Usage{From: s.self, Followable: s.followable(), Engines: engineUse(used)}, s.near.Load())
 }
 
 // ShareTotal tells the far peers what this node's data centre has in use.
-func (s *Sharing) ShareTotal(total map[fleet.Incarnation]float64) {
+func (s *Sharing) ShareTotal(total map[fleet.Incarnation]fleet.Use) {
 	s.send(&wire.Usage{From: s.self, Total: true, Engines: engineUse(total)}, s.far.Load())
 }
 
-func engineUse(used map[fleet.Incarnation]float64) []*wire.EngineUse {
+func engineUse(used map[fleet.Incarnation]fleet.Use) []*wire.EngineUse {
 	list := make([]*wire.EngineUse, 0, len(used))
-	for engine, amount := range used {
+	for engine, use := range used {
 		id, born := fleetwire.Name(engine)
-		list = append(list, &wire.EngineUse{Id: id, Born: born, Amount: amount})
+		list = append(list, &wire.EngineUse{Id: id, Born: born, Amount: use.Memory, Streams: int32(use.Streams)})
 	}
 	return list
 }
@@ -174,9 +174,9 @@
 	if len(msg.GetPlaced())+len(msg.GetSilent()) > 0 {
 		return
 	}
-	used := make(map[fleet.Incarnation]float64, len(msg.GetEngines()))
+	used := make(map[fleet.Incarnation]fleet.Use, len(msg.GetEngines()))
 	for _, e := range msg.GetEngines() {
-		used[fleetwire.IncarnationOf(e)] = e.GetAmount()
+		used[fleetwire.IncarnationOf(e)] = fleet.Use{Memory: e.GetAmount(), Streams: int(e.GetStreams())}
 	}
 	s.listener.HearUse(msg.GetFrom(), Msg{Used: used, Total: msg.GetTotal(), Followable: msg.GetFollowable()})
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -54,15 +54,15 @@
 	far, farHeard := newNode(t, "c")
 	teller.SetPeers([]string{near.Address()}, []string{far.Address()})
 
-	teller.Share(map[fleet.Incarnation]float64{fleet.Undated("e1"): 5})
+	teller.Share(map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 5, Streams: 2}})
 	got := <-nearHeard
-	if got.from != "a" || !got.msg.Followable || got.msg.Total || got.msg.Used[fleet.Undated("e1")] != 5 {
+	if got.from != "a" || !got.msg.Followable || got.msg.Total || got.msg.Used[fleet.Undated("e1")] != (fleet.Use{Memory: 5, Streams: 2}) {
 		t.Errorf("got %+v, want what a has in use", got)
 	}
 
-	teller.ShareTotal(map[fleet.Incarnation]float64{fleet.Undated("e1"): 50})
+	teller.ShareTotal(map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 50, Streams: 2}})
 	got = <-farHeard
-	if !got.msg.Total || !maps.Equal(got.msg.Used, map[fleet.Incarnation]float64{fleet.Undated("e1"): 50}) {
+	if !got.msg.Total || !maps.Equal(got.msg.Used, map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 50, Streams: 2}}) {
 		t.Errorf("got %+v, want a total of 50", got)
 	}
 
