Trial: nodes that have not heard of others yet take them to choose alike

Change: in its first second a node counts its own use once more for each node of which it has not heard yet.

--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -22,6 +22,8 @@
 	confirmed clock.Millis
 	// nodes is how many nodes there are, 0 while that is not known.
 	nodes int
+	// near is how many other nodes tell this one alone what they have in use.
+	near int
 
 	upstreams map[fleet.Incarnation]*upstream
 	byService map[string][]*upstream
@@ -92,7 +94,7 @@
 	case FleetMsg:
 		return append(m.setFleet(msg), m.takeEarly()...)
 	case PeersMsg:
-		m.nodes = msg.All
+		m.nodes, m.near = msg.All, msg.Near
 		m.setSlacks()
 	case UsageMsg:
 		m.noteUsage(msg)
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -28,6 +28,8 @@
 // PeersMsg tells how many nodes there are, this one included.
 type PeersMsg struct {
 	All int
+	// Near is how many others tell this node alone what they have in use.
+	Near int
 }
 
 // UsageMsg brings what another node's requests take at engines.
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -52,7 +52,7 @@
 	case "gone", "ended":
 		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Word(0)), Gone: true, Ended: s.Verb == "ended"}}}
 	case "peers":
-		return dispatch.PeersMsg{All: s.Int("all", 1)}
+		return dispatch.PeersMsg{All: s.Int("all", 1), Near: s.Int("near", 0)}
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Word(0), Used: map[fleet.Incarnation]fleet.Use{
 			script.Incarnation(s.Word(1)): {Memory: float64(s.Int("amount", 0)), Streams: s.Int("streams", 0)},
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -18,6 +18,6 @@
 	if u.entry.Slots == 0 {
 		return 0
 	}
-	taken := float64(u.inFlight+u.others.Streams) / float64(u.entry.Slots)
+	taken := float64(u.inFlight+m.othersUse(u).Streams) / float64(u.entry.Slots)
 	return slotsCost * max(0, taken-slotsNoted) / (1 - slotsNoted)
 }
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -105,13 +105,41 @@
 // off far more often than its datagrams are all lost. Where that is wrong the
 // engine refuses, and is taken as full for a moment.
 func (m *Model) free(u *upstream) float64 {
-	free := u.room - u.reserved - u.others.Memory
+	free := u.room - u.reserved - m.othersUse(u).Memory
 	if reported, ok := m.reported(u); ok {
 		free = min(free, reported)
 	}
 	return free
 }
 
+// unheardFor is for how long after its start a node takes others that it has not heard of
+// to use as much as itself: each tells every 0.3 s.
+const unheardFor clock.Millis = 1000
+
+// othersUse is what other nodes' requests take at an engine. A node that has just started
+// has heard of none, and so have the others if all have started together: each takes the
+// others to choose as it does. Without that all begin at the same engines until they have
+// heard of each other.
+func (m *Model) othersUse(u *upstream) fleet.Use {
+	use := u.others
+	if unheard := m.near - m.heard(); m.now < unheardFor && unheard > 0 {
+		use.Memory += u.reserved * float64(unheard)
+		use.Streams += u.inFlight * unheard
+	}
+	return use
+}
+
+// heard is how many other nodes have told this one what they alone have in use.
+func (m *Model) heard() int {
+	n := 0
+	for _, peer := range m.usage {
+		if !peer.total {
+			n++
+		}
+	}
+	return n
+}
+
 // reported returns the memory that is left at an engine by its own word, if that
 // is recent.
 func (m *Model) reported(u *upstream) (free float64, ok bool) {
--- a/node/known.go
+++ b/node/known.go
@@ -88,6 +88,6 @@
 	}
 	k.node.usage.SetPeers(near, far)
 	k.node.roster.SetGroup(readingGroup(others, k.node.settings.DataCentre))
-	k.node.relay.SetPeers(len(others) + 1)
+	k.node.relay.SetPeers(len(others)+1, len(near))
 	k.node.placer.Tell(placement.RankMsg{Delay: plannerDelay(rank)})
 }
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -246,7 +246,7 @@
 		<-ended
 	})
 	r.SetCatalog(testCatalog(), r.clock.Now())
-	r.SetPeers(1)
+	r.SetPeers(1, 0)
 	for i := range upstreamsOfTest {
 		server := httptest.NewServer(upstreams)
 		t.Cleanup(server.Close)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -121,9 +121,10 @@
 	}
 }
 
-// SetPeers tells how many nodes there are, this one included.
-func (r *Relay) SetPeers(all int) {
-	r.decider.tell(r.life, dispatch.PeersMsg{All: all})
+// SetPeers tells how many nodes there are, this one included, and how many others tell it
+// alone what they have in use.
+func (r *Relay) SetPeers(all, near int) {
+	r.decider.tell(r.life, dispatch.PeersMsg{All: all, Near: near})
 }
 
 // SetUsage takes what another node has in use or, with total, all nodes of
