Trial: beginning in another data centre costs half of a crossing

Hypothesis: a crossing costs 20 ms a token since prompts on the way fill the pipes. Between a node and the first engine no prompt passes the pipe, only the request and its events; at the price of a crossing a data centre that has lost engines keeps its streams late.

Change: that first way costs 10.

--- a/chain/builder.go
+++ b/chain/builder.go
@@ -103,7 +103,11 @@
 	h := &b.holders[holder]
 	to := b.centres[h.DataCentre]
 	base := b.steps[b.index(at, centre)].cost + h.Penalty + hopCost
-	if to != centre {
+	switch {
+	case to == centre:
+	case b.cuts[at] == 0:
+		base += enteringCost
+	default:
 		base += crossingCost
 	}
 	if b.cuts[at] == 0 {
--- a/chain/chain.go
+++ b/chain/chain.go
@@ -63,6 +63,9 @@
 	// the rest speaks for the shared pipes, which one crossing of all of a data
 	// centre's prompts fills by half (docs/PLATFORM.md).
 	crossingCost = 20.0
+	// enteringCost is for beginning in another data centre: its delay at each token, and
+	// for what crosses beside the events of the stream. No prompt does.
+	enteringCost = 10.0
 	// crowdCost is added for an engine whose memory is full, or that gets as many
 	// prompts as it can read, and less by the fourth power of that part: a slower
 	// engine with memory and time left takes over before. An engine that runs out of
@@ -88,7 +91,7 @@
 func BuildAtHome(layers int, tokens float64, origin string, holders []Holder, fastest float64) (parts []Part, ok bool) {
 	b := newBuilder(0, layers, tokens, origin, holders)
 	parts, cost := b.best()
-	return parts, parts != nil && cost < crossingCost+fastest
+	return parts, parts != nil && cost < enteringCost+fastest
 }
 
 // BuildFrom is Build for the layers from a given one on.
