Trial: an engine that refuses although it has room is not taken for full

Hypothesis: a refusal counts as want of room, and the engine is avoided for 0.15 s, doubling up to 3 s.

Change: the report that is asked for after a refusal explains it. With 0.3 of the memory left and nobody in the queue the engine counts as one that sheds for 2 s after its last refusal: it is used on, and what it refuses is repeated within the budget. Reports bring the length of the queue.

--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -132,6 +132,8 @@
 	// it has in all; All is zero if it does not say.
 	Free float64
 	All  float64
+	// Queued is how many requests wait there for a slot.
+	Queued int
 }
 
 // MovedMsg tells what came of a MoveCmd.
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -51,6 +51,11 @@
 	// and refusalsToProbe is after how many of them the engine is probed.
 	longestFull     clock.Millis = 3000
 	refusalsToProbe int          = 2
+	// shedsFor is for how long after a refusal an engine that refuses at random counts as
+	// such, and roomy the part of its memory that it must have left: what is taken there in
+	// the 0.2 s by which its word is late is less.
+	shedsFor clock.Millis = 2000
+	roomy                 = 0.3
 	// reportLasts is for how long an engine's word on its memory counts: it is a
 	// few hundred ms old when it comes, and a request ends there each 20 ms.
 	reportLasts clock.Millis = 600
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -33,6 +33,7 @@
 	}
 	if report.All > 0 {
 		u.reportedFree, u.reportedAt, u.reservedThen = report.Free, m.now, u.reserved
+		u.explain(m.now, report)
 	}
 }
 
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -88,7 +88,7 @@
 }
 
 func testReport(s script.Step) dispatch.Report {
-	return dispatch.Report{Pace: float64(s.Int("pace", 0)), Free: float64(s.Int("free", 0)), All: float64(s.Int("all", 0))}
+	return dispatch.Report{Pace: float64(s.Int("pace", 0)), Free: float64(s.Int("free", 0)), All: float64(s.Int("all", 0)), Queued: s.Int("queued", 0)}
 }
 
 func ids(word string) (dispatch.RequestID, int) {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -65,6 +65,9 @@
 	refusals  int
 	fullUntil clock.Millis
 	refusedAt clock.Millis
+	// sheds tells that it refuses although, by its own word, it has room: the next request
+	// may be taken.
+	sheds bool
 }
 
 func newUpstream(entry fleet.Upstream) *upstream {
@@ -127,6 +130,11 @@
 // report, since others may use it of whom this node does not know. One that goes
 // on refusing is leaving or dead: it is used less and less, and probed.
 func (u *upstream) refused(now clock.Millis) {
+	if u.shedding(now) {
+		u.refusedAt = now
+		u.wantsReport = now > u.reportedAt.Add(reportLasts)
+		return
+	}
 	u.fullUntil = now.Add(min(fullFor<<min(u.refusals, 8), longestFull))
 	u.refusals++
 	u.refusedAt = now
@@ -137,6 +145,24 @@
 	}
 }
 
+// shedding tells whether it has refused lately although it had room.
+func (u *upstream) shedding(now clock.Millis) bool {
+	return u.sheds && now <= u.refusedAt.Add(shedsFor)
+}
+
+// explain takes in an engine's word on its room after it has refused a request. One that
+// has room and nobody waiting is not full, and sends some away at random: avoiding it would
+// refuse all that it would have taken.
+func (u *upstream) explain(now clock.Millis, report Report) {
+	if now > u.refusedAt.Add(shedsFor) {
+		return
+	}
+	u.sheds = report.Queued == 0 && report.Free >= roomy*report.All
+	if u.sheds {
+		u.fullUntil, u.refusals = 0, 0
+	}
+}
+
 // misplaced notes that an engine says that it is not the one meant, or does not hold
 // what the list says. It is probed as the incarnation that the list names, so that one
 // that has ended is found silent and others are told.
