--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -87,6 +87,7 @@
 	r.tried[at.entry.ID] = true
 	switch msg.Cause {
 	case NotRunFull:
+		at.refusedItself = at == r.first
 		at.refused(m.now)
 		return nil
 	case NotRunElsewhere:
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -56,6 +56,9 @@
 	// the 0.2 s by which its word is late is less.
 	shedsFor clock.Millis = 2000
 	roomy                 = 0.3
+	// mostShed is how many refusals in a row, without a stream that ended well, an engine
+	// may shed: one that takes half has that many in a row once in 250.
+	mostShed = 8
 	// reportLasts is for how long an engine's word on its memory counts: it is a
 	// few hundred ms old when it comes, and a request ends there each 20 ms.
 	reportLasts clock.Millis = 600
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -65,6 +65,9 @@
 	refusals  int
 	fullUntil clock.Millis
 	refusedAt clock.Millis
+	// refusedItself tells that it was the first of its chain that refused last: the others
+	// also refuse what they are about to give up.
+	refusedItself bool
 	// sheds tells that it refuses although, by its own word, it has room: the next request
 	// may be taken.
 	sheds bool
@@ -130,11 +133,13 @@
 // report, since others may use it of whom this node does not know. One that goes
 // on refusing is leaving or dead: it is used less and less, and probed.
 func (u *upstream) refused(now clock.Millis) {
-	if u.shedding(now) {
+	if u.shedding(now) && u.refusals < mostShed {
+		u.refusals++
 		u.refusedAt = now
 		u.wantsReport = now > u.reportedAt.Add(reportLasts)
 		return
 	}
+	u.sheds = false
 	u.fullUntil = now.Add(min(fullFor<<min(u.refusals, 8), longestFull))
 	u.refusals++
 	u.refusedAt = now
@@ -154,12 +159,12 @@
 // has room and nobody waiting is not full, and sends some away at random: avoiding it would
 // refuse all that it would have taken.
 func (u *upstream) explain(now clock.Millis, report Report) {
-	if now > u.refusedAt.Add(shedsFor) {
+	if now > u.refusedAt.Add(shedsFor) || !u.refusedItself || u.refusals >= mostShed {
 		return
 	}
 	u.sheds = report.Queued == 0 && report.Free >= roomy*report.All
 	if u.sheds {
-		u.fullUntil, u.refusals = 0, 0
+		u.fullUntil = 0
 	}
 }
 
