A node that does not know how many others there are has no slack of repeats

Change: no slack until the number is known, which is some 10 ms after a start where the store answers.

--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -229,15 +229,15 @@
 	return b
 }
 
-// slack is this node's part of the repeats beyond the share. It is smaller in the
+// slack is this node's part of the repeats beyond the share: nothing before it knows how
+// many nodes there are, some 10 ms after a start. It is smaller in the
 // first window of its life, since a node of this name may have run, and spent, until
 // just now.
 func (m *Model) slack() float64 {
-	nodes := m.nodes
-	if nodes == 0 {
-		nodes = expectedNodes
+	if m.nodes == 0 {
+		return 0
 	}
-	part := m.policy.RetrySlack * slackShare / float64(nodes)
+	part := m.policy.RetrySlack * slackShare / float64(m.nodes)
 	if m.now < m.policy.RetryWindow {
 		part *= 1 - restartSpent
 	}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -31,8 +31,6 @@
 	// 371 repeats where 363 were allowed, after one restart.
 	slackShare   = 0.7
 	restartSpent = 0.8
-	// expectedNodes stands in for the number of nodes until it is known.
-	expectedNodes = 16
 	// firstSuspicion is how long an upstream is avoided after a first failure;
 	// it doubles with each further one, up to longestSuspicion.
 	firstSuspicion   clock.Millis = 400
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -20,6 +20,8 @@
 			dispatch.WithDataCentre("a"),
 			dispatch.WithPolicy(dispatch.Policy{RevokeWithin: 5000, RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}),
 		)}
+		// The node is the only one unless a line says otherwise.
+		p.model.Update(0, dispatch.PeersMsg{All: 1})
 		return p.do
 	})
 }
