The budget of repeats holds however often all nodes are started anew

Cause: a node that starts knows nothing of what was spent before it. The share counts as well as the slack: it is earned by requests of before the window. The window also counted first tries over up to a tenth more than itself.

First tries count over no more than the window.

--- a/budget/window.go
+++ b/budget/window.go
@@ -2,8 +2,9 @@
 
 import "github.com/hoistjunction/hoistjunction/clock"
 
-// windowParts is into how many parts a Window is cut. One part more is kept, so
-// that the sum is never over less than the whole window.
+// windowParts is into how many parts a Window is cut. Retries are kept for one part more,
+// so that their sum is never over less than the whole window, and first tries are not, so
+// that theirs is never over more.
 const windowParts = 10
 
 // Window bounds retries in every window of time: to a share of the first tries
@@ -33,8 +34,8 @@
 	return &Window{part: max(length/windowParts, 1), share: share, slack: slack}
 }
 
-// SetSlack changes the number of retries beyond the share.
-func (w *Window) SetSlack(slack float64) { w.slack = slack }
+// Set changes the share, and the number of retries beyond it.
+func (w *Window) Set(share, slack float64) { w.share, w.slack = share, slack }
 
 // Earn counts one first try.
 func (w *Window) Earn(now clock.Millis) { w.at(now).first++ }
@@ -62,9 +63,11 @@
 func (w *Window) sums(newest int64) (first, retries int) {
 	for _, p := range w.parts {
 		if p.number > newest-int64(len(w.parts)) {
-			first += p.first
 			retries += p.retries
 		}
+		if p.number > newest-windowParts {
+			first += p.first
+		}
 	}
 	return first, retries
 }
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -96,7 +96,7 @@
 		return append(m.setFleet(msg), m.takeEarly()...)
 	case PeersMsg:
 		m.nodes, m.near = msg.All, msg.Near
-		m.setSlacks()
+		m.setBudgets()
 	case UsageMsg:
 		m.noteUsage(msg)
 	case PlacedMsg:
@@ -219,43 +219,11 @@
 	}
 }
 
-// budget returns this node's part of a service's budget of repeats.
-func (m *Model) budget(service string) *budget.Window {
-	b, ok := m.budgets[service]
-	if !ok {
-		b = budget.NewWindow(m.policy.RetryWindow, m.policy.RetryShare, m.slack())
-		m.budgets[service] = b
-	}
-	return b
-}
-
-// slack is this node's part of the repeats beyond the share: nothing before it knows how
-// many nodes there are, some 10 ms after a start. It is smaller in the
-// first window of its life, since a node of this name may have run, and spent, until
-// just now.
-func (m *Model) slack() float64 {
-	if m.nodes == 0 {
-		return 0
-	}
-	part := m.policy.RetrySlack * slackShare / float64(m.nodes)
-	if m.now < m.policy.RetryWindow {
-		part *= 1 - restartSpent
-	}
-	return part
-}
-
-// setSlacks sets this node's part of all budgets.
-func (m *Model) setSlacks() {
-	for _, b := range m.budgets {
-		b.SetSlack(m.slack())
-	}
-}
-
 // tick does what depends on time: it probes suspected upstreams, moves streams
 // off engines that are leaving, takes up those that wait, and tells others what
 // is in use.
 func (m *Model) tick() []Cmd {
-	m.setSlacks()
+	m.setBudgets()
 	m.expireUsage()
 	return slices.Concat(m.takeEarly(), m.probes(), m.depart(), m.resume(), m.share())
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -24,13 +24,6 @@
 	// that a request does not walk through the whole fleet. A long stream may
 	// outlive several engines while servers are replaced.
 	mostSends = 8
-	// slackShare is the part of the slack that the nodes spend, and restartSpent the part
-	// of its own that a node counts as spent when it starts: one of its name may have spent
-	// all of it until just now. With all nodes restarted twice in one window, each time
-	// when all is spent, they stay within 0.98 of the whole. With half of it kept they spent
-	// 371 repeats where 363 were allowed, after one restart.
-	slackShare   = 0.7
-	restartSpent = 0.8
 	// firstSuspicion is how long an upstream is avoided after a first failure;
 	// it doubles with each further one, up to longestSuspicion.
 	firstSuspicion   clock.Millis = 400
@@ -54,10 +47,10 @@
 	// such, and roomy the part of its memory that it must have left: what is taken there in
 	// the 0.2 s by which its word is late is less.
 	shedsFor clock.Millis = 2000
-	roomy                 = 0.3
+	roomy    float64      = 0.3
 	// mostShed is how many refusals in a row, without a stream that ended well, an engine
 	// may shed: one that takes half has that many in a row once in 250.
-	mostShed = 8
+	mostShed int = 8
 	// reportLasts is for how long an engine's word on its memory counts: it is a
 	// few hundred ms old when it comes, and a request ends there each 20 ms.
 	reportLasts clock.Millis = 600
