Model: orders of an earlier run, carried out late at an engine that started again

Fails where word of an earlier run replaces the later one's, and where an order that was taken counts as held.

--- a/models/check.sh
+++ b/models/check.sh
@@ -57,5 +57,8 @@
 check placement fails NOCOUNT
 check placement fails NONAME
 check placement fails NOCHECK
+check orders holds
+check orders fails KEEPS
+check orders fails TRUSTS
 echo "models: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
