Reverted: the first streams count for more in how long streams last

How long streams last was not what kept first events waiting: that was the slots of the first engines.

--- a/dispatch/busy.go
+++ b/dispatch/busy.go
@@ -5,10 +5,7 @@
 const (
 	// firstLasts stands in for how long a stream lasts until that is known, in ms.
 	firstLasts = 3000.0
-	// lastsWeight is the least weight of a new reading in the mean time of streams. The first
-	// ones count for more, as in a mean of all: where streams last a third of firstLasts, a
-	// node with four a second took 10 s to come within a tenth of that, and meanwhile took
-	// engines to read a third of what they do.
+	// lastsWeight is the weight of a new reading in the mean time of streams.
 	lastsWeight = 0.05
 	// inBatch is the part of an engine's streams that is in its batch at a time; the
 	// others are at other stages of their chains.
@@ -17,9 +14,7 @@
 
 // noteLasts takes in how long a stream has lasted.
 func (m *Model) noteLasts(took clock.Millis) {
-	m.lasted++
-	weight := max(lastsWeight, 1/float64(m.lasted+1))
-	m.lasts += weight * (float64(took) - m.lasts)
+	m.lasts += lastsWeight * (float64(took) - m.lasts)
 }
 
 // busy is the part of the prompts that an engine can read in time which it gets, as
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -38,9 +38,8 @@
 	budgets map[string]*budget.Window
 	// usage is what other nodes have in use, by their names.
 	usage map[string]peerUsage
-	// lasts is the mean time of streams, in ms, and lasted how many it is of.
-	lasts  float64
-	lasted int
+	// lasts is the mean time of streams, in ms.
+	lasts float64
 	// shortages are by service.
 	shortages map[string]*shortage
 	// shared is when this node last told what it has in use.
