An upstream that was seen leaving is passed on as leaving

Cause, found on reading: the view keeps an upstream leaving whatever an older entry says, but passed such an entry on as it came. Where it differed in something else, such as the layers held, the dispatcher took the upstream for one that may get work.

Change: what is passed on is what the view holds.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -11,9 +11,6 @@
 // although the upstream lives. The users' letter names about two seconds.
 const LapseGrace clock.Millis = 2200
 
-// mostStrangers bounds the entries that are kept aside. A deployment has some hundred.
-const mostStrangers = 1024
-
 // View is the node's picture of all upstreams. It is pure: times are handed
 // in. It is not safe for concurrent use.
 type View struct {
@@ -124,141 +121,19 @@
 			effective = append(effective, v.withhold(c.ID)...)
 			continue
 		}
-		if v.apply(now, c, lapsed) {
-			effective = append(effective, c)
-		}
-	}
-	return effective
-}
-
-// SetServices sets the services that there are, and takes up the entries that have named
-// one of them before. Others have no place to be used, and entries that name one may come
-// from another writer: they must not take the address of an upstream that is.
-func (v *View) SetServices(now clock.Millis, names []string) []Change {
-	v.services = make(map[string]bool, len(names))
-	for _, name := range names {
-		v.services[name] = true
-	}
-	var known []Change
-	for id, u := range v.strangers {
-		if v.services[u.Service] {
-			delete(v.strangers, id)
-			known = append(known, Change{ID: id, Upstream: u})
-		}
-	}
-	slices.SortFunc(known, func(a, b Change) int { return a.ID.Compare(b.ID) })
-	return v.Apply(now, known, false)
-}
-
-// stranger keeps an entry aside that names a service that there is not, and tells whether
-// it did.
-func (v *View) stranger(c Change) bool {
-	if c.Gone {
-		delete(v.strangers, c.ID)
-		return false
-	}
-	if !v.unserved(c) {
-		return false
-	}
-	if len(v.strangers) < mostStrangers {
-		v.strangers[c.ID] = c.Upstream
-	}
-	return true
-}
-
-// unserved tells whether a change brings an entry that names a service that there is not.
-func (v *View) unserved(c Change) bool {
-	return !c.Gone && !c.Unreadable && v.services != nil && !v.services[c.Upstream.Service]
-}
-
-// withhold keeps new work from an upstream whose entry cannot be used.
-func (v *View) withhold(id Incarnation) []Change {
-	known := v.upstreams[id]
-	delete(v.missing, id)
-	if known == nil || known.Withheld {
-		return nil
-	}
-	u := *known
-	u.Withheld = true
-	v.upstreams[id] = &u
-	return []Change{{ID: id, Upstream: u}}
-}
-
-// Supersede notes that somebody has heard of a run of an upstream, and returns the
-// earlier one as ended if it was known. The run itself counts once the list shows it.
-func (v *View) Supersede(run Incarnation) []Change {
-	earlier, later := v.latest.note(run)
-	if !later {
-		return nil
-	}
-	if !v.drop(earlier) {
-		return nil
-	}
-	return []Change{{ID: earlier, Gone: true, Ended: true}}
-}
-
-// supersede ends the incarnations that entries name a later run of.
-func (v *View) supersede(changes []Change) []Change {
-	var ended []Change
-	for _, c := range changes {
-		if !c.Gone && !v.unserved(c) {
-			ended = append(ended, v.Supersede(c.ID)...)
-		}
-	}
-	return ended
-}
-
-// Resolve returns the incarnation that a change is about. Where an entry is gone, or cannot
-// be read, nothing says of which run it was: of the latest.
-func (v *View) Resolve(c Change) Incarnation {
-	if (c.Gone || c.Unreadable) && c.ID.Born() == 0 {
-		return v.latest.run(c.ID)
-	}
-	return c.ID
-}
-
-// displace ends the incarnations without an entry, or that are leaving, that were known at
-// an address at which a new one is, and returns them: whether their entries linger or may
-// come back after an outage, their processes are gone. One that is listed stays beside the
-// new one: either may come from another writer, and who is asked as the one that it is not
-// says so.
-func (v *View) displace(changes []Change) []Change {
-	over := make(map[Incarnation]bool)
-	for _, c := range changes {
-		over[v.Resolve(c)] = c.Gone || c.Upstream.Leaving || c.Upstream.Lapsed
-	}
-	var displaced []Change
-	for _, c := range changes {
-		old := v.atAddress[c.Upstream.Address]
-		if v.unserved(c) || v.Listed(old) && !v.upstreams[old].Leaving && !over[old] {
-			continue
-		}
-		if c.Gone || c.Unreadable || c.Upstream.Lapsed || c.Upstream.Address == "" || old.IsZero() || old == c.ID || v.upstreams[c.ID] != nil || v.over(c.ID) {
+		if !v.apply(now, c, lapsed) {
 			continue
 		}
-		if v.end(old) {
-			displaced = append(displaced, Change{ID: old, Gone: true})
+		if known := v.upstreams[c.ID]; known != nil {
+			// One that was seen leaving is leaving still, whatever its entry says.
+			c.Upstream = *known
 		}
+		effective = append(effective, c)
 	}
-	return displaced
-}
-
-// end notes that an incarnation has ended, and returns whether it was known.
-func (v *View) end(i Incarnation) bool {
-	v.ended[i] = true
-	return v.drop(i)
-}
-
-// drop removes an incarnation, and returns whether it was known.
-func (v *View) drop(i Incarnation) bool {
-	known := v.Holds(i)
-	v.remove(i)
-	return known
+	return effective
 }
 
-// over tells whether an incarnation has ended for certain, whatever is said of it.
-func (v *View) over(i Incarnation) bool { return v.ended[i] || v.latest.outdated(i) }
-
+// apply takes in one change, and returns whether it made a difference.
 func (v *View) apply(now clock.Millis, c Change, lapsed bool) bool {
 	switch {
 	case c.Ended:
