Trial: an engine that may lack slots does not count as one that sheds

A report is 0.2 s old: one of an engine whose slots were just taken shows nobody waiting, and it was asked on.

--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -47,7 +47,7 @@
 	// such, and roomy the part of its memory that it must have left: what is taken there in
 	// the 0.2 s by which its word is late is less.
 	shedsFor clock.Millis = 2000
-	roomy    float64      = 0.3
+	roomy    float64      = 0.5
 	// mostShed is how many refusals in a row, without a stream that ended well, an engine
 	// may shed: one that takes half has that many in a row once in 250.
 	mostShed int = 8
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -162,7 +162,8 @@
 	if now > u.refusedAt.Add(shedsFor) || !u.refusedItself || u.refusals >= mostShed {
 		return
 	}
-	u.sheds = report.Queued == 0 && report.Free >= roomy*report.All
+	taken := float64(u.inFlight + u.others.Streams)
+	u.sheds = report.Queued == 0 && report.Free >= roomy*report.All && taken <= slotsNoted*float64(u.entry.Slots)
 	if u.sheds {
 		u.fullUntil = 0
 	}
