A stand-in's count of orders is a number in its reports

The stand-ins' reports wrote the count of orders as a text once it was not zero (64-bit integers of the JSON codec), and reports are checked by a schema now; the node could not read them and gave no order. Real engines write a number.

--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -104,7 +104,7 @@
 
 func (e *ChainEngine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	report := &platformpb.Report{Busy: e.loading, OrdersTaken: e.orders, Layers: e.layers(), Kind: SiteKind, Born: e.born}
+	report := &platformpb.Report{Busy: e.loading, OrdersTaken: float64(e.orders), Layers: e.layers(), Kind: SiteKind, Born: e.born}
 	for id, s := range e.streams {
 		if s.stalledAt != "" {
 			report.Stalled = append(report.Stalled, &platformpb.Stalled{Id: id, Address: s.stalledAt})
