More of the budget of repeats is for nodes that have just started

Change: 0.6 and 0.4 of the share, 0.45 and 0.18 of the slack; three starts of all nodes in one window still fit, and the test of that holds.

--- a/dispatch/repeats.go
+++ b/dispatch/repeats.go
@@ -10,12 +10,12 @@
 // each earns it by requests of its own; of the slack each start takes a part.
 const (
 	// matureShare and youngShare are the parts of the share, and sum up to all of it.
-	matureShare = 0.7
+	matureShare = 0.6
 	youngShare  = 1 - matureShare
 	// matureSlack and youngSlack are the parts of the slack. With all nodes started anew
-	// three times in one window they sum up to 0.96.
-	matureSlack = 0.6
-	youngSlack  = 0.12
+	// three times in one window they sum up to 0.99.
+	matureSlack = 0.45
+	youngSlack  = 0.18
 )
 
 // budget returns this node's part of a service's budget of repeats.
