Nodes of which nothing is heard are counted only in the first second

Cause, found on reading: the count was made for each engine of each request and thrown away after the first second: 60 peers for each of 93 engines.

--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -122,7 +122,10 @@
 // heard of each other.
 func (m *Model) othersUse(u *upstream) fleet.Use {
 	use := u.others
-	if unheard := m.near - m.heard(); m.now < unheardFor && unheard > 0 {
+	if m.now >= unheardFor {
+		return use
+	}
+	if unheard := m.near - m.heard(); unheard > 0 {
 		use.Memory += u.reserved * float64(unheard)
 		use.Streams += u.inFlight * unheard
 	}
