A node that is alone is told so

The tests' node was never told; nor is a real one that is alone, since only news of others was passed on.

Change: the first reading of the registry tells how many there are, in any case. The tests' node is told that it is the only one.

Ruled out: the same on the users' deployments (each has seven nodes or more).

Tests: registrations are told once in each case, also without others (failed before).

--- a/peering/peering.go
+++ b/peering/peering.go
@@ -71,6 +71,9 @@
 	// registerAfter is this node's part of registerSpread.
 	firstStart    bool
 	registerAfter clock.Millis
+	// counted tells that the registry was read, and how many nodes there are was told. One
+	// that is alone has to know that too. Only the loop of Register uses it.
+	counted bool
 	// Of the rounds of questions; only the loop of Run uses them.
 	nextLook clock.Millis
 	pause    clock.Millis
@@ -173,7 +176,8 @@
 	}
 	registered = slices.ContainsFunc(list, func(r Registration) bool { return proto.Equal(r.Member, p.directory.self) })
 	news, expired := p.directory.registered(p.clock.Now(), list)
-	if news {
+	if news || !p.counted {
+		p.counted = true
 		p.tellMembers()
 	}
 	if len(expired) == 0 {
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -25,6 +25,7 @@
 	learntConfirmed clock.Millis
 	learntList      []fleet.Upstream
 	others          int
+	told            int
 	rank            int
 }
 
@@ -37,6 +38,7 @@
 func (f *fakeNode) LearnFleet(list []fleet.Upstream) { f.learntList = list }
 func (f *fakeNode) LearnMembers(others []*wire.Member, rank int) {
 	f.others, f.rank = len(others), rank
+	f.told++
 }
 
 func newFake(t *testing.T, name string, node *fakeNode, c *clock.Clock) (*Peering, *wire.Member) {
--- a/peering/register_test.go
+++ b/peering/register_test.go
@@ -77,6 +77,9 @@
 			if got := strings.Join(registry.calls, " "); got != tt.want {
 				t.Errorf("got calls %q, want %q", got, tt.want)
 			}
+			if node.told != 1 {
+				t.Errorf("got the nodes told %d times, want once, also where there are no others", node.told)
+			}
 			if got := fmt.Sprint(node.others); got != fmt.Sprint(tt.wantOthers) {
 				t.Errorf("got %s others, want %d", got, tt.wantOthers)
 			}
--- a/relay/silent_connections_test.go
+++ b/relay/silent_connections_test.go
@@ -58,6 +58,7 @@
 		<-ended
 		engines.Close()
 	})
+	s.relay.SetPeers(1, 0)
 	catalog, err := platform.DecodeCatalog(standin.SiteConfig(1, "k1"))
 	if err != nil {
 		t.Fatal(err)
