A method of incarnations that nothing calls goes

Found on reading the whole change once more: Incarnation.Same had no caller; Succeeds and the list's own record of the latest runs ask what is to be asked.

--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -43,9 +43,6 @@
 	return i.id == earlier.id && i.born > earlier.born
 }
 
-// Same tells whether two are runs of the same upstream, or the same one.
-func (i Incarnation) Same(o Incarnation) bool { return i.id == o.id }
-
 // Compare orders incarnations by ID, and those of one upstream by their start.
 func (i Incarnation) Compare(o Incarnation) int {
 	return cmp.Or(cmp.Compare(i.id, o.id), cmp.Compare(i.born, o.born))
