Logs name the work that a request asks for, the same in each try

The logs could not tell three hypotheses apart: that each try begins anew, that one node repeats a request too often, or that upstreams end whatever they run. Each line on a request had the id of one try.

sent, attempt_failed and refused now carry work=, the first eight bytes of a hash over method, host, path, query, body and client account. No decision depends on it.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -33,6 +33,7 @@
 	if cmds := m.admitKey(r); cmds != nil {
 		return cmds
 	}
+	r.work = msg.Asked.By(r.account.Name)
 	r.deadline = m.now.Add(noDeadline)
 	if msg.Remaining > 0 {
 		r.deadline = m.now.Add(msg.Remaining)
@@ -103,6 +104,9 @@
 		status, reason, back = http.StatusBadGateway, ReasonUnknown, 0
 	}
 	cmd := FinishCmd{Request: id, Status: status, Reason: reason, RetryAfter: back, CatalogAge: clock.AgeOf(m.confirmed, m.now)}
+	if r := m.requests[id]; r != nil {
+		cmd.Work = r.work
+	}
 	if m.catalog != nil {
 		cmd.CatalogVersion = m.catalog.Version()
 	}
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -5,6 +5,7 @@
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/work"
 )
 
 // Cmd is something to be done.
@@ -35,6 +36,8 @@
 	Last bool
 	// Keyed requests may be sent only while the configuration is fresh.
 	Keyed bool
+	// Work names what is asked for by its client account.
+	Work work.ID
 	// Inputs of the decision, for the log.
 	CatalogVersion uint64
 	CatalogAge     clock.Millis
@@ -50,6 +53,8 @@
 	RetryAfter     clock.Millis
 	CatalogVersion uint64
 	CatalogAge     clock.Millis
+	// Work names what is asked for by its client account; zero where that is not known.
+	Work work.ID
 	// Lack says what ran short; nil where that is not it.
 	Lack *Lack
 }
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -4,6 +4,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/work"
 )
 
 // RequestID names a request inside one node.
@@ -55,8 +56,10 @@
 	Request RequestID
 	// CallerID is the name that the caller gave this try.
 	CallerID string
-	Host     string
-	Path     string
+	// Asked names what is asked for, whoever asks.
+	Asked work.ID
+	Host  string
+	Path  string
 	// Key is the caller's key; HasKey tells that one was sent.
 	Key    string
 	HasKey bool
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -5,6 +5,7 @@
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/work"
 )
 
 // request is a request under way.
@@ -19,6 +20,8 @@
 	service  *catalog.Service
 	account  catalog.Account
 	keyed    bool
+	// work names what the client account asks for.
+	work work.ID
 	// tokens is the size that memory is reserved for.
 	tokens float64
 	// sends counts attempts, and runs those that may have run.
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -31,6 +31,7 @@
 	cmd.Route, cmd.Account, cmd.Keyed, cmd.Priority = r.route, r.account.Name, r.keyed, r.priority()
 	cmd.Deadline, cmd.GiveUp = r.deadline, r.giveUp
 	cmd.Last = m.isLast(r)
+	cmd.Work = r.work
 	cmd.CatalogVersion, cmd.CatalogAge = m.catalog.Version(), clock.AgeOf(m.confirmed, m.now)
 	cmd.InFlight = r.first.inFlight
 	return []Cmd{cmd}
--- a/relay/log.go
+++ b/relay/log.go
@@ -33,7 +33,7 @@
 
 func (s *session) logSend(cmd dispatch.SendCmd, remaining clock.Millis) {
 	s.relay.stats.count("sent")
-	s.log.Info("sent", zap.String("id", s.head.ID), zap.Int("attempt", cmd.Attempt), zap.String("route", cmd.Route.Name),
+	s.log.Info("sent", zap.String("id", s.head.ID), zap.Stringer("work", cmd.Work), zap.Int("attempt", cmd.Attempt), zap.String("route", cmd.Route.Name),
 		zap.String("account", cmd.Account), zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
 		zap.String("chain", chainText(cmd.Chain)), zap.Int("in_flight", cmd.InFlight), zap.Int("priority", cmd.Priority),
 		zap.Uint64("config", cmd.CatalogVersion), zap.Int64("config_age_ms", int64(cmd.CatalogAge)),
@@ -93,7 +93,7 @@
 }
 
 func (s *session) logFinish(cmd dispatch.FinishCmd) {
-	s.log.Info("refused", zap.String("id", s.head.ID), zap.String("host", s.r.Host), zap.String("path", s.r.URL.Path),
+	s.log.Info("refused", zap.String("id", s.head.ID), zap.Stringer("work", cmd.Work), zap.String("host", s.r.Host), zap.String("path", s.r.URL.Path),
 		zap.Int("status", cmd.Status), zap.String("reason", string(cmd.Reason)),
 		zap.Int64("retry_after_ms", int64(cmd.RetryAfter)), zap.Int("attempts", s.attempts),
 		zap.Uint64("config", cmd.CatalogVersion), zap.Int64("config_age_ms", int64(cmd.CatalogAge)),
@@ -119,7 +119,7 @@
 
 func (s *session) logFailure(cause dispatch.Cause, at string, err error) {
 	s.relay.stats.count("attempt_" + cause.String())
-	s.log.Info("attempt_failed", zap.String("id", s.head.ID), zap.Int("attempt", s.attempt.cmd.Attempt),
+	s.log.Info("attempt_failed", zap.String("id", s.head.ID), zap.Stringer("work", s.attempt.cmd.Work), zap.Int("attempt", s.attempt.cmd.Attempt),
 		zap.Stringer("upstream", s.attempt.cmd.Upstream), zap.Stringer("cause", cause), zap.String("at", at),
 		zap.Int("events", s.events), zap.Int64("after_ms", int64(s.relay.clock.Now().Sub(s.sent))), logging.Err(err))
 }
