--- a/clock/clock.go
+++ b/clock/clock.go
@@ -2,17 +2,30 @@
 
 import "time"
 
-// Clock tells the time since it was made. It reads the monotonic clock, so a
-// step of the wall clock does not move it.
+// Clock tells the time since it was made. A step of the wall clock does not move it.
 type Clock struct {
-	start time.Time
+	vm    VM
+	start time.Duration
 }
 
+// Option sets up a Clock.
+type Option func(*Clock)
+
+// WithVM sets whose clocks are read, for tests.
+func WithVM(vm VM) Option { return func(c *Clock) { c.vm = vm } }
+
 // New starts a clock at zero.
-func New() *Clock { return &Clock{start: time.Now()} }
+func New(opts ...Option) *Clock {
+	c := &Clock{vm: thisVM{start: time.Now()}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.start = c.vm.Steady()
+	return c
+}
 
 // Now returns the time since the clock was made.
-func (c *Clock) Now() Millis { return FromDuration(time.Since(c.start)) }
+func (c *Clock) Now() Millis { return FromDuration(c.vm.Steady() - c.start) }
 
 // Wall returns the wall time in milliseconds since 1970. It is for records
 // that people read; no decision may depend on it.
--- a/cmd/standin-site/main.go
+++ b/cmd/standin-site/main.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	engine := standin.NewChainEngine(c.ID, advertised(c, address))
+	engine := standin.NewChainEngine(c.ID, advertised(c, address), standin.WithEnd(end))
 	go standin.Beat(context.Background(), c.Store, c.ID, func() *platformpb.Server { return engine.Entry(c.Centre) })
 	return standin.Serve(address, engine.Handler(), os.Stdout)
 }
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	desk := standin.NewDesk(c.ID, advertised(c, address), c.Work)
+	desk := standin.NewDesk(c.ID, advertised(c, address), c.Work, standin.WithEnd(end))
 	go standin.Beat(context.Background(), c.Store, c.ID, func() *platformpb.Server { return desk.Entry(c.Centre) })
 	return standin.Serve(address, desk.Handler(), os.Stdout)
 }
@@ -107,3 +107,9 @@
 	}
 	return address
 }
+
+// ended is the exit code of a server that a request has ended.
+const ended = 3
+
+// end ends the process at once, as a crash does.
+func end() { os.Exit(ended) }
--- a/node/node.go
+++ b/node/node.go
@@ -67,9 +67,18 @@
 	drained   chan struct{}
 }
 
+// Option sets up a Node.
+type Option func(*Node)
+
+// WithClock sets the node's clock, for tests.
+func WithClock(c *clock.Clock) Option { return func(n *Node) { n.clock = c } }
+
 // New binds a node's ports and builds it. Run makes it work.
-func New(s *Settings, log *logging.Log) (*Node, error) {
+func New(s *Settings, log *logging.Log, opts ...Option) (*Node, error) {
 	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), silences: newSilences()}
+	for _, opt := range opts {
+		opt(n)
+	}
 	n.life, n.end = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -130,6 +130,12 @@
 const anyPort = "127.0.0.1:0"
 
 func (s *site) startNode(name, storeAt string, seeds ...string) *testNode {
+	s.t.Helper()
+	return s.startNodeWith(name, storeAt, nil, seeds...)
+}
+
+// startNodeWith starts a node with options.
+func (s *site) startNodeWith(name, storeAt string, opts []node.Option, seeds ...string) *testNode {
 	s.t.Helper()
 	settings := &node.Settings{
 		Name: name, DataCentre: "dc", LogLevel: "info", GraceSeconds: 8, Cores: 1, MemoryMB: 256,
@@ -137,7 +143,7 @@
 		MetricsListen: anyPort, UsageListen: anyPort, PeerSeeds: seeds, Platform: storeAt,
 		KeysFailClosed: true, KeysWithin: 5000, ConfigWithin: 2000, LeavingWithin: 2000, RetryWindowSeconds: 10, RetryShare: 0.2, RetrySlack: 200,
 	}
-	n, err := node.New(settings, logging.Nop())
+	n, err := node.New(settings, logging.Nop(), opts...)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -40,6 +40,7 @@
 	advertised string
 	client     *http.Client
 	departure  departure
+	crash      crash
 
 	mu      sync.Mutex
 	held    fleet.Range
@@ -66,9 +67,10 @@
 }
 
 // NewChainEngine returns an empty engine.
-func NewChainEngine(id, advertised string) *ChainEngine {
+func NewChainEngine(id, advertised string, opts ...ServerOption) *ChainEngine {
 	return &ChainEngine{
 		id: id, born: startTime(), advertised: advertised, client: &http.Client{Timeout: askPart}, streams: make(map[string]*engineStream),
+		crash: newCrash(opts),
 	}
 }
 
@@ -155,6 +157,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if e.crash.begin(r.URL.Path) {
+		panic(http.ErrAbortHandler)
+	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Response-Seal", e.id)
--- /dev/null
+++ b/standin/deadly.go
@@ -0,0 +1,39 @@
+package standin
+
+import "strings"
+
+// DeadlyPath is in the path of a request that ends each server that begins to run it.
+const DeadlyPath = "deadly"
+
+// Deadly tells whether the request of a path ends the server that begins to run it. It
+// does so each time that it comes, at every server; no other request does.
+func Deadly(path string) bool { return strings.Contains(path, DeadlyPath) }
+
+// ServerOption sets up a stand-in for a server.
+type ServerOption func(*crash)
+
+// crash is how a server ends when it begins to run a deadly request.
+type crash struct {
+	// end ends the server; nil for one that no request ends.
+	end func()
+}
+
+// WithEnd has deadly requests end a server. End must break its connections off.
+func WithEnd(end func()) ServerOption { return func(c *crash) { c.end = end } }
+
+func newCrash(opts []ServerOption) crash {
+	var c crash
+	for _, opt := range opts {
+		opt(&c)
+	}
+	return c
+}
+
+// begin ends the server if the request that it begins to run is deadly, and reports that.
+func (c crash) begin(path string) bool {
+	if c.end == nil || !Deadly(path) {
+		return false
+	}
+	c.end()
+	return true
+}
--- a/standin/desk.go
+++ b/standin/desk.go
@@ -19,6 +19,7 @@
 	work       time.Duration
 	slots      chan struct{}
 	departure  departure
+	crash      crash
 	mu         sync.Mutex
 	runs       map[string]DeskRun
 }
@@ -35,8 +36,11 @@
 const deskSlots = 6
 
 // NewDesk returns a desk that takes a time for each request.
-func NewDesk(id, advertised string, work time.Duration) *Desk {
-	return &Desk{id: id, born: startTime(), advertised: advertised, work: work, slots: make(chan struct{}, deskSlots), runs: make(map[string]DeskRun)}
+func NewDesk(id, advertised string, work time.Duration, opts ...ServerOption) *Desk {
+	return &Desk{
+		id: id, born: startTime(), advertised: advertised, work: work, slots: make(chan struct{}, deskSlots), runs: make(map[string]DeskRun),
+		crash: newCrash(opts),
+	}
 }
 
 // Entry returns the desk's entry in the list of servers.
@@ -83,6 +87,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if d.crash.begin(r.URL.Path) {
+		panic(http.ErrAbortHandler)
+	}
 	id := r.Header.Get("Attempt-Id")
 	d.note(id, r.Header.Get("Tenant-Id"))
 	time.Sleep(d.work)
