Ages count the time for which a VM was suspended, and timers are set anew after it

Cause: clock.Clock read the steady clock, which stands still while a VM is suspended. Keys, the proof of the configuration, the list, windows of repeats, word of others and reports looked younger by the time slept, and timers that were set before fired later by it.

Tests in virtual time read clocktest's clock.

Ruled out: the wall clock (it is set by whoever runs the VM), and a margin on ages (a suspension has no bound).

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -2,7 +2,9 @@
 
 import "time"
 
-// Clock tells the time since it was made. A step of the wall clock does not move it.
+// Clock tells the time since it was made. It goes on while the VM is suspended, so that what
+// was known before a suspension is as old as it is; the steady clock of time.Now stands
+// still meanwhile. A step of the wall clock does not move it.
 type Clock struct {
 	vm    VM
 	start time.Duration
@@ -20,12 +22,12 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.start = c.vm.Steady()
+	c.start = c.vm.Elapsed()
 	return c
 }
 
 // Now returns the time since the clock was made.
-func (c *Clock) Now() Millis { return FromDuration(c.vm.Steady() - c.start) }
+func (c *Clock) Now() Millis { return FromDuration(c.vm.Elapsed() - c.start) }
 
 // Wall returns the wall time in milliseconds since 1970. It is for records
 // that people read; no decision may depend on it.
--- a/clock/clocktest/vm.go
+++ b/clock/clocktest/vm.go
@@ -4,6 +4,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/hoistjunction/hoistjunction/clock"
 )
 
 // VM is a VM whose clocks go on as the test's own, and which can be suspended. It
@@ -25,3 +27,7 @@
 
 // Elapsed is the time that has passed.
 func (v *VM) Elapsed() time.Duration { return v.Steady() + time.Duration(v.suspended.Load()) }
+
+// NewClock returns a clock that goes as the test's own time does, also where that is not
+// the kernel's.
+func NewClock() *clock.Clock { return clock.New(clock.WithVM(NewVM())) }
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -153,6 +153,13 @@
 // QuarantineCmd tells what has become known of requests that end upstreams.
 type QuarantineCmd struct{ News quarantine.News }
 
+// WakeCmd tells a request that more time has passed than its timers count.
+type WakeCmd struct {
+	Request RequestID
+	// GiveUp is when it must be answered.
+	GiveUp clock.Millis
+}
+
 func (SendCmd) dispatchCmd()       {}
 func (FinishCmd) dispatchCmd()     {}
 func (RelayCmd) dispatchCmd()      {}
@@ -164,6 +171,7 @@
 func (ProbeCmd) dispatchCmd()      {}
 func (SuspectCmd) dispatchCmd()    {}
 func (QuarantineCmd) dispatchCmd() {}
+func (WakeCmd) dispatchCmd()       {}
 
 // Reason says why a request ended without an upstream's answer.
 type Reason string
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -137,6 +137,8 @@
 		return m.toldSilent(msg)
 	case ProbedMsg:
 		return m.probed(msg)
+	case WokeMsg:
+		return m.woke()
 	case TickMsg:
 		return m.tick()
 	}
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -193,6 +193,9 @@
 	Ended []fleet.Incarnation
 }
 
+// WokeMsg tells that the VM goes on after it was suspended.
+type WokeMsg struct{}
+
 // TickMsg drives what depends on time alone.
 type TickMsg struct{}
 
@@ -259,4 +262,5 @@
 func (ToldLostMsg) dispatchMsg()      {}
 func (ToldAnsweredMsg) dispatchMsg()  {}
 func (QuarantinedMsg) dispatchMsg()   {}
+func (WokeMsg) dispatchMsg()          {}
 func (TickMsg) dispatchMsg()          {}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -85,6 +88,16 @@
 	return min(r.deadline, r.giveUp).Sub(now)
 }
 
+// woke tells all requests that more time has passed than their timers count.
+func (m *Model) woke() []Cmd {
+	var cmds []Cmd
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		r := m.requests[id]
+		cmds = append(cmds, WakeCmd{Request: id, GiveUp: min(r.deadline, r.giveUp)})
+	}
+	return cmds
+}
+
 // reserve notes the memory that a chain takes.
 func (m *Model) reserve(r *request, parts []chain.Part) {
 	m.release(r)
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -84,6 +84,8 @@
 		return dispatch.ProbedMsg{Upstream: script.Incarnation(s.Word(0)), Answered: s.Named["well"] == "yes", Report: testReport(s)}
 	case "told":
 		return dispatch.ToldSilentMsg{Upstream: script.Incarnation(s.Word(0))}
+	case "woke":
+		return dispatch.WokeMsg{}
 	case "tick":
 		return dispatch.TickMsg{}
 	}
@@ -233,6 +235,8 @@
 		return "probe " + c.Upstream.String()
 	case dispatch.QuarantineCmd:
 		return showNews(c.News)
+	case dispatch.WakeCmd:
+		return fmt.Sprintf("wake %d give_up=%d", c.Request, c.GiveUp)
 	case dispatch.SuspectCmd:
 		return fmt.Sprintf("suspect %s until %d", c.Upstream, c.Until)
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
@@ -86,7 +87,7 @@
 	}}
 	var told []uint64
 	confirmations := 0
-	f := NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, func(c *catalog.Catalog, _ []byte, _ clock.Millis) {
+	f := NewCatalog(source, clocktest.NewClock(), zap.NewNop(), &Outage{}, func(c *catalog.Catalog, _ []byte, _ clock.Millis) {
 		confirmations++
 		if c != nil {
 			told = append(told, c.Version())
@@ -152,7 +153,7 @@
 		{changes: []fleet.Change{up("u1"), up("u2")}}, {err: errAway}, {changes: []fleet.Change{up("u2")}},
 	}}
 	outage := &Outage{}
-	c := clock.New()
+	c := clocktest.NewClock()
 	gone := 0
 	f := NewFleet(source, c, zap.NewNop(), outage, func(changes []fleet.Change) {
 		for _, change := range changes {
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
@@ -83,7 +84,7 @@
 	reader := &scriptedReader{store: source, answers: []scriptedAnswer{{}, {raw: "2"}}, offered: 4}
 	outage := &Outage{}
 	var told []uint64
-	f := NewCatalog(source, clock.New(), zap.NewNop(), outage, func(c *catalog.Catalog, _ []byte, _ clock.Millis) {
+	f := NewCatalog(source, clocktest.NewClock(), zap.NewNop(), outage, func(c *catalog.Catalog, _ []byte, _ clock.Millis) {
 		if c != nil {
 			told = append(told, c.Version())
 		}
@@ -106,7 +107,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{raw: "1"}, {}}}
 	reader := &scriptedReader{store: source, offered: 2}
-	f := NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) {}, WithReaders(reader, noReaders{}))
+	f := NewCatalog(source, clocktest.NewClock(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) {}, WithReaders(reader, noReaders{}))
 	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
 		t.Fatalf("got error %v, want %v", err, context.Canceled)
 	}
@@ -118,7 +119,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{raw: "1"}}}
 	reader := &scriptedReader{store: source, answers: []scriptedAnswer{{}}, offered: 2}
-	c := clock.New()
+	c := clocktest.NewClock()
 	var proofs []clock.Millis
 	f := NewCatalog(source, c, zap.NewNop(), &Outage{}, func(_ *catalog.Catalog, _ []byte, confirmed clock.Millis) {
 		proofs = append(proofs, confirmed.Sub(c.Now()))
@@ -180,7 +181,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	source := &scripted{t: t, end: cancel, answers: answers}
 	outage := &Outage{}
-	c := clock.New()
+	c := clocktest.NewClock()
 	followers := &followersLog{}
 	f := NewFleet(source, c, zap.NewNop(), outage, func([]fleet.Change) {}, WithReaders(&scriptedReader{store: source}, followers))
 	go backSoon(ctx, outage, c)
@@ -227,7 +228,7 @@
 // of both showed the list learnt (revision=0), and the ends of upstreams that lived.
 func TestFleetPassesOnWhatPeersHaveTold(t *testing.T) {
 	followers := &followersLog{}
-	f := NewFleet(&scripted{t: t}, clock.New(), zap.NewNop(), &Outage{}, func([]fleet.Change) {}, WithReaders(noReaders{}, followers))
+	f := NewFleet(&scripted{t: t}, clocktest.NewClock(), zap.NewNop(), &Outage{}, func([]fleet.Change) {}, WithReaders(noReaders{}, followers))
 	now := f.clock.Now()
 	f.take(now, FleetReading{Revision: 1, Whole: true}, false)
 	f.Learn([]fleet.Upstream{{ID: fleet.Undated("u1")}, {ID: fleet.Undated("u2")}})
@@ -242,7 +243,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{raw: "1"}, {}}}
 	readers := &scriptedReader{store: source, waits: 2}
-	f := NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) {}, WithReaders(readers, noReaders{}))
+	f := NewCatalog(source, clocktest.NewClock(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) {}, WithReaders(readers, noReaders{}))
 	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
 		t.Fatalf("got error %v, want %v", err, context.Canceled)
 	}
@@ -258,7 +259,7 @@
 	reader := &scriptedReader{store: source, answers: []scriptedAnswer{{changes: []fleet.Change{listed("u2")}}, {changes: []fleet.Change{{ID: fleet.Undated("u1"), Gone: true}}}}}
 	outage := &Outage{}
 	var seen []string
-	f := NewFleet(source, clock.New(), zap.NewNop(), outage, func(changes []fleet.Change) {
+	f := NewFleet(source, clocktest.NewClock(), zap.NewNop(), outage, func(changes []fleet.Change) {
 		for _, c := range changes {
 			seen = append(seen, fmt.Sprint(c.ID.String(), c.Gone))
 		}
@@ -291,7 +292,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	source := &scripted{t: t, end: cancel, answers: []scriptedAnswer{{raw: "1"}, {raw: "bad"}, {}, {}, {raw: "2"}}}
 	confirmations := 0
-	f := NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) { confirmations++ })
+	f := NewCatalog(source, clocktest.NewClock(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) { confirmations++ })
 	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
 		t.Fatalf("got error %v, want %v", err, context.Canceled)
 	}
@@ -303,7 +304,7 @@
 // A list that a peer has told counts only for a moment, and the newest counts: one
 // from the time of the node's start lacks what has registered since.
 func TestLearntListsGrowOld(t *testing.T) {
-	c := clock.New()
+	c := clocktest.NewClock()
 	var told []string
 	f := NewFleet(&scripted{t: t}, c, zap.NewNop(), &Outage{}, func(changes []fleet.Change) {
 		for _, change := range changes {
@@ -351,7 +352,7 @@
 		{"they still do", followedReaders{overdue: true}, catalogProgress{urged: true}, followedConfigWait},
 	}
 	for _, tt := range tests {
-		f := NewCatalog(nil, clock.New(), zap.NewNop(), &Outage{}, nil, WithReaders(tt.readers, noReaders{}))
+		f := NewCatalog(nil, clocktest.NewClock(), zap.NewNop(), &Outage{}, nil, WithReaders(tt.readers, noReaders{}))
 		if got, _ := f.wait(tt.progress); got != tt.want {
 			t.Errorf("%s: got a wait of %d ms, want %d", tt.name, got, tt.want)
 		}
@@ -368,7 +369,7 @@
 // An engine answers as a later run of its process than the list shows. The earlier run ends
 // at once, here and for those that follow, and no list that is late brings it back.
 func TestLaterRunEndsTheEarlierOne(t *testing.T) {
-	c := clock.New()
+	c := clocktest.NewClock()
 	earlier, later := fleet.NewIncarnation("u1", 100), fleet.NewIncarnation("u1", 200)
 	list := []fleet.Upstream{{ID: earlier}}
 	var told []fleet.Change
--- a/follow/silent_reader_test.go
+++ b/follow/silent_reader_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
@@ -65,10 +66,10 @@
 	}{
 		{"configuration", func(ctx context.Context, source *scripted, r *silentReader) error {
 			tell := func(*catalog.Catalog, []byte, clock.Millis) {}
-			return NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, tell, WithReaders(r, noReaders{})).Run(ctx)
+			return NewCatalog(source, clocktest.NewClock(), zap.NewNop(), &Outage{}, tell, WithReaders(r, noReaders{})).Run(ctx)
 		}},
 		{"list", func(ctx context.Context, source *scripted, r *silentReader) error {
-			return NewFleet(source, clock.New(), zap.NewNop(), &Outage{}, func([]fleet.Change) {}, WithReaders(r, noReaders{})).Run(ctx)
+			return NewFleet(source, clocktest.NewClock(), zap.NewNop(), &Outage{}, func([]fleet.Change) {}, WithReaders(r, noReaders{})).Run(ctx)
 		}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/follow/silent_test.go
+++ b/follow/silent_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 )
 
 // muteReader is a node whose connections bring no answer at all.
@@ -49,7 +50,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		source := &scripted{t: t, end: cancel, answers: tt.answers}
 		reader := muteReader{&scriptedReader{store: source, offered: 1}}
-		f := NewCatalog(source, clock.New(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) {}, WithReaders(reader, noReaders{}))
+		f := NewCatalog(source, clocktest.NewClock(), zap.NewNop(), &Outage{}, func(*catalog.Catalog, []byte, clock.Millis) {}, WithReaders(reader, noReaders{}))
 		if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
 			t.Fatalf("%s: got error %v, want %v", tt.name, err, context.Canceled)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -59,11 +59,13 @@
 	// keeps them in the store.
 	quarantined *quarantined
 	keeper      *keeper.Keeper
-	outage      *follow.Outage
-	store       *platform.Store
-	engines     *platform.Engines
-	life        context.Context
-	end         context.CancelFunc
+	// wakes tells when the VM goes on after it was suspended.
+	wakes   *clock.Wakes
+	outage  *follow.Outage
+	store   *platform.Store
+	engines *platform.Engines
+	life    context.Context
+	end     context.CancelFunc
 
 	caller    net.Listener
 	readiness net.Listener
@@ -104,7 +106,7 @@
 		dispatch.WithKeptQuarantine(),
 	)
 	self := &wire.Member{Name: s.Name, DataCentre: s.DataCentre, Address: n.peer.Addr().String()}
-	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.followable, listener{n}, usage.WithQuarantine(n.quarantined.digest))
+	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.followable, listener{n}, usage.WithQuarantine(n.quarantined.digest), usage.WithClock(n.clock))
 	if err != nil {
 		return nil, err
 	}
@@ -118,6 +120,8 @@
 		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithQuarantine(n.setQuarantine))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge))
+	n.wakes = n.clock.Wakes()
+	n.wakes.Tell(n.wake)
 	n.follow(platform.NewPeerTransport(), n.setCatalog, n.setFleet)
 	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, platform.NewQuestionTransport(), hash(s.Name),
 		peering.WithFirstStart(s.FirstStart))
@@ -199,6 +203,7 @@
 	n.addLoop(&g, n.peers.Run)
 	n.addLoop(&g, n.usage.Run)
 	n.addLoop(&g, n.keeper.Run)
+	n.addLoop(&g, n.wakes.Run)
 	n.addLoop(&g, n.logStoreCalls)
 	n.addLoop(&g, n.watchList)
 	n.addServer(&g, n.caller, n.relay)
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
@@ -242,7 +243,7 @@
 	}
 	life, end := context.WithCancel(context.Background())
 	n := &simNode{end: end, left: make(map[string]bool), listed: make(map[string]bool)}
-	c := clock.New()
+	c := clocktest.NewClock()
 	n.Node = &Node{
 		settings: &Settings{Name: name, DataCentre: "z", ConfigWithin: clock.FromDuration(s.setting.within), LeavingWithin: clock.FromDuration(s.setting.within)},
 		log:      log, clock: c, life: life, silences: newSilences(),
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -72,7 +73,7 @@
 }
 
 func TestAskLearnsWhatIsNewer(t *testing.T) {
-	c := clock.New()
+	c := clocktest.NewClock()
 	knowing := &fakeNode{raw: []byte("v7"), version: 7, confirmed: c.Now(), list: []fleet.Upstream{{ID: fleet.Undated("u1")}}, vouches: true}
 	_, peer := newFake(t, "a", knowing, c)
 	asking := &fakeNode{version: 5, confirmed: -9000}
@@ -114,7 +115,7 @@
 	}
 	for _, tt := range tests {
 		node := &fakeNode{list: tt.list}
-		p, _ := newFake(t, "a", node, clock.New())
+		p, _ := newFake(t, "a", node, clocktest.NewClock())
 		if got := p.needs(tt.now, tt.version, tt.age); got != tt.want {
 			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
 		}
@@ -125,7 +126,7 @@
 // for the list again: the one that it has may be a part of the whole.
 func TestWantsFleetAgain(t *testing.T) {
 	node := &fakeNode{list: []fleet.Upstream{{ID: fleet.Undated("u1")}}}
-	p, _ := newFake(t, "a", node, clock.New())
+	p, _ := newFake(t, "a", node, clocktest.NewClock())
 	steps := []struct {
 		now  clock.Millis
 		want bool
@@ -139,7 +140,7 @@
 
 // A peer that is behind, or has nothing, proves nothing.
 func TestAskIgnoresWhatProvesNothing(t *testing.T) {
-	c := clock.New()
+	c := clocktest.NewClock()
 	for name, behind := range map[string]*fakeNode{
 		"older":   {raw: []byte("v4"), version: 4, confirmed: 0},
 		"nothing": {},
@@ -156,7 +157,7 @@
 
 // A peer that cannot vouch for its list does not pass it on.
 func TestAskPassesOnNoDoubtfulList(t *testing.T) {
-	c := clock.New()
+	c := clocktest.NewClock()
 	_, peer := newFake(t, "a", &fakeNode{version: 5, confirmed: 0, list: []fleet.Upstream{{ID: fleet.Undated("u1")}}}, c)
 	asking := &fakeNode{version: 5, confirmed: -9000}
 	p, _ := newFake(t, "b", asking, c)
--- a/peering/quarantined_test.go
+++ b/peering/quarantined_test.go
@@ -4,7 +4,7 @@
 	"reflect"
 	"testing"
 
-	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/work"
@@ -14,8 +14,8 @@
 func TestAsksForQuarantined(t *testing.T) {
 	want := []dispatch.Quarantined{{Work: work.ID{}.By("a"), Age: 1200}, {Work: work.ID{}.By("b"), Ended: []fleet.Incarnation{fleet.NewIncarnation("e1", 17), fleet.Undated("e2")}}}
 	knowing, asking := &fakeNode{quarantined: want}, &fakeNode{}
-	_, peer := newFake(t, "knowing", knowing, clock.New())
-	p, _ := newFake(t, "asking", asking, clock.New())
+	_, peer := newFake(t, "knowing", knowing, clocktest.NewClock())
+	p, _ := newFake(t, "asking", asking, clocktest.NewClock())
 	p.AskQuarantined(t.Context(), peer)
 	if got := asking.learntQuarantined; !reflect.DeepEqual(got, want) {
 		t.Errorf("got %v, want %v", got, want)
--- a/peering/register_test.go
+++ b/peering/register_test.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -70,7 +70,7 @@
 				registry.list = append(registry.list, Registration{Member: m, Revision: uint64(i + 1)})
 			}
 			node := &fakeNode{}
-			p := New(member("me"), nil, registry, node, node, clock.New(), zap.NewNop(), http.DefaultTransport, 1, WithFirstStart(tt.first))
+			p := New(member("me"), nil, registry, node, node, clocktest.NewClock(), zap.NewNop(), http.DefaultTransport, 1, WithFirstStart(tt.first))
 			if err := p.Register(ctx); !errors.Is(err, context.Canceled) {
 				t.Errorf("got error %v, want %v", err, context.Canceled)
 			}
--- a/peering/silent_connections_test.go
+++ b/peering/silent_connections_test.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/internal/pipenet"
@@ -93,7 +94,7 @@
 // too old for requests with keys.
 func TestProofAfterSilentConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := clock.New()
+		c := clocktest.NewClock()
 		peers := startSlowPeers(t, c, 3)
 		transport := platform.NewQuestionTransport()
 		transport.DialContext = peers.network.DialContext
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
-	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/placement"
@@ -77,7 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		c := clock.New()
+		c := clocktest.NewClock()
 		engines := &promptEngines{held: make(map[string]fleet.Range)}
 		var p *placer.Placer
 		placed := func(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
@@ -98,7 +98,7 @@
 // something goes on: the follower of the list has others to tell too.
 func TestTellingDoesNotWaitForThePlanner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := clock.New()
+		c := clocktest.NewClock()
 		// Nobody runs this one, as if it sought a plan all the while.
 		p := placer.New(placement.New(), &promptEngines{}, c, logging.Nop().Logger, func(fleet.Incarnation, fleet.Range, bool) {})
 		told := 0
@@ -145,7 +145,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		c := clock.New()
+		c := clocktest.NewClock()
 		engines := &slowEngines{promptEngines: promptEngines{held: make(map[string]fleet.Range)}}
 		var placers []*placer.Placer
 		placed := func(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
--- a/placer/runs_test.go
+++ b/placer/runs_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/placement"
@@ -35,7 +35,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		c := clock.New()
+		c := clocktest.NewClock()
 		engines := &restartedEngines{promptEngines: promptEngines{held: make(map[string]fleet.Range)}}
 		p := placer.New(placement.New(placement.WithStart(c.Now())), engines, c, logging.Nop().Logger, func(fleet.Incarnation, fleet.Range, bool) {})
 		go func() { _ = p.Run(ctx) }()
--- a/reading/log_test.go
+++ b/reading/log_test.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/reading"
@@ -29,7 +30,7 @@
 // newLog returns a log that knows a configuration and the list.
 func newLog(t *testing.T) *reading.Log {
 	t.Helper()
-	l := reading.NewLog(clock.New(), vouchFor, vouchSoon)
+	l := reading.NewLog(clocktest.NewClock(), vouchFor, vouchSoon)
 	l.SetConfig([]byte("v1"), 10, 0)
 	l.SetFleet(10, nil)
 	return l
@@ -72,7 +73,7 @@
 // The answer tells how old the proof is, so that the asker can count it from
 // when it asked.
 func TestAwaitConfigTellsTheAge(t *testing.T) {
-	l := reading.NewLog(clock.New(), vouchFor, vouchSoon)
+	l := reading.NewLog(clocktest.NewClock(), vouchFor, vouchSoon)
 	l.SetConfig([]byte("v1"), 10, -5000)
 	got, err := follower(t, l).AwaitCatalog(context.Background(), 10, 0)
 	if err != nil {
@@ -141,12 +142,12 @@
 
 // A node answers for nothing that it does not know well enough.
 func TestLogThatCannotVouch(t *testing.T) {
-	old := reading.NewLog(clock.New(), vouchFor, vouchSoon)
+	old := reading.NewLog(clocktest.NewClock(), vouchFor, vouchSoon)
 	old.SetConfig([]byte("v1"), 10, tooOld)
 	old.SetFleet(10, nil)
 	suspended := newLog(t)
 	suspended.Suspend()
-	unlisted := reading.NewLog(clock.New(), vouchFor, vouchSoon)
+	unlisted := reading.NewLog(clocktest.NewClock(), vouchFor, vouchSoon)
 	unlisted.SetConfig([]byte("v1"), 10, 0)
 	tests := []struct {
 		name   string
@@ -154,7 +155,7 @@
 		config bool
 		want   connect.Code
 	}{
-		{"nothing known", reading.NewLog(clock.New(), vouchFor, vouchSoon), true, connect.CodeUnavailable},
+		{"nothing known", reading.NewLog(clocktest.NewClock(), vouchFor, vouchSoon), true, connect.CodeUnavailable},
 		{"the proof is too old", old, true, connect.CodeUnavailable},
 		{"the proof is too old for the list", old, false, connect.CodeUnavailable},
 		{"around an outage", suspended, false, connect.CodeUnavailable},
@@ -215,7 +216,7 @@
 // A node may be asked before it knows that it reads for others. The first questions
 // wait until it can vouch; later ones fail at once where it cannot.
 func TestFirstQuestionsWaitForAProof(t *testing.T) {
-	c := clock.New()
+	c := clocktest.NewClock()
 	l := reading.NewLog(c, vouchFor, vouchSoon)
 	l.SetConfig([]byte("v1"), 10, tooOld)
 	got := make(chan error, 1)
@@ -243,7 +244,7 @@
 // negative, so that who asked knows the configuration to be as fresh as the reader
 // does.
 func TestAgeCountsFromTheQuestion(t *testing.T) {
-	c := clock.New()
+	c := clocktest.NewClock()
 	l := reading.NewLog(c, vouchFor, vouchSoon)
 	l.SetConfig([]byte("v1"), 10, c.Now()-500)
 	asked := make(chan struct{})
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -10,7 +10,7 @@
 	"testing"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
-	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
@@ -99,9 +99,9 @@
 		t.Run(method, func(t *testing.T) {
 			u := newFickleUpstream(t)
 			address := u.listener.Addr().String()
-			pool := newUpstreamPool((&net.Dialer{}).DialContext, clock.New())
-			t.Cleanup(pool.close)
-			ta := testAttempt{pool: pool, gate: newGate(clock.New(), 0), kind: catalog.Once}
+			pool := newUpstreamPool((&net.Dialer{}).DialContext, clocktest.NewClock())
+			t.Cleanup(pool.closeIdle)
+			ta := testAttempt{pool: pool, gate: newGate(clocktest.NewClock(), 0), kind: catalog.Once}
 
 			if first := ta.run(t, method, address); first.failed {
 				t.Fatalf("got %v at the first request, want an answer", first.err)
@@ -120,7 +120,7 @@
 // The configuration may get too old while the connection is made.
 func TestAttemptStopsAtTheGate(t *testing.T) {
 	u := newFickleUpstream(t)
-	g := newGate(clock.New(), 5000)
+	g := newGate(clocktest.NewClock(), 5000)
 	g.confirm(1, 0)
 	pool := newUpstreamPool(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -128,8 +128,8 @@
 		g.confirmed = -10_000
 		g.mu.Unlock()
 		return conn, err
-	}, clock.New())
-	t.Cleanup(pool.close)
+	}, clocktest.NewClock())
+	t.Cleanup(pool.closeIdle)
 
 	got := testAttempt{pool: pool, gate: g, kind: catalog.Repeatable}.run(t, http.MethodPost, u.listener.Addr().String())
 	if !got.failed || got.cause != dispatch.HeldBack {
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -113,6 +113,8 @@
 		d.post(cmd.Request, cmd)
 	case dispatch.ReconsiderCmd:
 		d.post(cmd.Request, cmd)
+	case dispatch.WakeCmd:
+		d.post(cmd.Request, cmd)
 	case dispatch.ShareCmd:
 		d.share(cmd.Used, cmd.Total)
 	case dispatch.SilentCmd:
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -16,7 +16,8 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
-	"github.com/hoistjunction/hoistjunction/clock"
+
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
@@ -232,7 +233,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9}))
-	r = New(ctx, sealedProtocol{}, model, clock.New(), zap.NewNop(),
+	r = New(ctx, sealedProtocol{}, model, clocktest.NewClock(), zap.NewNop(),
 		WithDialer((&net.Dialer{}).DialContext), WithEngines(noEngines{}))
 	ended := make(chan struct{})
 	go func() {
--- a/relay/gate_test.go
+++ b/relay/gate_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 )
 
 func TestGate(t *testing.T) {
@@ -24,17 +25,17 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			g := newGate(clock.New(), within)
+			g := newGate(clocktest.NewClock(), within)
 			g.confirm(tt.version, tt.confirmed)
 			if got := g.open(tt.decided); got != tt.want {
 				t.Errorf("got open=%v, want %v", got, tt.want)
 			}
 		})
 	}
-	if got := newGate(clock.New(), within).open(1); got {
+	if got := newGate(clocktest.NewClock(), within).open(1); got {
 		t.Error("got a gate that is open before anything is known, want it shut")
 	}
-	if got := newGate(clock.New(), 0).open(1); !got {
+	if got := newGate(clocktest.NewClock(), 0).open(1); !got {
 		t.Error("got a shut gate without a bound, want it open")
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -98,7 +98,7 @@
 
 // Run decides until the context ends.
 func (r *Relay) Run(ctx context.Context) error {
-	defer r.upstreams.close()
+	defer r.upstreams.closeIdle()
 	return r.decider.run(ctx)
 }
 
@@ -128,6 +128,13 @@
 	}
 }
 
+// Wake takes in that the VM goes on after it was suspended. Connections that were kept may
+// have ended meanwhile without a word.
+func (r *Relay) Wake() {
+	r.upstreams.closeIdle()
+	r.decider.tell(r.life, dispatch.WokeMsg{})
+}
+
 // SetPeers tells how many nodes there are, this one included, and how many others tell it
 // alone what they have in use.
 func (r *Relay) SetPeers(all, near int) {
--- a/relay/session.go
+++ b/relay/session.go
@@ -154,6 +154,8 @@
 		s.move(cmd)
 	case dispatch.ReconsiderCmd:
 		s.reconsider(cmd)
+	case dispatch.WakeCmd:
+		s.wake(cmd)
 	}
 	return false
 }
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -46,6 +46,19 @@
 	go a.run(ctx)
 }
 
+// wake sets the timers anew after a suspension of the VM, for which they have stood still.
+// A stream may have stood still too, and its kept connections may be dead.
+func (s *session) wake(cmd dispatch.WakeCmd) {
+	s.giveUp.Reset(max(cmd.GiveUp.Sub(s.relay.clock.Now()), 0).Duration())
+	if s.attempt == nil {
+		return
+	}
+	s.doubtConnections()
+	if len(s.attempt.cmd.Chain) > 0 {
+		s.stall.Reset(0)
+	}
+}
+
 // needsOwnConnection tells whether the next attempt goes out on a connection of its own.
 // It does where one has brought nothing: kept ones may all have gone silent, and the
 // caller's time does not last for one after the other. And it does where the upstream
--- a/relay/silent_connections_test.go
+++ b/relay/silent_connections_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/internal/pipenet"
@@ -35,16 +36,17 @@
 	relay   *relay.Relay
 	desks   int
 	asked   int
+	vm      *clocktest.VM
 }
 
 // newSilentSite starts a relay and desks, in virtual time.
 func newSilentSite(t *testing.T, desks int) *silentSite {
 	t.Helper()
-	s := &silentSite{t: t, network: pipenet.New(), desks: desks}
+	s := &silentSite{t: t, network: pipenet.New(), desks: desks, vm: clocktest.NewVM()}
 	life, end := context.WithCancel(context.Background())
 	engines := platform.NewEngines(platform.WithEngineDialer(s.network.DialContext))
 	model := dispatch.New(dispatch.WithSeed(1), dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}))
-	s.relay = relay.New(life, platform.Headers{}, model, clock.New(), zap.NewNop(),
+	s.relay = relay.New(life, platform.Headers{}, model, clock.New(clock.WithVM(s.vm)), zap.NewNop(),
 		relay.WithEngines(engines), relay.WithDialer(s.network.DialContext))
 	ended := make(chan struct{})
 	go func() {
--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -98,7 +98,8 @@
 	}
 }
 
-func (p *upstreamPool) close() {
+// closeIdle closes all idle connections.
+func (p *upstreamPool) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, conns := range p.conns {
--- a/usage/tried.go
+++ b/usage/tried.go
@@ -37,7 +37,7 @@
 // ended.
 func (s *Sharing) Lost(id work.ID, upstream fleet.Incarnation) {
 	t := tried{work: id, upstream: upstream}
-	s.recent.note(s.now(), t)
+	s.recent.note(s.clock.Now(), t)
 	s.works.add(t)
 }
 
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -46,7 +46,7 @@
 	works *gathering[tried]
 	// recent is what was told of requests a moment ago, for nodes that become known.
 	recent recent
-	now    func() clock.Millis
+	clock  *clock.Clock
 	// quarantine stands for all that this node knows to be quarantined.
 	quarantine func() uint64
 	// near are told what this node has in use, and far what its data centre has.
@@ -89,6 +89,9 @@
 	return func(s *Sharing) { s.quarantine = digest }
 }
 
+// WithClock sets the node's clock.
+func WithClock(c *clock.Clock) Option { return func(s *Sharing) { s.clock = c } }
+
 // New binds an address for a node. Followable tells whether other nodes may follow
 // this one in place of the store; the listener takes what they tell.
 func New(ctx context.Context, self *wire.Member, address string, log *zap.Logger, followable func() bool, listener Listener, opts ...Option) (*Sharing, error) {
@@ -97,7 +100,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "usage: cannot listen at %s", address)
 	}
-	s := &Sharing{self: self, conn: conn, log: log, followable: followable, listener: listener, quarantine: func() uint64 { return 0 }, now: clock.New().Now}
+	s := &Sharing{self: self, conn: conn, log: log, followable: followable, listener: listener, quarantine: func() uint64 { return 0 }, clock: clock.New()}
 	s.silent, s.placed, s.works = newGathering(s.tellSilent), newGatheringAtOnce(s.tellPlaced), newGatheringAtOnce(s.tellTried)
 	for _, opt := range opts {
 		opt(s)
@@ -113,7 +116,7 @@
 func (s *Sharing) SetPeers(near, far []string) {
 	s.near.Store(s.resolve(near))
 	s.far.Store(s.resolve(far))
-	for _, t := range s.recent.list(s.now()) {
+	for _, t := range s.recent.list(s.clock.Now()) {
 		s.works.add(t)
 	}
 }
