--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 )
@@ -38,7 +40,9 @@
 		vm.Suspend(700 * time.Millisecond)
 		time.Sleep(time.Second)
 		cancel()
-		<-ended
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v, want the end of the context", err)
+		}
 		close(told)
 		var got []clock.Millis
 		for slept := range told {
