Soak: requests that end upstreams, and nodes whose VMs are suspended

Both go on beside the series of faults, with draws of their own, so that earlier seeds draw what they drew. Nodes run in a build whose steady clock can be set back (tag suspendable), since a signal stops a process but not its steady clock.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 .PHONY: build
 build: ## Builds every command into bin/.
 	go build -o bin/ ./cmd/...
+	go build -tags suspendable -o bin/hoistrelay-suspendable ./cmd/hoistrelay
 
 .PHONY: demo
 demo: build ## Runs the main job on the stand-ins.
--- a/clock/clock.go
+++ b/clock/clock.go
@@ -18,7 +18,7 @@
 
 // New starts a clock at zero.
 func New(opts ...Option) *Clock {
-	c := &Clock{vm: thisVM{start: time.Now()}}
+	c := &Clock{vm: thisVM()}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/clock/vm.go
+++ b/clock/vm.go
@@ -15,14 +15,14 @@
 	Elapsed() time.Duration
 }
 
-// thisVM reads the clocks of the kernel.
-type thisVM struct{ start time.Time }
+// systemVM reads the clocks of the kernel.
+type systemVM struct{ start time.Time }
 
 // Steady implements VM.
-func (v thisVM) Steady() time.Duration { return time.Since(v.start) }
+func (v systemVM) Steady() time.Duration { return time.Since(v.start) }
 
 // Elapsed implements VM.
-func (v thisVM) Elapsed() time.Duration {
+func (v systemVM) Elapsed() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
 		// Linux has had this clock since 2.6.39. Without it nothing here can be trusted
--- a/cmd/standin-site/main.go
+++ b/cmd/standin-site/main.go
@@ -111,5 +111,8 @@
 // ended is the exit code of a server that a request has ended.
 const ended = 3
 
-// end ends the process at once, as a crash does.
-func end() { os.Exit(ended) }
+// end ends the process at once, as a crash does, and says by what.
+func end(path string) {
+	fmt.Println(standin.EndedBy + path)
+	os.Exit(ended)
+}
--- a/node/deadly_test.go
+++ b/node/deadly_test.go
@@ -73,7 +73,7 @@
 	listener := httptest.NewUnstartedServer(nil)
 	var stop func()
 	var ended atomic.Bool
-	end := standin.WithEnd(func() {
+	end := standin.WithEnd(func(string) {
 		if ended.Swap(true) {
 			return
 		}
--- a/soak/check.go
+++ b/soak/check.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/standin"
 )
 
@@ -37,6 +38,8 @@
 
 func checkTry(t try, run standin.DeskRun, gone []revocation) string {
 	switch {
+	case strings.Contains(t.body, string(dispatch.ReasonQuarantined)) && !standin.Deadly(t.path):
+		return "refused as if it ended upstreams"
 	case t.status == http.StatusOK && t.whole && t.body != wanted(t.path):
 		return fmt.Sprintf("a whole answer is wrong: %q", t.body)
 	case t.status == http.StatusOK && !t.whole && !strings.HasPrefix(wanted(t.path), t.body):
--- a/soak/process.go
+++ b/soak/process.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/standin"
 )
 
 // errNotStarted means that a process did not say where it listens.
@@ -25,8 +27,13 @@
 	args []string
 	log  *os.File
 
+	// env is added to its environment, and ended told by which request it has ended.
+	env   []string
+	ended func(path string)
+
 	mu      sync.Mutex
 	cmd     *exec.Cmd
+	over    chan struct{}
 	paused  bool
 	address string
 }
@@ -40,14 +47,21 @@
 		return err
 	}
 	cmd.Stderr = p.log
+	cmd.Env = append(os.Environ(), p.env...)
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	over := make(chan struct{})
 	p.mu.Lock()
-	p.cmd, p.paused = cmd, false
+	p.cmd, p.paused, p.over = cmd, false, over
 	p.mu.Unlock()
 	found := make(chan string, 1)
-	go p.read(out, mark, found)
+	go func() {
+		defer close(over)
+		p.read(out, mark, found)
+		// Its exit code is its own affair: most of them are killed.
+		_ = cmd.Wait()
+	}()
 	select {
 	case address := <-found:
 		p.mu.Lock()
@@ -72,6 +86,9 @@
 			found <- address
 			found = nil
 		}
+		if path, ok := strings.CutPrefix(line, standin.EndedBy); ok && p.ended != nil {
+			p.ended(path)
+		}
 	}
 }
 
@@ -103,11 +120,22 @@
 	p.signal(syscall.SIGCONT)
 	p.signal(s)
 	p.mu.Lock()
-	cmd := p.cmd
+	cmd, over := p.cmd, p.over
 	p.cmd = nil
 	p.mu.Unlock()
 	if cmd != nil {
-		// Its exit code is its own affair: most of them are killed.
-		_ = cmd.Wait()
+		<-over
+	}
+}
+
+// crashed tells whether the process has ended by itself.
+func (p *process) crashed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.over:
+		return p.cmd != nil
+	default:
+		return false
 	}
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -28,6 +28,10 @@
 	faultPause = 700 * time.Millisecond
 	// leavePart is the leaving's part of the seed.
 	leavePart = 50
+	// deadlyPart and suspendPart are those of the deadly requests and the suspensions,
+	// which go on beside the series.
+	deadlyPart  = 60
+	suspendPart = 61
 	// series is how many series of faults go on at a time.
 	series = 2
 )
@@ -99,7 +103,11 @@
 			}
 		})
 	}
+	group.Go(func() { s.deadlySeries(ctx, rand.New(rand.NewPCG(s.Seed, deadlyPart))) })
+	group.Go(func() { s.suspendSeries(ctx, rand.New(rand.NewPCG(s.Seed, suspendPart))) })
+	group.Go(func() { s.restartCrashed(ctx) })
 	group.Wait()
+	s.startCrashed()
 }
 
 func (s *soak) note(what string, lasts time.Duration, err error) {
@@ -141,7 +149,7 @@
 		counts[t.status]++
 	}
 	_, _ = fmt.Fprintf(s.Out, "tries=%d by_status=%v revocations=%d\n", len(tries), counts, len(s.gone))
-	broken := check(tries, runs, s.gone)
+	broken := append(check(tries, runs, s.gone), s.world.ends.check(len(s.world.nodes))...)
 	for _, line := range broken {
 		_, _ = fmt.Fprintln(s.Out, "broken:", line)
 	}
--- a/soak/world.go
+++ b/soak/world.go
@@ -46,6 +46,8 @@
 	engineIDs  []string
 	generation atomic.Int64
 	version    uint64
+	// ends are the upstreams that requests have ended.
+	ends ends
 	// nodeBusy and engineBusy keep two series from restarting the same process.
 	nodeBusy, engineBusy []sync.Mutex
 }
@@ -89,7 +91,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: name, args: append([]string{filepath.Join(w.bin, program)}, args...), log: log}
+	p := &process{name: name, args: append([]string{filepath.Join(w.bin, program)}, args...), log: log, ended: w.ends.note}
+	p.env = []string{suspendedFile + "=" + w.suspendedPath(name)}
 	return p, p.start(mark)
 }
 
@@ -141,7 +144,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return err
 	}
-	p, err := w.launch(fmt.Sprintf("node-%d", i), " caller=", "hoistrelay", "--settings", path)
+	p, err := w.launch(fmt.Sprintf("node-%d", i), " caller=", "hoistrelay-suspendable", "--settings", path)
 	if err != nil {
 		return err
 	}
@@ -152,6 +155,11 @@
 // restart starts a node's program again.
 func (w *world) restart(p *process) error { return p.start(" caller=") }
 
+// suspendedPath is the file with the time for which a process's VM was suspended.
+func (w *world) suspendedPath(name string) string {
+	return filepath.Join(w.dir, name+".suspended")
+}
+
 func (w *world) close() {
 	for _, p := range slices.Concat([]*process{w.store}, w.desks, w.nodes, w.engines) {
 		if p != nil {
--- a/standin/deadly.go
+++ b/standin/deadly.go
@@ -5,6 +5,9 @@
 // DeadlyPath is in the path of a request that ends each server that begins to run it.
 const DeadlyPath = "deadly"
 
+// EndedBy is what a stand-in's process prints before the path of the request that ends it.
+const EndedBy = "ended_by "
+
 // Deadly tells whether the request of a path ends the server that begins to run it. It
 // does so each time that it comes, at every server; no other request does.
 func Deadly(path string) bool { return strings.Contains(path, DeadlyPath) }
@@ -14,12 +17,12 @@
 
 // crash is how a server ends when it begins to run a deadly request.
 type crash struct {
-	// end ends the server; nil for one that no request ends.
-	end func()
+	// end ends the server, given the request's path; nil for one that no request ends.
+	end func(path string)
 }
 
 // WithEnd has deadly requests end a server. End must break its connections off.
-func WithEnd(end func()) ServerOption { return func(c *crash) { c.end = end } }
+func WithEnd(end func(path string)) ServerOption { return func(c *crash) { c.end = end } }
 
 func newCrash(opts []ServerOption) crash {
 	var c crash
@@ -34,6 +37,6 @@
 	if c.end == nil || !Deadly(path) {
 		return false
 	}
-	c.end()
+	c.end(path)
 	return true
 }
