--- a/models/check.sh
+++ b/models/check.sh
@@ -53,6 +53,7 @@
 check keys fails NOAGE
 check keys fails NORECHECK
 check keys fails NOVERSION
+check keys fails STEADY
 check placement holds
 check placement fails NOCOUNT
 check placement fails NONAME
@@ -60,5 +61,10 @@
 check orders holds
 check orders fails KEEPS
 check orders fails TRUSTS
+check quarantine holds
+check quarantine fails NOSTORE
+check quarantine fails TRUST
+check quarantine fails OVERWRITE
+check quarantine fails NOASK
 echo "models: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/models/keys.pml
+++ b/models/keys.pml
@@ -6,17 +6,19 @@
  * asks the reader, which tells what it knows and how old its proof is; the
  * follower decides requests and writes them to an engine. Time passes between any
  * two steps, so every process may stand still anywhere, and every message may be
- * late.
+ * late. A VM may also be suspended: time passes, and its steady clock stands still.
  *
  * Mechanism: a proof counts from the sending of the question that brought it,
  * less the age that the reader gives, and is looked at again at the write,
- * together with the version that decided.
+ * together with the version that decided. All is counted in a clock that goes on
+ * while the VM is suspended.
  *
  * Variants, each of which must fail:
  *   ARRIVAL    the follower counts from when the answer arrives
  *   NOAGE      the follower leaves the reader's age out
  *   NORECHECK  the write does not look again
  *   NOVERSION  the write looks only at how fresh the newest version is
+ *   STEADY     the follower counts in its steady clock
  */
 #define MAXTIME 6
 #define BOUND 2         /* for how long a key may be used */
@@ -40,9 +42,19 @@
 	fi
 }
 
+/* What the follower's clock tells. */
+#ifdef STEADY
+#define HERE (now - suspended)
+#else
+#define HERE now
+#endif
+
+short suspended = 0;    /* for how long its VM was suspended in all */
+
 proctype time() {
 	do
 	:: now < MAXTIME -> now++
+	:: now < MAXTIME -> atomic { now++; suspended++ }
 	:: break
 	od
 }
@@ -75,13 +87,13 @@
 	do
 	:: rounds < ROUNDS ->
 		rounds++;
-		sent = now;
+		sent = HERE;
 		atomic { told = readerRevoked; age = now - readerProof }
 		if
 		:: age <= VOUCH ->
 			atomic {
 #ifdef ARRIVAL
-				proof = now - age;
+				proof = HERE - age;
 #else
 #ifdef NOAGE
 				proof = sent;
@@ -100,7 +112,7 @@
 
 proctype sender() {
 	bool decided;
-	atomic { decided = !followerRevoked && now - followerProof <= BOUND }
+	atomic { decided = !followerRevoked && HERE - followerProof <= BOUND }
 	if
 	:: decided ->
 		atomic {
@@ -109,9 +121,9 @@
 			:: true ->
 #else
 #ifdef NOVERSION
-			:: now - followerProof <= BOUND ->
+			:: HERE - followerProof <= BOUND ->
 #else
-			:: now - followerProof <= BOUND && !followerRevoked ->
+			:: HERE - followerProof <= BOUND && !followerRevoked ->
 #endif
 #endif
 				assert(!revoked || now - revokedAt <= BOUND)
