--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -84,6 +84,12 @@
 		return dispatch.ProbedMsg{Upstream: script.Incarnation(s.Word(0)), Answered: s.Named["well"] == "yes", Report: testReport(s)}
 	case "told":
 		return dispatch.ToldSilentMsg{Upstream: script.Incarnation(s.Word(0))}
+	case "toldlost":
+		return dispatch.ToldLostMsg{Work: workOf(s.Word(0)), Upstream: script.Incarnation(s.Word(1))}
+	case "toldanswered":
+		return dispatch.ToldAnsweredMsg{Work: workOf(s.Word(0))}
+	case "quarantined":
+		return dispatch.QuarantinedMsg{Works: []dispatch.Quarantined{{Work: workOf(s.Word(0)), Age: clock.Millis(s.Int("age", 0))}}}
 	case "woke":
 		return dispatch.WokeMsg{}
 	case "tick":
@@ -124,6 +130,9 @@
 	return work.ID{}.By(name)
 }
 
+// workOf names what the client account clinic asks for.
+func workOf(asked string) work.ID { return work.ID{}.By(asked).By("clinic") }
+
 // delivered is what the caller has: part of an answer that is no stream (part=yes), or
 // the events that a line names.
 func delivered(s script.Step) dispatch.Delivered {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -123,3 +123,6 @@
 	}
 	return u
 }
+
+// Size is how many suspects and upstreams are known.
+func (t *Table) Size() int { return t.suspects.Len() + t.upstreams.Len() }
