A question whether an upstream has ended does not end its suspicion

Since losses are looked into at once, an upstream that breaks requests off and answers questions was asked 0.1 s after each failure, and got work again instead of being avoided for 0.4 s and more. Its suspicion has its own time again.

--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -60,7 +60,7 @@
 // askSoon has an upstream asked at the next tick.
 func (m *Model) askSoon(u *upstream) {
 	if u.suspect {
-		u.wantsProbe = !u.silent
+		u.wantsFate = !u.silent
 		return
 	}
 	u.wantsReport = true
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -12,7 +12,8 @@
 	var cmds []Cmd
 	for _, u := range m.upstreams {
 		if u.needsProbe(m.now) {
-			u.probing, u.wantsReport, u.wantsProbe = true, false, false
+			u.asksFate = u.wantsFate && !u.wantsProbe && m.now < u.avoidUntil
+			u.probing, u.wantsReport, u.wantsProbe, u.wantsFate = true, false, false, false
 			cmds = append(cmds, ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil})
 		}
 	}
@@ -45,9 +46,13 @@
 		return nil
 	}
 	u.probing = false
-	u.suspect = !msg.Answered
 	m.noteReport(msg.Upstream, msg.Report)
 	cmds := m.foundFate(msg)
+	if msg.Answered && u.asksFate {
+		// One that breaks requests off may answer this. Its suspicion has a time of its own.
+		return cmds
+	}
+	u.suspect = !msg.Answered
 	if msg.Answered {
 		u.answeredAt, u.probesLost = m.now, 0
 	} else {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -49,6 +49,10 @@
 	probing bool
 	// wantsProbe tells that a suspect is to be probed before its time.
 	wantsProbe bool
+	// wantsFate tells that it is to be asked whether it has ended, and asksFate that the
+	// probe under way is for nothing else.
+	wantsFate bool
+	asksFate  bool
 	// cause is that of the last failure that speaks against it, and answeredAt is
 	// when it answered a probe last.
 	cause      Cause
@@ -185,7 +189,7 @@
 	case u.probing:
 		return false
 	case u.suspect:
-		return u.wantsProbe || now >= u.avoidUntil
+		return u.wantsProbe || u.wantsFate || now >= u.avoidUntil
 	default:
 		return u.wantsReport || u.pace > usualPace && now >= u.paceAt.Add(paceLasts)
 	}
--- /dev/null
+++ b/node/quarantined_test.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/work"
+)
+
+// Nodes that know the same tell the same, in whatever order they have learnt it; a node
+// that was cut off sees that a peer knows other requests, and asks it, less and less often
+// while that brings nothing.
+func TestNodesCompareWhatIsQuarantined(t *testing.T) {
+	vm := clocktest.NewVM()
+	c := clock.New(clock.WithVM(vm))
+	knows := func(list ...dispatch.Quarantined) *quarantined {
+		q := newQuarantined(c, 60_000)
+		q.learn(list)
+		return q
+	}
+	a, b := dispatch.Quarantined{Work: work.ID{}.By("a")}, dispatch.Quarantined{Work: work.ID{}.By("b")}
+	thought := dispatch.Quarantined{Work: b.Work, Ended: []fleet.Incarnation{fleet.Undated("e1")}}
+	tests := []struct {
+		name string
+		one  *quarantined
+		two  *quarantined
+		same bool
+	}{
+		{"nothing", knows(), knows(), true},
+		{"in another order", knows(a, b), knows(b, a), true},
+		{"twice", knows(a, b, a), knows(a, b), true},
+		{"one less", knows(a), knows(a, b), false},
+		{"less certain", knows(a, thought), knows(a, b), false},
+		{"certain later", knows(a, thought, b), knows(a, b), true},
+		{"what is certain stays so", knows(a, b, thought), knows(a, b), true},
+		{"expired", knows(a, dispatch.Quarantined{Work: b.Work, Age: 60_000}), knows(a), true},
+	}
+	for _, tt := range tests {
+		if got := tt.one.digest() == tt.two.digest(); got != tt.same {
+			t.Errorf("%s: got the same digest %v, want %v", tt.name, got, tt.same)
+		}
+	}
+	cutOff, peer := knows(a), knows(a, b)
+	if cutOff.differs(0) {
+		t.Error("got a peer asked that knows of none, want it left alone")
+	}
+	asked := 0
+	for range 600 {
+		if cutOff.differs(peer.digest()) {
+			asked++
+		}
+		vm.Suspend(clock.Millis(100).Duration())
+	}
+	// 0.3, 0.6, 1.2 s and so on up to 30 s, in one minute.
+	if got, want := asked, 8; got != want {
+		t.Errorf("got a peer asked %d times in a minute in vain, want %d", got, want)
+	}
+	cutOff.learn(peer.list())
+	if cutOff.differs(peer.digest()) {
+		t.Error("got a peer asked again that knows the same, want it left alone")
+	}
+}
