Upstreams that others speak of and that are not listed here count until they are listed

Read again: a loss at an upstream that this node has never listed counted as its certain end. It may be newer than the node's list, and the node that told of it cut off from it. It counts as silent now, is asked once it is listed, and has ended for certain when it is missing twice within a second. A wait of a planned stop counts suspensions too.

Metrics tell how many peers are known.

--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -25,6 +25,22 @@
 	})
 }
 
+func TestUntilCountsSuspensions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vm := clocktest.NewVM()
+		c := clock.New(clock.WithVM(vm))
+		began := time.Now()
+		time.AfterFunc(time.Second, func() { vm.Suspend(5 * time.Second) })
+		c.Until(t.Context(), 5900)
+		if got, most := time.Since(began), 1100*time.Millisecond; got > most {
+			t.Errorf("got a wait of %v, want %v at most", got, most)
+		}
+		if got, want := c.Now(), clock.Millis(5900); got < want {
+			t.Errorf("got %d after the wait, want %d or more", got, want)
+		}
+	})
+}
+
 func TestWakes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		vm := clocktest.NewVM()
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -28,7 +29,8 @@
 	// leave all the time. Others that are served there find its end.
 	leftEarly clock.Millis = 400
 	// reviewEvery is how often losses are dropped that were not found out, and upstreams
-	// asked that are thought to have ended.
+	// asked that may have ended. A list is up to 1.25 s old, so one that is not in it twice
+	// in a row has gone from it.
 	reviewEvery clock.Millis = 1000
 )
 
@@ -66,12 +68,29 @@
 	u.wantsReport = true
 }
 
-// fate is what is believed of an upstream's end.
+// mostEnded bounds the upstreams that are known to have gone. Twice as many have not been
+// seen to go within a minute.
+const mostEnded = 512
+
+func newEnded() *simplelru.LRU[fleet.Incarnation, bool] {
+	ended, err := simplelru.NewLRU[fleet.Incarnation, bool](mostEnded, nil)
+	if err != nil {
+		// Only a size below one is refused.
+		panic(err)
+	}
+	return ended
+}
+
+// fate is what is believed of an upstream's end. One that was never listed may be newer
+// than the list, or have come and gone between two looks at it: it counts as silent, and is
+// asked once it is listed.
 func (m *Model) fate(id fleet.Incarnation) quarantine.Fate {
 	u := m.upstreams[id]
 	switch {
-	case u == nil || u.ended:
+	case u == nil && m.ended.Contains(id), u != nil && u.ended:
 		return quarantine.Ended
+	case u == nil:
+		return quarantine.Silent
 	case u.suspect && u.probesLost > 0:
 		return quarantine.Silent
 	}
@@ -86,6 +105,19 @@
 	return m.tellNews(m.quarantine.Found(m.now, msg.Upstream, quarantine.Silent))
 }
 
+// listed takes in that an upstream is in the list. One whose entry had gone lives: its entry
+// had lapsed. Of one that was not listed before others may have told.
+func (m *Model) listed(u *upstream) []Cmd {
+	id := u.entry.ID
+	if m.ended.Remove(id) {
+		return m.tellNews(m.quarantine.Answers(id))
+	}
+	if m.quarantine.Doubts(id) {
+		m.askSoon(u)
+	}
+	return nil
+}
+
 // gone forgets a request. Its caller may have left while an upstream ended under it.
 func (m *Model) gone(msg GoneMsg) []Cmd {
 	r := m.requests[msg.Request]
@@ -126,8 +158,8 @@
 	return cmds
 }
 
-// reviewLosses drops losses that were not found out, and has upstreams asked that are
-// thought to have ended.
+// reviewLosses drops losses that were not found out, and has upstreams asked that may have
+// ended.
 func (m *Model) reviewLosses() []Cmd {
 	cmds := m.tellNews(m.quarantine.Review(m.now))
 	if m.now < m.reviewed.Add(reviewEvery) {
@@ -135,11 +167,18 @@
 	}
 	m.reviewed = m.now
 	m.quarantine.Expire(m.now)
+	before := m.unlisted
+	m.unlisted = make(map[fleet.Incarnation]bool)
 	for _, id := range m.quarantine.Doubtful() {
-		if u := m.upstreams[id]; u != nil {
+		u := m.upstreams[id]
+		switch {
+		case u != nil:
 			m.askSoon(u)
-		} else if len(m.upstreams) > 0 {
+		case m.ended.Contains(id), before[id]:
 			cmds = append(cmds, m.tellNews(m.quarantine.Found(m.now, id, quarantine.Ended))...)
+		case len(m.upstreams) > 0:
+			// The list may be older than it.
+			m.unlisted[id] = true
 		}
 	}
 	return cmds
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -51,6 +53,10 @@
 	// when what is not certain in it was last looked at.
 	quarantine *quarantine.Table
 	reviewed   clock.Millis
+	// ended are the upstreams whose entries went lately, and unlisted those that are
+	// thought to have ended under a request and had no entry when that was last looked at.
+	ended    *simplelru.LRU[fleet.Incarnation, bool]
+	unlisted map[fleet.Incarnation]bool
 	// awaitsQuarantine tells that what was in it before is not known yet.
 	awaitsQuarantine bool
 }
@@ -93,6 +99,7 @@
 		opt(m)
 	}
 	m.quarantine = quarantine.New(m.policy.quarantineLasts())
+	m.ended = newEnded()
 	return m
 }
 
@@ -183,6 +190,7 @@
 			if known {
 				m.noteEnd(u)
 			}
+			m.ended.Add(c.ID, true)
 			cmds = append(cmds, m.tellNews(m.quarantine.Found(m.now, c.ID, quarantine.Ended))...)
 			delete(m.upstreams, c.ID)
 			if known && c.Ended {
@@ -194,8 +202,7 @@
 			u = newUpstream(c.Upstream)
 			u.others = m.usageOf(c.ID)
 			m.upstreams[c.ID] = u
-			// Its entry had lapsed.
-			cmds = append(cmds, m.tellNews(m.quarantine.Answers(c.ID))...)
+			cmds = append(cmds, m.listed(u)...)
 		}
 		if u != nil && m.catalog != nil {
 			u.measure(m.catalog.Service(u.entry.Service))
--- a/node/deadly_test.go
+++ b/node/deadly_test.go
@@ -117,9 +117,14 @@
 				t.Parallel()
 				s := newDeadlySite(t, reborn)
 				nodes := s.startNodes(3)
+				// Nodes that start know each other after 2.5 s; until then each learns alone.
+				for _, n := range nodes {
+					await(t, "nodes that know each other", func() bool { return n.Peers() == len(nodes)-1 })
+				}
 				for i := range deadlyTries {
 					if i == deadlyTries/2 {
 						// All nodes are started anew: what they knew must outlast them.
+						await(t, "verdict in the store", s.kept)
 						for _, n := range nodes {
 							n.stop()
 						}
@@ -140,6 +145,9 @@
 	}
 }
 
+// kept tells whether the store keeps a request that ends upstreams.
+func (s *deadlySite) kept() bool { return s.holds("relay_quarantine", "") }
+
 // startNodes starts nodes that know each other.
 func (s *deadlySite) startNodes(count int) []*testNode {
 	var nodes []*testNode
--- a/node/drain.go
+++ b/node/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -25,9 +24,14 @@
 func (n *Node) Drain() {
 	n.log.Info("drain", zap.Int64("in_progress", n.relay.InProgress()), zap.Int64("grace_ms", int64(n.settings.grace())))
 	n.relay.Stop()
-	time.Sleep(min(unlisted, n.settings.grace()-lastCut).Duration())
-	ctx, cancel := context.WithTimeout(n.life, (n.settings.grace() - unlisted - lastCut).Duration())
+	began := n.clock.Now()
+	n.clock.Until(n.life, began.Add(min(unlisted, n.settings.grace()-lastCut)))
+	ctx, cancel := context.WithCancel(n.life)
 	defer cancel()
+	go func() {
+		n.clock.Until(ctx, began.Add(n.settings.grace()-lastCut))
+		cancel()
+	}()
 	for _, server := range n.servers {
 		// Shutdown closes the listener and idle connections, and waits for
 		// requests in progress.
--- a/node/node.go
+++ b/node/node.go
@@ -117,6 +117,7 @@
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
+		relay.WithCounters("peers", expvar.Func(func() any { return n.Peers() })),
 		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithQuarantine(n.setQuarantine))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge))
@@ -165,6 +166,9 @@
 // ReadinessAddress returns where the platform asks whether the node is ready.
 func (n *Node) ReadinessAddress() string { return n.readiness.Addr().String() }
 
+// Peers returns how many other nodes are known.
+func (n *Node) Peers() int { return n.peers.Others() }
+
 // PeerAddress returns where other nodes ask this one.
 func (n *Node) PeerAddress() string { return n.peer.Addr().String() }
 
--- a/node/quarantined.go
+++ b/node/quarantined.go
@@ -195,6 +195,7 @@
 
 // HearLost implements usage.Listener.
 func (l listener) HearLost(id work.ID, upstream fleet.Incarnation) {
+	l.node.meet(upstream)
 	l.node.relay.SetLost(id, upstream)
 }
 
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -81,8 +81,11 @@
 }
 
 // listed tells whether the store shows a server's entry.
-func (s *site) listed(id string) bool {
-	resp, err := http.Get("http://" + s.storeAt + "/rows-get?table=servers")
+func (s *site) listed(id string) bool { return s.holds("servers", id) }
+
+// holds tells whether a table of the store has a row with a text in it.
+func (s *site) holds(table, text string) bool {
+	resp, err := http.Get("http://" + s.storeAt + "/rows-get?table=" + table)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -91,7 +94,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	return strings.Contains(string(body), id)
+	return strings.Contains(string(body), `"table"`) && strings.Contains(string(body), text)
 }
 
 func (s *site) beat(id string, entry func() *platformpb.Server) context.CancelFunc {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -188,6 +188,17 @@
 	return registered, nil
 }
 
+// Others returns how many other nodes are known by name.
+func (p *Peering) Others() int {
+	named := 0
+	for _, m := range p.directory.others() {
+		if m.GetName() != "" {
+			named++
+		}
+	}
+	return named
+}
+
 // Heard notes a node that has told something.
 func (p *Peering) Heard(m *wire.Member) {
 	if p.directory.heard(m) {
--- a/quarantine/learn.go
+++ b/quarantine/learn.go
@@ -37,17 +37,14 @@
 	return []News{CertainNews{Work: w}}
 }
 
-// Doubtful returns the upstreams that are thought, and not certain, to have ended under
-// works in quarantine.
+// Doubtful returns the upstreams of which it is not known, or not certain, whether they have
+// ended, and on which a verdict may hang.
 func (t *Table) Doubtful() []fleet.Incarnation {
-	var doubtful []fleet.Incarnation
-	for _, w := range t.held.Keys() {
-		h, _ := t.held.Peek(w)
-		for _, id := range h.ended {
-			if u, ok := t.upstreams.Peek(id); ok && u.fate != Ended {
-				doubtful = append(doubtful, id)
-			}
-		}
-	}
-	return doubtful
+	return slices.DeleteFunc(t.upstreams.Keys(), func(id fleet.Incarnation) bool { return !t.Doubts(id) })
+}
+
+// Doubts tells whether an upstream is one of those.
+func (t *Table) Doubts(id fleet.Incarnation) bool {
+	u, ok := t.upstreams.Peek(id)
+	return ok && u.fate != Ended
 }
