No engine is ordered to hold layers that leave it no memory for requests

Two engines that had started again were ordered to hold eight layers of 100 MB on 800 MB: layers filled to the last byte count as held, so the gap looked closed, no order followed, and all streams were refused for want of memory. Three kinds of accelerator of the users' deployments divide without a rest too (14 GB in layers of 1,750 MB).

Ruled out: quarantine (no verdict on what was refused), the list, the nodes' own reservations (left=0 by the node's own word, with nothing reserved).

Change: an engine's capacity leaves memory beside its layers.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -41,6 +42,10 @@
 	Reserve bool
 }
 
+// serving is how many layers an engine can hold and serve. One that its layers fill to the
+// last byte has no memory for a request: its layers look held, and nobody is served.
+func (e *Engine) serving() int { return int(math.Ceil(e.Memory)) - 1 }
+
 // standing is the range that the engine holds or will.
 func (e *Engine) standing() fleet.Range {
 	if !e.Coming.Empty() {
@@ -134,8 +139,11 @@
 	return true
 }
 
-// capacity is how many layers an engine is given at a fill.
-func capacity(e *Engine, fill float64) int { return max(1, int(float64(e.Most)*fill)) }
+// capacity is how many layers an engine is given at a fill, if that leaves memory for
+// requests.
+func capacity(e *Engine, fill float64) int {
+	return max(1, min(int(float64(e.Most)*fill), e.serving()))
+}
 
 // design plans a data centre whose engines are all empty.
 func (p *plan) design(centre string) []Order {
