An upstream is asked at once whether it has ended only where a request was lost before

Cause: each loss had its upstream asked at the next tick.

Change: a single loss waits for the probe that follows a failure anyway (0.4 s). Where a request was lost before, its upstreams are asked at once, and what they answer counts for that request alone: not for their suspicion, not for the planner.

--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -19,12 +19,12 @@
 	// upstreams that could begin it, in ms for each token. It outweighs a crossing, and
 	// not an engine under suspicion.
 	apartCost = 30.0
-	// asked is in what time it is found out whether an upstream has ended that is asked
-	// for it, and told the same for one that another node has found to have ended: it is
-	// asked at the next tick, 0.1 s, and a question takes 0.16 s. The entries of those that
-	// this node does not use go 4.5 s after their end.
-	asked clock.Millis = 1000
-	told  clock.Millis = 5000
+	// probed is in what time it is found out whether an upstream has ended at which a
+	// request was lost: it is probed 0.4 s after a failure, 0.8 s after a second one, and
+	// a question takes 0.16 s. told is the same for one that another node has found to have
+	// ended: the entries of those that this node does not use go 4.5 s after their end.
+	probed clock.Millis = 1500
+	told   clock.Millis = 5000
 	// leftEarly is the same for one whose caller has left, and which is not asked: callers
 	// leave all the time. Others that are served there find its end.
 	leftEarly clock.Millis = 400
@@ -49,14 +49,20 @@
 	return nil
 }
 
-// lostAt takes in that a request was lost at an upstream, and has the upstream asked soon
-// whether it has ended. One that is leaving ends by itself.
+// lostAt takes in that a request was lost at an upstream. One that is leaving ends by itself.
+// It is probed after its failure in any case; where the request was lost before, it is asked
+// at once whether it has ended.
 func (m *Model) lostAt(r *request, u *upstream) []Cmd {
 	if u.entry.Leaving {
 		return nil
 	}
-	m.askSoon(u)
-	return m.tellNews(m.quarantine.Lost(m.now, r.work, u.entry.ID, m.fate(u.entry.ID), asked, true))
+	cmds := m.tellNews(m.quarantine.Lost(m.now, r.work, u.entry.ID, m.fate(u.entry.ID), probed, true))
+	for _, id := range m.quarantine.Pending(r.work) {
+		if at := m.upstreams[id]; at != nil {
+			m.askSoon(at)
+		}
+	}
+	return cmds
 }
 
 // askSoon has an upstream asked at the next tick.
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -48,8 +48,9 @@
 	u.probing = false
 	m.noteReport(msg.Upstream, msg.Report)
 	cmds := m.foundFate(msg)
-	if msg.Answered && u.asksFate {
-		// One that breaks requests off may answer this. Its suspicion has a time of its own.
+	if u.asksFate {
+		// Its suspicion has a time of its own: one that breaks requests off may answer this,
+		// and one that is held up for a moment is not lost for that.
 		return cmds
 	}
 	u.suspect = !msg.Answered
--- a/quarantine/learn.go
+++ b/quarantine/learn.go
@@ -40,13 +40,36 @@
 	return t.hold(now, w, ends)
 }
 
-// Doubtful returns the upstreams of which it is not known, or not certain, whether they have
-// ended, and on which a verdict may hang.
+// Pending returns the upstreams where a work was lost and of which it is not known whether
+// they have ended, if it was lost before. A single loss is what many works have when an
+// upstream ends, and can wait.
+func (t *Table) Pending(w work.ID) []fleet.Incarnation {
+	s, ok := t.suspects.Peek(w)
+	if !ok || len(s.lost) < 2 {
+		return nil
+	}
+	var pending []fleet.Incarnation
+	for id := range s.lost {
+		if u, ok := t.upstreams.Peek(id); ok && u.fate == Unknown {
+			pending = append(pending, id)
+		}
+	}
+	slices.SortFunc(pending, fleet.Incarnation.Compare)
+	return pending
+}
+
+// Doubtful returns the upstreams that are thought, and not certain, to have ended under works
+// in quarantine.
 func (t *Table) Doubtful() []fleet.Incarnation {
-	return slices.DeleteFunc(t.upstreams.Keys(), func(id fleet.Incarnation) bool { return !t.Doubts(id) })
+	return slices.DeleteFunc(t.upstreams.Keys(), func(id fleet.Incarnation) bool {
+		u, _ := t.upstreams.Peek(id)
+		h, ok := t.held.Peek(u.blamed)
+		return !ok || h.certain || u.fate == Ended
+	})
 }
 
-// Doubts tells whether an upstream is one of those.
+// Doubts tells whether anything hangs on an upstream of which it is not certain whether it
+// has ended.
 func (t *Table) Doubts(id fleet.Incarnation) bool {
 	u, ok := t.upstreams.Peek(id)
 	return ok && u.fate != Ended
