--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -10,8 +10,9 @@
 
 // Measured by crowd_test.go, which plays nodes and upstreams of the users' smaller
 // deployments with one and with three deadly requests at the same moment, 200 seeds of 30 s
-// each: none of 714,000 others refused, and no deadly one sent more than three times later
-// than 3 s after its third end. Judged at once, it refuses 13 of the others.
+// each: none of 713,000 others refused, and no deadly one sent more than three times later
+// than 3 s after its third end. Judged without waiting for word of what else was lost, 13 of
+// the others were refused.
 const (
 	// mostEnds is how many upstreams may end under a work before it is quarantined, if
 	// nothing else explains them. It is the users' figure.
@@ -23,7 +24,8 @@
 	// undisputedEnds is how many do so whatever else was lost there.
 	undisputedEnds = 6
 	// settles is for how long after a work's last loss word is awaited of what else was
-	// lost where it was: an upstream's end is found out within 0.26 s, and told at once.
+	// lost where it was: where works were lost before, an upstream's end is found out within
+	// 0.26 s, and told at once.
 	settles clock.Millis = 300
 )
 
