--- a/node/site_test.go
+++ b/node/site_test.go
@@ -32,6 +32,7 @@
 
 // engineProcess is an engine that can be killed.
 type engineProcess struct {
+	engine *standin.ChainEngine
 	server *httptest.Server
 	stop   context.CancelFunc
 }
@@ -62,7 +63,7 @@
 	engine := standin.NewChainEngine(id, server.Listener.Addr().String())
 	server.Config.Handler = engine.Handler()
 	server.Start()
-	s.engines[id] = &engineProcess{server: server, stop: s.beat(id, func() *platformpb.Server { return engine.Entry("dc") })}
+	s.engines[id] = &engineProcess{engine: engine, server: server, stop: s.beat(id, func() *platformpb.Server { return engine.Entry("dc") })}
 	s.t.Cleanup(func() { s.killEngine(id) })
 }
 
@@ -80,6 +81,17 @@
 	s.t.Cleanup(server.Close)
 }
 
+// addDesk starts a further desk.
+func (s *site) addDesk(id string) *standin.Desk {
+	server := httptest.NewUnstartedServer(nil)
+	desk := standin.NewDesk(id, server.Listener.Addr().String(), time.Millisecond)
+	server.Config.Handler = desk.Handler()
+	server.Start()
+	s.beat(id, func() *platformpb.Server { return desk.Entry("dc") })
+	s.t.Cleanup(server.Close)
+	return desk
+}
+
 // listed tells whether the store shows a server's entry.
 func (s *site) listed(id string) bool { return s.holds("servers", id) }
 
--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -25,6 +25,10 @@
 	// cut, and askPart bounds one question to a part.
 	stallTime = 2500 * time.Millisecond
 	askPart   = 80 * time.Millisecond
+	// engineMemory is the memory for requests, and streamMemory what one takes, in tokens
+	// times layers.
+	engineMemory = 100_000
+	streamMemory = 500
 	// cutAfter is how many events a stream has that is broken off.
 	cutAfter = 3
 )
@@ -39,8 +43,9 @@
 	// advertised is the address by which callers and other engines know it.
 	advertised string
 	client     *http.Client
-	departure  departure
-	crash      crash
+	departure
+	rest
+	crash crash
 
 	mu      sync.Mutex
 	held    fleet.Range
@@ -79,7 +84,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return &platformpb.Server{
-		Service: SiteWriter, Address: e.advertised, Zone: centre, State: e.departure.state(), Slots: 64, Kind: SiteKind,
+		Service: SiteWriter, Address: e.advertised, Zone: centre, State: e.state(), Slots: 64, Kind: SiteKind,
 		Layers: e.layers(), Born: &e.born, Software: standinSoftware, OrdersTaken: float64(e.orders),
 	}
 }
@@ -100,13 +105,15 @@
 	mux.HandleFunc("GET /part", e.part)
 	mux.Handle("POST /faults", faultHandler(e.SetFaults))
 	e.departure.serve(mux)
+	e.rest.serve(mux)
 	mux.HandleFunc("/", e.generate)
 	return mux
 }
 
 func (e *ChainEngine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	report := &platformpb.Report{Busy: e.loading, OrdersTaken: float64(e.orders), Layers: e.layers(), Kind: SiteKind, Born: e.born}
+	report := &platformpb.Report{Busy: e.loading, OrdersTaken: float64(e.orders), Layers: e.layers(), Kind: SiteKind, Born: e.born,
+		Active: float64(len(e.streams)), KvUsed: streamMemory * float64(len(e.streams)), KvTotal: engineMemory}
 	for id, s := range e.streams {
 		if s.stalledAt != "" {
 			report.Stalled = append(report.Stalled, &platformpb.Stalled{Id: id, Address: s.stalledAt})
@@ -146,8 +153,9 @@
 	if !e.meant(w, r) {
 		return
 	}
-	e.departure.arrived()
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	e.arrived()
+	e.mark(w.Header())
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || e.turnsAway(w, r.Header.Get("Attempt-Id")) {
 		return
 	}
 	parts := parseParts(r.Header.Get("Path"))
--- a/standin/departure.go
+++ b/standin/departure.go
@@ -9,6 +9,8 @@
 // departure is a server's leaving, and what still reaches it.
 type departure struct {
 	leaving atomic.Bool
+	// saysSo tells that its answers say that it leaves, whatever its entry says.
+	saysSo atomic.Bool
 	// last is the wall time of the last request, in ms since 1970.
 	last atomic.Int64
 }
@@ -30,9 +32,20 @@
 	return "ready"
 }
 
+// mark has an answer say that the server leaves, where it does.
+func (d *departure) mark(h http.Header) {
+	if d.leaving.Load() || d.saysSo.Load() {
+		h.Set("Server-Leaving", "1")
+	}
+}
+
+// SayLeaving has the server's answers say that it leaves, and not its entry.
+func (d *departure) SayLeaving() { d.saysSo.Store(true) }
+
 // serve adds the calls that make a server say that it leaves, and that tell when a
 // request has reached it last.
 func (d *departure) serve(mux *http.ServeMux) {
 	mux.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { d.leaving.Store(true) })
+	mux.HandleFunc("POST /say-leaving", func(http.ResponseWriter, *http.Request) { d.SayLeaving() })
 	mux.Handle("GET /arrival", jsonHandler(func() any { return Arrival{LastMS: d.last.Load()} }))
 }
--- a/standin/desk.go
+++ b/standin/desk.go
@@ -18,10 +18,11 @@
 	advertised string
 	work       time.Duration
 	slots      chan struct{}
-	departure  departure
-	crash      crash
-	mu         sync.Mutex
-	runs       map[string]DeskRun
+	departure
+	rest
+	crash crash
+	mu    sync.Mutex
+	runs  map[string]DeskRun
 }
 
 // DeskRun is what became of one try.
@@ -45,7 +46,7 @@
 
 // Entry returns the desk's entry in the list of servers.
 func (d *Desk) Entry(centre string) *platformpb.Server {
-	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: d.departure.state(), Slots: deskSlots, Born: &d.born, Software: standinSoftware}
+	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: d.state(), Slots: deskSlots, Born: &d.born, Software: standinSoftware}
 }
 
 // Handler serves requests, what was run at /runs, and the desk's leaving at /leave.
@@ -54,6 +55,7 @@
 	mux.Handle("GET /runs", jsonHandler(func() any { return d.Runs() }))
 	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
 	d.departure.serve(mux)
+	d.rest.serve(mux)
 	mux.HandleFunc("/", d.serve)
 	return mux
 }
@@ -75,8 +77,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	d.departure.arrived()
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	d.arrived()
+	d.mark(w.Header())
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || d.turnsAway(w, r.Header.Get("Attempt-Id")) {
 		return
 	}
 	select {
