Logs tell what upstreams say of themselves beside a refusal

Cause: the logs could not tell a rest that was asked for from a lack of room, so the hypotheses could not be told apart.

Change: the adapter reads Retry-After and Server-Leaving of upstreams' answers into a Word (fractions, dates, text, twice: platform/word_test.go, a fuzz target); attempt_failed logs it. Nothing is decided by it yet.

Ruled out: reading dates, which two clocks would count; believing a header beside an answer that turns nobody away, which is for the caller.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,8 @@
 	go test ./entry -run xxx -fuzz . -fuzztime 30s
 	go test ./relay -run xxx -fuzz . -fuzztime 30s
 	go test ./settings -run xxx -fuzz . -fuzztime 30s
-	go test ./platform -run xxx -fuzz . -fuzztime 30s
+	go test ./platform -run xxx -fuzz FuzzEntry -fuzztime 30s
+	go test ./platform -run xxx -fuzz FuzzWord -fuzztime 30s
 
 .PHONY: models
 models: ## Checks the models and their variants with spin.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,6 +49,7 @@
 	failed bool
 	cause  dispatch.Cause
 	at     string
+	word   Word
 	err    error
 }
 
@@ -65,8 +66,10 @@
 	// go on with it; what else an upstream says is its failure to do so.
 	resumes bool
 	req     *http.Request
-	pieces  chan piece
-	cancel  context.CancelCauseFunc
+	// word is what the upstream has said of itself in the head of its answer.
+	word   Word
+	pieces chan piece
+	cancel context.CancelCauseFunc
 	// wrote tells that bytes of the request have gone out, or are about to.
 	wrote atomic.Bool
 }
@@ -143,6 +146,7 @@
 // read judges the head of an answer, and passes the answer on.
 func (a *attempt) read(ctx context.Context, resp *http.Response) {
 	head := a.protocol.AnswerHead(resp.StatusCode, resp.Header)
+	a.word = head.Word
 	switch {
 	case head.ID != "" && head.ID != a.callerID:
 		a.fail(ctx, dispatch.Unknown, "", errOtherAnswer)
@@ -234,7 +238,7 @@
 }
 
 func (a *attempt) fail(ctx context.Context, cause dispatch.Cause, at string, err error) {
-	a.send(ctx, piece{failed: true, cause: cause, at: at, err: err})
+	a.send(ctx, piece{failed: true, cause: cause, at: at, word: a.word, err: err})
 }
 
 // send hands a piece to the session, and reports whether it still listens.
--- a/relay/log.go
+++ b/relay/log.go
@@ -117,11 +117,26 @@
 	}))
 }
 
-func (s *session) logFailure(cause dispatch.Cause, at string, err error) {
+func (s *session) logFailure(cause dispatch.Cause, at string, word Word, err error) {
 	s.relay.stats.count("attempt_" + cause.String())
 	s.log.Info("attempt_failed", zap.String("id", s.head.ID), zap.Stringer("work", s.attempt.cmd.Work), zap.Int("attempt", s.attempt.cmd.Attempt),
 		zap.Stringer("upstream", s.attempt.cmd.Upstream), zap.Stringer("cause", cause), zap.String("at", at),
-		zap.Int("events", s.events), zap.Int64("after_ms", int64(s.relay.clock.Now().Sub(s.sent))), logging.Err(err))
+		zap.Int("events", s.events), zap.Int64("after_ms", int64(s.relay.clock.Now().Sub(s.sent))), wordField(word), logging.Err(err))
+}
+
+// wordField is what an upstream has said of itself.
+func wordField(word Word) zap.Field {
+	if word.IsZero() {
+		return zap.Skip()
+	}
+	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
+		e.AddInt64("rest_ms", int64(word.Rest))
+		e.AddBool("leaving", word.Leaving)
+		if word.Unread != "" {
+			e.AddString("unread", word.Unread)
+		}
+		return nil
+	}))
 }
 
 // logLost notes that a caller could not be given its answer.
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -53,6 +53,8 @@
 	Misdirected bool
 	// At is the address of the upstream at fault, if it is another.
 	At string
+	// Word is what the upstream says of itself.
+	Word Word
 }
 
 // Protocol translates heads.
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -71,8 +71,8 @@
 }
 
 // attemptFailed ends the attempt and asks what comes next.
-func (s *session) attemptFailed(cause dispatch.Cause, at string, err error) {
-	s.logFailure(cause, at, err)
+func (s *session) attemptFailed(cause dispatch.Cause, at string, word Word, err error) {
+	s.logFailure(cause, at, word, err)
 	msg := dispatch.AttemptFailedMsg{Request: s.id, Attempt: s.attempt.cmd.Attempt, Cause: cause, At: at, Events: s.events, Delivered: s.delivered()}
 	s.drop()
 	s.relay.decider.tell(s.relay.life, msg)
@@ -87,7 +87,7 @@
 	}
 	s.inVain = true
 	s.doubtConnections()
-	s.attemptFailed(dispatch.Slow, at, errors.Wrap(errTakenBack, why))
+	s.attemptFailed(dispatch.Slow, at, Word{}, errors.Wrap(errTakenBack, why))
 }
 
 // doubtConnections keeps other requests off the connections that are kept from before
--- a/relay/session_pass.go
+++ b/relay/session_pass.go
@@ -14,7 +14,7 @@
 	s.doubt.Stop()
 	switch {
 	case p.failed:
-		s.attemptFailed(p.cause, p.at, p.err)
+		s.attemptFailed(p.cause, p.at, p.word, p.err)
 		return false
 	case p.head != nil && p.head.StatusCode >= http.StatusInternalServerError && p.end:
 		return s.upstreamFailed(p)
@@ -39,7 +39,7 @@
 // whether another may try.
 func (s *session) upstreamFailed(p piece) bool {
 	s.held = &p
-	s.attemptFailed(dispatch.Failed, "", nil)
+	s.attemptFailed(dispatch.Failed, "", p.word, nil)
 	return false
 }
 
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -182,7 +182,7 @@
 // will come, and none that has begun goes on.
 func (s *session) upstreamEnded() {
 	s.inVain = true
-	s.attemptFailed(dispatch.Slow, "", errUpstreamEnded)
+	s.attemptFailed(dispatch.Slow, "", Word{}, errUpstreamEnded)
 }
 
 // stalledAt moves the stream away from an engine, or takes it up elsewhere if
