What upstreams say of themselves in their answers is read and kept to

Cause: an upstream that turns a request away and asks for rest was taken as full for 150 ms, or not even that once its report told of room; one that says that it leaves was believed only once its entry said so. What others say of themselves was not read where it was said, and our own guess stood in for it.

Change: a rest counts until it is over, for sends, repeats, chains, moves, probes and what was decided and not yet written; nothing but time ends it. It is no suspicion and no lack of room, and other nodes are not told. Callers that lack nothing else are told when the first rest ends, spread over half of what is left of it, the more urgent first. One that says that it leaves counts as leaving from then on (fleet.View.Leave), for chains, planner and peers. Words are believed of the incarnation that was asked; of a chain also of the engine that the answer names.

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -150,6 +150,15 @@
 	Cause    Cause
 }
 
+// RestCmd is for the log: an upstream gets nothing until a time, since it has asked for
+// that.
+type RestCmd struct {
+	Upstream fleet.Incarnation
+	Until    clock.Millis
+	// Asked is for how long it has asked.
+	Asked clock.Millis
+}
+
 // QuarantineCmd tells what has become known of requests that end upstreams.
 type QuarantineCmd struct{ News quarantine.News }
 
@@ -170,6 +179,7 @@
 func (SilentCmd) dispatchCmd()     {}
 func (ProbeCmd) dispatchCmd()      {}
 func (SuspectCmd) dispatchCmd()    {}
+func (RestCmd) dispatchCmd()       {}
 func (QuarantineCmd) dispatchCmd() {}
 func (WakeCmd) dispatchCmd()       {}
 
@@ -185,6 +195,7 @@
 	ReasonNoUpstream  Reason = "no_upstream"
 	ReasonNoHolder    Reason = "a_layer_has_no_engine"
 	ReasonNoRoom      Reason = "no_memory_left"
+	ReasonRest        Reason = "upstreams_asked_for_rest"
 	ReasonRefused     Reason = "refused_by_upstreams"
 	ReasonNoBudget    Reason = "retry_budget_spent"
 	ReasonUnknown     Reason = "answer_lost"
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -87,6 +87,10 @@
 	r.tried[at.entry.ID] = true
 	switch msg.Cause {
 	case NotRunFull:
+		if at.resting(m.now) {
+			// It has said for how long.
+			return nil
+		}
 		at.refusedItself = at == r.first
 		at.refused(m.now)
 		return nil
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -113,8 +113,7 @@
 	case FleetMsg:
 		return append(m.setFleet(msg), m.takeEarly()...)
 	case PeersMsg:
-		m.nodes, m.near = msg.All, msg.Near
-		m.setBudgets()
+		m.setPeers(msg)
 	case UsageMsg:
 		m.noteUsage(msg)
 	case PlacedMsg:
@@ -131,6 +130,8 @@
 		m.noteReport(msg.Upstream, msg.Report)
 	case MovedMsg:
 		return m.moved(msg)
+	case RestMsg:
+		return m.rested(msg)
 	case GoneMsg:
 		m.forgetEarly(msg.Request)
 		return m.gone(msg)
@@ -152,6 +153,11 @@
 	return nil
 }
 
+func (m *Model) setPeers(msg PeersMsg) {
+	m.nodes, m.near = msg.All, msg.Near
+	m.setBudgets()
+}
+
 // Ready tells whether the node can serve: it knows a configuration that is
 // fresh enough, and upstreams.
 func (m *Model) Ready(now clock.Millis) bool {
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -139,6 +139,13 @@
 	Queued int
 }
 
+// RestMsg tells that an upstream has turned a request away and wants no other from this
+// node for a time.
+type RestMsg struct {
+	Upstream fleet.Incarnation
+	For      clock.Millis
+}
+
 // MovedMsg tells what came of a MoveCmd.
 type MovedMsg struct {
 	Request RequestID
@@ -256,6 +263,7 @@
 func (StalledMsg) dispatchMsg()       {}
 func (ReportMsg) dispatchMsg()        {}
 func (MovedMsg) dispatchMsg()         {}
+func (RestMsg) dispatchMsg()          {}
 func (GoneMsg) dispatchMsg()          {}
 func (ProbedMsg) dispatchMsg()        {}
 func (ToldSilentMsg) dispatchMsg()    {}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -42,6 +42,8 @@
 	// with, until waitUntil.
 	waitingFor Reason
 	waitUntil  clock.Millis
+	// afterRest tells that some of what it could go on at rests.
+	afterRest bool
 
 	// The attempt under way.
 	first *upstream
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -78,6 +78,8 @@
 		return dispatch.StalledMsg{Request: request, Attempt: attempt, At: s.Named["by"], Slow: s.Named["slow"] == "yes"}
 	case "moved":
 		return dispatch.MovedMsg{Request: request, Attempt: attempt, Result: dispatch.MoveResult(s.Int("result", 0)), At: s.Named["by"]}
+	case "rests":
+		return dispatch.RestMsg{Upstream: script.Incarnation(s.Word(0)), For: clock.Millis(s.Int("for", 0))}
 	case "left":
 		return dispatch.GoneMsg{Request: request}
 	case "probed":
@@ -257,6 +259,8 @@
 		return showNews(c.News)
 	case dispatch.WakeCmd:
 		return fmt.Sprintf("wake %d give_up=%d", c.Request, c.GiveUp)
+	case dispatch.RestCmd:
+		return fmt.Sprintf("rest %s until %d", c.Upstream, c.Until)
 	case dispatch.SuspectCmd:
 		return fmt.Sprintf("suspect %s until %d", c.Upstream, c.Until)
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -58,6 +58,9 @@
 	if r.runs > 0 {
 		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
 	}
+	if end, rest := m.restEnds(r); rest {
+		return m.refuseFor(r.msg.Request, ReasonRest, m.backAfter(r, end), nil)
+	}
 	var lack *Lack
 	if r.service.Pipeline != nil && (reason == ReasonNoRoom || reason == ReasonNoHolder) {
 		lack = m.whatLacks(r)
@@ -89,7 +92,7 @@
 	bestCost := 0.0
 	suspected := m.quarantine.Suspects(r.work)
 	for _, u := range m.byService[r.service.Name] {
-		if !u.usable() || !may(u) {
+		if !u.usable() || u.resting(m.now) || !may(u) {
 			continue
 		}
 		cost := u.took * float64(u.inFlight+1) * (1 + m.random.Float64()*tieSpread)
@@ -180,10 +183,15 @@
 // holders returns those of some engines of the request's service that may take part in
 // a chain now, without those named.
 func (m *Model) holders(r *request, list []*upstream, may func(*upstream) bool, without ...fleet.Incarnation) []chain.Holder {
+	return m.holdersAt(r, list, m.now, may, without...)
+}
+
+// holdersAt are the holders once the rests that end by a time have ended.
+func (m *Model) holdersAt(r *request, list []*upstream, at clock.Millis, may func(*upstream) bool, without ...fleet.Incarnation) []chain.Holder {
 	holders := make([]chain.Holder, 0, len(list))
 	bounded := m.bounded(r)
 	for _, u := range list {
-		if !may(u) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
+		if u.resting(at) || !may(u) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
 			continue
 		}
 		if u.rivals && slices.ContainsFunc(holders, func(h chain.Holder) bool { return h.Address == u.entry.Address }) {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -69,6 +69,8 @@
 	refusals  int
 	fullUntil clock.Millis
 	refusedAt clock.Millis
+	// restUntil is until when it wants nothing from this node.
+	restUntil clock.Millis
 	// refusedItself tells that it was the first of its chain that refused last: the others
 	// also refuse what they are about to give up.
 	refusedItself bool
@@ -190,6 +192,8 @@
 		return false
 	case u.suspect:
 		return u.wantsProbe || u.wantsFate || now >= u.avoidUntil
+	case u.resting(now):
+		return false
 	default:
 		return u.wantsReport || u.pace > usualPace && now >= u.paceAt.Add(paceLasts)
 	}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -35,6 +36,7 @@
 	passing := reason == ReasonNoRoom || reason == ReasonNoHolder || reason == ReasonNoBudget
 	if passing && m.now < r.waitUntil {
 		r.waitingFor = reason
+		r.afterRest = len(m.rests(r)) > 0
 		return nil
 	}
 	return m.cut(r.msg.Request, reason)
@@ -43,9 +45,9 @@
 // resume tries again to send the streams that wait.
 func (m *Model) resume() []Cmd {
 	var cmds []Cmd
-	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
-		r := m.requests[id]
-		if r.waitingFor == "" {
+	left := resumeEach
+	for _, r := range m.waiting() {
+		if r.afterRest && left == 0 {
 			continue
 		}
 		reason := r.waitingFor
@@ -54,11 +56,27 @@
 			cmds = append(cmds, m.waitOrCut(r, reason)...)
 			continue
 		}
-		cmds = append(cmds, m.resend(r)...)
+		next := m.resend(r)
+		if r.afterRest && slices.ContainsFunc(next, isSend) {
+			left--
+		}
+		cmds = append(cmds, next...)
 	}
 	return cmds
 }
 
+// waiting returns the streams that wait, the most urgent first.
+func (m *Model) waiting() []*request {
+	var list []*request
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		if r := m.requests[id]; r.waitingFor != "" {
+			list = append(list, r)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *request) int { return cmp.Compare(a.priority(), b.priority()) })
+	return list
+}
+
 // resend sends a request again, if its key is still good.
 func (m *Model) resend(r *request) []Cmd {
 	if cmds := m.admitKey(r); cmds != nil {
--- a/fleet/view_runs.go
+++ b/fleet/view_runs.go
@@ -13,6 +13,24 @@
 	return []Change{{ID: earlier, Gone: true, Ended: true}}
 }
 
+// Leave notes that an upstream has said that it is leaving, whatever its entry says, and
+// returns it as leaving if it was known as something else. One that is not known yet is
+// leaving once it is.
+func (v *View) Leave(id Incarnation) []Change {
+	if v.departed[id] || v.over(id) {
+		return nil
+	}
+	v.departed[id] = true
+	known := v.upstreams[id]
+	if known == nil {
+		return nil
+	}
+	u := *known
+	u.Leaving = true
+	v.upstreams[id] = &u
+	return []Change{{ID: id, Upstream: u}}
+}
+
 // supersede ends the incarnations that entries name a later run of.
 func (v *View) supersede(changes []Change) []Change {
 	var ended []Change
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -75,6 +75,20 @@
 	f.pass(ended, f.passedOn)
 }
 
+// Leave notes that an upstream has said in an answer that it is leaving: its entry may say
+// so seconds later, and not at all while the store is away. Others that follow this node are
+// told by the list or by the upstream itself: each may have heard it at another time.
+func (f *Fleet) Leave(id fleet.Incarnation) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := f.view.Leave(id)
+	if len(left) == 0 {
+		return
+	}
+	f.log.Info("upstream_says_it_leaves", zap.Stringer("upstream", id))
+	f.pass(left, f.passedOn)
+}
+
 // show passes a reading on to the nodes that follow this one, as it has changed the
 // view. Entries that may come back stand in it until their time is over.
 func (f *Fleet) show(reading FleetReading, changes, expired []fleet.Change, lapsing bool) {
--- a/node/learn.go
+++ b/node/learn.go
@@ -25,6 +25,9 @@
 	n.fleets.SetServices(serviceNames(c))
 }
 
+// setSaidLeaving takes in that an upstream has said that it is leaving.
+func (n *Node) setSaidLeaving(upstream fleet.Incarnation) { n.fleets.Leave(upstream) }
+
 // serviceNames returns the services of a configuration.
 func serviceNames(c *catalog.Catalog) []string {
 	var names []string
--- a/node/node.go
+++ b/node/node.go
@@ -94,7 +94,8 @@
 	n.store = platform.NewStore(s.Platform)
 	n.quarantined = newQuarantined(n.clock, s.quarantineLasts())
 	n.keeper = keeper.New(n.store, n.log, s.FirstStart, n.learnQuarantined)
-	n.engines = platform.NewEngines(platform.WithLaterRuns(func(run fleet.Incarnation) { n.fleets.Supersede(run) }))
+	n.engines = platform.NewEngines(platform.WithLaterRuns(func(run fleet.Incarnation) { n.fleets.Supersede(run) }),
+		platform.WithWords(func(upstream fleet.Incarnation, word relay.Word) { n.relay.Said(upstream, word) }))
 	model := dispatch.New(
 		dispatch.WithDataCentre(s.DataCentre),
 		dispatch.WithSeed(hash(s.Name)),
@@ -118,7 +119,7 @@
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
 		relay.WithCounters("peers", expvar.Func(func() any { return n.Peers() })),
-		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithQuarantine(n.setQuarantine))
+		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithLeaving(n.setSaidLeaving), relay.WithQuarantine(n.setQuarantine))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge))
 	n.wakes = n.clock.Wakes()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -14,10 +14,12 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // Errors of an attempt.
 var (
+	errBarred      = errors.New("relay: the upstream rests or is leaving")
 	errGateShut    = errors.New("relay: the configuration is too old for a request with a key")
 	errSentTwice   = errors.New("relay: the request was written before")
 	errOtherAnswer = errors.New("relay: the answer belongs to another request")
@@ -57,6 +59,10 @@
 type attempt struct {
 	protocol Protocol
 	conns    *upstreamConns
+	// barred tells whether the upstream may get no request now, and said is told what it
+	// says of itself.
+	barred func() bool
+	said   func(upstream fleet.Incarnation, word Word)
 	// alone tells that the attempt has a connection of its own.
 	alone    bool
 	gate     *gate
@@ -121,6 +127,10 @@
 		a.cancel(errGateShut)
 		return errGateShut
 	}
+	if a.barred() {
+		a.cancel(errBarred)
+		return errBarred
+	}
 	if a.wrote.Swap(true) {
 		a.cancel(errSentTwice)
 		return errSentTwice
@@ -136,7 +146,7 @@
 	switch {
 	case a.wrote.Load():
 		return dispatch.Unknown
-	case errors.Is(context.Cause(ctx), errGateShut):
+	case errors.IsAny(context.Cause(ctx), errGateShut, errBarred):
 		return dispatch.HeldBack
 	default:
 		return dispatch.NotSent
@@ -146,7 +156,7 @@
 // read judges the head of an answer, and passes the answer on.
 func (a *attempt) read(ctx context.Context, resp *http.Response) {
 	head := a.protocol.AnswerHead(resp.StatusCode, resp.Header)
-	a.word = head.Word
+	a.hear(head)
 	switch {
 	case head.ID != "" && head.ID != a.callerID:
 		a.fail(ctx, dispatch.Unknown, "", errOtherAnswer)
@@ -174,6 +184,26 @@
 	}
 }
 
+// hear takes in what the upstream says of itself. In a late answer to another request only
+// its leaving is still so. Where it names another engine of the chain that could not take
+// the request, that one has asked through it.
+func (a *attempt) hear(head AnswerHead) {
+	word := head.Word
+	if head.ID != "" && head.ID != a.callerID {
+		word.Rest = 0
+	}
+	if word.IsZero() {
+		return
+	}
+	a.word = word
+	a.said(a.cmd.Upstream, word)
+	for _, p := range a.cmd.Chain {
+		if p.Address == head.At && p.ID != a.cmd.Upstream && word.Rest > 0 {
+			a.said(p.ID, Word{Rest: word.Rest})
+		}
+	}
+}
+
 func isEvents(resp *http.Response) bool {
 	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -3,13 +3,17 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -69,9 +73,10 @@
 
 // testAttempt is an attempt of one request, with its outcome.
 type testAttempt struct {
-	pool *upstreamPool
-	gate *gate
-	kind catalog.Kind
+	upstream fleet.Incarnation
+	pool     *upstreamPool
+	gate     *gate
+	kind     catalog.Kind
 }
 
 func (ta testAttempt) run(t *testing.T, method, address string) piece {
@@ -83,7 +88,7 @@
 		t.Fatal(err)
 	}
 	a := &attempt{
-		protocol: plainProtocol{}, conns: ta.pool.get(fleet.Undated("u1")), gate: ta.gate, cancel: cancel,
+		protocol: plainProtocol{}, barred: func() bool { return ta.pool.barred(ta.pool.get(ta.upstream)) }, said: func(fleet.Incarnation, Word) {}, conns: ta.pool.get(ta.upstream), gate: ta.gate, cancel: cancel,
 		cmd:    dispatch.SendCmd{Route: &catalog.Route{Kind: ta.kind}, Keyed: true, CatalogVersion: 1},
 		pieces: make(chan piece, piecesWaiting),
 	}
@@ -101,7 +106,7 @@
 			address := u.listener.Addr().String()
 			pool := newUpstreamPool((&net.Dialer{}).DialContext, clocktest.NewClock())
 			t.Cleanup(pool.closeIdle)
-			ta := testAttempt{pool: pool, gate: newGate(clocktest.NewClock(), 0), kind: catalog.Once}
+			ta := testAttempt{upstream: fleet.Undated("u1"), pool: pool, gate: newGate(clocktest.NewClock(), 0), kind: catalog.Once}
 
 			if first := ta.run(t, method, address); first.failed {
 				t.Fatalf("got %v at the first request, want an answer", first.err)
@@ -131,7 +136,7 @@
 	}, clocktest.NewClock())
 	t.Cleanup(pool.closeIdle)
 
-	got := testAttempt{pool: pool, gate: g, kind: catalog.Repeatable}.run(t, http.MethodPost, u.listener.Addr().String())
+	got := testAttempt{upstream: fleet.Undated("u1"), pool: pool, gate: g, kind: catalog.Repeatable}.run(t, http.MethodPost, u.listener.Addr().String())
 	if !got.failed || got.cause != dispatch.HeldBack {
 		t.Errorf("got failed=%v cause=%v, want it held back", got.failed, got.cause)
 	}
@@ -139,3 +144,80 @@
 		t.Errorf("got %d requests read, want %d", got, want)
 	}
 }
+
+// A request waits for its connection while the upstream turns another one away and asks for
+// rest, or says that it is leaving. It is not written, and decided anew.
+func TestAttemptIsHeldBackFromWhoRestsOrLeaves(t *testing.T) {
+	for _, word := range []Word{{Rest: 3000}, {Leaving: true}} {
+		u, id := newFickleUpstream(t), fleet.Undated("u1")
+		var pool *upstreamPool
+		pool = newUpstreamPool(func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			pool.bar(id, word)
+			return conn, err
+		}, clocktest.NewClock())
+		t.Cleanup(pool.closeIdle)
+		got := testAttempt{upstream: id, pool: pool, gate: newGate(clocktest.NewClock(), 0), kind: catalog.Repeatable}.run(t, http.MethodPost, u.listener.Addr().String())
+		if !got.failed || got.cause != dispatch.HeldBack {
+			t.Errorf("%+v: got failed=%v cause=%v, want it held back", word, got.failed, got.cause)
+		}
+		if got, want := u.read.Load(), int64(0); got != want {
+			t.Errorf("%+v: got %d requests read, want %d", word, got, want)
+		}
+	}
+}
+
+// A shorter rest takes nothing off a longer one, another incarnation at the address has asked
+// for none, and a rest goes on while the VM is suspended.
+func TestLongestRestCounts(t *testing.T) {
+	vm := clocktest.NewVM()
+	pool, id := newUpstreamPool((&net.Dialer{}).DialContext, clock.New(clock.WithVM(vm))), fleet.Undated("u1")
+	pool.bar(id, Word{Rest: 3_600_000})
+	pool.bar(id, Word{Rest: 10})
+	vm.Suspend(time.Hour / 2)
+	if !pool.barred(pool.get(id)) {
+		t.Error("got no rest after half an hour, want one of an hour")
+	}
+	if pool.barred(pool.get(fleet.Undated("u2"))) {
+		t.Error("got a rest of an upstream that has asked for none")
+	}
+	vm.Suspend(time.Hour / 2)
+	if pool.barred(pool.get(id)) {
+		t.Error("got a rest after an hour, want none")
+	}
+}
+
+// An answer speaks for who has given it, and a refusal also for the engine of the chain that
+// it names. In a late answer to another request only the leaving is still so.
+func TestWhoseWordItIs(t *testing.T) {
+	first, second := fleet.Undated("e1"), fleet.Undated("e2")
+	parts := []chain.Part{{ID: first, Address: "a1"}, {ID: second, Address: "a2"}}
+	rest := Word{Rest: 3000}
+	tests := []struct {
+		name string
+		head AnswerHead
+		want map[fleet.Incarnation]Word
+	}{
+		{"its own", AnswerHead{Word: rest}, map[fleet.Incarnation]Word{first: rest}},
+		{"its own, named", AnswerHead{Word: rest, At: "a1"}, map[fleet.Incarnation]Word{first: rest}},
+		{"of one further on", AnswerHead{Word: rest, At: "a2"}, map[fleet.Incarnation]Word{first: rest, second: rest}},
+		{"of one that is not on the way", AnswerHead{Word: rest, At: "a3"}, map[fleet.Incarnation]Word{first: rest}},
+		{"leaving", AnswerHead{Word: Word{Leaving: true}, At: "a2"}, map[fleet.Incarnation]Word{first: {Leaving: true}}},
+		{"late", AnswerHead{ID: "another", Word: Word{Rest: 3000, Leaving: true}}, map[fleet.Incarnation]Word{first: {Leaving: true}}},
+		{"late, and a rest alone", AnswerHead{ID: "another", Word: rest}, map[fleet.Incarnation]Word{}},
+		{"nothing", AnswerHead{At: "a2"}, map[fleet.Incarnation]Word{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := make(map[fleet.Incarnation]Word)
+			a := &attempt{
+				callerID: "try", cmd: dispatch.SendCmd{Upstream: first, Chain: parts},
+				said: func(id fleet.Incarnation, w Word) { got[id] = w },
+			}
+			a.hear(tt.head)
+			if !maps.Equal(got, tt.want) {
+				t.Errorf("got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -123,6 +123,9 @@
 		d.probe(cmd)
 	case dispatch.QuarantineCmd:
 		d.quarantine(cmd.News)
+	case dispatch.RestCmd:
+		d.log.Info("rest", zap.Stringer("upstream", cmd.Upstream), zap.Int64("asked_ms", int64(cmd.Asked)),
+			zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
 	case dispatch.SuspectCmd:
 		d.log.Info("suspect", zap.Stringer("upstream", cmd.Upstream), zap.Int("strikes", cmd.Strikes),
 			zap.Stringer("cause", cmd.Cause), zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -36,6 +36,8 @@
 	life context.Context
 	// more are counters of other parts of the node, by name.
 	more map[string]expvar.Var
+	// leaving is told of upstreams that say that they are leaving.
+	leaving func(fleet.Incarnation)
 	// listAge tells how long ago the list of upstreams was last confirmed.
 	listAge func() clock.Millis
 }
@@ -84,7 +86,7 @@
 func New(life context.Context, protocol Protocol, model *dispatch.Model, c *clock.Clock, log *zap.Logger, opts ...Option) *Relay {
 	r := &Relay{
 		protocol: protocol, clock: c, log: log, gate: newGate(c, 0), stats: newStats(), life: life,
-		more: make(map[string]expvar.Var), listAge: neverListed,
+		more: make(map[string]expvar.Var), listAge: neverListed, leaving: func(fleet.Incarnation) {},
 	}
 	r.decider = newDecider(model, c, log, r.probe)
 	for _, opt := range opts {
@@ -121,9 +123,12 @@
 func (r *Relay) SetFleet(changes []fleet.Change) {
 	r.decider.tell(r.life, dispatch.FleetMsg{Changes: changes})
 	for _, c := range changes {
-		if c.Gone {
+		switch {
+		case c.Gone:
 			r.upstreams.drop(c.ID)
 			r.reports.forget(c.ID)
+		case c.Upstream.Leaving:
+			r.upstreams.bar(c.ID, Word{Leaving: true})
 		}
 	}
 }
--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -42,6 +42,10 @@
 	*http.Transport
 	// single makes a connection for each attempt.
 	single *http.Transport
+	// restUntil is until when the upstream wants no request, in ms of the pool's clock, and
+	// leaving tells that it gets none any more.
+	restUntil atomic.Int64
+	leaving   atomic.Bool
 	// heard is when the last byte came on any of them, in ms of the pool's clock.
 	heard atomic.Int64
 }
@@ -69,6 +73,26 @@
 	return conns
 }
 
+// bar keeps requests from being written to an upstream that rests or is leaving: they may
+// have been decided before that was known, and wait for a connection.
+func (p *upstreamPool) bar(id fleet.Incarnation, word Word) {
+	if word.Rest == 0 && !word.Leaving {
+		return
+	}
+	conns := p.get(id)
+	if word.Leaving {
+		conns.leaving.Store(true)
+	}
+	until := int64(p.clock.Now().Add(word.Rest))
+	for known := conns.restUntil.Load(); known < until && !conns.restUntil.CompareAndSwap(known, until); known = conns.restUntil.Load() {
+	}
+}
+
+// barred tells whether no request may be written to an upstream now.
+func (p *upstreamPool) barred(conns *upstreamConns) bool {
+	return conns.leaving.Load() || int64(p.clock.Now()) < conns.restUntil.Load()
+}
+
 // choose returns what an attempt goes out with: a connection of its own, or one that may
 // have been kept.
 func (u *upstreamConns) choose(own bool) http.RoundTripper {
--- a/relay/word.go
+++ b/relay/word.go
@@ -1,6 +1,12 @@
 package relay
 
-import "github.com/hoistjunction/hoistjunction/clock"
+import (
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
 
 // Word is what an upstream says of itself beside its answer, whatever the answer is.
 type Word struct {
@@ -14,3 +20,31 @@
 
 // IsZero tells whether it has said nothing.
 func (w Word) IsZero() bool { return w == Word{} }
+
+// WithLeaving sets who is told of an upstream that says that it is leaving, each time that
+// it does.
+func WithLeaving(tell func(fleet.Incarnation)) Option {
+	return func(r *Relay) { r.leaving = tell }
+}
+
+// Said takes in what an upstream has said of itself in an answer: to an attempt, a question
+// or an order. The decider is told first: what is held back at the write is decided anew,
+// and must not be sent there again.
+//
+// An answer to a question bears no name, so it may be that of the next process at the
+// address. It is believed all the same: each word means less work for the one that was
+// asked, and that one has ended where it was not the one that answered.
+func (r *Relay) Said(upstream fleet.Incarnation, word Word) {
+	if word.Unread != "" {
+		r.stats.count("words_unread")
+		r.log.Warn("word_unread", zap.Stringer("upstream", upstream), zap.String("text", word.Unread))
+	}
+	if word.Rest > 0 {
+		r.stats.count("rests_asked")
+		r.decider.tell(r.life, dispatch.RestMsg{Upstream: upstream, For: word.Rest})
+	}
+	if word.Leaving {
+		r.leaving(upstream)
+	}
+	r.upstreams.bar(upstream, word)
+}
