Writes under a condition are as the store's pages have them, and one that is refused for good holds up no other

Cause: JSON of a 64-bit number stands in quotes, and a zero is left out, by the encoder's own rules. The store answered 400 to each such write: no verdict was ever kept on the platform, no registration of a dead node removed, and the keeper made its first write again every 3 s for ever.

What the store refuses for good is told by its status: the keeper writes the rest one by one, logs that one as an error once, and counts it.

Ruled out: writing all empty fields (a put would name versions); taking 429 and 507 for good.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"expvar"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -28,7 +30,11 @@
 	longestPause = 3 * time.Second
 )
 
-// Store is where requests are kept.
+// ErrRefused means that a store refuses a call for good: it will never be done, however
+// often it is made.
+var ErrRefused = errors.New("keeper: refused for good")
+
+// Store is where requests are kept. Errors of writes that cannot succeed wrap ErrRefused.
 type Store interface {
 	// Quarantined returns those that can be read, and an error for each that cannot.
 	Quarantined(ctx context.Context) (list []dispatch.Quarantined, unreadable []error, err error)
@@ -52,6 +58,8 @@
 	// first tells that the whole system starts for the first time: nothing is kept yet.
 	first   bool
 	changes *ring.Ring[change]
+	// refused counts the changes that the store refuses for good.
+	refused expvar.Int
 }
 
 // New returns a keeper. Learn takes what was kept.
@@ -59,6 +67,9 @@
 	return &Keeper{store: store, log: log, learn: learn, first: firstStart, changes: ring.New[change](waiting)}
 }
 
+// Refused returns the counter of changes that the store has refused for good.
+func (k *Keeper) Refused() *expvar.Int { return &k.refused }
+
 // Keep has a request kept. It does not wait for that.
 func (k *Keeper) Keep(w dispatch.Quarantined) { k.offer(change{Quarantined: w}) }
 
@@ -93,7 +104,7 @@
 		k.learn(nil)
 		return
 	}
-	k.until(ctx, "quarantine_not_read", func() error {
+	err := k.until(ctx, "quarantine_not_read", func() error {
 		list, unreadable, err := k.store.Quarantined(ctx)
 		if err != nil {
 			return err
@@ -105,6 +116,10 @@
 		k.learn(list)
 		return nil
 	})
+	if err != nil {
+		k.log.Error("quarantine_not_read", logging.Err(err))
+		k.learn(nil)
+	}
 }
 
 // gather returns a change and those that wait behind it; the last word on each request
@@ -131,27 +146,40 @@
 			keep = append(keep, c.Quarantined)
 		}
 	}
-	k.until(ctx, "quarantine_not_written", func() error {
-		if len(keep) > 0 {
-			if err := k.store.Quarantine(ctx, keep); err != nil {
-				return err
-			}
-		}
-		if len(release) > 0 {
-			return k.store.Release(ctx, release)
-		}
-		return nil
-	})
+	writeAll(ctx, k, keep, k.store.Quarantine, func(w dispatch.Quarantined) work.ID { return w.Work })
+	writeAll(ctx, k, release, k.store.Release, func(id work.ID) work.ID { return id })
+}
+
+// writeAll writes changes of one kind until the store has taken them. Where it refuses them
+// for good, each is written by itself, so that one does not hold up the others.
+func writeAll[T any](ctx context.Context, k *Keeper, list []T, call func(context.Context, []T) error, name func(T) work.ID) {
+	if len(list) == 0 {
+		return
+	}
+	err := k.until(ctx, "quarantine_not_written", func() error { return call(ctx, list) })
+	if err == nil {
+		return
+	}
+	if len(list) == 1 {
+		k.refused.Add(1)
+		k.log.Error("quarantine_refused", zap.Stringer("work", name(list[0])), logging.Err(err))
+		return
+	}
+	for _, one := range list {
+		writeAll(ctx, k, []T{one}, call, name)
+	}
 }
 
-// until tries a call until it succeeds or the context ends.
-func (k *Keeper) until(ctx context.Context, event string, call func() error) {
+// until tries a call until it succeeds or the context ends. It returns an error that wraps
+// ErrRefused for one that never will.
+func (k *Keeper) until(ctx context.Context, event string, call func() error) error {
 	for pause := firstPause; ctx.Err() == nil; pause = min(2*pause, longestPause) {
 		err := call()
-		if err == nil {
-			return
+		if err == nil || errors.Is(err, ErrRefused) {
+			return err
 		}
 		k.log.Info(event, logging.Err(err))
 		clock.Pause(ctx, pause)
 	}
+	return nil
 }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -21,8 +21,10 @@
 type fakeStore struct {
 	mu    sync.Mutex
 	fails int
-	calls []string
-	kept  []dispatch.Quarantined
+	// refuses is a work that it refuses for good.
+	refuses work.ID
+	calls   []string
+	kept    []dispatch.Quarantined
 }
 
 func (f *fakeStore) call(name string) error {
@@ -41,7 +43,11 @@
 }
 
 func (f *fakeStore) Quarantine(_ context.Context, works []dispatch.Quarantined) error {
-	return f.call("keep" + names(len(works)))
+	err := f.call("keep" + names(len(works)))
+	if err == nil && slices.ContainsFunc(works, func(w dispatch.Quarantined) bool { return w.Work == f.refuses }) {
+		return errors.Mark(errAway, ErrRefused)
+	}
+	return err
 }
 
 func (f *fakeStore) Release(_ context.Context, works []work.ID) error {
@@ -90,6 +96,13 @@
 				k.Release(b)
 			}, []string{"keep1", "release1"}, []int{0},
 		},
+		{
+			"one that is refused for good does not hold up others", &fakeStore{refuses: b}, true, func(k *Keeper) {
+				k.Keep(dispatch.Quarantined{Work: b})
+				k.Keep(dispatch.Quarantined{Work: a})
+				k.Release(work.ID{}.By("c"))
+			}, []string{"keep2", "keep1", "keep1", "release1"}, []int{0},
+		},
 		{"writes until the store is back", &fakeStore{fails: 1}, true, func(k *Keeper) { k.Keep(dispatch.Quarantined{Work: a}) }, []string{"keep1", "keep1"}, []int{0}},
 	}
 	for _, tt := range tests {
--- a/node/node.go
+++ b/node/node.go
@@ -117,6 +117,7 @@
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
+		relay.WithCounters("quarantine_refused", n.keeper.Refused()),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
 		relay.WithCounters("peers", expvar.Func(func() any { return n.Peers() })),
 		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithLeaving(n.setSaidLeaving), relay.WithQuarantine(n.setQuarantine))
--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -9,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
@@ -60,8 +62,8 @@
 // and the store's faults at /faults.
 func (s *RowStore) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /rows-get", s.faulty(s.get))
-	mux.HandleFunc("GET /rows-feed", s.faulty(s.feed))
+	mux.HandleFunc("GET /rows-get", s.faulty(checked(readingRules, s.get)))
+	mux.HandleFunc("GET /rows-feed", s.faulty(checked(feedRules, s.feed)))
 	mux.HandleFunc("POST /rows-tx", s.faulty(s.transact))
 	mux.HandleFunc("POST /beat/{id}", s.faulty(s.heartbeat))
 	mux.Handle("POST /faults", faultHandler(s.SetFaults))
@@ -124,7 +126,7 @@
 
 func (s *RowStore) put(table, key string, value []byte) {
 	s.revision++
-	row := &platformpb.Row{Table: table, Key: key, Value: value, Revision: s.revision}
+	row := &platformpb.Row{Table: table, Key: key, Value: value, Revision: float64(s.revision)}
 	s.rows[table+"/"+key] = row
 	s.log = append(s.log, row)
 	s.wake()
@@ -143,7 +145,7 @@
 	}
 	s.revision++
 	delete(s.rows, table+"/"+key)
-	s.log = append(s.log, &platformpb.Row{Table: table, Key: key, Revision: s.revision, Gone: true})
+	s.log = append(s.log, &platformpb.Row{Table: table, Key: key, Revision: float64(s.revision), Gone: true})
 	s.wake()
 }
 
@@ -186,7 +188,7 @@
 func (s *RowStore) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mu.Lock()
-	answer := &platformpb.Rows{Revision: s.revision, ClockMs: float64(time.Since(s.started).Milliseconds())}
+	answer := &platformpb.Rows{Revision: float64(s.revision), ClockMs: float64(time.Since(s.started).Milliseconds())}
 	for _, row := range s.rows {
 		to := query.Get("targetVersion")
 		if row.GetTable() == query.Get("table") && row.GetKey() >= query.Get("from") && (to == "" || row.GetKey() < to) {
@@ -238,10 +240,10 @@
 
 // since returns the newest state of each row of a table that has changed.
 func (s *RowStore) since(table string, after uint64) *platformpb.Rows {
-	answer := &platformpb.Rows{Revision: s.revision}
+	answer := &platformpb.Rows{Revision: float64(s.revision)}
 	newest := make(map[string]*platformpb.Row)
 	for _, row := range s.log {
-		if row.GetTable() == table && row.GetRevision() > after {
+		if row.GetTable() == table && row.GetRevision() > float64(after) {
 			newest[row.GetKey()] = row
 		}
 	}
@@ -255,15 +257,16 @@
 func (s *RowStore) transact(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
 	var txn platformpb.Transaction
+	err = errors.CombineErrors(err, CheckTransaction(body))
 	if err != nil || protojson.Unmarshal(body, &txn) != nil {
-		http.Error(w, "cannot be read", http.StatusBadRequest)
+		http.Error(w, fmt.Sprint("cannot be read: ", err), http.StatusBadRequest)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range txn.GetConditions() {
 		if s.rows[c.GetTable()+"/"+c.GetKey()].GetRevision() != c.GetRevision() {
-			writeProto(w, http.StatusPreconditionFailed, &platformpb.Rows{Revision: s.revision})
+			writeProto(w, http.StatusPreconditionFailed, &platformpb.Rows{Revision: float64(s.revision)})
 			return
 		}
 	}
@@ -273,7 +276,7 @@
 	for _, row := range txn.GetRemoves() {
 		s.remove(row.GetTable(), row.GetKey())
 	}
-	writeProto(w, http.StatusOK, &platformpb.Rows{Revision: s.revision})
+	writeProto(w, http.StatusOK, &platformpb.Rows{Revision: float64(s.revision)})
 }
 
 func writeProto(w http.ResponseWriter, status int, m proto.Message) {
