--- a/standin/chain_engine_order.go
+++ b/standin/chain_engine_order.go
@@ -1,31 +1,58 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
-	"fmt"
+	"io"
 	"net/http"
-	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // engineOrder is an order in any of its forms.
 type engineOrder struct {
-	Op       string  `json:"op"`
-	From     float64 `json:"from"`
-	To       float64 `json:"targetVersion"`
-	ID       string  `json:"id"`
-	Path     string  `json:"path"`
-	Expected any     `json:"expectedRevision"`
+	Op    string   `json:"op"`
+	From  *float64 `json:"from"`
+	To    *float64 `json:"targetVersion"`
+	How   string   `json:"how"`
+	Fence *float64 `json:"fence"`
+	ID    string   `json:"id"`
+	Path  string   `json:"path"`
+	// Expected is how many orders the engine must have taken; nil for any number.
+	Expected *float64 `json:"expectedRevision"`
+}
+
+// readOrder refuses what the pages do not describe: other fields, and numbers in quotes.
+func readOrder(body io.Reader) (engineOrder, error) {
+	var o engineOrder
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&o); err != nil {
+		return o, errors.Mark(err, ErrRefused)
+	}
+	place := o.Op == "place" && o.From != nil && o.To != nil && (o.How == "wait" || o.How == "cut") && o.ID == "" && o.Path == ""
+	repath := o.Op == "repath" && o.ID != "" && o.Path != "" && o.From == nil && o.To == nil && o.How == ""
+	if !place && !repath {
+		return o, errors.Wrapf(ErrRefused, "order %q", o.Op)
+	}
+	return o, nil
+}
+
+// CheckOrder refuses an order that engines refuse.
+func CheckOrder(body []byte) error {
+	_, err := readOrder(bytes.NewReader(body))
+	return err
 }
 
 func (e *ChainEngine) order(w http.ResponseWriter, r *http.Request) {
 	if !e.meant(w, r) {
 		return
 	}
-	var o engineOrder
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	o, err := readOrder(r.Body)
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -34,13 +61,13 @@
 	switch {
 	case o.Op == "repath":
 		e.repath(w, o)
-	case e.loading || o.Expected != nil && fmt.Sprint(o.Expected) != strconv.FormatUint(e.orders, 10):
+	case e.loading || o.Expected != nil && *o.Expected != float64(e.orders):
 		w.WriteHeader(http.StatusConflict)
 	default:
 		e.orders++
 		e.loading = true
 		e.held = fleet.Range{}
-		time.AfterFunc(loadTime, func() { e.loaded(fleet.Range{From: int(o.From), To: int(o.To)}) })
+		time.AfterFunc(loadTime, func() { e.loaded(fleet.Range{From: int(*o.From), To: int(*o.To)}) })
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
