An answer without a name takes nothing back that speaks against a request

Cause: a verdict was lifted by the answer of the next process at the address of an engine that the request had ended: a report bears no name, and was booked on the upstream that was asked. Where processes come back soon at their addresses, losses were forgotten so before they counted, and no verdict came at all.

Change: a probe's answer counts for a verdict only where it names the run. Else whoever is at the address is asked at the health path, which answers by name, when a verdict or a second loss hangs on it; again and again, less and less often, where it does not say. Its own name lifts; another name proves the end, and so does one in a refusal of what was meant for another (421): the upstream goes at once (fleet.View.Replaced). An entry that comes back is a doubt, not a proof. Suspicions still end by any answer: each request names whom it is for.

Ruled out: the layers and orders of a report as a stand-in for a name (a next process may have been given the same); believing nothing of reports (engines would stay suspects).

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -5,6 +5,9 @@
 // Service is a group of upstreams that answer the same requests.
 type Service struct {
 	Name string
+	// HealthPath is where its upstreams are asked how they are, and say who they are;
+	// empty for nowhere.
+	HealthPath string
 	// Pipeline is set where the upstreams are engines that hold parts of a
 	// model, and nil for plain services.
 	Pipeline *Pipeline
--- /dev/null
+++ b/dispatch/identity.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/quarantine"
+)
+
+const (
+	// askNameAgain is after how long an upstream is asked again who it is that has not
+	// said so, which doubles up to longestAskName: it asks for a slot, and one that is
+	// full refuses. A verdict can wait for that; each question costs a health check.
+	askNameAgain   clock.Millis = 400
+	longestAskName clock.Millis = 6400
+)
+
+// foundFate takes in what a probe tells of an upstream's end. Silence speaks of the address,
+// and so does an answer that bears no name: the next process may have it by then, under
+// another id. Such an answer takes nothing back that speaks against a request; whoever has
+// given it is asked for its name where anything hangs on that.
+func (m *Model) foundFate(u *upstream, msg ProbedMsg) []Cmd {
+	switch {
+	case !msg.Answered:
+		return m.tellNews(m.quarantine.Found(m.now, msg.Upstream, quarantine.Silent))
+	case msg.Named:
+		return m.tellNews(m.quarantine.Answers(msg.Upstream))
+	}
+	return m.askName(u)
+}
+
+// askName asks who is at an upstream's address, if that decides about a request.
+func (m *Model) askName(u *upstream) []Cmd {
+	if u.naming || m.now < u.nameAgain || !m.quarantine.Disputed(u.entry.ID) {
+		return nil
+	}
+	service := m.catalog.Service(u.entry.Service)
+	if service == nil || service.HealthPath == "" {
+		return nil
+	}
+	u.naming = true
+	return []Cmd{IdentifyCmd{Upstream: u.entry.ID, Address: u.entry.Address, Path: service.HealthPath}}
+}
+
+// askNames asks those again that have not said who they are.
+func (m *Model) askNames() []Cmd {
+	var cmds []Cmd
+	for _, id := range m.quarantine.Disputes() {
+		if u := m.upstreams[id]; u != nil && u.namesLost > 0 {
+			cmds = append(cmds, m.askName(u)...)
+		}
+	}
+	return cmds
+}
+
+// identified takes in who is at an upstream's address. Only its own name speaks for it;
+// another's proves that it has ended.
+func (m *Model) identified(msg IdentifiedMsg) []Cmd {
+	u := m.upstreams[msg.Upstream]
+	if u != nil {
+		u.naming = false
+	}
+	switch msg.Presence {
+	case fleet.Itself:
+		return m.tellNews(m.quarantine.Answers(msg.Upstream))
+	case fleet.Another:
+		return m.tellNews(m.quarantine.Found(m.now, msg.Upstream, quarantine.Ended))
+	case fleet.Unnamed:
+		if u != nil {
+			u.nameAgain = m.now.Add(min(askNameAgain<<min(u.namesLost, 8), longestAskName))
+			u.namesLost++
+		}
+	}
+	return nil
+}
+
+// IdentifyCmd asks who is at an upstream's address.
+type IdentifyCmd struct {
+	Upstream fleet.Incarnation
+	Address  string
+	// Path is where upstreams of its service are asked how they are.
+	Path string
+}
+
+// IdentifiedMsg tells who is at an upstream's address.
+type IdentifiedMsg struct {
+	Upstream fleet.Incarnation
+	Presence fleet.Presence
+}
+
+func (IdentifyCmd) dispatchCmd()   {}
+func (IdentifiedMsg) dispatchMsg() {}
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -103,25 +103,17 @@
 	return quarantine.Unknown
 }
 
-// foundFate takes in what a probe tells of an upstream's end.
-func (m *Model) foundFate(msg ProbedMsg) []Cmd {
-	if msg.Answered {
-		return m.tellNews(m.quarantine.Answers(msg.Upstream))
-	}
-	return m.tellNews(m.quarantine.Found(m.now, msg.Upstream, quarantine.Silent))
-}
-
-// listed takes in that an upstream is in the list. One whose entry had gone lives: its entry
-// had lapsed. Of one that was not listed before others may have told.
-func (m *Model) listed(u *upstream) []Cmd {
+// listed takes in that an upstream is in the list. One whose entry had gone may live, and its
+// entry have lapsed; or the list is an older one. Of one that was not listed before others
+// may have told.
+func (m *Model) listed(u *upstream) {
 	id := u.entry.ID
 	if m.ended.Remove(id) {
-		return m.tellNews(m.quarantine.Answers(id))
+		m.quarantine.Doubt(id)
 	}
 	if m.quarantine.Doubts(id) {
 		m.askSoon(u)
 	}
-	return nil
 }
 
 // gone forgets a request. Its caller may have left while an upstream ended under it.
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -130,11 +130,26 @@
 		m.noteReport(msg.Upstream, msg.Report)
 	case MovedMsg:
 		return m.moved(msg)
-	case RestMsg:
-		return m.rested(msg)
 	case GoneMsg:
 		m.forgetEarly(msg.Request)
 		return m.gone(msg)
+	case WokeMsg:
+		return m.woke()
+	case TickMsg:
+		return m.tick()
+	}
+	return m.hear(msg)
+}
+
+// hear takes in what upstreams and other nodes tell beside the requests.
+func (m *Model) hear(msg Msg) []Cmd {
+	switch msg := msg.(type) {
+	case RestMsg:
+		return m.rested(msg)
+	case ProbedMsg:
+		return m.probed(msg)
+	case IdentifiedMsg:
+		return m.identified(msg)
 	case ToldLostMsg:
 		return m.toldLost(msg)
 	case ToldAnsweredMsg:
@@ -143,12 +158,6 @@
 		return append(m.learnQuarantined(msg), m.takeEarly()...)
 	case ToldSilentMsg:
 		return m.toldSilent(msg)
-	case ProbedMsg:
-		return m.probed(msg)
-	case WokeMsg:
-		return m.woke()
-	case TickMsg:
-		return m.tick()
 	}
 	return nil
 }
@@ -208,7 +217,7 @@
 			u = newUpstream(c.Upstream)
 			u.others = m.usageOf(c.ID)
 			m.upstreams[c.ID] = u
-			cmds = append(cmds, m.listed(u)...)
+			m.listed(u)
 		}
 		if u != nil && m.catalog != nil {
 			u.measure(m.catalog.Service(u.entry.Service))
@@ -260,5 +269,5 @@
 func (m *Model) tick() []Cmd {
 	m.setBudgets()
 	m.expireUsage()
-	return slices.Concat(m.takeEarly(), m.reviewLosses(), m.probes(), m.depart(), m.resume(), m.share())
+	return slices.Concat(m.takeEarly(), m.reviewLosses(), m.askNames(), m.probes(), m.depart(), m.resume(), m.share())
 }
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -165,7 +165,10 @@
 type ProbedMsg struct {
 	Upstream fleet.Incarnation
 	Answered bool
-	Report   Report
+	// Named tells that the answer says that it is of the run that was asked. Without that
+	// it may be of the next process at the address.
+	Named  bool
+	Report Report
 }
 
 // ToldSilentMsg tells that another node has found an engine that answers neither
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -47,7 +47,7 @@
 	}
 	u.probing = false
 	m.noteReport(msg.Upstream, msg.Report)
-	cmds := m.foundFate(msg)
+	cmds := m.foundFate(u, msg)
 	if u.asksFate {
 		// Its suspicion has a time of its own: one that breaks requests off may answer this,
 		// and one that is held up for a moment is not lost for that.
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -83,7 +83,9 @@
 	case "left":
 		return dispatch.GoneMsg{Request: request}
 	case "probed":
-		return dispatch.ProbedMsg{Upstream: script.Incarnation(s.Word(0)), Answered: s.Named["well"] == "yes", Report: testReport(s)}
+		return dispatch.ProbedMsg{Upstream: script.Incarnation(s.Word(0)), Answered: s.Named["well"] == "yes", Named: s.Named["named"] == "yes", Report: testReport(s)}
+	case "identified":
+		return dispatch.IdentifiedMsg{Upstream: script.Incarnation(s.Word(0)), Presence: map[string]fleet.Presence{"itself": fleet.Itself, "another": fleet.Another}[s.Named["as"]]}
 	case "told":
 		return dispatch.ToldSilentMsg{Upstream: script.Incarnation(s.Word(0))}
 	case "toldlost":
@@ -171,7 +173,7 @@
 // testCatalog has one route of each kind, and the key k until a line says
 // keys=none.
 func testCatalog(s script.Step) *catalog.Catalog {
-	writer := &catalog.Service{Name: "writer", Pipeline: &catalog.Pipeline{
+	writer := &catalog.Service{Name: "writer", HealthPath: "/health", Pipeline: &catalog.Pipeline{
 		Layers: 8, LayerMB: 1000, TokenBytes: 8_000_000, StepMS: 1,
 		Accelerators: map[string]catalog.Accelerator{
 			"fast": {Name: "fast", MB: 5000, StepFactor: 1},
@@ -191,7 +193,7 @@
 			&catalog.Route{Name: "read", Host: "h", Prefix: "/read/", Kind: catalog.Repeatable, Targets: to("desk"), MaxAttempts: 2, Timeout: 1500, Aim: 100},
 			&catalog.Route{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Once, Targets: to("desk"), MaxAttempts: 1, Anonymous: true},
 		),
-		catalog.WithServices(writer, &catalog.Service{Name: "desk"}),
+		catalog.WithServices(writer, &catalog.Service{Name: "desk", HealthPath: "/health"}),
 		catalog.WithAccount(catalog.Account{Name: "clinic"}, key),
 		catalog.WithAccount(catalog.Account{Name: "radio", Priority: 2, HasPriority: true}, "radio"),
 	)
@@ -255,6 +257,8 @@
 		return text
 	case dispatch.ProbeCmd:
 		return "probe " + c.Upstream.String()
+	case dispatch.IdentifyCmd:
+		return "identify " + c.Upstream.String()
 	case dispatch.QuarantineCmd:
 		return showNews(c.News)
 	case dispatch.WakeCmd:
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -53,6 +53,11 @@
 	// probe under way is for nothing else.
 	wantsFate bool
 	asksFate  bool
+	// naming tells that it is being asked who it is, namesLost how often it has not said,
+	// and nameAgain is when it may be asked again.
+	naming    bool
+	namesLost int
+	nameAgain clock.Millis
 	// cause is that of the last failure that speaks against it, and answeredAt is
 	// when it answered a probe last.
 	cause      Cause
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -30,7 +30,7 @@
 // beliefs are the events about an upstream, and conditions those about the
 // whole node.
 var (
-	beliefs    = []string{"suspect", "silent", "probe", "upstream_leaving", "upstream_says_it_leaves", "rest", "word_unread", "order"}
+	beliefs    = []string{"suspect", "silent", "probe", "upstream_leaving", "upstream_says_it_leaves", "rest", "word_unread", "identified", "upstream_replaced", "order"}
 	conditions = []string{"store_lost", "store_back", "config", "freshness_from_peer", "reader", "reader_failed", "coverage", "drain", "start", "stop"}
 )
 
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -20,6 +20,9 @@
 	departed map[Incarnation]bool
 	// ended are incarnations whose address another one has. They never come back.
 	ended map[Incarnation]bool
+	// replaced are the addresses at which others have answered in place of incarnations.
+	// What says that one is there still is older than that.
+	replaced map[Incarnation]string
 	// latest says which incarnations a later run of their upstream has followed. These
 	// never come back either.
 	latest latest
@@ -43,6 +46,7 @@
 		upstreams: make(map[Incarnation]*Upstream),
 		departed:  make(map[Incarnation]bool),
 		ended:     make(map[Incarnation]bool),
+		replaced:  make(map[Incarnation]string),
 		latest:    make(latest),
 		atAddress: make(map[string]Incarnation),
 		missing:   make(map[Incarnation]clock.Millis),
@@ -140,7 +144,7 @@
 		return v.end(c.ID)
 	case c.Gone:
 		return v.vanish(now, c.ID, lapsed)
-	case v.over(c.ID):
+	case v.over(c.ID) || c.Upstream.Address != "" && v.replaced[c.ID] == c.Upstream.Address:
 		return false
 	}
 	if c.Upstream.Lapsed {
--- a/fleet/view_runs.go
+++ b/fleet/view_runs.go
@@ -13,6 +13,18 @@
 	return []Change{{ID: earlier, Gone: true, Ended: true}}
 }
 
+// Replaced notes that another upstream has answered at an address in place of an incarnation,
+// and returns that as ended if it was thought to be there.
+func (v *View) Replaced(id Incarnation, address string) []Change {
+	known := v.upstreams[id]
+	if known == nil || known.Address != address {
+		return nil
+	}
+	v.replaced[id] = address
+	v.remove(id)
+	return []Change{{ID: id, Gone: true, Ended: true}}
+}
+
 // Leave notes that an upstream has said that it is leaving, whatever its entry says, and
 // returns it as leaving if it was known as something else. One that is not known yet is
 // leaving once it is.
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -43,6 +43,8 @@
 		return v.SetServices(now, s.Words)
 	case "heard":
 		return v.Supersede(script.Incarnation(s.Word(0)))
+	case "replaced":
+		return v.Replaced(script.Incarnation(s.Word(0)), s.Word(1))
 	case "says":
 		return v.Leave(script.Incarnation(s.Word(0)))
 	case "expire":
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -89,6 +89,20 @@
 	f.pass(left, f.passedOn)
 }
 
+// Replaced notes that another upstream has answered at an address in place of one: that has
+// ended, whatever the list says of it for some seconds more.
+func (f *Fleet) Replaced(id fleet.Incarnation, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ended := f.view.Replaced(id, address)
+	if len(ended) == 0 {
+		return
+	}
+	f.log.Info("upstream_replaced", zap.Stringer("upstream", id), zap.String("address", address))
+	f.followers.AddEnded(ended)
+	f.pass(ended, f.passedOn)
+}
+
 // show passes a reading on to the nodes that follow this one, as it has changed the
 // view. Entries that may come back stand in it until their time is over.
 func (f *Fleet) show(reading FleetReading, changes, expired []fleet.Change, lapsing bool) {
--- a/node/learn.go
+++ b/node/learn.go
@@ -28,6 +28,11 @@
 // setSaidLeaving takes in that an upstream has said that it is leaving.
 func (n *Node) setSaidLeaving(upstream fleet.Incarnation) { n.fleets.Leave(upstream) }
 
+// setReplaced takes in that another upstream has answered at the address of one.
+func (n *Node) setReplaced(upstream fleet.Incarnation, address string) {
+	n.fleets.Replaced(upstream, address)
+}
+
 // serviceNames returns the services of a configuration.
 func serviceNames(c *catalog.Catalog) []string {
 	var names []string
--- a/node/node.go
+++ b/node/node.go
@@ -120,7 +120,7 @@
 		relay.WithCounters("quarantine_refused", n.keeper.Refused()),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
 		relay.WithCounters("peers", expvar.Func(func() any { return n.Peers() })),
-		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithLeaving(n.setSaidLeaving), relay.WithQuarantine(n.setQuarantine))
+		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithLeaving(n.setSaidLeaving), relay.WithReplaced(n.setReplaced), relay.WithQuarantine(n.setQuarantine))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge))
 	n.wakes = n.clock.Wakes()
--- a/quarantine/learn.go
+++ b/quarantine/learn.go
@@ -68,6 +68,37 @@
 	})
 }
 
+// Disputes returns the upstreams of which it matters whether they have ended, and is not
+// certain.
+func (t *Table) Disputes() []fleet.Incarnation {
+	return slices.DeleteFunc(t.upstreams.Keys(), func(id fleet.Incarnation) bool { return !t.Disputed(id) })
+}
+
+// Disputed tells whether it matters that an upstream has ended, and is not certain: it is
+// thought to have, or a work was lost there that was lost elsewhere too.
+func (t *Table) Disputed(id fleet.Incarnation) bool {
+	u, ok := t.upstreams.Peek(id)
+	switch {
+	case !ok || u.fate == Ended:
+		return false
+	case u.fate == Silent:
+		return true
+	}
+	for w := range u.works {
+		if s, ok := t.suspects.Peek(w); ok && len(s.lost) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// Doubt takes back that an upstream has ended for certain: it may live.
+func (t *Table) Doubt(id fleet.Incarnation) {
+	if u, ok := t.upstreams.Peek(id); ok && u.fate == Ended {
+		u.fate = Silent
+	}
+}
+
 // Doubts tells whether anything hangs on an upstream of which it is not certain whether it
 // has ended.
 func (t *Table) Doubts(id fleet.Incarnation) bool {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -63,6 +63,8 @@
 	// says of itself.
 	barred func() bool
 	said   func(upstream fleet.Incarnation, word Word)
+	// answeredBy is told who has answered in the upstream's place.
+	answeredBy func(upstream fleet.Incarnation, address string, presence fleet.Presence)
 	// alone tells that the attempt has a connection of its own.
 	alone    bool
 	gate     *gate
@@ -162,6 +164,9 @@
 		a.fail(ctx, dispatch.Unknown, "", errOtherAnswer)
 		return
 	case head.Misdirected:
+		if head.At == "" || head.At == a.cmd.Address {
+			a.answeredBy(a.cmd.Upstream, a.cmd.Address, a.cmd.Upstream.Presence(head.Answerer))
+		}
 		a.fail(ctx, dispatch.NotRunElsewhere, head.At, errors.Newf("status %d", resp.StatusCode))
 		return
 	case head.NotRun:
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -88,7 +88,7 @@
 		t.Fatal(err)
 	}
 	a := &attempt{
-		protocol: plainProtocol{}, barred: func() bool { return ta.pool.barred(ta.pool.get(ta.upstream)) }, said: func(fleet.Incarnation, Word) {}, conns: ta.pool.get(ta.upstream), gate: ta.gate, cancel: cancel,
+		protocol: plainProtocol{}, barred: func() bool { return ta.pool.barred(ta.pool.get(ta.upstream)) }, said: func(fleet.Incarnation, Word) {}, answeredBy: func(fleet.Incarnation, string, fleet.Presence) {}, conns: ta.pool.get(ta.upstream), gate: ta.gate, cancel: cancel,
 		cmd:    dispatch.SendCmd{Route: &catalog.Route{Kind: ta.kind}, Keyed: true, CatalogVersion: 1},
 		pieces: make(chan piece, piecesWaiting),
 	}
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -40,6 +40,8 @@
 	inbox *ring.Ring[envelope]
 	mail  map[dispatch.RequestID]chan dispatch.Cmd
 	probe func(dispatch.ProbeCmd)
+	// identify asks who is at an address.
+	identify func(dispatch.IdentifyCmd)
 	// silent tells the planner of layers of engines that do not answer.
 	silent func(dispatch.SilentCmd)
 	// share tells other nodes what this one has in use, and what all do that
@@ -50,9 +52,9 @@
 	ready      atomic.Bool
 }
 
-func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd)) *decider {
+func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
 	return &decider{
-		model: model, clock: c, log: log, probe: probe, silent: func(dispatch.SilentCmd) {},
+		model: model, clock: c, log: log, probe: probe, identify: identify, silent: func(dispatch.SilentCmd) {},
 		share:      func(used, total map[fleet.Incarnation]fleet.Use) {},
 		quarantine: func(quarantine.News) {},
 		inbox:      ring.New[envelope](decisionsWaiting), mail: make(map[dispatch.RequestID]chan dispatch.Cmd),
@@ -121,6 +123,8 @@
 		d.silent(cmd)
 	case dispatch.ProbeCmd:
 		d.probe(cmd)
+	case dispatch.IdentifyCmd:
+		d.identify(cmd)
 	case dispatch.QuarantineCmd:
 		d.quarantine(cmd.News)
 	case dispatch.RestCmd:
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -55,6 +55,10 @@
 	return dispatch.MoveUnanswered, ""
 }
 
+func (noEngines) Identify(context.Context, string, string, fleet.Incarnation) (fleet.Presence, error) {
+	return fleet.Unnamed, errTakenBack
+}
+
 func (noEngines) Probe(context.Context, string, fleet.Incarnation) error { return nil }
 
 // outcome is how an upstream answers one attempt.
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -53,6 +53,9 @@
 	Misdirected bool
 	// At is the address of the upstream at fault, if it is another.
 	At string
+	// Answerer is the upstream that answers, where it says so as it refuses what was meant
+	// for another one; empty otherwise.
+	Answerer fleet.ID
 	// Word is what the upstream says of itself.
 	Word Word
 }
@@ -76,12 +79,16 @@
 type EngineReport struct {
 	// Stalled are the streams that began there and stand still.
 	Stalled []StalledStream
+	// Named tells that the report says that it is of the run that was asked.
+	Named bool
 	dispatch.Report
 }
 
-// Engines asks upstreams for their state and gives them orders.
+// Engines asks upstreams for their state and gives them orders. Identify tells who answers
+// at an upstream's address.
 type Engines interface {
 	Report(ctx context.Context, address string, upstream fleet.Incarnation) (EngineReport, error)
 	Move(ctx context.Context, address, callerID string, parts []chain.Part) (result dispatch.MoveResult, at string)
 	Probe(ctx context.Context, address string, upstream fleet.Incarnation) error
+	Identify(ctx context.Context, address, path string, upstream fleet.Incarnation) (fleet.Presence, error)
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -38,6 +38,8 @@
 	more map[string]expvar.Var
 	// leaving is told of upstreams that say that they are leaving.
 	leaving func(fleet.Incarnation)
+	// replaced is told of upstreams at whose addresses others answer.
+	replaced func(upstream fleet.Incarnation, address string)
 	// listAge tells how long ago the list of upstreams was last confirmed.
 	listAge func() clock.Millis
 }
@@ -86,9 +88,9 @@
 func New(life context.Context, protocol Protocol, model *dispatch.Model, c *clock.Clock, log *zap.Logger, opts ...Option) *Relay {
 	r := &Relay{
 		protocol: protocol, clock: c, log: log, gate: newGate(c, 0), stats: newStats(), life: life,
-		more: make(map[string]expvar.Var), listAge: neverListed, leaving: func(fleet.Incarnation) {},
+		more: make(map[string]expvar.Var), listAge: neverListed, leaving: func(fleet.Incarnation) {}, replaced: func(fleet.Incarnation, string) {},
 	}
-	r.decider = newDecider(model, c, log, r.probe)
+	r.decider = newDecider(model, c, log, r.probe, r.identify)
 	for _, opt := range opts {
 		opt(r)
 	}
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -9,6 +9,7 @@
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
 )
 
@@ -241,7 +242,7 @@
 		if cmd.Engine {
 			var report EngineReport
 			report, err = r.reports.get(r.life, cmd.Address, cmd.Upstream)
-			msg.Report = report.Report
+			msg.Report, msg.Named = report.Report, report.Named
 		} else {
 			err = r.engines.Probe(r.life, cmd.Address, cmd.Upstream)
 		}
@@ -252,6 +253,25 @@
 	}()
 }
 
+// identify asks who is at an upstream's address, for the decider.
+func (r *Relay) identify(cmd dispatch.IdentifyCmd) {
+	go func() {
+		presence, err := r.engines.Identify(r.life, cmd.Address, cmd.Path, cmd.Upstream)
+		r.log.Info("identified", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
+			zap.Stringer("as", presence), logging.Err(err))
+		r.answeredBy(cmd.Upstream, cmd.Address, presence)
+		r.decider.tell(r.life, dispatch.IdentifiedMsg{Upstream: cmd.Upstream, Presence: presence})
+	}()
+}
+
+// answeredBy takes in who has answered at an upstream's address. Another one there proves that
+// the upstream has ended, or was never there.
+func (r *Relay) answeredBy(upstream fleet.Incarnation, address string, presence fleet.Presence) {
+	if presence == fleet.Another {
+		r.replaced(upstream, address)
+	}
+}
+
 func chainText(parts []chain.Part) string {
 	text := make([]byte, 0, len(parts)*bytesEachPart)
 	for i, p := range parts {
--- a/relay/word.go
+++ b/relay/word.go
@@ -27,6 +27,11 @@
 	return func(r *Relay) { r.leaving = tell }
 }
 
+// WithReplaced sets who is told of an upstream at whose address another one answers.
+func WithReplaced(tell func(upstream fleet.Incarnation, address string)) Option {
+	return func(r *Relay) { r.replaced = tell }
+}
+
 // Said takes in what an upstream has said of itself in an answer: to an attempt, a question
 // or an order. The decider is told first: what is held back at the write is decided anew,
 // and must not be sent there again.
