--- a/node/rest_test.go
+++ b/node/rest_test.go
@@ -32,7 +32,7 @@
 // asksForRest is a stand-in that can ask for rest.
 type asksForRest interface {
 	SetRest(f standin.RestFaults)
-	Arrivals() []standin.TurnedAway
+	Visits() []standin.Visit
 }
 
 // sameNode is the node of all tries where there is one.
@@ -68,10 +68,10 @@
 			}
 			turned := 0
 			for _, u := range upstreams {
-				if got := standin.AgainstRest(u.Arrivals(), sameNode); got > 0 {
-					t.Errorf("got %d requests at an upstream in the rest that it had asked for, want none", got)
+				for _, b := range standin.RestBreaches(u.Visits(), sameNode) {
+					t.Errorf("got %d requests at an upstream in the rest that it had asked for, want none", b.Count)
 				}
-				turned += len(u.Arrivals())
+				turned += len(u.Visits())
 			}
 			if turned == 0 {
 				t.Error("got no request at any upstream, want some")
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -34,6 +34,8 @@
 	world *world
 	mu    sync.Mutex
 	tries []try
+	// nodes are those that tries were sent to, by the names of the tries.
+	nodes map[string]string
 	// second is the key that comes and goes.
 	second string
 }
@@ -86,6 +88,7 @@
 	req.GetBody = nil
 	req.Host = standin.SiteHost
 	req.Header = standin.CallerHeader(t.id, t.key, patience)
+	c.noteNode(t.id, node)
 	t.sent = time.Now()
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
@@ -98,6 +101,22 @@
 	return t
 }
 
+func (c *callers) noteNode(id string, node int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.nodes == nil {
+		c.nodes = make(map[string]string)
+	}
+	c.nodes[id] = c.world.nodes[node].name
+}
+
+// nodeOf names the node that a try was sent to; empty for none.
+func (c *callers) nodeOf(id string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.nodes[id]
+}
+
 func pathFor(id string, random *rand.Rand) string {
 	switch random.IntN(3) {
 	case 0:
--- a/soak/check.go
+++ b/soak/check.go
@@ -30,6 +30,11 @@
 			broken = append(broken, fmt.Sprintf("%s %s (status %d): %s", t.id, t.path, t.status, why))
 		}
 	}
+	return shortened(broken)
+}
+
+// shortened bounds a list of violations for the report.
+func shortened(broken []string) []string {
 	if len(broken) > mostListed {
 		broken = append(broken[:mostListed], fmt.Sprintf("and %d more", len(broken)-mostListed))
 	}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -24,7 +24,9 @@
 	case 4:
 		engine := which % len(s.world.engines)
 		what = fmt.Sprintf("%s before engine-%d", mode, engine)
+		from := time.Now()
 		s.cut(s.world.links[engine], mode, lasts)
+		s.disturbed.note(s.world.engineName(engine), from)
 	case 5:
 		link := which % len(s.world.storeLink)
 		what = fmt.Sprintf("%s between store and node-%d", mode, link)
@@ -46,6 +48,7 @@
 	s.world.nodeBusy[which].Lock()
 	defer s.world.nodeBusy[which].Unlock()
 	node := s.world.nodes[which]
+	defer s.disturbed.note(node.name, time.Now())
 	switch kind {
 	case 0:
 		node.kill()
--- a/soak/run.go
+++ b/soak/run.go
@@ -53,6 +53,8 @@
 	callers *callers
 	mu      sync.Mutex
 	gone    []revocation
+	// disturbed are when nodes and ways to engines were harmed.
+	disturbed disturbances
 	// keys is held while the second key is away.
 	keys sync.Mutex
 }
@@ -105,6 +107,7 @@
 	}
 	group.Go(func() { s.deadlySeries(ctx, rand.New(rand.NewPCG(s.Seed, deadlyPart))) })
 	group.Go(func() { s.suspendSeries(ctx, rand.New(rand.NewPCG(s.Seed, suspendPart))) })
+	group.Go(func() { s.restSeries(ctx, rand.New(rand.NewPCG(s.Seed, restPart))) })
 	group.Go(func() { s.restartCrashed(ctx) })
 	group.Wait()
 	s.startCrashed()
@@ -150,6 +153,11 @@
 	}
 	_, _ = fmt.Fprintf(s.Out, "tries=%d by_status=%v revocations=%d\n", len(tries), counts, len(s.gone))
 	broken := append(check(tries, runs, s.gone), s.world.ends.check(len(s.world.nodes))...)
+	visits, err := s.checkVisits()
+	if err != nil {
+		return err
+	}
+	broken = append(broken, visits...)
 	for _, line := range broken {
 		_, _ = fmt.Fprintln(s.Out, "broken:", line)
 	}
--- a/soak/suspend.go
+++ b/soak/suspend.go
@@ -37,6 +37,7 @@
 	s.world.nodeBusy[which].Lock()
 	defer s.world.nodeBusy[which].Unlock()
 	node := s.world.nodes[which]
+	defer s.disturbed.note(node.name, time.Now())
 	node.signal(syscall.SIGSTOP)
 	time.Sleep(lasts)
 	err := addSuspended(s.world.suspendedPath(node.name), lasts)
--- a/soak/world.go
+++ b/soak/world.go
@@ -115,13 +115,16 @@
 // it starts again under the one that it had.
 const newID = 3
 
+// engineName is what the process of an engine is called.
+func (w *world) engineName(i int) string { return fmt.Sprintf("engine-%d", i) }
+
 // startEngine starts an engine behind its old address.
 func (w *world) startEngine(i int) error {
 	if w.generation.Add(1)%newID == 0 || w.engineIDs[i] == "" {
 		w.engineIDs[i] = fmt.Sprintf("engine-%d-%d", i, w.generation.Load())
 	}
 	centre := fmt.Sprintf("dc-%d", i%2+1)
-	p, err := w.launch(fmt.Sprintf("engine-%d", i), "listening ", "standin-site", "engine",
+	p, err := w.launch(w.engineName(i), "listening ", "standin-site", "engine",
 		"--id", w.engineIDs[i], "--centre", centre, "--store", w.store.at(), "--through", w.links[i].address())
 	if err != nil {
 		return err
--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -136,9 +136,7 @@
 	if !e.meant(w, r) {
 		return
 	}
-	e.arrived()
-	e.mark(w.Header())
-	if _, err := io.Copy(io.Discard, r.Body); err != nil || e.turnsAway(w, r.Header.Get("Attempt-Id")) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || !e.admit(w, r) {
 		return
 	}
 	parts := parseParts(r.Header.Get("Path"))
--- a/standin/departure.go
+++ b/standin/departure.go
@@ -22,7 +22,7 @@
 }
 
 // arrived notes a request that was meant for this server.
-func (d *departure) arrived() { d.last.Store(time.Now().UnixMilli()) }
+func (d *departure) arrived(now time.Time) { d.last.Store(now.UnixMilli()) }
 
 // state is what the server says of itself in the list.
 func (d *departure) state() string {
@@ -32,11 +32,13 @@
 	return "ready"
 }
 
-// mark has an answer say that the server leaves, where it does.
-func (d *departure) mark(h http.Header) {
-	if d.leaving.Load() || d.saysSo.Load() {
+// mark has an answer say that the server leaves, where it does, and reports that.
+func (d *departure) mark(h http.Header) bool {
+	leaving := d.leaving.Load() || d.saysSo.Load()
+	if leaving {
 		h.Set("Server-Leaving", "1")
 	}
+	return leaving
 }
 
 // SayLeaving has the server's answers say that it leaves, and not its entry.
--- a/standin/desk.go
+++ b/standin/desk.go
@@ -69,9 +69,7 @@
 	if !d.meant(w, r) {
 		return
 	}
-	d.arrived()
-	d.mark(w.Header())
-	if _, err := io.Copy(io.Discard, r.Body); err != nil || d.turnsAway(w, r.Header.Get("Attempt-Id")) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || !d.admit(w, r) {
 		return
 	}
 	select {
--- a/standin/life.go
+++ b/standin/life.go
@@ -21,6 +21,7 @@
 	born *float64
 	departure
 	rest
+	visits
 	crash crash
 }
 
@@ -38,6 +39,7 @@
 func (l *life) serve(mux *http.ServeMux) {
 	l.departure.serve(mux)
 	l.rest.serve(mux)
+	l.visits.serve(mux)
 	mux.HandleFunc("GET /health", l.health)
 }
 
@@ -51,6 +53,30 @@
 	return true
 }
 
+// admit takes a request in that has been read whole, and reports whether the server goes on
+// with it. Where it turns the request away, that is its answer.
+func (l *life) admit(w http.ResponseWriter, r *http.Request) bool {
+	now := time.Now()
+	l.arrived(now)
+	leaving := l.mark(w.Header())
+	visit := Visit{ID: r.Header.Get("Attempt-Id"), AtMS: now.UnixMilli(), Leaving: leaving}
+	ask, away := l.turnsAway(now)
+	if away {
+		visit.AskedMS = askedMS(ask)
+	}
+	l.visits.note(visit)
+	if !away {
+		return true
+	}
+	if ask != "" {
+		w.Header().Set("Retry-After", ask)
+	}
+	w.Header().Set("Attempt-Id", visit.ID)
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return false
+}
+
 func (l *life) health(w http.ResponseWriter, r *http.Request) {
 	if !l.meant(w, r) {
 		return
--- /dev/null
+++ b/standin/visits.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Visit is a request that reached the server that it was meant for.
+type Visit struct {
+	// ID is the caller's name of the try.
+	ID string `json:"id"`
+	// AtMS is the wall time at which it came, in ms since 1970.
+	AtMS int64 `json:"at_ms"`
+	// AskedMS is the rest that was asked for in its answer, in ms; zero for none.
+	AskedMS int64 `json:"asked_ms"`
+	// Leaving tells that its answer says that the server is leaving.
+	Leaving bool `json:"leaving"`
+}
+
+// mostVisits bounds the visits that are kept for the judge.
+const mostVisits = 1 << 14
+
+// visits are the requests that have reached a server. They are safe for concurrent use.
+type visits struct {
+	mu   sync.Mutex
+	list []Visit
+}
+
+func (v *visits) note(visit Visit) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.list) == mostVisits {
+		v.list = v.list[1:]
+	}
+	v.list = append(v.list, visit)
+}
+
+// Visits returns the requests that have reached the server, in their order.
+func (v *visits) Visits() []Visit {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return append([]Visit{}, v.list...)
+}
+
+// serve adds the call that tells what has reached a server.
+func (v *visits) serve(mux *http.ServeMux) {
+	mux.Handle("GET /visits", jsonHandler(func() any { return v.Visits() }))
+}
+
+// restGrace is how long after an answer with a rest requests may still come that were on
+// their way: the platform's promise counts from then.
+const restGrace = 500 * time.Millisecond
+
+// Breach is that a node went on sending to a server that had asked it not to.
+type Breach struct {
+	Node string
+	// FromMS and ToMS bound the time in which that counts, in ms since 1970; ToMS is zero
+	// for one that goes on for ever.
+	FromMS, ToMS int64
+	// Count is how many requests came in that time.
+	Count int
+}
+
+// RestBreaches returns the rests that a server had asked nodes for in which they sent it
+// requests. NodeOf names the node that a try was sent to.
+func RestBreaches(list []Visit, nodeOf func(id string) string) []Breach {
+	var breaches []Breach
+	for i, asked := range list {
+		if asked.AskedMS == 0 {
+			continue
+		}
+		b := Breach{Node: nodeOf(asked.ID), FromMS: asked.AtMS + restGrace.Milliseconds(), ToMS: asked.AtMS + asked.AskedMS}
+		for _, v := range list[i+1:] {
+			if v.AtMS > b.FromMS && v.AtMS < b.ToMS && nodeOf(v.ID) == b.Node {
+				b.Count++
+			}
+		}
+		if b.Count > 0 {
+			breaches = append(breaches, b)
+		}
+	}
+	return breaches
+}
+
+// LeavingBreaches returns the nodes that sent a server requests later than a time after an
+// answer of it had told them that it is leaving.
+func LeavingBreaches(list []Visit, nodeOf func(id string) string, within time.Duration) []Breach {
+	told := make(map[string]*Breach)
+	for _, v := range list {
+		node := nodeOf(v.ID)
+		if b := told[node]; b != nil && v.AtMS > b.FromMS {
+			b.Count++
+		}
+		if v.Leaving && told[node] == nil {
+			told[node] = &Breach{Node: node, FromMS: v.AtMS + within.Milliseconds()}
+		}
+	}
+	var breaches []Breach
+	for _, b := range told {
+		if b.Count > 0 {
+			breaches = append(breaches, *b)
+		}
+	}
+	return breaches
+}
