--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -43,8 +43,10 @@
 	usage map[string]peerUsage
 	// lasts is the mean time of streams, in ms.
 	lasts float64
-	// shortages are by service.
+	// shortages are by service, and gaps are those among them in which layers had no
+	// engine.
 	shortages map[string]*shortage
+	gaps      map[string]*shortage
 	// shared is when this node last told what it has in use.
 	shared clock.Millis
 	// departing are engines that are leaving, and since when.
@@ -91,6 +93,7 @@
 		usage:     make(map[string]peerUsage),
 		departing: make(map[fleet.Incarnation]clock.Millis),
 		shortages: make(map[string]*shortage),
+		gaps:      make(map[string]*shortage),
 		confirmed: clock.Never,
 		lasts:     firstLasts,
 	}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -174,7 +174,7 @@
 // keys=none.
 func testCatalog(s script.Step) *catalog.Catalog {
 	writer := &catalog.Service{Name: "writer", HealthPath: "/health", Pipeline: &catalog.Pipeline{
-		Layers: 8, LayerMB: 1000, TokenBytes: 8_000_000, StepMS: 1,
+		Layers: 8, LayerMB: 1000, TokenBytes: 8_000_000, StepMS: 1, LoadMS: float64(s.Int("load", 0)),
 		Accelerators: map[string]catalog.Accelerator{
 			"fast": {Name: "fast", MB: 5000, StepFactor: 1},
 			"slow": {Name: "slow", MB: 5000, StepFactor: 10},
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -65,7 +65,7 @@
 	if r.service.Pipeline != nil && (reason == ReasonNoRoom || reason == ReasonNoHolder) {
 		lack = m.whatLacks(r)
 	}
-	return m.refuseFor(r.msg.Request, reason, m.comeBack(r, reason), lack)
+	return m.refuseFor(r.msg.Request, reason, m.comeBack(r, reason, lack), lack)
 }
 
 // sendPlain takes the upstream that should answer first: by the mean time of
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -5,6 +5,8 @@
 const (
 	// shortageEnds is after how long without a refusal a shortage is over.
 	shortageEnds clock.Millis = 1000
+	// longestHeal bounds for how long a gap in the layers is expected to last.
+	longestHeal clock.Millis = 10_000
 	// longestBack bounds the time after which a refused caller is told to come
 	// back: gaps in the layers are closed within some three seconds.
 	longestBack clock.Millis = 4000
@@ -32,16 +34,43 @@
 
 // comeBack is when a refused caller should come back: a shortage that has lasted
 // for some time is likely to last as long again.
-func (m *Model) comeBack(r *request, reason Reason) clock.Millis {
+func (m *Model) comeBack(r *request, reason Reason, lack *Lack) clock.Millis {
+	if reason == ReasonNoHolder {
+		if healed := m.healedIn(r, lack); healed > 0 {
+			return healed
+		}
+	}
 	least := backSoon
 	if reason == ReasonNoHolder || reason == ReasonNoUpstream {
 		least = backHealing
 	}
-	s := m.shortages[r.service.Name]
+	lasted := float64(m.lasted(m.shortages, r)) * (leastSpread + spread*position(r.msg.CallerID))
+	return min(max(least, clock.Millis(lasted)), longestBack)
+}
+
+// lasted notes a refusal, and returns for how long there have been such of the service.
+func (m *Model) lasted(shortages map[string]*shortage, r *request) clock.Millis {
+	s := shortages[r.service.Name]
 	if s == nil {
 		s = &shortage{since: m.now, last: m.now}
-		m.shortages[r.service.Name] = s
+		shortages[r.service.Name] = s
 	}
-	lasted := float64(s.note(m.now)) * (leastSpread + spread*position(r.msg.CallerID))
-	return min(max(least, clock.Millis(lasted)), longestBack)
+	return s.note(m.now)
+}
+
+// healedIn is when a caller should come back that was refused since layers have no engine:
+// once they have been loaded by another one, which takes the planners some 1.2 s beside the
+// load itself, and a little spread out. Zero where they should have been by now. A caller
+// that is told less is refused again, as two in three were that came back after 1.5 s.
+func (m *Model) healedIn(r *request, lack *Lack) clock.Millis {
+	p := r.service.Pipeline
+	if p == nil || lack == nil {
+		return 0
+	}
+	load := p.LoadMS * float64(lack.Layers.Len()) / float64(max(p.Layers, 1))
+	left := min(backHealing+clock.Millis(load), longestHeal) - m.lasted(m.gaps, r)
+	if left < backSoon {
+		return 0
+	}
+	return left + clock.Millis(spread*position(r.msg.CallerID)*load)
 }
--- a/standin/life.go
+++ b/standin/life.go
@@ -64,7 +64,7 @@
 	if away {
 		visit.AskedMS = askedMS(ask)
 	}
-	l.visits.note(visit)
+	l.note(visit)
 	if !away {
 		return true
 	}
