A repeat that cannot be made spends nothing of the budget

Cause: the budget was taken from before it was known whether there is anybody to repeat a request to. Upstreams that turn all away spent it, and requests that could have been repeated were then refused for want of it.

Change: what was taken and not used is given back (budget.Window.Return).

--- a/budget/window.go
+++ b/budget/window.go
@@ -51,6 +51,12 @@
 	return true
 }
 
+// Return gives back a retry that was taken at the same moment and not made.
+func (w *Window) Return(now clock.Millis) {
+	current := w.at(now)
+	current.retries = max(current.retries-1, 0)
+}
+
 func (w *Window) at(now clock.Millis) *windowPart {
 	number := int64(now / w.part)
 	p := &w.parts[number%int64(len(w.parts))]
--- a/budget/window_test.go
+++ b/budget/window_test.go
@@ -71,3 +71,17 @@
 		}
 	}
 }
+
+func TestReturnedRetryIsThereAgain(t *testing.T) {
+	w := budget.NewWindow(10_000, 0, 1)
+	w.Return(0)
+	for at := clock.Millis(0); at < 3; at++ {
+		if !w.Spend(at) {
+			t.Errorf("at %d: got no retry, want the one that was given back", at)
+		}
+		w.Return(at)
+	}
+	if !w.Spend(5) || w.Spend(6) {
+		t.Error("got another number of retries than one")
+	}
+}
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -26,12 +26,23 @@
 		return m.lastWord(r, msg, reason)
 	}
 	cmds := m.resend(r)
-	if msg.Cause == Failed && !r.begun() && !slices.ContainsFunc(cmds, isSend) {
+	if slices.ContainsFunc(cmds, isSend) {
+		return cmds
+	}
+	if m.requests[r.msg.Request] == nil && msg.Cause.spends() {
+		// There was nobody to send it to.
+		m.budget(r.service.Name).Return(m.now)
+	}
+	if msg.Cause == Failed && !r.begun() {
 		return m.relay(r, msg)
 	}
 	return cmds
 }
 
+// spends tells whether another attempt takes from the budget of repeats: where the request
+// has reached an upstream.
+func (c Cause) spends() bool { return c != NotSent && c != HeldBack }
+
 func isSend(cmd Cmd) bool {
 	_, ok := cmd.(SendCmd)
 	return ok
@@ -51,7 +62,7 @@
 		return ReasonRefused
 	case r.left(m.now) < leastLeft:
 		return ReasonTimeout
-	case cause != NotSent && cause != HeldBack && !m.budget(r.service.Name).Spend(m.now):
+	case cause.spends() && !m.budget(r.service.Name).Spend(m.now):
 		return ReasonNoBudget
 	}
 	return ""
