--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -42,7 +42,6 @@
 	Record   *recordCommand   `arg:"subcommand:recording" help:"print the node's recorded messages"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"print what bears on a request, from log files; needs no node"`
 	Losses   *lossesCommand   `arg:"subcommand:losses" help:"print why requests were lost or late, from log files; needs no node"`
-	Size     *sizeCommand     `arg:"subcommand:size" help:"print what a fleet of engines bears, from a fleet file; needs no node"`
 }
 
 // command is one of the subcommands.
--- /dev/null
+++ b/lab/draw.go
@@ -0,0 +1,9 @@
+package lab
+
+import (
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+)
+
+// drawOn returns where a plot draws itself on a canvas.
+func drawOn(canvas vg.CanvasSizer) draw.Canvas { return draw.New(canvas) }
--- /dev/null
+++ b/lab/run_test.go
@@ -0,0 +1,122 @@
+package lab
+
+import (
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func load(t *testing.T, name string) *Scenario {
+	t.Helper()
+	s, err := LoadScenario("../examples/lab/" + name + ".ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func without(t *testing.T, names string) Variant {
+	t.Helper()
+	v, err := Without(names)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+func TestSameSeedGivesTheSame(t *testing.T) {
+	s := load(t, "small")
+	first, again, other := Run(s, Variant{}, 3), Run(s, Variant{}, 3), Run(s, Variant{}, 4)
+	if !reflect.DeepEqual(first.Figures(), again.Figures()) || !reflect.DeepEqual(first.Seconds, again.Seconds) {
+		t.Errorf("got %v and %v with the same seed, want the same", first.Figures(), again.Figures())
+	}
+	if reflect.DeepEqual(first.Seconds, other.Seconds) {
+		t.Error("got the same with another seed")
+	}
+}
+
+// Half of the engines turn all requests away for three seconds of every four and ask for that
+// rest. Nobody is sent there meanwhile, and that serves callers better than to go on trying.
+func TestRestIsKept(t *testing.T) {
+	s := load(t, "rest")
+	kept, unread := Run(s, Variant{}, 1), Run(s, without(t, "rest"), 1)
+	if kept.InRest != 0 || len(kept.Broken) != 0 {
+		t.Errorf("got %d requests in a rest, %v broken, want none", kept.InRest, kept.Broken)
+	}
+	if _, broken := unread.Broken["rest"]; !broken {
+		t.Errorf("got %v broken by nodes that do not read it, want the rest", unread.Broken)
+	}
+	if kept.Credit() <= unread.Credit() {
+		t.Errorf("got credit %.3f, want more than the %.3f of nodes that do not read it", kept.Credit(), unread.Credit())
+	}
+	if kept.Served() < 0.95 {
+		t.Errorf("got %.3f served, want 0.95: the other half has room for all", kept.Served())
+	}
+}
+
+// One request ends each engine that begins to run it, and others come back at their addresses.
+func TestDeadlyRequestIsGivenUp(t *testing.T) {
+	s := load(t, "deadly")
+	for seed := range uint64(3) {
+		r := Run(s, Variant{}, seed)
+		if r.DeadlyEnds > mostEnds+1 || len(r.Broken) != 0 {
+			t.Errorf("seed %d: got %d ends, %v broken, want %d at the most and none", seed, r.DeadlyEnds, r.Broken, mostEnds+1)
+		}
+	}
+	alone := Run(s, without(t, "verdicts"), 0)
+	if alone.DeadlyEnds <= mostEnds+1 {
+		t.Errorf("got %d ends by nodes that tell each other nothing, want more than %d", alone.DeadlyEnds, mostEnds+1)
+	}
+}
+
+// A hunt finds what nodes break that do not read a rest, and shrinks it to that.
+func TestHuntShrinks(t *testing.T) {
+	s, v, step := load(t, "small"), without(t, "rest"), func() {}
+	find, found := Hunt(s, v, 9, 1, step)
+	if !found {
+		t.Fatal("got no promise broken, want one")
+	}
+	small := Shrink(s, v, find, step)
+	if len(small.Faults) != 1 || small.Faults[0].Kind != Rest {
+		t.Errorf("got %v, want one trouble, a rest", small.Faults)
+	}
+	parsed, err := parseFault(small.Faults[0].Name, strings.SplitN(small.Faults[0].Line(), "= ", 2)[1])
+	if err != nil || parsed.Kind != Rest {
+		t.Errorf("got %v, %v of the line %q, want the trouble", parsed, err, small.Faults[0].Line())
+	}
+}
+
+func TestExperimentIsPaired(t *testing.T) {
+	steps := 0
+	e := Experiment{Scenario: load(t, "rest"), Variants: []Variant{{Name: "as it is"}, without(t, "rest")}, Seeds: 3, First: 1, Jobs: 1, Step: func() { steps++ }}
+	results, err := e.Run()
+	if err != nil || steps != 6 {
+		t.Fatalf("got %d runs, %v, want 6", steps, err)
+	}
+	for _, d := range Differences(results) {
+		same := d.Variant == "as it is"
+		if same && (d.By != 0 || d.Low != 0 || d.High != 0) {
+			t.Errorf("got %+v, want no difference to itself", d)
+		}
+		if !same && d.Figure == "credit" && d.High >= 0 {
+			t.Errorf("got %+v, want less credit on all seeds", d)
+		}
+		if d.Low > d.By || d.High < d.By {
+			t.Errorf("got %+v, want the mean in its interval", d)
+		}
+	}
+}
+
+func TestReportIsAPage(t *testing.T) {
+	var page bytes.Buffer
+	r := Run(load(t, "small"), Variant{Name: "<b>"}, 1)
+	if err := r.WriteReport(&page, "a <day>"); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"<svg", "a &lt;day&gt;", "&lt;b&gt;", "worst 5 s", "none broken"} {
+		if !strings.Contains(page.String(), want) {
+			t.Errorf("got a page without %q", want)
+		}
+	}
+}
--- a/sizing/fleet.go
+++ b/sizing/fleet.go
@@ -32,26 +32,37 @@
 	engines map[string]map[string]int
 }
 
+// New returns a fleet without engines, for Declare.
+func New() *Fleet { return &Fleet{engines: make(map[string]map[string]int)} }
+
 // Load reads a fleet file.
 func Load(path string) (*Fleet, error) {
-	f := &Fleet{engines: make(map[string]map[string]int)}
-	kinds, centres := make(map[string]string), make(map[string]string)
-	if err := f.set(kinds, centres).Load(path); err != nil {
-		return nil, err
-	}
-	if err := f.readKinds(kinds); err != nil {
+	f := New()
+	set := settings.NewSet()
+	finish := f.Declare(set)
+	if err := set.Load(path); err != nil {
 		return nil, err
 	}
-	if err := f.readEngines(centres); err != nil {
+	if err := finish(); err != nil {
 		return nil, err
 	}
 	return f, nil
 }
 
-// set declares what a fleet file may hold.
-func (f *Fleet) set(kinds, centres map[string]string) *settings.Set {
+// Pipeline returns the model.
+func (f *Fleet) Pipeline() *catalog.Pipeline { return &f.pipeline }
+
+// Centres returns the names of the data centres, sorted.
+func (f *Fleet) Centres() []string { return f.centres() }
+
+// Count returns how many engines of a kind a data centre has.
+func (f *Fleet) Count(centre, kind string) int { return f.engines[centre][kind] }
+
+// Declare declares what a fleet file may hold, also as a part of a larger file. Finish reads
+// the rest once the file is loaded.
+func (f *Fleet) Declare(set *settings.Set) (finish func() error) {
+	kinds, centres := make(map[string]string), make(map[string]string)
 	p := &f.pipeline
-	set := settings.NewSet()
 	set.Int("model", "layers", &p.Layers, 1, mostLayers, settings.Required())
 	set.Float("model", "layer_mb", &p.LayerMB, 0, mostNumber, settings.Required())
 	set.Float("model", "token_bytes", &p.TokenBytes, 0, mostNumber, settings.Required())
@@ -66,7 +77,7 @@
 	set.Float("model", "answer_tokens", &p.UsualAnswer, 0, mostNumber, settings.Required())
 	set.Map("accelerators", kinds)
 	set.Map("engines", centres)
-	return set
+	return func() error { return errors.CombineErrors(f.readKinds(kinds), f.readEngines(centres)) }
 }
 
 // readKinds reads lines like "large = 72000 2.4 3.2": the memory in MB, and the
