Model: a verdict outlasts the next process at an upstream's address

Cause: the model had no next process, so what lifted verdicts did not show. Change: a promise and the variant NAMELESS, which must fail and does (21,292 states); the model holds (7,591,986 states).

--- a/models/check.sh
+++ b/models/check.sh
@@ -66,5 +66,6 @@
 check quarantine fails TRUST
 check quarantine fails OVERWRITE
 check quarantine fails NOASK
+check quarantine fails NAMELESS
 echo "models: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/models/quarantine.pml
+++ b/models/quarantine.pml
@@ -16,14 +16,18 @@
  *
  * Promises: a node that has started since the deadly work was quarantined for
  * certain sends it to none; a node that reaches the upstreams, and has asked those that it has doubts about,
- * refuses the plain work only where that was lost at MOST upstreams that ended; and one
- * that was never cut off does not refuse it by the word of one that was.
+ * refuses the plain work only where that was lost at MOST upstreams that ended; one
+ * that was never cut off does not refuse it by the word of one that was; and a node that
+ * has quarantined the deadly work for upstreams that have all ended sends it to none while
+ * it runs, whoever has their addresses by then.
  *
  * Variants, each of which must fail:
  *   NOSTORE  what is quarantined is not kept
  *   TRUST    a loss counts by the word of the other node
  *   OVERWRITE what is certain in the store is replaced by what is not
  *   NOASK    who reads the store does not ask the upstreams
+ *   NAMELESS the answer of the next process at the address of an upstream that has
+ *            ended is taken for one of that upstream
  */
 #define NODES 2
 #define UPSTREAMS 3
@@ -49,6 +53,9 @@
 byte keptEnded[2];
 /* Whether a node has started since the deadly work was quarantined for certain. */
 bool startedSince[NODES];
+/* Whether a node has quarantined the deadly work, in this run of its own, for upstreams that
+   have all ended: it sends it to none from then on. */
+bool knew[NODES];
 /* Whether a node was ever cut off, or started anew. */
 bool wasCut[NODES];
 bool wasStarted[NODES];
@@ -57,6 +64,7 @@
 	if
 	:: COUNT(thought[(node) * 2 + w]) >= MOST ->
 		held[(node) * 2 + w] = true;
+		knew[node] = knew[node] || (w == DEADLY && (thought[(node) * 2 + w] & ~endedSet) == 0);
 		/* Ends are certain once the list says so; the node may still be without it. */
 		if
 		:: (thought[(node) * 2 + w] & ~endedSet) == 0 ->
@@ -91,6 +99,7 @@
 			judge(node, w)
 		:: !held[(node) * 2 + w] && !ended[u] && !cut[node] && w == DEADLY ->
 			assert(!startedSince[node]);
+			assert(!knew[node]);
 			ended[u] = true;
 			endedSet = endedSet | (1 << u);
 			lost[(node) * 2 + w] = lost[(node) * 2 + w] | (1 << u);
@@ -116,7 +125,11 @@
 inline ask(node, w, u) {
 	atomic {
 		if
+#ifdef NAMELESS
+		:: !cut[node] && !certain[(node) * 2 + w] && (thought[(node) * 2 + w] & (1 << u)) ->
+#else
 		:: !cut[node] && !ended[u] && !certain[(node) * 2 + w] && (thought[(node) * 2 + w] & (1 << u)) ->
+#endif
 			lost[(node) * 2 + w] = lost[(node) * 2 + w] & ~(1 << u);
 			thought[(node) * 2 + w] = thought[(node) * 2 + w] & ~(1 << u);
 			if
@@ -159,6 +172,7 @@
 	atomic {
 		startedSince[node] = surely;
 		wasStarted[node] = true;
+		knew[node] = false;
 		lost[(node) * 2] = 0; lost[(node) * 2 + 1] = 0;
 		held[(node) * 2] = kept[PLAIN]; held[(node) * 2 + 1] = kept[DEADLY];
 		certain[(node) * 2] = kept[PLAIN] && keptEnded[PLAIN] == 0;
