--- a/cmd/hoistlab/compare.go
+++ b/cmd/hoistlab/compare.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	variants := []lab.Variant{{Name: "as it is"}}
+	variants := []lab.Variant{{Name: asItIs}}
 	for _, names := range without {
 		v, err := lab.Without(names)
 		if err != nil {
--- a/cmd/hoistlab/hunt.go
+++ b/cmd/hoistlab/hunt.go
@@ -18,11 +18,7 @@
 }
 
 func (c *huntCommand) run() error {
-	s, err := lab.LoadScenario(c.Scenario)
-	if err != nil {
-		return err
-	}
-	v, err := variant(c.Without)
+	s, v, err := load(c.Scenario, c.Without)
 	if err != nil {
 		return err
 	}
--- a/cmd/hoistlab/run.go
+++ b/cmd/hoistlab/run.go
@@ -22,11 +22,7 @@
 }
 
 func (c *runCommand) run() error {
-	s, err := lab.LoadScenario(c.Scenario)
-	if err != nil {
-		return err
-	}
-	v, err := variant(c.Without)
+	s, v, err := load(c.Scenario, c.Without)
 	if err != nil {
 		return err
 	}
@@ -45,12 +41,17 @@
 	return nil
 }
 
-// variant is the product without some mechanisms; none for the product as it is.
-func variant(without string) (lab.Variant, error) {
-	if without == "" {
-		return lab.Variant{Name: "as it is"}, nil
+// asItIs names the product with nothing switched off.
+const asItIs = "as it is"
+
+// load reads a scenario, and the product without some mechanisms; without none as it is.
+func load(scenario, without string) (*lab.Scenario, lab.Variant, error) {
+	s, err := lab.LoadScenario(scenario)
+	if err != nil || without == "" {
+		return s, lab.Variant{Name: asItIs}, err
 	}
-	return lab.Without(without)
+	v, err := lab.Without(without)
+	return s, v, err
 }
 
 func printResult(r *lab.Result) error {
