lab: layers take their memory while they are loaded

Cause: an engine that loaded had the memory of what it held before for requests. Change: what an order asks for takes its memory until it is held.

--- a/lab/attempt.go
+++ b/lab/attempt.go
@@ -50,7 +50,7 @@
 	parts   []hop
 	// tokens is what it takes at each layer.
 	tokens float64
-	// events are those that the caller has of the whole stream.
+	// last is when the last event came, or it was sent.
 	last clock.Millis
 	over bool
 	// still is the engine that it waits for, and plan counts what was planned for it: what
--- a/lab/engine.go
+++ b/lab/engine.go
@@ -21,10 +21,11 @@
 	up      bool
 
 	held fleet.Range
-	// busy tells that an order is being carried out, and coming what it asks for.
-	busy   bool
-	coming fleet.Range
-	orders uint64
+	// busy tells that an order is being carried out, coming what it asks for, and loading that
+	// its load has begun.
+	busy    bool
+	coming  fleet.Range
+	loading bool
 
 	// passing are the streams that pass it, in the order in which they came, and begun how
 	// many of them began here.
@@ -137,7 +138,6 @@
 // place begins to carry out an order. Layers that it gives up take nothing new, and the load
 // begins once what passes them has left.
 func (e *engine) place(layers fleet.Range) {
-	e.orders++
 	e.busy, e.coming = true, layers
 	e.held = e.held.Overlap(layers)
 	e.world.list.publish(e)
@@ -146,11 +146,11 @@
 
 // goOn begins the load of an order once nothing passes what is given up.
 func (e *engine) goOn() {
-	if !e.busy || !e.up || e.coming.Empty() || slices.ContainsFunc(e.passing, func(a *attempt) bool { return a.needs(e) }) {
+	if !e.busy || !e.up || e.loading || slices.ContainsFunc(e.passing, func(a *attempt) bool { return a.needs(e) }) {
 		return
 	}
 	layers := e.coming
-	e.coming = fleet.Range{}
+	e.loading = true
 	w := e.world
 	w.loads++
 	slowed := max(1, float64(w.loads)/float64(w.scenario.LoadsAtOnce))
@@ -162,7 +162,7 @@
 	w.after(clock.Millis(math.Ceil(took)), func() {
 		w.loads--
 		if e.up {
-			e.held, e.busy = layers, false
+			e.held, e.coming, e.busy, e.loading = layers, fleet.Range{}, false, false
 			w.list.publish(e)
 		}
 	})
