A node without a configuration does not ask who is at an address

Cause: whoever answers a probe without a name is asked at its service's health path, which stands in the configuration. A node that hears of losses before it has one ended with a nil pointer. Found by reading the change once more.

Change: it does not ask until it knows a configuration. Nothing else differs.

--- a/dispatch/identity.go
+++ b/dispatch/identity.go
@@ -30,7 +30,7 @@
 
 // askName asks who is at an upstream's address, if that decides about a request.
 func (m *Model) askName(u *upstream) []Cmd {
-	if u.naming || m.now < u.nameAgain || !m.quarantine.Disputed(u.entry.ID) {
+	if m.catalog == nil || u.naming || m.now < u.nameAgain || !m.quarantine.Disputed(u.entry.ID) {
 		return nil
 	}
 	service := m.catalog.Service(u.entry.Service)
