--- /dev/null
+++ b/node/limit_test.go
@@ -0,0 +1,95 @@
+package node_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/standin"
+)
+
+// An upstream in need that had named 4.5 requests a second for all nodes together got 42 in
+// 4 s from the two nodes that it had told, and another that had named 4.2 got 49. Each was
+// the only one at its data centre that could begin a stream. No line of any node told of the
+// limit, and each of them went on as before.
+//
+// Here all upstreams of a service name a limit that is far below what three nodes have for
+// them.
+
+const (
+	// namedLimit is what each upstream takes, in requests a second from all nodes.
+	namedLimit = 3.0
+	// limitContact is how long after it was named first a limit binds, and limitWatched for
+	// how long requests come.
+	limitContact = 3 * time.Second
+	limitWatched = 8 * time.Second
+)
+
+// namesLimit is a stand-in that can name a limit.
+type namesLimit interface {
+	SetLimit(f standin.LimitFaults)
+	Visits() []standin.Visit
+}
+
+// nodeInName is the node that a try was sent to: its name begins with it.
+func nodeInName(id string) string {
+	node, _, _ := strings.Cut(id, "-")
+	return node
+}
+
+func TestLimitIsKeptByAllNodesTogether(t *testing.T) {
+	for _, kind := range []struct {
+		name, method, prefix string
+	}{
+		{"stream", http.MethodPost, "/write/"},
+		{"plain that may run once", http.MethodPost, "/once/"},
+		{"plain that may be repeated", http.MethodGet, "/read/"},
+	} {
+		t.Run(kind.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 2)
+			desk := s.addDesk("desk2")
+			nodes := []*testNode{s.startNode("n1", s.storeAt), s.startNode("n2", s.storeAt), s.startNode("n3", s.storeAt)}
+			for _, n := range nodes {
+				n.awaitServing(t)
+			}
+			upstreams := []namesLimit{s.desk, desk, s.engines["e1"].engine, s.engines["e2"].engine}
+			for _, u := range upstreams {
+				u.SetLimit(standin.LimitFaults{Name: fmt.Sprint(namedLimit)})
+			}
+			press(t, nodes, kind.method, kind.prefix)
+			visits := 0
+			for _, u := range upstreams {
+				visits += len(u.Visits())
+				for _, b := range standin.LimitBreaches(u.Visits(), nodeInName, limitContact) {
+					t.Errorf("got %d requests in 4 s at an upstream that takes %v a second, %v, want %d at most", b.Count, b.Limit, b.Nodes, b.Allowed)
+				}
+			}
+			if visits == 0 {
+				t.Error("got no request at any upstream, want some")
+			}
+		})
+	}
+}
+
+// press sends requests to nodes, one after the other at each, for limitWatched.
+func press(t *testing.T, nodes []*testNode, method, prefix string) {
+	t.Helper()
+	var group sync.WaitGroup
+	for i, n := range nodes {
+		group.Go(func() {
+			k := 0
+			for until := time.Now().Add(limitWatched); time.Now().Before(until); k++ {
+				name := fmt.Sprintf("n%d-%d", i+1, k)
+				if got := n.do(method, prefix+name, name, "k1"); got.err != nil {
+					t.Errorf("got %v at request %s, want an answer", got.err, name)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/standin/life.go
+++ b/standin/life.go
@@ -21,6 +21,7 @@
 	born *float64
 	departure
 	rest
+	limit
 	visits
 	crash crash
 }
@@ -34,11 +35,12 @@
 	return l
 }
 
-// serve adds the calls that are the same for all servers: its leaving, its rest, and its
-// health.
+// serve adds the calls that are the same for all servers: its leaving, its rest, its
+// limit, and its health.
 func (l *life) serve(mux *http.ServeMux) {
 	l.departure.serve(mux)
 	l.rest.serve(mux)
+	l.limit.serve(mux)
 	l.visits.serve(mux)
 	mux.HandleFunc("GET /health", l.health)
 }
@@ -59,7 +61,7 @@
 	now := time.Now()
 	l.arrived(now)
 	leaving := l.mark(w.Header())
-	visit := Visit{ID: r.Header.Get("Attempt-Id"), AtMS: now.UnixMilli(), Leaving: leaving}
+	visit := Visit{ID: r.Header.Get("Attempt-Id"), AtMS: now.UnixMilli(), Leaving: leaving, Limit: l.markLimit(w.Header())}
 	ask, away := l.turnsAway(now)
 	if away {
 		visit.AskedMS = askedMS(ask)
--- /dev/null
+++ b/standin/limit.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// LimitFaults are how a server in need names the requests a second that it takes from all
+// nodes together.
+type LimitFaults struct {
+	// Name is what stands in Server-Limit from now on; empty for nothing.
+	Name string `json:"name"`
+}
+
+// limit is what a server in need names. It is safe for concurrent use.
+type limit struct {
+	mu   sync.Mutex
+	name string
+}
+
+// SetLimit changes the limit that the server names.
+func (l *limit) SetLimit(f LimitFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.name = f.Name
+}
+
+// markLimit has an answer name the limit, where there is one, and returns it; zero for none
+// and for one that is no number.
+func (l *limit) markLimit(h http.Header) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.name == "" {
+		return 0
+	}
+	h.Set("Server-Limit", l.name)
+	named, err := strconv.ParseFloat(l.name, 64)
+	if err != nil {
+		return 0
+	}
+	return named
+}
+
+// serve adds the call that makes a server name a limit.
+func (l *limit) serve(mux *http.ServeMux) { mux.Handle("POST /limit", faultHandler(l.SetLimit)) }
+
+const (
+	// limitWindow is the time over which requests are counted against a limit.
+	limitWindow = 4 * time.Second
+	// toldAfter is how long after a node has passed on an answer that names a limit what it
+	// sends counts.
+	toldAfter = 500 * time.Millisecond
+	// limitLeeway and limitSpare are how much more than it allows may come in a window.
+	limitLeeway = 1.5
+	limitSpare  = 5
+)
+
+// LimitBreach is a span in which a server got more requests than its limit allows.
+type LimitBreach struct {
+	// Limit is the number that was named, in requests a second.
+	Limit float64
+	// Count is how many requests came in the span that ends at AtMS, and Allowed how many
+	// may.
+	Count, Allowed int
+	AtMS           int64
+	// Nodes are those that had been told, by whom the requests were sent.
+	Nodes map[string]int
+}
+
+// LimitBreaches returns the first span of each time with a limit in which a server got more
+// requests than that allows, from nodes that had been told, later than contact after it had
+// named the limit first. NodeOf names the node that a try was sent to.
+func LimitBreaches(list []Visit, nodeOf func(id string) string, contact time.Duration) []LimitBreach {
+	var breaches []LimitBreach
+	told := make(map[string]int64)
+	first, broken := int64(0), false
+	for i, v := range list {
+		if v.Limit == 0 {
+			clear(told)
+			first, broken = 0, false
+			continue
+		}
+		if first == 0 {
+			first = v.AtMS
+		}
+		if node := nodeOf(v.ID); told[node] == 0 {
+			told[node] = v.AtMS
+		}
+		if broken || v.AtMS < first+contact.Milliseconds() {
+			continue
+		}
+		b := countWindow(list[:i+1], nodeOf, told)
+		broken = b.Count > b.Allowed
+		if broken {
+			breaches = append(breaches, b)
+		}
+	}
+	return breaches
+}
+
+// countWindow counts the requests of the window that ends with the last of some visits.
+func countWindow(list []Visit, nodeOf func(id string) string, told map[string]int64) LimitBreach {
+	last := list[len(list)-1]
+	b := LimitBreach{Limit: last.Limit, AtMS: last.AtMS, Nodes: make(map[string]int)}
+	b.Allowed = int(limitLeeway*last.Limit*limitWindow.Seconds() + limitSpare)
+	for i := len(list) - 1; i >= 0 && list[i].AtMS > last.AtMS-limitWindow.Milliseconds(); i-- {
+		node := nodeOf(list[i].ID)
+		if at := told[node]; node != "" && at != 0 && at <= last.AtMS-toldAfter.Milliseconds() {
+			b.Count++
+			b.Nodes[node]++
+		}
+	}
+	return b
+}
--- a/standin/visits.go
+++ b/standin/visits.go
@@ -16,6 +16,8 @@
 	AskedMS int64 `json:"asked_ms"`
 	// Leaving tells that its answer says that the server is leaving.
 	Leaving bool `json:"leaving"`
+	// Limit is the number of requests a second that its answer names; zero for none.
+	Limit float64 `json:"limit"`
 }
 
 // mostVisits bounds the visits that are kept for the judge.
