--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -80,6 +80,13 @@
 	return m.end(id, cmd, reason)
 }
 
+// refuseLimited ends a request that has not run since all that could serve it have limits.
+func (m *Model) refuseLimited(r *request, back clock.Millis, why *Limited) []Cmd {
+	cmd := m.finish(r.msg.Request, http.StatusServiceUnavailable, ReasonLimit, back)
+	cmd.Limited = why
+	return m.end(r.msg.Request, cmd, ReasonLimit)
+}
+
 // end ends a request with a whole answer, or cuts it where its answer has begun: two
 // answers in one would look like one that is complete. All requests end here or with
 // cut.
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -45,6 +45,9 @@
 	CatalogVersion uint64
 	CatalogAge     clock.Millis
 	InFlight       int
+	// Limit is what the upstream takes from all nodes together, in requests a second; zero
+	// for no limit.
+	Limit float64
 }
 
 // FinishCmd ends a request with an answer of the node's own.
@@ -58,8 +61,9 @@
 	CatalogAge     clock.Millis
 	// Work names what is asked for by its client account; zero where that is not known.
 	Work work.ID
-	// Lack says what ran short; nil where that is not it.
-	Lack *Lack
+	// Lack says what ran short, and Limited whose limit it was; nil where that is not it.
+	Lack    *Lack
+	Limited *Limited
 }
 
 // Lack says what ran short when no chain could be built, for the log.
@@ -196,6 +200,7 @@
 	ReasonNoHolder    Reason = "a_layer_has_no_engine"
 	ReasonNoRoom      Reason = "no_memory_left"
 	ReasonRest        Reason = "upstreams_asked_for_rest"
+	ReasonLimit       Reason = "upstreams_are_limited"
 	ReasonRefused     Reason = "refused_by_upstreams"
 	ReasonNoBudget    Reason = "retry_budget_spent"
 	ReasonUnknown     Reason = "answer_lost"
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -26,7 +26,7 @@
 		return m.lastWord(r, msg, reason)
 	}
 	cmds := m.resend(r)
-	if slices.ContainsFunc(cmds, isSend) {
+	if slices.ContainsFunc(cmds, isSend) || !r.awaits.IsZero() {
 		return cmds
 	}
 	if m.requests[r.msg.Request] == nil && msg.Cause.spends() {
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -10,6 +10,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
 )
 
@@ -59,6 +60,10 @@
 	// thought to have ended under a request and had no entry when that was last looked at.
 	ended    *simplelru.LRU[fleet.Incarnation, bool]
 	unlisted map[fleet.Incarnation]bool
+	// limits are those that upstreams name, and awaiting are the requests that wait for a
+	// permit.
+	limits   *limit.Keeper
+	awaiting map[fleet.Incarnation][]RequestID
 	// awaitsQuarantine tells that what was in it before is not known yet.
 	awaitsQuarantine bool
 }
@@ -81,6 +86,9 @@
 // quarantine before, as for the configuration and the list.
 func WithKeptQuarantine() Option { return func(m *Model) { m.awaitsQuarantine = true } }
 
+// WithLimits sets how limits are kept that hold over all nodes together.
+func WithLimits(k *limit.Keeper) Option { return func(m *Model) { m.limits = k } }
+
 // New returns a model that knows no configuration and no upstreams.
 func New(opts ...Option) *Model {
 	m := &Model{
@@ -94,6 +102,8 @@
 		departing: make(map[fleet.Incarnation]clock.Millis),
 		shortages: make(map[string]*shortage),
 		gaps:      make(map[string]*shortage),
+		awaiting:  make(map[fleet.Incarnation][]RequestID),
+		limits:    limit.New(),
 		confirmed: clock.Never,
 		lasts:     firstLasts,
 	}
@@ -141,6 +151,9 @@
 	case TickMsg:
 		return m.tick()
 	}
+	if cmds := m.hearLimit(msg); cmds != nil {
+		return cmds
+	}
 	return m.hear(msg)
 }
 
@@ -167,6 +180,7 @@
 
 func (m *Model) setPeers(msg PeersMsg) {
 	m.nodes, m.near = msg.All, msg.Near
+	m.limits.SetMembers(m.now, msg.Members)
 	m.setBudgets()
 }
 
@@ -211,6 +225,7 @@
 			m.ended.Add(c.ID, true)
 			cmds = append(cmds, m.tellNews(m.quarantine.Found(m.now, c.ID, quarantine.Ended))...)
 			delete(m.upstreams, c.ID)
+			m.limits.Forget(c.ID)
 			if known && c.Ended {
 				cmds = append(cmds, m.endedFor(u)...)
 			}
@@ -272,5 +287,5 @@
 func (m *Model) tick() []Cmd {
 	m.setBudgets()
 	m.expireUsage()
-	return slices.Concat(m.takeEarly(), m.reviewLosses(), m.askNames(), m.probes(), m.depart(), m.resume(), m.share())
+	return slices.Concat(m.takeEarly(), m.reviewPermits(), m.reviewLosses(), m.askNames(), m.probes(), m.depart(), m.resume(), m.share())
 }
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -4,6 +4,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/work"
 )
 
@@ -31,6 +32,8 @@
 	All int
 	// Near is how many others tell this node alone what they have in use.
 	Near int
+	// Members are the nodes.
+	Members []limit.Member
 }
 
 // UsageMsg brings what another node's requests take at engines.
@@ -38,9 +41,10 @@
 	Node string
 	// Used is by engine.
 	Used map[fleet.Incarnation]fleet.Use
-	// Total tells that it is that of all nodes of another data centre, which Node
-	// names.
-	Total bool
+	// Total tells that it is that of all nodes of another data centre, whose name Node is
+	// made of.
+	Total      bool
+	DataCentre string
 }
 
 // PlacedMsg tells that an engine has been ordered to hold other layers, or, with
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -42,6 +42,11 @@
 	// with, until waitUntil.
 	waitingFor Reason
 	waitUntil  clock.Millis
+	// awaits is the upstream for which it waits for a permit, until awaitsUntil, and
+	// impatient tells that it waits for none any more.
+	awaits      fleet.Incarnation
+	awaitsUntil clock.Millis
+	impatient   bool
 	// afterRest tells that some of what it could go on at rests.
 	afterRest bool
 
--- a/dispatch/rest.go
+++ b/dispatch/rest.go
@@ -84,7 +84,7 @@
 	if r.service.Pipeline == nil {
 		return slices.ContainsFunc(list, func(u *upstream) bool { return !u.resting(end) && r.mayUse(u) && u.open(m.now) })
 	}
-	holders := m.holdersAt(r, list, end, (*upstream).well)
+	holders := m.holdersAt(r, list, moment{at: end}, (*upstream).well)
 	_, err := chain.Build(r.service.Pipeline.Layers, r.tokens, m.dataCentre, holders)
 	return err == nil
 }
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -24,11 +24,19 @@
 	} else {
 		cmd, reason = m.sendPlain(r)
 	}
+	if reason == awaitsPermit {
+		first := r.first
+		r.first = nil
+		return m.awaitPermit(r, first)
+	}
 	if reason != "" {
 		return m.giveUp(r, reason)
 	}
 	r.sends++
 	r.first.inFlight++
+	m.limits.Sent(m.now, r.first.entry.ID)
+	named, _ := m.limits.Limit(r.first.entry.ID)
+	cmd.Limit = named.Rate
 	cmd.Request, cmd.Attempt = r.msg.Request, r.sends
 	cmd.Upstream, cmd.Address = r.first.entry.ID, r.first.entry.Address
 	cmd.Route, cmd.Account, cmd.Keyed, cmd.Priority = r.route, r.account.Name, r.keyed, r.priority()
@@ -58,6 +66,11 @@
 	if r.runs > 0 {
 		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
 	}
+	if reason == ReasonNoUpstream || reason == ReasonNoHolder || reason == ReasonNoRoom {
+		if back, why := m.limitEnds(r); why != nil {
+			return m.refuseLimited(r, back, why)
+		}
+	}
 	if end, rest := m.restEnds(r); rest {
 		return m.refuseFor(r.msg.Request, ReasonRest, m.backAfter(r, end), nil)
 	}
@@ -84,6 +97,9 @@
 		return SendCmd{}, ReasonNoUpstream
 	}
 	r.first = best
+	if m.needsPermit(best) {
+		return SendCmd{}, awaitsPermit
+	}
 	return SendCmd{TryFor: m.tryFor(r, best)}, ""
 }
 
@@ -92,7 +108,7 @@
 	bestCost := 0.0
 	suspected := m.quarantine.Suspects(r.work)
 	for _, u := range m.byService[r.service.Name] {
-		if !u.usable() || u.resting(m.now) || !may(u) {
+		if !u.usable() || u.resting(m.now) || !may(u) || !m.mayBegin(r, u) {
 			continue
 		}
 		cost := u.took * float64(u.inFlight+1) * (1 + m.random.Float64()*tieSpread)
@@ -131,6 +147,9 @@
 	}
 	first := m.upstreams[parts[0].ID]
 	r.first = first
+	if m.needsPermit(first) {
+		return SendCmd{}, awaitsPermit
+	}
 	m.reserve(r, parts)
 	return SendCmd{Chain: parts}, ""
 }
@@ -183,15 +202,23 @@
 // holders returns those of some engines of the request's service that may take part in
 // a chain now, without those named.
 func (m *Model) holders(r *request, list []*upstream, may func(*upstream) bool, without ...fleet.Incarnation) []chain.Holder {
-	return m.holdersAt(r, list, m.now, may, without...)
+	return m.holdersAt(r, list, moment{at: m.now}, may, without...)
+}
+
+// moment is when a chain is to be built.
+type moment struct {
+	// at is by when rests that end count as over.
+	at clock.Millis
+	// noLimits leaves upstreams' limits out of account.
+	noLimits bool
 }
 
-// holdersAt are the holders once the rests that end by a time have ended.
-func (m *Model) holdersAt(r *request, list []*upstream, at clock.Millis, may func(*upstream) bool, without ...fleet.Incarnation) []chain.Holder {
+// holdersAt are the holders at a moment.
+func (m *Model) holdersAt(r *request, list []*upstream, at moment, may func(*upstream) bool, without ...fleet.Incarnation) []chain.Holder {
 	holders := make([]chain.Holder, 0, len(list))
 	bounded := m.bounded(r)
 	for _, u := range list {
-		if u.resting(at) || !may(u) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
+		if u.resting(at.at) || !may(u) || slices.Contains(without, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
 			continue
 		}
 		if u.rivals && slices.ContainsFunc(holders, func(h chain.Holder) bool { return h.Address == u.entry.Address }) {
@@ -199,9 +226,10 @@
 			continue
 		}
 		h := m.holder(r, u)
-		if bounded && !r.ran(u) {
-			// A chain begins at the engine with the first layer, and the bound is on
-			// these.
+		if bounded && !r.ran(u) || !at.noLimits && !m.mayBegin(r, u) {
+			// A chain begins at the engine with the first layer, and the bound on upstreams
+			// that run a request is on these, as is a limit: nodes send it requests, and
+			// what passes on the way to later layers comes from other engines.
 			h.Held.From = max(h.Held.From, 1)
 		}
 		holders = append(holders, h)
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -63,6 +63,11 @@
 // noteUsage takes what another node has in use, in place of what it has told before.
 // The sum for each engine is kept, since every request asks for it.
 func (m *Model) noteUsage(msg UsageMsg) {
+	if msg.Total {
+		m.limits.HeardAll(m.now, msg.DataCentre)
+	} else {
+		m.limits.Heard(m.now, msg.Node)
+	}
 	m.takeOff(m.usage[msg.Node].used)
 	m.usage[msg.Node] = peerUsage{at: m.now, used: msg.Used, total: msg.Total}
 	for id, use := range msg.Used {
--- a/node/learn.go
+++ b/node/learn.go
@@ -7,6 +7,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/usage"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -71,11 +72,22 @@
 		n.meet(engine)
 	}
 	if msg.Total {
-		n.relay.SetUsage("all of "+from.GetDataCentre(), msg.Used, true)
+		n.relay.SetTotal(from.GetDataCentre(), msg.Used)
 		return
 	}
 	n.roster.Heard(n.clock.Now(), from.GetName(), msg.Followable)
-	n.relay.SetUsage(from.GetName(), msg.Used, false)
+	n.relay.SetUsage(from.GetName(), msg.Used)
+}
+
+// HearAsk implements usage.Listener.
+func (l listener) HearAsk(from *wire.Member, ask limit.Ask) {
+	l.node.meet(ask.Upstream)
+	l.node.relay.SetAsked(from.GetName(), ask)
+}
+
+// HearGrant implements usage.Listener.
+func (l listener) HearGrant(from *wire.Member, grant limit.Grant) {
+	l.node.relay.SetPermits(from.GetName(), grant)
 }
 
 // HearPlaced implements usage.Listener.
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/keeper"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/peering"
 	"github.com/hoistjunction/hoistjunction/placement"
@@ -105,6 +106,7 @@
 			QuarantineLasts: s.quarantineLasts(),
 		}),
 		dispatch.WithKeptQuarantine(),
+		dispatch.WithLimits(limit.New(limit.WithSelf(s.Name), limit.WithLife(uint64(time.Now().UnixNano())))),
 	)
 	self := &wire.Member{Name: s.Name, DataCentre: s.DataCentre, Address: n.peer.Addr().String()}
 	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.followable, listener{n}, usage.WithQuarantine(n.quarantined.digest), usage.WithClock(n.clock))
@@ -120,7 +122,8 @@
 		relay.WithCounters("quarantine_refused", n.keeper.Refused()),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
 		relay.WithCounters("peers", expvar.Func(func() any { return n.Peers() })),
-		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithLeaving(n.setSaidLeaving), relay.WithReplaced(n.setReplaced), relay.WithQuarantine(n.setQuarantine))
+		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithLeaving(n.setSaidLeaving), relay.WithReplaced(n.setReplaced), relay.WithQuarantine(n.setQuarantine),
+		relay.WithPermits(n.usage.Ask, n.usage.Give))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge))
 	n.wakes = n.clock.Wakes()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
@@ -63,6 +64,9 @@
 	// says of itself.
 	barred func() bool
 	said   func(upstream fleet.Incarnation, word Word)
+	// unlimited is told of an answer without a limit, and when its request was sent.
+	unlimited func(upstream fleet.Incarnation, sent clock.Millis)
+	begunAt   clock.Millis
 	// answeredBy is told who has answered in the upstream's place.
 	answeredBy func(upstream fleet.Incarnation, address string, presence fleet.Presence)
 	// alone tells that the attempt has a connection of its own.
@@ -194,6 +198,9 @@
 // the request, that one has asked through it.
 func (a *attempt) hear(head AnswerHead) {
 	word := head.Word
+	if head.ID == a.callerID && !head.Misdirected && !word.Limited {
+		a.unlimited(a.cmd.Upstream, a.begunAt)
+	}
 	if head.ID != "" && head.ID != a.callerID {
 		word.Rest = 0
 	}
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -88,7 +88,7 @@
 		t.Fatal(err)
 	}
 	a := &attempt{
-		protocol: plainProtocol{}, barred: func() bool { return ta.pool.barred(ta.pool.get(ta.upstream)) }, said: func(fleet.Incarnation, Word) {}, answeredBy: func(fleet.Incarnation, string, fleet.Presence) {}, conns: ta.pool.get(ta.upstream), gate: ta.gate, cancel: cancel,
+		protocol: plainProtocol{}, barred: func() bool { return ta.pool.barred(ta.pool.get(ta.upstream)) }, said: func(fleet.Incarnation, Word) {}, unlimited: func(fleet.Incarnation, clock.Millis) {}, answeredBy: func(fleet.Incarnation, string, fleet.Presence) {}, conns: ta.pool.get(ta.upstream), gate: ta.gate, cancel: cancel,
 		cmd:    dispatch.SendCmd{Route: &catalog.Route{Kind: ta.kind}, Keyed: true, CatalogVersion: 1},
 		pieces: make(chan piece, piecesWaiting),
 	}
@@ -212,7 +212,8 @@
 			got := make(map[fleet.Incarnation]Word)
 			a := &attempt{
 				callerID: "try", cmd: dispatch.SendCmd{Upstream: first, Chain: parts},
-				said: func(id fleet.Incarnation, w Word) { got[id] = w },
+				said:      func(id fleet.Incarnation, w Word) { got[id] = w },
+				unlimited: func(fleet.Incarnation, clock.Millis) {},
 			}
 			a.hear(tt.head)
 			if !maps.Equal(got, tt.want) {
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -10,6 +10,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
 	"github.com/hoistjunction/hoistjunction/ring"
 )
@@ -24,6 +25,8 @@
 	// tickEvery is how often the model is told the time. Probes of suspected
 	// upstreams hang on it.
 	tickEvery = 100 * time.Millisecond
+	// limitLoggedEvery bounds the lines on one upstream's limit.
+	limitLoggedEvery clock.Millis = 1000
 )
 
 // envelope is a message together with where commands for its request go.
@@ -47,17 +50,30 @@
 	// share tells other nodes what this one has in use, and what all do that
 	// tell each other.
 	share func(used, total map[fleet.Incarnation]fleet.Use)
+	// ask sends other nodes questions for permits, and give answers theirs.
+	ask  func(limit.AskCmd)
+	give func(to string, grant limit.Grant)
+	// limited is told of upstreams whose limit has begun, changed or ended.
+	limited func(upstream fleet.Incarnation, limited bool)
 	// quarantine is told of requests that end upstreams.
 	quarantine func(quarantine.News)
 	ready      atomic.Bool
+	// limitLogged is when an upstream's limit was logged last, and limitsUnlogged counts the
+	// changes since.
+	limitLogged    map[fleet.Incarnation]clock.Millis
+	limitsUnlogged int
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
 	return &decider{
 		model: model, clock: c, log: log, probe: probe, identify: identify, silent: func(dispatch.SilentCmd) {},
 		share:      func(used, total map[fleet.Incarnation]fleet.Use) {},
+		ask:        func(limit.AskCmd) {},
+		give:       func(string, limit.Grant) {},
+		limited:    func(fleet.Incarnation, bool) {},
 		quarantine: func(quarantine.News) {},
 		inbox:      ring.New[envelope](decisionsWaiting), mail: make(map[dispatch.RequestID]chan dispatch.Cmd),
+		limitLogged: make(map[fleet.Incarnation]clock.Millis),
 	}
 }
 
@@ -127,6 +143,13 @@
 		d.identify(cmd)
 	case dispatch.QuarantineCmd:
 		d.quarantine(cmd.News)
+	case dispatch.AskPermitsCmd:
+		d.ask(cmd.AskCmd)
+	case dispatch.GivePermitsCmd:
+		d.give(cmd.To, cmd.Grant)
+	case dispatch.LimitCmd:
+		d.limited(cmd.Upstream, cmd.Rate > 0)
+		d.logLimit(cmd)
 	case dispatch.RestCmd:
 		d.log.Info("rest", zap.Stringer("upstream", cmd.Upstream), zap.Int64("asked_ms", int64(cmd.Asked)),
 			zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
@@ -136,6 +159,23 @@
 	}
 }
 
+// logLimit tells of a limit that has begun, changed or ended. An upstream that names another
+// in each answer has a line a second.
+func (d *decider) logLimit(cmd dispatch.LimitCmd) {
+	now := d.clock.Now()
+	if last, known := d.limitLogged[cmd.Upstream]; known && now < last.Add(limitLoggedEvery) && cmd.Rate > 0 {
+		d.limitsUnlogged++
+		return
+	}
+	d.limitLogged[cmd.Upstream] = now
+	if cmd.Rate == 0 {
+		delete(d.limitLogged, cmd.Upstream)
+	}
+	d.log.Info("limit", zap.Stringer("upstream", cmd.Upstream), zap.Float64("per_second", cmd.Rate),
+		zap.String("from", cmd.From), zap.Int64("age_ms", int64(cmd.Age)), zap.Int("unlogged", d.limitsUnlogged))
+	d.limitsUnlogged = 0
+}
+
 func (d *decider) post(id dispatch.RequestID, cmd dispatch.Cmd) {
 	mail, ok := d.mail[id]
 	if !ok {
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -20,6 +20,7 @@
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 )
 
 // Headers of the fixture's protocol.
@@ -251,7 +252,7 @@
 		<-ended
 	})
 	r.SetCatalog(testCatalog(), r.clock.Now())
-	r.SetPeers(1, 0)
+	r.SetPeers([]limit.Member{{}}, 0)
 	for i := range upstreamsOfTest {
 		server := httptest.NewServer(upstreams)
 		t.Cleanup(server.Close)
--- a/relay/log.go
+++ b/relay/log.go
@@ -38,7 +38,7 @@
 		zap.String("chain", chainText(cmd.Chain)), zap.Int("in_flight", cmd.InFlight), zap.Int("priority", cmd.Priority),
 		zap.Uint64("config", cmd.CatalogVersion), zap.Int64("config_age_ms", int64(cmd.CatalogAge)),
 		zap.Int64("list_age_ms", int64(s.relay.listAge())),
-		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEvent), zap.Bool("suspected", cmd.Suspected))
+		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEvent), zap.Bool("suspected", cmd.Suspected), limitField(cmd.Limit))
 }
 
 func (s *session) logAnswer(status int) {
@@ -97,7 +97,29 @@
 		zap.Int("status", cmd.Status), zap.String("reason", string(cmd.Reason)),
 		zap.Int64("retry_after_ms", int64(cmd.RetryAfter)), zap.Int("attempts", s.attempts),
 		zap.Uint64("config", cmd.CatalogVersion), zap.Int64("config_age_ms", int64(cmd.CatalogAge)),
-		zap.Int64("after_ms", int64(s.age())), lackField(cmd.Lack))
+		zap.Int64("after_ms", int64(s.age())), lackField(cmd.Lack), limitedField(cmd.Limited))
+}
+
+// limitField is what the upstream of an attempt takes from all nodes together.
+func limitField(perSecond float64) zap.Field {
+	if perSecond == 0 {
+		return zap.Skip()
+	}
+	return zap.Float64("limit", perSecond)
+}
+
+// limitedField says whose limit has had a request refused.
+func limitedField(limited *dispatch.Limited) zap.Field {
+	if limited == nil {
+		return zap.Skip()
+	}
+	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
+		e.AddString("at", limited.Upstream.String())
+		e.AddFloat64("limit", limited.Rate)
+		e.AddInt("limited", limited.Upstreams)
+		e.AddInt("queue", limited.Queue)
+		return nil
+	}))
 }
 
 // lackField says what ran short, and by whose word.
@@ -132,6 +154,9 @@
 	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
 		e.AddInt64("rest_ms", int64(word.Rest))
 		e.AddBool("leaving", word.Leaving)
+		if word.Limited {
+			e.AddFloat64("limit", word.Limit)
+		}
 		if word.Unread != "" {
 			e.AddString("unread", word.Unread)
 		}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/quarantine"
 	"github.com/hoistjunction/hoistjunction/work"
@@ -75,6 +76,11 @@
 	return func(r *Relay) { r.decider.quarantine = tell }
 }
 
+// WithPermits sets who sends other nodes questions for permits, and answers to theirs.
+func WithPermits(ask func(limit.AskCmd), give func(to string, grant limit.Grant)) Option {
+	return func(r *Relay) { r.decider.ask, r.decider.give = ask, give }
+}
+
 // WithDialer sets how upstreams are connected to.
 func WithDialer(dial dialFunc) Option {
 	return func(r *Relay) { r.upstreams = newUpstreamPool(dial, r.clock) }
@@ -94,6 +100,7 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.decider.limited = r.upstreams.noteLimit
 	return r
 }
 
@@ -142,16 +149,30 @@
 	r.decider.tell(r.life, dispatch.WokeMsg{})
 }
 
-// SetPeers tells how many nodes there are, this one included, and how many others tell it
+// SetPeers tells which nodes there are, this one included, and how many others tell it
 // alone what they have in use.
-func (r *Relay) SetPeers(all, near int) {
-	r.decider.tell(r.life, dispatch.PeersMsg{All: all, Near: near})
+func (r *Relay) SetPeers(all []limit.Member, near int) {
+	r.decider.tell(r.life, dispatch.PeersMsg{All: len(all), Near: near, Members: all})
+}
+
+// SetAsked takes another node's question for permits.
+func (r *Relay) SetAsked(from string, ask limit.Ask) {
+	r.decider.tell(r.life, dispatch.PermitAskMsg{From: from, Ask: ask})
+}
+
+// SetPermits takes the answer to a question for permits.
+func (r *Relay) SetPermits(from string, grant limit.Grant) {
+	r.decider.tell(r.life, dispatch.PermitsMsg{From: from, Grant: grant})
+}
+
+// SetUsage takes what another node has in use.
+func (r *Relay) SetUsage(node string, used map[fleet.Incarnation]fleet.Use) {
+	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used})
 }
 
-// SetUsage takes what another node has in use or, with total, all nodes of
-// another data centre.
-func (r *Relay) SetUsage(node string, used map[fleet.Incarnation]fleet.Use, total bool) {
-	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used, Total: total})
+// SetTotal takes what all nodes of another data centre have in use.
+func (r *Relay) SetTotal(dataCentre string, used map[fleet.Incarnation]fleet.Use) {
+	r.decider.tell(r.life, dispatch.UsageMsg{Node: "all of " + dataCentre, Used: used, Total: true, DataCentre: dataCentre})
 }
 
 // SetSilent takes an engine that another node has found silent.
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -32,7 +32,7 @@
 	conns := s.relay.upstreams.get(cmd.Upstream)
 	ctx, cancel := context.WithCancelCause(s.r.Context())
 	a := &attempt{
-		protocol: s.relay.protocol, conns: conns, barred: func() bool { return s.relay.upstreams.barred(conns) }, said: s.relay.Said, answeredBy: s.relay.answeredBy, alone: s.needsOwnConnection(cmd.Upstream), gate: s.relay.gate, cmd: cmd,
+		protocol: s.relay.protocol, conns: conns, barred: func() bool { return s.relay.upstreams.barred(conns) }, said: s.relay.Said, unlimited: s.relay.unlimited, begunAt: now, answeredBy: s.relay.answeredBy, alone: s.needsOwnConnection(cmd.Upstream), gate: s.relay.gate, cmd: cmd,
 		callerID: s.head.ID, resumes: s.w.begun(), pieces: make(chan piece, piecesWaiting), cancel: cancel,
 	}
 	a.req = outgoing(ctx, s.r, cmd.Address, s.body)
--- a/relay/silent_connections_test.go
+++ b/relay/silent_connections_test.go
@@ -17,6 +17,7 @@
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/internal/pipenet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/relay"
 	"github.com/hoistjunction/hoistjunction/standin"
@@ -60,7 +61,7 @@
 		<-ended
 		engines.Close()
 	})
-	s.relay.SetPeers(1, 0)
+	s.relay.SetPeers([]limit.Member{{}}, 0)
 	catalog, err := platform.DecodeCatalog(standin.SiteConfig(1, "k1"))
 	if err != nil {
 		t.Fatal(err)
--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -46,6 +46,10 @@
 	// leaving tells that it gets none any more.
 	restUntil atomic.Int64
 	leaving   atomic.Bool
+	// limitedAt is when a limit of the upstream has become known or has changed; zero for none.
+	limitedAt atomic.Int64
+	// unread is what it has said last that cannot be read.
+	unread atomic.Pointer[string]
 	// heard is when the last byte came on any of them, in ms of the pool's clock.
 	heard atomic.Int64
 }
@@ -93,6 +97,29 @@
 	return conns.leaving.Load() || int64(p.clock.Now()) < conns.restUntil.Load()
 }
 
+// noteLimit notes that a limit of an upstream has become known, or that it has ended.
+func (p *upstreamPool) noteLimit(id fleet.Incarnation, limited bool) {
+	at := int64(0)
+	if limited {
+		at = max(1, int64(p.clock.Now()))
+	}
+	p.get(id).limitedAt.Store(at)
+}
+
+// limitEnds tells whether an answer without a limit, to a request that was sent at a time,
+// may end the one that is known.
+func (u *upstreamConns) limitEnds(sent clock.Millis) bool {
+	at := u.limitedAt.Load()
+	return at != 0 && int64(sent) > at
+}
+
+// unreadIsNews notes what cannot be read, and tells whether the upstream has not said the
+// same last.
+func (u *upstreamConns) unreadIsNews(text string) bool {
+	last := u.unread.Swap(&text)
+	return last == nil || *last != text
+}
+
 // choose returns what an attempt goes out with: a connection of its own, or one that may
 // have been kept.
 func (u *upstreamConns) choose(own bool) http.RoundTripper {
--- a/relay/word.go
+++ b/relay/word.go
@@ -14,6 +14,10 @@
 	Rest clock.Millis
 	// Leaving tells that it is about to end.
 	Leaving bool
+	// Limited tells that it takes a bounded number of requests from all nodes together, and
+	// Limit is that number, in requests a second.
+	Limited bool
+	Limit   float64
 	// Unread is what it has said of that and what cannot be read; empty for nothing.
 	Unread string
 }
@@ -42,7 +46,13 @@
 func (r *Relay) Said(upstream fleet.Incarnation, word Word) {
 	if word.Unread != "" {
 		r.stats.count("words_unread")
-		r.log.Warn("word_unread", zap.Stringer("upstream", upstream), zap.String("text", word.Unread))
+		if r.upstreams.get(upstream).unreadIsNews(word.Unread) {
+			r.log.Warn("word_unread", zap.Stringer("upstream", upstream), zap.String("text", word.Unread))
+		}
+	}
+	if word.Limited {
+		r.stats.count("limits_named")
+		r.decider.tell(r.life, dispatch.LimitMsg{Upstream: upstream, Rate: word.Limit})
 	}
 	if word.Rest > 0 {
 		r.stats.count("rests_asked")
@@ -53,3 +63,11 @@
 	}
 	r.upstreams.bar(upstream, word)
 }
+
+// unlimited takes in an answer without a limit, to a request that was sent at a time, of an
+// upstream that has named one.
+func (r *Relay) unlimited(upstream fleet.Incarnation, sent clock.Millis) {
+	if r.upstreams.get(upstream).limitEnds(sent) {
+		r.decider.tell(r.life, dispatch.NoLimitMsg{Upstream: upstream, Sent: sent})
+	}
+}
--- /dev/null
+++ b/usage/permits.go
@@ -0,0 +1,88 @@
+package usage
+
+import (
+	"net"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleetwire"
+	"github.com/hoistjunction/hoistjunction/limit"
+	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+// SetAddresses sets where the other nodes take datagrams, by their names.
+func (s *Sharing) SetAddresses(addresses map[string]string) {
+	named := make(map[string]net.Addr, len(addresses))
+	for name, address := range addresses {
+		to, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			s.log.Info("usage_peer_unusable", zap.String("address", address), logging.Err(err))
+			continue
+		}
+		named[name] = to
+	}
+	s.named.Store(&named)
+}
+
+// Ask sends a node a question for permits.
+func (s *Sharing) Ask(cmd limit.AskCmd) {
+	id, born := fleetwire.Name(cmd.Ask.Upstream)
+	s.sendTo(cmd.To, &wire.Usage{From: s.self, PermitAsk: &wire.PermitAsk{
+		Id: id, Born: born, Life: cmd.Ask.Life, Number: cmd.Ask.Number, Want: uint32(cmd.Ask.Want),
+		Named: s.namedLimit(cmd.Ask.Named), Sent: cmd.Ask.Sent,
+	}})
+}
+
+// Give answers a node's question for permits.
+func (s *Sharing) Give(to string, grant limit.Grant) {
+	id, born := fleetwire.Name(grant.Upstream)
+	s.sendTo(to, &wire.Usage{From: s.self, PermitGrant: &wire.PermitGrant{
+		Id: id, Born: born, Life: grant.Life, Number: grant.Number, Permits: uint32(grant.Permits),
+		NextMs: int64(grant.Next), Queue: uint32(grant.Queue), Named: s.namedLimit(grant.Named),
+	}})
+}
+
+// sendTo sends one node something. One whose address is not known gets nothing, as if the
+// datagram were lost.
+func (s *Sharing) sendTo(name string, msg *wire.Usage) {
+	named := s.named.Load()
+	if named == nil {
+		return
+	}
+	if to := (*named)[name]; to != nil {
+		s.send(msg, &[]net.Addr{to})
+	}
+}
+
+// takePermits takes a question for permits or the answer to one, and tells whether there was
+// any.
+func (s *Sharing) takePermits(msg *wire.Usage) bool {
+	if ask := msg.GetPermitAsk(); ask != nil {
+		s.listener.HearAsk(msg.GetFrom(), limit.Ask{
+			Upstream: fleetwire.IncarnationOf(ask), Life: ask.GetLife(), Number: ask.GetNumber(), Want: int(ask.GetWant()),
+			Named: s.limitNamed(ask.GetNamed()), Sent: ask.GetSent(),
+		})
+	}
+	if grant := msg.GetPermitGrant(); grant != nil {
+		s.listener.HearGrant(msg.GetFrom(), limit.Grant{
+			Upstream: fleetwire.IncarnationOf(grant), Life: grant.GetLife(), Number: grant.GetNumber(), Permits: int(grant.GetPermits()),
+			Next: clock.Millis(grant.GetNextMs()), Queue: int(grant.GetQueue()), Named: s.limitNamed(grant.GetNamed()),
+		})
+	}
+	return msg.GetPermitAsk() != nil || msg.GetPermitGrant() != nil
+}
+
+// namedLimit tells a limit with its age, since nodes' clocks differ.
+func (s *Sharing) namedLimit(named limit.Named) *wire.NamedLimit {
+	return &wire.NamedLimit{Rate: named.Rate, AgeMs: int64(clock.AgeOf(named.At, s.clock.Now()))}
+}
+
+// limitNamed is the reverse of namedLimit.
+func (s *Sharing) limitNamed(named *wire.NamedLimit) limit.Named {
+	if named.GetAgeMs() < 0 {
+		return limit.Named{At: clock.Never}
+	}
+	return limit.Named{Rate: named.GetRate(), At: s.clock.Now().Sub(clock.Millis(named.GetAgeMs()))}
+}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -1,8 +1,9 @@
 // Package usage lets nodes tell each other what the list and the engines show
 // only seconds later: what their requests take at engines, so that together
 // they do not overfill one, and which engines they have ordered to hold what,
-// so that two planners do not move the two holders of a layer at once, and which
-// engines they have found silent, so that not each node has to find out by itself.
+// so that two planners do not move the two holders of a layer at once, which
+// engines they have found silent, so that not each node has to find out by itself, and
+// permits to send requests to upstreams that take a bounded number from all nodes.
 //
 // All are datagrams. What is in use is told a few times a second, and a lost
 // datagram is made up for by the next; an order is told three times, and a silent
@@ -21,6 +22,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/fleetwire"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/work"
@@ -52,6 +54,8 @@
 	// near are told what this node has in use, and far what its data centre has.
 	near atomic.Pointer[[]net.Addr]
 	far  atomic.Pointer[[]net.Addr]
+	// named are the addresses of all nodes, by their names.
+	named atomic.Pointer[map[string]net.Addr]
 }
 
 // Listener takes what other nodes tell.
@@ -64,6 +68,10 @@
 	HearSilent(from *wire.Member, upstream fleet.Incarnation)
 	// HearLost takes a request that a node has lost at an upstream that has ended.
 	HearLost(id work.ID, upstream fleet.Incarnation)
+	// HearAsk takes a node's question for permits, and HearGrant the answer to one of this
+	// node's.
+	HearAsk(from *wire.Member, ask limit.Ask)
+	HearGrant(from *wire.Member, grant limit.Grant)
 	// HearAnswered takes a request that was lost, and that an upstream has answered since.
 	HearAnswered(id work.ID)
 }
@@ -204,6 +212,9 @@
 		s.listener.HearSilent(msg.GetFrom(), fleetwire.IncarnationOf(u))
 	}
 	s.takeTried(&msg)
+	if s.takePermits(&msg) {
+		return
+	}
 	if len(msg.GetPlaced())+len(msg.GetSilent())+len(msg.GetLost())+len(msg.GetAnswered()) > 0 {
 		return
 	}
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/usage"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/work"
@@ -24,6 +25,8 @@
 	// lost and answered name the works of which that was told.
 	lost     work.ID
 	answered work.ID
+	ask      limit.Ask
+	grant    limit.Grant
 }
 
 // inbox notes what a node hears.
@@ -43,6 +46,12 @@
 	i <- heard{lost: id, from: upstream.String()}
 }
 
+func (i inbox) HearAsk(from *wire.Member, ask limit.Ask) { i <- heard{from: from.GetName(), ask: ask} }
+
+func (i inbox) HearGrant(from *wire.Member, grant limit.Grant) {
+	i <- heard{from: from.GetName(), grant: grant}
+}
+
 func (i inbox) HearAnswered(id work.ID) { i <- heard{answered: id} }
 
 func newNode(t *testing.T, name string) (*usage.Sharing, inbox) {
