Upstreams that name a limit get no more requests than that from all nodes together

Callers' answers were late at upstreams that had said what they bear. Cause: a limit was not read, and nobody kept a sum over nodes. Ruled out: reading alone (as red as before), and a bound in each node (as many times over as there are nodes). Now a request that would begin at a limited upstream asks the owner of its permits, goes elsewhere where there are none, and is refused at once with the time of its turn where all that could serve it are limited.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -126,12 +126,19 @@
 // mayBegin tells whether a request may be sent to an upstream, as far as its limit goes: at
 // once, or after a permit was asked for.
 func (m *Model) mayBegin(r *request, u *upstream) bool {
+	switch m.limits.State(m.now, u.entry.ID) {
+	case limit.Spent:
+		return false
+	case limit.Askable, limit.Waiting:
+		return !r.impatient
+	}
 	return true
 }
 
 // needsPermit tells whether a permit must be awaited before a request is sent to an upstream.
 func (m *Model) needsPermit(u *upstream) bool {
-	return false
+	state := m.limits.State(m.now, u.entry.ID)
+	return state == limit.Askable || state == limit.Waiting
 }
 
 // awaitPermit asks for a permit for a request. This node may be the one that gives it.
--- a/node/limit_test.go
+++ b/node/limit_test.go
@@ -16,6 +16,11 @@
 // the only one at its data centre that could begin a stream. No line of any node told of the
 // limit, and each of them went on as before.
 //
+// What upstreams say of themselves was read for rest and leaving alone, and nothing kept a sum
+// over nodes: they told each other what they had in use, not what they sent. Reading the limit
+// changed nothing in this test (28 streams and 409 plain requests in 4 s, as before); keeping
+// it by permits of one owner for each upstream did.
+//
 // Here all upstreams of a service name a limit that is far below what three nodes have for
 // them.
 
