--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -12,6 +12,7 @@
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/internal/script"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
 	"github.com/hoistjunction/hoistjunction/work"
 )
@@ -20,6 +21,7 @@
 	script.Run(t, "testdata", func(t *testing.T) func(script.Step) []string {
 		p := &player{t: t, model: dispatch.New(
 			dispatch.WithDataCentre("a"),
+			dispatch.WithLimits(limit.New(limit.WithSelf("n1"))),
 			dispatch.WithPolicy(dispatch.Policy{RevokeWithin: 5000, RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}),
 		)}
 		// The node is the only one unless a line says otherwise.
@@ -80,6 +82,18 @@
 		return dispatch.MovedMsg{Request: request, Attempt: attempt, Result: dispatch.MoveResult(s.Int("result", 0)), At: s.Named["by"]}
 	case "rests":
 		return dispatch.RestMsg{Upstream: script.Incarnation(s.Word(0)), For: clock.Millis(s.Int("for", 0))}
+	case "limits":
+		rate, _ := strconv.ParseFloat(s.Named["rate"], 64)
+		return dispatch.LimitMsg{Upstream: script.Incarnation(s.Word(0)), Rate: rate}
+	case "unlimited":
+		return dispatch.NoLimitMsg{Upstream: script.Incarnation(s.Word(0)), Sent: clock.Millis(s.Int("sent", 0))}
+	case "members":
+		return membersOf(s)
+	case "permits":
+		return dispatch.PermitsMsg{From: s.Word(0), Grant: limit.Grant{
+			Upstream: script.Incarnation(s.Word(1)), Number: uint64(s.Int("number", 1)), Permits: s.Int("permits", 0),
+			Next: clock.Millis(s.Int("next", 0)), Queue: s.Int("queue", 0),
+		}}
 	case "left":
 		return dispatch.GoneMsg{Request: request}
 	case "probed":
@@ -103,6 +117,15 @@
 	return nil
 }
 
+// membersOf is a message of nodes by their names, this one first.
+func membersOf(s script.Step) dispatch.PeersMsg {
+	msg := dispatch.PeersMsg{All: len(s.Words), Near: len(s.Words) - 1}
+	for _, name := range s.Words {
+		msg.Members = append(msg.Members, limit.Member{Name: name, DataCentre: "a"})
+	}
+	return msg
+}
+
 func testReport(s script.Step) dispatch.Report {
 	return dispatch.Report{Pace: float64(s.Int("pace", 0)), Free: float64(s.Int("free", 0)), All: float64(s.Int("all", 0)), Queued: s.Int("queued", 0)}
 }
@@ -265,6 +288,10 @@
 		return fmt.Sprintf("wake %d give_up=%d", c.Request, c.GiveUp)
 	case dispatch.RestCmd:
 		return fmt.Sprintf("rest %s until %d", c.Upstream, c.Until)
+	case dispatch.LimitCmd:
+		return fmt.Sprintf("limit %s %v from=%s", c.Upstream, c.Rate, c.From)
+	case dispatch.AskPermitsCmd:
+		return fmt.Sprintf("ask %s for %s number=%d want=%d", c.To, c.Ask.Upstream, c.Ask.Number, c.Ask.Want)
 	case dispatch.SuspectCmd:
 		return fmt.Sprintf("suspect %s until %d", c.Upstream, c.Until)
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -226,6 +226,9 @@
 			continue
 		}
 		h := m.holder(r, u)
+		if !at.noLimits && !m.mayBegin(r, u) {
+			h.Penalty += limitedPenalty
+		}
 		if bounded && !r.ran(u) || !at.noLimits && !m.mayBegin(r, u) {
 			// A chain begins at the engine with the first layer, and the bound on upstreams
 			// that run a request is on these, as is a limit: nodes send it requests, and
@@ -244,6 +247,10 @@
 // where it can, in ms for each token.
 const triedPenalty = 5.0
 
+// limitedPenalty has what begins elsewhere pass by an upstream in need where others hold its
+// layers, in ms for each token. It is no request of a node's there, so nothing forbids it.
+const limitedPenalty = 5.0
+
 // suspectPenalty keeps requests off suspects where another engine holds the layers,
 // in ms for each token. It outweighs a crossing.
 const suspectPenalty = 50.0
--- a/soak/rest.go
+++ b/soak/rest.go
@@ -113,6 +113,7 @@
 				broken = append(broken, fmt.Sprintf("%s got %d requests of %s in the %d ms of rest that it had asked for", p.name, b.Count, b.Node, b.ToMS-b.FromMS))
 			}
 		}
+		broken = append(broken, s.limitBreaches(p.name, list)...)
 		for _, b := range standin.LeavingBreaches(list, nodeOf, leavingWithin+lateSlack) {
 			if !s.excused(b, p.name) {
 				broken = append(broken, fmt.Sprintf("%s got %d requests of %s late after its answers had said that it leaves", p.name, b.Count, b.Node))
--- a/standin/limit.go
+++ b/standin/limit.go
@@ -71,8 +71,9 @@
 
 // LimitBreaches returns the first span of each time with a limit in which a server got more
 // requests than that allows, from nodes that had been told, later than contact after it had
-// named the limit first. NodeOf names the node that a try was sent to.
-func LimitBreaches(list []Visit, nodeOf func(id string) string, contact time.Duration) []LimitBreach {
+// named the limit first. NodeOf names the node that a try was sent to, and excused tells
+// whether what a node has sent in a time counts for nothing.
+func LimitBreaches(list []Visit, nodeOf func(id string) string, contact time.Duration, excused func(node string, fromMS, toMS int64) bool) []LimitBreach {
 	var breaches []LimitBreach
 	told := make(map[string]int64)
 	first, broken := int64(0), false
@@ -92,6 +93,11 @@
 			continue
 		}
 		b := countWindow(list[:i+1], nodeOf, told)
+		for node, n := range b.Nodes {
+			if excused(node, v.AtMS-limitWindow.Milliseconds(), v.AtMS) {
+				b.Count -= n
+			}
+		}
 		broken = b.Count > b.Allowed
 		if broken {
 			breaches = append(breaches, b)
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"maps"
+	"reflect"
 	"testing"
 
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/usage"
@@ -105,3 +107,27 @@
 		break
 	}
 }
+
+func TestPermitsAreAskedForAndGiven(t *testing.T) {
+	asker, askerHeard := newNode(t, "a")
+	owner, ownerHeard := newNode(t, "b")
+	asker.SetAddresses(map[string]string{"b": owner.Address()})
+	owner.SetAddresses(map[string]string{"a": asker.Address()})
+
+	asker.Ask(limit.AskCmd{To: "nobody", Ask: limit.Ask{Number: 6}})
+	want := limit.Ask{Upstream: fleet.Undated("e1"), Life: 9, Number: 7, Want: 3, Named: limit.Named{Rate: 4.5, At: clock.Never}, Sent: []uint32{0, 2}}
+	asker.Ask(limit.AskCmd{To: "b", Ask: want})
+	got := <-ownerHeard
+	if got.from != "a" || !reflect.DeepEqual(got.ask.Sent, want.Sent) || got.ask.Upstream != want.Upstream || got.ask.Number != want.Number ||
+		got.ask.Life != want.Life || got.ask.Want != want.Want || got.ask.Named.At != clock.Never {
+		t.Errorf("got %+v from %s, want %+v", got.ask, got.from, want)
+	}
+
+	grant := limit.Grant{Upstream: fleet.Undated("e1"), Life: 9, Number: 7, Permits: 2, Next: 40, Queue: 5}
+	owner.Give("a", grant)
+	back := <-askerHeard
+	back.grant.Named = limit.Named{}
+	if back.from != "b" || back.grant != grant {
+		t.Errorf("got %+v from %s, want %+v", back.grant, back.from, grant)
+	}
+}
