--- a/soak/limit.go
+++ b/soak/limit.go
@@ -15,20 +15,20 @@
 	limitPart = 63
 	// leastLimited and longestLimited bound for how long one names a limit: the promise
 	// counts from limitContact on.
-	leastLimited   = 3 * time.Second
-	longestLimited = 8 * time.Second
+	leastLimited   = 5 * time.Second
+	longestLimited = 10 * time.Second
 	limitContact   = 3 * time.Second
 	// betweenLimits bounds the pause between two of them.
-	betweenLimits = time.Second
+	betweenLimits = 3 * time.Second
 )
 
-// limitNames are what upstreams name.
-var limitNames = []string{"0.5", "1", "2", "4.5", "2.25", "0", "1e9", "few", "-1"}
+// limitNames are what upstreams name: mostly less than what comes to them.
+var limitNames = []string{"0.5", "0.5", "1", "0.25", "2", "4.5", "0", "1e9", "few", "-1"}
 
-// limitSeries has engines and the desk name limits, one after the other.
-func (s *soak) limitSeries(ctx context.Context, random *rand.Rand) {
+// limitSeries has one upstream name limits, one after the other: an engine, or the desk.
+func (s *soak) limitSeries(ctx context.Context, which int, random *rand.Rand) {
 	for ctx.Err() == nil {
-		which := random.IntN(len(s.world.engines) + 1)
+		sleep(ctx, time.Duration(random.Int64N(int64(betweenLimits))))
 		name := limitNames[random.IntN(len(limitNames))]
 		lasts := leastLimited + time.Duration(random.Int64N(int64(longestLimited-leastLimited)))
 		what, err := s.nameLimit(which, name)
@@ -37,7 +37,6 @@
 		if _, err := s.nameLimit(which, ""); err != nil {
 			s.note(what+" names its limit still", 0, err)
 		}
-		sleep(ctx, time.Duration(random.Int64N(int64(betweenLimits))))
 	}
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -108,7 +108,9 @@
 	group.Go(func() { s.deadlySeries(ctx, rand.New(rand.NewPCG(s.Seed, deadlyPart))) })
 	group.Go(func() { s.suspendSeries(ctx, rand.New(rand.NewPCG(s.Seed, suspendPart))) })
 	group.Go(func() { s.restSeries(ctx, rand.New(rand.NewPCG(s.Seed, restPart))) })
-	group.Go(func() { s.limitSeries(ctx, rand.New(rand.NewPCG(s.Seed, limitPart))) })
+	for i := range len(s.world.engines) + 1 {
+		group.Go(func() { s.limitSeries(ctx, i, rand.New(rand.NewPCG(s.Seed, limitPart+uint64(i)))) })
+	}
 	group.Go(func() { s.restartCrashed(ctx) })
 	group.Wait()
 	s.startCrashed()
