hoistlab: a limit that engines name; nodes tell each other of limits

What was sent before counts for 2 s now instead of 1.2, and nodes tell each other of limits with what they have in use.

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -5,6 +5,7 @@
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
 	"github.com/hoistjunction/hoistjunction/work"
 )
@@ -118,6 +119,8 @@
 	// Total is what those of all nodes that tell each other take, at engines that
 	// are worth telling others of.
 	Total map[fleet.Incarnation]fleet.Use
+	// Limits are what is known of the limits that upstreams name.
+	Limits map[fleet.Incarnation]limit.Named
 }
 
 // SilentCmd tells the planner of layers that an engine does not answer, or does
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -92,6 +92,22 @@
 	return nil
 }
 
+// toldLimits takes in what another node knows of limits, so that the first requests that this
+// node sends to such an upstream are not too many.
+func (m *Model) toldLimits(msg UsageMsg) []Cmd {
+	var cmds []Cmd
+	for _, id := range sortedKeys(msg.Limits) {
+		if m.upstreams[id] == nil || !m.limits.Told(m.now, id, msg.Limits[id]) {
+			continue
+		}
+		cmds = append(cmds, m.limitChanged(id, msg.Node)...)
+		if msg.Limits[id].Rate == 0 {
+			cmds = append(cmds, m.takePermits(id)...)
+		}
+	}
+	return cmds
+}
+
 // permits takes the answer to a question for permits.
 func (m *Model) permits(msg PermitsMsg) []Cmd {
 	upstream := msg.Grant.Upstream
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -128,7 +128,7 @@
 	case PeersMsg:
 		m.setPeers(msg)
 	case UsageMsg:
-		m.noteUsage(msg)
+		return m.noteUsage(msg)
 	case PlacedMsg:
 		m.placed(msg)
 	case ArriveMsg:
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -45,6 +45,8 @@
 	// made of.
 	Total      bool
 	DataCentre string
+	// Limits are what the node knows of the limits that upstreams name.
+	Limits map[fleet.Incarnation]limit.Named
 }
 
 // PlacedMsg tells that an engine has been ordered to hold other layers, or, with
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -39,7 +39,7 @@
 			used[id] = fleet.Use{Memory: u.reserved, Streams: u.inFlight}
 		}
 	}
-	return []Cmd{ShareCmd{Used: used, Total: m.total(used)}}
+	return []Cmd{ShareCmd{Used: used, Total: m.total(used), Limits: m.limits.Known(m.now)}}
 }
 
 // total adds up what this node and those that tell it alone have in use.
@@ -62,7 +62,7 @@
 
 // noteUsage takes what another node has in use, in place of what it has told before.
 // The sum for each engine is kept, since every request asks for it.
-func (m *Model) noteUsage(msg UsageMsg) {
+func (m *Model) noteUsage(msg UsageMsg) []Cmd {
 	if msg.Total {
 		m.limits.HeardAll(m.now, msg.DataCentre)
 	} else {
@@ -75,6 +75,7 @@
 			u.others = u.others.Plus(use)
 		}
 	}
+	return m.toldLimits(msg)
 }
 
 // takeOff takes what a node has told off the sums.
--- a/lab/attempt.go
+++ b/lab/attempt.go
@@ -52,7 +52,11 @@
 	tokens float64
 	// last is when the last event came, or it was sent.
 	last clock.Millis
-	over bool
+	// sent is the age of the node's process at which it was sent, and heard tells that the
+	// first engine's answer has begun.
+	sent  clock.Millis
+	heard bool
+	over  bool
 	// still is the engine that it waits for, and plan counts what was planned for it: what
 	// was planned before the last change counts no more.
 	still *engine
@@ -68,7 +72,7 @@
 func (s *session) send(cmd dispatch.SendCmd) {
 	w := s.node.world
 	w.result.Sends++
-	a := &attempt{world: w, session: s, cmd: cmd, tokens: s.caller.tokens(), last: w.now}
+	a := &attempt{world: w, session: s, cmd: cmd, tokens: s.caller.tokens(), last: w.now, sent: s.node.age()}
 	s.attempt = a
 	if !chain.Check(w.pipeline.Layers, cmd.Chain) {
 		w.result.breach("layers", "a chain that does not run each layer once")
@@ -94,12 +98,15 @@
 	}
 	w.count(a.session)
 	first.judge(a.session.node)
+	first.visited(a.session.node)
 	if first.turnsAway() {
 		first.ask(a.session.node)
+		first.answers(a.session.node, a.sent)
 		a.fail(dispatch.NotRunFull, "")
 		return
 	}
 	if cause, at, ok := a.build(a.cmd.Chain); !ok {
+		first.answers(a.session.node, a.sent)
 		a.fail(cause, at)
 		return
 	}
@@ -189,6 +196,10 @@
 		if a.over || a.plan != plan {
 			return
 		}
+		if !a.heard {
+			a.heard = true
+			a.parts[0].engine.answers(a.session.node, a.sent)
+		}
 		a.session.take(events, (a.world.now.Sub(a.last))/clock.Millis(events))
 		a.last = a.world.now
 		if left := a.session.caller.events - a.session.events; left > 0 {
--- a/lab/engine.go
+++ b/lab/engine.go
@@ -43,6 +43,8 @@
 	asks    clock.Millis
 	// told is what the judge needs of rests: until when each node was asked for rest.
 	told map[*node]restAsked
+	// need is the limit that it names.
+	need need
 }
 
 // restAsked is a rest that a node was asked for.
--- a/lab/fault.go
+++ b/lab/fault.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
@@ -25,6 +26,8 @@
 	// Rest has engines turn all requests away that begin there, and ask for x seconds of
 	// rest.
 	Rest Kind = "rest"
+	// Limit has engines name x requests a second that they take from all nodes together.
+	Limit Kind = "limit"
 	// Deadly has a part x of all requests end the engine that begins to run them; one such
 	// request comes again and again.
 	Deadly Kind = "deadly"
@@ -36,7 +39,7 @@
 	ListAway Kind = "list_away"
 )
 
-var kinds = []Kind{Crash, Slow, Refuse, Rest, Deadly, Burst, NodeKill, ListAway}
+var kinds = []Kind{Crash, Slow, Refuse, Rest, Limit, Deadly, Burst, NodeKill, ListAway}
 
 // Fault is a trouble at a time.
 type Fault struct {
@@ -46,8 +49,9 @@
 	At, For clock.Millis
 	// Share is the part of the engines or nodes that it strikes.
 	Share float64
-	// X is how strong it is.
-	X float64
+	// X is how strong it is. Where XMost is more, each that it strikes draws a number between
+	// the two.
+	X, XMost float64
 	// Every repeats it, each time on others; zero for once. Until bounds that.
 	Every, Until clock.Millis
 }
@@ -69,6 +73,12 @@
 	}
 	for _, word := range words[2:] {
 		key, value, _ := strings.Cut(word, "=")
+		if low, high, isRange := strings.Cut(value, ".."); isRange && key == "x" {
+			if f.XMost, err = strconv.ParseFloat(high, 64); err != nil {
+				return f, faultError(name, text, "write x= and a number, or two with .. between")
+			}
+			value = low
+		}
 		n, err := strconv.ParseFloat(value, 64)
 		if err != nil || n < 0 {
 			return f, faultError(name, text, "write "+key+"= and a number that is not negative")
@@ -91,6 +101,14 @@
 	return f, nil
 }
 
+// drawX is how strong it is for one that it strikes.
+func (f Fault) drawX(random *rand.Rand) float64 {
+	if f.XMost <= f.X {
+		return f.X
+	}
+	return f.X + random.Float64()*(f.XMost-f.X)
+}
+
 func faultError(name, text, remedy string) error {
 	return errors.Wrapf(ErrScenario, "[faults] %s = %q: %s, as in 5.0 crash share=0.2 for=3", name, text, remedy)
 }
--- a/lab/hunt.go
+++ b/lab/hunt.go
@@ -59,6 +59,9 @@
 			f.X = 0.1 + 0.8*random.Float64()
 		case Rest:
 			f.X = 0.5 + 4*random.Float64()
+		case Limit:
+			f.X, f.XMost = 0.2+5*random.Float64(), 6
+			f.For += 3000
 		case Deadly:
 			f.X = 0.005 + 0.02*random.Float64()
 		case Burst:
@@ -110,6 +113,9 @@
 func (f Fault) Line() string {
 	const msPerSecond = 1000.0
 	line := fmt.Sprintf("%s = %.2f %s share=%.3g for=%.3g x=%.3g", f.Name, float64(f.At)/msPerSecond, f.Kind, f.Share, float64(f.For)/msPerSecond, f.X)
+	if f.XMost > f.X {
+		line += fmt.Sprintf("..%.3g", f.XMost)
+	}
 	if f.Every > 0 {
 		line += fmt.Sprintf(" every=%.3g until=%.3g", float64(f.Every)/msPerSecond, float64(f.Until)/msPerSecond)
 	}
--- a/lab/node.go
+++ b/lab/node.go
@@ -6,6 +6,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/placement"
 )
 
@@ -52,6 +53,7 @@
 	life := n.life
 	s := w.scenario
 	n.model = dispatch.New(dispatch.WithDataCentre(n.centre), dispatch.WithSeed(uint64(n.rank)+1), dispatch.WithKeptQuarantine(),
+		dispatch.WithLimits(limit.New(limit.WithSelf(n.name), limit.WithLife(uint64(n.life)))),
 		dispatch.WithPolicy(dispatch.Policy{RetryWindow: s.Nodes.WindowMS, RetryShare: w.retryShare(), RetrySlack: w.retrySlack()}))
 	n.planner = placement.New(placement.WithDelay(clock.Millis(n.rank)*planSlot), placement.WithStart(0))
 	n.view = fleet.NewView()
@@ -61,7 +63,7 @@
 	n.hear(w.list.all())
 	n.seen = len(w.list.changes)
 	n.tell(dispatch.QuarantinedMsg{Works: w.kept()})
-	n.tell(dispatch.PeersMsg{All: len(w.nodes), Near: w.near(n)})
+	n.tell(dispatch.PeersMsg{All: len(w.nodes), Near: w.near(n), Members: w.members()})
 	w.every(tickEvery, func() bool {
 		if n.up && n.life == life {
 			n.tell(dispatch.TickMsg{})
@@ -162,7 +164,11 @@
 		n.identify(cmd)
 	case dispatch.QuarantineCmd:
 		n.spread(cmd.News)
-	case dispatch.SuspectCmd, dispatch.RestCmd, dispatch.WakeCmd:
+	case dispatch.AskPermitsCmd:
+		n.askPermits(cmd.AskCmd)
+	case dispatch.GivePermitsCmd:
+		n.givePermits(cmd)
+	case dispatch.SuspectCmd, dispatch.RestCmd, dispatch.WakeCmd, dispatch.LimitCmd:
 	default:
 		if s := n.sessions[requestOf(cmd)]; s != nil {
 			s.obey(cmd)
--- a/lab/node_tell.go
+++ b/lab/node_tell.go
@@ -1,6 +1,8 @@
 package lab
 
 import (
+	"slices"
+
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -24,6 +26,23 @@
 	}
 }
 
+// one tells another node something by a datagram, which may be lost.
+func (n *node) one(name string, tell func(o *node)) {
+	w := n.world
+	w.result.PermitDatagrams++
+	i := slices.IndexFunc(w.nodes, func(o *node) bool { return o.name == name })
+	if i < 0 || w.random.Float64() < w.scenario.Nodes.LostShare {
+		return
+	}
+	o := w.nodes[i]
+	life := o.life
+	w.after(1+clock.Millis(w.random.IntN(2)), func() {
+		if o.up && o.life == life {
+			tell(o)
+		}
+	})
+}
+
 // share tells others what the node has in use. In larger systems each tells its own data
 // centre, and one of them all others what it has in all.
 func (n *node) share(cmd dispatch.ShareCmd) {
@@ -36,9 +55,9 @@
 	n.others(func(o *node) {
 		switch {
 		case small || o.centre == n.centre:
-			o.tell(dispatch.UsageMsg{Node: n.name, Used: cmd.Used})
+			o.tell(dispatch.UsageMsg{Node: n.name, Used: cmd.Used, Limits: n.limitsFor(o, cmd.Limits)})
 		case reads:
-			o.tell(dispatch.UsageMsg{Node: "all of " + n.centre, Used: cmd.Total, Total: true})
+			o.tell(dispatch.UsageMsg{Node: "all of " + n.centre, Used: cmd.Total, Total: true, DataCentre: n.centre, Limits: n.limitsFor(o, cmd.Limits)})
 		}
 	})
 }
--- a/lab/result.go
+++ b/lab/result.go
@@ -39,6 +39,12 @@
 	// Tries counts requests at nodes, Sends attempts at engines, Repeats those that reached
 	// one again, RefusedAgain returns that were refused, InRest arrivals in a rest.
 	Tries, Sends, Repeats, RefusedAgain, InRest, Moves, Orders, Probes, Ended, DeadlyEnds int
+	// PermitDatagrams counts what nodes tell each other of permits, and MostOfLimit is the
+	// most that an engine got in a window over what its limit allows in it.
+	PermitDatagrams int
+	MostOfLimit     float64
+	// limitAllowed and limitUsed are requests, over all limits.
+	limitAllowed, limitUsed float64
 	// Broken are the promises that were broken, each with what it was first.
 	Broken map[string]string
 }
@@ -122,11 +128,12 @@
 		"credit": r.Credit(), "worst 5 s": r.Worst(), "served": r.Served(),
 		"refused": float64(r.Total[Refused]) / n, "failed": float64(r.Total[Failed]) / n,
 		"refused again": float64(r.RefusedAgain) / n, "repeats": float64(r.Repeats) / n, "in a rest": float64(r.InRest),
+		"most of a limit": r.MostOfLimit, "used of limits": r.LimitUsed(),
 	}
 }
 
 // FigureNames are the names of the figures in the order in which they are shown.
-var FigureNames = []string{"credit", "worst 5 s", "served", "refused", "failed", "refused again", "repeats", "in a rest"}
+var FigureNames = []string{"credit", "worst 5 s", "served", "refused", "failed", "refused again", "repeats", "in a rest", "most of a limit", "used of limits"}
 
 // Largest returns the most frequent causes, at most a number of them.
 func (r *Result) Largest(most int) []string {
--- a/lab/run_test.go
+++ b/lab/run_test.go
@@ -73,7 +73,7 @@
 // A hunt finds what nodes break that do not read a rest, and shrinks it to that.
 func TestHuntShrinks(t *testing.T) {
 	s, v, step := load(t, "small"), without(t, "rest"), func() {}
-	find, found := Hunt(s, v, 9, 1, step)
+	find, found := Hunt(s, v, 10, 1, step)
 	if !found {
 		t.Fatal("got no promise broken, want one")
 	}
@@ -120,3 +120,26 @@
 		}
 	}
 }
+
+// All engines take fewer requests from all nodes together than come. They get no more than
+// that, beside lost nodes and lost datagrams too, and nearly all of it is used.
+func TestLimitsAreKept(t *testing.T) {
+	s := load(t, "limit")
+	s.Nodes.LostShare = 0.02
+	for seed := range uint64(3) {
+		r := Run(s, Variant{}, seed+1)
+		if len(r.Broken) != 0 {
+			t.Errorf("seed %d: got %v broken, want none", seed+1, r.Broken)
+		}
+		if got := r.LimitUsed(); got < 0.9 {
+			t.Errorf("seed %d: got %.2f of the limits used, want 0.9", seed+1, got)
+		}
+	}
+	if unread := Run(s, without(t, "limits"), 1); unread.Broken["limit"] == "" {
+		t.Errorf("got %v broken by nodes that do not read limits, want the limit", unread.Broken)
+	}
+	s = s.with(append([]Fault{{Name: "lost", Kind: NodeKill, At: 9000, For: 1500, Share: 0.5, Every: 7000, Until: 30000}}, s.Faults...))
+	if r := Run(s, Variant{}, 4); len(r.Broken) != 0 {
+		t.Errorf("with nodes lost: got %v broken, want none", r.Broken)
+	}
+}
--- a/lab/troubles.go
+++ b/lab/troubles.go
@@ -31,6 +31,8 @@
 		w.harm(f, func(e *engine) { e.refuses = f.X }, func(e *engine) { e.refuses = 0 })
 	case Rest:
 		w.harm(f, func(e *engine) { e.refuses, e.asks = 1, seconds(f.X) }, func(e *engine) { e.refuses, e.asks = 0, 0 })
+	case Limit:
+		w.harm(f, func(e *engine) { e.setLimit(f.drawX(w.troubles)) }, func(e *engine) { e.setLimit(0) })
 	case Deadly:
 		w.deadly.share, w.deadly.down = f.X, 3200
 		w.after(f.For, func() { w.deadly.share = 0 })
--- a/lab/variant.go
+++ b/lab/variant.go
@@ -13,6 +13,8 @@
 	Name string
 	// NoRest: what upstreams ask for beside a refusal is not read.
 	NoRest bool
+	// NoLimits: what upstreams take from all nodes together is not read.
+	NoLimits bool
 	// NoUsage: nodes do not tell each other what they have in use.
 	NoUsage bool
 	// NoSilence: nodes do not tell each other of engines that do not answer.
@@ -34,6 +36,7 @@
 // switches are the mechanisms by name.
 var switches = map[string]func(*Variant){
 	"rest":        func(v *Variant) { v.NoRest = true },
+	"limits":      func(v *Variant) { v.NoLimits = true },
 	"usage":       func(v *Variant) { v.NoUsage = true },
 	"silence":     func(v *Variant) { v.NoSilence = true },
 	"reports":     func(v *Variant) { v.NoReports = true },
--- a/lab/world.go
+++ b/lab/world.go
@@ -9,6 +9,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/work"
 )
@@ -69,6 +70,9 @@
 	w.every(tickEvery, w.sweep)
 	w.run(s.Load.ForMS)
 	w.burst = 0
+	for _, e := range w.engines {
+		e.setLimit(0)
+	}
 	w.run(s.Load.ForMS.Add(s.Load.PatienceMS))
 	w.judge()
 	return w.result
@@ -207,6 +211,15 @@
 	return here[number%len(here)]
 }
 
+// members are all nodes.
+func (w *world) members() []limit.Member {
+	list := make([]limit.Member, 0, len(w.nodes))
+	for _, n := range w.nodes {
+		list = append(list, limit.Member{Name: n.name, DataCentre: n.centre})
+	}
+	return list
+}
+
 // near is how many others tell a node alone what they have in use.
 func (w *world) near(n *node) int {
 	if len(w.nodes) < nearAll {
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -19,8 +19,11 @@
 	// unanswered is for how long nobody is asked after none of the owners has answered.
 	unanswered clock.Millis = 500
 	// settles is how long before its limit is known what was sent to an upstream counts. The
-	// limit binds some 3 s after it was named, and by then the rest is out of the window.
-	settles clock.Millis = 1200
+	// limit binds some 3 s after it was named, when a window reaches back to a second before
+	// that; the first answer that names it may be on its way for as long.
+	settles clock.Millis = 2000
+	// endTold is for how long others are told of a limit's end.
+	endTold clock.Millis = 5000
 	// leastRate stands in for a limit of nothing: with a request now and then its end shows.
 	leastRate = 0.05
 	// noLimit is from which rate on a limit binds nobody.
@@ -118,6 +121,29 @@
 	return s.learn(now, Named{At: now})
 }
 
+// Told takes in what another node knows of an upstream's limit, and returns whether it brings
+// another number. An older word than the own one brings none.
+func (k *Keeper) Told(now clock.Millis, upstream fleet.Incarnation, word Named) bool {
+	s := k.share(upstream)
+	return word.At > s.named.At && s.learn(now, word)
+}
+
+// Known returns what other nodes are to be told of limits: of those that hold, and of those
+// that have ended lately.
+func (k *Keeper) Known(now clock.Millis) map[fleet.Incarnation]Named {
+	var known map[fleet.Incarnation]Named
+	for id, s := range k.shares {
+		if s.named.Rate == 0 && now > s.named.At.Add(endTold) {
+			continue
+		}
+		if known == nil {
+			known = make(map[fleet.Incarnation]Named)
+		}
+		known[id] = s.named
+	}
+	return known
+}
+
 // Limit returns what is known of an upstream's limit.
 func (k *Keeper) Limit(upstream fleet.Incarnation) (Named, bool) {
 	s := k.shares[upstream]
--- a/node/learn.go
+++ b/node/learn.go
@@ -53,10 +53,10 @@
 
 // share tells other nodes what this one has in use. The node that reads the
 // store for its data centre tells others what all of them have.
-func (n *Node) share(used, total map[fleet.Incarnation]fleet.Use) {
-	n.usage.Share(used)
+func (n *Node) share(cmd dispatch.ShareCmd) {
+	n.usage.Share(cmd.Used, cmd.Limits)
 	if n.roster.Reads(n.clock.Now()) {
-		n.usage.ShareTotal(total)
+		n.usage.ShareTotal(cmd.Total, cmd.Limits)
 	}
 }
 
@@ -71,12 +71,12 @@
 	for engine := range msg.Used {
 		n.meet(engine)
 	}
-	if msg.Total {
-		n.relay.SetTotal(from.GetDataCentre(), msg.Used)
-		return
+	if !msg.Total {
+		n.roster.Heard(n.clock.Now(), from.GetName(), msg.Followable)
 	}
-	n.roster.Heard(n.clock.Now(), from.GetName(), msg.Followable)
-	n.relay.SetUsage(from.GetName(), msg.Used)
+	n.relay.SetUsage(dispatch.UsageMsg{
+		Node: from.GetName(), Used: msg.Used, Total: msg.Total, DataCentre: from.GetDataCentre(), Limits: msg.Limits,
+	})
 }
 
 // HearAsk implements usage.Listener.
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -49,7 +49,7 @@
 	silent func(dispatch.SilentCmd)
 	// share tells other nodes what this one has in use, and what all do that
 	// tell each other.
-	share func(used, total map[fleet.Incarnation]fleet.Use)
+	share func(dispatch.ShareCmd)
 	// ask sends other nodes questions for permits, and give answers theirs.
 	ask  func(limit.AskCmd)
 	give func(to string, grant limit.Grant)
@@ -67,7 +67,7 @@
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
 	return &decider{
 		model: model, clock: c, log: log, probe: probe, identify: identify, silent: func(dispatch.SilentCmd) {},
-		share:      func(used, total map[fleet.Incarnation]fleet.Use) {},
+		share:      func(dispatch.ShareCmd) {},
 		ask:        func(limit.AskCmd) {},
 		give:       func(string, limit.Grant) {},
 		limited:    func(fleet.Incarnation, bool) {},
@@ -134,7 +134,7 @@
 	case dispatch.WakeCmd:
 		d.post(cmd.Request, cmd)
 	case dispatch.ShareCmd:
-		d.share(cmd.Used, cmd.Total)
+		d.share(cmd)
 	case dispatch.SilentCmd:
 		d.silent(cmd)
 	case dispatch.ProbeCmd:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -67,7 +67,7 @@
 
 // WithSharing sets who tells other nodes what this one has in use, and what all
 // do that tell each other.
-func WithSharing(share func(used, total map[fleet.Incarnation]fleet.Use)) Option {
+func WithSharing(share func(dispatch.ShareCmd)) Option {
 	return func(r *Relay) { r.decider.share = share }
 }
 
@@ -165,14 +165,13 @@
 	r.decider.tell(r.life, dispatch.PermitsMsg{From: from, Grant: grant})
 }
 
-// SetUsage takes what another node has in use.
-func (r *Relay) SetUsage(node string, used map[fleet.Incarnation]fleet.Use) {
-	r.decider.tell(r.life, dispatch.UsageMsg{Node: node, Used: used})
-}
-
-// SetTotal takes what all nodes of another data centre have in use.
-func (r *Relay) SetTotal(dataCentre string, used map[fleet.Incarnation]fleet.Use) {
-	r.decider.tell(r.life, dispatch.UsageMsg{Node: "all of " + dataCentre, Used: used, Total: true, DataCentre: dataCentre})
+// SetUsage takes what another node or, with total, all nodes of another data centre have in
+// use, and what it knows of limits.
+func (r *Relay) SetUsage(msg dispatch.UsageMsg) {
+	if msg.Total {
+		msg.Node = "all of " + msg.DataCentre
+	}
+	r.decider.tell(r.life, msg)
 }
 
 // SetSilent takes an engine that another node has found silent.
--- a/usage/permits.go
+++ b/usage/permits.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
@@ -74,6 +75,28 @@
 	return msg.GetPermitAsk() != nil || msg.GetPermitGrant() != nil
 }
 
+// limitsKnown tells limits by upstream.
+func (s *Sharing) limitsKnown(limits map[fleet.Incarnation]limit.Named) []*wire.UpstreamLimit {
+	var list []*wire.UpstreamLimit
+	for upstream, named := range limits {
+		id, born := fleetwire.Name(upstream)
+		list = append(list, &wire.UpstreamLimit{Id: id, Born: born, Named: s.namedLimit(named)})
+	}
+	return list
+}
+
+// limitsTold is the reverse of limitsKnown.
+func (s *Sharing) limitsTold(list []*wire.UpstreamLimit) map[fleet.Incarnation]limit.Named {
+	if len(list) == 0 {
+		return nil
+	}
+	limits := make(map[fleet.Incarnation]limit.Named, len(list))
+	for _, l := range list {
+		limits[fleetwire.IncarnationOf(l)] = s.limitNamed(l.GetNamed())
+	}
+	return limits
+}
+
 // namedLimit tells a limit with its age, since nodes' clocks differ.
 func (s *Sharing) namedLimit(named limit.Named) *wire.NamedLimit {
 	return &wire.NamedLimit{Rate: named.Rate, AgeMs: int64(clock.AgeOf(named.At, s.clock.Now()))}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -80,6 +80,8 @@
 type Msg struct {
 	// Used is what is in use by engine.
 	Used map[fleet.Incarnation]fleet.Use
+	// Limits are what the sender knows of the limits that upstreams name.
+	Limits map[fleet.Incarnation]limit.Named
 	// Total tells that all nodes of the sender's data centre have it in use.
 	Total bool
 	// Followable tells whether other nodes may follow the sender in place of the
@@ -142,14 +144,14 @@
 	return &peers
 }
 
-// Share tells the near peers what this node has in use.
-func (s *Sharing) Share(used map[fleet.Incarnation]fleet.Use) {
-	s.send(&wire.Usage{From: s.self, Followable: s.followable(), Engines: engineUse(used), Quarantine: s.quarantine()}, s.near.Load())
+// Share tells the near peers what this node has in use, and what it knows of limits.
+func (s *Sharing) Share(used map[fleet.Incarnation]fleet.Use, limits map[fleet.Incarnation]limit.Named) {
+	s.send(&wire.Usage{From: s.self, Followable: s.followable(), Engines: engineUse(used), Quarantine: s.quarantine(), Limits: s.limitsKnown(limits)}, s.near.Load())
 }
 
 // ShareTotal tells the far peers what this node's data centre has in use.
-func (s *Sharing) ShareTotal(total map[fleet.Incarnation]fleet.Use) {
-	s.send(&wire.Usage{From: s.self, Total: true, Engines: engineUse(total), Quarantine: s.quarantine()}, s.far.Load())
+func (s *Sharing) ShareTotal(total map[fleet.Incarnation]fleet.Use, limits map[fleet.Incarnation]limit.Named) {
+	s.send(&wire.Usage{From: s.self, Total: true, Engines: engineUse(total), Quarantine: s.quarantine(), Limits: s.limitsKnown(limits)}, s.far.Load())
 }
 
 func engineUse(used map[fleet.Incarnation]fleet.Use) []*wire.EngineUse {
@@ -222,5 +224,5 @@
 	for _, e := range msg.GetEngines() {
 		used[fleetwire.IncarnationOf(e)] = fleet.Use{Memory: e.GetAmount(), Streams: int(e.GetStreams())}
 	}
-	s.listener.HearUse(msg.GetFrom(), Msg{Used: used, Total: msg.GetTotal(), Followable: msg.GetFollowable(), Quarantine: msg.GetQuarantine()})
+	s.listener.HearUse(msg.GetFrom(), Msg{Used: used, Limits: s.limitsTold(msg.GetLimits()), Total: msg.GetTotal(), Followable: msg.GetFollowable(), Quarantine: msg.GetQuarantine()})
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -75,13 +75,16 @@
 	far, farHeard := newNode(t, "c")
 	teller.SetPeers([]string{near.Address()}, []string{far.Address()})
 
-	teller.Share(map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 5, Streams: 2}})
+	teller.Share(map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 5, Streams: 2}}, map[fleet.Incarnation]limit.Named{fleet.Undated("e1"): {Rate: 4.5}})
 	got := <-nearHeard
 	if got.from != "a" || !got.msg.Followable || got.msg.Total || got.msg.Used[fleet.Undated("e1")] != (fleet.Use{Memory: 5, Streams: 2}) {
 		t.Errorf("got %+v, want what a has in use", got)
 	}
+	if named := got.msg.Limits[fleet.Undated("e1")]; named.Rate != 4.5 || named.At == clock.Never {
+		t.Errorf("got the limit %+v, want one of 4.5", named)
+	}
 
-	teller.ShareTotal(map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 50, Streams: 2}})
+	teller.ShareTotal(map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 50, Streams: 2}}, nil)
 	got = <-farHeard
 	if !got.msg.Total || !maps.Equal(got.msg.Used, map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 50, Streams: 2}}) {
 		t.Errorf("got %+v, want a total of 50", got)
