--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -123,6 +123,9 @@
 	return append(cmds, m.takePermits(upstream)...)
 }
 
+// Limits returns the limits that hold, for metrics.
+func (m *Model) Limits(now clock.Millis) []limit.Shown { return m.limits.Show(now) }
+
 func (m *Model) limitChanged(upstream fleet.Incarnation, from string) []Cmd {
 	named, _ := m.limits.Limit(upstream)
 	cmd := LimitCmd{Upstream: upstream, Rate: named.Rate, From: from}
@@ -148,6 +151,7 @@
 		return false
 	case limit.Askable, limit.Waiting:
 		return !r.impatient
+	case limit.Free, limit.Permitted:
 	}
 	return true
 }
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -47,6 +47,9 @@
 }
 
 func (p *player) msg(s script.Step) dispatch.Msg {
+	if msg := limitMsg(s); msg != nil {
+		return msg
+	}
 	request, attempt := ids(s.Word(0))
 	switch s.Verb {
 	case "config":
@@ -82,18 +85,6 @@
 		return dispatch.MovedMsg{Request: request, Attempt: attempt, Result: dispatch.MoveResult(s.Int("result", 0)), At: s.Named["by"]}
 	case "rests":
 		return dispatch.RestMsg{Upstream: script.Incarnation(s.Word(0)), For: clock.Millis(s.Int("for", 0))}
-	case "limits":
-		rate, _ := strconv.ParseFloat(s.Named["rate"], 64)
-		return dispatch.LimitMsg{Upstream: script.Incarnation(s.Word(0)), Rate: rate}
-	case "unlimited":
-		return dispatch.NoLimitMsg{Upstream: script.Incarnation(s.Word(0)), Sent: clock.Millis(s.Int("sent", 0))}
-	case "members":
-		return membersOf(s)
-	case "permits":
-		return dispatch.PermitsMsg{From: s.Word(0), Grant: limit.Grant{
-			Upstream: script.Incarnation(s.Word(1)), Number: uint64(s.Int("number", 1)), Permits: s.Int("permits", 0),
-			Next: clock.Millis(s.Int("next", 0)), Queue: s.Int("queue", 0),
-		}}
 	case "left":
 		return dispatch.GoneMsg{Request: request}
 	case "probed":
@@ -117,6 +108,25 @@
 	return nil
 }
 
+// limitMsg is a message on limits; nil for another.
+func limitMsg(s script.Step) dispatch.Msg {
+	switch s.Verb {
+	case "limits":
+		rate, _ := strconv.ParseFloat(s.Named["rate"], 64)
+		return dispatch.LimitMsg{Upstream: script.Incarnation(s.Word(0)), Rate: rate}
+	case "unlimited":
+		return dispatch.NoLimitMsg{Upstream: script.Incarnation(s.Word(0)), Sent: clock.Millis(s.Int("sent", 0))}
+	case "members":
+		return membersOf(s)
+	case "permits":
+		return dispatch.PermitsMsg{From: s.Word(0), Grant: limit.Grant{
+			Upstream: script.Incarnation(s.Word(1)), Number: uint64(s.Int("number", 1)), Permits: s.Int("permits", 0),
+			Next: clock.Millis(s.Int("next", 0)), Queue: s.Int("queue", 0),
+		}}
+	}
+	return nil
+}
+
 // membersOf is a message of nodes by their names, this one first.
 func membersOf(s script.Step) dispatch.PeersMsg {
 	msg := dispatch.PeersMsg{All: len(s.Words), Near: len(s.Words) - 1}
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -50,15 +50,15 @@
 type State uint8
 
 const (
-	// Free: it names no limit.
+	// Free means that it names no limit.
 	Free State = iota
-	// Permitted: there is a permit for a request.
+	// Permitted means that there is a permit for a request.
 	Permitted
-	// Askable: there is none, and one may be asked for.
+	// Askable means that there is none, and one may be asked for.
 	Askable
-	// Waiting: one has been asked for.
+	// Waiting means that one has been asked for.
 	Waiting
-	// Spent: none can be had before a time.
+	// Spent means that none can be had before a time.
 	Spent
 )
 
--- a/limit/sim_test.go
+++ b/limit/sim_test.go
@@ -77,7 +77,7 @@
 	least, worst, datagrams := math.Inf(1), 0, 0.0
 	for seed := range s.Int("seeds", 1) {
 		w := newSim(uint64(seed+1), s.Int("nodes", 2), number("rate", 1), number("demand", 10), s.Named["how"], number("loss", 0))
-		w.events = p.events
+		w.events, w.way = p.events, s.Named["way"]
 		w.run()
 		worst = max(worst, w.most())
 		least = min(least, w.used())
@@ -98,23 +98,25 @@
 		said = append(said, fmt.Sprintf("%.1f datagrams a second a node, want %.1f at most", datagrams, most))
 	}
 	if testing.Verbose() {
-		fmt.Printf("nodes=%s rate=%s how=%s loss=%s: %d in 4 s (%d), used %.2f, %.1f datagrams a second a node\n",
-			s.Named["nodes"], s.Named["rate"], s.Named["how"], s.Named["loss"], worst, most, least, datagrams)
+		fmt.Printf("nodes=%s rate=%s how=%s loss=%s way=%s: %d in 4 s (%d), used %.2f, %.1f datagrams a second a node\n",
+			s.Named["nodes"], s.Named["rate"], s.Named["how"], s.Named["loss"], s.Named["way"], worst, most, least, datagrams)
 	}
 	return said
 }
 
 // sim is one play.
 type sim struct {
-	random    *rand.Rand
-	now       clock.Millis
-	nodes     []*simNode
-	queue     simQueue
-	events    []simEvent
-	rate      float64
-	demand    float64
-	how       string
-	loss      float64
+	random *rand.Rand
+	now    clock.Millis
+	nodes  []*simNode
+	queue  simQueue
+	events []simEvent
+	rate   float64
+	demand float64
+	how    string
+	loss   float64
+	// way is how the limit is kept: by permits, or one of the ways that were weighed.
+	way       string
 	arrivals  []clock.Millis
 	wanted    []clock.Millis
 	datagrams int
@@ -131,6 +133,7 @@
 	side    int
 	pending []clock.Millis
 	inbox   []func()
+	alone   aloneNode
 }
 
 type simItem struct {
@@ -202,7 +205,7 @@
 func (n *simNode) start() {
 	n.up = true
 	n.life = n.sim.random.Uint64()
-	n.pending, n.inbox = nil, nil
+	n.pending, n.inbox, n.alone = nil, nil, aloneNode{levelAt: n.sim.now}
 	n.keeper = limit.New(limit.WithSelf(n.name), limit.WithLife(n.life))
 	n.keeper.SetMembers(n.sim.now, n.sim.members())
 	if n.sim.rate > 0 {
@@ -235,7 +238,11 @@
 			near := len(n.sim.nodes) <= nearAll || o.centre() == n.centre()
 			switch {
 			case near && o != n:
-				n.datagram(o, false, func() { o.keeper.Heard(n.sim.now, n.name) })
+				demand := n.alone.demand
+				n.datagram(o, n.sim.way == "demand", func() {
+					o.keeper.Heard(n.sim.now, n.name)
+					o.alone.hear(n.name, demand, n.sim.now)
+				})
 			case n.index < simCentres && !near:
 				n.datagram(o, false, func() { o.keeper.HeardAll(n.sim.now, n.centre()) })
 			}
@@ -299,6 +306,7 @@
 		n = w.nodes[int(w.now/700)%len(w.nodes)]
 	}
 	if n.up && !n.frozen {
+		n.alone.came(w.now)
 		n.pending = append(n.pending, w.now)
 		n.retry()
 	}
@@ -307,6 +315,10 @@
 
 // retry sends what may be sent, as a node does when its belief has changed.
 func (n *simNode) retry() {
+	if n.sim.way != "" {
+		n.retryAlone()
+		return
+	}
 	for len(n.pending) > 0 {
 		now := n.sim.now
 		switch n.keeper.State(now, simUpstream) {
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -62,6 +62,8 @@
 	// changes since.
 	limitLogged    map[fleet.Incarnation]clock.Millis
 	limitsUnlogged int
+	// limits are those that hold, as of the last tick.
+	limits atomic.Pointer[[]limit.Shown]
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
@@ -100,6 +102,8 @@
 		case <-tick.C:
 			d.decide(envelope{msg: dispatch.TickMsg{}})
 			d.ready.Store(d.model.Ready(d.clock.Now()))
+			limits := d.model.Limits(d.clock.Now())
+			d.limits.Store(&limits)
 		}
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -101,6 +101,7 @@
 		opt(r)
 	}
 	r.decider.limited = r.upstreams.noteLimit
+	r.more["limits"] = expvar.Func(func() any { return r.decider.limits.Load() })
 	return r
 }
 
--- a/standin/limit.go
+++ b/standin/limit.go
@@ -28,7 +28,7 @@
 }
 
 // markLimit has an answer name the limit, where there is one, and returns it; zero for none
-// and for one that is no number.
+// and for what is no number of requests.
 func (l *limit) markLimit(h http.Header) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -40,7 +40,7 @@
 	if err != nil {
 		return 0
 	}
-	return named
+	return max(named, 0)
 }
 
 // serve adds the call that makes a server name a limit.
