--- a/models/check.sh
+++ b/models/check.sh
@@ -67,5 +67,9 @@
 check quarantine fails OVERWRITE
 check quarantine fails NOASK
 check quarantine fails NAMELESS
+check limit holds
+check limit fails WHOLE
+check limit fails TAKES
+check limit fails FULL
 echo "models: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
