--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -70,6 +70,8 @@
 	members *members
 	owner   *owner
 	shares  map[fleet.Incarnation]*share
+	// limited is how many of them name a limit: mostly none, and then nothing is looked up.
+	limited int
 }
 
 // Option sets up a Keeper.
@@ -105,9 +107,9 @@
 func (k *Keeper) Named(now clock.Millis, upstream fleet.Incarnation, rate float64) bool {
 	s := k.share(upstream)
 	if rate >= noLimit {
-		return s.learn(now, Named{At: now})
+		return k.learn(now, s, Named{At: now})
 	}
-	return s.learn(now, Named{Rate: max(rate, leastRate), At: now})
+	return k.learn(now, s, Named{Rate: max(rate, leastRate), At: now})
 }
 
 // Unnamed takes in an answer without a limit to a request that was sent at a time, and
@@ -118,14 +120,14 @@
 	if s == nil || s.named.Rate == 0 || sent <= s.named.At {
 		return false
 	}
-	return s.learn(now, Named{At: now})
+	return k.learn(now, s, Named{At: now})
 }
 
 // Told takes in what another node knows of an upstream's limit, and returns whether it brings
 // another number. An older word than the own one brings none.
 func (k *Keeper) Told(now clock.Millis, upstream fleet.Incarnation, word Named) bool {
 	s := k.share(upstream)
-	return word.At > s.named.At && s.learn(now, word)
+	return word.At > s.named.At && k.learn(now, s, word)
 }
 
 // Known returns what other nodes are to be told of limits: of those that hold, and of those
@@ -144,8 +146,22 @@
 	return known
 }
 
+// learn takes in a newer word on a limit, and returns whether it is another number.
+func (k *Keeper) learn(now clock.Millis, s *share, word Named) bool {
+	if s.named.Rate > 0 {
+		k.limited--
+	}
+	if word.Rate > 0 {
+		k.limited++
+	}
+	return s.learn(now, word)
+}
+
 // Limit returns what is known of an upstream's limit.
 func (k *Keeper) Limit(upstream fleet.Incarnation) (Named, bool) {
+	if k.limited == 0 {
+		return Named{}, false
+	}
 	s := k.shares[upstream]
 	if s == nil || s.named.Rate == 0 {
 		return Named{}, false
@@ -155,6 +171,9 @@
 
 // State tells whether a request may be sent to an upstream.
 func (k *Keeper) State(now clock.Millis, upstream fleet.Incarnation) State {
+	if k.limited == 0 {
+		return Free
+	}
 	s := k.shares[upstream]
 	switch {
 	case s == nil || s.named.Rate == 0:
@@ -317,7 +336,7 @@
 	if s == nil || grant.Life != k.life {
 		return false
 	}
-	news := grant.Named.At > s.named.At && s.learn(now, grant.Named)
+	news := grant.Named.At > s.named.At && k.learn(now, s, grant.Named)
 	if !s.asking || grant.Number != s.number || from != s.to {
 		return news
 	}
@@ -357,7 +376,12 @@
 }
 
 // Forget drops what is known of an upstream that has ended.
-func (k *Keeper) Forget(upstream fleet.Incarnation) { delete(k.shares, upstream) }
+func (k *Keeper) Forget(upstream fleet.Incarnation) {
+	if _, limited := k.Limit(upstream); limited {
+		k.limited--
+	}
+	delete(k.shares, upstream)
+}
 
 func (k *Keeper) share(upstream fleet.Incarnation) *share {
 	s := k.shares[upstream]
