--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -1,8 +1,6 @@
 package limit
 
 import (
-	"slices"
-
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
@@ -30,38 +28,6 @@
 	noLimit = 1e5
 )
 
-// Parts of a limit that are handed out by nodes that may not be the only ones.
-const (
-	// partCutOff is that of a node that hears less than half of the nodes.
-	partCutOff = 0.25
-	// partActing is that of one in the place of an owner that does not answer it, after
-	// actsAfter, and of one that has just become the owner, for handoverFor. After lostAfter
-	// it is all.
-	partActing               = 0.45
-	actsAfter   clock.Millis = 3000
-	handoverFor clock.Millis = 2000
-)
-
-// partInPlace are the parts by the place in the order while the owner may be there: others
-// may still be served by it.
-var partInPlace = [owners]float64{1, 1.0 / 8, 1.0 / 16}
-
-// State is whether a request may be sent to an upstream.
-type State uint8
-
-const (
-	// Free means that it names no limit.
-	Free State = iota
-	// Permitted means that there is a permit for a request.
-	Permitted
-	// Askable means that there is none, and one may be asked for.
-	Askable
-	// Waiting means that one has been asked for.
-	Waiting
-	// Spent means that none can be had before a time.
-	Spent
-)
-
 // Keeper keeps the limits of upstreams at one node, and hands out permits for those that it
 // owns. It is not safe for concurrent use.
 type Keeper struct {
@@ -210,70 +176,6 @@
 	}
 }
 
-// Ask asks for permits, or repeats a question. Where this node is the owner, its answer is
-// there at once.
-func (k *Keeper) Ask(now clock.Millis, upstream fleet.Incarnation, want int) []AskCmd {
-	s := k.share(upstream)
-	if !s.asking {
-		s.begin(now, min(max(want, 1), asksTogether))
-	} else if now < s.askedAt.Add(askAgain) {
-		return nil
-	}
-	return k.question(now, s)
-}
-
-// Report tells an upstream's owner what this node has sent there before its limit was known:
-// it counts, and other nodes may be given permits that do not fit in beside it.
-func (k *Keeper) Report(now clock.Millis, upstream fleet.Incarnation) []AskCmd {
-	s := k.share(upstream)
-	if s.asking || s.named.Rate == 0 || s.all.Sum(now) == 0 {
-		return nil
-	}
-	s.begin(now, 0)
-	return k.question(now, s)
-}
-
-// question sends a question to the first owner that may answer it.
-func (k *Keeper) question(now clock.Millis, s *share) []AskCmd {
-	if s.tries >= asksEach {
-		k.members.silent(now, s.to)
-	}
-	to, found := k.answering(now, s)
-	if !found {
-		s.fail(now)
-		return nil
-	}
-	if to != s.to || s.tries >= asksEach {
-		s.turnTo(now, to)
-	}
-	s.askedAt = now
-	s.tries++
-	ask := Ask{Upstream: s.upstream, Life: k.life, Number: s.number, Want: s.want, Named: s.named, Sent: s.unreported(now)}
-	if to == k.self {
-		grant, cmds := k.Asked(now, k.self, ask)
-		k.Granted(now, k.self, grant)
-		return cmds
-	}
-	return []AskCmd{{To: to, Ask: ask}}
-}
-
-// answering returns the first of an upstream's owners that is not silent.
-func (k *Keeper) answering(now clock.Millis, s *share) (string, bool) {
-	for _, name := range k.order(s) {
-		if name == k.self || !k.members.isSilent(now, name) {
-			return name, true
-		}
-	}
-	return "", false
-}
-
-func (k *Keeper) order(s *share) []string {
-	if s.orderOf != k.members.version || s.order == nil {
-		s.order, s.orderOf = Order(k.members.names, s.upstream), k.members.version
-	}
-	return s.order
-}
-
 // Asked answers another node's question.
 func (k *Keeper) Asked(now clock.Millis, from string, ask Ask) (Grant, []AskCmd) {
 	k.members.heard(now, from)
@@ -281,100 +183,6 @@
 	return k.owner.ask(now, from, ask, part), cmds
 }
 
-// part is the part of an upstream's limit that this node may hand out now. One that stands
-// in for others asks them whether they are there.
-func (k *Keeper) part(now clock.Millis, upstream fleet.Incarnation) (float64, []AskCmd) {
-	s := k.share(upstream)
-	order := k.order(s)
-	place := slices.Index(order, k.self)
-	part, cmds := 0.0, []AskCmd(nil)
-	switch {
-	case place == 0:
-		part = 1
-		if now < k.members.changedAt.Add(handoverFor) && len(k.members.names) > 1 {
-			part = partActing
-		}
-	case place > 0:
-		var silent clock.Millis
-		silent, cmds = k.doubtOthers(now, s, order[:place])
-		part = partInPlace[place]
-		if silent >= lostAfter {
-			part = 1
-		} else if silent >= actsAfter {
-			part = partActing
-		}
-	default:
-		// Whoever asks knows other nodes than this one.
-		part = partInPlace[owners-1]
-	}
-	if k.members.cutOff(now) {
-		part *= partCutOff
-	}
-	return part, cmds
-}
-
-// doubtOthers asks those that come first in an upstream's order whether they are there, and
-// returns for how long none of them has answered.
-func (k *Keeper) doubtOthers(now clock.Millis, s *share, others []string) (clock.Millis, []AskCmd) {
-	var cmds []AskCmd
-	silent := lostAfter
-	for _, name := range others {
-		lasted, ask := k.members.doubt(now, name)
-		silent = min(silent, lasted)
-		if ask {
-			cmds = append(cmds, AskCmd{To: name, Ask: Ask{Upstream: s.upstream, Life: k.life, Named: s.named}})
-		}
-	}
-	return silent, cmds
-}
-
-// Granted takes an answer, and returns whether it brings news: permits, the word that there
-// are none, or another limit.
-func (k *Keeper) Granted(now clock.Millis, from string, grant Grant) bool {
-	k.members.heard(now, from)
-	s := k.shares[grant.Upstream]
-	if s == nil || grant.Life != k.life {
-		return false
-	}
-	news := grant.Named.At > s.named.At && k.learn(now, s, grant.Named)
-	if !s.asking || grant.Number != s.number || from != s.to {
-		return news
-	}
-	s.answer(now, grant)
-	return true
-}
-
-// Tick repeats the questions that nobody has answered. It returns the upstreams whose
-// owners all leave them unanswered.
-func (k *Keeper) Tick(now clock.Millis) (cmds []AskCmd, failed []fleet.Incarnation) {
-	k.owner.expire(now)
-	for _, s := range k.shares {
-		if !s.asking {
-			cmds = append(cmds, k.reportToNext(now, s)...)
-			continue
-		}
-		if now < s.askedAt.Add(askAgain) {
-			continue
-		}
-		cmds = append(cmds, k.question(now, s)...)
-		if !s.asking {
-			failed = append(failed, s.upstream)
-		}
-	}
-	return cmds, failed
-}
-
-// reportToNext tells a node what was sent that has come to be the one to ask.
-func (k *Keeper) reportToNext(now clock.Millis, s *share) []AskCmd {
-	if s.named.Rate == 0 {
-		return nil
-	}
-	if to, found := k.answering(now, s); !found || to == s.to {
-		return nil
-	}
-	return k.Report(now, s.upstream)
-}
-
 // Forget drops what is known of an upstream that has ended.
 func (k *Keeper) Forget(upstream fleet.Incarnation) {
 	if _, limited := k.Limit(upstream); limited {
