Limits: what stood twice stands once

A caller's place among those that return, the bound of a window, and the idiom for sorted keys were written again; a limit was looked up twice for each engine of a chain, and each message was looked at for limits before anything else. A comment named a field that is not there.

--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/hoistjunction/hoistjunction/chain"
@@ -96,7 +97,7 @@
 // node sends to such an upstream are not too many.
 func (m *Model) toldLimits(msg UsageMsg) []Cmd {
 	var cmds []Cmd
-	for _, id := range sortedKeys(msg.Limits) {
+	for _, id := range slices.SortedFunc(maps.Keys(msg.Limits), fleet.Incarnation.Compare) {
 		if m.upstreams[id] == nil || !m.limits.Told(m.now, id, msg.Limits[id]) {
 			continue
 		}
@@ -206,7 +207,7 @@
 	for _, upstream := range failed {
 		cmds = append(cmds, m.takePermits(upstream)...)
 	}
-	for _, upstream := range sortedKeys(m.awaiting) {
+	for _, upstream := range slices.SortedFunc(maps.Keys(m.awaiting), fleet.Incarnation.Compare) {
 		if m.limits.State(m.now, upstream) != limit.Waiting || m.hasWaited(upstream) {
 			cmds = append(cmds, m.takePermits(upstream)...)
 		}
@@ -276,18 +277,8 @@
 		}
 	}
 	turn := clock.Millis(msPerSecond * float64(why.Queue) / max(rates, 1/float64(longestBack)))
-	late := 1 - (1-position(r.msg.CallerID))/float64(1+r.priority())
-	back = soonest + clock.Millis(late*float64(min(turn, longestBack)))
+	back = soonest + clock.Millis(r.lateness()*float64(min(turn, longestBack)))
 	return min(max(back, backSoon), longestBack), why
 }
 
 const msPerSecond = 1000
-
-func sortedKeys[V any](m map[fleet.Incarnation]V) []fleet.Incarnation {
-	keys := make([]fleet.Incarnation, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, fleet.Incarnation.Compare)
-	return keys
-}
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -151,9 +151,6 @@
 	case TickMsg:
 		return m.tick()
 	}
-	if cmds := m.hearLimit(msg); cmds != nil {
-		return cmds
-	}
 	return m.hear(msg)
 }
 
@@ -175,7 +172,7 @@
 	case ToldSilentMsg:
 		return m.toldSilent(msg)
 	}
-	return nil
+	return m.hearLimit(msg)
 }
 
 func (m *Model) setPeers(msg PeersMsg) {
--- a/dispatch/rest.go
+++ b/dispatch/rest.go
@@ -93,6 +93,11 @@
 // and not all at once. Those of higher rank are the first.
 func (m *Model) backAfter(r *request, end clock.Millis) clock.Millis {
 	left := max(end.Sub(m.now), 1)
-	late := 1 - (1-position(r.msg.CallerID))/float64(1+r.priority())
-	return left + clock.Millis(restSpread*late*float64(max(left, backSoon)))
+	return left + clock.Millis(restSpread*r.lateness()*float64(max(left, backSoon)))
+}
+
+// lateness is the caller's place among those that come back, from 0 for the first up to 1.
+// Those of higher rank come before others.
+func (r *request) lateness() float64 {
+	return 1 - (1-position(r.msg.CallerID))/float64(1+r.priority())
 }
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -226,10 +226,11 @@
 			continue
 		}
 		h := m.holder(r, u)
-		if !at.noLimits && !m.mayBegin(r, u) {
+		spent := !at.noLimits && !m.mayBegin(r, u)
+		if spent {
 			h.Penalty += limitedPenalty
 		}
-		if bounded && !r.ran(u) || !at.noLimits && !m.mayBegin(r, u) {
+		if bounded && !r.ran(u) || spent {
 			// A chain begins at the engine with the first layer, and the bound on upstreams
 			// that run a request is on these, as is a limit: nodes send it requests, and
 			// what passes on the way to later layers comes from other engines.
--- a/limit/owner.go
+++ b/limit/owner.go
@@ -29,8 +29,7 @@
 // owned is what an owner knows of one limited upstream.
 type owned struct {
 	named Named
-	// level is how many permits may be had at levelAt, and part the part of the limit that
-	// was handed out then.
+	// level is how many permits may be had at levelAt.
 	level   float64
 	levelAt clock.Millis
 	// sent are the permits and what was sent without, and denied what was wanted in vain.
@@ -100,18 +99,21 @@
 	if u.named.Rate == 0 {
 		return 0
 	}
-	room := int(most*u.named.Rate*window.Duration().Seconds()+spare) - u.sent.Sum(now)
+	room := int(u.bound()+spare) - u.sent.Sum(now)
 	n := max(0, min(want, int(u.level), room))
 	u.level -= float64(n)
 	u.sent.Add(now, n)
 	return n
 }
 
+// bound is how many requests may reach the upstream in a window, but for the spare ones.
+func (u *owned) bound() float64 { return most * u.named.Rate * window.Duration().Seconds() }
+
 // next is how long it takes until another permit may be had.
 func (u *owned) next(now clock.Millis, part float64) clock.Millis {
 	if u.level >= 1 || u.named.Rate == 0 {
 		// None is handed out all the same where too much was sent before.
-		return step * clock.Millis(min(1, max(0, u.sent.Sum(now)-int(most*u.named.Rate*window.Duration().Seconds()))))
+		return step * clock.Millis(min(1, max(0, u.sent.Sum(now)-int(u.bound()))))
 	}
 	wait := (1 - u.level) * msPerSecond / (u.named.Rate * pace * part)
 	return clock.Millis(math.Ceil(min(wait, float64(longestNext))))
