A list that is refused alone is no outage of the store

Cause, from the logs of a play over the bound: a refused call for the list was noted as the loss of the store, and the configuration's next answer as its return, each second or so. In between the node was not to be followed; the nodes that followed it turned to the next one by what they had heard 0.3 s before, were refused in turn, and then read list and configuration themselves for 2.5 s, all nine of them.

Why this works: while the store answers for the configuration it is there, so the node that reads goes on to read and to be followed for it, and tries the list again at the usual pauses.

--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -76,6 +76,9 @@
 			continue
 		}
 		f.back("config", reader)
+		if reader == nil {
+			f.outage.Proved(f.clock.Now())
+		}
 		p = catalogProgress{
 			revision: reading.Revision, read: true, told: reader != nil, proved: sent.Sub(reading.Age),
 			slowness: p.slownessAfter(reader, reading, f.clock.Now().Sub(sent)), urged: p.urged,
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -126,7 +126,8 @@
 	case errors.Is(err, errReaderFailed):
 	default:
 		p.whole = true
-		if !f.lost(ctx, "fleet", sent, err) {
+		alone := !errors.Is(err, ErrSilent) && f.outage.ProvedSince(sent.Sub(listAlone))
+		if !alone && !f.lost(ctx, "fleet", sent, err) {
 			return
 		}
 		f.mu.Lock()
@@ -135,14 +136,20 @@
 		f.mu.Unlock()
 		f.followers.Suspend()
 		p.failures++
-		f.sitOut(ctx, p.read, sitOutFor(p.failures))
+		f.sitOut(ctx, p.read, !alone, sitOutFor(p.failures))
 	}
 }
 
-// sitOut waits until the store is back, or another node can be followed. The
+// listAlone is how long before the call for the list the store may have answered another one
+// for the list alone to be refused: a wait for the configuration. The store is not away then.
+// A node that took it for away would be left by all that follow it, back a moment later by the
+// configuration's word, and be followed and left again for as long as the list is refused.
+const listAlone = followedConfigWait + storeAnswer
+
+// sitOut waits until the store is back where it is lost, or another node can be followed. The
 // follower of the configuration tries the store; this one only looks whether it has
 // succeeded, or tries itself after a while in case only the list cannot be had.
-func (f *Fleet) sitOut(ctx context.Context, read bool, longest clock.Millis) {
+func (f *Fleet) sitOut(ctx context.Context, read, lost bool, longest clock.Millis) {
 	until := f.clock.Now().Add(longest)
 	for ctx.Err() == nil {
 		if reader, _ := f.reader(read); reader != nil {
@@ -150,7 +157,8 @@
 		}
 		f.takeLearnt(f.clock.Now())
 		clock.Pause(ctx, firstRetry.Duration())
-		if !f.outage.Away() || f.clock.Now() >= until {
+		lost = lost || f.outage.Away()
+		if f.clock.Now() >= until || lost && !f.outage.Away() {
 			return
 		}
 	}
--- a/follow/outage.go
+++ b/follow/outage.go
@@ -22,6 +22,10 @@
 	// this node has not tried the store.
 	told             bool
 	toldAt, toldLast clock.Millis
+	// proved tells that the store has answered this node itself with the configuration, at
+	// provedAt last.
+	proved   bool
+	provedAt clock.Millis
 }
 
 // Outlived tells whether an outage has ended since a call was sent. That the call has
@@ -81,6 +85,20 @@
 	return o.told && now <= o.toldLast.Add(readerLost)
 }
 
+// Proved notes that the store has answered this node itself with the configuration.
+func (o *Outage) Proved(now clock.Millis) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.proved, o.provedAt = true, now
+}
+
+// ProvedSince tells whether it has since a time, and is not away.
+func (o *Outage) ProvedSince(since clock.Millis) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.away && o.proved && o.provedAt >= since
+}
+
 // Away tells whether the store does not answer.
 func (o *Outage) Away() bool {
 	o.mu.Lock()
