Sight: orders are counted by what came of them, and one that an engine cannot read is told apart

A refused order said only "refused", as one does that came second, and no metric counted orders: whether layers are missing since they are being loaded or since no engine will ever take an order could be found only by reading each line.

--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,8 @@
 	clock    *clock.Clock
 	relay    *relay.Relay
 	placer   *placer.Placer
+	// orders counts the orders to engines, by what came of them.
+	orders   *expvar.Map
 	fleets   *follow.Fleet
 	catalogs *follow.Catalog
 	peers    *peering.Peering
@@ -84,7 +86,7 @@
 
 // New binds a node's ports and builds it. Run makes it work.
 func New(s *Settings, log *logging.Log, opts ...Option) (*Node, error) {
-	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), silences: newSilences()}
+	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), silences: newSilences(), orders: new(expvar.Map)}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -119,13 +121,14 @@
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
-		relay.WithCounters("quarantine_refused", n.keeper.Refused()),
+		relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orders),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
 		relay.WithCounters("peers", expvar.Func(func() any { return n.Peers() })),
 		relay.WithListAge(listAge), relay.WithSilence(n.setSilent), relay.WithSharing(n.share), relay.WithLeaving(n.setSaidLeaving), relay.WithReplaced(n.setReplaced), relay.WithQuarantine(n.setQuarantine),
 		relay.WithPermits(n.usage.Ask, n.usage.Give))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%unknownRanks))), placement.WithStart(n.clock.Now()))
-	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge))
+	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.tellPlaced, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge),
+		placer.WithResults(n.orders))
 	n.wakes = n.clock.Wakes()
 	n.wakes.Tell(n.wake)
 	n.follow(platform.NewPeerTransport(), n.setCatalog, n.setFleet)
--- a/placement/model.go
+++ b/placement/model.go
@@ -243,7 +243,7 @@
 		p.until = now.Add(orderLasts)
 	case Busy:
 		p.until = now.Add(busyLasts)
-	case Refused, Unanswered:
+	case Refused, Unanswered, Rejected:
 		p.until = now.Add(retryIn)
 	}
 	m.pending[msg.Upstream] = p
--- a/placement/msg.go
+++ b/placement/msg.go
@@ -69,9 +69,11 @@
 	Busy
 	// Unanswered: the order may have been taken, or may yet be.
 	Unanswered
+	// Rejected: the engine cannot read the order. It would say the same of the next one.
+	Rejected
 )
 
-var resultNames = [...]string{"taken", "refused", "busy", "unanswered"}
+var resultNames = [...]string{"taken", "refused", "busy", "unanswered", "rejected"}
 
 // String names the result for logs.
 func (r Result) String() string { return resultNames[r] }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"expvar"
 	"slices"
 	"time"
 
@@ -30,6 +31,7 @@
 	Refused    = placement.Refused
 	Busy       = placement.Busy
 	Unanswered = placement.Unanswered
+	Rejected   = placement.Rejected
 )
 
 // Result is what came of an order.
@@ -88,6 +90,8 @@
 	placed func(upstream fleet.Incarnation, layers fleet.Range, holds bool)
 	// coverage is what was logged last.
 	coverage []string
+	// results counts orders by what came of them.
+	results *expvar.Map
 }
 
 // Option sets up a Placer.
@@ -101,6 +105,9 @@
 // it the list counts as confirmed at all times.
 func WithListAge(age func() clock.Millis) Option { return func(p *Placer) { p.listAge = age } }
 
+// WithResults sets where orders are counted by what came of them.
+func WithResults(counts *expvar.Map) Option { return func(p *Placer) { p.results = counts } }
+
 // New returns a placer that runs a model. Placed tells all nodes of an order
 // that an engine has taken or carried out.
 func New(model *placement.Model, engines Engines, c *clock.Clock, log *zap.Logger,
@@ -108,7 +115,7 @@
 ) *Placer {
 	p := &Placer{
 		model: model, engines: engines, clock: c, log: log, placed: placed,
-		listAge: func() clock.Millis { return 0 }, inbox: newInbox(), orders: make(chan placement.OrderCmd),
+		listAge: func() clock.Millis { return 0 }, inbox: newInbox(), orders: make(chan placement.OrderCmd), results: new(expvar.Map),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -216,8 +223,12 @@
 		zap.Int("from", cmd.Layers.From), zap.Int("to", cmd.Layers.To), zap.Int("missing", cmd.Missing),
 		zap.Uint64("orders_taken", state.OrdersTaken), zap.Int("held_from", state.Held.From),
 		zap.Int("held_to", state.Held.To), zap.Stringer("result", msg.Result), logging.Err(err))
-	if msg.Result == Taken {
+	p.results.Add(msg.Result.String(), 1)
+	switch msg.Result {
+	case Taken:
 		go p.watch(ctx, cmd)
+	case Rejected:
+		p.log.Error("order_rejected", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address), logging.Err(err))
 	}
 	return msg
 }
