Tests: orders that cannot be read, and places that are not awaited, fail on the code as it is

What callers saw: too little was served, and some callers never were. Two faults show it. The second is in the code as it is: plain requests are refused beside upstreams that have a place again in 10 ms, with advice that uses up their callers' time.

--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -17,8 +17,13 @@
 	"github.com/hoistjunction/hoistjunction/work"
 )
 
-func TestScripts(t *testing.T) {
-	script.Run(t, "testdata", func(t *testing.T) func(script.Step) []string {
+func TestScripts(t *testing.T) { playScripts(t, "testdata") }
+
+// The scripts tell how requests were refused beside places that were about to become free.
+func TestPlaceScripts(t *testing.T) { playScripts(t, "testdata/places") }
+
+func playScripts(t *testing.T, folder string) {
+	script.Run(t, folder, func(t *testing.T) func(script.Step) []string {
 		p := &player{t: t, model: dispatch.New(
 			dispatch.WithDataCentre("a"),
 			dispatch.WithLimits(limit.New(limit.WithSelf("n1"))),
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -13,8 +13,13 @@
 	"github.com/hoistjunction/hoistjunction/placement"
 )
 
-func TestScripts(t *testing.T) {
-	script.Run(t, "testdata", func(t *testing.T) func(script.Step) []string {
+func TestScripts(t *testing.T) { playScripts(t, "testdata") }
+
+// The scripts tell how streams were never served since no engine could read an order.
+func TestRejectedOrders(t *testing.T) { playScripts(t, "testdata/rejected") }
+
+func playScripts(t *testing.T, folder string) {
+	script.Run(t, folder, func(t *testing.T) func(script.Step) []string {
 		p := &player{t: t, model: placement.New()}
 		return p.do
 	})
@@ -71,7 +76,7 @@
 }
 
 func resultOf(t *testing.T, name string) placement.Result {
-	for r := placement.Taken; r <= placement.Unanswered; r++ {
+	for r := placement.Taken; r <= placement.Rejected; r++ {
 		if r.String() == name {
 			return r
 		}
