An engine that cannot read an order is not given it again, and others hold its layers

What callers saw: three kinds of request, nine in ten of all, were never served, and nothing else was wrong.

Cause: the nodes wrote the numbers of orders in quotes and left zeros out. All orders of all nodes were refused for good, and a planner took that for "came second": each node gave each engine the same order every 2.5 s.

Here the class is mended: what the other side refuses for good is known as such.

--- a/placement/model.go
+++ b/placement/model.go
@@ -28,6 +28,9 @@
 	// retryIn is how soon an order that got no answer is tried again. It may
 	// still be carried out; the engine's count of orders guards against both.
 	retryIn clock.Millis = 2500
+	// rejectedFor is for how long an engine that cannot read an order gets none. The same
+	// order would say the same to it; only another program at one of the two ends mends that.
+	rejectedFor clock.Millis = 30_000
 	// reserveFor is for how long a new engine is kept for layers that lose their
 	// holder: servers of a service are replaced about a second apart, and the old
 	// one states that it is leaving after the new one has started.
@@ -90,7 +93,8 @@
 	covered covered
 }
 
-// pending is an order that has been given.
+// pending is an order that has been given. Its layers are none where the engine could not read
+// it.
 type pending struct {
 	layers fleet.Range
 	until  clock.Millis
@@ -183,7 +187,7 @@
 			// The list still shows what was before an order was carried out.
 			c.Upstream.Held = before.Held
 		}
-		if p, ok := m.pending[c.ID]; ok && c.Upstream.Held == p.layers {
+		if p, ok := m.pending[c.ID]; ok && !p.layers.Empty() && c.Upstream.Held == p.layers {
 			delete(m.pending, c.ID)
 		}
 		m.upstreams[c.ID] = c.Upstream
@@ -243,8 +247,11 @@
 		p.until = now.Add(orderLasts)
 	case Busy:
 		p.until = now.Add(busyLasts)
-	case Refused, Unanswered, Rejected:
+	case Refused, Unanswered:
 		p.until = now.Add(retryIn)
+	case Rejected:
+		// It is not on its way to hold them: others are planned for.
+		p.layers, p.until = fleet.Range{}, now.Add(rejectedFor)
 	}
 	m.pending[msg.Upstream] = p
 	if u, known := m.upstreams[msg.Upstream]; known && msg.Result == Busy && u.Held != msg.Held && !msg.Held.Empty() {
