A plain request awaits a place for as long as its caller does

What callers saw: requests refused beside upstreams that had a place again a moment later, some callers again and again.

Cause: a full upstream turns a request away, and the node gave the request up in the same millisecond where no other had a place (reason no_upstream, which it was not). Nobody waited for a place, so whether a caller was served hung on the moment of its coming, and those that were told to come back met the next full moment.

Why this works: a request that lacks nothing but a place waits in the node, by its rank and in turn by its client account, and is sent on as this node's own requests leave places, or after a moment where it has none there. A request that has not been sent costs no repeat; one that was is paid for when it is sent again, and waits where the budget is spent. What cannot have a place in its caller's time is refused at once, as no_place_free. A full upstream is not suspected for it: a probe would take a place too.

Ruled out: holding requests back by the upstreams' slots alone (they queue some more, and other nodes' use is known 0.3 s late, many times an answer's time).

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -200,6 +200,7 @@
 	ReasonNoRoute     Reason = "no_such_route"
 	ReasonNoAccount   Reason = "no_such_key"
 	ReasonNoUpstream  Reason = "no_upstream"
+	ReasonNoPlace     Reason = "no_place_free"
 	ReasonNoHolder    Reason = "a_layer_has_no_engine"
 	ReasonNoRoom      Reason = "no_memory_left"
 	ReasonRest        Reason = "upstreams_asked_for_rest"
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -22,11 +22,20 @@
 }
 
 func (m *Model) next(r *request, msg AttemptFailedMsg) []Cmd {
-	if reason := m.mayRepeat(r, msg.Cause); reason != "" {
+	reason := m.mayRepeat(r, msg.Cause)
+	if reason == ReasonNoBudget && msg.Cause == NotRunFull && r.service.Pipeline == nil {
+		// It goes on when the budget allows, as it does when there is a place.
+		return m.awaitPlace(r)
+	}
+	if reason != "" {
 		return m.lastWord(r, msg, reason)
 	}
 	cmds := m.resend(r)
-	if slices.ContainsFunc(cmds, isSend) || !r.awaits.IsZero() {
+	if r.awaitsPlace && msg.Cause.spends() {
+		// The repeat is paid for when it is made.
+		m.budget(r.service.Name).Return(m.now)
+	}
+	if slices.ContainsFunc(cmds, isSend) || !r.awaits.IsZero() || r.awaitsPlace {
 		return cmds
 	}
 	if m.requests[r.msg.Request] == nil && msg.Cause.spends() {
@@ -163,8 +172,9 @@
 	if r == nil || msg.Attempt != r.sends {
 		return nil
 	}
-	if r.first != nil {
-		r.first.record(msg.Took, msg.Failed)
+	first := r.first
+	if first != nil {
+		first.record(msg.Took, msg.Failed)
 	}
 	if r.route.Kind == catalog.Streaming {
 		m.noteLasts(msg.Took)
@@ -175,5 +185,5 @@
 		}
 	}
 	m.forget(msg.Request)
-	return m.tellNews(m.quarantine.Answered(m.now, r.work, true))
+	return append(m.tellNews(m.quarantine.Answered(m.now, r.work, true)), m.takePlaces(r.service.Name, first)...)
 }
--- a/dispatch/lost.go
+++ b/dispatch/lost.go
@@ -124,8 +124,12 @@
 		id := r.first.entry.ID
 		cmds = m.tellNews(m.quarantine.Lost(m.now, r.work, id, m.fate(id), leftEarly, true))
 	}
+	if r == nil {
+		return cmds
+	}
+	first := r.first
 	m.forget(msg.Request)
-	return cmds
+	return append(cmds, m.takePlaces(r.service.Name, first)...)
 }
 
 // toldLost takes in another node's loss. What has become of the upstream this node finds
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -64,6 +64,8 @@
 	// permit.
 	limits   *limit.Keeper
 	awaiting map[fleet.Incarnation][]RequestID
+	// places are the requests that await a place, by plain service.
+	places map[string]*placeQueue
 	// awaitsQuarantine tells that what was in it before is not known yet.
 	awaitsQuarantine bool
 }
@@ -103,6 +105,7 @@
 		shortages: make(map[string]*shortage),
 		gaps:      make(map[string]*shortage),
 		awaiting:  make(map[fleet.Incarnation][]RequestID),
+		places:    make(map[string]*placeQueue),
 		limits:    limit.New(),
 		confirmed: clock.Never,
 		lasts:     firstLasts,
@@ -284,5 +287,5 @@
 func (m *Model) tick() []Cmd {
 	m.setBudgets()
 	m.expireUsage()
-	return slices.Concat(m.takeEarly(), m.reviewPermits(), m.reviewLosses(), m.askNames(), m.probes(), m.depart(), m.resume(), m.share())
+	return slices.Concat(m.takeEarly(), m.reviewPermits(), m.reviewPlaces(), m.reviewLosses(), m.askNames(), m.probes(), m.depart(), m.resume(), m.share())
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -47,6 +47,8 @@
 	awaits      fleet.Incarnation
 	awaitsUntil clock.Millis
 	impatient   bool
+	// awaitsPlace tells that it awaits a place at a plain service, and hasWaited that it has.
+	awaitsPlace, hasWaited bool
 	// afterRest tells that some of what it could go on at rests.
 	afterRest bool
 
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -307,6 +307,8 @@
 		return fmt.Sprintf("limit %s %v from=%s", c.Upstream, c.Rate, c.From)
 	case dispatch.AskPermitsCmd:
 		return fmt.Sprintf("ask %s for %s number=%d want=%d", c.To, c.Ask.Upstream, c.Ask.Number, c.Ask.Want)
+	case dispatch.PlaceCmd:
+		return fmt.Sprintf("await %d waiting=%d", c.Request, c.Waiting)
 	case dispatch.SuspectCmd:
 		return fmt.Sprintf("suspect %s until %d", c.Upstream, c.Until)
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -24,6 +24,12 @@
 	} else {
 		cmd, reason = m.sendPlain(r)
 	}
+	if reason == ReasonNoUpstream && m.fullPlain(r) {
+		reason = ReasonNoPlace
+	}
+	if reason == ReasonNoPlace && !r.begun() {
+		return m.awaitPlace(r)
+	}
 	if reason == awaitsPermit {
 		first := r.first
 		r.first = nil
@@ -66,7 +72,7 @@
 	if r.runs > 0 {
 		return m.refuse(r.msg.Request, http.StatusBadGateway, ReasonUnknown, 0)
 	}
-	if reason == ReasonNoUpstream || reason == ReasonNoHolder || reason == ReasonNoRoom {
+	if reason == ReasonNoUpstream || reason == ReasonNoHolder || reason == ReasonNoRoom || reason == ReasonNoPlace {
 		if back, why := m.limitEnds(r); why != nil {
 			return m.refuseLimited(r, back, why)
 		}
@@ -84,11 +90,15 @@
 // sendPlain takes the upstream that should answer first: by the mean time of
 // its answers and how many of this node's requests it has.
 func (m *Model) sendPlain(r *request) (SendCmd, Reason) {
+	if q := m.places[r.service.Name]; q != nil && q.Len() > 0 && !r.hasWaited && m.fullPlain(r) {
+		// Nobody goes before those that wait.
+		return SendCmd{}, ReasonNoPlace
+	}
 	best := m.cheapest(r, func(u *upstream) bool {
 		return r.mayUse(u) && !r.tried[u.entry.ID] && u.open(m.now) && u.failing <= failTooMany
 	})
 	if best == nil {
-		best = m.cheapest(r, func(u *upstream) bool { return r.mayUse(u) && !r.tried[u.entry.ID] })
+		best = m.cheapest(r, func(u *upstream) bool { return r.mayUse(u) && !r.tried[u.entry.ID] && !u.full(m.now) })
 	}
 	if best == nil {
 		best = m.cheapest(r, func(u *upstream) bool { return r.mayUse(u) && u.open(m.now) })
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -40,6 +40,9 @@
 			return healed
 		}
 	}
+	if reason == ReasonNoPlace {
+		return backSoon
+	}
 	least := backSoon
 	if reason == ReasonNoHolder || reason == ReasonNoUpstream {
 		least = backHealing
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -144,6 +144,10 @@
 // report, since others may use it of whom this node does not know. One that goes
 // on refusing is leaving or dead: it is used less and less, and probed.
 func (u *upstream) refused(now clock.Millis) {
+	if u.pipeline == nil {
+		u.refusedPlace(now)
+		return
+	}
 	if u.shedding(now) && u.refusals < mostShed {
 		u.refusals++
 		u.refusedAt = now
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -125,6 +125,8 @@
 	switch cmd := cmd.(type) {
 	case dispatch.SendCmd:
 		d.post(cmd.Request, cmd)
+	case dispatch.PlaceCmd:
+		d.post(cmd.Request, cmd)
 	case dispatch.FinishCmd:
 		d.post(cmd.Request, cmd)
 	case dispatch.RelayCmd:
--- a/relay/log.go
+++ b/relay/log.go
@@ -92,6 +92,12 @@
 	s.log.Info("caller_left", s.fields()...)
 }
 
+func (s *session) logAwait(cmd dispatch.PlaceCmd) {
+	s.relay.stats.count("awaited_places")
+	s.log.Info("awaits_place", zap.String("id", s.head.ID), zap.String("service", cmd.Service), zap.Int("waiting", cmd.Waiting),
+		zap.Int64("for_ms", int64(cmd.Until.Sub(s.relay.clock.Now()))), zap.Int64("after_ms", int64(s.age())))
+}
+
 func (s *session) logFinish(cmd dispatch.FinishCmd) {
 	s.log.Info("refused", zap.String("id", s.head.ID), zap.Stringer("work", cmd.Work), zap.String("host", s.r.Host), zap.String("path", s.r.URL.Path),
 		zap.Int("status", cmd.Status), zap.String("reason", string(cmd.Reason)),
--- a/relay/session.go
+++ b/relay/session.go
@@ -141,6 +141,8 @@
 	switch cmd := cmd.(type) {
 	case dispatch.SendCmd:
 		s.send(cmd)
+	case dispatch.PlaceCmd:
+		s.logAwait(cmd)
 	case dispatch.FinishCmd:
 		s.logFinish(cmd)
 		s.answer(cmd.Status, cmd.Reason, cmd.RetryAfter)
