A plain upstream's refusals are forgotten once it has answered

What callers saw: refusals, or only slower upstreams, for up to 3 s after a single moment in which an upstream was full.

Cause: refusals in a row double the time for which an upstream is left alone; for engines an answer ends the row, for plain services nothing did. After five refusals in its life each further one cost 3 s.

Test: testdata/places/forgotten.txt, red before.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -175,6 +175,7 @@
 	first := r.first
 	if first != nil {
 		first.record(msg.Took, msg.Failed)
+		first.refusals = 0
 	}
 	if r.route.Kind == catalog.Streaming {
 		m.noteLasts(msg.Took)
