Callers are told to come back at a time that they can use

What callers saw: whoever obeyed was never served. A caller with 1.5 s was told to come back in 1.5 s.

Cause: the advice after a refusal was worked out from what was missing alone. An estimate (when a gap is closed, when a limit leaves room) that lies beyond three quarters of the caller's time is cut to a third of it now: nobody knows it for certain, and a caller that comes back after its time is certain to be lost. Ends that are known (a rest that was asked for, quarantine) stay as they are.

--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -74,7 +74,7 @@
 	}
 	if reason == ReasonNoUpstream || reason == ReasonNoHolder || reason == ReasonNoRoom || reason == ReasonNoPlace {
 		if back, why := m.limitEnds(r); why != nil {
-			return m.refuseLimited(r, back, why)
+			return m.refuseLimited(r, r.inTimeOf(m.now, back), why)
 		}
 	}
 	if end, rest := m.restEnds(r); rest {
@@ -84,7 +84,7 @@
 	if r.service.Pipeline != nil && (reason == ReasonNoRoom || reason == ReasonNoHolder) {
 		lack = m.whatLacks(r)
 	}
-	return m.refuseFor(r.msg.Request, reason, m.comeBack(r, reason, lack), lack)
+	return m.refuseFor(r.msg.Request, reason, r.inTimeOf(m.now, m.comeBack(r, reason, lack)), lack)
 }
 
 // sendPlain takes the upstream that should answer first: by the mean time of
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -32,6 +32,24 @@
 	return now.Sub(s.since)
 }
 
+const (
+	// usableAdvice is the part of the time that a caller has left within which it should come
+	// back: the rest is for the answer.
+	usableAdvice = 0.75
+	// cutAdvice is the part that it is told where what it lacks is expected later: nobody
+	// knows for certain, and one that comes back after its time is never served.
+	cutAdvice = 1.0 / 3
+)
+
+// inTimeOf is when a caller should come back by an estimate, in the time that it has left.
+func (r *request) inTimeOf(now, back clock.Millis) clock.Millis {
+	left := float64(r.deadline.Sub(now))
+	if r.msg.Remaining <= 0 || float64(back) <= usableAdvice*left {
+		return back
+	}
+	return max(clock.Millis(cutAdvice*left), 0)
+}
+
 // comeBack is when a refused caller should come back: a shortage that has lasted
 // for some time is likely to last as long again.
 func (m *Model) comeBack(r *request, reason Reason, lack *Lack) clock.Millis {
