An owner of a limited upstream's permits goes on when other nodes come and go

What callers saw: refused (upstreams_are_limited) while allowance was left, for as long as nodes were started and stopped each second or so.

Cause: after each change of the list of nodes every owner handed out 0.45 of a limit for 2 s, since another may have handed out until then. That holds only where the owner is another one than before.

Why this works: whose turn it is for an upstream is found for each list, so a node that is the owner in each of them has been it all the while; only one that has just become it begins with a part.

--- /dev/null
+++ b/limit/handover_test.go
@@ -0,0 +1,73 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/limit"
+)
+
+// ownedBy returns an upstream that a node owns among each of some lists of nodes.
+func ownedBy(t *testing.T, owner string, lists ...[]string) fleet.Incarnation {
+	for i := range 1000 {
+		id := fleet.Undated(fleet.ID(fmt.Sprint("u", i)))
+		owned := true
+		for _, names := range lists {
+			owned = owned && limit.Order(names, id)[0] == owner
+		}
+		if owned {
+			return id
+		}
+	}
+	t.Fatal("got no upstream that the node owns")
+	return fleet.Incarnation{}
+}
+
+func members(names []string) []limit.Member {
+	var list []limit.Member
+	for _, name := range names {
+		list = append(list, limit.Member{Name: name, DataCentre: "dc"})
+	}
+	return list
+}
+
+// Callers of limited upstreams were refused while allowance was left, for as long as nodes
+// came and went: after each change of the list of nodes every owner handed out less than half
+// for 2 s, also one that had been the owner before.
+func TestOwnerGoesOnWhenOthersComeAndGo(t *testing.T) {
+	const (
+		rate        = 10.0
+		usedAtLeast = 0.9
+		lasts       = 8 * clock.Millis(1000)
+		changes     = 1000
+		asks        = 10
+	)
+	with, without := []string{"a", "b", "c", "d"}, []string{"a", "b", "c"}
+	upstream := ownedBy(t, "a", with, without)
+	k := limit.New(limit.WithSelf("a"), limit.WithLife(1))
+	k.SetMembers(0, members(with))
+	start := clock.Millis(20_000)
+	k.Named(start, upstream, rate)
+	permits := 0
+	for now := start; now < start.Add(lasts); now = now.Add(asks) {
+		if now.Sub(start)%changes == 0 {
+			list := with
+			if now.Sub(start)%(2*changes) == 0 {
+				list = without
+			}
+			k.SetMembers(now, members(list))
+		}
+		for _, name := range with {
+			k.Heard(now, name)
+		}
+		grant, _ := k.Asked(now, "b", limit.Ask{
+			Upstream: upstream, Life: 1, Number: uint64(now), Want: 1, Named: limit.Named{Rate: rate, At: start},
+		})
+		permits += grant.Permits
+	}
+	if got, want := float64(permits), usedAtLeast*rate*float64(lasts)/1000; got < want {
+		t.Errorf("got %v permits of %v a second in %d ms, want %v at least", got, rate, lasts, want)
+	}
+}
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -60,7 +60,13 @@
 }
 
 // SetMembers takes all nodes. This one may be among them.
-func (k *Keeper) SetMembers(now clock.Millis, list []Member) { k.members.set(now, list) }
+func (k *Keeper) SetMembers(now clock.Millis, list []Member) {
+	k.members.set(now, list)
+	for _, s := range k.shares {
+		// Owners are found for each list: one that is the owner again was not in between.
+		k.order(s)
+	}
+}
 
 // Heard notes a sign of life of a node.
 func (k *Keeper) Heard(now clock.Millis, name string) { k.members.heard(now, name) }
@@ -196,6 +202,7 @@
 	if s == nil {
 		s = &share{upstream: upstream, named: Named{At: clock.Never}}
 		k.shares[upstream] = s
+		k.order(s)
 	}
 	return s
 }
--- a/limit/part.go
+++ b/limit/part.go
@@ -33,7 +33,9 @@
 	switch {
 	case place == 0:
 		part = 1
-		if now < k.members.changedAt.Add(handoverFor) && len(k.members.names) > 1 {
+		if now < s.ownedSince.Add(handoverFor) && len(k.members.names) > 1 {
+			// Another may have handed out until now. Who was the owner before goes on:
+			// where nodes come and go each second, nobody would ever hand out all.
 			part = partActing
 		}
 	case place > 0:
--- a/limit/question.go
+++ b/limit/question.go
@@ -64,7 +64,11 @@
 
 func (k *Keeper) order(s *share) []string {
 	if s.orderOf != k.members.version || s.order == nil {
+		before := s.owner()
 		s.order, s.orderOf = Order(k.members.names, s.upstream), k.members.version
+		if s.owner() != before {
+			s.ownedSince = k.members.changedAt
+		}
 	}
 	return s.order
 }
--- a/limit/share.go
+++ b/limit/share.go
@@ -23,6 +23,8 @@
 	// order are those that may hand out permits, by the names of a version.
 	order   []string
 	orderOf int
+	// ownedSince is since when the first of them has been the first.
+	ownedSince clock.Millis
 
 	// The question under way: to whom, since when, asked last at, and how often there.
 	asking  bool
@@ -36,6 +38,14 @@
 	toldAt  clock.Millis
 }
 
+// owner is who hands out permits; empty before that is known.
+func (s *share) owner() string {
+	if len(s.order) == 0 {
+		return ""
+	}
+	return s.order[0]
+}
+
 // learn takes in a newer word on the limit, and returns whether it is another number.
 func (s *share) learn(now clock.Millis, word Named) bool {
 	changed := word.Rate != s.named.Rate
