--- a/soak/process.go
+++ b/internal/process/process.go
@@ -1,4 +1,6 @@
-package soak
+// Package process starts programs as processes of their own, does harm to them from outside,
+// and keeps what they print. Fault soaks and rehearsals are made of it.
+package process
 
 import (
 	"bufio"
@@ -15,14 +17,14 @@
 	"github.com/hoistjunction/hoistjunction/standin"
 )
 
-// errNotStarted means that a process did not say where it listens.
-var errNotStarted = errors.New("soak: process did not start")
+// ErrNotStarted means that a process did not say where it listens.
+var ErrNotStarted = errors.New("process: it did not start")
 
 // startTime bounds the wait for a process to say where it listens.
 const startTime = 20 * time.Second
 
-// process is one program that the soak has started.
-type process struct {
+// Process is one program that was started.
+type Process struct {
 	name string
 	args []string
 	log  *os.File
@@ -38,9 +40,34 @@
 	address string
 }
 
-// start runs the program, and waits for a line with a mark, whose rest up to a
+// Option sets up a Process.
+type Option func(*Process)
+
+// WithEnv adds variables to its environment, as NAME=text.
+func WithEnv(env ...string) Option { return func(p *Process) { p.env = env } }
+
+// WithEnded sets who is told by which request it has ended.
+func WithEnded(ended func(path string)) Option { return func(p *Process) { p.ended = ended } }
+
+// New returns a process that is not started, of a program with its arguments. What it prints
+// goes into the log, which Close closes.
+func New(name string, log *os.File, args []string, opts ...Option) *Process {
+	p := &Process{name: name, args: args, log: log}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Name is what it is called.
+func (p *Process) Name() string { return p.name }
+
+// Close closes its log.
+func (p *Process) Close() error { return p.log.Close() }
+
+// Start runs the program, and waits for a line with a mark, whose rest up to a
 // blank is the address.
-func (p *process) start(mark string) error {
+func (p *Process) Start(mark string) error {
 	cmd := exec.Command(p.args[0], p.args[1:]...)
 	out, err := cmd.StdoutPipe()
 	if err != nil {
@@ -69,12 +96,12 @@
 		p.mu.Unlock()
 		return nil
 	case <-time.After(startTime):
-		return errors.Wrap(errNotStarted, p.name)
+		return errors.Wrap(ErrNotStarted, p.name)
 	}
 }
 
 // read copies the output to the log, and reports the first marked address.
-func (p *process) read(out io.Reader, mark string, found chan<- string) {
+func (p *Process) read(out io.Reader, mark string, found chan<- string) {
 	lines := bufio.NewScanner(out)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
@@ -92,14 +119,15 @@
 	}
 }
 
-func (p *process) at() string {
+// Address is where it listens, by its own word.
+func (p *Process) Address() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.address
 }
 
-// signal sends a signal to the process, if it runs.
-func (p *process) signal(s syscall.Signal) {
+// Signal sends a signal to the process, if it runs.
+func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
@@ -110,15 +138,15 @@
 	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
 }
 
-// kill ends the process at once and waits for its end.
-func (p *process) kill() { p.end(syscall.SIGKILL) }
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() { p.end(syscall.SIGKILL) }
 
-// stop asks the process to end, and waits.
-func (p *process) stop() { p.end(syscall.SIGTERM) }
+// Stop asks the process to end, and waits.
+func (p *Process) Stop() { p.end(syscall.SIGTERM) }
 
-func (p *process) end(s syscall.Signal) {
-	p.signal(syscall.SIGCONT)
-	p.signal(s)
+func (p *Process) end(s syscall.Signal) {
+	p.Signal(syscall.SIGCONT)
+	p.Signal(s)
 	p.mu.Lock()
 	cmd, over := p.cmd, p.over
 	p.cmd = nil
@@ -128,8 +156,8 @@
 	}
 }
 
-// crashed tells whether the process has ended by itself.
-func (p *process) crashed() bool {
+// Crashed tells whether the process has ended by itself.
+func (p *Process) Crashed() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	select {
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -81,7 +81,7 @@
 	if t.method == http.MethodPost {
 		body = strings.NewReader("x")
 	}
-	req, err := http.NewRequestWithContext(ctx, t.method, "http://"+c.world.nodes[node].at()+t.path, body)
+	req, err := http.NewRequestWithContext(ctx, t.method, "http://"+c.world.nodes[node].Address()+t.path, body)
 	if err != nil {
 		return t
 	}
@@ -107,7 +107,7 @@
 	if c.nodes == nil {
 		c.nodes = make(map[string]string)
 	}
-	c.nodes[id] = c.world.nodes[node].name
+	c.nodes[id] = c.world.nodes[node].Name()
 }
 
 // nodeOf names the node that a try was sent to; empty for none.
--- a/soak/deadly.go
+++ b/soak/deadly.go
@@ -62,7 +62,7 @@
 		if !s.world.engineBusy[i].TryLock() {
 			continue
 		}
-		crashed := s.world.engines[i].crashed()
+		crashed := s.world.engines[i].Crashed()
 		s.world.engineBusy[i].Unlock()
 		if crashed {
 			return true
@@ -74,7 +74,7 @@
 func (s *soak) startCrashed() {
 	for i := range s.world.engines {
 		s.world.engineBusy[i].Lock()
-		if s.world.engines[i].crashed() {
+		if s.world.engines[i].Crashed() {
 			s.note(fmt.Sprintf("engine-%d again", i), 0, s.world.startEngine(i))
 		}
 		s.world.engineBusy[i].Unlock()
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -48,20 +48,20 @@
 	s.world.nodeBusy[which].Lock()
 	defer s.world.nodeBusy[which].Unlock()
 	node := s.world.nodes[which]
-	defer s.disturbed.note(node.name, time.Now())
+	defer s.disturbed.note(node.Name(), time.Now())
 	switch kind {
 	case 0:
-		node.kill()
+		node.Kill()
 		time.Sleep(lasts / 4)
-		return "kill " + node.name, s.world.restart(node)
+		return "kill " + node.Name(), s.world.restart(node)
 	case 1:
-		node.stop()
-		return "stop " + node.name, s.world.restart(node)
+		node.Stop()
+		return "stop " + node.Name(), s.world.restart(node)
 	default:
-		node.signal(syscall.SIGSTOP)
+		node.Signal(syscall.SIGSTOP)
 		time.Sleep(lasts)
-		node.signal(syscall.SIGCONT)
-		return "pause " + node.name, nil
+		node.Signal(syscall.SIGCONT)
+		return "pause " + node.Name(), nil
 	}
 }
 
@@ -69,7 +69,7 @@
 func (s *soak) engineFault(which int, lasts time.Duration) (string, error) {
 	s.world.engineBusy[which].Lock()
 	defer s.world.engineBusy[which].Unlock()
-	s.world.engines[which].kill()
+	s.world.engines[which].Kill()
 	time.Sleep(lasts)
 	return fmt.Sprintf("kill engine-%d", which), s.world.startEngine(which)
 }
@@ -93,7 +93,7 @@
 		if !s.world.engineBusy[i].TryLock() {
 			continue
 		}
-		failed = errors.CombineErrors(failed, post("http://"+engine.at()+"/faults", f))
+		failed = errors.CombineErrors(failed, post("http://"+engine.Address()+"/faults", f))
 		s.world.engineBusy[i].Unlock()
 	}
 	return failed
--- a/soak/leave.go
+++ b/soak/leave.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/process"
 	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/standin"
 )
@@ -40,7 +41,7 @@
 // leaver is an upstream that leaves.
 type leaver struct {
 	name    string
-	process *process
+	process *process.Process
 	// bound is when the last request may have reached it.
 	bound time.Time
 }
@@ -84,7 +85,7 @@
 
 // depart has an upstream leave, and waits until the store has taken that.
 func (s *soak) depart(l *leaver, silent time.Time) error {
-	if err := post("http://"+l.process.at()+"/leave", nil); err != nil {
+	if err := post("http://"+l.process.Address()+"/leave", nil); err != nil {
 		return err
 	}
 	for until := time.Now().Add(recovery); ; time.Sleep(lookAtStore) {
@@ -122,8 +123,8 @@
 }
 
 // lastArrival asks a stand-in when a request has reached it last.
-func lastArrival(p *process) (time.Time, error) {
-	resp, err := calls.Get("http://" + p.at() + "/arrival")
+func lastArrival(p *process.Process) (time.Time, error) {
+	resp, err := calls.Get("http://" + p.Address() + "/arrival")
 	if err != nil {
 		return time.Time{}, err
 	}
@@ -138,7 +139,7 @@
 // listedLeaving tells whether the store shows that a server leaves whose id begins with
 // a text.
 func (w *world) listedLeaving(id string) (bool, error) {
-	store := platform.NewStore(w.store.at())
+	store := platform.NewStore(w.store.Address())
 	defer store.Close()
 	reading, err := store.ReadUpstreams(context.Background())
 	if err != nil {
--- a/soak/limit.go
+++ b/soak/limit.go
@@ -44,13 +44,13 @@
 func (s *soak) nameLimit(which int, name string) (string, error) {
 	f := standin.LimitFaults{Name: name}
 	if which == len(s.world.engines) {
-		return "desk", post("http://"+s.world.desks[len(s.world.desks)-1].at()+"/limit", f)
+		return "desk", post("http://"+s.world.desks[len(s.world.desks)-1].Address()+"/limit", f)
 	}
 	if !s.world.engineBusy[which].TryLock() {
 		return "nobody", nil
 	}
 	defer s.world.engineBusy[which].Unlock()
-	return s.world.engineName(which), post("http://"+s.world.engines[which].at()+"/limit", f)
+	return s.world.engineName(which), post("http://"+s.world.engines[which].Address()+"/limit", f)
 }
 
 // limitBreaches returns the spans in which an upstream got more requests than it had named to
--- a/soak/rest.go
+++ b/soak/rest.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hoistjunction/hoistjunction/internal/process"
 	"github.com/hoistjunction/hoistjunction/standin"
 )
 
@@ -87,13 +88,13 @@
 		if f.Ask == "1e9" {
 			f.Ask = "2"
 		}
-		return "desk", post("http://"+s.world.desks[len(s.world.desks)-1].at()+"/rest", f)
+		return "desk", post("http://"+s.world.desks[len(s.world.desks)-1].Address()+"/rest", f)
 	}
 	if !s.world.engineBusy[which].TryLock() {
 		return "nobody", nil
 	}
 	defer s.world.engineBusy[which].Unlock()
-	return fmt.Sprintf("engine-%d", which), post("http://"+s.world.engines[which].at()+"/rest", f)
+	return fmt.Sprintf("engine-%d", which), post("http://"+s.world.engines[which].Address()+"/rest", f)
 }
 
 // checkVisits returns the nodes that went on sending to upstreams which had asked them not to,
@@ -101,22 +102,22 @@
 func (s *soak) checkVisits() ([]string, error) {
 	var broken []string
 	nodeOf := func(id string) string { return s.callers.nodeOf(id) }
-	processes := append([]*process{}, s.world.desks...)
+	processes := append([]*process.Process{}, s.world.desks...)
 	processes = append(processes, s.world.engines...)
 	for _, p := range processes {
 		list, err := visitsOf(p)
 		if err != nil {
-			return nil, errors.Wrap(err, p.name)
+			return nil, errors.Wrap(err, p.Name())
 		}
 		for _, b := range standin.RestBreaches(list, nodeOf) {
-			if b.Count > mostInRest && !s.excused(b, p.name) {
-				broken = append(broken, fmt.Sprintf("%s got %d requests of %s in the %d ms of rest that it had asked for", p.name, b.Count, b.Node, b.ToMS-b.FromMS))
+			if b.Count > mostInRest && !s.excused(b, p.Name()) {
+				broken = append(broken, fmt.Sprintf("%s got %d requests of %s in the %d ms of rest that it had asked for", p.Name(), b.Count, b.Node, b.ToMS-b.FromMS))
 			}
 		}
-		broken = append(broken, s.limitBreaches(p.name, list)...)
+		broken = append(broken, s.limitBreaches(p.Name(), list)...)
 		for _, b := range standin.LeavingBreaches(list, nodeOf, leavingWithin+lateSlack) {
-			if !s.excused(b, p.name) {
-				broken = append(broken, fmt.Sprintf("%s got %d requests of %s late after its answers had said that it leaves", p.name, b.Count, b.Node))
+			if !s.excused(b, p.Name()) {
+				broken = append(broken, fmt.Sprintf("%s got %d requests of %s late after its answers had said that it leaves", p.Name(), b.Count, b.Node))
 			}
 		}
 	}
@@ -134,8 +135,8 @@
 }
 
 // visitsOf asks a stand-in for the requests that have reached it.
-func visitsOf(p *process) ([]standin.Visit, error) {
-	resp, err := calls.Get("http://" + p.at() + "/visits")
+func visitsOf(p *process.Process) ([]standin.Visit, error) {
+	resp, err := calls.Get("http://" + p.Address() + "/visits")
 	if err != nil {
 		return nil, err
 	}
--- a/soak/suspend.go
+++ b/soak/suspend.go
@@ -28,7 +28,7 @@
 		sleep(ctx, time.Duration(random.Int64N(int64(betweenSuspensions))))
 		which, lasts := random.IntN(len(s.world.nodes)), time.Duration(random.Int64N(int64(longestSuspension)))
 		if ctx.Err() == nil {
-			s.note("suspend "+s.world.nodes[which].name, lasts, s.suspend(which, lasts))
+			s.note("suspend "+s.world.nodes[which].Name(), lasts, s.suspend(which, lasts))
 		}
 	}
 }
@@ -37,11 +37,11 @@
 	s.world.nodeBusy[which].Lock()
 	defer s.world.nodeBusy[which].Unlock()
 	node := s.world.nodes[which]
-	defer s.disturbed.note(node.name, time.Now())
-	node.signal(syscall.SIGSTOP)
+	defer s.disturbed.note(node.Name(), time.Now())
+	node.Signal(syscall.SIGSTOP)
 	time.Sleep(lasts)
-	err := addSuspended(s.world.suspendedPath(node.name), lasts)
-	node.signal(syscall.SIGCONT)
+	err := addSuspended(s.world.suspendedPath(node.Name()), lasts)
+	node.Signal(syscall.SIGCONT)
 	return err
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -20,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hoistjunction/hoistjunction/internal/process"
 	"github.com/hoistjunction/hoistjunction/standin"
 )
 
@@ -34,13 +35,13 @@
 type world struct {
 	bin, dir  string
 	size      Size
-	store     *process
+	store     *process.Process
 	storeLink []*proxy
-	nodes     []*process
-	engines   []*process
+	nodes     []*process.Process
+	engines   []*process.Process
 	links     []*proxy
 	// desks are all that have been started, the last one in use.
-	desks     []*process
+	desks     []*process.Process
 	deskLinks []*proxy
 	// generation counts the starts of engines, and engineIDs are their ids.
 	engineIDs  []string
@@ -86,14 +87,14 @@
 	return w, nil
 }
 
-func (w *world) launch(name, mark, program string, args ...string) (*process, error) {
+func (w *world) launch(name, mark, program string, args ...string) (*process.Process, error) {
 	log, err := os.OpenFile(filepath.Join(w.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: name, args: append([]string{filepath.Join(w.bin, program)}, args...), log: log, ended: w.ends.note}
-	p.env = []string{suspendedFile + "=" + w.suspendedPath(name)}
-	return p, p.start(mark)
+	p := process.New(name, log, append([]string{filepath.Join(w.bin, program)}, args...),
+		process.WithEnv(suspendedFile+"="+w.suspendedPath(name)), process.WithEnded(w.ends.note))
+	return p, p.Start(mark)
 }
 
 // startDesk starts another desk, behind a link of its own, in the place of the last.
@@ -102,11 +103,11 @@
 	if err != nil {
 		return err
 	}
-	desk, err := w.launch(id, "listening ", "standin-site", "desk", "--id", id, "--store", w.store.at(), "--through", link.address())
+	desk, err := w.launch(id, "listening ", "standin-site", "desk", "--id", id, "--store", w.store.Address(), "--through", link.address())
 	if err != nil {
 		return err
 	}
-	link.setTarget(desk.at())
+	link.setTarget(desk.Address())
 	w.desks, w.deskLinks = append(w.desks, desk), append(w.deskLinks, link)
 	return nil
 }
@@ -125,12 +126,12 @@
 	}
 	centre := fmt.Sprintf("dc-%d", i%2+1)
 	p, err := w.launch(w.engineName(i), "listening ", "standin-site", "engine",
-		"--id", w.engineIDs[i], "--centre", centre, "--store", w.store.at(), "--through", w.links[i].address())
+		"--id", w.engineIDs[i], "--centre", centre, "--store", w.store.Address(), "--through", w.links[i].address())
 	if err != nil {
 		return err
 	}
 	w.engines[i] = p
-	w.links[i].setTarget(p.at())
+	w.links[i].setTarget(p.Address())
 	return nil
 }
 
@@ -139,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	link.setTarget(w.store.at())
+	link.setTarget(w.store.Address())
 	w.storeLink = append(w.storeLink, link)
 	path := filepath.Join(w.dir, fmt.Sprintf("node-%d.ini", i))
 	text := fmt.Sprintf("[node]\nname = node-%d\ndata_centre = dc-%d\n[caller]\nlisten = 127.0.0.1:0\n[readiness]\nlisten = 127.0.0.1:0\n"+
@@ -156,7 +157,7 @@
 }
 
 // restart starts a node's program again.
-func (w *world) restart(p *process) error { return p.start(" caller=") }
+func (w *world) restart(p *process.Process) error { return p.Start(" caller=") }
 
 // suspendedPath is the file with the time for which a process's VM was suspended.
 func (w *world) suspendedPath(name string) string {
@@ -164,10 +165,10 @@
 }
 
 func (w *world) close() {
-	for _, p := range slices.Concat([]*process{w.store}, w.desks, w.nodes, w.engines) {
+	for _, p := range slices.Concat([]*process.Process{w.store}, w.desks, w.nodes, w.engines) {
 		if p != nil {
-			p.kill()
-			_ = p.log.Close()
+			p.Kill()
+			_ = p.Close()
 		}
 	}
 	for _, l := range slices.Concat(w.deskLinks, w.links, w.storeLink) {
@@ -184,7 +185,7 @@
 // when the store had acknowledged it.
 func (w *world) setKeys(keys ...string) (time.Time, error) {
 	w.version++
-	url := fmt.Sprintf("http://%s/operator/%d?", w.store.at(), w.version)
+	url := fmt.Sprintf("http://%s/operator/%d?", w.store.Address(), w.version)
 	for _, key := range keys {
 		url += "key=" + key + "&"
 	}
@@ -193,7 +194,7 @@
 }
 
 func (w *world) storeFaults(f standin.RowStoreFaults) error {
-	return post("http://"+w.store.at()+"/faults", f)
+	return post("http://"+w.store.Address()+"/faults", f)
 }
 
 func post(url string, v any) error {
@@ -229,8 +230,8 @@
 	return all, nil
 }
 
-func runsOf(desk *process) (map[string]standin.DeskRun, error) {
-	resp, err := calls.Get("http://" + desk.at() + "/runs")
+func runsOf(desk *process.Process) (map[string]standin.DeskRun, error) {
+	resp, err := calls.Get("http://" + desk.Address() + "/runs")
 	if err != nil {
 		return nil, err
 	}
