hoistrehearse: scenarios of the lab as real processes in real time, judged by what is served and to whom

Nodes run as built, with all the settings of the deployment's template, at addresses of their own; the stand-ins have the engines' real pace, memory and load times, and plain services with places and a queue; callers are an open loop.

--- a/cmd/hoistlab/run.go
+++ b/cmd/hoistlab/run.go
@@ -47,6 +47,9 @@
 // load reads a scenario, and the product without some mechanisms; without none as it is.
 func load(scenario, without string) (*lab.Scenario, lab.Variant, error) {
 	s, err := lab.LoadScenario(scenario)
+	if err == nil {
+		err = emulated(s)
+	}
 	if err != nil || without == "" {
 		return s, lab.Variant{Name: asItIs}, err
 	}
@@ -54,6 +57,16 @@
 	return s, v, err
 }
 
+// emulated refuses what only a rehearsal with real processes can play.
+func emulated(s *lab.Scenario) error {
+	for _, f := range s.Faults {
+		if !f.Kind.Emulated() {
+			return errors.Newf("%s: the emulator does not play %s; hoistrehearse does", f.Name, f.Kind)
+		}
+	}
+	return nil
+}
+
 func printResult(r *lab.Result) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	for _, name := range lab.FigureNames {
--- /dev/null
+++ b/cmd/hoistrehearse/main.go
@@ -0,0 +1,106 @@
+// Command hoistrehearse plays scenarios of hoistlab in real time with the built programs as
+// processes of their own, and judges what callers got.
+//
+//	hoistrehearse examples/rehearse/stalls.ini --seed 7
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/rehearse"
+)
+
+type arguments struct {
+	Scenario string        `arg:"positional,required" help:"scenario file"`
+	Seed     uint64        `arg:"--seed" default:"1"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"how many seeds to play, one after the other"`
+	Scale    float64       `arg:"--scale" default:"1" help:"part of the nodes and of the load"`
+	For      time.Duration `arg:"--for" help:"how long callers ask; the scenario's time without it"`
+	Busy     int           `arg:"--busy" help:"processors that are kept busy beside it"`
+	Bin      string        `arg:"--bin" default:"bin" help:"where the programs are"`
+	Template string        `arg:"--template" default:"deploy/relay.ini.tmpl" help:"template of a node's settings"`
+	Logs     string        `arg:"--logs" help:"where logs, report.json and report.html go; kept only if named or if a seed fails"`
+	Quiet    bool          `arg:"--quiet" help:"no line a second"`
+}
+
+// Description implements arg.Described.
+func (arguments) Description() string {
+	return "hoistrehearse plays a scenario with real processes in real time, judged by what callers get."
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	// A signal ends the seed under way, and with it the processes that it started.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	failed := 0
+	for i := range args.Seeds {
+		if err := play(ctx, args, args.Seed+uint64(i)); err != nil {
+			fmt.Fprintln(os.Stderr, "hoistrehearse:", err)
+			failed++
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	fmt.Printf("%d passed, %d failed\n", args.Seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+func play(ctx context.Context, args arguments, seed uint64) error {
+	logs := args.Logs
+	if logs == "" {
+		made, err := os.MkdirTemp("", "hoistrehearse-")
+		if err != nil {
+			return err
+		}
+		logs = made
+	}
+	logs = filepath.Join(logs, fmt.Sprint(seed))
+	opts := []rehearse.Option{
+		rehearse.WithSeed(seed), rehearse.WithScale(args.Scale), rehearse.WithLength(clock.FromDuration(args.For)), rehearse.WithBusy(args.Busy),
+		rehearse.WithPrograms(args.Bin), rehearse.WithTemplate(args.Template), rehearse.WithLogs(logs),
+	}
+	if !args.Quiet {
+		opts = append(opts, rehearse.WithProgress(os.Stderr))
+	}
+	report, err := rehearse.Run(ctx, args.Scenario, opts...)
+	if report != nil {
+		err = errors.CombineErrors(err, errors.CombineErrors(report.Print(os.Stdout), write(report, logs)))
+		err = errors.CombineErrors(err, report.Verdict())
+	}
+	if err != nil {
+		return errors.Wrapf(err, "seed %d: logs in %s", seed, logs)
+	}
+	if args.Logs == "" {
+		return os.RemoveAll(filepath.Dir(logs))
+	}
+	return nil
+}
+
+// write writes the report's files.
+func write(r *rehearse.Report, folder string) error {
+	data, err := os.Create(filepath.Join(folder, "report.json"))
+	if err != nil {
+		return err
+	}
+	page, err := os.Create(filepath.Join(folder, "report.html"))
+	if err != nil {
+		return errors.CombineErrors(err, data.Close())
+	}
+	err = errors.CombineErrors(r.WriteJSON(data), r.WritePage(page))
+	return errors.CombineErrors(err, errors.CombineErrors(data.Close(), page.Close()))
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -167,3 +167,13 @@
 		return false
 	}
 }
+
+// PID is its number; running is false for one that is not started or was ended.
+func (p *Process) PID() (pid int, running bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0, false
+	}
+	return p.cmd.Process.Pid, true
+}
--- a/lab/fault.go
+++ b/lab/fault.go
@@ -35,11 +35,25 @@
 	Burst Kind = "burst"
 	// NodeKill ends nodes, which start again.
 	NodeKill Kind = "node_kill"
-	// ListAway has the list stand still.
+	// ListAway has the list stand still; in a rehearsal the store answers nobody.
 	ListAway Kind = "list_away"
+	// NodeFreeze has nodes stand still, NodeRoll has them stopped and started one after the
+	// other, StoreSlow has the store take x ms for an answer, and PlainFull has the plain
+	// service run nothing. They are for rehearsals with real processes.
+	NodeFreeze Kind = "node_freeze"
+	NodeRoll   Kind = "node_roll"
+	StoreSlow  Kind = "store_slow"
+	PlainFull  Kind = "plain_full"
 )
 
-var kinds = []Kind{Crash, Slow, Refuse, Rest, Limit, Deadly, Burst, NodeKill, ListAway}
+// emulated are those that the emulator plays, and rehearsed those that only rehearsals do.
+var (
+	emulated  = []Kind{Crash, Slow, Refuse, Rest, Limit, Deadly, Burst, NodeKill, ListAway}
+	rehearsed = []Kind{NodeFreeze, NodeRoll, StoreSlow, PlainFull}
+)
+
+// Emulated tells whether the emulator plays a kind of trouble.
+func (k Kind) Emulated() bool { return slices.Contains(emulated, k) }
 
 // Fault is a trouble at a time.
 type Fault struct {
@@ -68,7 +82,7 @@
 		return f, faultError(name, text, "write its time in seconds first")
 	}
 	f.At, f.Kind = seconds(at), Kind(words[1])
-	if !slices.Contains(kinds, f.Kind) {
+	if !f.Kind.Emulated() && !slices.Contains(rehearsed, f.Kind) {
 		return f, faultError(name, text, "there is no such kind of trouble")
 	}
 	for _, word := range words[2:] {
--- a/lab/hunt.go
+++ b/lab/hunt.go
@@ -49,7 +49,7 @@
 	var list []Fault
 	for i := range 1 + random.IntN(mostDrawn) {
 		f := Fault{
-			Name: fmt.Sprintf("t%d", i+1), Kind: kinds[random.IntN(len(kinds))], At: 2000 + clock.Millis(random.Int64N(int64(lasts)*2/3)),
+			Name: fmt.Sprintf("t%d", i+1), Kind: emulated[random.IntN(len(emulated))], At: 2000 + clock.Millis(random.Int64N(int64(lasts)*2/3)),
 			For: 500 + clock.Millis(random.IntN(6000)), Share: 0.05 + 0.6*random.Float64(), X: 1,
 		}
 		switch f.Kind {
--- a/lab/scenario.go
+++ b/lab/scenario.go
@@ -29,6 +29,8 @@
 	// engine that has ended goes from it.
 	LagMS, LapseMS clock.Millis
 	Faults         []Fault
+	// Deployment is what a rehearsal with real processes has beside these.
+	Deployment Deployment
 }
 
 // Nodes are the relay nodes, and what operators set for them.
@@ -73,11 +75,12 @@
 	set := settings.NewSet()
 	finish := s.Fleet.Declare(set)
 	s.declare(set)
+	sections := s.Deployment.declare(set)
 	set.Map("faults", faults)
 	if err := set.Load(path); err != nil {
 		return nil, err
 	}
-	if err := finish(); err != nil {
+	if err := errors.CombineErrors(finish(), s.finishDeployment(sections)); err != nil {
 		return nil, err
 	}
 	for name, text := range faults {
--- /dev/null
+++ b/rehearse/balancer.go
@@ -0,0 +1,87 @@
+package rehearse
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// askedEvery is how often the balancer asks whether a node is ready, and missesOut after
+	// how many questions in vain it gets no new connections.
+	askedEvery = time.Second
+	missesOut  = 2
+)
+
+// balancer hands callers' connections to the nodes of their data centre that are ready, as the
+// platform does.
+type balancer struct {
+	nodes  []*node
+	client *http.Client
+
+	mu     sync.Mutex
+	misses []int
+}
+
+func newBalancer(nodes []*node) *balancer {
+	return &balancer{nodes: nodes, client: &http.Client{Timeout: askedEvery / 2}, misses: make([]int, len(nodes))}
+}
+
+// run asks all nodes until the context ends.
+func (b *balancer) run(ctx context.Context) {
+	tick := time.NewTicker(askedEvery)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		for i := range b.nodes {
+			go b.ask(ctx, i)
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+}
+
+func (b *balancer) ask(ctx context.Context, i int) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.nodes[i].readiness+"/readiness", nil)
+	if err != nil {
+		return
+	}
+	ready := false
+	if resp, err := b.client.Do(req); err == nil {
+		ready = resp.StatusCode == http.StatusOK
+		_ = resp.Body.Close()
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ready {
+		b.misses[i] = 0
+	} else {
+		b.misses[i]++
+	}
+}
+
+// choose picks a node for a connection of a caller of a data centre, by a number of the caller's.
+// Where under half of the data centre's nodes are ready all of them are used.
+func (b *balancer) choose(centre string, number uint64) *node {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var here, ready []*node
+	for i, n := range b.nodes {
+		if n.centre != centre {
+			continue
+		}
+		here = append(here, n)
+		if b.misses[i] < missesOut {
+			ready = append(ready, n)
+		}
+	}
+	if 2*len(ready) < len(here) {
+		ready = here
+	}
+	if len(ready) == 0 {
+		ready = b.nodes
+	}
+	return ready[number%uint64(len(ready))]
+}
--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -42,12 +42,22 @@
 	advertised string
 	client     *http.Client
 
+	model engineModel
+	// yard holds the engines of the same process; nil for an engine alone.
+	yard *Yard
+
 	mu      sync.Mutex
 	held    fleet.Range
 	loading bool
 	orders  uint64
 	streams map[string]*engineStream
-	faults  ChainFaults
+	// used is the memory that streams of the yard take, in tokens times layers, and passing
+	// how many of them pass this engine.
+	used    float64
+	passing int
+	// slow is how many times as long as usual it takes; zero for as long.
+	slow   float64
+	faults ChainFaults
 	// taken counts the streams that were taken since the faults were set.
 	taken int
 }
@@ -70,6 +80,7 @@
 func NewChainEngine(id, advertised string, opts ...ServerOption) *ChainEngine {
 	return &ChainEngine{
 		life: newLife(id, opts), advertised: advertised, client: &http.Client{Timeout: askPart}, streams: make(map[string]*engineStream),
+		model: siteModel{},
 	}
 }
 
@@ -78,7 +89,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return &platformpb.Server{
-		Service: SiteWriter, Address: e.advertised, Zone: centre, State: e.state(), Slots: 64, Kind: SiteKind,
+		Service: SiteWriter, Address: e.advertised, Zone: centre, State: e.state(), Slots: float64(e.model.slots()), Kind: e.model.kind(),
 		Layers: e.layers(), Born: e.born, Software: standinSoftware, OrdersTaken: float64(e.orders),
 	}
 }
@@ -105,8 +116,8 @@
 
 func (e *ChainEngine) report(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	report := &platformpb.Report{Busy: e.loading, OrdersTaken: float64(e.orders), Layers: e.layers(), Kind: SiteKind, Born: e.born,
-		Active: float64(len(e.streams)), KvUsed: streamMemory * float64(len(e.streams)), KvTotal: engineMemory}
+	report := &platformpb.Report{Busy: e.loading, OrdersTaken: float64(e.orders), Layers: e.layers(), Kind: e.model.kind(), Born: e.born,
+		Active: float64(len(e.streams)), KvUsed: e.memoryUsed(), KvTotal: e.model.room(e.held.Len()), Pace: max(e.slow, 1)}
 	for id, s := range e.streams {
 		if s.stalledAt != "" {
 			report.Stalled = append(report.Stalled, &platformpb.Stalled{Id: id, Address: s.stalledAt})
@@ -140,12 +151,17 @@
 		return
 	}
 	parts := parseParts(r.Header.Get("Path"))
-	if bad := e.unfit(r.Context(), parts); bad != "" {
+	bad := e.unfit(r.Context(), parts)
+	if bad == "" {
+		bad = e.reserve(r, parts)
+	}
+	if bad != "" {
 		w.Header().Set("At-Server", bad)
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer e.release(r, parts)
 	if e.crash.begin(r.URL.Path) {
 		panic(http.ErrAbortHandler)
 	}
@@ -183,7 +199,7 @@
 		}
 		next = p.layers.To
 	}
-	if next != SiteLayers {
+	if next != e.model.layers() {
 		return e.advertised
 	}
 	return ""
@@ -191,6 +207,10 @@
 
 // ask asks another engine whether it holds its part.
 func (e *ChainEngine) ask(ctx context.Context, p enginePart) bool {
+	if e.yard != nil {
+		other := e.yard.at(p.address)
+		return other != nil && other.holds(p.layers)
+	}
 	url := fmt.Sprintf("http://%s/part?layers=%d-%d", p.address, p.layers.From, p.layers.To)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/standin/chain_engine_order.go
+++ b/standin/chain_engine_order.go
@@ -67,7 +67,7 @@
 		e.orders++
 		e.loading = true
 		e.held = fleet.Range{}
-		time.AfterFunc(loadTime, func() { e.loaded(fleet.Range{From: int(*o.From), To: int(*o.To)}) })
+		time.AfterFunc(e.model.load(int(*o.To)-int(*o.From)), func() { e.loaded(fleet.Range{From: int(*o.From), To: int(*o.To)}) })
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
--- a/standin/chain_engine_stream.go
+++ b/standin/chain_engine_stream.go
@@ -16,8 +16,9 @@
 		first = last + 1
 	}
 	control := http.NewResponseController(w)
-	for n := first; n <= SiteEvents(r.URL.Path); n++ {
-		time.Sleep(eventEvery)
+	time.Sleep(e.readTime(r, stream))
+	for n := first; n <= e.model.events(r.URL.Path); n++ {
+		time.Sleep(e.stepTime(stream))
 		if stream.cut && n == first+cutAfter || !e.passAll(r.Context(), stream) {
 			panic(http.ErrAbortHandler)
 		}
--- a/standin/desk.go
+++ b/standin/desk.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/platform/platformpb"
@@ -17,8 +19,12 @@
 	advertised string
 	work       time.Duration
 	slots      chan struct{}
-	mu         sync.Mutex
-	runs       map[string]DeskRun
+	// queue are places for those that wait for a slot; none where it is nil.
+	queue chan struct{}
+	// shut tells that it runs nothing.
+	shut atomic.Bool
+	mu   sync.Mutex
+	runs map[string]DeskRun
 }
 
 // DeskRun is what became of one try.
@@ -41,7 +47,7 @@
 
 // Entry returns the desk's entry in the list of servers.
 func (d *Desk) Entry(centre string) *platformpb.Server {
-	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: d.state(), Slots: deskSlots, Born: d.born, Software: standinSoftware}
+	return &platformpb.Server{Service: SiteDesk, Address: d.advertised, Zone: centre, State: d.state(), Slots: float64(cap(d.slots)), Born: d.born, Software: standinSoftware}
 }
 
 // Handler serves requests, what was run at /runs, and the desk's leaving at /leave.
@@ -72,14 +78,12 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || !d.admit(w, r) {
 		return
 	}
-	select {
-	case d.slots <- struct{}{}:
-		defer func() { <-d.slots }()
-	default:
+	if !d.enter(r.Context()) {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	defer func() { <-d.slots }()
 	if d.crash.begin(r.URL.Path) {
 		panic(http.ErrAbortHandler)
 	}
@@ -92,6 +96,44 @@
 	_, _ = io.WriteString(w, DeskAnswer(r.URL.Path))
 }
 
+// SetPlaces sets how many requests it works on, and how many wait for a slot instead of being
+// refused. It is for a desk that nobody has asked yet.
+func (d *Desk) SetPlaces(slots, queue int) {
+	d.slots, d.queue = make(chan struct{}, slots), make(chan struct{}, queue)
+}
+
+// SetShut has the desk run nothing, as if others had all of its places.
+func (d *Desk) SetShut(shut bool) { d.shut.Store(shut) }
+
+// Open tells whether it has a place for another request.
+func (d *Desk) Open() bool {
+	return !d.shut.Load() && (len(d.slots) < cap(d.slots) || len(d.queue) < cap(d.queue))
+}
+
+// enter takes a slot, or waits for one in the queue; it reports whether there was a place.
+func (d *Desk) enter(ctx context.Context) bool {
+	if d.shut.Load() {
+		return false
+	}
+	select {
+	case d.slots <- struct{}{}:
+		return true
+	default:
+	}
+	select {
+	case d.queue <- struct{}{}:
+		defer func() { <-d.queue }()
+	default:
+		return false
+	}
+	select {
+	case d.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (d *Desk) note(id, account string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -32,6 +32,34 @@
 	changed  chan struct{}
 	faults   RowStoreFaults
 	started  time.Time
+	pace     *storePace
+}
+
+// storePace is how long the store takes for an answer, and how many calls it takes a second.
+type storePace struct {
+	answer time.Duration
+	reads  limiter
+	writes limiter
+}
+
+// SetPace has each answer take a time, and calls over so many reads and writes a second be
+// refused. Servers' heartbeats are not counted.
+func (s *RowStore) SetPace(answer time.Duration, reads, writes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace = &storePace{answer: answer, reads: newLimiter(reads), writes: newLimiter(writes)}
+}
+
+// admit takes a call, and returns how long it takes; ok is false where it is one too many. The
+// caller holds the lock.
+func (s *RowStore) admit(r *http.Request, now time.Time) (takes time.Duration, ok bool) {
+	if s.pace == nil || strings.HasPrefix(r.URL.Path, "/beat/") {
+		return 0, true
+	}
+	if r.Method == http.MethodGet {
+		return s.pace.answer, s.pace.reads.allow(now)
+	}
+	return s.pace.answer, s.pace.writes.allow(now)
 }
 
 // RowStoreFaults are what goes wrong with a store.
@@ -86,8 +114,12 @@
 		s.mu.Lock()
 		f := s.faults
 		s.lapse(time.Now())
+		takes, admitted := s.admit(r, time.Now())
 		s.mu.Unlock()
 		switch {
+		case !admitted:
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
 		case f.Silent:
 			hang(r)
 			return
@@ -98,7 +130,7 @@
 			call(discard{}, r)
 			panic(http.ErrAbortHandler)
 		}
-		time.Sleep(time.Duration(f.SlowMS) * time.Millisecond)
+		time.Sleep(takes + time.Duration(f.SlowMS)*time.Millisecond)
 		call(w, r)
 	}
 }
