A request that finds no place is refused by its time, not by a number of tries

What callers saw: refused (refused_by_upstreams) 0.2 s after a service had become full, with seconds left in which it had places again; or a 504, which does not promise that the request has not run, where it had only waited.

Cause: a bound on the attempts of one request, which keeps it from walking through a whole fleet, counted also those that an upstream had turned away for want of a place: nine of them are made in 0.2 s before three full upstreams. And who waits was looked at each 0.1 s, without regard to whether the next look would be too late.

Attempts without a place are bounded by the caller's time and by the budget of repeats. Who cannot wait for the next look is refused at this one, with the promise and some time to come back.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -16,6 +16,9 @@
 	}
 	cmds := append(m.blame(r, msg), m.noteLoss(r, msg)...)
 	m.noteRun(r, msg)
+	if msg.Cause == NotRunFull && r.service.Pipeline == nil {
+		r.placeless++
+	}
 	r.events, r.delivered = msg.Events, msg.Delivered
 	m.endAttempt(r)
 	return append(cmds, m.next(r, msg)...)
@@ -67,7 +70,7 @@
 		return ReasonUnknown
 	case cause == Failed && r.route.Kind == 0:
 		return ReasonUnknown
-	case !r.mayRunAgain(), r.sends >= mostSends:
+	case !r.mayRunAgain(), r.sends-r.placeless >= mostSends:
 		return ReasonRefused
 	case r.left(m.now) < leastLeft:
 		return ReasonTimeout
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -21,6 +21,9 @@
 	// has not refused one for shortOfPlaces: others' requests end there too.
 	placesAfterAnswer              = 2
 	shortOfPlaces     clock.Millis = 150
+	// placesReviewed is how often it is looked at who waits. Who cannot wait until the next
+	// time is refused now: later its time would be up, which does not tell that it has not run.
+	placesReviewed clock.Millis = 100
 )
 
 // PlaceCmd is for the log: a request awaits a place at a plain service.
@@ -152,7 +155,7 @@
 			if r == nil || !r.awaitsPlace {
 				return true
 			}
-			given := r.left(m.now) < m.placeWithin(r, 0) || !m.fullPlain(r) && m.openPlaces(service) == 0
+			given := r.left(m.now) < m.placeWithin(r, 0)+placesReviewed || !m.fullPlain(r) && m.openPlaces(service) == 0
 			if given {
 				late = append(late, r)
 			}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -49,6 +49,9 @@
 	impatient   bool
 	// awaitsPlace tells that it awaits a place at a plain service, and hasWaited that it has.
 	awaitsPlace, hasWaited bool
+	// placeless counts the attempts that found no place. They end with its time, and with the
+	// budget of repeats, and not with a number.
+	placeless int
 	// afterRest tells that some of what it could go on at rests.
 	afterRest bool
 
