--- a/rehearse/caller.go
+++ b/rehearse/caller.go
@@ -21,14 +21,16 @@
 
 // Request is one request of a caller, with all of its tries, and what became of it.
 type Request struct {
-	ID      string      `json:"id"`
-	Kind    string      `json:"kind"`
-	Centre  string      `json:"centre"`
-	Account int         `json:"account"`
-	Subject string      `json:"subject"`
-	Caller  string      `json:"caller"`
-	Tokens  int         `json:"tokens"`
-	At      float64     `json:"at_s"`
+	ID      string  `json:"id"`
+	Kind    string  `json:"kind"`
+	Centre  string  `json:"centre"`
+	Account int     `json:"account"`
+	Subject string  `json:"subject"`
+	Caller  string  `json:"caller"`
+	Tokens  int     `json:"tokens"`
+	At      float64 `json:"at_s"`
+	// EndS is when it was over.
+	EndS    float64     `json:"end_s"`
 	Outcome lab.Outcome `json:"outcome"`
 	// FirstMS is when the first event came, or the answer, counted from the first try;
 	// PauseMS is the longest pause between events.
@@ -84,6 +86,7 @@
 		sleep(ctx, back)
 	}
 	a.Outcome = a.outcome()
+	a.EndS = a.At + time.Since(a.began).Seconds()
 }
 
 func (a *asker) left() time.Duration { return a.kind.DeadlineMS.Duration() - time.Since(a.began) }
