Engines that come back to a data centre of nothing are given their layers together

What callers saw: after all engines had been lost for 2 s, a third of all streams was refused (no_memory_left) for as long as the deployment ran.

Cause: a data centre without any order or holder is planned as a whole, and any other one engine by engine. A layer without a holder outweighs all else, so each engine in turn was given as many layers as fit, to the last byte; the engines that were left got second copies, and the full ones held the memory of the whole chain down for good. One early order, given while the list still showed the dead ones, was enough for that.

Where over half of the layers lack a holder, the empty engines are planned together now, as in a first plan, beside what others hold.

--- a/placement/plan.go
+++ b/placement/plan.go
@@ -198,6 +198,16 @@
 func (p *plan) fillGroup(engines []*Engine) []Order {
 	var orders []Order
 	l := newLayout(p.shape, engines)
+	if open := p.open(l); len(open) > 1 && 2*l.count() > p.shape.Layers {
+		// One after the other, the first would be filled to the last layer, since each layer
+		// without a holder outweighs all else, and have no memory for requests.
+		l.searchOver(open)
+		for _, i := range open {
+			orders = append(orders, p.order(l.engines[i], l.ranges[i]))
+		}
+		p.weighed += l.weighed
+		return orders
+	}
 	for i, e := range l.engines {
 		if !p.fillable(e) {
 			continue
@@ -213,6 +223,17 @@
 	return orders
 }
 
+// open are the places of the engines of a layout that may be filled.
+func (p *plan) open(l *layout) []int {
+	var open []int
+	for i, e := range l.engines {
+		if p.fillable(e) {
+			open = append(open, i)
+		}
+	}
+	return open
+}
+
 // keep tells whether an engine is held in reserve: servers are replaced one
 // after the other, the new one first, so layers will soon want a holder.
 func (p *plan) keep(e *Engine) bool { return e.Reserve && p.missing(e.DataCentre, p.whole()) == 0 }
--- a/placement/search.go
+++ b/placement/search.go
@@ -19,25 +19,28 @@
 
 // search seeks the best layout: of those that fill engines in the same part, fast ones
 // first, the best is improved on.
-func (l *layout) search() {
+func (l *layout) search() { l.searchOver(l.all()) }
+
+// searchOver seeks it for some of the engines; the others keep what they have.
+func (l *layout) searchOver(some []int) {
 	var best []fleet.Range
 	most := 0.0
 	for _, fill := range fills {
-		l.spread(fill)
+		l.spreadOver(some, fill)
 		if v := l.value(); best == nil || v > most {
 			best, most = slices.Clone(l.ranges), v
 		}
 	}
 	copy(l.ranges, best)
-	l.improve()
+	l.improve(some)
 }
 
-// improve changes ranges of engines for as long as each change raises the value,
+// improve changes ranges of some engines for as long as each change raises the value,
 // within bounds.
-func (l *layout) improve() {
+func (l *layout) improve(some []int) {
 	for range sweeps {
 		changed := false
-		for i := range l.engines {
+		for _, i := range some {
 			if r, gain := l.bestFor(i); gain > leastGain {
 				l.ranges[i] = r
 				changed = true
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -1,6 +1,10 @@
 package placement
 
-import "github.com/hoistjunction/hoistjunction/fleet"
+import (
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
 
 // Weights of a layer's need of a holder while a layout is spread. A second holder
 // matters more the more layers would be lost with the first, since they take that
@@ -13,17 +17,36 @@
 
 // spread gives each engine, the fast ones first, the run of layers that needs a
 // holder most, as long as the fill lets it be.
-func (l *layout) spread(fill float64) {
+func (l *layout) spread(fill float64) { l.spreadOver(l.all(), fill) }
+
+// spreadOver does so with some of the engines; the others keep what they have.
+func (l *layout) spreadOver(some []int, fill float64) {
 	spans := make([]int, l.shape.Layers)
 	holders := make([]int, l.shape.Layers)
-	for i, e := range l.engines {
-		r := neediest(holders, spans, min(capacity(e, fill), l.shape.Layers))
-		l.ranges[i] = r
+	hold := func(r fleet.Range) {
 		for layer := r.From; layer < r.To; layer++ {
 			holders[layer]++
 			spans[layer] += r.Len()
 		}
 	}
+	for i, r := range l.ranges {
+		if !slices.Contains(some, i) {
+			hold(r)
+		}
+	}
+	for _, i := range some {
+		l.ranges[i] = neediest(holders, spans, min(capacity(l.engines[i], fill), l.shape.Layers))
+		hold(l.ranges[i])
+	}
+}
+
+// all are the places of all engines.
+func (l *layout) all() []int {
+	list := make([]int, len(l.engines))
+	for i := range list {
+		list[i] = i
+	}
+	return list
 }
 
 // neediest returns the run of layers of a size whose layers need a holder most.
