--- a/Makefile
+++ b/Makefile
@@ -22,11 +22,16 @@
 	.ci/go-tests
 	models/check.sh
 	$(MAKE) soak
+	$(MAKE) rehearse
 
 .PHONY: soak
 soak: build ## Plays one short seed of the fault soak.
 	bin/hoistsoak --seed 7 --for 8s
 
+.PHONY: rehearse
+rehearse: build ## Plays a small deployment in real time; a machine that is too busy gives no verdict.
+	bin/hoistrehearse examples/rehearse/small.ini --quiet || test $$? -eq 3
+
 .PHONY: fuzz
 fuzz: ## Lets the fuzzer look for new inputs, half a minute for each target.
 	go test ./once -run xxx -fuzz . -fuzztime 30s
--- a/rehearse/balancer.go
+++ b/rehearse/balancer.go
@@ -17,14 +17,14 @@
 // balancer hands callers' connections to the nodes of their data centre that are ready, as the
 // platform does.
 type balancer struct {
-	nodes  []*node
+	nodes  []*relayNode
 	client *http.Client
 
 	mu     sync.Mutex
 	misses []int
 }
 
-func newBalancer(nodes []*node) *balancer {
+func newBalancer(nodes []*relayNode) *balancer {
 	return &balancer{nodes: nodes, client: &http.Client{Timeout: askedEvery / 2}, misses: make([]int, len(nodes))}
 }
 
@@ -64,10 +64,10 @@
 
 // choose picks a node for a connection of a caller of a data centre, by a number of the caller's.
 // Where under half of the data centre's nodes are ready all of them are used.
-func (b *balancer) choose(centre string, number uint64) *node {
+func (b *balancer) choose(centre string, number uint64) *relayNode {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var here, ready []*node
+	var here, ready []*relayNode
 	for i, n := range b.nodes {
 		if n.centre != centre {
 			continue
--- a/rehearse/deployment.go
+++ b/rehearse/deployment.go
@@ -23,7 +23,7 @@
 	options   options
 	store     *process.Process
 	upstreams *process.Process
-	nodes     []*node
+	nodes     []*relayNode
 	all       []*process.Process
 }
 
--- a/rehearse/harm.go
+++ b/rehearse/harm.go
@@ -66,13 +66,13 @@
 		sleep(ctx, lasts)
 		h.load.setBurst(1)
 	case lab.NodeKill:
-		return h.eachNode(f, func(n *node) error {
+		return h.eachNode(f, func(n *relayNode) error {
 			n.Kill()
 			sleep(ctx, lasts)
 			return n.Start(nodeMark)
 		})
 	case lab.NodeFreeze:
-		return h.eachNode(f, func(n *node) error {
+		return h.eachNode(f, func(n *relayNode) error {
 			n.Signal(syscall.SIGSTOP)
 			sleep(ctx, lasts)
 			n.Signal(syscall.SIGCONT)
@@ -97,7 +97,7 @@
 }
 
 // eachNode does something to a share of the nodes at once.
-func (h *harm) eachNode(f lab.Fault, do func(*node) error) error {
+func (h *harm) eachNode(f lab.Fault, do func(*relayNode) error) error {
 	nodes := h.some(f.Share)
 	errs := make([]error, len(nodes))
 	var group sync.WaitGroup
@@ -109,11 +109,11 @@
 }
 
 // some draws a share of the nodes, one at least.
-func (h *harm) some(share float64) []*node {
+func (h *harm) some(share float64) []*relayNode {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	all := h.deployment.nodes
-	var nodes []*node
+	var nodes []*relayNode
 	const half = 0.5
 	for _, i := range h.random.Perm(len(all))[:min(max(1, int(share*float64(len(all))+half)), len(all))] {
 		nodes = append(nodes, all[i])
--- a/rehearse/load.go
+++ b/rehearse/load.go
@@ -34,7 +34,7 @@
 }
 
 // node is where a try goes: the node of its connections, or another one for a later try.
-func (c *client) node(try int) *node { return c.balancer.choose(c.centre, c.number+uint64(try)) }
+func (c *client) node(try int) *relayNode { return c.balancer.choose(c.centre, c.number+uint64(try)) }
 
 func (c *client) transport(try int) *http.Transport {
 	if try > 0 || c.renew {
--- a/rehearse/use.go
+++ b/rehearse/use.go
@@ -9,7 +9,7 @@
 )
 
 // measureNodes reads what the nodes have used, by the kernel's word. One that is gone is left out.
-func measureNodes(nodes []*node) []NodeUse {
+func measureNodes(nodes []*relayNode) []NodeUse {
 	var list []NodeUse
 	for _, n := range nodes {
 		pid, running := n.PID()
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +25,8 @@
 	// whole tells that the answer ended as a whole one does.
 	whole bool
 	body  string
+	// back is when a refused caller was told to come back.
+	back time.Duration
 }
 
 // patience is how long a caller waits for an answer, in ms.
@@ -54,10 +57,7 @@
 		if t.status == 0 {
 			node = random.IntN(len(c.world.nodes))
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(time.Duration(5+random.IntN(40)) * time.Millisecond):
-		}
+		sleep(ctx, t.back+time.Duration(5+random.IntN(40))*time.Millisecond)
 	}
 }
 
@@ -98,6 +98,9 @@
 	t.status = resp.StatusCode
 	answer, err := io.ReadAll(resp.Body)
 	t.body, t.whole = string(answer), err == nil
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		t.back = min(time.Duration(seconds*float64(time.Second)), patience*time.Millisecond)
+	}
 	return t
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -57,6 +57,8 @@
 	disturbed disturbances
 	// keys is held while the second key is away.
 	keys sync.Mutex
+	// calmFrom and calmTo are when nothing was harmed.
+	calmFrom, calmTo time.Time
 }
 
 // Run plays a seed. Errors wrap ErrBroken where a promise was broken.
@@ -82,7 +84,12 @@
 	}
 	time.Sleep(settle)
 	s.harm(ctx)
+	harmed := time.Now()
 	err := s.recovered()
+	sleep(ctx, time.Until(harmed.Add(calmAfter)))
+	s.calmFrom = time.Now()
+	sleep(ctx, calmFor)
+	s.calmTo = time.Now()
 	if err == nil {
 		err = s.leave(rand.New(rand.NewPCG(s.Seed, leavePart)))
 	}
@@ -155,7 +162,10 @@
 		counts[t.status]++
 	}
 	_, _ = fmt.Fprintf(s.Out, "tries=%d by_status=%v revocations=%d\n", len(tries), counts, len(s.gone))
-	broken := append(check(tries, runs, s.gone), s.world.ends.check(len(s.world.nodes))...)
+	told, starved := s.served(tries)
+	_, _ = fmt.Fprintln(s.Out, told)
+	broken := append(starved, check(tries, runs, s.gone)...)
+	broken = append(broken, s.world.ends.check(len(s.world.nodes))...)
 	visits, err := s.checkVisits()
 	if err != nil {
 		return err
