--- a/lab/hunt.go
+++ b/lab/hunt.go
@@ -66,7 +66,7 @@
 			f.X = 0.005 + 0.02*random.Float64()
 		case Burst:
 			f.X = 1.5 + 2*random.Float64()
-		case Crash, NodeKill, ListAway:
+		case Crash, NodeKill, ListAway, NodeFreeze, NodeRoll, StoreSlow, PlainFull:
 		}
 		list = append(list, f)
 	}
--- a/lab/troubles.go
+++ b/lab/troubles.go
@@ -54,6 +54,8 @@
 	case ListAway:
 		w.list.away = true
 		w.after(f.For, func() { w.list.away = false })
+	case NodeFreeze, NodeRoll, StoreSlow, PlainFull:
+		// Only rehearsals play these.
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -224,10 +224,10 @@
 		zap.Uint64("orders_taken", state.OrdersTaken), zap.Int("held_from", state.Held.From),
 		zap.Int("held_to", state.Held.To), zap.Stringer("result", msg.Result), logging.Err(err))
 	p.results.Add(msg.Result.String(), 1)
-	switch msg.Result {
-	case Taken:
+	if msg.Result == Taken {
 		go p.watch(ctx, cmd)
-	case Rejected:
+	}
+	if msg.Result == Rejected {
 		p.log.Error("order_rejected", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address), logging.Err(err))
 	}
 	return msg
--- a/rehearse/caller.go
+++ b/rehearse/caller.go
@@ -101,7 +101,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		err := a.read(ctx, resp)
+		err := a.read(resp)
 		if err != nil {
 			a.Why = reasonOf(ctx, err)
 		}
@@ -178,7 +178,7 @@
 }
 
 // read takes an answer in, and checks it.
-func (a *asker) read(ctx context.Context, resp *http.Response) error {
+func (a *asker) read(resp *http.Response) error {
 	if a.kind.How != lab.HowStream {
 		body, err := io.ReadAll(resp.Body)
 		if err != nil {
--- a/rehearse/load.go
+++ b/rehearse/load.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -74,7 +75,8 @@
 }
 
 func newTransport(fresh bool) *http.Transport {
-	return &http.Transport{DisableKeepAlives: fresh, MaxIdleConnsPerHost: clientsEach, ResponseHeaderTimeout: 0}
+	dialer := &net.Dialer{Timeout: longestWait}
+	return &http.Transport{DisableKeepAlives: fresh, MaxIdleConnsPerHost: clientsEach, DialContext: dialer.DialContext}
 }
 
 func (l *load) setBurst(times float64) { l.burst.Store(math.Float64bits(times)) }
--- a/rehearse/options.go
+++ b/rehearse/options.go
@@ -19,7 +19,6 @@
 	scale     float64
 	scenario  string
 	lasts     clock.Millis
-	settle    clock.Millis
 	busy      int
 	progress  io.Writer
 }
