--- /dev/null
+++ b/cmd/hoistctl/limits.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/limit"
+)
+
+// limitsCommand prints the limits that upstreams name, and the orders to engines by what came
+// of them, as relay nodes tell them in their metrics.
+type limitsCommand struct {
+	Metrics []string `arg:"positional,required" help:"metrics addresses of relay nodes, as ip:port"`
+}
+
+// relayMetrics is what of a relay node's metrics is shown.
+type relayMetrics struct {
+	Limits []limit.Shown  `json:"limits"`
+	Orders map[string]int `json:"orders"`
+}
+
+func (c *limitsCommand) runOffline() error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var failed error
+	for _, address := range c.Metrics {
+		metrics, err := fetchMetrics(ctx, address)
+		if err != nil {
+			// The others may answer.
+			failed = errors.CombineErrors(failed, err)
+			continue
+		}
+		failed = errors.CombineErrors(failed, metrics.write(os.Stdout, address))
+	}
+	return failed
+}
+
+func fetchMetrics(ctx context.Context, address string) (*relayMetrics, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/debug/vars", nil)
+	if err != nil {
+		return nil, errors.Wrapf(err, "metrics address %q; write it as ip:port", address)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "metrics of %s", address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var metrics relayMetrics
+	if err := json.NewDecoder(resp.Body).Decode(&metrics); err != nil {
+		return nil, errors.Wrapf(err, "metrics of %s: status %d", address, resp.StatusCode)
+	}
+	return &metrics, nil
+}
+
+func (m *relayMetrics) write(out io.Writer, address string) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	lines := []string{fmt.Sprintf("%s: orders %v, %d upstreams with a limit", address, m.Orders, len(m.Limits))}
+	if len(m.Limits) > 0 {
+		lines = append(lines, "upstream\tper second\tage ms\towner\tsent in 4 s\tgiven in 4 s\twanted in vain")
+	}
+	for _, l := range m.Limits {
+		lines = append(lines, fmt.Sprintf("%s\t%g\t%d\t%s\t%d\t%d\t%d", l.Upstream, l.PerSecond, l.AgeMS, l.Owner, l.Sent, l.Given, l.Queue))
+	}
+	if _, err := fmt.Fprintln(t, strings.Join(lines, "\n")); err != nil {
+		return err
+	}
+	return t.Flush()
+}
--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -42,6 +42,7 @@
 	Record   *recordCommand   `arg:"subcommand:recording" help:"print the node's recorded messages"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"print what bears on a request, from log files; needs no node"`
 	Losses   *lossesCommand   `arg:"subcommand:losses" help:"print why requests were lost or late, from log files; needs no node"`
+	Limits   *limitsCommand   `arg:"subcommand:limits" help:"print the limits that upstreams name, and orders to engines by what came of them, from the metrics of relay nodes"`
 }
 
 // command is one of the subcommands.
--- a/rehearse/caller.go
+++ b/rehearse/caller.go
@@ -21,14 +21,16 @@
 
 // Request is one request of a caller, with all of its tries, and what became of it.
 type Request struct {
-	ID      string  `json:"id"`
-	Kind    string  `json:"kind"`
-	Centre  string  `json:"centre"`
-	Account int     `json:"account"`
-	Subject string  `json:"subject"`
-	Caller  string  `json:"caller"`
-	Tokens  int     `json:"tokens"`
-	At      float64 `json:"at_s"`
+	ID      string `json:"id"`
+	Kind    string `json:"kind"`
+	Centre  string `json:"centre"`
+	Account int    `json:"account"`
+	Subject string `json:"subject"`
+	Caller  string `json:"caller"`
+	Tokens  int    `json:"tokens"`
+	// Memory is what a stream takes of it at each layer, in tokens.
+	Memory float64 `json:"memory"`
+	At     float64 `json:"at_s"`
 	// EndS is when it was over.
 	EndS    float64     `json:"end_s"`
 	Outcome lab.Outcome `json:"outcome"`
@@ -57,6 +59,7 @@
 	kind   lab.RequestKind
 	events int
 	prompt int
+	answer int
 	client *client
 	began  time.Time
 	// got is how many events have come, and lastEvent when the last did.
@@ -127,8 +130,8 @@
 	}
 	req.Host, req.GetBody = standin.DeploymentHost, nil
 	req.Header = standin.CallerHeader(fmt.Sprintf("%s-%d", a.ID, number), standin.DeploymentKey(a.Account), int(a.left().Milliseconds()))
-	req.Header.Set("Token-Count", fmt.Sprintf("%d,%d", a.prompt, a.events*2))
-	req.Header.Set("Length-Hint", strconv.Itoa(a.events*2))
+	req.Header.Set("Token-Count", fmt.Sprintf("%d,%d", a.prompt, a.answer))
+	req.Header.Set("Length-Hint", strconv.Itoa(a.answer))
 	req.Header.Set("Prompt-Prefix", fmt.Sprintf("5c1e07a2:40,%x:%d", len(a.Subject), a.prompt))
 	if a.got > 0 {
 		req.Header.Set("Last-Event-Id", strconv.Itoa(a.got))
--- a/rehearse/judge.go
+++ b/rehearse/judge.go
@@ -166,7 +166,7 @@
 		if o.AtMS > refusal.AtMS+refusal.LeftMS-needs {
 			return false
 		}
-		if isStream(s, q) && o.Layers || !isStream(s, q) && o.Desks > 0 {
+		if isStream(s, q) && o.Tokens >= q.Memory || !isStream(s, q) && o.Desks > 0 {
 			return true
 		}
 	}
--- a/rehearse/judge_test.go
+++ b/rehearse/judge_test.go
@@ -101,7 +101,7 @@
 		{[]standin.Openness{{AtMS: 90, Desks: 1}, {AtMS: 150}}, 500, false},
 		{[]standin.Openness{{AtMS: 110}, {AtMS: 400, Desks: 1}}, 500, true},
 		{[]standin.Openness{{AtMS: 110}, {AtMS: 400, Desks: 1}}, 200, false},
-		{[]standin.Openness{{AtMS: 110, Layers: true}}, 500, false},
+		{[]standin.Openness{{AtMS: 110, Tokens: 5000}}, 500, false},
 	} {
 		if got := couldServe(s, plain, Refusal{AtMS: 100, LeftMS: tt.left}, tt.open); got != tt.want {
 			t.Errorf("%+v, %d ms left: got %v, want %v", tt.open, tt.left, got, tt.want)
--- a/rehearse/load.go
+++ b/rehearse/load.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/lab"
+	"github.com/hoistjunction/hoistjunction/standin"
 )
 
 // clientsEach is how many clients a data centre has. Each keeps its connections, and opens new
@@ -125,11 +126,12 @@
 	}}
 	if kind.How == lab.HowStream {
 		a.events, a.prompt = l.size(kind.Events), l.size(kind.Prompt)
+		a.answer = a.events * l.scenario.Load.EventTokens
 	}
 	a.Request = &Request{
 		ID: fmt.Sprintf("r%d", len(l.requests)+1), Kind: kind.Name, Centre: a.client.centre, Account: l.drawAccount(),
 		Subject: fmt.Sprintf("%s-%d", kind.Name, l.random.IntN(l.scenario.Deployment.Subjects)), Caller: a.client.name,
-		Tokens: a.prompt, At: at.Seconds(),
+		Tokens: a.prompt, Memory: standin.StreamTokens(a.prompt, a.answer), At: at.Seconds(),
 	}
 	return a
 }
--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -50,10 +50,10 @@
 // Openness is what upstreams could have taken at a time.
 type Openness struct {
 	AtMS int64 `json:"at_ms"`
-	// Desks have a place for another request, and Layers tells that all layers are held by
-	// engines with a slot and memory.
-	Desks  int  `json:"desks"`
-	Layers bool `json:"layers"`
+	// Desks have a place for another request. A stream of so many Tokens has memory at some
+	// holder of each layer.
+	Desks  int     `json:"desks"`
+	Tokens float64 `json:"tokens"`
 }
 
 // NewDeployment starts the upstreams of a scenario, which tell the store of themselves until the
@@ -153,16 +153,13 @@
 			o.Desks++
 		}
 	}
-	reach := make([]bool, d.scenario.Fleet.Pipeline().Layers)
+	left := make([]float64, d.scenario.Fleet.Pipeline().Layers)
 	for _, e := range d.engines {
-		from, to, open := e.engine.Serving()
-		for layer := from; open && layer < to; layer++ {
-			reach[layer] = true
+		from, to, tokens := e.engine.Serving()
+		for layer := from; layer < to; layer++ {
+			left[layer] = max(left[layer], tokens)
 		}
 	}
-	o.Layers = true
-	for _, held := range reach {
-		o.Layers = o.Layers && held
-	}
+	o.Tokens = slices.Min(left)
 	return o
 }
--- a/standin/engine_model.go
+++ b/standin/engine_model.go
@@ -72,9 +72,12 @@
 
 func (m *PipelineModel) size(r *http.Request) float64 {
 	prompt, answer := tokenCount(r)
-	return prompt + answerHeld*answer
+	return StreamTokens(int(prompt), int(answer))
 }
 
+// StreamTokens is the memory that a stream takes at each layer, in tokens.
+func StreamTokens(prompt, answer int) float64 { return float64(prompt) + answerHeld*float64(answer) }
+
 func (m *PipelineModel) read(r *http.Request, layers int) time.Duration {
 	prompt, _ := tokenCount(r)
 	return millis(m.Pipeline.ReadTime(m.Accelerator, layers) * prompt)
--- a/standin/yard.go
+++ b/standin/yard.go
@@ -135,11 +135,13 @@
 	return total
 }
 
-// Serving tells what an engine has left for another stream: whether it holds layers, and has a
-// slot and memory.
-func (e *ChainEngine) Serving() (from, to int, open bool) {
+// Serving tells which layers an engine holds, and for how many tokens it has memory left at all
+// of them together; none where its slots are taken.
+func (e *ChainEngine) Serving() (from, to int, tokens float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	room := e.model.room(e.held.Len())
-	return e.held.From, e.held.To, len(e.streams) < e.model.slots() && e.used < room
+	if len(e.streams) < e.model.slots() && !e.held.Empty() {
+		tokens = (e.model.room(e.held.Len()) - e.used) / float64(e.held.Len())
+	}
+	return e.held.From, e.held.To, tokens
 }
