Reverted: longer advice for callers that are refused for an old configuration

Hypothesis: who is told 1 s in an outage of the store of 6 s is refused twice and lost; told as long as the store has been away, it is served.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -24,17 +24,20 @@
 	route, err := m.catalog.Route(msg.Host, msg.Path)
 	if err != nil {
 		if !m.fresh(m.now) {
-			return m.refuseStale(newRequest(m.now, msg))
+			return m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonStaleConfig, backStale)
 		}
 		return m.refuse(msg.Request, http.StatusNotFound, ReasonNoRoute, 0)
 	}
-	r := newRequest(m.now, msg)
-	r.route = route
+	r := &request{msg: msg, arrived: m.now, route: route, tried: make(map[fleet.Incarnation]bool), ranAt: make(map[fleet.Incarnation]run)}
 	r.keyed = m.catalog.HasAccounts() && !route.Anonymous
 	if cmds := m.admitKey(r); cmds != nil {
 		return cmds
 	}
 	r.work = msg.Asked.By(r.account.Name)
+	r.deadline = m.now.Add(noDeadline)
+	if msg.Remaining > 0 {
+		r.deadline = m.now.Add(msg.Remaining)
+	}
 	r.giveUp = r.deadline
 	if route.Timeout > 0 {
 		r.giveUp = m.now.Add(route.Timeout)
@@ -49,34 +52,13 @@
 	return m.send(r)
 }
 
-// newRequest returns a request that is not decided on yet.
-func newRequest(now clock.Millis, msg ArriveMsg) *request {
-	r := &request{msg: msg, arrived: now, tried: make(map[fleet.Incarnation]bool), ranAt: make(map[fleet.Incarnation]run)}
-	r.deadline = now.Add(noDeadline)
-	if msg.Remaining > 0 {
-		r.deadline = now.Add(msg.Remaining)
-	}
-	return r
-}
-
-// refuseStale ends a request since the configuration may be too old to tell whether its key is
-// good. The store has been away since the configuration was last confirmed, and an outage that
-// has lasted for some time is likely to last as long again.
-func (m *Model) refuseStale(r *request) []Cmd {
-	back := backStale
-	if m.confirmed != clock.Never {
-		back = max(back, r.spreadOut(min(m.now.Sub(m.confirmed), longestBack)))
-	}
-	return m.refuse(r.msg.Request, http.StatusServiceUnavailable, ReasonStaleConfig, r.inTimeOf(m.now, back))
-}
-
 // admitKey checks a request's key, and that the check is not out of date.
 func (m *Model) admitKey(r *request) []Cmd {
 	if !r.keyed {
 		return nil
 	}
 	if !m.fresh(m.now) {
-		return m.refuseStale(r)
+		return m.refuse(r.msg.Request, http.StatusServiceUnavailable, ReasonStaleConfig, backStale)
 	}
 	account, err := m.catalog.Account(r.msg.Key)
 	if err != nil || !r.msg.HasKey {
--- a/dispatch/shortage.go
+++ b/dispatch/shortage.go
@@ -65,12 +65,8 @@
 	if reason == ReasonNoHolder || reason == ReasonNoUpstream {
 		least = backHealing
 	}
-	return min(max(least, r.spreadOut(m.lasted(m.shortages, r))), longestBack)
-}
-
-// spreadOut is a caller's own part of a time, so that not all return at once.
-func (r *request) spreadOut(lasted clock.Millis) clock.Millis {
-	return clock.Millis(float64(lasted) * (leastSpread + spread*position(r.msg.CallerID)))
+	lasted := float64(m.lasted(m.shortages, r)) * (leastSpread + spread*position(r.msg.CallerID))
+	return min(max(least, clock.Millis(lasted)), longestBack)
 }
 
 // lasted notes a refusal, and returns for how long there have been such of the service.
