A node asks for a permit again when one falls due by the whole of a limit

Cause: a node that has just started stands in for an owner that it does not hear, with an eighth of a sixteenth of the limit, and tells whoever asks when the next permit falls due by that: up to 30 s. Who was told so asked nobody meanwhile, nor the owner, which had been there for most of that time.

Why this works: a question costs a datagram. A node asks again when a permit falls due by the whole of the limit.

--- a/limit/handover_test.go
+++ b/limit/handover_test.go
@@ -71,3 +71,37 @@
 		t.Errorf("got %v permits of %v a second in %d ms, want %v at least", got, rate, lasts, want)
 	}
 }
+
+// An upstream that named a limit got nothing for 20 s, and callers were refused all the while: a
+// node that had just started, and did not hear the others yet, handed out a small part of the limit in an
+// owner's place, and told that the next permit falls due after that time. The node that was
+// told so asked nobody again meanwhile. A node asks again when one falls due by the limit itself.
+func TestWordOfAPartBindsNoLongerThanTheLimit(t *testing.T) {
+	const rate, soon = 0.5, clock.Millis(2200)
+	names := []string{"a", "b", "c"}
+	upstream := ownedBy(t, "b", names)
+	k := limit.New(limit.WithSelf("a"), limit.WithLife(1))
+	k.SetMembers(0, members(names))
+	k.Named(0, upstream, rate)
+	asks := k.Ask(10, upstream, 1)
+	k.Granted(12, "b", limit.Grant{Upstream: upstream, Life: 1, Number: asks[0].Ask.Number, Next: 60_000, Named: limit.Named{Rate: rate, At: 0}})
+	if got, want := k.State(12+soon, upstream), limit.Askable; got != want {
+		t.Errorf("got state %d after %d ms, want %d: a permit has fallen due", got, soon, want)
+	}
+}
+
+// The end of a limit shows in the answer to a request. Where an upstream had named none at all a
+// second, one request in 20 s was sent, and callers were refused for as long after its end.
+func TestEndOfALimitOfNothingShowsInTime(t *testing.T) {
+	const atMost = clock.Millis(5000)
+	upstream := fleet.Undated("u")
+	k := limit.New(limit.WithSelf("a"), limit.WithLife(1))
+	k.Named(0, upstream, 0)
+	for now := clock.Millis(0); now <= atMost; now += 100 {
+		k.Ask(now, upstream, 1)
+		if k.State(now, upstream) == limit.Permitted {
+			return
+		}
+	}
+	t.Errorf("got no permit in %d ms, want one", atMost)
+}
--- a/limit/share.go
+++ b/limit/share.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"math"
+
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
@@ -46,6 +48,15 @@
 	return s.order[0]
 }
 
+// due is after how long a permit falls due by the whole of the limit. Whoever hands out a part
+// only, in an owner's place, tells of longer; the owner may be there by then.
+func (s *share) due() clock.Millis {
+	if s.named.Rate == 0 {
+		return 0
+	}
+	return clock.Millis(math.Ceil(msPerSecond / (s.named.Rate * pace)))
+}
+
 // learn takes in a newer word on the limit, and returns whether it is another number.
 func (s *share) learn(now clock.Millis, word Named) bool {
 	changed := word.Rate != s.named.Rate
@@ -101,7 +112,7 @@
 	s.known.AddAges(s.toldAt, s.told)
 	s.nextAt, s.queue = 0, grant.Queue
 	if grant.Permits < s.want || grant.Next > 0 {
-		s.nextAt = now.Add(max(grant.Next, 1))
+		s.nextAt = now.Add(max(min(grant.Next, s.due()), 1))
 	}
 	if until := s.begunAt.Add(permitLasts); grant.Permits > 0 && now <= until {
 		if now > s.permitsUntil {
