The end of a limit of nothing shows within some 4 s

Cause: the end of a limit shows in the answer to a request, and at a limit of nothing one in 20 s was sent. It is one in 4 s now, which stays within what may come to an upstream that names 0: five in 4 s.

Test: no permit in 5 s before, one after.

--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -22,8 +22,9 @@
 	settles clock.Millis = 2000
 	// endTold is for how long others are told of a limit's end.
 	endTold clock.Millis = 5000
-	// leastRate stands in for a limit of nothing: with a request now and then its end shows.
-	leastRate = 0.05
+	// leastRate stands in for a limit of nothing: the answer to a request in each window shows
+	// its end.
+	leastRate = 0.25
 	// noLimit is from which rate on a limit binds nobody.
 	noLimit = 1e5
 )
