What callers must get stands once; the platform's words of rehearsals are the stand-ins'

internal/starved has the bounds that the soak and rehearsals share. Headers and the fields of a node's settings, which are named as the platform names them, moved from rehearse to standin.

--- a/rehearse/caller.go
+++ b/rehearse/caller.go
@@ -14,7 +14,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/lab"
 	"github.com/hoistjunction/hoistjunction/standin"
 )
@@ -129,13 +128,10 @@
 		return nil, err
 	}
 	req.Host, req.GetBody = standin.DeploymentHost, nil
-	req.Header = standin.CallerHeader(fmt.Sprintf("%s-%d", a.ID, number), standin.DeploymentKey(a.Account), int(a.left().Milliseconds()))
-	req.Header.Set("Token-Count", fmt.Sprintf("%d,%d", a.prompt, a.answer))
-	req.Header.Set("Length-Hint", strconv.Itoa(a.answer))
-	req.Header.Set("Prompt-Prefix", fmt.Sprintf("5c1e07a2:40,%x:%d", len(a.Subject), a.prompt))
-	if a.got > 0 {
-		req.Header.Set("Last-Event-Id", strconv.Itoa(a.got))
-	}
+	req.Header = standin.StreamCaller{
+		ID: fmt.Sprintf("%s-%d", a.ID, number), Key: standin.DeploymentKey(a.Account), Subject: a.Subject,
+		RemainingMS: int(a.left().Milliseconds()), Prompt: a.prompt, Answer: a.answer, LastEvent: a.got,
+	}.Header()
 	resp, err := a.client.transport(number).RoundTrip(req)
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -251,6 +247,3 @@
 	case <-timer.C:
 	}
 }
-
-// sinceStart converts a scenario's time.
-func sinceStart(began time.Time, at clock.Millis) time.Time { return began.Add(at.Duration()) }
--- a/rehearse/deployment.go
+++ b/rehearse/deployment.go
@@ -12,6 +12,7 @@
 
 	"github.com/hoistjunction/hoistjunction/internal/process"
 	"github.com/hoistjunction/hoistjunction/lab"
+	"github.com/hoistjunction/hoistjunction/standin"
 )
 
 // ErrNotStarted means that a program of the rehearsal could not be started.
@@ -37,10 +38,10 @@
 	if err := os.MkdirAll(o.logs, 0o755); err != nil {
 		return d, err
 	}
-	if d.store, err = d.standin("store", "store"); err != nil {
+	if d.store, err = d.outside("store", "store"); err != nil {
 		return d, err
 	}
-	if d.upstreams, err = d.standin("upstreams", "upstreams", "--store", d.store.Address(), "--seed", fmt.Sprint(o.seed)); err != nil {
+	if d.upstreams, err = d.outside("upstreams", "upstreams", "--store", d.store.Address(), "--seed", fmt.Sprint(o.seed)); err != nil {
 		return d, err
 	}
 	if err := d.newNodes(string(template)); err != nil {
@@ -64,8 +65,8 @@
 	return p, nil
 }
 
-// standin starts a part of the outside world.
-func (d *Deployment) standin(name string, args ...string) (*process.Process, error) {
+// outside starts a part of the outside world.
+func (d *Deployment) outside(name string, args ...string) (*process.Process, error) {
 	p, err := d.process(name, "standin-deployment", append(args, "--scenario", d.options.scenario)...)
 	if err != nil {
 		return nil, err
@@ -78,7 +79,7 @@
 
 // newNodes gives each node its address and settings.
 func (d *Deployment) newNodes(template string) error {
-	var places []*place
+	var places []standin.NodePlace
 	for c, centre := range d.scenario.Fleet.Centres() {
 		for i := range d.scaled(d.scenario.Deployment.NodesIn[centre]) {
 			p, err := newPlace(fmt.Sprintf("node-%s-%d", centre, i+1), centre, c+1, i+1)
@@ -93,7 +94,7 @@
 	}
 	var seeds []string
 	for _, p := range places[:min(3, len(places))] {
-		seeds = append(seeds, p.at("control"))
+		seeds = append(seeds, p.At(p.Peers))
 	}
 	for _, p := range places {
 		n, err := newNode(d, p, template, seeds)
--- a/rehearse/harm.go
+++ b/rehearse/harm.go
@@ -38,7 +38,7 @@
 	for _, f := range h.deployment.scenario.Faults {
 		for at := f.At; at == f.At || f.Every > 0 && at <= f.Until; at = at.Add(max(f.Every, 1)) {
 			group.Go(func() {
-				sleep(ctx, time.Until(sinceStart(began, at)))
+				sleep(ctx, time.Until(began.Add(at.Duration())))
 				if ctx.Err() == nil {
 					h.note(h.strike(ctx, f))
 				}
--- a/rehearse/judge.go
+++ b/rehearse/judge.go
@@ -3,32 +3,23 @@
 import (
 	"cmp"
 	"fmt"
-	"math"
 	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/internal/starved"
 	"github.com/hoistjunction/hoistjunction/lab"
 	"github.com/hoistjunction/hoistjunction/standin"
 )
 
 // The bounds of the verdict. They are what was stated for the product, not what was measured.
 const (
-	// calmAtLeast is the part that is served while no trouble lasts and a recovery after it.
-	calmAtLeast = 0.99
 	// borneAtLeast is the part of what the emulator serves that is served in trouble.
 	borneAtLeast = 0.9
 	// starvedUnder is the part of the whole's share under which a kind of request, an account
 	// or a data centre is starved.
 	starvedUnder = 0.25
-	// Of the subjects and callers that ask fewestAsks times or more over longEnough, so many
-	// times what chance would give, neverMost and neverShare of them may be served never.
-	fewestAsks   = 4
-	longEnough   = 8.0
-	timesChance  = 3
-	neverMost    = 2
-	neverShare   = 0.04
 	lateMostMS   = 20.0
 	latePart     = 0.99
 	windowSpan   = 2
@@ -191,8 +182,8 @@
 		calm.add(q)
 	}
 	r.Calm, r.Trouble = calm, trouble
-	if calm.Asked > 0 && calm.Served() < calmAtLeast {
-		r.broken("enough is served: %.3f of %d in calm, want %v", calm.Served(), calm.Asked, calmAtLeast)
+	if calm.Asked > 0 && calm.Served() < starved.CalmAtLeast {
+		r.broken("enough is served: %.3f of %d in calm, want %v", calm.Served(), calm.Asked, starved.CalmAtLeast)
 	}
 	if trouble.Asked > 0 {
 		r.WantedInTrouble = wanted / float64(trouble.Asked)
@@ -256,18 +247,11 @@
 
 // judgeNever looks for those that ask often and long enough, and are never served.
 func (r *Report) judgeNever(by string) {
-	often, never, chance := 0, 0, 0.0
+	var list []starved.Asked
 	for _, share := range r.By[by] {
-		if share.Asked < fewestAsks || share.last-share.first < longEnough {
-			continue
-		}
-		often++
-		chance += math.Pow(1-r.Whole.Served(), float64(share.Asked))
-		if share.ServedInAll() == 0 {
-			never++
-		}
+		list = append(list, starved.Asked{Count: share.Asked, Served: share.ServedInAll(), Span: share.last - share.first})
 	}
-	if most := timesChance*chance + neverMost + neverShare*float64(often); float64(never) > most {
+	if never, often, most := starved.Never(list, r.Whole.Served()); float64(never) > most {
 		r.broken("nobody starves: %d of %d by %s are never served, want %.1f at most", never, often, by, most)
 	}
 }
--- a/soak/served.go
+++ b/soak/served.go
@@ -2,28 +2,18 @@
 
 import (
 	"fmt"
-	"math"
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/hoistjunction/hoistjunction/internal/starved"
 )
 
-// What callers must get. The bounds are those of rehearsals (rehearse/judge.go), and stated for
-// the product.
 const (
 	// calmAfter is after how long without harm all must be well again: the recovery time of the
-	// users' deployments. calmFor is for how long that is looked at, and calmAtLeast the part of
-	// what is asked for then that must be served.
-	calmAfter   = 12 * time.Second
-	calmFor     = 3 * time.Second
-	calmAtLeast = 0.99
-	// Of the callers that ask fewestAsks times or more over longEnough, so many times what
-	// chance would give, neverMost and neverShare of them may be served never.
-	fewestAsks  = 4
-	longEnough  = 8 * time.Second
-	timesChance = 3
-	neverMost   = 2
-	neverShare  = 0.04
+	// users' deployments. calmFor is for how long that is looked at.
+	calmAfter = 12 * time.Second
+	calmFor   = 3 * time.Second
 )
 
 // share counts tries, and when the first and the last were sent.
@@ -69,8 +59,8 @@
 			calm.add(t)
 		}
 	}
-	if calm.part() < calmAtLeast {
-		broken = append(broken, fmt.Sprintf("%.3f of %d requests served in calm, want %v", calm.part(), calm.asked, calmAtLeast))
+	if calm.part() < starved.CalmAtLeast {
+		broken = append(broken, fmt.Sprintf("%.3f of %d requests served in calm, want %v", calm.part(), calm.asked, starved.CalmAtLeast))
 	}
 	if why := neverServed(callers, whole.part()); why != "" {
 		broken = append(broken, why)
@@ -84,18 +74,11 @@
 
 // neverServed tells of callers that were never served, where they are more than chance explains.
 func neverServed(callers map[string]*share, part float64) string {
-	often, never, chance := 0, 0, 0.0
+	var list []starved.Asked
 	for _, c := range callers {
-		if c.asked < fewestAsks || c.last.Sub(c.first) < longEnough {
-			continue
-		}
-		often++
-		chance += math.Pow(1-part, float64(c.asked))
-		if c.served == 0 {
-			never++
-		}
+		list = append(list, starved.Asked{Count: c.asked, Served: c.served, Span: c.last.Sub(c.first).Seconds()})
 	}
-	if most := timesChance*chance + neverMost + neverShare*float64(often); float64(never) > most {
+	if never, often, most := starved.Never(list, part); float64(never) > most {
 		return fmt.Sprintf("%d of %d callers were never served, want %.1f at most", never, often, most)
 	}
 	return ""
--- a/rehearse/template.go
+++ b/standin/template.go
@@ -1,4 +1,4 @@
-package rehearse
+package standin
 
 import (
 	"fmt"
@@ -10,7 +10,7 @@
 )
 
 // ErrTemplate means that a template asks for a field that there is not.
-var ErrTemplate = errors.New("rehearse: the template is not valid")
+var ErrTemplate = errors.New("standin: the template is not valid")
 
 // Fields are what a template is filled from: texts, numbers, lists of texts and other Fields.
 type Fields map[string]any
