Requests of any rank may await a place

What callers saw: nothing yet; found by reading. A rank below 0 or over 10, which an operator may set, ended the node with the first request of it that was to await a place. Ranks beyond those that are told apart count as the nearest.

Test: TestAnyRankAwaitsAPlace, with -3 and 40; it ended with a panic before.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -72,7 +72,8 @@
 // that was told to come back would find the place taken by another, or be too late for it.
 func (m *Model) awaitPlace(r *request) []Cmd {
 	q := m.placeQueue(r.service.Name)
-	ahead := q.Ahead(r.priority()) + q.LenOf(min(r.priority(), fairqueue.Priorities-1), r.account.Name)
+	rank := min(max(r.priority(), 0), fairqueue.Priorities-1)
+	ahead := q.Ahead(rank) + q.LenOf(rank, r.account.Name)
 	if r.left(m.now) < m.placeWithin(r, ahead) {
 		return m.giveUp(r, ReasonNoPlace)
 	}
@@ -82,7 +83,7 @@
 		return !ran
 	})
 	r.awaitsPlace = true
-	q.Push(r.msg.Request, fairqueue.WithPriority(r.priority()), fairqueue.WithAccount(r.account.Name, 1))
+	q.Push(r.msg.Request, fairqueue.WithPriority(rank), fairqueue.WithAccount(r.account.Name, 1))
 	return []Cmd{PlaceCmd{Request: r.msg.Request, Service: r.service.Name, Waiting: q.Len(), Until: m.now.Add(r.left(m.now))}}
 }
 
--- a/dispatch/places_test.go
+++ b/dispatch/places_test.go
@@ -187,3 +187,22 @@
 	caller.returns--
 	c.after(max(cmd.RetryAfter, 1), func() { c.ask(caller) })
 }
+
+// Operators may rank routes by any number. A request of a rank beyond those that are told apart
+// ended the node when it was to await a place.
+func TestAnyRankAwaitsAPlace(t *testing.T) {
+	for _, rank := range []int{-3, 0, 9, 40} {
+		m := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: repeatSpan, RetryShare: 0.2, RetrySlack: 200}))
+		m.Update(0, dispatch.PeersMsg{All: 1})
+		m.Update(0, dispatch.CatalogMsg{Catalog: catalog.New(1, catalog.WithServices(&catalog.Service{Name: "desk"}),
+			catalog.WithRoutes(&catalog.Route{Name: "once", Host: "h", Prefix: "/", Kind: catalog.Once, Priority: rank, MaxAttempts: 1,
+				Targets: []catalog.Target{{Service: "desk", Weight: 1}}, Timeout: 800}))})
+		id := fleet.Undated("d")
+		m.Update(0, dispatch.FleetMsg{Changes: []fleet.Change{{ID: id, Upstream: fleet.Upstream{ID: id, Address: "d", Service: "desk"}}}})
+		m.Update(1, dispatch.ArriveMsg{Request: 1, Host: "h", Path: "/a"})
+		cmds := m.Update(2, dispatch.AttemptFailedMsg{Request: 1, Attempt: 1, Cause: dispatch.NotRunFull})
+		if _, waits := cmds[0].(dispatch.PlaceCmd); len(cmds) != 1 || !waits {
+			t.Errorf("rank %d: got %v, want a wait for a place", rank, cmds)
+		}
+	}
+}
