--- a/rehearse/node.go
+++ b/rehearse/node.go
@@ -19,9 +19,16 @@
 	caller, readiness string
 }
 
+// Nodes stand in networks of loopback that differ between rehearsals at a time: a port that is
+// found free for a node is taken by it only once all nodes are started.
+const (
+	firstNetwork = 16
+	networks     = 200
+)
+
 // newPlace finds free ports at a node's address.
 func newPlace(name, centre string, centreNumber, number int) (standin.NodePlace, error) {
-	p := standin.NodePlace{Name: name, Centre: centre, IP: fmt.Sprintf("127.1.%d.%d", centreNumber, number)}
+	p := standin.NodePlace{Name: name, Centre: centre, IP: fmt.Sprintf("127.%d.%d.%d", firstNetwork+os.Getpid()%networks, centreNumber, number)}
 	for _, port := range []*string{&p.Front, &p.Readiness, &p.Peers, &p.Metrics} {
 		listener, err := net.Listen("tcp", p.At("0"))
 		if err != nil {
