Rehearsals and the emulator read a trouble's times in one place

When a trouble that is repeated begins stood in the emulator, in what does harm in rehearsals, and in their judge; how many requests come a second stood twice in rehearsals' load. No program of the nodes is touched.

--- a/lab/deployment.go
+++ b/lab/deployment.go
@@ -34,6 +34,15 @@
 	HeartbeatMS, StoreMS clock.Millis
 }
 
+// PerSecond is how many requests of all kinds are asked for a second.
+func (d *Deployment) PerSecond() float64 {
+	sum := 0.0
+	for _, k := range d.Requests {
+		sum += k.PerSecond
+	}
+	return sum
+}
+
 // Plain is the plain service of a deployment.
 type Plain struct {
 	EachCentre, Slots, Queue int
--- a/lab/fault.go
+++ b/lab/fault.go
@@ -115,6 +115,18 @@
 	return f, nil
 }
 
+// Begins are the times at which it begins: once, or again and again.
+func (f Fault) Begins() []clock.Millis {
+	begins := []clock.Millis{f.At}
+	if f.Every <= 0 {
+		return begins
+	}
+	for next := f.At.Add(f.Every); next <= f.Until; next = next.Add(f.Every) {
+		begins = append(begins, next)
+	}
+	return begins
+}
+
 // drawX is how strong it is for one that it strikes.
 func (f Fault) drawX(random *rand.Rand) float64 {
 	if f.XMost <= f.X {
--- a/lab/troubles.go
+++ b/lab/troubles.go
@@ -8,13 +8,8 @@
 
 // begin plans a trouble, once or again and again.
 func (w *world) begin(f Fault) {
-	at := max(f.At-w.now, 0)
-	w.after(at, func() { w.strike(f) })
-	if f.Every <= 0 {
-		return
-	}
-	for next := f.At.Add(f.Every); next <= f.Until; next = next.Add(f.Every) {
-		w.after(next-w.now, func() { w.strike(f) })
+	for _, at := range f.Begins() {
+		w.after(max(at-w.now, 0), func() { w.strike(f) })
 	}
 }
 
--- a/rehearse/harm.go
+++ b/rehearse/harm.go
@@ -36,7 +36,7 @@
 func (h *harm) run(ctx context.Context, began time.Time) {
 	var group sync.WaitGroup
 	for _, f := range h.deployment.scenario.Faults {
-		for at := f.At; at == f.At || f.Every > 0 && at <= f.Until; at = at.Add(max(f.Every, 1)) {
+		for _, at := range f.Begins() {
 			group.Go(func() {
 				sleep(ctx, time.Until(began.Add(at.Duration())))
 				if ctx.Err() == nil {
--- a/rehearse/judge.go
+++ b/rehearse/judge.go
@@ -199,7 +199,7 @@
 // inTrouble tells whether a trouble lasts, or its recovery, while a request is under way.
 func inTrouble(s *lab.Scenario, from, to clock.Millis) bool {
 	for _, f := range s.Faults {
-		for begins := f.At; begins == f.At || f.Every > 0 && begins <= f.Until; begins = begins.Add(max(f.Every, 1)) {
+		for _, begins := range f.Begins() {
 			if to >= begins && from < begins.Add(f.For+s.Deployment.RecoveryMS) {
 				return true
 			}
--- a/rehearse/load.go
+++ b/rehearse/load.go
@@ -84,11 +84,7 @@
 
 // perSecond is how many requests come a second.
 func (l *load) perSecond() float64 {
-	sum := 0.0
-	for _, k := range l.scenario.Deployment.Requests {
-		sum += k.PerSecond
-	}
-	return sum * l.scale * math.Float64frombits(l.burst.Load())
+	return l.scenario.Deployment.PerSecond() * l.scale * math.Float64frombits(l.burst.Load())
 }
 
 // run has callers ask for a time, and returns when all have their answers.
@@ -138,11 +134,7 @@
 
 func (l *load) drawKind() lab.RequestKind {
 	kinds := l.scenario.Deployment.Requests
-	sum := 0.0
-	for _, k := range kinds {
-		sum += k.PerSecond
-	}
-	x := l.random.Float64() * sum
+	x := l.random.Float64() * l.scenario.Deployment.PerSecond()
 	for _, k := range kinds {
 		if x -= k.PerSecond; x < 0 {
 			return k
--- a/rehearse/run.go
+++ b/rehearse/run.go
@@ -86,8 +86,7 @@
 	return func() { close(over) }
 }
 
-// tellProgress writes a line a second: how many requests were asked for, and how many of those
-// that are over were served.
+// tellProgress writes a line a second: how many requests were asked for.
 func tellProgress(ctx context.Context, out io.Writer, l *load, began time.Time) {
 	tick := time.NewTicker(time.Second)
 	defer tick.Stop()
