An allowance of less than one repeat is a chance of one

Cause: the budget of repeats is split evenly over all nodes. With 986 nodes a node's part is 0.475 of the slack and 0.12 of its 2.3 requests in 10 s, less than one, and a fraction of a repeat is none: no node could ever repeat anything. What holds only while the fleet is small: that a node's part is one or more.

Ruled out: a larger slack for each node (breaks the bound at any size), one owner of the budget (must hold at once after all have started, when no owner is known).

Change: a node draws once for its life; where its part is below one it is one with that chance, times 0.9 so that lucky nodes together stay under the bound. Nothing changes where the part is one or more.

--- a/budget/window.go
+++ b/budget/window.go
@@ -15,13 +15,30 @@
 //	w.Earn(now)
 //	if w.Spend(now) {
 //	}
+//
+// An allowance of less than one retry is a chance of one: of many windows that hold parts of
+// a whole, as those of a thousand nodes, each would else hold less than a retry, and none
+// would ever make any.
 type Window struct {
 	part  clock.Millis
 	share float64
 	slack float64
+	luck  float64
 	parts [windowParts + 1]windowPart
 }
 
+// chanceShare is the part of an allowance of less than one that counts as a chance. What is
+// left is for windows that are luckier together than the mean.
+const chanceShare = 0.9
+
+// WindowOption sets up a Window.
+type WindowOption func(*Window)
+
+// WithLuck sets what is drawn for a window, from 0 up to 1: where its allowance is less than
+// one, it is one if the chance exceeds what is left of 1. Windows that share a whole are to
+// have draws of their own, which do not change while they are used.
+func WithLuck(draw float64) WindowOption { return func(w *Window) { w.luck = draw } }
+
 // windowPart counts one part of the time; its number tells a stale one.
 type windowPart struct {
 	number  int64
@@ -30,8 +47,12 @@
 }
 
 // NewWindow returns a budget of a share and a slack in each window of a length.
-func NewWindow(length clock.Millis, share, slack float64) *Window {
-	return &Window{part: max(length/windowParts, 1), share: share, slack: slack}
+func NewWindow(length clock.Millis, share, slack float64, opts ...WindowOption) *Window {
+	w := &Window{part: max(length/windowParts, 1), share: share, slack: slack}
+	for _, opt := range opts {
+		opt(w)
+	}
+	return w
 }
 
 // Set changes the share, and the number of retries beyond it.
@@ -44,13 +65,22 @@
 func (w *Window) Spend(now clock.Millis) bool {
 	current := w.at(now)
 	first, retries := w.sums(current.number)
-	if float64(retries+1) > w.share*float64(first)+w.slack {
+	if float64(retries+1) > w.allowance(first) {
 		return false
 	}
 	current.retries++
 	return true
 }
 
+// allowance is how many retries a window with so many first tries may have.
+func (w *Window) allowance(first int) float64 {
+	allowed := w.share*float64(first) + w.slack
+	if allowed < 1 && chanceShare*allowed+w.luck >= 1 {
+		return 1
+	}
+	return allowed
+}
+
 // Return gives back a retry that was taken at the same moment and not made.
 func (w *Window) Return(now clock.Millis) {
 	current := w.at(now)
--- a/budget/window_test.go
+++ b/budget/window_test.go
@@ -85,3 +85,34 @@
 		t.Error("got another number of retries than one")
 	}
 }
+
+// A thousand nodes had less than half a repeat each, and none ever made one: of 3,000
+// upstreams that were lost, each cost the requests that had begun there. Together they must
+// have nearly what all may have, however many nodes it is split among, and never more.
+func TestPartsOfARetryAddUp(t *testing.T) {
+	const slack, share, requests = 468.0, 0.12, 2250
+	for _, nodes := range []int{500, 1000, 2000, 4000} {
+		for seed := range uint64(20) {
+			random := rand.New(rand.NewPCG(seed, uint64(nodes)))
+			windows := make([]*budget.Window, nodes)
+			for i := range windows {
+				windows[i] = budget.NewWindow(10_000, share, slack/float64(nodes), budget.WithLuck(random.Float64()))
+			}
+			for i := range requests {
+				windows[random.IntN(nodes)].Earn(clock.Millis(i))
+			}
+			got := 0
+			for range 3 {
+				for _, w := range windows {
+					if w.Spend(requests) {
+						got++
+					}
+				}
+			}
+			allowed := slack + share*requests
+			if got := float64(got); got > allowed || got < 0.5*allowed {
+				t.Errorf("%d nodes, seed %d: got %.0f retries, want between %.0f and %.0f", nodes, seed, got, 0.5*allowed, allowed)
+			}
+		}
+	}
+}
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -20,7 +20,9 @@
 	policy     Policy
 	dataCentre string
 	random     *rand.Rand
-	now        clock.Millis
+	// luck is drawn once for the node's budgets of repeats.
+	luck float64
+	now  clock.Millis
 
 	catalog   *catalog.Catalog
 	confirmed clock.Millis
@@ -81,9 +83,15 @@
 
 // WithSeed sets the seed of what is drawn at random.
 func WithSeed(seed uint64) Option {
-	return func(m *Model) { m.random = rand.New(rand.NewPCG(seed, seed)) }
+	return func(m *Model) {
+		m.random = rand.New(rand.NewPCG(seed, seed))
+		m.luck = rand.New(rand.NewPCG(seed, luckStream)).Float64()
+	}
 }
 
+// luckStream sets the draw for budgets of repeats apart from all others.
+const luckStream = 1
+
 // WithKeptQuarantine has the model wait at its start for the requests that were in
 // quarantine before, as for the configuration and the list.
 func WithKeptQuarantine() Option { return func(m *Model) { m.awaitsQuarantine = true } }
--- a/dispatch/repeats.go
+++ b/dispatch/repeats.go
@@ -23,7 +23,7 @@
 	b, ok := m.budgets[service]
 	if !ok {
 		share, slack := m.allowance()
-		b = budget.NewWindow(m.policy.RetryWindow, share, slack)
+		b = budget.NewWindow(m.policy.RetryWindow, share, slack, budget.WithLuck(m.luck))
 		m.budgets[service] = b
 	}
 	return b
