A node that follows another is told the whole list once, and that it stands

Cause: while entries may come back, for seconds around each outage of the store, all that follow a node ask it for the whole list twice a second. An answer is built and compressed anew for each: 3,000 entries, some 450 KB and 10 ms of a core, 200 followers: more than any VM's link and processor. Grows with upstreams times nodes of a data centre.

Change: a whole list has a name as long as nothing in it changes. Who asks tells the name of the one it had last, and where that stands gets the name alone. Lists are not compressed any more: that takes ten times the processor of encoding them (compress/flate is in the profile of the fleet's start).

Test: 10, 300 and 3,000 upstreams: at most 64 bytes for a list that stands, also where it was read anew from the store.

--- a/follow/doc.go
+++ b/follow/doc.go
@@ -44,6 +44,8 @@
 	Revision uint64
 	// Whole tells that the changes are the whole list. What it lacks is gone.
 	Whole bool
+	// Token is what another node calls the whole list; 0 for what the store tells.
+	Token uint64
 	// Unreadable holds an error for each entry that cannot be read.
 	Unreadable []error
 }
--- a/reading/log.go
+++ b/reading/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 
@@ -74,6 +75,8 @@
 	floor         uint64
 	fleetRevision uint64
 	batches       []batch
+	// token is what the whole list is called, and a new one with each change of it.
+	token uint64
 	// ended are upstreams that were found to be gone without a change at the store, by
 	// when.
 	ended map[fleet.Incarnation]ending
@@ -89,7 +92,7 @@
 func NewLog(c *clock.Clock, vouchFor, vouchSoon clock.Millis) *Log {
 	return &Log{
 		clock: c, vouchFor: vouchFor, vouchSoon: vouchSoon, changed: make(chan struct{}), confirmed: clock.Never,
-		ended: make(map[fleet.Incarnation]ending), asked: clock.Never, followedSince: clock.Never, upstreams: make(map[fleet.Incarnation]fleet.Upstream),
+		token: rand.Uint64(), ended: make(map[fleet.Incarnation]ending), asked: clock.Never, followedSince: clock.Never, upstreams: make(map[fleet.Incarnation]fleet.Upstream),
 	}
 }
 
@@ -114,6 +117,7 @@
 func (l *Log) SetFleet(revision uint64, list []fleet.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	before := maps.Clone(l.upstreams)
 	clear(l.upstreams)
 	for _, u := range list {
 		l.upstreams[u.ID] = u
@@ -121,6 +125,9 @@
 	}
 	l.listed, l.floor, l.fleetRevision = true, revision, revision
 	l.batches = nil
+	if !maps.Equal(before, l.upstreams) {
+		l.token++
+	}
 	l.wake()
 }
 
@@ -144,6 +151,7 @@
 		l.upstreams[c.ID] = c.Upstream
 		delete(l.ended, c.ID)
 	}
+	l.token++
 	l.batches = append(l.batches, batch{revision: revision, changes: changes})
 	if len(l.batches) > keptBatches {
 		l.floor = l.batches[0].revision
@@ -160,6 +168,9 @@
 	now := l.clock.Now()
 	for _, c := range ended {
 		if c.Gone {
+			if _, listed := l.upstreams[c.ID]; listed {
+				l.token++
+			}
 			delete(l.upstreams, c.ID)
 			l.ended[c.ID] = ending{at: now, certain: c.Ended || l.ended[c.ID].certain}
 		}
@@ -238,7 +249,7 @@
 		case !l.listed:
 			return false, ErrCannotVouch
 		case after < l.floor:
-			reading.Whole, reading.Changes = true, l.whole()
+			reading.Whole, reading.Changes, reading.Token = true, l.whole(), l.token
 			return true, nil
 		}
 		for _, b := range l.batches {
--- a/reading/server.go
+++ b/reading/server.go
@@ -22,7 +22,16 @@
 
 // Handler serves a log to other nodes, at the path that it returns.
 func Handler(l *Log) (path string, handler http.Handler) {
-	return wireconnect.NewReadingHandler(server{log: l})
+	return wireconnect.NewReadingHandler(server{log: l}, connect.WithConditionalHandlerOptions(compression))
+}
+
+// compression leaves the list of upstreams as it is: it goes to hundreds of nodes that start
+// together, and to compress it takes ten times the processor that it takes to encode it.
+func compression(spec connect.Spec) []connect.HandlerOption {
+	if spec.Procedure == wireconnect.ReadingAwaitFleetProcedure {
+		return []connect.HandlerOption{connect.WithCompression("gzip", nil, nil)}
+	}
+	return nil
 }
 
 // AwaitConfig implements wireconnect.ReadingHandler.
@@ -42,7 +51,11 @@
 	if err != nil {
 		return nil, asConnect(err)
 	}
-	answer := &wire.AwaitFleetResponse{Revision: reading.Revision, Whole: reading.Whole}
+	answer := &wire.AwaitFleetResponse{Revision: reading.Revision, Whole: reading.Whole, Token: reading.Token}
+	if reading.Whole && reading.Token == req.Msg.GetHave() {
+		answer.Same = true
+		return connect.NewResponse(answer), nil
+	}
 	for _, c := range reading.Changes {
 		answer.Changes = append(answer.Changes, fleetwire.Change(c))
 	}
--- a/reading/source.go
+++ b/reading/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -21,6 +22,10 @@
 	http   *http.Client
 	// vouchSoon is for how long the node may let a first question wait.
 	vouchSoon clock.Millis
+
+	mu sync.Mutex
+	// whole is the whole list that the node has told last.
+	whole follow.FleetReading
 }
 
 // NewSource returns a source that follows the node at an address, which may let a first
@@ -65,13 +70,35 @@
 func (s *Source) AwaitUpstreams(ctx context.Context, after uint64, wait clock.Millis) (follow.FleetReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.limit(wait))
 	defer cancel()
-	resp, err := s.client.AwaitFleet(ctx, connect.NewRequest(&wire.AwaitFleetRequest{After: after, WaitMs: int64(wait)}))
+	had := s.had()
+	resp, err := s.client.AwaitFleet(ctx, connect.NewRequest(&wire.AwaitFleetRequest{After: after, WaitMs: int64(wait), Have: had.Token}))
 	if err != nil {
 		return follow.FleetReading{}, s.failed(err, "reading: list of upstreams")
 	}
-	reading := follow.FleetReading{Revision: resp.Msg.GetRevision(), Whole: resp.Msg.GetWhole()}
+	reading := follow.FleetReading{Revision: resp.Msg.GetRevision(), Whole: resp.Msg.GetWhole(), Token: resp.Msg.GetToken()}
+	if resp.Msg.GetSame() && had.Token != 0 && reading.Token == had.Token {
+		reading.Changes = had.Changes
+		return reading, nil
+	}
 	for _, c := range resp.Msg.GetChanges() {
 		reading.Changes = append(reading.Changes, fleetwire.ChangeOf(c))
 	}
+	s.keep(reading)
 	return reading, nil
 }
+
+// had returns the whole list that the node has told last. Followers ask for the whole list
+// again and again while entries may come back, and it seldom changes meanwhile.
+func (s *Source) had() follow.FleetReading {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.whole
+}
+
+func (s *Source) keep(reading follow.FleetReading) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if reading.Whole {
+		s.whole = reading
+	}
+}
--- /dev/null
+++ b/reading/whole_test.go
@@ -0,0 +1,69 @@
+package reading_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/reading"
+)
+
+// countedWriter counts what an answer takes, in bytes.
+type countedWriter struct {
+	http.ResponseWriter
+	bytes *atomic.Int64
+}
+
+func (w countedWriter) Write(data []byte) (int, error) {
+	w.bytes.Add(int64(len(data)))
+	return w.ResponseWriter.Write(data)
+}
+
+// Around an outage of the store two hundred followers asked for the whole list of three
+// thousand upstreams twice a second. One that has it already is told only that it stands.
+func TestWholeListIsToldOnce(t *testing.T) {
+	for _, upstreams := range []int{10, 300, 3000} {
+		l := newLog(t)
+		var list []fleet.Upstream
+		for i := range upstreams {
+			id := fleet.Undated(fleet.ID(fmt.Sprintf("u%04d", i)))
+			list = append(list, fleet.Upstream{ID: id, Service: "writer", Address: "10.0.0.1:80", DataCentre: "a"})
+		}
+		l.SetFleet(10, list)
+		var bytes atomic.Int64
+		mux := http.NewServeMux()
+		mux.Handle(reading.Handler(l))
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mux.ServeHTTP(countedWriter{w, &bytes}, r)
+		}))
+		t.Cleanup(server.Close)
+		f := reading.NewSource(server.Client(), server.Listener.Addr().String(), vouchSoon)
+		ask := func(want int) int64 {
+			t.Helper()
+			before := bytes.Load()
+			got, err := f.AwaitUpstreams(context.Background(), 0, longWait)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !got.Whole || len(got.Changes) != want {
+				t.Fatalf("got whole=%v with %d upstreams, want all %d", got.Whole, len(got.Changes), want)
+			}
+			return bytes.Load() - before
+		}
+		ask(upstreams)
+		if got, want := ask(upstreams), int64(64); got > want {
+			t.Errorf("%d upstreams: got %d bytes for the same list, want %d at most", upstreams, got, want)
+		}
+		// The same list read anew from the store has not changed.
+		l.SetFleet(11, list)
+		if got, want := ask(upstreams), int64(64); got > want {
+			t.Errorf("%d upstreams: got %d bytes for a list that was read anew, want %d at most", upstreams, got, want)
+		}
+		l.AddFleet(12, []fleet.Change{{ID: list[0].ID, Gone: true}})
+		ask(upstreams - 1)
+	}
+}
