--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -119,6 +119,12 @@
 	// Total is what those of all nodes that tell each other take, at engines that
 	// are worth telling others of.
 	Total map[fleet.Incarnation]fleet.Use
+	// Whole is what those of all nodes take that are known of, in other data centres those
+	// of HeardOf, at engines of which a node that is told sums is to know.
+	Whole   map[fleet.Incarnation]fleet.Use
+	HeardOf []string
+	// Nodes is how many nodes there are; 0 while that is not known.
+	Nodes int
 	// Limits are what is known of the limits that upstreams name.
 	Limits map[fleet.Incarnation]limit.Named
 }
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -27,9 +27,11 @@
 	catalog   *catalog.Catalog
 	confirmed clock.Millis
 	// nodes is how many nodes there are, 0 while that is not known.
-	nodes int
-	// near is how many other nodes tell this one alone what they have in use.
-	near int
+	nodes nodeCount
+	// near is how many other nodes' use is to be known here, and summed tells that it is told
+	// in one sum.
+	near   int
+	summed bool
 
 	upstreams map[fleet.Incarnation]*upstream
 	byService map[string][]*upstream
@@ -42,8 +44,10 @@
 	// early are the requests that wait for the node's start.
 	early   []early
 	budgets map[string]*budget.Window
-	// usage is what other nodes have in use, by their names.
+	// usage is what other nodes have in use, by their names, and told what this node has told
+	// last of its own.
 	usage map[string]peerUsage
+	told  map[fleet.Incarnation]fleet.Use
 	// lasts is the mean time of streams, in ms.
 	lasts float64
 	// shortages are by service, and gaps are those among them in which layers had no
@@ -187,7 +191,12 @@
 }
 
 func (m *Model) setPeers(msg PeersMsg) {
-	m.nodes, m.near = msg.All, msg.Near
+	m.near = msg.Near
+	m.nodes.set(m.now, msg)
+	if m.summed != msg.Summed {
+		m.summed = msg.Summed
+		m.forgetUsage()
+	}
 	m.limits.SetMembers(m.now, msg.Members)
 	m.setBudgets()
 }
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -29,9 +29,15 @@
 
 // PeersMsg tells how many nodes there are, this one included.
 type PeersMsg struct {
+	// All is how many there are; 0 where others tell that.
 	All int
-	// Near is how many others tell this node alone what they have in use.
+	// Here is how many there are in the data centre, at a node that adds up how many others
+	// tell of theirs; 0 at all others.
+	Here int
+	// Near is how many others' use is to be known here one by one or, with Summed, in one sum.
 	Near int
+	// Summed tells that one node tells this one what all have in use.
+	Summed bool
 	// Members are the nodes.
 	Members []limit.Member
 }
@@ -45,6 +51,12 @@
 	// made of.
 	Total      bool
 	DataCentre string
+	// Whole tells that it is that of all nodes, this one included, in other data centres
+	// those of HeardOf.
+	Whole   bool
+	HeardOf []string
+	// Nodes is how many nodes these are; 0 where that is not told.
+	Nodes int
 	// Limits are what the node knows of the limits that upstreams name.
 	Limits map[fleet.Incarnation]limit.Named
 }
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -64,18 +64,33 @@
 		return cmds
 	}
 	u.silent = !msg.Answered
-	agreed := u.silent && m.now <= u.toldAt.Add(toldLasts)
+	agreed := u.silent && m.now <= u.toldAt.Add(m.toldLasts())
 	return append(cmds, SilentCmd{Upstream: msg.Upstream, Silent: u.silent, Agreed: agreed})
 }
 
+const (
+	// toldLasts is for how long another node's word on an engine's silence agrees with this
+	// node's own finding: a probe follows within 0.1 s, and takes 0.16 s at the most.
+	toldLasts clock.Millis = 1000
+	// checkWithin is within what time a node that is told sums probes an engine that others
+	// have found silent. The hubs do so at once; two hundred nodes that did so too would
+	// ask each of a hundred lost engines at the same moment.
+	checkWithin clock.Millis = 2000
+)
+
 // toldLasts is for how long another node's word on an engine's silence agrees with this
-// node's own finding: a probe follows within 0.1 s, and takes 0.16 s at the most.
-const toldLasts clock.Millis = 1000
+// node's own finding.
+func (m *Model) toldLasts() clock.Millis {
+	if m.summed {
+		return toldLasts + checkWithin
+	}
+	return toldLasts
+}
 
 // toldSilent suspects an engine that another node has found silent. Without that each
 // of sixty nodes sent requests over each of nine lost engines until it had found out by
-// itself, and spent its budget of repeats on them. The probe at the next tick ends the
-// suspicion where the word was wrong.
+// itself, and spent its budget of repeats on them. A probe ends the suspicion where the word
+// was wrong: at the next tick, or later where many nodes are told.
 func (m *Model) toldSilent(msg ToldSilentMsg) []Cmd {
 	u := m.upstreams[msg.Upstream]
 	if u == nil || u.pipeline == nil {
@@ -87,5 +102,8 @@
 	}
 	u.suspect, u.cause = true, Slow
 	u.avoidUntil = m.now
+	if m.summed {
+		u.avoidUntil = m.now.Add(clock.Millis(m.random.Int64N(int64(checkWithin))))
+	}
 	return m.reconsider(u, nil)
 }
--- a/dispatch/repeats.go
+++ b/dispatch/repeats.go
@@ -36,8 +36,8 @@
 	if m.now < m.policy.RetryWindow {
 		ofShare, ofSlack = youngShare, youngSlack
 	}
-	if m.nodes > 0 {
-		slack = m.policy.RetrySlack * ofSlack / float64(m.nodes)
+	if m.nodes.all > 0 {
+		slack = m.policy.RetrySlack * ofSlack / float64(m.nodes.all)
 	}
 	return m.policy.RetryShare * ofShare, slack
 }
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -66,11 +66,11 @@
 	case "gone", "ended":
 		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Word(0)), Gone: true, Ended: s.Verb == "ended"}}}
 	case "peers":
-		return dispatch.PeersMsg{All: s.Int("all", 1), Near: s.Int("near", 0)}
+		return dispatch.PeersMsg{All: s.Int("all", 1), Near: s.Int("near", 0), Here: s.Int("here", 0), Summed: s.Named["summed"] == "yes"}
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Word(0), Used: map[fleet.Incarnation]fleet.Use{
 			script.Incarnation(s.Word(1)): {Memory: float64(s.Int("amount", 0)), Streams: s.Int("streams", 0)},
-		}, Total: s.Named["total"] == "yes"}
+		}, Total: s.Named["total"] == "yes", Whole: s.Named["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Named["in"]}
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: script.Incarnation(s.Word(0)), Layers: testUpstream(s).Held, Holds: s.Named["holds"] == "yes"}
 	case "report":
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -17,21 +19,30 @@
 	// worthTelling is the part of an engine's memory, or slots, from which other data
 	// centres are told of its use: below it nobody runs out of it.
 	worthTelling = 0.25
+	// worthSumming is the same for the nodes of a data centre that are told sums, and
+	// mostSummed how many engines they are told of at the most: one takes some 25 bytes. What
+	// is used less makes no engine dearer than another.
+	worthSumming = 0.03
+	mostSummed   = 300
 )
 
 // peerUsage is what another node has in use.
 type peerUsage struct {
 	at   clock.Millis
 	used map[fleet.Incarnation]fleet.Use
-	// total tells that it is another data centre's.
-	total bool
+	// total tells that it is another data centre's, whose name is centre, and whole that it
+	// is that of all nodes.
+	total  bool
+	centre string
+	whole  bool
 }
 
 // share tells the others what this node has in use, when it is time for that.
 func (m *Model) share() []Cmd {
-	if m.nodes < 2 || m.now < m.shared.Add(shareEvery) {
+	if m.near == 0 && m.nodes.all < 2 || m.now < m.shared.Add(shareEvery) {
 		return nil
 	}
+	m.nodes.add(m.now)
 	m.shared = m.now
 	used := make(map[fleet.Incarnation]fleet.Use)
 	for id, u := range m.upstreams {
@@ -39,7 +50,49 @@
 			used[id] = fleet.Use{Memory: u.reserved, Streams: u.inFlight}
 		}
 	}
-	return []Cmd{ShareCmd{Used: used, Total: m.total(used), Limits: m.limits.Known(m.now)}}
+	m.told = used
+	cmd := ShareCmd{Used: used, Limits: m.limits.Known(m.now)}
+	if !m.summed {
+		cmd.Total, cmd.Whole, cmd.HeardOf = m.total(used), m.whole(), m.heardOf()
+		cmd.Nodes = m.nodes.all
+	}
+	return []Cmd{cmd}
+}
+
+// whole is what the requests of all nodes take at the engines that are used most, as far as
+// this node knows.
+func (m *Model) whole() map[fleet.Incarnation]fleet.Use {
+	type used struct {
+		id   fleet.Incarnation
+		use  fleet.Use
+		part float64
+	}
+	var list []used
+	for id, u := range m.upstreams {
+		use := u.others.Plus(fleet.Use{Memory: u.reserved, Streams: u.inFlight})
+		part := max(use.Memory/max(u.room, 1), float64(use.Streams)/float64(max(u.entry.Slots, 1)))
+		if u.pipeline != nil && part >= worthSumming {
+			list = append(list, used{id: id, use: use, part: part})
+		}
+	}
+	slices.SortFunc(list, func(a, b used) int { return cmp.Or(cmp.Compare(b.part, a.part), a.id.Compare(b.id)) })
+	whole := make(map[fleet.Incarnation]fleet.Use)
+	for _, u := range list[:min(len(list), mostSummed)] {
+		whole[u.id] = u.use
+	}
+	return whole
+}
+
+// heardOf are the other data centres of whose use this node has heard.
+func (m *Model) heardOf() []string {
+	var centres []string
+	for _, peer := range m.usage {
+		if peer.total {
+			centres = append(centres, peer.centre)
+		}
+	}
+	slices.Sort(centres)
+	return centres
 }
 
 // total adds up what this node and those that tell it alone have in use.
@@ -63,14 +116,19 @@
 // noteUsage takes what another node has in use, in place of what it has told before.
 // The sum for each engine is kept, since every request asks for it.
 func (m *Model) noteUsage(msg UsageMsg) []Cmd {
-	if msg.Total {
-		m.limits.HeardAll(m.now, msg.DataCentre)
-	} else {
-		m.limits.Heard(m.now, msg.Node)
+	m.noteLife(msg)
+	m.nodes.told(m.now, msg.DataCentre, msg.Whole, msg.Nodes)
+	node, used := msg.Node, msg.Used
+	switch {
+	case m.summed != msg.Whole:
+		// What a node has that is told sums is part of them, and a hub makes its own.
+		return m.toldLimits(msg)
+	case msg.Whole:
+		node, used = allNodes, m.withoutOwn(used)
 	}
-	m.takeOff(m.usage[msg.Node].used)
-	m.usage[msg.Node] = peerUsage{at: m.now, used: msg.Used, total: msg.Total}
-	for id, use := range msg.Used {
+	m.takeOff(m.usage[node].used)
+	m.usage[node] = peerUsage{at: m.now, used: used, total: msg.Total, centre: msg.DataCentre, whole: msg.Whole}
+	for id, use := range used {
 		if u := m.upstreams[id]; u != nil {
 			u.others = u.others.Plus(use)
 		}
@@ -78,6 +136,40 @@
 	return m.toldLimits(msg)
 }
 
+// allNodes stands in for the name of a node in what all have in use: hubs take turns.
+const allNodes = "all"
+
+// noteLife notes signs of life in what another node tells.
+func (m *Model) noteLife(msg UsageMsg) {
+	if msg.Total || msg.Whole {
+		m.limits.HeardAll(m.now, msg.DataCentre)
+	}
+	for _, centre := range msg.HeardOf {
+		m.limits.HeardAll(m.now, centre)
+	}
+	if !msg.Total {
+		m.limits.Heard(m.now, msg.Node)
+	}
+}
+
+// withoutOwn takes what this node has told last off what all nodes have in use.
+func (m *Model) withoutOwn(whole map[fleet.Incarnation]fleet.Use) map[fleet.Incarnation]fleet.Use {
+	others := make(map[fleet.Incarnation]fleet.Use, len(whole))
+	for id, use := range whole {
+		rest := use.Minus(m.told[id])
+		others[id] = fleet.Use{Memory: max(rest.Memory, 0), Streams: max(rest.Streams, 0)}
+	}
+	return others
+}
+
+// forgetUsage drops all that was told.
+func (m *Model) forgetUsage() {
+	for node, peer := range m.usage {
+		m.takeOff(peer.used)
+		delete(m.usage, node)
+	}
+}
+
 // takeOff takes what a node has told off the sums.
 func (m *Model) takeOff(used map[fleet.Incarnation]fleet.Use) {
 	for id, use := range used {
@@ -138,11 +230,14 @@
 	return use
 }
 
-// heard is how many other nodes have told this one what they alone have in use.
+// heard is of how many other nodes it is known what they have in use.
 func (m *Model) heard() int {
 	n := 0
 	for _, peer := range m.usage {
-		if !peer.total {
+		switch {
+		case peer.whole:
+			return m.near
+		case !peer.total:
 			n++
 		}
 	}
--- a/limit/keeper.go
+++ b/limit/keeper.go
@@ -60,7 +60,8 @@
 	return k
 }
 
-// SetMembers takes all nodes. This one may be among them.
+// SetMembers takes the nodes that may hand out permits: all, or some on which all nodes
+// agree. This one may be among them.
 func (k *Keeper) SetMembers(now clock.Millis, list []Member) {
 	k.members.set(now, list)
 	for _, s := range k.shares {
--- a/limit/members.go
+++ b/limit/members.go
@@ -54,13 +54,18 @@
 	return &members{self: self, names: []string{self}, nodes: make(map[string]*member)}
 }
 
-// set takes the names of all nodes, this one included.
+// set takes the names of the nodes that may hand out permits. This one is among them if it is
+// listed, or if nobody is.
 func (s *members) set(now clock.Millis, list []Member) {
 	before := s.names
 	nodes := make(map[string]*member, len(list))
-	names := []string{s.self}
+	var names []string
+	if len(list) == 0 {
+		names = append(names, s.self)
+	}
 	for _, m := range list {
 		if m.Name == s.self {
+			names = append(names, m.Name)
 			continue
 		}
 		known := s.nodes[m.Name]
--- /dev/null
+++ b/node/circle.go
@@ -0,0 +1,204 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/limit"
+	"github.com/hoistjunction/hoistjunction/placement"
+	"github.com/hoistjunction/hoistjunction/reading"
+	"github.com/hoistjunction/hoistjunction/usage"
+	"github.com/hoistjunction/hoistjunction/wire"
+)
+
+const (
+	// circleEvery is how often it is looked whether the hubs have changed, and the least
+	// pause between two changes of whom this node tells: where all nodes start together
+	// others become known one by one.
+	circleEvery = 150 * time.Millisecond
+	// passers is how many hubs pass on what a node tells all: each may be lost meanwhile.
+	passers = 2
+)
+
+// members are the other nodes that are known. It is safe for concurrent use.
+type members struct {
+	mu     sync.Mutex
+	others []*wire.Member
+	// rank is this node's by name among all, and changes counts what was set.
+	rank    int
+	changes int
+	// known is closed once something was set.
+	known chan struct{}
+}
+
+func newMembers() *members { return &members{known: make(chan struct{})} }
+
+func (m *members) set(others []*wire.Member, rank int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.changes == 0 {
+		close(m.known)
+	}
+	m.others, m.rank = others, rank
+	m.changes++
+}
+
+func (m *members) get() (others []*wire.Member, rank, changes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.others, m.rank, m.changes
+}
+
+// followCircle has this node tell those whom it is to tell, as nodes become known and hubs
+// change, until the context ends.
+func (n *Node) followCircle(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.members.known:
+	}
+	last, seen := "", 0
+	for ctx.Err() == nil {
+		circle := n.roster.Circle(n.clock.Now())
+		others, rank, changes := n.members.get()
+		name := circleName(&circle)
+		if name != last {
+			n.log.Info("circle", zap.Bool("meshed", circle.Meshed), zap.Bool("hub", circle.Hub), zap.Int("place", circle.Place),
+				zap.String("hubs", namesOf(circle.Hubs)), zap.Int("others", circle.Others))
+		}
+		if changes > seen || name != last {
+			last, seen = name, changes
+			n.setCircle(&circle, others, rank)
+		}
+		clock.Pause(ctx, circleEvery)
+	}
+	return ctx.Err()
+}
+
+// circleName tells circles apart.
+func circleName(c *reading.Circle) string {
+	if c.Meshed {
+		return "meshed"
+	}
+	return strconv.Itoa(c.Place) + " " + namesOf(c.Hubs) + " " + namesOf(c.Absent)
+}
+
+func namesOf(members []*wire.Member) string {
+	var names []string
+	for _, m := range members {
+		names = append(names, m.GetName())
+	}
+	return strings.Join(names, ",")
+}
+
+// setCircle takes whom this node tells, and what others leave to it.
+func (n *Node) setCircle(circle *reading.Circle, others []*wire.Member, rank int) {
+	here := n.settings.DataCentre
+	self := n.roster.Self()
+	n.usage.SetAddresses(usageAddressesByName(others))
+	if circle.Meshed {
+		near, far := meshedPeers(others, here)
+		n.usage.SetPeers(usageAddresses(near), usageAddresses(far))
+		all := owners(append(others[:len(others):len(others)], self))
+		n.relay.SetPeers(dispatch.PeersMsg{All: len(all), Near: len(near), Members: all})
+		n.placer.Tell(placement.RankMsg{Delay: plannerDelay(rank)})
+		return
+	}
+	n.usage.SetRoutes(hubRoutes(circle, others, here))
+	msg := dispatch.PeersMsg{Near: circle.Others, Summed: !circle.Hub, Members: owners(toldIn(append(others[:len(others):len(others)], self)))}
+	if circle.Hub {
+		msg.Here = circle.Others + 1
+	}
+	n.relay.SetPeers(msg)
+	n.placer.Tell(placement.RankMsg{Delay: plannerDelay(circle.Place), Rests: !circle.Hub, Elsewhere: otherCentres(others, here)})
+}
+
+// owners are the nodes of which some own the limits of upstreams.
+func owners(members []*wire.Member) []limit.Member {
+	var list []limit.Member
+	for _, m := range members {
+		if m.GetUsageAddress() != "" {
+			list = append(list, limit.Member{Name: m.GetName(), DataCentre: m.GetDataCentre()})
+		}
+	}
+	return list
+}
+
+// meshedPeers returns the nodes that are told what this one has in use, and those that are
+// told what its data centre has.
+func meshedPeers(others []*wire.Member, here string) (near, far []*wire.Member) {
+	if len(others) < nearAll {
+		return others, nil
+	}
+	return membersOf(others, here), toldElsewhere(others, here)
+}
+
+// hubRoutes are the routes of a node of a data centre with hubs.
+func hubRoutes(circle *reading.Circle, others []*wire.Member, here string) usage.Routes {
+	hubs, leaves, far := usageAddresses(circle.Hubs), usageAddresses(circle.Leaves), usageAddresses(toldElsewhere(others, here))
+	absent := usageAddresses(circle.Absent)
+	if !circle.Hub {
+		return usage.Routes{Use: hubs, Absent: absent, Orders: hubs, Silences: hubs, Works: slices.Concat(hubs, far)}
+	}
+	near := slices.Concat(hubs, leaves)
+	r := usage.Routes{Use: hubs, Absent: absent, Hubs: circle.Hubs, Total: far, Leaves: leaves, Orders: near, Silences: near, Works: slices.Concat(near, far)}
+	if circle.Place < passers {
+		r.PassOn = near
+	}
+	return r
+}
+
+// toldElsewhere returns the nodes of other data centres that are told what concerns all.
+func toldElsewhere(others []*wire.Member, here string) []*wire.Member {
+	return toldIn(slices.DeleteFunc(slices.Clone(others), func(m *wire.Member) bool { return m.GetDataCentre() == here }))
+}
+
+// toldIn returns the nodes among some that are told what concerns all: of a large data centre
+// the first by rank, which are its hubs unless they are lost.
+func toldIn(members []*wire.Member) []*wire.Member {
+	var told []*wire.Member
+	for _, centre := range otherCentres(members, "") {
+		ranked := slices.SortedFunc(slices.Values(membersOf(members, centre)), reading.Compare)
+		told = append(told, ranked[:reading.Told(len(ranked))]...)
+	}
+	return told
+}
+
+// otherCentres are the data centres in which other nodes stand.
+func otherCentres(others []*wire.Member, here string) []string {
+	var centres []string
+	for _, m := range others {
+		if centre := m.GetDataCentre(); centre != here && centre != "" && !slices.Contains(centres, centre) {
+			centres = append(centres, centre)
+		}
+	}
+	return centres
+}
+
+func usageAddresses(members []*wire.Member) []string {
+	var list []string
+	for _, m := range members {
+		if m.GetUsageAddress() != "" {
+			list = append(list, m.GetUsageAddress())
+		}
+	}
+	return list
+}
+
+func usageAddressesByName(members []*wire.Member) map[string]string {
+	list := make(map[string]string, len(members))
+	for _, m := range members {
+		if m.GetUsageAddress() != "" {
+			list[m.GetName()] = m.GetUsageAddress()
+		}
+	}
+	return list
+}
--- a/node/known.go
+++ b/node/known.go
@@ -6,9 +6,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
-	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
-	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
@@ -75,25 +73,6 @@
 
 // LearnMembers implements peering.Learner.
 func (k *known) LearnMembers(others []*wire.Member, rank int) {
-	var near, far []string
-	members := []limit.Member{{Name: k.node.settings.Name, DataCentre: k.node.settings.DataCentre}}
-	addresses := make(map[string]string, len(others))
-	for _, m := range others {
-		here := m.GetDataCentre() == k.node.settings.DataCentre
-		if m.GetUsageAddress() == "" {
-			continue
-		}
-		members = append(members, limit.Member{Name: m.GetName(), DataCentre: m.GetDataCentre()})
-		addresses[m.GetName()] = m.GetUsageAddress()
-		if here || len(others) < nearAll {
-			near = append(near, m.GetUsageAddress())
-		} else {
-			far = append(far, m.GetUsageAddress())
-		}
-	}
-	k.node.usage.SetPeers(near, far)
-	k.node.usage.SetAddresses(addresses)
 	k.node.roster.SetGroup(readingGroup(others, k.node.settings.DataCentre))
-	k.node.relay.SetPeers(members, len(near))
-	k.node.placer.Tell(placement.RankMsg{Delay: plannerDelay(rank)})
+	k.node.members.set(others, rank)
 }
--- a/node/learn.go
+++ b/node/learn.go
@@ -51,12 +51,21 @@
 	}
 }
 
-// share tells other nodes what this one has in use. The node that reads the
-// store for its data centre tells others what all of them have.
+// share tells other nodes what this one has in use. A hub tells its leaves what all have,
+// and the node that leads, or that reads the store for its data centre, tells others what
+// all of that have.
 func (n *Node) share(cmd dispatch.ShareCmd) {
+	now := n.clock.Now()
+	circle := n.roster.Circle(now)
 	n.usage.Share(cmd.Used, cmd.Limits)
-	if n.roster.Reads(n.clock.Now()) {
-		n.usage.ShareTotal(cmd.Total, cmd.Limits)
+	if circle.Meshed && n.roster.Reads(now) || circle.Leads() {
+		n.usage.ShareTotal(cmd.Total, circle.Others+1, cmd.Limits)
+	}
+	switch {
+	case circle.Leads():
+		n.usage.ShareWhole(cmd.Whole, cmd.HeardOf, cmd.Nodes, cmd.Limits)
+	case circle.Hub:
+		n.usage.ShareLife()
 	}
 }
 
@@ -67,6 +76,7 @@
 func (l listener) HearUse(from *wire.Member, msg usage.Msg) {
 	n := l.node
 	n.peers.Heard(from)
+	n.peers.Told(msg.Hubs)
 	n.compareQuarantine(from, msg.Quarantine)
 	for engine := range msg.Used {
 		n.meet(engine)
@@ -75,7 +85,8 @@
 		n.roster.Heard(n.clock.Now(), from.GetName(), msg.Followable)
 	}
 	n.relay.SetUsage(dispatch.UsageMsg{
-		Node: from.GetName(), Used: msg.Used, Total: msg.Total, DataCentre: from.GetDataCentre(), Limits: msg.Limits,
+		Node: from.GetName(), Used: msg.Used, Total: msg.Total, Whole: msg.Whole, HeardOf: msg.HeardOf, Nodes: msg.Nodes,
+		DataCentre: from.GetDataCentre(), Limits: msg.Limits,
 	})
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -57,6 +57,7 @@
 	known    *known
 	roster   *reading.Roster
 	shared   *reading.Log
+	members  *members
 	silences *silences
 	// quarantined is what is told others of requests that end upstreams, and keeper
 	// keeps them in the store.
@@ -86,7 +87,7 @@
 
 // New binds a node's ports and builds it. Run makes it work.
 func New(s *Settings, log *logging.Log, opts ...Option) (*Node, error) {
-	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), silences: newSilences(), orders: new(expvar.Map)}
+	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), members: newMembers(), silences: newSilences(), orders: new(expvar.Map)}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -110,7 +111,7 @@
 		dispatch.WithKeptQuarantine(),
 		dispatch.WithLimits(limit.New(limit.WithSelf(s.Name), limit.WithLife(uint64(time.Now().UnixNano())))),
 	)
-	self := &wire.Member{Name: s.Name, DataCentre: s.DataCentre, Address: n.peer.Addr().String()}
+	self := &wire.Member{Name: s.Name, DataCentre: s.DataCentre, Address: n.peer.Addr().String(), Strength: s.strength()}
 	sharing, err := usage.New(n.life, self, s.UsageListen, n.log, n.followable, listener{n}, usage.WithQuarantine(n.quarantined.digest), usage.WithClock(n.clock))
 	if err != nil {
 		return nil, err
@@ -131,16 +132,16 @@
 		placer.WithResults(n.orders))
 	n.wakes = n.clock.Wakes()
 	n.wakes.Tell(n.wake)
-	n.follow(platform.NewPeerTransport(), n.setCatalog, n.setFleet)
+	n.follow(self, platform.NewPeerTransport(), n.setCatalog, n.setFleet)
 	n.peers = peering.New(self, s.PeerSeeds, n.store, n.known, n.known, n.clock, n.log, platform.NewQuestionTransport(), hash(s.Name),
 		peering.WithFirstStart(s.FirstStart))
 	return n, nil
 }
 
 // follow builds the followers of the store, and what they know of other nodes.
-func (n *Node) follow(peerTransport http.RoundTripper, setCatalog func(*catalog.Catalog, []byte, clock.Millis), setFleet func([]fleet.Change)) {
+func (n *Node) follow(self *wire.Member, peerTransport http.RoundTripper, setCatalog func(*catalog.Catalog, []byte, clock.Millis), setFleet func([]fleet.Change)) {
 	within := n.settings.changesWithin()
-	n.roster = reading.NewRoster(n.settings.Name, n.clock.Now(), follow.Patience(within))
+	n.roster = reading.NewRoster(self, n.clock.Now(), follow.Patience(within))
 	n.shared = reading.NewLog(n.clock, follow.VouchFor, follow.VouchSoon(within))
 	n.outage = &follow.Outage{}
 	n.known = &known{node: n, confirmed: clock.Never}
@@ -213,6 +214,7 @@
 	n.addLoop(&g, n.fleets.Run)
 	n.addLoop(&g, n.peers.Register)
 	n.addLoop(&g, n.peers.Run)
+	n.addLoop(&g, n.followCircle)
 	n.addLoop(&g, n.usage.Run)
 	n.addLoop(&g, n.keeper.Run)
 	n.addLoop(&g, n.wakes.Run)
--- a/node/settings.go
+++ b/node/settings.go
@@ -16,9 +16,12 @@
 	LogLevel   string
 	// GraceSeconds is how long a planned stop may take.
 	GraceSeconds float64
-	// Cores and MemoryMB are what the VM has.
-	Cores    int
-	MemoryMB int
+	// Cores and MemoryMB are what the VM has, CoreShare the part of each core, and LinkMbps
+	// what its link carries; 0 where that is not known.
+	Cores     int
+	MemoryMB  int
+	CoreShare float64
+	LinkMbps  float64
 
 	CallerListen    string
 	ReadinessListen string
@@ -64,6 +67,8 @@
 	set.Float("node", "grace_s", &s.GraceSeconds, 0, largestNumber, settings.WithDefault("8"))
 	set.Int("node", "cores", &s.Cores, 1, largestNumber, settings.WithDefault("1"))
 	set.Int("node", "memory_mb", &s.MemoryMB, 1, largestNumber, settings.WithDefault("256"))
+	set.Float("node", "core_share", &s.CoreShare, 0, largestNumber, settings.WithDefault("1"))
+	set.Float("node", "link_mbps", &s.LinkMbps, 0, largestNumber, settings.WithDefault("0"))
 	set.OneOf("log", "level", &s.LogLevel, []string{"debug", "info", "warn", "error"}, settings.WithDefault("info"))
 	set.Address("caller", "listen", &s.CallerListen, settings.Required())
 	set.Address("readiness", "listen", &s.ReadinessListen, settings.Required())
@@ -93,6 +98,22 @@
 	return s, set, nil
 }
 
+// Steps in which VMs are compared for what they can do for others.
+const (
+	stepsOfCore = 20
+	stepMbps    = 10
+)
+
+// strength is how much the VM can do for other nodes, in steps of a part of a core or of the
+// link, whichever it has fewer of. VMs that differ by less count as alike.
+func (s *Settings) strength() uint32 {
+	steps := s.CoreShare * float64(s.Cores) * stepsOfCore
+	if s.LinkMbps > 0 {
+		steps = min(steps, s.LinkMbps/stepMbps)
+	}
+	return uint32(max(steps, 1))
+}
+
 // grace is how long a planned stop may take.
 func (s *Settings) grace() clock.Millis { return clock.Millis(s.GraceSeconds * msPerSecond) }
 
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -252,7 +252,7 @@
 	}
 	peers := platform.NewPeerTransport(platform.WithDial(s.net.dial(name)))
 	n.idle = peers.CloseIdleConnections
-	n.follow(peers, n.tellCatalog, n.tellFleet)
+	n.follow(&wire.Member{Name: name, DataCentre: "z"}, peers, n.tellCatalog, n.tellFleet)
 	n.roster.SetGroup(s.others(name))
 	mux := http.NewServeMux()
 	mux.Handle(reading.Handler(n.shared))
@@ -290,8 +290,9 @@
 func (s *simSite) tellOthers(ctx context.Context, n *simNode, offset time.Duration, lost *rand.Rand) {
 	clock.Pause(ctx, offset)
 	for ctx.Err() == nil {
+		told := n.told()
 		for _, other := range s.peersOf(n) {
-			if lost.Float64() < s.setting.loss {
+			if told != nil && !told[other.settings.Name] || lost.Float64() < s.setting.loss {
 				continue
 			}
 			other.roster.Heard(other.clock.Now(), n.settings.Name, n.followable())
@@ -300,6 +301,19 @@
 	}
 }
 
+// told are the names of the nodes that a node tells of itself; nil for all.
+func (n *simNode) told() map[string]bool {
+	circle := n.roster.Circle(n.clock.Now())
+	if circle.Meshed {
+		return nil
+	}
+	told := make(map[string]bool)
+	for _, m := range slices.Concat(circle.Hubs, circle.Leaves, circle.Absent) {
+		told[m.GetName()] = true
+	}
+	return told
+}
+
 // peersOf returns the nodes that a node's word reaches.
 func (s *simSite) peersOf(n *simNode) []*simNode {
 	s.mu.Lock()
--- a/peering/directory.go
+++ b/peering/directory.go
@@ -15,6 +15,10 @@
 // two renewals and a half.
 const registrationLasts clock.Millis = 300_000
 
+// wordLasts is the same for a node that is not registered and tells of itself a few times a
+// second.
+const wordLasts clock.Millis = 60_000
+
 // directory holds the nodes that are known. It is safe for concurrent use.
 type directory struct {
 	self *wire.Member
@@ -26,6 +30,8 @@
 	// replaced under other names all the time, and nothing in the store runs out
 	// by itself.
 	renewals map[string]renewal
+	// heardAt are the nodes that are known by their own word alone, and when that came last.
+	heardAt map[string]clock.Millis
 	// expired are the addresses of nodes whose registrations have run out, by
 	// name. Hearsay does not bring them back.
 	expired map[string]string
@@ -40,7 +46,7 @@
 func newDirectory(self *wire.Member, seeds []string) *directory {
 	d := &directory{
 		self: self, byName: make(map[string]*wire.Member),
-		renewals: make(map[string]renewal), expired: make(map[string]string),
+		renewals: make(map[string]renewal), heardAt: make(map[string]clock.Millis), expired: make(map[string]string),
 	}
 	for _, address := range seeds {
 		if address != self.GetAddress() {
@@ -66,13 +72,33 @@
 }
 
 // heard notes a node that has spoken itself.
-func (d *directory) heard(m *wire.Member) bool {
+func (d *directory) heard(now clock.Millis, m *wire.Member) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.expired, m.GetName())
+	if _, registered := d.renewals[m.GetName()]; !registered {
+		d.heardAt[m.GetName()] = now
+	}
 	return d.note(m)
 }
 
+// forgetUnheard forgets the nodes that are not registered and have not been heard for long.
+// The caller holds the lock.
+func (d *directory) forgetUnheard(now clock.Millis) (news bool) {
+	for name, at := range d.heardAt {
+		_, registered := d.renewals[name]
+		if !registered && now < at.Add(wordLasts) {
+			continue
+		}
+		delete(d.heardAt, name)
+		if !registered {
+			news = true
+			delete(d.byName, name)
+		}
+	}
+	return news
+}
+
 // note takes in a node. The caller holds the lock.
 func (d *directory) note(m *wire.Member) bool {
 	if m.GetName() == "" || m.GetName() == d.self.GetName() {
@@ -111,7 +137,7 @@
 		}
 	}
 	maps.DeleteFunc(d.renewals, func(name string, _ renewal) bool { return !listed[name] })
-	return news, expired
+	return d.forgetUnheard(now) || news, expired
 }
 
 // others returns the other nodes, in the order of their names.
@@ -128,6 +154,18 @@
 	return list
 }
 
+// told returns the nodes of which others are told: not those that tell of themselves to whom
+// they are to be known, of which there may be hundreds.
+func (d *directory) told() []*wire.Member {
+	list := d.others()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(list, func(m *wire.Member) bool {
+		_, heard := d.heardAt[m.GetName()]
+		return heard
+	})
+}
+
 // rank returns how many nodes come before this one by name.
 func (d *directory) rank() int {
 	d.mu.Lock()
--- a/peering/directory_test.go
+++ b/peering/directory_test.go
@@ -51,7 +51,7 @@
 	if d.add(member("a")) {
 		t.Error("got a node back by hearsay, want it gone")
 	}
-	if !d.heard(member("a")) {
+	if !d.heard(registrationLasts+1, member("a")) {
 		t.Error("got a node that speaks itself ignored, want it back")
 	}
 	if news, expired := d.registered(registrationLasts+2, []Registration{registration("a", 9), registration("b", 4)}); news || len(expired) != 0 {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -207,11 +207,14 @@
 
 // Heard notes a node that has told something.
 func (p *Peering) Heard(m *wire.Member) {
-	if p.directory.heard(m) {
+	if p.directory.heard(p.clock.Now(), m) {
 		p.news.ask()
 	}
 }
 
+// Told notes nodes of which another one has told.
+func (p *Peering) Told(members []*wire.Member) { p.noteMembers(members...) }
+
 func (p *Peering) noteMembers(members ...*wire.Member) {
 	if p.directory.add(members...) {
 		p.news.ask()
--- a/peering/server.go
+++ b/peering/server.go
@@ -22,7 +22,7 @@
 	raw, version, confirmed := p.knowledge.Config()
 	answer := &wire.AskResponse{
 		Version: version, AgeMs: int64(p.clock.Now().Sub(confirmed)),
-		Members: append(p.directory.others(), p.directory.self),
+		Members: append(p.directory.told(), p.directory.self),
 	}
 	if version == 0 {
 		answer.AgeMs = -1
--- a/placement/coverage.go
+++ b/placement/coverage.go
@@ -26,7 +26,7 @@
 }
 
 func (m *Model) coverage(now clock.Millis) []string {
-	if m.catalog == nil {
+	if m.catalog == nil || m.rests {
 		return nil
 	}
 	var lines []string
--- a/placement/model.go
+++ b/placement/model.go
@@ -59,9 +59,14 @@
 // Model plans for every pipeline service. It is pure and not safe for
 // concurrent use.
 type Model struct {
-	delay   clock.Millis
-	started clock.Millis
-	changed clock.Millis
+	delay clock.Millis
+	// rests tells that other nodes plan, and elsewhere are the data centres whose own nodes
+	// do so. A plan takes a second for hundreds of engines, and the nodes of another data
+	// centre would find the same one.
+	rests     bool
+	elsewhere []string
+	started   clock.Millis
+	changed   clock.Millis
 	// confirmed is when the list was last confirmed.
 	confirmed clock.Millis
 	planned   bool
@@ -144,7 +149,7 @@
 	case FleetMsg:
 		m.setFleet(now, msg.Changes)
 	case RankMsg:
-		m.delay = msg.Delay
+		m.delay, m.rests, m.elsewhere = msg.Delay, msg.Rests, msg.Elsewhere
 	case SilentMsg:
 		m.setSilent(msg)
 	case OrderedMsg:
--- a/placement/msg.go
+++ b/placement/msg.go
@@ -17,7 +17,13 @@
 
 // RankMsg changes how long the planner leaves orders to others first, when the
 // node has learnt of them.
-type RankMsg struct{ Delay clock.Millis }
+type RankMsg struct {
+	Delay clock.Millis
+	// Rests tells that other nodes plan and this one does not.
+	Rests bool
+	// Elsewhere are the data centres whose engines their own nodes plan for.
+	Elsewhere []string
+}
 
 // SilentMsg tells that an engine does not answer this node, or does again.
 type SilentMsg struct {
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -61,7 +61,7 @@
 	var engines []Engine
 	for id, u := range m.upstreams {
 		kind, ok := s.Pipeline.Accelerators[u.Accelerator]
-		if u.Service != s.Name || u.Leaving || !ok || m.lost(id) || m.withheld(now, id) {
+		if u.Service != s.Name || u.Leaving || !ok || m.lost(id) || m.withheld(now, id) || slices.Contains(m.elsewhere, u.DataCentre) {
 			continue
 		}
 		e := Engine{
--- a/placement/tick.go
+++ b/placement/tick.go
@@ -9,7 +9,7 @@
 
 // tick plans, once the list is settled and others have had their chance.
 func (m *Model) tick(now clock.Millis) []OrderCmd {
-	if now < m.idleUntil {
+	if m.rests || now < m.idleUntil {
 		return nil
 	}
 	if m.catalog == nil || !m.settled(now) {
--- a/reading/roster.go
+++ b/reading/roster.go
@@ -58,16 +58,22 @@
 	doubtedUntil clock.Millis
 }
 
-// Roster knows the nodes of a group, most often those of a data centre, and which
-// of them reads the store for the others. It is safe for concurrent use; times are
-// handed in.
+// Roster knows the nodes of a group, most often those of a data centre, which of them
+// are its hubs, and which reads the store for the others. It is safe for concurrent use;
+// times are handed in.
 type Roster struct {
-	self string
+	self *wire.Member
 
 	mu sync.Mutex
-	// group holds the other nodes by name, and heard what each has said last.
-	group map[string]*wire.Member
-	heard map[string]hearing
+	// group holds the other nodes by name, ranks the rank of each and of this one, and
+	// ranked their names by rank.
+	group  map[string]*wire.Member
+	ranks  map[string]int
+	ranked []string
+	// heard is what each has said last, and awaited when a node was last heard, or first
+	// counted as a hub.
+	heard   map[string]hearing
+	awaited map[string]clock.Millis
 	// led tells of each node that was ever heard whether it could ever be followed. At
 	// a start none can at first. heardFirst is when the first of them was heard.
 	led        map[string]bool
@@ -97,15 +103,21 @@
 
 // NewRoster returns a node's roster as of a time. Patience is how long the node may
 // wait for another one to have the store, when its reader has failed it.
-func NewRoster(self string, now, patience clock.Millis) *Roster {
-	return &Roster{
+func NewRoster(self *wire.Member, now, patience clock.Millis) *Roster {
+	r := &Roster{
 		patience: patience, failedSince: clock.Never,
 		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing), led: make(map[string]bool),
+		awaited: make(map[string]clock.Millis),
 		refused: make(map[string]clock.Millis), started: now,
 		grouped: clock.Never, unledSince: clock.Never, doubtedUntil: clock.Never,
 	}
+	r.rank()
+	return r
 }
 
+// Self returns this node.
+func (r *Roster) Self() *wire.Member { return r.self }
+
 // SetGroup sets the other nodes of the group.
 func (r *Roster) SetGroup(members []*wire.Member) {
 	r.mu.Lock()
@@ -114,6 +126,7 @@
 	for _, m := range members {
 		r.group[m.GetName()] = m
 	}
+	r.rank()
 }
 
 // Heard notes a node's word on whether it may be followed.
@@ -131,7 +144,7 @@
 		h.doubtedUntil = now.Add(doubted)
 	}
 	h.at, h.followable = now, followable
-	r.heard[name], r.led[name] = h, followable || led
+	r.heard[name], r.led[name], r.awaited[name] = h, followable || led, now
 }
 
 // Failed notes that following a node did not work.
@@ -184,7 +197,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	v := r.view(now)
-	return !r.alone(v) && v.first == r.self && now >= r.turn(v)
+	return !r.alone(v) && v.first == r.self.GetName() && now >= r.turn(v)
 }
 
 // Waits tells whether this node, which has nobody to follow, is to leave the
@@ -196,9 +209,9 @@
 	switch {
 	case r.alone(v):
 		return now < r.started.Add(settle)
-	case v.first == r.self && asked:
+	case v.first == r.self.GetName() && asked:
 		return false
-	case v.first == r.self || v.first == "":
+	case v.first == r.self.GetName() || v.first == "":
 		return now < max(r.turn(v), r.restUntil)
 	default:
 		return false
--- a/reading/roster_test.go
+++ b/reading/roster_test.go
@@ -11,7 +11,7 @@
 
 func TestRosterScripts(t *testing.T) {
 	script.Run(t, "testdata", func(t *testing.T) func(script.Step) []string {
-		roster := reading.NewRoster("n3", 0, 2000)
+		roster := reading.NewRoster(&wire.Member{Name: "n3"}, 0, 2000)
 		return func(s script.Step) []string { return playRoster(t, roster, s) }
 	})
 }
--- a/reading/view.go
+++ b/reading/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 
 	"github.com/hoistjunction/hoistjunction/clock"
 )
@@ -10,12 +11,12 @@
 type view struct {
 	// nodes is how many there are, this one included.
 	nodes int
-	// first is the first by name that may be followed, empty for none; of those that
+	// first is the first by rank that may be followed, empty for none; of those that
 	// have the store again only where there is no other. It is this node where it has
 	// not lost the store and no other comes before it.
 	first string
 	// before is how many of those that may not be followed come before this node by
-	// name.
+	// rank.
 	before int
 	// refused is how many have failed this node lately.
 	refused int
@@ -27,7 +28,7 @@
 	r.forgetRefused(now)
 	v := r.survey(now)
 	if v.refused >= mostRefused && !r.away {
-		v.first = r.self
+		v.first = r.self.GetName()
 	}
 	r.noteSince(now, v)
 	return v
@@ -37,16 +38,16 @@
 // caller holds the lock.
 func (r *Roster) survey(now clock.Millis) view {
 	v := view{nodes: 1}
-	var sure, doubtful firstByName
+	var sure, doubtful string
 	offer := func(name string, doubtedUntil clock.Millis) {
 		if now < doubtedUntil {
-			doubtful.offer(name)
+			doubtful = r.firstOf(doubtful, name)
 		} else {
-			sure.offer(name)
+			sure = r.firstOf(sure, name)
 		}
 	}
 	if !r.away {
-		offer(r.self, r.doubtedUntil)
+		offer(r.self.GetName(), r.doubtedUntil)
 	}
 	for name, h := range r.heard {
 		if now > h.at.Add(heardWithin) {
@@ -61,24 +62,31 @@
 		switch {
 		case h.followable && !refused:
 			offer(name, h.doubtedUntil)
-		case name < r.self:
+		case r.ranks[name] < r.ranks[r.self.GetName()]:
 			v.before++
 		}
 		if refused {
 			v.refused++
 		}
 	}
-	v.first = cmp.Or(string(sure), string(doubtful))
+	v.first = cmp.Or(sure, doubtful)
+	if r.meshed() {
+		return v
+	}
+	// Only the hubs are heard here, or hear all.
+	v.nodes = len(r.ranked)
+	if !slices.Contains(r.hubs(now), r.self.GetName()) {
+		v.before = max(v.before, firstToTry)
+	}
 	return v
 }
 
-// firstByName is the first of the names that were offered; empty for none.
-type firstByName string
-
-func (f *firstByName) offer(name string) {
-	if *f == "" || name < string(*f) {
-		*f = firstByName(name)
+// firstOf returns the first by rank of two nodes; an empty name is none.
+func (r *Roster) firstOf(a, b string) string {
+	if a == "" || r.ranks[b] < r.ranks[a] {
+		return b
 	}
+	return a
 }
 
 // noteSince notes since when there are enough nodes, and since when there has been nobody
@@ -90,7 +98,7 @@
 	case r.grouped == clock.Never:
 		r.grouped = now
 	}
-	led := v.first != "" && v.first != r.self
+	led := v.first != "" && v.first != r.self.GetName()
 	switch {
 	case led:
 		r.unledSince = clock.Never
@@ -114,10 +122,10 @@
 
 // turn is from when on this node tries the store while there is nobody to follow.
 func (r *Roster) turn(v view) clock.Millis {
-	return max(r.turnByName(v), r.grouped.Add(claimAfter))
+	return max(r.turnByRank(v), r.grouped.Add(claimAfter))
 }
 
-func (r *Roster) turnByName(v view) clock.Millis {
+func (r *Roster) turnByRank(v view) clock.Millis {
 	since := r.unledSince
 	if len(r.refused) > 0 {
 		since = min(since, r.failedSince)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -150,11 +150,8 @@
 	r.decider.tell(r.life, dispatch.WokeMsg{})
 }
 
-// SetPeers tells which nodes there are, this one included, and how many others tell it
-// alone what they have in use.
-func (r *Relay) SetPeers(all []limit.Member, near int) {
-	r.decider.tell(r.life, dispatch.PeersMsg{All: len(all), Near: near, Members: all})
-}
+// SetPeers tells which nodes there are, and by whom this one is told what they have in use.
+func (r *Relay) SetPeers(msg dispatch.PeersMsg) { r.decider.tell(r.life, msg) }
 
 // SetAsked takes another node's question for permits.
 func (r *Relay) SetAsked(from string, ask limit.Ask) {
@@ -166,8 +163,8 @@
 	r.decider.tell(r.life, dispatch.PermitsMsg{From: from, Grant: grant})
 }
 
-// SetUsage takes what another node or, with total, all nodes of another data centre have in
-// use, and what it knows of limits.
+// SetUsage takes what another node has in use or, with total, all nodes of another data
+// centre or, with whole, all, and what it knows of limits.
 func (r *Relay) SetUsage(msg dispatch.UsageMsg) {
 	if msg.Total {
 		msg.Node = "all of " + msg.DataCentre
--- a/relay/silent_connections_test.go
+++ b/relay/silent_connections_test.go
@@ -61,7 +61,7 @@
 		<-ended
 		engines.Close()
 	})
-	s.relay.SetPeers([]limit.Member{{}}, 0)
+	s.relay.SetPeers(dispatch.PeersMsg{All: 1, Members: []limit.Member{{}}})
 	catalog, err := platform.DecodeCatalog(standin.SiteConfig(1, "k1"))
 	if err != nil {
 		t.Fatal(err)
--- a/usage/permits.go
+++ b/usage/permits.go
@@ -48,19 +48,44 @@
 // sendTo sends one node something. One whose address is not known gets nothing, as if the
 // datagram were lost.
 func (s *Sharing) sendTo(name string, msg *wire.Usage) {
-	named := s.named.Load()
-	if named == nil {
+	if to := s.addressOf(name); to != nil {
+		s.send(msg, []net.Addr{to})
+	}
+}
+
+// addressOf returns where a node takes datagrams; nil where that is not known.
+func (s *Sharing) addressOf(name string) net.Addr {
+	if named := s.named.Load(); named != nil && (*named)[name] != nil {
+		return (*named)[name]
+	}
+	if asker, ok := s.askers.Get(name); ok {
+		return asker
+	}
+	return nil
+}
+
+// mostAskers bounds the nodes that ask for permits and are not known otherwise: those of a
+// large data centre are known to its hubs alone.
+const mostAskers = 4096
+
+// noteAsker notes where a node takes the answer to its question.
+func (s *Sharing) noteAsker(m *wire.Member) {
+	if named := s.named.Load(); named != nil && (*named)[m.GetName()] != nil || s.askers.Contains(m.GetName()) {
 		return
 	}
-	if to := (*named)[name]; to != nil {
-		s.send(msg, &[]net.Addr{to})
+	address, err := net.ResolveUDPAddr("udp", m.GetUsageAddress())
+	if err != nil {
+		s.log.Info("usage_peer_unusable", zap.String("address", m.GetUsageAddress()), logging.Err(err))
+		return
 	}
+	s.askers.Add(m.GetName(), address)
 }
 
 // takePermits takes a question for permits or the answer to one, and tells whether there was
 // any.
 func (s *Sharing) takePermits(msg *wire.Usage) bool {
 	if ask := msg.GetPermitAsk(); ask != nil {
+		s.noteAsker(msg.GetFrom())
 		s.listener.HearAsk(msg.GetFrom(), limit.Ask{
 			Upstream: fleetwire.IncarnationOf(ask), Life: ask.GetLife(), Number: ask.GetNumber(), Want: int(ask.GetWant()),
 			Named: s.limitNamed(ask.GetNamed()), Sent: ask.GetSent(),
--- a/usage/placed.go
+++ b/usage/placed.go
@@ -26,7 +26,7 @@
 	holds    bool
 }
 
-// Placed tells all peers of an order that an engine has taken or, with holds,
+// Placed tells peers of an order that an engine has taken or, with holds,
 // carried out. It does not wait for that.
 func (s *Sharing) Placed(upstream fleet.Incarnation, layers fleet.Range, holds bool) {
 	s.placed.add(placed{upstream: upstream, layers: layers, holds: holds})
@@ -46,8 +46,7 @@
 	}
 	for range placedTimes {
 		for _, msg := range msgs {
-			s.send(msg, s.near.Load())
-			s.send(msg, s.far.Load())
+			s.send(msg, s.routes.Load().orders)
 		}
 		time.Sleep(placedEvery)
 	}
--- a/usage/silent.go
+++ b/usage/silent.go
@@ -12,7 +12,7 @@
 // lost on a bad link, and each node finds out by itself a little later.
 const tellAgain = 50 * time.Millisecond
 
-// Silent tells the near peers soon that this node has found an engine silent.
+// Silent tells peers soon that this node has found an engine silent.
 func (s *Sharing) Silent(upstream fleet.Incarnation) { s.silent.add(upstream) }
 
 func (s *Sharing) tellSilent(upstreams []fleet.Incarnation) {
@@ -21,7 +21,7 @@
 		id, born := fleetwire.Name(u)
 		msg.Silent = append(msg.Silent, &wire.Incarnation{Id: id, Born: born})
 	}
-	s.send(msg, s.near.Load())
+	s.send(msg, s.routes.Load().silences)
 	time.Sleep(tellAgain)
-	s.send(msg, s.near.Load())
+	s.send(msg, s.routes.Load().silences)
 }
--- a/usage/tried.go
+++ b/usage/tried.go
@@ -56,8 +56,7 @@
 	}
 	for range placedTimes {
 		for _, msg := range msgs {
-			s.send(msg, s.near.Load())
-			s.send(msg, s.far.Load())
+			s.send(msg, s.routes.Load().works)
 		}
 		time.Sleep(placedEvery)
 	}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
@@ -51,11 +52,14 @@
 	clock  *clock.Clock
 	// quarantine stands for all that this node knows to be quarantined.
 	quarantine func() uint64
-	// near are told what this node has in use, and far what its data centre has.
-	near atomic.Pointer[[]net.Addr]
-	far  atomic.Pointer[[]net.Addr]
-	// named are the addresses of all nodes, by their names.
-	named atomic.Pointer[map[string]net.Addr]
+	// routes are whom this node tells, and shares counts how often it has told what it has
+	// in use.
+	routes atomic.Pointer[routes]
+	shares int
+	// named are the addresses of the nodes that are known, by their names, and askers those of
+	// others that have asked for permits.
+	named  atomic.Pointer[map[string]net.Addr]
+	askers *lru.Cache[string, net.Addr]
 }
 
 // Listener takes what other nodes tell.
@@ -82,8 +86,15 @@
 	Used map[fleet.Incarnation]fleet.Use
 	// Limits are what the sender knows of the limits that upstreams name.
 	Limits map[fleet.Incarnation]limit.Named
-	// Total tells that all nodes of the sender's data centre have it in use.
-	Total bool
+	// Total tells that all nodes of the sender's data centre have it in use, and Whole that
+	// all nodes have that the sender knows of, in other data centres those of HeardOf.
+	Total   bool
+	Whole   bool
+	HeardOf []string
+	// Nodes is how many nodes these are; 0 where that is not told.
+	Nodes int
+	// Hubs are the hubs of the sender's data centre, where it tells them this time.
+	Hubs []*wire.Member
 	// Followable tells whether other nodes may follow the sender in place of the
 	// store.
 	Followable bool
@@ -111,6 +122,10 @@
 		return nil, errors.Wrapf(err, "usage: cannot listen at %s", address)
 	}
 	s := &Sharing{self: self, conn: conn, log: log, followable: followable, listener: listener, quarantine: func() uint64 { return 0 }, clock: clock.New()}
+	s.routes.Store(&routes{})
+	if s.askers, err = lru.New[string, net.Addr](mostAskers); err != nil {
+		return nil, errors.Wrap(err, "usage")
+	}
 	s.silent, s.placed, s.works = newGathering(s.tellSilent), newGatheringAtOnce(s.tellPlaced), newGatheringAtOnce(s.tellTried)
 	for _, opt := range opts {
 		opt(s)
@@ -121,37 +136,34 @@
 // Address returns where the node takes datagrams.
 func (s *Sharing) Address() string { return s.conn.LocalAddr().String() }
 
-// SetPeers sets who is told what this node has in use, and who is told what its
-// data centre has.
-func (s *Sharing) SetPeers(near, far []string) {
-	s.near.Store(s.resolve(near))
-	s.far.Store(s.resolve(far))
-	for _, t := range s.recent.list(s.clock.Now()) {
-		s.works.add(t)
-	}
+// Share tells peers what this node has in use, and what it knows of limits. It is not safe for
+// concurrent use with itself.
+func (s *Sharing) Share(used map[fleet.Incarnation]fleet.Use, limits map[fleet.Incarnation]limit.Named) {
+	s.send(&wire.Usage{From: s.self, Followable: s.followable(), Engines: engineUse(used), Quarantine: s.quarantine(), Limits: s.limitsKnown(limits)}, s.useTold())
 }
 
-func (s *Sharing) resolve(addresses []string) *[]net.Addr {
-	peers := make([]net.Addr, 0, len(addresses))
-	for _, address := range addresses {
-		peer, err := net.ResolveUDPAddr("udp", address)
-		if err != nil {
-			s.log.Info("usage_peer_unusable", zap.String("address", address), logging.Err(err))
-			continue
-		}
-		peers = append(peers, peer)
-	}
-	return &peers
+// ShareTotal tells peers in other data centres what the nodes of this one's have in use.
+func (s *Sharing) ShareTotal(total map[fleet.Incarnation]fleet.Use, nodes int, limits map[fleet.Incarnation]limit.Named) {
+	s.send(&wire.Usage{From: s.self, Total: true, Nodes: uint32(nodes), Engines: engineUse(total), Quarantine: s.quarantine(), Limits: s.limitsKnown(limits)}, s.routes.Load().total)
 }
 
-// Share tells the near peers what this node has in use, and what it knows of limits.
-func (s *Sharing) Share(used map[fleet.Incarnation]fleet.Use, limits map[fleet.Incarnation]limit.Named) {
-	s.send(&wire.Usage{From: s.self, Followable: s.followable(), Engines: engineUse(used), Quarantine: s.quarantine(), Limits: s.limitsKnown(limits)}, s.near.Load())
+// ShareWhole tells the leaves of a hub what all nodes have in use that it knows of, in other
+// data centres those that it has heard of.
+func (s *Sharing) ShareWhole(whole map[fleet.Incarnation]fleet.Use, heardOf []string, nodes int, limits map[fleet.Incarnation]limit.Named) {
+	s.tellLeaves(&wire.Usage{Whole: true, Nodes: uint32(nodes), HeardOf: heardOf, Engines: engineUse(whole), Limits: s.limitsKnown(limits)})
 }
 
-// ShareTotal tells the far peers what this node's data centre has in use.
-func (s *Sharing) ShareTotal(total map[fleet.Incarnation]fleet.Use, limits map[fleet.Incarnation]limit.Named) {
-	s.send(&wire.Usage{From: s.self, Total: true, Engines: engineUse(total), Quarantine: s.quarantine(), Limits: s.limitsKnown(limits)}, s.far.Load())
+// ShareLife tells the leaves of a hub that it is there.
+func (s *Sharing) ShareLife() { s.tellLeaves(&wire.Usage{}) }
+
+// tellLeaves adds what a hub tells in any case.
+func (s *Sharing) tellLeaves(msg *wire.Usage) {
+	to := s.routes.Load()
+	msg.From, msg.Followable, msg.Quarantine = s.self, s.followable(), s.quarantine()
+	if s.shares%hubsEvery == 0 {
+		msg.Hubs = to.hubs
+	}
+	s.send(msg, to.leaves)
 }
 
 func engineUse(used map[fleet.Incarnation]fleet.Use) []*wire.EngineUse {
@@ -163,8 +175,8 @@
 	return list
 }
 
-func (s *Sharing) send(msg *wire.Usage, peers *[]net.Addr) {
-	if peers == nil {
+func (s *Sharing) send(msg *wire.Usage, peers []net.Addr) {
+	if len(peers) == 0 {
 		return
 	}
 	data, err := proto.Marshal(msg)
@@ -172,7 +184,7 @@
 		s.log.Info("usage_not_sent", logging.Err(err))
 		return
 	}
-	for _, peer := range *peers {
+	for _, peer := range peers {
 		if _, err := s.conn.WriteTo(data, peer); err != nil {
 			s.log.Debug("usage_not_sent", zap.Stringer("peer", peer), logging.Err(err))
 		}
@@ -207,6 +219,7 @@
 		s.log.Debug("usage_unreadable", logging.Err(err))
 		return
 	}
+	s.passOn(&msg)
 	for _, p := range msg.GetPlaced() {
 		s.listener.HearPlaced(fleetwire.IncarnationOf(p), fleet.Range{From: int(p.GetFrom()), To: int(p.GetTo())}, p.GetHolds())
 	}
@@ -217,12 +230,12 @@
 	if s.takePermits(&msg) {
 		return
 	}
-	if len(msg.GetPlaced())+len(msg.GetSilent())+len(msg.GetLost())+len(msg.GetAnswered()) > 0 {
+	if isNews(&msg) {
 		return
 	}
 	used := make(map[fleet.Incarnation]fleet.Use, len(msg.GetEngines()))
 	for _, e := range msg.GetEngines() {
 		used[fleetwire.IncarnationOf(e)] = fleet.Use{Memory: e.GetAmount(), Streams: int(e.GetStreams())}
 	}
-	s.listener.HearUse(msg.GetFrom(), Msg{Used: used, Limits: s.limitsTold(msg.GetLimits()), Total: msg.GetTotal(), Followable: msg.GetFollowable(), Quarantine: msg.GetQuarantine()})
+	s.listener.HearUse(msg.GetFrom(), Msg{Used: used, Limits: s.limitsTold(msg.GetLimits()), Total: msg.GetTotal(), Whole: msg.GetWhole(), HeardOf: msg.GetHeardOf(), Nodes: int(msg.GetNodes()), Hubs: msg.GetHubs(), Followable: msg.GetFollowable(), Quarantine: msg.GetQuarantine()})
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -84,9 +84,9 @@
 		t.Errorf("got the limit %+v, want one of 4.5", named)
 	}
 
-	teller.ShareTotal(map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 50, Streams: 2}}, nil)
+	teller.ShareTotal(map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 50, Streams: 2}}, 3, nil)
 	got = <-farHeard
-	if !got.msg.Total || !maps.Equal(got.msg.Used, map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 50, Streams: 2}}) {
+	if !got.msg.Total || got.msg.Nodes != 3 || !maps.Equal(got.msg.Used, map[fleet.Incarnation]fleet.Use{fleet.Undated("e1"): {Memory: 50, Streams: 2}}) {
 		t.Errorf("got %+v, want a total of 50", got)
 	}
 
