A start of hundreds of weak nodes reads little from the store

Cause: each of 986 nodes that start registered, read all registrations (two calls, 986 rows) and the list (seven calls, 3,000 entries) and the configuration from the store: 22,222 calls and 0.67 GB in the first 18.7 s, 1,846 of them registrations that the store turned away, since one part of a table takes 200 writes a second and the pause of 1.5 s in which nodes register holds for 300 nodes.

Change: a node that can do little waits at the first start for those that can do more, reads the registry once, and registers only if fewer than 25 nodes of its data centre that can do as much as it are there: the others are known to the hubs by what they tell. It reads configuration and list first from a node that can do four times as much, and from the store where there is none or where it fails. Peers are asked for the list a second after a node may first read.

Ruled out: parts of the table by data centre (six calls to read it), seeds alone (they may be stale).

--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -65,7 +65,7 @@
 	for ctx.Err() == nil {
 		reader, waits := f.reader(p.read)
 		if waits {
-			clock.Pause(ctx, lookAgain)
+			clock.Pause(ctx, look(p.read))
 			continue
 		}
 		sent := f.clock.Now()
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -88,7 +88,7 @@
 		reader, waits := f.reader(p.read)
 		if waits {
 			f.takeLearnt(f.clock.Now())
-			clock.Pause(ctx, lookAgain)
+			clock.Pause(ctx, look(p.read))
 			continue
 		}
 		p.follows(reader, f.clock.Now())
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -28,7 +28,10 @@
 
 // Readers says which node reads the store for this one.
 type Readers interface {
-	// Reader returns that node; nil where there is none.
+	// First returns the node from which this one reads first that has read nothing yet; nil
+	// for the store. Waits tells that it may be known soon.
+	First() (reader Reader, waits bool)
+	// Reader returns the node that reads the store for this one; nil where there is none.
 	Reader() Reader
 	// Failed notes that following a node did not work.
 	Failed(r Reader)
@@ -60,6 +63,7 @@
 // noReaders is for nodes that are on their own.
 type noReaders struct{}
 
+func (noReaders) First() (Reader, bool)                  { return nil, false }
 func (noReaders) Reader() Reader                         { return nil }
 func (noReaders) Failed(Reader)                          {}
 func (noReaders) Followed() bool                         { return false }
@@ -105,16 +109,27 @@
 	return s
 }
 
-// lookAgain is how often a node that leaves the store to others looks whether one
-// of them can be followed.
-const lookAgain = 100 * time.Millisecond
+const (
+	// lookAgain is how often a node that leaves the store to others looks whether one
+	// of them can be followed, and lookFirst the same for one that has read nothing yet.
+	lookAgain = 100 * time.Millisecond
+	lookFirst = 10 * time.Millisecond
+)
+
+// look returns how often a node looks that leaves the store to others.
+func look(read bool) time.Duration {
+	if read {
+		return lookAgain
+	}
+	return lookFirst
+}
 
 // reader returns the node to follow, nil for the store. Waits tells that the store
-// is to be left to others for now. A node that has read nothing yet asks the store
-// at once: it may have to serve in a moment.
+// is to be left to others for now. A node that has read nothing yet may have to serve in a
+// moment.
 func (s *shared) reader(read bool) (reader Reader, waits bool) {
 	if !read {
-		return nil, false
+		return s.readers.First()
 	}
 	reader = s.readers.Reader()
 	return reader, reader == nil && s.readers.Waits()
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -62,6 +62,8 @@
 
 func (r *scriptedReader) Followed() bool { return false }
 
+func (r *scriptedReader) First() (Reader, bool) { return nil, false }
+
 func (r *scriptedReader) Overdue() bool { return false }
 
 func (r *scriptedReader) Waits() bool {
@@ -332,7 +334,9 @@
 	overdue bool
 }
 
-func (followedReaders) Followed() bool  { return true }
+func (followedReaders) Followed() bool          { return true }
+func (r followedReaders) First() (Reader, bool) { return nil, false }
+
 func (r followedReaders) Overdue() bool { return r.overdue }
 
 // A node that others follow asks a slow store for shorter waits, so that its proofs get
--- a/node/node.go
+++ b/node/node.go
@@ -141,7 +141,7 @@
 // follow builds the followers of the store, and what they know of other nodes.
 func (n *Node) follow(self *wire.Member, peerTransport http.RoundTripper, setCatalog func(*catalog.Catalog, []byte, clock.Millis), setFleet func([]fleet.Change)) {
 	within := n.settings.changesWithin()
-	n.roster = reading.NewRoster(self, n.clock.Now(), follow.Patience(within))
+	n.roster = reading.NewRoster(self, n.clock.Now(), follow.Patience(within), reading.WithStartWait(n.settings.startWait()))
 	n.shared = reading.NewLog(n.clock, follow.VouchFor, follow.VouchSoon(within))
 	n.outage = &follow.Outage{}
 	n.known = &known{node: n, confirmed: clock.Never}
--- a/node/readers.go
+++ b/node/readers.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -53,9 +55,56 @@
 	return r.source
 }
 
+// firstWithin is how long another node may take to tell this one the first that it knows.
+// Where all start together it reads the store meanwhile.
+const firstWithin clock.Millis = 800
+
+// firstReader reads from another node first. It may never have been heard of by this one, so
+// what fails is not asked twice.
+type firstReader struct{ *namedSource }
+
+// AwaitCatalog implements follow.Reader.
+func (r firstReader) AwaitCatalog(ctx context.Context, after uint64, wait clock.Millis) (follow.CatalogReading, error) {
+	ctx, cancel := context.WithTimeout(ctx, firstWithin.Duration())
+	defer cancel()
+	reading, err := r.namedSource.AwaitCatalog(ctx, after, wait)
+	return reading, failedFirst(err)
+}
+
+// AwaitUpstreams implements follow.Reader.
+func (r firstReader) AwaitUpstreams(ctx context.Context, after uint64, wait clock.Millis) (follow.FleetReading, error) {
+	ctx, cancel := context.WithTimeout(ctx, firstWithin.Duration())
+	defer cancel()
+	reading, err := r.namedSource.AwaitUpstreams(ctx, after, wait)
+	return reading, failedFirst(err)
+}
+
+// errFirst is why a node has not read from another one first.
+var errFirst = errors.New("node: another node has not told the first that it knows")
+
+// failedFirst leaves out of an error what would have the node asked once more.
+func failedFirst(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.Newf("%v: %v", errFirst, err)
+}
+
+// First implements follow.Readers.
+func (r *readers) First() (follow.Reader, bool) {
+	m, waits := r.node.roster.First(r.node.clock.Now())
+	if m == nil {
+		return nil, waits
+	}
+	return firstReader{&namedSource{Source: reading.NewSource(r.client, m.GetAddress(), follow.VouchSoon(r.node.settings.changesWithin())), name: m.GetName()}}, false
+}
+
 // Failed implements follow.Readers.
 func (r *readers) Failed(reader follow.Reader) {
-	if source, ok := reader.(*namedSource); ok {
+	switch source := reader.(type) {
+	case *namedSource:
+		r.node.roster.Failed(r.node.clock.Now(), source.name)
+	case firstReader:
 		r.node.roster.Failed(r.node.clock.Now(), source.name)
 	}
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/peering"
 	"github.com/hoistjunction/hoistjunction/settings"
 )
 
@@ -114,6 +115,19 @@
 	return uint32(max(steps, 1))
 }
 
+// knownWithin is how long a node that starts alone may wait to know of others.
+const knownWithin clock.Millis = 250
+
+// startWait is how long a node that has just started may wait to know of others before it
+// turns to the store.
+func (s *Settings) startWait() clock.Millis {
+	wait := peering.StartWait(s.strength())
+	if s.FirstStart {
+		return wait
+	}
+	return min(wait, knownWithin)
+}
+
 // grace is how long a planned stop may take.
 func (s *Settings) grace() clock.Millis { return clock.Millis(s.GraceSeconds * msPerSecond) }
 
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -4,17 +4,14 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"connectrpc.com/connect"
-	"go.uber.org/zap"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
+	"go.uber.org/zap"
 )
 
 const (
@@ -24,7 +21,8 @@
 	// asked. With the store well it stays under 3.6 s, twice a wait there.
 	askAfter clock.Millis = 3700
 	// askUnborn is how long after its start a node without a configuration
-	// leaves its peers alone; the store answers within some 10 ms.
+	// leaves its peers alone; the store answers within some 10 ms. It counts from when
+	// the node may read at all.
 	askUnborn clock.Millis = 1000
 	// longestLook bounds the pause between two rounds of questions that brought
 	// nothing newer: the store is then away for everybody, and all nodes ask.
@@ -74,6 +72,8 @@
 	// registerAfter is this node's part of registerSpread.
 	firstStart    bool
 	registerAfter clock.Millis
+	// unborn is how long after its start the node leaves its peers alone if it knows nothing.
+	unborn clock.Millis
 	// news has this node told which others there are.
 	news coalesced
 	// counted tells that the registry was read, and how many nodes there are was told. One
@@ -105,45 +105,61 @@
 		registerAfter: clock.Millis(seed % uint64(registerSpread)),
 	}
 	p.news = coalesced{call: p.learnMembers, pause: membersPause}
+	p.unborn = askUnborn
 	for _, opt := range opts {
 		opt(p)
 	}
+	if p.firstStart {
+		p.unborn += StartWait(self.GetStrength())
+	}
 	return p
 }
 
-// Register leaves the node's address at the registry, and reads those of
-// others from time to time.
+// Register leaves the node's address at the registry, if it is needed there, and reads those
+// of others from time to time.
 func (p *Peering) Register(ctx context.Context) error {
-	if !p.stillRegistered(ctx) {
-		p.registerAnew(ctx)
-	}
+	registered := p.join(ctx)
 	for reads := 1; ctx.Err() == nil; reads++ {
 		clock.Pause(ctx, membersEvery)
-		if _, err := p.readRegistry(ctx); err != nil {
+		standing, err := p.readRegistry(ctx)
+		if err != nil {
 			p.log.Info("members_not_read", logging.Err(err))
 		}
-		if reads%renewReads != 0 {
-			continue
-		}
-		if err := p.registry.Register(ctx, p.directory.self); err != nil {
-			p.log.Info("not_renewed", logging.Err(err))
+		due := reads%renewReads == 0
+		if err == nil && !standing.registered && !standing.enough || registered && due {
+			registered = true
+			if err := p.registry.Register(ctx, p.directory.self); err != nil {
+				p.log.Info("not_renewed", logging.Err(err))
+			}
 		}
 	}
 	return ctx.Err()
 }
 
-// stillRegistered reads the registry, and tells whether this node is registered
-// since an earlier life: then so are the others.
-func (p *Peering) stillRegistered(ctx context.Context) bool {
-	if p.firstStart {
-		clock.Pause(ctx, p.registerAfter.Duration())
-		return false
+// join registers the node unless it is registered since an earlier life, and then so are the
+// others, or there is no need. It tells whether it is registered.
+func (p *Peering) join(ctx context.Context) (registered bool) {
+	turn, weak := startTurn(p.directory.self.GetStrength())
+	switch {
+	case p.firstStart && !weak:
+		clock.Pause(ctx, (p.registerAfter % strongSpread(p.directory.self.GetStrength())).Duration())
+		p.registerAnew(ctx)
+		return true
+	case p.firstStart:
+		clock.Pause(ctx, (turn + p.registerAfter%weakSpread).Duration())
 	}
-	registered, err := p.readRegistry(ctx)
+	standing, err := p.readRegistry(ctx)
 	if err != nil {
 		p.log.Info("members_not_read", logging.Err(err))
 	}
-	return registered
+	switch {
+	case standing.registered:
+		return true
+	case standing.enough:
+		return false
+	}
+	p.registerAnew(ctx)
+	return true
 }
 
 // registerAnew registers the node and, when those that start with it have
@@ -171,27 +187,27 @@
 
 // readRegistry reads all registrations, and removes those of nodes that have not
 // renewed theirs for long. Several nodes may do so at once; each removes only
-// what has not changed since. It tells whether this node is registered.
-func (p *Peering) readRegistry(ctx context.Context) (registered bool, err error) {
+// what has not changed since. It tells how this node stands in it.
+func (p *Peering) readRegistry(ctx context.Context) (standing, error) {
 	list, unreadable, err := p.registry.Registrations(ctx)
 	if err != nil {
-		return false, err
+		return standing{}, err
 	}
 	for _, err := range unreadable {
 		p.log.Warn("member_unreadable", logging.Err(err))
 	}
-	registered = slices.ContainsFunc(list, func(r Registration) bool { return proto.Equal(r.Member, p.directory.self) })
+	stands := standingIn(list, p.directory.self)
 	news, expired := p.directory.registered(p.clock.Now(), list)
 	if news || !p.counted {
 		p.counted = true
 		p.news.ask()
 	}
 	if len(expired) == 0 {
-		return registered, nil
+		return stands, nil
 	}
 	err = p.registry.Remove(ctx, expired)
 	p.log.Info("members_expired", zap.Int("count", len(expired)), zap.String("first", expired[0].Member.GetName()), logging.Err(err))
-	return registered, nil
+	return stands, nil
 }
 
 // Others returns how many other nodes are known by name.
@@ -272,7 +288,7 @@
 // configuration before it knows the list, so each may be lacking by itself.
 func (p *Peering) needs(now clock.Millis, version uint64, age clock.Millis) bool {
 	if version == 0 || !p.knowledge.Listed() {
-		return now >= askUnborn
+		return now >= p.unborn
 	}
 	return age >= askAfter
 }
--- a/reading/roster.go
+++ b/reading/roster.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -81,6 +83,12 @@
 	// refused is until when a node is not followed that has failed this one.
 	refused map[string]clock.Millis
 	started clock.Millis
+	// startWait is how long after its start a node that has read nothing may wait to know the
+	// others of its group, and known tells that it does.
+	startWait clock.Millis
+	known     bool
+	// draw is which of several nodes it chooses.
+	draw uint64
 	// patience is how long a node may wait for another one to have the store.
 	patience clock.Millis
 	// failedSince is when a reader has failed this node first, in a run of failures
@@ -101,9 +109,16 @@
 	restUntil clock.Millis
 }
 
+// Option sets up a Roster.
+type Option func(*Roster)
+
+// WithStartWait sets how long after its start the node may wait to know the others, if it has
+// read nothing yet.
+func WithStartWait(d clock.Millis) Option { return func(r *Roster) { r.startWait = d } }
+
 // NewRoster returns a node's roster as of a time. Patience is how long the node may
 // wait for another one to have the store, when its reader has failed it.
-func NewRoster(self *wire.Member, now, patience clock.Millis) *Roster {
+func NewRoster(self *wire.Member, now, patience clock.Millis, opts ...Option) *Roster {
 	r := &Roster{
 		patience: patience, failedSince: clock.Never,
 		self: self, group: make(map[string]*wire.Member), heard: make(map[string]hearing), led: make(map[string]bool),
@@ -111,6 +126,10 @@
 		refused: make(map[string]clock.Millis), started: now,
 		grouped: clock.Never, unledSince: clock.Never, doubtedUntil: clock.Never,
 	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	r.draw = xxhash.Sum64String(self.GetName())
 	r.rank()
 	return r
 }
@@ -126,6 +145,7 @@
 	for _, m := range members {
 		r.group[m.GetName()] = m
 	}
+	r.known = true
 	r.rank()
 }
 
