Nodes of a small data centre beside a large one count those that they do not know

Cause, found by reading: where one data centre has hubs and another has not, a node of the small one knows only those of the large one that have registered, counted 25 for 200, and would have taken a larger part of the budget of repeats than its own. Owners of limits were all that it knew, and the first three of each elsewhere.

Change: both by the same function; numbers come from what data centres tell.

--- a/node/circle.go
+++ b/node/circle.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,35 +27,6 @@
 	passers = 2
 )
 
-// members are the other nodes that are known. It is safe for concurrent use.
-type members struct {
-	mu     sync.Mutex
-	others []*wire.Member
-	// rank is this node's by name among all, and changes counts what was set.
-	rank    int
-	changes int
-	// known is closed once something was set.
-	known chan struct{}
-}
-
-func newMembers() *members { return &members{known: make(chan struct{})} }
-
-func (m *members) set(others []*wire.Member, rank int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.changes == 0 {
-		close(m.known)
-	}
-	m.others, m.rank = others, rank
-	m.changes++
-}
-
-func (m *members) get() (others []*wire.Member, rank, changes int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.others, m.rank, m.changes
-}
-
 // followCircle has this node tell those whom it is to tell, as nodes become known and hubs
 // change, until the context ends.
 func (n *Node) followCircle(ctx context.Context) error {
@@ -102,25 +72,42 @@
 // setCircle takes whom this node tells, and what others leave to it.
 func (n *Node) setCircle(circle *reading.Circle, others []*wire.Member, rank int) {
 	here := n.settings.DataCentre
-	self := n.roster.Self()
+	msg := peersMsg(circle, append(others[:len(others):len(others)], n.roster.Self()), here)
 	n.usage.SetAddresses(usageAddressesByName(others))
 	if circle.Meshed {
 		near, far := meshedPeers(others, here)
+		msg.Near = len(near)
 		n.usage.SetPeers(usageAddresses(near), usageAddresses(far))
-		all := owners(append(others[:len(others):len(others)], self))
-		n.relay.SetPeers(dispatch.PeersMsg{All: len(all), Near: len(near), Members: all})
+		n.relay.SetPeers(msg)
 		n.placer.Tell(placement.RankMsg{Delay: plannerDelay(rank)})
 		return
 	}
 	n.usage.SetRoutes(hubRoutes(circle, others, here))
-	msg := dispatch.PeersMsg{Near: circle.Others, Summed: !circle.Hub, Members: owners(toldIn(append(others[:len(others):len(others)], self)))}
-	if circle.Hub {
-		msg.Here = circle.Others + 1
-	}
 	n.relay.SetPeers(msg)
 	n.placer.Tell(placement.RankMsg{Delay: plannerDelay(circle.Place), Rests: !circle.Hub, Elsewhere: otherCentres(others, here)})
 }
 
+// peersMsg tells the relay of all nodes that are known. Where others stand in a large data
+// centre not all of its nodes are, and their number is told.
+func peersMsg(circle *reading.Circle, all []*wire.Member, here string) dispatch.PeersMsg {
+	told := toldIn(all)
+	msg := dispatch.PeersMsg{Near: circle.Others, Members: owners(told)}
+	switch {
+	case !circle.Meshed && !circle.Hub:
+		msg.Summed = true
+	case len(told) < len(inDataCentres(all)):
+		msg.Here = circle.Others + 1
+	default:
+		msg.All = len(msg.Members)
+	}
+	return msg
+}
+
+// inDataCentres are the nodes whose data centre is known.
+func inDataCentres(members []*wire.Member) []*wire.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m *wire.Member) bool { return m.GetDataCentre() == "" })
+}
+
 // owners are the nodes of which some own the limits of upstreams.
 func owners(members []*wire.Member) []limit.Member {
 	var list []limit.Member
