hoistlab scale: one scenario at several sizes, by count; the emulator's nodes have hubs

The emulator had each node of a large data centre tell all others, by rules of its own. It now plays hubs by the roster and the sums that nodes have (no copy), and counts datagrams heard and sent while there is load. scale prints what grows, by which power, and what it comes to at twice the size.

Not done: calls and bytes to the store, the list's bytes, a plot; a thousand nodes under three minutes.

--- a/cmd/hoistlab/main.go
+++ b/cmd/hoistlab/main.go
@@ -18,6 +18,7 @@
 	Compare *compareCommand `arg:"subcommand:compare" help:"play variants of a scenario over many seeds, and print how they differ"`
 	Ablate  *ablateCommand  `arg:"subcommand:ablate" help:"the same, with each mechanism off in turn"`
 	Hunt    *huntCommand    `arg:"subcommand:hunt" help:"draw troubles until a promise is broken, and shrink them"`
+	Scale   *scaleCommand   `arg:"subcommand:scale" help:"play a scenario at several sizes, and print what grows"`
 	Size    *sizeCommand    `arg:"subcommand:size" help:"print what a fleet of engines bears, from a fleet file or a scenario"`
 }
 
@@ -29,7 +30,7 @@
 	p := arg.MustParse(&args)
 	verb, ok := p.Subcommand().(command)
 	if !ok {
-		p.Fail("say what to do: run, compare, ablate, hunt or size")
+		p.Fail("say what to do: run, compare, ablate, hunt, scale or size")
 	}
 	if err := verb.run(); err != nil {
 		fmt.Fprintln(os.Stderr, "hoistlab:", err)
--- a/lab/fault.go
+++ b/lab/fault.go
@@ -141,6 +141,5 @@
 
 // seconds converts what a scenario says.
 func seconds(s float64) clock.Millis {
-	const msPerSecond = 1000
 	return clock.Millis(s * msPerSecond)
 }
--- a/lab/hunt.go
+++ b/lab/hunt.go
@@ -111,7 +111,6 @@
 
 // Line is the trouble as a scenario file has it.
 func (f Fault) Line() string {
-	const msPerSecond = 1000.0
 	line := fmt.Sprintf("%s = %.2f %s share=%.3g for=%.3g x=%.3g", f.Name, float64(f.At)/msPerSecond, f.Kind, f.Share, float64(f.For)/msPerSecond, f.X)
 	if f.XMost > f.X {
 		line += fmt.Sprintf("..%.3g", f.XMost)
--- a/lab/node.go
+++ b/lab/node.go
@@ -8,6 +8,8 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/placement"
+	"github.com/hoistjunction/hoistjunction/reading"
+	"github.com/hoistjunction/hoistjunction/wire"
 )
 
 const (
@@ -23,6 +25,8 @@
 	planners = 8
 	// nearAll is up to how many nodes all tell each other what they have in use.
 	nearAll = 24
+	// circleEvery is how often a node of a large data centre looks who the hubs are.
+	circleEvery clock.Millis = 150
 )
 
 // node is a relay node: the real models, and what their shells would do.
@@ -43,6 +47,11 @@
 	next     dispatch.RequestID
 	// seen is how many changes of the list it has seen.
 	seen int
+	// roster knows the nodes of its data centre, and circle its place among them.
+	roster *reading.Roster
+	circle reading.Circle
+	// heard and sent count the datagrams that nodes tell each other.
+	heard, sent int
 }
 
 // start starts the node's process.
@@ -63,7 +72,15 @@
 	n.hear(w.list.all())
 	n.seen = len(w.list.changes)
 	n.tell(dispatch.QuarantinedMsg{Works: w.kept()})
-	n.tell(dispatch.PeersMsg{All: len(w.nodes), Near: w.near(n), Members: w.members()})
+	n.roster = reading.NewRoster(&wire.Member{Name: n.name}, w.now, 0)
+	n.roster.SetGroup(w.group(n))
+	n.lookAround(true)
+	w.every(circleEvery, func() bool {
+		if n.up && n.life == life {
+			n.lookAround(false)
+		}
+		return n.up && n.life == life
+	})
 	w.every(tickEvery, func() bool {
 		if n.up && n.life == life {
 			n.tell(dispatch.TickMsg{})
--- a/lab/node_tell.go
+++ b/lab/node_tell.go
@@ -14,50 +14,41 @@
 func (n *node) others(tell func(o *node)) {
 	w := n.world
 	for _, o := range w.nodes {
-		if o == n || w.random.Float64() < w.scenario.Nodes.LostShare {
-			continue
+		if o != n {
+			n.to(o, tell)
 		}
-		life := o.life
-		w.after(1+clock.Millis(w.random.IntN(3)), func() {
-			if o.up && o.life == life {
-				tell(o)
-			}
-		})
 	}
 }
 
-// one tells another node something by a datagram, which may be lost.
-func (n *node) one(name string, tell func(o *node)) {
+// to tells another node something by a datagram, which may be lost.
+func (n *node) to(o *node, tell func(o *node)) {
 	w := n.world
-	w.result.PermitDatagrams++
-	i := slices.IndexFunc(w.nodes, func(o *node) bool { return o.name == name })
-	if i < 0 || w.random.Float64() < w.scenario.Nodes.LostShare {
+	n.sent++
+	if w.random.Float64() < w.scenario.Nodes.LostShare {
 		return
 	}
-	o := w.nodes[i]
 	life := o.life
-	w.after(1+clock.Millis(w.random.IntN(2)), func() {
+	w.after(1+clock.Millis(w.random.IntN(3)), func() {
 		if o.up && o.life == life {
+			o.heard++
 			tell(o)
 		}
 	})
 }
 
-// share tells others what the node has in use. In larger systems each tells its own data
-// centre, and one of them all others what it has in all.
-func (n *node) share(cmd dispatch.ShareCmd) {
+// one tells another node something by a datagram, which may be lost.
+func (n *node) one(name string, tell func(o *node)) {
 	w := n.world
-	if w.variant.NoUsage {
+	w.result.PermitDatagrams++
+	i := slices.IndexFunc(w.nodes, func(o *node) bool { return o.name == name })
+	if i < 0 || w.random.Float64() < w.scenario.Nodes.LostShare {
 		return
 	}
-	small := len(w.nodes) < nearAll
-	reads := w.reader(n.centre) == n
-	n.others(func(o *node) {
-		switch {
-		case small || o.centre == n.centre:
-			o.tell(dispatch.UsageMsg{Node: n.name, Used: cmd.Used, Limits: n.limitsFor(o, cmd.Limits)})
-		case reads:
-			o.tell(dispatch.UsageMsg{Node: "all of " + n.centre, Used: cmd.Total, Total: true, DataCentre: n.centre, Limits: n.limitsFor(o, cmd.Limits)})
+	o := w.nodes[i]
+	life := o.life
+	w.after(1+clock.Millis(w.random.IntN(2)), func() {
+		if o.up && o.life == life {
+			tell(o)
 		}
 	})
 }
--- a/lab/result.go
+++ b/lab/result.go
@@ -43,6 +43,8 @@
 	// most that an engine got in a window over what its limit allows in it.
 	PermitDatagrams int
 	MostOfLimit     float64
+	// Heard and Sent are what nodes tell each other while there is load.
+	Heard, Sent Traffic
 	// limitAllowed and limitUsed are requests, over all limits.
 	limitAllowed, limitUsed float64
 	// Broken are the promises that were broken, each with what it was first.
--- a/lab/world.go
+++ b/lab/world.go
@@ -34,7 +34,9 @@
 	// at is who has an address now.
 	at    map[string]*engine
 	nodes []*node
-	list  *list
+	// byName are the nodes by their names.
+	byName map[string]*node
+	list   *list
 	// loads is how many engines load now.
 	loads int
 	// verdicts are what the store keeps of requests that end engines.
@@ -48,6 +50,8 @@
 	result *Result
 }
 
+const msPerSecond = 1000
+
 // Seeds of what is drawn, beside the run's own.
 const (
 	arrivalSeed = 1
@@ -68,7 +72,9 @@
 	}
 	w.come()
 	w.every(tickEvery, w.sweep)
+	w.countTraffic()
 	w.run(s.Load.ForMS)
+	w.noteTraffic(float64(s.Load.ForMS) / msPerSecond)
 	w.burst = 0
 	for _, e := range w.engines {
 		e.setLimit(0)
@@ -80,7 +86,7 @@
 
 func newWorld(s *Scenario, v Variant, seed uint64) *world {
 	w := &world{
-		scenario: s, variant: v, pipeline: s.Fleet.Pipeline(), at: make(map[string]*engine), verdicts: make(map[work.ID]dispatch.Quarantined), burst: 1,
+		scenario: s, variant: v, byName: make(map[string]*node), pipeline: s.Fleet.Pipeline(), at: make(map[string]*engine), verdicts: make(map[work.ID]dispatch.Quarantined), burst: 1,
 		random: rand.New(rand.NewPCG(seed, worldSeed)), arrivals: rand.New(rand.NewPCG(seed, arrivalSeed)), troubles: rand.New(rand.NewPCG(seed, troubleSeed)),
 		result: newResult(s, v, seed),
 	}
@@ -98,7 +104,9 @@
 			}
 		}
 		for i := range s.Nodes.EachCentre {
-			w.nodes = append(w.nodes, &node{world: w, name: nodeName(centre, i), centre: centre, rank: len(w.nodes)})
+			n := &node{world: w, name: nodeName(centre, i), centre: centre, rank: len(w.nodes)}
+			w.nodes = append(w.nodes, n)
+			w.byName[n.name] = n
 		}
 	}
 	return w
@@ -236,6 +244,9 @@
 
 // plans tells whether a node is one of those that plan.
 func (w *world) plans(n *node) bool {
+	if !n.circle.Meshed {
+		return n.circle.Hub
+	}
 	before := 0
 	for _, o := range w.nodes {
 		if o == n {
--- a/sizing/fleet.go
+++ b/sizing/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -58,6 +59,18 @@
 // Count returns how many engines of a kind a data centre has.
 func (f *Fleet) Count(centre, kind string) int { return f.engines[centre][kind] }
 
+// Scaled returns a fleet with so many times as many engines of each kind in each data centre.
+func (f *Fleet) Scaled(times float64) *Fleet {
+	scaled := &Fleet{pipeline: f.pipeline, engines: make(map[string]map[string]int)}
+	for centre, kinds := range f.engines {
+		scaled.engines[centre] = make(map[string]int)
+		for kind, n := range kinds {
+			scaled.engines[centre][kind] = int(math.Ceil(float64(n) * times))
+		}
+	}
+	return scaled
+}
+
 // Declare declares what a fleet file may hold, also as a part of a larger file. Finish reads
 // the rest once the file is loaded.
 func (f *Fleet) Declare(set *settings.Set) (finish func() error) {
