An engine that came back empty gets no work for what the list still shows

Change: an engine that answers a probe, has taken no order since its start and holds nothing counts as holding nothing, until the list or whoever orders it says else.

Ruled out: telling each misdirected request to all (203 nodes probe it anyway).

--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -155,6 +155,8 @@
 	All  float64
 	// Queued is how many requests wait there for a slot.
 	Queued int
+	// Empty tells that it holds no layers and has taken no order since its start.
+	Empty bool
 }
 
 // RestMsg tells that an upstream has turned a request away and wants no other from this
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -52,6 +52,11 @@
 	}
 	u.probing = false
 	m.noteReport(msg.Upstream, msg.Report)
+	if msg.Answered && msg.Report.Empty {
+		// It has started again, and the list shows for some seconds what it held before. Each
+		// node that believed that would have a request turned away.
+		u.entry.Held = fleet.Range{}
+	}
 	cmds := m.foundFate(u, msg)
 	if u.asksFate {
 		// Its suspicion has a time of its own: one that breaks requests off may answer this,
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -142,7 +142,7 @@
 }
 
 func testReport(s script.Step) dispatch.Report {
-	return dispatch.Report{Pace: float64(s.Int("pace", 0)), Free: float64(s.Int("free", 0)), All: float64(s.Int("all", 0)), Queued: s.Int("queued", 0)}
+	return dispatch.Report{Pace: float64(s.Int("pace", 0)), Free: float64(s.Int("free", 0)), All: float64(s.Int("all", 0)), Queued: s.Int("queued", 0), Empty: s.Named["empty"] == "yes"}
 }
 
 func ids(word string) (dispatch.RequestID, int) {
