A node's own word on what its VM can do replaces what was known

Cause, found by reading: a node is known by its address, and nothing else of it was taken after the first word. Nodes of the version before tell no strength, so while a system is rolled nodes would rank each other differently, some until their next start, and take different ones for hubs.

--- a/peering/directory.go
+++ b/peering/directory.go
@@ -79,7 +79,7 @@
 	if _, registered := d.renewals[m.GetName()]; !registered {
 		d.heardAt[m.GetName()] = now
 	}
-	return d.note(m)
+	return d.noteItself(m)
 }
 
 // forgetUnheard forgets the nodes that are not registered and have not been heard for long.
@@ -112,6 +112,16 @@
 	return true
 }
 
+// noteItself takes in a node by its own word, which also counts where it can do more or less
+// than was known: its VM was changed, or its program before did not tell. The caller holds
+// the lock.
+func (d *directory) noteItself(m *wire.Member) bool {
+	if known, ok := d.byName[m.GetName()]; ok && known.GetStrength() != m.GetStrength() {
+		delete(d.byName, m.GetName())
+	}
+	return d.note(m)
+}
+
 // registered notes all registrations, and returns whether the nodes have
 // changed, and the registrations that have not been renewed for too long. What
 // counts is when this node saw them change, so no two clocks are compared.
@@ -127,7 +137,7 @@
 		case !ok || known.revision != r.Revision:
 			d.renewals[name] = renewal{revision: r.Revision, seen: now}
 			delete(d.expired, name)
-			news = d.note(r.Member) || news
+			news = d.noteItself(r.Member) || news
 		case name != d.self.GetName() && now >= known.seen.Add(registrationLasts):
 			expired = append(expired, r)
 			d.expired[name] = r.Member.GetAddress()
