--- a/peering/directory_test.go
+++ b/peering/directory_test.go
@@ -54,6 +54,9 @@
 	if !d.heard(registrationLasts+1, member("a")) {
 		t.Error("got a node that speaks itself ignored, want it back")
 	}
+	if news, expired := d.registered(registrationLasts+2, []Registration{registration("a", 9), registration("b", 4)}); news || len(expired) != 0 {
+		t.Errorf("got news=%v and %d expired after a renewal, want neither", news, len(expired))
+	}
 	stronger := member("a")
 	stronger.Strength = 8
 	if !d.heard(registrationLasts+1, stronger) || d.byName["a"].GetStrength() != 8 {
@@ -62,9 +65,6 @@
 	if d.add(member("a")) || d.byName["a"].GetStrength() != 8 {
 		t.Error("got hearsay on what a node can do taken")
 	}
-	if news, expired := d.registered(registrationLasts+2, []Registration{registration("a", 9), registration("b", 4)}); news || len(expired) != 0 {
-		t.Errorf("got news=%v and %d expired after a renewal, want neither", news, len(expired))
-	}
 }
 
 // A node that comes back under its name at another address is told of.
