--- a/node/circle.go
+++ b/node/circle.go
@@ -72,7 +72,7 @@
 // setCircle takes whom this node tells, and what others leave to it.
 func (n *Node) setCircle(circle *reading.Circle, others []*wire.Member, rank int) {
 	here := n.settings.DataCentre
-	msg := peersMsg(circle, append(others[:len(others):len(others)], n.roster.Self()), here)
+	msg := peersMsg(circle, append(others[:len(others):len(others)], n.roster.Self()))
 	n.usage.SetAddresses(usageAddressesByName(others))
 	if circle.Meshed {
 		near, far := meshedPeers(others, here)
@@ -89,7 +89,7 @@
 
 // peersMsg tells the relay of all nodes that are known. Where others stand in a large data
 // centre not all of its nodes are, and their number is told.
-func peersMsg(circle *reading.Circle, all []*wire.Member, here string) dispatch.PeersMsg {
+func peersMsg(circle *reading.Circle, all []*wire.Member) dispatch.PeersMsg {
 	told := toldIn(all)
 	msg := dispatch.PeersMsg{Near: circle.Others, Members: owners(told)}
 	switch {
