--- a/standin/node_fields.go
+++ b/standin/node_fields.go
@@ -24,6 +24,8 @@
 	msInSecond    = 1000
 	anyPort       = "0"
 	coresOfANode  = 1
+	shareOfACore  = 0.4
+	linkMbps      = 1000.0
 	keysMustAgree = true
 )
 
@@ -34,7 +36,7 @@
 		"nodeName": p.Name, "zone": p.Centre, "ip": p.IP, "bootstrap": true, "seeds": seeds,
 		"portRange": []string{p.Metrics, anyPort},
 		"listen":    Fields{"front": p.At(p.Front), "readiness": p.At(p.Readiness), "control": p.At(p.Peers)},
-		"limits":    Fields{"cores": coresOfANode, "memoryMb": s.Deployment.NodeMB},
+		"limits":    Fields{"cores": coresOfANode, "cpuShare": shareOfACore, "linkMbps": linkMbps, "memoryMb": s.Deployment.NodeMB},
 		"platform":  Fields{"address": store},
 		"bounds": Fields{
 			"graceS": graceSeconds, "revokeFailClosed": keysMustAgree, "revokeMs": keysMS, "configApplyMs": configMS, "drainMs": leavingMS,
