--- a/lab/node_share.go
+++ b/lab/node_share.go
@@ -114,9 +114,6 @@
 // tellEach tells nodes something by a datagram each.
 func (n *node) tellEach(members []*wire.Member, tell func(o *node)) {
 	for _, m := range members {
-		n.to(n.world.named(m.GetName()), tell)
+		n.to(n.world.byName[m.GetName()], tell)
 	}
 }
-
-// named returns the node of a name.
-func (w *world) named(name string) *node { return w.byName[name] }
--- a/peering/coalesced_test.go
+++ b/peering/coalesced_test.go
@@ -14,8 +14,7 @@
 )
 
 // A thousand nodes that started together heard of each other one by one, and each sorted all
-// that it knew and looked up their addresses for each: two thirds of the processor time of the
-// whole fleet's first seconds. However many are heard, the node is told of them a few times.
+// that it knew and looked up their addresses for each. However many are heard, the node is told of them a few times.
 func TestManyThatAreHeardAreToldTogether(t *testing.T) {
 	for _, nodes := range []int{10, 100, 1000} {
 		synctest.Test(t, func(t *testing.T) {
--- a/peering/standing.go
+++ b/peering/standing.go
@@ -11,10 +11,10 @@
 // registry, and are known to those whom they tell of themselves. A thousand registrations
 // take the store five seconds, and a thousand nodes that read them a hundred megabytes.
 const (
-	// MostRegistered is how many nodes of a data centre that can do as much as a node there
+	// mostRegistered is how many nodes of a data centre that can do as much as a node there
 	// must be registered for it not to be needed. It is more than tell each other all, so
 	// that who reads the registry sees that there are more.
-	MostRegistered = 25
+	mostRegistered = 25
 	// weakStrength is from which strength on a VM is strong enough to be registered in any
 	// case, and among the first.
 	weakStrength = 4
@@ -47,7 +47,7 @@
 		}
 	}
 	_, weak := startTurn(self.GetStrength())
-	s.enough = weak && alike >= MostRegistered
+	s.enough = weak && alike >= mostRegistered
 	return s
 }
 
