Logs and metrics tell a store that has gone back, and what a reader keeps to itself

The incident's hypotheses could not be told apart: no line said at which revision a configuration was read, behind which one and from whom, that a revision was lower than the one before, or that a reader has not passed on what it has read.

No logic is changed: what is logged is what was done before.

--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -76,6 +76,7 @@
 			continue
 		}
 		f.back("config", reader)
+		f.logReading("config", reader, p.revision, reading.Revision, len(reading.Raw) > 0)
 		if reader == nil {
 			f.outage.Proved(f.clock.Now())
 		}
@@ -225,6 +226,8 @@
 		f.log.Error("config_unreadable", zap.Uint64("revision", reading.Revision), logging.Err(err))
 		return
 	}
-	f.followers.SetConfig(reading.Raw, reading.Revision, confirmed)
+	if !f.followers.SetConfig(reading.Raw, reading.Revision, confirmed) {
+		f.log.Warn("config_not_passed_on", zap.Uint64("version", c.Version()), zap.Uint64("revision", reading.Revision))
+	}
 	f.tell(c, reading.Raw, confirmed)
 }
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -101,6 +101,7 @@
 		now := f.clock.Now()
 		f.confirmed.Store(int64(now))
 		f.back("fleet", reader)
+		f.logReading("fleet", reader, p.revision, reading.Revision, false)
 		// What another node tells has lapsed nowhere: it answers for no list that
 		// it is in doubt of.
 		reading.Whole = reading.Whole || reader == nil && p.whole
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -50,7 +50,8 @@
 
 // Followers is where what has been read goes for the nodes that follow this one.
 type Followers interface {
-	SetConfig(raw []byte, revision uint64, confirmed clock.Millis)
+	// SetConfig returns whether a configuration is passed on.
+	SetConfig(raw []byte, revision uint64, confirmed clock.Millis) bool
 	SetFleet(revision uint64, list []fleet.Upstream)
 	AddFleet(revision uint64, changes []fleet.Change)
 	// AddEnded notes upstreams that have turned out to be gone although nothing has
@@ -63,19 +64,19 @@
 // noReaders is for nodes that are on their own.
 type noReaders struct{}
 
-func (noReaders) First() (Reader, bool)                  { return nil, false }
-func (noReaders) Reader() Reader                         { return nil }
-func (noReaders) Failed(Reader)                          {}
-func (noReaders) Followed() bool                         { return false }
-func (noReaders) Overdue() bool                          { return false }
-func (noReaders) Waits() bool                            { return false }
-func (noReaders) StoreLost()                             {}
-func (noReaders) StoreBack()                             {}
-func (noReaders) SetConfig([]byte, uint64, clock.Millis) {}
-func (noReaders) SetFleet(uint64, []fleet.Upstream)      {}
-func (noReaders) AddFleet(uint64, []fleet.Change)        {}
-func (noReaders) AddEnded([]fleet.Change)                {}
-func (noReaders) Suspend()                               {}
+func (noReaders) First() (Reader, bool)                       { return nil, false }
+func (noReaders) Reader() Reader                              { return nil }
+func (noReaders) Failed(Reader)                               {}
+func (noReaders) Followed() bool                              { return false }
+func (noReaders) Overdue() bool                               { return false }
+func (noReaders) Waits() bool                                 { return false }
+func (noReaders) StoreLost()                                  {}
+func (noReaders) StoreBack()                                  {}
+func (noReaders) SetConfig([]byte, uint64, clock.Millis) bool { return true }
+func (noReaders) SetFleet(uint64, []fleet.Upstream)           {}
+func (noReaders) AddFleet(uint64, []fleet.Change)             {}
+func (noReaders) AddEnded([]fleet.Change)                     {}
+func (noReaders) Suspend()                                    {}
 
 // shared is what both followers of a node have in common.
 type shared struct {
@@ -225,3 +226,14 @@
 		s.log.Info("store_back", zap.String("table", table))
 	}
 }
+
+// logReading logs what a reading shows of how far the store has come: a revision that is less
+// than the one known, and a change with the revision at which it was read and by whom.
+func (s *shared) logReading(table string, reader Reader, known, revision uint64, news bool) {
+	if revision < known {
+		s.log.Warn("revision_back", zap.String("table", table), zap.Uint64("revision", revision), zap.Uint64("known", known), zap.Bool("own", reader == nil))
+	}
+	if news {
+		s.log.Info("read", zap.String("table", table), zap.Uint64("revision", revision), zap.Uint64("after", known), zap.Bool("own", reader == nil))
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -95,7 +95,7 @@
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	n.store = platform.NewStore(s.Platform)
+	n.store = platform.NewStore(s.Platform, n.log)
 	n.quarantined = newQuarantined(n.clock, s.quarantineLasts())
 	n.keeper = keeper.New(n.store, n.log, s.FirstStart, n.learnQuarantined)
 	n.engines = platform.NewEngines(platform.WithLaterRuns(func(run fleet.Incarnation) { n.fleets.Supersede(run) }),
@@ -121,7 +121,7 @@
 	listAge := func() clock.Millis { return n.fleets.ListAge() }
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
-		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
+		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store_eras", n.store.Eras()), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
 		relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orders),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
 		relay.WithCounters("peers", expvar.Func(func() any { return n.Peers() })),
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -247,7 +247,7 @@
 	n.Node = &Node{
 		settings: &Settings{Name: name, DataCentre: "z", ConfigWithin: clock.FromDuration(s.setting.within), LeavingWithin: clock.FromDuration(s.setting.within)},
 		log:      log, clock: c, life: life, silences: newSilences(),
-		store: platform.NewStore(simStore+":1", platform.WithDial(s.net.dial(name))),
+		store: platform.NewStore(simStore+":1", log, platform.WithDial(s.net.dial(name))),
 		relay: relay.New(life, platform.Headers{}, dispatch.New(), c, log),
 	}
 	peers := platform.NewPeerTransport(platform.WithDial(s.net.dial(name)))
--- a/reading/log.go
+++ b/reading/log.go
@@ -97,8 +97,9 @@
 }
 
 // SetConfig notes that as of a time a revision is the store's newest. Raw is the
-// configuration as the operator wrote it; empty where it has not changed.
-func (l *Log) SetConfig(raw []byte, revision uint64, confirmed clock.Millis) {
+// configuration as the operator wrote it; empty where it has not changed. It returns false
+// for one that nodes that follow are not told.
+func (l *Log) SetConfig(raw []byte, revision uint64, confirmed clock.Millis) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if confirmed > l.confirmed {
@@ -107,10 +108,11 @@
 	}
 	l.revision = max(l.revision, revision)
 	if len(raw) == 0 || revision < l.configAt {
-		return
+		return len(raw) == 0
 	}
 	l.config, l.configAt = raw, revision
 	l.wake()
+	return true
 }
 
 // SetFleet notes the whole list as of a revision. What has led to it is not known.
--- a/soak/leave.go
+++ b/soak/leave.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -139,7 +141,7 @@
 // listedLeaving tells whether the store shows that a server leaves whose id begins with
 // a text.
 func (w *world) listedLeaving(id string) (bool, error) {
-	store := platform.NewStore(w.store.Address())
+	store := platform.NewStore(w.store.Address(), zap.NewNop())
 	defer store.Close()
 	reading, err := store.ReadUpstreams(context.Background())
 	if err != nil {
