Test, red: nodes miss what is confirmed after the store has come back from a copy

The row store's stand-in keeps a copy and returns from it: revisions are given out again, a feed after one that it does not have gets 410, and each answer names the era. Simulated sites play that beside their other faults: the operator and the upstreams write again what was lost, nothing that a node has known is to be forgotten, and no upstream that lives taken as gone.

--- a/node/follow_sim_test.go
+++ b/node/follow_sim_test.go
@@ -72,7 +72,7 @@
 	}
 	e := simEvent{
 		at: millis(s.Int("at", 0)), what: s.Verb, node: s.Named["node"], lasts: millis(s.Int("for", 0)),
-		share: share, how: s.Named["how"],
+		share: share, how: s.Named["how"], rewrites: millis(s.Int("rewrites", 0)),
 	}
 	times := s.Int("times", 1)
 	for i := range times {
--- /dev/null
+++ b/node/simcopy_test.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/standin"
+)
+
+const (
+	// simBeat is within what time an upstream writes its entry again that a store has lost,
+	// and simLapse after what time one that has ended has lapsed again.
+	simBeat  = 1200 * time.Millisecond
+	simLapse = 3600 * time.Millisecond
+)
+
+// returns has the store be away and come back from its copy. The operator and the upstreams
+// write again what it has lost.
+func (s *simSite) returns(e simEvent, away bool) {
+	if away {
+		if e.how != "" {
+			s.fail(e.how, true)
+		}
+		return
+	}
+	s.store.Return()
+	s.fail(e.how, false)
+	s.mu.Lock()
+	s.returned = time.Now()
+	s.mu.Unlock()
+	time.AfterFunc(e.rewrites, s.rewriteConfig)
+	time.AfterFunc(simBeat, s.rewriteEntries)
+	time.AfterFunc(simLapse, s.lapseEntries)
+}
+
+// rewriteConfig writes the newest configuration, as an operator does that finds an older one.
+func (s *simSite) rewriteConfig() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest := standin.SiteConfig(s.version, "k1")
+	if string(s.store.Value("op", "config")) != string(newest) {
+		s.store.Put("op", "config", newest)
+	}
+}
+
+// rewriteEntries has each upstream write its entry, which is a change only where it differs.
+func (s *simSite) rewriteEntries() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, state := range s.states {
+		if entry := s.entry(id, state); string(s.store.Value("servers", id)) != string(entry) {
+			s.store.Put("servers", id, entry)
+		}
+	}
+}
+
+// lapseEntries has the entries lapse of upstreams that have ended.
+func (s *simSite) lapseEntries() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range simUpstreams {
+		id := fmt.Sprintf("u%d", i)
+		if _, lives := s.states[id]; !lives {
+			s.store.Remove("servers", id)
+		}
+	}
+}
+
+// judgeForgotten notes what a node has known and does not know any more, whatever happens:
+// within the life of a process nothing that was confirmed is taken back, and no upstream is
+// taken as gone that lives. The caller holds the lock.
+func (s *simSite) judgeForgotten(name string, n *simNode) {
+	at := time.Since(s.began).Milliseconds()
+	for _, c := range s.changes {
+		if c.version == 0 && s.returned.IsZero() {
+			continue
+		}
+		switch {
+		case n.knows(c):
+			c.known[name] = n
+		case c.known[name] == n:
+			delete(c.known, name)
+			s.missed = append(s.missed, fmt.Sprintf("at %d %s has forgotten %s%s of %d", at, name, c.upstream, versionText(c.version), c.at.Sub(s.began).Milliseconds()))
+		}
+	}
+	if s.returned.IsZero() {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, state := range s.states {
+		if state == "ready" && n.left[id] {
+			n.left[id] = false
+			s.missed = append(s.missed, fmt.Sprintf("at %d %s takes %s as gone", at, name, id))
+		}
+	}
+}
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -50,15 +50,18 @@
 type simEvent struct {
 	at time.Duration
 	// what is the verb: silent, freeze, kill, cut_store, cut_nodes, refuse, refuse_list,
-	// down, slow, leaves, ends or config.
+	// down, slow, leaves, ends, joins, config, rows, copy or returns.
 	what string
 	// node is the node that it strikes; empty for all, or for the store.
 	node string
 	// lasts is how long it lasts, share how many connections it strikes.
 	lasts time.Duration
 	share float64
-	// how is what a store answers that refuses: 503, 429, or silence.
+	// how is what a store answers that refuses: 503, 429, or silence; or how one is away that
+	// comes back from a copy: down, hang, or not at all.
 	how string
+	// rewrites is how long after its return the operator writes what the store has lost.
+	rewrites time.Duration
 }
 
 func (e simEvent) String() string {
@@ -75,6 +78,9 @@
 	if e.how != "" {
 		text += " how=" + e.how
 	}
+	if e.rewrites > 0 {
+		text += fmt.Sprintf(" rewrites=%d", e.rewrites.Milliseconds())
+	}
 	return text
 }
 
@@ -87,8 +93,10 @@
 	version  uint64
 	// ends tells that the upstream has ended without a word.
 	ends bool
-	// reported are the nodes that are known to have missed it.
+	// reported are the nodes that are known to have missed it, and known those that know it,
+	// by name.
 	reported map[string]bool
+	known    map[string]*simNode
 }
 
 // simSetting is what a site is like throughout a play.
@@ -127,6 +135,12 @@
 	version   uint64
 	missed    []string
 	closed    bool
+	// states are what upstreams say of themselves, without those that have ended.
+	states map[string]string
+	// returned is when the store has come back from a copy last, and rows counts what others
+	// have written.
+	returned time.Time
+	rows     int
 }
 
 // simNode is a node's followers.
@@ -175,6 +189,7 @@
 	s := &simSite{
 		t: t, setting: setting, net: newSimNet(), store: standin.NewRowStore(), random: rand.New(rand.NewPCG(seed, seed)), began: time.Now(),
 		nodes: make(map[string]*simNode), refuses: make(map[string]string), refusesList: make(map[string]string), disturbed: make(map[string]time.Time), version: 1,
+		states: make(map[string]string),
 	}
 	s.net.jitter(seed, setting.jitter)
 	s.store.Put("op", "config", standin.SiteConfig(s.version, "k1"))
@@ -224,11 +239,27 @@
 }
 
 func (s *simSite) put(id, state string) {
+	s.setState(id, state)
+	s.store.Put("servers", id, s.entry(id, state))
+}
+
+// setState notes what an upstream says of itself, empty for one that has ended.
+func (s *simSite) setState(id, state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.states[id] = state
+	if state == "" {
+		delete(s.states, id)
+	}
+}
+
+// entry is what an upstream says of itself.
+func (s *simSite) entry(id, state string) []byte {
 	entry, err := standin.EntryBytes(&platformpb.Server{Service: "writer", Address: id + ":1", Zone: "z", State: state})
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.store.Put("servers", id, entry)
+	return entry
 }
 
 // start starts a node.
@@ -330,11 +361,10 @@
 
 // tellCatalog takes what the follower of the configuration tells.
 func (n *simNode) tellCatalog(c *catalog.Catalog, raw []byte, confirmed clock.Millis) {
-	n.known.set(c, raw, confirmed)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if c != nil {
-		n.version = max(n.version, c.Version())
+	if n.known.set(c, raw, confirmed) {
+		n.version = c.Version()
 	}
 }
 
@@ -385,8 +415,15 @@
 		s.lasting(e, ends, func(on bool) { s.fail(e.what, on) }, simStore)
 	case "kill":
 		s.lasting(e, ends, func(on bool) { s.kill(e.node, on) }, e.node)
-	case "leaves", "ends", "config":
+	case "leaves", "ends", "joins", "config":
 		s.changeStore(e.what)
+	case "rows":
+		s.rows++
+		s.store.Put("other", fmt.Sprint(s.rows), nil)
+	case "copy":
+		s.store.Copy()
+	case "returns":
+		s.lasting(e, ends, func(on bool) { s.returns(e, on) }, simStore)
 	default:
 		s.t.Fatalf("no event %q", e.what)
 	}
@@ -487,12 +524,15 @@
 // changeStore lets an upstream leave, or end without a word, or changes the
 // configuration.
 func (s *simSite) changeStore(what string) {
-	c := &simChange{at: time.Now(), reported: make(map[string]bool)}
+	c := &simChange{at: time.Now(), reported: make(map[string]bool), known: make(map[string]*simNode)}
 	switch {
 	case what == "config":
 		s.version++
 		c.version = s.version
 		s.store.Put("op", "config", standin.SiteConfig(s.version, "k1"))
+	case what == "joins":
+		s.put(fmt.Sprintf("j%d", len(s.states)), "ready")
+		return
 	case s.next >= simUpstreams:
 		return
 	default:
@@ -501,6 +541,7 @@
 		if what == "leaves" {
 			s.put(c.upstream, "draining")
 		} else {
+			s.setState(c.upstream, "")
 			s.store.Remove("servers", c.upstream)
 		}
 	}
@@ -528,10 +569,15 @@
 	now := time.Now()
 	for name, n := range s.nodes {
 		since := now.Add(simReserve)
-		if since.Before(s.disturbed[name].Add(simContact)) || since.Before(s.disturbed[simStore].Add(simContact)) {
+		s.judgeForgotten(name, n)
+		if since.Before(s.disturbed[name].Add(simContact)) {
 			continue
 		}
+		storeWell := !since.Before(s.disturbed[simStore].Add(simContact))
 		for _, c := range s.changes {
+			if !storeWell && (s.returned.IsZero() || c.version == 0 || c.at.Before(s.returned)) {
+				continue
+			}
 			if c.reported[name] || since.Before(c.at.Add(s.setting.within)) || n.knows(c) {
 				continue
 			}
--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -33,6 +33,11 @@
 	faults   RowStoreFaults
 	started  time.Time
 	pace     *storePace
+	// era counts the returns from a copy, and unnamed tells that answers do not name it.
+	era     uint64
+	unnamed bool
+	// copied is the state that the store returns to.
+	copied storeCopy
 }
 
 // storePace is how long the store takes for an answer, and how many calls it takes a second.
@@ -83,7 +88,7 @@
 
 // NewRowStore returns an empty store.
 func NewRowStore() *RowStore {
-	return &RowStore{rows: make(map[string]*platformpb.Row), beats: make(map[string]beat), changed: make(chan struct{}), started: time.Now()}
+	return &RowStore{rows: make(map[string]*platformpb.Row), beats: make(map[string]beat), changed: make(chan struct{}), started: time.Now(), era: 1}
 }
 
 // Handler serves the platform's calls, the servers' heartbeats at /beat/ID,
@@ -112,6 +117,7 @@
 func (s *RowStore) faulty(call http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
+		s.nameEra(w)
 		f := s.faults
 		s.lapse(time.Now())
 		takes, admitted := s.admit(r, time.Now())
@@ -210,6 +216,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	id := r.PathValue("id")
 	s.beats[id] = beat{at: time.Now(), every: time.Duration(every) * time.Millisecond}
 	if known := s.rows["servers/"+id]; known == nil || string(known.GetValue()) != string(value) {
@@ -220,6 +227,7 @@
 func (s *RowStore) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	s.mu.Lock()
+	s.nameEra(w)
 	answer := &platformpb.Rows{Revision: float64(s.revision), ClockMs: float64(time.Since(s.started).Milliseconds())}
 	for _, row := range s.rows {
 		to := query.Get("targetVersion")
@@ -240,7 +248,8 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		answer, gone, changed := s.since(query.Get("table"), after), after < s.floor, s.changed
+		s.nameEra(w)
+		answer, gone, changed := s.since(query.Get("table"), after), after < s.floor || after > s.revision, s.changed
 		s.mu.Unlock()
 		if gone {
 			http.Error(w, "forgotten", http.StatusGone)
@@ -296,6 +305,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.nameEra(w)
 	for _, c := range txn.GetConditions() {
 		if s.rows[c.GetTable()+"/"+c.GetKey()].GetRevision() != c.GetRevision() {
 			writeProto(w, http.StatusPreconditionFailed, &platformpb.Rows{Revision: float64(s.revision)})
