--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -10,6 +10,8 @@
 
 import (
 	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // Errors that callers test for with errors.Is.
@@ -22,7 +24,7 @@
 
 // Catalog is one version of the configuration.
 type Catalog struct {
-	version  uint64
+	edition  Edition
 	hosts    map[string]*host
 	services map[string]*Service
 	accounts map[string]Account
@@ -62,13 +64,19 @@
 	}
 }
 
+// WithText sets the text that the configuration was read from, and when the store was told
+// it.
+func WithText(text []byte, written moment.Moment) Option {
+	return func(c *Catalog) { c.edition = NewEdition(c.edition.version, text, written) }
+}
+
 // WithLimits sets what callers may send.
 func WithLimits(l Limits) Option { return func(c *Catalog) { c.limits = l } }
 
 // New builds a version of the configuration.
 func New(version uint64, opts ...Option) *Catalog {
 	c := &Catalog{
-		version:  version,
+		edition:  Edition{version: version},
 		hosts:    make(map[string]*host),
 		services: make(map[string]*Service),
 		accounts: make(map[string]Account),
@@ -79,8 +87,8 @@
 	return c
 }
 
-// Version returns the operator's number of this configuration.
-func (c *Catalog) Version() uint64 { return c.version }
+// Edition names this configuration, and puts it in order with others.
+func (c *Catalog) Edition() Edition { return c.edition }
 
 // Limits returns what callers may send.
 func (c *Catalog) Limits() Limits { return c.limits }
--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -110,12 +110,12 @@
 	if r := m.requests[id]; r != nil && r.runs > 0 && status == http.StatusServiceUnavailable {
 		status, reason, back = http.StatusBadGateway, ReasonUnknown, 0
 	}
-	cmd := FinishCmd{Request: id, Status: status, Reason: reason, RetryAfter: back, CatalogAge: clock.AgeOf(m.confirmed, m.now)}
+	cmd := FinishCmd{Request: id, Status: status, Reason: reason, RetryAfter: back, ConfigAge: clock.AgeOf(m.confirmed, m.now)}
 	if r := m.requests[id]; r != nil {
 		cmd.Work = r.work
 	}
 	if m.catalog != nil {
-		cmd.CatalogVersion = m.catalog.Version()
+		cmd.Config = m.catalog.Edition()
 	}
 	return cmd
 }
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -43,9 +43,9 @@
 	// Suspected tells that an upstream has ended under it.
 	Suspected bool
 	// Inputs of the decision, for the log.
-	CatalogVersion uint64
-	CatalogAge     clock.Millis
-	InFlight       int
+	Config    catalog.Edition
+	ConfigAge clock.Millis
+	InFlight  int
 	// Limit is what the upstream takes from all nodes together, in requests a second; zero
 	// for no limit.
 	Limit float64
@@ -57,9 +57,9 @@
 	Status  int
 	Reason  Reason
 	// RetryAfter tells the caller when to come back; zero for nothing.
-	RetryAfter     clock.Millis
-	CatalogVersion uint64
-	CatalogAge     clock.Millis
+	RetryAfter clock.Millis
+	Config     catalog.Edition
+	ConfigAge  clock.Millis
 	// Work names what is asked for by its client account; zero where that is not known.
 	Work work.ID
 	// Lack says what ran short, and Limited whose limit it was; nil where that is not it.
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -14,8 +14,8 @@
 // Msg is something that has happened.
 type Msg interface{ dispatchMsg() }
 
-// CatalogMsg brings a version of the configuration that was the newest at a
-// time. Catalog is nil where only the time is new.
+// CatalogMsg brings the configuration that is in force from now on, and when it was known to
+// be the newest. Catalog is nil where only the time is new.
 type CatalogMsg struct {
 	Catalog *catalog.Catalog
 	// Confirmed is when the call that showed it was sent.
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -51,7 +51,7 @@
 	cmd.Deadline, cmd.GiveUp = r.deadline, r.giveUp
 	cmd.Last = m.isLast(r)
 	cmd.Work, cmd.Suspected = r.work, m.quarantine.Suspects(r.work)
-	cmd.CatalogVersion, cmd.CatalogAge = m.catalog.Version(), clock.AgeOf(m.confirmed, m.now)
+	cmd.Config, cmd.ConfigAge = m.catalog.Edition(), clock.AgeOf(m.confirmed, m.now)
 	cmd.InFlight = r.first.inFlight
 	return []Cmd{cmd}
 }
--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -10,6 +10,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // slownessCounted is how many times the time that the store needs beside the wait
@@ -21,30 +22,32 @@
 type Catalog struct {
 	shared
 	source CatalogSource
-	// unreadable tells that the newest configuration cannot be read.
-	unreadable bool
+	// shown is the edition that the store has shown last; none where it has shown none, or
+	// one that cannot be read.
+	shown catalog.Edition
+	// have is the edition in force.
+	have catalog.Edition
 	// asked is when the store was last asked.
 	asked clock.Millis
-	// tell takes a configuration, or nil where only the time is new.
-	tell func(c *catalog.Catalog, raw []byte, confirmed clock.Millis)
+	// tell takes a proof, and returns what is in force then.
+	tell func(Proof) InForce
 }
 
 // NewCatalog returns a follower of the configuration.
 func NewCatalog(source CatalogSource, c *clock.Clock, log *zap.Logger, outage *Outage,
-	tell func(*catalog.Catalog, []byte, clock.Millis), opts ...Option,
+	tell func(Proof) InForce, opts ...Option,
 ) *Catalog {
 	return &Catalog{shared: newShared(c, log, outage, opts), source: source, tell: tell}
 }
 
 // catalogProgress is how far a follower of the configuration has come.
 type catalogProgress struct {
-	revision uint64
+	// asOf is up to when this node has read the store.
+	asOf moment.Moment
 	// read says that something has been read, and whole that the whole is to be
 	// read next if the store is asked.
 	read  bool
 	whole bool
-	// told says that the last reading came from another node.
-	told bool
 	// failures counts the store's failed calls in a row.
 	failures int
 	// wait is how long the store may hold the next wait, and slowness the time that it
@@ -76,15 +79,20 @@
 			continue
 		}
 		f.back("config", reader)
-		f.logReading("config", reader, p.revision, reading.Revision, len(reading.Raw) > 0)
 		if reader == nil {
 			f.outage.Proved(f.clock.Now())
+			if !p.asOf.IsZero() && !reading.AsOf.SameEra(p.asOf) {
+				f.returned("config", p.asOf, reading.AsOf)
+			}
+			p.asOf = reading.AsOf
 		}
+		f.take(reading, reader != nil, p.whole, sent)
+		// What another node has told may be of another edition than the store shows, so
+		// nothing that the store says of changes alone goes on from there.
 		p = catalogProgress{
-			revision: reading.Revision, read: true, told: reader != nil, proved: sent.Sub(reading.Age),
+			asOf: p.asOf, read: true, whole: reader != nil, proved: sent.Sub(reading.AnsweredAge),
 			slowness: p.slownessAfter(reader, reading, f.clock.Now().Sub(sent)), urged: p.urged,
 		}
-		f.take(reading, sent.Sub(reading.Age))
 	}
 	return ctx.Err()
 }
@@ -96,12 +104,9 @@
 	case p.doubt == silent:
 		f.askAgain(ctx, "config", err)
 	case errors.Is(err, ErrReadAnew):
-		f.log.Info("config_history_gone", zap.Uint64("revision", p.revision))
+		f.log.Info("config_history_gone", zap.Stringer("as_of", p.asOf), logging.Err(err))
 		p.whole = true
 	case errors.Is(err, errReaderFailed):
-		// What another node has told may be old by now, and a whole reading proves
-		// it fresh sooner than a wait does.
-		p.whole = p.whole || p.told
 	default:
 		p.whole = true
 		if !f.lost(ctx, "config", f.asked, err) {
@@ -116,11 +121,11 @@
 	}
 }
 
-// call reads the whole, or awaits what changes after a revision, from another
+// call reads the whole, or awaits what changes after a moment, from another
 // node if there is one to follow.
 func (f *Catalog) call(ctx context.Context, reader Reader, p catalogProgress) (CatalogReading, error) {
 	if reader != nil {
-		reading, err := reader.AwaitCatalog(ctx, p.revision, p.doubt.wait(readerConfigWait))
+		reading, err := reader.AwaitCatalog(ctx, f.have, p.doubt.wait(readerConfigWait))
 		if err != nil {
 			return reading, f.readerFailed(ctx, "config", reader, p.doubt, err)
 		}
@@ -135,7 +140,7 @@
 		ctx, cancel = context.WithTimeout(ctx, limit.Duration())
 		defer cancel()
 	}
-	return f.source.AwaitCatalog(ctx, p.revision, p.wait)
+	return f.source.AwaitCatalog(ctx, p.asOf, p.wait)
 }
 
 // catalogAnswer is what came of a call for the whole configuration.
@@ -209,25 +214,33 @@
 	return max(took-p.wait, 0)
 }
 
-// take passes a reading on. A configuration that cannot be read proves nothing
-// fresh: the one in force is older than it.
-func (f *Catalog) take(reading CatalogReading, confirmed clock.Millis) {
-	if len(reading.Raw) == 0 {
-		if f.unreadable {
+// take passes a reading on, of a call that was sent at a time: told by another node, or of the
+// whole at the store.
+func (f *Catalog) take(reading CatalogReading, told, whole bool, sent clock.Millis) {
+	proof := Proof{Edition: reading.Edition, Confirmed: sent.Sub(reading.Age)}
+	if len(reading.Raw) > 0 {
+		c, err := f.source.DecodeCatalog(reading.Raw, reading.Written)
+		if err != nil {
+			// It proves nothing fresh: the one in force is older than it.
+			f.shown = catalog.Edition{}
+			f.log.Error("config_unreadable", zap.Stringer("as_of", reading.AsOf), logging.Err(err))
 			return
 		}
-		f.followers.SetConfig(nil, reading.Revision, confirmed)
-		f.tell(nil, nil, confirmed)
-		return
+		proof.Edition, proof.Catalog, proof.Raw = c.Edition(), c, reading.Raw
 	}
-	c, err := f.source.DecodeCatalog(reading.Raw)
-	f.unreadable = err != nil
-	if err != nil {
-		f.log.Error("config_unreadable", zap.Uint64("revision", reading.Revision), logging.Err(err))
-		return
+	if !told {
+		proof.Edition = f.show(proof.Edition, whole)
 	}
-	if !f.followers.SetConfig(reading.Raw, reading.Revision, confirmed) {
-		f.log.Warn("config_not_passed_on", zap.Uint64("version", c.Version()), zap.Uint64("revision", reading.Revision))
+	inForce := f.tell(proof)
+	f.have = inForce.Edition
+	f.followers.SetConfig(Known{InForce: inForce, Answered: sent.Sub(reading.AnsweredAge)})
+}
+
+// show notes the edition that the store shows, none where it shows no new one, and returns the
+// one that stands there: what a reading of the whole does not show is not there.
+func (f *Catalog) show(edition catalog.Edition, whole bool) catalog.Edition {
+	if whole || !edition.IsZero() {
+		f.shown = edition
 	}
-	f.tell(c, reading.Raw, confirmed)
+	return f.shown
 }
--- a/follow/doc.go
+++ b/follow/doc.go
@@ -22,26 +22,35 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
-// ErrReadAnew marks the errors of waits that cannot go on from a revision:
+// ErrReadAnew marks the errors of calls that cannot go on from a moment of the store:
 // the whole must be read again.
 var ErrReadAnew = errors.New("follow: read anew")
 
 // CatalogReading is what a call has shown of the configuration. Raw is empty
 // where it shows no newer one.
 type CatalogReading struct {
-	Raw      []byte
-	Revision uint64
+	Raw []byte
+	// Written is when the store was told the text.
+	Written moment.Moment
+	// AsOf is up to when the store was read.
+	AsOf moment.Moment
+	// Edition is what another node has in force. The store names none.
+	Edition catalog.Edition
 	// Age is how much older than the call's sending the proof is that there is
 	// no newer one: nothing for the store, and what another node says of its own.
-	Age clock.Millis
+	// AnsweredAge is the same for the store's last answer to that node.
+	Age         clock.Millis
+	AnsweredAge clock.Millis
 }
 
 // FleetReading is what a call has shown of the list of upstreams.
 type FleetReading struct {
-	Changes  []fleet.Change
-	Revision uint64
+	Changes []fleet.Change
+	// AsOf is up to when the store was read.
+	AsOf moment.Moment
 	// Whole tells that the changes are the whole list. What it lacks is gone.
 	Whole bool
 	// Token is what another node calls the whole list; 0 for what the store tells.
@@ -53,12 +62,12 @@
 // CatalogSource is where the configuration is read.
 type CatalogSource interface {
 	ReadCatalog(ctx context.Context) (CatalogReading, error)
-	AwaitCatalog(ctx context.Context, after uint64, wait clock.Millis) (CatalogReading, error)
-	DecodeCatalog(raw []byte) (*catalog.Catalog, error)
+	AwaitCatalog(ctx context.Context, after moment.Moment, wait clock.Millis) (CatalogReading, error)
+	DecodeCatalog(raw []byte, written moment.Moment) (*catalog.Catalog, error)
 }
 
 // FleetSource is where the list of upstreams is read.
 type FleetSource interface {
 	ReadUpstreams(ctx context.Context) (FleetReading, error)
-	AwaitUpstreams(ctx context.Context, after uint64, wait clock.Millis) (FleetReading, error)
+	AwaitUpstreams(ctx context.Context, after moment.Moment, wait clock.Millis) (FleetReading, error)
 }
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -10,6 +10,8 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // followedBriefly is for how long a node that has begun to be followed may be one that has
@@ -34,8 +36,8 @@
 	shown atomic.Pointer[[]fleet.Upstream]
 	// confirmed is when the list was last confirmed: a clock.Millis.
 	confirmed atomic.Int64
-	// passedOn is the newest revision that nodes that follow have been told.
-	passedOn uint64
+	// passedOn is the latest moment as of which nodes that follow have been told.
+	passedOn moment.Moment
 	// inDoubt tells that the store was lost, or peers were listened to, since the list
 	// was last passed on, and partial that it may lack what has lapsed.
 	inDoubt bool
@@ -53,7 +55,8 @@
 
 // fleetProgress is how far a follower of the list has come.
 type fleetProgress struct {
-	revision uint64
+	// asOf is up to when the store was read.
+	asOf moment.Moment
 	// read says that something has been read, and whole that the whole is to be
 	// read next if the store is asked.
 	read  bool
@@ -70,8 +73,8 @@
 }
 
 // follows notes whom the next call goes to. A node that has had an outage holds what
-// vanished in it, and tells the revision at which it has: who leaves it meanwhile must not
-// count on that revision.
+// vanished in it, and tells the moment at which it has: who leaves it meanwhile must not
+// count on that.
 func (p *fleetProgress) follows(reader Reader, now clock.Millis) {
 	if reader == p.followed {
 		return
@@ -101,12 +104,14 @@
 		now := f.clock.Now()
 		f.confirmed.Store(int64(now))
 		f.back("fleet", reader)
-		f.logReading("fleet", reader, p.revision, reading.Revision, false)
+		if p.read && !reading.AsOf.SameEra(p.asOf) {
+			f.returned("fleet", p.asOf, reading.AsOf)
+		}
 		// What another node tells has lapsed nowhere: it answers for no list that
 		// it is in doubt of.
 		reading.Whole = reading.Whole || reader == nil && p.whole
 		f.take(now, reading, reader == nil && f.outage.Lapsing(now))
-		p = fleetProgress{revision: reading.Revision, read: true, followed: p.followed, followedSince: p.followedSince}
+		p = fleetProgress{asOf: reading.AsOf, read: true, followed: p.followed, followedSince: p.followedSince}
 		if len(reading.Changes) > 0 {
 			p.paused = f.gather(reader != nil)
 			clock.Pause(ctx, p.paused.Duration())
@@ -122,7 +127,7 @@
 	case p.doubt == silent:
 		f.askAgain(ctx, "fleet", err)
 	case errors.Is(err, ErrReadAnew):
-		f.log.Info("fleet_history_gone", zap.Uint64("revision", p.revision))
+		f.log.Info("fleet_history_gone", zap.Stringer("as_of", p.asOf), logging.Err(err))
 		p.whole = true
 	case errors.Is(err, errReaderFailed):
 	default:
@@ -174,19 +179,26 @@
 	}
 	wait := p.doubt.wait(max(f.wait(reader != nil)-p.paused, leastWait))
 	if reader == nil {
-		return f.source.AwaitUpstreams(ctx, p.revision, wait)
+		return f.source.AwaitUpstreams(ctx, p.asOf, wait)
 	}
-	after := p.revision
+	after := p.asOf
 	if p.whole || f.waiting() {
-		after = 0
+		after = moment.Moment{}
 	}
 	reading, err := reader.AwaitUpstreams(ctx, after, wait)
+	if err == nil && !reading.AsOf.SameEra(p.asOf) && p.asOf.After(reading.AsOf) {
+		err = errEarlierEra
+	}
 	if err != nil {
 		return reading, f.readerFailed(ctx, "fleet", reader, p.doubt, err)
 	}
 	return reading, nil
 }
 
+// errEarlierEra is why a list is not taken that another node has told: the store has come back
+// from a copy since, and that node does not know it yet.
+var errEarlierEra = errors.New("follow: the list is of an earlier era")
+
 // wait is how long the next change is awaited; told, from another node.
 func (f *Fleet) wait(told bool) clock.Millis {
 	switch next, ok := f.nextExpiry(); {
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -8,6 +8,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // take passes a reading on. Lapsing tells that entries may be missing although
@@ -37,7 +38,7 @@
 	expired := f.view.Expire(now)
 	f.inDoubt = f.inDoubt || f.lapsedOthers(lapsed)
 	f.show(reading, changes, expired, lapsing)
-	f.pass(append(changes, expired...), reading.Revision)
+	f.pass(append(changes, expired...), reading.AsOf)
 }
 
 // lapsedOthers tells whether other entries have lapsed than had before: one of these is
@@ -112,18 +113,18 @@
 	case f.partial:
 		f.followers.Suspend()
 	case anew:
-		f.followers.SetFleet(reading.Revision, f.view.All())
+		f.followers.SetFleet(reading.AsOf, f.view.All())
 		f.inDoubt = false
 	default:
 		f.showChanges(reading, changes)
 	}
-	f.passedOn = reading.Revision
-	// Those that follow know the revision at which these have vanished.
+	f.passedOn = reading.AsOf
+	// Those that follow know the moment at which these have vanished.
 	f.followers.AddEnded(expired)
 }
 
 func (f *Fleet) showChanges(reading FleetReading, changes []fleet.Change) {
-	if reading.Revision <= f.passedOn {
+	if !reading.AsOf.After(f.passedOn) {
 		f.followers.AddEnded(changes)
 		return
 	}
@@ -135,17 +136,17 @@
 			changes = append(changes, c)
 		}
 	}
-	f.followers.AddFleet(reading.Revision, changes)
+	f.followers.AddFleet(reading.AsOf, changes)
 }
 
 // pass tells changes, and keeps the list for peers.
-func (f *Fleet) pass(changes []fleet.Change, revision uint64) {
+func (f *Fleet) pass(changes []fleet.Change, asOf moment.Moment) {
 	if len(changes) == 0 {
 		return
 	}
 	list := f.view.All()
 	f.shown.Store(&list)
-	f.logChanges(revision, changes)
+	f.logChanges(asOf, changes)
 	f.tell(changes)
 }
 
@@ -159,14 +160,14 @@
 	return *shown, true
 }
 
-func (f *Fleet) logChanges(revision uint64, changes []fleet.Change) {
+func (f *Fleet) logChanges(asOf moment.Moment, changes []fleet.Change) {
 	for _, c := range changes {
 		if c.Gone || c.Upstream.Leaving {
 			f.log.Info("upstream_leaving", zap.Stringer("upstream", c.ID), zap.Bool("gone", c.Gone), zap.Bool("ended", c.Ended),
-				zap.String("address", c.Upstream.Address), zap.Uint64("revision", revision))
+				zap.String("address", c.Upstream.Address), zap.Stringer("revision", asOf))
 		}
 	}
-	f.log.Info("fleet", zap.Int("changes", len(changes)), zap.Int("upstreams", f.view.Len()), zap.Uint64("revision", revision))
+	f.log.Info("fleet", zap.Int("changes", len(changes)), zap.Int("upstreams", f.view.Len()), zap.Stringer("revision", asOf))
 }
 
 // entriesIn returns the changes of a whole list that are entries.
--- a/follow/learnt.go
+++ b/follow/learnt.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // learntLasts is for how long a list counts that a peer has told. It is asked for
@@ -32,6 +33,6 @@
 		// Those that follow have not been told of it, and the store's next answer will
 		// show it as nothing new.
 		f.inDoubt = f.inDoubt || len(changes) > 0
-		f.pass(changes, 0)
+		f.pass(changes, moment.Moment{})
 	}
 }
--- a/follow/outage.go
+++ b/follow/outage.go
@@ -5,6 +5,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // Outage is what the followers know together of the store's being away. It is
@@ -22,6 +23,8 @@
 	// this node has not tried the store.
 	told             bool
 	toldAt, toldLast clock.Millis
+	// era is a moment of the newest era that was read in.
+	era moment.Moment
 	// proved tells that the store has answered this node itself with the configuration, at
 	// provedAt last.
 	proved   bool
@@ -79,6 +82,19 @@
 	return news
 }
 
+// Returned notes a reading as of a moment, and returns whether it is the first in an era.
+// Entries may then be missing as after an outage, although no call has failed.
+func (o *Outage) Returned(now clock.Millis, asOf moment.Moment) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if asOf.SameEra(o.era) || !asOf.After(o.era) {
+		return false
+	}
+	o.era = asOf
+	o.ever, o.ended = true, now
+	return true
+}
+
 // othersHave tells whether another node has had the store until just now. Afterwards it
 // may have lost it too. The caller holds the lock.
 func (o *Outage) othersHave(now clock.Millis) bool {
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -7,9 +7,11 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // errReaderFailed marks the errors of another node that is followed in place of
@@ -22,8 +24,10 @@
 
 // Reader is another node that reads the store.
 type Reader interface {
-	AwaitCatalog(ctx context.Context, after uint64, wait clock.Millis) (CatalogReading, error)
-	AwaitUpstreams(ctx context.Context, after uint64, wait clock.Millis) (FleetReading, error)
+	// AwaitCatalog waits for a configuration that supersedes one, or for a later proof that
+	// there is none.
+	AwaitCatalog(ctx context.Context, have catalog.Edition, wait clock.Millis) (CatalogReading, error)
+	AwaitUpstreams(ctx context.Context, after moment.Moment, wait clock.Millis) (FleetReading, error)
 }
 
 // Readers says which node reads the store for this one.
@@ -50,10 +54,9 @@
 
 // Followers is where what has been read goes for the nodes that follow this one.
 type Followers interface {
-	// SetConfig returns whether a configuration is passed on.
-	SetConfig(raw []byte, revision uint64, confirmed clock.Millis) bool
-	SetFleet(revision uint64, list []fleet.Upstream)
-	AddFleet(revision uint64, changes []fleet.Change)
+	SetConfig(k Known)
+	SetFleet(asOf moment.Moment, list []fleet.Upstream)
+	AddFleet(asOf moment.Moment, changes []fleet.Change)
 	// AddEnded notes upstreams that have turned out to be gone although nothing has
 	// changed at the store meanwhile.
 	AddEnded(ended []fleet.Change)
@@ -64,19 +67,19 @@
 // noReaders is for nodes that are on their own.
 type noReaders struct{}
 
-func (noReaders) First() (Reader, bool)                       { return nil, false }
-func (noReaders) Reader() Reader                              { return nil }
-func (noReaders) Failed(Reader)                               {}
-func (noReaders) Followed() bool                              { return false }
-func (noReaders) Overdue() bool                               { return false }
-func (noReaders) Waits() bool                                 { return false }
-func (noReaders) StoreLost()                                  {}
-func (noReaders) StoreBack()                                  {}
-func (noReaders) SetConfig([]byte, uint64, clock.Millis) bool { return true }
-func (noReaders) SetFleet(uint64, []fleet.Upstream)           {}
-func (noReaders) AddFleet(uint64, []fleet.Change)             {}
-func (noReaders) AddEnded([]fleet.Change)                     {}
-func (noReaders) Suspend()                                    {}
+func (noReaders) First() (Reader, bool)                    { return nil, false }
+func (noReaders) Reader() Reader                           { return nil }
+func (noReaders) Failed(Reader)                            {}
+func (noReaders) Followed() bool                           { return false }
+func (noReaders) Overdue() bool                            { return false }
+func (noReaders) Waits() bool                              { return false }
+func (noReaders) StoreLost()                               {}
+func (noReaders) StoreBack()                               {}
+func (noReaders) SetConfig(Known)                          {}
+func (noReaders) SetFleet(moment.Moment, []fleet.Upstream) {}
+func (noReaders) AddFleet(moment.Moment, []fleet.Change)   {}
+func (noReaders) AddEnded([]fleet.Change)                  {}
+func (noReaders) Suspend()                                 {}
 
 // shared is what both followers of a node have in common.
 type shared struct {
@@ -227,13 +230,10 @@
 	}
 }
 
-// logReading logs what a reading shows of how far the store has come: a revision that is less
-// than the one known, and a change with the revision at which it was read and by whom.
-func (s *shared) logReading(table string, reader Reader, known, revision uint64, news bool) {
-	if revision < known {
-		s.log.Warn("revision_back", zap.String("table", table), zap.Uint64("revision", revision), zap.Uint64("known", known), zap.Bool("own", reader == nil))
-	}
-	if news {
-		s.log.Info("read", zap.String("table", table), zap.Uint64("revision", revision), zap.Uint64("after", known), zap.Bool("own", reader == nil))
+// returned takes in that the store was read in another era than before: it has come back from
+// a copy, which may lack entries of upstreams that live.
+func (s *shared) returned(table string, known, asOf moment.Moment) {
+	if s.outage.Returned(s.clock.Now(), asOf) {
+		s.log.Info("read_in_another_era", zap.String("table", table), zap.Stringer("as_of", asOf), zap.Stringer("known", known))
 	}
 }
--- /dev/null
+++ b/moment/moment_test.go
@@ -0,0 +1,43 @@
+package moment_test
+
+import (
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/moment"
+)
+
+func TestAfter(t *testing.T) {
+	tests := []struct {
+		name          string
+		m, o          moment.Moment
+		after, sameAs bool
+	}{
+		{"a later revision", moment.At(1, 6), moment.At(1, 5), true, true},
+		{"an earlier revision", moment.At(1, 5), moment.At(1, 6), false, true},
+		{"the same", moment.At(1, 5), moment.At(1, 5), false, true},
+		{"a lower revision of a later era", moment.At(2, 5), moment.At(1, 99), true, false},
+		{"a higher revision of an earlier era", moment.At(1, 99), moment.At(2, 5), false, false},
+		{"the same revision of a later era", moment.At(2, 5), moment.At(1, 5), true, false},
+		{"a store without eras", moment.At(0, 6), moment.At(0, 5), true, true},
+		{"anything after nothing", moment.At(0, 1), moment.Moment{}, true, true},
+	}
+	for _, tt := range tests {
+		if got := tt.m.After(tt.o); got != tt.after {
+			t.Errorf("%s: got after=%v, want %v", tt.name, got, tt.after)
+		}
+		if got := tt.m.SameEra(tt.o); got != tt.sameAs {
+			t.Errorf("%s: got the same era %v, want %v", tt.name, got, tt.sameAs)
+		}
+		if got, want := moment.Latest(tt.m, tt.o) == tt.m, !tt.o.After(tt.m); got != want {
+			t.Errorf("%s: got %v as the latest, want %v", tt.name, moment.Latest(tt.m, tt.o), want)
+		}
+	}
+}
+
+func TestString(t *testing.T) {
+	for m, want := range map[moment.Moment]string{moment.At(3, 105): "3:105", moment.At(0, 105): "105"} {
+		if got := m.String(); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
--- a/node/follow_sim_test.go
+++ b/node/follow_sim_test.go
@@ -90,6 +90,7 @@
 	is.within = millis(s.Int("within", int(is.within.Milliseconds())))
 	is.loss = float64(s.Int("loss_percent", 0)) / hundred
 	is.jitter = millis(s.Int("jitter", 0))
+	is.returns = s.Int("returns", 0) > 0
 	return is
 }
 
@@ -148,6 +149,9 @@
 	sizes := []int{1, 3, 5, 6, 9, 9, 12}
 	nodes := sizes[random.IntN(len(sizes))]
 	events = seedEvents(random, nodes)
+	if setting.returns {
+		events = append(events, seedReturns(rand.New(rand.NewPCG(seed, 2)))...)
+	}
 	return playSim(t, setting, seed, nodes, seedUntil, slices.Clone(events)).missed, events
 }
 
--- a/node/known.go
+++ b/node/known.go
@@ -6,6 +6,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -14,31 +15,24 @@
 // known is what the node tells its peers, and where it takes in what they
 // tell. It is safe for concurrent use.
 type known struct {
-	node      *Node
-	mu        sync.Mutex
-	raw       []byte
-	version   uint64
-	confirmed clock.Millis
+	node    *Node
+	mu      sync.Mutex
+	inForce follow.InForce
 }
 
-// set notes a configuration, and returns whether it is newer than the one
-// known.
-func (k *known) set(c *catalog.Catalog, raw []byte, confirmed clock.Millis) bool {
+// take takes in what was shown of the configuration, and returns what is in force then.
+func (k *known) take(p follow.Proof) (follow.Taken, follow.InForce) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.confirmed = max(k.confirmed, confirmed)
-	if c == nil || c.Version() <= k.version {
-		return false
-	}
-	k.raw, k.version = raw, c.Version()
-	return true
+	taken := k.inForce.Take(p)
+	return taken, k.inForce
 }
 
 // Config implements peering.Knowledge.
-func (k *known) Config() (raw []byte, version uint64, confirmed clock.Millis) {
+func (k *known) Config() follow.InForce {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.raw, k.version, k.confirmed
+	return k.inForce
 }
 
 // Fleet implements peering.Knowledge.
@@ -48,17 +42,17 @@
 func (k *known) Listed() bool { return k.node.fleets.Listed() }
 
 // LearnConfig implements peering.Learner.
-func (k *known) LearnConfig(raw []byte, confirmed clock.Millis) {
-	if len(raw) == 0 {
-		k.node.setCatalog(nil, nil, confirmed)
-		return
-	}
-	c, err := platform.DecodeCatalog(raw)
-	if err != nil {
-		k.node.log.Error("config_unreadable", logging.Err(err))
-		return
+func (k *known) LearnConfig(edition catalog.Edition, raw []byte, confirmed clock.Millis) {
+	proof := follow.Proof{Edition: edition, Confirmed: confirmed}
+	if len(raw) > 0 {
+		c, err := platform.DecodeCatalog(raw, edition.Written())
+		if err != nil {
+			k.node.log.Error("config_unreadable", logging.Err(err))
+			return
+		}
+		proof.Edition, proof.Catalog, proof.Raw = c.Edition(), c, raw
 	}
-	k.node.setCatalog(c, raw, confirmed)
+	k.node.setCatalog(proof)
 }
 
 // LearnFleet implements peering.Learner.
--- a/node/learn.go
+++ b/node/learn.go
@@ -7,23 +7,47 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/usage"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
-// setCatalog takes a configuration that was the newest at a time; nil where
-// only the time is new. An older version than the one in force changes nothing.
-func (n *Node) setCatalog(c *catalog.Catalog, raw []byte, confirmed clock.Millis) {
-	newer := n.known.set(c, raw, confirmed)
-	n.relay.SetCatalog(c, confirmed)
-	if !newer {
+// setCatalog takes what was shown of the configuration, and returns what is in force then. The
+// follower of the store and peers both show some: all that hangs on it is told in one order.
+func (n *Node) setCatalog(p follow.Proof) follow.InForce {
+	n.obeying.Lock()
+	defer n.obeying.Unlock()
+	taken, inForce := n.known.take(p)
+	age := zap.Int64("age_ms", int64(clock.AgeOf(p.Confirmed, n.clock.Now())))
+	switch taken {
+	case follow.Outdated:
+		if n.outdated != p.Edition {
+			n.outdated = p.Edition
+			n.log.Warn("config_outdated", zap.Stringer("version", p.Edition), zap.Stringer("in_force", inForce.Edition), age)
+		}
+	case follow.Renewed:
+		n.relay.SetCatalog(nil, inForce.Confirmed)
+	case follow.Replaced:
+		n.log.Info("config", zap.Stringer("version", p.Edition), zap.Stringer("written", p.Edition.Written()), age)
+		n.relay.SetCatalog(p.Catalog, p.Confirmed)
+		n.placer.Tell(placement.CatalogMsg{Catalog: p.Catalog})
+		n.fleets.SetServices(serviceNames(p.Catalog))
+	}
+	return inForce
+}
+
+// askBehind asks a node for its configuration that has shown that it knows a newer one: it has
+// outlasted a return of the store from a copy that this node has not. One is asked at a time.
+func (n *Node) askBehind(address string) {
+	if n.asking.Swap(true) {
 		return
 	}
-	n.log.Info("config", zap.Uint64("version", c.Version()), zap.Int64("age_ms", int64(clock.AgeOf(confirmed, n.clock.Now()))))
-	n.placer.Tell(placement.CatalogMsg{Catalog: c})
-	n.fleets.SetServices(serviceNames(c))
+	go func() {
+		defer n.asking.Store(false)
+		n.peers.AskAt(n.life, address)
+	}()
 }
 
 // setSaidLeaving takes in that an upstream has said that it is leaving.
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,8 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,6 +57,12 @@
 	peers    *peering.Peering
 	usage    *usage.Sharing
 	known    *known
+	// obeying has the node take one proof of the configuration after the other. Outdated is
+	// the last edition that was shown and is not obeyed, and asking tells that another node
+	// is being asked for a newer one.
+	obeying  sync.Mutex
+	outdated catalog.Edition
+	asking   atomic.Bool
 	roster   *reading.Roster
 	shared   *reading.Log
 	members  *members
@@ -139,12 +147,12 @@
 }
 
 // follow builds the followers of the store, and what they know of other nodes.
-func (n *Node) follow(self *wire.Member, peerTransport http.RoundTripper, setCatalog func(*catalog.Catalog, []byte, clock.Millis), setFleet func([]fleet.Change)) {
+func (n *Node) follow(self *wire.Member, peerTransport http.RoundTripper, setCatalog func(follow.Proof) follow.InForce, setFleet func([]fleet.Change)) {
 	within := n.settings.changesWithin()
 	n.roster = reading.NewRoster(self, n.clock.Now(), follow.Patience(within), reading.WithStartWait(n.settings.startWait()))
 	n.shared = reading.NewLog(n.clock, follow.VouchFor, follow.VouchSoon(within))
 	n.outage = &follow.Outage{}
-	n.known = &known{node: n, confirmed: clock.Never}
+	n.known = &known{node: n, inForce: follow.InForce{Confirmed: clock.Never}}
 	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
 	bound := follow.WithChangesWithin(within)
 	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, setCatalog, share, bound)
@@ -280,6 +288,6 @@
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(n.peers.Handler())
-	mux.Handle(reading.Handler(n.shared))
+	mux.Handle(reading.Handler(n.shared, n.askBehind))
 	return mux
 }
--- a/node/readers.go
+++ b/node/readers.go
@@ -8,14 +8,16 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/follow"
+	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/reading"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
-// followableWithin is how old the proof may be that the configuration is the
-// newest for others to follow this node. That of a node that reads for others gets
+// followableWithin is how long ago the store may have answered for others to follow
+// this node. For a node that reads for others that gets
 // 1.2 s old, and a little more where the store is slow.
 const followableWithin clock.Millis = 2000
 
@@ -45,7 +47,7 @@
 	defer r.mu.Unlock()
 	if m.GetAddress() != r.at {
 		r.at = m.GetAddress()
-		r.source = &namedSource{Source: reading.NewSource(r.client, m.GetAddress(), follow.VouchSoon(r.node.settings.changesWithin())), name: m.GetName()}
+		r.source = r.sourceAt(m)
 		r.node.log.Info("reader", zap.String("follows", m.GetName()), zap.String("address", r.at))
 	}
 	if m == nil {
@@ -64,15 +66,15 @@
 type firstReader struct{ *namedSource }
 
 // AwaitCatalog implements follow.Reader.
-func (r firstReader) AwaitCatalog(ctx context.Context, after uint64, wait clock.Millis) (follow.CatalogReading, error) {
+func (r firstReader) AwaitCatalog(ctx context.Context, have catalog.Edition, wait clock.Millis) (follow.CatalogReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, firstWithin.Duration())
 	defer cancel()
-	reading, err := r.namedSource.AwaitCatalog(ctx, after, wait)
+	reading, err := r.namedSource.AwaitCatalog(ctx, have, wait)
 	return reading, failedFirst(err)
 }
 
 // AwaitUpstreams implements follow.Reader.
-func (r firstReader) AwaitUpstreams(ctx context.Context, after uint64, wait clock.Millis) (follow.FleetReading, error) {
+func (r firstReader) AwaitUpstreams(ctx context.Context, after moment.Moment, wait clock.Millis) (follow.FleetReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, firstWithin.Duration())
 	defer cancel()
 	reading, err := r.namedSource.AwaitUpstreams(ctx, after, wait)
@@ -96,7 +98,13 @@
 	if m == nil {
 		return nil, waits
 	}
-	return firstReader{&namedSource{Source: reading.NewSource(r.client, m.GetAddress(), follow.VouchSoon(r.node.settings.changesWithin())), name: m.GetName()}}, false
+	return firstReader{r.sourceAt(m)}, false
+}
+
+// sourceAt returns what follows a node.
+func (r *readers) sourceAt(m *wire.Member) *namedSource {
+	vouchSoon := follow.VouchSoon(r.node.settings.changesWithin())
+	return &namedSource{Source: reading.NewSource(r.client, m.GetAddress(), r.node.roster.Self().GetAddress(), vouchSoon), name: m.GetName()}
 }
 
 // Failed implements follow.Readers.
@@ -132,8 +140,8 @@
 // followable tells whether other nodes may follow this one in place of the
 // store.
 func (n *Node) followable() bool {
-	_, version, confirmed := n.known.Config()
-	return !n.relay.Stopping() && !n.outage.Away() && version != 0 && n.clock.Now().Sub(confirmed) <= followableWithin
+	return !n.relay.Stopping() && !n.outage.Away() && !n.known.Config().Edition.IsZero() &&
+		n.clock.Now().Sub(n.shared.Answered()) <= followableWithin
 }
 
 // readingGroup returns the nodes of which one reads the store for all: those of the
--- a/node/simcopy_test.go
+++ b/node/simcopy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/standin"
@@ -95,3 +96,28 @@
 		}
 	}
 }
+
+// seedReturns draws returns of the store from copies, beside rows that others write: the
+// revisions that are given out again stop short of, at and past those that nodes know.
+func seedReturns(random *rand.Rand) []simEvent {
+	const longestCopy, longestAway, longestRewrite = 6 * time.Second, 3 * time.Second, 400 * time.Millisecond
+	var events []simEvent
+	for range 1 + random.IntN(3) {
+		at := seedBegins + time.Duration(random.Int64N(int64(seedEnds-seedBegins)))
+		e := simEvent{at: at, what: "returns", how: []string{"", "down", "hang"}[random.IntN(3)]}
+		if e.how != "" {
+			e.lasts = time.Duration(random.Int64N(int64(longestAway)))
+		}
+		if random.IntN(2) == 0 {
+			e.rewrites = time.Duration(random.Int64N(int64(longestRewrite)))
+		}
+		events = append(events, e, simEvent{at: at - time.Duration(random.Int64N(int64(longestCopy))), what: "copy"})
+		if random.IntN(2) == 0 {
+			events = append(events, simEvent{at: at + 10*time.Millisecond, what: "config"})
+		}
+	}
+	for range random.IntN(60) {
+		events = append(events, simEvent{at: time.Duration(random.Int64N(int64(seedEnds))), what: "rows"})
+	}
+	return events
+}
--- a/peering/directory.go
+++ b/peering/directory.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -37,10 +38,10 @@
 	expired map[string]string
 }
 
-// renewal is the revision of a registration, and when it was first seen.
+// renewal is when the store was told of a registration last, and when that was first seen.
 type renewal struct {
-	revision uint64
-	seen     clock.Millis
+	at   moment.Moment
+	seen clock.Millis
 }
 
 func newDirectory(self *wire.Member, seeds []string) *directory {
@@ -134,8 +135,8 @@
 		listed[name] = true
 		known, ok := d.renewals[name]
 		switch {
-		case !ok || known.revision != r.Revision:
-			d.renewals[name] = renewal{revision: r.Revision, seen: now}
+		case !ok || known.at != r.Renewed:
+			d.renewals[name] = renewal{at: r.Renewed, seen: now}
 			delete(d.expired, name)
 			news = d.noteItself(r.Member) || news
 		case name != d.self.GetName() && now >= known.seen.Add(registrationLasts):
--- a/peering/doc.go
+++ b/peering/doc.go
@@ -10,9 +10,12 @@
 import (
 	"context"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/follow"
+	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -30,15 +33,14 @@
 // Registration is a node's address in the registry.
 type Registration struct {
 	Member *wire.Member
-	// Revision changes with each renewal.
-	Revision uint64
+	// Renewed is when the store was told it last.
+	Renewed moment.Moment
 }
 
 // Knowledge is what a node knows and can tell others.
 type Knowledge interface {
-	// Config returns the configuration in force as the operator wrote it, its
-	// version, and when it was known to be the newest; version 0 for none.
-	Config() (raw []byte, version uint64, confirmed clock.Millis)
+	// Config returns the configuration in force.
+	Config() follow.InForce
 	// Fleet returns the list of upstreams; ok is false while the node cannot
 	// vouch for it.
 	Fleet() (list []fleet.Upstream, ok bool)
@@ -51,9 +53,9 @@
 
 // Learner takes in what a peer has told.
 type Learner interface {
-	// LearnConfig takes a configuration that was the newest at a time. Raw is
-	// empty where it is the one in force.
-	LearnConfig(raw []byte, confirmed clock.Millis)
+	// LearnConfig takes an edition of the configuration that was the newest at a time, and
+	// its text; none where it is the one in force.
+	LearnConfig(edition catalog.Edition, raw []byte, confirmed clock.Millis)
 	LearnFleet(list []fleet.Upstream)
 	// LearnQuarantined takes requests that are in quarantine.
 	LearnQuarantined(list []dispatch.Quarantined)
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/momentwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 	"go.uber.org/zap"
@@ -259,18 +261,18 @@
 }
 
 func (p *Peering) look(ctx context.Context) {
-	_, version, confirmed := p.knowledge.Config()
+	inForce := p.knowledge.Config()
 	now := p.clock.Now()
-	age := now.Sub(confirmed)
-	if now < p.nextLook || !p.needs(now, version, age) {
+	age := now.Sub(inForce.Confirmed)
+	if now < p.nextLook || !p.needs(now, inForce.Edition, age) {
 		return
 	}
-	p.backOff(now, confirmed)
+	p.backOff(now, inForce.Confirmed)
 	wantFleet := p.wantsFleet(now, age)
 	peers := p.directory.others()
 	p.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(askSome, len(peers))] {
-		go p.ask(ctx, peer, version, wantFleet)
+		go p.ask(ctx, peer, inForce.Edition, wantFleet)
 	}
 }
 
@@ -286,8 +288,8 @@
 
 // needs tells whether the node needs its peers. A peer may know the
 // configuration before it knows the list, so each may be lacking by itself.
-func (p *Peering) needs(now clock.Millis, version uint64, age clock.Millis) bool {
-	if version == 0 || !p.knowledge.Listed() {
+func (p *Peering) needs(now clock.Millis, have catalog.Edition, age clock.Millis) bool {
+	if have.IsZero() || !p.knowledge.Listed() {
 		return now >= p.unborn
 	}
 	return age >= askAfter
@@ -302,33 +304,39 @@
 	p.nextLook = now.Add(p.pause)
 }
 
+// AskAt asks the peer at an address, which knows a newer configuration.
+func (p *Peering) AskAt(ctx context.Context, address string) {
+	p.ask(ctx, &wire.Member{Address: address}, p.knowledge.Config().Edition, false)
+}
+
 // ask asks one peer and takes in what it tells.
-func (p *Peering) ask(ctx context.Context, peer *wire.Member, version uint64, wantFleet bool) {
+func (p *Peering) ask(ctx context.Context, peer *wire.Member, have catalog.Edition, wantFleet bool) {
 	client := wireconnect.NewFreshnessClient(p.http, "http://"+peer.GetAddress())
 	sent := p.clock.Now()
 	resp, err := client.Ask(ctx, connect.NewRequest(&wire.AskRequest{
-		Asker: p.directory.self, Version: version, WantFleet: wantFleet,
+		Asker: p.directory.self, Have: momentwire.Edition(have), WantFleet: wantFleet,
 	}))
 	if err != nil {
 		p.log.Debug("peer_silent", zap.String("peer", peer.GetName()), zap.String("address", peer.GetAddress()), logging.Err(err))
 		return
 	}
 	p.noteMembers(resp.Msg.GetMembers()...)
-	p.take(sent, peer, version, resp.Msg)
+	p.take(sent, peer, resp.Msg)
 }
 
-func (p *Peering) take(sent clock.Millis, peer *wire.Member, version uint64, answer *wire.AskResponse) {
-	if answer.GetVersion() == 0 || answer.GetAgeMs() < 0 || answer.GetVersion() < version {
+func (p *Peering) take(sent clock.Millis, peer *wire.Member, answer *wire.AskResponse) {
+	edition, inForce := momentwire.EditionOf(answer.GetEdition()), p.knowledge.Config()
+	if edition.IsZero() || answer.GetAgeMs() < 0 || inForce.Edition.Supersedes(edition) {
 		return
 	}
 	confirmed := confirmedBy(sent, answer)
-	if _, _, known := p.knowledge.Config(); confirmed <= known && len(answer.GetConfig()) == 0 && !answer.GetHasFleet() {
+	if confirmed <= inForce.Confirmed && len(answer.GetConfig()) == 0 && !answer.GetHasFleet() {
 		return
 	}
-	p.log.Info("freshness_from_peer", zap.String("peer", peer.GetName()), zap.Uint64("version", answer.GetVersion()),
+	p.log.Info("freshness_from_peer", zap.String("peer", peer.GetName()), zap.Uint64("version", answer.GetEdition().GetVersion()),
 		zap.Int64("age_ms", int64(p.clock.Now().Sub(confirmed))), zap.Bool("newer", len(answer.GetConfig()) > 0),
 		zap.Int("upstreams", len(answer.GetFleet())))
-	p.learner.LearnConfig(answer.GetConfig(), confirmed)
+	p.learner.LearnConfig(edition, answer.GetConfig(), confirmed)
 	if answer.GetHasFleet() {
 		p.learner.LearnFleet(upstreamsOf(answer.GetFleet()))
 	}
--- a/peering/server.go
+++ b/peering/server.go
@@ -9,6 +9,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/fleetwire"
+	"github.com/hoistjunction/hoistjunction/momentwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 )
@@ -19,16 +20,16 @@
 	if req.Msg.GetWantQuarantined() {
 		return connect.NewResponse(&wire.AskResponse{AgeMs: -1, Quarantined: p.quarantined()}), nil
 	}
-	raw, version, confirmed := p.knowledge.Config()
+	inForce := p.knowledge.Config()
 	answer := &wire.AskResponse{
-		Version: version, AgeMs: int64(p.clock.Now().Sub(confirmed)),
+		Edition: momentwire.Edition(inForce.Edition), AgeMs: int64(p.clock.Now().Sub(inForce.Confirmed)),
 		Members: append(p.directory.told(), p.directory.self),
 	}
-	if version == 0 {
+	if inForce.Edition.IsZero() {
 		answer.AgeMs = -1
 	}
-	if version > req.Msg.GetVersion() {
-		answer.Config = raw
+	if inForce.Edition.Supersedes(momentwire.EditionOf(req.Msg.GetHave())) {
+		answer.Config = inForce.Raw
 	}
 	if req.Msg.GetWantFleet() {
 		answer.Fleet, answer.HasFleet = p.fleet()
--- a/reading/await.go
+++ b/reading/await.go
@@ -63,7 +63,7 @@
 		}
 		return g, nil
 	}
-	g.vouched, g.next = true, l.confirmed.Add(l.vouchFor)
+	g.vouched, g.next = true, l.known.Answered.Add(l.vouchFor)
 	var err error
 	g.found, err = look()
 	return g, err
--- a/reading/log.go
+++ b/reading/log.go
@@ -9,9 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // Errors that callers test for with errors.Is.
@@ -19,6 +21,9 @@
 	// ErrCannotVouch means that a node does not know well enough whether it
 	// knows the newest.
 	ErrCannotVouch = errors.New("reading: cannot vouch for what it knows")
+	// ErrBehind means that who asks knows more than the node: a newer configuration, or
+	// the list in a later era of the store. What the node knows proves nothing of that.
+	ErrBehind = errors.New("reading: behind who asks")
 )
 
 const (
@@ -39,8 +44,8 @@
 
 // batch is what one answer of the store has changed in the list.
 type batch struct {
-	revision uint64
-	changes  []fleet.Change
+	asOf    moment.Moment
+	changes []fleet.Change
 }
 
 // ending is when an upstream was found to be gone, and whether its process has ended for
@@ -62,19 +67,15 @@
 	mu sync.Mutex
 	// changed is closed, and replaced, when something has changed.
 	changed chan struct{}
-	// confirmed is when the configuration was known to be the newest; revision
-	// is the store's as of then, and config was read at configAt.
-	confirmed clock.Millis
-	revision  uint64
-	config    []byte
-	configAt  uint64
-	// The list stands in upstreams as of fleetRevision, and its changes are known
-	// from floor on; listed tells whether it is known at all.
-	listed        bool
-	upstreams     map[fleet.Incarnation]fleet.Upstream
-	floor         uint64
-	fleetRevision uint64
-	batches       []batch
+	// known is the configuration in force.
+	known follow.Known
+	// The list stands in upstreams as of a moment, and its changes are known from floor on;
+	// listed tells whether it is known at all.
+	listed    bool
+	upstreams map[fleet.Incarnation]fleet.Upstream
+	floor     moment.Moment
+	asOf      moment.Moment
+	batches   []batch
 	// token is what the whole list is called, and a new one with each change of it.
 	token uint64
 	// ended are upstreams that were found to be gone without a change at the store, by
@@ -86,37 +87,31 @@
 	followedSince clock.Millis
 }
 
-// NewLog returns an empty log, which vouches for what it knows for a time. VouchSoon is
+// NewLog returns an empty log, which vouches for what it knows for a time after the store has
+// answered. VouchSoon is
 // how long a first question may wait for a proof that it does not have: the node may learn
 // only now that it reads for others.
 func NewLog(c *clock.Clock, vouchFor, vouchSoon clock.Millis) *Log {
 	return &Log{
-		clock: c, vouchFor: vouchFor, vouchSoon: vouchSoon, changed: make(chan struct{}), confirmed: clock.Never,
+		clock: c, vouchFor: vouchFor, vouchSoon: vouchSoon, changed: make(chan struct{}), known: follow.Known{InForce: follow.InForce{Confirmed: clock.Never}, Answered: clock.Never},
 		token: rand.Uint64(), ended: make(map[fleet.Incarnation]ending), asked: clock.Never, followedSince: clock.Never, upstreams: make(map[fleet.Incarnation]fleet.Upstream),
 	}
 }
 
-// SetConfig notes that as of a time a revision is the store's newest. Raw is the
-// configuration as the operator wrote it; empty where it has not changed. It returns false
-// for one that nodes that follow are not told.
-func (l *Log) SetConfig(raw []byte, revision uint64, confirmed clock.Millis) bool {
+// SetConfig notes the configuration in force, and when the store has answered last.
+func (l *Log) SetConfig(k follow.Known) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if confirmed > l.confirmed {
-		l.confirmed = confirmed
+	news := k.Answered > l.known.Answered || k.Confirmed > l.known.Confirmed || !k.Edition.Same(l.known.Edition)
+	k.Answered = max(k.Answered, l.known.Answered)
+	l.known = k
+	if news {
 		l.wake()
 	}
-	l.revision = max(l.revision, revision)
-	if len(raw) == 0 || revision < l.configAt {
-		return len(raw) == 0
-	}
-	l.config, l.configAt = raw, revision
-	l.wake()
-	return true
 }
 
-// SetFleet notes the whole list as of a revision. What has led to it is not known.
-func (l *Log) SetFleet(revision uint64, list []fleet.Upstream) {
+// SetFleet notes the whole list as of a moment. What has led to it is not known.
+func (l *Log) SetFleet(asOf moment.Moment, list []fleet.Upstream) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before := maps.Clone(l.upstreams)
@@ -125,7 +120,7 @@
 		l.upstreams[u.ID] = u
 		delete(l.ended, u.ID)
 	}
-	l.listed, l.floor, l.fleetRevision = true, revision, revision
+	l.listed, l.floor, l.asOf = true, asOf, asOf
 	l.batches = nil
 	if !maps.Equal(before, l.upstreams) {
 		l.token++
@@ -133,15 +128,15 @@
 	l.wake()
 }
 
-// AddFleet notes changes of the list up to a revision. They count only while the
-// list is known.
-func (l *Log) AddFleet(revision uint64, changes []fleet.Change) {
+// AddFleet notes changes of the list up to a moment, of the era in which it stands. They count
+// only while the list is known.
+func (l *Log) AddFleet(asOf moment.Moment, changes []fleet.Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.listed {
+	if !l.listed || !asOf.SameEra(l.asOf) {
 		return
 	}
-	l.fleetRevision = max(l.fleetRevision, revision)
+	l.asOf = moment.Latest(l.asOf, asOf)
 	if len(changes) == 0 {
 		return
 	}
@@ -154,9 +149,9 @@
 		delete(l.ended, c.ID)
 	}
 	l.token++
-	l.batches = append(l.batches, batch{revision: revision, changes: changes})
+	l.batches = append(l.batches, batch{asOf: asOf, changes: changes})
 	if len(l.batches) > keptBatches {
-		l.floor = l.batches[0].revision
+		l.floor = l.batches[0].asOf
 		l.batches = l.batches[1:]
 	}
 	l.wake()
@@ -215,47 +210,59 @@
 	return now < l.asked.Add(followedFor) && !l.vouches(now)
 }
 
-// AwaitConfig returns the configuration if it is newer than a revision, as soon
-// as it is, or none when the wait is over or there is a newer proof that it is the
-// newest: who asks knows it to be as fresh as this node does. The age of the proof
-// counts from the question, and is negative for one that came meanwhile.
-func (l *Log) AwaitConfig(ctx context.Context, after uint64, wait clock.Millis) (follow.CatalogReading, error) {
+// AwaitConfig returns the configuration in force if it supersedes the one that who asks has, as
+// soon as it does, or none when the wait is over or the store has answered again: who asks
+// knows it to be as fresh as this node does. Ages count from the question, and are negative for
+// what came meanwhile.
+func (l *Log) AwaitConfig(ctx context.Context, have catalog.Edition, wait clock.Millis) (follow.CatalogReading, error) {
 	var reading follow.CatalogReading
-	asked, known := l.clock.Now(), l.proof()
+	var behind bool
+	asked, answered := l.clock.Now(), l.Answered()
 	err := l.await(ctx, wait, func() (bool, error) {
-		reading = follow.CatalogReading{Revision: max(l.revision, after), Age: asked.Sub(l.confirmed)}
-		if l.configAt > after {
-			reading.Raw = l.config
+		k := l.known
+		if behind = have.Supersedes(k.Edition); behind {
+			// A change that who asks has read itself is known here in a moment too.
+			return false, nil
 		}
-		return len(reading.Raw) > 0 || l.confirmed > known, nil
+		reading = follow.CatalogReading{Edition: k.Edition, Age: asked.Sub(k.Confirmed), AnsweredAge: asked.Sub(k.Answered)}
+		if k.Edition.Supersedes(have) {
+			reading.Raw = k.Raw
+		}
+		return len(reading.Raw) > 0 || k.Answered > answered, nil
 	})
+	if err == nil && behind {
+		err = ErrBehind
+	}
 	return reading, err
 }
 
-// proof is when the configuration was known to be the newest.
-func (l *Log) proof() clock.Millis {
+// Answered is when the last call was sent that the store has answered, to this node or to the
+// one that it follows.
+func (l *Log) Answered() clock.Millis {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.confirmed
+	return l.known.Answered
 }
 
-// AwaitFleet returns the changes of the list after a revision, as soon as there
-// are some, or none when the wait is over. Where they are not known it returns the
-// whole list.
-func (l *Log) AwaitFleet(ctx context.Context, after uint64, wait clock.Millis) (follow.FleetReading, error) {
+// AwaitFleet returns the changes of the list after a moment, as soon as there
+// are some, or none when the wait is over. Where they are not known, as after the store's
+// return from a copy, it returns the whole list.
+func (l *Log) AwaitFleet(ctx context.Context, after moment.Moment, wait clock.Millis) (follow.FleetReading, error) {
 	var reading follow.FleetReading
 	asked := l.clock.Now()
 	err := l.await(ctx, wait, func() (bool, error) {
-		reading = follow.FleetReading{Revision: max(l.fleetRevision, after)}
+		reading = follow.FleetReading{AsOf: moment.Latest(l.asOf, after)}
 		switch {
 		case !l.listed:
 			return false, ErrCannotVouch
-		case after < l.floor:
+		case after.After(l.asOf) && !after.SameEra(l.asOf):
+			return false, ErrBehind
+		case l.floor.After(after):
 			reading.Whole, reading.Changes, reading.Token = true, l.whole(), l.token
 			return true, nil
 		}
 		for _, b := range l.batches {
-			if b.revision > after {
+			if b.asOf.After(after) {
 				reading.Changes = append(reading.Changes, b.changes...)
 			}
 		}
@@ -286,5 +293,5 @@
 	return list
 }
 
-// vouches tells whether the proof is recent enough. The caller holds the lock.
-func (l *Log) vouches(now clock.Millis) bool { return now <= l.confirmed.Add(l.vouchFor) }
+// vouches tells whether the store has answered recently enough. The caller holds the lock.
+func (l *Log) vouches(now clock.Millis) bool { return now <= l.known.Answered.Add(l.vouchFor) }
--- a/reading/server.go
+++ b/reading/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleetwire"
+	"github.com/hoistjunction/hoistjunction/momentwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 )
@@ -18,11 +19,15 @@
 
 // server answers other nodes from a log. It implements
 // wireconnect.ReadingHandler.
-type server struct{ log *Log }
+type server struct {
+	log    *Log
+	behind func(address string)
+}
 
-// Handler serves a log to other nodes, at the path that it returns.
-func Handler(l *Log) (path string, handler http.Handler) {
-	return wireconnect.NewReadingHandler(server{log: l}, connect.WithConditionalHandlerOptions(compression))
+// Handler serves a log to other nodes, at the path that it returns. Behind is told the address
+// of a node that has asked and knows a newer configuration.
+func Handler(l *Log, behind func(address string)) (path string, handler http.Handler) {
+	return wireconnect.NewReadingHandler(server{log: l, behind: behind}, connect.WithConditionalHandlerOptions(compression))
 }
 
 // compression leaves the list of upstreams as it is: it goes to hundreds of nodes that start
@@ -34,24 +39,34 @@
 	return nil
 }
 
+// errNamesNoEdition means that who asks counts changes in revisions alone, which stand for
+// something else once the store has come back from a copy.
+var errNamesNoEdition = errors.Wrap(ErrCannotVouch, "reading: a question without an edition")
+
 // AwaitConfig implements wireconnect.ReadingHandler.
 func (s server) AwaitConfig(ctx context.Context, req *connect.Request[wire.AwaitConfigRequest]) (*connect.Response[wire.AwaitConfigResponse], error) {
-	reading, err := s.log.AwaitConfig(ctx, req.Msg.GetAfter(), boundedWait(req.Msg.GetWaitMs()))
+	if req.Msg.GetHave() == nil {
+		return nil, asConnect(errNamesNoEdition)
+	}
+	reading, err := s.log.AwaitConfig(ctx, momentwire.EditionOf(req.Msg.GetHave()), boundedWait(req.Msg.GetWaitMs()))
+	if errors.Is(err, ErrBehind) {
+		s.behind(req.Msg.GetAddress())
+	}
 	if err != nil {
 		return nil, asConnect(err)
 	}
 	return connect.NewResponse(&wire.AwaitConfigResponse{
-		Revision: reading.Revision, AgeMs: int64(reading.Age), Config: reading.Raw,
+		Edition: momentwire.Edition(reading.Edition), AgeMs: int64(reading.Age), AnsweredAgeMs: int64(reading.AnsweredAge), Config: reading.Raw,
 	}), nil
 }
 
 // AwaitFleet implements wireconnect.ReadingHandler.
 func (s server) AwaitFleet(ctx context.Context, req *connect.Request[wire.AwaitFleetRequest]) (*connect.Response[wire.AwaitFleetResponse], error) {
-	reading, err := s.log.AwaitFleet(ctx, req.Msg.GetAfter(), boundedWait(req.Msg.GetWaitMs()))
+	reading, err := s.log.AwaitFleet(ctx, momentwire.MomentOf(req.Msg.GetAfter()), boundedWait(req.Msg.GetWaitMs()))
 	if err != nil {
 		return nil, asConnect(err)
 	}
-	answer := &wire.AwaitFleetResponse{Revision: reading.Revision, Whole: reading.Whole, Token: reading.Token}
+	answer := &wire.AwaitFleetResponse{AsOf: momentwire.Moment(reading.AsOf), Whole: reading.Whole, Token: reading.Token}
 	if reading.Whole && reading.Token == req.Msg.GetHave() {
 		answer.Same = true
 		return connect.NewResponse(answer), nil
@@ -66,7 +81,7 @@
 
 func asConnect(err error) error {
 	switch {
-	case errors.Is(err, ErrCannotVouch):
+	case errors.Is(err, ErrCannotVouch), errors.Is(err, ErrBehind):
 		return connect.NewError(connect.CodeUnavailable, err)
 	default:
 		return err
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -129,7 +129,7 @@
 // mayWrite implements sendGuard. An attempt is written once: whether it is
 // repeated is the decider's to say.
 func (a *attempt) mayWrite() error {
-	if a.cmd.Keyed && !a.gate.open(a.cmd.CatalogVersion) {
+	if a.cmd.Keyed && !a.gate.open(a.cmd.Config) {
 		a.cancel(errGateShut)
 		return errGateShut
 	}
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
@@ -15,9 +16,8 @@
 	within clock.Millis
 
 	mu sync.Mutex
-	// version is the newest known, and confirmed when it was known to be the
-	// newest.
-	version   uint64
+	// inForce is the edition in force, and confirmed when it was known to be the newest.
+	inForce   catalog.Edition
 	confirmed clock.Millis
 }
 
@@ -25,12 +25,15 @@
 	return &gate{clock: c, within: within, confirmed: clock.Never}
 }
 
-// confirm notes that a version was the newest at a time. The version is 0 where
-// only the time is new.
-func (g *gate) confirm(version uint64, at clock.Millis) {
+// confirm notes that an edition is in force, which was the newest at a time. It names none
+// where only the time is new.
+func (g *gate) confirm(edition catalog.Edition, at clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.version = max(g.version, version)
+	if edition.Supersedes(g.inForce) {
+		g.inForce, g.confirmed = edition, at
+		return
+	}
 	g.confirmed = max(g.confirmed, at)
 }
 
@@ -42,13 +45,13 @@
 	return clock.AgeOf(g.confirmed, g.clock.Now())
 }
 
-// open tells whether a request with a key that a version let pass may be written
-// now. A version that the gate has not heard of yet is newer than its own.
-func (g *gate) open(version uint64) bool {
+// open tells whether a request with a key that an edition let pass may be written
+// now. One that the gate has not heard of yet is newer than its own.
+func (g *gate) open(decided catalog.Edition) bool {
 	if g.within == 0 {
 		return true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return version >= g.version && g.clock.Now().Sub(g.confirmed) <= g.within
+	return !g.inForce.Supersedes(decided) && g.clock.Now().Sub(g.confirmed) <= g.within
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -36,7 +36,7 @@
 	s.log.Info("sent", zap.String("id", s.head.ID), zap.Stringer("work", cmd.Work), zap.Int("attempt", cmd.Attempt), zap.String("route", cmd.Route.Name),
 		zap.String("account", cmd.Account), zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
 		zap.String("chain", chainText(cmd.Chain)), zap.Int("in_flight", cmd.InFlight), zap.Int("priority", cmd.Priority),
-		zap.Uint64("config", cmd.CatalogVersion), zap.Int64("config_age_ms", int64(cmd.CatalogAge)),
+		zap.Stringer("config", cmd.Config), zap.Int64("config_age_ms", int64(cmd.ConfigAge)),
 		zap.Int64("list_age_ms", int64(s.relay.listAge())),
 		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEvent), zap.Bool("suspected", cmd.Suspected), limitField(cmd.Limit))
 }
@@ -102,7 +102,7 @@
 	s.log.Info("refused", zap.String("id", s.head.ID), zap.Stringer("work", cmd.Work), zap.String("host", s.r.Host), zap.String("path", s.r.URL.Path),
 		zap.Int("status", cmd.Status), zap.String("reason", string(cmd.Reason)),
 		zap.Int64("retry_after_ms", int64(cmd.RetryAfter)), zap.Int("attempts", s.attempts),
-		zap.Uint64("config", cmd.CatalogVersion), zap.Int64("config_age_ms", int64(cmd.CatalogAge)),
+		zap.Stringer("config", cmd.Config), zap.Int64("config_age_ms", int64(cmd.ConfigAge)),
 		zap.Int64("after_ms", int64(s.age())), lackField(cmd.Lack), limitedField(cmd.Limited))
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -114,19 +114,19 @@
 	return r.decider.run(ctx)
 }
 
-// SetCatalog takes a configuration that was the newest at a time; nil where
-// only the time is new.
+// SetCatalog takes the configuration that is in force from now on, and when it was known to be
+// the newest; nil where only the time is new.
 func (r *Relay) SetCatalog(c *catalog.Catalog, confirmed clock.Millis) {
-	version := uint64(0)
+	var edition catalog.Edition
 	if c != nil {
 		limits := c.Limits()
 		r.limits.Store(&limits)
-		version = c.Version()
+		edition = c.Edition()
 	}
 	// The decider is told first: what the gate holds back is decided anew, and
 	// must not be by the old version.
 	r.decider.tell(r.life, dispatch.CatalogMsg{Catalog: c, Confirmed: confirmed})
-	r.gate.confirm(version, confirmed)
+	r.gate.confirm(edition, confirmed)
 }
 
 // SetFleet takes changes of the list of upstreams.
