After a return from a copy the list forgets nothing that a node has seen

Callers' requests would have gone on to upstreams that had left or ended before the store came back from a copy, until their entries lapsed again, and to upstreams that a node started meanwhile had read from the copy.

Cause: a list read whole was believed as it is, where the view takes an entry that has gone and is listed again for one that has come back. Two more of the class: changes that make no difference at the reader were not told those that follow, though they may lack what the reader remembers, and who had read the copy by itself at the moment of the reader's list was told changes alone.

A view's first reading counts as a return, since a node that starts cannot know.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -31,6 +31,11 @@
 	// missing are entries that vanished around an outage, with the time from
 	// which they are taken as gone.
 	missing map[Incarnation]clock.Millis
+	// gone are upstreams that were taken as gone lately, and when. Returned is when the store
+	// has come back from a copy last, and heldBack are entries that may be the copy's alone.
+	gone     map[Incarnation]clock.Millis
+	returned clock.Millis
+	heldBack map[Incarnation]Upstream
 	// services are those that there are, nil while that is not known, and strangers the
 	// entries that name another one.
 	services  map[string]bool
@@ -51,6 +56,9 @@
 		atAddress: make(map[string]Incarnation),
 		missing:   make(map[Incarnation]clock.Millis),
 		strangers: make(map[Incarnation]Upstream),
+		gone:      make(map[Incarnation]clock.Millis),
+		returned:  clock.Never,
+		heldBack:  make(map[Incarnation]Upstream),
 	}
 }
 
@@ -82,12 +90,13 @@
 // lapsed tells that the list follows an outage. One that names an earlier run of an
 // upstream says nothing of the latest.
 func (v *View) Replace(now clock.Millis, list []Change, lapsed bool) []Change {
-	listed := make(map[Incarnation]bool, len(list))
-	changes := slices.Clone(list)
-	for _, c := range list {
+	clear(v.strangers)
+	clear(v.heldBack)
+	changes := slices.DeleteFunc(slices.Clone(list), func(c Change) bool { return v.copied(now, c) })
+	listed := make(map[Incarnation]bool, len(changes))
+	for _, c := range changes {
 		listed[v.latest.run(c.ID)] = true
 	}
-	clear(v.strangers)
 	for id := range v.upstreams {
 		if !listed[id] {
 			changes = append(changes, Change{ID: id, Gone: true})
@@ -151,6 +160,8 @@
 		return v.vanish(now, c.ID, true)
 	}
 	delete(v.missing, c.ID)
+	delete(v.gone, c.ID)
+	delete(v.heldBack, c.ID)
 	u := c.Upstream
 	if v.departed[u.ID] {
 		u.Leaving = true
@@ -170,6 +181,7 @@
 // vanish handles an entry that is there no more.
 func (v *View) vanish(now clock.Millis, id Incarnation, lapsed bool) bool {
 	if _, ok := v.upstreams[id]; !ok {
+		delete(v.heldBack, id)
 		return false
 	}
 	if lapsed || v.away {
@@ -179,6 +191,7 @@
 		return false
 	}
 	v.remove(id)
+	v.noteGone(now, id)
 	return true
 }
 
@@ -201,8 +214,8 @@
 	delete(v.missing, id)
 }
 
-// Expire removes entries whose time to come back is over, and returns them.
-// Nothing expires while the store is away.
+// Expire removes entries whose time to come back is over, lists those that were held back for
+// long enough, and returns both. Nothing expires while the store is away.
 func (v *View) Expire(now clock.Millis) []Change {
 	if v.away {
 		return nil
@@ -215,7 +228,9 @@
 	}
 	for _, c := range changes {
 		v.remove(c.ID)
+		v.noteGone(now, c.ID)
 	}
+	changes = append(changes, v.listHeldBack(now)...)
 	slices.SortFunc(changes, func(a, b Change) int { return a.ID.Compare(b.ID) })
 	return changes
 }
@@ -234,19 +249,33 @@
 	return v.Holds(id) && !waiting
 }
 
-// NextExpiry is when the next of them may be taken as gone; ok is false for none.
+// NextExpiry is when Expire has something to do next; ok is false for never.
 func (v *View) NextExpiry() (at clock.Millis, ok bool) {
 	for _, until := range v.missing {
 		if !ok || until < at {
 			at, ok = until, true
 		}
 	}
+	if listed := v.returned.Add(CopyGrace); len(v.heldBack) > 0 && (!ok || listed < at) {
+		at, ok = listed, true
+	}
 	return at, ok
 }
 
 // Holds tells whether an upstream is known.
 func (v *View) Holds(id Incarnation) bool { return v.upstreams[id] != nil }
 
+// Get returns what is known of an upstream; ok is false for nothing.
+func (v *View) Get(id Incarnation) (u Upstream, ok bool) {
+	known := v.upstreams[id]
+	if known == nil {
+		return Upstream{}, false
+	}
+	u = *known
+	_, u.Lapsed = v.missing[id]
+	return u, true
+}
+
 // Len returns how many upstreams are known.
 func (v *View) Len() int { return len(v.upstreams) }
 
@@ -254,9 +283,8 @@
 // back as Lapsed.
 func (v *View) All() []Upstream {
 	all := make([]Upstream, 0, len(v.upstreams))
-	for id, known := range v.upstreams {
-		u := *known
-		_, u.Lapsed = v.missing[id]
+	for id := range v.upstreams {
+		u, _ := v.Get(id)
 		all = append(all, u)
 	}
 	slices.SortFunc(all, func(a, b Upstream) int { return a.ID.Compare(b.ID) })
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -36,6 +36,9 @@
 	case "back":
 		v.StoreBack(now)
 		return nil
+	case "copy":
+		v.Returned(now)
+		return nil
 	case "ended":
 		v.OutageEnded(now)
 		return nil
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -104,9 +104,7 @@
 		now := f.clock.Now()
 		f.confirmed.Store(int64(now))
 		f.back("fleet", reader)
-		if p.read && !reading.AsOf.SameEra(p.asOf) {
-			f.returned("fleet", p.asOf, reading.AsOf)
-		}
+		f.noteEra(now, p, reading.AsOf)
 		// What another node tells has lapsed nowhere: it answers for no list that
 		// it is in doubt of.
 		reading.Whole = reading.Whole || reader == nil && p.whole
@@ -120,6 +118,21 @@
 	return ctx.Err()
 }
 
+// noteEra takes in that a list was read in another era than before. One that is read for the
+// first time may be a copy's too: the store may have come back a moment ago.
+func (f *Fleet) noteEra(now clock.Millis, p fleetProgress, asOf moment.Moment) {
+	if p.read && asOf.SameEra(p.asOf) {
+		return
+	}
+	f.mu.Lock()
+	f.view.Returned(now)
+	f.mu.Unlock()
+	if p.read {
+		f.returned("fleet", p.asOf, asOf)
+		f.followers.Returned()
+	}
+}
+
 // failed says how to go on after a call that was sent at a time and failed.
 func (f *Fleet) failed(ctx context.Context, p *fleetProgress, sent clock.Millis, err error) {
 	p.paused, p.doubt = 0, p.doubt.after(err, p.failures)
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -36,7 +36,7 @@
 		changes = f.view.Apply(now, reading.Changes, lapsing)
 	}
 	expired := f.view.Expire(now)
-	f.inDoubt = f.inDoubt || f.lapsedOthers(lapsed)
+	f.inDoubt = f.inDoubt || f.lapsedOthers(lapsed) || slices.ContainsFunc(expired, isListed)
 	f.show(reading, changes, expired, lapsing)
 	f.pass(append(changes, expired...), reading.AsOf)
 }
@@ -59,9 +59,14 @@
 		return
 	}
 	f.followers.AddEnded(expired)
+	f.inDoubt = f.inDoubt || slices.ContainsFunc(expired, isListed)
 	f.pass(expired, f.passedOn)
 }
 
+// isListed tells whether a change is an entry. Those that follow learn of one that is listed
+// without a change at the store by the whole list.
+func isListed(c fleet.Change) bool { return !c.Gone }
+
 // Supersede notes that somebody has heard of a run of an upstream: an engine has answered
 // as it, or another node speaks of it. An earlier run that is known has ended.
 func (f *Fleet) Supersede(run fleet.Incarnation) {
@@ -128,15 +133,27 @@
 		f.followers.AddEnded(changes)
 		return
 	}
-	// One that follows may know of an entry that has come and gone before this node
-	// has seen it.
+	f.followers.AddFleet(reading.AsOf, append(changes, f.knownBefore(reading, changes)...))
+}
+
+// knownBefore returns the changes of a reading that made no difference here, and may make one
+// at nodes that follow: one of these may know of an entry that has come and gone before this
+// node has seen it, or not know what this one remembers of a store that has come back from a
+// copy.
+func (f *Fleet) knownBefore(reading FleetReading, changes []fleet.Change) []fleet.Change {
+	var known []fleet.Change
 	for _, c := range reading.Changes {
 		c.ID = f.view.Resolve(c)
-		if c.Gone && !f.view.Holds(c.ID) {
-			changes = append(changes, c)
+		same := func(o fleet.Change) bool { return o.ID == c.ID }
+		switch u, holds := f.view.Get(c.ID); {
+		case slices.ContainsFunc(changes, same):
+		case c.Gone && !holds:
+			known = append(known, c)
+		case !c.Gone && holds:
+			known = append(known, fleet.Change{ID: c.ID, Upstream: u})
 		}
 	}
-	f.followers.AddFleet(reading.AsOf, changes)
+	return known
 }
 
 // pass tells changes, and keeps the list for peers.
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -60,6 +60,9 @@
 	// AddEnded notes upstreams that have turned out to be gone although nothing has
 	// changed at the store meanwhile.
 	AddEnded(ended []fleet.Change)
+	// Returned notes that the store has come back from a copy: this node may remember more
+	// than the store shows.
+	Returned()
 	// Suspend notes that the list cannot be passed on for now.
 	Suspend()
 }
@@ -79,6 +82,7 @@
 func (noReaders) SetFleet(moment.Moment, []fleet.Upstream) {}
 func (noReaders) AddFleet(moment.Moment, []fleet.Change)   {}
 func (noReaders) AddEnded([]fleet.Change)                  {}
+func (noReaders) Returned()                                {}
 func (noReaders) Suspend()                                 {}
 
 // shared is what both followers of a node have in common.
--- a/reading/log.go
+++ b/reading/log.go
@@ -37,6 +37,9 @@
 	// endedTold is for how long answers tell of upstreams that ended without a change at
 	// the store, each time: who asks may have been frozen or cut off meanwhile.
 	endedTold clock.Millis = 60_000
+	// copyShows is for how long after the store's return it may show what this node knows to
+	// be over.
+	copyShows = fleet.CopyGrace
 	// endedMissed is for how long a question is answered at once for such an end: some
 	// more than a follower's pause between two questions.
 	endedMissed clock.Millis = 700
@@ -76,6 +79,8 @@
 	floor     moment.Moment
 	asOf      moment.Moment
 	batches   []batch
+	// returned is when the store has come back from a copy last.
+	returned clock.Millis
 	// token is what the whole list is called, and a new one with each change of it.
 	token uint64
 	// ended are upstreams that were found to be gone without a change at the store, by
@@ -94,7 +99,7 @@
 func NewLog(c *clock.Clock, vouchFor, vouchSoon clock.Millis) *Log {
 	return &Log{
 		clock: c, vouchFor: vouchFor, vouchSoon: vouchSoon, changed: make(chan struct{}), known: follow.Known{InForce: follow.InForce{Confirmed: clock.Never}, Answered: clock.Never},
-		token: rand.Uint64(), ended: make(map[fleet.Incarnation]ending), asked: clock.Never, followedSince: clock.Never, upstreams: make(map[fleet.Incarnation]fleet.Upstream),
+		returned: clock.Never, token: rand.Uint64(), ended: make(map[fleet.Incarnation]ending), asked: clock.Never, followedSince: clock.Never, upstreams: make(map[fleet.Incarnation]fleet.Upstream),
 	}
 }
 
@@ -178,6 +183,14 @@
 	}
 }
 
+// Returned notes that the store has come back from a copy. Who has read that alone, and not
+// been told by this node yet what it remembers, is told the whole list for a while.
+func (l *Log) Returned() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.returned = l.clock.Now()
+}
+
 // Suspend notes that what the list shows cannot be passed on: the store is, or
 // was just now, away.
 func (l *Log) Suspend() {
@@ -246,8 +259,9 @@
 
 // AwaitFleet returns the changes of the list after a moment, as soon as there
 // are some, or none when the wait is over. Where they are not known, as after the store's
-// return from a copy, it returns the whole list.
-func (l *Log) AwaitFleet(ctx context.Context, after moment.Moment, wait clock.Millis) (follow.FleetReading, error) {
+// return from a copy, it returns the whole list. Have is the token of the whole list that this
+// node has told who asks last; 0 for none.
+func (l *Log) AwaitFleet(ctx context.Context, after moment.Moment, have uint64, wait clock.Millis) (follow.FleetReading, error) {
 	var reading follow.FleetReading
 	asked := l.clock.Now()
 	err := l.await(ctx, wait, func() (bool, error) {
@@ -257,7 +271,7 @@
 			return false, ErrCannotVouch
 		case after.After(l.asOf) && !after.SameEra(l.asOf):
 			return false, ErrBehind
-		case l.floor.After(after):
+		case l.floor.After(after), have == 0 && l.clock.Now() < l.returned.Add(copyShows):
 			reading.Whole, reading.Changes, reading.Token = true, l.whole(), l.token
 			return true, nil
 		}
--- a/reading/server.go
+++ b/reading/server.go
@@ -62,7 +62,7 @@
 
 // AwaitFleet implements wireconnect.ReadingHandler.
 func (s server) AwaitFleet(ctx context.Context, req *connect.Request[wire.AwaitFleetRequest]) (*connect.Response[wire.AwaitFleetResponse], error) {
-	reading, err := s.log.AwaitFleet(ctx, momentwire.MomentOf(req.Msg.GetAfter()), boundedWait(req.Msg.GetWaitMs()))
+	reading, err := s.log.AwaitFleet(ctx, momentwire.MomentOf(req.Msg.GetAfter()), req.Msg.GetHave(), boundedWait(req.Msg.GetWaitMs()))
 	if err != nil {
 		return nil, asConnect(err)
 	}
