What is ours in the store is put back after its return from a copy

A registration or a verdict of quarantine that was written in the seconds before a copy's return was gone for up to two minutes, or for good: nobody wrote it again.

Who has registered within the minute that a copy may reach back registers again, at its turn of the spread that holds at a start; who has not, or was registered long before, makes no call. The keeper writes the last word on each request again that it has written within that minute, so that what was released stays released, with the ages that they have; the node that reads the store for its data centre does so for all that are quarantined, in place of nodes that have ended since. Both hang on the first reading in another era, whether the store or another node has told it.

Before: nothing was written (TestPutBack, TestKeeperPutsBackWhatACopyLacks fail).

--- a/fleet/view_returns.go
+++ b/fleet/view_returns.go
@@ -4,6 +4,7 @@
 	"maps"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // CopyGrace is how long after the store's return from a copy an entry may stand in the list that
@@ -11,10 +12,6 @@
 // these are some more.
 const CopyGrace clock.Millis = 5000
 
-// copyReaches is how far back a copy may reach that the store comes back from. What has gone
-// before that is not in it.
-const copyReaches clock.Millis = 60_000
-
 // Returned notes that the store has come back from a copy. It may show entries again that
 // have gone since the copy was made.
 func (v *View) Returned(now clock.Millis) { v.returned = now }
@@ -27,7 +24,7 @@
 	if !ok || c.Gone || c.Unreadable || v.returned == clock.Never {
 		return false
 	}
-	if now >= v.returned.Add(CopyGrace) || gone.Add(copyReaches) < v.returned {
+	if now >= v.returned.Add(CopyGrace) || gone.Add(moment.CopyReaches) < v.returned {
 		return false
 	}
 	v.heldBack[c.ID] = c.Upstream
@@ -38,7 +35,7 @@
 func (v *View) noteGone(now clock.Millis, id Incarnation) {
 	v.gone[id] = now
 	delete(v.heldBack, id)
-	maps.DeleteFunc(v.gone, func(_ Incarnation, at clock.Millis) bool { return now >= at.Add(copyReaches+CopyGrace) })
+	maps.DeleteFunc(v.gone, func(_ Incarnation, at clock.Millis) bool { return now >= at.Add(moment.CopyReaches+CopyGrace) })
 }
 
 // listHeldBack lists the entries that have stood for longer than a copy's would.
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -50,6 +50,8 @@
 	// it has it.
 	StoreLost()
 	StoreBack()
+	// StoreReturned notes, once, that the store has come back from a copy.
+	StoreReturned()
 }
 
 // Followers is where what has been read goes for the nodes that follow this one.
@@ -77,6 +79,7 @@
 func (noReaders) Overdue() bool                            { return false }
 func (noReaders) Waits() bool                              { return false }
 func (noReaders) StoreLost()                               {}
+func (noReaders) StoreReturned()                           {}
 func (noReaders) StoreBack()                               {}
 func (noReaders) SetConfig(Known)                          {}
 func (noReaders) SetFleet(moment.Moment, []fleet.Upstream) {}
@@ -238,6 +241,7 @@
 // a copy, which may lack entries of upstreams that live.
 func (s *shared) returned(table string, known, asOf moment.Moment) {
 	if s.outage.Returned(s.clock.Now(), asOf) {
+		s.readers.StoreReturned()
 		s.log.Info("read_in_another_era", zap.String("table", table), zap.Stringer("as_of", asOf), zap.Stringer("known", known))
 	}
 }
--- a/follow/reader_test.go
+++ b/follow/reader_test.go
@@ -28,6 +28,8 @@
 	// it in vain.
 	waits int
 	lost  int
+	// returned counts the store's returns from a copy.
+	returned int
 }
 
 func (r *scriptedReader) next() scriptedAnswer {
@@ -76,8 +78,9 @@
 	return true
 }
 
-func (r *scriptedReader) StoreLost() { r.lost++ }
-func (r *scriptedReader) StoreBack() { r.lost = 0 }
+func (r *scriptedReader) StoreLost()     { r.lost++ }
+func (r *scriptedReader) StoreBack()     { r.lost = 0 }
+func (r *scriptedReader) StoreReturned() { r.returned++ }
 
 // A node follows the reader after it has read the store itself, and reads the
 // store whole as soon as the reader fails. The reader's failure is no outage.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/ring"
 	"github.com/hoistjunction/hoistjunction/work"
 )
@@ -48,6 +50,8 @@
 type change struct {
 	dispatch.Quarantined
 	release bool
+	// at is as of when its age counts.
+	at clock.Millis
 }
 
 // Keeper keeps requests in a store.
@@ -57,14 +61,22 @@
 	learn func([]dispatch.Quarantined)
 	// first tells that the whole system starts for the first time: nothing is kept yet.
 	first   bool
+	clock   *clock.Clock
 	changes *ring.Ring[change]
+	// written are the last words that were written on requests, as long as a copy may lack
+	// them, and returned tells that the store has come back from one. Only Run uses written.
+	written  map[work.ID]change
+	returned chan struct{}
 	// refused counts the changes that the store refuses for good.
 	refused expvar.Int
 }
 
 // New returns a keeper. Learn takes what was kept.
-func New(store Store, log *zap.Logger, firstStart bool, learn func([]dispatch.Quarantined)) *Keeper {
-	return &Keeper{store: store, log: log, learn: learn, first: firstStart, changes: ring.New[change](waiting)}
+func New(store Store, c *clock.Clock, log *zap.Logger, firstStart bool, learn func([]dispatch.Quarantined)) *Keeper {
+	return &Keeper{
+		store: store, clock: c, log: log, learn: learn, first: firstStart, changes: ring.New[change](waiting),
+		written: make(map[work.ID]change), returned: make(chan struct{}, 1),
+	}
 }
 
 // Refused returns the counter of changes that the store has refused for good.
@@ -79,6 +91,7 @@
 }
 
 func (k *Keeper) offer(c change) {
+	c.at = k.clock.Now()
 	if !k.changes.Offer(c) {
 		k.log.Warn("quarantine_not_kept", zap.Stringer("work", c.Work), zap.Int("waiting", waiting))
 	}
@@ -93,9 +106,47 @@
 			return ctx.Err()
 		case c := <-k.changes.Items():
 			clock.Pause(ctx, gatherFor)
-			k.write(ctx, k.gather(c))
+			changes := k.gather(c)
+			k.write(ctx, changes)
+			k.note(changes)
+		case <-k.returned:
+			k.write(ctx, k.lost())
+		}
+	}
+}
+
+// StoreReturned notes that the store has come back from a copy, which may lack what was
+// written last.
+func (k *Keeper) StoreReturned() {
+	select {
+	case k.returned <- struct{}{}:
+	default:
+	}
+}
+
+// note notes changes that were written.
+func (k *Keeper) note(changes map[work.ID]change) {
+	now := k.clock.Now()
+	maps.DeleteFunc(k.written, func(_ work.ID, c change) bool { return now >= c.at.Add(moment.CopyReaches) })
+	for id, c := range changes {
+		if _, known := k.written[id]; !known && len(k.written) >= waiting {
+			k.log.Warn("quarantine_not_remembered", zap.Stringer("work", id), zap.Int("most", waiting))
+			continue
 		}
+		k.written[id] = c
+	}
+}
+
+// lost returns what a copy may lack, with the ages that requests have now.
+func (k *Keeper) lost() map[work.ID]change {
+	k.note(nil)
+	now := k.clock.Now()
+	changes := make(map[work.ID]change, len(k.written))
+	for id, c := range k.written {
+		c.Age, c.at = c.Age+now.Sub(c.at), now
+		changes[id] = c
 	}
+	return changes
 }
 
 // read reads what is kept, and tells also of nothing: the node waits for it.
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -11,7 +11,10 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/work"
 )
 
@@ -24,6 +27,8 @@
 	// refuses is a work that it refuses for good.
 	refuses work.ID
 	calls   []string
+	// lastAge is that of the request that was kept last.
+	lastAge clock.Millis
 	kept    []dispatch.Quarantined
 }
 
@@ -44,6 +49,7 @@
 
 func (f *fakeStore) Quarantine(_ context.Context, works []dispatch.Quarantined) error {
 	err := f.call("keep" + names(len(works)))
+	f.lastAge = works[len(works)-1].Age
 	if err == nil && slices.ContainsFunc(works, func(w dispatch.Quarantined) bool { return w.Work == f.refuses }) {
 		return errors.Mark(errAway, ErrRefused)
 	}
@@ -60,7 +66,7 @@
 func run(t *testing.T, store *fakeStore, first bool, feed func(*Keeper), d time.Duration) (calls []string, learnt []int) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		k := New(store, zap.NewNop(), first, func(list []dispatch.Quarantined) { learnt = append(learnt, len(list)) })
+		k := New(store, clocktest.NewClock(), zap.NewNop(), first, func(list []dispatch.Quarantined) { learnt = append(learnt, len(list)) })
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
 		go func() { ended <- k.Run(ctx) }()
@@ -130,3 +136,26 @@
 		}
 	}, time.Second)
 }
+
+// What was written right before the store came back from a copy is written again: the last word
+// on each request, so that one that was released stays released, with the age that it has.
+func TestKeeperPutsBackWhatACopyLacks(t *testing.T) {
+	a, b := work.ID{}.By("a"), work.ID{}.By("b")
+	store := &fakeStore{}
+	calls, _ := run(t, store, true, func(k *Keeper) {
+		k.Keep(dispatch.Quarantined{Work: a})
+		k.Keep(dispatch.Quarantined{Work: b})
+		time.Sleep(time.Second)
+		k.Release(a)
+		time.Sleep(time.Second)
+		k.StoreReturned()
+		time.Sleep(moment.CopyReaches.Duration())
+		k.StoreReturned()
+	}, time.Second)
+	if got, want := calls, []string{"keep2", "release1", "keep1", "release1"}; !slices.Equal(got, want) {
+		t.Errorf("got calls %v, want %v", got, want)
+	}
+	if got, want := store.lastAge, clock.Millis(2000); got < want || got > want+100 {
+		t.Errorf("got the age %d put back, want about %d", got, want)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -105,7 +105,7 @@
 	}
 	n.store = platform.NewStore(s.Platform, n.log)
 	n.quarantined = newQuarantined(n.clock, s.quarantineLasts())
-	n.keeper = keeper.New(n.store, n.log, s.FirstStart, n.learnQuarantined)
+	n.keeper = keeper.New(n.store, n.clock, n.log, s.FirstStart, n.learnQuarantined)
 	n.engines = platform.NewEngines(platform.WithLaterRuns(func(run fleet.Incarnation) { n.fleets.Supersede(run) }),
 		platform.WithWords(func(upstream fleet.Incarnation, word relay.Word) { n.relay.Said(upstream, word) }))
 	model := dispatch.New(
@@ -221,6 +221,7 @@
 	n.addLoop(&g, n.catalogs.Run)
 	n.addLoop(&g, n.fleets.Run)
 	n.addLoop(&g, n.peers.Register)
+	n.addLoop(&g, n.peers.PutBack)
 	n.addLoop(&g, n.peers.Run)
 	n.addLoop(&g, n.followCircle)
 	n.addLoop(&g, n.usage.Run)
--- a/node/readers.go
+++ b/node/readers.go
@@ -131,6 +131,9 @@
 // StoreBack implements follow.Readers.
 func (r *readers) StoreBack() { r.node.roster.StoreBack(r.node.clock.Now()) }
 
+// StoreReturned implements follow.Readers.
+func (r *readers) StoreReturned() { r.node.putBack() }
+
 // Followed implements follow.Readers. A node whose turn it is to read for others
 // is ready before they ask.
 func (r *readers) Followed() bool {
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -21,7 +21,9 @@
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
+	"github.com/hoistjunction/hoistjunction/keeper"
 	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/peering"
 	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/platform/platformpb"
 	"github.com/hoistjunction/hoistjunction/reading"
@@ -285,9 +287,12 @@
 		store: platform.NewStore(simStore+":1", log, platform.WithDial(s.net.dial(name))),
 		relay: relay.New(life, platform.Headers{}, dispatch.New(), c, log),
 	}
+	n.quarantined = newQuarantined(c, n.settings.quarantineLasts())
+	n.keeper = keeper.New(n.store, c, log, true, func([]dispatch.Quarantined) {})
 	peers := platform.NewPeerTransport(platform.WithDial(s.net.dial(name)))
 	n.idle = peers.CloseIdleConnections
 	n.follow(&wire.Member{Name: name, DataCentre: "z"}, peers, n.tellCatalog, n.tellFleet)
+	n.peers = peering.New(&wire.Member{Name: name}, nil, n.store, n.known, n.known, c, log, peers, 1)
 	n.roster.SetGroup(s.others(name))
 	mux := http.NewServeMux()
 	mux.Handle(reading.Handler(n.shared, func(string) {}))
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -78,6 +79,10 @@
 	unborn clock.Millis
 	// news has this node told which others there are.
 	news coalesced
+	// registeredAt is when the node was registered last, a clock.Millis, and returned tells
+	// that the store has come back from a copy.
+	registeredAt atomic.Int64
+	returned     chan struct{}
 	// counted tells that the registry was read, and how many nodes there are was told. One
 	// that is alone has to know that too. Only the loop of Register uses it.
 	counted bool
@@ -106,6 +111,8 @@
 		http:          &http.Client{Transport: transport, Timeout: askTimeout},
 		registerAfter: clock.Millis(seed % uint64(registerSpread)),
 	}
+	p.registeredAt.Store(int64(clock.Never))
+	p.returned = make(chan struct{}, 1)
 	p.news = coalesced{call: p.learnMembers, pause: membersPause}
 	p.unborn = askUnborn
 	for _, opt := range opts {
@@ -130,7 +137,7 @@
 		due := reads%renewReads == 0
 		if err == nil && !standing.registered && !standing.enough || registered && due {
 			registered = true
-			if err := p.registry.Register(ctx, p.directory.self); err != nil {
+			if err := p.register(ctx); err != nil {
 				p.log.Info("not_renewed", logging.Err(err))
 			}
 		}
@@ -167,7 +174,7 @@
 // registerAnew registers the node and, when those that start with it have
 // registered too, reads the registry.
 func (p *Peering) registerAnew(ctx context.Context) {
-	p.until(ctx, "not_registered", func() error { return p.registry.Register(ctx, p.directory.self) })
+	p.until(ctx, "not_registered", func() error { return p.register(ctx) })
 	clock.Pause(ctx, membersSoon)
 	p.until(ctx, "members_not_read", func() error {
 		_, err := p.readRegistry(ctx)
--- /dev/null
+++ b/peering/put_back_test.go
@@ -0,0 +1,63 @@
+package peering
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/hoistjunction/hoistjunction/clock/clocktest"
+	"github.com/hoistjunction/hoistjunction/moment"
+)
+
+// A registration that a copy may lack is written again, once for each return; one that was
+// there before is not, and neither is that of a node that has none.
+func TestPutBack(t *testing.T) {
+	tests := []struct {
+		name       string
+		registered bool
+		after      time.Duration
+		returns    int
+		want       string
+	}{
+		{"registered right before", true, time.Second, 1, "register register"},
+		{"two returns", true, time.Second, 2, "register register register"},
+		{"registered long before", true, moment.CopyReaches.Duration(), 1, "register"},
+		{"not registered", false, time.Second, 1, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				const many = 100
+				registry := &scriptedRegistry{end: cancel, most: many}
+				node := &fakeNode{}
+				p := New(member("me"), nil, registry, node, node, clocktest.NewClock(), zap.NewNop(), http.DefaultTransport, 1)
+				if tt.registered {
+					if err := p.register(ctx); err != nil {
+						t.Fatal(err)
+					}
+				}
+				ended := make(chan error, 1)
+				go func() { ended <- p.PutBack(ctx) }()
+				for range tt.returns {
+					time.Sleep(tt.after)
+					p.StoreReturned()
+					time.Sleep(registerSpread.Duration())
+				}
+				cancel()
+				if err := <-ended; !errors.Is(err, context.Canceled) {
+					t.Errorf("got error %v, want %v", err, context.Canceled)
+				}
+				if got := strings.Join(registry.calls, " "); got != tt.want {
+					t.Errorf("got calls %q, want %q", got, tt.want)
+				}
+			})
+		})
+	}
+}
