--- a/cmd/standin-site/main.go
+++ b/cmd/standin-site/main.go
@@ -4,11 +4,13 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -58,20 +60,47 @@
 
 func serveStore(listen string, c *storeCommand) error {
 	store := standin.NewRowStore()
-	store.Put("op", "config", standin.SiteConfig(1, c.Keys...))
+	operator := &operator{store: store}
+	operator.write(standin.SiteConfig(1, c.Keys...))
 	mux := http.NewServeMux()
 	mux.Handle("/", store.Handler())
+	mux.HandleFunc("POST /copy", func(http.ResponseWriter, *http.Request) { store.Copy() })
+	mux.HandleFunc("POST /return", func(http.ResponseWriter, *http.Request) { operator.returned() })
 	mux.HandleFunc("POST /operator/{version}", func(w http.ResponseWriter, r *http.Request) {
 		var version uint64
 		if _, err := fmt.Sscan(r.PathValue("version"), &version); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		store.Put("op", "config", standin.SiteConfig(version, r.URL.Query()["key"]...))
+		operator.write(standin.SiteConfig(version, r.URL.Query()["key"]...))
 	})
 	return standin.Serve(listen, mux, os.Stdout)
 }
 
+// operator writes the configuration, and writes it again when the store has lost it.
+type operator struct {
+	store  *standin.RowStore
+	mu     sync.Mutex
+	newest []byte
+}
+
+func (o *operator) write(config []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.newest = config
+	o.store.Put("op", "config", config)
+}
+
+// returned has the store come back from its copy.
+func (o *operator) returned() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.store.Return()
+	if !bytes.Equal(o.store.Value("op", "config"), o.newest) {
+		o.store.Put("op", "config", o.newest)
+	}
+}
+
 // bound reserves an address first, since a server must know its own.
 func bound(listen string) (string, error) {
 	l, err := net.Listen("tcp", listen)
--- a/soak/run.go
+++ b/soak/run.go
@@ -115,6 +115,7 @@
 	group.Go(func() { s.deadlySeries(ctx, rand.New(rand.NewPCG(s.Seed, deadlyPart))) })
 	group.Go(func() { s.suspendSeries(ctx, rand.New(rand.NewPCG(s.Seed, suspendPart))) })
 	group.Go(func() { s.restSeries(ctx, rand.New(rand.NewPCG(s.Seed, restPart))) })
+	group.Go(func() { s.returnSeries(ctx, rand.New(rand.NewPCG(s.Seed, returnPart))) })
 	for i := range len(s.world.engines) + 1 {
 		group.Go(func() { s.limitSeries(ctx, i, rand.New(rand.NewPCG(s.Seed, limitPart+uint64(i)))) })
 	}
