--- a/cmd/hoistctl/limits.go
+++ b/cmd/hoistctl/limits.go
@@ -25,6 +25,7 @@
 type relayMetrics struct {
 	Limits []limit.Shown  `json:"limits"`
 	Orders map[string]int `json:"orders"`
+	Store  storeMetrics   `json:"store"`
 }
 
 func (c *limitsCommand) runOffline() error {
--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -43,6 +43,7 @@
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"print what bears on a request, from log files; needs no node"`
 	Losses   *lossesCommand   `arg:"subcommand:losses" help:"print why requests were lost or late, from log files; needs no node"`
 	Limits   *limitsCommand   `arg:"subcommand:limits" help:"print the limits that upstreams name, and orders to engines by what came of them, from the metrics of relay nodes"`
+	Store    *storeCommand    `arg:"subcommand:store" help:"print what relay nodes believe of the store: era, configuration, and by whose word"`
 }
 
 // command is one of the subcommands.
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -262,6 +262,13 @@
 	return f.view.NextExpiry()
 }
 
+// AsOf is up to when the store was read for the list.
+func (f *Fleet) AsOf() moment.Moment {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.passedOn
+}
+
 // Listed tells whether any list is known.
 func (f *Fleet) Listed() bool { return f.shown.Load() != nil }
 
--- a/models/check.sh
+++ b/models/check.sh
@@ -45,6 +45,10 @@
 check handover fails NOSEAL
 check handover fails NOTO
 check handover fails TWICE
+check returns holds
+check returns fails CURSOR
+check returns fails MAXIMUM
+check returns fails OBEY
 check config holds
 check config fails BLIND
 check config fails BACK
--- a/node/node.go
+++ b/node/node.go
@@ -64,6 +64,7 @@
 	outdated catalog.Edition
 	asking   atomic.Bool
 	roster   *reading.Roster
+	readers  *readers
 	shared   *reading.Log
 	members  *members
 	silences *silences
@@ -129,7 +130,7 @@
 	listAge := func() clock.Millis { return n.fleets.ListAge() }
 	n.relay = relay.New(n.life, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithKeysWithin(s.keysWithin()),
-		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store_eras", n.store.Eras()), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
+		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
 		relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orders),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
 		relay.WithCounters("peers", expvar.Func(func() any { return n.Peers() })),
@@ -153,7 +154,8 @@
 	n.shared = reading.NewLog(n.clock, follow.VouchFor, follow.VouchSoon(within))
 	n.outage = &follow.Outage{}
 	n.known = &known{node: n, inForce: follow.InForce{Confirmed: clock.Never}}
-	share := follow.WithReaders(&readers{node: n, client: &http.Client{Transport: peerTransport}}, n.shared)
+	n.readers = &readers{node: n, client: &http.Client{Transport: peerTransport}}
+	share := follow.WithReaders(n.readers, n.shared)
 	bound := follow.WithChangesWithin(within)
 	n.catalogs = follow.NewCatalog(n.store, n.clock, n.log, n.outage, setCatalog, share, bound)
 	n.fleets = follow.NewFleet(n.store, n.clock, n.log, n.outage, setFleet, share, bound)
--- a/node/readers.go
+++ b/node/readers.go
@@ -57,6 +57,16 @@
 	return r.source
 }
 
+// following is the name of the node that is followed, empty for the store.
+func (r *readers) following() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.at == "" {
+		return ""
+	}
+	return r.source.name
+}
+
 // firstWithin is how long another node may take to tell this one the first that it knows.
 // Where all start together it reads the store meanwhile.
 const firstWithin clock.Millis = 800
