Entries that made no difference are told those that follow only after a return

What had been told for every change of the list would have grown with all that an entry holds and this node does not read: each of 200 leaves woken for each. It is needed only while a copy may show less than the reader remembers. The search for what was told already took the square of the changes.

--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -25,7 +25,7 @@
 type Fleet struct {
 	shared
 	source FleetSource
-	// mu guards view, passedOn, inDoubt and partial: later runs of upstreams are told by
+	// mu guards view, passedOn, returnedAt, inDoubt and partial: later runs of upstreams are told by
 	// whoever hears of them.
 	mu   sync.Mutex
 	view *fleet.View
@@ -38,6 +38,8 @@
 	confirmed atomic.Int64
 	// passedOn is the latest moment as of which nodes that follow have been told.
 	passedOn moment.Moment
+	// returnedAt is when this node has seen the store come back from a copy.
+	returnedAt clock.Millis
 	// inDoubt tells that the store was lost, or peers were listened to, since the list
 	// was last passed on, and partial that it may lack what has lapsed.
 	inDoubt bool
@@ -48,6 +50,7 @@
 func NewFleet(source FleetSource, c *clock.Clock, log *zap.Logger, outage *Outage, tell func([]fleet.Change), opts ...Option) *Fleet {
 	f := &Fleet{
 		shared: newShared(c, log, outage, opts), source: source, view: fleet.NewView(), tell: tell,
+		returnedAt: clock.Never,
 	}
 	f.confirmed.Store(int64(clock.Never))
 	return f
@@ -125,9 +128,10 @@
 		return
 	}
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.view.Returned(now)
-	f.mu.Unlock()
 	if p.read {
+		f.returnedAt = now
 		f.returned("fleet", p.asOf, asOf)
 		f.followers.Returned()
 	}
--- a/follow/fleet_take.go
+++ b/follow/fleet_take.go
@@ -137,19 +137,23 @@
 }
 
 // knownBefore returns the changes of a reading that made no difference here, and may make one
-// at nodes that follow: one of these may know of an entry that has come and gone before this
-// node has seen it, or not know what this one remembers of a store that has come back from a
-// copy.
+// at nodes that follow. One of these may know of an entry that has come and gone before this
+// node has seen it; after a return of the store from a copy, it may not know what this one
+// remembers.
 func (f *Fleet) knownBefore(reading FleetReading, changes []fleet.Change) []fleet.Change {
+	told := make(map[fleet.Incarnation]bool, len(changes))
+	for _, c := range changes {
+		told[c.ID] = true
+	}
+	remembers := f.clock.Now() < f.returnedAt.Add(fleet.CopyGrace)
 	var known []fleet.Change
 	for _, c := range reading.Changes {
 		c.ID = f.view.Resolve(c)
-		same := func(o fleet.Change) bool { return o.ID == c.ID }
 		switch u, holds := f.view.Get(c.ID); {
-		case slices.ContainsFunc(changes, same):
+		case told[c.ID]:
 		case c.Gone && !holds:
 			known = append(known, c)
-		case !c.Gone && holds:
+		case remembers && !c.Gone && holds:
 			known = append(known, fleet.Change{ID: c.ID, Upstream: u})
 		}
 	}
