--- a/cmd/hoistctl/limits.go
+++ b/cmd/hoistctl/limits.go
@@ -54,13 +54,21 @@
 		return nil, errors.Wrapf(err, "metrics of %s", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	var metrics relayMetrics
+	var metrics struct {
+		Relay *relayMetrics `json:"hoistrelay"`
+	}
 	if err := json.NewDecoder(resp.Body).Decode(&metrics); err != nil {
 		return nil, errors.Wrapf(err, "metrics of %s: status %d", address, resp.StatusCode)
 	}
-	return &metrics, nil
+	if metrics.Relay == nil {
+		return nil, errors.Wrapf(errNoRelay, "metrics of %s", address)
+	}
+	return metrics.Relay, nil
 }
 
+// errNoRelay means that metrics are not those of a relay node.
+var errNoRelay = errors.New("no relay node answers there")
+
 func (m *relayMetrics) write(out io.Writer, address string) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	lines := []string{fmt.Sprintf("%s: orders %v, %d upstreams with a limit", address, m.Orders, len(m.Limits))}
--- a/cmd/hoistctl/limits_test.go
+++ b/cmd/hoistctl/limits_test.go
@@ -6,11 +6,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/cockroachdb/errors"
 )
 
 func TestLimitsOfARelayNode(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write([]byte(`{"open":3,"orders":{"taken":2,"rejected":1},"limits":[{"upstream":"e1","per_second":4.5,"age_ms":120,"owner":"n2","sent_in_4s":9,"given_in_4s":0,"queue":7}]}`))
+		_, _ = w.Write([]byte(`{"memstats":{},"hoistrelay":{"open":3,"orders":{"taken":2,"rejected":1},"limits":[{"upstream":"e1","per_second":4.5,"age_ms":120,"owner":"n2","sent_in_4s":9,"given_in_4s":0,"queue":7}]}}`))
 	}))
 	defer server.Close()
 	metrics, err := fetchMetrics(context.Background(), server.Listener.Addr().String())
@@ -26,6 +28,11 @@
 			t.Errorf("got %q, want %q in it", got, want)
 		}
 	}
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"memstats":{}}`)) }))
+	defer other.Close()
+	if _, err := fetchMetrics(context.Background(), other.Listener.Addr().String()); !errors.Is(err, errNoRelay) {
+		t.Errorf("got error %v of another program, want %v", err, errNoRelay)
+	}
 	if _, err := fetchMetrics(context.Background(), "127.0.0.1:1"); err == nil {
 		t.Error("got no error of an address where nobody listens")
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -31,7 +31,7 @@
 // whole node.
 var (
 	beliefs    = []string{"suspect", "silent", "probe", "upstream_leaving", "upstream_says_it_leaves", "rest", "word_unread", "identified", "upstream_replaced", "order"}
-	conditions = []string{"store_lost", "store_back", "config", "freshness_from_peer", "reader", "reader_failed", "coverage", "drain", "start", "stop"}
+	conditions = []string{"store_lost", "store_back", "store_returned", "config", "config_outdated", "freshness_from_peer", "reader", "reader_failed", "coverage", "drain", "start", "stop"}
 )
 
 // Line is one line of a log.
