Upstreams that went are forgotten now and then, not at each that goes

The search took the square of those that go at once: three thousand go when a fleet's engines are replaced. Found by reading.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -31,9 +31,11 @@
 	// missing are entries that vanished around an outage, with the time from
 	// which they are taken as gone.
 	missing map[Incarnation]clock.Millis
-	// gone are upstreams that were taken as gone lately, and when. Returned is when the store
-	// has come back from a copy last, and heldBack are entries that may be the copy's alone.
+	// gone are upstreams that were taken as gone lately, and when; earlier ones were forgotten
+	// last at forgot. Returned is when the store has come back from a copy last, and heldBack
+	// are entries that may be the copy's alone.
 	gone     map[Incarnation]clock.Millis
+	forgot   clock.Millis
 	returned clock.Millis
 	heldBack map[Incarnation]Upstream
 	// services are those that there are, nil while that is not known, and strangers the
@@ -57,6 +59,7 @@
 		missing:   make(map[Incarnation]clock.Millis),
 		strangers: make(map[Incarnation]Upstream),
 		gone:      make(map[Incarnation]clock.Millis),
+		forgot:    clock.Never,
 		returned:  clock.Never,
 		heldBack:  make(map[Incarnation]Upstream),
 	}
--- a/fleet/view_returns.go
+++ b/fleet/view_returns.go
@@ -35,6 +35,11 @@
 func (v *View) noteGone(now clock.Millis, id Incarnation) {
 	v.gone[id] = now
 	delete(v.heldBack, id)
+	if now < v.forgot.Add(CopyGrace) {
+		// Thousands may go at once.
+		return
+	}
+	v.forgot = now
 	maps.DeleteFunc(v.gone, func(_ Incarnation, at clock.Millis) bool { return now >= at.Add(moment.CopyReaches+CopyGrace) })
 }
 
@@ -50,3 +55,6 @@
 	clear(v.heldBack)
 	return v.Apply(now, changes, false)
 }
+
+// Remembered returns how many upstreams are remembered as gone.
+func (v *View) Remembered() int { return len(v.gone) }
