--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -214,8 +214,8 @@
 	return max(took-p.wait, 0)
 }
 
-// take passes a reading on, of a call that was sent at a time: told by another node, or of the
-// whole at the store.
+// take passes on what a call has shown that was sent at a time. Told says that another node has
+// shown it, and whole that the store was read whole.
 func (f *Catalog) take(reading CatalogReading, told, whole bool, sent clock.Millis) {
 	proof := Proof{Edition: reading.Edition, Confirmed: sent.Sub(reading.Age)}
 	if len(reading.Raw) > 0 {
