The other nodes are listed only when one of them is to be asked

The comparison at a start had each node copy and sort all nodes that it knows each 0.15 s, for the whole of its life, to find each time that nobody was to be asked: on a hub of the whole fleet that is hundreds of names some seven times a second. They are listed as before when there is somebody to ask, or until the node has compared once. Behaviour is the same; the tests keep their assertions.

--- a/peering/peering.go
+++ b/peering/peering.go
@@ -273,9 +273,12 @@
 	inForce := p.knowledge.Config()
 	now := p.clock.Now()
 	age := now.Sub(inForce.Confirmed)
-	peers := p.directory.others()
 	needs := p.needs(now, inForce.Edition, age)
-	if now < p.nextLook || !needs && !p.isNew(inForce.Edition, peers) {
+	if now < p.nextLook || !needs && !p.isNew(inForce.Edition) {
+		return
+	}
+	peers := p.directory.others()
+	if !needs && len(peers) == 0 {
 		return
 	}
 	p.compared = p.compared || !inForce.Edition.IsZero() && len(peers) > 0
@@ -307,10 +310,10 @@
 }
 
 // isNew tells whether the node has started, knows a configuration, and has not compared it with
-// its peers' yet: what it has read may be of a copy that the store has just come back from, and
+// a peer's yet: what it has read may be of a copy that the store has just come back from, and
 // they remember. Where the whole system starts for the first time nobody does.
-func (p *Peering) isNew(have catalog.Edition, peers []*wire.Member) bool {
-	return !p.compared && !p.firstStart && !have.IsZero() && len(peers) > 0
+func (p *Peering) isNew(have catalog.Edition) bool {
+	return !p.compared && !p.firstStart && !have.IsZero()
 }
 
 // backOff lengthens the pause while questions bring nothing newer.
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -215,7 +215,7 @@
 		if got := knowing.fleetAsked.Load(); got != 0 {
 			t.Errorf("%s: got the list asked for %d times, want the configuration alone", tt.name, got)
 		}
-		if p.isNew(edition(5), p.directory.others()) {
+		if p.isNew(edition(5)) {
 			t.Errorf("%s: got a node that compares again, want once", tt.name)
 		}
 	}
