Nodes of a large data centre spread their requests over engines by chance

Cause: nodes that receive the same sum of usage choose the same cheapest chain until the next sum.

Change: each request adds a random cost (exponential, mean 1 ms per token, a setting) to each engine; the preference that was fixed per node goes. Data centres of up to 24 nodes decide as before.

--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -29,9 +29,8 @@
 	// nodeCount estimates the number of nodes; its total is 0 while unknown.
 	nodeCount nodeCount
 	// manyNodes reports whether the data centre has so many nodes that each one serves few
-	// requests. seed makes this node's choices differ from those of other nodes.
+	// requests and knows the usage of the others as a sum.
 	manyNodes bool
-	seed      uint64
 	// usagePeers is the number of other nodes whose usage this node should know. usageAggregated
 	// reports whether it receives that usage as one sum.
 	usagePeers      int
@@ -93,7 +92,6 @@
 // WithSeed sets the seed of all random choices.
 func WithSeed(seed uint64) Option {
 	return func(m *Model) {
-		m.seed = seed
 		m.random = rand.New(rand.NewPCG(seed, seed))
 		m.retryDraw = rand.New(rand.NewPCG(seed, retryDrawStream)).Float64()
 	}
@@ -261,7 +259,7 @@
 			u.update(m.now, c.Upstream)
 		default:
 			u = newUpstream(c.Upstream)
-			u.preference, u.probeCandidates = nodePreference(m.seed, c.ID), m.probeCandidates
+			u.probeCandidates = m.probeCandidates
 			u.peerUse = m.peerUseOf(c.ID)
 			m.upstreams[c.ID] = u
 			m.upstreamListed(u)
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -15,6 +15,9 @@
 	// QuarantineDuration is how long a request that crashes upstreams stays quarantined; zero for
 	// the default.
 	QuarantineDuration clock.Millis
+	// SpreadCost is the mean of the random cost that nodes of a large data centre add to each
+	// engine for each request, in ms per token; zero for none.
+	SpreadCost float64
 }
 
 // defaultQuarantine is how long a request that crashes upstreams stays quarantined by default.
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -1,11 +1,9 @@
 package dispatch
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
@@ -271,18 +269,6 @@
 // per token. It outweighs a hop to another data centre.
 const suspectPenalty = 50.0
 
-// preferenceCost makes the nodes of a large data centre choose different engines among equally
-// good ones, in ms per token. It is less than the cost of another hop. Without it, all nodes with
-// the same view choose the same chain until it is a quarter full, and when an engine of that
-// chain refuses requests or crashes, each node loses a request to find out.
-const preferenceCost = 0.3
-
-// nodePreference returns a number from 0 up to 1 that is fixed for a node and an engine. A
-// smaller number means that the node prefers the engine.
-func nodePreference(seed uint64, id fleet.Incarnation) float64 {
-	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(id.String()))).Float64()
-}
-
 func (m *Model) newHolder(r *request, u *upstream) chain.Holder {
 	h := chain.Holder{
 		ID: u.entry.ID, Address: u.entry.Address, DataCentre: u.entry.DataCentre, Held: u.entry.Held,
@@ -293,9 +279,7 @@
 	if r.triedUpstreams[u.entry.ID] {
 		h.Penalty = triedPenalty
 	}
-	if m.manyNodes {
-		h.Penalty += preferenceCost * u.preference
-	}
+	m.spread(&h)
 	if u.suspected {
 		h.Penalty += suspectPenalty
 	}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -26,9 +26,6 @@
 	meanLatency float64
 	failureRate float64
 
-	// preference differs between nodes, so that they choose different engines among equally good
-	// ones: from 0 up to 1, smaller is preferred.
-	preference float64
 	// probeCandidates is the model's set of upstreams that may need a probe.
 	probeCandidates probeSet
 	// sharesAddress reports whether another upstream is listed with the same address, so that one
--- a/node/settings.go
+++ b/node/settings.go
@@ -51,12 +51,17 @@
 	// QuarantineSeconds is how long a request that crashes the upstreams that execute it stays
 	// in quarantine.
 	QuarantineSeconds float64
+	// SpreadCost is the mean of the random cost that nodes of a large data centre add to each
+	// engine, in ms per token; zero for none.
+	SpreadCost float64
 }
 
 const (
 	maxNumber   = 1 << 30
 	maxShare    = 1000.0
 	msPerSecond = 1000
+	// maxSpreadCost makes the choice of engines practically uniform, in ms per token.
+	maxSpreadCost = 100.0
 )
 
 // Set declares every setting.
@@ -85,6 +90,7 @@
 	set.Float("retries", "window_s", &s.RetryWindowSeconds, 0, maxNumber, settings.WithDefault("10"))
 	set.Float("retries", "share", &s.RetryShare, 0, maxShare, settings.WithDefault("0.2"))
 	set.Float("retries", "slack", &s.RetrySlack, 0, maxNumber, settings.WithDefault("200"))
+	set.Float("balancing", "spread_ms_per_token", &s.SpreadCost, 0, maxSpreadCost, settings.WithDefault("1"))
 	set.Float("quarantine", "lasts_s", &s.QuarantineSeconds, 1, maxNumber, settings.WithDefault("3600"))
 	return set
 }
