dispatch: the order of waiting requests moves out of the slot queue

Cause: requests that wait for capacity need the same order as those that wait for a slot. Change: requestQueue holds the order by priority and account, counts only requests that still wait, and recognises outdated entries by a ticket. The slot queue uses it.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -34,11 +34,11 @@
 		return m.endAfterFailure(r, msg, reason)
 	}
 	cmds := m.resend(r)
-	if r.awaitsSlot && msg.Cause.spendsRetryBudget() {
+	if r.waits() && msg.Cause.spendsRetryBudget() {
 		// The retry is charged when the request is sent again.
 		m.budget(r.service.Name).Refund(m.now)
 	}
-	if slices.ContainsFunc(cmds, isSendCmd) || !r.permitUpstream.IsZero() || r.awaitsSlot {
+	if slices.ContainsFunc(cmds, isSendCmd) || !r.permitUpstream.IsZero() || r.waits() {
 		return cmds
 	}
 	if m.requests[r.arrival.Request] == nil && msg.Cause.spendsRetryBudget() {
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -76,7 +76,9 @@
 	limits        *limit.Limiter
 	permitWaiters map[fleet.Incarnation][]RequestID
 	// slotQueues holds, by plain service, the requests that wait for a free slot.
-	slotQueues map[string]*slotQueue
+	slotQueues map[string]*requestQueue
+	// lastTicket numbers the waits of requests in queues.
+	lastTicket uint64
 	// awaitsStoredQuarantine reports whether the stored quarantine has not been loaded yet.
 	awaitsStoredQuarantine bool
 }
@@ -124,7 +126,7 @@
 		outages:           make(map[string]*outage),
 		coverageGaps:      make(map[string]*outage),
 		permitWaiters:     make(map[fleet.Incarnation][]RequestID),
-		slotQueues:        make(map[string]*slotQueue),
+		slotQueues:        make(map[string]*requestQueue),
 		limits:            limit.New(),
 		configConfirmedAt: clock.Never,
 		meanStreamTime:    initialStreamTime,
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -46,9 +46,10 @@
 	permitUpstream    fleet.Incarnation
 	permitWaitUntil   clock.Millis
 	permitWaitExpired bool
-	// awaitsSlot reports whether the request waits for a slot at a plain service, and
-	// waitedForSlot whether it has waited before.
-	awaitsSlot, waitedForSlot bool
+	// position is the request's place in the queue in which it waits for a slot or for capacity.
+	// waitedForSlot reports whether it has waited for a slot before.
+	position      queuePosition
+	waitedForSlot bool
 	// slotRefusals counts the attempts that found no slot. They are bounded by the request's time
 	// and by the retry budget, not by maxAttempts.
 	slotRefusals int
@@ -150,5 +151,6 @@
 		return
 	}
 	m.endAttempt(r)
+	r.dequeue()
 	delete(m.requests, id)
 }
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -94,7 +94,7 @@
 // sendPlain chooses the upstream that is expected to answer first, by its mean latency and the
 // number of this node's requests on it.
 func (m *Model) sendPlain(r *request) (SendCmd, Reason) {
-	if q := m.slotQueues[r.service.Name]; q != nil && q.Len() > 0 && !r.waitedForSlot && m.lacksOnlySlot(r) {
+	if q := m.slotQueues[r.service.Name]; q != nil && q.len() > 0 && !r.waitedForSlot && m.lacksOnlySlot(r) {
 		// New requests queue behind those that already wait for a slot.
 		return SendCmd{}, ReasonNoSlot
 	}
--- a/dispatch/slot_queue.go
+++ b/dispatch/slot_queue.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/hoistjunction/hoistjunction/clock"
-	"github.com/hoistjunction/hoistjunction/fairqueue"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
@@ -39,10 +38,6 @@
 
 func (SlotWaitCmd) dispatchCmd() {}
 
-// slotQueue holds the requests that wait for a slot at the upstreams of a plain service, ordered
-// by priority and then in turn by client account.
-type slotQueue = fairqueue.Queue[RequestID]
-
 // recordSlotRefusal records that a plain upstream has no free slot. The upstream does not become
 // suspected, since a probe would take a slot too.
 func (u *upstream) recordSlotRefusal(now clock.Millis) {
@@ -52,11 +47,11 @@
 	u.refusedAt = now
 }
 
-// slotQueue returns the queue of a service.
-func (m *Model) slotQueue(service string) *slotQueue {
+// slotQueue returns the queue for slots at the upstreams of a plain service.
+func (m *Model) slotQueue(service string) *requestQueue {
 	q := m.slotQueues[service]
 	if q == nil {
-		q = fairqueue.New[RequestID]()
+		q = newRequestQueue()
 		m.slotQueues[service] = q
 	}
 	return q
@@ -74,8 +69,8 @@
 // deadline. A client that was told to retry instead would find the slot taken or arrive too late.
 func (m *Model) awaitSlot(r *request) []Cmd {
 	q := m.slotQueue(r.service.Name)
-	level := min(max(r.priority(), 0), fairqueue.Priorities-1)
-	ahead := q.Ahead(level) + q.AccountLen(level, r.account.Name)
+	level := r.queueLevel()
+	ahead := q.ahead(level) + q.entries.AccountLen(level, r.account.Name)
 	if r.timeLeft(m.now) < m.expectedSlotWait(r, ahead) {
 		return m.giveUp(r, ReasonNoSlot)
 	}
@@ -84,9 +79,8 @@
 		_, executed := r.executedOn[id]
 		return !executed
 	})
-	r.awaitsSlot = true
-	q.Push(r.arrival.Request, fairqueue.WithPriority(level), fairqueue.WithAccount(r.account.Name, 1))
-	return []Cmd{SlotWaitCmd{Request: r.arrival.Request, Service: r.service.Name, Waiting: q.Len(), Until: m.now.Add(r.timeLeft(m.now))}}
+	m.enqueue(q, r)
+	return []Cmd{SlotWaitCmd{Request: r.arrival.Request, Service: r.service.Name, Waiting: q.len(), Until: m.now.Add(r.timeLeft(m.now))}}
 }
 
 // expectedSlotWait estimates the time until a request behind others is answered, if only this
@@ -105,7 +99,7 @@
 // slot.
 func (m *Model) slotFreed(service string, u *upstream) []Cmd {
 	q := m.slotQueues[service]
-	if q == nil || q.Len() == 0 || u == nil || u.pipeline != nil {
+	if q == nil || q.len() == 0 || u == nil || u.pipeline != nil {
 		return nil
 	}
 	u.fullUntil = 0
@@ -118,9 +112,9 @@
 
 // sendSlotWaiters sends the first waiting requests. Retries are charged to the budget at this
 // point.
-func (m *Model) sendSlotWaiters(q *slotQueue, maxSends int) []Cmd {
+func (m *Model) sendSlotWaiters(q *requestQueue, maxSends int) []Cmd {
 	var cmds []Cmd
-	for range min(maxSends, q.Len()) {
+	for range min(maxSends, q.len()) {
 		r := m.nextSlotWaiter(q)
 		if r == nil {
 			break
@@ -134,17 +128,15 @@
 }
 
 // nextSlotWaiter removes the first waiting request from the queue; nil for none.
-func (m *Model) nextSlotWaiter(q *slotQueue) *request {
-	for {
-		id, ok := q.Pop()
-		if !ok {
-			return nil
-		}
-		if r := m.requests[id]; r != nil && r.awaitsSlot {
-			r.awaitsSlot, r.waitedForSlot = false, true
-			return r
-		}
+func (m *Model) nextSlotWaiter(q *requestQueue) *request {
+	r := m.firstWaiter(q)
+	if r == nil {
+		return nil
 	}
+	q.entries.Pop()
+	r.dequeue()
+	r.waitedForSlot = true
+	return r
 }
 
 // reviewSlotWaiters refuses the requests that cannot get a slot before their deadlines, and sends
@@ -153,20 +145,11 @@
 	var cmds []Cmd
 	for _, service := range slices.Sorted(maps.Keys(m.slotQueues)) {
 		q := m.slotQueues[service]
-		var refused []*request
-		q.RemoveIf(func(id RequestID) bool {
-			r := m.requests[id]
-			if r == nil || !r.awaitsSlot {
-				return true
-			}
-			expired := r.timeLeft(m.now) < m.expectedSlotWait(r, 0)+slotReviewInterval || !m.lacksOnlySlot(r) && m.availableUpstreams(service) == 0
-			if expired {
-				refused = append(refused, r)
-			}
-			return expired
+		refused := m.removeWaiters(q, func(r *request) bool {
+			return r.timeLeft(m.now) < m.expectedSlotWait(r, 0)+slotReviewInterval || !m.lacksOnlySlot(r) && m.availableUpstreams(service) == 0
 		})
 		for _, r := range refused {
-			r.awaitsSlot = false
+			r.dequeue()
 			cmds = append(cmds, m.giveUp(r, m.slotRefusalReason(r))...)
 		}
 		cmds = append(cmds, m.sendSlotWaiters(q, m.availableUpstreams(service))...)
