dispatch: pipeline requests wait for capacity

Cause: a stream whose attempt failed or was abandoned before its first event ended with 502, and a request without memory with 503, although a chain was free a moment later and the client still waited. Change: such requests wait in a queue for each service, by priority and in turn by account, behind those that return after a refusal or a failed attempt. They wait only as long as sending them can serve them before their clients leave (Policy.MaxWaiting, MaxWaitingBytes; off by default). A wait for layers needs an engine that loads them in time. A planned stop refuses what cannot be complete before its end.

--- a/catalog/pass.go
+++ b/catalog/pass.go
@@ -40,3 +40,17 @@
 	}
 	return p.MaxPromptTokens / passTime / p.PromptTokens
 }
+
+// FirstTokenTime returns the time from the arrival of a prompt at an idle engine to the first
+// token of its answer, in ms, with step and read as for PromptRate. A prompt of unknown length
+// counts as one of mean length.
+func (p Pass) FirstTokenTime(promptTokens, step, read float64) float64 {
+	if promptTokens <= 0 {
+		promptTokens = p.PromptTokens
+	}
+	passes := 1.0
+	if p.MaxPromptTokens > 0 {
+		passes = max(math.Ceil(promptTokens/p.MaxPromptTokens), 1)
+	}
+	return passes*max(p.DecodeSteps, 1)*step + promptTokens*read
+}
--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -12,8 +12,9 @@
 // defaultClientTimeout is the assumed timeout of a client that sends none.
 const defaultClientTimeout clock.Millis = 60_000
 
-// arrive checks a request against the configuration and sends it to an upstream.
-func (m *Model) arrive(msg ArriveMsg) []Cmd {
+// arrive checks a request, which the node received at a time, against the configuration and sends
+// it to an upstream.
+func (m *Model) arrive(msg ArriveMsg, receivedAt clock.Millis) []Cmd {
 	if m.defersArrivals() {
 		m.deferred = append(m.deferred, deferredArrival{arrival: msg, deferredAt: m.now})
 		return nil
@@ -28,7 +29,7 @@
 		}
 		return m.refuse(msg.Request, http.StatusNotFound, ReasonNoRoute, 0)
 	}
-	r := &request{arrival: msg, arrivedAt: m.now, route: route, triedUpstreams: make(map[fleet.Incarnation]bool), executedOn: make(map[fleet.Incarnation]execution)}
+	r := &request{arrival: msg, arrivedAt: m.now, receivedAt: receivedAt, route: route, triedUpstreams: make(map[fleet.Incarnation]bool), executedOn: make(map[fleet.Incarnation]execution)}
 	r.requiresKey = m.catalog.HasAccounts() && !route.Anonymous
 	if cmds := m.checkKey(r); cmds != nil {
 		return cmds
@@ -47,6 +48,7 @@
 		return m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonNoUpstream, coverageGapRetryAfter)
 	}
 	r.memoryTokens = expectedMemoryTokens(msg)
+	r.capacity.returned = m.returnsAfterRefusal(r)
 	m.requests[msg.Request] = r
 	m.budget(r.service.Name).Deposit(m.now)
 	return m.send(r)
@@ -96,8 +98,13 @@
 	if r := m.requests[id]; r != nil && r.answerBegun() {
 		return m.abort(id, reason)
 	}
+	r := m.requests[id]
+	cmds := m.endCapacityWait(r, WaitRefused)
+	if response, ok := answer.(RespondCmd); ok && response.Status == http.StatusServiceUnavailable {
+		m.rememberRefusal(r)
+	}
 	m.dropRequest(id)
-	return []Cmd{answer}
+	return append(cmds, answer)
 }
 
 // abort ends a request whose answer has begun.
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -12,8 +12,8 @@
 
 // benchModel returns a model with engines of one kind that hold eight of 80 layers each, in data
 // centres of 33 engines.
-func benchModel(engines int) *dispatch.Model {
-	m := dispatch.New(dispatch.WithDataCentre("dc-0"), dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000}))
+func benchModel(engines int, opts ...dispatch.Option) *dispatch.Model {
+	m := dispatch.New(append([]dispatch.Option{dispatch.WithDataCentre("dc-0"), dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000})}, opts...)...)
 	m.Update(0, dispatch.CatalogMsg{Catalog: catalog.New(1,
 		catalog.WithRoutes(&catalog.Route{
 			Name: "write", Host: "h", Prefix: "/write/", Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2,
@@ -105,3 +105,29 @@
 		})
 	}
 }
+
+// BenchmarkWaitForCapacity measures the arrival of a request that must wait behind 64 others, its
+// end, and a tenth of a review.
+func BenchmarkWaitForCapacity(b *testing.B) {
+	m := benchModel(115, dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, MaxWaiting: 100, MaxWaitingBytes: 1 << 20}))
+	arrive := func(id dispatch.RequestID) dispatch.ArriveMsg {
+		return dispatch.ArriveMsg{Request: id, CallerID: "c", Host: "h", Path: "/write/a", PromptTokens: 1e8}
+	}
+	const waiting = 64
+	for id := range dispatch.RequestID(waiting) {
+		m.Update(0, arrive(id))
+	}
+	if got := m.CapacityWaits().Waiting; got != waiting {
+		b.Fatalf("got %d waiting requests, want %d", got, waiting)
+	}
+	id := dispatch.RequestID(waiting)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		m.Update(1, arrive(id))
+		m.Update(1, dispatch.RequestEndedMsg{Request: id})
+		if id%10 == 0 {
+			m.Update(1, dispatch.TickMsg{})
+		}
+	}
+}
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -218,6 +218,7 @@
 	ReasonRateLimit     Reason = "upstreams_are_limited"
 	ReasonRefused       Reason = "refused_by_upstreams"
 	ReasonNoRetryBudget Reason = "retry_budget_spent"
+	ReasonHeldBack      Reason = "held_back"
 	ReasonAnswerLost    Reason = "answer_lost"
 	ReasonTimeout       Reason = "time_is_up"
 	ReasonStopping      Reason = "node_is_stopping"
--- a/dispatch/deferred.go
+++ b/dispatch/deferred.go
@@ -40,7 +40,7 @@
 		if e.arrival.Remaining > 0 {
 			e.arrival.Remaining = max(e.arrival.Remaining-m.now.Sub(e.deferredAt), 1)
 		}
-		cmds = append(cmds, m.arrive(e.arrival)...)
+		cmds = append(cmds, m.arrive(e.arrival, e.deferredAt)...)
 	}
 	return cmds
 }
--- a/dispatch/depart.go
+++ b/dispatch/depart.go
@@ -28,22 +28,24 @@
 
 // placementChanged stops using the layers that an engine drops and migrates the streams through
 // them at the next tick, because the engine loads its new layers only after those streams have
-// left.
-func (m *Model) placementChanged(msg PlacedMsg) {
+// left. Layers that are loaded may be what requests wait for.
+func (m *Model) placementChanged(msg PlacedMsg) []Cmd {
 	u := m.upstreams[msg.Upstream]
 	if u == nil {
-		return
+		return nil
 	}
 	if msg.Completed {
 		m.layersLoaded(u, msg.Layers)
-		return
+		return m.capacityReleased(u.entry.Service)
 	}
+	m.loadOrdered(u, msg.Layers)
 	kept := u.entry.Held.Overlap(msg.Layers)
 	if kept == u.entry.Held {
-		return
+		return nil
 	}
 	u.entry.Held = kept
 	m.departingSince[msg.Upstream] = m.now.Sub(departDelay)
+	return nil
 }
 
 // layersLoaded records the layers that an engine holds before the list shows them.
@@ -51,6 +53,7 @@
 	u.entry.Held = layers
 	u.layersReportedAt = m.now
 	u.fullUntil = 0
+	u.loading = loadOrder{}
 	delete(m.departingSince, u.entry.ID)
 	if m.catalog != nil {
 		u.applyService(m.catalog.Service(u.entry.Service))
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -11,7 +11,7 @@
 // response, or an answer of the node.
 func (m *Model) attemptFailed(msg AttemptFailedMsg) []Cmd {
 	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts {
+	if r == nil || msg.Attempt != r.attempts || r.waits() {
 		return nil
 	}
 	cmds := append(m.recordFault(r, msg), m.recordLoss(r, msg)...)
@@ -19,6 +19,7 @@
 	if msg.Cause == CauseFull && r.service.Pipeline == nil {
 		r.slotRefusals++
 	}
+	r.capacity.admitted, r.capacity.hasFailure = false, msg.Cause == CauseUpstreamFailed
 	r.deliveredEvents, r.delivered = msg.Events, msg.Delivered
 	m.endAttempt(r)
 	return append(cmds, m.afterFailure(r, msg)...)
@@ -37,6 +38,7 @@
 	if r.waits() && msg.Cause.spendsRetryBudget() {
 		// The retry is charged when the request is sent again.
 		m.budget(r.service.Name).Refund(m.now)
+		r.capacity.owesRetry = true
 	}
 	if slices.ContainsFunc(cmds, isSendCmd) || !r.permitUpstream.IsZero() || r.waits() {
 		return cmds
@@ -74,7 +76,7 @@
 		return ReasonRefused
 	case r.timeLeft(m.now) < minTimeLeft:
 		return ReasonTimeout
-	case cause.spendsRetryBudget() && !m.budget(r.service.Name).TryWithdraw(m.now):
+	case cause.spendsRetryBudget() && (m.mustQueue(r, retryLane) != "" || !m.budget(r.service.Name).TryWithdraw(m.now)):
 		return ReasonNoRetryBudget
 	}
 	return ""
@@ -173,7 +175,7 @@
 
 func (m *Model) attemptDone(msg AttemptDoneMsg) []Cmd {
 	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts {
+	if r == nil || msg.Attempt != r.attempts || r.waits() {
 		return nil
 	}
 	first := r.firstUpstream
@@ -190,5 +192,5 @@
 		}
 	}
 	m.dropRequest(msg.Request)
-	return append(m.quarantineCmds(m.quarantine.RequestAnswered(m.now, r.work, true)), m.slotFreed(r.service.Name, first)...)
+	return append(m.quarantineCmds(m.quarantine.RequestAnswered(m.now, r.work, true)), m.capacityFreed(r.service, first)...)
 }
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -134,8 +134,9 @@
 		return cmds
 	}
 	first := r.firstUpstream
+	cmds = append(cmds, m.endCapacityWait(r, WaitLeft)...)
 	m.dropRequest(msg.Request)
-	return append(cmds, m.slotFreed(r.service.Name, first)...)
+	return append(cmds, m.capacityFreed(r.service, first)...)
 }
 
 // recordPeerLoss records a loss that another node reported. This node checks the upstream itself,
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -12,6 +12,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
+	"github.com/hoistjunction/hoistjunction/work"
 )
 
 // Model holds the state behind all decisions of a node. It is not safe for concurrent use.
@@ -77,6 +78,15 @@
 	permitWaiters map[fleet.Incarnation][]RequestID
 	// slotQueues holds, by plain service, the requests that wait for a free slot.
 	slotQueues map[string]*requestQueue
+	// capacityQueues holds, by pipeline service, the requests that wait for capacity before their
+	// answers begin. capacityWaits summarises them.
+	capacityQueues map[string]*capacityQueue
+	capacityWaits  CapacityWaits
+	// refusedWorks holds the times of recent refusals of requests that may return.
+	refusedWorks *simplelru.LRU[work.ID, clock.Millis]
+	// draining reports whether a planned stop has begun, which ends at drainEnd.
+	draining bool
+	drainEnd clock.Millis
 	// lastTicket numbers the waits of requests in queues.
 	lastTicket uint64
 	// awaitsStoredQuarantine reports whether the stored quarantine has not been loaded yet.
@@ -127,6 +137,8 @@
 		coverageGaps:      make(map[string]*outage),
 		permitWaiters:     make(map[fleet.Incarnation][]RequestID),
 		slotQueues:        make(map[string]*requestQueue),
+		capacityQueues:    make(map[string]*capacityQueue),
+		refusedWorks:      newRefusedWorks(),
 		limits:            limit.New(),
 		configConfirmedAt: clock.Never,
 		meanStreamTime:    initialStreamTime,
@@ -145,8 +157,7 @@
 	m.now = now
 	switch msg := msg.(type) {
 	case CatalogMsg:
-		m.setCatalog(msg)
-		return m.processDeferred()
+		return append(m.setCatalog(msg), m.processDeferred()...)
 	case FleetMsg:
 		return append(m.setFleet(msg), m.processDeferred()...)
 	case PeersMsg:
@@ -154,9 +165,9 @@
 	case UsageMsg:
 		return m.recordPeerUsage(msg)
 	case PlacedMsg:
-		m.placementChanged(msg)
+		return m.placementChanged(msg)
 	case ArriveMsg:
-		return m.arrive(msg)
+		return m.arrive(msg, m.now)
 	case AttemptFailedMsg:
 		return m.attemptFailed(msg)
 	case AttemptDoneMsg:
@@ -172,6 +183,8 @@
 		return m.requestEnded(msg)
 	case VMResumedMsg:
 		return m.vmResumed()
+	case DrainMsg:
+		return m.drain(msg)
 	case TickMsg:
 		return m.tick()
 	}
@@ -219,19 +232,20 @@
 
 // setCatalog activates a configuration. An edition that does not supersede the active one is
 // ignored, and a late answer that carries it does not confirm the active one.
-func (m *Model) setCatalog(msg CatalogMsg) {
+func (m *Model) setCatalog(msg CatalogMsg) []Cmd {
 	if msg.Catalog == nil {
 		m.configConfirmedAt = max(m.configConfirmedAt, msg.ConfirmedAt)
-		return
+		return nil
 	}
 	if m.catalog != nil && !msg.Catalog.Edition().Supersedes(m.catalog.Edition()) {
-		return
+		return nil
 	}
 	m.catalog, m.configConfirmedAt = msg.Catalog, msg.ConfirmedAt
 	for _, u := range m.upstreams {
 		u.applyService(m.catalog.Service(u.entry.Service))
 	}
 	m.rebuildIndex()
+	return m.requeueWaiters()
 }
 
 // configFresh reports whether the configuration was confirmed recently enough to admit requests
@@ -317,5 +331,5 @@
 func (m *Model) tick() []Cmd {
 	m.updateRetryBudgets()
 	m.expirePeerUsage()
-	return slices.Concat(m.processDeferred(), m.reviewPermitWaiters(), m.reviewSlotWaiters(), m.reviewLosses(), m.retryIdentify(), m.sendProbes(), m.migrateDeparting(), m.resumeStreams(), m.shareUsage())
+	return slices.Concat(m.processDeferred(), m.reviewPermitWaiters(), m.reviewSlotWaiters(), m.reviewLosses(), m.retryIdentify(), m.sendProbes(), m.migrateDeparting(), m.resumeStreams(), m.reviewCapacityWaiters(), m.shareUsage())
 }
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -91,6 +91,8 @@
 	PromptTokens int
 	AnswerTokens int
 	HintTokens   int
+	// BodyBytes is the size of the request's body, which the node holds while the request waits.
+	BodyBytes int
 }
 
 // AttemptFailedMsg reports that an attempt failed without a complete answer that may be relayed.
@@ -227,6 +229,10 @@
 // VMResumedMsg reports that the VM resumed after a suspension.
 type VMResumedMsg struct{}
 
+// DrainMsg reports that a planned stop has begun. End is when the node ends the requests that are
+// still in progress.
+type DrainMsg struct{ End clock.Millis }
+
 // TickMsg triggers the periodic work.
 type TickMsg struct{}
 
@@ -298,4 +304,5 @@
 func (PeerAnswerMsg) dispatchMsg()       {}
 func (QuarantinedMsg) dispatchMsg()      {}
 func (VMResumedMsg) dispatchMsg()        {}
+func (DrainMsg) dispatchMsg()            {}
 func (TickMsg) dispatchMsg()             {}
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -15,6 +15,10 @@
 	// QuarantineDuration is how long a request that crashes upstreams stays quarantined; zero for
 	// the default.
 	QuarantineDuration clock.Millis
+	// MaxWaiting bounds the requests that wait for capacity, and MaxWaitingBytes the size of their
+	// bodies; zero lets none wait.
+	MaxWaiting      int
+	MaxWaitingBytes int
 }
 
 // defaultQuarantine is how long a request that crashes upstreams stays quarantined by default.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -15,6 +15,9 @@
 type request struct {
 	arrival   ArriveMsg
 	arrivedAt clock.Millis
+	// receivedAt is when the node received the request; it is earlier than arrivedAt if the
+	// request was deferred at the node's start.
+	receivedAt clock.Millis
 	// clientDeadline is when the client stops waiting. giveUp is when the route's timeout ends.
 	clientDeadline clock.Millis
 	giveUp         clock.Millis
@@ -50,6 +53,7 @@
 	// waitedForSlot reports whether it has waited for a slot before.
 	position      queuePosition
 	waitedForSlot bool
+	capacity      capacityWait
 	// slotRefusals counts the attempts that found no slot. They are bounded by the request's time
 	// and by the retry budget, not by maxAttempts.
 	slotRefusals int
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -17,17 +17,27 @@
 	"github.com/hoistjunction/hoistjunction/work"
 )
 
-func TestScripts(t *testing.T) { runScripts(t, "testdata") }
+func TestScripts(t *testing.T) { runScripts(t, "testdata", scriptPolicy) }
 
 // TestSlotScripts runs the scripts about waiting for slots at plain services.
-func TestSlotScripts(t *testing.T) { runScripts(t, "testdata/slot_queue") }
+func TestSlotScripts(t *testing.T) { runScripts(t, "testdata/slot_queue", scriptPolicy) }
 
-func runScripts(t *testing.T, folder string) {
+// TestCapacityScripts runs the scripts about waiting for capacity of pipelines.
+func TestCapacityScripts(t *testing.T) {
+	policy := scriptPolicy
+	policy.MaxWaiting, policy.MaxWaitingBytes = 4, 1000
+	runScripts(t, "testdata/capacity_queue", policy)
+}
+
+// scriptPolicy lets no request wait for capacity, as by default.
+var scriptPolicy = dispatch.Policy{MaxConfigAge: 5000, RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}
+
+func runScripts(t *testing.T, folder string, policy dispatch.Policy) {
 	script.Run(t, folder, func(t *testing.T) func(script.Step) []string {
 		p := &scriptRunner{t: t, model: dispatch.New(
 			dispatch.WithDataCentre("a"),
 			dispatch.WithLimits(limit.New(limit.WithSelf("n1"))),
-			dispatch.WithPolicy(dispatch.Policy{MaxConfigAge: 5000, RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}),
+			dispatch.WithPolicy(policy),
 		)}
 		// The node is the only one unless a script line reports others.
 		p.model.Update(0, dispatch.PeersMsg{TotalNodes: 1})
@@ -104,6 +114,8 @@
 		return dispatch.PeerAnswerMsg{Work: clinicWork(s.Arg(0))}
 	case "quarantined":
 		return dispatch.QuarantinedMsg{Works: []dispatch.Quarantined{{Work: clinicWork(s.Arg(0)), Age: clock.Millis(s.Int("age", 0)), Ended: parseIncarnations(s.Params["ended"])}}}
+	case "drain":
+		return dispatch.DrainMsg{End: clock.Millis(s.Int("end", 0))}
 	case "woke":
 		return dispatch.VMResumedMsg{}
 	case "tick":
@@ -160,6 +172,7 @@
 	return dispatch.ArriveMsg{
 		Request: request, CallerID: s.Arg(0), Work: requestedWork(s), Host: "h", Path: s.Params["path"], Key: key, HasKey: hasKey,
 		Remaining: clock.Millis(s.Int("remaining", 20000)), PromptTokens: promptTokens, AnswerTokens: answerTokens,
+		BodyBytes: s.Int("body", 0),
 	}
 }
 
@@ -233,7 +246,8 @@
 		),
 		catalog.WithServices(writer, &catalog.Service{Name: "desk", HealthPath: "/health"}),
 		catalog.WithAccount(catalog.Account{Name: "clinic"}, key),
-		catalog.WithAccount(catalog.Account{Name: "radio", Priority: 2, HasPriority: true}, "radio"),
+		catalog.WithAccount(catalog.Account{Name: "radio", Priority: s.Int("radio", 2), HasPriority: true}, "radio"),
+		catalog.WithAccount(catalog.Account{Name: "shop"}, "shop"),
 	)
 }
 
@@ -310,6 +324,10 @@
 		return fmt.Sprintf("ask %s for %s number=%d want=%d", c.To, c.PermitRequest.Upstream, c.PermitRequest.Seq, c.PermitRequest.Permits)
 	case dispatch.SlotWaitCmd:
 		return fmt.Sprintf("await %d waiting=%d", c.Request, c.Waiting)
+	case dispatch.CapacityWaitCmd:
+		return fmt.Sprintf("wait %d %s waiting=%d until=%d", c.Request, c.Reason, c.Waiting, c.Until) + map[bool]string{true: " returned"}[c.Returned]
+	case dispatch.CapacityWaitEndCmd:
+		return fmt.Sprintf("waited %d %s after=%d", c.Request, c.Outcome, c.Waited)
 	case dispatch.SuspectCmd:
 		return fmt.Sprintf("suspect %s until %d", c.Upstream, c.Until)
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -68,11 +68,14 @@
 }
 
 // giveUp handles a request that cannot be sent: a stream that has begun waits or is aborted, any
-// other request is refused.
+// other request waits for capacity or is refused.
 func (m *Model) giveUp(r *request, reason Reason) []Cmd {
 	if r.answerBegun() {
 		return m.waitOrAbort(r, reason)
 	}
+	if cmds, waits := m.awaitCapacity(r, reason); waits {
+		return cmds
+	}
 	if r.executions > 0 {
 		return m.refuse(r.arrival.Request, http.StatusBadGateway, ReasonAnswerLost, 0)
 	}
@@ -151,6 +154,10 @@
 // sendPipeline builds a chain of engines. Suspected engines are excluded unless a layer has no
 // other engine.
 func (m *Model) sendPipeline(r *request) (SendCmd, Reason) {
+	if reason := m.mustQueue(r, engineLane); reason != "" {
+		return SendCmd{}, reason
+	}
+	r.capacity.admitted = true
 	parts, err := m.chainFor(r)
 	if err != nil && m.upstreamBoundReached(r) {
 		// A client can resume an aborted stream elsewhere at once, while this node would have to
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -38,6 +38,8 @@
 	crashed bool
 	// layersReportedAt is when another node last reported the layers that the engine holds.
 	layersReportedAt clock.Millis
+	// loading is the order to hold layers that the engine has not completed.
+	loading loadOrder
 	// slowdown is the ratio of the engine's token time to the normal value, as of slowdownAt.
 	slowdown   float64
 	slowdownAt clock.Millis
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -20,9 +20,19 @@
 	patienceMargin  clock.Millis = 600
 )
 
-// clientPatience returns how long a client waits for the next event of a stream.
-func clientPatience(route *catalog.Route) clock.Millis {
-	return max(minPatience, patienceAims*route.LatencyTarget, patienceGapAims*route.EventGapTarget) + patienceMargin
+// eventPatience returns how long a client waits for the next event of a stream before it
+// disconnects.
+func eventPatience(route *catalog.Route) clock.Millis {
+	return max(minPatience, patienceAims*route.LatencyTarget, patienceGapAims*route.EventGapTarget)
+}
+
+// clientPatience returns how long a stream that has begun is kept for its client.
+func clientPatience(route *catalog.Route) clock.Millis { return eventPatience(route) + patienceMargin }
+
+// waitsForCapacity reports whether the lack of capacity that a reason states may pass soon enough
+// for a request to wait for it.
+func waitsForCapacity(reason Reason) bool {
+	return reason == ReasonNoMemory || reason == ReasonNoHolder || reason == ReasonNoRetryBudget || reason == ReasonHeldBack
 }
 
 // waitOrAbort lets a stream that has begun wait if it cannot be resumed at the moment: engines
@@ -32,8 +42,7 @@
 	if r.waitUntil == 0 {
 		r.waitUntil = m.now.Add(clientPatience(r.route))
 	}
-	temporary := reason == ReasonNoMemory || reason == ReasonNoHolder || reason == ReasonNoRetryBudget
-	if temporary && m.now < r.waitUntil {
+	if waitsForCapacity(reason) && m.now < r.waitUntil {
 		r.waitReason = reason
 		r.afterBackOff = len(m.backOffEnds(r)) > 0
 		return nil
