relay, node: settings, log lines and metrics of waits for capacity

Cause: operators must bound the queue and see it. Change: [waiting] max_requests (0, off) and max_kb (4096); awaits_capacity and awaited_capacity log lines; capacity_waits in the metrics; a planned stop sends DrainMsg with the end of the grace time.

--- a/node/drain.go
+++ b/node/drain.go
@@ -25,6 +25,7 @@
 	n.log.Info("drain", zap.Int64("in_progress", n.relay.InProgress()), zap.Int64("grace_ms", int64(n.settings.grace())))
 	n.relay.Stop()
 	began := n.clock.Now()
+	n.relay.Drain(began.Add(n.settings.grace() - cutoffMargin))
 	n.clock.WaitUntil(n.ctx, began.Add(min(deregistrationDelay, n.settings.grace()-cutoffMargin)))
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
--- a/node/settings.go
+++ b/node/settings.go
@@ -51,12 +51,20 @@
 	// QuarantineSeconds is how long a request that crashes the upstreams that execute it stays
 	// in quarantine.
 	QuarantineSeconds float64
+	// WaitingRequests bounds the requests that wait for capacity, and WaitingKB the size of their
+	// bodies; zero lets none wait.
+	WaitingRequests int
+	WaitingKB       int
 }
 
 const (
-	maxNumber   = 1 << 30
-	maxShare    = 1000.0
-	msPerSecond = 1000
+	maxNumber = 1 << 30
+	// maxWaitingRequests bounds the setting for waiting requests: each review visits all of them.
+	// maxWaitingKB is half of the memory of the smallest VM.
+	maxWaitingRequests = 4096
+	maxWaitingKB       = 64 << 10
+	maxShare           = 1000.0
+	msPerSecond        = 1000
 )
 
 // Set declares every setting.
@@ -86,6 +94,8 @@
 	set.Float("retries", "share", &s.RetryShare, 0, maxShare, settings.WithDefault("0.2"))
 	set.Float("retries", "slack", &s.RetrySlack, 0, maxNumber, settings.WithDefault("200"))
 	set.Float("quarantine", "lasts_s", &s.QuarantineSeconds, 1, maxNumber, settings.WithDefault("3600"))
+	set.Int("waiting", "max_requests", &s.WaitingRequests, 0, maxWaitingRequests, settings.WithDefault("0"))
+	set.Int("waiting", "max_kb", &s.WaitingKB, 0, maxWaitingKB, settings.WithDefault("4096"))
 	return set
 }
 
@@ -137,6 +147,9 @@
 	return clock.Millis(s.QuarantineSeconds * msPerSecond)
 }
 
+// waitingBytes returns the bound on the bodies of the requests that wait for capacity.
+func (s *Settings) waitingBytes() int { return s.WaitingKB << 10 }
+
 // changeDeadline returns the time within which any change in the store must reach this node.
 func (s *Settings) changeDeadline() clock.Millis { return min(s.ConfigDeadline, s.LeavingDeadline) }
 
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -68,6 +68,8 @@
 	unloggedLimits int
 	// limits are the active rate limits as of the last tick.
 	limits atomic.Pointer[[]limit.Summary]
+	// capacityWaits summarises the waits for capacity as of the last tick.
+	capacityWaits atomic.Pointer[dispatch.CapacityWaits]
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
@@ -108,6 +110,8 @@
 			d.ready.Store(d.model.Ready(d.clock.Now()))
 			limits := d.model.Limits(d.clock.Now())
 			d.limits.Store(&limits)
+			waits := d.model.CapacityWaits()
+			d.capacityWaits.Store(&waits)
 		}
 	}
 }
@@ -160,6 +164,10 @@
 	case dispatch.LimitChangedCmd:
 		d.onLimitChanged(cmd.Upstream, cmd.Rate > 0)
 		d.logLimit(cmd)
+	case dispatch.CapacityWaitCmd:
+		d.logCapacityWait(cmd)
+	case dispatch.CapacityWaitEndCmd:
+		d.logCapacityWaitEnd(cmd)
 	case dispatch.BackOffCmd:
 		d.log.Info("rest", zap.Stringer("upstream", cmd.Upstream), zap.Int64("asked_ms", int64(cmd.Requested)),
 			zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
@@ -186,6 +194,20 @@
 	d.unloggedLimits = 0
 }
 
+// logCapacityWait logs that a request begins to wait for capacity.
+func (d *decider) logCapacityWait(cmd dispatch.CapacityWaitCmd) {
+	d.log.Info("awaits_capacity", zap.String("id", cmd.CallerID), zap.String("service", cmd.Service), zap.String("reason", string(cmd.Reason)),
+		zap.Int("priority", cmd.Priority), zap.Bool("returned", cmd.Returned), zap.Int("waiting", cmd.Waiting),
+		zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
+}
+
+// logCapacityWaitEnd logs the outcome of a wait for capacity. The session of a request whose
+// caller has left has ended, so the line is written here.
+func (d *decider) logCapacityWaitEnd(cmd dispatch.CapacityWaitEndCmd) {
+	d.log.Info("awaited_capacity", zap.String("id", cmd.CallerID), zap.String("service", cmd.Service), zap.String("reason", string(cmd.Reason)),
+		zap.String("outcome", string(cmd.Outcome)), zap.Int64("waited_ms", int64(cmd.Waited)))
+}
+
 func (d *decider) deliver(id dispatch.RequestID, cmd dispatch.Cmd) {
 	commands, ok := d.commands[id]
 	if !ok {
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -238,7 +238,7 @@
 func newTestRelay(t *testing.T, upstreams http.Handler) (r *Relay, address string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9}))
+	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9, MaxWaiting: 8, MaxWaitingBytes: 1 << 20}))
 	r = New(ctx, sealedProtocol{}, model, clocktest.NewClock(), zap.NewNop(),
 		WithDialer((&net.Dialer{}).DialContext), WithEngines(unresponsiveEngines{}))
 	stopped := make(chan struct{})
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -108,6 +108,7 @@
 		opt(r)
 	}
 	r.decider.onLimitChanged = r.upstreams.recordLimit
+	r.extraMetrics["capacity_waits"] = expvar.Func(func() any { return r.decider.capacityWaits.Load() })
 	r.extraMetrics["limits"] = expvar.Func(func() any { return r.decider.limits.Load() })
 	return r
 }
@@ -209,6 +210,10 @@
 // progress continue.
 func (r *Relay) Stop() { r.stopping.Store(true) }
 
+// Drain refuses the waiting requests that cannot be served before a time, at which the node ends
+// the requests that are still in progress.
+func (r *Relay) Drain(end clock.Millis) { r.decider.notify(r.lifetime, dispatch.DrainMsg{End: end}) }
+
 // Stopping reports whether Stop has been called.
 func (r *Relay) Stopping() bool { return r.stopping.Load() }
 
