--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -18,6 +18,10 @@
 	// SpreadCost is the mean of the random cost that nodes of a large data centre add to each
 	// engine for each request, in ms per token; zero for none.
 	SpreadCost float64
+	// MaxWaiting bounds the requests that wait for capacity, and MaxWaitingBytes the size of their
+	// bodies; zero lets none wait.
+	MaxWaiting      int
+	MaxWaitingBytes int
 }
 
 // defaultQuarantine is how long a request that crashes upstreams stays quarantined by default.
