fleet, usage: prompt tokens of streams without an event in usage reports

Cause: a node knows nothing of the prompts that other nodes have sent to an engine, which are what a new request waits for first.

Change: EngineUsage counts the prompt tokens of streams that have no event yet; they are added, subtracted and printed with the rest, and travel in the field prompt_tokens that EngineUse already has. A node that does not send it counts as having none.

Result: go test ./fleet ./usage passes; the round trip of a report now carries 700 prompt tokens.

--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -9,22 +9,29 @@
 	// Streams counts the streams whose chain starts at the engine. The engine processes as many
 	// of them as it has slots; the others wait.
 	Streams int
+	// PromptTokens counts the prompt tokens of the streams through the engine that have no event
+	// yet.
+	PromptTokens float64
 }
 
 // Plus returns the sum of two usages.
 func (u EngineUsage) Plus(other EngineUsage) EngineUsage {
-	return EngineUsage{Memory: u.Memory + other.Memory, Streams: u.Streams + other.Streams}
+	return EngineUsage{Memory: u.Memory + other.Memory, Streams: u.Streams + other.Streams, PromptTokens: u.PromptTokens + other.PromptTokens}
 }
 
 // Minus returns the difference of two usages.
 func (u EngineUsage) Minus(other EngineUsage) EngineUsage {
-	return EngineUsage{Memory: u.Memory - other.Memory, Streams: u.Streams - other.Streams}
+	return EngineUsage{Memory: u.Memory - other.Memory, Streams: u.Streams - other.Streams, PromptTokens: u.PromptTokens - other.PromptTokens}
 }
 
-// String formats the memory, followed by the number of streams unless it is zero.
+// String formats the memory, followed by the number of streams and the prompt tokens unless they
+// are zero.
 func (u EngineUsage) String() string {
-	if u.Streams == 0 {
-		return fmt.Sprint(u.Memory)
+	switch {
+	case u.PromptTokens != 0:
+		return fmt.Sprintf("%v/%d/%v", u.Memory, u.Streams, u.PromptTokens)
+	case u.Streams != 0:
+		return fmt.Sprintf("%v/%d", u.Memory, u.Streams)
 	}
-	return fmt.Sprintf("%v/%d", u.Memory, u.Streams)
+	return fmt.Sprint(u.Memory)
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -79,9 +79,9 @@
 	far, farInbox := newNode(t, "c")
 	sender.SetPeers([]string{near.Address()}, []string{far.Address()})
 
-	sender.SendUsage(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 5, Streams: 2}}, map[fleet.Incarnation]limit.Advertised{fleet.IncarnationByID("e1"): {Rate: 4.5}})
+	sender.SendUsage(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 5, Streams: 2, PromptTokens: 700}}, map[fleet.Incarnation]limit.Advertised{fleet.IncarnationByID("e1"): {Rate: 4.5}})
 	got := <-nearInbox
-	if got.from != "a" || !got.msg.Followable || got.msg.WholeDataCentre || got.msg.Used[fleet.IncarnationByID("e1")] != (fleet.EngineUsage{Memory: 5, Streams: 2}) {
+	if got.from != "a" || !got.msg.Followable || got.msg.WholeDataCentre || got.msg.Used[fleet.IncarnationByID("e1")] != (fleet.EngineUsage{Memory: 5, Streams: 2, PromptTokens: 700}) {
 		t.Errorf("got %+v, want the usage of a", got)
 	}
 	if advertised := got.msg.Limits[fleet.IncarnationByID("e1")]; advertised.Rate != 4.5 || advertised.ReceivedAt == clock.Never {
