dispatch: predict the first event of each stream that is sent

Cause: the choice of chains knows cost per token, but nothing says when a first event will come, and the node does not know which prompts still wait.

Change: (*Model).predict returns the time until the first event over a chain and the age of its oldest input. SendCmd carries both. A reservation counts the prompt at each engine of the chain until FirstEventMsg, a migration to other engines or the end of the attempt. The sum is shared with the other nodes. Which chains are chosen, refused or abandoned does not change.

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -34,6 +34,11 @@
 	RouteDeadline  clock.Millis
 	// AttemptTimeout bounds this attempt; zero for no bound.
 	AttemptTimeout clock.Millis
+	// PredictedFirstEvent is the predicted time from sending the request to the first event of the
+	// answer, and PredictionInputAge the age of the oldest report that it depends on. Both are zero
+	// for plain services.
+	PredictedFirstEvent clock.Millis
+	PredictionInputAge  clock.Millis
 	// LastUpstream reports whether no further upstream may execute the request after this one.
 	LastUpstream bool
 	// RequiresKey reports whether the request may be sent only while the configuration is fresh.
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -49,10 +49,12 @@
 	// deferred holds the requests that arrived before the node had its initial state.
 	deferred     []deferredArrival
 	retryBudgets map[string]*budget.Window
-	// peerUsage is the usage that other nodes reported, by node name. sharedUsage is the usage
-	// that this node shared last.
-	peerUsage   map[string]nodeUsage
-	sharedUsage map[fleet.Incarnation]fleet.EngineUsage
+	// peerUsage is the usage that other nodes reported, by node name, and oldestPeerUsageAt when
+	// the oldest of these reports arrived, as of the last expiry. sharedUsage is the usage that
+	// this node shared last.
+	peerUsage         map[string]nodeUsage
+	oldestPeerUsageAt clock.Millis
+	sharedUsage       map[fleet.Incarnation]fleet.EngineUsage
 	// meanStreamTime is the moving average of stream durations, in ms.
 	meanStreamTime float64
 	// outages holds, by service, the current span of refusals. coverageGaps holds the spans in
@@ -157,6 +159,8 @@
 		return m.arrive(msg)
 	case AttemptFailedMsg:
 		return m.attemptFailed(msg)
+	case FirstEventMsg:
+		m.firstEvent(msg)
 	case AttemptDoneMsg:
 		return m.attemptDone(msg)
 	case StalledMsg:
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -121,6 +121,13 @@
 	DeliveredPartial
 )
 
+// FirstEventMsg reports the first event of an attempt at a chain of engines, which have read its
+// prompt by then. It is sent once for an attempt at most.
+type FirstEventMsg struct {
+	Request RequestID
+	Attempt int
+}
+
 // AttemptDoneMsg reports that an attempt's answer was relayed completely.
 type AttemptDoneMsg struct {
 	Request RequestID
@@ -286,6 +293,7 @@
 func (PlacedMsg) dispatchMsg()           {}
 func (ArriveMsg) dispatchMsg()           {}
 func (AttemptFailedMsg) dispatchMsg()    {}
+func (FirstEventMsg) dispatchMsg()       {}
 func (AttemptDoneMsg) dispatchMsg()      {}
 func (StalledMsg) dispatchMsg()          {}
 func (ReportMsg) dispatchMsg()           {}
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -38,7 +38,7 @@
 		u.addProbeCandidate()
 	}
 	if report.TotalMemory > 0 {
-		u.reportedFree, u.reportedAt, u.reservedAtReport = report.FreeMemory, m.now, u.reserved
+		u.reportedFree, u.reportedQueued, u.reportedAt, u.reservedAtReport = report.FreeMemory, report.Queued, m.now, u.reserved
 		u.explainRefusal(m.now, report)
 	}
 }
--- a/dispatch/prompt_load.go
+++ b/dispatch/prompt_load.go
@@ -21,12 +21,10 @@
 // in time. The rate of prompts follows from the memory in use and the mean duration of streams.
 func (m *Model) promptLoad(u *upstream, free float64) float64 {
 	layers := u.entry.Held.Len()
-	usedMemory := u.memory - free
+	streams := u.streams(u.memory - free)
 	accelerator, known := u.pipeline.Accelerators[u.entry.Accelerator]
-	if !known || layers == 0 || usedMemory <= 0 {
+	if !known || streams <= 0 {
 		return 0
 	}
-	prompt, answer := u.pipeline.MeanTokens()
-	streams := usedMemory / (prompt + answerMemoryShare*answer) / float64(layers)
 	return streams / m.meanStreamTime * max(u.slowdown, 1) / u.pipeline.PromptRate(accelerator, layers, batchShare*streams)
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -60,6 +60,8 @@
 	firstUpstream *upstream
 	chain         []chain.Stage
 	reservations  []reservation
+	// awaitsFirstEvent reports whether the attempt was sent to engines and has no event yet.
+	awaitsFirstEvent bool
 	// migrating reports whether a migration is in progress, and migrations counts them.
 	migrating  bool
 	migrations int
@@ -90,10 +92,22 @@
 // answerBegun reports whether the client has received a part of the answer.
 func (r *request) answerBegun() bool { return r.delivered != DeliveredNothing }
 
-// reservation is memory that a request reserves at an engine.
+// reservation is memory that a request reserves at an engine. promptTokens is the number of tokens
+// that the engine must read before the first event; zero after it.
 type reservation struct {
-	upstream *upstream
-	amount   float64
+	upstream     *upstream
+	amount       float64
+	promptTokens float64
+}
+
+// reservationAt returns the request's reservation at an upstream; zero if there is none.
+func (r *request) reservationAt(u *upstream) reservation {
+	for _, h := range r.reservations {
+		if h.upstream == u {
+			return h
+		}
+	}
+	return reservation{}
 }
 
 // timeLeft returns the time until the request must be answered.
@@ -115,6 +129,10 @@
 func (m *Model) reserve(r *request, parts []chain.Stage) {
 	m.release(r)
 	r.chain = parts
+	promptTokens := 0.0
+	if r.awaitsFirstEvent {
+		promptTokens = r.unreadTokens()
+	}
 	for _, p := range parts {
 		u := m.upstreams[p.ID]
 		if u == nil {
@@ -122,13 +140,15 @@
 		}
 		amount := r.memoryTokens * float64(p.Layers.Len())
 		u.reserved += amount
-		r.reservations = append(r.reservations, reservation{upstream: u, amount: amount})
+		u.promptTokens += promptTokens
+		r.reservations = append(r.reservations, reservation{upstream: u, amount: amount, promptTokens: promptTokens})
 	}
 }
 
 func (m *Model) release(r *request) {
 	for _, h := range r.reservations {
 		h.upstream.reserved -= h.amount
+		h.upstream.promptTokens -= h.promptTokens
 	}
 	r.reservations = r.reservations[:0]
 	r.chain = nil
@@ -141,7 +161,7 @@
 		r.firstUpstream.inFlight--
 		r.firstUpstream = nil
 	}
-	r.migrating = false
+	r.migrating, r.awaitsFirstEvent = false, false
 }
 
 func (m *Model) dropRequest(id RequestID) {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -46,7 +46,11 @@
 	p.now = clock.Millis(s.Int("at", int(p.now)))
 	var lines []string
 	for _, cmd := range p.model.Update(p.now, p.message(s)) {
-		lines = append(lines, show(cmd))
+		line := show(cmd)
+		if sent, ok := cmd.(dispatch.SendCmd); ok && s.Params["show"] == "prediction" {
+			line += fmt.Sprintf(" first_event=%d input_age=%d", sent.PredictedFirstEvent, sent.PredictionInputAge)
+		}
+		lines = append(lines, line)
 	}
 	return lines
 }
@@ -69,7 +73,7 @@
 		return dispatch.PeersMsg{TotalNodes: s.Int("all", 1), UsagePeers: s.Int("near", 0), LocalNodes: s.Int("here", 0), Aggregated: s.Params["summed"] == "yes"}
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
-			script.Incarnation(s.Arg(1)): {Memory: float64(s.Int("amount", 0)), Streams: s.Int("streams", 0)},
+			script.Incarnation(s.Arg(1)): {Memory: float64(s.Int("amount", 0)), Streams: s.Int("streams", 0), PromptTokens: float64(s.Int("prompts", 0))},
 		}, WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: script.Incarnation(s.Arg(0)), Layers: testUpstream(s).Held, Completed: s.Params["holds"] == "yes"}
@@ -82,6 +86,8 @@
 			Request: request, Attempt: attempt, Cause: parseCause(p.t, s.Params["cause"]), FaultyAddress: s.Params["by"],
 			Events: s.Int("events", 0), Delivered: parseDelivered(s),
 		}
+	case "event":
+		return dispatch.FirstEventMsg{Request: request, Attempt: attempt}
 	case "done":
 		return dispatch.AttemptDoneMsg{Request: request, Attempt: attempt, Took: clock.Millis(s.Int("took", 50))}
 	case "stalled":
@@ -213,9 +219,10 @@
 func testCatalog(s script.Step) *catalog.Catalog {
 	writer := &catalog.Service{Name: "writer", HealthPath: "/health", Pipeline: &catalog.Pipeline{
 		Layers: 8, LayerMB: 1000, TokenBytes: 8_000_000, StepMS: 1, LoadMS: float64(s.Int("load", 0)),
+		ReadRate: float64(s.Int("read", 0)), StepsPerPass: float64(s.Int("steps", 0)), PromptTokensPerPass: float64(s.Int("bound", 0)),
 		Accelerators: map[string]catalog.Accelerator{
-			"fast": {Name: "fast", MemoryMB: 5000, StepFactor: 1},
-			"slow": {Name: "slow", MemoryMB: 5000, StepFactor: 10},
+			"fast": {Name: "fast", MemoryMB: 5000, StepFactor: 1, ReadFactor: 1},
+			"slow": {Name: "slow", MemoryMB: 5000, StepFactor: 10, ReadFactor: 10},
 		},
 	}}
 	key := "k"
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -165,8 +165,10 @@
 	if m.needsPermit(first) {
 		return SendCmd{}, awaitsPermit
 	}
+	predicted := m.predict(r, parts)
+	r.awaitsFirstEvent = true
 	m.reserve(r, parts)
-	return SendCmd{Chain: parts}, ""
+	return SendCmd{Chain: parts, PredictedFirstEvent: predicted.firstEvent, PredictionInputAge: predicted.inputAge}, ""
 }
 
 // chainFor builds the chain of a request. Engines of other data centres are only considered if
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -10,15 +10,18 @@
 type upstream struct {
 	entry    fleet.Upstream
 	pipeline *catalog.Pipeline
-	// layerTime is the time of one token through one layer, in ms. memory is the memory for
-	// requests, in tokens times layers.
+	// layerTime is the time of one token through one layer, and readTime the time to read one
+	// prompt token through it, in ms. memory is the memory for requests, in tokens times layers.
 	layerTime float64
+	readTime  float64
 	memory    float64
 
 	// inFlight counts this node's attempts that begin on the upstream. reserved is the memory
-	// that this node's requests reserve on it, in tokens times layers.
-	inFlight int
-	reserved float64
+	// that this node's requests reserve on it, in tokens times layers. promptTokens counts the
+	// prompt tokens of this node's attempts through it that have no event yet.
+	inFlight     int
+	reserved     float64
+	promptTokens float64
 	// peerUse is the usage that other nodes reported.
 	peerUse fleet.EngineUsage
 	// meanLatency is the moving average of the upstream's latency in ms, and failureRate that of
@@ -42,9 +45,11 @@
 	slowdown   float64
 	slowdownAt clock.Millis
 
-	// reportedFree is the free memory that the engine reported at reportedAt. reservedAtReport is
-	// the value of reserved at that time.
+	// reportedFree is the free memory that the engine reported at reportedAt, and reportedQueued
+	// the number of requests that waited for a slot. reservedAtReport is the value of reserved at
+	// that time.
 	reportedFree     float64
+	reportedQueued   int
 	reportedAt       clock.Millis
 	reservedAtReport float64
 	// reportWanted reports whether the engine's report is requested at the next tick.
@@ -115,7 +120,7 @@
 
 // applyService derives an engine's layer time and memory from the configuration of its service.
 func (u *upstream) applyService(s *catalog.Service) {
-	u.pipeline, u.memory, u.layerTime = nil, 0, 0
+	u.pipeline, u.memory, u.layerTime, u.readTime = nil, 0, 0, 0
 	if s == nil || s.Pipeline == nil {
 		return
 	}
@@ -125,9 +130,30 @@
 		return
 	}
 	u.layerTime = s.Pipeline.StepTime(accelerator, 1)
+	u.readTime = s.Pipeline.ReadTime(accelerator, 1)
 	u.memory = s.Pipeline.RequestMemory(accelerator, u.entry.Held.Len())
 }
 
+// ownUse returns the usage of the upstream by this node's requests.
+func (u *upstream) ownUse() fleet.EngineUsage {
+	return fleet.EngineUsage{Memory: u.reserved, Streams: u.inFlight, PromptTokens: u.promptTokens}
+}
+
+// streams estimates the number of streams that use some memory of an engine.
+func (u *upstream) streams(usedMemory float64) float64 {
+	layers := u.entry.Held.Len()
+	if layers == 0 || usedMemory <= 0 {
+		return 0
+	}
+	prompt, answer := u.pipeline.MeanTokens()
+	return usedMemory / (prompt + answerMemoryShare*answer) / float64(layers)
+}
+
+// hasRecentReport reports whether the engine's last report of its memory and queue still counts.
+func (u *upstream) hasRecentReport(now clock.Millis) bool {
+	return now <= u.reportedAt.Add(reportWindow)
+}
+
 // available reports whether the upstream may get new work.
 func (u *upstream) available(now clock.Millis) bool { return u.healthy() && !u.full(now) }
 
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -48,7 +48,7 @@
 	used := make(map[fleet.Incarnation]fleet.EngineUsage)
 	for id, u := range m.upstreams {
 		if u.reserved > 0 {
-			used[id] = fleet.EngineUsage{Memory: u.reserved, Streams: u.inFlight}
+			used[id] = u.ownUse()
 		}
 	}
 	m.sharedUsage = used
@@ -69,7 +69,7 @@
 	}
 	var list []used
 	for id, u := range m.upstreams {
-		use := u.peerUse.Plus(fleet.EngineUsage{Memory: u.reserved, Streams: u.inFlight})
+		use := u.peerUse.Plus(u.ownUse())
 		share := max(use.Memory/max(u.memory, 1), float64(use.Streams)/float64(max(u.entry.Slots, 1)))
 		if u.pipeline != nil && share >= minAggregatedUse {
 			list = append(list, used{id: id, use: use, share: share})
@@ -129,6 +129,9 @@
 		node, usage = allNodesKey, m.withoutOwn(usage)
 	}
 	m.subtractUsage(m.peerUsage[node].used)
+	if len(m.peerUsage) == 0 {
+		m.oldestPeerUsageAt = m.now
+	}
 	m.peerUsage[node] = nodeUsage{receivedAt: m.now, used: usage, wholeDataCentre: msg.WholeDataCentre, dataCentre: msg.DataCentre, allNodes: msg.AllNodes}
 	for id, use := range usage {
 		if u := m.upstreams[id]; u != nil {
@@ -159,7 +162,7 @@
 	others := make(map[fleet.Incarnation]fleet.EngineUsage, len(sum))
 	for id, use := range sum {
 		remainder := use.Minus(m.sharedUsage[id])
-		others[id] = fleet.EngineUsage{Memory: max(remainder.Memory, 0), Streams: max(remainder.Streams, 0)}
+		others[id] = fleet.EngineUsage{Memory: max(remainder.Memory, 0), Streams: max(remainder.Streams, 0), PromptTokens: max(remainder.PromptTokens, 0)}
 	}
 	return others
 }
@@ -190,13 +193,17 @@
 	return sum
 }
 
-// expirePeerUsage drops usage reports that are older than usageWindow.
+// expirePeerUsage drops usage reports that are older than usageWindow, and updates
+// oldestPeerUsageAt.
 func (m *Model) expirePeerUsage() {
+	m.oldestPeerUsageAt = m.now
 	for node, peer := range m.peerUsage {
 		if m.now > peer.receivedAt.Add(usageWindow) {
 			m.subtractUsage(peer.used)
 			delete(m.peerUsage, node)
+			continue
 		}
+		m.oldestPeerUsageAt = min(m.oldestPeerUsageAt, peer.receivedAt)
 	}
 }
 
@@ -227,6 +234,7 @@
 	if unreported := m.usagePeers - m.reportingPeers(); unreported > 0 {
 		use.Memory += u.reserved * float64(unreported)
 		use.Streams += u.inFlight * unreported
+		use.PromptTokens += u.promptTokens * float64(unreported)
 	}
 	return use
 }
@@ -248,7 +256,7 @@
 // reportedFreeMemory returns the free memory of an engine according to its own report, if that is
 // recent.
 func (m *Model) reportedFreeMemory(u *upstream) (free float64, ok bool) {
-	if m.now > u.reportedAt.Add(reportWindow) {
+	if !u.hasRecentReport(m.now) {
 		return 0, false
 	}
 	return u.reportedFree - max(0, u.reserved-u.reservedAtReport), true
