relay: log and measure predicted against actual first events

Cause: a prediction that is not compared with what came cannot be trusted by admission, abandonment or Retry-After.

Change: the session reports the first event of each attempt at engines to the decider, once. The sent line carries predicted_ms and predicted_input_age_ms, and the lines that end a request predicted_ms and first_after_sent_ms.

--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -236,10 +236,16 @@
 // newTestRelay runs a relay in front of upstreams that share a handler. It returns the address
 // for callers.
 func newTestRelay(t *testing.T, upstreams http.Handler) (r *Relay, address string) {
+	t.Helper()
+	return newLoggingTestRelay(t, upstreams, zap.NewNop())
+}
+
+// newLoggingTestRelay is newTestRelay with a log.
+func newLoggingTestRelay(t *testing.T, upstreams http.Handler, log *zap.Logger) (r *Relay, address string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9}))
-	r = New(ctx, sealedProtocol{}, model, clocktest.NewClock(), zap.NewNop(),
+	r = New(ctx, sealedProtocol{}, model, clocktest.NewClock(), log,
 		WithDialer((&net.Dialer{}).DialContext), WithEngines(unresponsiveEngines{}))
 	stopped := make(chan struct{})
 	go func() {
--- a/relay/log.go
+++ b/relay/log.go
@@ -38,7 +38,7 @@
 		zap.String("chain", chainText(cmd.Chain)), zap.Int("in_flight", cmd.InFlight), zap.Int("priority", cmd.Priority),
 		zap.Stringer("config", cmd.Config), zap.Int64("config_age_ms", int64(cmd.ConfigAge)),
 		zap.Int64("list_age_ms", int64(s.relay.listAge())),
-		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEventID), zap.Bool("suspected", cmd.WorkSuspected), rateLimitField(cmd.Limit))
+		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEventID), zap.Bool("suspected", cmd.WorkSuspected), rateLimitField(cmd.Limit), predictionField(cmd))
 }
 
 func (s *session) logAnswer(status int) {
@@ -59,7 +59,7 @@
 	}
 	return append([]zap.Field{zap.String("id", s.head.ID), zap.String("route", name)}, append(more,
 		zap.Int("events", s.events), zap.Int("attempts", s.attempts), zap.Int("moves", s.migrations),
-		zap.Int64("first_ms", int64(s.firstEvent)), zap.Int64("pause_ms", int64(s.longestPause)), zap.Int64("after_ms", int64(s.age())))...)
+		zap.Int64("first_ms", int64(s.firstEvent)), zap.Int64("pause_ms", int64(s.longestPause)), zap.Int64("after_ms", int64(s.age())), s.firstEventField())...)
 }
 
 // aim names the latency aim of a route that an answer has missed; empty if none.
--- a/relay/session.go
+++ b/relay/session.go
@@ -55,6 +55,13 @@
 	// time between two events.
 	firstEvent   clock.Millis
 	longestPause clock.Millis
+	// attemptBegun reports whether the current attempt has brought an event.
+	attemptBegun bool
+	// predictedFirstEvent is the predicted time from sending to the first event, of the attempt
+	// that brought the first event or else of the last one, and firstEventTook the actual time;
+	// zero without one.
+	predictedFirstEvent clock.Millis
+	firstEventTook      clock.Millis
 	// lastEventAt is the time at which the last event was written to the caller.
 	lastEventAt clock.Millis
 	// route is the route of the last attempt; nil before the first.
--- a/relay/session_answer.go
+++ b/relay/session_answer.go
@@ -18,6 +18,10 @@
 	case update.head != nil && update.head.StatusCode >= http.StatusInternalServerError && update.end:
 		return s.holdUpstreamFailure(update)
 	}
+	if len(update.event.raw) > 0 && !s.attemptBegun {
+		s.attemptBegun = true
+		s.recordFirstEvent()
+	}
 	if err := s.writeUpdate(update); err != nil {
 		s.logCallerLost(err)
 		return true
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -22,6 +22,10 @@
 	s.attempts++
 	s.route = cmd.Route
 	s.logSend(cmd, remaining)
+	s.attemptBegun = false
+	if s.events == 0 {
+		s.predictedFirstEvent = cmd.PredictedFirstEvent
+	}
 	if s.attempts == 1 {
 		s.deadlineTimer.Reset(max(remaining, 1).Duration())
 	}
