lab: simulated streams report their first event to the decider

Cause: without the message a prompt counts as waiting until its stream ends, so predictions in the emulator would be far too late.

Change: the first event of an attempt sends FirstEventMsg, as a session does.

Result: go test ./lab passes.

--- a/lab/attempt.go
+++ b/lab/attempt.go
@@ -204,6 +204,7 @@
 		if !a.responseStarted {
 			a.responseStarted = true
 			a.hops[0].engine.sendLimit(a.session.node, a.sentAt)
+			a.session.node.update(dispatch.FirstEventMsg{Request: a.session.id, Attempt: a.cmd.Attempt})
 		}
 		a.session.deliverEvents(events, (a.world.now.Sub(a.lastEventAt))/clock.Millis(events))
 		a.lastEventAt = a.world.now
