forecast: stages read a long prompt at the same time

They let each stage wait until the one before had read the whole prompt, though an engine has results to pass on after each pass.

Change: a stage begins after the first pass of the stage before; the slowest engine sets the pace of the further passes, and the later stages need one pass each after it.

--- a/forecast/stage.go
+++ b/forecast/stage.go
@@ -58,6 +58,14 @@
 	return s.slowed(tokens*s.ReadTime + passes*s.decodeTime(pass))
 }
 
+// passTime returns the time of one of the passes that read a prompt.
+func (s Stage) passTime(pass catalog.Pass, tokens float64) float64 {
+	if pass.MaxPromptTokens > 0 {
+		tokens = min(tokens, pass.MaxPromptTokens)
+	}
+	return s.slowed(tokens*s.ReadTime + s.decodeTime(pass))
+}
+
 // eventTime returns the time of the pass that generates the first event, as a part of the batch.
 func (s Stage) eventTime(pass catalog.Pass) float64 {
 	return s.slowed(pass.DecodeSteps * s.StepTime * (1 + pass.StreamSlowdown*s.Batch))
