admission: hold back less urgent requests by the pressure of a service

Change: Controller takes the load that all nodes share and decides for each priority. The pressure follows the use of the scarcest layer with a bounded rate; each priority but the most urgent one has a band of thresholds with hysteresis, and a request's draw selects one. Thresholds on the smoothed use alone oscillated in trials: decisions changed each 1.5 s and the use fell to 0.6.

--- /dev/null
+++ b/admission/service.go
@@ -0,0 +1,47 @@
+package admission
+
+import "github.com/hoistjunction/hoistjunction/clock"
+
+const (
+	// maxSilence is the time without a usage report of another node after which nothing is held
+	// back, since the node may be partitioned. Reports are sent each 0.3 s, and some are lost.
+	maxSilence clock.Millis = 1500
+	// warmUp is the time from the first observation after a start or a silence during which the
+	// pressure stays 0, since some nodes have not reported yet. The use rises as they do.
+	warmUp clock.Millis = 1500
+)
+
+// service is the state of a service whose requests differ in priority.
+type service struct {
+	bands    bands
+	pressure pressure
+	// level is the pressure with hysteresis. One value represents the state of all thresholds:
+	// those up to level are in force.
+	level float64
+	// observedSince is when the current series of observations began.
+	observedSince clock.Millis
+	newestReport  clock.Millis
+	oldestReport  clock.Millis
+}
+
+// observe adds an observation of the use.
+func (s *service) observe(now clock.Millis, use, capacity, hysteresis float64) {
+	if !s.pressure.begun {
+		s.observedSince = now
+	}
+	if now < s.observedSince.Add(warmUp) {
+		s.pressure.begin(now, use, capacity)
+		return
+	}
+	s.pressure.observe(now, use, capacity)
+	// The hysteresis is at most the pressure itself, so that no threshold is in force at pressure 0.
+	s.level = max(s.pressure.value, min(s.level, s.pressure.value+min(hysteresis, s.pressure.value)))
+}
+
+// reset discards all observations.
+func (s *service) reset() { *s = service{bands: s.bands} }
+
+// active reports whether requests may be held back: the observations are recent.
+func (s *service) active(now clock.Millis) bool {
+	return s.pressure.begun && now <= s.newestReport.Add(maxSilence)
+}
