admission: a series of observations begins at the sustained pressure

Cause: a node that started under full load had pressure 0 and took ten seconds to reach that of the others; the report of each further node looked like a rise of the demand.

Change: during the first 1.5 s, in which nothing is held back, the pressure is the one that the use leads to in the long run.

--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -49,9 +49,11 @@
 	begun      bool
 }
 
-// begin starts a series of observations at pressure 0.
+// begin starts a series of observations at the pressure that the use leads to in the long run, so that
+// a node that starts has about the same pressure as the others.
 func (p *pressure) begin(now clock.Millis, use, capacity float64) {
-	*p = pressure{use: use, capacity: capacity, observedAt: now, begun: true}
+	value := min(max((use-lowUse)/(highUse-lowUse), 0), 1)
+	*p = pressure{value: value, use: use, capacity: capacity, observedAt: now, begun: true}
 }
 
 // observe adds an observation. The pressure rises while the expected use exceeds the one that
--- a/admission/service.go
+++ b/admission/service.go
@@ -6,8 +6,8 @@
 	// maxSilence is the time without a usage report of another node after which nothing is held
 	// back, since the node may be partitioned. Reports are sent each 0.3 s, and some are lost.
 	maxSilence clock.Millis = 1500
-	// warmUp is the time from the first observation after a start or a silence during which the
-	// pressure stays 0, since some nodes have not reported yet. The use rises as they do.
+	// warmUp is the time from the first observation after a start or a silence during which nothing
+	// is held back, since some nodes have not reported yet.
 	warmUp clock.Millis = 1500
 )
 
@@ -29,11 +29,12 @@
 	if !s.pressure.begun {
 		s.observedSince = now
 	}
-	if now < s.observedSince.Add(warmUp) {
+	if now <= s.observedSince.Add(warmUp) {
+		// The use rises as further nodes report, which is not a rise of the demand.
 		s.pressure.begin(now, use, capacity)
-		return
+	} else {
+		s.pressure.observe(now, use, capacity)
 	}
-	s.pressure.observe(now, use, capacity)
 	// The hysteresis is at most the pressure itself, so that no threshold is in force at pressure 0.
 	s.level = max(s.pressure.value, min(s.level, s.pressure.value+min(hysteresis, s.pressure.value)))
 }
@@ -41,7 +42,8 @@
 // reset discards all observations.
 func (s *service) reset() { *s = service{bands: s.bands} }
 
-// active reports whether requests may be held back: the observations are recent.
+// active reports whether requests may be held back: observations have been made for some time and
+// are recent.
 func (s *service) active(now clock.Millis) bool {
-	return s.pressure.begun && now <= s.newestReport.Add(maxSilence)
+	return s.pressure.begun && now >= s.observedSince.Add(warmUp) && now <= s.newestReport.Add(maxSilence)
 }
--- a/admission/summary.go
+++ b/admission/summary.go
@@ -11,8 +11,8 @@
 	Level    float64 `json:"level"`
 	// AgeMillis is the age of the oldest usage report that is included; -1 without reports.
 	AgeMillis int64 `json:"age_ms"`
-	// Active reports whether the pressure is in force. It is not without recent reports of other
-	// nodes.
+	// Active reports whether the pressure is in force. It is not after a start and without
+	// recent reports of other nodes.
 	Active bool `json:"active"`
 	// Thresholds are those of all priorities but the most urgent one.
 	Thresholds []BandSummary `json:"thresholds"`
