dispatch: hold back less urgent requests of pipeline services under pressure

Cause: a new request took memory whatever its priority. Usage reports were added to the sums for each engine as they came, so that NaN remained in a sum for ever.

Change: setCatalog determines for each pipeline service which priorities its requests may have. Where they differ, each tick at the interval of the usage reports gives the load of the own data centre to admission. send refuses a new request that is held back at once (held_back_for_priority), with a Retry-After of at most a third of the caller's time. Entries of usage reports that cannot be true are left out. Equal priorities change nothing; no existing script changed.

Measured: go test ./dispatch passes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// EachRoute calls f for each route, in no particular order.
+func (c *Catalog) EachRoute(f func(*Route)) {
+	for _, h := range c.hosts {
+		for _, r := range h.routes {
+			f(r)
+		}
+	}
+}
+
+// EachAccount calls f for each client account once for each of its keys, in no particular order.
+func (c *Catalog) EachAccount(f func(Account)) {
+	for _, a := range c.accounts {
+		f(a)
+	}
+}
+
 // Account returns the client account that has a key, or ErrNoAccount.
 func (c *Catalog) Account(key string) (Account, error) {
 	a, ok := c.accounts[key]
--- /dev/null
+++ b/dispatch/admission.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/admission"
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+// updateAdmission determines the priorities of each pipeline service from the active configuration.
+// Admission control applies only to services whose requests may differ in priority.
+func (m *Model) updateAdmission() {
+	if m.policy.DisableAdmission {
+		return
+	}
+	m.admission.SetPriorities(servicePriorities(m.catalog))
+}
+
+// servicePriorities returns the priorities that requests of each pipeline service may have.
+func servicePriorities(c *catalog.Catalog) map[string][]int {
+	accounts := accountPriorities(c)
+	byService := make(map[string]map[int]bool)
+	c.EachRoute(func(route *catalog.Route) {
+		for _, target := range route.Targets {
+			s := c.Service(target.Service)
+			if s == nil || s.Pipeline == nil || target.Weight <= 0 {
+				continue
+			}
+			found := byService[s.Name]
+			if found == nil {
+				found = make(map[int]bool)
+				byService[s.Name] = found
+			}
+			if route.Anonymous || !c.HasAccounts() {
+				found[route.Priority] = true
+				continue
+			}
+			maps.Copy(found, accounts.own)
+			if accounts.ofRoute {
+				found[route.Priority] = true
+			}
+		}
+	})
+	lists := make(map[string][]int, len(byService))
+	for name, found := range byService {
+		lists[name] = slices.Sorted(maps.Keys(found))
+	}
+	return lists
+}
+
+// accountSummary holds the priorities of the client accounts that have one. ofRoute reports whether
+// some account has none, so that its requests have the priority of their route.
+type accountSummary struct {
+	own     map[int]bool
+	ofRoute bool
+}
+
+// accountPriorities returns the priorities of the client accounts that have a key.
+func accountPriorities(c *catalog.Catalog) accountSummary {
+	summary := accountSummary{own: make(map[int]bool)}
+	c.EachAccount(func(a catalog.Account) {
+		if a.HasPriority {
+			summary.own[a.Priority] = true
+		} else {
+			summary.ofRoute = true
+		}
+	})
+	return summary
+}
+
+// observeLoad gives the load of the services to admission control, as often as nodes share their
+// usage.
+func (m *Model) observeLoad() {
+	if m.now < m.loadObservedAt.Add(shareInterval) {
+		return
+	}
+	m.loadObservedAt = m.now
+	for _, name := range m.admission.Services() {
+		m.admission.Observe(m.now, name, m.serviceLoad(name))
+	}
+}
+
+// serviceLoad returns the load of a service's engines in this data centre: the usage that other
+// nodes reported and that of this node. Engines that get no new work are left out with their usage.
+func (m *Model) serviceLoad(name string) admission.Load {
+	load := admission.Load{Layers: m.catalog.Service(name).Pipeline.Layers}
+	load.NewestReport, load.OldestReport = m.peerReportTimes()
+	for _, u := range m.localByService[name] {
+		if !u.acceptsWork() || u.unresponsive {
+			continue
+		}
+		load.Engines = append(load.Engines, admission.Engine{
+			Held: u.entry.Held, Memory: u.memory, UsedMemory: u.reserved + u.peerUse.Memory,
+			Slots: float64(u.entry.Slots), UsedSlots: float64(u.inFlight + u.peerUse.Streams),
+		})
+	}
+	return load
+}
+
+// peerReportTimes returns when the newest and the oldest usage report of other nodes in use arrived;
+// clock.Never if there is none.
+func (m *Model) peerReportTimes() (newest, oldest clock.Millis) {
+	newest, oldest = clock.Never, clock.Never
+	for _, peer := range m.peerUsage {
+		newest = max(newest, peer.receivedAt)
+		if oldest == clock.Never || peer.receivedAt < oldest {
+			oldest = peer.receivedAt
+		}
+	}
+	return newest, oldest
+}
+
+// heldBack reports whether a new request of a pipeline service is held back in favour of more urgent
+// ones. Requests that were sent before, and streams that have begun, are not: their share of the
+// engines' work would be lost.
+//
+// Only the pressure is checked. A check that the predicted first event comes before the caller
+// leaves belongs here.
+func (m *Model) heldBack(r *request) bool {
+	if r.service.Pipeline == nil || r.attempts > 0 || r.answerBegun() {
+		return false
+	}
+	r.heldBack = m.admission.Admit(m.now, r.service.Name, r.priority(), hashPosition(admissionSalt+r.arrival.CallerID))
+	return !r.heldBack.Admitted
+}
+
+// admissionSalt makes the draw for admission independent of the split of traffic among services,
+// which uses the same id.
+const admissionSalt = "admission "
+
+// refuseHeldBack ends a request that was held back. It has not been sent anywhere, as the answer
+// states.
+func (m *Model) refuseHeldBack(r *request) []Cmd {
+	cmd := m.response(r.arrival.Request, http.StatusServiceUnavailable, ReasonHeldBack, m.heldBackRetryAfter(r))
+	decision := r.heldBack
+	cmd.HeldBack = &decision
+	return m.respondOrAbort(r.arrival.Request, cmd, ReasonHeldBack)
+}
+
+// heldBackRetryAfter returns the time after which a request that was held back should be admitted,
+// spread over clients. It is at most the share of the client's remaining time that clients honour.
+func (m *Model) heldBackRetryAfter(r *request) clock.Millis {
+	wait := clock.Millis(float64(r.heldBack.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
+	wait = min(max(wait, shortRetryAfter), maxRetryAfter)
+	if r.arrival.Remaining > 0 {
+		wait = min(wait, clock.Millis(cappedTimeShare*float64(r.clientDeadline.Sub(m.now))))
+	}
+	return max(wait, 0)
+}
+
+// Admission returns the pressure and the thresholds of the services with admission control.
+func (m *Model) Admission(now clock.Millis) []admission.Summary { return m.admission.Summaries(now) }
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"github.com/hoistjunction/hoistjunction/admission"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -63,10 +64,11 @@
 	// Work identifies the content of the request together with its client account; zero if
 	// unknown.
 	Work work.ID
-	// Missing is the resource that the request lacked, and RateLimit the limit that refused it;
-	// nil if that is not the reason.
+	// Missing is the resource that the request lacked, RateLimit the limit that refused it, and
+	// HeldBack the decision of admission control; nil if that is not the reason.
 	Missing   *MissingResource
 	RateLimit *LimitRefusal
+	HeldBack  *admission.Decision
 }
 
 // MissingResource describes why no chain could be built, for the log.
@@ -216,6 +218,7 @@
 	ReasonNoMemory      Reason = "no_memory_left"
 	ReasonBackOff       Reason = "upstreams_asked_for_rest"
 	ReasonRateLimit     Reason = "upstreams_are_limited"
+	ReasonHeldBack      Reason = "held_back_for_priority"
 	ReasonRefused       Reason = "refused_by_upstreams"
 	ReasonNoRetryBudget Reason = "retry_budget_spent"
 	ReasonAnswerLost    Reason = "answer_lost"
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/hoistjunction/hoistjunction/admission"
 	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -77,6 +78,10 @@
 	permitWaiters map[fleet.Incarnation][]RequestID
 	// slotQueues holds, by plain service, the requests that wait for a free slot.
 	slotQueues map[string]*slotQueue
+	// admission holds back less urgent requests under pressure. loadObservedAt is when it was last
+	// given the load of the services.
+	admission      *admission.Controller
+	loadObservedAt clock.Millis
 	// awaitsStoredQuarantine reports whether the stored quarantine has not been loaded yet.
 	awaitsStoredQuarantine bool
 }
@@ -126,6 +131,7 @@
 		permitWaiters:     make(map[fleet.Incarnation][]RequestID),
 		slotQueues:        make(map[string]*slotQueue),
 		limits:            limit.New(),
+		admission:         admission.New(),
 		configConfirmedAt: clock.Never,
 		meanStreamTime:    initialStreamTime,
 	}
@@ -230,6 +236,7 @@
 		u.applyService(m.catalog.Service(u.entry.Service))
 	}
 	m.rebuildIndex()
+	m.updateAdmission()
 }
 
 // configFresh reports whether the configuration was confirmed recently enough to admit requests
@@ -315,5 +322,6 @@
 func (m *Model) tick() []Cmd {
 	m.updateRetryBudgets()
 	m.expirePeerUsage()
+	m.observeLoad()
 	return slices.Concat(m.processDeferred(), m.reviewPermitWaiters(), m.reviewSlotWaiters(), m.reviewLosses(), m.retryIdentify(), m.sendProbes(), m.migrateDeparting(), m.resumeStreams(), m.shareUsage())
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -15,6 +15,8 @@
 	// QuarantineDuration is how long a request that crashes upstreams stays quarantined; zero for
 	// the default.
 	QuarantineDuration clock.Millis
+	// DisableAdmission turns off admission control by priority.
+	DisableAdmission bool
 }
 
 // defaultQuarantine is how long a request that crashes upstreams stays quarantined by default.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/hoistjunction/hoistjunction/admission"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -52,6 +53,8 @@
 	// slotRefusals counts the attempts that found no slot. They are bounded by the request's time
 	// and by the retry budget, not by maxAttempts.
 	slotRefusals int
+	// heldBack is the last decision of admission control on the request.
+	heldBack admission.Decision
 	// afterBackOff reports whether some of the upstreams on which a waiting stream can resume are
 	// in back-off.
 	afterBackOff bool
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -69,7 +69,7 @@
 		return dispatch.PeersMsg{TotalNodes: s.Int("all", 1), UsagePeers: s.Int("near", 0), LocalNodes: s.Int("here", 0), Aggregated: s.Params["summed"] == "yes"}
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
-			script.Incarnation(s.Arg(1)): {Memory: float64(s.Int("amount", 0)), Streams: s.Int("streams", 0)},
+			script.Incarnation(s.Arg(1)): {Memory: amountOf(s), Streams: s.Int("streams", 0)},
 		}, WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: script.Incarnation(s.Arg(0)), Layers: testUpstream(s).Held, Completed: s.Params["holds"] == "yes"}
@@ -113,6 +113,12 @@
 	return nil
 }
 
+// amountOf returns the memory in use of a script line, which may be NaN.
+func amountOf(s script.Step) float64 {
+	amount, _ := strconv.ParseFloat(s.Params["amount"], 64)
+	return amount
+}
+
 // limitMsg returns the message of a script line about rate limits; nil for any other line.
 func limitMsg(s script.Step) dispatch.Msg {
 	switch s.Verb {
@@ -209,7 +215,7 @@
 }
 
 // testCatalog returns a configuration with one route of each kind. The key k is valid unless the
-// line contains keys=none.
+// line contains keys=none. All requests have the same priority if it contains priorities=equal.
 func testCatalog(s script.Step) *catalog.Catalog {
 	writer := &catalog.Service{Name: "writer", HealthPath: "/health", Pipeline: &catalog.Pipeline{
 		Layers: 8, LayerMB: 1000, TokenBytes: 8_000_000, StepMS: 1, LoadMS: float64(s.Int("load", 0)),
@@ -233,7 +239,7 @@
 		),
 		catalog.WithServices(writer, &catalog.Service{Name: "desk", HealthPath: "/health"}),
 		catalog.WithAccount(catalog.Account{Name: "clinic"}, key),
-		catalog.WithAccount(catalog.Account{Name: "radio", Priority: 2, HasPriority: true}, "radio"),
+		catalog.WithAccount(catalog.Account{Name: "radio", Priority: 2, HasPriority: s.Params["priorities"] != "equal"}, "radio"),
 	)
 }
 
@@ -277,7 +283,11 @@
 		}
 		return text
 	case dispatch.RespondCmd:
-		return fmt.Sprintf("finish %d %d %s back=%d", c.Request, c.Status, c.Reason, c.RetryAfter)
+		text := fmt.Sprintf("finish %d %d %s back=%d", c.Request, c.Status, c.Reason, c.RetryAfter)
+		if h := c.HeldBack; h != nil {
+			text += fmt.Sprintf(" priority=%d use=%.2f pressure=%.2f threshold=%.2f age=%d", h.Priority, h.Use, h.Pressure, h.Threshold, h.Age)
+		}
+		return text
 	case dispatch.RelayFailureCmd:
 		return fmt.Sprintf("relay %d.%d", c.Request, c.Attempt)
 	case dispatch.AbortResponseCmd:
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -20,6 +20,9 @@
 	if remaining, quarantined := m.quarantine.Quarantined(m.now, r.work); quarantined {
 		return m.refuseQuarantined(r, remaining)
 	}
+	if m.heldBack(r) {
+		return m.giveUp(r, ReasonHeldBack)
+	}
 	var cmd SendCmd
 	var reason Reason
 	if r.service.Pipeline != nil {
@@ -76,6 +79,9 @@
 	if r.executions > 0 {
 		return m.refuse(r.arrival.Request, http.StatusBadGateway, ReasonAnswerLost, 0)
 	}
+	if reason == ReasonHeldBack {
+		return m.refuseHeldBack(r)
+	}
 	if reason == ReasonNoUpstream || reason == ReasonNoHolder || reason == ReasonNoMemory || reason == ReasonNoSlot {
 		if retryAfter, refusal := m.limitRetryAfter(r); refusal != nil {
 			return m.refuseRateLimited(r, r.capRetryAfter(m.now, retryAfter), refusal)
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -119,7 +119,7 @@
 func (m *Model) recordPeerUsage(msg UsageMsg) []Cmd {
 	m.recordAlive(msg)
 	m.nodeCount.peerReported(m.now, msg.DataCentre, msg.AllNodes, msg.Nodes)
-	node, usage := msg.Node, msg.Used
+	node, usage := msg.Node, plausibleUsage(msg.Used)
 	switch {
 	case m.usageAggregated != msg.AllNodes:
 		// A node that receives aggregated usage ignores single reports, which are part of the
@@ -138,6 +138,27 @@
 	return m.mergePeerLimits(msg)
 }
 
+// maxReportedMemory bounds the memory in use that a report may contain for one engine, in tokens
+// times layers. No accelerator has that much. The sums for each engine would lose the other nodes'
+// usage in the rounding of much larger values.
+const maxReportedMemory = 1e12
+
+// plausibleUsage returns a usage report without the entries that cannot be true. Not a number or an
+// infinite value would remain in the sum for an engine after the report was replaced.
+func plausibleUsage(used map[fleet.Incarnation]fleet.EngineUsage) map[fleet.Incarnation]fleet.EngineUsage {
+	plausible := func(use fleet.EngineUsage) bool {
+		return use.Memory >= 0 && use.Memory <= maxReportedMemory && use.Streams >= 0
+	}
+	for _, use := range used {
+		if !plausible(use) {
+			valid := maps.Clone(used)
+			maps.DeleteFunc(valid, func(_ fleet.Incarnation, use fleet.EngineUsage) bool { return !plausible(use) })
+			return valid
+		}
+	}
+	return used
+}
+
 // allNodesKey stands for the node name in aggregated reports, which hubs send in turn.
 const allNodesKey = "all"
 
