relay, node: log, count and switch off the hold-back of requests

Cause: operators must be able to tell from a request's id why it was refused.

Change: the refused line shows priority, use, pressure, level, threshold and the age of the oldest report; held_back counts such refusals, and admission in the metrics shows each service's pressure and thresholds. [admission] enabled turns it off; margin_ms is left out, as nothing uses it yet.

Measured: go test ./relay ./node passes.

--- a/node/node.go
+++ b/node/node.go
@@ -117,7 +117,7 @@
 		dispatch.WithPolicy(dispatch.Policy{
 			MaxConfigAge: s.keysMaxAge(), RetryWindow: clock.Millis(s.RetryWindowSeconds * msPerSecond),
 			RetryShare: s.RetryShare, RetrySlack: s.RetrySlack,
-			QuarantineDuration: s.quarantineDuration(),
+			QuarantineDuration: s.quarantineDuration(), DisableAdmission: !s.Admission,
 		}),
 		dispatch.WithStoredQuarantine(),
 		dispatch.WithLimits(limit.New(limit.WithSelf(s.Name), limit.WithBootID(uint64(time.Now().UnixNano())))),
--- a/node/settings.go
+++ b/node/settings.go
@@ -51,6 +51,9 @@
 	// QuarantineSeconds is how long a request that crashes the upstreams that execute it stays
 	// in quarantine.
 	QuarantineSeconds float64
+	// Admission reports whether less urgent requests are held back under pressure. It takes effect
+	// only on services whose requests differ in priority.
+	Admission bool
 }
 
 const (
@@ -86,6 +89,7 @@
 	set.Float("retries", "share", &s.RetryShare, 0, maxShare, settings.WithDefault("0.2"))
 	set.Float("retries", "slack", &s.RetrySlack, 0, maxNumber, settings.WithDefault("200"))
 	set.Float("quarantine", "lasts_s", &s.QuarantineSeconds, 1, maxNumber, settings.WithDefault("3600"))
+	set.Bool("admission", "enabled", &s.Admission, settings.WithDefault("true"))
 	return set
 }
 
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/admission"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -68,6 +69,8 @@
 	unloggedLimits int
 	// limits are the active rate limits as of the last tick.
 	limits atomic.Pointer[[]limit.Summary]
+	// admission is the state of admission control as of the last tick.
+	admission atomic.Pointer[[]admission.Summary]
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
@@ -108,6 +111,8 @@
 			d.ready.Store(d.model.Ready(d.clock.Now()))
 			limits := d.model.Limits(d.clock.Now())
 			d.limits.Store(&limits)
+			pressures := d.model.Admission(d.clock.Now())
+			d.admission.Store(&pressures)
 		}
 	}
 }
--- a/relay/log.go
+++ b/relay/log.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math"
 	"net"
 	"strconv"
 	"strings"
@@ -8,6 +9,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"github.com/hoistjunction/hoistjunction/admission"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
@@ -98,11 +100,14 @@
 }
 
 func (s *session) logRefusal(cmd dispatch.RespondCmd) {
+	if cmd.HeldBack != nil {
+		s.relay.stats.count("held_back")
+	}
 	s.log.Info("refused", zap.String("id", s.head.ID), zap.Stringer("work", cmd.Work), zap.String("host", s.request.Host), zap.String("path", s.request.URL.Path),
 		zap.Int("status", cmd.Status), zap.String("reason", string(cmd.Reason)),
 		zap.Int64("retry_after_ms", int64(cmd.RetryAfter)), zap.Int("attempts", s.attempts),
 		zap.Stringer("config", cmd.Config), zap.Int64("config_age_ms", int64(cmd.ConfigAge)),
-		zap.Int64("after_ms", int64(s.age())), missingResourceField(cmd.Missing), limitRefusalField(cmd.RateLimit))
+		zap.Int64("after_ms", int64(s.age())), missingResourceField(cmd.Missing), limitRefusalField(cmd.RateLimit), heldBackField(cmd.HeldBack))
 }
 
 // rateLimitField returns the log field for the rate limit of an upstream, in requests per
@@ -146,6 +151,28 @@
 	}))
 }
 
+// heldBackField returns the log fields for the decision of admission control that caused a refusal.
+func heldBackField(d *admission.Decision) zap.Field {
+	if d == nil {
+		return zap.Skip()
+	}
+	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
+		e.AddInt("priority", d.Priority)
+		e.AddFloat64("use", roundedShare(d.Use))
+		e.AddFloat64("pressure", roundedShare(d.Pressure))
+		e.AddFloat64("level", roundedShare(d.Level))
+		e.AddFloat64("threshold", roundedShare(d.Threshold))
+		e.AddInt64("pressure_age_ms", int64(d.Age))
+		return nil
+	}))
+}
+
+// roundedShare rounds a value from 0 to 1 for the log.
+func roundedShare(v float64) float64 {
+	const steps = 1000
+	return math.Round(v*steps) / steps
+}
+
 func (s *session) logFailure(cause dispatch.Cause, faultyAddress string, status UpstreamStatus, err error) {
 	s.relay.stats.count("attempt_" + cause.String())
 	s.log.Info("attempt_failed", zap.String("id", s.head.ID), zap.Stringer("work", s.attempt.cmd.Work), zap.Int("attempt", s.attempt.cmd.Attempt),
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -108,6 +108,7 @@
 		opt(r)
 	}
 	r.decider.onLimitChanged = r.upstreams.recordLimit
+	r.extraMetrics["admission"] = expvar.Func(func() any { return r.decider.admission.Load() })
 	r.extraMetrics["limits"] = expvar.Func(func() any { return r.decider.limits.Load() })
 	return r
 }
