--- a/lab/result.go
+++ b/lab/result.go
@@ -36,6 +36,8 @@
 	// BySecond counts outcomes by the second of the first try.
 	BySecond [][outcomeCount]int
 	Total    [outcomeCount]int
+	// Urgent counts the outcomes of requests with the first priority, which are part of Total.
+	Urgent [outcomeCount]int
 	// Causes counts the causes for which requests were not served.
 	Causes map[string]int
 	// ClientAttempts counts requests at nodes, EngineAttempts attempts sent to engines,
@@ -67,6 +69,9 @@
 		return
 	}
 	r.Total[o]++
+	if c.urgent {
+		r.Urgent[o]++
+	}
 	r.BySecond[min(int(c.firstSentAt/1000), len(r.BySecond)-1)][o]++
 	if cause != "" {
 		r.Causes[cause]++
@@ -110,6 +115,19 @@
 // Credit returns the mean credit of a request: 1 in time, half of that late, 0 if not served.
 func (r *Result) Credit() float64 { return credit(r.Total) }
 
+// UrgentCredit returns the mean credit of the requests with the first priority, and OtherCredit that
+// of the others.
+func (r *Result) UrgentCredit() float64 { return credit(r.Urgent) }
+
+// OtherCredit returns the mean credit of the requests with the second priority.
+func (r *Result) OtherCredit() float64 {
+	others := r.Total
+	for o, n := range r.Urgent {
+		others[o] -= n
+	}
+	return credit(others)
+}
+
 // worstWindowSeconds is the length of the window in WorstWindow.
 const worstWindowSeconds = 5
 
@@ -132,7 +150,7 @@
 func (r *Result) Figures() map[string]float64 {
 	n := float64(max(r.RequestCount(), 1))
 	return map[string]float64{
-		"credit": r.Credit(), "worst 5 s": r.WorstWindow(), "served": r.ServedShare(),
+		"credit": r.Credit(), "urgent credit": r.UrgentCredit(), "other credit": r.OtherCredit(), "worst 5 s": r.WorstWindow(), "served": r.ServedShare(),
 		"refused": float64(r.Total[Refused]) / n, "failed": float64(r.Total[Failed]) / n,
 		"refused again": float64(r.RefusedRetries) / n, "repeats": float64(r.RepeatedArrivals) / n, "in a rest": float64(r.ArrivalsInBackOff),
 		"most of a limit": r.PeakLimitRatio, "used of limits": r.LimitUtilization(),
@@ -140,7 +158,7 @@
 }
 
 // FigureNames are the names of the figures in display order.
-var FigureNames = []string{"credit", "worst 5 s", "served", "refused", "failed", "refused again", "repeats", "in a rest", "most of a limit", "used of limits"}
+var FigureNames = []string{"credit", "urgent credit", "other credit", "worst 5 s", "served", "refused", "failed", "refused again", "repeats", "in a rest", "most of a limit", "used of limits"}
 
 // TopCauses returns the most frequent causes, at most limit of them.
 func (r *Result) TopCauses(limit int) []string {
--- a/lab/variant.go
+++ b/lab/variant.go
@@ -31,6 +31,8 @@
 	IgnoreRetryAfter bool
 	// NoRetries stops nodes from repeating requests.
 	NoRetries bool
+	// NoAdmission admits requests of all priorities under pressure.
+	NoAdmission bool
 }
 
 // disablers switch off the mechanisms, by their names.
@@ -45,6 +47,7 @@
 	"verdicts":    func(v *Variant) { v.NoQuarantineSharing = true },
 	"return_time": func(v *Variant) { v.IgnoreRetryAfter = true },
 	"repeats":     func(v *Variant) { v.NoRetries = true },
+	"admission":   func(v *Variant) { v.NoAdmission = true },
 }
 
 // Without returns the variant with the given mechanisms switched off, separated by commas.
