--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/hoistjunction/hoistjunction/admission"
 	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -90,6 +91,10 @@
 	drainEnd clock.Millis
 	// lastTicket numbers the waits of requests in queues.
 	lastTicket uint64
+	// admission holds back less urgent requests under pressure. loadObservedAt is when it was last
+	// given the load of the services.
+	admission      *admission.Controller
+	loadObservedAt clock.Millis
 	// awaitsStoredQuarantine reports whether the stored quarantine has not been loaded yet.
 	awaitsStoredQuarantine bool
 }
@@ -140,6 +145,7 @@
 		capacityQueues:    make(map[string]*capacityQueue),
 		refusedWorks:      newRefusedWorks(),
 		limits:            limit.New(),
+		admission:         admission.New(),
 		configConfirmedAt: clock.Never,
 		meanStreamTime:    initialStreamTime,
 	}
@@ -247,6 +253,7 @@
 		u.applyService(m.catalog.Service(u.entry.Service))
 	}
 	m.rebuildIndex()
+	m.updateAdmission()
 	return m.requeueWaiters()
 }
 
@@ -333,5 +340,6 @@
 func (m *Model) tick() []Cmd {
 	m.updateRetryBudgets()
 	m.expirePeerUsage()
+	m.observeLoad()
 	return slices.Concat(m.processDeferred(), m.reviewPermitWaiters(), m.reviewSlotWaiters(), m.reviewLosses(), m.retryIdentify(), m.sendProbes(), m.migrateDeparting(), m.resumeStreams(), m.reviewCapacityWaiters(), m.shareUsage())
 }
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -22,6 +22,8 @@
 	// bodies; zero lets none wait.
 	MaxWaiting      int
 	MaxWaitingBytes int
+	// DisableAdmission turns off admission control by priority.
+	DisableAdmission bool
 }
 
 // defaultQuarantine is how long a request that crashes upstreams stays quarantined by default.
--- a/node/settings.go
+++ b/node/settings.go
@@ -58,6 +58,9 @@
 	// bodies; zero lets none wait.
 	WaitingRequests int
 	WaitingKB       int
+	// Admission reports whether less urgent requests are held back under pressure. It takes effect
+	// only on services whose requests differ in priority.
+	Admission bool
 }
 
 const (
@@ -102,6 +105,7 @@
 	set.Float("quarantine", "lasts_s", &s.QuarantineSeconds, 1, maxNumber, settings.WithDefault("3600"))
 	set.Int("waiting", "max_requests", &s.WaitingRequests, 0, maxWaitingRequests, settings.WithDefault("0"))
 	set.Int("waiting", "max_kb", &s.WaitingKB, 0, maxWaitingKB, settings.WithDefault("4096"))
+	set.Bool("admission", "enabled", &s.Admission, settings.WithDefault("true"))
 	return set
 }
 
