forecast: decoding for other streams does not delay the reading of prompts

Cause: predictions added the decode steps of the batch to each reading pass.

Change: a prompt takes its reading time; only the pass of the first event is lengthened by the batch.

--- a/forecast/doc.go
+++ b/forecast/doc.go
@@ -3,11 +3,10 @@
 //
 //	ms := forecast.FirstEvent(pipeline.Pass(), promptTokens, stages)
 //
-// Each engine reads prompts in passes over its batch. A pass reads a bounded number of prompt
-// tokens and generates some tokens of each stream in the batch, so a prompt takes longer while
-// streams run. An engine passes on what it has read after each pass, so the next stage begins with a
-// long prompt while the one before reads its rest. Once the last stage has read all of it, one
-// further pass over all stages generates the first event.
+// Each engine reads prompts in passes that read a bounded number of tokens. An engine passes on what
+// it has read after each pass, so the next stage begins with a long prompt while the one before
+// reads its rest. Once the last stage has read all of it, one further pass over all stages generates
+// the first event. The streams in the batch lengthen that pass, but not the reading.
 //
 // The prompts that wait at an engine are read while the request is still at the stages before it.
 // They delay the request only as far as they last longer than that. A sum over the stages would
--- a/forecast/first_event.go
+++ b/forecast/first_event.go
@@ -13,14 +13,14 @@
 	}
 	first := stages[0]
 	// The streams in the slot queue are among those whose prompts wait, so the two waits overlap.
-	begin := max(first.Hop, first.slotWait(), first.backlogTime(pass))
+	begin := max(first.Hop, first.slotWait(), first.backlogTime())
 	// firstPass is when a stage has completed its first pass over the prompt, and read its last.
-	firstPass, read := begin+first.passTime(pass, promptTokens), begin+first.promptTime(pass, promptTokens)
+	firstPass, read := begin+first.passTime(pass, promptTokens), begin+first.readTime(promptTokens)
 	event, hops := first.eventTime(pass), 0.0
 	for _, s := range stages[1:] {
-		begin = max(firstPass+s.Hop, s.backlogTime(pass))
+		begin = max(firstPass+s.Hop, s.backlogTime())
 		firstPass = begin + s.passTime(pass, promptTokens)
-		read = max(read+s.Hop+s.passTime(pass, promptTokens), begin+s.promptTime(pass, promptTokens))
+		read = max(read+s.Hop+s.passTime(pass, promptTokens), begin+s.readTime(promptTokens))
 		event += s.eventTime(pass)
 		hops += s.Hop
 	}
--- a/forecast/stage.go
+++ b/forecast/stage.go
@@ -1,10 +1,6 @@
 package forecast
 
-import (
-	"math"
-
-	"github.com/hoistjunction/hoistjunction/catalog"
-)
+import "github.com/hoistjunction/hoistjunction/catalog"
 
 // Stage is what is known of one engine of a chain. All times are in ms.
 type Stage struct {
@@ -33,37 +29,20 @@
 // slowed returns a time at the engine's measured speed.
 func (s Stage) slowed(time float64) float64 { return time * max(s.Slowdown, 1) }
 
-// decodeTime returns the time that a pass takes to generate tokens of the other streams. A pass of
-// an engine without other streams only reads.
-func (s Stage) decodeTime(pass catalog.Pass) float64 {
-	return pass.DecodeSteps * s.StepTime * (min(s.Batch, 1) + pass.StreamSlowdown*s.Batch)
-}
+// readTime returns the time to read prompt tokens. The tokens that the engine generates for other
+// streams in the same passes are not added: engines read while they decode, and with the decode
+// steps predictions were almost twice the actual times.
+func (s Stage) readTime(tokens float64) float64 { return s.slowed(tokens * s.ReadTime) }
 
-// backlogTime returns the time to read the waiting prompts. Their last pass may have room for a
-// part of the next prompt, so it counts in part.
-func (s Stage) backlogTime(pass catalog.Pass) float64 {
-	passes := 0.0
-	if pass.MaxPromptTokens > 0 {
-		passes = s.WaitingTokens / pass.MaxPromptTokens
-	}
-	return s.slowed(s.WaitingTokens*s.ReadTime + passes*s.decodeTime(pass))
-}
-
-// promptTime returns the time to read one prompt, in whole passes.
-func (s Stage) promptTime(pass catalog.Pass, tokens float64) float64 {
-	passes := 1.0
-	if pass.MaxPromptTokens > 0 {
-		passes = math.Ceil(tokens / pass.MaxPromptTokens)
-	}
-	return s.slowed(tokens*s.ReadTime + passes*s.decodeTime(pass))
-}
+// backlogTime returns the time to read the waiting prompts.
+func (s Stage) backlogTime() float64 { return s.readTime(s.WaitingTokens) }
 
 // passTime returns the time of one of the passes that read a prompt.
 func (s Stage) passTime(pass catalog.Pass, tokens float64) float64 {
 	if pass.MaxPromptTokens > 0 {
 		tokens = min(tokens, pass.MaxPromptTokens)
 	}
-	return s.slowed(tokens*s.ReadTime + s.decodeTime(pass))
+	return s.readTime(tokens)
 }
 
 // eventTime returns the time of the pass that generates the first event, as a part of the batch.
