--- /dev/null
+++ b/recovery/backlog.go
@@ -0,0 +1,84 @@
+package recovery
+
+import (
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// memory is how long moved prompts are remembered after the last one. Streams of a lost engine
+// move within some hundred ms; after a second, usage reports and engine reports show their load.
+const memory clock.Millis = 1000
+
+// Backlog remembers, by engine, the prompt tokens that this node has moved there and that have not
+// been read yet. The other nodes are assumed to do the same: they lose streams through the same
+// engines, and their reports arrive only after the streams must have moved. The zero value is
+// empty.
+type Backlog struct {
+	moved map[fleet.Incarnation]movedTokens
+}
+
+// movedTokens are the unread tokens of this node as of a time.
+type movedTokens struct {
+	at     clock.Millis
+	tokens float64
+}
+
+// Reader is an engine that reads prompts.
+type Reader struct {
+	ID fleet.Incarnation
+	// Rate is how many prompt tokens the engine reads per ms, for all nodes together; infinite if
+	// unknown.
+	Rate float64
+	// Nodes is the number of nodes that move streams to the engine.
+	Nodes int
+}
+
+// share returns the tokens per ms that the engine reads for one node.
+func (r Reader) share() float64 { return r.Rate / float64(max(r.Nodes, 1)) }
+
+// Add records tokens that this node has moved to an engine.
+func (b *Backlog) Add(now clock.Millis, r Reader, tokens float64) {
+	if b.moved == nil {
+		b.moved = make(map[fleet.Incarnation]movedTokens)
+	}
+	b.expire(now)
+	b.moved[r.ID] = movedTokens{at: now, tokens: b.unread(now, r) + tokens}
+}
+
+// Remove takes back tokens that the engine did not accept.
+func (b *Backlog) Remove(now clock.Millis, r Reader, tokens float64) {
+	if _, ok := b.moved[r.ID]; ok {
+		b.moved[r.ID] = movedTokens{at: now, tokens: max(0, b.unread(now, r)-tokens)}
+	}
+}
+
+// ReadTime returns how many ms the engine still reads the prompts that all nodes have moved to it.
+func (b *Backlog) ReadTime(now clock.Millis, r Reader) float64 {
+	unread := b.unread(now, r)
+	if unread == 0 {
+		return 0
+	}
+	return unread / r.share()
+}
+
+// unread returns the tokens of this node that an engine has not read yet.
+func (b *Backlog) unread(now clock.Millis, r Reader) float64 {
+	m, ok := b.moved[r.ID]
+	if !ok || now >= m.at.Add(memory) {
+		return 0
+	}
+	if now == m.at {
+		// An infinite rate times no time is no number.
+		return m.tokens
+	}
+	return max(0, m.tokens-float64(now.Sub(m.at))*r.share())
+}
+
+// expire drops the engines whose moved prompts are no longer remembered.
+func (b *Backlog) expire(now clock.Millis) {
+	for id, m := range b.moved {
+		if now >= m.at.Add(memory) {
+			delete(b.moved, id)
+		}
+	}
+}
