dispatch: streams leave a lost engine in order, at a bounded rate and spread over engines

All streams of a lost engine moved to the cheapest chain as their sessions reported them: 27 nodes with two streams each put 54 prompts on one engine, which reads them one after the other.

Where a route bounds the pause between events, streams that must move gather for 5 ms and leave in the order of recovery.Queue. An engine that is busy with moved prompts for half of the largest pause takes no further stream of the node until it has read them, at its reading rate divided by the number of nodes; after half of the client's patience a stream goes anyway. The time to read the moved prompts and the node's own place among all nodes count as cost. Streams of a leaving engine go the same way before it terminates.

An engine that has not answered a stalled stream in time is suspected provisionally: it counts as no failure, and a late answer ends it. The first attempt of a resumable stream without an event after half of the client's patience is abandoned if the retry budget permits and another chain exists.

Routes without EventGapTarget are unchanged.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -16,7 +16,7 @@
 	m := dispatch.New(dispatch.WithDataCentre("dc-0"), dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000}))
 	m.Update(0, dispatch.CatalogMsg{Catalog: catalog.New(1,
 		catalog.WithRoutes(&catalog.Route{
-			Name: "write", Host: "h", Prefix: "/write/", Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2,
+			Name: "write", Host: "h", Prefix: "/write/", Kind: catalog.Streaming, Resumable: true, MaxAttempts: 2, EventGapTarget: 250,
 			Targets: []catalog.Target{{Service: "writer", Weight: 1}},
 		}),
 		catalog.WithServices(&catalog.Service{Name: "writer", Pipeline: &catalog.Pipeline{
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -34,6 +34,11 @@
 	RouteDeadline  clock.Millis
 	// AttemptTimeout bounds this attempt; zero for no bound.
 	AttemptTimeout clock.Millis
+	// FirstEventLimit is the time without a first event after which the session reports the attempt
+	// as overdue; zero for none.
+	FirstEventLimit clock.Millis
+	// Recovery states how a stream was resumed; nil for other attempts.
+	Recovery *Recovery
 	// LastUpstream reports whether no further upstream may execute the request after this one.
 	LastUpstream bool
 	// RequiresKey reports whether the request may be sent only while the configuration is fresh.
@@ -113,6 +118,8 @@
 	Chain   []chain.Stage
 	// FromEngine is the engine that the stream leaves.
 	FromEngine fleet.Incarnation
+	// Recovery states how the stream was scheduled; nil if its route does not bound pauses.
+	Recovery *Recovery
 }
 
 // ShareUsageCmd sends the engine usage of requests to other nodes.
--- a/dispatch/depart.go
+++ b/dispatch/depart.go
@@ -15,7 +15,8 @@
 	// migrating the others while the engine still serves costs a short pause instead of a stall.
 	departDelay clock.Millis = 1200
 	// migrationsPerTick bounds the streams that migrate at each tick, since the same few engines
-	// must read the prompts of all of them again.
+	// must read the prompts of all of them again. Streams whose route bounds the pause migrate at
+	// the rate of the engines that take over instead (recovery.go).
 	migrationsPerTick = 6
 )
 
@@ -81,6 +82,10 @@
 			continue
 		}
 		remaining = true
+		if r.boundsPauses() {
+			*cmds = append(*cmds, m.scheduleDeparture(r, id)...)
+			continue
+		}
 		if len(*cmds) >= migrationsPerTick {
 			break
 		}
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -20,6 +20,7 @@
 		r.slotRefusals++
 	}
 	r.deliveredEvents, r.delivered = msg.Events, msg.Delivered
+	r.recordPause(m.now, msg.LastEventAt, msg.Events)
 	m.endAttempt(r)
 	return append(cmds, m.afterFailure(r, msg)...)
 }
@@ -33,6 +34,9 @@
 	if reason != "" {
 		return m.endAfterFailure(r, msg, reason)
 	}
+	if r.boundsPauses() && r.answerBegun() && msg.Cause.spendsRetryBudget() {
+		return m.awaitResume(r)
+	}
 	cmds := m.resend(r)
 	if r.awaitsSlot && msg.Cause.spendsRetryBudget() {
 		// The retry is charged when the request is sent again.
@@ -124,6 +128,9 @@
 		faulty.recordAnswer(m.now.Sub(r.arrivedAt), true)
 		return nil
 	default:
+		if msg.Provisional {
+			return m.suspectProvisionally(faulty, r)
+		}
 		faulty.recordAnswer(m.now.Sub(r.arrivedAt), true)
 		return m.suspect(faulty, msg.Cause, r)
 	}
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -19,28 +19,45 @@
 	if !ok {
 		return nil
 	}
+	r.recordPause(m.now, msg.LastEventAt, msg.Events)
 	u := m.upstreams[engine]
-	if msg.Slow || u == nil {
+	switch {
+	case msg.Slow || u == nil:
 		return m.migrate(r, engine)
+	case msg.Provisional:
+		return append(m.suspectProvisionally(u, r), m.migrate(r, engine)...)
 	}
-	cmds := m.suspect(u, CauseNoProgress, r)
-	return append(cmds, m.migrate(r, engine)...)
+	return append(m.suspect(u, CauseNoProgress, r), m.migrate(r, engine)...)
 }
 
-// migrate moves a running stream to a chain without one engine. The first engine of the chain
-// stays, because the stream comes from there.
+// migrate moves a running stream to a chain without one engine: at once, or in its turn if the
+// route bounds the pause. The first engine of the chain stays, because the stream comes from there.
 func (m *Model) migrate(r *request, avoided fleet.Incarnation) []Cmd {
-	if r.migrating || r.migrations >= maxMigrations || len(r.chain) == 0 || r.chain[0].ID == avoided {
+	if r.boundsPauses() {
+		return m.awaitMigration(r, avoided, r.pauseLateAt(), r.holdUntil())
+	}
+	if !r.mayMigrateFrom(avoided) {
 		return nil
 	}
 	parts, err := m.detourChain(r, avoided)
 	if err != nil {
 		return nil
 	}
+	return m.startMigration(r, avoided, parts, nil)
+}
+
+// mayMigrateFrom reports whether a running stream may be migrated off an engine.
+func (r *request) mayMigrateFrom(avoided fleet.Incarnation) bool {
+	return !r.migrating && r.migrations < maxMigrations && len(r.chain) > 0 && r.chain[0].ID != avoided
+}
+
+// startMigration orders a running stream to continue over another chain.
+func (m *Model) startMigration(r *request, avoided fleet.Incarnation, parts []chain.Stage, report *Recovery) []Cmd {
+	m.chargeRecovery(r, parts)
 	r.migrating = true
 	r.migrations++
 	m.reserve(r, parts)
-	return []Cmd{MigrateCmd{Request: r.arrival.Request, Attempt: r.attempts, Chain: parts, FromEngine: avoided}}
+	return []Cmd{MigrateCmd{Request: r.arrival.Request, Attempt: r.attempts, Chain: parts, FromEngine: avoided, Recovery: report}}
 }
 
 // detourChain builds a chain that avoids an engine and keeps the first part of the current chain.
@@ -77,6 +94,7 @@
 	if msg.Result != MigrationRefused {
 		return nil
 	}
+	m.refundRecovery(r)
 	engine, ok := r.upstreamAt(msg.FaultyAddress)
 	if !ok {
 		return nil
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -12,6 +12,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
+	"github.com/hoistjunction/hoistjunction/recovery"
 )
 
 // Model holds the state behind all decisions of a node. It is not safe for concurrent use.
@@ -77,6 +78,11 @@
 	permitWaiters map[fleet.Incarnation][]RequestID
 	// slotQueues holds, by plain service, the requests that wait for a free slot.
 	slotQueues map[string]*slotQueue
+	// recoveries holds the streams that wait to leave engines, considered next at recoveryAt, and
+	// backlog the prompts that were moved to each engine.
+	recoveries recovery.Queue
+	recoveryAt clock.Millis
+	backlog    recovery.Backlog
 	// awaitsStoredQuarantine reports whether the stored quarantine has not been loaded yet.
 	awaitsStoredQuarantine bool
 }
@@ -165,6 +171,10 @@
 		m.recordReport(msg.Upstream, msg.Report)
 	case MigratedMsg:
 		return m.migrated(msg)
+	case RecoverMsg:
+		return m.recoverStreams()
+	case FirstEventOverdueMsg:
+		return m.firstEventOverdue(msg)
 	case RequestEndedMsg:
 		m.dropDeferred(msg.Request)
 		return m.requestEnded(msg)
@@ -184,6 +194,8 @@
 		return m.backOffRequested(msg)
 	case ProbedMsg:
 		return m.probeDone(msg)
+	case LateReportMsg:
+		return m.lateReport(msg)
 	case IdentifiedMsg:
 		return m.identified(msg)
 	case PeerLossMsg:
@@ -315,5 +327,5 @@
 func (m *Model) tick() []Cmd {
 	m.updateRetryBudgets()
 	m.expirePeerUsage()
-	return slices.Concat(m.processDeferred(), m.reviewPermitWaiters(), m.reviewSlotWaiters(), m.reviewLosses(), m.retryIdentify(), m.sendProbes(), m.migrateDeparting(), m.resumeStreams(), m.shareUsage())
+	return slices.Concat(m.processDeferred(), m.reviewPermitWaiters(), m.reviewSlotWaiters(), m.reviewLosses(), m.retryIdentify(), m.sendProbes(), m.migrateDeparting(), m.recoverOverdue(), m.resumeStreams(), m.shareUsage())
 }
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -102,9 +102,12 @@
 	// one.
 	FaultyAddress string
 	// Delivered is the part of the answer that the client has received, and Events the number of
-	// stream events in it.
-	Delivered Delivered
-	Events    int
+	// stream events in it. LastEventAt is when the client received the last one; 0 if unknown.
+	Delivered   Delivered
+	Events      int
+	LastEventAt clock.Millis
+	// Provisional reports whether the upstream at fault has only not answered yet.
+	Provisional bool
 }
 
 // Delivered classifies the part of an answer that the client has received. An answer that has
@@ -138,6 +141,12 @@
 	FaultyAddress string
 	// Slow reports whether the engine is alive and merely slow.
 	Slow bool
+	// Provisional reports whether the engine has only not answered yet. A LateReportMsg follows.
+	Provisional bool
+	// Events is the number of events that the client has received, and LastEventAt when it
+	// received the last one; 0 if unknown.
+	Events      int
+	LastEventAt clock.Millis
 }
 
 // ReportMsg delivers an engine's report of its state.
--- a/dispatch/prompt_load.go
+++ b/dispatch/prompt_load.go
@@ -26,7 +26,13 @@
 	if !known || layers == 0 || usedMemory <= 0 {
 		return 0
 	}
-	prompt, answer := u.pipeline.MeanTokens()
-	streams := usedMemory / (prompt + answerMemoryShare*answer) / float64(layers)
+	streams := u.estimatedStreams(free)
 	return streams / m.meanStreamTime * max(u.slowdown, 1) / u.pipeline.PromptRate(accelerator, layers, batchShare*streams)
 }
+
+// estimatedStreams estimates the streams on an engine from its memory in use. The engine must hold
+// layers.
+func (u *upstream) estimatedStreams(free float64) float64 {
+	prompt, answer := u.pipeline.MeanTokens()
+	return max(0, u.memory-free) / (prompt + answerMemoryShare*answer) / float64(u.entry.Held.Len())
+}
--- /dev/null
+++ b/dispatch/recovery.go
@@ -0,0 +1,301 @@
+package dispatch
+
+import (
+	"math"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/recovery"
+)
+
+// Streams whose route bounds the pause between events do not leave a lost engine one by one as
+// their sessions report them: they gather for a moment, leave in order, and are spread over the
+// engines that take over.
+const (
+	// recoveryGather is how long the first stream of a lost engine waits for the others. The
+	// sessions of a node respond to a RecheckAttemptCmd within a ms or two.
+	recoveryGather clock.Millis = 5
+	// recoveryInterval is the pause until held streams are considered again: about the time in
+	// which an engine reads one prompt.
+	recoveryInterval clock.Millis = 20
+	// recoveryQueueShare is the share of the largest pause for which an engine may be busy with
+	// moved prompts when it takes over another stream. Detection takes the other half, so a stream
+	// behind a longer queue would be late anyway and is left to wait where more urgent ones can
+	// overtake it.
+	recoveryQueueShare = 0.5
+	// recoveryHoldShare is the share of a client's patience after which a stream is no longer held
+	// back. The rest is left for reading its prompt and for another attempt.
+	recoveryHoldShare = 0.5
+	// departHold is how long streams that leave a departing engine are held back. They begin to
+	// leave 1.2 s after the departure became known and the engine serves for two seconds at least,
+	// so 0.4 s remain for those that are left.
+	departHold clock.Millis = 400
+)
+
+// Recovery states how a stream was moved off an engine, for the log.
+type Recovery struct {
+	// LateIn is the time until the pause of the stream counts as late; negative if it is late.
+	LateIn clock.Millis
+	// Held is how long the stream waited for its turn.
+	Held clock.Millis
+	// ReadTime is the longest time in ms for which an engine that takes over is busy with prompts
+	// moved before.
+	ReadTime float64
+	// Nodes is the number of nodes that are assumed to move streams too.
+	Nodes int
+}
+
+// RecoverCmd requests a RecoverMsg after a time.
+type RecoverCmd struct{ After clock.Millis }
+
+// RecoverMsg makes the model move the streams that wait to leave engines.
+type RecoverMsg struct{}
+
+func (RecoverCmd) dispatchCmd() {}
+func (RecoverMsg) dispatchMsg() {}
+
+// boundsPauses reports whether a request is a stream through engines whose route bounds the pause
+// between events. Other requests are moved as they are reported.
+func (r *request) boundsPauses() bool {
+	return r.service.Pipeline != nil && r.route.Kind == catalog.Streaming && r.route.EventGapTarget > 0
+}
+
+// recovers reports whether the next chain of a request takes over a stream that has begun.
+func (r *request) recovers() bool {
+	return r.boundsPauses() && (r.answerBegun() || !r.leaves.IsZero())
+}
+
+// recordPause records how far a stream has come and when its pause began. A time of 0 means that
+// the session did not report the last event; the pause then counts from now.
+func (r *request) recordPause(now, lastEventAt clock.Millis, events int) {
+	r.streamedEvents = max(r.streamedEvents, events)
+	r.lastEventAt = lastEventAt
+	if lastEventAt == 0 {
+		r.lastEventAt = now
+	}
+}
+
+// pauseLateAt returns when the pause of a stream counts as late.
+func (r *request) pauseLateAt() clock.Millis { return r.lastEventAt.Add(r.route.EventGapTarget) }
+
+// holdUntil returns until when a stalled stream may be held back.
+func (r *request) holdUntil() clock.Millis {
+	patience := clientPatience(r.route) - patienceMargin
+	return r.lastEventAt.Add(clock.Millis(recoveryHoldShare * float64(patience)))
+}
+
+// awaitMigration queues a running stream that must leave an engine.
+func (m *Model) awaitMigration(r *request, avoided fleet.Incarnation, lateAt, holdUntil clock.Millis) []Cmd {
+	if !r.mayMigrateFrom(avoided) {
+		return nil
+	}
+	m.recoveries.Add(recovery.Stream{
+		ID: uint64(r.arrival.Request), Attempt: r.attempts, Avoided: avoided, Priority: r.priority(),
+		LateAt: lateAt, WaitingSince: m.now, HoldUntil: holdUntil,
+	})
+	return m.wakeRecovery(recoveryGather)
+}
+
+// awaitResume queues a stream whose attempt has failed. Its retry is charged already and refunded
+// if it is never sent.
+func (m *Model) awaitResume(r *request) []Cmd {
+	r.retryUnsent = true
+	m.recoveries.Add(recovery.Stream{
+		ID: uint64(r.arrival.Request), Attempt: r.attempts, Priority: r.priority(),
+		LateAt: r.pauseLateAt(), WaitingSince: m.now, HoldUntil: r.holdUntil(),
+	})
+	return m.wakeRecovery(recoveryGather)
+}
+
+// wakeRecovery requests a RecoverMsg unless an earlier one is due.
+func (m *Model) wakeRecovery(after clock.Millis) []Cmd {
+	at := m.now.Add(after)
+	if m.recoveryAt > m.now && m.recoveryAt <= at {
+		return nil
+	}
+	m.recoveryAt = at
+	return []Cmd{RecoverCmd{After: after}}
+}
+
+// recoverOverdue moves the waiting streams at a tick if their RecoverMsg is overdue, as after a
+// suspension of the VM.
+func (m *Model) recoverOverdue() []Cmd {
+	if m.recoveries.Len() == 0 || m.now < m.recoveryAt {
+		return nil
+	}
+	return m.recoverStreams()
+}
+
+// recoverStreams moves the waiting streams in their order, as far as the engines that take over
+// may have more prompts.
+func (m *Model) recoverStreams() []Cmd {
+	var cmds []Cmd
+	for _, s := range m.recoveries.Ordered(m.now) {
+		r := m.requests[RequestID(s.ID)]
+		if r == nil || r.attempts != s.Attempt || s.Avoided.IsZero() != (r.firstUpstream == nil) {
+			// The request has ended, or its attempt has failed or been replaced meanwhile.
+			m.recoveries.Remove(s.ID)
+			continue
+		}
+		cmds = append(cmds, m.recoverStream(r, s)...)
+	}
+	if m.recoveries.Len() > 0 {
+		cmds = append(cmds, m.wakeRecovery(recoveryInterval)...)
+	}
+	return cmds
+}
+
+// recoverStream moves one stream, unless all engines that could take it over are too busy with
+// prompts moved before.
+func (m *Model) recoverStream(r *request, s recovery.Stream) []Cmd {
+	r.leaves, r.spareBusy = s.Avoided, true
+	defer func() { r.leaves, r.spareBusy = fleet.Incarnation{}, false }()
+	parts, err := m.recoveryChain(r)
+	if err != nil {
+		r.spareBusy = false
+		parts, err = m.recoveryChain(r)
+		if err == nil && m.now < s.HoldUntil {
+			return nil
+		}
+	}
+	m.recoveries.Remove(s.ID)
+	report := &Recovery{LateIn: s.LateAt.Sub(m.now), Held: m.now.Sub(s.WaitingSince), ReadTime: m.readTime(r, parts), Nodes: m.recoveringNodes()}
+	if s.Avoided.IsZero() {
+		return m.resumeRecovered(r, report)
+	}
+	if err != nil {
+		return nil
+	}
+	return m.startMigration(r, s.Avoided, parts, report)
+}
+
+// recoveryChain builds the chain over which a stream continues.
+func (m *Model) recoveryChain(r *request) ([]chain.Stage, error) {
+	if r.leaves.IsZero() {
+		return m.chainFor(r)
+	}
+	return m.detourChain(r, r.leaves)
+}
+
+// resumeRecovered sends a stream whose attempt has failed again.
+func (m *Model) resumeRecovered(r *request, report *Recovery) []Cmd {
+	r.retryUnsent = false
+	cmds := m.resend(r)
+	sent := false
+	for i, cmd := range cmds {
+		if send, ok := cmd.(SendCmd); ok {
+			send.Recovery = report
+			cmds[i], sent = send, true
+		}
+	}
+	if !sent && m.requests[r.arrival.Request] == nil {
+		m.budget(r.service.Name).Refund(m.now)
+	}
+	return cmds
+}
+
+// recoveringNodes returns the number of nodes that are assumed to move streams too. A node that
+// has no count yet uses the nodes whose usage it should know.
+func (m *Model) recoveringNodes() int { return max(m.nodeCount.total, m.usagePeers+1) }
+
+// reader returns an engine as a reader of prompts.
+func (m *Model) reader(u *upstream) recovery.Reader {
+	return recovery.Reader{ID: u.entry.ID, Rate: m.readRate(u), Nodes: m.recoveringNodes()}
+}
+
+// readRate returns how many prompt tokens an engine reads per ms; infinite if unknown.
+func (m *Model) readRate(u *upstream) float64 {
+	layers := u.entry.Held.Len()
+	accelerator, known := u.pipeline.Accelerators[u.entry.Accelerator]
+	if !known || layers == 0 {
+		return math.Inf(1)
+	}
+	prompt, _ := u.pipeline.MeanTokens()
+	rate := u.pipeline.PromptRate(accelerator, layers, batchShare*u.estimatedStreams(m.freeMemory(u))) * prompt
+	if read := u.pipeline.ReadTime(accelerator, layers); read > 0 {
+		rate = min(rate, 1/read)
+	}
+	return rate / max(u.slowdown, 1)
+}
+
+// tooBusyToRecover reports whether an engine is to be left out of the chain of a stream that moves,
+// because it has too many moved prompts to read. An engine that the stream uses already has its
+// tokens in memory.
+func (m *Model) tooBusyToRecover(r *request, u *upstream) bool {
+	if !r.spareBusy || r.passesThrough(u.entry.ID) {
+		return false
+	}
+	return m.backlog.ReadTime(m.now, m.reader(u)) > recoveryQueueShare*float64(r.route.EventGapTarget)
+}
+
+// recoveryCost returns the cost of the moved prompts that an engine has to read first, in ms per
+// token. An engine that reads them for the whole largest pause costs as much as generating a token
+// in all layers. Requests that take over no stream have no such cost.
+//
+// The prompts consist of those that the backlog holds and of those that other nodes move at this
+// moment. If all nodes move one stream to the engine, this one has a place among them that differs
+// between nodes and engines. Without it, all nodes would begin with the same engine.
+func (m *Model) recoveryCost(r *request, u *upstream) float64 {
+	if !r.recovers() || r.passesThrough(u.entry.ID) {
+		return 0
+	}
+	reader := m.reader(u)
+	placeTime := u.preference * float64(reader.Nodes) * r.readTokens() / reader.Rate
+	return m.fastestTokenTime[r.service.Name] * (m.backlog.ReadTime(m.now, reader) + placeTime) / float64(r.route.EventGapTarget)
+}
+
+// readTime returns the longest time in ms for which an engine that a stream moves to is busy with
+// prompts moved before.
+func (m *Model) readTime(r *request, parts []chain.Stage) float64 {
+	longest := 0.0
+	for _, p := range parts {
+		if u := m.upstreams[p.ID]; u != nil && !r.passesThrough(p.ID) {
+			longest = max(longest, m.backlog.ReadTime(m.now, m.reader(u)))
+		}
+	}
+	return longest
+}
+
+// chargeRecovery records the tokens that the new engines of a moved stream read again. It must be
+// called while r.chain is still the former chain.
+func (m *Model) chargeRecovery(r *request, parts []chain.Stage) {
+	r.charged = r.charged[:0]
+	if !r.recovers() {
+		return
+	}
+	for _, p := range parts {
+		if u := m.upstreams[p.ID]; u != nil && !r.passesThrough(p.ID) {
+			m.backlog.Add(m.now, m.reader(u), r.readTokens())
+			r.charged = append(r.charged, p.ID)
+		}
+	}
+}
+
+// refundRecovery takes back the tokens of a migration that was refused.
+func (m *Model) refundRecovery(r *request) {
+	for _, id := range r.charged {
+		if u := m.upstreams[id]; u != nil && u.pipeline != nil {
+			m.backlog.Remove(m.now, m.reader(u), r.readTokens())
+		}
+	}
+	r.charged = r.charged[:0]
+}
+
+// readTokens returns the tokens that an engine reads to take over a stream: the prompt and the
+// answer so far.
+func (r *request) readTokens() float64 {
+	prompt := float64(r.arrival.PromptTokens)
+	if prompt == 0 {
+		prompt, _ = r.service.Pipeline.MeanTokens()
+	}
+	return prompt + float64(max(r.streamedEvents, r.deliveredEvents))
+}
+
+// scheduleDeparture queues a stream that must leave an engine before it terminates.
+func (m *Model) scheduleDeparture(r *request, id fleet.Incarnation) []Cmd {
+	// The stream still flows: its pause begins when it moves.
+	r.lastEventAt = m.now
+	return m.awaitMigration(r, id, r.pauseLateAt(), m.departingSince[id].Add(departDelay+departHold))
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -63,6 +63,19 @@
 	// migrating reports whether a migration is in progress, and migrations counts them.
 	migrating  bool
 	migrations int
+
+	// lastEventAt is when the client received the last event of a stream, as of the last report of
+	// its session, and streamedEvents the number of events until then.
+	lastEventAt    clock.Millis
+	streamedEvents int
+	// leaves is the engine that the stream is being moved off, while its chain is built, and
+	// spareBusy reports whether that chain leaves out engines with too many moved prompts.
+	leaves    fleet.Incarnation
+	spareBusy bool
+	// charged holds the engines that were charged for reading the stream's tokens at its last move.
+	charged []fleet.Incarnation
+	// retryUnsent reports whether a retry was charged and waits to be sent.
+	retryUnsent bool
 }
 
 // upstreamAt returns the incarnation that the current attempt uses at an address. Another
@@ -150,5 +163,8 @@
 		return
 	}
 	m.endAttempt(r)
+	if r.retryUnsent {
+		m.budget(r.service.Name).Refund(m.now)
+	}
 	delete(m.requests, id)
 }
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -22,6 +22,9 @@
 // TestSlotScripts runs the scripts about waiting for slots at plain services.
 func TestSlotScripts(t *testing.T) { runScripts(t, "testdata/slot_queue") }
 
+// TestRecoveryScripts runs the scripts about streams that leave lost engines.
+func TestRecoveryScripts(t *testing.T) { runScripts(t, "testdata/recovery") }
+
 func runScripts(t *testing.T, folder string) {
 	script.Run(t, folder, func(t *testing.T) func(script.Step) []string {
 		p := &scriptRunner{t: t, model: dispatch.New(
@@ -52,10 +55,13 @@
 }
 
 func (p *scriptRunner) message(s script.Step) dispatch.Msg {
+	request, attempt := parseAttempt(s.Arg(0))
 	if message := limitMsg(s); message != nil {
 		return message
 	}
-	request, attempt := parseAttempt(s.Arg(0))
+	if message := recoveryMsg(s, request, attempt); message != nil {
+		return message
+	}
 	switch s.Verb {
 	case "config":
 		return dispatch.CatalogMsg{Catalog: testCatalog(s), ConfirmedAt: clock.Millis(s.Int("confirmed", int(p.now)))}
@@ -80,12 +86,12 @@
 	case "failed":
 		return dispatch.AttemptFailedMsg{
 			Request: request, Attempt: attempt, Cause: parseCause(p.t, s.Params["cause"]), FaultyAddress: s.Params["by"],
-			Events: s.Int("events", 0), Delivered: parseDelivered(s),
+			Events: s.Int("events", 0), Delivered: parseDelivered(s), LastEventAt: clock.Millis(s.Int("last", 0)), Provisional: s.Params["early"] == "yes",
 		}
 	case "done":
 		return dispatch.AttemptDoneMsg{Request: request, Attempt: attempt, Took: clock.Millis(s.Int("took", 50))}
 	case "stalled":
-		return dispatch.StalledMsg{Request: request, Attempt: attempt, FaultyAddress: s.Params["by"], Slow: s.Params["slow"] == "yes"}
+		return dispatch.StalledMsg{Request: request, Attempt: attempt, FaultyAddress: s.Params["by"], Slow: s.Params["slow"] == "yes", LastEventAt: clock.Millis(s.Int("last", 0)), Provisional: s.Params["early"] == "yes"}
 	case "moved":
 		return dispatch.MigratedMsg{Request: request, Attempt: attempt, Result: dispatch.MigrationResult(s.Int("result", 0)), FaultyAddress: s.Params["by"]}
 	case "rests":
@@ -132,6 +138,20 @@
 	return nil
 }
 
+// recoveryMsg returns the message of a script line about the recovery of streams; nil for any other
+// line.
+func recoveryMsg(s script.Step, request dispatch.RequestID, attempt int) dispatch.Msg {
+	switch s.Verb {
+	case "recover":
+		return dispatch.RecoverMsg{}
+	case "overdue":
+		return dispatch.FirstEventOverdueMsg{Request: request, Attempt: attempt}
+	case "reported":
+		return dispatch.LateReportMsg{Upstream: script.Incarnation(s.Arg(0)), Answered: s.Params["well"] == "yes", Report: testReport(s)}
+	}
+	return nil
+}
+
 // membersMsg returns a message with the named nodes as members, this node first.
 func membersMsg(s script.Step) dispatch.PeersMsg {
 	msg := dispatch.PeersMsg{TotalNodes: len(s.Args), UsagePeers: len(s.Args) - 1}
@@ -227,6 +247,8 @@
 		catalog.WithRoutes(
 			&catalog.Route{Name: "write", Host: "h", Prefix: "/write/", Kind: catalog.Streaming, Resumable: true,
 				Targets: to("writer"), MaxAttempts: 2, Timeout: 20000, LatencyTarget: 500},
+			&catalog.Route{Name: "steady", Host: "h", Prefix: "/steady/", Kind: catalog.Streaming, Resumable: true,
+				Targets: to("writer"), MaxAttempts: 2, Timeout: 20000, LatencyTarget: 500, EventGapTarget: 250},
 			&catalog.Route{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.AtMostOnce, Targets: to("desk"), MaxAttempts: 2, Timeout: 1500, LatencyTarget: 100},
 			&catalog.Route{Name: "read", Host: "h", Prefix: "/read/", Kind: catalog.Repeatable, Targets: to("desk"), MaxAttempts: 2, Timeout: 1500, LatencyTarget: 100},
 			&catalog.Route{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.AtMostOnce, Targets: to("desk"), MaxAttempts: 1, Anonymous: true},
@@ -296,6 +318,10 @@
 		return text
 	case dispatch.ProbeCmd:
 		return "probe " + c.Upstream.String()
+	case dispatch.RecoverCmd:
+		return fmt.Sprintf("recover in %d", c.After)
+	case dispatch.AbandonCmd:
+		return fmt.Sprintf("abandon %d.%d", c.Request, c.Attempt)
 	case dispatch.IdentifyCmd:
 		return "identify " + c.Upstream.String()
 	case dispatch.QuarantineCmd:
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -165,8 +165,9 @@
 	if m.needsPermit(first) {
 		return SendCmd{}, awaitsPermit
 	}
+	m.chargeRecovery(r, parts)
 	m.reserve(r, parts)
-	return SendCmd{Chain: parts}, ""
+	return SendCmd{Chain: parts, FirstEventLimit: m.firstEventLimit(r)}, ""
 }
 
 // chainFor builds the chain of a request. Engines of other data centres are only considered if
@@ -232,7 +233,7 @@
 	holders := make([]chain.Holder, 0, len(candidates))
 	bounded := m.upstreamBoundReached(r)
 	for _, u := range candidates {
-		if u.inBackOff(conditions.backOffsUntil) || !allowed(u) || slices.Contains(excluded, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
+		if u.inBackOff(conditions.backOffsUntil) || !allowed(u) || slices.Contains(excluded, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil || m.tooBusyToRecover(r, u) {
 			continue
 		}
 		if u.sharesAddress && slices.ContainsFunc(holders, func(h chain.Holder) bool { return h.Address == u.entry.Address }) {
@@ -296,6 +297,7 @@
 	if m.manyNodes {
 		h.Penalty += preferenceCost * u.preference
 	}
+	h.Penalty += m.recoveryCost(r, u)
 	if u.suspected {
 		h.Penalty += suspectPenalty
 	}
--- a/lab/node.go
+++ b/lab/node.go
@@ -188,6 +188,8 @@
 		n.requestPermits(cmd.PermitRequestCmd)
 	case dispatch.GrantPermitsCmd:
 		n.grantPermits(cmd)
+	case dispatch.RecoverCmd:
+		n.world.after(cmd.After, func() { n.update(dispatch.RecoverMsg{}) })
 	case dispatch.SuspectCmd, dispatch.BackOffCmd, dispatch.RecheckDeadlineCmd, dispatch.LimitChangedCmd:
 	default:
 		if s := n.sessions[requestOf(cmd)]; s != nil {
@@ -211,6 +213,8 @@
 		return cmd.Request
 	case dispatch.RecheckAttemptCmd:
 		return cmd.Request
+	case dispatch.AbandonCmd:
+		return cmd.Request
 	}
 	return 0
 }
--- a/lab/session.go
+++ b/lab/session.go
@@ -43,6 +43,10 @@
 		}
 	case dispatch.RecheckAttemptCmd:
 		s.recheck(cmd)
+	case dispatch.AbandonCmd:
+		if a := s.attempt; a != nil && a.cmd.Attempt == cmd.Attempt && !a.finished && s.receivedEvents == 0 {
+			a.fail(dispatch.CauseNoProgress, "")
+		}
 	case dispatch.RespondCmd:
 		s.finish()
 		if cmd.Status == http.StatusServiceUnavailable {
--- a/recovery/queue.go
+++ b/recovery/queue.go
@@ -49,6 +49,11 @@
 // Remove removes a stream.
 func (q *Queue) Remove(id uint64) { delete(q.streams, id) }
 
+// RemoveLeaving removes the streams that wait to leave an engine.
+func (q *Queue) RemoveLeaving(engine fleet.Incarnation) {
+	maps.DeleteFunc(q.streams, func(_ uint64, s Stream) bool { return s.Avoided == engine })
+}
+
 // Len returns the number of streams that wait.
 func (q *Queue) Len() int { return len(q.streams) }
 
--- a/recovery/recovery_test.go
+++ b/recovery/recovery_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// An engine has answered after all: streams that still wait to leave it must not be moved, while those
+// that leave another engine or have no attempt left still wait.
+func TestRemoveLeaving(t *testing.T) {
+	var q recovery.Queue
+	alive := fleet.IncarnationByID("alive")
+	q.RemoveLeaving(alive)
+	q.Add(recovery.Stream{ID: 1, Avoided: alive})
+	q.Add(recovery.Stream{ID: 2, Avoided: fleet.IncarnationByID("lost")})
+	q.Add(recovery.Stream{ID: 3})
+	q.RemoveLeaving(alive)
+	if q.Len() != 2 {
+		t.Errorf("got %d streams left, want 2", q.Len())
+	}
+}
+
 // The backlog must shrink at the engine's rate divided among the nodes, and end after a second: an
 // estimate that stays would keep streams off an idle engine.
 func TestBacklog(t *testing.T) {
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -66,6 +66,8 @@
 	// counts the changes that were not logged since.
 	limitLoggedAt  map[fleet.Incarnation]clock.Millis
 	unloggedLimits int
+	// recovery fires when the model moves the streams that wait to leave engines.
+	recovery *time.Timer
 	// limits are the active rate limits as of the last tick.
 	limits atomic.Pointer[[]limit.Summary]
 }
@@ -79,7 +81,7 @@
 		onLimitChanged: func(fleet.Incarnation, bool) {},
 		onQuarantine:   func(quarantine.Event) {},
 		inbox:          ring.New[envelope](maxQueuedMessages), commands: make(map[dispatch.RequestID]chan dispatch.Cmd),
-		limitLoggedAt: make(map[fleet.Incarnation]clock.Millis),
+		limitLoggedAt: make(map[fleet.Incarnation]clock.Millis), recovery: stoppedTimer(),
 	}
 }
 
@@ -103,6 +105,8 @@
 			return ctx.Err()
 		case e := <-d.inbox.Items():
 			d.decide(e)
+		case <-d.recovery.C:
+			d.decide(envelope{msg: dispatch.RecoverMsg{}})
 		case <-tick.C:
 			d.decide(envelope{msg: dispatch.TickMsg{}})
 			d.ready.Store(d.model.Ready(d.clock.Now()))
@@ -139,6 +143,10 @@
 		d.deliver(cmd.Request, cmd)
 	case dispatch.MigrateCmd:
 		d.deliver(cmd.Request, cmd)
+	case dispatch.AbandonCmd:
+		d.deliver(cmd.Request, cmd)
+	case dispatch.RecoverCmd:
+		d.recovery.Reset(cmd.After.Duration())
 	case dispatch.RecheckAttemptCmd:
 		d.deliver(cmd.Request, cmd)
 	case dispatch.RecheckDeadlineCmd:
