relay: a stalled stream waits for a report only as long as its largest pause permits

A stream is checked after a pause of 110 ms, and a dead engine was recognised when its report timed out 160 ms later: 270 ms, when the pause was late already.

On routes with EventGapTarget the wait is half of the time left, and 60 ms at least, by which a throttled node may notice an answer late; a wait in which the node did not run does not count. The query continues, and its result ends the suspicion of an engine that answers late. A stream through an engine that another stream or node has found unresponsive leaves it once it has been quiet for 60 ms, without a query of its own. After a migration the engines are queried after EventGapTarget instead of 400 ms, since the new engine may be dead too. Attempts report an overdue first event, and move and sent lines state how a stream was scheduled.

--- a/relay/log.go
+++ b/relay/log.go
@@ -38,7 +38,7 @@
 		zap.String("chain", chainText(cmd.Chain)), zap.Int("in_flight", cmd.InFlight), zap.Int("priority", cmd.Priority),
 		zap.Stringer("config", cmd.Config), zap.Int64("config_age_ms", int64(cmd.ConfigAge)),
 		zap.Int64("list_age_ms", int64(s.relay.listAge())),
-		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEventID), zap.Bool("suspected", cmd.WorkSuspected), rateLimitField(cmd.Limit))
+		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEventID), zap.Bool("suspected", cmd.WorkSuspected), rateLimitField(cmd.Limit), recoveryField(cmd.Recovery))
 }
 
 func (s *session) logAnswer(status int) {
@@ -114,6 +114,20 @@
 	return zap.Float64("limit", perSecond)
 }
 
+// recoveryField returns the log fields for how a stream was scheduled that left an engine.
+func recoveryField(recovery *dispatch.Recovery) zap.Field {
+	if recovery == nil {
+		return zap.Skip()
+	}
+	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
+		e.AddInt64("late_in_ms", int64(recovery.LateIn))
+		e.AddInt64("held_ms", int64(recovery.Held))
+		e.AddInt64("read_ms", int64(recovery.ReadTime))
+		e.AddInt("nodes", recovery.Nodes)
+		return nil
+	}))
+}
+
 // limitRefusalField returns the log fields for the rate limit that caused a refusal.
 func limitRefusalField(refusal *dispatch.LimitRefusal) zap.Field {
 	if refusal == nil {
--- a/relay/reports.go
+++ b/relay/reports.go
@@ -22,6 +22,8 @@
 	group   singleflight.Group
 	mu      sync.Mutex
 	entries map[fleet.Incarnation]cachedReport
+	// overdue holds the engines whose answer to a query is awaited by settleReport.
+	overdue map[fleet.Incarnation]bool
 }
 
 // cachedReport is the result of a query to an engine: its report or an error.
@@ -32,7 +34,7 @@
 }
 
 func newReportCache(engines Engines, c *clock.Clock) *reportCache {
-	return &reportCache{engines: engines, clock: c, entries: make(map[fleet.Incarnation]cachedReport)}
+	return &reportCache{engines: engines, clock: c, entries: make(map[fleet.Incarnation]cachedReport), overdue: make(map[fleet.Incarnation]bool)}
 }
 
 // get returns an engine's report, which may be up to reportTTL old.
--- a/relay/session.go
+++ b/relay/session.go
@@ -64,12 +64,16 @@
 	attemptTimer     *time.Timer
 	silenceTimer     *time.Timer
 	stallTimer       *time.Timer
+	firstEventTimer  *time.Timer
 	stallReports     chan stallReport
 	migrationResults chan dispatch.MigratedMsg
 	queryingChain    bool
 	timing           eventTiming
 	// stallQueries counts the stall queries since the last event.
 	stallQueries int
+	// suspectedAddress is the address of a suspected engine that the stream leaves if no event
+	// arrives soon; empty if none.
+	suspectedAddress string
 }
 
 // stoppedTimer returns a timer that is not running.
@@ -82,6 +86,7 @@
 // run handles the request from arrival to end.
 func (s *session) run() {
 	s.deadlineTimer, s.attemptTimer, s.silenceTimer, s.stallTimer = stoppedTimer(), stoppedTimer(), stoppedTimer(), stoppedTimer()
+	s.firstEventTimer = stoppedTimer()
 	s.stallReports, s.migrationResults = make(chan stallReport, 1), make(chan dispatch.MigratedMsg, mailboxSize)
 	defer s.release()
 	if !s.relay.decider.offerArrival(s.arrival(), s.commands) {
@@ -120,11 +125,13 @@
 	case <-s.deadlineTimer.C:
 		return s.handleTimeout()
 	case <-s.attemptTimer.C:
-		s.abandon(s.attemptAddress(), "attempt_time_is_up")
+		s.abandon(s.attemptAddress(), "attempt_time_is_up", false)
 	case <-s.silenceTimer.C:
 		s.closeSilentConnections()
 	case <-s.stallTimer.C:
 		s.checkStall()
+	case <-s.firstEventTimer.C:
+		s.firstEventOverdue()
 	case report := <-s.stallReports:
 		s.handleStallReport(report)
 	case msg := <-s.migrationResults:
@@ -156,6 +163,8 @@
 		return true
 	case dispatch.MigrateCmd:
 		s.migrate(cmd)
+	case dispatch.AbandonCmd:
+		s.abandonOverdue(cmd)
 	case dispatch.RecheckAttemptCmd:
 		s.recheckAttempt(cmd)
 	case dispatch.RecheckDeadlineCmd:
--- a/relay/session_answer.go
+++ b/relay/session_answer.go
@@ -10,6 +10,7 @@
 func (s *session) handleUpdate(update attemptUpdate) bool {
 	s.lastUpdateAt = s.relay.clock.Now()
 	s.quietSince = s.lastUpdateAt
+	s.suspectedAddress = ""
 	s.silenceTimer.Stop()
 	switch {
 	case update.failed:
@@ -83,6 +84,7 @@
 	s.events++
 	if s.events == 1 {
 		s.firstEvent = s.age()
+		s.firstEventTimer.Stop()
 		s.relay.stats.firstEvent(s.firstEvent)
 	} else {
 		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -28,6 +28,9 @@
 	if cmd.AttemptTimeout > 0 && cmd.AttemptTimeout < remaining {
 		s.attemptTimer.Reset(cmd.AttemptTimeout.Duration())
 	}
+	if cmd.FirstEventLimit > 0 {
+		s.firstEventTimer.Reset(cmd.FirstEventLimit.Duration())
+	}
 	s.silenceTimer.Reset(maxConnectionSilence.Duration())
 	conns := s.relay.upstreams.get(cmd.Upstream)
 	ctx, cancel := context.WithCancelCause(s.request.Context())
@@ -73,22 +76,30 @@
 
 // failAttempt ends the attempt and reports the failure to the decider.
 func (s *session) failAttempt(cause dispatch.Cause, faultyAddress string, status UpstreamStatus, err error) {
-	s.logFailure(cause, faultyAddress, status, err)
-	msg := dispatch.AttemptFailedMsg{Request: s.id, Attempt: s.attempt.cmd.Attempt, Cause: cause, FaultyAddress: faultyAddress, Events: s.events, Delivered: s.delivered()}
+	s.endFailedAttempt(dispatch.AttemptFailedMsg{Cause: cause, FaultyAddress: faultyAddress}, status, err)
+}
+
+// endFailedAttempt ends the attempt and reports the failure, completed with the state of the
+// request, to the decider.
+func (s *session) endFailedAttempt(msg dispatch.AttemptFailedMsg, status UpstreamStatus, err error) {
+	s.logFailure(msg.Cause, msg.FaultyAddress, status, err)
+	msg.Request, msg.Attempt = s.id, s.attempt.cmd.Attempt
+	msg.Events, msg.Delivered, msg.LastEventAt = s.events, s.delivered(), s.lastEventAt
 	s.cancelAttempt()
 	s.relay.decider.notify(s.relay.lifetime, msg)
 }
 
 // abandon gives up an attempt that makes no progress. A partial answer that no other upstream
 // may resume is kept, since it may still continue, whereas abandoning it would truncate it for
-// certain.
-func (s *session) abandon(faultyAddress, reason string) {
+// certain. The finding is provisional if the upstream at fault may still answer.
+func (s *session) abandon(faultyAddress, reason string, provisional bool) {
 	if s.attempt == nil || s.answer.started() && (s.attempt.cmd.LastUpstream || s.delivered() == dispatch.DeliveredPartial) {
 		return
 	}
 	s.unanswered = true
 	s.closeSilentConnections()
-	s.failAttempt(dispatch.CauseNoProgress, faultyAddress, UpstreamStatus{}, errors.Wrap(errAttemptAbandoned, reason))
+	msg := dispatch.AttemptFailedMsg{Cause: dispatch.CauseNoProgress, FaultyAddress: faultyAddress, Provisional: provisional}
+	s.endFailedAttempt(msg, UpstreamStatus{}, errors.Wrap(errAttemptAbandoned, reason))
 }
 
 // closeSilentConnections closes the idle connections to the upstream of the current attempt if
@@ -118,4 +129,6 @@
 	s.attemptTimer.Stop()
 	s.silenceTimer.Stop()
 	s.stallTimer.Stop()
+	s.firstEventTimer.Stop()
+	s.suspectedAddress = ""
 }
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -60,6 +61,8 @@
 	unresponsive []chain.Stage
 	slowest      chain.Stage
 	slowdown     float64
+	// overdue are the unresponsive engines that may still answer.
+	overdue []chain.Stage
 }
 
 func (s *session) resetStallTimer() {
@@ -74,14 +77,39 @@
 	if s.attempt == nil {
 		return
 	}
+	if s.suspectedAddress != "" && s.pause() >= flowingWithin {
+		address := s.suspectedAddress
+		s.suspectedAddress = ""
+		s.stallTimer.Reset(s.nextStallQuery().Duration())
+		s.leaveEngine(address, true)
+		return
+	}
 	s.stallTimer.Reset(s.nextStallQuery().Duration())
 	s.stallQueries++
 	if s.queryingChain {
 		return
 	}
 	s.queryingChain = true
-	a := s.attempt
-	go func() { s.stallReports <- s.relay.queryChain(a) }()
+	a, parts, wait := s.attempt, s.attempt.cmd.Chain, s.reportWait()
+	go func() { s.stallReports <- s.relay.queryChain(a, parts, wait) }()
+}
+
+// pause returns the length of the pause that counts for stall checks.
+func (s *session) pause() clock.Millis { return s.relay.clock.Now().Sub(s.quietSince) }
+
+// boundsPauses reports whether the route of the current attempt bounds the pause of a stream that
+// has begun.
+func (s *session) boundsPauses() bool {
+	return s.events > 0 && len(s.attempt.cmd.Chain) > 0 && s.route.EventGapTarget > 0
+}
+
+// reportWait returns how long a stalled stream waits for the reports of its engines; zero for the
+// limit of the query alone.
+func (s *session) reportWait() clock.Millis {
+	if !s.boundsPauses() {
+		return 0
+	}
+	return reportWait(s.route.EventGapTarget, s.relay.clock.Now().Sub(s.lastEventAt))
 }
 
 // nextStallQuery returns the time until the engines are queried again. One query always falls
@@ -97,18 +125,22 @@
 
 // queryChain fetches the reports of all engines of a chain, because a crashed engine stops
 // responding before the first engine's report names it.
-func (r *Relay) queryChain(a *attempt) stallReport {
-	parts := a.cmd.Chain
+func (r *Relay) queryChain(a *attempt, parts []chain.Stage, wait clock.Millis) stallReport {
 	reports := make([]cachedReport, len(parts))
 	var group sync.WaitGroup
 	for i, part := range parts {
-		group.Go(func() { reports[i].report, reports[i].err = r.reports.get(r.lifetime, part.Address, part.ID) })
+		group.Go(func() {
+			reports[i].report, reports[i].err = r.reports.getWithin(r.lifetime, part.Address, part.ID, wait, func(late cachedReport) { r.settleReport(part.ID, late) })
+		})
 	}
 	group.Wait()
 	report := stallReport{attempt: a, stalled: reports[0].report.Stalled}
 	for i, part := range parts {
 		if reports[i].err != nil {
 			report.unresponsive = append(report.unresponsive, part)
+			if errors.Is(reports[i].err, errReportOverdue) {
+				report.overdue = append(report.overdue, part)
+			}
 			continue
 		}
 		r.decider.notify(r.lifetime, dispatch.ReportMsg{Upstream: part.ID, Report: reports[i].report.Report})
@@ -133,22 +165,23 @@
 		// The stream has resumed.
 	case address != "":
 		s.logStall("stalled", address, pause, report)
-		s.leaveEngine(address)
+		s.leaveEngine(address, report.mayAnswer(address))
 	case pause >= slowEngineStall && report.slowdown >= slowEngineFactor && s.events > 0 && report.slowest.Address != s.attemptAddress():
 		s.logStall("slow", report.slowest.Address, pause, report)
 		s.relay.decider.notify(s.relay.lifetime, dispatch.StalledMsg{
 			Request: s.id, Attempt: s.attempt.cmd.Attempt, FaultyAddress: report.slowest.Address, Slow: true,
+			Events: s.events, LastEventAt: s.lastEventAt,
 		})
 	case now.Sub(s.lastUpdateAt) >= abandonAfter:
 		// The pause counts from the last update even after a migration, since that is how long
 		// the caller has waited.
-		s.abandon("", "no_event_for_too_long")
+		s.abandon("", "no_event_for_too_long", false)
 	}
 }
 
 func (s *session) logStall(event, address string, pause clock.Millis, report stallReport) {
 	s.log.Info(event, zap.String("id", s.head.ID), zap.String("at", address), zap.Int64("quiet_ms", int64(pause)),
-		zap.Int("events", s.events), zap.Int("silent", len(report.unresponsive)), zap.Float64("slowest_pace", report.slowdown))
+		zap.Int("events", s.events), zap.Int("silent", len(report.unresponsive)), zap.Int("overdue", len(report.overdue)), zap.Float64("slowest_pace", report.slowdown))
 }
 
 // faultyAddress returns the address of the engine that blocks a stream; empty if unknown. An
@@ -169,8 +202,15 @@
 	return ""
 }
 
+// mayAnswer reports whether the engine at an address counts as unresponsive only because its report
+// is overdue.
+func (r stallReport) mayAnswer(address string) bool {
+	return slices.ContainsFunc(r.overdue, func(p chain.Stage) bool { return p.Address == address })
+}
+
 // recheckAttempt handles a suspected or crashed engine in the attempt's chain. A stream that
-// still receives events is left alone; its own stall check applies if it stops.
+// still receives events is left alone; its own stall check applies if it stops. If its route bounds
+// pauses, it leaves the engine as soon as it no longer counts as unaffected.
 func (s *session) recheckAttempt(cmd dispatch.RecheckAttemptCmd) {
 	if s.attempt == nil || s.attempt.cmd.Attempt != cmd.Attempt {
 		return
@@ -178,8 +218,11 @@
 	switch {
 	case cmd.Crashed && cmd.SuspectedAddress == s.attempt.cmd.Address:
 		s.abandonCrashed()
-	case cmd.Crashed || s.relay.clock.Now().Sub(s.quietSince) >= flowingWithin:
-		s.leaveEngine(cmd.SuspectedAddress)
+	case cmd.Crashed || s.pause() >= flowingWithin:
+		s.leaveEngine(cmd.SuspectedAddress, !cmd.Crashed && s.boundsPauses())
+	case s.boundsPauses():
+		s.suspectedAddress = cmd.SuspectedAddress
+		s.stallTimer.Reset((flowingWithin - s.pause()).Duration())
 	}
 }
 
@@ -191,13 +234,17 @@
 }
 
 // leaveEngine asks the decider to migrate the stream off an engine, or abandons the attempt if
-// the stream has no event yet or the engine is the first one.
-func (s *session) leaveEngine(address string) {
+// the stream has no event yet or the engine is the first one. The finding is provisional if the
+// engine may still answer.
+func (s *session) leaveEngine(address string, provisional bool) {
 	if s.events == 0 || address == s.attempt.cmd.Address {
-		s.abandon(address, "engine_holds_it_up")
+		s.abandon(address, "engine_holds_it_up", provisional)
 		return
 	}
-	s.relay.decider.notify(s.relay.lifetime, dispatch.StalledMsg{Request: s.id, Attempt: s.attempt.cmd.Attempt, FaultyAddress: address})
+	s.relay.decider.notify(s.relay.lifetime, dispatch.StalledMsg{
+		Request: s.id, Attempt: s.attempt.cmd.Attempt, FaultyAddress: address, Provisional: provisional,
+		Events: s.events, LastEventAt: s.lastEventAt,
+	})
 }
 
 // migrate orders the first engine to send the stream through another chain.
@@ -210,7 +257,7 @@
 	go func() {
 		result, refusedBy := s.relay.engines.Move(s.relay.lifetime, address, s.head.ID, cmd.Chain)
 		s.log.Info("move", zap.String("id", s.head.ID), zap.Stringer("away_from", cmd.FromEngine),
-			zap.String("chain", chainText(cmd.Chain)), zap.Int("result", int(result)), zap.String("at", refusedBy))
+			zap.String("chain", chainText(cmd.Chain)), zap.Int("result", int(result)), zap.String("at", refusedBy), recoveryField(cmd.Recovery))
 		s.migrationResults <- dispatch.MigratedMsg{Request: s.id, Attempt: cmd.Attempt, Result: result, FaultyAddress: refusedBy}
 	}()
 }
@@ -226,18 +273,43 @@
 	}
 	switch msg.Result {
 	case dispatch.MigrationUnknownStream:
-		s.abandon("", "stream_is_unknown_there")
+		s.abandon("", "stream_is_unknown_there", false)
 	case dispatch.MigrationUnanswered:
-		s.abandon(s.attemptAddress(), "first_engine_is_silent")
+		s.abandon(s.attemptAddress(), "first_engine_is_silent", false)
 	case dispatch.MigrationDone:
 		// The new engines process all tokens first, so a pause does not indicate a stall yet.
 		s.quietSince = s.relay.clock.Now()
-		s.stallTimer.Reset(migrationStall.Duration())
+		s.stallTimer.Reset(s.migrationStall().Duration())
 	case dispatch.MigrationRefused:
 		// The decider chooses another chain.
 	}
 }
 
+// migrationStall returns the time without an event after a migration until the engines are queried.
+// A new engine may have crashed together with the former one. If the route bounds pauses, the
+// engines are queried as soon as the migration alone has taken that long.
+func (s *session) migrationStall() clock.Millis {
+	if s.boundsPauses() {
+		return min(migrationStall, s.route.EventGapTarget)
+	}
+	return migrationStall
+}
+
+// firstEventOverdue reports to the decider that the attempt still has no event.
+func (s *session) firstEventOverdue() {
+	if s.attempt != nil && s.events == 0 {
+		s.relay.decider.notify(s.relay.lifetime, dispatch.FirstEventOverdueMsg{Request: s.id, Attempt: s.attempt.cmd.Attempt})
+	}
+}
+
+// abandonOverdue abandons the attempt unless its first event has arrived meanwhile.
+func (s *session) abandonOverdue(cmd dispatch.AbandonCmd) {
+	if s.attempt != nil && s.attempt.cmd.Attempt == cmd.Attempt && s.events == 0 {
+		s.relay.stats.count("first_event_overdue")
+		s.abandon("", "first_event_is_overdue", false)
+	}
+}
+
 // probe checks an upstream on behalf of the decider.
 func (r *Relay) probe(cmd dispatch.ProbeCmd) {
 	go func() {
