--- a/lab/attempt.go
+++ b/lab/attempt.go
@@ -22,6 +22,9 @@
 	stallAfter           clock.Millis = 110
 	probeTimeout         clock.Millis = 160
 	stallRecheckInterval clock.Millis = 200
+	// minReportWait is the least time for which a node waits for the answer of an engine while a
+	// stream is stalled.
+	minReportWait clock.Millis = 60
 	// slowStreamAfter is how long a stream must wait for an event before it leaves a slow
 	// engine.
 	slowStreamAfter clock.Millis = 400
@@ -77,6 +80,7 @@
 	w.result.EngineAttempts++
 	a := &attempt{world: w, session: s, cmd: cmd, reservedTokens: s.caller.totalTokens(), lastEventAt: w.now, sentAt: s.node.uptime()}
 	s.attempt = a
+	a.watchFirstEvent()
 	if !chain.Valid(w.pipeline.Layers, cmd.Chain) {
 		w.result.violate("layers", "chain does not execute each layer exactly once")
 	}
@@ -229,7 +233,7 @@
 	}
 	a.cancel()
 	s := a.session
-	msg := dispatch.AttemptFailedMsg{Request: s.id, Attempt: a.cmd.Attempt, Cause: cause, FaultyAddress: faultyAddress, Events: s.receivedEvents}
+	msg := dispatch.AttemptFailedMsg{Request: s.id, Attempt: a.cmd.Attempt, Cause: cause, FaultyAddress: faultyAddress, Events: s.receivedEvents, LastEventAt: a.lastEventUptime()}
 	if s.receivedEvents > 0 {
 		msg.Delivered = dispatch.DeliveredEvents
 	}
--- a/lab/attempt_stall.go
+++ b/lab/attempt_stall.go
@@ -41,7 +41,7 @@
 	if a.session.receivedEvents == 0 {
 		detectAfter = max(firstEventStallAfter-a.world.now.Sub(a.lastEventAt), 0)
 	}
-	a.world.after(detectAfter+probeTimeout/2, func() { a.reportStall(version) })
+	a.world.after(detectAfter+a.reportWait(), func() { a.reportStall(version) })
 	a.world.after(engineAbortAfter, func() {
 		if !a.finished && a.planVersion == version && a.stalledOn != nil {
 			a.fail(dispatch.CauseUnknown, "")
@@ -49,6 +49,36 @@
 	})
 }
 
+// reportWait returns how long the node waits on average until an engine that does not answer
+// counts as the reason of the stall.
+func (a *attempt) reportWait() clock.Millis {
+	gapTarget := a.world.scenario.Load.EventGapTargetMS
+	if a.session.receivedEvents == 0 || gapTarget == 0 {
+		return probeTimeout / 2
+	}
+	return min(max(minReportWait, (gapTarget-stallAfter)/2), probeTimeout/2)
+}
+
+// lastEventUptime returns the node's uptime at the last event of the stream; 0 before the first.
+func (a *attempt) lastEventUptime() clock.Millis {
+	if a.session.receivedEvents == 0 {
+		return 0
+	}
+	return a.session.node.uptime().Sub(a.world.now.Sub(a.lastEventAt))
+}
+
+// watchFirstEvent reports an attempt to the node that has no first event in time.
+func (a *attempt) watchFirstEvent() {
+	if a.cmd.FirstEventLimit == 0 {
+		return
+	}
+	a.world.after(a.cmd.FirstEventLimit, func() {
+		if !a.finished && a.session.receivedEvents == 0 {
+			a.session.node.update(dispatch.FirstEventOverdueMsg{Request: a.session.id, Attempt: a.cmd.Attempt})
+		}
+	})
+}
+
 // reportStall reports to the node which engine the stream waits for.
 func (a *attempt) reportStall(version int) {
 	if a.finished || a.planVersion != version || a.stalledOn == nil {
@@ -62,7 +92,7 @@
 		a.fail(dispatch.CauseNoProgress, "")
 		return
 	}
-	a.session.node.update(dispatch.StalledMsg{Request: a.session.id, Attempt: a.cmd.Attempt, FaultyAddress: a.stalledOn.address})
+	a.session.node.update(dispatch.StalledMsg{Request: a.session.id, Attempt: a.cmd.Attempt, FaultyAddress: a.stalledOn.address, Events: a.session.receivedEvents, LastEventAt: a.lastEventUptime()})
 	a.world.after(stallRecheckInterval, func() { a.reportStall(version) })
 }
 
