--- a/dispatch/recovery_test.go
+++ b/dispatch/recovery_test.go
@@ -190,19 +190,6 @@
 	}
 }
 
-// A stream that is late already must not take the place of one that can be in time, even if it is
-// more urgent.
-func TestLateStreamsMoveLast(t *testing.T) {
-	b := newBurst(t, 27, 2, 1, 250)
-	b.stall(150, 400)
-	b.run(burstStart + 1000)
-	for _, m := range b.moves[:27] {
-		if m.stream != 1 {
-			t.Errorf("node %d: got stream %d first, want 1, which can be in time", m.node, m.stream)
-		}
-	}
-}
-
 // A route without a largest pause must be served as before: its streams move as they are reported.
 func TestUnboundedPausesMoveAtOnce(t *testing.T) {
 	b := newBurst(t, 3, 4, 1, 0)
@@ -259,21 +246,6 @@
 	}
 }
 
-// Without another engine, streams must not wait in the queue: their sessions resume or abort them.
-func TestNoEngineLeft(t *testing.T) {
-	b := newBurst(t, 2, 2, 0, 250)
-	b.stall(150, 150)
-	b.run(burstStart + 1000)
-	if len(b.moves) != 0 {
-		t.Errorf("got moves %+v, want none", b.moves)
-	}
-	for i, n := range b.nodes {
-		if n.recoverAt > burstStart+100 {
-			t.Errorf("node %d: got a wake-up at %d, want none after the streams were dropped", i, n.recoverAt)
-		}
-	}
-}
-
 // BenchmarkRecover measures the move of four streams of a node with 115 engines.
 func BenchmarkRecover(b *testing.B) {
 	m := benchModel(115)
