--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -13,6 +13,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
+	"github.com/hoistjunction/hoistjunction/recovery"
 	"github.com/hoistjunction/hoistjunction/work"
 )
 
@@ -33,6 +34,8 @@
 	// manyNodes reports whether the data centre has so many nodes that each one serves few
 	// requests and knows the usage of the others as a sum.
 	manyNodes bool
+	// seed makes the places of this node differ from those of other nodes.
+	seed uint64
 	// usagePeers is the number of other nodes whose usage this node should know. usageAggregated
 	// reports whether it receives that usage as one sum.
 	usagePeers      int
@@ -95,6 +98,11 @@
 	// given the load of the services.
 	admission      *admission.Controller
 	loadObservedAt clock.Millis
+	// recoveries holds the streams that wait to leave engines, considered next at recoveryAt, and
+	// backlog the prompts that were moved to each engine.
+	recoveries recovery.Queue
+	recoveryAt clock.Millis
+	backlog    recovery.Backlog
 	// awaitsStoredQuarantine reports whether the stored quarantine has not been loaded yet.
 	awaitsStoredQuarantine bool
 }
@@ -111,6 +119,7 @@
 // WithSeed sets the seed of all random choices.
 func WithSeed(seed uint64) Option {
 	return func(m *Model) {
+		m.seed = seed
 		m.random = rand.New(rand.NewPCG(seed, seed))
 		m.retryDraw = rand.New(rand.NewPCG(seed, retryDrawStream)).Float64()
 	}
@@ -186,6 +195,10 @@
 		m.recordReport(msg.Upstream, msg.Report)
 	case MigratedMsg:
 		return m.migrated(msg)
+	case RecoverMsg:
+		return m.recoverStreams()
+	case FirstEventOverdueMsg:
+		return m.firstEventOverdue(msg)
 	case RequestEndedMsg:
 		m.dropDeferred(msg.Request)
 		return m.requestEnded(msg)
@@ -207,6 +220,8 @@
 		return m.backOffRequested(msg)
 	case ProbedMsg:
 		return m.probeDone(msg)
+	case LateReportMsg:
+		return m.lateReport(msg)
 	case IdentifiedMsg:
 		return m.identified(msg)
 	case PeerLossMsg:
@@ -286,7 +301,7 @@
 			u.update(m.now, c.Upstream)
 		default:
 			u = newUpstream(c.Upstream)
-			u.probeCandidates = m.probeCandidates
+			u.preference, u.probeCandidates = nodePreference(m.seed, c.ID), m.probeCandidates
 			u.peerUse = m.peerUseOf(c.ID)
 			m.upstreams[c.ID] = u
 			m.upstreamListed(u)
@@ -341,5 +356,5 @@
 	m.updateRetryBudgets()
 	m.expirePeerUsage()
 	m.observeLoad()
-	return slices.Concat(m.processDeferred(), m.reviewPermitWaiters(), m.reviewSlotWaiters(), m.reviewLosses(), m.retryIdentify(), m.sendProbes(), m.migrateDeparting(), m.resumeStreams(), m.reviewCapacityWaiters(), m.shareUsage())
+	return slices.Concat(m.processDeferred(), m.reviewPermitWaiters(), m.reviewSlotWaiters(), m.reviewLosses(), m.retryIdentify(), m.sendProbes(), m.migrateDeparting(), m.recoverOverdue(), m.resumeStreams(), m.reviewCapacityWaiters(), m.shareUsage())
 }
--- a/dispatch/prediction.go
+++ b/dispatch/prediction.go
@@ -74,7 +74,7 @@
 // unknown length counts as a mean one.
 func (r *request) unreadTokens() float64 {
 	pass := r.service.Pipeline.Pass()
-	prompt, answer := float64(r.arrival.PromptTokens), float64(r.deliveredEvents)*pass.DecodeSteps
+	prompt, answer := float64(r.arrival.PromptTokens), float64(max(r.streamedEvents, r.deliveredEvents))*pass.DecodeSteps
 	if prompt == 0 {
 		prompt = pass.PromptTokens
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -178,8 +178,11 @@
 	}
 	predicted := m.predict(r, parts)
 	r.awaitsFirstEvent = true
+	m.chargeRecovery(r, parts)
 	m.reserve(r, parts)
-	return SendCmd{Chain: parts, PredictedFirstEvent: predicted.firstEvent, PredictionInputAge: predicted.inputAge}, ""
+	return SendCmd{
+		Chain: parts, PredictedFirstEvent: predicted.firstEvent, PredictionInputAge: predicted.inputAge, FirstEventLimit: m.firstEventLimit(r),
+	}, ""
 }
 
 // chainFor builds the chain of a request. Engines of other data centres are only considered if
@@ -245,7 +248,7 @@
 	holders := make([]chain.Holder, 0, len(candidates))
 	bounded := m.upstreamBoundReached(r)
 	for _, u := range candidates {
-		if u.inBackOff(conditions.backOffsUntil) || !allowed(u) || slices.Contains(excluded, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil {
+		if u.inBackOff(conditions.backOffsUntil) || !allowed(u) || slices.Contains(excluded, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil || m.tooBusyToRecover(r, u) {
 			continue
 		}
 		if u.sharesAddress && slices.ContainsFunc(holders, func(h chain.Holder) bool { return h.Address == u.entry.Address }) {
@@ -295,6 +298,7 @@
 		h.Penalty = triedPenalty
 	}
 	m.spread(&h)
+	h.Penalty += m.recoveryCost(r, u)
 	if u.suspected {
 		h.Penalty += suspectPenalty
 	}
