--- a/relay/log.go
+++ b/relay/log.go
@@ -100,9 +100,6 @@
 }
 
 func (s *session) logRefusal(cmd dispatch.RespondCmd) {
-	if cmd.HeldBack != nil {
-		s.relay.stats.count("held_back")
-	}
 	s.log.Info("refused", zap.String("id", s.head.ID), zap.Stringer("work", cmd.Work), zap.String("host", s.request.Host), zap.String("path", s.request.URL.Path),
 		zap.Int("status", cmd.Status), zap.String("reason", string(cmd.Reason)),
 		zap.Int64("retry_after_ms", int64(cmd.RetryAfter)), zap.Int("attempts", s.attempts),
