--- a/admission/load.go
+++ b/admission/load.go
@@ -2,7 +2,7 @@
 
 import "github.com/hoistjunction/hoistjunction/clock"
 
-// Load is the load of a service's engines in one data centre, as all nodes report it.
+// Load is the load of a service's engines, as all nodes report it.
 type Load struct {
 	// Layers is the number of layers of the service's pipeline.
 	Layers  int
@@ -14,8 +14,7 @@
 }
 
 // Use returns the used share of the scarcest layer, since a request needs every layer. It reports
-// false if some layer has no engine in the data centre: requests then depend on engines of other
-// data centres, whose load is not included.
+// false if some layer has no engine: no request can be sent then.
 func (l Load) Use() (use float64, ok bool) {
 	if l.Layers <= 0 {
 		return 0, false
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -83,12 +83,13 @@
 	}
 }
 
-// serviceLoad returns the load of a service's engines in this data centre: the usage that other
-// nodes reported and that of this node. Engines that get no new work are left out with their usage.
+// serviceLoad returns the load of a service's engines: the usage that other nodes reported and that
+// of this node. It covers all data centres: while only the engines of this one are short of a layer,
+// chains use those of others, and holding requests back would leave these idle. Engines that get no new work are left out with their usage.
 func (m *Model) serviceLoad(name string) admission.Load {
 	load := admission.Load{Layers: m.catalog.Service(name).Pipeline.Layers}
 	load.NewestReport, load.OldestReport = m.peerReportTimes()
-	for _, u := range m.localByService[name] {
+	for _, u := range m.byService[name] {
 		if !u.acceptsWork() || u.unresponsive {
 			continue
 		}
