usage: reports carry requests for retries and loans

Cause: nodes must learn which others lack retries, and lend theirs. Change: RetryAsk and RetryLoan in the Usage datagram; hubs send their requests with the sums, other hubs their loans with the heartbeat. catalog.Priorities returns the range of priorities of a service. Result: go test ./usage ./catalog passes.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -8,6 +8,8 @@
 package catalog
 
 import (
+	"slices"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/moment"
@@ -111,6 +113,29 @@
 	return a, nil
 }
 
+// Priorities returns the most and the least urgent priority of the requests of a service. The most
+// urgent is the lowest number.
+func (c *Catalog) Priorities(service string) (most, least int) {
+	var all []int
+	for _, h := range c.hosts {
+		for _, r := range h.routes {
+			if !slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service }) {
+				continue
+			}
+			all = append(all, r.Priority)
+			for _, a := range c.accounts {
+				if a.HasPriority && !r.Anonymous {
+					all = append(all, a.Priority)
+				}
+			}
+		}
+	}
+	if len(all) == 0 {
+		return 0, 0
+	}
+	return slices.Min(all), slices.Max(all)
+}
+
 // HasAccounts reports whether requests need a key on routes that are not anonymous. They also
 // need one if all keys were revoked.
 func (c *Catalog) HasAccounts() bool { return c.hasAccounts }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/fleetwire"
@@ -104,6 +105,8 @@
 	// QuarantineDigest is a digest of the sender's quarantine. Nodes whose quarantines are
 	// equal have equal digests.
 	QuarantineDigest uint64
+	// Retries are the sender's requests for retries and its loans.
+	Retries budget.Report
 }
 
 // Option configures an Exchange.
@@ -140,10 +143,11 @@
 // Address returns the address at which the node receives datagrams.
 func (x *Exchange) Address() string { return x.conn.LocalAddr().String() }
 
-// SendUsage sends peers this node's usage and the limits known to it. Calls must not be
-// concurrent.
-func (x *Exchange) SendUsage(used map[fleet.Incarnation]fleet.EngineUsage, limits map[fleet.Incarnation]limit.Advertised) {
-	x.send(&wire.Usage{From: x.self, Followable: x.followable(), Engines: encodeEngines(used), Quarantine: x.quarantine(), Limits: x.encodeLimits(limits)}, x.usageRecipients())
+// SendUsage sends peers this node's usage, the limits known to it, and its requests for retries
+// and loans. Calls must not be concurrent.
+func (x *Exchange) SendUsage(used map[fleet.Incarnation]fleet.EngineUsage, limits map[fleet.Incarnation]limit.Advertised, retries budget.Report) {
+	msg := &wire.Usage{From: x.self, Followable: x.followable(), Engines: encodeEngines(used), Quarantine: x.quarantine(), Limits: x.encodeLimits(limits)}
+	x.send(addRetries(msg, retries), x.usageRecipients())
 }
 
 // SendDataCentreTotal sends peers in other data centres the usage of all nodes in this data
@@ -153,13 +157,16 @@
 }
 
 // SendAllNodes sends the leaves of this hub the usage of all known nodes, including
-// those of the given other data centres.
-func (x *Exchange) SendAllNodes(used map[fleet.Incarnation]fleet.EngineUsage, dataCentres []string, nodes int, limits map[fleet.Incarnation]limit.Advertised) {
-	x.sendToLeaves(&wire.Usage{Whole: true, Nodes: uint32(nodes), HeardOf: dataCentres, Engines: encodeEngines(used), Limits: x.encodeLimits(limits)})
+// those of the given other data centres, and the requests for retries of all leaves.
+func (x *Exchange) SendAllNodes(used map[fleet.Incarnation]fleet.EngineUsage, dataCentres []string, nodes int, limits map[fleet.Incarnation]limit.Advertised, retries budget.Report) {
+	msg := &wire.Usage{Whole: true, Nodes: uint32(nodes), HeardOf: dataCentres, Engines: encodeEngines(used), Limits: x.encodeLimits(limits)}
+	x.sendToLeaves(addRetries(msg, retries))
 }
 
-// SendHeartbeat reports to the leaves of this hub that it is alive.
-func (x *Exchange) SendHeartbeat() { x.sendToLeaves(&wire.Usage{}) }
+// SendHeartbeat reports to the leaves of this hub that it is alive, and what it lends to them.
+func (x *Exchange) SendHeartbeat(retries budget.Report) {
+	x.sendToLeaves(addRetries(&wire.Usage{}, budget.Report{Grants: retries.Grants}))
+}
 
 // sendToLeaves completes a message with the fields that hubs always send, and sends it.
 func (x *Exchange) sendToLeaves(msg *wire.Usage) {
@@ -242,5 +249,5 @@
 	for _, e := range msg.GetEngines() {
 		used[fleetwire.IncarnationOf(e)] = fleet.EngineUsage{Memory: e.GetAmount(), Streams: int(e.GetStreams()), PromptTokens: e.GetPromptTokens()}
 	}
-	x.listener.ReceiveUsage(msg.GetFrom(), Report{Used: used, Limits: x.decodeLimits(msg.GetLimits()), WholeDataCentre: msg.GetTotal(), AllNodes: msg.GetWhole(), IncludedDataCentres: msg.GetHeardOf(), Nodes: int(msg.GetNodes()), Hubs: msg.GetHubs(), Followable: msg.GetFollowable(), QuarantineDigest: msg.GetQuarantine()})
+	x.listener.ReceiveUsage(msg.GetFrom(), Report{Used: used, Limits: x.decodeLimits(msg.GetLimits()), WholeDataCentre: msg.GetTotal(), AllNodes: msg.GetWhole(), IncludedDataCentres: msg.GetHeardOf(), Nodes: int(msg.GetNodes()), Hubs: msg.GetHubs(), Followable: msg.GetFollowable(), QuarantineDigest: msg.GetQuarantine(), Retries: decodeRetries(&msg)})
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
@@ -79,7 +80,11 @@
 	far, farInbox := newNode(t, "c")
 	sender.SetPeers([]string{near.Address()}, []string{far.Address()})
 
-	sender.SendUsage(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 5, Streams: 2, PromptTokens: 700}}, map[fleet.Incarnation]limit.Advertised{fleet.IncarnationByID("e1"): {Rate: 4.5}})
+	retries := budget.Report{
+		Asks:   []budget.Ask{{Service: "s", BootID: 9, SentAt: 1200, Retries: 3}},
+		Grants: []budget.Grant{{Borrower: "b", Service: "s", BootID: 8, AskedAt: 900, Retries: 2, Relent: true}},
+	}
+	sender.SendUsage(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 5, Streams: 2, PromptTokens: 700}}, map[fleet.Incarnation]limit.Advertised{fleet.IncarnationByID("e1"): {Rate: 4.5}}, retries)
 	got := <-nearInbox
 	if got.from != "a" || !got.msg.Followable || got.msg.WholeDataCentre || got.msg.Used[fleet.IncarnationByID("e1")] != (fleet.EngineUsage{Memory: 5, Streams: 2, PromptTokens: 700}) {
 		t.Errorf("got %+v, want the usage of a", got)
@@ -88,6 +93,10 @@
 		t.Errorf("got limit %+v, want a rate of 4.5", advertised)
 	}
 
+	if !reflect.DeepEqual(got.msg.Retries, retries) {
+		t.Errorf("got retries %+v, want %+v", got.msg.Retries, retries)
+	}
+
 	sender.SendDataCentreTotal(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 50, Streams: 2}}, 3, nil)
 	got = <-farInbox
 	if !got.msg.WholeDataCentre || got.msg.Nodes != 3 || !maps.Equal(got.msg.Used, map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 50, Streams: 2}}) {
