dispatch: nodes use each other's retries, and keep some for urgent requests

Change: usage reports ask for and lend retries. Where the requests of a service differ in priority, less urgent ones use at most half of a node's own retries before their first event. A node counts as in its first window 2 s longer, since loans of its earlier process may still be used.

--- a/dispatch/capacity_queue.go
+++ b/dispatch/capacity_queue.go
@@ -344,7 +344,7 @@
 func (m *Model) sendCapacityWaiter(r *request, service string) (cmds []Cmd, sent bool) {
 	charged := r.capacity.owesRetry
 	if charged {
-		if !m.budget(service).TryWithdraw(m.now) {
+		if !m.takeRetry(r) {
 			return m.giveUp(r, ReasonNoRetryBudget), false
 		}
 		r.capacity.owesRetry = false
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -135,6 +136,10 @@
 	Nodes int
 	// Limits are the known rate limits of upstreams.
 	Limits map[fleet.Incarnation]limit.Advertised
+	// Retries are the requests for retries and the loans of this node, and LeafRetries those of a
+	// hub for its leaves.
+	Retries     budget.Report
+	LeafRetries budget.Report
 }
 
 // ResponsivenessCmd notifies the placement planner that an engine became unresponsive or
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -76,7 +76,7 @@
 		return ReasonRefused
 	case r.timeLeft(m.now) < minTimeLeft:
 		return ReasonTimeout
-	case cause.spendsRetryBudget() && (m.mustQueue(r, retryLane) != "" || !m.budget(r.service.Name).TryWithdraw(m.now)):
+	case cause.spendsRetryBudget() && (m.mustQueue(r, retryLane) != "" || !m.takeRetry(r)):
 		return ReasonNoRetryBudget
 	}
 	return ""
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -23,6 +23,9 @@
 	// retryDraw is a random number from 0 up to 1, drawn once and used by all retry budgets of
 	// this node.
 	retryDraw float64
+	// retrySeed is the seed of the random choices of loans, which leave those of chains as they
+	// are.
+	retrySeed uint64
 	now       clock.Millis
 
 	catalog           *catalog.Catalog
@@ -47,8 +50,13 @@
 	fastestTokenTime map[string]float64
 	requests         map[RequestID]*request
 	// deferred holds the requests that arrived before the node had its initial state.
-	deferred     []deferredArrival
-	retryBudgets map[string]*budget.Window
+	deferred []deferredArrival
+	// retryBudgets holds this node's parts of the retry budgets by service. retryLoans borrows
+	// from those of other nodes. mostUrgent holds the most urgent priority of each service whose
+	// requests differ in priority.
+	retryBudgets map[string]*budget.Pooled
+	retryLoans   *budget.Exchange
+	mostUrgent   map[string]int
 	// peerUsage is the usage that other nodes reported, by node name, and oldestPeerUsageAt when
 	// the oldest of these reports arrived, as of the last expiry. sharedUsage is the usage that
 	// this node shared last.
@@ -108,6 +116,7 @@
 	return func(m *Model) {
 		m.random = rand.New(rand.NewPCG(seed, seed))
 		m.retryDraw = rand.New(rand.NewPCG(seed, retryDrawStream)).Float64()
+		m.retrySeed = seed
 	}
 }
 
@@ -130,7 +139,7 @@
 		localByService:    make(map[string][]*upstream),
 		fastestTokenTime:  make(map[string]float64),
 		requests:          make(map[RequestID]*request),
-		retryBudgets:      make(map[string]*budget.Window),
+		retryBudgets:      make(map[string]*budget.Pooled),
 		peerUsage:         make(map[string]nodeUsage),
 		departingSince:    make(map[fleet.Incarnation]clock.Millis),
 		outages:           make(map[string]*outage),
@@ -149,6 +158,7 @@
 	}
 	m.quarantine = quarantine.New(m.policy.quarantineDuration())
 	m.crashed = newCrashed()
+	m.retryLoans = budget.NewExchange(m.limits.Self(), m.limits.BootID(), m.retrySeed)
 	return m
 }
 
@@ -223,6 +233,7 @@
 		m.dropPeerUsage()
 	}
 	m.limits.SetMembers(m.now, msg.Members)
+	m.retryLoans.SetPeers(msg.UsagePeers, msg.LocalNodes > 0)
 	m.updateRetryBudgets()
 }
 
@@ -247,6 +258,7 @@
 		u.applyService(m.catalog.Service(u.entry.Service))
 	}
 	m.rebuildIndex()
+	m.prepareRetryBudgets()
 	return m.requeueWaiters()
 }
 
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -60,6 +61,8 @@
 	Nodes int
 	// Limits are the rate limits of upstreams as that node knows them.
 	Limits map[fleet.Incarnation]limit.Advertised
+	// Retries are the node's requests for retries, and its loans.
+	Retries budget.Report
 }
 
 // PlacedMsg reports that an engine was ordered to hold the given layers or, with Completed, that
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -122,6 +122,7 @@
 
 // vmResumed makes all requests reset their timers after a suspension of the VM.
 func (m *Model) vmResumed() []Cmd {
+	m.retryLoans.Reset(m.now)
 	var cmds []Cmd
 	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
 		r := m.requests[id]
--- a/dispatch/retry_budget_test.go
+++ b/dispatch/retry_budget_test.go
@@ -28,8 +28,8 @@
 	lastRequest RequestID
 }
 
-func newRetryingNode(at clock.Millis) *retryingNode {
-	m := New(WithPolicy(Policy{RetryWindow: retryWindowMS, RetryShare: retryShare, RetrySlack: retrySlack}))
+func newRetryingNode(at clock.Millis, opts ...Option) *retryingNode {
+	m := New(append(opts, WithPolicy(Policy{RetryWindow: retryWindowMS, RetryShare: retryShare, RetrySlack: retrySlack}))...)
 	m.Update(0, CatalogMsg{Catalog: catalog.New(1,
 		catalog.WithRoutes(&catalog.Route{Name: "r", Host: "h", Prefix: "/", Kind: catalog.Streaming, Resumable: true, Anonymous: true,
 			Targets: []catalog.Target{{Service: "s", Weight: 1}}, MaxAttempts: 9, Timeout: 20_000, LatencyTarget: 500}),
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -85,6 +86,12 @@
 		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
 			script.Incarnation(s.Arg(1)): {Memory: float64(s.Int("amount", 0)), Streams: s.Int("streams", 0), PromptTokens: float64(s.Int("prompts", 0))},
 		}, WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
+	case "asks":
+		return retriesMsg(s, budget.Report{Asks: []budget.Ask{{Service: "writer", BootID: uint64(s.Int("life", 0)), SentAt: clock.Millis(s.Int("asked", 0)), Retries: s.Int("retries", 0)}}})
+	case "lends":
+		return retriesMsg(s, budget.Report{Grants: []budget.Grant{{
+			Borrower: "n1", Service: "writer", BootID: uint64(s.Int("life", 0)), AskedAt: clock.Millis(s.Int("asked", 0)), Retries: s.Int("retries", 0), Relent: s.Params["relent"] == "yes",
+		}}})
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: script.Incarnation(s.Arg(0)), Layers: testUpstream(s).Held, Completed: s.Params["holds"] == "yes"}
 	case "report":
@@ -131,6 +138,11 @@
 	return nil
 }
 
+// retriesMsg returns a usage report with requests for retries or loans.
+func retriesMsg(s script.Step, retries budget.Report) dispatch.Msg {
+	return dispatch.UsageMsg{Node: s.Arg(0), AllNodes: s.Params["whole"] == "yes", DataCentre: "a", Nodes: s.Int("nodes", 0), Retries: retries}
+}
+
 // limitMsg returns the message of a script line about rate limits; nil for any other line.
 func limitMsg(s script.Step) dispatch.Msg {
 	switch s.Verb {
@@ -308,7 +320,7 @@
 	case dispatch.RecheckAttemptCmd:
 		return fmt.Sprintf("reconsider %d.%d at %s", c.Request, c.Attempt, c.SuspectedAddress) + map[bool]string{true: " ended"}[c.Crashed]
 	case dispatch.ShareUsageCmd:
-		return fmt.Sprintf("share %v total %v", c.Used, c.WholeDataCentre)
+		return fmt.Sprintf("share %v total %v", c.Used, c.WholeDataCentre) + showRetries("", c.Retries) + showRetries("leaves ", c.LeafRetries)
 	case dispatch.ResponsivenessCmd:
 		text := fmt.Sprintf("silent %s %v", c.Upstream, c.Unresponsive)
 		if c.Confirmed {
@@ -341,6 +353,21 @@
 	return fmt.Sprintf("%T", cmd)
 }
 
+// showRetries shows the requests for retries and the loans in a report.
+func showRetries(to string, retries budget.Report) string {
+	text := ""
+	for _, a := range retries.Asks {
+		text += fmt.Sprintf(" %sasks=%d", to, a.Retries)
+	}
+	for _, g := range retries.Grants {
+		text += fmt.Sprintf(" %slends=%d to %s asked=%d", to, g.Retries, g.Borrower, g.AskedAt)
+		if g.Relent {
+			text += " relent"
+		}
+	}
+	return text
+}
+
 func showEvent(news quarantine.Event) string {
 	switch n := news.(type) {
 	case quarantine.LossEvent:
--- a/dispatch/slot_queue.go
+++ b/dispatch/slot_queue.go
@@ -119,7 +119,7 @@
 		if r == nil {
 			break
 		}
-		if r.attempts > 0 && !m.budget(r.service.Name).TryWithdraw(m.now) {
+		if r.attempts > 0 && !m.takeRetry(r) {
 			return append(cmds, m.awaitSlot(r)...)
 		}
 		cmds = append(cmds, m.resend(r)...)
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -57,6 +57,7 @@
 		cmd.WholeDataCentre, cmd.AllNodes, cmd.IncludedDataCentres = m.dataCentreUsage(used), m.allNodesUsage(), m.includedDataCentres()
 		cmd.Nodes = m.nodeCount.total
 	}
+	m.shareRetries(&cmd)
 	return []Cmd{cmd}
 }
 
@@ -118,6 +119,7 @@
 // for each engine, since every request reads it.
 func (m *Model) recordPeerUsage(msg UsageMsg) []Cmd {
 	m.recordAlive(msg)
+	m.recordPeerRetries(msg)
 	m.nodeCount.peerReported(m.now, msg.DataCentre, msg.AllNodes, msg.Nodes)
 	node, usage := msg.Node, msg.Used
 	switch {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -60,7 +60,7 @@
 		}
 		reason := r.waitReason
 		r.waitReason = ""
-		if reason == ReasonNoRetryBudget && !m.budget(r.service.Name).TryWithdraw(m.now) {
+		if reason == ReasonNoRetryBudget && !m.takeRetry(r) {
 			cmds = append(cmds, m.waitOrAbort(r, reason)...)
 			continue
 		}
--- a/lab/node_share.go
+++ b/lab/node_share.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/placement"
@@ -65,7 +66,7 @@
 	}
 	sendUsage := func(o *node) {
 		o.roster.UpdateStatus(w.now, n.name, true)
-		o.update(dispatch.UsageMsg{Node: n.name, DataCentre: n.dataCentre, Used: cmd.Used, Limits: n.limitsOnClockOf(o, cmd.Limits)})
+		o.update(dispatch.UsageMsg{Node: n.name, DataCentre: n.dataCentre, Used: cmd.Used, Limits: n.limitsOnClockOf(o, cmd.Limits), Retries: cmd.Retries})
 	}
 	if n.topology.FullMesh {
 		for _, o := range w.nodes {
@@ -109,8 +110,13 @@
 	if n.topology.IsFirstHub() {
 		o.update(dispatch.UsageMsg{
 			Node: n.name, DataCentre: n.dataCentre, Used: cmd.AllNodes, AllNodes: true, IncludedDataCentres: cmd.IncludedDataCentres,
-			Nodes: cmd.Nodes, Limits: n.limitsOnClockOf(o, cmd.Limits),
+			Nodes: cmd.Nodes, Limits: n.limitsOnClockOf(o, cmd.Limits), Retries: cmd.LeafRetries,
 		})
+		return
+	}
+	// The heartbeat of another hub carries its loans.
+	if len(cmd.Retries.Grants) > 0 {
+		o.update(dispatch.UsageMsg{Node: n.name, DataCentre: n.dataCentre, Retries: budget.Report{Grants: cmd.Retries.Grants}})
 	}
 }
 
