dispatch: Retry-After times that clients honour

Cause: a client ignores a Retry-After of more than a third of its remaining time; refusals said up to three quarters, and back-offs any time. Requests refused behind waiting ones were told 0.3 s, when those still wait. Change: all Retry-After times end at a third of the remaining time and at the time to the first event before the deadline; a stream whose first event comes only after its client has left gets none. Where requests wait for capacity the time follows from the predicted end of their wait. Less urgent requests return later.

--- a/dispatch/retry_after.go
+++ b/dispatch/retry_after.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "github.com/hoistjunction/hoistjunction/clock"
+import (
+	"math"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+)
 
 const (
 	// outageQuietTime is the time without a refusal after which an outage is over.
@@ -11,7 +16,8 @@
 	// seconds.
 	maxRetryAfter clock.Millis = 4000
 	// minOutageFactor and outageSpread spread client retries: each client waits for its own
-	// multiple of the outage's duration, so that they do not all retry at once.
+	// multiple of the outage's duration, the more urgent a shorter one, so that they do not all
+	// retry at once.
 	minOutageFactor = 0.75
 	outageSpread    = 0.5
 )
@@ -31,27 +37,40 @@
 	return now.Sub(o.startedAt)
 }
 
-const (
-	// usableTimeShare is the share of the client's remaining time within which it should retry;
-	// the rest is for the answer.
-	usableTimeShare = 0.75
-	// cappedTimeShare is the share of the client's remaining time after which it should retry if
-	// the missing resource is expected later than that. The expectation is uncertain, and a
-	// client that retries after its deadline is never served.
-	cappedTimeShare = 1.0 / 3
-)
+// honouredTimeShare is the share of its remaining time up to which a client honours a Retry-After
+// time. It ignores a longer one.
+const honouredTimeShare = 1.0 / 3
 
-// capRetryAfter limits an estimated Retry-After time to the client's remaining time.
-func (r *request) capRetryAfter(now, estimate clock.Millis) clock.Millis {
-	remaining := float64(r.clientDeadline.Sub(now))
-	if r.arrival.Remaining <= 0 || float64(estimate) <= usableTimeShare*remaining {
+// capRetryAfter limits an estimated Retry-After time to the longest one that is of use to the
+// client. The estimate is uncertain, so a client that cannot wait for it returns as late as it can.
+// Such clients return as far apart as they were refused.
+func (m *Model) capRetryAfter(r *request, estimate clock.Millis) clock.Millis {
+	longest := m.longestRetryAfter(r)
+	if r.arrival.Remaining <= 0 || estimate <= longest {
 		return estimate
 	}
-	return max(clock.Millis(cappedTimeShare*remaining), 0)
+	return max(longest, 0)
+}
+
+// longestRetryAfter returns the longest Retry-After time that the client honours and after which it
+// can still be served: the first event of a pipeline's answer must come before its deadline, and
+// before it leaves the stream.
+func (m *Model) longestRetryAfter(r *request) clock.Millis {
+	remaining := r.clientDeadline.Sub(m.now)
+	longest := clock.Millis(honouredTimeShare * float64(remaining))
+	if r.service.Pipeline == nil {
+		return longest
+	}
+	firstEvent := clock.Millis(math.Ceil(m.minFirstEvent(r)))
+	if r.route.Kind == catalog.Streaming && firstEvent > eventPatience(r.route) {
+		return 0
+	}
+	return min(longest, remaining.Sub(max(firstEvent, refusalMargin)))
 }
 
-// retryAfter returns the Retry-After time of a refused request. An outage is expected to last as
-// long again as it has lasted.
+// retryAfter returns the Retry-After time of a refused request: the predicted time until those that
+// wait for capacity have been sent. If none wait, an outage is expected to last as long again as it
+// has lasted.
 func (m *Model) retryAfter(r *request, reason Reason, missing *MissingResource) clock.Millis {
 	if reason == ReasonNoHolder {
 		if gapLeft := m.coverageRetryAfter(r, missing); gapLeft > 0 {
@@ -65,7 +84,11 @@
 	if reason == ReasonNoHolder || reason == ReasonNoUpstream {
 		least = coverageGapRetryAfter
 	}
-	expected := float64(m.outageDuration(m.outages, r)) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID))
+	lack := m.outageDuration(m.outages, r)
+	if reason == ReasonNoMemory && m.capacityWaitsEnabled() {
+		lack = max(m.expectedCapacityWait(r), lack)
+	}
+	expected := float64(lack) * (minOutageFactor + outageSpread*r.retryPosition())
 	return min(max(least, clock.Millis(expected)), maxRetryAfter)
 }
 
@@ -94,5 +117,5 @@
 	if remaining < shortRetryAfter {
 		return 0
 	}
-	return remaining + clock.Millis(outageSpread*hashPosition(r.arrival.CallerID)*load)
+	return remaining + clock.Millis(outageSpread*r.retryPosition()*load)
 }
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -79,17 +79,17 @@
 	}
 	if reason == ReasonNoUpstream || reason == ReasonNoHolder || reason == ReasonNoMemory || reason == ReasonNoSlot {
 		if retryAfter, refusal := m.limitRetryAfter(r); refusal != nil {
-			return m.refuseRateLimited(r, r.capRetryAfter(m.now, retryAfter), refusal)
+			return m.refuseRateLimited(r, m.capRetryAfter(r, retryAfter), refusal)
 		}
 	}
 	if backOffEnd, waits := m.servableAfterBackOff(r); waits {
-		return m.refuseMissing(r.arrival.Request, ReasonBackOff, m.backOffRetryAfter(r, backOffEnd), nil)
+		return m.refuseMissing(r.arrival.Request, ReasonBackOff, m.capRetryAfter(r, m.backOffRetryAfter(r, backOffEnd)), nil)
 	}
 	var missing *MissingResource
 	if r.service.Pipeline != nil && (reason == ReasonNoMemory || reason == ReasonNoHolder) {
 		missing = m.missingResource(r)
 	}
-	return m.refuseMissing(r.arrival.Request, reason, r.capRetryAfter(m.now, m.retryAfter(r, reason, missing)), missing)
+	return m.refuseMissing(r.arrival.Request, reason, m.capRetryAfter(r, m.retryAfter(r, reason, missing)), missing)
 }
 
 // sendPlain chooses the upstream that is expected to answer first, by its mean latency and the
