dispatch: scripts of loans within the linter's bound

Cause: the function that reads script lines had become too complex. Change: lines about retries are read beside those about rate limits. Result: make lint reports 0 issues; go test ./dispatch -run Scripts passes.

--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -67,7 +67,7 @@
 }
 
 func (p *scriptRunner) message(s script.Step) dispatch.Msg {
-	if message := limitMsg(s); message != nil {
+	if message := sharedLimitMsg(s); message != nil {
 		return message
 	}
 	request, attempt := parseAttempt(s.Arg(0))
@@ -86,12 +86,6 @@
 		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
 			script.Incarnation(s.Arg(1)): {Memory: float64(s.Int("amount", 0)), Streams: s.Int("streams", 0), PromptTokens: float64(s.Int("prompts", 0))},
 		}, WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
-	case "asks":
-		return retriesMsg(s, budget.Report{Asks: []budget.Ask{{Service: "writer", BootID: uint64(s.Int("life", 0)), SentAt: clock.Millis(s.Int("asked", 0)), Retries: s.Int("retries", 0)}}})
-	case "lends":
-		return retriesMsg(s, budget.Report{Grants: []budget.Grant{{
-			Borrower: "n1", Service: "writer", BootID: uint64(s.Int("life", 0)), AskedAt: clock.Millis(s.Int("asked", 0)), Retries: s.Int("retries", 0), Relent: s.Params["relent"] == "yes",
-		}}})
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: script.Incarnation(s.Arg(0)), Layers: testUpstream(s).Held, Completed: s.Params["holds"] == "yes"}
 	case "report":
@@ -138,13 +132,25 @@
 	return nil
 }
 
-// retriesMsg returns a usage report with requests for retries or loans.
-func retriesMsg(s script.Step, retries budget.Report) dispatch.Msg {
+// retriesMsg returns the usage report of a script line about a request for retries or a loan; nil for
+// any other line.
+func retriesMsg(s script.Step) dispatch.Msg {
+	var retries budget.Report
+	life, asked, n := uint64(s.Int("life", 0)), clock.Millis(s.Int("asked", 0)), s.Int("retries", 0)
+	switch s.Verb {
+	case "asks":
+		retries.Asks = []budget.Ask{{Service: "writer", BootID: life, SentAt: asked, Retries: n}}
+	case "lends":
+		retries.Grants = []budget.Grant{{Borrower: "n1", Service: "writer", BootID: life, AskedAt: asked, Retries: n, Relent: s.Params["relent"] == "yes"}}
+	default:
+		return nil
+	}
 	return dispatch.UsageMsg{Node: s.Arg(0), AllNodes: s.Params["whole"] == "yes", DataCentre: "a", Nodes: s.Int("nodes", 0), Retries: retries}
 }
 
-// limitMsg returns the message of a script line about rate limits; nil for any other line.
-func limitMsg(s script.Step) dispatch.Msg {
+// sharedLimitMsg returns the message of a script line about the rate limits and the retries that
+// nodes share; nil for any other line.
+func sharedLimitMsg(s script.Step) dispatch.Msg {
 	switch s.Verb {
 	case "limits":
 		rate, _ := strconv.ParseFloat(s.Params["rate"], 64)
@@ -159,7 +165,7 @@
 			NextIn: clock.Millis(s.Int("next", 0)), Denied: s.Int("queue", 0),
 		}}
 	}
-	return nil
+	return retriesMsg(s)
 }
 
 // membersMsg returns a message with the named nodes as members, this node first.
