relay: metric of borrowed and lent retries

Cause: operators must see whether nodes lack retries and whether others lend. Change: retry_loans counts retries requested, lent, borrowed and lent on.

--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -62,8 +62,21 @@
 	// requests before earliestAsk are ignored.
 	accepted    map[grantKey]clock.Millis
 	earliestAsk clock.Millis
+	counts      Counts
 }
 
+// Counts counts the retries of an Exchange since its start, for metrics.
+type Counts struct {
+	Requested int `json:"requested"`
+	Lent      int `json:"lent"`
+	Borrowed  int `json:"borrowed"`
+	// Relent are borrowed retries that a hub has lent on.
+	Relent int `json:"relent"`
+}
+
+// Counts returns the retries requested and lent so far.
+func (x *Exchange) Counts() Counts { return x.counts }
+
 type askKey struct{ node, service string }
 
 type grantKey struct {
@@ -123,6 +136,7 @@
 		return
 	}
 	x.accepted[key] = g.AskedAt
+	x.counts.Borrowed += g.Retries
 	p.Borrow(Loan{Retries: g.Retries, Until: until, Relent: g.Relent})
 }
 
@@ -139,6 +153,7 @@
 	for _, service := range slices.Sorted(maps.Keys(x.budgets)) {
 		wanted := x.budgets[service].Wanted(now)
 		a := Ask{Service: service, BootID: x.bootID, SentAt: now, Retries: wanted}
+		x.counts.Requested += wanted
 		if wanted > 0 {
 			own.Asks = append(own.Asks, a)
 		}
@@ -168,11 +183,13 @@
 		if x.hub {
 			relent := grant
 			relent.Retries, relent.Relent = p.Relend(now, missing), true
+			x.counts.Relent += relent.Retries
 			grants = appendGrant(grants, relent)
 			missing -= relent.Retries
 		}
 		if lends {
 			grant.Retries = p.Lend(now, x.part(missing))
+			x.counts.Lent += grant.Retries
 			grants = appendGrant(grants, grant)
 			missing -= grant.Retries
 		}
--- a/dispatch/retry_budget.go
+++ b/dispatch/retry_budget.go
@@ -101,3 +101,6 @@
 		b.SetLimits(share, slack)
 	}
 }
+
+// RetryLoans returns the numbers of retries that this node has borrowed and lent.
+func (m *Model) RetryLoans() budget.Counts { return m.retryLoans.Counts() }
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -70,6 +71,8 @@
 	limits atomic.Pointer[[]limit.Summary]
 	// capacityWaits summarises the waits for capacity as of the last tick.
 	capacityWaits atomic.Pointer[dispatch.CapacityWaits]
+	// retryLoans counts the retries borrowed and lent as of the last tick.
+	retryLoans atomic.Pointer[budget.Counts]
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
@@ -112,6 +115,8 @@
 			d.limits.Store(&limits)
 			waits := d.model.CapacityWaits()
 			d.capacityWaits.Store(&waits)
+			loans := d.model.RetryLoans()
+			d.retryLoans.Store(&loans)
 		}
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -109,6 +109,7 @@
 	}
 	r.decider.onLimitChanged = r.upstreams.recordLimit
 	r.extraMetrics["capacity_waits"] = expvar.Func(func() any { return r.decider.capacityWaits.Load() })
+	r.extraMetrics["retry_loans"] = expvar.Func(func() any { return r.decider.retryLoans.Load() })
 	r.extraMetrics["limits"] = expvar.Func(func() any { return r.decider.limits.Load() })
 	return r
 }
