--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -147,14 +147,10 @@
 }
 
 // heldBackRetryAfter returns the time after which a request that was held back should be admitted,
-// spread over clients. It is at most the share of the client's remaining time that clients honour.
+// spread over clients.
 func (m *Model) heldBackRetryAfter(r *request) clock.Millis {
 	wait := clock.Millis(float64(r.heldBack.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
-	wait = min(max(wait, shortRetryAfter), maxHeldBackRetryAfter)
-	if r.arrival.Remaining > 0 {
-		wait = min(wait, clock.Millis(cappedTimeShare*float64(r.clientDeadline.Sub(m.now))))
-	}
-	return max(wait, 0)
+	return m.capRetryAfter(r, min(max(wait, shortRetryAfter), maxHeldBackRetryAfter))
 }
 
 // Admission returns the pressure and the thresholds of the services with admission control.
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/admission"
+	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -75,6 +76,8 @@
 	capacityWaits atomic.Pointer[dispatch.CapacityWaits]
 	// admission is the state of admission control as of the last tick.
 	admission atomic.Pointer[[]admission.Summary]
+	// retryLoans counts the retries borrowed and lent as of the last tick.
+	retryLoans atomic.Pointer[budget.Counts]
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
@@ -121,6 +124,8 @@
 			d.capacityWaits.Store(&waits)
 			pressures := d.model.Admission(d.clock.Now())
 			d.admission.Store(&pressures)
+			loans := d.model.RetryLoans()
+			d.retryLoans.Store(&loans)
 		}
 	}
 }
