--- /dev/null
+++ b/node/common_start_test.go
@@ -0,0 +1,109 @@
+package node
+
+import (
+	"expvar"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// startMeasure is the result of a common start: by node the time from its start until it has the
+// configuration and the list, and the calls to the store of all nodes by purpose.
+type startMeasure struct {
+	delays     []time.Duration
+	unfinished int
+	calls      map[string]int64
+}
+
+// startSpread is the time over which the nodes of a data centre start after a power failure, and
+// startTimeout bounds the run.
+const (
+	startSpread  = 500 * time.Millisecond
+	startTimeout = 8 * time.Second
+)
+
+// commonStart starts all nodes of a data centre within startSpread, its hubs among the last.
+func commonStart(t *testing.T, nodes, upstreams int) (result startMeasure) {
+	t.Helper()
+	setting := defaultSetting()
+	setting.hubs, setting.upstreams, setting.decodeTime = 2, upstreams, 57*time.Microsecond
+	setting.startOffset = func(name string) time.Duration {
+		switch name {
+		case "n01":
+			return 140 * time.Millisecond
+		case "n02":
+			return 340 * time.Millisecond
+		}
+		return time.Duration(rand.New(rand.NewPCG(hash(name), 0)).Int64N(int64(startSpread)))
+	}
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimSite(t, setting, 1, nodes)
+		defer s.close()
+		ready := make(map[string]bool)
+		for range startTimeout / simCheckInterval {
+			time.Sleep(simCheckInterval)
+			s.mu.Lock()
+			for name, n := range s.nodes {
+				if !ready[name] && n.hasInitialReading() {
+					ready[name] = true
+					result.delays = append(result.delays, n.clock.Now().Duration())
+				}
+			}
+			s.mu.Unlock()
+			if len(ready) == nodes {
+				break
+			}
+		}
+		result.unfinished, result.calls = nodes-len(ready), s.storeCalls()
+	})
+	slices.Sort(result.delays)
+	return result
+}
+
+// hasInitialReading reports whether a node has a configuration and a list of upstreams.
+func (n *simNode) hasInitialReading() bool {
+	return !n.local.Config().Edition.IsZero() && n.fleetFollower.HasList()
+}
+
+// storeCalls returns the store calls of all nodes by purpose.
+func (s *simSite) storeCalls() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	calls := make(map[string]int64)
+	for _, n := range s.nodes {
+		n.store.Calls().Do(func(kv expvar.KeyValue) {
+			count, _ := strconv.ParseInt(kv.Value.String(), 10, 64)
+			calls[kv.Key] += count
+		})
+	}
+	return calls
+}
+
+func (m startMeasure) String() string {
+	n := len(m.delays)
+	if n == 0 {
+		return "no node is ready"
+	}
+	return fmt.Sprintf("ready after: median %v, 9 in 10 %v, last %v; not ready %d; calls %v", m.delays[n/2], m.delays[n*9/10], m.delays[n-1], m.unfinished, m.calls)
+}
+
+// Measures a common start at several sizes; it is started manually.
+func TestCommonStartManualSizes(t *testing.T) {
+	sizes := os.Getenv("START_SIZES")
+	if sizes == "" {
+		t.Skip("START_SIZES is not set to NODES:UPSTREAMS, separated by spaces")
+	}
+	for size := range strings.FieldsSeq(sizes) {
+		var nodes, upstreams int
+		if _, err := fmt.Sscanf(size, "%d:%d", &nodes, &upstreams); err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d nodes, %d upstreams: %v", nodes, upstreams, commonStart(t, nodes, upstreams))
+	}
+}
--- a/node/simnet_test.go
+++ b/node/simnet_test.go
@@ -28,6 +28,10 @@
 	frozen     map[string]bool
 	// cut holds the pairs of hosts that cannot reach each other.
 	cut map[[2]string]bool
+	// off holds the hosts that are switched off. A connection attempt to such a host fails only
+	// when it times out, even if the host is switched on meanwhile, since its first packet is
+	// lost.
+	off map[string]bool
 	// changed is closed and replaced when frozen or cut changes.
 	changed chan struct{}
 	// sendDelay draws the delay of a write by a busy processor.
@@ -37,7 +41,7 @@
 func newSimNet() *simNet {
 	return &simNet{
 		listeners: make(map[string]*simListener), frozen: make(map[string]bool),
-		cut: make(map[[2]string]bool), linkCounts: make(map[[2]string]int), changed: make(chan struct{}),
+		cut: make(map[[2]string]bool), off: make(map[string]bool), linkCounts: make(map[[2]string]int), changed: make(chan struct{}),
 		sendDelay: func() time.Duration { return 0 },
 	}
 }
@@ -174,8 +178,12 @@
 		defer cancel()
 		for {
 			n.mu.Lock()
-			cut, changed, listener := n.cut[pair(from, host)], n.changed, n.listeners[host]
+			cut, off, changed, listener := n.cut[pair(from, host)], n.off[host], n.changed, n.listeners[host]
 			n.mu.Unlock()
+			if off {
+				<-ctx.Done()
+				return nil, &net.OpError{Op: "dial", Net: "sim", Err: os.ErrDeadlineExceeded}
+			}
 			if !cut {
 				return n.open(from, host, listener)
 			}
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
 	"sync"
@@ -117,10 +120,19 @@
 	jitter time.Duration
 	// restores reports whether the events of a seed include store restores.
 	restores bool
+	// hubs is the number of nodes, the first by name, whose VMs have several times the capacity
+	// of the others; 0 if the capacities are unknown.
+	hubs int
+	// upstreams is the number of upstreams at the start.
+	upstreams int
+	// decodeTime is how long a node takes to decode an entry of the store on a VM with one core.
+	decodeTime time.Duration
+	// startOffset returns when a node starts; nil if all start at once.
+	startOffset func(name string) time.Duration
 }
 
 // defaultSetting returns the setting of the users' sites.
-func defaultSetting() simSetting { return simSetting{deadline: simDeadline} }
+func defaultSetting() simSetting { return simSetting{deadline: simDeadline, upstreams: simUpstreams} }
 
 // simSite is a store and the nodes that follow it, in virtual time.
 type simSite struct {
@@ -202,7 +214,7 @@
 	}
 	s.net.jitter(seed, setting.jitter)
 	s.store.Put("op", "config", standin.SiteConfig(s.version, "k1"))
-	for i := range simUpstreams {
+	for i := range setting.upstreams {
 		s.putUpstream(fmt.Sprintf("u%d", i), "ready")
 	}
 	s.store.SetFaults(s.faults())
@@ -213,7 +225,7 @@
 		s.names = append(s.names, fmt.Sprintf("n%02d", i+1))
 	}
 	for _, name := range s.names {
-		s.startNode(name)
+		s.scheduleStart(name)
 	}
 	t.Cleanup(func() { _ = server.Close() })
 	return s
@@ -236,7 +248,7 @@
 		s.mu.Unlock()
 		switch how {
 		case "":
-			store.ServeHTTP(w, r)
+			s.serveStore(store, host, w, r)
 		case "silence":
 			<-r.Context().Done()
 		case "429":
@@ -247,6 +259,22 @@
 	})
 }
 
+// serveStore passes a call to the store, and delays the answer by the time that the node needs to
+// decode the entries in it.
+func (s *simSite) serveStore(store http.Handler, host string, w http.ResponseWriter, r *http.Request) {
+	if s.setting.decodeTime == 0 {
+		store.ServeHTTP(w, r)
+		return
+	}
+	answer := httptest.NewRecorder()
+	store.ServeHTTP(answer, r)
+	entries := bytes.Count(answer.Body.Bytes(), []byte(`"privateKey"`))
+	time.Sleep(time.Duration(float64(entries) * float64(s.setting.decodeTime) / simCores(s.isHub(host))))
+	maps.Copy(w.Header(), answer.Header())
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
+}
+
 func (s *simSite) putUpstream(id, state string) {
 	s.setState(id, state)
 	s.store.Put("servers", id, s.entry(id, state))
@@ -271,6 +299,41 @@
 	return entry
 }
 
+// scheduleStart starts a node at its offset. Until then its host is switched off.
+func (s *simSite) scheduleStart(name string) {
+	if s.setting.startOffset == nil {
+		s.startNode(name)
+		return
+	}
+	s.net.update(func() { s.net.off[name] = true })
+	go func() {
+		time.Sleep(s.setting.startOffset(name))
+		s.net.update(func() { delete(s.net.off, name) })
+		s.startNode(name)
+	}()
+}
+
+// simCores is the number of cores of the VM of a node, which is a hub if hub is set.
+func simCores(hub bool) float64 {
+	if hub {
+		return 0.64
+	}
+	return 0.16
+}
+
+// member returns the record of a node.
+func (s *simSite) member(name string) *wire.Member {
+	m := &wire.Member{Name: name, DataCentre: "z", Address: name + ":1"}
+	if s.setting.hubs > 0 {
+		m.Strength = uint32(simCores(s.isHub(name)) * capacityPerCore)
+	}
+	return m
+}
+
+func (s *simSite) isHub(name string) bool {
+	return slices.Index(s.names, name) < s.setting.hubs
+}
+
 // startNode starts a node.
 func (s *simSite) startNode(name string) {
 	log := zap.NewNop()
@@ -294,7 +357,7 @@
 	n.keeper = keeper.New(n.store, c, log, true, func([]dispatch.Quarantined) {})
 	peers := platform.NewPeerTransport(platform.WithDialer(s.net.dial(name)))
 	n.closeIdle = peers.CloseIdleConnections
-	n.follow(&wire.Member{Name: name, DataCentre: "z"}, peers, n.recordCatalog, n.recordFleet)
+	n.follow(s.member(name), peers, n.recordCatalog, n.recordFleet)
 	n.peers = peering.New(&wire.Member{Name: name}, nil, n.store, n.local, n.local, c, log, peers, 1)
 	n.roster.SetGroup(s.otherMembers(name))
 	mux := http.NewServeMux()
@@ -323,7 +386,7 @@
 	var others []*wire.Member
 	for _, other := range s.names {
 		if other != name {
-			others = append(others, &wire.Member{Name: other, DataCentre: "z", Address: other + ":1"})
+			others = append(others, s.member(other))
 		}
 	}
 	return others
@@ -549,7 +612,7 @@
 	case kind == "joins":
 		s.putUpstream(fmt.Sprintf("j%d", len(s.states)), "ready")
 		return
-	case s.next >= simUpstreams:
+	case s.next >= s.setting.upstreams:
 		return
 	default:
 		c.upstream = fmt.Sprintf("u%d", s.next)
--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -251,6 +251,9 @@
 	}
 	s.mu.Unlock()
 	slices.SortFunc(rows.GetRows(), func(a, b *platformpb.Row) int { return strings.Compare(a.GetKey(), b.GetKey()) })
+	if limit, err := strconv.Atoi(query.Get("limit")); err == nil && limit < len(rows.GetRows()) {
+		rows.Rows, rows.More = rows.GetRows()[:limit], true
+	}
 	writeProto(w, http.StatusOK, rows)
 }
 
