Common start: a reader that has just started holds the others' first requests

Cause: at a common start of 300 nodes with 2,979 upstreams, the six readers had their list after 289 to 455 ms. The other 294 asked them after 29 to 145 ms, were refused at once ("cannot vouch for what it knows"), and each read six pages of the list from the store; half of them had it after 2,144 ms, 878 requests were refused for want of an upstream. Change: a node without a reading lets a request of a node without one wait, for at most 1.5 s after its start and until its own call fails; it answers that it is starting where the wait ends first, and is then asked again.

--- a/node/readers.go
+++ b/node/readers.go
@@ -66,39 +66,49 @@
 	return r.source.name
 }
 
-// initialReadTimeout bounds the first read from another node. If all nodes start together, the
-// other node is still reading the store at that time.
-const initialReadTimeout clock.Millis = 800
+// Bounds of a read from another node at the start.
+const (
+	// initialReadTimeout bounds one read. A node that is frozen does not answer.
+	initialReadTimeout clock.Millis = 800
+	// initialReadWait is how long the other node may hold a read while it is starting itself. Its
+	// answer must arrive within initialReadTimeout.
+	initialReadWait clock.Millis = 600
+)
 
 // initialReader reads from another node at the start. The other node may not have discovered
 // this one yet, so a failed read is not retried.
-type initialReader struct{ *namedSource }
+type initialReader struct {
+	*namedSource
+	// starting reports whether the read failed because the other node is starting too.
+	starting bool
+}
 
 // AwaitCatalog implements follow.Reader.
-func (r initialReader) AwaitCatalog(ctx context.Context, have catalog.Edition, wait clock.Millis) (follow.CatalogReading, error) {
+func (r *initialReader) AwaitCatalog(ctx context.Context, have catalog.Edition, _ clock.Millis) (follow.CatalogReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout.Duration())
 	defer cancel()
-	reading, err := r.namedSource.AwaitCatalog(ctx, have, wait)
-	return reading, initialReadError(err)
+	reading, err := r.namedSource.AwaitCatalog(ctx, have, initialReadWait)
+	return reading, r.recordError(err)
 }
 
 // AwaitUpstreams implements follow.Reader.
-func (r initialReader) AwaitUpstreams(ctx context.Context, after moment.Moment, wait clock.Millis) (follow.FleetReading, error) {
+func (r *initialReader) AwaitUpstreams(ctx context.Context, after moment.Moment, _ clock.Millis) (follow.FleetReading, error) {
 	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout.Duration())
 	defer cancel()
-	reading, err := r.namedSource.AwaitUpstreams(ctx, after, wait)
-	return reading, initialReadError(err)
+	reading, err := r.namedSource.AwaitUpstreams(ctx, after, initialReadWait)
+	return reading, r.recordError(err)
 }
 
 // errInitialRead is the reason why the first read from another node failed.
 var errInitialRead = errors.New("node: initial read from another node failed")
 
-// initialReadError hides the cause of a failed first read, so that the caller does not retry
+// recordError records why a read failed. It hides the cause, so that the caller does not retry
 // because of its type.
-func initialReadError(err error) error {
+func (r *initialReader) recordError(err error) error {
 	if err == nil {
 		return nil
 	}
+	r.starting = errors.Is(err, reading.ErrStarting)
 	return errors.Newf("%v: %v", errInitialRead, err)
 }
 
@@ -108,7 +118,7 @@
 	if m == nil {
 		return nil, wait
 	}
-	return initialReader{r.newSource(m)}, false
+	return &initialReader{namedSource: r.newSource(m)}, false
 }
 
 // newSource returns a source that reads from a node.
@@ -122,8 +132,11 @@
 	switch source := reader.(type) {
 	case *namedSource:
 		r.node.roster.ReaderFailed(r.node.clock.Now(), source.name)
-	case initialReader:
-		r.node.roster.ReaderFailed(r.node.clock.Now(), source.name)
+	case *initialReader:
+		// A node that is starting has its reading soon, and is asked again.
+		if !source.starting {
+			r.node.roster.ReaderFailed(r.node.clock.Now(), source.name)
+		}
 	}
 }
 
--- a/reading/await.go
+++ b/reading/await.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
@@ -19,19 +21,21 @@
 }
 
 // await calls check under the lock until it finds something new, or until the wait is over. It
-// returns ErrStale as soon as the log's proof is too old.
-func (l *Log) await(ctx context.Context, wait clock.Millis, check func() (bool, error)) error {
+// returns ErrStale as soon as the log's proof is too old. initial reports whether the requester
+// has nothing yet; its request waits while this node is starting.
+func (l *Log) await(ctx context.Context, wait clock.Millis, initial bool, check func() (bool, error)) error {
 	deadline := l.clock.Now().Add(wait)
 	for {
-		r, err := l.checkOnce(check)
+		r, err := l.checkOnce(initial, check)
 		switch {
+		case errors.Is(err, ErrStarting) && r.now < deadline:
 		case err != nil || r.found:
 			return err
 		case r.now >= deadline && r.fresh:
 			return nil
 		}
 		next := r.nextCheck
-		if r.fresh {
+		if r.fresh || err != nil {
 			next = min(deadline, next)
 		}
 		// Adds 1 ms because the clock rounds down.
@@ -49,8 +53,8 @@
 
 // checkOnce calls check once if the log is fresh. If it is not, the first requests after an
 // interval without any may wait up to firstRequestWait for a proof; later requests fail with
-// ErrStale.
-func (l *Log) checkOnce(check func() (bool, error)) (checkResult, error) {
+// ErrStale, or with ErrStarting while an initial request may wait for the first reading.
+func (l *Log) checkOnce(initial bool, check func() (bool, error)) (checkResult, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := checkResult{now: l.clock.Now(), changed: l.changed}
@@ -58,7 +62,12 @@
 		l.followedSince = r.now
 	}
 	l.lastRequest = r.now
+	starting := initial && r.now < l.startingUntil
 	if !l.isFresh(r.now) {
+		if starting && l.config.AnsweredAt == clock.Never {
+			r.nextCheck = l.startingUntil
+			return r, ErrStarting
+		}
 		r.nextCheck = l.followedSince.Add(l.firstRequestWait)
 		if r.now > r.nextCheck {
 			return r, ErrStale
@@ -68,5 +77,8 @@
 	r.fresh, r.nextCheck = true, l.config.AnsweredAt.Add(l.proofLifetime)
 	var err error
 	r.found, err = check()
+	if starting && errors.Is(err, ErrStale) {
+		r.fresh, r.nextCheck, err = false, min(r.nextCheck, l.startingUntil), ErrStarting
+	}
 	return r, err
 }
--- a/reading/log.go
+++ b/reading/log.go
@@ -20,6 +20,8 @@
 var (
 	// ErrStale means that the node has no recent enough proof that its data is the newest.
 	ErrStale = errors.New("reading: cannot vouch for what it knows")
+	// ErrStarting means that the node has just started and has no first reading of the store yet.
+	ErrStarting = errors.New("reading: has not read the store since its start")
 	// ErrBehind means that the requester has newer data than this node: a newer configuration,
 	// or a list from a later era of the store. The data of this node cannot confirm the
 	// requester's.
@@ -27,6 +29,11 @@
 )
 
 const (
+	// startingPeriod bounds how long after its start a node without a reading of the store lets
+	// requests of nodes that start too wait for one. A node that is refused reads the store
+	// itself. When 300 nodes started together with 2,979 upstreams, the readers had the list
+	// after 0.29 to 0.46 s, and the nodes that they had refused after 2.1 s.
+	startingPeriod clock.Millis = 1500
 	// maxBatches bounds the responses of the store whose list changes are kept for followers. A
 	// follower is at most one wait behind, and a busy list changes a few times a second.
 	maxBatches = 64
@@ -68,6 +75,9 @@
 	firstRequestWait clock.Millis
 
 	mu sync.Mutex
+	// startingUntil is the end of the period in which the node may still wait for its first
+	// reading; clock.Never once the store has failed to provide it.
+	startingUntil clock.Millis
 	// changed is closed and replaced whenever the log changes.
 	changed chan struct{}
 	// config is the active configuration.
@@ -96,7 +106,8 @@
 // learn only from this request that it is the reader.
 func NewLog(c *clock.Clock, proofLifetime, firstRequestWait clock.Millis) *Log {
 	return &Log{
-		clock: c, proofLifetime: proofLifetime, firstRequestWait: firstRequestWait, changed: make(chan struct{}), config: follow.PublishedConfig{ActiveConfig: follow.ActiveConfig{Confirmed: clock.Never}, AnsweredAt: clock.Never},
+		startingUntil: c.Now().Add(startingPeriod),
+		clock:         c, proofLifetime: proofLifetime, firstRequestWait: firstRequestWait, changed: make(chan struct{}), config: follow.PublishedConfig{ActiveConfig: follow.ActiveConfig{Confirmed: clock.Never}, AnsweredAt: clock.Never},
 		restoredAt: clock.Never, listToken: rand.Uint64(), ended: make(map[fleet.Incarnation]removal), lastRequest: clock.Never, followedSince: clock.Never, upstreams: make(map[fleet.Incarnation]fleet.Upstream),
 	}
 }
@@ -194,8 +205,8 @@
 func (l *Log) Suspend() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.hasList {
-		l.hasList = false
+	if l.hasList || l.startingUntil != clock.Never {
+		l.hasList, l.startingUntil = false, clock.Never
 		l.notifyWaiters()
 	}
 }
@@ -229,7 +240,7 @@
 	var reading follow.CatalogReading
 	var behind bool
 	requested, answered := l.clock.Now(), l.AnsweredAt()
-	err := l.await(ctx, wait, func() (bool, error) {
+	err := l.await(ctx, wait, have.IsZero(), func() (bool, error) {
 		config := l.config
 		if behind = have.Supersedes(config.Edition); behind {
 			// A change that the requester has read from the store itself usually arrives in
@@ -263,7 +274,7 @@
 func (l *Log) AwaitFleet(ctx context.Context, after moment.Moment, have uint64, wait clock.Millis) (follow.FleetReading, error) {
 	var reading follow.FleetReading
 	requested := l.clock.Now()
-	err := l.await(ctx, wait, func() (bool, error) {
+	err := l.await(ctx, wait, after.IsZero(), func() (bool, error) {
 		reading = follow.FleetReading{AsOf: moment.Latest(l.asOf, after)}
 		switch {
 		case !l.hasList:
--- a/reading/server.go
+++ b/reading/server.go
@@ -81,6 +81,8 @@
 
 func toConnectError(err error) error {
 	switch {
+	case errors.Is(err, ErrStarting):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
 	case errors.Is(err, ErrStale), errors.Is(err, ErrBehind):
 		return connect.NewError(connect.CodeUnavailable, err)
 	default:
--- a/reading/source.go
+++ b/reading/source.go
@@ -52,8 +52,12 @@
 // handleError wraps the error of a failed call. If no response arrived, it closes all idle
 // connections, because they may be as unresponsive as the one of the call.
 func (s *Source) handleError(err error, operation string) error {
+	code, isAnswer := connect.CodeOf(err), connect.IsWireError(err)
 	err = errors.Wrap(err, operation)
-	if connect.IsWireError(err) {
+	switch {
+	case isAnswer && code == connect.CodeFailedPrecondition:
+		return errors.Mark(err, ErrStarting)
+	case isAnswer:
 		return err
 	}
 	s.httpClient.CloseIdleConnections()
