Common start: a request waits for the initial state as long as its caller can be served

Cause: requests waited until 0.4 s after the node's start, whenever they came and whatever time their callers had. 81 nodes refused 156 with no_configuration_yet, some 50 ms before the configuration; 300 nodes refused 878 with no_upstream or a_layer_has_no_engine while they had a configuration and no list. Change: a request waits up to 1.5 s, or half of a shorter remaining time, until 3 s after the start; for the stored quarantine alone until 0.4 s, as before. Once there is a configuration, a request without a route or with an unknown key is refused at once. Deferred requests are bounded to 256 and 8 MB, and one whose caller leaves makes room.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -12,26 +12,19 @@
 // defaultClientTimeout is the assumed timeout of a client that sends none.
 const defaultClientTimeout clock.Millis = 60_000
 
-// arrive checks a request against the configuration and sends it to an upstream.
+// arrive handles a new request, which may have to wait for the node's initial state.
 func (m *Model) arrive(msg ArriveMsg) []Cmd {
-	if m.defersArrivals() {
-		m.deferred = append(m.deferred, deferredArrival{arrival: msg, deferredAt: m.now})
+	if m.deferArrival(msg) {
 		return nil
 	}
-	if m.catalog == nil {
-		return m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonNoConfig, staleConfigRetryAfter)
-	}
-	route, err := m.catalog.Route(msg.Host, msg.Path)
-	if err != nil {
-		if !m.configFresh(m.now) {
-			return m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonStaleConfig, staleConfigRetryAfter)
-		}
-		return m.refuse(msg.Request, http.StatusNotFound, ReasonNoRoute, 0)
-	}
-	r := &request{arrival: msg, arrivedAt: m.now, route: route, triedUpstreams: make(map[fleet.Incarnation]bool), executedOn: make(map[fleet.Incarnation]execution)}
-	r.requiresKey = m.catalog.HasAccounts() && !route.Anonymous
-	if cmds := m.checkKey(r); cmds != nil {
-		return cmds
+	return m.accept(msg)
+}
+
+// accept checks a request against the configuration and sends it to an upstream.
+func (m *Model) accept(msg ArriveMsg) []Cmd {
+	r, refusal := m.checkConfig(msg)
+	if refusal != nil {
+		return refusal
 	}
 	r.work = msg.Work.ForAccount(r.account.Name)
 	r.clientDeadline = m.now.Add(defaultClientTimeout)
@@ -39,10 +32,10 @@
 		r.clientDeadline = m.now.Add(msg.Remaining)
 	}
 	r.giveUp = r.clientDeadline
-	if route.Timeout > 0 {
-		r.giveUp = m.now.Add(route.Timeout)
+	if r.route.Timeout > 0 {
+		r.giveUp = m.now.Add(r.route.Timeout)
 	}
-	r.service = m.catalog.Service(route.ServiceAt(hashPosition(msg.CallerID)))
+	r.service = m.catalog.Service(r.route.ServiceAt(hashPosition(msg.CallerID)))
 	if r.service == nil {
 		return m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonNoUpstream, coverageGapRetryAfter)
 	}
@@ -52,6 +45,34 @@
 	return m.send(r)
 }
 
+// checkConfig returns a request with its route and its client account according to the
+// configuration, or the refusal.
+func (m *Model) checkConfig(msg ArriveMsg) (*request, []Cmd) {
+	if m.catalog == nil {
+		return nil, m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonNoConfig, staleConfigRetryAfter)
+	}
+	route, err := m.catalog.Route(msg.Host, msg.Path)
+	if err != nil {
+		if !m.configFresh(m.now) {
+			return nil, m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonStaleConfig, staleConfigRetryAfter)
+		}
+		return nil, m.refuse(msg.Request, http.StatusNotFound, ReasonNoRoute, 0)
+	}
+	r := &request{arrival: msg, arrivedAt: m.now, route: route, triedUpstreams: make(map[fleet.Incarnation]bool), executedOn: make(map[fleet.Incarnation]execution)}
+	r.requiresKey = m.catalog.HasAccounts() && !route.Anonymous
+	return r, m.checkKey(r)
+}
+
+// mayBeAccepted reports whether a request is not certain to be refused. It is if the current
+// configuration has no route for it or rejects its key.
+func (m *Model) mayBeAccepted(msg ArriveMsg) bool {
+	if m.catalog == nil || !m.configFresh(m.now) {
+		return true
+	}
+	_, refusal := m.checkConfig(msg)
+	return refusal == nil
+}
+
 // checkKey authenticates a request that requires a key. It returns the refusal if the key is
 // unknown or the configuration is too old to check it.
 func (m *Model) checkKey(r *request) []Cmd {
--- a/dispatch/deferred.go
+++ b/dispatch/deferred.go
@@ -6,46 +6,97 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
-// maxStartDeferral bounds the time after the node's start for which requests wait for the
-// configuration and the list of upstreams. When 295 nodes started at the same moment, all had
-// both within 0.22 s. A latency objective of 0.5 s or more leaves that much time.
-const maxStartDeferral clock.Millis = 400
+const (
+	// maxStartDeferral bounds the time after the node's start for which requests wait for the
+	// configuration and the list of upstreams. When 300 nodes started at the same moment, the last
+	// had both after 2.4 s. Later the store is probably unavailable, and a caller that is refused
+	// may come back.
+	maxStartDeferral clock.Millis = 3000
+	// maxQuarantineDeferral bounds the same for the stored quarantine, without which requests can
+	// be served. All of 300 nodes had it within 0.1 s.
+	maxQuarantineDeferral clock.Millis = 400
+	// callerPatience is how long a caller waits for the first event of a stream, at the least, and
+	// serviceTime the part of it that is left for serving the request: latency objectives are up
+	// to 0.5 s, and the node checks the deferred requests ten times a second.
+	callerPatience clock.Millis = 2000
+	serviceTime    clock.Millis = 500
+	// maxDeferred and maxDeferredBytes bound the deferred requests. A node receives two or three
+	// requests per second; the smallest VM has 136 MB of memory.
+	maxDeferred      = 256
+	maxDeferredBytes = 8 << 20
+)
 
 // deferredArrival is a request that arrived before the node had its initial state.
 type deferredArrival struct {
 	arrival    ArriveMsg
 	deferredAt clock.Millis
+	// until is when the request is handled even without the initial state.
+	until clock.Millis
 }
 
-// defersArrivals reports whether new requests wait for the initial state. The node's clock starts
-// at 0 with the process.
-func (m *Model) defersArrivals() bool { return !m.hasInitialState() && m.now < maxStartDeferral }
+// lacksInitialState reports whether requests that arrive now should wait until the node has the
+// configuration, a list of upstreams and the stored quarantine. The node's clock starts at 0 with
+// the process.
+func (m *Model) lacksInitialState() bool {
+	if m.catalog == nil || len(m.upstreams) == 0 {
+		return m.now < maxStartDeferral
+	}
+	return m.awaitsStoredQuarantine && m.now < maxQuarantineDeferral
+}
+
+// deferArrival defers a request while the node lacks its initial state, and reports whether it
+// did. It does not defer a request that the configuration refuses whatever the list contains.
+func (m *Model) deferArrival(msg ArriveMsg) bool {
+	if !m.lacksInitialState() || !m.mayBeAccepted(msg) {
+		return false
+	}
+	if len(m.deferred) >= maxDeferred || m.deferredBytes+msg.BodyBytes > maxDeferredBytes {
+		return false
+	}
+	m.deferredBytes += msg.BodyBytes
+	m.deferred = append(m.deferred, deferredArrival{arrival: msg, deferredAt: m.now, until: m.now.Add(maxDeferral(msg))})
+	return true
+}
 
-// hasInitialState reports whether the node has a configuration, a list of upstreams and the
-// stored quarantine.
-func (m *Model) hasInitialState() bool {
-	return m.catalog != nil && len(m.upstreams) > 0 && !m.awaitsStoredQuarantine
+// maxDeferral returns how long a request may wait so that its caller can still be served.
+func maxDeferral(msg ArriveMsg) clock.Millis {
+	patience := callerPatience
+	if msg.Remaining > 0 {
+		patience = min(patience, msg.Remaining)
+	}
+	return patience - min(serviceTime, patience/2)
 }
 
-// processDeferred handles the deferred requests once the initial state is complete or
-// maxStartDeferral has passed.
+// processDeferred handles the deferred requests that need not or cannot wait any longer: all of
+// them once the initial state is complete, and before that those which the configuration refuses
+// and those whose time is over.
 func (m *Model) processDeferred() []Cmd {
-	if len(m.deferred) == 0 || m.defersArrivals() {
+	if len(m.deferred) == 0 {
 		return nil
 	}
 	waiting := m.deferred
-	m.deferred = nil
+	m.deferred, m.deferredBytes = nil, 0
 	var cmds []Cmd
 	for _, e := range waiting {
+		if m.lacksInitialState() && m.now < e.until && m.mayBeAccepted(e.arrival) {
+			m.deferred, m.deferredBytes = append(m.deferred, e), m.deferredBytes+e.arrival.BodyBytes
+			continue
+		}
 		if e.arrival.Remaining > 0 {
 			e.arrival.Remaining = max(e.arrival.Remaining-m.now.Sub(e.deferredAt), 1)
 		}
-		cmds = append(cmds, m.arrive(e.arrival)...)
+		cmds = append(cmds, m.accept(e.arrival)...)
 	}
 	return cmds
 }
 
 // dropDeferred drops a deferred request whose client disconnected.
 func (m *Model) dropDeferred(id RequestID) {
-	m.deferred = slices.DeleteFunc(m.deferred, func(e deferredArrival) bool { return e.arrival.Request == id })
+	m.deferred = slices.DeleteFunc(m.deferred, func(e deferredArrival) bool {
+		if e.arrival.Request != id {
+			return false
+		}
+		m.deferredBytes -= e.arrival.BodyBytes
+		return true
+	})
 }
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -46,9 +46,11 @@
 	// pipeline on the fastest engine, in ms.
 	fastestTokenTime map[string]float64
 	requests         map[RequestID]*request
-	// deferred holds the requests that arrived before the node had its initial state.
-	deferred     []deferredArrival
-	retryBudgets map[string]*budget.Window
+	// deferred holds the requests that arrived before the node had its initial state, and
+	// deferredBytes is the size of their bodies.
+	deferred      []deferredArrival
+	deferredBytes int
+	retryBudgets  map[string]*budget.Window
 	// peerUsage is the usage that other nodes reported, by node name. sharedUsage is the usage
 	// that this node shared last.
 	peerUsage   map[string]nodeUsage
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -91,6 +91,8 @@
 	PromptTokens int
 	AnswerTokens int
 	HintTokens   int
+	// BodyBytes is the size of the body.
+	BodyBytes int
 }
 
 // AttemptFailedMsg reports that an attempt failed without a complete answer that may be relayed.
--- a/relay/session.go
+++ b/relay/session.go
@@ -102,7 +102,7 @@
 	return dispatch.ArriveMsg{
 		Request: s.id, CallerID: s.head.ID, Work: work.FromRequest(s.request, s.body), Host: normalizeHost(s.request.Host), Path: s.request.URL.Path,
 		Key: s.head.Key, HasKey: s.head.HasKey, Remaining: s.head.Remaining,
-		PromptTokens: s.head.PromptTokens, AnswerTokens: s.head.AnswerTokens, HintTokens: s.head.HintTokens,
+		PromptTokens: s.head.PromptTokens, AnswerTokens: s.head.AnswerTokens, HintTokens: s.head.HintTokens, BodyBytes: len(s.body),
 	}
 }
 
