Common start: a reader encodes the full list once for all nodes

Cause: at a common start each node of a data centre fetches the full list from its reader, which sorted and encoded it for each of them: work by nodes times upstreams on half a core. Change: the log keeps the full list, and the server its encoding, until the list changes.

--- a/reading/log.go
+++ b/reading/log.go
@@ -91,8 +91,11 @@
 	batches      []batch
 	// restoredAt is when the last store restore was noticed.
 	restoredAt clock.Millis
-	// listToken identifies the full list and changes with it.
-	listToken uint64
+	// listToken identifies the full list and changes with it. cachedList is the full list with
+	// cachedToken, as the followers get it.
+	listToken   uint64
+	cachedToken uint64
+	cachedList  []fleet.Change
 	// ended holds the upstreams that were found to be removed without a change at the store.
 	ended map[fleet.Incarnation]removal
 	// lastRequest is when another node last sent a request. followedSince is when a request
@@ -308,12 +311,18 @@
 	return list, recent
 }
 
-// fullList returns the list as changes of an empty list. The caller holds the lock.
+// fullList returns the list as changes of an empty list. All nodes that start together request
+// it, so it is built once for each token. The caller holds the lock and does not change the
+// result.
 func (l *Log) fullList() []fleet.Change {
+	if l.cachedList != nil && l.cachedToken == l.listToken {
+		return l.cachedList
+	}
 	list := make([]fleet.Change, 0, len(l.upstreams))
 	for _, id := range slices.SortedFunc(maps.Keys(l.upstreams), fleet.Incarnation.Compare) {
 		list = append(list, fleet.Change{ID: id, Upstream: l.upstreams[id]})
 	}
+	l.cachedList, l.cachedToken = list, l.listToken
 	return list
 }
 
--- a/reading/server.go
+++ b/reading/server.go
@@ -8,7 +8,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/clock"
-	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/momentwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
@@ -21,12 +20,13 @@
 type server struct {
 	log      *Log
 	onBehind func(address string)
+	lists    listEncoder
 }
 
 // Handler returns the handler that serves a log to other nodes, and its path. It calls onBehind
 // with the address of each requester that has a newer configuration than the log.
 func Handler(l *Log, onBehind func(address string)) (path string, handler http.Handler) {
-	return wireconnect.NewReadingHandler(server{log: l, onBehind: onBehind}, connect.WithConditionalHandlerOptions(listHandlerOptions))
+	return wireconnect.NewReadingHandler(&server{log: l, onBehind: onBehind}, connect.WithConditionalHandlerOptions(listHandlerOptions))
 }
 
 // listHandlerOptions disables compression for the list of upstreams. Hundreds of nodes that
@@ -44,7 +44,7 @@
 var errMissingEdition = errors.Wrap(ErrStale, "reading: a question without an edition")
 
 // AwaitConfig implements wireconnect.ReadingHandler.
-func (s server) AwaitConfig(ctx context.Context, req *connect.Request[wire.AwaitConfigRequest]) (*connect.Response[wire.AwaitConfigResponse], error) {
+func (s *server) AwaitConfig(ctx context.Context, req *connect.Request[wire.AwaitConfigRequest]) (*connect.Response[wire.AwaitConfigResponse], error) {
 	if req.Msg.GetHave() == nil {
 		return nil, toConnectError(errMissingEdition)
 	}
@@ -61,18 +61,25 @@
 }
 
 // AwaitFleet implements wireconnect.ReadingHandler.
-func (s server) AwaitFleet(ctx context.Context, req *connect.Request[wire.AwaitFleetRequest]) (*connect.Response[wire.AwaitFleetResponse], error) {
+func (s *server) AwaitFleet(ctx context.Context, req *connect.Request[wire.AwaitFleetRequest]) (*connect.Response[wire.AwaitFleetResponse], error) {
 	reading, err := s.log.AwaitFleet(ctx, momentwire.MomentOf(req.Msg.GetAfter()), req.Msg.GetHave(), clampWait(req.Msg.GetWaitMs()))
 	if err != nil {
 		return nil, toConnectError(err)
 	}
 	response := &wire.AwaitFleetResponse{AsOf: momentwire.Moment(reading.AsOf), Whole: reading.Whole, Token: reading.Token}
-	if reading.Whole && reading.Token == req.Msg.GetHave() {
+	switch {
+	case reading.Whole && reading.Token == req.Msg.GetHave():
 		response.Same = true
-		return connect.NewResponse(response), nil
-	}
-	for _, c := range reading.Changes {
-		response.Changes = append(response.Changes, fleetwire.Change(c))
+	case reading.Whole:
+		encoded, err := s.lists.encode(reading.Token, reading.Changes)
+		if err != nil {
+			return nil, err
+		}
+		// Unknown fields are appended to the encoded message as they are, and the requester
+		// decodes them as the field changes.
+		response.ProtoReflect().SetUnknown(encoded)
+	default:
+		response.Changes = changeMessages(reading.Changes)
 	}
 	return connect.NewResponse(response), nil
 }
