Common start: unreachable readers cost no more time than before

Change: it tries them for 0.6 s, and one reader for 0.4 s as before. Both are tried once more after the time at which the last attempt began before, so that no more nodes read the store.

--- a/reading/initial_reader.go
+++ b/reading/initial_reader.go
@@ -12,9 +12,12 @@
 	minCapacityRatio = 4
 	// maxInitialReaders is the number of such nodes among which starting nodes choose.
 	maxInitialReaders = 6
-	// unreachableWait is how long, for each candidate, a starting node goes on trying to connect
-	// to the candidates in turn. Until then their VMs may be starting too.
-	unreachableWait clock.Millis = 400
+	// unreachableWait is how long a starting node goes on trying to connect to the candidates in
+	// turn, and furtherUnreachableWait what each candidate but one adds to that. Until then their
+	// VMs may be starting too. An attempt takes 100 ms, so a node reads the store after 400 ms if
+	// there is one candidate, and after 600 ms if there are two.
+	unreachableWait        clock.Millis = 350
+	furtherUnreachableWait clock.Millis = 250
 )
 
 // InitialReader returns the node from which this node fetches its initial reading, or nil to
@@ -37,15 +40,15 @@
 }
 
 // InitialReaderUnreachable records that no connection to a node that InitialReader has returned
-// could be opened in time. The next candidate is tried, and later the same one again. Once
-// unreachableWait is over for all of them, they count as failed.
+// could be opened in time. The next candidate is tried, and later the same one again. Once the
+// wait for all of them is over, they count as failed.
 func (r *Roster) InitialReaderUnreachable(now clock.Millis, name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	candidates := r.initialReaders(now)
 	switch {
 	case len(candidates) == 0:
-	case now >= r.initialReadSince.Add(clock.Millis(len(candidates))*unreachableWait):
+	case now >= r.initialReadSince.Add(unreachableWait+clock.Millis(len(candidates)-1)*furtherUnreachableWait):
 		for _, m := range candidates {
 			r.readerFailed(now, m.GetName())
 		}
