--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -50,8 +50,10 @@
 	// pipeline on the fastest engine, in ms.
 	fastestTokenTime map[string]float64
 	requests         map[RequestID]*request
-	// deferred holds the requests that arrived before the node had its initial state.
-	deferred []deferredArrival
+	// deferred holds the requests that arrived before the node had its initial state, and
+	// deferredBytes is the size of their bodies.
+	deferred      []deferredArrival
+	deferredBytes int
 	// retryBudgets holds this node's parts of the retry budgets by service. retryLoans borrows
 	// from those of other nodes. mostUrgent holds the most urgent priority of each service whose
 	// requests differ in priority.
@@ -188,7 +190,7 @@
 	case PlacedMsg:
 		return m.placementChanged(msg)
 	case ArriveMsg:
-		return m.arrive(msg, m.now)
+		return m.arrive(msg)
 	case AttemptFailedMsg:
 		return m.attemptFailed(msg)
 	case FirstEventMsg:
