--- a/relay/lost_engine_test.go
+++ b/relay/lost_engine_test.go
@@ -131,7 +131,12 @@
 				running := []<-chan *pauseRecorder{s.stream("one"), s.stream("two")}
 				time.Sleep(stallAt * eventInterval / 2)
 				s.startHandler("e3", fleet.LayerRange{From: 6, To: 12}, &reporter{})
-				<-first.migrated
+				select {
+				case <-first.migrated:
+				case <-time.After(maxCallerPause):
+					first.once.Do(func() { close(first.migrated) })
+					t.Fatalf("got no migration within %v", maxCallerPause)
+				}
 				time.Sleep(100 * time.Millisecond)
 				// e3 leaves, so that a new stream needs e2.
 				s.relay.UpdateFleet([]fleet.Change{{ID: fleet.IncarnationByID("e3"), Gone: true}})
