--- a/admission/controller.go
+++ b/admission/controller.go
@@ -33,15 +33,13 @@
 }
 
 // SetPriorities sets the priorities that the requests of each service may have. A service with
-// fewer than two is not controlled. The observations of services that stay controlled are kept.
-func (c *Controller) SetPriorities(byService map[string][]int) {
+// fewer than two is not controlled. Of the services in observed, the pressure is computed in any
+// case; their requests are held back only if they differ in priority. The observations of services
+// that stay are kept.
+func (c *Controller) SetPriorities(byService map[string][]int, observed ...string) {
 	former := c.services
 	c.services = make(map[string]*service)
-	for name, priorities := range byService {
-		b := newBands(priorities)
-		if !b.differ() {
-			continue
-		}
+	keep := func(name string, b bands) {
 		s := former[name]
 		if s == nil {
 			s = &service{}
@@ -49,9 +47,17 @@
 		s.bands = b
 		c.services[name] = s
 	}
+	for _, name := range observed {
+		keep(name, bands{})
+	}
+	for name, priorities := range byService {
+		if b := newBands(priorities); b.differ() {
+			keep(name, b)
+		}
+	}
 }
 
-// Services returns the names of the controlled services in order.
+// Services returns the names of the controlled and the observed services in order.
 func (c *Controller) Services() []string { return slices.Sorted(maps.Keys(c.services)) }
 
 // Observe records the load of a service. A load without a use or without a recent report of
@@ -70,6 +76,16 @@
 	s.observe(now, use, load.capacity(), c.hysteresis)
 }
 
+// Contention returns the use of a service that is under contention: its pressure is or was recently
+// above 0, and the reports behind it are recent.
+func (c *Controller) Contention(now clock.Millis, name string) (use float64, ok bool) {
+	s := c.services[name]
+	if s == nil || !s.active(now) || !s.pressed || now > s.pressedAt.Add(contentionTime) {
+		return 0, false
+	}
+	return s.pressure.use, true
+}
+
 // Admit decides whether a new request of a priority proceeds. The draw of the request, from 0 up to
 // 1, must be uniformly distributed over requests and stay the same for one request, so that a
 // request that was admitted once is admitted again at the same pressure.
--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -38,7 +38,11 @@
 			n, _ := strconv.Atoi(arg)
 			list = append(list, n)
 		}
-		p.controller.SetPriorities(map[string][]int{"writer": list})
+		var observed []string
+		if s.Params["observed"] == "yes" {
+			observed = []string{"writer"}
+		}
+		p.controller.SetPriorities(map[string][]int{"writer": list}, observed...)
 	case "engines":
 		p.load.Engines = nil
 	case "engine":
@@ -53,6 +57,9 @@
 	case "admit":
 		priority, _ := strconv.Atoi(s.Arg(0))
 		return []string{showDecision(p.controller.Admit(p.now, "writer", priority, p.float(s, "draw")))}
+	case "contention":
+		use, ok := p.controller.Contention(p.now, "writer")
+		return []string{fmt.Sprintf("contention %v use=%.2f", ok, use)}
 	case "state":
 		return showSummaries(p.controller.Summaries(p.now))
 	default:
--- a/admission/service.go
+++ b/admission/service.go
@@ -9,9 +9,13 @@
 	// warmUp is the time from the first observation after a start or a silence during which nothing
 	// is held back, since some nodes have not reported yet.
 	warmUp clock.Millis = 1500
+	// contentionTime is how long contention outlasts the pressure. Measures that hold requests back
+	// because of the contention also lower the use, which varies at random by then.
+	contentionTime clock.Millis = 1500
 )
 
-// service is the state of a service whose requests differ in priority.
+// service is the state of a service whose requests differ in priority, or that is observed without
+// holding requests back.
 type service struct {
 	bands    bands
 	pressure pressure
@@ -20,8 +24,11 @@
 	level float64
 	// observedSince is when the current series of observations began.
 	observedSince clock.Millis
-	newestReport  clock.Millis
-	oldestReport  clock.Millis
+	// pressed reports whether the pressure has been above 0, and pressedAt when it last was.
+	pressed      bool
+	pressedAt    clock.Millis
+	newestReport clock.Millis
+	oldestReport clock.Millis
 }
 
 // observe adds an observation of the use.
@@ -36,6 +43,9 @@
 		s.pressure.observe(now, use, capacity)
 	}
 	// The hysteresis is at most the pressure itself, so that no threshold is in force at pressure 0.
+	if s.pressure.value > 0 {
+		s.pressed, s.pressedAt = true, now
+	}
 	s.level = max(s.pressure.value, min(s.level, s.pressure.value+min(hysteresis, s.pressure.value)))
 }
 
--- a/admission/summary.go
+++ b/admission/summary.go
@@ -14,7 +14,7 @@
 	// Active reports whether the pressure is in force. It is not after a start and without
 	// recent reports of other nodes.
 	Active bool `json:"active"`
-	// Thresholds are those of all priorities but the most urgent one.
+	// Thresholds are those of all priorities but the most urgent one; none if priorities are equal.
 	Thresholds []BandSummary `json:"thresholds"`
 }
 
@@ -26,7 +26,7 @@
 	To       float64 `json:"to"`
 }
 
-// Summaries returns the state of the controlled services in order.
+// Summaries returns the state of the controlled and the observed services in order.
 func (c *Controller) Summaries(now clock.Millis) []Summary {
 	var list []Summary
 	for _, name := range c.Services() {
