wire, usage: use by client account in usage reports

Cause: shares among accounts count over all nodes, and a node knows only the use of its own requests.

Entries that cannot be true are dropped on arrival. Older nodes ignore the field.

--- a/usage/usage.go
+++ b/usage/usage.go
@@ -2,6 +2,8 @@
 // would show only seconds later:
 //   - the memory and slots that each node's requests take at engines, so that the nodes
 //     together do not overload one;
+//   - the capacity that client accounts use of services under contention, so that the nodes
+//     together divide it fairly;
 //   - placement orders that engines accepted, so that two planners do not move both holders
 //     of a layer at once;
 //   - engines found unresponsive, so that not every node has to detect them;
@@ -25,6 +27,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/limit"
@@ -89,6 +92,8 @@
 	Used map[fleet.Incarnation]fleet.EngineUsage
 	// Limits are the rate limits by upstream that are known to the sender.
 	Limits map[fleet.Incarnation]limit.Advertised
+	// Accounts is the use by client account of the services under contention.
+	Accounts []fairshare.AccountUse
 	// WholeDataCentre is set if the usage is that of all nodes in the sender's data centre, and
 	// AllNodes if it is that of all nodes known to the sender. IncludedDataCentres then lists the
 	// other data centres whose nodes are included.
@@ -142,20 +147,20 @@
 
 // SendUsage sends peers this node's usage and the limits known to it. Calls must not be
 // concurrent.
-func (x *Exchange) SendUsage(used map[fleet.Incarnation]fleet.EngineUsage, limits map[fleet.Incarnation]limit.Advertised) {
-	x.send(&wire.Usage{From: x.self, Followable: x.followable(), Engines: encodeEngines(used), Quarantine: x.quarantine(), Limits: x.encodeLimits(limits)}, x.usageRecipients())
+func (x *Exchange) SendUsage(used map[fleet.Incarnation]fleet.EngineUsage, accounts []fairshare.AccountUse, limits map[fleet.Incarnation]limit.Advertised) {
+	x.send(&wire.Usage{From: x.self, Followable: x.followable(), Engines: encodeEngines(used), Accounts: encodeAccounts(accounts), Quarantine: x.quarantine(), Limits: x.encodeLimits(limits)}, x.usageRecipients())
 }
 
 // SendDataCentreTotal sends peers in other data centres the usage of all nodes in this data
 // centre.
-func (x *Exchange) SendDataCentreTotal(used map[fleet.Incarnation]fleet.EngineUsage, nodes int, limits map[fleet.Incarnation]limit.Advertised) {
-	x.send(&wire.Usage{From: x.self, Total: true, Nodes: uint32(nodes), Engines: encodeEngines(used), Quarantine: x.quarantine(), Limits: x.encodeLimits(limits)}, x.recipients.Load().dataCentreTotal)
+func (x *Exchange) SendDataCentreTotal(used map[fleet.Incarnation]fleet.EngineUsage, accounts []fairshare.AccountUse, nodes int, limits map[fleet.Incarnation]limit.Advertised) {
+	x.send(&wire.Usage{From: x.self, Total: true, Nodes: uint32(nodes), Engines: encodeEngines(used), Accounts: encodeAccounts(accounts), Quarantine: x.quarantine(), Limits: x.encodeLimits(limits)}, x.recipients.Load().dataCentreTotal)
 }
 
 // SendAllNodes sends the leaves of this hub the usage of all known nodes, including
 // those of the given other data centres.
-func (x *Exchange) SendAllNodes(used map[fleet.Incarnation]fleet.EngineUsage, dataCentres []string, nodes int, limits map[fleet.Incarnation]limit.Advertised) {
-	x.sendToLeaves(&wire.Usage{Whole: true, Nodes: uint32(nodes), HeardOf: dataCentres, Engines: encodeEngines(used), Limits: x.encodeLimits(limits)})
+func (x *Exchange) SendAllNodes(used map[fleet.Incarnation]fleet.EngineUsage, accounts []fairshare.AccountUse, dataCentres []string, nodes int, limits map[fleet.Incarnation]limit.Advertised) {
+	x.sendToLeaves(&wire.Usage{Whole: true, Nodes: uint32(nodes), HeardOf: dataCentres, Engines: encodeEngines(used), Accounts: encodeAccounts(accounts), Limits: x.encodeLimits(limits)})
 }
 
 // SendHeartbeat reports to the leaves of this hub that it is alive.
@@ -242,5 +247,5 @@
 	for _, e := range msg.GetEngines() {
 		used[fleetwire.IncarnationOf(e)] = fleet.EngineUsage{Memory: e.GetAmount(), Streams: int(e.GetStreams()), PromptTokens: e.GetPromptTokens()}
 	}
-	x.listener.ReceiveUsage(msg.GetFrom(), Report{Used: used, Limits: x.decodeLimits(msg.GetLimits()), WholeDataCentre: msg.GetTotal(), AllNodes: msg.GetWhole(), IncludedDataCentres: msg.GetHeardOf(), Nodes: int(msg.GetNodes()), Hubs: msg.GetHubs(), Followable: msg.GetFollowable(), QuarantineDigest: msg.GetQuarantine()})
+	x.listener.ReceiveUsage(msg.GetFrom(), Report{Used: used, Accounts: decodeAccounts(msg.GetAccounts()), Limits: x.decodeLimits(msg.GetLimits()), WholeDataCentre: msg.GetTotal(), AllNodes: msg.GetWhole(), IncludedDataCentres: msg.GetHeardOf(), Nodes: int(msg.GetNodes()), Hubs: msg.GetHubs(), Followable: msg.GetFollowable(), QuarantineDigest: msg.GetQuarantine()})
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"maps"
 	"reflect"
+	"slices"
 	"testing"
 
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/usage"
@@ -79,16 +81,19 @@
 	far, farInbox := newNode(t, "c")
 	sender.SetPeers([]string{near.Address()}, []string{far.Address()})
 
-	sender.SendUsage(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 5, Streams: 2, PromptTokens: 700}}, map[fleet.Incarnation]limit.Advertised{fleet.IncarnationByID("e1"): {Rate: 4.5}})
+	sender.SendUsage(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 5, Streams: 2, PromptTokens: 700}}, []fairshare.AccountUse{{Service: "writer", Account: "clinic", Amount: 900}, {Service: "writer", Account: "shop", Amount: -1}}, map[fleet.Incarnation]limit.Advertised{fleet.IncarnationByID("e1"): {Rate: 4.5}})
 	got := <-nearInbox
 	if got.from != "a" || !got.msg.Followable || got.msg.WholeDataCentre || got.msg.Used[fleet.IncarnationByID("e1")] != (fleet.EngineUsage{Memory: 5, Streams: 2, PromptTokens: 700}) {
 		t.Errorf("got %+v, want the usage of a", got)
 	}
+	if want := []fairshare.AccountUse{{Service: "writer", Account: "clinic", Amount: 900}}; !slices.Equal(got.msg.Accounts, want) {
+		t.Errorf("got use by account %+v, want %+v", got.msg.Accounts, want)
+	}
 	if advertised := got.msg.Limits[fleet.IncarnationByID("e1")]; advertised.Rate != 4.5 || advertised.ReceivedAt == clock.Never {
 		t.Errorf("got limit %+v, want a rate of 4.5", advertised)
 	}
 
-	sender.SendDataCentreTotal(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 50, Streams: 2}}, 3, nil)
+	sender.SendDataCentreTotal(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 50, Streams: 2}}, nil, 3, nil)
 	got = <-farInbox
 	if !got.msg.WholeDataCentre || got.msg.Nodes != 3 || !maps.Equal(got.msg.Used, map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 50, Streams: 2}}) {
 		t.Errorf("got %+v, want a data centre total of 50", got)
