dispatch: hold back requests of accounts above their fair share

Cause: see the package fairshare. Nothing in dispatch divided capacity among accounts before a request waits in a queue of one node.

Change: under contention of a pipeline service, nodes report the use by account and hubs add it up. A new request of a limited account waits in a lane of its own, which does not delay other accounts, or is refused with 503 over_fair_share and a Retry-After of the time until the account is expected to be below its share. [fair_shares] enabled (default true) turns it off. TestAdmissionSetting is now TestSwitches and checks both switches alike.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -12,11 +12,18 @@
 
 // updateAdmission determines the priorities of each pipeline service from the active configuration.
 // Admission control applies only to services whose requests may differ in priority.
+// For fair shares, the load of all pipeline services is observed if there are client accounts.
 func (m *Model) updateAdmission() {
+	m.updateAccountNames()
+	priorities := servicePriorities(m.catalog)
+	var observed []string
+	if m.fairSharesEnabled() {
+		observed = slices.Collect(maps.Keys(priorities))
+	}
 	if m.policy.DisableAdmission {
-		return
+		priorities = nil
 	}
-	m.admission.SetPriorities(servicePriorities(m.catalog))
+	m.admission.SetPriorities(priorities, observed...)
 }
 
 // servicePriorities returns the priorities that requests of each pipeline service may have.
@@ -80,6 +87,7 @@
 	m.loadObservedAt = m.now
 	for _, name := range m.admission.Services() {
 		m.admission.Observe(m.now, name, m.serviceLoad(name))
+		m.observeShares(name)
 	}
 }
 
@@ -149,7 +157,13 @@
 // spread over clients. It is at most the share of the client's remaining time that clients honour.
 func (m *Model) heldBackRetryAfter(r *request) clock.Millis {
 	wait := clock.Millis(float64(r.heldBack.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
-	wait = min(max(wait, shortRetryAfter), maxHeldBackRetryAfter)
+	return m.honouredRetryAfter(r, min(wait, maxHeldBackRetryAfter))
+}
+
+// honouredRetryAfter limits a Retry-After time to the share of the client's remaining time that
+// clients honour, and to shortRetryAfter from below.
+func (m *Model) honouredRetryAfter(r *request, wait clock.Millis) clock.Millis {
+	wait = max(wait, shortRetryAfter)
 	if r.arrival.Remaining > 0 {
 		wait = min(wait, clock.Millis(cappedTimeShare*float64(r.clientDeadline.Sub(m.now))))
 	}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -7,6 +7,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
@@ -106,6 +107,43 @@
 	}
 }
 
+// BenchmarkOverFairShare measures the refusal of a request whose account is above its share.
+func BenchmarkOverFairShare(b *testing.B) {
+	m := benchModel(115)
+	accounts := []catalog.Option{catalog.WithRoutes(&catalog.Route{
+		Name: "write", Host: "h", Prefix: "/write/", Kind: catalog.Streaming, MaxAttempts: 2, Targets: []catalog.Target{{Service: "writer", Weight: 1}},
+	}), catalog.WithServices(&catalog.Service{Name: "writer", Pipeline: &catalog.Pipeline{
+		Layers: 80, LayerMB: 1000, TokenBytes: 400_000, StepMS: 1,
+		Accelerators: map[string]catalog.Accelerator{"k": {Name: "k", MemoryMB: 1e6, StepFactor: 1}},
+	}})}
+	var uses []fairshare.AccountUse
+	for i := range 24 {
+		name := fmt.Sprint("account-", i)
+		accounts = append(accounts, catalog.WithAccount(catalog.Account{Name: name}, name))
+		uses = append(uses, fairshare.AccountUse{Service: "writer", Account: name, Amount: 1e9 / float64(i+1)})
+	}
+	m.Update(0, dispatch.CatalogMsg{Catalog: catalog.New(2, accounts...)})
+	m.Update(0, dispatch.PeersMsg{TotalNodes: 130, UsagePeers: 129, Aggregated: true})
+	used := make(map[fleet.Incarnation]fleet.EngineUsage)
+	for i := range 115 {
+		used[fleet.IncarnationByID(fleet.ID(fmt.Sprintf("e%d", i)))] = fleet.EngineUsage{Memory: 1e9}
+	}
+	now := clock.Millis(0)
+	for ; now < 6000; now += 300 {
+		m.Update(now, dispatch.UsageMsg{Node: "hub", Used: used, AllNodes: true, Nodes: 130, Accounts: uses})
+		m.Update(now, dispatch.TickMsg{})
+	}
+	id := dispatch.RequestID(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		cmds := m.Update(now, dispatch.ArriveMsg{Request: id, CallerID: "c", Host: "h", Path: "/write/a", Key: "account-0", HasKey: true, PromptTokens: 700, AnswerTokens: 200})
+		if r, ok := cmds[0].(dispatch.RespondCmd); !ok || r.Reason != dispatch.ReasonOverFairShare {
+			b.Fatalf("got %+v, want a refusal", cmds[0])
+		}
+	}
+}
+
 // BenchmarkWaitForCapacity measures the arrival of a request that must wait behind 64 others, its
 // end, and a tenth of a review.
 func BenchmarkWaitForCapacity(b *testing.B) {
--- a/dispatch/capacity_queue.go
+++ b/dispatch/capacity_queue.go
@@ -7,6 +7,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 )
 
 const (
@@ -32,15 +33,22 @@
 	engineLane lane = iota
 	// retryLane holds failed requests for which the retry budget is exhausted.
 	retryLane
+	// shareLane holds requests of client accounts above their fair share. They do not delay each
+	// other, since the accounts fall below it at different times.
+	shareLane
 	laneCount
 )
 
 // laneOf returns the lane of a reason for which requests wait.
 func laneOf(reason Reason) lane {
-	if reason == ReasonNoRetryBudget {
+	switch reason {
+	case ReasonNoRetryBudget:
 		return retryLane
+	case ReasonOverFairShare:
+		return shareLane
+	default:
+		return engineLane
 	}
-	return engineLane
 }
 
 // capacityQueue holds the requests of a pipeline service that wait for capacity.
@@ -91,6 +99,8 @@
 	// the end of its wait.
 	Waiting int
 	Until   clock.Millis
+	// OverShare is the decision of fair shares; nil if that is not the reason.
+	OverShare *fairshare.Decision
 }
 
 // CapacityWaitEndCmd logs that a wait for capacity has ended.
@@ -230,6 +240,7 @@
 	return append(cmds, CapacityWaitCmd{
 		Request: r.arrival.Request, CallerID: r.arrival.CallerID, Service: r.service.Name, Reason: reason, Priority: r.priority(),
 		Returned: r.capacity.returned, Waiting: m.capacityQueue(r.service.Name).len(), Until: m.latestSend(r),
+		OverShare: r.overShareDecision(reason),
 	}), true
 }
 
@@ -375,9 +386,10 @@
 				}
 			}
 		}
-		for _, l := range q.lanes {
-			cmds = append(cmds, m.sendFromLane(service, l, sendsPerReview)...)
+		for _, l := range []lane{engineLane, retryLane} {
+			cmds = append(cmds, m.sendFromLane(service, q.lanes[l], sendsPerReview)...)
 		}
+		cmds = append(cmds, m.sendFromShareLane(service, q.lanes[shareLane])...)
 	}
 	return cmds
 }
--- a/dispatch/capacity_time.go
+++ b/dispatch/capacity_time.go
@@ -22,6 +22,8 @@
 		return ok && loaded <= m.latestSend(r) && !m.upstreamsRefuse(r)
 	case ReasonNoMemory:
 		return m.now.Add(m.expectedCapacityWait(r)) <= m.latestSend(r) && !m.upstreamsRefuse(r)
+	case ReasonOverFairShare:
+		return m.now.Add(min(r.fairShare.Wait, r.fairShare.NextIn)) <= m.latestSend(r)
 	default:
 		return true
 	}
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -5,6 +5,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
@@ -69,11 +70,13 @@
 	// Work identifies the content of the request together with its client account; zero if
 	// unknown.
 	Work work.ID
-	// Missing is the resource that the request lacked, RateLimit the limit that refused it, and
-	// HeldBack the decision of admission control; nil if that is not the reason.
+	// Missing is the resource that the request lacked, RateLimit the limit that refused it, HeldBack
+	// the decision of admission control and OverShare that of fair shares; nil if that is not the
+	// reason.
 	Missing   *MissingResource
 	RateLimit *LimitRefusal
 	HeldBack  *admission.Decision
+	OverShare *fairshare.Decision
 }
 
 // MissingResource describes why no chain could be built, for the log.
@@ -137,6 +140,12 @@
 	Nodes int
 	// Limits are the known rate limits of upstreams.
 	Limits map[fleet.Incarnation]limit.Advertised
+	// Accounts is the use by client account of the services under contention by this node's
+	// requests, DataCentreAccounts that of all nodes of this data centre and AllAccounts that of
+	// all known nodes. Each is empty if no service is under contention.
+	Accounts           []fairshare.AccountUse
+	DataCentreAccounts []fairshare.AccountUse
+	AllAccounts        []fairshare.AccountUse
 }
 
 // ResponsivenessCmd notifies the placement planner that an engine became unresponsive or
@@ -224,6 +233,7 @@
 	ReasonBackOff       Reason = "upstreams_asked_for_rest"
 	ReasonRateLimit     Reason = "upstreams_are_limited"
 	ReasonHeldBack      Reason = "held_back_for_priority"
+	ReasonOverFairShare Reason = "over_fair_share"
 	ReasonRefused       Reason = "refused_by_upstreams"
 	ReasonNoRetryBudget Reason = "retry_budget_spent"
 	ReasonAnswerLost    Reason = "answer_lost"
--- /dev/null
+++ b/dispatch/fair_share.go
@@ -0,0 +1,238 @@
+package dispatch
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
+)
+
+// noAccount names the common account of requests without one.
+const noAccount = ""
+
+// shareSalt makes the draw for fair shares independent of other draws of the same work.
+const shareSalt = "fair share "
+
+// fairSharesEnabled reports whether capacity is divided among client accounts.
+func (m *Model) fairSharesEnabled() bool {
+	return !m.policy.DisableFairShares && m.catalog != nil && m.catalog.HasAccounts()
+}
+
+// updateAccountNames determines the client accounts of the active configuration.
+func (m *Model) updateAccountNames() {
+	m.accountNames = map[string]bool{noAccount: true}
+	m.catalog.EachAccount(func(a catalog.Account) { m.accountNames[a.Name] = true })
+}
+
+// observeShares gives the use by account of a service under contention to fair shares.
+func (m *Model) observeShares(service string) {
+	use, contended := m.admission.Contention(m.now, service)
+	if !contended || !m.fairSharesEnabled() || m.nodeCount.total == 0 {
+		m.fairShares.EndContention(m.now, service)
+		return
+	}
+	load := fairshare.Load{Use: use, Nodes: m.nodeCount.total, NewestReport: clock.Never, OldestReport: clock.Never}
+	sum := make(fairshare.Usage)
+	for _, peer := range m.peerUsage {
+		if !reportsService(peer.accounts, service) {
+			continue
+		}
+		sum.AddAll(m.configured(peer.accounts))
+		load.NewestReport = max(load.NewestReport, peer.receivedAt)
+		if load.OldestReport == clock.Never || peer.receivedAt < load.OldestReport {
+			load.OldestReport = peer.receivedAt
+		}
+	}
+	sum.AddAll(m.configured(m.ownAccountUse().Largest()))
+	load.ByAccount = sum[service]
+	m.fairShares.Observe(m.now, service, load)
+}
+
+// reportsService reports whether a report contains the use of a service.
+func reportsService(accounts []fairshare.AccountUse, service string) bool {
+	return slices.ContainsFunc(accounts, func(u fairshare.AccountUse) bool { return u.Service == service })
+}
+
+// configured returns the uses of the configured accounts. Those of others are left out: nodes may
+// report anything, and an account that was removed gets no share.
+func (m *Model) configured(uses []fairshare.AccountUse) []fairshare.AccountUse {
+	if !slices.ContainsFunc(uses, m.unconfigured) {
+		return uses
+	}
+	return slices.DeleteFunc(slices.Clone(uses), m.unconfigured)
+}
+
+func (m *Model) unconfigured(use fairshare.AccountUse) bool { return !m.accountNames[use.Account] }
+
+// ownAccountUse returns the use by account of this node's requests, for services under contention.
+func (m *Model) ownAccountUse() fairshare.Usage {
+	own := make(fairshare.Usage)
+	for _, r := range m.requests {
+		if len(r.reservations) == 0 {
+			continue
+		}
+		if _, contended := m.admission.Contention(m.now, r.service.Name); !contended {
+			continue
+		}
+		for _, reserved := range r.reservations {
+			own.Add(fairshare.AccountUse{Service: r.service.Name, Account: r.account.Name, Amount: reserved.amount})
+		}
+	}
+	return own
+}
+
+// shareAccountUse adds the use by account to a usage report. Nothing is added while no service is
+// under contention here, except what other nodes report.
+func (m *Model) shareAccountUse(cmd *ShareUsageCmd) {
+	m.sharedAccounts = nil
+	if !m.fairSharesEnabled() {
+		return
+	}
+	own := m.ownAccountUse()
+	m.sharedAccounts = own.Largest()
+	cmd.Accounts = m.sharedAccounts
+	if m.usageAggregated {
+		return
+	}
+	dataCentre, all := make(fairshare.Usage), make(fairshare.Usage)
+	dataCentre.AddAll(m.sharedAccounts)
+	all.AddAll(m.sharedAccounts)
+	for _, peer := range m.peerUsage {
+		accounts := m.configured(peer.accounts)
+		all.AddAll(accounts)
+		if !peer.wholeDataCentre {
+			dataCentre.AddAll(accounts)
+		}
+	}
+	cmd.DataCentreAccounts, cmd.AllAccounts = dataCentre.Largest(), all.Largest()
+}
+
+// peerAccounts returns the use by account of other nodes in a usage report. Of a sum over all nodes,
+// it is the rest without what this node shared last.
+func (m *Model) peerAccounts(msg UsageMsg) []fairshare.AccountUse {
+	accounts := fairshare.Plausible(msg.Accounts)
+	if !msg.AllNodes || len(accounts) == 0 {
+		return accounts
+	}
+	others := make(fairshare.Usage)
+	others.AddAll(accounts)
+	others.Subtract(m.sharedAccounts)
+	return others.Largest()
+}
+
+// overFairShare reports whether a new request of a pipeline service is held back because its account
+// is above its fair share. Requests that were sent before, and streams that have begun, are not.
+func (m *Model) overFairShare(r *request) bool {
+	if r.service.Pipeline == nil || r.attempts > 0 || r.answerBegun() || !m.fairSharesEnabled() {
+		return false
+	}
+	r.fairShare = m.fairShares.Admit(m.now, r.service.Name, r.shareRequest())
+	if !r.fairShare.Admitted && !r.wasOverShare {
+		r.wasOverShare = true
+		m.overShareCount++
+	}
+	return !r.fairShare.Admitted
+}
+
+// shareRequest describes a request to fair shares. Its draw depends on its work, so that it is the
+// same for each try of a client.
+func (r *request) shareRequest() fairshare.Request {
+	return fairshare.Request{
+		Account: r.account.Name, Amount: r.memoryTokens * float64(r.service.Pipeline.Layers),
+		Draw: hashPosition(shareSalt + string(r.work.Bytes())),
+	}
+}
+
+// recordShareSent counts a new request that is sent to engines.
+func (m *Model) recordShareSent(r *request) {
+	if r.attempts == 0 && m.fairSharesEnabled() {
+		m.fairShares.RecordSent(r.service.Name, r.shareRequest())
+	}
+}
+
+// overShareDecision returns the decision that holds a request back, if that is the reason.
+func (r *request) overShareDecision(reason Reason) *fairshare.Decision {
+	if reason != ReasonOverFairShare {
+		return nil
+	}
+	decision := r.fairShare
+	return &decision
+}
+
+// sendFromShareLane sends the waiting requests whose accounts are no longer above their share, in the
+// order of the lane as far as they are.
+func (m *Model) sendFromShareLane(service string, l capacityLane) []Cmd {
+	var waiting []*request
+	for _, r := range m.requests {
+		if r.waits() && (r.position.queue == l.returning || r.position.queue == l.fresh) {
+			waiting = append(waiting, r)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(a.position.level, b.position.level), compareFirst(a.goesFirst(), b.goesFirst()),
+			cmp.Compare(a.position.ticket, b.position.ticket))
+	})
+	var cmds []Cmd
+	remaining := sendsPerReview
+	for _, r := range waiting {
+		if remaining == 0 {
+			break
+		}
+		if m.overFairShare(r) {
+			continue
+		}
+		next, sent := m.sendCapacityWaiter(r, service)
+		cmds = append(cmds, next...)
+		if sent {
+			remaining--
+		}
+	}
+	return cmds
+}
+
+// compareFirst orders true before false.
+func compareFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// maxOverShareRetryAfter bounds the Retry-After time of requests over their account's share. An
+// account falls below its share within seconds if it does not send more.
+const maxOverShareRetryAfter clock.Millis = 10_000
+
+// refuseOverFairShare ends a request of an account above its fair share. It has not been sent
+// anywhere, as the answer states.
+func (m *Model) refuseOverFairShare(r *request) []Cmd {
+	cmd := m.response(r.arrival.Request, http.StatusServiceUnavailable, ReasonOverFairShare, m.overShareRetryAfter(r))
+	cmd.OverShare = r.overShareDecision(ReasonOverFairShare)
+	return m.respondOrAbort(r.arrival.Request, cmd, ReasonOverFairShare)
+}
+
+// overShareRetryAfter returns the time after which the account should be below its share, spread over
+// requests. It is at most the share of the client's remaining time that clients honour.
+func (m *Model) overShareRetryAfter(r *request) clock.Millis {
+	wait := clock.Millis(float64(r.fairShare.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
+	return m.honouredRetryAfter(r, min(wait, maxOverShareRetryAfter))
+}
+
+// FairShares summarises the division of capacity among client accounts, for metrics.
+type FairShares struct {
+	// HeldBack counts the requests that were held back, each once.
+	HeldBack int `json:"held_back"`
+	// Services are the services that are or were recently under contention.
+	Services []fairshare.Summary `json:"services"`
+}
+
+// FairShares returns a summary of the division of capacity among client accounts.
+func (m *Model) FairShares(now clock.Millis) FairShares {
+	return FairShares{HeldBack: m.overShareCount, Services: m.fairShares.Summaries(now)}
+}
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -10,6 +10,7 @@
 	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
@@ -95,6 +96,13 @@
 	// given the load of the services.
 	admission      *admission.Controller
 	loadObservedAt clock.Millis
+	// fairShares holds back requests of client accounts above their share under contention.
+	// overShareCount counts these requests. accountNames holds the names of the accounts that have
+	// a key, and sharedAccounts the use by account that this node shared last.
+	fairShares     *fairshare.Controller
+	overShareCount int
+	accountNames   map[string]bool
+	sharedAccounts []fairshare.AccountUse
 	// awaitsStoredQuarantine reports whether the stored quarantine has not been loaded yet.
 	awaitsStoredQuarantine bool
 }
@@ -146,6 +154,7 @@
 		refusedWorks:      newRefusedWorks(),
 		limits:            limit.New(),
 		admission:         admission.New(),
+		fairShares:        fairshare.New(),
 		configConfirmedAt: clock.Never,
 		meanStreamTime:    initialStreamTime,
 	}
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/work"
@@ -60,6 +61,8 @@
 	Nodes int
 	// Limits are the rate limits of upstreams as that node knows them.
 	Limits map[fleet.Incarnation]limit.Advertised
+	// Accounts is the use by client account of the services under contention.
+	Accounts []fairshare.AccountUse
 }
 
 // PlacedMsg reports that an engine was ordered to hold the given layers or, with Completed, that
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -24,6 +24,8 @@
 	MaxWaitingBytes int
 	// DisableAdmission turns off admission control by priority.
 	DisableAdmission bool
+	// DisableFairShares turns off fair shares among client accounts.
+	DisableFairShares bool
 }
 
 // defaultQuarantine is how long a request that crashes upstreams stays quarantined by default.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -8,6 +8,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/work"
 )
@@ -60,6 +61,10 @@
 	slotRefusals int
 	// heldBack is the last decision of admission control on the request.
 	heldBack admission.Decision
+	// fairShare is the last decision of fair shares on the request, and wasOverShare reports whether
+	// one has held it back.
+	fairShare    fairshare.Decision
+	wasOverShare bool
 	// afterBackOff reports whether some of the upstreams on which a waiting stream can resume are
 	// in back-off.
 	afterBackOff bool
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -10,6 +10,7 @@
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/internal/script"
 	"github.com/hoistjunction/hoistjunction/limit"
@@ -60,6 +61,9 @@
 		if sent, ok := cmd.(dispatch.SendCmd); ok && s.Params["show"] == "prediction" {
 			line += fmt.Sprintf(" first_event=%d input_age=%d", sent.PredictedFirstEvent, sent.PredictionInputAge)
 		}
+		if share, ok := cmd.(dispatch.ShareUsageCmd); ok && s.Params["show"] == "accounts" {
+			line = "share" + showAccounts("own", share.Accounts) + showAccounts("centre", share.DataCentreAccounts) + showAccounts("all", share.AllAccounts)
+		}
 		lines = append(lines, line)
 	}
 	return lines
@@ -84,7 +88,7 @@
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
 			script.Incarnation(s.Arg(1)): {Memory: amountOf(s), Streams: s.Int("streams", 0), PromptTokens: float64(s.Int("prompts", 0))},
-		}, WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
+		}, Accounts: accountUses(s.Params["accounts"]), WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: script.Incarnation(s.Arg(0)), Layers: testUpstream(s).Held, Completed: s.Params["holds"] == "yes"}
 	case "report":
@@ -137,6 +141,27 @@
 	return amount
 }
 
+// accountUses parses the use of the service writer by account: clinic:800,shop:20.
+func accountUses(text string) []fairshare.AccountUse {
+	var list []fairshare.AccountUse
+	for entry := range strings.SplitSeq(text, ",") {
+		if account, amount, ok := strings.Cut(entry, ":"); ok {
+			v, _ := strconv.ParseFloat(amount, 64)
+			list = append(list, fairshare.AccountUse{Service: "writer", Account: account, Amount: v})
+		}
+	}
+	return list
+}
+
+// showAccounts shows uses by account, if there are any.
+func showAccounts(title string, list []fairshare.AccountUse) string {
+	text := ""
+	for _, u := range list {
+		text += fmt.Sprintf(" %s %s:%.0f", title, u.Account, u.Amount)
+	}
+	return text
+}
+
 // limitMsg returns the message of a script line about rate limits; nil for any other line.
 func limitMsg(s script.Step) dispatch.Msg {
 	switch s.Verb {
@@ -308,6 +333,9 @@
 		if h := c.HeldBack; h != nil {
 			text += fmt.Sprintf(" priority=%d use=%.2f pressure=%.2f threshold=%.2f age=%d", h.Priority, h.Use, h.Pressure, h.Threshold, h.Age)
 		}
+		if o := c.OverShare; o != nil {
+			text += fmt.Sprintf(" account=%s use=%.0f share=%.0f age=%d", o.Account, o.Use, o.Share, o.Age)
+		}
 		return text
 	case dispatch.RelayFailureCmd:
 		return fmt.Sprintf("relay %d.%d", c.Request, c.Attempt)
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -21,6 +21,9 @@
 	if m.heldBack(r) {
 		return m.giveUp(r, ReasonHeldBack)
 	}
+	if m.overFairShare(r) {
+		return m.giveUp(r, ReasonOverFairShare)
+	}
 	var cmd SendCmd
 	var reason Reason
 	if r.service.Pipeline != nil {
@@ -83,6 +86,9 @@
 	if reason == ReasonHeldBack {
 		return m.refuseHeldBack(r)
 	}
+	if reason == ReasonOverFairShare {
+		return m.refuseOverFairShare(r)
+	}
 	if reason == ReasonNoUpstream || reason == ReasonNoHolder || reason == ReasonNoMemory || reason == ReasonNoSlot {
 		if retryAfter, refusal := m.limitRetryAfter(r); refusal != nil {
 			return m.refuseRateLimited(r, r.capRetryAfter(m.now, retryAfter), refusal)
@@ -179,6 +185,7 @@
 	predicted := m.predict(r, parts)
 	r.awaitsFirstEvent = true
 	m.reserve(r, parts)
+	m.recordShareSent(r)
 	return SendCmd{Chain: parts, PredictedFirstEvent: predicted.firstEvent, PredictionInputAge: predicted.inputAge}, ""
 }
 
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -7,6 +7,7 @@
 
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
@@ -35,7 +36,9 @@
 	// allNodes whether it is the sum over all nodes.
 	wholeDataCentre bool
 	dataCentre      string
-	allNodes        bool
+	// accounts is the use by client account of the services under contention.
+	accounts []fairshare.AccountUse
+	allNodes bool
 }
 
 // shareUsage sends this node's usage to other nodes once per shareInterval.
@@ -53,6 +56,7 @@
 	}
 	m.sharedUsage = used
 	cmd := ShareUsageCmd{Used: used, Limits: m.limits.Snapshot(m.now)}
+	m.shareAccountUse(&cmd)
 	if !m.usageAggregated {
 		cmd.WholeDataCentre, cmd.AllNodes, cmd.IncludedDataCentres = m.dataCentreUsage(used), m.allNodesUsage(), m.includedDataCentres()
 		cmd.Nodes = m.nodeCount.total
@@ -132,7 +136,7 @@
 	if len(m.peerUsage) == 0 {
 		m.oldestPeerUsageAt = m.now
 	}
-	m.peerUsage[node] = nodeUsage{receivedAt: m.now, used: usage, wholeDataCentre: msg.WholeDataCentre, dataCentre: msg.DataCentre, allNodes: msg.AllNodes}
+	m.peerUsage[node] = nodeUsage{receivedAt: m.now, used: usage, accounts: m.peerAccounts(msg), wholeDataCentre: msg.WholeDataCentre, dataCentre: msg.DataCentre, allNodes: msg.AllNodes}
 	for id, use := range usage {
 		if u := m.upstreams[id]; u != nil {
 			u.peerUse = u.peerUse.Plus(use)
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -32,7 +32,7 @@
 // waitsForCapacity reports whether the lack of capacity that a reason states may pass soon enough
 // for a request to wait for it.
 func waitsForCapacity(reason Reason) bool {
-	return reason == ReasonNoMemory || reason == ReasonNoHolder || reason == ReasonNoRetryBudget || reason == ReasonHeldBack
+	return reason == ReasonNoMemory || reason == ReasonNoHolder || reason == ReasonNoRetryBudget || reason == ReasonHeldBack || reason == ReasonOverFairShare
 }
 
 // waitOrAbort lets a stream that has begun wait if it cannot be resumed at the moment: engines
--- a/lab/node.go
+++ b/lab/node.go
@@ -66,7 +66,7 @@
 	s := w.scenario
 	n.dispatcher = dispatch.New(dispatch.WithDataCentre(n.dataCentre), dispatch.WithSeed(uint64(n.rank)+1), dispatch.WithStoredQuarantine(),
 		dispatch.WithLimits(limit.New(limit.WithSelf(n.name), limit.WithBootID(uint64(n.boot)))),
-		dispatch.WithPolicy(dispatch.Policy{RetryWindow: s.Nodes.RetryWindowMS, RetryShare: w.retryShare(), RetrySlack: w.retrySlack(), SpreadCost: dispatch.DefaultSpreadCost, DisableAdmission: w.variant.NoAdmission}))
+		dispatch.WithPolicy(dispatch.Policy{RetryWindow: s.Nodes.RetryWindowMS, RetryShare: w.retryShare(), RetrySlack: w.retrySlack(), SpreadCost: dispatch.DefaultSpreadCost, DisableAdmission: w.variant.NoAdmission, DisableFairShares: w.variant.NoFairShares}))
 	n.planner = placement.New(placement.WithDelay(clock.Millis(n.rank)*planStagger), placement.WithStart(0))
 	n.view = fleet.NewView()
 	n.sessions = make(map[dispatch.RequestID]*session)
--- a/lab/node_share.go
+++ b/lab/node_share.go
@@ -65,7 +65,7 @@
 	}
 	sendUsage := func(o *node) {
 		o.roster.UpdateStatus(w.now, n.name, true)
-		o.update(dispatch.UsageMsg{Node: n.name, DataCentre: n.dataCentre, Used: cmd.Used, Limits: n.limitsOnClockOf(o, cmd.Limits)})
+		o.update(dispatch.UsageMsg{Node: n.name, DataCentre: n.dataCentre, Used: cmd.Used, Accounts: cmd.Accounts, Limits: n.limitsOnClockOf(o, cmd.Limits)})
 	}
 	if n.topology.FullMesh {
 		for _, o := range w.nodes {
@@ -95,7 +95,7 @@
 		sent[o.dataCentre]++
 		n.send(o, func(o *node) {
 			o.update(dispatch.UsageMsg{
-				Node: "all of " + n.dataCentre, Used: cmd.WholeDataCentre, WholeDataCentre: true, DataCentre: n.dataCentre,
+				Node: "all of " + n.dataCentre, Used: cmd.WholeDataCentre, Accounts: cmd.DataCentreAccounts, WholeDataCentre: true, DataCentre: n.dataCentre,
 				Nodes: n.topology.PeerCount + 1, Limits: n.limitsOnClockOf(o, cmd.Limits),
 			})
 		})
@@ -108,7 +108,7 @@
 	o.roster.UpdateStatus(n.world.now, n.name, true)
 	if n.topology.IsFirstHub() {
 		o.update(dispatch.UsageMsg{
-			Node: n.name, DataCentre: n.dataCentre, Used: cmd.AllNodes, AllNodes: true, IncludedDataCentres: cmd.IncludedDataCentres,
+			Node: n.name, DataCentre: n.dataCentre, Used: cmd.AllNodes, Accounts: cmd.AllAccounts, AllNodes: true, IncludedDataCentres: cmd.IncludedDataCentres,
 			Nodes: cmd.Nodes, Limits: n.limitsOnClockOf(o, cmd.Limits),
 		})
 	}
--- a/lab/variant.go
+++ b/lab/variant.go
@@ -33,6 +33,8 @@
 	NoRetries bool
 	// NoAdmission admits requests of all priorities under pressure.
 	NoAdmission bool
+	// NoFairShares admits requests of accounts above their fair share.
+	NoFairShares bool
 }
 
 // disablers switch off the mechanisms, by their names.
@@ -48,6 +50,7 @@
 	"return_time": func(v *Variant) { v.IgnoreRetryAfter = true },
 	"repeats":     func(v *Variant) { v.NoRetries = true },
 	"admission":   func(v *Variant) { v.NoAdmission = true },
+	"fair_shares": func(v *Variant) { v.NoFairShares = true },
 }
 
 // Without returns the variant with the given mechanisms switched off, separated by commas.
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -25,18 +25,30 @@
 
 // Guards against a node that starts with a misspelled value and then does the opposite of what the
 // operator wrote.
-func TestAdmissionSetting(t *testing.T) {
-	tests := []struct {
-		text    string
-		want    bool
-		refused bool
-	}{
+func TestSwitches(t *testing.T) {
+	tests := []switchTest{
 		{"", true, false},
 		{"[admission]\nenabled = false\n", false, false},
 		{"[admission]\nenabled = true\n", true, false},
 		{"[admission]\nenabled = perhaps\n", false, true},
 		{"[admission]\nenabled =\n", false, true},
 	}
+	checkSwitch(t, tests, func(s *Settings) bool { return s.Admission })
+	for i := range tests {
+		tests[i].text = strings.Replace(tests[i].text, "[admission]", "[fair_shares]", 1)
+	}
+	checkSwitch(t, tests, func(s *Settings) bool { return s.FairShares })
+}
+
+// switchTest is a text of settings with the value of a switch that follows from it, or refused.
+type switchTest struct {
+	text    string
+	want    bool
+	refused bool
+}
+
+func checkSwitch(t *testing.T, tests []switchTest, value func(*Settings) bool) {
+	t.Helper()
 	for _, tt := range tests {
 		path := filepath.Join(t.TempDir(), "relay.ini")
 		if err := os.WriteFile(path, []byte(requiredSettings+tt.text), 0o600); err != nil {
@@ -53,8 +65,8 @@
 			t.Errorf("%q: got error %v, want none", tt.text, err)
 			continue
 		}
-		if s.Admission != tt.want {
-			t.Errorf("%q: got %v, want %v", tt.text, s.Admission, tt.want)
+		if got := value(s); got != tt.want {
+			t.Errorf("%q: got %v, want %v", tt.text, got, tt.want)
 		}
 	}
 }
--- a/node/updates.go
+++ b/node/updates.go
@@ -82,13 +82,13 @@
 func (n *Node) sendUsage(cmd dispatch.ShareUsageCmd) {
 	now := n.clock.Now()
 	topology := n.roster.Topology(now)
-	n.usage.SendUsage(cmd.Used, cmd.Limits)
+	n.usage.SendUsage(cmd.Used, cmd.Accounts, cmd.Limits)
 	if topology.FullMesh && n.roster.IsReader(now) || topology.IsFirstHub() {
-		n.usage.SendDataCentreTotal(cmd.WholeDataCentre, topology.PeerCount+1, cmd.Limits)
+		n.usage.SendDataCentreTotal(cmd.WholeDataCentre, cmd.DataCentreAccounts, topology.PeerCount+1, cmd.Limits)
 	}
 	switch {
 	case topology.IsFirstHub():
-		n.usage.SendAllNodes(cmd.AllNodes, cmd.IncludedDataCentres, cmd.Nodes, cmd.Limits)
+		n.usage.SendAllNodes(cmd.AllNodes, cmd.AllAccounts, cmd.IncludedDataCentres, cmd.Nodes, cmd.Limits)
 	case topology.IsHub:
 		n.usage.SendHeartbeat()
 	}
@@ -111,7 +111,7 @@
 	}
 	n.relay.HandleUsage(dispatch.UsageMsg{
 		Node: from.GetName(), Used: msg.Used, WholeDataCentre: msg.WholeDataCentre, AllNodes: msg.AllNodes, IncludedDataCentres: msg.IncludedDataCentres, Nodes: msg.Nodes,
-		DataCentre: from.GetDataCentre(), Limits: msg.Limits,
+		DataCentre: from.GetDataCentre(), Limits: msg.Limits, Accounts: msg.Accounts,
 	})
 }
 
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -73,6 +73,8 @@
 	capacityWaits atomic.Pointer[dispatch.CapacityWaits]
 	// admission is the state of admission control as of the last tick.
 	admission atomic.Pointer[[]admission.Summary]
+	// fairShares is the division of capacity among client accounts as of the last tick.
+	fairShares atomic.Pointer[dispatch.FairShares]
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
@@ -117,6 +119,8 @@
 			d.capacityWaits.Store(&waits)
 			pressures := d.model.Admission(d.clock.Now())
 			d.admission.Store(&pressures)
+			shares := d.model.FairShares(d.clock.Now())
+			d.fairShares.Store(&shares)
 		}
 	}
 }
@@ -203,7 +207,7 @@
 func (d *decider) logCapacityWait(cmd dispatch.CapacityWaitCmd) {
 	d.log.Info("awaits_capacity", zap.String("id", cmd.CallerID), zap.String("service", cmd.Service), zap.String("reason", string(cmd.Reason)),
 		zap.Int("priority", cmd.Priority), zap.Bool("returned", cmd.Returned), zap.Int("waiting", cmd.Waiting),
-		zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
+		zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))), overShareField(cmd.OverShare))
 }
 
 // logCapacityWaitEnd logs the outcome of a wait for capacity. The session of a request whose
--- a/relay/held_back_test.go
+++ b/relay/held_back_test.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/hoistjunction/hoistjunction/admission"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 )
 
 // Guards against a refusal for priority whose log line does not show the inputs of the decision, so
@@ -28,3 +29,19 @@
 		t.Errorf("got fields %v for another refusal, want none", none.Fields)
 	}
 }
+
+// Guards against a refusal of an account above its share whose log line does not show what the account
+// uses, what its share is and how old that is.
+func TestOverShareField(t *testing.T) {
+	e := zapcore.NewMapObjectEncoder()
+	overShareField(&fairshare.Decision{Account: "clinic", Use: 1660.4, Share: 1232.8, Age: 350}).AddTo(e)
+	want := map[string]any{"account": "clinic", "account_use": int64(1660), "account_share": int64(1232), "share_age_ms": int64(350)}
+	if !maps.Equal(e.Fields, want) {
+		t.Errorf("got fields %v, want %v", e.Fields, want)
+	}
+	none := zapcore.NewMapObjectEncoder()
+	overShareField(nil).AddTo(none)
+	if len(none.Fields) > 0 {
+		t.Errorf("got fields %v for another refusal, want none", none.Fields)
+	}
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -13,6 +13,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/logging"
 )
 
@@ -107,7 +108,7 @@
 		zap.Int("status", cmd.Status), zap.String("reason", string(cmd.Reason)),
 		zap.Int64("retry_after_ms", int64(cmd.RetryAfter)), zap.Int("attempts", s.attempts),
 		zap.Stringer("config", cmd.Config), zap.Int64("config_age_ms", int64(cmd.ConfigAge)),
-		zap.Int64("after_ms", int64(s.age())), missingResourceField(cmd.Missing), limitRefusalField(cmd.RateLimit), heldBackField(cmd.HeldBack))
+		zap.Int64("after_ms", int64(s.age())), missingResourceField(cmd.Missing), limitRefusalField(cmd.RateLimit), heldBackField(cmd.HeldBack), overShareField(cmd.OverShare))
 }
 
 // rateLimitField returns the log field for the rate limit of an upstream, in requests per
@@ -167,6 +168,20 @@
 	}))
 }
 
+// overShareField returns the log fields for the decision of fair shares that held a request back.
+func overShareField(d *fairshare.Decision) zap.Field {
+	if d == nil {
+		return zap.Skip()
+	}
+	return zap.Inline(zapcore.ObjectMarshalerFunc(func(e zapcore.ObjectEncoder) error {
+		e.AddString("account", d.Account)
+		e.AddInt64("account_use", int64(d.Use))
+		e.AddInt64("account_share", int64(d.Share))
+		e.AddInt64("share_age_ms", int64(d.Age))
+		return nil
+	}))
+}
+
 // roundedShare rounds a value from 0 to 1 for the log.
 func roundedShare(v float64) float64 {
 	const steps = 1000
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -109,6 +109,7 @@
 	}
 	r.decider.onLimitChanged = r.upstreams.recordLimit
 	r.extraMetrics["capacity_waits"] = expvar.Func(func() any { return r.decider.capacityWaits.Load() })
+	r.extraMetrics["fair_shares"] = expvar.Func(func() any { return r.decider.fairShares.Load() })
 	r.extraMetrics["admission"] = expvar.Func(func() any { return r.decider.admission.Load() })
 	r.extraMetrics["limits"] = expvar.Func(func() any { return r.decider.limits.Load() })
 	return r
