--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -4,6 +4,7 @@
 	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/work"
@@ -63,6 +64,8 @@
 	Limits map[fleet.Incarnation]limit.Advertised
 	// Retries are the node's requests for retries, and its loans.
 	Retries budget.Report
+	// Accounts is the use by client account of the services under contention.
+	Accounts []fairshare.AccountUse
 }
 
 // PlacedMsg reports that an engine was ordered to hold the given layers or, with Completed, that
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -78,6 +78,8 @@
 	admission atomic.Pointer[[]admission.Summary]
 	// retryLoans counts the retries borrowed and lent as of the last tick.
 	retryLoans atomic.Pointer[budget.Counts]
+	// fairShares is the division of capacity among client accounts as of the last tick.
+	fairShares atomic.Pointer[dispatch.FairShares]
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
@@ -126,6 +128,8 @@
 			d.admission.Store(&pressures)
 			loans := d.model.RetryLoans()
 			d.retryLoans.Store(&loans)
+			shares := d.model.FairShares(d.clock.Now())
+			d.fairShares.Store(&shares)
 		}
 	}
 }
@@ -216,7 +220,7 @@
 func (d *decider) logCapacityWait(cmd dispatch.CapacityWaitCmd) {
 	d.log.Info("awaits_capacity", zap.String("id", cmd.CallerID), zap.String("service", cmd.Service), zap.String("reason", string(cmd.Reason)),
 		zap.Int("priority", cmd.Priority), zap.Bool("returned", cmd.Returned), zap.Int("waiting", cmd.Waiting),
-		zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
+		zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))), overShareField(cmd.OverShare))
 }
 
 // logCapacityWaitEnd logs the outcome of a wait for capacity. The session of a request whose
