--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -81,6 +81,9 @@
 	if message := recoveryMsg(s, request, attempt); message != nil {
 		return message
 	}
+	if message := peersMsg(s); message != nil {
+		return message
+	}
 	switch s.Verb {
 	case "config":
 		return dispatch.CatalogMsg{Catalog: testCatalog(s), ConfirmedAt: clock.Millis(s.Int("confirmed", int(p.now)))}
@@ -90,12 +93,6 @@
 		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Arg(0)), Upstream: testUpstream(s)}}}
 	case "gone", "ended":
 		return dispatch.FleetMsg{Changes: []fleet.Change{{ID: script.Incarnation(s.Arg(0)), Gone: true, Ended: s.Verb == "ended"}}}
-	case "peers":
-		return dispatch.PeersMsg{TotalNodes: s.Int("all", 1), UsagePeers: s.Int("near", 0), LocalNodes: s.Int("here", 0), Aggregated: s.Params["summed"] == "yes"}
-	case "usage":
-		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
-			script.Incarnation(s.Arg(1)): {Memory: amountOf(s), Streams: s.Int("streams", 0), PromptTokens: float64(s.Int("prompts", 0))},
-		}, Accounts: accountUses(s.Params["accounts"]), WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
 	case "placed":
 		return dispatch.PlacedMsg{Upstream: script.Incarnation(s.Arg(0)), Layers: testUpstream(s).Held, Completed: s.Params["holds"] == "yes"}
 	case "report":
@@ -142,6 +139,20 @@
 	return nil
 }
 
+// peersMsg returns the message of a script line about other nodes and their usage; nil for any other
+// line.
+func peersMsg(s script.Step) dispatch.Msg {
+	switch s.Verb {
+	case "peers":
+		return dispatch.PeersMsg{TotalNodes: s.Int("all", 1), UsagePeers: s.Int("near", 0), LocalNodes: s.Int("here", 0), Aggregated: s.Params["summed"] == "yes"}
+	case "usage":
+		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
+			script.Incarnation(s.Arg(1)): {Memory: amountOf(s), Streams: s.Int("streams", 0), PromptTokens: float64(s.Int("prompts", 0))},
+		}, Accounts: accountUses(s.Params["accounts"]), WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
+	}
+	return nil
+}
+
 // amountOf returns the memory in use of a script line, which may be NaN.
 func amountOf(s script.Step) float64 {
 	amount, _ := strconv.ParseFloat(s.Params["amount"], 64)
@@ -411,14 +422,21 @@
 		return fmt.Sprintf("limit %s %v from=%s", c.Upstream, c.Rate, c.From)
 	case dispatch.RequestPermitsCmd:
 		return fmt.Sprintf("ask %s for %s number=%d want=%d", c.To, c.PermitRequest.Upstream, c.PermitRequest.Seq, c.PermitRequest.Permits)
+	case dispatch.SuspectCmd:
+		return fmt.Sprintf("suspect %s until %d", c.Upstream, c.Until)
+	}
+	return showWait(cmd)
+}
+
+// showWait shows the commands about waits of requests.
+func showWait(cmd dispatch.Cmd) string {
+	switch c := cmd.(type) {
 	case dispatch.SlotWaitCmd:
 		return fmt.Sprintf("await %d waiting=%d", c.Request, c.Waiting)
 	case dispatch.CapacityWaitCmd:
 		return fmt.Sprintf("wait %d %s waiting=%d until=%d", c.Request, c.Reason, c.Waiting, c.Until) + map[bool]string{true: " returned"}[c.Returned]
 	case dispatch.CapacityWaitEndCmd:
 		return fmt.Sprintf("waited %d %s after=%d", c.Request, c.Outcome, c.Waited)
-	case dispatch.SuspectCmd:
-		return fmt.Sprintf("suspect %s until %d", c.Upstream, c.Until)
 	}
 	return fmt.Sprintf("%T", cmd)
 }
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -186,6 +186,14 @@
 	case dispatch.LimitChangedCmd:
 		d.onLimitChanged(cmd.Upstream, cmd.Rate > 0)
 		d.logLimit(cmd)
+	default:
+		d.logCommand(cmd)
+	}
+}
+
+// logCommand logs a command that only reports a decision.
+func (d *decider) logCommand(cmd dispatch.Cmd) {
+	switch cmd := cmd.(type) {
 	case dispatch.CapacityWaitCmd:
 		d.logCapacityWait(cmd)
 	case dispatch.CapacityWaitEndCmd:
