--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -22,10 +22,10 @@
 	streamTime = 2200.0
 	// correction is the exponent with which the rate follows the ratio of the intended use to the
 	// actual one. It makes up for nodes that receive few requests of the account and for streams of
-	// other durations. The effect of the rate is known 0.6 s later, so that the loop of all nodes
-	// oscillates with an exponent above 5.
+	// other durations. The effect of the rate is known 0.6 s later: with an exponent of 3 the loop
+	// of all nodes oscillated, and small accounts got 0.92 of what they ask for.
 	correction = 1.5
-	// maxCorrection bounds the factor on the rate.
+	// maxCorrection bounds the factor on the rate, for accounts that send to few of the nodes.
 	maxCorrection = 16.0
 	// maxSavedTime bounds the allowance of a node that receives no requests of the account for a
 	// while, as the time in which it accrues.
@@ -36,7 +36,7 @@
 type account struct {
 	// use is the use over all nodes at the last observation.
 	use float64
-	// limited reports whether the use has reached the share, and aboveAt when it last did.
+	// limited reports whether requests are held back, and aboveAt when the use last was above the share.
 	limited bool
 	aboveAt clock.Millis
 	// rate is the part of this node in the admitted use per ms, and allowance what may be admitted
--- a/fairshare/doc.go
+++ b/fairshare/doc.go
@@ -8,19 +8,22 @@
 //
 // Shares are max-min fair: an account that asks for less than an equal share gets what it asks for,
 // and what it leaves goes to those that ask for more. They follow from the use of each account over
-// all nodes, which the nodes report to each other. The reports are 0.3 to 0.6 s old. Two measures
+// all nodes, which the nodes report to each other. The reports are 0.3 to 0.6 s old. Three measures
 // keep the use from oscillating because of that age:
 //
-//   - A node admits a fraction of the requests of an account above its share. It adapts the fraction
-//     gradually to the use that the present rate of new requests leads to.
-//   - The draw of a request decides whether it belongs to the admitted fraction. A retry has the same
-//     draw, so that retrying does not raise the chance to be admitted.
+//   - An account is limited from when its use exceeds its share by a tolerance until it has been below
+//     the share for some time. Requests of other accounts are never held back.
+//   - New requests of a limited account are admitted at a rate that leads to its share and the
+//     tolerance, however many it sends. Each node admits an equal part, so that an account does not
+//     gain by retrying.
+//   - The rate follows the use of the account, and is lower while the engines are nearly full.
 //
 // A Controller holds this state for the services of one node. It holds nothing back without recent
 // reports of other nodes. It performs no I/O and receives the time as an argument.
 //
 //	c := fairshare.New()
 //	c.Observe(now, "writer", load)
-//	if d := c.Admit(now, "writer", "clinic", draw); !d.Admitted {
+//	if d := c.Admit(now, "writer", request); !d.Admitted {
 //	}
+//	c.RecordSent("writer", request)
 package fairshare
--- a/fairshare/service.go
+++ b/fairshare/service.go
@@ -6,13 +6,15 @@
 	// intendedUse is the used part of the capacity that the shares and their tolerance lead to. It is
 	// above the use from which a service counts as under contention, and the rest has room for what
 	// is admitted before the next reports arrive. Chains are built up to 0.94 of an engine's memory.
-	intendedUse = 0.86
+	intendedUse = 0.88
 	// excessRate is the decrease of the rate at which limited accounts are admitted, per unit of use
 	// above the intended one. While the engines are full, small accounts use less than they ask for,
 	// and the shares that follow from their use are too large. minRatePart bounds the decrease.
-	excessRate  = 4.0
+	excessRate  = 8.0
 	minRatePart = 0.2
-	// limitedGrowth is the assumed ratio of what a limited account asks for to its use.
+	// limitedGrowth is the assumed ratio of what a limited account asks for to its use. With a ratio of
+	// 1 shares would follow the random variation of the uses. Without a bound, what accounts do not ask
+	// for would be unused.
 	limitedGrowth = 2.0
 	// maxSilence is the time without a report of another node after which nothing is held back, since
 	// the node may be partitioned. Reports are sent each 0.3 s, and some are lost.
@@ -72,8 +74,8 @@
 	return min(max(1-excessRate*(use-intendedUse), minRatePart), 1)
 }
 
-// demands returns the estimated demands of the accounts: what they use or, if they are limited, the
-// whole capacity, since what they would use is unknown.
+// demands returns the estimated demands of the accounts: what they use or, if they are limited, a
+// multiple of it, since what they would use is unknown.
 func (s *service) demands(load Load) []float64 {
 	capacity := load.capacity()
 	list := make([]float64, 0, len(load.ByAccount))
