Nodes of a large data centre report slow engines to each other

Cause: a node measures an engine's slowdown only when one of its own streams stalls there.

A prompt-token count that cannot be true is left out on receipt like the other amounts.

--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -11,6 +11,7 @@
 func (m *Model) sendProbes() []Cmd {
 	var cmds []Cmd
 	for id, u := range m.probeCandidates {
+		u.expireSlowdown(m.now)
 		if m.upstreams[id] != u || !u.mayNeedProbe() {
 			delete(m.probeCandidates, id)
 			continue
@@ -34,7 +35,7 @@
 		return
 	}
 	if report.Slowdown > 0 {
-		u.slowdown, u.slowdownAt = report.Slowdown, m.now
+		u.slowdown, u.slowdownAt, u.slowdownMeasured = report.Slowdown, m.now, true
 		u.addProbeCandidate()
 	}
 	if report.TotalMemory > 0 {
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -147,12 +147,18 @@
 		return dispatch.PeersMsg{TotalNodes: s.Int("all", 1), UsagePeers: s.Int("near", 0), LocalNodes: s.Int("here", 0), Aggregated: s.Params["summed"] == "yes"}
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
-			script.Incarnation(s.Arg(1)): {Memory: amountOf(s), Streams: s.Int("streams", 0), PromptTokens: float64(s.Int("prompts", 0))},
+			script.Incarnation(s.Arg(1)): {Memory: amountOf(s), Streams: s.Int("streams", 0), PromptTokens: float64(s.Int("prompts", 0)), Slowdown: slowdownOf(s)},
 		}, Accounts: accountUses(s.Params["accounts"]), WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
 	}
 	return nil
 }
 
+// slowdownOf returns the reported slowdown of a script line, which may be NaN.
+func slowdownOf(s script.Step) float64 {
+	slowdown, _ := strconv.ParseFloat(s.Params["slowdown"], 64)
+	return slowdown
+}
+
 // amountOf returns the memory in use of a script line, which may be NaN.
 func amountOf(s script.Step) float64 {
 	amount, _ := strconv.ParseFloat(s.Params["amount"], 64)
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -46,6 +46,8 @@
 	// slowdown is the ratio of the engine's token time to the normal value, as of slowdownAt.
 	slowdown   float64
 	slowdownAt clock.Millis
+	// slowdownMeasured reports whether this node measured the slowdown itself.
+	slowdownMeasured bool
 
 	// reportedFree is the free memory that the engine reported at reportedAt, and reportedQueued
 	// the number of requests that waited for a slot. reservedAtReport is the value of reserved at
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -50,8 +50,8 @@
 	m.sharedAt = m.now
 	used := make(map[fleet.Incarnation]fleet.EngineUsage)
 	for id, u := range m.upstreams {
-		if u.reserved > 0 {
-			used[id] = u.ownUse()
+		if use := m.withMeasuredSlowdown(u, u.ownUse()); u.reserved > 0 || use.Slowdown > 0 {
+			used[id] = use
 		}
 	}
 	m.sharedUsage = used
@@ -74,9 +74,9 @@
 	}
 	var list []used
 	for id, u := range m.upstreams {
-		use := u.peerUse.Plus(u.ownUse())
+		use := m.withSlowdown(u, u.peerUse.Plus(u.ownUse()))
 		share := max(use.Memory/max(u.memory, 1), float64(use.Streams)/float64(max(u.entry.Slots, 1)))
-		if u.pipeline != nil && share >= minAggregatedUse {
+		if u.pipeline != nil && (share >= minAggregatedUse || use.Slowdown > 0) {
 			list = append(list, used{id: id, use: use, share: share})
 		}
 	}
@@ -142,6 +142,7 @@
 	for id, use := range usage {
 		if u := m.upstreams[id]; u != nil {
 			u.peerUse = u.peerUse.Plus(use)
+			m.recordPeerSlowdown(u, use.Slowdown)
 		}
 	}
 	return m.mergePeerLimits(msg)
@@ -156,7 +157,7 @@
 // infinite value would remain in the sum for an engine after the report was replaced.
 func plausibleUsage(used map[fleet.Incarnation]fleet.EngineUsage) map[fleet.Incarnation]fleet.EngineUsage {
 	plausible := func(use fleet.EngineUsage) bool {
-		return use.Memory >= 0 && use.Memory <= maxReportedMemory && use.Streams >= 0
+		return use.Memory >= 0 && use.Memory <= maxReportedMemory && use.Streams >= 0 && use.PromptTokens >= 0 && use.PromptTokens <= maxReportedMemory
 	}
 	for _, use := range used {
 		if !plausible(use) {
@@ -189,7 +190,7 @@
 	others := make(map[fleet.Incarnation]fleet.EngineUsage, len(sum))
 	for id, use := range sum {
 		remainder := use.Minus(m.sharedUsage[id])
-		others[id] = fleet.EngineUsage{Memory: max(remainder.Memory, 0), Streams: max(remainder.Streams, 0), PromptTokens: max(remainder.PromptTokens, 0)}
+		others[id] = fleet.EngineUsage{Memory: max(remainder.Memory, 0), Streams: max(remainder.Streams, 0), PromptTokens: max(remainder.PromptTokens, 0), Slowdown: use.Slowdown}
 	}
 	return others
 }
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -187,7 +187,7 @@
 	list := make([]*wire.EngineUse, 0, len(used))
 	for engine, u := range used {
 		id, born := fleetwire.IncarnationFields(engine)
-		list = append(list, &wire.EngineUse{Id: id, Born: born, Amount: u.Memory, Streams: int32(u.Streams), PromptTokens: u.PromptTokens})
+		list = append(list, &wire.EngineUse{Id: id, Born: born, Amount: u.Memory, Streams: int32(u.Streams), PromptTokens: u.PromptTokens, Slowdown: u.Slowdown})
 	}
 	return list
 }
@@ -252,7 +252,7 @@
 	}
 	used := make(map[fleet.Incarnation]fleet.EngineUsage, len(msg.GetEngines()))
 	for _, e := range msg.GetEngines() {
-		used[fleetwire.IncarnationOf(e)] = fleet.EngineUsage{Memory: e.GetAmount(), Streams: int(e.GetStreams()), PromptTokens: e.GetPromptTokens()}
+		used[fleetwire.IncarnationOf(e)] = fleet.EngineUsage{Memory: e.GetAmount(), Streams: int(e.GetStreams()), PromptTokens: e.GetPromptTokens(), Slowdown: e.GetSlowdown()}
 	}
 	x.listener.ReceiveUsage(msg.GetFrom(), Report{Used: used, Accounts: decodeAccounts(msg.GetAccounts()), Limits: x.decodeLimits(msg.GetLimits()), WholeDataCentre: msg.GetTotal(), AllNodes: msg.GetWhole(), IncludedDataCentres: msg.GetHeardOf(), Nodes: int(msg.GetNodes()), Hubs: msg.GetHubs(), Followable: msg.GetFollowable(), QuarantineDigest: msg.GetQuarantine(), Retries: decodeRetries(&msg)})
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -86,9 +86,9 @@
 		Asks:   []budget.Ask{{Service: "s", BootID: 9, SentAt: 1200, Retries: 3}},
 		Grants: []budget.Grant{{Borrower: "b", Service: "s", BootID: 8, AskedAt: 900, Retries: 2, Relent: true}},
 	}
-	sender.SendUsage(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 5, Streams: 2, PromptTokens: 700}}, []fairshare.AccountUse{{Service: "writer", Account: "clinic", Amount: 900}, {Service: "writer", Account: "shop", Amount: -1}}, map[fleet.Incarnation]limit.Advertised{fleet.IncarnationByID("e1"): {Rate: 4.5}}, retries)
+	sender.SendUsage(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 5, Streams: 2, PromptTokens: 700, Slowdown: 3}}, []fairshare.AccountUse{{Service: "writer", Account: "clinic", Amount: 900}, {Service: "writer", Account: "shop", Amount: -1}}, map[fleet.Incarnation]limit.Advertised{fleet.IncarnationByID("e1"): {Rate: 4.5}}, retries)
 	got := <-nearInbox
-	if got.from != "a" || !got.msg.Followable || got.msg.WholeDataCentre || got.msg.Used[fleet.IncarnationByID("e1")] != (fleet.EngineUsage{Memory: 5, Streams: 2, PromptTokens: 700}) {
+	if got.from != "a" || !got.msg.Followable || got.msg.WholeDataCentre || got.msg.Used[fleet.IncarnationByID("e1")] != (fleet.EngineUsage{Memory: 5, Streams: 2, PromptTokens: 700, Slowdown: 3}) {
 		t.Errorf("got %+v, want the usage of a", got)
 	}
 	if want := []fairshare.AccountUse{{Service: "writer", Account: "clinic", Amount: 900}}; !slices.Equal(got.msg.Accounts, want) {
