Engines of attempts without a first event are avoided for a while

For the next 3 s all its streams went to the same four engines before them, which answered every report as usual and brought no event: 293 attempts abandoned, 263 requests ended as answer_lost, 140 callers left.

Change: in a large data centre a node adds a cost to the engines of an overdue attempt for 1.5 s; a first event through them ends it.

--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -38,7 +38,11 @@
 // firstEventOverdue abandons an attempt without a first event if another one can be made.
 func (m *Model) firstEventOverdue(msg FirstEventOverdueMsg) []Cmd {
 	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts || r.migrating || !m.canReplaceAttempt(r) {
+	if r == nil || msg.Attempt != r.attempts {
+		return nil
+	}
+	m.recordOverdue(r)
+	if r.migrating || !m.canReplaceAttempt(r) {
 		return nil
 	}
 	for _, p := range r.chain {
--- /dev/null
+++ b/dispatch/overdue.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import "github.com/hoistjunction/hoistjunction/clock"
+
+// When an engine terminates without a word, streams through it can also hold up the engines before
+// it, which answer reports as usual. All new streams of a data centre then wait on the same engines
+// for seconds, and no report names the fault. The only evidence are attempts without a first event.
+const (
+	// overdueWindow is how long the engines of an attempt without a first event are avoided. It is
+	// long enough for the next requests of a node with two requests per second.
+	overdueWindow clock.Millis = 1500
+	// overduePenalty is added to the cost of such an engine, in ms per token. Two of them outweigh
+	// a first stage in another data centre.
+	overduePenalty = 8.0
+)
+
+// recordOverdue avoids the engines of an attempt without a first event.
+func (m *Model) recordOverdue(r *request) {
+	if !m.manyNodes || !r.boundsPauses() {
+		return
+	}
+	for _, p := range r.chain {
+		if u := m.upstreams[p.ID]; u != nil {
+			u.overdueUntil = m.now.Add(overdueWindow)
+		}
+	}
+}
+
+// clearOverdue uses the engines of a stream again, since its first event has come through all of
+// them.
+func (m *Model) clearOverdue(r *request) {
+	for _, p := range r.chain {
+		if u := m.upstreams[p.ID]; u != nil {
+			u.overdueUntil = 0
+		}
+	}
+}
+
+// overdueCost returns the cost of an engine because of attempts without a first event.
+func (u *upstream) overdueCost(now clock.Millis) float64 {
+	if now < u.overdueUntil {
+		return overduePenalty
+	}
+	return 0
+}
--- a/dispatch/prediction.go
+++ b/dispatch/prediction.go
@@ -91,6 +91,7 @@
 		return
 	}
 	r.awaitsFirstEvent = false
+	m.clearOverdue(r)
 	for i := range r.reservations {
 		h := &r.reservations[i]
 		h.upstream.promptTokens -= h.promptTokens
