dispatch: reports with implausible prompt tokens are dropped

The check of usage reports covered memory and streams only. Prompt tokens that are NaN remained in the sum of an engine after the report was replaced, and every prediction over it was - ms.

--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -147,7 +147,7 @@
 		return dispatch.PeersMsg{TotalNodes: s.Int("all", 1), UsagePeers: s.Int("near", 0), LocalNodes: s.Int("here", 0), Aggregated: s.Params["summed"] == "yes"}
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
-			script.Incarnation(s.Arg(1)): {Memory: amountOf(s), Streams: s.Int("streams", 0), PromptTokens: float64(s.Int("prompts", 0))},
+			script.Incarnation(s.Arg(1)): {Memory: amountOf(s), Streams: s.Int("streams", 0), PromptTokens: promptsOf(s)},
 		}, Accounts: accountUses(s.Params["accounts"]), WholeDataCentre: s.Params["total"] == "yes", AllNodes: s.Params["whole"] == "yes", Nodes: s.Int("nodes", 0), DataCentre: s.Params["in"]}
 	}
 	return nil
@@ -159,6 +159,12 @@
 	return amount
 }
 
+// promptsOf returns the waiting prompt tokens of a script line, which may be NaN.
+func promptsOf(s script.Step) float64 {
+	prompts, _ := strconv.ParseFloat(s.Params["prompts"], 64)
+	return prompts
+}
+
 // accountUses parses the use of the service writer by account: clinic:800,shop:20.
 func accountUses(text string) []fairshare.AccountUse {
 	var list []fairshare.AccountUse
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -148,7 +148,7 @@
 }
 
 // maxReportedMemory bounds the memory in use that a report may contain for one engine, in tokens
-// times layers. No accelerator has that much. The sums for each engine would lose the other nodes'
+// times layers, and the prompt tokens that wait there. No accelerator has that much. The sums for each engine would lose the other nodes'
 // usage in the rounding of much larger values.
 const maxReportedMemory = 1e12
 
@@ -156,7 +156,8 @@
 // infinite value would remain in the sum for an engine after the report was replaced.
 func plausibleUsage(used map[fleet.Incarnation]fleet.EngineUsage) map[fleet.Incarnation]fleet.EngineUsage {
 	plausible := func(use fleet.EngineUsage) bool {
-		return use.Memory >= 0 && use.Memory <= maxReportedMemory && use.Streams >= 0
+		return use.Memory >= 0 && use.Memory <= maxReportedMemory && use.Streams >= 0 &&
+			use.PromptTokens >= 0 && use.PromptTokens <= maxReportedMemory
 	}
 	for _, use := range used {
 		if !plausible(use) {
