dispatch: loaded layers are no reason to refuse requests that queue behind others

A new request that queues behind others took over the reason for which the first of them waits. Two requests are sent when an engine has loaded layers; the others kept waiting for a layer without an engine, and a request that arrived until the next tick was refused with 503 for lack of layers that were held.

If no layer is missing any more, the request waits for its turn as for memory. capacity_queue/loaded_meanwhile.txt failed before (503 a_layer_has_no_engine); the request is now sent 80 ms after its arrival.

--- a/dispatch/capacity_queue.go
+++ b/dispatch/capacity_queue.go
@@ -202,12 +202,24 @@
 // overtake those that wait for the same thing; empty if it may be sent. Streams that have begun
 // never queue.
 func (m *Model) mustQueue(r *request, l lane) Reason {
-	q := m.capacityQueues[r.service.Name]
 	inLane := r.waits() && laneOf(r.capacity.reason) == l
-	if q == nil || r.answerBegun() || inLane || r.capacity.admitted || !q.lanes[l].precedes(r) {
+	if r.answerBegun() || inLane || r.capacity.admitted || !m.precededInLane(r, l) {
 		return ""
 	}
-	return m.firstInLane(q.lanes[l]).capacity.reason
+	reason := m.firstInLane(m.capacityQueues[r.service.Name].lanes[l]).capacity.reason
+	if loaded, ok := m.missingLayersLoaded(r); reason == ReasonNoHolder && ok && loaded == m.now {
+		// The layers have been loaded since that request began to wait. What this one lacks is its
+		// turn.
+		return ReasonNoMemory
+	}
+	return reason
+}
+
+// precededInLane reports whether a waiting request of a lane is sent before a request that does not
+// wait yet.
+func (m *Model) precededInLane(r *request, l lane) bool {
+	q := m.capacityQueues[r.service.Name]
+	return q != nil && q.lanes[l].precedes(r)
 }
 
 // awaitCapacity queues a request that lacks capacity. It reports whether the request waits; any
--- a/dispatch/capacity_time.go
+++ b/dispatch/capacity_time.go
@@ -19,7 +19,7 @@
 	switch reason {
 	case ReasonNoHolder:
 		loaded, ok := m.missingLayersLoaded(r)
-		return ok && loaded <= m.latestSend(r) && !m.upstreamsRefuse(r)
+		return ok && loaded > m.now && loaded <= m.latestSend(r) && !m.upstreamsRefuse(r)
 	case ReasonNoMemory:
 		return m.now.Add(m.expectedCapacityWait(r)) <= m.latestSend(r) && !m.upstreamsRefuse(r)
 	case ReasonOverFairShare:
--- a/dispatch/load_order.go
+++ b/dispatch/load_order.go
@@ -23,8 +23,8 @@
 	u.loading = loadOrder{layers: layers, doneAt: m.now.Add(clock.Millis(load))}
 }
 
-// missingLayersLoaded returns when the layers that no engine holds are expected to be loaded; ok
-// is false if no engine is known to load one of them, if none is missing, or if a load is overdue,
+// missingLayersLoaded returns when the layers that no engine holds are expected to be loaded: now if
+// none is missing. ok is false if no engine is known to load one of them, or if a load is overdue,
 // since its end is then unknown.
 func (m *Model) missingLayersLoaded(r *request) (end clock.Millis, ok bool) {
 	loadedAt := make([]clock.Millis, r.service.Pipeline.Layers)
@@ -54,5 +54,5 @@
 		}
 		end = max(end, at)
 	}
-	return end, end > m.now
+	return end, true
 }
