dispatch: an overdue attempt is abandoned only if its retry would be sent

The check before an overdue attempt is abandoned took any retry of the node. After the attempt had failed, a less urgent request could use only its part of the retries, and waiting requests preceded it, so that it ended with 502 or waited although its first attempt might have answered.

The check uses the part of the request's priority and requires that no waiting request precedes it. recovery/first_event_overdue_budget.txt failed before: the attempt was abandoned.

--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -49,7 +49,8 @@
 }
 
 // canReplaceAttempt reports whether another attempt may be made: another upstream may execute the
-// request, its time and the retry budget allow it, and another chain exists.
+// request, its time and its part of the retry budget allow it, another chain exists, and no waiting
+// request would be sent before it.
 func (m *Model) canReplaceAttempt(r *request) bool {
 	if r.firstUpstream == nil || m.isLastUpstream(r) || r.timeLeft(m.now) < r.route.LatencyTarget {
 		return false
@@ -58,10 +59,10 @@
 	if _, err := chain.Build(r.service.Pipeline.Layers, r.memoryTokens, m.dataCentre, holders); err != nil {
 		return false
 	}
-	// The retry is charged when the attempt has failed.
-	if !m.budget(r.service.Name).TryWithdraw(m.now) {
+	if m.precededInLane(r, engineLane) || m.precededInLane(r, retryLane) || !m.takeRetry(r) {
 		return false
 	}
+	// The retry is charged when the attempt has failed.
 	m.budget(r.service.Name).Refund(m.now)
 	return true
 }
