--- a/dispatch/capacity_queue.go
+++ b/dispatch/capacity_queue.go
@@ -207,7 +207,10 @@
 		return ""
 	}
 	reason := m.firstInLane(m.capacityQueues[r.service.Name].lanes[l]).capacity.reason
-	if loaded, ok := m.missingLayersLoaded(r); reason == ReasonNoHolder && ok && loaded == m.now {
+	if reason != ReasonNoHolder {
+		return reason
+	}
+	if loaded, ok := m.missingLayersLoaded(r); ok && loaded == m.now {
 		// The layers have been loaded since that request began to wait. What this one lacks is its
 		// turn.
 		return ReasonNoMemory
