usage: the largest report fits the receive buffer

Engines, accounts and loans in a report are bounded one by one, so that each fits 16 KB. Together they take up to 30 KB in the test; the receiver cut such a datagram off and dropped it as unreadable, at the time when a service is under contention and streams fail.

The buffer holds any UDP datagram, 64 KB once for each node.

--- a/usage/usage.go
+++ b/usage/usage.go
@@ -37,8 +37,9 @@
 	"github.com/hoistjunction/hoistjunction/work"
 )
 
-// maxDatagram bounds a datagram, in bytes. An engine takes some 25 bytes, so hundreds fit.
-const maxDatagram = 16 << 10
+// maxDatagram bounds a datagram, in bytes, as UDP does. A report of 300 engines, 64 accounts with long
+// names and 100 loans takes 30 KB; a smaller buffer would cut it off, and lose all of it.
+const maxDatagram = 64 << 10
 
 // Exchange sends the node's messages to peers, and receives theirs.
 type Exchange struct {
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -152,3 +155,32 @@
 		t.Errorf("got %+v from %s, want %+v", back.grant, back.from, grant)
 	}
 }
+
+// Guards against reports that nodes cannot receive. The engines, the accounts and the loans of a
+// report are bounded one by one; a hub under contention whose leaves lose streams sends all three.
+func TestLargestReportIsReceived(t *testing.T) {
+	hub, _ := newNode(t, "hub")
+	leaf, leafInbox := newNode(t, "leaf")
+	hub.SetRecipients(usage.Recipients{Leaves: []string{leaf.Address()}})
+	used := make(map[fleet.Incarnation]fleet.EngineUsage)
+	for i := range 300 {
+		used[fleet.IncarnationByID(fleet.ID(fmt.Sprintf("writer-engine-%d", i)))] = fleet.EngineUsage{Memory: 1e6 + 0.5, Streams: 12, PromptTokens: 700.5}
+	}
+	var accounts []fairshare.AccountUse
+	for i := range fairshare.MaxReported {
+		accounts = append(accounts, fairshare.AccountUse{Service: strings.Repeat("s", 100), Account: fmt.Sprintf("%0100d", i), Amount: 900.5})
+	}
+	var retries budget.Report
+	for i := range 100 {
+		retries.Grants = append(retries.Grants, budget.Grant{Borrower: fmt.Sprintf("node-%d", i), Service: "writer", BootID: 1 << 60, AskedAt: 1e7, Retries: 2})
+	}
+	hub.SendAllNodes(used, accounts, nil, 300, nil, retries)
+	select {
+	case got := <-leafInbox:
+		if len(got.msg.Used) != len(used) || len(got.msg.Accounts) != len(accounts) || len(got.msg.Retries.Grants) != len(retries.Grants) {
+			t.Errorf("got %d engines, %d accounts and %d loans, want all", len(got.msg.Used), len(got.msg.Accounts), len(got.msg.Retries.Grants))
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("got no report, want one")
+	}
+}
