budget, dispatch: a retry that is never sent is refunded for the time of its charge

A stream that waits for its turn to be resumed has been charged for a retry, which was refunded as of the end of the request. It then made up for a retry that another request had made since, and the charge for the stream left the window earlier than that retry. A refund after a suspension of the VM could also return a retry of the node for one that was borrowed.

The charge is kept with the request and returned for its time and to its source. TestRefundOfUnsentResumeKeepsBudget failed before: 6 retries within 9.5 s with an allowance of 4.

--- a/budget/loan.go
+++ b/budget/loan.go
@@ -39,6 +39,8 @@
 	borrowed []Loan
 	// last is the loan of the last withdrawal; its Retries are 0 if that was not borrowed.
 	last Loan
+	// drops counts the calls of DropBorrowed.
+	drops int
 	// withdrawn and denied count the retries since the last call of Wanted.
 	withdrawn int
 	denied    int
@@ -91,6 +93,32 @@
 	p.last = Loan{}
 }
 
+// Withdrawal is a retry that was taken and may be returned later.
+type Withdrawal struct {
+	takenAt clock.Millis
+	// loan is the loan of the retry; its Retries are 0 if that was not borrowed. drops is the number
+	// of calls of DropBorrowed before.
+	loan  Loan
+	drops int
+}
+
+// LastWithdrawal returns the retry that was taken last, at a time.
+func (p *Pooled) LastWithdrawal(takenAt clock.Millis) Withdrawal {
+	return Withdrawal{takenAt: takenAt, loan: p.last, drops: p.drops}
+}
+
+// Return returns a retry that was taken earlier and not used. It counts as not taken from the time at
+// which it was taken, so that it makes up for no other retry. A borrowed one that has expired is lost.
+func (p *Pooled) Return(now clock.Millis, w Withdrawal) {
+	if w.loan.Retries == 0 {
+		p.refundAt(w.takenAt)
+		return
+	}
+	if w.drops == p.drops && now <= w.loan.Until {
+		p.Borrow(w.loan)
+	}
+}
+
 // Borrow adds a loan.
 func (p *Pooled) Borrow(l Loan) {
 	if l.Retries <= 0 {
@@ -101,7 +129,10 @@
 }
 
 // DropBorrowed drops all loans.
-func (p *Pooled) DropBorrowed() { p.borrowed, p.last = nil, Loan{} }
+func (p *Pooled) DropBorrowed() {
+	p.borrowed, p.last = nil, Loan{}
+	p.drops++
+}
 
 // Available returns the number of retries that can be taken now.
 func (p *Pooled) Available(now clock.Millis) int {
--- a/budget/window.go
+++ b/budget/window.go
@@ -91,6 +91,15 @@
 	current.retries = max(current.retries-1, 0)
 }
 
+// refundAt returns a retry that was taken at an earlier time and not used. A retry that no window
+// contains any more needs no refund.
+func (w *Window) refundAt(takenAt clock.Millis) {
+	number := int64(takenAt / w.partLength)
+	if p := &w.parts[number%int64(len(w.parts))]; p.number == number {
+		p.retries = max(p.retries-1, 0)
+	}
+}
+
 func (w *Window) partAt(now clock.Millis) *windowPart {
 	number := int64(now / w.partLength)
 	p := &w.parts[number%int64(len(w.parts))]
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -104,7 +104,7 @@
 // awaitResume queues a stream whose attempt has failed. Its retry is charged already and refunded
 // if it is never sent.
 func (m *Model) awaitResume(r *request) []Cmd {
-	r.retryUnsent = true
+	r.retryUnsent, r.unsentRetry = true, m.budget(r.service.Name).LastWithdrawal(m.now)
 	m.recoveries.Add(recovery.Stream{
 		ID: uint64(r.arrival.Request), Attempt: r.attempts, Priority: r.priority(),
 		LateAt: r.pauseLateAt(), WaitingSince: m.now, HoldUntil: r.holdUntil(),
@@ -194,7 +194,7 @@
 		}
 	}
 	if !sent && m.requests[r.arrival.Request] == nil {
-		m.budget(r.service.Name).Refund(m.now)
+		m.budget(r.service.Name).Return(m.now, r.unsentRetry)
 	}
 	return cmds
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/hoistjunction/hoistjunction/admission"
+	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -89,8 +90,10 @@
 	spareBusy bool
 	// charged holds the engines that were charged for reading the stream's tokens at its last move.
 	charged []fleet.Incarnation
-	// retryUnsent reports whether a retry was charged and waits to be sent.
+	// retryUnsent reports whether a retry was charged and waits to be sent, and unsentRetry is that
+	// charge.
 	retryUnsent bool
+	unsentRetry budget.Withdrawal
 }
 
 // upstreamAt returns the incarnation that the current attempt uses at an address. Another
@@ -199,7 +202,7 @@
 	m.endAttempt(r)
 	r.dequeue()
 	if r.retryUnsent {
-		m.budget(r.service.Name).Refund(m.now)
+		m.budget(r.service.Name).Return(m.now, r.unsentRetry)
 	}
 	delete(m.requests, id)
 }
