dispatch: a retry for a slot is charged only if the request is sent

A waiting request was charged each time that it was considered, also if it then waited for a slot again: a slot of a leaving upstream is of no use to it. Such charges used up the retry budget, so that it was not sent when a slot was free.

The charge is refunded if nothing was sent, as for requests that wait for capacity. slot_queue/unsent_retry.txt failed before: the request went on waiting at an upstream with free slots.

--- a/dispatch/slot_queue.go
+++ b/dispatch/slot_queue.go
@@ -107,22 +107,27 @@
 	if m.now < u.refusedAt.Add(recentRefusal) {
 		maxSends = 1
 	}
-	return m.sendSlotWaiters(q, maxSends)
+	return m.sendSlotWaiters(service, q, maxSends)
 }
 
 // sendSlotWaiters sends the first waiting requests. Retries are charged to the budget at this
 // point.
-func (m *Model) sendSlotWaiters(q *requestQueue, maxSends int) []Cmd {
+func (m *Model) sendSlotWaiters(service string, q *requestQueue, maxSends int) []Cmd {
 	var cmds []Cmd
 	for range min(maxSends, q.len()) {
 		r := m.nextSlotWaiter(q)
 		if r == nil {
 			break
 		}
-		if r.attempts > 0 && !m.takeRetry(r) {
+		charged := r.attempts > 0
+		if charged && !m.takeRetry(r) {
 			return append(cmds, m.awaitSlot(r)...)
 		}
 		cmds = append(cmds, m.resend(r)...)
+		if charged && r.firstUpstream == nil && r.permitUpstream.IsZero() {
+			// The request was not sent: it waits again or has ended.
+			m.budget(service).Refund(m.now)
+		}
 	}
 	return cmds
 }
@@ -152,7 +157,7 @@
 			r.dequeue()
 			cmds = append(cmds, m.giveUp(r, m.slotRefusalReason(r))...)
 		}
-		cmds = append(cmds, m.sendSlotWaiters(q, m.availableUpstreams(service))...)
+		cmds = append(cmds, m.sendSlotWaiters(service, q, m.availableUpstreams(service))...)
 	}
 	return cmds
 }
