dispatch: a request that is refused during a review is not sent by it

The review of requests over their share keeps a list while it sends them. Sending may resume requests that wait for a permit, and one that then needs a place in a full queue has a less urgent one refused. If that was in the list, it was considered once more after its 503. Found by reading; no test.

--- a/dispatch/fair_share.go
+++ b/dispatch/fair_share.go
@@ -181,7 +181,8 @@
 		if remaining == 0 {
 			break
 		}
-		if m.overFairShare(r) {
+		if !r.waits() || m.overFairShare(r) {
+			// A request that was refused in favour of another must not be sent any more.
 			continue
 		}
 		next, sent := m.sendCapacityWaiter(r, service)
