dispatch, fairshare: requests over their share wait only if their turn comes in time

A request whose account is above its share waited if the account would fall below it in time, which it does not while it is admitted at the rate of its share, and is limited for 2 s beyond. Each waiting request of an account also assumed to be the next. So all of them waited for the 2 s of their clients and were refused then.

The estimate counts the waiting requests of the account and the node's rate for them. capacity_queue/share_turns.txt: the fourth request of an account with one turn each 0.9 s is refused at once; before, the third and the fourth were refused after 1.97 s.

--- a/dispatch/capacity_time.go
+++ b/dispatch/capacity_time.go
@@ -23,7 +23,7 @@
 	case ReasonNoMemory:
 		return m.now.Add(m.expectedCapacityWait(r)) <= m.latestSend(r) && !m.upstreamsRefuse(r)
 	case ReasonOverFairShare:
-		return m.now.Add(min(r.fairShare.Wait, r.fairShare.NextIn)) <= m.latestSend(r)
+		return m.now.Add(m.expectedShareWait(r)) <= m.latestSend(r)
 	default:
 		return true
 	}
--- a/dispatch/fair_share.go
+++ b/dispatch/fair_share.go
@@ -162,6 +162,22 @@
 	return &decision
 }
 
+// expectedShareWait estimates the time until a request over its account's share has its turn, if the
+// account goes on at the present rate. An account that falls below its share is limited for longer
+// than clients wait.
+func (m *Model) expectedShareWait(r *request) clock.Millis {
+	lane, level, ahead := m.capacityQueue(r.service.Name).lanes[shareLane], r.queueLevel(), 0
+	for _, other := range m.requests {
+		if !other.waits() || other.position.queue != lane.returning && other.position.queue != lane.fresh || other.account.Name != r.account.Name {
+			continue
+		}
+		if other.position.level < level || other.position.level == level && (other.goesFirst() || !r.goesFirst()) {
+			ahead++
+		}
+	}
+	return r.fairShare.NextIn + clock.Millis(ahead)*r.fairShare.Interval
+}
+
 // sendFromShareLane sends the waiting requests whose accounts are no longer above their share, in the
 // order of the lane as far as they are.
 func (m *Model) sendFromShareLane(service string, l capacityLane) []Cmd {
--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -102,6 +102,14 @@
 	return clock.Millis(streamTime * math.Log(a.use/share))
 }
 
+// interval returns the time in which this node's part of the admitted use accrues for a request.
+func (a *account) interval(amount float64) clock.Millis {
+	if a.rate <= 0 {
+		return 0
+	}
+	return clock.Millis(amount / a.rate)
+}
+
 // timeToAccrue returns the time until this node may admit the next request.
 func (a *account) timeToAccrue() clock.Millis {
 	if a.allowance >= 0 || a.rate <= 0 {
--- a/fairshare/controller.go
+++ b/fairshare/controller.go
@@ -69,7 +69,7 @@
 	d.Admitted = a.admits(now, r)
 	d.Use, d.Share, d.Age = a.use, s.share, clock.AgeOf(s.oldestReport, now)
 	if !d.Admitted {
-		d.Wait, d.NextIn = a.timeToFall(s.share), a.timeToAccrue()
+		d.Wait, d.NextIn, d.Interval = a.timeToFall(s.share), a.timeToAccrue(), a.interval(r.Amount)
 	}
 	return d
 }
--- a/fairshare/decision.go
+++ b/fairshare/decision.go
@@ -16,4 +16,6 @@
 	Wait clock.Millis
 	// NextIn is the time until this node may admit the next request of the account.
 	NextIn clock.Millis
+	// Interval is the time between the admissions of requests of this size on this node.
+	Interval clock.Millis
 }
