dispatch: waiting requests that are held back delay no others

Admission control admits a part of the requests of a priority by their draws. A waiting request that it held back stopped the lane for engines: all further requests of its priority queued behind it for 2 s, whatever their draws, and all were refused as held back. It also waited if the pressure was expected to fall only later than its client leaves.

Requests that are held back wait in the lane of those over their share, in which each is considered, and only if the expected time is short enough. capacity_queue/held_back.txt failed before: at a pressure of 0.5 an admitted request was queued, and one that would be admitted in 13 s waited.

--- a/dispatch/capacity_queue.go
+++ b/dispatch/capacity_queue.go
@@ -33,9 +33,10 @@
 	engineLane lane = iota
 	// retryLane holds failed requests for which the retry budget is exhausted.
 	retryLane
-	// shareLane holds requests of client accounts above their fair share. They do not delay each
-	// other, since the accounts fall below it at different times.
-	shareLane
+	// heldLane holds requests of client accounts above their fair share, and those held back by
+	// admission control. They do not delay each other or the requests that are admitted: accounts
+	// fall below their shares at different times, and requests of a priority differ in threshold.
+	heldLane
 	laneCount
 )
 
@@ -44,8 +45,8 @@
 	switch reason {
 	case ReasonNoRetryBudget:
 		return retryLane
-	case ReasonOverFairShare:
-		return shareLane
+	case ReasonOverFairShare, ReasonHeldBack:
+		return heldLane
 	default:
 		return engineLane
 	}
@@ -404,7 +405,7 @@
 		for _, l := range []lane{engineLane, retryLane} {
 			cmds = append(cmds, m.sendFromLane(service, q.lanes[l], sendsPerReview)...)
 		}
-		cmds = append(cmds, m.sendFromShareLane(service, q.lanes[shareLane])...)
+		cmds = append(cmds, m.sendFromHeldLane(service, q.lanes[heldLane])...)
 	}
 	return cmds
 }
--- a/dispatch/capacity_time.go
+++ b/dispatch/capacity_time.go
@@ -22,6 +22,8 @@
 		return ok && loaded > m.now && loaded <= m.latestSend(r) && !m.upstreamsRefuse(r)
 	case ReasonNoMemory:
 		return m.now.Add(m.expectedCapacityWait(r)) <= m.latestSend(r) && !m.upstreamsRefuse(r)
+	case ReasonHeldBack:
+		return m.now.Add(r.heldBack.Wait) <= m.latestSend(r)
 	case ReasonOverFairShare:
 		return m.now.Add(m.expectedShareWait(r)) <= m.latestSend(r)
 	default:
--- a/dispatch/fair_share.go
+++ b/dispatch/fair_share.go
@@ -166,9 +166,10 @@
 // account goes on at the present rate. An account that falls below its share is limited for longer
 // than clients wait.
 func (m *Model) expectedShareWait(r *request) clock.Millis {
-	lane, level, ahead := m.capacityQueue(r.service.Name).lanes[shareLane], r.queueLevel(), 0
+	lane, level, ahead := m.capacityQueue(r.service.Name).lanes[heldLane], r.queueLevel(), 0
 	for _, other := range m.requests {
-		if !other.waits() || other.position.queue != lane.returning && other.position.queue != lane.fresh || other.account.Name != r.account.Name {
+		if other.capacity.reason != ReasonOverFairShare || other.account.Name != r.account.Name ||
+			other.position.queue != lane.returning && other.position.queue != lane.fresh {
 			continue
 		}
 		if other.position.level < level || other.position.level == level && (other.goesFirst() || !r.goesFirst()) {
@@ -178,9 +179,9 @@
 	return r.fairShare.NextIn + clock.Millis(ahead)*r.fairShare.Interval
 }
 
-// sendFromShareLane sends the waiting requests whose accounts are no longer above their share, in the
-// order of the lane as far as they are.
-func (m *Model) sendFromShareLane(service string, l capacityLane) []Cmd {
+// sendFromHeldLane sends the waiting requests that are held back no longer, in the order of the lane
+// as far as they are.
+func (m *Model) sendFromHeldLane(service string, l capacityLane) []Cmd {
 	var waiting []*request
 	for _, r := range m.requests {
 		if r.waits() && (r.position.queue == l.returning || r.position.queue == l.fresh) {
@@ -197,7 +198,7 @@
 		if remaining == 0 {
 			break
 		}
-		if !r.waits() || m.overFairShare(r) {
+		if !r.waits() || m.heldBack(r) || m.overFairShare(r) {
 			// A request that was refused in favour of another must not be sent any more.
 			continue
 		}
