dispatch: implausible prompt tokens do not cost the rest of a report's entry

Sums of prompt tokens are floating-point numbers with fractions, so that rounding may leave one just below zero.

--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -152,21 +152,32 @@
 // usage in the rounding of much larger values.
 const maxReportedMemory = 1e12
 
-// plausibleUsage returns a usage report without the entries that cannot be true. Not a number or an
-// infinite value would remain in the sum for an engine after the report was replaced.
+// plausibleUsage returns a usage report without the entries that cannot be true, and without prompt
+// tokens that cannot. Not a number or an infinite value would remain in the sum for an engine after the
+// report was replaced. Rounding may leave a sum of prompt tokens just below zero, which must not cost the
+// entry.
 func plausibleUsage(used map[fleet.Incarnation]fleet.EngineUsage) map[fleet.Incarnation]fleet.EngineUsage {
 	plausible := func(use fleet.EngineUsage) bool {
-		return use.Memory >= 0 && use.Memory <= maxReportedMemory && use.Streams >= 0 &&
-			use.PromptTokens >= 0 && use.PromptTokens <= maxReportedMemory
-	}
-	for _, use := range used {
-		if !plausible(use) {
-			valid := maps.Clone(used)
-			maps.DeleteFunc(valid, func(_ fleet.Incarnation, use fleet.EngineUsage) bool { return !plausible(use) })
-			return valid
+		return use.Memory >= 0 && use.Memory <= maxReportedMemory && use.Streams >= 0
+	}
+	plausiblePrompts := func(use fleet.EngineUsage) bool {
+		return use.PromptTokens >= 0 && use.PromptTokens <= maxReportedMemory
+	}
+	valid, cloned := used, false
+	for id, use := range used {
+		if plausible(use) && plausiblePrompts(use) {
+			continue
+		}
+		if !cloned {
+			valid, cloned = maps.Clone(used), true
+		}
+		if use.PromptTokens = 0; plausible(use) {
+			valid[id] = use
+		} else {
+			delete(valid, id)
 		}
 	}
-	return used
+	return valid
 }
 
 // allNodesKey stands for the node name in aggregated reports, which hubs send in turn.
