dispatch: Retry-After times are spread for priorities below 0 too

The position of a request in a spread of retries divides by its priority plus one, which is 0 for priority -1.

--- a/dispatch/back_off.go
+++ b/dispatch/back_off.go
@@ -97,7 +97,7 @@
 }
 
 // retryPosition returns the position of a client in a spread of retries, from 0 for the first up
-// to 1. Higher priorities come first.
+// to 1. Higher priorities come first. Those below 0 count as 0.
 func (r *request) retryPosition() float64 {
-	return 1 - (1-hashPosition(r.arrival.CallerID))/float64(1+r.priority())
+	return 1 - (1-hashPosition(r.arrival.CallerID))/float64(1+max(r.priority(), 0))
 }
