--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -31,7 +31,7 @@
 	if !r.boundsPauses() || !r.route.MayRepeat() || r.route.LatencyTarget <= 0 || r.attempts > 0 || r.answerBegun() {
 		return 0
 	}
-	patience := clientPatience(r.route) - patienceMargin
+	patience := eventPatience(r.route)
 	return max(r.route.LatencyTarget, clock.Millis(firstEventPatienceShare*float64(patience)))
 }
 
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -85,7 +85,7 @@
 
 // holdUntil returns until when a stalled stream may be held back.
 func (r *request) holdUntil() clock.Millis {
-	patience := clientPatience(r.route) - patienceMargin
+	patience := eventPatience(r.route)
 	return r.lastEventAt.Add(clock.Millis(recoveryHoldShare * float64(patience)))
 }
 
