dispatch, fairshare: sums over nodes and requests do not depend on the order of maps

Reports of other nodes, requests by account and uses by account were added up in the random order of maps. Rounding differs with the order, so that a replay of the same messages shared other numbers, and could decide otherwise close to a threshold.

They are added up by name, id or size.

--- a/dispatch/fair_share.go
+++ b/dispatch/fair_share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/http"
 	"slices"
 
@@ -36,7 +37,7 @@
 	}
 	load := fairshare.Load{Use: use, Nodes: m.nodeCount.total, NewestReport: clock.Never, OldestReport: clock.Never}
 	sum := make(fairshare.Usage)
-	for _, peer := range m.peerUsage {
+	for _, peer := range m.peerReports() {
 		if !reportsService(peer.accounts, service) {
 			continue
 		}
@@ -70,7 +71,8 @@
 // ownAccountUse returns the use by account of this node's requests, for services under contention.
 func (m *Model) ownAccountUse() fairshare.Usage {
 	own := make(fairshare.Usage)
-	for _, r := range m.requests {
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		r := m.requests[id]
 		if len(r.reservations) == 0 {
 			continue
 		}
@@ -100,7 +102,7 @@
 	dataCentre, all := make(fairshare.Usage), make(fairshare.Usage)
 	dataCentre.AddAll(m.sharedAccounts)
 	all.AddAll(m.sharedAccounts)
-	for _, peer := range m.peerUsage {
+	for _, peer := range m.peerReports() {
 		accounts := m.configured(peer.accounts)
 		all.AddAll(accounts)
 		if !peer.wholeDataCentre {
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -104,7 +104,7 @@
 // one by one.
 func (m *Model) dataCentreUsage(own map[fleet.Incarnation]fleet.EngineUsage) map[fleet.Incarnation]fleet.EngineUsage {
 	total := maps.Clone(own)
-	for _, peer := range m.peerUsage {
+	for _, peer := range m.peerReports() {
 		if peer.wholeDataCentre {
 			continue
 		}
@@ -119,6 +119,16 @@
 	return total
 }
 
+// peerReports returns the usage reports of other nodes in the order of their names. Sums of their
+// numbers depend on the order, and a replay must lead to the same.
+func (m *Model) peerReports() []nodeUsage {
+	list := make([]nodeUsage, 0, len(m.peerUsage))
+	for _, node := range slices.Sorted(maps.Keys(m.peerUsage)) {
+		list = append(list, m.peerUsage[node])
+	}
+	return list
+}
+
 // recordPeerUsage replaces the usage of another node with its new report. It maintains the sum
 // for each engine, since every request reads it.
 func (m *Model) recordPeerUsage(msg UsageMsg) []Cmd {
@@ -208,8 +218,13 @@
 
 // dropPeerUsage drops all usage reports of other nodes.
 func (m *Model) dropPeerUsage() {
-	for node, peer := range m.peerUsage {
-		m.subtractUsage(peer.used)
+	m.dropReports(slices.Sorted(maps.Keys(m.peerUsage)))
+}
+
+// dropReports drops the usage reports of the named nodes.
+func (m *Model) dropReports(nodes []string) {
+	for _, node := range nodes {
+		m.subtractUsage(m.peerUsage[node].used)
 		delete(m.peerUsage, node)
 	}
 }
@@ -225,9 +240,16 @@
 
 // peerUseOf returns the sum of the reported usage of an engine that is new in the list.
 func (m *Model) peerUseOf(id fleet.Incarnation) fleet.EngineUsage {
+	var nodes []string
+	for node, peer := range m.peerUsage {
+		if _, used := peer.used[id]; used {
+			nodes = append(nodes, node)
+		}
+	}
+	slices.Sort(nodes)
 	var sum fleet.EngineUsage
-	for _, peer := range m.peerUsage {
-		sum = sum.Plus(peer.used[id])
+	for _, node := range nodes {
+		sum = sum.Plus(m.peerUsage[node].used[id])
 	}
 	return sum
 }
@@ -236,14 +258,16 @@
 // oldestPeerUsageAt.
 func (m *Model) expirePeerUsage() {
 	m.oldestPeerUsageAt = m.now
+	var expired []string
 	for node, peer := range m.peerUsage {
 		if m.now > peer.receivedAt.Add(usageWindow) {
-			m.subtractUsage(peer.used)
-			delete(m.peerUsage, node)
+			expired = append(expired, node)
 			continue
 		}
 		m.oldestPeerUsageAt = min(m.oldestPeerUsageAt, peer.receivedAt)
 	}
+	slices.Sort(expired)
+	m.dropReports(expired)
 }
 
 // freeMemory estimates the free memory of an engine. A node without a recent report counts as
--- a/fairshare/load.go
+++ b/fairshare/load.go
@@ -1,6 +1,11 @@
 package fairshare
 
-import "github.com/hoistjunction/hoistjunction/clock"
+import (
+	"maps"
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+)
 
 // Load is the use of a service that is under contention, as all nodes report it.
 type Load struct {
@@ -19,8 +24,9 @@
 // capacity returns the capacity of the service in the unit of the uses. It follows from the uses, so
 // that it is right whatever resource is the scarcest one, and if the uses of some nodes are missing.
 func (l Load) capacity() float64 {
+	// The sum of the same uses is the same in any order of the map.
 	sum := 0.0
-	for _, amount := range l.ByAccount {
+	for _, amount := range slices.Sorted(maps.Values(l.ByAccount)) {
 		sum += amount
 	}
 	return sum / l.Use
