--- a/dispatch/capacity_queue.go
+++ b/dispatch/capacity_queue.go
@@ -33,9 +33,10 @@
 	engineLane lane = iota
 	// retryLane holds failed requests for which the retry budget is exhausted.
 	retryLane
-	// shareLane holds requests of client accounts above their fair share. They do not delay each
-	// other, since the accounts fall below it at different times.
-	shareLane
+	// heldLane holds requests of client accounts above their fair share, and those held back by
+	// admission control. They do not delay each other or the requests that are admitted: accounts
+	// fall below their shares at different times, and requests of a priority differ in threshold.
+	heldLane
 	laneCount
 )
 
@@ -44,8 +45,8 @@
 	switch reason {
 	case ReasonNoRetryBudget:
 		return retryLane
-	case ReasonOverFairShare:
-		return shareLane
+	case ReasonOverFairShare, ReasonHeldBack:
+		return heldLane
 	default:
 		return engineLane
 	}
@@ -202,12 +203,27 @@
 // overtake those that wait for the same thing; empty if it may be sent. Streams that have begun
 // never queue.
 func (m *Model) mustQueue(r *request, l lane) Reason {
-	q := m.capacityQueues[r.service.Name]
 	inLane := r.waits() && laneOf(r.capacity.reason) == l
-	if q == nil || r.answerBegun() || inLane || r.capacity.admitted || !q.lanes[l].precedes(r) {
+	if r.answerBegun() || inLane || r.capacity.admitted || !m.precededInLane(r, l) {
 		return ""
 	}
-	return m.firstInLane(q.lanes[l]).capacity.reason
+	reason := m.firstInLane(m.capacityQueues[r.service.Name].lanes[l]).capacity.reason
+	if reason != ReasonNoHolder {
+		return reason
+	}
+	if loaded, ok := m.missingLayersLoaded(r); ok && loaded == m.now {
+		// The layers have been loaded since that request began to wait. What this one lacks is its
+		// turn.
+		return ReasonNoMemory
+	}
+	return reason
+}
+
+// precededInLane reports whether a waiting request of a lane is sent before a request that does not
+// wait yet.
+func (m *Model) precededInLane(r *request, l lane) bool {
+	q := m.capacityQueues[r.service.Name]
+	return q != nil && q.lanes[l].precedes(r)
 }
 
 // awaitCapacity queues a request that lacks capacity. It reports whether the request waits; any
@@ -389,11 +405,23 @@
 		for _, l := range []lane{engineLane, retryLane} {
 			cmds = append(cmds, m.sendFromLane(service, q.lanes[l], sendsPerReview)...)
 		}
-		cmds = append(cmds, m.sendFromShareLane(service, q.lanes[shareLane])...)
+		cmds = append(cmds, m.sendFromHeldLane(service, q.lanes[heldLane])...)
 	}
 	return cmds
 }
 
+// updateWaiter applies the present route and pipeline to a waiting request: it must not be sent over a
+// chain of the former layers, nor without a key that the route has come to require.
+func (m *Model) updateWaiter(r *request) {
+	if route, err := m.catalog.Route(r.arrival.Host, r.arrival.Path); err == nil && route.Kind == r.route.Kind {
+		r.route = route
+		r.requiresKey = m.catalog.HasAccounts() && !route.Anonymous
+	}
+	if s := m.catalog.Service(r.service.Name); s != nil && s.Pipeline != nil {
+		r.service = s
+	}
+}
+
 // requeueWaiters applies a new configuration to the requests that wait for capacity. Those whose
 // keys have become invalid are refused, and the others are ordered by their present accounts and
 // priorities.
@@ -408,9 +436,7 @@
 	var cmds []Cmd
 	changed := false
 	for _, r := range waiting {
-		if route, err := m.catalog.Route(r.arrival.Host, r.arrival.Path); err == nil && route.Kind == r.route.Kind {
-			r.route = route
-		}
+		m.updateWaiter(r)
 		cmds = append(cmds, m.checkKey(r)...)
 		changed = changed || r.waits() && (r.queueLevel() != r.position.level || r.account.Name != r.position.account)
 	}
--- a/dispatch/capacity_time.go
+++ b/dispatch/capacity_time.go
@@ -19,11 +19,13 @@
 	switch reason {
 	case ReasonNoHolder:
 		loaded, ok := m.missingLayersLoaded(r)
-		return ok && loaded <= m.latestSend(r) && !m.upstreamsRefuse(r)
+		return ok && loaded > m.now && loaded <= m.latestSend(r) && !m.upstreamsRefuse(r)
 	case ReasonNoMemory:
 		return m.now.Add(m.expectedCapacityWait(r)) <= m.latestSend(r) && !m.upstreamsRefuse(r)
+	case ReasonHeldBack:
+		return m.now.Add(r.heldBack.Wait) <= m.latestSend(r)
 	case ReasonOverFairShare:
-		return m.now.Add(min(r.fairShare.Wait, r.fairShare.NextIn)) <= m.latestSend(r)
+		return m.now.Add(m.expectedShareWait(r)) <= m.latestSend(r)
 	default:
 		return true
 	}
--- a/dispatch/fair_share.go
+++ b/dispatch/fair_share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/http"
 	"slices"
 
@@ -36,7 +37,7 @@
 	}
 	load := fairshare.Load{Use: use, Nodes: m.nodeCount.total, NewestReport: clock.Never, OldestReport: clock.Never}
 	sum := make(fairshare.Usage)
-	for _, peer := range m.peerUsage {
+	for _, peer := range m.peerReports() {
 		if !reportsService(peer.accounts, service) {
 			continue
 		}
@@ -70,7 +71,8 @@
 // ownAccountUse returns the use by account of this node's requests, for services under contention.
 func (m *Model) ownAccountUse() fairshare.Usage {
 	own := make(fairshare.Usage)
-	for _, r := range m.requests {
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		r := m.requests[id]
 		if len(r.reservations) == 0 {
 			continue
 		}
@@ -100,7 +102,7 @@
 	dataCentre, all := make(fairshare.Usage), make(fairshare.Usage)
 	dataCentre.AddAll(m.sharedAccounts)
 	all.AddAll(m.sharedAccounts)
-	for _, peer := range m.peerUsage {
+	for _, peer := range m.peerReports() {
 		accounts := m.configured(peer.accounts)
 		all.AddAll(accounts)
 		if !peer.wholeDataCentre {
@@ -162,9 +164,26 @@
 	return &decision
 }
 
-// sendFromShareLane sends the waiting requests whose accounts are no longer above their share, in the
-// order of the lane as far as they are.
-func (m *Model) sendFromShareLane(service string, l capacityLane) []Cmd {
+// expectedShareWait estimates the time until a request over its account's share has its turn, if the
+// account goes on at the present rate. An account that falls below its share is limited for longer
+// than clients wait.
+func (m *Model) expectedShareWait(r *request) clock.Millis {
+	lane, level, ahead := m.capacityQueue(r.service.Name).lanes[heldLane], r.queueLevel(), 0
+	for _, other := range m.requests {
+		if other.capacity.reason != ReasonOverFairShare || other.account.Name != r.account.Name ||
+			other.position.queue != lane.returning && other.position.queue != lane.fresh {
+			continue
+		}
+		if other.position.level < level || other.position.level == level && (other.goesFirst() || !r.goesFirst()) {
+			ahead++
+		}
+	}
+	return r.fairShare.NextIn + clock.Millis(ahead)*r.fairShare.Interval
+}
+
+// sendFromHeldLane sends the waiting requests that are held back no longer, in the order of the lane
+// as far as they are.
+func (m *Model) sendFromHeldLane(service string, l capacityLane) []Cmd {
 	var waiting []*request
 	for _, r := range m.requests {
 		if r.waits() && (r.position.queue == l.returning || r.position.queue == l.fresh) {
@@ -181,7 +200,8 @@
 		if remaining == 0 {
 			break
 		}
-		if m.overFairShare(r) {
+		if !r.waits() || m.heldBack(r) || m.overFairShare(r) {
+			// A request that was refused in favour of another must not be sent any more.
 			continue
 		}
 		next, sent := m.sendCapacityWaiter(r, service)
--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -31,7 +31,7 @@
 	if !r.boundsPauses() || !r.route.MayRepeat() || r.route.LatencyTarget <= 0 || r.attempts > 0 || r.answerBegun() {
 		return 0
 	}
-	patience := clientPatience(r.route) - patienceMargin
+	patience := eventPatience(r.route)
 	return max(r.route.LatencyTarget, clock.Millis(firstEventPatienceShare*float64(patience)))
 }
 
@@ -53,7 +53,8 @@
 }
 
 // canReplaceAttempt reports whether another attempt may be made: another upstream may execute the
-// request, its time and the retry budget allow it, and another chain exists.
+// request, its time and its part of the retry budget allow it, another chain exists, and no waiting
+// request would be sent before it.
 func (m *Model) canReplaceAttempt(r *request) bool {
 	if r.firstUpstream == nil || m.isLastUpstream(r) || r.timeLeft(m.now) < r.route.LatencyTarget {
 		return false
@@ -62,10 +63,10 @@
 	if _, err := chain.Build(r.service.Pipeline.Layers, r.memoryTokens, m.dataCentre, holders); err != nil {
 		return false
 	}
-	// The retry is charged when the attempt has failed.
-	if !m.budget(r.service.Name).TryWithdraw(m.now) {
+	if m.precededInLane(r, engineLane) || m.precededInLane(r, retryLane) || !m.takeRetry(r) {
 		return false
 	}
+	// The retry is charged when the attempt has failed.
 	m.budget(r.service.Name).Refund(m.now)
 	return true
 }
