Engines are avoided for missing first events only if the prediction clearly failed

Change: an attempt must have waited ten times its predicted time. Prompts that wait at an engine are in the prediction, those behind a dead engine are not.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -12,11 +12,16 @@
 	// overduePenalty is added to the cost of such an engine, in ms per token. Two of them outweigh
 	// a first stage in another data centre.
 	overduePenalty = 8.0
+	// overdueFactor is how many times the predicted time an attempt must have taken. Engines with too
+	// much to read are late by less, since the prediction counts what waits there. Avoiding them
+	// too would move the load of all nodes to the next engines at once.
+	overdueFactor = 10
 )
 
-// recordOverdue avoids the engines of an attempt without a first event.
+// recordOverdue avoids the engines of an attempt without a first event if its prediction has clearly
+// failed.
 func (m *Model) recordOverdue(r *request) {
-	if !m.manyNodes || !r.boundsPauses() {
+	if !m.manyNodes || !r.boundsPauses() || m.now.Sub(r.sentAt) < overdueFactor*r.predictedFirstEvent {
 		return
 	}
 	for _, p := range r.chain {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -70,10 +70,12 @@
 	// in back-off.
 	afterBackOff bool
 
-	// The current attempt.
-	firstUpstream *upstream
-	chain         []chain.Stage
-	reservations  []reservation
+	// The current attempt, which was sent at sentAt with a prediction for its first event.
+	sentAt              clock.Millis
+	predictedFirstEvent clock.Millis
+	firstUpstream       *upstream
+	chain               []chain.Stage
+	reservations        []reservation
 	// awaitsFirstEvent reports whether the attempt was sent to engines and has no event yet.
 	awaitsFirstEvent bool
 	// migrating reports whether a migration is in progress, and migrations counts them.
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -183,6 +183,7 @@
 		return SendCmd{}, awaitsPermit
 	}
 	predicted := m.predict(r, parts)
+	r.sentAt, r.predictedFirstEvent = m.now, predicted.firstEvent
 	r.awaitsFirstEvent = true
 	m.chargeRecovery(r, parts)
 	m.reserve(r, parts)
