Admission needs routes of different priority, fair shares a setting

Cause: accounts have priorities at all deployments, so that both parts acted on earlier ones.

Change: admission applies where the routes of a service differ in priority, and with [admission] account_priorities also where only accounts do; [fair_shares] is off unless the settings turn it on. The scripts run with both.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -16,6 +16,9 @@
 func (m *Model) updateAdmission() {
 	m.updateAccountNames()
 	priorities := servicePriorities(m.catalog)
+	if !m.policy.AccountPriorities {
+		keepDifferingRoutes(m.catalog, priorities)
+	}
 	var observed []string
 	if m.fairSharesEnabled() {
 		observed = slices.Collect(maps.Keys(priorities))
@@ -26,6 +29,27 @@
 	m.admission.SetPriorities(priorities, observed...)
 }
 
+// keepDifferingRoutes drops the priorities of all services whose routes have the same one.
+func keepDifferingRoutes(c *catalog.Catalog, byService map[string][]int) {
+	first, differ := make(map[string]int), make(map[string]bool)
+	c.EachRoute(func(route *catalog.Route) {
+		for _, target := range route.Targets {
+			if target.Weight <= 0 {
+				continue
+			}
+			if priority, known := first[target.Service]; known && priority != route.Priority {
+				differ[target.Service] = true
+			}
+			first[target.Service] = route.Priority
+		}
+	})
+	for name, priorities := range byService {
+		if !differ[name] {
+			byService[name] = priorities[:min(len(priorities), 1)]
+		}
+	}
+}
+
 // servicePriorities returns the priorities that requests of each pipeline service may have.
 func servicePriorities(c *catalog.Catalog) map[string][]int {
 	accounts := accountPriorities(c)
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -24,6 +24,9 @@
 	MaxWaitingBytes int
 	// DisableAdmission turns off admission control by priority.
 	DisableAdmission bool
+	// AccountPriorities applies the rules for urgent requests also to services whose requests differ
+	// in priority only by their client accounts.
+	AccountPriorities bool
 	// DisableFairShares turns off fair shares among client accounts.
 	DisableFairShares bool
 }
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -32,7 +32,7 @@
 }
 
 // scriptPolicy lets no request wait for capacity, as by default.
-var scriptPolicy = dispatch.Policy{MaxConfigAge: 5000, RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}
+var scriptPolicy = dispatch.Policy{AccountPriorities: true, MaxConfigAge: 5000, RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}
 
 // TestRecoveryScripts runs the scripts about streams that leave lost engines.
 func TestRecoveryScripts(t *testing.T) { runScripts(t, "testdata/recovery", scriptPolicy) }
--- a/node/node.go
+++ b/node/node.go
@@ -118,7 +118,7 @@
 			MaxConfigAge: s.keysMaxAge(), RetryWindow: clock.Millis(s.RetryWindowSeconds * msPerSecond),
 			RetryShare: s.RetryShare, RetrySlack: s.RetrySlack,
 			QuarantineDuration: s.quarantineDuration(), SpreadCost: s.SpreadCost,
-			MaxWaiting: s.WaitingRequests, MaxWaitingBytes: s.waitingBytes(), DisableAdmission: !s.Admission, DisableFairShares: !s.FairShares,
+			MaxWaiting: s.WaitingRequests, MaxWaitingBytes: s.waitingBytes(), DisableAdmission: !s.Admission, AccountPriorities: s.AccountPriorities, DisableFairShares: !s.FairShares,
 		}),
 		dispatch.WithStoredQuarantine(),
 		dispatch.WithLimits(limit.New(limit.WithSelf(s.Name), limit.WithBootID(uint64(time.Now().UnixNano())))),
--- a/node/settings.go
+++ b/node/settings.go
@@ -61,6 +61,9 @@
 	// Admission reports whether less urgent requests are held back under pressure. It takes effect
 	// only on services whose requests differ in priority.
 	Admission bool
+	// AccountPriorities applies the rules for urgent requests also to services whose requests differ
+	// in priority only by their client accounts.
+	AccountPriorities bool
 	// FairShares reports whether requests of client accounts above their fair share are held back
 	// while a pipeline service is under contention.
 	FairShares bool
@@ -109,7 +112,8 @@
 	set.Int("waiting", "max_requests", &s.WaitingRequests, 0, maxWaitingRequests, settings.WithDefault("0"))
 	set.Int("waiting", "max_kb", &s.WaitingKB, 0, maxWaitingKB, settings.WithDefault("4096"))
 	set.Bool("admission", "enabled", &s.Admission, settings.WithDefault("true"))
-	set.Bool("fair_shares", "enabled", &s.FairShares, settings.WithDefault("true"))
+	set.Bool("admission", "account_priorities", &s.AccountPriorities, settings.WithDefault("false"))
+	set.Bool("fair_shares", "enabled", &s.FairShares, settings.WithDefault("false"))
 	return set
 }
 
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -34,6 +34,7 @@
 		{"[admission]\nenabled =\n", false, true},
 	}
 	checkSwitch(t, tests, func(s *Settings) bool { return s.Admission })
+	tests[0].want = false
 	for i := range tests {
 		tests[i].text = strings.Replace(tests[i].text, "[admission]", "[fair_shares]", 1)
 	}
