standin, process: client accounts by key, executed attempts, kill mark

Cause: the fault soak had one client account, and could not tell whether an engine had executed a stream, nor in the log of a node whether the node was killed.

Change: a key such as lab.1 belongs to the account lab with priority 1; other keys belong to the account of before, so tests with SiteConfig are served the same configuration. An engine's process prints the id of each attempt before it executes it. Kill appends a line to the log.

--- a/cmd/standin-site/main.go
+++ b/cmd/standin-site/main.go
@@ -20,7 +20,7 @@
 )
 
 type storeCommand struct {
-	Keys []string `arg:"--key,separate" help:"a key of the single client account"`
+	Keys []string `arg:"--key,separate" help:"a key of a client account; lab.1 is a key of the account lab with priority 1"`
 }
 
 type serverCommand struct {
@@ -115,7 +115,8 @@
 	if err != nil {
 		return err
 	}
-	engine := standin.NewChainEngine(c.ID, advertisedAddress(c, address), standin.WithCrash(crash))
+	engine := standin.NewChainEngine(c.ID, advertisedAddress(c, address), standin.WithCrash(crash),
+		standin.WithExecutionHandler(func(id string) { fmt.Println(standin.ExecutedMark + id) }))
 	go standin.SendHeartbeats(context.Background(), c.Store, c.ID, func() *platformpb.Server { return engine.Entry(c.Centre) })
 	return standin.Serve(address, engine.Handler(), os.Stdout)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -140,6 +140,9 @@
 	p.paused = s == syscall.SIGSTOP || p.paused && s != syscall.SIGCONT
 }
 
+// KillMark is the line that Kill appends to the log.
+const KillMark = "process_killed"
+
 // Kill sends SIGKILL to the process and waits until it has exited.
 func (p *Process) Kill() { p.terminate(syscall.SIGKILL) }
 
@@ -155,6 +158,9 @@
 	p.mu.Unlock()
 	if cmd != nil {
 		<-over
+		if s == syscall.SIGKILL {
+			_, _ = io.WriteString(p.log, KillMark+"\n")
+		}
 	}
 }
 
--- a/standin/chain_engine.go
+++ b/standin/chain_engine.go
@@ -172,6 +172,7 @@
 		return
 	}
 	defer e.release(r, stages)
+	e.onExecute(r.Header.Get("Attempt-Id"))
 	if e.crash.trigger(r.URL.Path) {
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/crash_fault.go
+++ b/standin/crash_fault.go
@@ -10,6 +10,9 @@
 // crashes. The path of the request follows.
 const CrashedBy = "ended_by "
 
+// ExecutedMark is the prefix of the line that an engine's process prints before it executes an attempt.
+const ExecutedMark = "executed id="
+
 // CausesCrash reports whether a request with this path crashes the server that
 // starts to execute it. It does so on each attempt and on every server.
 func CausesCrash(path string) bool { return strings.Contains(path, CrashPath) }
--- a/standin/server_base.go
+++ b/standin/server_base.go
@@ -14,6 +14,11 @@
 	return func(s *serverBase) { s.crash.terminate = terminate }
 }
 
+// WithExecutionHandler sets a function that an engine calls with an attempt's id before it executes it.
+func WithExecutionHandler(f func(id string)) ServerOption {
+	return func(s *serverBase) { s.onExecute = f }
+}
+
 // WithoutStartTime omits the start time from the server's entry and reports, so
 // that only its id identifies its incarnation.
 func WithoutStartTime() ServerOption { return func(s *serverBase) { s.startMS = nil } }
@@ -28,12 +33,13 @@
 	backOffFault
 	advertisedLimit
 	requestLog
-	crash crashFault
+	crash     crashFault
+	onExecute func(id string)
 }
 
 func newServerBase(id string, opts []ServerOption) *serverBase {
 	now := float64(time.Now().UnixMilli())
-	s := &serverBase{id: id, startMS: &now}
+	s := &serverBase{id: id, startMS: &now, onExecute: func(string) {}}
 	for _, opt := range opts {
 		opt(s)
 	}
--- a/standin/site_config.go
+++ b/standin/site_config.go
@@ -1,6 +1,9 @@
 package standin
 
 import (
+	"strconv"
+	"strings"
+
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/hoistjunction/hoistjunction/platform/platformpb"
@@ -20,7 +23,7 @@
 
 // SiteConfig returns the operator's configuration of the stand-in site: a route
 // to a pipeline of engines and two routes to a plain service. Only one of the
-// latter allows repeated execution.
+// latter allows repeated execution. KeyAccount tells whose keys they are.
 func SiteConfig(version uint64, keys ...string) []byte {
 	const (
 		streamTimeout = 20000
@@ -45,7 +48,7 @@
 		},
 		Services: []*platformpb.Service{{Name: SiteStreamService, HealthPath: "/health", Engine: siteEngine()}, {Name: SitePlainService, HealthPath: "/health"}},
 		Limits:   &platformpb.Limits{MaxBodyBytes: bodyBytes},
-		Tenants:  []*platformpb.Tenant{{Name: SiteAccount, ApiKeys: keys}},
+		Tenants:  siteAccounts(keys),
 	}
 	raw, err := protojson.Marshal(config)
 	if err != nil {
@@ -56,6 +59,29 @@
 	return raw
 }
 
+// KeyAccount returns the client account of a key, and its priority: "lab" and 1 for "lab.1". Any
+// other key belongs to SiteAccount, whose requests have the priority of the routes, which is 0.
+func KeyAccount(key string) (name string, priority float64) {
+	name, text, _ := strings.Cut(key, ".")
+	priority, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return SiteAccount, 0
+	}
+	return name, priority
+}
+
+func siteAccounts(keys []string) []*platformpb.Tenant {
+	accounts := []*platformpb.Tenant{{Name: SiteAccount}}
+	for _, key := range keys {
+		if name, priority := KeyAccount(key); name != SiteAccount {
+			accounts = append(accounts, &platformpb.Tenant{Name: name, ApiKeys: []string{key}, Priority: &priority})
+			continue
+		}
+		accounts[0].ApiKeys = append(accounts[0].ApiKeys, key)
+	}
+	return accounts
+}
+
 func siteEngine() *platformpb.Engine {
 	return &platformpb.Engine{
 		Slots: 64, KvTokenBytes: 12_000, StepMs: 1, ReadPerSecond: 250_000, Layers: SiteLayers, LayerMb: 100,
