soak: bursts, accounts with priorities, requests that wait for capacity

Cause: the soak sent an even load for one account to nodes that let no request wait, so it covered neither waiting, admission by priority nor fair shares.

The share without faults counts all accounts. The crawler does not count in the total share, which would lower the bound on callers never served. Senders change their node after ten requests, so that faults of a node strike all accounts alike.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -21,7 +20,10 @@
 	path   string
 	key    string
 	sentAt time.Time
-	status int
+	// endedAt is when the response or the wait for it ended, and err why there is no response.
+	endedAt time.Time
+	err     error
+	status  int
 	// complete reports whether the response body was read to its end.
 	complete bool
 	body     string
@@ -41,38 +43,36 @@
 	attempts []attempt
 	// nodeByAttempt maps the id of each attempt to the name of the node that received it.
 	nodeByAttempt map[string]string
-	// revocableKey is the client key that the key fault revokes and restores.
-	revocableKey string
 }
 
-// sendUntilDone sends requests as one caller until the context ends. It keeps its node and its connection
-// until an attempt gets no response.
-func (c *callers) sendUntilDone(ctx context.Context, number int, random *rand.Rand) {
+// sendUntilDone sends requests as one sender until the loop context ends; the request context
+// aborts a request. It keeps its node and its connection until an attempt gets no response, and for
+// at most requestsPerNode requests, so that the faults of a node strike all accounts alike.
+func (c *callers) sendUntilDone(loop, request context.Context, s sender, random *rand.Rand) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1}
 	defer transport.CloseIdleConnections()
 	node := random.IntN(len(c.cluster.nodes))
-	for i := 0; ctx.Err() == nil; i++ {
-		t := c.sendRandom(ctx, transport, node, fmt.Sprintf("c%d-%d", number, i), random)
-		c.mu.Lock()
-		c.attempts = append(c.attempts, t)
-		c.mu.Unlock()
-		if t.status == 0 {
+	for i := 0; loop.Err() == nil; i++ {
+		t := s.newAttempt(i, random)
+		for retries := 0; ; retries++ {
+			t = c.send(request, transport, node, t)
+			t.endedAt = time.Now()
+			c.mu.Lock()
+			c.attempts = append(c.attempts, t)
+			c.mu.Unlock()
+			if s.key != crawlerKey || retries == maxImmediateRetries || loop.Err() != nil || !isRefusal(t.status) {
+				break
+			}
+			t = attempt{id: t.id + "r", key: t.key, method: t.method, path: t.path}
+		}
+		if t.status == 0 || i%requestsPerNode == requestsPerNode-1 {
 			node = random.IntN(len(c.cluster.nodes))
 		}
-		sleep(ctx, t.retryAfter+time.Duration(5+random.IntN(40))*time.Millisecond)
-	}
-}
-
-func (c *callers) sendRandom(ctx context.Context, transport http.RoundTripper, node int, id string, random *rand.Rand) attempt {
-	t := attempt{id: id, key: permanentKey, method: http.MethodPost, path: randomPath(id, random)}
-	if random.IntN(2) == 0 && !strings.HasPrefix(t.path, "/write/") {
-		// HTTP clients retry GET requests without a body on their own.
-		t.method = http.MethodGet
-	}
-	if random.IntN(3) == 0 {
-		t.key = c.revocableKey
+		if s.key == crawlerKey {
+			t.retryAfter = 0
+		}
+		sleep(loop, t.retryAfter+time.Duration(5+random.IntN(40))*time.Millisecond)
 	}
-	return c.send(ctx, transport, node, t)
 }
 
 // send sends one request and returns the attempt with its response.
@@ -90,16 +90,18 @@
 	req.GetBody = nil
 	req.Host = standin.SiteHost
 	req.Header = standin.ClientHeader(t.id, t.key, callerTimeoutMS)
+	req.Header.Set("Token-Count", soakTokens)
 	c.recordNode(t.id, node)
 	t.sentAt = time.Now()
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		t.err = err
 		return t
 	}
 	defer func() { _ = resp.Body.Close() }()
 	t.status = resp.StatusCode
 	answer, err := io.ReadAll(resp.Body)
-	t.body, t.complete = string(answer), err == nil
+	t.body, t.complete, t.err = string(answer), err == nil, err
 	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 		t.retryAfter = min(time.Duration(seconds*float64(time.Second)), callerTimeoutMS*time.Millisecond)
 	}
@@ -123,17 +125,6 @@
 	return c.nodeByAttempt[id]
 }
 
-func randomPath(id string, random *rand.Rand) string {
-	switch random.IntN(3) {
-	case 0:
-		return "/once/" + id
-	case 1:
-		return "/read/" + id
-	default:
-		return "/write/" + id
-	}
-}
-
 // recorded returns a copy of the attempts so far.
 func (c *callers) recorded() []attempt {
 	c.mu.Lock()
--- a/soak/check.go
+++ b/soak/check.go
@@ -44,6 +44,7 @@
 }
 
 func checkAttempt(t attempt, execution standin.ExecutionRecord, revocations []revocation) string {
+	account, _ := standin.KeyAccount(t.key)
 	switch {
 	case strings.Contains(t.body, string(dispatch.ReasonQuarantined)) && !standin.CausesCrash(t.path):
 		return "refused as quarantined although the request crashes no upstream"
@@ -55,11 +56,11 @@
 		return fmt.Sprintf("executed %d times", execution.Executions)
 	case strings.HasPrefix(t.path, "/once/") && isRefusal(t.status) && execution.Executions > 0:
 		return "refused as not executed, but was executed"
-	case t.key == permanentKey && (t.status == http.StatusUnauthorized || t.status == http.StatusNotFound):
+	case t.key != revocableKey && (t.status == http.StatusUnauthorized || t.status == http.StatusNotFound):
 		return "denied although every configuration contains its key"
-	case t.key != permanentKey && execution.Executions > 0 && sentWhileRevoked(t.sentAt, revocations):
+	case t.key == revocableKey && execution.Executions > 0 && sentWhileRevoked(t.sentAt, revocations):
 		return "executed with a revoked key"
-	case execution.Executions > 0 && execution.Account != standin.SiteAccount:
+	case execution.Executions > 0 && execution.Account != account:
 		return "executed for the wrong account " + execution.Account
 	}
 	return ""
--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -53,8 +53,16 @@
 	nodeMu, engineMu []sync.Mutex
 }
 
-// permanentKey is the client key that is never revoked.
-const permanentKey = "kept"
+// permanentKey and revocableKey are keys of the account of the most urgent requests. The key fault
+// revokes and restores the latter. The others are keys of less urgent accounts, of which the crawler
+// ignores Retry-After and repeats refused requests at once.
+const (
+	permanentKey = "kept"
+	revocableKey = "key-2"
+	labKey       = "lab.1"
+	archiveKey   = "archive.2"
+	crawlerKey   = "crawler.2"
+)
 
 // newCluster starts all processes. The returned cluster must be closed also after an error.
 func newCluster(bin, dir string, size Size) (*cluster, error) {
@@ -63,7 +71,8 @@
 		nodeMu: make([]sync.Mutex, size.Nodes), engineMu: make([]sync.Mutex, size.Engines),
 	}
 	var err error
-	if c.store, err = c.launch("store", "listening ", "standin-site", "store", "--key", permanentKey, "--key", "key-2"); err != nil {
+	if c.store, err = c.launch("store", "listening ", "standin-site", "store", "--key", permanentKey, "--key", revocableKey,
+		"--key", labKey, "--key", archiveKey, "--key", crawlerKey); err != nil {
 		return c, err
 	}
 	if err := c.startPlainService("desk-1"); err != nil {
@@ -145,7 +154,8 @@
 	c.storeProxies = append(c.storeProxies, link)
 	path := filepath.Join(c.logDir, fmt.Sprintf("node-%d.ini", i))
 	text := fmt.Sprintf("[node]\nname = node-%d\ndata_centre = dc-%d\n[caller]\nlisten = 127.0.0.1:0\n[readiness]\nlisten = 127.0.0.1:0\n"+
-		"[peer]\nlisten = 127.0.0.1:0\n[metrics]\nlisten = 127.0.0.1:0\n[platform]\naddress = %s\n", i, i%2+1, link.address())
+		"[peer]\nlisten = 127.0.0.1:0\n[metrics]\nlisten = 127.0.0.1:0\n[platform]\naddress = %s\n"+
+		"[waiting]\nmax_requests = 64\n", i, i%2+1, link.address())
 	if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 		return err
 	}
@@ -183,12 +193,12 @@
 // httpClient is the client for calls to the stand-ins.
 var httpClient = &http.Client{Timeout: 5 * time.Second}
 
-// writeKeys has the operator write a configuration with these client keys. It returns the time
-// of the store's acknowledgement.
+// writeKeys has the operator write a configuration with these client keys and those of the less
+// urgent accounts. It returns the time of the store's acknowledgement.
 func (c *cluster) writeKeys(keys ...string) (time.Time, error) {
 	c.configVersion++
 	url := fmt.Sprintf("http://%s/operator/%d?", c.store.Address(), c.configVersion)
-	for _, key := range keys {
+	for _, key := range append(keys, labKey, archiveKey, crawlerKey) {
 		url += "key=" + key + "&"
 	}
 	err := postJSON(url, nil)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -142,6 +142,6 @@
 	r.mu.Lock()
 	r.revocations = append(r.revocations, revocation{from: from, to: to})
 	r.mu.Unlock()
-	_, err = r.cluster.writeKeys(permanentKey, "key-2")
+	_, err = r.cluster.writeKeys(permanentKey, revocableKey)
 	return "revoke", err
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,7 +74,7 @@
 	if err != nil {
 		return err
 	}
-	r := &runner{Options: o, cluster: c, callers: &callers{cluster: c, revocableKey: "key-2"}}
+	r := &runner{Options: o, cluster: c, callers: &callers{cluster: c}}
 	return r.run(ctx)
 }
 
@@ -82,9 +83,11 @@
 	var group sync.WaitGroup
 	for i := range r.Size.Callers {
 		random := rand.New(rand.NewPCG(r.Seed, uint64(i)+100))
-		group.Go(func() { r.callers.sendUntilDone(callerCtx, i, random) })
+		group.Go(func() { r.callers.sendUntilDone(callerCtx, callerCtx, newSender(i), random) })
 	}
 	time.Sleep(startupTime)
+	// Later, limits of engines keep most requests from waiting for memory.
+	r.burst(ctx, -1, "write", rand.New(rand.NewPCG(r.Seed, burstSeed+1)))
 	r.runFaults(ctx)
 	faultsEnd := time.Now()
 	err := r.awaitRecovery()
@@ -118,6 +121,7 @@
 	group.Go(func() { r.deadlySeries(ctx, rand.New(rand.NewPCG(r.Seed, deadlySeed))) })
 	group.Go(func() { r.suspendSeries(ctx, rand.New(rand.NewPCG(r.Seed, suspendSeed))) })
 	group.Go(func() { r.backOffSeries(ctx, rand.New(rand.NewPCG(r.Seed, backOffSeed))) })
+	group.Go(func() { r.burstSeries(ctx, rand.New(rand.NewPCG(r.Seed, burstSeed))) })
 	group.Go(func() { r.restoreSeries(ctx, rand.New(rand.NewPCG(r.Seed, restoreSeed))) })
 	for i := range len(r.cluster.engines) + 1 {
 		group.Go(func() { r.limitSeries(ctx, i, rand.New(rand.NewPCG(r.Seed, limitSeed+uint64(i)))) })
@@ -169,6 +173,11 @@
 	summary, underserved := r.checkServed(attempts)
 	_, _ = fmt.Fprintln(r.Out, summary)
 	violations := append(underserved, checkAttempts(attempts, executions, r.revocations)...)
+	waits, err := r.checkWaits(attempts)
+	if err != nil {
+		return err
+	}
+	violations = slices.Concat(violations, waits, r.checkPriorities(attempts))
 	violations = append(violations, r.cluster.crashes.check(len(r.cluster.nodes))...)
 	visits, err := r.checkVisits()
 	if err != nil {
--- a/soak/served.go
+++ b/soak/served.go
@@ -43,7 +43,7 @@
 	return float64(t.served) / float64(t.sent)
 }
 
-// checkServed returns a summary of the share of requests with the permanent key that were
+// checkServed returns a summary of the share of requests with keys that are never revoked that were
 // served, in total, in the calm span and by kind of request, and the violations where the share
 // is too low.
 func (r *runner) checkServed(attempts []attempt) (summary string, violations []string) {
@@ -51,15 +51,19 @@
 	byKind, byCaller := make(map[string]*tally), make(map[string]*tally)
 	for _, t := range attempts {
 		caller, _, ok := strings.Cut(t.id, "-")
-		if t.key != permanentKey || !ok || t.sentAt.IsZero() {
+		if t.key == revocableKey || !ok || t.sentAt.IsZero() {
 			continue
 		}
-		total.add(t)
-		tallyFor(byKind, strings.Split(t.path, "/")[1]).add(t)
-		tallyFor(byCaller, caller).add(t)
 		if t.sentAt.After(r.calmStart) && t.sentAt.Before(r.calmEnd) {
 			calm.add(t)
 		}
+		if t.key == crawlerKey {
+			// Its immediate retries would lower the share of all, and thereby the demands on it.
+			continue
+		}
+		total.add(t)
+		tallyFor(byKind, strings.Split(t.path, "/")[1]).add(t)
+		tallyFor(byCaller, caller).add(t)
 	}
 	if calm.servedShare() < starved.MinServedWithoutFaults {
 		violations = append(violations, fmt.Sprintf("%.3f of %d requests served without faults, want at least %v", calm.servedShare(), calm.sent, starved.MinServedWithoutFaults))
