--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -155,12 +155,20 @@
 // attemptTimeout returns the timeout of the first attempt of a repeatable request, so that an
 // unresponsive upstream does not use up the client's time; zero for no timeout.
 func (m *Model) attemptTimeout(r *request, u *upstream) clock.Millis {
-	if r.route.Kind != catalog.Repeatable || r.executions >= r.maxUpstreams() {
+	if r.route.Kind != catalog.Repeatable || r.executions >= r.maxUpstreams() || !m.hasAlternative(r, u) {
 		return 0
 	}
 	return max(clock.Millis(u.meanLatency*attemptTimeoutFactor), clock.Millis(float64(r.route.LatencyTarget)*attemptTimeoutAimShare))
 }
 
+// hasAlternative reports whether another upstream of a plain service may get the request instead.
+// Without one, a timeout would only drop an answer that is on its way.
+func (m *Model) hasAlternative(r *request, u *upstream) bool {
+	return slices.ContainsFunc(m.byService[r.service.Name], func(other *upstream) bool {
+		return other != u && r.mayExecuteOn(other) && other.available(m.now) && !other.inBackOff(m.now)
+	})
+}
+
 // sendPipeline builds a chain of engines. Suspected engines are excluded unless a layer has no
 // other engine.
 func (m *Model) sendPipeline(r *request) (SendCmd, Reason) {
