dispatch, recovery: one name for each thing in the recovery of streams

"reader" is the node that reads the store (GLOSSARY.md) and was also an engine in package recovery; "leaves" and "leavesAt" of a request named an engine and the time at which its client disconnects; "charge" and "refund" stood for the retry budget and for the backlog; heldBack and fairShare named both a check and its last decision; capacityFreed and capacityReleased could not be told apart; callerPatience repeated minPatience.

recovery.Engine, migratesFrom, clientLeavesAt, addToBacklog, removeFromBacklog, admissionDecision, shareDecision, sendWaiters and sendCapacityWaiters replace them, and minPatience is used for both. The handler of FirstEventMsg stands with the other messages on first events, and the bounds on deferrals state the reason in terms of callers. No behaviour changes.

--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -132,8 +132,8 @@
 	if r.service.Pipeline == nil || r.attempts > 0 || r.answerBegun() {
 		return false
 	}
-	r.heldBack = m.admission.Admit(m.now, r.service.Name, r.priority(), hashPosition(admissionSalt+r.arrival.CallerID))
-	return !r.heldBack.Admitted
+	r.admissionDecision = m.admission.Admit(m.now, r.service.Name, r.priority(), hashPosition(admissionSalt+r.arrival.CallerID))
+	return !r.admissionDecision.Admitted
 }
 
 // admissionSalt makes the draw for admission independent of the split of traffic among services,
@@ -149,7 +149,7 @@
 // states.
 func (m *Model) refuseHeldBack(r *request) []Cmd {
 	cmd := m.response(r.arrival.Request, http.StatusServiceUnavailable, ReasonHeldBack, m.heldBackRetryAfter(r))
-	decision := r.heldBack
+	decision := r.admissionDecision
 	cmd.HeldBack = &decision
 	return m.respondOrAbort(r.arrival.Request, cmd, ReasonHeldBack)
 }
@@ -157,7 +157,7 @@
 // heldBackRetryAfter returns the time after which a request that was held back should be admitted,
 // spread over clients.
 func (m *Model) heldBackRetryAfter(r *request) clock.Millis {
-	wait := clock.Millis(float64(r.heldBack.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
+	wait := clock.Millis(float64(r.admissionDecision.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
 	return m.capRetryAfter(r, min(max(wait, shortRetryAfter), maxHeldBackRetryAfter))
 }
 
--- a/dispatch/capacity_queue.go
+++ b/dispatch/capacity_queue.go
@@ -323,21 +323,21 @@
 	return last
 }
 
-// capacityFreed sends the next waiting requests of a service after a request has ended that began
-// at an upstream. A request without an attempt in progress frees nothing.
-func (m *Model) capacityFreed(service *catalog.Service, first *upstream) []Cmd {
+// sendWaiters sends the next waiting requests of a service after a request has ended whose last
+// attempt began at an upstream; nil if no attempt was in progress, which frees nothing.
+func (m *Model) sendWaiters(service *catalog.Service, first *upstream) []Cmd {
 	if first == nil {
 		return nil
 	}
 	if service.Pipeline == nil {
 		return m.slotFreed(service.Name, first)
 	}
-	return m.capacityReleased(service.Name)
+	return m.sendCapacityWaiters(service.Name)
 }
 
-// capacityReleased sends the next waiting requests of a service after a request of this node has
-// released memory or an engine has loaded layers.
-func (m *Model) capacityReleased(service string) []Cmd {
+// sendCapacityWaiters sends the next requests that wait for capacity of a pipeline service, after a
+// request of this node has released memory or an engine has loaded layers.
+func (m *Model) sendCapacityWaiters(service string) []Cmd {
 	q := m.capacityQueues[service]
 	if q == nil {
 		return nil
--- a/dispatch/capacity_time.go
+++ b/dispatch/capacity_time.go
@@ -23,7 +23,7 @@
 	case ReasonNoMemory:
 		return m.now.Add(m.expectedCapacityWait(r)) <= m.latestSend(r) && !m.upstreamsRefuse(r)
 	case ReasonHeldBack:
-		return m.now.Add(r.heldBack.Wait) <= m.latestSend(r)
+		return m.now.Add(r.admissionDecision.Wait) <= m.latestSend(r)
 	case ReasonOverFairShare:
 		return m.now.Add(m.expectedShareWait(r)) <= m.latestSend(r)
 	default:
@@ -51,9 +51,9 @@
 	return m.now.Add(capacityReviewInterval) <= m.latestSend(r)
 }
 
-// leavesAt returns when the client of a request without an answer disconnects. The client of a
+// clientLeavesAt returns when the client of a request without an answer disconnects. The client of a
 // stream does not wait for its deadline.
-func (r *request) leavesAt() clock.Millis {
+func (r *request) clientLeavesAt() clock.Millis {
 	end := min(r.clientDeadline, r.giveUp)
 	if r.route.Kind != catalog.Streaming {
 		return end
@@ -75,7 +75,7 @@
 // client leaves. It also leaves a refusal the time to reach the client.
 func (m *Model) latestSendForClient(r *request) clock.Millis {
 	firstEvent := clock.Millis(math.Ceil(m.minFirstEvent(r)))
-	return r.leavesAt().Sub(max(firstEvent, refusalMargin))
+	return r.clientLeavesAt().Sub(max(firstEvent, refusalMargin))
 }
 
 // minFirstEvent returns the time to the first event of a request on an idle chain of the fastest
--- a/dispatch/deferred.go
+++ b/dispatch/deferred.go
@@ -8,18 +8,16 @@
 
 const (
 	// maxStartDeferral bounds the time after the node's start for which requests wait for the
-	// configuration and the list of upstreams. When 300 nodes started at the same moment, the last
-	// had both after 2.4 s. Later the store is probably unavailable, and a caller that is refused
-	// may come back.
+	// configuration and the list of upstreams. It exceeds minPatience, so that a request that
+	// arrives with the start can wait for as long as its caller does. A node that lacks both then
+	// probably cannot reach the store, and a caller that is refused can retry at another node.
 	maxStartDeferral clock.Millis = 3000
 	// maxQuarantineDeferral bounds the same for the stored quarantine, without which requests can
-	// be served. All of 300 nodes had it within 0.1 s.
+	// be served. It is below the latency objective of streams.
 	maxQuarantineDeferral clock.Millis = 400
-	// callerPatience is how long a caller waits for the first event of a stream, at the least, and
-	// serviceTime the part of it that is left for serving the request: latency objectives are up
-	// to 0.5 s, and the node checks the deferred requests ten times a second.
-	callerPatience clock.Millis = 2000
-	serviceTime    clock.Millis = 500
+	// serviceTime is the part of a caller's patience that is left for serving a deferred request:
+	// latency objectives are up to 0.5 s.
+	serviceTime clock.Millis = 500
 	// maxDeferred and maxDeferredBytes bound the deferred requests. A node receives two or three
 	// requests per second; the smallest VM has 136 MB of memory.
 	maxDeferred      = 256
@@ -60,7 +58,7 @@
 
 // maxDeferral returns how long a request may wait so that its caller can still be served.
 func maxDeferral(msg ArriveMsg) clock.Millis {
-	patience := callerPatience
+	patience := minPatience
 	if msg.Remaining > 0 {
 		patience = min(patience, msg.Remaining)
 	}
--- a/dispatch/depart.go
+++ b/dispatch/depart.go
@@ -37,7 +37,7 @@
 	}
 	if msg.Completed {
 		m.layersLoaded(u, msg.Layers)
-		return m.capacityReleased(u.entry.Service)
+		return m.sendCapacityWaiters(u.entry.Service)
 	}
 	m.loadOrdered(u, msg.Layers)
 	kept := u.entry.Held.Overlap(msg.Layers)
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -202,5 +202,5 @@
 		}
 	}
 	m.dropRequest(msg.Request)
-	return append(m.quarantineCmds(m.quarantine.RequestAnswered(m.now, r.work, true)), m.capacityFreed(r.service, first)...)
+	return append(m.quarantineCmds(m.quarantine.RequestAnswered(m.now, r.work, true)), m.sendWaiters(r.service, first)...)
 }
--- a/dispatch/fair_share.go
+++ b/dispatch/fair_share.go
@@ -131,12 +131,12 @@
 	if r.service.Pipeline == nil || r.attempts > 0 || r.answerBegun() || !m.fairSharesEnabled() {
 		return false
 	}
-	r.fairShare = m.fairShares.Admit(m.now, r.service.Name, r.shareRequest())
-	if !r.fairShare.Admitted && !r.wasOverShare {
+	r.shareDecision = m.fairShares.Admit(m.now, r.service.Name, r.shareRequest())
+	if !r.shareDecision.Admitted && !r.wasOverShare {
 		r.wasOverShare = true
 		m.overShareCount++
 	}
-	return !r.fairShare.Admitted
+	return !r.shareDecision.Admitted
 }
 
 // shareRequest describes a request to fair shares. Its draw depends on its work, so that it is the
@@ -160,7 +160,7 @@
 	if reason != ReasonOverFairShare {
 		return nil
 	}
-	decision := r.fairShare
+	decision := r.shareDecision
 	return &decision
 }
 
@@ -178,7 +178,7 @@
 			ahead++
 		}
 	}
-	return r.fairShare.NextIn + clock.Millis(ahead)*r.fairShare.Interval
+	return r.shareDecision.NextIn + clock.Millis(ahead)*r.shareDecision.Interval
 }
 
 // sendFromHeldLane sends the waiting requests that are held back no longer, in the order of the lane
@@ -240,7 +240,7 @@
 // overShareRetryAfter returns the time after which the account should be below its share, spread over
 // requests. It is at most the share of the client's remaining time that clients honour.
 func (m *Model) overShareRetryAfter(r *request) clock.Millis {
-	wait := clock.Millis(float64(r.fairShare.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
+	wait := clock.Millis(float64(r.shareDecision.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
 	return m.capRetryAfter(r, max(min(wait, maxOverShareRetryAfter), shortRetryAfter))
 }
 
--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -35,6 +35,21 @@
 	return max(r.route.LatencyTarget, clock.Millis(firstEventPatienceShare*float64(patience)))
 }
 
+// recordFirstEvent records that the engines of an attempt have read its prompt.
+func (m *Model) recordFirstEvent(msg FirstEventMsg) {
+	r := m.requests[msg.Request]
+	if r == nil || msg.Attempt != r.attempts {
+		return
+	}
+	r.awaitsFirstEvent = false
+	m.clearOverdue(r)
+	for i := range r.reservations {
+		h := &r.reservations[i]
+		h.upstream.promptTokens -= h.promptTokens
+		h.promptTokens = 0
+	}
+}
+
 // firstEventOverdue abandons an attempt without a first event if another one can be made.
 func (m *Model) firstEventOverdue(msg FirstEventOverdueMsg) []Cmd {
 	r := m.requests[msg.Request]
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -136,7 +136,7 @@
 	first := r.firstUpstream
 	cmds = append(cmds, m.endCapacityWait(r, WaitLeft)...)
 	m.dropRequest(msg.Request)
-	return append(cmds, m.capacityFreed(r.service, first)...)
+	return append(cmds, m.sendWaiters(r.service, first)...)
 }
 
 // recordPeerLoss records a loss that another node reported. This node checks the upstream itself,
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -53,7 +53,7 @@
 
 // startMigration orders a running stream to continue over another chain.
 func (m *Model) startMigration(r *request, avoided fleet.Incarnation, parts []chain.Stage, report *Recovery) []Cmd {
-	m.chargeRecovery(r, parts)
+	m.addToBacklog(r, parts)
 	r.migrating = true
 	r.migrations++
 	m.reserve(r, parts)
@@ -94,7 +94,7 @@
 	if msg.Result != MigrationRefused {
 		return nil
 	}
-	m.refundRecovery(r)
+	m.removeFromBacklog(r)
 	engine, ok := r.upstreamAt(msg.FaultyAddress)
 	if !ok {
 		return nil
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -203,7 +203,7 @@
 	case AttemptFailedMsg:
 		return m.attemptFailed(msg)
 	case FirstEventMsg:
-		m.firstEvent(msg)
+		m.recordFirstEvent(msg)
 	case AttemptDoneMsg:
 		return m.attemptDone(msg)
 	case StalledMsg:
--- a/dispatch/prediction.go
+++ b/dispatch/prediction.go
@@ -84,21 +84,6 @@
 	return prompt + answer
 }
 
-// firstEvent records that the engines of an attempt have read its prompt.
-func (m *Model) firstEvent(msg FirstEventMsg) {
-	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts {
-		return
-	}
-	r.awaitsFirstEvent = false
-	m.clearOverdue(r)
-	for i := range r.reservations {
-		h := &r.reservations[i]
-		h.upstream.promptTokens -= h.promptTokens
-		h.promptTokens = 0
-	}
-}
-
 // peerUsageAge returns the age of the oldest usage report that counts; zero if there is none.
 func (m *Model) peerUsageAge() clock.Millis {
 	if len(m.peerUsage) == 0 {
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -67,7 +67,7 @@
 
 // recovers reports whether the next chain of a request takes over a stream that has begun.
 func (r *request) recovers() bool {
-	return r.boundsPauses() && (r.answerBegun() || !r.leaves.IsZero())
+	return r.boundsPauses() && (r.answerBegun() || !r.migratesFrom.IsZero())
 }
 
 // recordPause records how far a stream has come and when its pause began. A time of 0 means that
@@ -104,7 +104,7 @@
 // awaitResume queues a stream whose attempt has failed. Its retry is charged already and refunded
 // if it is never sent.
 func (m *Model) awaitResume(r *request) []Cmd {
-	r.retryUnsent, r.unsentRetry = true, m.budget(r.service.Name).LastWithdrawal(m.now)
+	r.hasUnsentRetry, r.unsentRetry = true, m.budget(r.service.Name).LastWithdrawal(m.now)
 	m.recoveries.Add(recovery.Stream{
 		ID: uint64(r.arrival.Request), Attempt: r.attempts, Priority: r.priority(),
 		LateAt: r.pauseLateAt(), WaitingSince: m.now, HoldUntil: r.holdUntil(),
@@ -153,11 +153,11 @@
 // recoverStream moves one stream, unless all engines that could take it over are too busy with
 // prompts moved before.
 func (m *Model) recoverStream(r *request, s recovery.Stream) []Cmd {
-	r.leaves, r.spareBusy = s.Avoided, true
-	defer func() { r.leaves, r.spareBusy = fleet.Incarnation{}, false }()
+	r.migratesFrom, r.skipsBusyEngines = s.Avoided, true
+	defer func() { r.migratesFrom, r.skipsBusyEngines = fleet.Incarnation{}, false }()
 	parts, err := m.recoveryChain(r)
 	if err != nil {
-		r.spareBusy = false
+		r.skipsBusyEngines = false
 		parts, err = m.recoveryChain(r)
 		if err == nil && m.now < s.HoldUntil {
 			return nil
@@ -176,15 +176,15 @@
 
 // recoveryChain builds the chain over which a stream continues.
 func (m *Model) recoveryChain(r *request) ([]chain.Stage, error) {
-	if r.leaves.IsZero() {
+	if r.migratesFrom.IsZero() {
 		return m.chainFor(r)
 	}
-	return m.detourChain(r, r.leaves)
+	return m.detourChain(r, r.migratesFrom)
 }
 
 // resumeRecovered sends a stream whose attempt has failed again.
 func (m *Model) resumeRecovered(r *request, report *Recovery) []Cmd {
-	r.retryUnsent = false
+	r.hasUnsentRetry = false
 	cmds := m.resend(r)
 	sent := false
 	for i, cmd := range cmds {
@@ -203,9 +203,9 @@
 // has no count yet uses the nodes whose usage it should know.
 func (m *Model) recoveringNodes() int { return max(m.nodeCount.total, m.usagePeers+1) }
 
-// reader returns an engine as a reader of prompts.
-func (m *Model) reader(u *upstream) recovery.Reader {
-	return recovery.Reader{ID: u.entry.ID, Rate: m.readRate(u), Nodes: m.recoveringNodes()}
+// recoveryEngine returns the values of an engine that the backlog needs.
+func (m *Model) recoveryEngine(u *upstream) recovery.Engine {
+	return recovery.Engine{ID: u.entry.ID, Rate: m.readRate(u), Nodes: m.recoveringNodes()}
 }
 
 // readRate returns how many prompt tokens an engine reads per ms; infinite if unknown.
@@ -227,10 +227,10 @@
 // because it has too many moved prompts to read. An engine that the stream uses already has its
 // tokens in memory.
 func (m *Model) tooBusyToRecover(r *request, u *upstream) bool {
-	if !r.spareBusy || r.passesThrough(u.entry.ID) {
+	if !r.skipsBusyEngines || r.passesThrough(u.entry.ID) {
 		return false
 	}
-	return m.backlog.ReadTime(m.now, m.reader(u)) > recoveryQueueShare*float64(r.route.EventGapTarget)
+	return m.backlog.ReadTime(m.now, m.recoveryEngine(u)) > recoveryQueueShare*float64(r.route.EventGapTarget)
 }
 
 // recoveryCost returns the cost of the moved prompts that an engine has to read first, in ms per
@@ -244,9 +244,9 @@
 	if !r.recovers() || r.passesThrough(u.entry.ID) {
 		return 0
 	}
-	reader := m.reader(u)
-	placeTime := u.preference * float64(reader.Nodes) * r.unreadTokens() / reader.Rate
-	return m.fastestTokenTime[r.service.Name] * (m.backlog.ReadTime(m.now, reader) + placeTime) / float64(r.route.EventGapTarget)
+	engine := m.recoveryEngine(u)
+	placeTime := u.preference * float64(engine.Nodes) * r.unreadTokens() / engine.Rate
+	return m.fastestTokenTime[r.service.Name] * (m.backlog.ReadTime(m.now, engine) + placeTime) / float64(r.route.EventGapTarget)
 }
 
 // nodePreference returns a number from 0 up to 1 that is fixed for a node and an engine.
@@ -260,35 +260,35 @@
 	longest := 0.0
 	for _, p := range parts {
 		if u := m.upstreams[p.ID]; u != nil && !r.passesThrough(p.ID) {
-			longest = max(longest, m.backlog.ReadTime(m.now, m.reader(u)))
+			longest = max(longest, m.backlog.ReadTime(m.now, m.recoveryEngine(u)))
 		}
 	}
 	return longest
 }
 
-// chargeRecovery records the tokens that the new engines of a moved stream read again. It must be
+// addToBacklog adds the tokens that the new engines of a moved stream read again to the backlog. It must be
 // called while r.chain is still the former chain.
-func (m *Model) chargeRecovery(r *request, parts []chain.Stage) {
-	r.charged = r.charged[:0]
+func (m *Model) addToBacklog(r *request, parts []chain.Stage) {
+	r.backlogEngines = r.backlogEngines[:0]
 	if !r.recovers() {
 		return
 	}
 	for _, p := range parts {
 		if u := m.upstreams[p.ID]; u != nil && !r.passesThrough(p.ID) {
-			m.backlog.Add(m.now, m.reader(u), r.unreadTokens())
-			r.charged = append(r.charged, p.ID)
+			m.backlog.Add(m.now, m.recoveryEngine(u), r.unreadTokens())
+			r.backlogEngines = append(r.backlogEngines, p.ID)
 		}
 	}
 }
 
-// refundRecovery takes back the tokens of a migration that was refused.
-func (m *Model) refundRecovery(r *request) {
-	for _, id := range r.charged {
+// removeFromBacklog removes the tokens of a migration that was refused.
+func (m *Model) removeFromBacklog(r *request) {
+	for _, id := range r.backlogEngines {
 		if u := m.upstreams[id]; u != nil && u.pipeline != nil {
-			m.backlog.Remove(m.now, m.reader(u), r.unreadTokens())
+			m.backlog.Remove(m.now, m.recoveryEngine(u), r.unreadTokens())
 		}
 	}
-	r.charged = r.charged[:0]
+	r.backlogEngines = r.backlogEngines[:0]
 }
 
 // scheduleDeparture queues a stream that must leave an engine before it terminates.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -60,12 +60,12 @@
 	// slotRefusals counts the attempts that found no slot. They are bounded by the request's time
 	// and by the retry budget, not by maxAttempts.
 	slotRefusals int
-	// heldBack is the last decision of admission control on the request.
-	heldBack admission.Decision
-	// fairShare is the last decision of fair shares on the request, and wasOverShare reports whether
-	// one has held it back.
-	fairShare    fairshare.Decision
-	wasOverShare bool
+	// admissionDecision is the last decision of admission control on the request.
+	admissionDecision admission.Decision
+	// shareDecision is the last decision of fair shares on the request, and wasOverShare reports
+	// whether one has held it back.
+	shareDecision fairshare.Decision
+	wasOverShare  bool
 	// afterBackOff reports whether some of the upstreams on which a waiting stream can resume are
 	// in back-off.
 	afterBackOff bool
@@ -86,16 +86,17 @@
 	// its session, and streamedEvents the number of events until then.
 	lastEventAt    clock.Millis
 	streamedEvents int
-	// leaves is the engine that the stream is being moved off, while its chain is built, and
-	// spareBusy reports whether that chain leaves out engines with too many moved prompts.
-	leaves    fleet.Incarnation
-	spareBusy bool
-	// charged holds the engines that were charged for reading the stream's tokens at its last move.
-	charged []fleet.Incarnation
-	// retryUnsent reports whether a retry was charged and waits to be sent, and unsentRetry is that
-	// charge.
-	retryUnsent bool
-	unsentRetry budget.Withdrawal
+	// migratesFrom is the engine that the next chain must avoid; set only while recoverStream builds
+	// that chain. skipsBusyEngines reports whether the chain also avoids engines with too many moved
+	// prompts.
+	migratesFrom     fleet.Incarnation
+	skipsBusyEngines bool
+	// backlogEngines holds the engines to whose backlog the stream's last move added its tokens.
+	backlogEngines []fleet.Incarnation
+	// hasUnsentRetry reports whether a retry was charged to the budget and is not sent yet, and
+	// unsentRetry is that withdrawal.
+	hasUnsentRetry bool
+	unsentRetry    budget.Withdrawal
 }
 
 // upstreamAt returns the incarnation that the current attempt uses at an address. Another
@@ -203,7 +204,7 @@
 	}
 	m.endAttempt(r)
 	r.dequeue()
-	if r.retryUnsent {
+	if r.hasUnsentRetry {
 		m.budget(r.service.Name).Return(m.now, r.unsentRetry)
 	}
 	delete(m.requests, id)
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -185,7 +185,7 @@
 	predicted := m.predict(r, parts)
 	r.sentAt, r.predictedFirstEvent = m.now, predicted.firstEvent
 	r.awaitsFirstEvent = true
-	m.chargeRecovery(r, parts)
+	m.addToBacklog(r, parts)
 	m.reserve(r, parts)
 	m.recordShareSent(r)
 	return SendCmd{
--- a/recovery/recovery_test.go
+++ b/recovery/recovery_test.go
@@ -62,20 +62,20 @@
 // The backlog must shrink at the engine's rate divided among the nodes, and end after a second: an
 // estimate that stays would keep streams off an idle engine.
 func TestBacklog(t *testing.T) {
-	engine := recovery.Reader{ID: fleet.IncarnationByID("e"), Rate: 50, Nodes: 10}
+	engine := recovery.Engine{ID: fleet.IncarnationByID("e"), Rate: 50, Nodes: 10}
 	tests := []struct {
 		name   string
-		reader recovery.Reader
+		reader recovery.Engine
 		at     clock.Millis
 		want   float64
 	}{
 		{"at once", engine, 100, 160},
 		{"half read", engine, 180, 80},
 		{"read", engine, 260, 0},
-		{"slow engine after a second", recovery.Reader{ID: engine.ID, Rate: 1, Nodes: 10}, 1100, 0},
-		{"unbounded rate", recovery.Reader{ID: engine.ID, Rate: math.Inf(1), Nodes: 10}, 100, 0},
-		{"no node count", recovery.Reader{ID: engine.ID, Rate: 50}, 100, 16},
-		{"other engine", recovery.Reader{ID: fleet.IncarnationByID("f"), Rate: 50, Nodes: 10}, 100, 0},
+		{"slow engine after a second", recovery.Engine{ID: engine.ID, Rate: 1, Nodes: 10}, 1100, 0},
+		{"unbounded rate", recovery.Engine{ID: engine.ID, Rate: math.Inf(1), Nodes: 10}, 100, 0},
+		{"no node count", recovery.Engine{ID: engine.ID, Rate: 50}, 100, 16},
+		{"other engine", recovery.Engine{ID: fleet.IncarnationByID("f"), Rate: 50, Nodes: 10}, 100, 0},
 	}
 	for _, tt := range tests {
 		var b recovery.Backlog
@@ -88,7 +88,7 @@
 
 // Tokens that an engine refused must not keep other streams off it.
 func TestBacklogOfRefusedStream(t *testing.T) {
-	engine := recovery.Reader{ID: fleet.IncarnationByID("e"), Rate: 50, Nodes: 10}
+	engine := recovery.Engine{ID: fleet.IncarnationByID("e"), Rate: 50, Nodes: 10}
 	var b recovery.Backlog
 	b.Add(100, engine, 800)
 	b.Add(180, engine, 800)
@@ -96,5 +96,5 @@
 	if got := b.ReadTime(190, engine); got != 70 {
 		t.Errorf("got %v ms, want 70", got)
 	}
-	b.Remove(2000, recovery.Reader{ID: fleet.IncarnationByID("f")}, 800)
+	b.Remove(2000, recovery.Engine{ID: fleet.IncarnationByID("f")}, 800)
 }
