budget: LendingWindow and LentOn instead of Pooled and Relent

Pooled does not say what the type adds to a Window, and "relent" is another word in English. The methods of Window on lent retries stood in the file of the other type.

The types and fields are renamed and the methods moved to window.go. The wire field and the metric keep their names. No behaviour changes.

--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -33,8 +33,8 @@
 	BootID   uint64
 	AskedAt  clock.Millis
 	Retries  int
-	// Relent reports whether the lender had borrowed the retries itself.
-	Relent bool
+	// LentOn reports whether the lender had borrowed the retries itself.
+	LentOn bool
 }
 
 // Report is what a node sends to others about loans.
@@ -55,7 +55,7 @@
 	// node borrows for other nodes too.
 	peers   int
 	hub     bool
-	budgets map[string]*Pooled
+	budgets map[string]*LendingWindow
 	// asks holds the last unanswered request by borrower and service.
 	asks map[askKey]heldAsk
 	// accepted holds the time of the last request answered by lender and service. Grants for
@@ -70,8 +70,8 @@
 	Requested int `json:"requested"`
 	Lent      int `json:"lent"`
 	Borrowed  int `json:"borrowed"`
-	// Relent are borrowed retries that a hub has lent on.
-	Relent int `json:"relent"`
+	// LentOn are borrowed retries that a hub has lent on.
+	LentOn int `json:"relent"`
 }
 
 // Counts returns the retries requested and lent so far.
@@ -81,7 +81,7 @@
 
 type grantKey struct {
 	askKey
-	relent bool
+	lentOn bool
 }
 
 type heldAsk struct {
@@ -93,7 +93,7 @@
 func NewExchange(self string, bootID, seed uint64) *Exchange {
 	return &Exchange{
 		self: self, bootID: bootID, random: rand.New(rand.NewPCG(seed, bootID)),
-		budgets: make(map[string]*Pooled), asks: make(map[askKey]heldAsk), accepted: make(map[grantKey]clock.Millis),
+		budgets: make(map[string]*LendingWindow), asks: make(map[askKey]heldAsk), accepted: make(map[grantKey]clock.Millis),
 	}
 }
 
@@ -102,7 +102,7 @@
 func (x *Exchange) SetPeers(peers int, hub bool) { x.peers, x.hub = peers, hub }
 
 // Add adds the budget of a service.
-func (x *Exchange) Add(service string, p *Pooled) { x.budgets[service] = p }
+func (x *Exchange) Add(service string, p *LendingWindow) { x.budgets[service] = p }
 
 // Reset drops all loans, because the node's clock has not counted some time. It may be so long
 // that the lenders use the retries again.
@@ -127,7 +127,7 @@
 // accept adds a loan to the budget of its service. It ignores loans to other nodes and to earlier
 // processes of this one, late ones, and copies.
 func (x *Exchange) accept(now clock.Millis, from string, g Grant) {
-	key := grantKey{askKey{from, g.Service}, g.Relent}
+	key := grantKey{askKey{from, g.Service}, g.LentOn}
 	last, repeated := x.accepted[key]
 	p := x.budgets[g.Service]
 	until := g.AskedAt.Add(LoanLifetime)
@@ -137,7 +137,7 @@
 	}
 	x.accepted[key] = g.AskedAt
 	x.counts.Borrowed += g.Retries
-	p.Borrow(Loan{Retries: g.Retries, Until: until, Relent: g.Relent})
+	p.Borrow(Loan{Retries: g.Retries, Until: until, LentOn: g.LentOn})
 }
 
 // Report returns this node's next report. The second result is the report of a hub to its leaves;
@@ -171,7 +171,7 @@
 	held := slices.SortedFunc(maps.Keys(x.asks), func(a, b askKey) int {
 		return cmp.Or(cmp.Compare(a.node, b.node), cmp.Compare(a.service, b.service))
 	})
-	// No borrower is always the first.
+	// The order is random, so that no borrower is always served first.
 	x.random.Shuffle(len(held), func(i, j int) { held[i], held[j] = held[j], held[i] })
 	for _, key := range held {
 		a, p := x.asks[key], x.budgets[key.service]
@@ -181,11 +181,11 @@
 		grant := Grant{Borrower: key.node, Service: key.service, BootID: a.BootID, AskedAt: a.SentAt}
 		missing := a.Retries
 		if x.hub {
-			relent := grant
-			relent.Retries, relent.Relent = p.Relend(now, missing), true
-			x.counts.Relent += relent.Retries
-			grants = appendGrant(grants, relent)
-			missing -= relent.Retries
+			lentOn := grant
+			lentOn.Retries, lentOn.LentOn = p.LendOn(now, missing), true
+			x.counts.LentOn += lentOn.Retries
+			grants = appendGrant(grants, lentOn)
+			missing -= lentOn.Retries
 		}
 		if lends {
 			grant.Retries = p.Lend(now, x.part(missing))
--- a/budget/exchange_test.go
+++ b/budget/exchange_test.go
@@ -20,7 +20,7 @@
 	name      string
 	startedAt clock.Millis
 	exchange  *budget.Exchange
-	budget    *budget.Pooled
+	budget    *budget.LendingWindow
 }
 
 // datagram is a report on its way to a node.
@@ -51,7 +51,7 @@
 	for i := range nodes {
 		x := budget.NewExchange(fmt.Sprintf("n%d", i), w.random.Uint64(), seed)
 		x.SetPeers(nodes-1, hub && i == 0)
-		p := budget.NewPooled(budget.NewWindow(lendingWindow, 0, slack))
+		p := budget.NewLendingWindow(budget.NewWindow(lendingWindow, 0, slack))
 		x.Add("s", p)
 		w.nodes = append(w.nodes, &lendingNode{name: fmt.Sprintf("n%d", i), startedAt: -clock.Millis(w.random.IntN(100_000)), exchange: x, budget: p})
 	}
@@ -190,10 +190,10 @@
 // Guards against loans that are passed on without end. Their lender counts them as made for two
 // lifetimes only.
 func TestLoansArePassedOnOnce(t *testing.T) {
-	p := budget.NewPooled(budget.NewWindow(lendingWindow, 0, 0))
-	p.Borrow(budget.Loan{Retries: 2, Until: 900, Relent: true})
+	p := budget.NewLendingWindow(budget.NewWindow(lendingWindow, 0, 0))
+	p.Borrow(budget.Loan{Retries: 2, Until: 900, LentOn: true})
 	p.Borrow(budget.Loan{Retries: 3, Until: 1000})
-	if got, want := p.Relend(500, 9), 3; got != want {
+	if got, want := p.LendOn(500, 9), 3; got != want {
 		t.Errorf("got %d retries passed on, want %d", got, want)
 	}
 	if got, want := p.Available(500), 2; got != want {
@@ -219,7 +219,7 @@
 		{"request before a suspension", func(g *budget.Grant) { g.AskedAt = 1000 }, 1500, 0},
 	}
 	for _, tt := range tests {
-		x, p := budget.NewExchange("a", 5, 1), budget.NewPooled(budget.NewWindow(lendingWindow, 0, 0))
+		x, p := budget.NewExchange("a", 5, 1), budget.NewLendingWindow(budget.NewWindow(lendingWindow, 0, 0))
 		x.Add("s", p)
 		x.Reset(1000)
 		g := grant
--- a/budget/loan.go
+++ b/budget/loan.go
@@ -26,15 +26,15 @@
 type Loan struct {
 	Retries int
 	Until   clock.Millis
-	// Relent reports whether the lender had borrowed the retries itself. They are not lent again.
-	Relent bool
+	// LentOn reports whether the lender had borrowed the retries itself. They are not lent again.
+	LentOn bool
 }
 
-// Pooled is a Window of one node that borrows retries from the windows of other nodes and lends
-// to them. A lent retry counts as made by the lender until no window can contain its use any
-// more, so the windows together never exceed the sum of their allowances. It is not safe for
-// concurrent use.
-type Pooled struct {
+// LendingWindow is a Window of one node that lends retries to the windows of other nodes and borrows
+// from them. A lent retry counts as made by the lender until no window can contain its use any more,
+// so the windows together never exceed the sum of their allowances. It is not safe for concurrent
+// use.
+type LendingWindow struct {
 	*Window
 	borrowed []Loan
 	// last is the loan of the last withdrawal; its Retries are 0 if that was not borrowed.
@@ -46,16 +46,16 @@
 	denied    int
 }
 
-// NewPooled returns a Pooled with a new Window.
-func NewPooled(w *Window) *Pooled { return &Pooled{Window: w} }
+// NewLendingWindow returns a LendingWindow that makes its own retries from w.
+func NewLendingWindow(w *Window) *LendingWindow { return &LendingWindow{Window: w} }
 
 // TryWithdraw takes one retry and reports whether one was available. Borrowed retries are taken
 // first, since they expire.
-func (p *Pooled) TryWithdraw(now clock.Millis) bool {
+func (p *LendingWindow) TryWithdraw(now clock.Millis) bool {
 	p.expire(now)
 	switch {
 	case len(p.borrowed) > 0:
-		p.last = Loan{Retries: 1, Until: p.borrowed[0].Until, Relent: p.borrowed[0].Relent}
+		p.last = Loan{Retries: 1, Until: p.borrowed[0].Until, LentOn: p.borrowed[0].LentOn}
 		p.takeBorrowed(0, 1)
 	case p.Window.TryWithdraw(now):
 		p.last = Loan{}
@@ -69,7 +69,7 @@
 
 // TryWithdrawPart takes one retry if the window's own retries remain within a part of its
 // allowance or if it is the first, and reports whether it did. It takes no borrowed retries.
-func (p *Pooled) TryWithdrawPart(now clock.Millis, part float64) bool {
+func (p *LendingWindow) TryWithdrawPart(now clock.Millis, part float64) bool {
 	attempts, retries := p.sums(p.partAt(now).number)
 	if retries += p.lentAt(now); retries > 0 && float64(retries+1) > part*p.allowance(attempts) {
 		return false
@@ -83,7 +83,7 @@
 }
 
 // Refund returns a retry that was taken at the same time and not used.
-func (p *Pooled) Refund(now clock.Millis) {
+func (p *LendingWindow) Refund(now clock.Millis) {
 	p.withdrawn = max(p.withdrawn-1, 0)
 	if p.last.Retries == 0 {
 		p.Window.Refund(now)
@@ -103,13 +103,13 @@
 }
 
 // LastWithdrawal returns the retry that was taken last, at a time.
-func (p *Pooled) LastWithdrawal(takenAt clock.Millis) Withdrawal {
+func (p *LendingWindow) LastWithdrawal(takenAt clock.Millis) Withdrawal {
 	return Withdrawal{takenAt: takenAt, loan: p.last, drops: p.drops}
 }
 
 // Return returns a retry that was taken earlier and not used. It counts as not taken from the time at
 // which it was taken, so that it makes up for no other retry. A borrowed one that has expired is lost.
-func (p *Pooled) Return(now clock.Millis, w Withdrawal) {
+func (p *LendingWindow) Return(now clock.Millis, w Withdrawal) {
 	if w.loan.Retries == 0 {
 		p.refundAt(w.takenAt)
 		return
@@ -120,7 +120,7 @@
 }
 
 // Borrow adds a loan.
-func (p *Pooled) Borrow(l Loan) {
+func (p *LendingWindow) Borrow(l Loan) {
 	if l.Retries <= 0 {
 		return
 	}
@@ -129,13 +129,13 @@
 }
 
 // DropBorrowed drops all loans.
-func (p *Pooled) DropBorrowed() {
+func (p *LendingWindow) DropBorrowed() {
 	p.borrowed, p.last = nil, Loan{}
 	p.drops++
 }
 
 // Available returns the number of retries that can be taken now.
-func (p *Pooled) Available(now clock.Millis) int {
+func (p *LendingWindow) Available(now clock.Millis) int {
 	p.expire(now)
 	n := max(int(p.spare(now, 1)), 0)
 	for _, l := range p.borrowed {
@@ -146,7 +146,7 @@
 
 // Wanted returns the number of retries to borrow: those denied since the last call, and as many
 // as were made since, as far as they are not available.
-func (p *Pooled) Wanted(now clock.Millis) int {
+func (p *LendingWindow) Wanted(now clock.Millis) int {
 	wanted := p.denied + p.withdrawn - p.Available(now)
 	p.denied, p.withdrawn = 0, 0
 	return min(max(wanted, 0), maxWanted)
@@ -154,7 +154,7 @@
 
 // Lend lends up to a number of the window's own retries and returns how many. They count as made
 // until no window can contain their use.
-func (p *Pooled) Lend(now clock.Millis, wanted int) int {
+func (p *LendingWindow) Lend(now clock.Millis, wanted int) int {
 	n := min(wanted, int(p.spare(now, lendablePart)))
 	if n <= 0 {
 		return 0
@@ -163,14 +163,14 @@
 	return n
 }
 
-// Relend passes on up to a number of borrowed retries and returns how many. Those that were
+// LendOn passes on up to a number of borrowed retries and returns how many. Those that were
 // passed on before are kept.
-func (p *Pooled) Relend(now clock.Millis, wanted int) int {
+func (p *LendingWindow) LendOn(now clock.Millis, wanted int) int {
 	p.expire(now)
 	n := 0
 	for i := 0; i < len(p.borrowed) && n < wanted; {
 		l := p.borrowed[i]
-		if l.Relent {
+		if l.LentOn {
 			i++
 			continue
 		}
@@ -184,35 +184,13 @@
 }
 
 // takeBorrowed takes retries from a loan and removes it once it is empty.
-func (p *Pooled) takeBorrowed(i, retries int) {
+func (p *LendingWindow) takeBorrowed(i, retries int) {
 	if p.borrowed[i].Retries -= retries; p.borrowed[i].Retries == 0 {
 		p.borrowed = slices.Delete(p.borrowed, i, i+1)
 	}
 }
 
 // expire removes the loans that have expired.
-func (p *Pooled) expire(now clock.Millis) {
+func (p *LendingWindow) expire(now clock.Millis) {
 	p.borrowed = slices.DeleteFunc(p.borrowed, func(l Loan) bool { return now > l.Until })
 }
-
-// spare returns by how much a part of the allowance exceeds the retries of the window. An
-// allowance below one is not raised to one.
-func (w *Window) spare(now clock.Millis, part float64) float64 {
-	attempts, retries := w.sums(w.partAt(now).number)
-	return part*(w.share*float64(attempts)+w.slack) - float64(retries+w.lentAt(now))
-}
-
-// reserve counts retries as made until a time.
-func (w *Window) reserve(until clock.Millis, retries int) {
-	w.lent = append(w.lent, Loan{Retries: retries, Until: until})
-}
-
-// lentAt returns the number of lent retries that count as made.
-func (w *Window) lentAt(now clock.Millis) int {
-	w.lent = slices.DeleteFunc(w.lent, func(l Loan) bool { return now > l.Until })
-	n := 0
-	for _, l := range w.lent {
-		n += l.Retries
-	}
-	return n
-}
--- a/budget/window.go
+++ b/budget/window.go
@@ -1,6 +1,10 @@
 package budget
 
-import "github.com/hoistjunction/hoistjunction/clock"
+import (
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+)
 
 // windowParts is the number of parts into which a Window is divided. Retries are summed over one
 // additional part, so that the sum never covers less than a whole window. First attempts are not,
@@ -120,3 +124,25 @@
 	}
 	return attempts, retries
 }
+
+// spare returns by how much a part of the allowance exceeds the retries of the window. An
+// allowance below one is not raised to one.
+func (w *Window) spare(now clock.Millis, part float64) float64 {
+	attempts, retries := w.sums(w.partAt(now).number)
+	return part*(w.share*float64(attempts)+w.slack) - float64(retries+w.lentAt(now))
+}
+
+// reserve counts retries as made until a time.
+func (w *Window) reserve(until clock.Millis, retries int) {
+	w.lent = append(w.lent, Loan{Retries: retries, Until: until})
+}
+
+// lentAt returns the number of lent retries that count as made.
+func (w *Window) lentAt(now clock.Millis) int {
+	w.lent = slices.DeleteFunc(w.lent, func(l Loan) bool { return now > l.Until })
+	n := 0
+	for _, l := range w.lent {
+		n += l.Retries
+	}
+	return n
+}
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -58,7 +58,7 @@
 	// retryBudgets holds this node's parts of the retry budgets by service. retryLoans borrows
 	// from those of other nodes. mostUrgent holds the most urgent priority of each service whose
 	// requests differ in priority.
-	retryBudgets map[string]*budget.Pooled
+	retryBudgets map[string]*budget.LendingWindow
 	retryLoans   *budget.Exchange
 	mostUrgent   map[string]int
 	// peerUsage is the usage that other nodes reported, by node name, and oldestPeerUsageAt when
@@ -159,7 +159,7 @@
 		localByService:    make(map[string][]*upstream),
 		fastestTokenTime:  make(map[string]float64),
 		requests:          make(map[RequestID]*request),
-		retryBudgets:      make(map[string]*budget.Pooled),
+		retryBudgets:      make(map[string]*budget.LendingWindow),
 		peerUsage:         make(map[string]nodeUsage),
 		departingSince:    make(map[fleet.Incarnation]clock.Millis),
 		outages:           make(map[string]*outage),
--- a/dispatch/retry_budget.go
+++ b/dispatch/retry_budget.go
@@ -28,11 +28,11 @@
 const lessUrgentPart = 0.5
 
 // budget returns this node's part of a service's retry budget.
-func (m *Model) budget(service string) *budget.Pooled {
+func (m *Model) budget(service string) *budget.LendingWindow {
 	b, ok := m.retryBudgets[service]
 	if !ok {
 		share, slack := m.retryAllowance()
-		b = budget.NewPooled(budget.NewWindow(m.policy.RetryWindow, share, slack, budget.WithDraw(m.retryDraw)))
+		b = budget.NewLendingWindow(budget.NewWindow(m.policy.RetryWindow, share, slack, budget.WithDraw(m.retryDraw)))
 		m.retryBudgets[service] = b
 		m.retryLoans.Add(service, b)
 	}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -201,7 +201,7 @@
 	case "asks":
 		retries.Asks = []budget.Ask{{Service: "writer", BootID: life, SentAt: asked, Retries: n}}
 	case "lends":
-		retries.Grants = []budget.Grant{{Borrower: "n1", Service: "writer", BootID: life, AskedAt: asked, Retries: n, Relent: s.Params["relent"] == "yes"}}
+		retries.Grants = []budget.Grant{{Borrower: "n1", Service: "writer", BootID: life, AskedAt: asked, Retries: n, LentOn: s.Params["relent"] == "yes"}}
 	default:
 		return nil
 	}
@@ -461,7 +461,7 @@
 	}
 	for _, g := range retries.Grants {
 		text += fmt.Sprintf(" %slends=%d to %s asked=%d", to, g.Retries, g.Borrower, g.AskedAt)
-		if g.Relent {
+		if g.LentOn {
 			text += " relent"
 		}
 	}
--- a/usage/retries.go
+++ b/usage/retries.go
@@ -17,7 +17,7 @@
 	}
 	for _, g := range retries.Grants[:min(len(retries.Grants), maxRetryLoans)] {
 		msg.RetryLoans = append(msg.RetryLoans, &wire.RetryLoan{
-			Borrower: g.Borrower, Service: g.Service, Life: g.BootID, AskedMs: int64(g.AskedAt), Retries: uint32(g.Retries), Relent: g.Relent,
+			Borrower: g.Borrower, Service: g.Service, Life: g.BootID, AskedMs: int64(g.AskedAt), Retries: uint32(g.Retries), Relent: g.LentOn,
 		})
 	}
 	return msg
@@ -31,7 +31,7 @@
 	}
 	for _, l := range msg.GetRetryLoans() {
 		retries.Grants = append(retries.Grants, budget.Grant{
-			Borrower: l.GetBorrower(), Service: l.GetService(), BootID: l.GetLife(), AskedAt: clock.Millis(l.GetAskedMs()), Retries: int(l.GetRetries()), Relent: l.GetRelent(),
+			Borrower: l.GetBorrower(), Service: l.GetService(), BootID: l.GetLife(), AskedAt: clock.Millis(l.GetAskedMs()), Retries: int(l.GetRetries()), LentOn: l.GetRelent(),
 		})
 	}
 	return retries
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -87,7 +87,7 @@
 
 	retries := budget.Report{
 		Asks:   []budget.Ask{{Service: "s", BootID: 9, SentAt: 1200, Retries: 3}},
-		Grants: []budget.Grant{{Borrower: "b", Service: "s", BootID: 8, AskedAt: 900, Retries: 2, Relent: true}},
+		Grants: []budget.Grant{{Borrower: "b", Service: "s", BootID: 8, AskedAt: 900, Retries: 2, LentOn: true}},
 	}
 	sender.SendUsage(map[fleet.Incarnation]fleet.EngineUsage{fleet.IncarnationByID("e1"): {Memory: 5, Streams: 2, PromptTokens: 700, Slowdown: 3}}, []fairshare.AccountUse{{Service: "writer", Account: "clinic", Amount: 900}, {Service: "writer", Account: "shop", Amount: -1}}, map[fleet.Incarnation]limit.Advertised{fleet.IncarnationByID("e1"): {Rate: 4.5}}, retries)
 	got := <-nearInbox
