dispatch, relay: split files that held several things

In relay, boundsPauses meant something else than in dispatch, and a method had the name of a constant.

The parts stand in files of their own, and the names in relay differ. Code is moved without a change. No behaviour changes.

--- a/dispatch/capacity_time.go
+++ b/dispatch/capacity_time.go
@@ -7,6 +7,9 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
+// refusalMargin is the time that a refusal needs to reach the client before it disconnects.
+const refusalMargin clock.Millis = 50
+
 // mayAwaitCapacity reports whether a request that lacks capacity may wait for it: the lack may
 // pass, and the request can still be served before its client leaves.
 func (m *Model) mayAwaitCapacity(r *request, reason Reason) bool {
--- a/relay/first_event.go
+++ b/relay/first_event.go
@@ -48,3 +48,18 @@
 		return nil
 	}))
 }
+
+// firstEventOverdue reports to the decider that the attempt still has no event.
+func (s *session) firstEventOverdue() {
+	if s.attempt != nil && s.events == 0 {
+		s.relay.decider.notify(s.relay.lifetime, dispatch.FirstEventOverdueMsg{Request: s.id, Attempt: s.attempt.cmd.Attempt})
+	}
+}
+
+// abandonOverdue abandons the attempt unless its first event has arrived meanwhile.
+func (s *session) abandonOverdue(cmd dispatch.AbandonCmd) {
+	if s.attempt != nil && s.attempt.cmd.Attempt == cmd.Attempt && s.events == 0 {
+		s.relay.stats.count("first_event_overdue")
+		s.abandon("", "first_event_is_overdue", false)
+	}
+}
--- a/relay/log.go
+++ b/relay/log.go
@@ -11,6 +11,7 @@
 
 	"github.com/hoistjunction/hoistjunction/admission"
 	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fairshare"
@@ -20,6 +21,20 @@
 // chainPartTextBytes is the approximate length in bytes of one part of a chain in the log.
 const chainPartTextBytes = 24
 
+// chainText formats a chain for the log.
+func chainText(parts []chain.Stage) string {
+	text := make([]byte, 0, len(parts)*chainPartTextBytes)
+	for i, p := range parts {
+		if i > 0 {
+			text = append(text, ' ')
+		}
+		text = append(text, p.ID.String()...)
+		text = append(text, ':')
+		text = appendRange(text, p.Layers.From, p.Layers.To)
+	}
+	return string(text)
+}
+
 func appendRange(text []byte, from, to int) []byte {
 	text = strconv.AppendInt(text, int64(from), 10)
 	text = append(text, '-')
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -10,8 +10,6 @@
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
-	"github.com/hoistjunction/hoistjunction/fleet"
-	"github.com/hoistjunction/hoistjunction/logging"
 )
 
 const (
@@ -97,16 +95,16 @@
 // pause returns the length of the pause that counts for stall checks.
 func (s *session) pause() clock.Millis { return s.relay.clock.Now().Sub(s.quietSince) }
 
-// boundsPauses reports whether the route of the current attempt bounds the pause of a stream that
-// has begun.
-func (s *session) boundsPauses() bool {
+// pauseIsBounded reports whether the answer is a stream over engines that has begun and whose route
+// bounds the pause between events.
+func (s *session) pauseIsBounded() bool {
 	return s.events > 0 && len(s.attempt.cmd.Chain) > 0 && s.route.EventGapTarget > 0
 }
 
 // reportWait returns how long a stalled stream waits for the reports of its engines; zero for the
 // limit of the query alone.
 func (s *session) reportWait() clock.Millis {
-	if !s.boundsPauses() {
+	if !s.pauseIsBounded() {
 		return 0
 	}
 	return reportWait(s.route.EventGapTarget, s.relay.clock.Now().Sub(s.lastEventAt))
@@ -219,8 +217,8 @@
 	case cmd.Crashed && cmd.SuspectedAddress == s.attempt.cmd.Address:
 		s.abandonCrashed()
 	case cmd.Crashed || s.pause() >= flowingWithin:
-		s.leaveEngine(cmd.SuspectedAddress, !cmd.Crashed && s.boundsPauses())
-	case s.boundsPauses():
+		s.leaveEngine(cmd.SuspectedAddress, !cmd.Crashed && s.pauseIsBounded())
+	case s.pauseIsBounded():
 		s.suspectedAddress = cmd.SuspectedAddress
 		s.stallTimer.Reset((flowingWithin - s.pause()).Duration())
 	}
@@ -279,84 +277,18 @@
 	case dispatch.MigrationDone:
 		// The new engines process all tokens first, so a pause does not indicate a stall yet.
 		s.quietSince = s.relay.clock.Now()
-		s.stallTimer.Reset(s.migrationStall().Duration())
+		s.stallTimer.Reset(s.stallAfterMigration().Duration())
 	case dispatch.MigrationRefused:
 		// The decider chooses another chain.
 	}
 }
 
-// migrationStall returns the time without an event after a migration until the engines are queried.
-// A new engine may have crashed together with the former one. If the route bounds pauses, the
-// engines are queried as soon as the migration alone has taken that long.
-func (s *session) migrationStall() clock.Millis {
-	if s.boundsPauses() {
+// stallAfterMigration returns the time without an event after a migration until the engines are
+// queried. If the route bounds pauses, it is at most the largest pause: a new engine may have crashed
+// together with the former one.
+func (s *session) stallAfterMigration() clock.Millis {
+	if s.pauseIsBounded() {
 		return min(migrationStall, s.route.EventGapTarget)
 	}
 	return migrationStall
 }
-
-// firstEventOverdue reports to the decider that the attempt still has no event.
-func (s *session) firstEventOverdue() {
-	if s.attempt != nil && s.events == 0 {
-		s.relay.decider.notify(s.relay.lifetime, dispatch.FirstEventOverdueMsg{Request: s.id, Attempt: s.attempt.cmd.Attempt})
-	}
-}
-
-// abandonOverdue abandons the attempt unless its first event has arrived meanwhile.
-func (s *session) abandonOverdue(cmd dispatch.AbandonCmd) {
-	if s.attempt != nil && s.attempt.cmd.Attempt == cmd.Attempt && s.events == 0 {
-		s.relay.stats.count("first_event_overdue")
-		s.abandon("", "first_event_is_overdue", false)
-	}
-}
-
-// probe checks an upstream on behalf of the decider.
-func (r *Relay) probe(cmd dispatch.ProbeCmd) {
-	go func() {
-		msg := dispatch.ProbedMsg{Upstream: cmd.Upstream}
-		var err error
-		if cmd.Engine {
-			var report EngineReport
-			report, err = r.reports.get(r.lifetime, cmd.Address, cmd.Upstream)
-			msg.Report, msg.Identified = report.Report, report.Identified
-		} else {
-			err = r.engines.Probe(r.lifetime, cmd.Address, cmd.Upstream)
-		}
-		msg.Answered = err == nil
-		r.log.Info("probe", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
-			zap.Float64("pace", msg.Report.Slowdown), zap.Float64("free", msg.Report.FreeMemory), zap.Float64("all", msg.Report.TotalMemory), logging.Err(err))
-		r.decider.notify(r.lifetime, msg)
-	}()
-}
-
-// identify asks which upstream uses an address, on behalf of the decider.
-func (r *Relay) identify(cmd dispatch.IdentifyCmd) {
-	go func() {
-		presence, err := r.engines.Identify(r.lifetime, cmd.Address, cmd.Path, cmd.Upstream)
-		r.log.Info("identified", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
-			zap.Stringer("as", presence), logging.Err(err))
-		r.handlePresence(cmd.Upstream, cmd.Address, presence)
-		r.decider.notify(r.lifetime, dispatch.IdentifiedMsg{Upstream: cmd.Upstream, Presence: presence})
-	}()
-}
-
-// handlePresence handles the result of an identification. Another incarnation at the address
-// proves that the upstream has terminated or never ran there.
-func (r *Relay) handlePresence(upstream fleet.Incarnation, address string, presence fleet.Presence) {
-	if presence == fleet.Replaced {
-		r.onReplaced(upstream, address)
-	}
-}
-
-func chainText(parts []chain.Stage) string {
-	text := make([]byte, 0, len(parts)*chainPartTextBytes)
-	for i, p := range parts {
-		if i > 0 {
-			text = append(text, ' ')
-		}
-		text = append(text, p.ID.String()...)
-		text = append(text, ':')
-		text = appendRange(text, p.Layers.From, p.Layers.To)
-	}
-	return string(text)
-}
