--- a/admission/controller.go
+++ b/admission/controller.go
@@ -7,7 +7,8 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
-// DefaultHysteresis is by how much the pressure must fall below a threshold before that is lifted.
+// DefaultHysteresis is by how much the pressure must fall below a threshold until requests with that
+// threshold are admitted again.
 // It exceeds the random variation of the pressure within the age of a report.
 const DefaultHysteresis = 0.06
 
@@ -20,7 +21,8 @@
 // Option configures a Controller.
 type Option func(*Controller)
 
-// WithHysteresis sets by how much the pressure must fall below a threshold before that is lifted.
+// WithHysteresis sets by how much the pressure must fall below a threshold until requests with that
+// threshold are admitted again.
 func WithHysteresis(h float64) Option { return func(c *Controller) { c.hysteresis = h } }
 
 // New returns a controller that holds nothing back.
--- a/admission/doc.go
+++ b/admission/doc.go
@@ -5,9 +5,8 @@
 // is insufficient for all of them. Priorities in the queues of engines do not help there, because
 // streams of less urgent requests that have begun keep the memory that more urgent ones need.
 //
-// A Load describes the engines of a service and what all nodes use of them. Its
-// use is that of the scarcest layer. The pressure of the service follows the use from 0 up to 1.
-// Each node computes it from the usage reports that all nodes share, so that all nodes arrive at
+// A Load describes the engines of a service and what all nodes use of them. Its use is that of the
+// scarcest layer. The pressure of the service follows the use from 0 up to 1. Each node computes it from the usage reports that all nodes share, so that all nodes arrive at
 // about the same value. The reports are 0.3 to 0.6 s old. Three measures keep admission from
 // oscillating because of that age:
 //
--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -10,7 +10,7 @@
 	// a fifth takes 0.06 of it in 0.6 s, which is the room above highUse.
 	lowUse  = 0.80
 	highUse = 0.88
-	// streamTime is the time in which the use approaches the value that a rate of new streams
+	// streamTime is the time in ms in which the use approaches the value that a rate of new streams
 	// leads to. Streams last one to three seconds.
 	streamTime = 2200.0
 	// pressureRate is the change of the pressure per ms and unit of use. The loop of all nodes
@@ -18,7 +18,8 @@
 	// its effect, exceeds 1.5. The delay is at most 0.6 s for the report and 0.3 s until the next
 	// observation. With a demand of twice the capacity the product is 0.6.
 	pressureRate = 0.35e-3
-	// excessRate is added to pressureRate for the use above highUse, and for the use below idleUse.
+	// excessRate is added to pressureRate for the use above highUse, and for the use below idleUse,
+	// per ms and unit of use.
 	// An engine whose memory is full reports no more use however large the demand is, so that
 	// pressureRate alone would raise the pressure too slowly. After a burst, it would hold back
 	// requests for seconds although engines are free. The use does not fall to idleUse by the
@@ -27,13 +28,13 @@
 	idleUse    = 0.7
 	// surgeUse is the expected use from which pressureRate is too slow: demand beyond the capacity
 	// fills the engines within one or two ages of a report. It exceeds 1 by the random variation
-	// of the expected use. surgeRate is added to pressureRate for the part above surgeUse, in
-	// proportion to the requests that are still admitted. Without that proportion, a service with
-	// few urgent requests oscillated at a mean use of 0.58.
+	// of the expected use. surgeRate is added to pressureRate for the part above surgeUse, per ms and
+	// unit of use, in proportion to the requests that are still admitted: only these can be held back
+	// in addition, and a faster rise makes the loop of all nodes oscillate.
 	surgeUse  = 1.1
 	surgeRate = 2.0e-3
-	// maxExpectedUse bounds the expected use. A steeper rise than demand of twice the capacity causes
-	// is the end of a gap in the reports.
+	// maxExpectedUse bounds the expected use. A rise steeper than that of a demand of twice the
+	// capacity is the end of a gap in the reports.
 	maxExpectedUse = 2.0
 	// assumedFall is by how much the use is assumed to fall below its sustained value while
 	// requests are held back, if it has not fallen further yet.
--- a/admission/service.go
+++ b/admission/service.go
@@ -9,8 +9,8 @@
 	// warmUp is the time from the first observation after a start or a silence during which nothing
 	// is held back, since some nodes have not reported yet.
 	warmUp clock.Millis = 1500
-	// contentionTime is how long contention outlasts the pressure. Measures that hold requests back
-	// because of the contention also lower the use, which varies at random by then.
+	// contentionTime is how long contention outlasts the pressure. Fair shares hold requests back under
+	// contention, which lowers the use, and its random variation may then take the pressure to 0.
 	contentionTime clock.Millis = 1500
 )
 
@@ -24,7 +24,8 @@
 	level float64
 	// observedSince is when the current series of observations began.
 	observedSince clock.Millis
-	// pressed reports whether the pressure has been above 0, and pressedAt when it last was.
+	// pressed reports whether the pressure has been above 0, and pressedAt when it last was; both are
+	// inputs of Contention.
 	pressed      bool
 	pressedAt    clock.Millis
 	newestReport clock.Millis
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -10,9 +10,9 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
-// updateAdmission determines the priorities of each pipeline service from the active configuration.
-// Admission control applies only to services whose requests may differ in priority.
-// For fair shares, the load of all pipeline services is observed if there are client accounts.
+// updateAdmission applies the active configuration to admission control and fair shares. Admission
+// control applies only to services whose requests may differ in priority. For fair shares, the load of
+// all pipeline services is observed if there are client accounts.
 func (m *Model) updateAdmission() {
 	m.updateAccountNames()
 	priorities := servicePriorities(m.catalog)
@@ -78,8 +78,8 @@
 	return summary
 }
 
-// observeLoad gives the load of the services to admission control, as often as nodes share their
-// usage.
+// observeLoad passes the load of the services to admission control and fair shares, as often as nodes
+// share their usage.
 func (m *Model) observeLoad() {
 	if m.now < m.loadObservedAt.Add(shareInterval) {
 		return
@@ -93,7 +93,8 @@
 
 // serviceLoad returns the load of a service's engines: the usage that other nodes reported and that
 // of this node. It covers all data centres: while only the engines of this one are short of a layer,
-// chains use those of others, and holding requests back would leave these idle. Engines that get no new work are left out with their usage.
+// chains use those of others, and holding requests back would leave these idle. Engines that get no
+// new work are left out with their usage.
 func (m *Model) serviceLoad(name string) admission.Load {
 	load := admission.Load{Layers: m.catalog.Service(name).Pipeline.Layers}
 	load.NewestReport, load.OldestReport = m.peerReportTimes()
@@ -126,8 +127,8 @@
 // ones. Requests that were sent before, and streams that have begun, are not: their share of the
 // engines' work would be lost.
 //
-// Only the pressure is checked. A check that the predicted first event comes before the caller
-// leaves belongs here.
+// Only the pressure is checked. Whether the predicted first event comes before the caller leaves is
+// not.
 func (m *Model) heldBack(r *request) bool {
 	if r.service.Pipeline == nil || r.attempts > 0 || r.answerBegun() {
 		return false
@@ -140,24 +141,24 @@
 // which uses the same id.
 const admissionSalt = "admission "
 
-// maxHeldBackRetryAfter bounds the Retry-After time of requests that were held back. Pressure lasts as
-// long as the burst of demand that causes it. With 4 s, as for coverage gaps, 11 in 100 requests of a
-// simulated burst of 8 s were not served, against 8 in 100.
+// maxHeldBackRetryAfter bounds the Retry-After time of requests that were held back by admission
+// control or fair shares. Pressure lasts as long as the burst of demand that causes it, which is
+// longer than a coverage gap. A client that returns earlier is refused again, and it retries once.
 const maxHeldBackRetryAfter clock.Millis = 10_000
 
 // refuseHeldBack ends a request that was held back. It has not been sent anywhere, as the answer
 // states.
 func (m *Model) refuseHeldBack(r *request) []Cmd {
-	cmd := m.response(r.arrival.Request, http.StatusServiceUnavailable, ReasonHeldBack, m.heldBackRetryAfter(r))
+	cmd := m.response(r.arrival.Request, http.StatusServiceUnavailable, ReasonHeldBack, m.heldBackRetryAfter(r, r.admissionDecision.Wait))
 	decision := r.admissionDecision
 	cmd.HeldBack = &decision
 	return m.respondOrAbort(r.arrival.Request, cmd, ReasonHeldBack)
 }
 
-// heldBackRetryAfter returns the time after which a request that was held back should be admitted,
-// spread over clients.
-func (m *Model) heldBackRetryAfter(r *request) clock.Millis {
-	wait := clock.Millis(float64(r.admissionDecision.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
+// heldBackRetryAfter returns the Retry-After time of a request that was held back, from the expected
+// time until it is admitted. It is spread over requests, so that they do not all return at once.
+func (m *Model) heldBackRetryAfter(r *request, expected clock.Millis) clock.Millis {
+	wait := clock.Millis(float64(expected) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
 	return m.capRetryAfter(r, min(max(wait, shortRetryAfter), maxHeldBackRetryAfter))
 }
 
--- a/dispatch/fair_share.go
+++ b/dispatch/fair_share.go
@@ -27,7 +27,8 @@
 	m.catalog.EachAccount(func(a catalog.Account) { m.accountNames[a.Name] = true })
 }
 
-// observeShares gives the use by account of a service under contention to fair shares.
+// observeShares passes the use by account of a service under contention to fair shares, and ends the
+// contention otherwise.
 func (m *Model) observeShares(service string) {
 	use, contended := m.admission.Contention(m.now, service)
 	if !contended || !m.fairSharesEnabled() || m.nodeCount.total == 0 {
@@ -94,10 +95,10 @@
 // account goes on at the present rate. An account that falls below its share is limited for longer
 // than clients wait.
 func (m *Model) expectedShareWait(r *request) clock.Millis {
-	lane, level, ahead := m.capacityQueue(r.service.Name).lanes[heldLane], r.queueLevel(), 0
+	held, level, ahead := m.capacityQueue(r.service.Name).lanes[heldLane], r.queueLevel(), 0
 	for _, other := range m.requests {
 		if other.capacity.reason != ReasonOverFairShare || other.account.Name != r.account.Name ||
-			other.position.queue != lane.returning && other.position.queue != lane.fresh {
+			other.position.queue != held.returning && other.position.queue != held.fresh {
 			continue
 		}
 		if other.position.level < level || other.position.level == level && (other.goesFirst() || !r.goesFirst()) {
@@ -107,8 +108,8 @@
 	return r.shareDecision.NextIn + clock.Millis(ahead)*r.shareDecision.Interval
 }
 
-// sendFromHeldLane sends the waiting requests that are held back no longer, in the order of the lane
-// as far as they are.
+// sendFromHeldLane sends the waiting requests of the held lane that are no longer held back, in the
+// order of the lane. Unlike in other lanes, one that must go on waiting does not stop those behind it.
 func (m *Model) sendFromHeldLane(service string, l capacityLane) []Cmd {
 	var waiting []*request
 	for _, r := range m.requests {
@@ -151,25 +152,14 @@
 	}
 }
 
-// maxOverShareRetryAfter bounds the Retry-After time of requests over their account's share. An
-// account falls below its share within seconds if it does not send more.
-const maxOverShareRetryAfter clock.Millis = 10_000
-
 // refuseOverFairShare ends a request of an account above its fair share. It has not been sent
 // anywhere, as the answer states.
 func (m *Model) refuseOverFairShare(r *request) []Cmd {
-	cmd := m.response(r.arrival.Request, http.StatusServiceUnavailable, ReasonOverFairShare, m.overShareRetryAfter(r))
+	cmd := m.response(r.arrival.Request, http.StatusServiceUnavailable, ReasonOverFairShare, m.heldBackRetryAfter(r, r.shareDecision.Wait))
 	cmd.OverShare = r.overShareDecision(ReasonOverFairShare)
 	return m.respondOrAbort(r.arrival.Request, cmd, ReasonOverFairShare)
 }
 
-// overShareRetryAfter returns the time after which the account should be below its share, spread over
-// requests. It is at most the share of the client's remaining time that clients honour.
-func (m *Model) overShareRetryAfter(r *request) clock.Millis {
-	wait := clock.Millis(float64(r.shareDecision.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
-	return m.capRetryAfter(r, max(min(wait, maxOverShareRetryAfter), shortRetryAfter))
-}
-
 // FairShares summarises the division of capacity among client accounts, for metrics.
 type FairShares struct {
 	// HeldBack counts the requests that were held back, each once.
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -33,9 +33,9 @@
 	// nodeCount estimates the number of nodes; its total is 0 while unknown.
 	nodeCount nodeCount
 	// manyNodes reports whether the data centre has so many nodes that each one serves few
-	// requests and knows the usage of the others as a sum.
+	// requests and receives the usage of the others as a sum.
 	manyNodes bool
-	// seed makes the places of this node differ from those of other nodes.
+	// seed makes random choices and the recovery places at engines differ between nodes.
 	seed uint64
 	// usagePeers is the number of other nodes whose usage this node should know. usageAggregated
 	// reports whether it receives that usage as one sum.
@@ -320,7 +320,7 @@
 			u.update(m.now, c.Upstream)
 		default:
 			u = newUpstream(c.Upstream)
-			u.preference, u.probeCandidates = nodePreference(m.seed, c.ID), m.probeCandidates
+			u.recoveryPlace, u.probeCandidates = recoveryPlace(m.seed, c.ID), m.probeCandidates
 			u.peerUse = m.peerUseOf(c.ID)
 			m.upstreams[c.ID] = u
 			m.upstreamListed(u)
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -2,12 +2,13 @@
 
 import "github.com/hoistjunction/hoistjunction/clock"
 
-// When an engine terminates without a word, streams through it can also hold up the engines before
-// it, which answer reports as usual. All new streams of a data centre then wait on the same engines
-// for seconds, and no report names the fault. The only evidence are attempts without a first event.
+// When an engine crashes without closing its connections, streams through it can also delay the
+// engines before it, which answer reports as usual. New streams of all nodes then wait on the same
+// engines for seconds, and no report names the fault. Attempts without a first event are the only
+// sign of it.
 const (
-	// overdueWindow is how long the engines of an attempt without a first event are avoided. It is
-	// long enough for the next requests of a node with two requests per second.
+	// overdueWindow is how long the engines of an attempt without a first event are avoided. A node
+	// with two requests per second sends about three in that time.
 	overdueWindow clock.Millis = 1500
 	// overduePenalty is added to the cost of such an engine, in ms per token. Two of them outweigh
 	// a first stage in another data centre.
@@ -31,8 +32,8 @@
 	}
 }
 
-// clearOverdue uses the engines of a stream again, since its first event has come through all of
-// them.
+// clearOverdue ends the avoidance of a stream's engines, since its first event has come through all
+// of them.
 func (m *Model) clearOverdue(r *request) {
 	for _, p := range r.chain {
 		if u := m.upstreams[p.ID]; u != nil {
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -200,7 +200,7 @@
 }
 
 // recoveringNodes returns the number of nodes that are assumed to move streams too. A node that
-// has no count yet uses the nodes whose usage it should know.
+// has no count yet uses the number of nodes that report their usage to it.
 func (m *Model) recoveringNodes() int { return max(m.nodeCount.total, m.usagePeers+1) }
 
 // recoveryEngine returns the values of an engine that the backlog needs.
@@ -245,12 +245,12 @@
 		return 0
 	}
 	engine := m.recoveryEngine(u)
-	placeTime := u.preference * float64(engine.Nodes) * r.unreadTokens() / engine.Rate
+	placeTime := u.recoveryPlace * float64(engine.Nodes) * r.unreadTokens() / engine.Rate
 	return m.fastestTokenTime[r.service.Name] * (m.backlog.ReadTime(m.now, engine) + placeTime) / float64(r.route.EventGapTarget)
 }
 
-// nodePreference returns a number from 0 up to 1 that is fixed for a node and an engine.
-func nodePreference(seed uint64, id fleet.Incarnation) float64 {
+// recoveryPlace returns a number from 0 up to 1 that is fixed for a node and an engine.
+func recoveryPlace(seed uint64, id fleet.Incarnation) float64 {
 	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(id.String()))).Float64()
 }
 
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -7,14 +7,14 @@
 // more than the cost of a hop, so that chains over different accelerators share the load too.
 const DefaultSpreadCost = 1.0
 
-// Nodes that receive usage as one sum know the same, and what they know is up to two report
-// intervals old. If each of them took the cheapest chain, all would send to the same engines until
-// the next sum shows these as loaded, and then to the next ones together: within a second one
-// entry engine would receive a third of the requests of a hundred nodes and reject most of them.
-// Each request therefore adds a random cost to each engine. Among chains of about equal cost the
-// choice is then random, and the more a chain costs above the cheapest, the rarer it is chosen.
+// Nodes that receive usage as one sum have the same information, up to two report intervals old. If
+// each of them took the cheapest chain, all would send to the same engines until the next sum shows
+// these as loaded, and then to the next ones together: the first engines would receive more requests
+// than they have slots, and reject most of them. Each request therefore adds a random cost to each
+// engine. Among chains of about equal cost the choice is then random, and the more a chain costs above
+// the cheapest, the less often it is chosen.
 
-// spread adds a random cost to an engine if this node shares its knowledge with many others. The
+// spread adds a random cost to an engine if many nodes have the same usage reports as this one. The
 // cost has an exponential distribution, so that the cheapest of several equal engines is drawn
 // uniformly and an engine that costs a few times the mean more is hardly ever chosen.
 func (m *Model) spread(h *chain.Holder) {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -29,9 +29,9 @@
 	meanLatency float64
 	failureRate float64
 
-	// preference is this node's place among the nodes that move streams to the engine at the same
-	// time: from 0 up to 1, fixed for the node and the engine.
-	preference float64
+	// recoveryPlace is this node's assumed place among the nodes that move streams to the engine at
+	// the same time: from 0 up to 1, fixed for the node and the engine.
+	recoveryPlace float64
 	// probeCandidates is the model's set of upstreams that may need a probe.
 	probeCandidates probeSet
 	// sharesAddress reports whether another upstream is listed with the same address, so that one
--- a/fairshare/account.go
+++ b/fairshare/account.go
@@ -14,21 +14,20 @@
 	// limitedTime is how long the use of an account must stay below the share until all of its
 	// requests are admitted again. An account that asks for more than its share rises above it within
 	// this time. Without it, all nodes would admit every retry of such an account during the age of
-	// a report, and fill the engines: with an immediate release below 0.6 of the share, small accounts
-	// got 0.85 of what they ask for in TestClosedLoop, against 0.99.
+	// a report, and fill the engines.
 	limitedTime clock.Millis = 2000
-	// streamTime is the time in which the use approaches the value that a rate of new requests leads
-	// to. Streams last one to three seconds.
+	// streamTime is the time in ms in which the use approaches the value that a rate of new requests
+	// leads to. Streams last one to three seconds.
 	streamTime = 2200.0
 	// correction is the exponent with which the rate follows the ratio of the intended use to the
 	// actual one. It makes up for nodes that receive few requests of the account and for streams of
-	// other durations. The effect of the rate is known 0.6 s later: with an exponent of 3 the loop
-	// of all nodes oscillated, and small accounts got 0.92 of what they ask for.
+	// other durations. The effect of the rate is known only 0.6 s later, so a stronger correction makes
+	// the loop of all nodes oscillate.
 	correction = 1.5
 	// maxCorrection bounds the factor on the rate, for accounts that send to few of the nodes.
 	maxCorrection = 16.0
 	// maxSavedTime bounds the allowance of a node that receives no requests of the account for a
-	// while, as the time in which it accrues.
+	// while, as the time in ms in which it accrues.
 	maxSavedTime = 4000.0
 )
 
@@ -39,8 +38,9 @@
 	// limited reports whether requests are held back, and aboveAt when the use last was above the share.
 	limited bool
 	aboveAt clock.Millis
-	// rate is the part of this node in the admitted use per ms, and allowance what may be admitted
-	// now, as of accruedAt. An admitted request may exceed the allowance, which is negative then.
+	// rate is this node's part of the admitted use, in tokens times layers per ms. allowance is the
+	// amount in tokens times layers that it may admit as of accruedAt. An admitted request may exceed
+	// the allowance, which is negative then.
 	rate      float64
 	allowance float64
 	accruedAt clock.Millis
@@ -79,7 +79,8 @@
 		return true
 	}
 	if !a.begun {
-		// Nodes begin at different points, or each would admit a request at the same time.
+		// The first allowance differs between nodes. Otherwise all would admit a request at the same
+		// time.
 		a.begun, a.allowance, a.accruedAt = true, -r.Draw*r.Amount, now
 	}
 	a.accrue(now)
--- a/fairshare/controller.go
+++ b/fairshare/controller.go
@@ -50,7 +50,7 @@
 		return
 	}
 	s.contended = false
-	if now > s.observedAt.Add(memoryTime) {
+	if now > s.observedAt.Add(accountRetention) {
 		delete(c.services, name)
 	}
 }
--- a/fairshare/service.go
+++ b/fairshare/service.go
@@ -7,8 +7,8 @@
 	// above the use from which a service counts as under contention, and the rest has room for what
 	// is admitted before the next reports arrive. Chains are built up to 0.94 of an engine's memory.
 	intendedUse = 0.88
-	// excessRate is the decrease of the rate at which limited accounts are admitted, per unit of use
-	// above the intended one. While the engines are full, small accounts use less than they ask for,
+	// excessRate is the relative decrease of the rate at which limited accounts are admitted, per unit
+	// of use above the intended one. While the engines are full, small accounts use less than they ask for,
 	// and the shares that follow from their use are too large. minRatePart bounds the decrease.
 	excessRate  = 8.0
 	minRatePart = 0.2
@@ -22,9 +22,9 @@
 	// warmUp is the time from the start of contention during which nothing is held back, since some
 	// nodes have not reported yet.
 	warmUp clock.Millis = 600
-	// memoryTime is how long the accounts are kept after the end of contention. Contention that
+	// accountRetention is how long the accounts are kept after the end of contention. Contention that
 	// returns within this time has the same cause.
-	memoryTime clock.Millis = 5000
+	accountRetention clock.Millis = 5000
 )
 
 // service is the state of a service under contention.
--- a/forecast/doc.go
+++ b/forecast/doc.go
@@ -6,7 +6,7 @@
 // Each engine reads prompts in passes that read a bounded number of tokens. An engine passes on what
 // it has read after each pass, so the next stage begins with a long prompt while the one before
 // reads its rest. Once the last stage has read all of it, one further pass over all stages generates
-// the first event. The streams in the batch lengthen that pass, but not the reading.
+// the first event. The other streams in the batch lengthen that pass, but not the reading.
 //
 // The prompts that wait at an engine are read while the request is still at the stages before it.
 // They delay the request only as far as they last longer than that. A sum over the stages would
--- a/forecast/stage.go
+++ b/forecast/stage.go
@@ -30,8 +30,7 @@
 func (s Stage) slowed(time float64) float64 { return time * max(s.Slowdown, 1) }
 
 // readTime returns the time to read prompt tokens. The tokens that the engine generates for other
-// streams in the same passes are not added: engines read while they decode, and with the decode
-// steps predictions were almost twice the actual times.
+// streams in the same passes are not added, since engines read while they decode.
 func (s Stage) readTime(tokens float64) float64 { return s.slowed(tokens * s.ReadTime) }
 
 // backlogTime returns the time to read the waiting prompts.
--- a/reading/list_encoder.go
+++ b/reading/list_encoder.go
@@ -12,9 +12,9 @@
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
-// listEncoder encodes full lists, and keeps the last one: encoding 3,000 upstreams takes 4 ms of
-// one core, and a hundred nodes that start together request the same list. It is safe for
-// concurrent use.
+// listEncoder encodes full lists, and keeps the last one: all nodes that start together request the
+// same list, and the time to encode it grows with the number of upstreams. It is safe for concurrent
+// use.
 type listEncoder struct {
 	mu      sync.Mutex
 	token   uint64
--- a/reading/log.go
+++ b/reading/log.go
@@ -30,9 +30,9 @@
 
 const (
 	// startingPeriod bounds how long after its start a node without a reading of the store lets
-	// requests of nodes that start too wait for one. A node that is refused reads the store
-	// itself. When 300 nodes started together with 2,979 upstreams, the readers had the list
-	// after 0.29 to 0.46 s, and the nodes that they had refused after 2.1 s.
+	// requests of nodes that start too wait for one. A node that is refused reads all pages of the
+	// list from the store itself, which takes it longer. Callers leave after 2 s, so a node that has
+	// waited longer than this could not serve its first requests in time.
 	startingPeriod clock.Millis = 1500
 	// maxBatches bounds the responses of the store whose list changes are kept for followers. A
 	// follower is at most one wait behind, and a busy list changes a few times a second.
