--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -113,14 +113,11 @@
 // peerReportTimes returns when the newest and the oldest usage report of other nodes in use arrived;
 // clock.Never if there is none.
 func (m *Model) peerReportTimes() (newest, oldest clock.Millis) {
-	newest, oldest = clock.Never, clock.Never
+	times := newReportTimes()
 	for _, peer := range m.peerUsage {
-		newest = max(newest, peer.receivedAt)
-		if oldest == clock.Never || peer.receivedAt < oldest {
-			oldest = peer.receivedAt
-		}
+		times.add(peer.receivedAt)
 	}
-	return newest, oldest
+	return times.newest, times.oldest
 }
 
 // heldBack reports whether a new request of a pipeline service is held back in favour of more urgent
@@ -137,6 +134,19 @@
 	return !r.admissionDecision.Admitted
 }
 
+// reportTimes are the arrivals of the newest and the oldest of several usage reports; clock.Never
+// without any.
+type reportTimes struct{ newest, oldest clock.Millis }
+
+func newReportTimes() reportTimes { return reportTimes{newest: clock.Never, oldest: clock.Never} }
+
+func (t *reportTimes) add(receivedAt clock.Millis) {
+	t.newest = max(t.newest, receivedAt)
+	if t.oldest == clock.Never || receivedAt < t.oldest {
+		t.oldest = receivedAt
+	}
+}
+
 // admissionSalt makes the draw for admission independent of the split of traffic among services,
 // which uses the same id.
 const admissionSalt = "admission "
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -17,7 +17,7 @@
 	cmds := append(m.recordFault(r, msg), m.recordLoss(r, msg)...)
 	m.recordExecution(r, msg)
 	if msg.Cause == CauseNoProgress && msg.FaultyAddress == "" && msg.Events == 0 {
-		m.recordOverdue(r)
+		m.recordMissingFirstEvent(r)
 	}
 	if msg.Cause == CauseFull && r.service.Pipeline == nil {
 		r.slotRefusals++
--- a/dispatch/fair_share.go
+++ b/dispatch/fair_share.go
@@ -35,21 +35,18 @@
 		m.fairShares.EndContention(m.now, service)
 		return
 	}
-	load := fairshare.Load{Use: use, Nodes: m.nodeCount.total, NewestReport: clock.Never, OldestReport: clock.Never}
-	sum := make(fairshare.Usage)
+	sum, times := make(fairshare.Usage), newReportTimes()
 	for _, peer := range m.peerReports() {
 		if !reportsService(peer.accounts, service) {
 			continue
 		}
 		sum.AddAll(m.configured(peer.accounts))
-		load.NewestReport = max(load.NewestReport, peer.receivedAt)
-		if load.OldestReport == clock.Never || peer.receivedAt < load.OldestReport {
-			load.OldestReport = peer.receivedAt
-		}
+		times.add(peer.receivedAt)
 	}
 	sum.AddAll(m.configured(m.ownAccountUse().Largest()))
-	load.ByAccount = sum[service]
-	m.fairShares.Observe(m.now, service, load)
+	m.fairShares.Observe(m.now, service, fairshare.Load{
+		Use: use, ByAccount: sum[service], Nodes: m.nodeCount.total, NewestReport: times.newest, OldestReport: times.oldest,
+	})
 }
 
 // overFairShare reports whether a new request of a pipeline service is held back because its account
--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -42,7 +42,7 @@
 		return
 	}
 	r.awaitsFirstEvent = false
-	m.clearOverdue(r)
+	m.clearMissingFirstEvent(r)
 	for i := range r.reservations {
 		h := &r.reservations[i]
 		h.upstream.promptTokens -= h.promptTokens
@@ -56,7 +56,7 @@
 	if r == nil || msg.Attempt != r.attempts {
 		return nil
 	}
-	m.recordOverdue(r)
+	m.recordMissingFirstEvent(r)
 	if r.migrating || !m.canReplaceAttempt(r) {
 		return nil
 	}
--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -76,7 +76,7 @@
 		h.Penalty = triedPenalty
 	}
 	m.spread(&h)
-	h.Penalty += m.recoveryCost(r, u) + u.overdueCost(m.now)
+	h.Penalty += m.recoveryCost(r, u) + u.missingEventCost(m.now)
 	if u.suspected {
 		h.Penalty += suspectPenalty
 	}
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -58,9 +58,9 @@
 	reservedAtReport float64
 	// reportWanted reports whether the engine's report is requested at the next tick.
 	reportWanted bool
-	// overdueUntil is the end of the time for which the engine is avoided because of an attempt
+	// avoidedForNoEventUntil is the end of the time for which the engine is avoided because of an attempt
 	// without a first event.
-	overdueUntil clock.Millis
+	avoidedForNoEventUntil clock.Millis
 	// suspected upstreams get no work until a probe succeeds.
 	suspected     bool
 	probeInFlight bool
