--- a/budget/exchange.go
+++ b/budget/exchange.go
@@ -74,7 +74,7 @@
 	LentOn int `json:"relent"`
 }
 
-// Counts returns the retries requested and lent so far.
+// Counts returns the retries requested, lent, borrowed and lent on so far.
 func (x *Exchange) Counts() Counts { return x.counts }
 
 type askKey struct{ node, service string }
