--- a/dispatch/fair_share.go
+++ b/dispatch/fair_share.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"net/http"
 	"slices"
 
@@ -28,101 +27,26 @@
 	m.catalog.EachAccount(func(a catalog.Account) { m.accountNames[a.Name] = true })
 }
 
-// observeShares gives the use by account of a service under contention to fair shares.
+// observeShares passes the use by account of a service under contention to fair shares, and ends the
+// contention otherwise.
 func (m *Model) observeShares(service string) {
 	use, contended := m.admission.Contention(m.now, service)
 	if !contended || !m.fairSharesEnabled() || m.nodeCount.total == 0 {
 		m.fairShares.EndContention(m.now, service)
 		return
 	}
-	load := fairshare.Load{Use: use, Nodes: m.nodeCount.total, NewestReport: clock.Never, OldestReport: clock.Never}
-	sum := make(fairshare.Usage)
+	sum, times := make(fairshare.Usage), newReportTimes()
 	for _, peer := range m.peerReports() {
 		if !reportsService(peer.accounts, service) {
 			continue
 		}
 		sum.AddAll(m.configured(peer.accounts))
-		load.NewestReport = max(load.NewestReport, peer.receivedAt)
-		if load.OldestReport == clock.Never || peer.receivedAt < load.OldestReport {
-			load.OldestReport = peer.receivedAt
-		}
+		times.add(peer.receivedAt)
 	}
 	sum.AddAll(m.configured(m.ownAccountUse().Largest()))
-	load.ByAccount = sum[service]
-	m.fairShares.Observe(m.now, service, load)
-}
-
-// reportsService reports whether a report contains the use of a service.
-func reportsService(accounts []fairshare.AccountUse, service string) bool {
-	return slices.ContainsFunc(accounts, func(u fairshare.AccountUse) bool { return u.Service == service })
-}
-
-// configured returns the uses of the configured accounts. Those of others are left out: nodes may
-// report anything, and an account that was removed gets no share.
-func (m *Model) configured(uses []fairshare.AccountUse) []fairshare.AccountUse {
-	if !slices.ContainsFunc(uses, m.unconfigured) {
-		return uses
-	}
-	return slices.DeleteFunc(slices.Clone(uses), m.unconfigured)
-}
-
-func (m *Model) unconfigured(use fairshare.AccountUse) bool { return !m.accountNames[use.Account] }
-
-// ownAccountUse returns the use by account of this node's requests, for services under contention.
-func (m *Model) ownAccountUse() fairshare.Usage {
-	own := make(fairshare.Usage)
-	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
-		r := m.requests[id]
-		if len(r.reservations) == 0 {
-			continue
-		}
-		if _, contended := m.admission.Contention(m.now, r.service.Name); !contended {
-			continue
-		}
-		for _, reserved := range r.reservations {
-			own.Add(fairshare.AccountUse{Service: r.service.Name, Account: r.account.Name, Amount: reserved.amount})
-		}
-	}
-	return own
-}
-
-// shareAccountUse adds the use by account to a usage report. Nothing is added while no service is
-// under contention here, except what other nodes report.
-func (m *Model) shareAccountUse(cmd *ShareUsageCmd) {
-	m.sharedAccounts = nil
-	if !m.fairSharesEnabled() {
-		return
-	}
-	own := m.ownAccountUse()
-	m.sharedAccounts = own.Largest()
-	cmd.Accounts = m.sharedAccounts
-	if m.usageAggregated {
-		return
-	}
-	dataCentre, all := make(fairshare.Usage), make(fairshare.Usage)
-	dataCentre.AddAll(m.sharedAccounts)
-	all.AddAll(m.sharedAccounts)
-	for _, peer := range m.peerReports() {
-		accounts := m.configured(peer.accounts)
-		all.AddAll(accounts)
-		if !peer.wholeDataCentre {
-			dataCentre.AddAll(accounts)
-		}
-	}
-	cmd.DataCentreAccounts, cmd.AllAccounts = dataCentre.Largest(), all.Largest()
-}
-
-// peerAccounts returns the use by account of other nodes in a usage report. Of a sum over all nodes,
-// it is the rest without what this node shared last.
-func (m *Model) peerAccounts(msg UsageMsg) []fairshare.AccountUse {
-	accounts := fairshare.Plausible(msg.Accounts)
-	if !msg.AllNodes || len(accounts) == 0 {
-		return accounts
-	}
-	others := make(fairshare.Usage)
-	others.AddAll(accounts)
-	others.Subtract(m.sharedAccounts)
-	return others.Largest()
+	m.fairShares.Observe(m.now, service, fairshare.Load{
+		Use: use, ByAccount: sum[service], Nodes: m.nodeCount.total, NewestReport: times.newest, OldestReport: times.oldest,
+	})
 }
 
 // overFairShare reports whether a new request of a pipeline service is held back because its account
@@ -131,12 +55,12 @@
 	if r.service.Pipeline == nil || r.attempts > 0 || r.answerBegun() || !m.fairSharesEnabled() {
 		return false
 	}
-	r.fairShare = m.fairShares.Admit(m.now, r.service.Name, r.shareRequest())
-	if !r.fairShare.Admitted && !r.wasOverShare {
+	r.shareDecision = m.fairShares.Admit(m.now, r.service.Name, r.shareRequest())
+	if !r.shareDecision.Admitted && !r.wasOverShare {
 		r.wasOverShare = true
 		m.overShareCount++
 	}
-	return !r.fairShare.Admitted
+	return !r.shareDecision.Admitted
 }
 
 // shareRequest describes a request to fair shares. Its draw depends on its work, so that it is the
@@ -160,7 +84,7 @@
 	if reason != ReasonOverFairShare {
 		return nil
 	}
-	decision := r.fairShare
+	decision := r.shareDecision
 	return &decision
 }
 
@@ -168,21 +92,21 @@
 // account goes on at the present rate. An account that falls below its share is limited for longer
 // than clients wait.
 func (m *Model) expectedShareWait(r *request) clock.Millis {
-	lane, level, ahead := m.capacityQueue(r.service.Name).lanes[heldLane], r.queueLevel(), 0
+	held, level, ahead := m.capacityQueue(r.service.Name).lanes[heldLane], r.queueLevel(), 0
 	for _, other := range m.requests {
 		if other.capacity.reason != ReasonOverFairShare || other.account.Name != r.account.Name ||
-			other.position.queue != lane.returning && other.position.queue != lane.fresh {
+			other.position.queue != held.returning && other.position.queue != held.fresh {
 			continue
 		}
 		if other.position.level < level || other.position.level == level && (other.goesFirst() || !r.goesFirst()) {
 			ahead++
 		}
 	}
-	return r.fairShare.NextIn + clock.Millis(ahead)*r.fairShare.Interval
+	return r.shareDecision.NextIn + clock.Millis(ahead)*r.shareDecision.Interval
 }
 
-// sendFromHeldLane sends the waiting requests that are held back no longer, in the order of the lane
-// as far as they are.
+// sendFromHeldLane sends the waiting requests of the held lane that are no longer held back, in the
+// order of the lane. Unlike in other lanes, one that must go on waiting does not stop those behind it.
 func (m *Model) sendFromHeldLane(service string, l capacityLane) []Cmd {
 	var waiting []*request
 	for _, r := range m.requests {
@@ -225,25 +149,14 @@
 	}
 }
 
-// maxOverShareRetryAfter bounds the Retry-After time of requests over their account's share. An
-// account falls below its share within seconds if it does not send more.
-const maxOverShareRetryAfter clock.Millis = 10_000
-
 // refuseOverFairShare ends a request of an account above its fair share. It has not been sent
 // anywhere, as the answer states.
 func (m *Model) refuseOverFairShare(r *request) []Cmd {
-	cmd := m.response(r.arrival.Request, http.StatusServiceUnavailable, ReasonOverFairShare, m.overShareRetryAfter(r))
+	cmd := m.response(r.arrival.Request, http.StatusServiceUnavailable, ReasonOverFairShare, m.heldBackRetryAfter(r, r.shareDecision.Wait))
 	cmd.OverShare = r.overShareDecision(ReasonOverFairShare)
 	return m.respondOrAbort(r.arrival.Request, cmd, ReasonOverFairShare)
 }
 
-// overShareRetryAfter returns the time after which the account should be below its share, spread over
-// requests. It is at most the share of the client's remaining time that clients honour.
-func (m *Model) overShareRetryAfter(r *request) clock.Millis {
-	wait := clock.Millis(float64(r.fairShare.Wait) * (minOutageFactor + outageSpread*hashPosition(r.arrival.CallerID)))
-	return m.capRetryAfter(r, max(min(wait, maxOverShareRetryAfter), shortRetryAfter))
-}
-
 // FairShares summarises the division of capacity among client accounts, for metrics.
 type FairShares struct {
 	// HeldBack counts the requests that were held back, each once.
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -33,9 +33,9 @@
 	// nodeCount estimates the number of nodes; its total is 0 while unknown.
 	nodeCount nodeCount
 	// manyNodes reports whether the data centre has so many nodes that each one serves few
-	// requests and knows the usage of the others as a sum.
+	// requests and receives the usage of the others as a sum.
 	manyNodes bool
-	// seed makes the places of this node differ from those of other nodes.
+	// seed makes random choices and the recovery places at engines differ between nodes.
 	seed uint64
 	// usagePeers is the number of other nodes whose usage this node should know. usageAggregated
 	// reports whether it receives that usage as one sum.
@@ -58,7 +58,7 @@
 	// retryBudgets holds this node's parts of the retry budgets by service. retryLoans borrows
 	// from those of other nodes. mostUrgent holds the most urgent priority of each service whose
 	// requests differ in priority.
-	retryBudgets map[string]*budget.Pooled
+	retryBudgets map[string]*budget.LendingWindow
 	retryLoans   *budget.Exchange
 	mostUrgent   map[string]int
 	// peerUsage is the usage that other nodes reported, by node name, and oldestPeerUsageAt when
@@ -159,7 +159,7 @@
 		localByService:    make(map[string][]*upstream),
 		fastestTokenTime:  make(map[string]float64),
 		requests:          make(map[RequestID]*request),
-		retryBudgets:      make(map[string]*budget.Pooled),
+		retryBudgets:      make(map[string]*budget.LendingWindow),
 		peerUsage:         make(map[string]nodeUsage),
 		departingSince:    make(map[fleet.Incarnation]clock.Millis),
 		outages:           make(map[string]*outage),
@@ -203,7 +203,7 @@
 	case AttemptFailedMsg:
 		return m.attemptFailed(msg)
 	case FirstEventMsg:
-		m.firstEvent(msg)
+		m.recordFirstEvent(msg)
 	case AttemptDoneMsg:
 		return m.attemptDone(msg)
 	case StalledMsg:
@@ -297,80 +297,9 @@
 	return m.policy.MaxConfigAge == 0 || now.Sub(m.configConfirmedAt) <= m.policy.MaxConfigAge-freshnessMargin
 }
 
-func (m *Model) setFleet(msg FleetMsg) []Cmd {
-	var cmds []Cmd
-	for _, c := range msg.Changes {
-		u, known := m.upstreams[c.ID]
-		if known && u.pipeline != nil && (c.Gone || c.Upstream.Leaving) {
-			m.markDeparting(c.ID)
-		}
-		switch {
-		case c.Gone:
-			if known {
-				m.entryRemoved(u)
-			}
-			m.crashed.Add(c.ID, true)
-			cmds = append(cmds, m.quarantineCmds(m.quarantine.SetUpstreamState(m.now, c.ID, quarantine.Crashed))...)
-			delete(m.upstreams, c.ID)
-			m.limits.Remove(c.ID)
-			if known && c.Ended {
-				cmds = append(cmds, m.crashConfirmed(u)...)
-			}
-		case known:
-			u.update(m.now, c.Upstream)
-		default:
-			u = newUpstream(c.Upstream)
-			u.preference, u.probeCandidates = nodePreference(m.seed, c.ID), m.probeCandidates
-			u.peerUse = m.peerUseOf(c.ID)
-			m.upstreams[c.ID] = u
-			m.upstreamListed(u)
-		}
-		if u != nil && m.catalog != nil {
-			u.applyService(m.catalog.Service(u.entry.Service))
-		}
-	}
-	m.rebuildIndex()
-	return cmds
-}
-
-func (m *Model) rebuildIndex() {
-	clear(m.byService)
-	clear(m.localByService)
-	clear(m.fastestTokenTime)
-	atAddress := make(map[string]*upstream, len(m.upstreams))
-	for _, u := range m.upstreams {
-		m.recordFastestTokenTime(u)
-		other := atAddress[u.entry.Address]
-		u.sharesAddress = other != nil
-		if other != nil {
-			other.sharesAddress = true
-		}
-		atAddress[u.entry.Address] = u
-		m.byService[u.entry.Service] = append(m.byService[u.entry.Service], u)
-	}
-	for service, list := range m.byService {
-		slices.SortFunc(list, func(a, b *upstream) int { return a.entry.ID.Compare(b.entry.ID) })
-		for _, u := range list {
-			if u.entry.DataCentre == m.dataCentre {
-				m.localByService[service] = append(m.localByService[service], u)
-			}
-		}
-	}
-}
-
-// recordFastestTokenTime updates fastestTokenTime with one engine.
-func (m *Model) recordFastestTokenTime(u *upstream) {
-	if u.pipeline == nil || u.layerTime <= 0 {
-		return
-	}
-	tokenTime := u.layerTime * float64(u.pipeline.Layers)
-	if fastest, known := m.fastestTokenTime[u.entry.Service]; !known || tokenTime < fastest {
-		m.fastestTokenTime[u.entry.Service] = tokenTime
-	}
-}
-
-// tick does the periodic work: it probes suspected upstreams, migrates streams off engines that
-// are leaving, resumes waiting requests, and shares this node's usage.
+// tick does the periodic work: it observes the load, reviews the requests and streams that wait,
+// probes suspected upstreams, moves streams off engines that are leaving, and shares this node's
+// usage.
 func (m *Model) tick() []Cmd {
 	m.updateRetryBudgets()
 	m.expirePeerUsage()
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -29,9 +29,9 @@
 	meanLatency float64
 	failureRate float64
 
-	// preference is this node's place among the nodes that move streams to the engine at the same
-	// time: from 0 up to 1, fixed for the node and the engine.
-	preference float64
+	// recoveryPlace is this node's assumed place among the nodes that move streams to the engine at
+	// the same time: from 0 up to 1, fixed for the node and the engine.
+	recoveryPlace float64
 	// probeCandidates is the model's set of upstreams that may need a probe.
 	probeCandidates probeSet
 	// sharesAddress reports whether another upstream is listed with the same address, so that one
@@ -58,9 +58,9 @@
 	reservedAtReport float64
 	// reportWanted reports whether the engine's report is requested at the next tick.
 	reportWanted bool
-	// overdueUntil is the end of the time for which the engine is avoided because of an attempt
+	// avoidedForNoEventUntil is the end of the time for which the engine is avoided because of an attempt
 	// without a first event.
-	overdueUntil clock.Millis
+	avoidedForNoEventUntil clock.Millis
 	// suspected upstreams get no work until a probe succeeds.
 	suspected     bool
 	probeInFlight bool
