--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -26,13 +26,18 @@
 
 // firstEventLimit returns the time without a first event after which an attempt counts as failed;
 // zero if it is never abandoned for that. Abandoning adds load to engines that have too much to
-// read, so the limit is never below the latency objective and applies to the first attempt alone.
+// read, so the limit is never below the latency objective, applies to the first attempt alone, and
+// leaves an attempt alone whose prediction has not clearly failed.
 func (m *Model) firstEventLimit(r *request) clock.Millis {
 	if !r.boundsPauses() || !r.route.MayRepeat() || r.route.LatencyTarget <= 0 || r.attempts > 0 || r.answerBegun() {
 		return 0
 	}
 	patience := eventPatience(r.route)
-	return max(r.route.LatencyTarget, clock.Millis(firstEventPatienceShare*float64(patience)))
+	limit := max(r.route.LatencyTarget, clock.Millis(firstEventPatienceShare*float64(patience)), missingEventFactor*r.predictedFirstEvent)
+	if limit >= patience {
+		return 0
+	}
+	return limit
 }
 
 // recordFirstEvent records that the engines of an attempt have read its prompt.
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
