Comments of AccountPriorities say what the setting covers

The part of the retry budget that is kept for urgent requests follows the priorities of accounts whatever the setting says.

--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -24,8 +24,9 @@
 	MaxWaitingBytes int
 	// DisableAdmission turns off admission control by priority.
 	DisableAdmission bool
-	// AccountPriorities applies the rules for urgent requests also to services whose requests differ
-	// in priority only by their client accounts.
+	// AccountPriorities applies admission control also to services whose requests differ in priority
+	// only by their client accounts. The part of the retry budget that is kept for urgent requests
+	// follows the priorities of accounts in any case.
 	AccountPriorities bool
 	// DisableFairShares turns off fair shares among client accounts.
 	DisableFairShares bool
--- a/node/settings.go
+++ b/node/settings.go
@@ -61,8 +61,9 @@
 	// Admission reports whether less urgent requests are held back under pressure. It takes effect
 	// only on services whose requests differ in priority.
 	Admission bool
-	// AccountPriorities applies the rules for urgent requests also to services whose requests differ
-	// in priority only by their client accounts.
+	// AccountPriorities applies admission control also to services whose requests differ in priority
+	// only by their client accounts. The part of the retry budget that is kept for urgent requests
+	// follows the priorities of accounts in any case.
 	AccountPriorities bool
 	// FairShares reports whether requests of client accounts above their fair share are held back
 	// while a pipeline service is under contention.
