Nodes record and log which data centres' upstreams they reach

A node that was partitioned from all upstreams wrote the same lines as one whose upstreams were lost: no line and no metric held what it had reached. Package reachability keeps the evidence, by data centre: the upstreams that failed since any of them answered. It is fed by attempts, first events, reports and probes, logged as 'reach' on each change of state, and shown as metric 'reachability'. Nothing is decided by it yet.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -14,7 +14,7 @@
 	if r == nil || msg.Attempt != r.attempts || r.waits() {
 		return nil
 	}
-	cmds := append(m.recordFault(r, msg), m.recordLoss(r, msg)...)
+	cmds := slices.Concat(m.recordAttemptReach(r, msg), m.recordFault(r, msg), m.recordLoss(r, msg))
 	m.recordExecution(r, msg)
 	if msg.Cause == CauseNoProgress && msg.FaultyAddress == "" && msg.Events == 0 {
 		m.recordMissingFirstEvent(r)
@@ -189,6 +189,7 @@
 		return nil
 	}
 	first := r.firstUpstream
+	cmds := m.recordAnswered(first)
 	if first != nil {
 		first.recordAnswer(msg.Took, msg.UpstreamFailed)
 		first.refusals = 0
@@ -202,5 +203,5 @@
 		}
 	}
 	m.dropRequest(msg.Request)
-	return append(m.quarantineCmds(m.quarantine.RequestAnswered(m.now, r.work, true)), m.sendWaiters(r.service, first)...)
+	return slices.Concat(cmds, m.quarantineCmds(m.quarantine.RequestAnswered(m.now, r.work, true)), m.sendWaiters(r.service, first))
 }
--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -41,10 +41,10 @@
 }
 
 // recordFirstEvent records that the engines of an attempt have read its prompt.
-func (m *Model) recordFirstEvent(msg FirstEventMsg) {
+func (m *Model) recordFirstEvent(msg FirstEventMsg) []Cmd {
 	r := m.requests[msg.Request]
 	if r == nil || msg.Attempt != r.attempts {
-		return
+		return nil
 	}
 	r.awaitsFirstEvent = false
 	m.clearMissingFirstEvent(r)
@@ -53,6 +53,7 @@
 		h.upstream.promptTokens -= h.promptTokens
 		h.promptTokens = 0
 	}
+	return m.recordAnswered(r.firstUpstream)
 }
 
 // firstEventOverdue abandons an attempt without a first event if another one can be made.
--- a/dispatch/fleet_list.go
+++ b/dispatch/fleet_list.go
@@ -22,6 +22,9 @@
 			m.crashed.Add(c.ID, true)
 			cmds = append(cmds, m.quarantineCmds(m.quarantine.SetUpstreamState(m.now, c.ID, quarantine.Crashed))...)
 			delete(m.upstreams, c.ID)
+			if known {
+				m.reach.Forget(u.link())
+			}
 			m.limits.Remove(c.ID)
 			if known && c.Ended {
 				cmds = append(cmds, m.crashConfirmed(u)...)
@@ -48,6 +51,7 @@
 func (m *Model) rebuildIndex() {
 	clear(m.byService)
 	clear(m.localByService)
+	clear(m.byDataCentre)
 	clear(m.fastestTokenTime)
 	atAddress := make(map[string]*upstream, len(m.upstreams))
 	for _, u := range m.upstreams {
@@ -59,6 +63,7 @@
 		}
 		atAddress[u.entry.Address] = u
 		m.byService[u.entry.Service] = append(m.byService[u.entry.Service], u)
+		m.byDataCentre[u.entry.DataCentre] = append(m.byDataCentre[u.entry.DataCentre], u)
 	}
 	for service, list := range m.byService {
 		slices.SortFunc(list, func(a, b *upstream) int { return a.entry.ID.Compare(b.entry.ID) })
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -14,6 +14,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
+	"github.com/hoistjunction/hoistjunction/reachability"
 	"github.com/hoistjunction/hoistjunction/recovery"
 	"github.com/hoistjunction/hoistjunction/work"
 )
@@ -47,6 +48,10 @@
 	byService       map[string][]*upstream
 	// localByService holds the upstreams of this node's data centre by service.
 	localByService map[string][]*upstream
+	// byDataCentre holds the upstreams of all services by data centre.
+	byDataCentre map[string][]*upstream
+	// reach is the evidence about this node's links to upstreams.
+	reach *reachability.Table
 	// fastestTokenTime holds, by service, the time of one token through all layers of the
 	// pipeline on the fastest engine, in ms.
 	fastestTokenTime map[string]float64
@@ -157,6 +162,8 @@
 		probeCandidates:   make(probeSet),
 		byService:         make(map[string][]*upstream),
 		localByService:    make(map[string][]*upstream),
+		byDataCentre:      make(map[string][]*upstream),
+		reach:             reachability.New(),
 		fastestTokenTime:  make(map[string]float64),
 		requests:          make(map[RequestID]*request),
 		retryBudgets:      make(map[string]*budget.LendingWindow),
@@ -203,13 +210,13 @@
 	case AttemptFailedMsg:
 		return m.attemptFailed(msg)
 	case FirstEventMsg:
-		m.recordFirstEvent(msg)
+		return m.recordFirstEvent(msg)
 	case AttemptDoneMsg:
 		return m.attemptDone(msg)
 	case StalledMsg:
 		return m.stalled(msg)
 	case ReportMsg:
-		m.recordReport(msg.Upstream, msg.Report)
+		return m.reported(msg)
 	case MigratedMsg:
 		return m.migrated(msg)
 	case RecoverMsg:
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -28,6 +28,12 @@
 	return cmds
 }
 
+// reported handles an engine's report of its state.
+func (m *Model) reported(msg ReportMsg) []Cmd {
+	m.recordReport(msg.Upstream, msg.Report)
+	return m.recordAnswered(m.upstreams[msg.Upstream])
+}
+
 // recordReport records an engine's slowdown and free memory from its report.
 func (m *Model) recordReport(id fleet.Incarnation, report Report) {
 	u := m.upstreams[id]
@@ -58,7 +64,7 @@
 		// node that relied on the list would have a request refused.
 		u.entry.Held = fleet.LayerRange{}
 	}
-	cmds := m.recordProbeFate(u, msg)
+	cmds := append(m.recordProbeReach(u, msg.Answered), m.recordProbeFate(u, msg)...)
 	if u.crashCheckOnly {
 		// This probe only checks for a crash. The suspicion keeps its own duration: an engine
 		// that breaks requests off may still answer probes, and one that pauses for a moment is
--- /dev/null
+++ b/dispatch/reach.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/reachability"
+)
+
+// ReachCmd reports that this node's evidence about its links to a data centre has led to another
+// state.
+type ReachCmd struct{ reachability.Change }
+
+func (ReachCmd) dispatchCmd() {}
+
+// Reachability returns this node's evidence about its links to upstreams.
+func (m *Model) Reachability(now clock.Millis) []reachability.Summary { return m.reach.Summaries(now) }
+
+func (u *upstream) link() reachability.Link {
+	return reachability.Link{Upstream: u.entry.ID, DataCentre: u.entry.DataCentre}
+}
+
+// recordAnswered records that an upstream answered this node in any way.
+func (m *Model) recordAnswered(u *upstream) []Cmd {
+	if u == nil {
+		return nil
+	}
+	return m.reachChanged(m.reach.RecordAnswer(m.now, u.link(), len(m.byDataCentre[u.entry.DataCentre])))
+}
+
+// recordUnreached records that this node failed to reach an upstream.
+func (m *Model) recordUnreached(u *upstream, kind reachability.Failure) []Cmd {
+	if u == nil {
+		return nil
+	}
+	return m.reachChanged(m.reach.RecordFailure(m.now, u.link(), kind, len(m.byDataCentre[u.entry.DataCentre])))
+}
+
+func (m *Model) reachChanged(change reachability.Change, changed bool) []Cmd {
+	if !changed {
+		return nil
+	}
+	return []Cmd{ReachCmd{change}}
+}
+
+// recordAttemptReach records what a failed attempt shows about the link to its upstream. An
+// attempt that was canceled because of a later engine of its chain shows nothing.
+func (m *Model) recordAttemptReach(r *request, msg AttemptFailedMsg) []Cmd {
+	u := r.firstUpstream
+	if u == nil {
+		return nil
+	}
+	switch msg.Cause {
+	case CauseFull, CauseMisdirected, CauseUpstreamFailed:
+		return m.recordAnswered(u)
+	case CauseNotSent:
+		return m.recordUnreached(u, reachability.NotConnected)
+	case CauseUnknown:
+		return m.recordUnreached(u, reachability.BrokenOff)
+	case CauseNoProgress:
+		if msg.FaultyAddress == u.entry.Address {
+			return m.recordUnreached(u, reachability.Silent)
+		}
+	case CauseStaleConfig:
+		// The request was not written.
+	}
+	return nil
+}
+
+// recordProbeReach records what the result of a probe shows about the link to its upstream.
+func (m *Model) recordProbeReach(u *upstream, answered bool) []Cmd {
+	if answered {
+		return m.recordAnswered(u)
+	}
+	return m.recordUnreached(u, reachability.ProbeUnanswered)
+}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -16,6 +16,7 @@
 	"github.com/hoistjunction/hoistjunction/internal/script"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
+	"github.com/hoistjunction/hoistjunction/reachability"
 	"github.com/hoistjunction/hoistjunction/work"
 )
 
@@ -38,6 +39,11 @@
 func TestRecoveryScripts(t *testing.T) { runScripts(t, "testdata/recovery", scriptPolicy) }
 
 func runScripts(t *testing.T, folder string, policy dispatch.Policy) {
+	runScriptsWith(t, folder, policy, func(*scriptRunner) {})
+}
+
+// runScriptsWith runs scripts with a runner that setUp has changed.
+func runScriptsWith(t *testing.T, folder string, policy dispatch.Policy, setUp func(*scriptRunner)) {
 	script.Run(t, folder, func(t *testing.T) func(script.Step) []string {
 		p := &scriptRunner{t: t, model: dispatch.New(
 			dispatch.WithDataCentre("a"),
@@ -46,6 +52,7 @@
 		)}
 		// The node is the only one unless a script line reports others.
 		p.model.Update(0, dispatch.PeersMsg{TotalNodes: 1})
+		setUp(p)
 		return p.step
 	})
 }
@@ -55,12 +62,22 @@
 	t     *testing.T
 	model *dispatch.Model
 	now   clock.Millis
+	// showsReach reports whether changes of reachability are among the results.
+	showsReach bool
+}
+
+// TestReachScripts runs the scripts about lost links to upstreams.
+func TestReachScripts(t *testing.T) {
+	runScriptsWith(t, "testdata/reach", scriptPolicy, func(p *scriptRunner) { p.showsReach = true })
 }
 
 func (p *scriptRunner) step(s script.Step) []string {
 	p.now = clock.Millis(s.Int("at", int(p.now)))
 	var lines []string
 	for _, cmd := range p.model.Update(p.now, p.message(s)) {
+		if _, isReach := cmd.(dispatch.ReachCmd); isReach && !p.showsReach {
+			continue
+		}
 		line := show(cmd)
 		if sent, ok := cmd.(dispatch.SendCmd); ok && s.Params["show"] == "prediction" {
 			line += fmt.Sprintf(" first_event=%d input_age=%d", sent.PredictedFirstEvent, sent.PredictionInputAge)
@@ -443,6 +460,11 @@
 // showWait shows the commands about waits of requests.
 func showWait(cmd dispatch.Cmd) string {
 	switch c := cmd.(type) {
+	case dispatch.ReachCmd:
+		if c.State == reachability.Reached {
+			return fmt.Sprintf("reach %s %s answered=%d", c.DataCentre, c.State, c.AnswerAge)
+		}
+		return fmt.Sprintf("reach %s %s failed=%d of %d last=%s answered=%d", c.DataCentre, c.State, c.Failed, c.Listed, c.Kind, c.AnswerAge)
 	case dispatch.SlotWaitCmd:
 		return fmt.Sprintf("await %d waiting=%d", c.Request, c.Waiting)
 	case dispatch.CapacityWaitCmd:
--- a/lab/node.go
+++ b/lab/node.go
@@ -190,7 +190,7 @@
 		n.grantPermits(cmd)
 	case dispatch.RecoverCmd:
 		n.world.after(cmd.After, func() { n.update(dispatch.RecoverMsg{}) })
-	case dispatch.SuspectCmd, dispatch.BackOffCmd, dispatch.RecheckDeadlineCmd, dispatch.LimitChangedCmd:
+	case dispatch.SuspectCmd, dispatch.BackOffCmd, dispatch.RecheckDeadlineCmd, dispatch.LimitChangedCmd, dispatch.ReachCmd:
 	default:
 		if s := n.sessions[requestOf(cmd)]; s != nil {
 			s.execute(cmd)
--- /dev/null
+++ b/reachability/table.go
@@ -0,0 +1,152 @@
+package reachability
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+const (
+	// doubtfulFailures is the number of upstreams of a data centre that must fail, without an
+	// answer of any other, for its state to be Doubtful.
+	doubtfulFailures = 2
+	// cutFailures is the same number for Cut. It is lower where fewer upstreams are listed.
+	cutFailures = 4
+	// failureWindow is how long a failure counts.
+	failureWindow clock.Millis = 5000
+)
+
+// Table holds a node's evidence about its links to upstreams.
+type Table struct {
+	centres map[string]*centre
+}
+
+// centre is the evidence about the upstreams of a data centre.
+type centre struct {
+	state State
+	// changedAt is when the state was entered, and answeredAt when an upstream last answered.
+	changedAt  clock.Millis
+	answeredAt clock.Millis
+	// failures holds the upstreams that failed since answeredAt.
+	failures map[fleet.Incarnation]failureRecord
+}
+
+// Change is a change of the state of a data centre, with the evidence for it.
+type Change struct {
+	DataCentre string
+	State      State
+	// Failed is the number of upstreams that failed since the last answer, and Listed that of all
+	// upstreams.
+	Failed int
+	Listed int
+	// Kind is the last failure; meaningless for Reached.
+	Kind Failure
+	// AnswerAge is the time since an upstream last answered before this change; -1 for never.
+	AnswerAge clock.Millis
+	// Lasted is how long the previous state lasted.
+	Lasted clock.Millis
+}
+
+// New returns a table without evidence.
+func New() *Table { return &Table{centres: make(map[string]*centre)} }
+
+// State returns the state of a data centre.
+func (t *Table) State(dataCentre string) State {
+	if c := t.centres[dataCentre]; c != nil {
+		return c.state
+	}
+	return Reached
+}
+
+// HasFailed reports whether an upstream has failed since any upstream of its data centre last
+// answered.
+func (t *Table) HasFailed(l Link) bool {
+	c := t.centres[l.DataCentre]
+	if c == nil {
+		return false
+	}
+	_, failed := c.failures[l.Upstream]
+	return failed
+}
+
+// RecordAnswer records that an upstream answered. It returns the change of state, if any.
+func (t *Table) RecordAnswer(now clock.Millis, l Link, listed int) (Change, bool) {
+	c := t.centre(l.DataCentre)
+	previous := c.answeredAt
+	c.answeredAt = now
+	if len(c.failures) > 0 {
+		clear(c.failures)
+	}
+	return c.enter(now, Reached, Change{DataCentre: l.DataCentre, Listed: listed, AnswerAge: clock.AgeOf(previous, now)})
+}
+
+// RecordFailure records that an upstream could not be reached; listed is the number of upstreams
+// in its data centre. It returns the change of state, if any.
+func (t *Table) RecordFailure(now clock.Millis, l Link, kind Failure, listed int) (Change, bool) {
+	c := t.centre(l.DataCentre)
+	maps.DeleteFunc(c.failures, func(_ fleet.Incarnation, f failureRecord) bool { return now > f.at.Add(failureWindow) })
+	c.failures[l.Upstream] = failureRecord{kind: kind, at: now}
+	state := max(c.state, stateFor(len(c.failures), listed))
+	return c.enter(now, state, Change{
+		DataCentre: l.DataCentre, Failed: len(c.failures), Listed: listed, Kind: kind, AnswerAge: clock.AgeOf(c.answeredAt, now),
+	})
+}
+
+// Forget drops the evidence about an upstream that is no longer listed.
+func (t *Table) Forget(l Link) {
+	if c := t.centres[l.DataCentre]; c != nil {
+		delete(c.failures, l.Upstream)
+	}
+}
+
+// stateFor returns the state of a data centre in which a number of the listed upstreams failed.
+func stateFor(failed, listed int) State {
+	switch {
+	case failed < doubtfulFailures:
+		return Reached
+	case failed >= min(cutFailures, listed):
+		return Cut
+	default:
+		return Doubtful
+	}
+}
+
+func (t *Table) centre(name string) *centre {
+	c := t.centres[name]
+	if c == nil {
+		c = &centre{answeredAt: clock.Never, failures: make(map[fleet.Incarnation]failureRecord)}
+		t.centres[name] = c
+	}
+	return c
+}
+
+// enter sets the state and completes the change that led to it.
+func (c *centre) enter(now clock.Millis, state State, change Change) (Change, bool) {
+	if state == c.state {
+		return Change{}, false
+	}
+	change.State, change.Lasted = state, now.Sub(c.changedAt)
+	c.state, c.changedAt = state, now
+	return change, true
+}
+
+// Summary is the evidence about a data centre, for metrics.
+type Summary struct {
+	DataCentre  string `json:"data_centre"`
+	State       string `json:"state"`
+	Failed      int    `json:"failed"`
+	AnswerAgeMS int64  `json:"answer_age_ms"`
+}
+
+// Summaries returns the evidence about all data centres, ordered by name.
+func (t *Table) Summaries(now clock.Millis) []Summary {
+	list := make([]Summary, 0, len(t.centres))
+	for name, c := range t.centres {
+		list = append(list, Summary{DataCentre: name, State: c.state.String(), Failed: len(c.failures), AnswerAgeMS: int64(clock.AgeOf(c.answeredAt, now))})
+	}
+	slices.SortFunc(list, func(a, b Summary) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	return list
+}
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -14,6 +14,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
+	"github.com/hoistjunction/hoistjunction/reachability"
 	"github.com/hoistjunction/hoistjunction/ring"
 )
 
@@ -80,6 +81,8 @@
 	retryLoans atomic.Pointer[budget.Counts]
 	// fairShares is the division of capacity among client accounts as of the last tick.
 	fairShares atomic.Pointer[dispatch.FairShares]
+	// reachability is the evidence about the links to upstreams as of the last tick.
+	reachability atomic.Pointer[[]reachability.Summary]
 }
 
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
@@ -130,6 +133,8 @@
 			d.retryLoans.Store(&loans)
 			shares := d.model.FairShares(d.clock.Now())
 			d.fairShares.Store(&shares)
+			reach := d.model.Reachability(d.clock.Now())
+			d.reachability.Store(&reach)
 		}
 	}
 }
@@ -198,6 +203,8 @@
 		d.logCapacityWait(cmd)
 	case dispatch.CapacityWaitEndCmd:
 		d.logCapacityWaitEnd(cmd)
+	case dispatch.ReachCmd:
+		d.logReach(cmd)
 	case dispatch.BackOffCmd:
 		d.log.Info("rest", zap.Stringer("upstream", cmd.Upstream), zap.Int64("asked_ms", int64(cmd.Requested)),
 			zap.Int64("for_ms", int64(cmd.Until.Sub(d.clock.Now()))))
@@ -207,6 +214,16 @@
 	}
 }
 
+// logReach logs that the evidence about the links to a data centre has led to another state.
+func (d *decider) logReach(cmd dispatch.ReachCmd) {
+	kind := zap.Stringer("kind", cmd.Kind)
+	if cmd.State == reachability.Reached {
+		kind = zap.Skip()
+	}
+	d.log.Info("reach", zap.String("data_centre", cmd.DataCentre), zap.Stringer("state", cmd.State), zap.Int("failed", cmd.Failed), zap.Int("listed", cmd.Listed),
+		kind, zap.Int64("answer_age_ms", int64(cmd.AnswerAge)), zap.Int64("lasted_ms", int64(cmd.Lasted)))
+}
+
 // logLimit logs that a rate limit has started, changed or ended. An upstream that advertises
 // another limit in every answer gets at most one line per limitLogInterval.
 func (d *decider) logLimit(cmd dispatch.LimitChangedCmd) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -112,6 +112,7 @@
 	r.extraMetrics["fair_shares"] = expvar.Func(func() any { return r.decider.fairShares.Load() })
 	r.extraMetrics["admission"] = expvar.Func(func() any { return r.decider.admission.Load() })
 	r.extraMetrics["retry_loans"] = expvar.Func(func() any { return r.decider.retryLoans.Load() })
+	r.extraMetrics["reachability"] = expvar.Func(func() any { return r.decider.reachability.Load() })
 	r.extraMetrics["limits"] = expvar.Func(func() any { return r.decider.limits.Load() })
 	return r
 }
