--- a/node/node.go
+++ b/node/node.go
@@ -77,8 +77,10 @@
 	outage  *follow.Outage
 	store   *platform.Store
 	engines *platform.Engines
-	ctx     context.Context
-	cancel  context.CancelFunc
+	// dialUpstream opens connections to upstreams.
+	dialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
+	ctx          context.Context
+	cancel       context.CancelFunc
 
 	callerListener    net.Listener
 	readinessListener net.Listener
@@ -94,9 +96,14 @@
 // WithClock sets the node's clock; it is meant for tests.
 func WithClock(c *clock.Clock) Option { return func(n *Node) { n.clock = c } }
 
+// WithUpstreamDialer sets the function that opens connections to upstreams; it is meant for tests.
+func WithUpstreamDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(n *Node) { n.dialUpstream = dial }
+}
+
 // New binds the ports of a node and builds the node. Run starts it.
 func New(s *Settings, log *logging.Log, opts ...Option) (*Node, error) {
-	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), members: newMembers(), unresponsive: newUnresponsiveReports(), orderResults: new(expvar.Map)}
+	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), members: newMembers(), unresponsive: newUnresponsiveReports(), orderResults: new(expvar.Map), dialUpstream: platform.Dialer().DialContext}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -107,7 +114,7 @@
 	n.store = platform.NewStore(s.PlatformAddress, n.log)
 	n.quarantined = newQuarantineSet(n.clock, s.quarantineDuration())
 	n.keeper = keeper.New(n.store, n.clock, n.log, s.FirstStart, n.applyQuarantined)
-	n.engines = platform.NewEngines(platform.WithIncarnationHandler(func(upstream fleet.Incarnation) { n.fleetFollower.Supersede(upstream) }),
+	n.engines = platform.NewEngines(platform.WithEngineDialer(n.dialUpstream), platform.WithIncarnationHandler(func(upstream fleet.Incarnation) { n.fleetFollower.Supersede(upstream) }),
 		platform.WithStatusHandler(func(upstream fleet.Incarnation, status relay.UpstreamStatus) {
 			n.relay.HandleUpstreamStatus(upstream, status)
 		}))
@@ -132,7 +139,7 @@
 	self.UsageAddress = sharing.Address()
 	listAge := func() clock.Millis { return n.fleetFollower.ListAge() }
 	n.relay = relay.New(n.ctx, platform.Headers{}, model, n.clock, n.log,
-		relay.WithEngines(n.engines), relay.WithDialer(platform.Dialer().DialContext), relay.WithMaxConfigAge(s.keysMaxAge()),
+		relay.WithEngines(n.engines), relay.WithDialer(n.dialUpstream), relay.WithMaxConfigAge(s.keysMaxAge()),
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
 		relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
