--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -23,6 +23,9 @@
 // accept checks a request, which the node received at a time, against the configuration and sends
 // it to an upstream.
 func (m *Model) accept(msg ArriveMsg, receivedAt clock.Millis) []Cmd {
+	if refusal := m.refuseForwarded(msg); refusal != nil {
+		return refusal
+	}
 	r, refusal := m.checkConfig(msg)
 	if refusal != nil {
 		return refusal
@@ -44,7 +47,12 @@
 	r.memoryTokens = expectedMemoryTokens(msg)
 	r.capacity.returned = m.returnsAfterRefusal(r)
 	m.requests[msg.Request] = r
-	m.budget(r.service.Name).Deposit(m.now)
+	if msg.Forwarded != nil {
+		// The node that received the request counts it in its own part of the budget.
+		m.forwardedRequests++
+	} else {
+		m.budget(r.service.Name).Deposit(m.now)
+	}
 	return m.send(r)
 }
 
@@ -61,7 +69,7 @@
 		}
 		return nil, m.refuse(msg.Request, http.StatusNotFound, ReasonNoRoute, 0)
 	}
-	r := &request{arrival: msg, arrivedAt: m.now, route: route, triedUpstreams: make(map[fleet.Incarnation]bool), executedOn: make(map[fleet.Incarnation]execution)}
+	r := &request{arrival: msg, arrivedAt: m.now, route: route, triedUpstreams: make(map[fleet.Incarnation]bool), executedOn: make(map[fleet.Incarnation]execution), askedNodes: make(map[string]bool)}
 	r.requiresKey = m.catalog.HasAccounts() && !route.Anonymous
 	return r, m.checkKey(r)
 }
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -16,7 +16,7 @@
 // Cmd is an action that the caller of Update must execute.
 type Cmd interface{ dispatchCmd() }
 
-// SendCmd sends a request to an upstream.
+// SendCmd sends a request to an upstream, or passes it on to another node.
 type SendCmd struct {
 	Request RequestID
 	Attempt int
@@ -24,6 +24,10 @@
 	// request carries the id.
 	Upstream fleet.Incarnation
 	Address  string
+	// Node is the node to which the request is passed on, at Address; empty if it is sent to an
+	// upstream. UpstreamsLeft is the number of upstreams that may execute the request there.
+	Node          string
+	UpstreamsLeft int
 	// Chain is the chain of engines; nil for plain services.
 	Chain []chain.Stage
 	Route *catalog.Route
@@ -252,4 +256,6 @@
 	ReasonTimeout       Reason = "time_is_up"
 	ReasonStopping      Reason = "node_is_stopping"
 	ReasonQuarantined   Reason = "request_ends_upstreams"
+	ReasonNoPath        Reason = "no_path_to_upstreams"
+	ReasonNodeBusy      Reason = "node_is_busy"
 )
--- /dev/null
+++ b/dispatch/cut_off.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/chain"
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/reachability"
+)
+
+const (
+	// confirmingProbes is the number of upstreams that are probed at a time to find out whether
+	// doubtful links are cut.
+	confirmingProbes = 2
+	// cutProbeInterval is the pause between two probes of the upstreams of a data centre from which
+	// the node is cut. One answer ends the cut.
+	cutProbeInterval clock.Millis = 500
+)
+
+// cutFrom reports whether this node counts as cut from an upstream's data centre.
+func (m *Model) cutFrom(u *upstream) bool {
+	return len(m.cutCentres) > 0 && m.cutCentres[u.entry.DataCentre]
+}
+
+// cutFromService reports whether this node is cut from all upstreams of a request's service that
+// accept work.
+func (m *Model) cutFromService(r *request) bool {
+	return len(m.cutCentres) > 0 && !slices.ContainsFunc(m.byService[r.service.Name], func(u *upstream) bool {
+		return u.acceptsWork() && !m.cutFrom(u)
+	})
+}
+
+// reachChanged applies a change of the state of the links to a data centre. A node that knows no
+// other node has nothing to gain from counting as cut, and goes on trying its upstreams.
+func (m *Model) reachChanged(change reachability.Change, changed bool) []Cmd {
+	if !changed {
+		return nil
+	}
+	cmds := []Cmd{ReachCmd{change}}
+	switch {
+	case change.State == reachability.Cut && m.nodes.Len() > 0:
+		m.cutCentres[change.DataCentre] = true
+		return append(cmds, m.withdrawFindings(change.DataCentre)...)
+	case m.cutCentres[change.DataCentre]:
+		delete(m.cutCentres, change.DataCentre)
+		m.probeAfterCut(change.DataCentre)
+	}
+	return cmds
+}
+
+// withdrawFindings takes back what this node has found about the upstreams of a data centre from
+// which it is cut: it can't tell a crashed engine from one that it does not reach.
+func (m *Model) withdrawFindings(dataCentre string) []Cmd {
+	var cmds []Cmd
+	for _, u := range m.byDataCentre[dataCentre] {
+		cmds = append(cmds, m.quarantineCmds(m.quarantine.UpstreamAnswered(u.entry.ID))...)
+		if u.unresponsive {
+			u.unresponsive = false
+			cmds = append(cmds, ResponsivenessCmd{Upstream: u.entry.ID})
+		}
+	}
+	m.excuseExecutions(dataCentre)
+	return cmds
+}
+
+// excuseExecutions stops counting the executions at upstreams from which the node is cut towards
+// the operator's bound, as for crashed ones.
+func (m *Model) excuseExecutions(dataCentre string) {
+	for _, r := range m.requests {
+		for id, e := range r.executedOn {
+			if u := m.upstreams[id]; u != nil && u.entry.DataCentre == dataCentre {
+				e.crashed = true
+				r.executedOn[id] = e
+			}
+		}
+	}
+}
+
+// probeAfterCut schedules probes of the upstreams that are suspected since a cut, which has ended.
+func (m *Model) probeAfterCut(dataCentre string) {
+	for _, u := range m.byDataCentre[dataCentre] {
+		if u.suspected {
+			u.earlyProbeWanted = true
+			u.addProbeCandidate()
+		}
+	}
+}
+
+// scheduleReachProbes schedules the probes that find out whether doubtful links are cut and whether
+// a cut has ended.
+func (m *Model) scheduleReachProbes() {
+	if m.nodes.Len() == 0 {
+		return
+	}
+	for _, dataCentre := range slices.Sorted(maps.Keys(m.byDataCentre)) {
+		switch m.reach.State(dataCentre) {
+		case reachability.Doubtful:
+			m.confirmDoubt(dataCentre)
+		case reachability.Cut:
+			m.probeCutCentre(dataCentre)
+		case reachability.Reached:
+		}
+	}
+}
+
+// confirmDoubt probes upstreams of a data centre that have not failed.
+func (m *Model) confirmDoubt(dataCentre string) {
+	list := m.byDataCentre[dataCentre]
+	wanted := confirmingProbes
+	start := m.random.IntN(len(list))
+	for i := range list {
+		u := list[(start+i)%len(list)]
+		if wanted == 0 {
+			return
+		}
+		if m.reach.HasFailed(u.link()) {
+			continue
+		}
+		wanted--
+		if !u.probeInFlight {
+			u.wantReachProbe()
+		}
+	}
+}
+
+// probeCutCentre probes one upstream of a data centre at a time.
+func (m *Model) probeCutCentre(dataCentre string) {
+	if m.now < m.cutProbedAt[dataCentre].Add(cutProbeInterval) {
+		return
+	}
+	list := m.byDataCentre[dataCentre]
+	u := list[m.random.IntN(len(list))]
+	if u.probeInFlight {
+		return
+	}
+	m.cutProbedAt[dataCentre] = m.now
+	u.wantReachProbe()
+}
+
+// wantReachProbe schedules a probe of the upstream whether it is suspected or not.
+func (u *upstream) wantReachProbe() {
+	u.reachProbeWanted = true
+	u.addProbeCandidate()
+}
+
+// hasChainBeyondReach reports whether a chain for a request exists if all engines that accept work
+// are reached.
+func (m *Model) hasChainBeyondReach(r *request) bool {
+	conditions := chainConditions{backOffsUntil: m.now, ignoreReach: true}
+	holders := m.holdersUnder(r, m.byService[r.service.Name], conditions, (*upstream).acceptsWork)
+	_, err := chain.Build(r.service.Pipeline.Layers, r.memoryTokens, m.dataCentre, holders)
+	return err == nil || errors.Is(err, chain.ErrNoMemory)
+}
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -100,7 +100,13 @@
 }
 
 // maxUpstreams returns how many upstreams may execute the request.
-func (r *request) maxUpstreams() int { return max(r.route.MaxAttempts, 1) }
+func (r *request) maxUpstreams() int {
+	most := max(r.route.MaxAttempts, 1)
+	if f := r.arrival.Forwarded; f != nil && f.UpstreamsLeft > 0 {
+		return min(most, f.UpstreamsLeft)
+	}
+	return most
+}
 
 // mayExecuteAgain reports whether the operator's bound allows another attempt. A stream may
 // always be sent again to an upstream that executed it, within maxAttempts and the retry budget.
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -14,6 +14,8 @@
 	if r == nil || msg.Attempt != r.attempts || r.waits() {
 		return nil
 	}
+	m.recordForwardFailure(r, msg)
+	wasForwarded := r.forwardedTo != ""
 	cmds := slices.Concat(m.recordAttemptReach(r, msg), m.recordFault(r, msg), m.recordLoss(r, msg))
 	m.recordExecution(r, msg)
 	if msg.Cause == CauseNoProgress && msg.FaultyAddress == "" && msg.Events == 0 {
@@ -26,10 +28,17 @@
 	r.deliveredEvents, r.delivered = msg.Events, msg.Delivered
 	r.recordPause(m.now, msg.LastEventAt, msg.Events)
 	m.endAttempt(r)
+	if wasForwarded && msg.Cause == CauseUpstreamFailed {
+		// The other node has decided on retries.
+		return append(cmds, m.endAfterFailure(r, msg, ReasonAnswerLost)...)
+	}
 	return append(cmds, m.afterFailure(r, msg)...)
 }
 
 func (m *Model) afterFailure(r *request, msg AttemptFailedMsg) []Cmd {
+	if msg.Cause == CauseNodeRefused && !msg.Refusal.Reason.concernsNode() {
+		return m.relayRefusal(r, msg.Refusal)
+	}
 	reason := m.retryDenial(r, msg.Cause)
 	if reason == ReasonNoRetryBudget && msg.Cause == CauseFull && r.service.Pipeline == nil {
 		// The request is sent again once a slot is free and the retry budget allows it.
@@ -62,7 +71,9 @@
 
 // spendsRetryBudget reports whether a retry after this cause is charged to the retry budget: only
 // if the request reached an upstream.
-func (c Cause) spendsRetryBudget() bool { return c != CauseNotSent && c != CauseStaleConfig }
+func (c Cause) spendsRetryBudget() bool {
+	return c != CauseNotSent && c != CauseStaleConfig && c != CauseNodeRefused
+}
 
 func isSendCmd(cmd Cmd) bool {
 	_, ok := cmd.(SendCmd)
@@ -79,7 +90,7 @@
 		return ReasonAnswerLost
 	case cause == CauseUpstreamFailed && r.route.Kind == 0:
 		return ReasonAnswerLost
-	case !r.mayExecuteAgain(), r.attempts-r.slotRefusals >= maxAttempts:
+	case !r.mayExecuteAgain(), r.attempts-r.slotRefusals-r.nodeRefusals >= maxAttempts:
 		return ReasonRefused
 	case r.timeLeft(m.now) < minTimeLeft:
 		return ReasonTimeout
@@ -188,6 +199,9 @@
 	if r == nil || msg.Attempt != r.attempts || r.waits() {
 		return nil
 	}
+	if r.forwardedTo != "" {
+		m.nodes.RecordServed(m.now, r.forwardedTo, r.service.Name)
+	}
 	first := r.firstUpstream
 	cmds := m.recordAnswered(first)
 	if first != nil {
--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -53,6 +53,9 @@
 		h.upstream.promptTokens -= h.promptTokens
 		h.promptTokens = 0
 	}
+	if r.forwardedTo != "" {
+		m.nodes.RecordServed(m.now, r.forwardedTo, r.service.Name)
+	}
 	return m.recordAnswered(r.firstUpstream)
 }
 
--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -19,6 +19,8 @@
 	backOffsUntil clock.Millis
 	// ignoreLimits reports whether rate limits are ignored.
 	ignoreLimits bool
+	// ignoreReach reports whether data centres count as reached from which this node is cut.
+	ignoreReach bool
 }
 
 // holdersUnder returns the engines that may be part of a chain under the given conditions.
@@ -38,10 +40,10 @@
 		if limited {
 			h.Penalty += limitedPenalty
 		}
-		if bounded && !r.executedBy(u) || limited {
+		if bounded && !r.executedBy(u) || limited || !conditions.ignoreReach && m.cutFrom(u) {
 			// A chain begins at the engine with layer 0. Only that engine counts for the bound on
-			// upstreams and for rate limits, since nodes send requests to it, while later engines
-			// receive them from other engines.
+			// upstreams and for rate limits, and only that one must be reached by this node, since
+			// nodes send requests to it, while later engines receive them from other engines.
 			h.Held.From = max(h.Held.From, 1)
 		}
 		holders = append(holders, h)
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -56,7 +56,7 @@
 // ignored, since its end is expected. Every upstream is probed after a failure anyway; if the
 // same request was lost before, the upstreams that may have crashed are probed at the next tick.
 func (m *Model) recordLossAt(r *request, u *upstream) []Cmd {
-	if u.entry.Leaving {
+	if u.entry.Leaving || m.cutFrom(u) {
 		return nil
 	}
 	cmds := m.quarantineCmds(m.quarantine.RecordLoss(m.now, r.work, u.entry.ID, m.upstreamFate(u.entry.ID), ownLossWindow, true))
@@ -126,7 +126,7 @@
 func (m *Model) requestEnded(msg RequestEndedMsg) []Cmd {
 	r := m.requests[msg.Request]
 	var cmds []Cmd
-	if r != nil && r.firstUpstream != nil && !r.answerBegun() && !r.firstUpstream.entry.Leaving {
+	if r != nil && r.firstUpstream != nil && !r.answerBegun() && !r.firstUpstream.entry.Leaving && !m.cutFrom(r.firstUpstream) {
 		id := r.firstUpstream.entry.ID
 		cmds = m.quarantineCmds(m.quarantine.RecordLoss(m.now, r.work, id, m.upstreamFate(id), canceledLossWindow, true))
 	}
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -12,6 +12,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/forwarding"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
 	"github.com/hoistjunction/hoistjunction/reachability"
@@ -50,8 +51,15 @@
 	localByService map[string][]*upstream
 	// byDataCentre holds the upstreams of all services by data centre.
 	byDataCentre map[string][]*upstream
-	// reach is the evidence about this node's links to upstreams.
-	reach *reachability.Table
+	// reach is the evidence about this node's links to upstreams. cutCentres holds the data centres
+	// from which it is cut, and cutProbedAt when an upstream of each was last probed for that.
+	reach       *reachability.Table
+	cutCentres  map[string]bool
+	cutProbedAt map[string]clock.Millis
+	// nodes holds the other nodes that may serve requests of this one, and forwardedRequests counts
+	// the requests of other nodes that this one serves.
+	nodes             *forwarding.Nodes
+	forwardedRequests int
 	// fastestTokenTime holds, by service, the time of one token through all layers of the
 	// pipeline on the fastest engine, in ms.
 	fastestTokenTime map[string]float64
@@ -164,6 +172,8 @@
 		localByService:    make(map[string][]*upstream),
 		byDataCentre:      make(map[string][]*upstream),
 		reach:             reachability.New(),
+		cutCentres:        make(map[string]bool),
+		cutProbedAt:       make(map[string]clock.Millis),
 		fastestTokenTime:  make(map[string]float64),
 		requests:          make(map[RequestID]*request),
 		retryBudgets:      make(map[string]*budget.LendingWindow),
@@ -185,6 +195,7 @@
 	for _, opt := range opts {
 		opt(m)
 	}
+	m.nodes = forwarding.New(m.dataCentre, m.random)
 	m.quarantine = quarantine.New(m.policy.quarantineDuration())
 	m.crashed = newCrashed()
 	m.retryLoans = budget.NewExchange(m.limits.Self(), m.limits.BootID(), m.seed)
@@ -268,6 +279,7 @@
 		m.dropPeerUsage()
 	}
 	m.limits.SetMembers(m.now, msg.Members)
+	m.nodes.Set(msg.ForwardTargets)
 	m.retryLoans.SetPeers(msg.UsagePeers, msg.LocalNodes > 0)
 	m.updateRetryBudgets()
 }
@@ -311,5 +323,6 @@
 	m.updateRetryBudgets()
 	m.expirePeerUsage()
 	m.observeLoad()
+	m.scheduleReachProbes()
 	return slices.Concat(m.processDeferred(), m.reviewPermitWaiters(), m.reviewSlotWaiters(), m.reviewLosses(), m.retryIdentify(), m.sendProbes(), m.migrateDeparting(), m.recoverOverdue(), m.resumeStreams(), m.reviewCapacityWaiters(), m.shareUsage())
 }
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -6,6 +6,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/forwarding"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/work"
 )
@@ -42,6 +43,8 @@
 	Aggregated bool
 	// Members lists the nodes.
 	Members []limit.Member
+	// ForwardTargets lists the other nodes that may serve requests of this one.
+	ForwardTargets []forwarding.Node
 }
 
 // UsageMsg reports how much memory and how many slots of engines the requests of another node
@@ -99,6 +102,8 @@
 	HintTokens   int
 	// BodyBytes is the size of the request's body, which the node holds while the request waits.
 	BodyBytes int
+	// Forwarded describes a request that another node has passed on; nil for a client's own.
+	Forwarded *Forwarded
 }
 
 // AttemptFailedMsg reports that an attempt failed without a complete answer that may be relayed.
@@ -116,6 +121,8 @@
 	LastEventAt clock.Millis
 	// Provisional reports whether the upstream at fault has only not answered yet.
 	Provisional bool
+	// Refusal is the refusal of another node, for CauseNodeRefused.
+	Refusal NodeRefusal
 }
 
 // Delivered classifies the part of an answer that the client has received. An answer that has
@@ -282,11 +289,14 @@
 	// CauseUpstreamFailed means that the upstream executed the request and answered with an
 	// error.
 	CauseUpstreamFailed
+	// CauseNodeRefused means that another node, to which the request was passed on, answered that
+	// it did not execute it.
+	CauseNodeRefused
 )
 
 var causeNames = map[Cause]string{
 	CauseNotSent: "not_sent", CauseStaleConfig: "held_back", CauseFull: "full", CauseMisdirected: "misdirected",
-	CauseUnknown: "unknown", CauseNoProgress: "slow", CauseUpstreamFailed: "upstream_failed",
+	CauseUnknown: "unknown", CauseNoProgress: "slow", CauseUpstreamFailed: "upstream_failed", CauseNodeRefused: "node_refused",
 }
 
 // String returns the name of the cause in logs.
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -22,6 +22,8 @@
 	// bodies; zero lets none wait.
 	MaxWaiting      int
 	MaxWaitingBytes int
+	// MaxForwarded bounds the requests of other nodes that this node serves at a time.
+	MaxForwarded int
 	// DisableAdmission turns off admission control by priority.
 	DisableAdmission bool
 	// AccountPriorities applies admission control also to services whose requests differ in priority
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -16,7 +16,13 @@
 			delete(m.probeCandidates, id)
 			continue
 		}
+		if m.cutFrom(u) && !u.reachProbeWanted {
+			// Nothing can be found out about a single upstream there.
+			continue
+		}
 		if u.probeDue(m.now) {
+			u.reachProbeOnly = u.reachProbeWanted && !u.suspected
+			u.reachProbeWanted = false
 			u.crashCheckOnly = u.crashCheckWanted && !u.earlyProbeWanted && m.now < u.avoidUntil
 			u.probeInFlight, u.reportWanted, u.earlyProbeWanted, u.crashCheckWanted = true, false, false, false
 			cmds = append(cmds, ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil})
@@ -64,14 +70,23 @@
 		// node that relied on the list would have a request refused.
 		u.entry.Held = fleet.LayerRange{}
 	}
-	cmds := append(m.recordProbeReach(u, msg.Answered), m.recordProbeFate(u, msg)...)
+	cmds := m.recordProbeReach(u, msg.Answered)
+	if !msg.Answered && m.cutFrom(u) {
+		// The answer may have been lost on this node's own links.
+		return cmds
+	}
+	cmds = append(cmds, m.recordProbeFate(u, msg)...)
 	if u.crashCheckOnly {
 		// This probe only checks for a crash. The suspicion keeps its own duration: an engine
 		// that breaks requests off may still answer probes, and one that pauses for a moment is
 		// not lost.
 		return cmds
 	}
-	u.suspected = !msg.Answered
+	if !msg.Answered && u.reachProbeOnly {
+		// Doubtful links are no reason to suspect an upstream that has done nothing else.
+		return cmds
+	}
+	u.suspected, u.suspectedByPeer = !msg.Answered, false
 	if msg.Answered {
 		u.probeAnsweredAt, u.unansweredProbes = m.now, 0
 	} else {
@@ -119,7 +134,7 @@
 	if u.suspected {
 		return nil
 	}
-	u.suspected, u.suspicionCause = true, CauseNoProgress
+	u.suspected, u.suspectedByPeer, u.suspicionCause = true, true, CauseNoProgress
 	u.addProbeCandidate()
 	u.avoidUntil = m.now
 	if m.usageAggregated {
--- a/dispatch/probe_candidates.go
+++ b/dispatch/probe_candidates.go
@@ -15,5 +15,5 @@
 
 // mayNeedProbe reports whether the upstream needs a probe now or may need one later.
 func (u *upstream) mayNeedProbe() bool {
-	return u.probeInFlight || u.suspected || u.reportWanted || u.slowdown > normalSlowdown
+	return u.probeInFlight || u.suspected || u.reportWanted || u.reachProbeWanted || u.slowdown > normalSlowdown
 }
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -34,13 +34,6 @@
 	return m.reachChanged(m.reach.RecordFailure(m.now, u.link(), kind, len(m.byDataCentre[u.entry.DataCentre])))
 }
 
-func (m *Model) reachChanged(change reachability.Change, changed bool) []Cmd {
-	if !changed {
-		return nil
-	}
-	return []Cmd{ReachCmd{change}}
-}
-
 // recordAttemptReach records what a failed attempt shows about the link to its upstream. An
 // attempt that was canceled because of a later engine of its chain shows nothing.
 func (m *Model) recordAttemptReach(r *request, msg AttemptFailedMsg) []Cmd {
@@ -59,8 +52,8 @@
 		if msg.FaultyAddress == u.entry.Address {
 			return m.recordUnreached(u, reachability.Silent)
 		}
-	case CauseStaleConfig:
-		// The request was not written.
+	case CauseStaleConfig, CauseNodeRefused:
+		// Nothing was sent to the upstream.
 	}
 	return nil
 }
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -60,6 +60,12 @@
 	// slotRefusals counts the attempts that found no slot. They are bounded by the request's time
 	// and by the retry budget, not by maxAttempts.
 	slotRefusals int
+	// forwardedTo is the node to which the current attempt passes the request on; empty for none.
+	// askedNodes holds the nodes that were asked to serve it, and nodeRefusals counts the attempts
+	// that they did not execute, which maxAttempts does not bound.
+	forwardedTo  string
+	askedNodes   map[string]bool
+	nodeRefusals int
 	// admissionDecision is the last decision of admission control on the request.
 	admissionDecision admission.Decision
 	// shareDecision is the last decision of fair shares on the request, and wasOverShare reports
@@ -194,6 +200,7 @@
 		r.firstUpstream.inFlight--
 		r.firstUpstream = nil
 	}
+	m.endForward(r)
 	r.migrating, r.awaitsFirstEvent = false, false
 }
 
@@ -204,6 +211,9 @@
 	}
 	m.endAttempt(r)
 	r.dequeue()
+	if r.arrival.Forwarded != nil {
+		m.forwardedRequests--
+	}
 	if r.hasUnsentRetry {
 		m.budget(r.service.Name).Return(m.now, r.unsentRetry)
 	}
--- a/dispatch/retry_after.go
+++ b/dispatch/retry_after.go
@@ -81,7 +81,7 @@
 		return shortRetryAfter
 	}
 	least := shortRetryAfter
-	if reason == ReasonNoHolder || reason == ReasonNoUpstream {
+	if reason == ReasonNoHolder || reason == ReasonNoUpstream || reason == ReasonNoPath {
 		least = coverageGapRetryAfter
 	}
 	lack := m.outageDuration(m.outages, r)
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -13,6 +13,7 @@
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/forwarding"
 	"github.com/hoistjunction/hoistjunction/internal/script"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/quarantine"
@@ -33,7 +34,7 @@
 }
 
 // scriptPolicy lets no request wait for capacity, as by default.
-var scriptPolicy = dispatch.Policy{AccountPriorities: true, MaxConfigAge: 5000, RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}
+var scriptPolicy = dispatch.Policy{MaxForwarded: 2, AccountPriorities: true, MaxConfigAge: 5000, RetryWindow: 10_000, RetryShare: 0.2, RetrySlack: 200}
 
 // TestRecoveryScripts runs the scripts about streams that leave lost engines.
 func TestRecoveryScripts(t *testing.T) { runScripts(t, "testdata/recovery", scriptPolicy) }
@@ -120,6 +121,7 @@
 		return dispatch.AttemptFailedMsg{
 			Request: request, Attempt: attempt, Cause: parseCause(p.t, s.Params["cause"]), FaultyAddress: s.Params["by"],
 			Events: s.Int("events", 0), Delivered: parseDelivered(s), LastEventAt: clock.Millis(s.Int("last", 0)), Provisional: s.Params["early"] == "yes",
+			Refusal: dispatch.NodeRefusal{Reason: dispatch.Reason(s.Params["reason"]), RetryAfter: clock.Millis(s.Int("back", 0))},
 		}
 	case "event":
 		return dispatch.FirstEventMsg{Request: request, Attempt: attempt}
@@ -162,6 +164,8 @@
 	switch s.Verb {
 	case "peers":
 		return dispatch.PeersMsg{TotalNodes: s.Int("all", 1), UsagePeers: s.Int("near", 0), LocalNodes: s.Int("here", 0), Aggregated: s.Params["summed"] == "yes"}
+	case "nodes":
+		return nodesMsg(s)
 	case "usage":
 		return dispatch.UsageMsg{Node: s.Arg(0), Used: map[fleet.Incarnation]fleet.EngineUsage{
 			script.Incarnation(s.Arg(1)): {Memory: amountOf(s), Streams: s.Int("streams", 0), PromptTokens: promptsOf(s), Slowdown: slowdownOf(s)},
@@ -170,6 +174,15 @@
 	return nil
 }
 
+// nodesMsg returns a message with the named nodes as those that may serve requests of this one.
+func nodesMsg(s script.Step) dispatch.PeersMsg {
+	msg := dispatch.PeersMsg{TotalNodes: len(s.Args) + 1}
+	for _, name := range s.Args {
+		msg.ForwardTargets = append(msg.ForwardTargets, forwarding.Node{Name: name, DataCentre: "a", Address: name + ":1"})
+	}
+	return msg
+}
+
 // slowdownOf returns the reported slowdown of a script line, which may be NaN.
 func slowdownOf(s script.Step) float64 {
 	slowdown, _ := strconv.ParseFloat(s.Params["slowdown"], 64)
@@ -287,10 +300,18 @@
 	return dispatch.ArriveMsg{
 		Request: request, CallerID: s.Arg(0), Work: requestedWork(s), Host: "h", Path: s.Params["path"], Key: key, HasKey: hasKey,
 		Remaining: clock.Millis(s.Int("remaining", 20000)), PromptTokens: promptTokens, AnswerTokens: answerTokens,
-		BodyBytes: s.Int("body", 0),
+		BodyBytes: s.Int("body", 0), Forwarded: forwardedBy(s),
 	}
 }
 
+// forwardedBy returns the node of a script line that has passed a request on; nil for none.
+func forwardedBy(s script.Step) *dispatch.Forwarded {
+	if s.Params["from"] == "" {
+		return nil
+	}
+	return &dispatch.Forwarded{From: s.Params["from"], UpstreamsLeft: s.Int("upstreams_left", 0)}
+}
+
 // requestedWork returns the work of a request: unique unless the line contains asked=.
 func requestedWork(s script.Step) work.ID {
 	name := s.Arg(0)
@@ -327,7 +348,7 @@
 }
 
 func parseCause(t *testing.T, name string) dispatch.Cause {
-	for c := dispatch.CauseNotSent; c <= dispatch.CauseUpstreamFailed; c++ {
+	for c := dispatch.CauseNotSent; c <= dispatch.CauseNodeRefused; c++ {
 		if c.String() == name {
 			return c
 		}
@@ -397,6 +418,9 @@
 func show(cmd dispatch.Cmd) string {
 	switch c := cmd.(type) {
 	case dispatch.SendCmd:
+		if c.Node != "" {
+			return fmt.Sprintf("forward %d.%d to %s upstreams_left=%d", c.Request, c.Attempt, c.Node, c.UpstreamsLeft)
+		}
 		text := fmt.Sprintf("send %d.%d to %s", c.Request, c.Attempt, c.Upstream)
 		if len(c.Chain) > 0 {
 			text += " over " + showChain(c.Chain)
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -12,7 +12,7 @@
 )
 
 // send chooses the upstream or chain for the next attempt of a request. Without one, the request
-// waits or ends.
+// is passed on to another node, waits or ends.
 func (m *Model) send(r *request) []Cmd {
 	if remaining, quarantined := m.quarantine.Quarantined(m.now, r.work); quarantined {
 		return m.refuseQuarantined(r, remaining)
@@ -23,12 +23,15 @@
 	if m.overFairShare(r) {
 		return m.giveUp(r, ReasonOverFairShare)
 	}
-	var cmd SendCmd
-	var reason Reason
-	if r.service.Pipeline != nil {
-		cmd, reason = m.sendPipeline(r)
-	} else {
-		cmd, reason = m.sendPlain(r)
+	cmd, reason := m.choosePath(r, m.leavesSuspects(r))
+	if reason.isPathLoss() && m.lacksOnlyReach(r) {
+		if cmds := m.forward(r); len(cmds) > 0 {
+			return cmds
+		}
+		cmd, reason = m.choosePath(r, r.arrival.Forwarded != nil)
+		if reason.isPathLoss() && m.cutFromService(r) {
+			reason = ReasonNoPath
+		}
 	}
 	if reason == ReasonNoUpstream && m.lacksOnlySlot(r) {
 		reason = ReasonNoSlot
@@ -44,20 +47,35 @@
 	if reason != "" {
 		return m.giveUp(r, reason)
 	}
-	r.attempts++
 	r.firstUpstream.inFlight++
 	m.limits.RecordSent(m.now, r.firstUpstream.entry.ID)
 	advertised, _ := m.limits.Limit(r.firstUpstream.entry.ID)
 	cmd.Limit = advertised.Rate
-	cmd.Request, cmd.Attempt = r.arrival.Request, r.attempts
 	cmd.Upstream, cmd.Address = r.firstUpstream.entry.ID, r.firstUpstream.entry.Address
+	cmd.LastUpstream = m.isLastUpstream(r)
+	cmd.InFlight = r.firstUpstream.inFlight
+	m.beginAttempt(r, &cmd)
+	return []Cmd{cmd}
+}
+
+// beginAttempt counts an attempt of a request and sets the fields of its command that do not depend
+// on where the request is sent.
+func (m *Model) beginAttempt(r *request, cmd *SendCmd) {
+	r.attempts++
+	cmd.Request, cmd.Attempt = r.arrival.Request, r.attempts
 	cmd.Route, cmd.Account, cmd.RequiresKey, cmd.Priority = r.route, r.account.Name, r.requiresKey, r.priority()
 	cmd.ClientDeadline, cmd.RouteDeadline = r.clientDeadline, r.giveUp
-	cmd.LastUpstream = m.isLastUpstream(r)
 	cmd.Work, cmd.WorkSuspected = r.work, m.quarantine.IsSuspect(r.work)
 	cmd.Config, cmd.ConfigAge = m.catalog.Edition(), clock.AgeOf(m.configConfirmedAt, m.now)
-	cmd.InFlight = r.firstUpstream.inFlight
-	return []Cmd{cmd}
+}
+
+// choosePath chooses the upstream or chain for the next attempt. With leaveSuspects, a plain
+// service of which this node reaches no upstream gives no path.
+func (m *Model) choosePath(r *request, leaveSuspects bool) (SendCmd, Reason) {
+	if r.service.Pipeline != nil {
+		return m.sendPipeline(r)
+	}
+	return m.sendPlain(r, leaveSuspects)
 }
 
 // isLastUpstream reports whether no upstream may execute the request besides those that have
@@ -105,7 +123,7 @@
 
 // sendPlain chooses the upstream that is expected to answer first, by its mean latency and the
 // number of this node's requests on it.
-func (m *Model) sendPlain(r *request) (SendCmd, Reason) {
+func (m *Model) sendPlain(r *request, leaveSuspects bool) (SendCmd, Reason) {
 	if q := m.slotQueues[r.service.Name]; q != nil && q.len() > 0 && !r.waitedForSlot && m.lacksOnlySlot(r) {
 		// New requests queue behind those that already wait for a slot.
 		return SendCmd{}, ReasonNoSlot
@@ -113,6 +131,9 @@
 	best := m.cheapest(r, func(u *upstream) bool {
 		return r.mayExecuteOn(u) && !r.triedUpstreams[u.entry.ID] && u.available(m.now) && u.failureRate <= maxFailureRate
 	})
+	if best == nil && leaveSuspects && m.lacksOnlyReach(r) {
+		return SendCmd{}, ReasonNoUpstream
+	}
 	if best == nil {
 		best = m.cheapest(r, func(u *upstream) bool { return r.mayExecuteOn(u) && !r.triedUpstreams[u.entry.ID] && !u.full(m.now) })
 	}
@@ -134,7 +155,7 @@
 	bestCost := 0.0
 	suspected := m.quarantine.IsSuspect(r.work)
 	for _, u := range m.byService[r.service.Name] {
-		if !u.acceptsWork() || u.inBackOff(m.now) || !allowed(u) || !m.limitAllows(r, u) {
+		if !u.acceptsWork() || m.cutFrom(u) || u.inBackOff(m.now) || !allowed(u) || !m.limitAllows(r, u) {
 			continue
 		}
 		cost := u.meanLatency * float64(u.inFlight+1) * (1 + m.random.Float64()*tieSpread)
@@ -230,12 +251,16 @@
 }
 
 // answersProbes reports whether an engine may get work if no other engine holds its layers: it is
-// healthy, or it breaks off connections but has just answered a probe.
+// healthy, it breaks off connections but has just answered a probe, or only another node found it
+// unresponsive, which may be cut from it.
 func (m *Model) answersProbes(u *upstream) bool {
 	if u.healthy() {
 		return true
 	}
-	return u.acceptsWork() && u.suspicionCause == CauseUnknown && !u.unresponsive && m.now <= u.probeAnsweredAt.Add(probeAnswerWindow)
+	if !u.acceptsWork() || u.unresponsive {
+		return false
+	}
+	return u.suspectedByPeer || u.suspicionCause == CauseUnknown && m.now <= u.probeAnsweredAt.Add(probeAnswerWindow)
 }
 
 func chainErrorReason(err error) Reason {
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -61,6 +61,11 @@
 	// avoidedForNoEventUntil is the end of the time for which the engine is avoided because of an attempt
 	// without a first event.
 	avoidedForNoEventUntil clock.Millis
+	// reachProbeWanted reports whether the upstream is probed at the next tick to find out about this
+	// node's links to its data centre, and reachProbeOnly whether the probe in flight has no other
+	// purpose.
+	reachProbeWanted bool
+	reachProbeOnly   bool
 	// suspected upstreams get no work until a probe succeeds.
 	suspected     bool
 	probeInFlight bool
@@ -76,6 +81,8 @@
 	identifying           bool
 	failedIdentifications int
 	identifyAfter         clock.Millis
+	// suspectedByPeer reports whether the suspicion rests on the report of another node alone.
+	suspectedByPeer bool
 	// suspicionCause is the cause of the last suspicion. probeAnsweredAt is when the upstream
 	// last answered a probe.
 	suspicionCause  Cause
@@ -178,7 +185,7 @@
 func (u *upstream) recordSuspicion(now clock.Millis) clock.Millis {
 	wait := min(minSuspicion<<min(u.failures, 8), maxSuspicion)
 	u.failures++
-	u.suspected = true
+	u.suspected, u.suspectedByPeer = true, false
 	u.addProbeCandidate()
 	u.avoidUntil = now.Add(wait)
 	return u.avoidUntil
@@ -246,6 +253,8 @@
 	switch {
 	case u.probeInFlight:
 		return false
+	case u.reachProbeWanted:
+		return true
 	case u.suspected:
 		return u.earlyProbeWanted || u.crashCheckWanted || now >= u.avoidUntil
 	case u.inBackOff(now):
--- a/dispatch/usage.go
+++ b/dispatch/usage.go
@@ -202,6 +202,7 @@
 		m.limits.RecordDataCentreSeen(m.now, centre)
 	}
 	if !msg.WholeDataCentre {
+		m.nodes.RecordHeard(m.now, msg.Node)
 		m.limits.RecordSeen(m.now, msg.Node)
 	}
 }
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -32,7 +32,7 @@
 // waitsForCapacity reports whether the lack of capacity that a reason states may pass soon enough
 // for a request to wait for it.
 func waitsForCapacity(reason Reason) bool {
-	return reason == ReasonNoMemory || reason == ReasonNoHolder || reason == ReasonNoRetryBudget || reason == ReasonHeldBack || reason == ReasonOverFairShare
+	return reason == ReasonNoMemory || reason == ReasonNoHolder || reason == ReasonNoPath || reason == ReasonNoRetryBudget || reason == ReasonHeldBack || reason == ReasonOverFairShare
 }
 
 // waitOrAbort lets a stream that has begun wait if it cannot be resumed at the moment: engines
@@ -44,6 +44,7 @@
 	}
 	if waitsForCapacity(reason) && m.now < r.waitUntil {
 		r.waitReason = reason
+		clear(r.askedNodes)
 		r.afterBackOff = len(m.backOffEnds(r)) > 0
 		return nil
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
+	"github.com/hoistjunction/hoistjunction/forwardwire"
 	"github.com/hoistjunction/hoistjunction/keeper"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
@@ -125,7 +126,7 @@
 			MaxConfigAge: s.keysMaxAge(), RetryWindow: clock.Millis(s.RetryWindowSeconds * msPerSecond),
 			RetryShare: s.RetryShare, RetrySlack: s.RetrySlack,
 			QuarantineDuration: s.quarantineDuration(), SpreadCost: s.SpreadCost,
-			MaxWaiting: s.WaitingRequests, MaxWaitingBytes: s.waitingBytes(), DisableAdmission: !s.Admission, AccountPriorities: s.AccountPriorities, DisableFairShares: !s.FairShares,
+			MaxWaiting: s.WaitingRequests, MaxWaitingBytes: s.waitingBytes(), MaxForwarded: s.ForwardedRequests, DisableAdmission: !s.Admission, AccountPriorities: s.AccountPriorities, DisableFairShares: !s.FairShares,
 		}),
 		dispatch.WithStoredQuarantine(),
 		dispatch.WithLimits(limit.New(limit.WithSelf(s.Name), limit.WithBootID(uint64(time.Now().UnixNano())))),
@@ -139,7 +140,7 @@
 	self.UsageAddress = sharing.Address()
 	listAge := func() clock.Millis { return n.fleetFollower.ListAge() }
 	n.relay = relay.New(n.ctx, platform.Headers{}, model, n.clock, n.log,
-		relay.WithEngines(n.engines), relay.WithDialer(n.dialUpstream), relay.WithMaxConfigAge(s.keysMaxAge()),
+		relay.WithEngines(n.engines), relay.WithDialer(n.dialUpstream), relay.WithForwarding(s.Name, platform.Dialer().DialContext), relay.WithMaxConfigAge(s.keysMaxAge()),
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
 		relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
@@ -297,10 +298,17 @@
 	})
 }
 
-// peerHandler serves the queries of other nodes.
+// peerHandler serves the queries of other nodes and the requests that they pass on. Those keep the
+// path that their caller chose, so a header tells them apart.
 func (n *Node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(n.peers.Handler())
 	mux.Handle(reading.Handler(n.readLog, n.queryNewerConfig))
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if forwardwire.IsForwarded(r.Header) {
+			n.relay.ServeForwarded(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -58,6 +58,9 @@
 	// bodies; zero lets none wait.
 	WaitingRequests int
 	WaitingKB       int
+	// ForwardedRequests bounds the requests of other nodes that this node serves at a time, for nodes
+	// that reach no upstream; zero lets it serve none.
+	ForwardedRequests int
 	// Admission reports whether less urgent requests are held back under pressure. It takes effect
 	// only on services whose requests differ in priority.
 	Admission bool
@@ -75,9 +78,11 @@
 	// maxWaitingRequests bounds the setting for waiting requests: each review visits all of them.
 	// maxWaitingKB is half of the memory of the smallest VM.
 	maxWaitingRequests = 4096
-	maxWaitingKB       = 64 << 10
-	maxShare           = 1000.0
-	msPerSecond        = 1000
+	// maxForwardedRequests bounds the setting for requests of other nodes.
+	maxForwardedRequests = 4096
+	maxWaitingKB         = 64 << 10
+	maxShare             = 1000.0
+	msPerSecond          = 1000
 	// maxSpreadCost makes the choice of engines practically uniform, in ms per token.
 	maxSpreadCost = 100.0
 )
@@ -112,6 +117,7 @@
 	set.Float("quarantine", "lasts_s", &s.QuarantineSeconds, 1, maxNumber, settings.WithDefault("3600"))
 	set.Int("waiting", "max_requests", &s.WaitingRequests, 0, maxWaitingRequests, settings.WithDefault("0"))
 	set.Int("waiting", "max_kb", &s.WaitingKB, 0, maxWaitingKB, settings.WithDefault("4096"))
+	set.Int("forwarding", "max_requests", &s.ForwardedRequests, 0, maxForwardedRequests, settings.WithDefault("128"))
 	set.Bool("admission", "enabled", &s.Admission, settings.WithDefault("true"))
 	set.Bool("admission", "account_priorities", &s.AccountPriorities, settings.WithDefault("false"))
 	set.Bool("fair_shares", "enabled", &s.FairShares, settings.WithDefault("false"))
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -156,7 +156,7 @@
 		Name: name, DataCentre: "dc", LogLevel: "info", GraceSeconds: 8, Cores: 1, MemoryMB: 256,
 		CallerListen: anyPort, ReadinessListen: anyPort, PeerListen: anyPort,
 		MetricsListen: anyPort, UsageListen: anyPort, PeerSeeds: seeds, PlatformAddress: storeAddress,
-		KeysFailClosed: true, KeysMaxAge: 5000, ConfigDeadline: 2000, LeavingDeadline: 2000, RetryWindowSeconds: 10, RetryShare: 0.2, RetrySlack: 200,
+		KeysFailClosed: true, KeysMaxAge: 5000, ConfigDeadline: 2000, LeavingDeadline: 2000, RetryWindowSeconds: 10, RetryShare: 0.2, RetrySlack: 200, ForwardedRequests: 128,
 	}
 	n, err := node.New(settings, logging.Nop(), opts...)
 	if err != nil {
--- a/node/topology.go
+++ b/node/topology.go
@@ -11,6 +11,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/forwarding"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/reading"
@@ -75,6 +76,7 @@
 func (n *Node) applyTopology(topology *reading.Topology, others []*wire.Member, rank int) {
 	here := n.settings.DataCentre
 	msg := peersMsg(topology, append(others[:len(others):len(others)], n.roster.Self()))
+	msg.ForwardTargets = forwardTargets(others)
 	n.usage.SetAddresses(usageAddressesByName(others))
 	if topology.FullMesh {
 		near, far := meshRecipients(others, here)
@@ -105,6 +107,17 @@
 	return msg
 }
 
+// forwardTargets returns the nodes that may serve requests of this one.
+func forwardTargets(others []*wire.Member) []forwarding.Node {
+	var list []forwarding.Node
+	for _, m := range others {
+		if m.GetName() != "" && m.GetAddress() != "" {
+			list = append(list, forwarding.Node{Name: m.GetName(), DataCentre: m.GetDataCentre(), Address: m.GetAddress()})
+		}
+	}
+	return list
+}
+
 // withDataCentre returns the nodes whose data centre is known.
 func withDataCentre(members []*wire.Member) []*wire.Member {
 	return slices.DeleteFunc(slices.Clone(members), func(m *wire.Member) bool { return m.GetDataCentre() == "" })
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/forwardwire"
 )
 
 // errAnswerStarted is returned for a second answer to the same request.
@@ -39,6 +41,9 @@
 	// answer.
 	stopping *atomic.Bool
 	state    answerState
+	// forwarded reports whether the answer goes to another node, which is told in a header what the
+	// answer is.
+	forwarded bool
 }
 
 func newAnswerWriter(w http.ResponseWriter, stopping *atomic.Bool) *answerWriter {
@@ -52,11 +57,13 @@
 func (a *answerWriter) ended() bool { return a.state == answerComplete }
 
 // writeHead writes the status and headers of an upstream's answer.
-func (a *answerWriter) writeHead(head *http.Response) error {
+func (a *answerWriter) writeHead(head *http.Response, upstream fleet.Incarnation) error {
 	if a.started() {
 		return errAnswerStarted
 	}
-	a.copyHead(head)
+	if err := a.copyHead(head, upstream); err != nil {
+		return err
+	}
 	if isEvents(head) {
 		// Another upstream may resume the stream and split the remaining text into other
 		// events.
@@ -66,13 +73,30 @@
 	return nil
 }
 
-func (a *answerWriter) copyHead(head *http.Response) {
+func (a *answerWriter) copyHead(head *http.Response, upstream fleet.Incarnation) error {
 	a.state = answerPartial
 	out := a.w.Header()
 	for name, values := range forwardedHeaders(head.Header) {
 		out[name] = values
 	}
 	a.setConnectionClose()
+	return a.describe(forwardwire.Answer{Outcome: forwardwire.Answered, Upstream: upstream})
+}
+
+// describe tells another node what the answer is; callers are told nothing.
+func (a *answerWriter) describe(answer forwardwire.Answer) error {
+	if !a.forwarded {
+		return nil
+	}
+	return forwardwire.SetAnswer(a.w.Header(), answer)
+}
+
+// outcomeOf returns what became of a request that this node answers with a status itself.
+func outcomeOf(status int) forwardwire.Outcome {
+	if status == http.StatusBadGateway || status == http.StatusGatewayTimeout {
+		return forwardwire.Failed
+	}
+	return forwardwire.Refused
 }
 
 func (a *answerWriter) setConnectionClose() {
@@ -82,11 +106,13 @@
 }
 
 // complete writes an upstream's answer with its whole body and marks it as ended.
-func (a *answerWriter) complete(head *http.Response, body []byte) error {
+func (a *answerWriter) complete(head *http.Response, upstream fleet.Incarnation, body []byte) error {
 	if a.started() {
 		return errAnswerStarted
 	}
-	a.copyHead(head)
+	if err := a.copyHead(head, upstream); err != nil {
+		return err
+	}
 	if head.Request == nil || head.Request.Method != http.MethodHead {
 		a.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -127,6 +153,9 @@
 	body := []byte(`{"error":` + strconv.Quote(reason) + "}\n")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	a.setConnectionClose()
+	if err := a.describe(forwardwire.Answer{Outcome: outcomeOf(status), Reason: reason, RetryAfter: retryAfter}); err != nil {
+		return err
+	}
 	a.w.WriteHeader(status)
 	if _, err := a.w.Write(body); err != nil {
 		return err
--- a/relay/answer_test.go
+++ b/relay/answer_test.go
@@ -14,6 +14,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/internal/fixedseed"
 )
 
@@ -234,14 +235,16 @@
 		write func(*answerWriter) error
 	}{
 		{"not started", func(*answerWriter) error { return nil }},
-		{"headers only", func(a *answerWriter) error { return a.writeHead(head) }},
-		{"started", func(a *answerWriter) error { return errors.Join(a.writeHead(head), a.writeBody([]byte("id: 1\n\n"))) }},
+		{"headers only", func(a *answerWriter) error { return a.writeHead(head, fleet.Incarnation{}) }},
+		{"started", func(a *answerWriter) error {
+			return errors.Join(a.writeHead(head, fleet.Incarnation{}), a.writeBody([]byte("id: 1\n\n")))
+		}},
 		{"another answer", func(a *answerWriter) error {
-			err := a.writeHead(head)
+			err := a.writeHead(head, fleet.Incarnation{})
 			if got := a.writeError(http.StatusBadGateway, "late", 0); !errors.Is(got, errAnswerStarted) {
 				t.Errorf("got %v, want %v", got, errAnswerStarted)
 			}
-			if got := a.complete(head, []byte("late")); !errors.Is(got, errAnswerStarted) {
+			if got := a.complete(head, fleet.Incarnation{}, []byte("late")); !errors.Is(got, errAnswerStarted) {
 				t.Errorf("got %v, want %v", got, errAnswerStarted)
 			}
 			return err
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -54,9 +54,13 @@
 	faultyAddress string
 	status        UpstreamStatus
 	err           error
+	// refusal is that of another node, for CauseNodeRefused.
+	refusal dispatch.NodeRefusal
+	// upstream is the upstream that produced the answer.
+	upstream fleet.Incarnation
 }
 
-// attempt sends a request to one upstream and reads the answer.
+// attempt sends a request to one upstream or another node and reads the answer.
 type attempt struct {
 	protocol Protocol
 	conns    *upstreamConns
@@ -76,7 +80,9 @@
 	ownConnection bool
 	gate          *configGate
 	cmd           dispatch.SendCmd
-	callerID      string
+	// servedBy is the upstream that answers at another node, which is known with the answer.
+	servedBy fleet.Incarnation
+	callerID string
 	// resuming reports that part of the answer has been written to the caller. Only an event
 	// stream can resume it; any other answer fails the attempt.
 	resuming bool
@@ -150,6 +156,14 @@
 // nothingWritten implements writeGuard.
 func (a *attempt) nothingWritten() { a.written.Store(false) }
 
+// upstream returns the upstream that answers; zero while it is not known.
+func (a *attempt) upstream() fleet.Incarnation {
+	if a.cmd.Node != "" {
+		return a.servedBy
+	}
+	return a.cmd.Upstream
+}
+
 // failureCause returns the cause of an attempt that got no response headers.
 func (a *attempt) failureCause(ctx context.Context) dispatch.Cause {
 	switch {
@@ -164,6 +178,9 @@
 
 // readAnswer checks the headers of an answer and forwards the answer to the session.
 func (a *attempt) readAnswer(ctx context.Context, resp *http.Response) {
+	if a.cmd.Node != "" && !a.acceptForwarded(ctx, resp) {
+		return
+	}
 	head := a.protocol.AnswerHead(resp.StatusCode, resp.Header)
 	a.recordStatus(head)
 	switch {
@@ -171,7 +188,7 @@
 		a.fail(ctx, dispatch.CauseUnknown, "", errAnswerMismatch)
 		return
 	case head.Misdirected:
-		if head.At == "" || head.At == a.cmd.Address {
+		if a.cmd.Node == "" && (head.At == "" || head.At == a.cmd.Address) {
 			a.handlePresence(a.cmd.Upstream, a.cmd.Address, a.cmd.Upstream.Presence(head.Responder))
 		}
 		a.fail(ctx, dispatch.CauseMisdirected, head.At, errors.Newf("status %d", resp.StatusCode))
@@ -203,7 +220,7 @@
 func (a *attempt) recordStatus(head AnswerHead) {
 	status := head.UpstreamStatus
 	if head.ID == a.callerID && !head.Misdirected && !status.HasLimit {
-		a.handleNoLimit(a.cmd.Upstream, a.startedAt)
+		a.handleNoLimit(a.upstream(), a.startedAt)
 	}
 	if head.ID != "" && head.ID != a.callerID {
 		status.BackOff = 0
@@ -212,7 +229,7 @@
 		return
 	}
 	a.status = status
-	a.handleStatus(a.cmd.Upstream, status)
+	a.handleStatus(a.upstream(), status)
 	for _, part := range a.cmd.Chain {
 		if part.Address == head.At && part.ID != a.cmd.Upstream && status.BackOff > 0 {
 			a.handleStatus(part.ID, UpstreamStatus{BackOff: status.BackOff})
@@ -288,6 +305,7 @@
 
 // emit sends an update to the session and reports whether it was accepted before ctx ended.
 func (a *attempt) emit(ctx context.Context, update attemptUpdate) bool {
+	update.upstream = a.upstream()
 	select {
 	case a.updates <- update:
 		return true
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -22,7 +22,9 @@
 // plainProtocol is a protocol in which every answer is sealed and carries no attempt id.
 type plainProtocol struct{}
 
-func (plainProtocol) CallerHead(http.Header) CallerHead      { return CallerHead{} }
+func (plainProtocol) CallerHead(http.Header) CallerHead     { return CallerHead{} }
+func (plainProtocol) SetForwarded(http.Header, ForwardHead) {}
+
 func (plainProtocol) SetAttempt(http.Header, AttemptHead)    {}
 func (plainProtocol) AnswerHead(int, http.Header) AnswerHead { return AnswerHead{Sealed: true} }
 
--- a/relay/first_event.go
+++ b/relay/first_event.go
@@ -12,6 +12,9 @@
 // attempt; the log shows that of the answer.
 func (s *session) recordFirstEvent() {
 	cmd := s.attempt.cmd
+	if cmd.Node != "" {
+		s.relay.decider.notify(s.relay.lifetime, dispatch.FirstEventMsg{Request: s.id, Attempt: cmd.Attempt})
+	}
 	if len(cmd.Chain) == 0 {
 		return
 	}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -41,6 +41,12 @@
 	}
 }
 
+func (sealedProtocol) SetForwarded(h http.Header, f ForwardHead) {
+	if f.LastEventID != "" {
+		h.Set(headerAfter, f.LastEventID)
+	}
+}
+
 func (sealedProtocol) AnswerHead(_ int, h http.Header) AnswerHead {
 	sealed := h.Get(headerSeal) != ""
 	return AnswerHead{Sealed: sealed, NotExecuted: !sealed}
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -41,6 +41,15 @@
 	LastEventID string
 }
 
+// ForwardHead holds the values that a node puts into the headers of a request that it passes on to
+// another node.
+type ForwardHead struct {
+	// Remaining is the time that the other node has for the request.
+	Remaining clock.Millis
+	// LastEventID is the id of the last event that the caller has received; empty for none.
+	LastEventID string
+}
+
 // AnswerHead holds the values from the headers of an upstream's answer.
 type AnswerHead struct {
 	// ID is the caller's id of the attempt that is answered.
@@ -66,6 +75,7 @@
 type Protocol interface {
 	CallerHead(h http.Header) CallerHead
 	SetAttempt(h http.Header, a AttemptHead)
+	SetForwarded(h http.Header, f ForwardHead)
 	AnswerHead(status int, h http.Header) AnswerHead
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"net"
 	"net/http"
 	"sync/atomic"
 
@@ -20,14 +21,17 @@
 
 // Relay forwards callers' requests to upstreams.
 type Relay struct {
-	protocol     Protocol
-	engines      Engines
-	reports      *reportCache
-	clock        *clock.Clock
-	log          *zap.Logger
-	decider      *decider
-	gate         *configGate
-	upstreams    *upstreamPool
+	protocol  Protocol
+	engines   Engines
+	reports   *reportCache
+	clock     *clock.Clock
+	log       *zap.Logger
+	decider   *decider
+	gate      *configGate
+	upstreams *upstreamPool
+	// nodeName is the name of this node, and nodeConns holds the connections to other nodes.
+	nodeName     string
+	nodeConns    *upstreamConns
 	stats        *stats
 	limits       atomic.Pointer[catalog.Limits]
 	nextID       atomic.Uint64
@@ -104,6 +108,7 @@
 		extraMetrics: make(map[string]expvar.Var), listAge: unknownListAge, onLeaving: func(fleet.Incarnation) {}, onReplaced: func(fleet.Incarnation, string) {},
 	}
 	r.decider = newDecider(model, c, log, r.probe, r.identify)
+	WithForwarding("", (&net.Dialer{}).DialContext)(r)
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -122,6 +127,7 @@
 
 // Run processes decisions until ctx ends.
 func (r *Relay) Run(ctx context.Context) error {
+	defer r.nodeConns.CloseIdleConnections()
 	defer r.upstreams.closeIdle()
 	return r.decider.run(ctx)
 }
@@ -159,6 +165,7 @@
 // they may have died meanwhile without a FIN or reset.
 func (r *Relay) HandleVMResumed() {
 	r.upstreams.closeIdle()
+	r.nodeConns.CloseIdleConnections()
 	r.decider.notify(r.lifetime, dispatch.VMResumedMsg{})
 }
 
@@ -248,15 +255,19 @@
 	}
 }
 
-// ServeHTTP handles one request of a caller. Answers are aborted only in this method, since
-// net/http completes an answer when the method returns.
-func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+// ServeHTTP handles one request of a caller. Answers are aborted only in handle, since net/http
+// completes an answer when its handler returns.
+func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) { r.handle(w, req, nil) }
+
+// handle handles one request of a caller, or one that another node has passed on.
+func (r *Relay) handle(w http.ResponseWriter, req *http.Request, forwarded *dispatch.Forwarded) {
 	r.openRequests.Add(1)
 	defer r.openRequests.Add(-1)
 	r.stats.count("arrived")
 	answer := newAnswerWriter(w, &r.stopping)
+	answer.forwarded = forwarded != nil
 	head := r.protocol.CallerHead(req.Header)
-	reasonLogged := r.serve(answer, head, w, req)
+	reasonLogged := r.serve(answer, head, w, req, forwarded)
 	if !answer.ended() && !req.ProtoAtLeast(1, 1) {
 		if err := answer.resetConnection(); err != nil {
 			r.log.Warn("not_reset", zap.String("id", head.ID), logging.Err(err))
@@ -280,7 +291,7 @@
 
 // serve handles a request and reports whether the reason for an incomplete answer has been
 // logged.
-func (r *Relay) serve(answer *answerWriter, head CallerHead, w http.ResponseWriter, req *http.Request) (reasonLogged bool) {
+func (r *Relay) serve(answer *answerWriter, head CallerHead, w http.ResponseWriter, req *http.Request, forwarded *dispatch.Forwarded) (reasonLogged bool) {
 	startedAt := r.clock.Now()
 	body, status := r.readBody(w, req)
 	if status != 0 {
@@ -294,7 +305,7 @@
 	s := &session{
 		relay: r, id: dispatch.RequestID(r.nextID.Add(1)), head: head, body: body, answer: answer, request: req,
 		commands: make(chan dispatch.Cmd, mailboxSize), log: r.log, startedAt: startedAt,
-		sentTo: make(map[fleet.Incarnation]bool),
+		sentTo: make(map[fleet.Incarnation]bool), forwarded: forwarded,
 	}
 	s.run()
 	return s.outcomeLogged
--- a/relay/session.go
+++ b/relay/session.go
@@ -15,13 +15,15 @@
 
 // session handles one request of a caller.
 type session struct {
-	relay     *Relay
-	id        dispatch.RequestID
-	head      CallerHead
-	body      []byte
-	answer    *answerWriter
-	request   *http.Request
-	commands  chan dispatch.Cmd
+	relay    *Relay
+	id       dispatch.RequestID
+	head     CallerHead
+	body     []byte
+	answer   *answerWriter
+	request  *http.Request
+	commands chan dispatch.Cmd
+	// forwarded describes a request that another node has passed on; nil for a caller's own.
+	forwarded *dispatch.Forwarded
 	log       *zap.Logger
 	startedAt clock.Millis
 
@@ -115,7 +117,7 @@
 		Request: s.id, CallerID: s.head.ID, Work: work.FromRequest(s.request, s.body), Host: normalizeHost(s.request.Host), Path: s.request.URL.Path,
 		Key: s.head.Key, HasKey: s.head.HasKey, Remaining: s.head.Remaining,
 		PromptTokens: s.head.PromptTokens, AnswerTokens: s.head.AnswerTokens, HintTokens: s.head.HintTokens,
-		BodyBytes: len(s.body),
+		BodyBytes: len(s.body), Forwarded: s.forwarded,
 	}
 }
 
@@ -187,7 +189,7 @@
 		s.respondError(http.StatusBadGateway, dispatch.ReasonAnswerLost, 0)
 		return true
 	}
-	if err := s.answer.complete(s.upstreamFailure.head, s.upstreamFailure.data); err != nil {
+	if err := s.answer.complete(s.upstreamFailure.head, s.upstreamFailure.upstream, s.upstreamFailure.data); err != nil {
 		s.logCallerLost(err)
 		return true
 	}
--- a/relay/session_answer.go
+++ b/relay/session_answer.go
@@ -14,7 +14,8 @@
 	s.silenceTimer.Stop()
 	switch {
 	case update.failed:
-		s.failAttempt(update.cause, update.faultyAddress, update.status, update.err)
+		msg := dispatch.AttemptFailedMsg{Cause: update.cause, FaultyAddress: update.faultyAddress, Refusal: update.refusal}
+		s.endFailedAttempt(msg, update.status, update.err)
 		return false
 	case update.head != nil && update.head.StatusCode >= http.StatusInternalServerError && update.end:
 		return s.holdUpstreamFailure(update)
@@ -51,9 +52,9 @@
 func (s *session) writeUpdate(update attemptUpdate) error {
 	if update.head != nil && !s.answer.started() {
 		if update.end && len(update.event.raw) == 0 {
-			return s.answer.complete(update.head, update.data)
+			return s.answer.complete(update.head, update.upstream, update.data)
 		}
-		if err := s.answer.writeHead(update.head); err != nil {
+		if err := s.answer.writeHead(update.head, update.upstream); err != nil {
 			return err
 		}
 	}
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -15,13 +15,13 @@
 // plain upstreams within 350 ms (docs/MEASUREMENTS.md).
 const maxConnectionSilence clock.Millis = 300
 
-// startAttempt sends the request to the upstream chosen by the decider.
+// startAttempt sends the request to the upstream, or passes it on to the node, that the decider has
+// chosen.
 func (s *session) startAttempt(cmd dispatch.SendCmd) {
 	now := s.relay.clock.Now()
 	remaining := min(cmd.ClientDeadline, cmd.RouteDeadline).Sub(now)
 	s.attempts++
 	s.route = cmd.Route
-	s.logSend(cmd, remaining)
 	s.attemptBegun = false
 	if s.events == 0 {
 		s.predictedFirstEvent = cmd.PredictedFirstEvent
@@ -36,21 +36,55 @@
 		s.firstEventTimer.Reset(cmd.FirstEventLimit.Duration())
 	}
 	s.silenceTimer.Reset(maxConnectionSilence.Duration())
-	conns := s.relay.upstreams.get(cmd.Upstream)
 	ctx, cancel := context.WithCancelCause(s.request.Context())
-	a := &attempt{
-		protocol: s.relay.protocol, conns: conns, blocked: func() bool { return s.relay.upstreams.blocked(conns) }, handleStatus: s.relay.HandleUpstreamStatus, handleNoLimit: s.relay.handleNoLimit, startedAt: now, handlePresence: s.relay.handlePresence, ownConnection: s.needsOwnConnection(cmd.Upstream), gate: s.relay.gate, cmd: cmd,
-		callerID: s.head.ID, resuming: s.answer.started(), updates: make(chan attemptUpdate, maxQueuedUpdates), cancel: cancel,
+	var a *attempt
+	var err error
+	if cmd.Node != "" {
+		s.logForward(cmd, remaining)
+		a, err = s.newForward(ctx, cmd, remaining)
+	} else {
+		s.logSend(cmd, remaining)
+		a = s.newSend(ctx, cmd, remaining)
+	}
+	a.cancel = cancel
+	s.attempt, s.sentAt, s.lastUpdateAt, s.quietSince = a, now, now, now
+	if err != nil {
+		s.failAttempt(dispatch.CauseNotSent, "", UpstreamStatus{}, err)
+		return
+	}
+	s.resetFirstStallTimer()
+	go a.run(ctx)
+}
+
+// resetFirstStallTimer starts the timer for the first check of a stream that has no event yet.
+func (s *session) resetFirstStallTimer() {
+	switch {
+	case len(s.attempt.cmd.Chain) > 0:
+		s.stallTimer.Reset(firstEventStall.Duration())
+	case s.watchesForward():
+		s.stallTimer.Reset(abandonAfter.Duration())
 	}
+}
+
+// newAttempt returns an attempt over the given connections. Its request is not set yet.
+func (s *session) newAttempt(cmd dispatch.SendCmd, conns *upstreamConns) *attempt {
+	return &attempt{
+		protocol: s.relay.protocol, conns: conns, handleStatus: s.relay.HandleUpstreamStatus, handleNoLimit: s.relay.handleNoLimit,
+		startedAt: s.relay.clock.Now(), handlePresence: s.relay.handlePresence, gate: s.relay.gate, cmd: cmd,
+		callerID: s.head.ID, resuming: s.answer.started(), updates: make(chan attemptUpdate, maxQueuedUpdates),
+	}
+}
+
+// newSend returns an attempt that sends the request to an upstream.
+func (s *session) newSend(ctx context.Context, cmd dispatch.SendCmd, remaining clock.Millis) *attempt {
+	conns := s.relay.upstreams.get(cmd.Upstream)
+	a := s.newAttempt(cmd, conns)
+	a.blocked, a.ownConnection = func() bool { return s.relay.upstreams.blocked(conns) }, s.needsOwnConnection(cmd.Upstream)
 	a.req = outgoing(ctx, s.request, cmd.Address, s.body)
 	s.relay.protocol.SetAttempt(a.req.Header, AttemptHead{
 		Upstream: cmd.Upstream, Account: cmd.Account, Priority: cmd.Priority, Remaining: remaining, Chain: cmd.Chain, LastEventID: s.lastEventID,
 	})
-	s.attempt, s.sentAt, s.lastUpdateAt, s.quietSince = a, now, now, now
-	if len(cmd.Chain) > 0 {
-		s.stallTimer.Reset(firstEventStall.Duration())
-	}
-	go a.run(ctx)
+	return a
 }
 
 // recheckDeadline resets the timers after a suspension of the VM, during which they do not
@@ -61,7 +95,7 @@
 		return
 	}
 	s.closeSilentConnections()
-	if len(s.attempt.cmd.Chain) > 0 {
+	if len(s.attempt.cmd.Chain) > 0 || s.watchesForward() {
 		s.stallTimer.Reset(0)
 	}
 }
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -65,6 +65,9 @@
 
 func (s *session) resetStallTimer() {
 	s.stallQueries = 0
+	if s.attempt != nil && s.watchesForward() {
+		s.stallTimer.Reset(abandonAfter.Duration())
+	}
 	if s.attempt != nil && len(s.attempt.cmd.Chain) > 0 {
 		s.stallTimer.Reset(s.timing.stallThreshold().Duration())
 	}
@@ -75,6 +78,10 @@
 	if s.attempt == nil {
 		return
 	}
+	if s.watchesForward() {
+		s.checkForward()
+		return
+	}
 	if s.suspectedAddress != "" && s.pause() >= flowingWithin {
 		address := s.suspectedAddress
 		s.suspectedAddress = ""
--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -66,19 +66,25 @@
 	defer p.mu.Unlock()
 	conns, ok := p.conns[id]
 	if !ok {
-		conns = &upstreamConns{}
-		conns.Transport = &http.Transport{
-			DialContext:        guardDialer(p.dial, func() { conns.lastReadAt.Store(int64(p.clock.Now())) }),
-			DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout,
-			ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
-		}
-		conns.singleUse = conns.Clone()
-		conns.singleUse.DisableKeepAlives = true
+		conns = newUpstreamConns(p.dial, p.clock)
 		p.conns[id] = conns
 	}
 	return conns
 }
 
+// newUpstreamConns returns connections that are opened by a function.
+func newUpstreamConns(dial dialFunc, c *clock.Clock) *upstreamConns {
+	conns := &upstreamConns{}
+	conns.Transport = &http.Transport{
+		DialContext:        guardDialer(dial, func() { conns.lastReadAt.Store(int64(c.Now())) }),
+		DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
+	}
+	conns.singleUse = conns.Clone()
+	conns.singleUse.DisableKeepAlives = true
+	return conns
+}
+
 // block stops requests to an upstream that requests a back-off or is leaving. This covers
 // requests that were decided before and still wait for a connection.
 func (p *upstreamPool) block(id fleet.Incarnation, status UpstreamStatus) {
