hoistlab cuts nodes from all engines

Faults of the kind node_cut cut any share of the nodes from all engines, silently or one way, while callers, the list and other nodes reach them; the emulated nodes pass requests on to each other as the real ones do, and the mechanism can be switched off ('forwarding').

--- a/lab/attempt.go
+++ b/lab/attempt.go
@@ -93,6 +93,10 @@
 	if a.finished || !a.session.node.running {
 		return
 	}
+	if a.session.node.links == linksSilent {
+		w.after(connectTimeout, func() { a.fail(dispatch.CauseNotSent, "") })
+		return
+	}
 	first := w.engineAt[a.cmd.Address]
 	switch {
 	case first == nil || !first.running:
@@ -205,6 +209,10 @@
 		if a.finished || a.planVersion != version {
 			return
 		}
+		if a.session.node.cutOff() {
+			a.waitForLink(version)
+			return
+		}
 		if !a.responseStarted {
 			a.responseStarted = true
 			a.hops[0].engine.sendLimit(a.session.node, a.sentAt)
@@ -245,7 +253,11 @@
 func (a *attempt) complete() {
 	s := a.session
 	a.cancel()
-	s.node.update(dispatch.AttemptDoneMsg{Request: s.id, Attempt: a.cmd.Attempt, Took: a.world.now.Sub(s.caller.firstSentAt)})
+	took := a.world.now.Sub(s.caller.firstSentAt)
+	s.node.update(dispatch.AttemptDoneMsg{Request: s.id, Attempt: a.cmd.Attempt, Took: took})
 	s.finish()
+	if s.origin != nil {
+		s.completeAtOrigin(took)
+	}
 	s.caller.finishServed()
 }
--- a/lab/caller.go
+++ b/lab/caller.go
@@ -33,6 +33,8 @@
 	firstEventAfter clock.Millis
 	longestGap      clock.Millis
 	finished        bool
+	// firstAtCutNode reports whether the first try was sent to a node that was cut from all engines.
+	firstAtCutNode bool
 }
 
 // sendRequest sends the request to a node of the caller's data centre, a different one for each
@@ -48,22 +50,27 @@
 		c.handleFailure("no node")
 		return
 	}
+	c.firstAtCutNode = c.firstAtCutNode || c.tries == 1 && n.cutOff()
 	n.lastRequestID++
 	s := &session{node: n, id: n.lastRequestID, caller: c}
 	c.session = s
 	n.sessions[s.id] = s
 	c.world.result.ClientAttempts++
-	path := "/other/"
-	if c.urgent {
-		path = "/urgent/"
-	}
 	n.update(dispatch.ArriveMsg{
-		Request: s.id, CallerID: fmt.Sprint(c.number, ".", c.tries), Work: c.workID, Host: host, Path: path + "a",
+		Request: s.id, CallerID: fmt.Sprint(c.number, ".", c.tries), Work: c.workID, Host: host, Path: c.path(),
 		Remaining: c.deadline.Sub(c.world.now), PromptTokens: c.prompt, AnswerTokens: c.answerEvents * c.world.scenario.Load.TokensPerEvent,
 		HintTokens: c.answerEvents * c.world.scenario.Load.TokensPerEvent,
 	})
 }
 
+// path returns the path of the request, which depends on its priority.
+func (c *caller) path() string {
+	if c.urgent {
+		return "/urgent/a"
+	}
+	return "/other/a"
+}
+
 // totalTokens returns the memory that the request needs in each layer, in tokens.
 func (c *caller) totalTokens() float64 {
 	return float64(c.prompt) + float64(c.answerEvents*c.world.scenario.Load.TokensPerEvent)
--- a/lab/fault.go
+++ b/lab/fault.go
@@ -37,6 +37,9 @@
 	LoadBurst FaultKind = "burst"
 	// NodeKill kills nodes, which then restart.
 	NodeKill FaultKind = "node_kill"
+	// NodeCut cuts nodes from all engines, while callers, the list and other nodes still reach them:
+	// nothing passes the links or, with x=1, only what the nodes send.
+	NodeCut FaultKind = "node_cut"
 	// ListFrozen stops updates of the engine list; in a rehearsal the store stops answering.
 	ListFrozen FaultKind = "list_away"
 	// NodeFreeze suspends nodes, NodeRollingRestart restarts nodes one after the other,
@@ -51,7 +54,7 @@
 // emulatedKinds are the kinds that the emulator supports, and rehearsalKinds those that only
 // rehearsals support.
 var (
-	emulatedKinds  = []FaultKind{EngineCrash, EngineSlow, EngineRefuse, EngineBackOff, EngineLimit, CrashingRequest, LoadBurst, NodeKill, ListFrozen}
+	emulatedKinds  = []FaultKind{EngineCrash, EngineSlow, EngineRefuse, EngineBackOff, EngineLimit, CrashingRequest, LoadBurst, NodeKill, NodeCut, ListFrozen}
 	rehearsalKinds = []FaultKind{NodeFreeze, NodeRollingRestart, StoreSlow, PlainServiceFull}
 )
 
--- a/lab/node.go
+++ b/lab/node.go
@@ -53,6 +53,8 @@
 	// roster tracks the nodes of the data centre, and topology is the current choice of hubs.
 	roster   *reading.Roster
 	topology reading.Topology
+	// links is how the node's links to the engines are cut.
+	links linkCut
 	// received and sent count the datagrams exchanged with other nodes.
 	received, sent int
 }
@@ -66,7 +68,7 @@
 	s := w.scenario
 	n.dispatcher = dispatch.New(dispatch.WithDataCentre(n.dataCentre), dispatch.WithSeed(uint64(n.rank)+1), dispatch.WithStoredQuarantine(),
 		dispatch.WithLimits(limit.New(limit.WithSelf(n.name), limit.WithBootID(uint64(n.boot)))),
-		dispatch.WithPolicy(dispatch.Policy{RetryWindow: s.Nodes.RetryWindowMS, RetryShare: w.retryShare(), RetrySlack: w.retrySlack(), SpreadCost: dispatch.DefaultSpreadCost, DisableAdmission: w.variant.NoAdmission, DisableFairShares: w.variant.NoFairShares}))
+		dispatch.WithPolicy(dispatch.Policy{MaxForwarded: maxForwarded, RetryWindow: s.Nodes.RetryWindowMS, RetryShare: w.retryShare(), RetrySlack: w.retrySlack(), SpreadCost: dispatch.DefaultSpreadCost, DisableAdmission: w.variant.NoAdmission, DisableFairShares: w.variant.NoFairShares}))
 	n.planner = placement.New(placement.WithDelay(clock.Millis(n.rank)*planStagger), placement.WithStart(0))
 	n.view = fleet.NewView()
 	n.sessions = make(map[dispatch.RequestID]*session)
@@ -110,6 +112,10 @@
 	for _, id := range sortedRequestIDs(n.sessions) {
 		s := n.sessions[id]
 		s.abandon()
+		if s.origin != nil {
+			s.origin.failForward(s.originAttempt, dispatch.CauseUnknown, dispatch.NodeRefusal{})
+			continue
+		}
 		s.caller.handleFailure("node lost")
 	}
 	n.sessions = make(map[dispatch.RequestID]*session)
--- a/lab/node_share.go
+++ b/lab/node_share.go
@@ -32,7 +32,7 @@
 		return
 	}
 	n.topology = topology
-	msg := dispatch.PeersMsg{TotalNodes: len(w.nodes), UsagePeers: w.usagePeers(n), Members: w.limitMembers()}
+	msg := dispatch.PeersMsg{TotalNodes: len(w.nodes), UsagePeers: w.usagePeers(n), Members: w.limitMembers(), ForwardTargets: w.forwardTargets(n)}
 	rank := placement.RankMsg{Delay: planStagger * clock.Millis(n.rank)}
 	if !topology.FullMesh {
 		msg.Aggregated = !topology.IsHub
--- a/lab/node_tell.go
+++ b/lab/node_tell.go
@@ -59,6 +59,10 @@
 func (n *node) probe(cmd dispatch.ProbeCmd) {
 	w := n.world
 	w.result.Probes++
+	if n.cutOff() {
+		w.after(probeTimeout, func() { n.update(dispatch.ProbedMsg{Upstream: cmd.Upstream}) })
+		return
+	}
 	w.after(engineRoundTrip, func() {
 		msg := dispatch.ProbedMsg{Upstream: cmd.Upstream}
 		if e := w.engineAt[cmd.Address]; e != nil && e.running {
@@ -73,7 +77,7 @@
 	w := n.world
 	w.after(engineRoundTrip, func() {
 		msg := dispatch.IdentifiedMsg{Upstream: cmd.Upstream}
-		if e := w.engineAt[cmd.Address]; e != nil && e.running {
+		if e := w.engineAt[cmd.Address]; e != nil && e.running && !n.cutOff() {
 			msg.Presence = cmd.Upstream.Presence(e.id.ID())
 		}
 		if msg.Presence == fleet.Replaced {
@@ -124,7 +128,7 @@
 		msg := placement.OrderResultMsg{Upstream: cmd.Upstream, Result: placement.Unanswered}
 		e := w.engineAt[cmd.Address]
 		switch {
-		case e == nil || !e.running:
+		case e == nil || !e.running || n.links == linksSilent:
 		case e.orderActive || e.held != cmd.ExpectedHeld || e.id != cmd.Upstream:
 			msg.Result, msg.Held = placement.Busy, e.held
 		default:
@@ -134,6 +138,9 @@
 			n.announceOrder(cmd, false)
 			w.watchOrder(n, e, cmd)
 		}
+		if n.cutOff() {
+			msg = placement.OrderResultMsg{Upstream: cmd.Upstream, Result: placement.Unanswered}
+		}
 		n.updatePlanner(msg)
 	})
 }
--- a/lab/result.go
+++ b/lab/result.go
@@ -52,6 +52,9 @@
 	Received, Sent Traffic
 	// limitAllowed and limitUsed count allowed and received requests over all limits.
 	limitAllowed, limitUsed float64
+	// CutTries counts the first tries at nodes that were cut from all engines, and CutServed those
+	// that were served. Forwards counts the requests that nodes passed on to each other.
+	CutTries, CutServed, Forwards int
 	// Violations are the violated guarantees by name, each with a description of its first
 	// violation.
 	Violations map[string]string
@@ -69,6 +72,12 @@
 		return
 	}
 	r.Total[o]++
+	if c.firstAtCutNode {
+		r.CutTries++
+		if c.tries == 1 && (o == InTime || o == Late) {
+			r.CutServed++
+		}
+	}
 	if c.urgent {
 		r.Urgent[o]++
 	}
--- a/lab/session.go
+++ b/lab/session.go
@@ -18,24 +18,49 @@
 	// reachedEngine reports whether an attempt has reached an engine; later arrivals are
 	// repeats.
 	reachedEngine bool
+	// resumedFrom is the number of events that the caller had before this try.
+	resumedFrom int
+	// ended reports whether the try has ended at its node.
+	ended bool
+	// forwardAttempt is the attempt that passes the request on to another node, and taken the try at
+	// that node; zero and nil for none.
+	forwardAttempt int
+	taken          *session
+	// origin is the try at the node that has passed this one on in its attempt originAttempt; nil for
+	// a caller's own try.
+	origin        *session
+	originAttempt int
 }
 
 // deliverEvents delivers events to the caller.
 func (s *session) deliverEvents(events int, gap clock.Millis) {
 	s.receivedEvents += events
+	if s.origin != nil {
+		s.relayToOrigin(events)
+	}
 	s.caller.recordEvents(gap)
 }
 
 // finish ends the try at its node.
 func (s *session) finish() {
+	s.ended = true
 	delete(s.node.sessions, s.id)
 	s.node.update(dispatch.RequestEndedMsg{Request: s.id})
 }
 
 // execute executes a command of the dispatcher for this request.
 func (s *session) execute(cmd dispatch.Cmd) {
+	if s.origin != nil && endsRequest(cmd) {
+		s.finish()
+		s.reportToOrigin(cmd)
+		return
+	}
 	switch cmd := cmd.(type) {
 	case dispatch.SendCmd:
+		if cmd.Node != "" {
+			s.forward(cmd)
+			return
+		}
 		s.send(cmd)
 	case dispatch.MigrateCmd:
 		if s.attempt != nil && s.attempt.cmd.Attempt == cmd.Attempt {
@@ -63,6 +88,16 @@
 	}
 }
 
+// endsRequest reports whether a command ends its request.
+func endsRequest(cmd dispatch.Cmd) bool {
+	switch cmd.(type) {
+	case dispatch.RespondCmd, dispatch.AbortResponseCmd, dispatch.RelayFailureCmd:
+		return true
+	default:
+		return false
+	}
+}
+
 // recheck checks a stalled stream whose chain includes a suspected engine.
 func (s *session) recheck(cmd dispatch.RecheckAttemptCmd) {
 	a := s.attempt
@@ -77,6 +112,9 @@
 	if s.attempt != nil && !s.attempt.finished {
 		s.attempt.cancel()
 	}
+	if s.taken != nil && !s.taken.ended {
+		s.taken.abandon()
+	}
 	if s.node.running {
 		s.finish()
 	}
--- a/lab/troubles.go
+++ b/lab/troubles.go
@@ -46,6 +46,8 @@
 				w.after(f.Duration, n.start)
 			}
 		}
+	case NodeCut:
+		w.cutNodes(f)
 	case ListFrozen:
 		w.list.frozen = true
 		w.after(f.Duration, func() { w.list.frozen = false })
--- a/lab/variant.go
+++ b/lab/variant.go
@@ -35,6 +35,8 @@
 	NoAdmission bool
 	// NoFairShares admits requests of accounts above their fair share.
 	NoFairShares bool
+	// NoForwarding stops nodes from passing requests on to each other.
+	NoForwarding bool
 }
 
 // disablers switch off the mechanisms, by their names.
@@ -51,6 +53,7 @@
 	"repeats":     func(v *Variant) { v.NoRetries = true },
 	"admission":   func(v *Variant) { v.NoAdmission = true },
 	"fair_shares": func(v *Variant) { v.NoFairShares = true },
+	"forwarding":  func(v *Variant) { v.NoForwarding = true },
 }
 
 // Without returns the variant with the given mechanisms switched off, separated by commas.
--- a/node/cut_links_test.go
+++ b/node/cut_links_test.go
@@ -31,6 +31,8 @@
 	mu    sync.Mutex
 	cut   linkCut
 	conns map[*linkConn]bool
+	// spared holds the addresses to which the links always work.
+	spared map[string]bool
 }
 
 func newUpstreamLinks() *upstreamLinks { return &upstreamLinks{conns: make(map[*linkConn]bool)} }
@@ -49,16 +51,20 @@
 	clear(l.conns)
 }
 
-func (l *upstreamLinks) current() linkCut {
+// cutTo returns the cut of the links to an address.
+func (l *upstreamLinks) cutTo(address string) linkCut {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.spared[address] {
+		return linksWork
+	}
 	return l.cut
 }
 
 // DialContext opens a connection, as platform.Dialer does on the links as they are.
 func (l *upstreamLinks) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := platform.Dialer()
-	switch l.current() {
+	switch l.cutTo(address) {
 	case linksReset, linksRefuseNew:
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 	case linksSilent, linksOneWay:
@@ -72,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	linked := &linkConn{Conn: conn, links: l}
+	linked := &linkConn{Conn: conn, links: l, address: address}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[linked] = true
@@ -82,14 +88,15 @@
 // linkConn is a connection over links that may be cut.
 type linkConn struct {
 	net.Conn
-	links *upstreamLinks
+	links   *upstreamLinks
+	address string
 }
 
 // Read implements net.Conn. Data that arrives while the links are silent is lost.
 func (c *linkConn) Read(data []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(data)
-		if cut := c.links.current(); err != nil || cut != linksSilent && cut != linksOneWay {
+		if cut := c.links.cutTo(c.address); err != nil || cut != linksSilent && cut != linksOneWay {
 			return n, err
 		}
 	}
@@ -97,7 +104,7 @@
 
 // Write implements net.Conn. Data that is written while the links are silent is lost.
 func (c *linkConn) Write(data []byte) (int, error) {
-	if c.links.current() == linksSilent {
+	if c.links.cutTo(c.address) == linksSilent {
 		return len(data), nil
 	}
 	return c.Conn.Write(data)
