An engine that answers other nodes does not count as lost at a node that is cut from it

Cause: the finding 'silent' of one node is a fact about its link, and was confirmed by another cut node. The sound nodes that checked it got an answer and kept that to themselves. Ruled out: the orders as such (the plan was right for engines that are lost).

Change: a node whose probe refutes another's finding tells the nodes that hear such findings; they withdraw theirs from the planner, the quarantine and the count of executions, for 5 s at a time. Datagrams only where a finding was wrong.

--- a/dispatch/cut_off.go
+++ b/dispatch/cut_off.go
@@ -62,16 +62,16 @@
 			cmds = append(cmds, ResponsivenessCmd{Upstream: u.entry.ID})
 		}
 	}
-	m.excuseExecutions(dataCentre)
+	m.excuseExecutions(func(u *upstream) bool { return u.entry.DataCentre == dataCentre })
 	return cmds
 }
 
 // excuseExecutions stops counting the executions at upstreams from which the node is cut towards
 // the operator's bound, as for crashed ones.
-func (m *Model) excuseExecutions(dataCentre string) {
+func (m *Model) excuseExecutions(cutFrom func(*upstream) bool) {
 	for _, r := range m.requests {
 		for id, e := range r.executedOn {
-			if u := m.upstreams[id]; u != nil && u.entry.DataCentre == dataCentre {
+			if u := m.upstreams[id]; u != nil && cutFrom(u) {
 				e.crashed = true
 				r.executedOn[id] = e
 			}
--- a/dispatch/fleet_list.go
+++ b/dispatch/fleet_list.go
@@ -65,8 +65,11 @@
 		m.byService[u.entry.Service] = append(m.byService[u.entry.Service], u)
 		m.byDataCentre[u.entry.DataCentre] = append(m.byDataCentre[u.entry.DataCentre], u)
 	}
+	for _, list := range m.byDataCentre {
+		slices.SortFunc(list, compareByID)
+	}
 	for service, list := range m.byService {
-		slices.SortFunc(list, func(a, b *upstream) int { return a.entry.ID.Compare(b.entry.ID) })
+		slices.SortFunc(list, compareByID)
 		for _, u := range list {
 			if u.entry.DataCentre == m.dataCentre {
 				m.localByService[service] = append(m.localByService[service], u)
@@ -75,6 +78,8 @@
 	}
 }
 
+func compareByID(a, b *upstream) int { return a.entry.ID.Compare(b.entry.ID) }
+
 // recordFastestTokenTime updates fastestTokenTime with one engine.
 func (m *Model) recordFastestTokenTime(u *upstream) {
 	if u.pipeline == nil || u.layerTime <= 0 {
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -265,6 +265,8 @@
 		return m.quarantineCmds(m.quarantine.RequestAnswered(m.now, msg.Work, false))
 	case QuarantinedMsg:
 		return append(m.mergeQuarantined(msg), m.processDeferred()...)
+	case PeerResponsiveMsg:
+		return m.peerFoundResponsive(msg)
 	case PeerUnresponsiveMsg:
 		return m.peerFoundUnresponsive(msg)
 	}
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -229,6 +229,12 @@
 	Upstream fleet.Incarnation
 }
 
+// PeerResponsiveMsg reports that an engine answers another node, which had been told that the engine is
+// unresponsive.
+type PeerResponsiveMsg struct {
+	Upstream fleet.Incarnation
+}
+
 // PeerLossMsg reports that another node lost a request at an upstream that crashed.
 type PeerLossMsg struct {
 	Work     work.ID
@@ -333,6 +339,7 @@
 func (RequestEndedMsg) dispatchMsg()     {}
 func (ProbedMsg) dispatchMsg()           {}
 func (PeerUnresponsiveMsg) dispatchMsg() {}
+func (PeerResponsiveMsg) dispatchMsg()   {}
 func (PeerLossMsg) dispatchMsg()         {}
 func (PeerAnswerMsg) dispatchMsg()       {}
 func (QuarantinedMsg) dispatchMsg()      {}
--- /dev/null
+++ b/dispatch/peer_findings.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+)
+
+// answersPeersWindow is how long an engine that answers other nodes counts as alive although it does
+// not answer this one. A node that is cut for longer reports the engine again and is answered again.
+const answersPeersWindow clock.Millis = 5000
+
+// AnswersHereCmd tells other nodes that an engine answers this node which one of them has found
+// unresponsive.
+type AnswersHereCmd struct{ Upstream fleet.Incarnation }
+
+func (AnswersHereCmd) dispatchCmd() {}
+
+// refutePeers tells other nodes of an answer if one of them has just found the engine unresponsive.
+// An answer that may come from the next process at the address refutes nothing. Where nodes receive
+// aggregated usage, hubs do so for all.
+func (m *Model) refutePeers(u *upstream, msg ProbedMsg) []Cmd {
+	sameProcess := msg.Identified || msg.Upstream.StartedAt() == 0 && !msg.Report.Empty
+	if !msg.Answered || !sameProcess || m.usageAggregated || m.now > u.peerReportedAt.Add(peerReportWindow) {
+		return nil
+	}
+	u.peerReportedAt = clock.Never
+	return []Cmd{AnswersHereCmd{Upstream: u.entry.ID}}
+}
+
+// peerFoundResponsive withdraws this node's finding that an engine is unresponsive: it is alive, and
+// this node is cut from it. It gets no requests of this node, which still does not reach it.
+func (m *Model) peerFoundResponsive(msg PeerResponsiveMsg) []Cmd {
+	u := m.upstreams[msg.Upstream]
+	if u == nil {
+		return nil
+	}
+	u.answersPeersAt = m.now
+	if !u.unresponsive {
+		return nil
+	}
+	u.unresponsive = false
+	m.excuseExecutions(func(other *upstream) bool { return other == u })
+	cmds := m.quarantineCmds(m.quarantine.UpstreamAnswered(u.entry.ID))
+	return append(cmds, ResponsivenessCmd{Upstream: u.entry.ID})
+}
+
+// answersPeers reports whether an engine has answered other nodes lately.
+func (m *Model) answersPeers(u *upstream) bool {
+	return m.now <= u.answersPeersAt.Add(answersPeersWindow)
+}
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -93,7 +93,8 @@
 		u.avoidUntil = m.now.Add(min(minSuspicion<<min(u.unansweredProbes, 8), maxProbePause))
 		u.unansweredProbes++
 	}
-	if u.pipeline == nil || u.unresponsive == !msg.Answered {
+	cmds = append(cmds, m.refutePeers(u, msg)...)
+	if u.pipeline == nil || u.unresponsive == !msg.Answered || !msg.Answered && m.answersPeers(u) {
 		return cmds
 	}
 	u.unresponsive = !msg.Answered
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -102,6 +102,9 @@
 	if message := peersMsg(s); message != nil {
 		return message
 	}
+	if message := peerFinding(s); message != nil {
+		return message
+	}
 	switch s.Verb {
 	case "config":
 		return dispatch.CatalogMsg{Catalog: testCatalog(s), ConfirmedAt: clock.Millis(s.Int("confirmed", int(p.now)))}
@@ -139,8 +142,6 @@
 		return dispatch.ProbedMsg{Upstream: script.Incarnation(s.Arg(0)), Answered: s.Params["well"] == "yes", Identified: s.Params["named"] == "yes", Report: testReport(s)}
 	case "identified":
 		return dispatch.IdentifiedMsg{Upstream: script.Incarnation(s.Arg(0)), Presence: map[string]fleet.Presence{"itself": fleet.Present, "another": fleet.Replaced}[s.Params["as"]]}
-	case "told":
-		return dispatch.PeerUnresponsiveMsg{Upstream: script.Incarnation(s.Arg(0))}
 	case "toldlost":
 		return dispatch.PeerLossMsg{Work: clinicWork(s.Arg(0)), Upstream: script.Incarnation(s.Arg(1))}
 	case "toldanswered":
@@ -158,6 +159,19 @@
 	return nil
 }
 
+// peerFinding returns the message of a script line about what another node found of an engine; nil for
+// any other line.
+func peerFinding(s script.Step) dispatch.Msg {
+	switch s.Verb {
+	case "told":
+		return dispatch.PeerUnresponsiveMsg{Upstream: script.Incarnation(s.Arg(0))}
+	case "toldanswers":
+		return dispatch.PeerResponsiveMsg{Upstream: script.Incarnation(s.Arg(0))}
+	default:
+		return nil
+	}
+}
+
 // peersMsg returns the message of a script line about other nodes and their usage; nil for any other
 // line.
 func peersMsg(s script.Step) dispatch.Msg {
@@ -457,6 +471,8 @@
 			text += " agreed"
 		}
 		return text
+	case dispatch.AnswersHereCmd:
+		return "answers here " + c.Upstream.String()
 	case dispatch.ProbeCmd:
 		return "probe " + c.Upstream.String()
 	case dispatch.RecoverCmd:
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -92,6 +92,8 @@
 	// unresponsive.
 	unresponsive   bool
 	peerReportedAt clock.Millis
+	// answersPeersAt is when another node last reported that the engine answers it.
+	answersPeersAt clock.Millis
 	// unansweredProbes counts consecutive unanswered probes, and failures consecutive failed
 	// attempts. A suspected upstream is not probed before avoidUntil.
 	unansweredProbes int
@@ -113,7 +115,7 @@
 }
 
 func newUpstream(entry fleet.Upstream) *upstream {
-	return &upstream{entry: entry, meanLatency: initialLatency, slowdown: 1, reportedAt: clock.Never, probeAnsweredAt: clock.Never, peerReportedAt: clock.Never}
+	return &upstream{entry: entry, meanLatency: initialLatency, slowdown: 1, reportedAt: clock.Never, probeAnsweredAt: clock.Never, peerReportedAt: clock.Never, answersPeersAt: clock.Never}
 }
 
 // layersReportWindow is how long reported layers override an entry without layers: the lag of the
--- a/lab/cut_test.go
+++ b/lab/cut_test.go
@@ -24,3 +24,15 @@
 	}
 }
 
+// Guards against a node that takes the engines for lost that only it does not reach, and whose orders
+// then move layers off engines that serve the others.
+func TestCutNodesMoveNoLayers(t *testing.T) {
+	s := load(t, "cut")
+	calm := *s
+	calm.Faults = nil
+	for seed := range uint64(cutSeeds) {
+		if got, want := Run(s, Variant{}, seed).PlacementOrders, Run(&calm, Variant{}, seed).PlacementOrders; got != want {
+			t.Errorf("seed %d: got %d orders carried out, want the %d of a run without a cut", seed, got, want)
+		}
+	}
+}
--- a/lab/hunt.go
+++ b/lab/hunt.go
@@ -67,6 +67,8 @@
 			f.Magnitude = 0.005 + 0.02*source.Float64()
 		case LoadBurst:
 			f.Magnitude = 1.5 + 2*source.Float64()
+		case NodeCut:
+			f.Magnitude = float64(source.IntN(2))
 		case EngineCrash, NodeKill, ListFrozen, NodeFreeze, NodeRollingRestart, StoreSlow, PlainServiceFull:
 		}
 		list = append(list, f)
--- a/lab/node.go
+++ b/lab/node.go
@@ -184,6 +184,12 @@
 				}
 			})
 		}
+	case dispatch.AnswersHereCmd:
+		n.broadcast(func(o *node) {
+			if o.dataCentre == n.dataCentre || len(n.world.nodes) < fullMeshBelow {
+				o.update(dispatch.PeerResponsiveMsg(cmd))
+			}
+		})
 	case dispatch.ProbeCmd:
 		n.probe(cmd)
 	case dispatch.IdentifyCmd:
--- a/node/node.go
+++ b/node/node.go
@@ -68,7 +68,8 @@
 	readers        *readers
 	readLog        *reading.Log
 	members        *members
-	unresponsive   *unresponsiveReports
+	unresponsive   *engineReports
+	responsive     *engineReports
 	// quarantined holds the quarantined requests that are shared with peers; keeper stores them
 	// in the store.
 	quarantined *quarantineSet
@@ -104,7 +105,7 @@
 
 // New binds the ports of a node and builds the node. Run starts it.
 func New(s *Settings, log *logging.Log, opts ...Option) (*Node, error) {
-	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), members: newMembers(), unresponsive: newUnresponsiveReports(), orderResults: new(expvar.Map), dialUpstream: platform.Dialer().DialContext}
+	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), members: newMembers(), unresponsive: newEngineReports(), responsive: newEngineReports(), orderResults: new(expvar.Map), dialUpstream: platform.Dialer().DialContext}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -145,7 +146,7 @@
 		relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)),
 		relay.WithCounters("peers", expvar.Func(func() any { return n.PeerCount() })),
-		relay.WithListAge(listAge), relay.WithResponsivenessHandler(n.reportUnresponsive), relay.WithUsageSharing(n.sendUsage), relay.WithLeavingHandler(n.markLeaving), relay.WithReplacedHandler(n.markReplaced), relay.WithQuarantine(n.handleQuarantineEvent),
+		relay.WithListAge(listAge), relay.WithResponsivenessHandler(n.reportUnresponsive), relay.WithPeerFindingHandler(n.usage.Responsive), relay.WithUsageSharing(n.sendUsage), relay.WithLeavingHandler(n.markLeaving), relay.WithReplacedHandler(n.markReplaced), relay.WithQuarantine(n.handleQuarantineEvent),
 		relay.WithPermitExchange(n.usage.SendPermitRequest, n.usage.SendPermitGrant))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%provisionalRanks))), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.publishPlacement, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge),
--- a/node/simsite_test.go
+++ b/node/simsite_test.go
@@ -354,7 +354,7 @@
 	c := clocktest.NewClock()
 	n.Node = &Node{
 		settings: &Settings{Name: name, DataCentre: "z", ConfigDeadline: clock.FromDuration(s.setting.deadline), LeavingDeadline: clock.FromDuration(s.setting.deadline)},
-		log:      log, clock: c, ctx: ctx, unresponsive: newUnresponsiveReports(),
+		log:      log, clock: c, ctx: ctx, unresponsive: newEngineReports(),
 		store: platform.NewStore(simStoreHost+":1", log, platform.WithDialer(s.net.dial(name))),
 		relay: relay.New(ctx, platform.Headers{}, dispatch.New(), c, log),
 	}
--- a/node/unresponsive_test.go
+++ b/node/unresponsive_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestUnresponsiveReportsAreDeduplicated(t *testing.T) {
-	s := newUnresponsiveReports()
+	s := newEngineReports()
 	steps := []struct {
 		upstream fleet.ID
 		at       clock.Millis
--- a/node/updates.go
+++ b/node/updates.go
@@ -142,6 +142,16 @@
 	l.node.relay.HandlePeerUnresponsive(upstream)
 }
 
+// ReceiveResponsive implements usage.Listener.
+func (l usageListener) ReceiveResponsive(from *wire.Member, upstream fleet.Incarnation) {
+	l.node.observeIncarnation(upstream)
+	if !l.node.responsive.isNew(l.node.clock.Now(), upstream) {
+		return
+	}
+	l.node.log.Info("answers_others", zap.Stringer("upstream", upstream), zap.String("by", from.GetName()))
+	l.node.relay.HandlePeerResponsive(upstream)
+}
+
 // observeIncarnation records the incarnation of an upstream in a message of another node, since
 // it may be newer than the one in this node's list.
 func (n *Node) observeIncarnation(upstream fleet.Incarnation) {
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -53,6 +53,9 @@
 	// onResponsiveness is called when an engine becomes unresponsive or responsive again; the
 	// placement of layers uses it.
 	onResponsiveness func(dispatch.ResponsivenessCmd)
+	// onAnswersHere is called for an engine that answered this node after another node had found it
+	// unresponsive.
+	onAnswersHere func(fleet.Incarnation)
 	// shareUsage sends this node's usage and the totals aggregated from other nodes to its
 	// peers.
 	shareUsage func(dispatch.ShareUsageCmd)
@@ -88,6 +91,7 @@
 func newDecider(model *dispatch.Model, c *clock.Clock, log *zap.Logger, probe func(dispatch.ProbeCmd), identify func(dispatch.IdentifyCmd)) *decider {
 	return &decider{
 		model: model, clock: c, log: log, probe: probe, identify: identify, onResponsiveness: func(dispatch.ResponsivenessCmd) {},
+		onAnswersHere:  func(fleet.Incarnation) {},
 		shareUsage:     func(dispatch.ShareUsageCmd) {},
 		requestPermits: func(limit.PermitRequestCmd) {},
 		grantPermits:   func(string, limit.Grant) {},
@@ -178,6 +182,8 @@
 		d.shareUsage(cmd)
 	case dispatch.ResponsivenessCmd:
 		d.onResponsiveness(cmd)
+	case dispatch.AnswersHereCmd:
+		d.onAnswersHere(cmd.Upstream)
 	case dispatch.ProbeCmd:
 		d.probe(cmd)
 	case dispatch.IdentifyCmd:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -72,6 +72,12 @@
 	return func(r *Relay) { r.decider.onResponsiveness = handle }
 }
 
+// WithPeerFindingHandler sets the function that is called for an engine that answered this node after
+// another node had found it unresponsive.
+func WithPeerFindingHandler(handle func(fleet.Incarnation)) Option {
+	return func(r *Relay) { r.decider.onAnswersHere = handle }
+}
+
 // WithUsageSharing sets the function that sends this node's usage and the totals aggregated
 // from other nodes to its peers.
 func WithUsageSharing(share func(dispatch.ShareUsageCmd)) Option {
@@ -196,6 +202,11 @@
 	r.decider.notify(r.lifetime, dispatch.PeerUnresponsiveMsg{Upstream: upstream})
 }
 
+// HandlePeerResponsive handles a peer report of an engine that answers the peer.
+func (r *Relay) HandlePeerResponsive(upstream fleet.Incarnation) {
+	r.decider.notify(r.lifetime, dispatch.PeerResponsiveMsg{Upstream: upstream})
+}
+
 // HandlePeerLoss handles a peer report of a request that was lost at a crashed upstream.
 func (r *Relay) HandlePeerLoss(id work.ID, upstream fleet.Incarnation) {
 	r.decider.notify(r.lifetime, dispatch.PeerLossMsg{Work: id, Upstream: upstream})
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -51,7 +51,9 @@
 	listener   Listener
 	// unresponsive batches unresponsive engines, and placements the placement orders.
 	unresponsive *batcher[fleet.Incarnation]
-	placements   *batcher[placement]
+	// responsive batches engines that answered after another node had found them unresponsive.
+	responsive *batcher[fleet.Incarnation]
+	placements *batcher[placement]
 	// outcomes batches the outcomes of requests: crashes of upstreams under them, and answers.
 	outcomes *batcher[outcome]
 	// recentCrashes holds crashes that were sent recently, to send them to new recipients too.
@@ -77,6 +79,9 @@
 	ReceivePlacement(upstream fleet.Incarnation, layers fleet.LayerRange, holds bool)
 	// ReceiveUnresponsive handles the report that an engine is unresponsive.
 	ReceiveUnresponsive(from *wire.Member, upstream fleet.Incarnation)
+	// ReceiveResponsive handles the report that an engine answered the sender after another node had
+	// found it unresponsive.
+	ReceiveResponsive(from *wire.Member, upstream fleet.Incarnation)
 	// ReceiveCrash handles the report that an upstream crashed while executing a request.
 	ReceiveCrash(id work.ID, upstream fleet.Incarnation)
 	// ReceivePermitRequest handles a request for permits, and ReceivePermitGrant the grant for a request of this
@@ -139,6 +144,7 @@
 	if x.permitRequesters, err = lru.New[string, net.Addr](maxPermitRequesters); err != nil {
 		return nil, errors.Wrap(err, "usage: create cache of permit requesters")
 	}
+	x.responsive = newBatcher(x.sendResponsive)
 	x.unresponsive, x.placements, x.outcomes = newBatcher(x.sendUnresponsive), newImmediateBatcher(x.sendPlacements), newImmediateBatcher(x.sendOutcomes)
 	for _, opt := range opts {
 		opt(x)
@@ -244,6 +250,9 @@
 	for _, u := range msg.GetSilent() {
 		x.listener.ReceiveUnresponsive(msg.GetFrom(), fleetwire.IncarnationOf(u))
 	}
+	for _, u := range msg.GetResponsive() {
+		x.listener.ReceiveResponsive(msg.GetFrom(), fleetwire.IncarnationOf(u))
+	}
 	x.receiveOutcomes(&msg)
 	if x.receivePermits(&msg) {
 		return
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -48,6 +48,8 @@
 	i <- received{placement: upstream.String(), layers: layers}
 }
 
+func (i inbox) ReceiveResponsive(*wire.Member, fleet.Incarnation) {}
+
 func (i inbox) ReceiveUnresponsive(from *wire.Member, upstream fleet.Incarnation) {
 	i <- received{from: from.GetName(), unresponsive: upstream.String()}
 }
