Failures in several data centres count together as doubt about a node's own links

Failures of two upstreams of any data centres without an answer of any upstream in between now make the data centre of the later one doubtful; probes of others there decide.

Test: the last part of dispatch/testdata/reach/evidence.txt, which wants 'reach far doubtful', failed before.

--- a/reachability/state.go
+++ b/reachability/state.go
@@ -6,7 +6,8 @@
 const (
 	// Reached means that at most one upstream is known not to be reached.
 	Reached State = iota
-	// Doubtful means that several upstreams failed and none has answered since.
+	// Doubtful means that several upstreams failed, here or in other data centres too, and none has
+	// answered since.
 	Doubtful
 	// Cut means that so many upstreams failed, and none has answered since, that the node counts
 	// as partitioned from the data centre.
--- a/reachability/table.go
+++ b/reachability/table.go
@@ -22,6 +22,8 @@
 // Table holds a node's evidence about its links to upstreams.
 type Table struct {
 	centres map[string]*centre
+	// answeredAt is when an upstream of any data centre last answered.
+	answeredAt clock.Millis
 }
 
 // centre is the evidence about the upstreams of a data centre.
@@ -51,7 +53,9 @@
 }
 
 // New returns a table without evidence.
-func New() *Table { return &Table{centres: make(map[string]*centre)} }
+func New() *Table {
+	return &Table{centres: make(map[string]*centre), answeredAt: clock.Never}
+}
 
 // State returns the state of a data centre.
 func (t *Table) State(dataCentre string) State {
@@ -76,7 +80,7 @@
 func (t *Table) RecordAnswer(now clock.Millis, l Link, listed int) (Change, bool) {
 	c := t.centre(l.DataCentre)
 	previous := c.answeredAt
-	c.answeredAt = now
+	c.answeredAt, t.answeredAt = now, now
 	if len(c.failures) > 0 {
 		clear(c.failures)
 	}
@@ -90,11 +94,29 @@
 	maps.DeleteFunc(c.failures, func(_ fleet.Incarnation, f failureRecord) bool { return now > f.at.Add(failureWindow) })
 	c.failures[l.Upstream] = failureRecord{kind: kind, at: now}
 	state := max(c.state, stateFor(len(c.failures), listed))
+	if state == Reached && t.failuresSinceAnswer() >= doubtfulFailures {
+		state = Doubtful
+	}
 	return c.enter(now, state, Change{
 		DataCentre: l.DataCentre, Failed: len(c.failures), Listed: listed, Kind: kind, AnswerAge: clock.AgeOf(c.answeredAt, now),
 	})
 }
 
+// failuresSinceAnswer returns the number of upstreams of all data centres that failed since any
+// upstream answered. A node sends requests to few upstreams of each data centre, so that a cut from
+// all of them shows in one failure each.
+func (t *Table) failuresSinceAnswer() int {
+	n := 0
+	for _, c := range t.centres {
+		for _, f := range c.failures {
+			if f.at > t.answeredAt {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Forget drops the evidence about an upstream that is no longer listed.
 func (t *Table) Forget(l Link) {
 	if c := t.centres[l.DataCentre]; c != nil {
