--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -241,10 +241,10 @@
 }
 
 // probeSuspects schedules probes of a service's suspected upstreams for the next tick, except of
-// unresponsive ones.
+// unresponsive ones and of those that answer other nodes and not this one.
 func (m *Model) probeSuspects(service string) {
 	for _, u := range m.byService[service] {
-		if u.suspected && !u.unresponsive && !u.probeInFlight {
+		if u.suspected && !u.unresponsive && !m.answersPeers(u) && !u.probeInFlight {
 			u.earlyProbeWanted = true
 		}
 	}
