--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -69,7 +69,7 @@
 		}
 		return nil, m.refuse(msg.Request, http.StatusNotFound, ReasonNoRoute, 0)
 	}
-	r := &request{arrival: msg, arrivedAt: m.now, route: route, triedUpstreams: make(map[fleet.Incarnation]bool), executedOn: make(map[fleet.Incarnation]execution), askedNodes: make(map[string]bool)}
+	r := &request{arrival: msg, arrivedAt: m.now, route: route, triedUpstreams: make(map[fleet.Incarnation]bool), executedOn: make(map[fleet.Incarnation]execution)}
 	r.requiresKey = m.catalog.HasAccounts() && !route.Anonymous
 	return r, m.checkKey(r)
 }
--- a/dispatch/cut_off.go
+++ b/dispatch/cut_off.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -55,7 +54,7 @@
 // which it is cut: it can't tell a crashed engine from one that it does not reach.
 func (m *Model) withdrawFindings(dataCentre string) []Cmd {
 	var cmds []Cmd
-	for _, u := range m.byDataCentre[dataCentre] {
+	for _, u := range m.upstreamsIn(dataCentre) {
 		cmds = append(cmds, m.quarantineCmds(m.quarantine.UpstreamAnswered(u.entry.ID))...)
 		if u.unresponsive {
 			u.unresponsive = false
@@ -81,7 +80,7 @@
 
 // probeAfterCut schedules probes of the upstreams that are suspected since a cut, which has ended.
 func (m *Model) probeAfterCut(dataCentre string) {
-	for _, u := range m.byDataCentre[dataCentre] {
+	for _, u := range m.upstreamsIn(dataCentre) {
 		if u.suspected {
 			u.earlyProbeWanted = true
 			u.addProbeCandidate()
@@ -95,7 +94,7 @@
 	if m.nodes.Len() == 0 {
 		return
 	}
-	for _, dataCentre := range slices.Sorted(maps.Keys(m.byDataCentre)) {
+	for _, dataCentre := range m.reach.Unsettled() {
 		switch m.reach.State(dataCentre) {
 		case reachability.Doubtful:
 			m.confirmDoubt(dataCentre)
@@ -108,7 +107,10 @@
 
 // confirmDoubt probes upstreams of a data centre that have not failed.
 func (m *Model) confirmDoubt(dataCentre string) {
-	list := m.byDataCentre[dataCentre]
+	list := m.upstreamsIn(dataCentre)
+	if len(list) == 0 {
+		return
+	}
 	wanted := confirmingProbes
 	start := m.random.IntN(len(list))
 	for i := range list {
@@ -131,7 +133,10 @@
 	if m.now < m.cutProbedAt[dataCentre].Add(cutProbeInterval) {
 		return
 	}
-	list := m.byDataCentre[dataCentre]
+	list := m.upstreamsIn(dataCentre)
+	if len(list) == 0 {
+		return
+	}
 	u := list[m.random.IntN(len(list))]
 	if u.probeInFlight {
 		return
@@ -140,6 +145,19 @@
 	u.wantReachProbe()
 }
 
+// upstreamsIn returns the upstreams of a data centre, sorted by ID. It visits all upstreams, and is
+// only called while links are doubtful or cut.
+func (m *Model) upstreamsIn(dataCentre string) []*upstream {
+	var list []*upstream
+	for _, u := range m.upstreams {
+		if u.entry.DataCentre == dataCentre {
+			list = append(list, u)
+		}
+	}
+	slices.SortFunc(list, compareByID)
+	return list
+}
+
 // wantReachProbe schedules a probe of the upstream whether it is suspected or not.
 func (u *upstream) wantReachProbe() {
 	u.reachProbeWanted = true
--- a/dispatch/fleet_list.go
+++ b/dispatch/fleet_list.go
@@ -51,7 +51,7 @@
 func (m *Model) rebuildIndex() {
 	clear(m.byService)
 	clear(m.localByService)
-	clear(m.byDataCentre)
+	clear(m.listedIn)
 	clear(m.fastestTokenTime)
 	atAddress := make(map[string]*upstream, len(m.upstreams))
 	for _, u := range m.upstreams {
@@ -63,10 +63,7 @@
 		}
 		atAddress[u.entry.Address] = u
 		m.byService[u.entry.Service] = append(m.byService[u.entry.Service], u)
-		m.byDataCentre[u.entry.DataCentre] = append(m.byDataCentre[u.entry.DataCentre], u)
-	}
-	for _, list := range m.byDataCentre {
-		slices.SortFunc(list, compareByID)
+		m.listedIn[u.entry.DataCentre]++
 	}
 	for service, list := range m.byService {
 		slices.SortFunc(list, compareByID)
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -73,6 +73,9 @@
 	if !ok {
 		return nil
 	}
+	if r.askedNodes == nil {
+		r.askedNodes = make(map[string]bool)
+	}
 	r.askedNodes[node.Name] = true
 	r.forwardedTo = node.Name
 	m.nodes.RecordBegun(node.Name)
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -49,8 +49,8 @@
 	byService       map[string][]*upstream
 	// localByService holds the upstreams of this node's data centre by service.
 	localByService map[string][]*upstream
-	// byDataCentre holds the upstreams of all services by data centre.
-	byDataCentre map[string][]*upstream
+	// listedIn holds the number of upstreams of all services by data centre.
+	listedIn map[string]int
 	// reach is the evidence about this node's links to upstreams. cutCentres holds the data centres
 	// from which it is cut, and cutProbedAt when an upstream of each was last probed for that.
 	reach       *reachability.Table
@@ -170,7 +170,7 @@
 		probeCandidates:   make(probeSet),
 		byService:         make(map[string][]*upstream),
 		localByService:    make(map[string][]*upstream),
-		byDataCentre:      make(map[string][]*upstream),
+		listedIn:          make(map[string]int),
 		reach:             reachability.New(),
 		cutCentres:        make(map[string]bool),
 		cutProbedAt:       make(map[string]clock.Millis),
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -23,7 +23,7 @@
 	if u == nil {
 		return nil
 	}
-	return m.reachChanged(m.reach.RecordAnswer(m.now, u.link(), len(m.byDataCentre[u.entry.DataCentre])))
+	return m.reachChanged(m.reach.RecordAnswer(m.now, u.link(), m.listedIn[u.entry.DataCentre]))
 }
 
 // recordUnreached records that this node failed to reach an upstream.
@@ -31,7 +31,7 @@
 	if u == nil {
 		return nil
 	}
-	return m.reachChanged(m.reach.RecordFailure(m.now, u.link(), kind, len(m.byDataCentre[u.entry.DataCentre])))
+	return m.reachChanged(m.reach.RecordFailure(m.now, u.link(), kind, m.listedIn[u.entry.DataCentre]))
 }
 
 // recordAttemptReach records what a failed attempt shows about the link to its upstream. An
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -61,7 +61,7 @@
 	// and by the retry budget, not by maxAttempts.
 	slotRefusals int
 	// forwardedTo is the node to which the current attempt passes the request on; empty for none.
-	// askedNodes holds the nodes that were asked to serve it, and nodeRefusals counts the attempts
+	// askedNodes holds the nodes that were asked to serve it, nil for none, and nodeRefusals counts the attempts
 	// that they did not execute, which maxAttempts does not bound.
 	forwardedTo  string
 	askedNodes   map[string]bool
--- a/forwarding/node.go
+++ b/forwarding/node.go
@@ -19,13 +19,14 @@
 	servedAt clock.Millis
 	heardAt  clock.Millis
 	// avoidUntil is the time before which the node gets no request, by service; the empty name
-	// stands for all services. refusals counts consecutive refusals in the same way.
+	// stands for all services. refusals counts consecutive refusals in the same way. Both are nil until
+	// the first refusal: a node knows hundreds of others and asks few.
 	avoidUntil map[string]clock.Millis
 	refusals   map[string]int
 }
 
 func newNodeState() *nodeState {
-	return &nodeState{servedAt: clock.Never, heardAt: clock.Never, avoidUntil: make(map[string]clock.Millis), refusals: make(map[string]int)}
+	return &nodeState{servedAt: clock.Never, heardAt: clock.Never}
 }
 
 // avoided reports whether the node gets no request for a service now. A node that used to send
@@ -39,6 +40,9 @@
 
 // avoid makes the node get no request for a service, for longer with each consecutive call.
 func (s *nodeState) avoid(now clock.Millis, service string) {
+	if s.avoidUntil == nil {
+		s.avoidUntil, s.refusals = make(map[string]clock.Millis), make(map[string]int)
+	}
 	s.avoidUntil[service] = now.Add(min(minAvoidance<<min(s.refusals[service], maxDoublings), maxAvoidance))
 	s.refusals[service]++
 }
--- a/reachability/table.go
+++ b/reachability/table.go
@@ -24,6 +24,8 @@
 	centres map[string]*centre
 	// answeredAt is when an upstream of any data centre last answered.
 	answeredAt clock.Millis
+	// unsettled counts the data centres whose state is not Reached.
+	unsettled int
 }
 
 // centre is the evidence about the upstreams of a data centre.
@@ -65,6 +67,21 @@
 	return Reached
 }
 
+// Unsettled returns the data centres whose links are doubtful or cut, ordered by name.
+func (t *Table) Unsettled() []string {
+	if t.unsettled == 0 {
+		return nil
+	}
+	var names []string
+	for name, c := range t.centres {
+		if c.state != Reached {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // HasFailed reports whether an upstream has failed since any upstream of its data centre last
 // answered.
 func (t *Table) HasFailed(l Link) bool {
@@ -84,7 +101,7 @@
 	if len(c.failures) > 0 {
 		clear(c.failures)
 	}
-	return c.enter(now, Reached, Change{DataCentre: l.DataCentre, Listed: listed, AnswerAge: clock.AgeOf(previous, now)})
+	return t.enter(c, now, Reached, Change{DataCentre: l.DataCentre, Listed: listed, AnswerAge: clock.AgeOf(previous, now)})
 }
 
 // RecordFailure records that an upstream could not be reached; listed is the number of upstreams
@@ -97,7 +114,7 @@
 	if state == Reached && t.failuresSinceAnswer() >= doubtfulFailures {
 		state = Doubtful
 	}
-	return c.enter(now, state, Change{
+	return t.enter(c, now, state, Change{
 		DataCentre: l.DataCentre, Failed: len(c.failures), Listed: listed, Kind: kind, AnswerAge: clock.AgeOf(c.answeredAt, now),
 	})
 }
@@ -145,11 +162,17 @@
 	return c
 }
 
-// enter sets the state and completes the change that led to it.
-func (c *centre) enter(now clock.Millis, state State, change Change) (Change, bool) {
+// enter sets the state of a data centre and completes the change that led to it.
+func (t *Table) enter(c *centre, now clock.Millis, state State, change Change) (Change, bool) {
 	if state == c.state {
 		return Change{}, false
 	}
+	if c.state == Reached {
+		t.unsettled++
+	}
+	if state == Reached {
+		t.unsettled--
+	}
 	change.State, change.Lasted = state, now.Sub(c.changedAt)
 	c.state, c.changedAt = state, now
 	return change, true
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -250,7 +250,7 @@
 func newLoggingTestRelay(t *testing.T, upstreams http.Handler, log *zap.Logger) (r *Relay, address string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9, MaxWaiting: 8, MaxWaitingBytes: 1 << 20}))
+	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9, MaxWaiting: 8, MaxWaitingBytes: 1 << 20, MaxForwarded: 8}))
 	r = New(ctx, sealedProtocol{}, model, clocktest.NewClock(), log,
 		WithDialer((&net.Dialer{}).DialContext), WithEngines(unresponsiveEngines{}))
 	stopped := make(chan struct{})
