--- a/dispatch/cut_off.go
+++ b/dispatch/cut_off.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,16 @@
 	return len(m.cutCentres) > 0 && m.cutCentres[u.entry.DataCentre]
 }
 
+// avoidsLink reports whether a request is not sent to an upstream because of this node's links to its
+// data centre. Doubtful links are avoided while another node may serve the request, and used for the
+// requests of other nodes.
+func (m *Model) avoidsLink(r *request, u *upstream) bool {
+	if len(m.doubtfulCentres) > 0 && m.doubtfulCentres[u.entry.DataCentre] && r.arrival.Forwarded == nil && !r.trustsLinks {
+		return true
+	}
+	return m.cutFrom(u)
+}
+
 // cutFromService reports whether this node is cut from all upstreams of a request's service that
 // accept work.
 func (m *Model) cutFromService(r *request) bool {
@@ -39,10 +50,13 @@
 		return nil
 	}
 	cmds := []Cmd{ReachCmd{change}}
+	delete(m.doubtfulCentres, change.DataCentre)
 	switch {
+	case change.State == reachability.Doubtful && m.nodes.Len() > 0:
+		m.doubtfulCentres[change.DataCentre] = true
 	case change.State == reachability.Cut && m.nodes.Len() > 0:
 		m.cutCentres[change.DataCentre] = true
-		return append(cmds, m.withdrawFindings(change.DataCentre)...)
+		return slices.Concat(cmds, m.withdrawFindings(change.DataCentre), m.doubtOthers(change.DataCentre))
 	case m.cutCentres[change.DataCentre]:
 		delete(m.cutCentres, change.DataCentre)
 		m.probeAfterCut(change.DataCentre)
@@ -50,6 +64,18 @@
 	return cmds
 }
 
+// doubtOthers makes the links to the data centres doubtful that have not answered since this node was
+// cut from one of them.
+func (m *Model) doubtOthers(cut string) []Cmd {
+	var cmds []Cmd
+	for _, dataCentre := range slices.Sorted(maps.Keys(m.listedIn)) {
+		if dataCentre != cut {
+			cmds = append(cmds, m.reachChanged(m.reach.Doubt(m.now, dataCentre, m.listedIn[dataCentre]))...)
+		}
+	}
+	return cmds
+}
+
 // withdrawFindings takes back what this node has found about the upstreams of a data centre from
 // which it is cut: it can't tell a crashed engine from one that it does not reach.
 func (m *Model) withdrawFindings(dataCentre string) []Cmd {
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -43,11 +43,11 @@
 		return m.hasChainBeyondReach(r)
 	}
 	all := m.byService[r.service.Name]
-	return slices.ContainsFunc(all, (*upstream).acceptsWork) && !slices.ContainsFunc(all, m.reaches)
+	return slices.ContainsFunc(all, (*upstream).acceptsWork) && !slices.ContainsFunc(all, func(u *upstream) bool { return m.reaches(r, u) })
 }
 
-// reaches reports whether an upstream accepts work and this node can send it requests.
-func (m *Model) reaches(u *upstream) bool { return u.healthy() && !m.cutFrom(u) }
+// reaches reports whether an upstream accepts work and this node can send it a request.
+func (m *Model) reaches(r *request, u *upstream) bool { return u.healthy() && !m.avoidsLink(r, u) }
 
 // mayForward reports whether another node may be asked to serve a request. A request is passed on
 // once at most.
--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -40,7 +40,7 @@
 		if limited {
 			h.Penalty += limitedPenalty
 		}
-		if bounded && !r.executedBy(u) || limited || !conditions.ignoreReach && m.cutFrom(u) {
+		if bounded && !r.executedBy(u) || limited || !conditions.ignoreReach && m.avoidsLink(r, u) {
 			// A chain begins at the engine with layer 0. Only that engine counts for the bound on
 			// upstreams and for rate limits, and only that one must be reached by this node, since
 			// nodes send requests to it, while later engines receive them from other engines.
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -51,11 +51,13 @@
 	localByService map[string][]*upstream
 	// listedIn holds the number of upstreams of all services by data centre.
 	listedIn map[string]int
-	// reach is the evidence about this node's links to upstreams. cutCentres holds the data centres
-	// from which it is cut, and cutProbedAt when an upstream of each was last probed for that.
-	reach       *reachability.Table
-	cutCentres  map[string]bool
-	cutProbedAt map[string]clock.Millis
+	// reach is the evidence about this node's links to upstreams. doubtfulCentres and cutCentres hold
+	// the data centres to which the links are doubtful or cut, and cutProbedAt when an upstream of each
+	// was last probed because of a cut.
+	reach           *reachability.Table
+	doubtfulCentres map[string]bool
+	cutCentres      map[string]bool
+	cutProbedAt     map[string]clock.Millis
 	// nodes holds the other nodes that may serve requests of this one, and forwardedRequests counts
 	// the requests of other nodes that this one serves.
 	nodes             *forwarding.Nodes
@@ -172,6 +174,7 @@
 		localByService:    make(map[string][]*upstream),
 		listedIn:          make(map[string]int),
 		reach:             reachability.New(),
+		doubtfulCentres:   make(map[string]bool),
 		cutCentres:        make(map[string]bool),
 		cutProbedAt:       make(map[string]clock.Millis),
 		fastestTokenTime:  make(map[string]float64),
@@ -226,6 +229,8 @@
 		return m.attemptDone(msg)
 	case StalledMsg:
 		return m.stalled(msg)
+	case ChainUnansweredMsg:
+		return m.chainUnanswered(msg)
 	case ReportMsg:
 		return m.reported(msg)
 	case MigratedMsg:
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -177,6 +177,12 @@
 	Report   Report
 }
 
+// ChainUnansweredMsg reports that none of the engines of a stalled stream's chain answered in time. One of
+// them may have crashed, or this node is cut from all.
+type ChainUnansweredMsg struct {
+	Upstreams []fleet.Incarnation
+}
+
 // Report is an engine's report of its state. It is some hundred ms old on arrival.
 type Report struct {
 	// Slowdown is the ratio of the engine's token time to its normal value; zero if not reported.
@@ -334,6 +340,7 @@
 func (AttemptDoneMsg) dispatchMsg()      {}
 func (StalledMsg) dispatchMsg()          {}
 func (ReportMsg) dispatchMsg()           {}
+func (ChainUnansweredMsg) dispatchMsg()  {}
 func (MigratedMsg) dispatchMsg()         {}
 func (BackOffMsg) dispatchMsg()          {}
 func (RequestEndedMsg) dispatchMsg()     {}
--- a/dispatch/provisional.go
+++ b/dispatch/provisional.go
@@ -41,15 +41,19 @@
 // unresponsive to all others.
 func (m *Model) lateReport(msg LateReportMsg) []Cmd {
 	u := m.upstreams[msg.Upstream]
+	var cmds []Cmd
+	if u != nil && msg.Answered {
+		cmds = m.recordAnswered(u)
+	}
 	if u == nil || !u.suspected || u.probeInFlight {
 		// A probe that is in flight decides.
-		return nil
+		return cmds
 	}
 	if !msg.Answered {
 		u.avoidUntil = min(u.avoidUntil, m.now)
-		return nil
+		return cmds
 	}
 	m.recoveries.RemoveLeaving(msg.Upstream)
 	u.crashCheckOnly = false
-	return m.probeDone(ProbedMsg(msg))
+	return append(cmds, m.probeDone(ProbedMsg(msg))...)
 }
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -58,6 +58,15 @@
 	return nil
 }
 
+// chainUnanswered records that no engine of a chain answered.
+func (m *Model) chainUnanswered(msg ChainUnansweredMsg) []Cmd {
+	var cmds []Cmd
+	for _, id := range msg.Upstreams {
+		cmds = append(cmds, m.recordUnreached(m.upstreams[id], reachability.Silent)...)
+	}
+	return cmds
+}
+
 // recordProbeReach records what the result of a probe shows about the link to its upstream.
 func (m *Model) recordProbeReach(u *upstream, answered bool) []Cmd {
 	if answered {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -66,6 +66,9 @@
 	forwardedTo  string
 	askedNodes   map[string]bool
 	nodeRefusals int
+	// trustsLinks reports whether doubtful links are used; set only while a path is chosen for which no
+	// other node was found.
+	trustsLinks bool
 	// admissionDecision is the last decision of admission control on the request.
 	admissionDecision admission.Decision
 	// shareDecision is the last decision of fair shares on the request, and wasOverShare reports
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -159,12 +159,14 @@
 	return nil
 }
 
-// peerFinding returns the message of a script line about what another node found of an engine; nil for
-// any other line.
+// peerFinding returns the message of a script line about engines that were found silent or answer after
+// all; nil for any other line.
 func peerFinding(s script.Step) dispatch.Msg {
 	switch s.Verb {
 	case "told":
 		return dispatch.PeerUnresponsiveMsg{Upstream: script.Incarnation(s.Arg(0))}
+	case "chainsilent":
+		return dispatch.ChainUnansweredMsg{Upstreams: parseIncarnations(s.Arg(0))}
 	case "toldanswers":
 		return dispatch.PeerResponsiveMsg{Upstream: script.Incarnation(s.Arg(0))}
 	default:
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -28,7 +28,9 @@
 		if cmds := m.forward(r); len(cmds) > 0 {
 			return cmds
 		}
+		r.trustsLinks = true
 		cmd, reason = m.choosePath(r, r.arrival.Forwarded != nil)
+		r.trustsLinks = false
 		if reason.isPathLoss() && m.cutFromService(r) {
 			reason = ReasonNoPath
 		}
@@ -155,7 +157,7 @@
 	bestCost := 0.0
 	suspected := m.quarantine.IsSuspect(r.work)
 	for _, u := range m.byService[r.service.Name] {
-		if !u.acceptsWork() || m.cutFrom(u) || u.inBackOff(m.now) || !allowed(u) || !m.limitAllows(r, u) {
+		if !u.acceptsWork() || m.avoidsLink(r, u) || u.inBackOff(m.now) || !allowed(u) || !m.limitAllows(r, u) {
 			continue
 		}
 		cost := u.meanLatency * float64(u.inFlight+1) * (1 + m.random.Float64()*tieSpread)
--- a/reachability/table.go
+++ b/reachability/table.go
@@ -15,6 +15,8 @@
 	doubtfulFailures = 2
 	// cutFailures is the same number for Cut. It is lower where fewer upstreams are listed.
 	cutFailures = 4
+	// recentAnswer is how long an answer says that a data centre is reached although another is cut.
+	recentAnswer clock.Millis = 300
 	// failureWindow is how long a failure counts.
 	failureWindow clock.Millis = 5000
 )
@@ -134,6 +136,16 @@
 	return n
 }
 
+// Doubt makes the state of a data centre Doubtful if it is Reached and no upstream there has answered
+// lately. It is called for the other data centres when one of them is cut.
+func (t *Table) Doubt(now clock.Millis, dataCentre string, listed int) (Change, bool) {
+	c := t.centre(dataCentre)
+	if c.state != Reached || now <= c.answeredAt.Add(recentAnswer) {
+		return Change{}, false
+	}
+	return t.enter(c, now, Doubtful, Change{DataCentre: dataCentre, Failed: len(c.failures), Listed: listed, Kind: Silent, AnswerAge: clock.AgeOf(c.answeredAt, now)})
+}
+
 // Forget drops the evidence about an upstream that is no longer listed.
 func (t *Table) Forget(l Link) {
 	if c := t.centres[l.DataCentre]; c != nil {
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -10,6 +10,7 @@
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 const (
@@ -153,6 +154,9 @@
 			report.slowest, report.slowdown = part, reports[i].report.Slowdown
 		}
 	}
+	if len(report.unresponsive) == len(parts) {
+		r.decider.notify(r.lifetime, dispatch.ChainUnansweredMsg{Upstreams: chainIDs(parts)})
+	}
 	return report
 }
 
@@ -184,6 +188,15 @@
 	}
 }
 
+// chainIDs returns the engines of a chain.
+func chainIDs(parts []chain.Stage) []fleet.Incarnation {
+	ids := make([]fleet.Incarnation, 0, len(parts))
+	for _, p := range parts {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
 func (s *session) logStall(event, address string, pause clock.Millis, report stallReport) {
 	s.log.Info(event, zap.String("id", s.head.ID), zap.String("at", address), zap.Int64("quiet_ms", int64(pause)),
 		zap.Int("events", s.events), zap.Int("silent", len(report.unresponsive)), zap.Int("overdue", len(report.overdue)), zap.Float64("slowest_pace", report.slowdown))
