A request is not quarantined for upstreams that only its nodes do not reach

Cause: three upstreams that are silent at cut nodes under one request look as if it had crashed them; nodes that probed one of them after the report, and got its name, kept that to themselves.

Change: such a node tells the others, which withdraw what was lost at that upstream, as for engines.

--- a/dispatch/identity.go
+++ b/dispatch/identity.go
@@ -63,7 +63,7 @@
 	}
 	switch msg.Presence {
 	case fleet.Present:
-		return m.quarantineCmds(m.quarantine.UpstreamAnswered(msg.Upstream))
+		return append(m.quarantineCmds(m.quarantine.UpstreamAnswered(msg.Upstream)), m.refuteLoss(u)...)
 	case fleet.Replaced:
 		return m.quarantineCmds(m.quarantine.SetUpstreamState(m.now, msg.Upstream, quarantine.Crashed))
 	case fleet.PresenceUnknown:
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -144,6 +144,7 @@
 func (m *Model) recordPeerLoss(msg PeerLossMsg) []Cmd {
 	fate := m.upstreamFate(msg.Upstream)
 	if u := m.upstreams[msg.Upstream]; u != nil && fate == quarantine.Unknown {
+		u.peerLostAt = m.now
 		m.probeNextTick(u)
 	}
 	return m.quarantineCmds(m.quarantine.RecordLoss(m.now, msg.Work, msg.Upstream, fate, peerLossWindow, false))
--- a/dispatch/peer_findings.go
+++ b/dispatch/peer_findings.go
@@ -9,8 +9,8 @@
 // not answer this one. A node that is cut for longer reports the engine again and is answered again.
 const answersPeersWindow clock.Millis = 5000
 
-// AnswersHereCmd tells other nodes that an engine answers this node which one of them has found
-// unresponsive.
+// AnswersHereCmd tells other nodes that an upstream answers this node which one of them has found
+// unresponsive, or at which it has lost a request.
 type AnswersHereCmd struct{ Upstream fleet.Incarnation }
 
 func (AnswersHereCmd) dispatchCmd() {}
@@ -27,7 +27,17 @@
 	return []Cmd{AnswersHereCmd{Upstream: u.entry.ID}}
 }
 
-// peerFoundResponsive withdraws this node's finding that an engine is unresponsive: it is alive, and
+// refuteLoss tells other nodes that an upstream has named itself if one of them has just reported a loss
+// at it: nodes that are cut from several upstreams would take the request for one that crashes them.
+func (m *Model) refuteLoss(u *upstream) []Cmd {
+	if u == nil || m.usageAggregated || m.now > u.peerLostAt.Add(peerReportWindow) {
+		return nil
+	}
+	u.peerLostAt = clock.Never
+	return []Cmd{AnswersHereCmd{Upstream: u.entry.ID}}
+}
+
+// peerFoundResponsive withdraws this node's finding that an upstream is unresponsive: it is alive, and
 // this node is cut from it. It gets no requests of this node, which still does not reach it.
 func (m *Model) peerFoundResponsive(msg PeerResponsiveMsg) []Cmd {
 	u := m.upstreams[msg.Upstream]
@@ -35,12 +45,12 @@
 		return nil
 	}
 	u.answersPeersAt = m.now
+	cmds := m.quarantineCmds(m.quarantine.UpstreamAnswered(u.entry.ID))
 	if !u.unresponsive {
-		return nil
+		return cmds
 	}
 	u.unresponsive = false
 	m.excuseExecutions(func(other *upstream) bool { return other == u })
-	cmds := m.quarantineCmds(m.quarantine.UpstreamAnswered(u.entry.ID))
 	return append(cmds, ResponsivenessCmd{Upstream: u.entry.ID})
 }
 
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -92,6 +92,8 @@
 	// unresponsive.
 	unresponsive   bool
 	peerReportedAt clock.Millis
+	// peerLostAt is when another node last reported that it lost a request at the upstream.
+	peerLostAt clock.Millis
 	// answersPeersAt is when another node last reported that the engine answers it.
 	answersPeersAt clock.Millis
 	// unansweredProbes counts consecutive unanswered probes, and failures consecutive failed
@@ -115,7 +117,7 @@
 }
 
 func newUpstream(entry fleet.Upstream) *upstream {
-	return &upstream{entry: entry, meanLatency: initialLatency, slowdown: 1, reportedAt: clock.Never, probeAnsweredAt: clock.Never, peerReportedAt: clock.Never, answersPeersAt: clock.Never}
+	return &upstream{entry: entry, meanLatency: initialLatency, slowdown: 1, reportedAt: clock.Never, probeAnsweredAt: clock.Never, peerReportedAt: clock.Never, answersPeersAt: clock.Never, peerLostAt: clock.Never}
 }
 
 // layersReportWindow is how long reported layers override an entry without layers: the lag of the
