--- a/cmd/hoistctl/limits.go
+++ b/cmd/hoistctl/limits.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/limit"
+	"github.com/hoistjunction/hoistjunction/reachability"
 )
 
 // limitsCommand prints the limits that upstreams advertise, and the number of orders to
@@ -26,6 +27,9 @@
 	Limits []limit.Summary `json:"limits"`
 	Orders map[string]int  `json:"orders"`
 	Store  storeMetrics    `json:"store"`
+	// Requests counts requests and attempts by what became of them.
+	Requests     map[string]int64       `json:"requests"`
+	Reachability []reachability.Summary `json:"reachability"`
 }
 
 func (c *limitsCommand) runOffline() error {
--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -43,6 +43,7 @@
 	Record   *recordCommand   `arg:"subcommand:recording" help:"print the node's recorded messages"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"print the log lines that concern a request; needs no node"`
 	Losses   *lossesCommand   `arg:"subcommand:losses" help:"print the causes of lost and late requests from log files; needs no node"`
+	Reach    *reachCommand    `arg:"subcommand:reach" help:"print which data centres' upstreams relay nodes reach, and how many requests they pass on, from their metrics"`
 	Limits   *limitsCommand   `arg:"subcommand:limits" help:"print the limits that upstreams advertise, and orders to engines by result, from the metrics of relay nodes"`
 	Store    *storeCommand    `arg:"subcommand:store" help:"print the relay nodes' view of the store: era, configuration, and the node it was read from"`
 }
--- a/cmd/hoistctl/store.go
+++ b/cmd/hoistctl/store.go
@@ -29,14 +29,7 @@
 func (c *storeCommand) runOffline() error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	views := make([]*relayMetrics, len(c.Metrics))
-	var failed error
-	for i, address := range c.Metrics {
-		metrics, err := fetchMetrics(ctx, address)
-		// Continue with the remaining nodes.
-		failed = errors.CombineErrors(failed, err)
-		views[i] = metrics
-	}
+	views, failed := fetchAllMetrics(ctx, c.Metrics)
 	return errors.CombineErrors(failed, writeStores(os.Stdout, c.Metrics, views))
 }
 
