A cut ends also at a node that has lost the last other node meanwhile

Found in the read-through: a node without other nodes draws no conclusions from its links and sent no probe for them, but one that was cut while it knew others kept the cut, left its upstreams alone and refused for good. It is now probed for until it ends. Test: dispatch/testdata/reach/last_node.txt, which wanted 'probe d1' and got nothing.

--- a/dispatch/cut_off.go
+++ b/dispatch/cut_off.go
@@ -115,9 +115,9 @@
 }
 
 // scheduleReachProbes schedules the probes that find out whether doubtful links are cut and whether
-// a cut has ended.
+// a cut has ended, also one that began while other nodes were known.
 func (m *Model) scheduleReachProbes() {
-	if m.nodes.Len() == 0 {
+	if m.nodes.Len() == 0 && len(m.doubtfulCentres)+len(m.cutCentres) == 0 {
 		return
 	}
 	for _, dataCentre := range m.reach.Unsettled() {
