dispatch, relay, reachability: files with one job each; tests of the evidence by itself

Moves without a change: what other nodes report (dispatch/peer_msg.go), causes (cause.go), the query of a chain's engines (relay/chain_query.go), change and summary of reachability. The table of reachability had tests through dispatch's scripts only.

--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -1,13 +1,9 @@
 package dispatch
 
 import (
-	"github.com/hoistjunction/hoistjunction/budget"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
-	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
-	"github.com/hoistjunction/hoistjunction/forwarding"
-	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/work"
 )
 
@@ -29,48 +25,6 @@
 	Changes []fleet.Change
 }
 
-// PeersMsg reports the number of nodes, including this one, and how their usage is shared.
-type PeersMsg struct {
-	// TotalNodes is the number of nodes; 0 if other nodes report it.
-	TotalNodes int
-	// LocalNodes is the number of nodes in this data centre, if this node adds up the counts of
-	// all data centres; 0 otherwise.
-	LocalNodes int
-	// UsagePeers is the number of other nodes whose usage is reported to this node, one by one
-	// or, with Aggregated, as one sum.
-	UsagePeers int
-	// Aggregated reports whether another node sends the usage of all nodes as one sum.
-	Aggregated bool
-	// Members lists the nodes.
-	Members []limit.Member
-	// ForwardTargets lists the other nodes that may serve requests of this one.
-	ForwardTargets []forwarding.Node
-}
-
-// UsageMsg reports how much memory and how many slots of engines the requests of another node
-// use.
-type UsageMsg struct {
-	Node string
-	// Used is the usage by engine.
-	Used map[fleet.Incarnation]fleet.EngineUsage
-	// WholeDataCentre reports whether Used is the sum over all nodes of another data centre. Node
-	// is then derived from the name of that data centre.
-	WholeDataCentre bool
-	DataCentre      string
-	// AllNodes reports whether Used is the sum over all nodes, including this one and the nodes
-	// of IncludedDataCentres.
-	AllNodes            bool
-	IncludedDataCentres []string
-	// Nodes is the number of nodes in the sum; 0 if unknown.
-	Nodes int
-	// Limits are the rate limits of upstreams as that node knows them.
-	Limits map[fleet.Incarnation]limit.Advertised
-	// Retries are the node's requests for retries, and its loans.
-	Retries budget.Report
-	// Accounts is the use by client account of the services under contention.
-	Accounts []fairshare.AccountUse
-}
-
 // PlacedMsg reports that an engine was ordered to hold the given layers or, with Completed, that
 // it holds them. An engine carries out an order only after the streams through the layers that it
 // drops have left.
@@ -229,44 +183,6 @@
 	Report     Report
 }
 
-// PeerUnresponsiveMsg reports that an engine answered neither streams nor a probe of another
-// node.
-type PeerUnresponsiveMsg struct {
-	Upstream fleet.Incarnation
-}
-
-// PeerResponsiveMsg reports that an engine answers another node, which had been told that the engine is
-// unresponsive.
-type PeerResponsiveMsg struct {
-	Upstream fleet.Incarnation
-}
-
-// PeerLossMsg reports that another node lost a request at an upstream that crashed.
-type PeerLossMsg struct {
-	Work     work.ID
-	Upstream fleet.Incarnation
-}
-
-// PeerAnswerMsg reports that another node received an upstream's answer to a request that was
-// suspected of crashing upstreams.
-type PeerAnswerMsg struct {
-	Work work.ID
-}
-
-// QuarantinedMsg lists quarantined requests as reported by the store or another node.
-type QuarantinedMsg struct {
-	Works []Quarantined
-}
-
-// Quarantined is a quarantined request. Age is the time since its quarantine began.
-type Quarantined struct {
-	Work work.ID
-	Age  clock.Millis
-	// Ended lists the upstreams that the request is suspected to have crashed; empty if the
-	// crashes are confirmed.
-	Ended []fleet.Incarnation
-}
-
 // VMResumedMsg reports that the VM resumed after a suspension.
 type VMResumedMsg struct{}
 
@@ -277,43 +193,6 @@
 // TickMsg triggers the periodic work.
 type TickMsg struct{}
 
-// Cause classifies the failure of an attempt.
-type Cause uint8
-
-// Causes of failed attempts.
-const (
-	// CauseNotSent means that no byte of the request was written.
-	CauseNotSent Cause = iota
-	// CauseStaleConfig means that the node did not write the request, because the configuration
-	// that admitted it was replaced or no longer fresh.
-	CauseStaleConfig
-	// CauseFull means that the upstream answered that it did not execute the request for lack of
-	// capacity.
-	CauseFull
-	// CauseMisdirected means that the upstream answered that it is another incarnation than the
-	// addressed one, or does not hold the requested layers.
-	CauseMisdirected
-	// CauseUnknown means that the request was sent and no valid answer arrived.
-	CauseUnknown
-	// CauseNoProgress means that the request was sent and the attempt was canceled because no
-	// answer arrived in time.
-	CauseNoProgress
-	// CauseUpstreamFailed means that the upstream executed the request and answered with an
-	// error.
-	CauseUpstreamFailed
-	// CauseNodeRefused means that another node, to which the request was passed on, answered that
-	// it did not execute it.
-	CauseNodeRefused
-)
-
-var causeNames = map[Cause]string{
-	CauseNotSent: "not_sent", CauseStaleConfig: "held_back", CauseFull: "full", CauseMisdirected: "misdirected",
-	CauseUnknown: "unknown", CauseNoProgress: "slow", CauseUpstreamFailed: "upstream_failed", CauseNodeRefused: "node_refused",
-}
-
-// String returns the name of the cause in logs.
-func (c Cause) String() string { return causeNames[c] }
-
 // MigrationResult is the result of a stream migration.
 type MigrationResult uint8
 
@@ -329,27 +208,20 @@
 	MigrationUnanswered
 )
 
-func (CatalogMsg) dispatchMsg()          {}
-func (FleetMsg) dispatchMsg()            {}
-func (PeersMsg) dispatchMsg()            {}
-func (UsageMsg) dispatchMsg()            {}
-func (PlacedMsg) dispatchMsg()           {}
-func (ArriveMsg) dispatchMsg()           {}
-func (AttemptFailedMsg) dispatchMsg()    {}
-func (FirstEventMsg) dispatchMsg()       {}
-func (AttemptDoneMsg) dispatchMsg()      {}
-func (StalledMsg) dispatchMsg()          {}
-func (ReportMsg) dispatchMsg()           {}
-func (ChainUnansweredMsg) dispatchMsg()  {}
-func (MigratedMsg) dispatchMsg()         {}
-func (BackOffMsg) dispatchMsg()          {}
-func (RequestEndedMsg) dispatchMsg()     {}
-func (ProbedMsg) dispatchMsg()           {}
-func (PeerUnresponsiveMsg) dispatchMsg() {}
-func (PeerResponsiveMsg) dispatchMsg()   {}
-func (PeerLossMsg) dispatchMsg()         {}
-func (PeerAnswerMsg) dispatchMsg()       {}
-func (QuarantinedMsg) dispatchMsg()      {}
-func (VMResumedMsg) dispatchMsg()        {}
-func (DrainMsg) dispatchMsg()            {}
-func (TickMsg) dispatchMsg()             {}
+func (CatalogMsg) dispatchMsg()         {}
+func (FleetMsg) dispatchMsg()           {}
+func (PlacedMsg) dispatchMsg()          {}
+func (ArriveMsg) dispatchMsg()          {}
+func (AttemptFailedMsg) dispatchMsg()   {}
+func (FirstEventMsg) dispatchMsg()      {}
+func (AttemptDoneMsg) dispatchMsg()     {}
+func (StalledMsg) dispatchMsg()         {}
+func (ReportMsg) dispatchMsg()          {}
+func (ChainUnansweredMsg) dispatchMsg() {}
+func (MigratedMsg) dispatchMsg()        {}
+func (BackOffMsg) dispatchMsg()         {}
+func (RequestEndedMsg) dispatchMsg()    {}
+func (ProbedMsg) dispatchMsg()          {}
+func (VMResumedMsg) dispatchMsg()       {}
+func (DrainMsg) dispatchMsg()           {}
+func (TickMsg) dispatchMsg()            {}
--- a/reachability/table.go
+++ b/reachability/table.go
@@ -1,7 +1,6 @@
 package reachability
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 
@@ -40,22 +39,6 @@
 	failures map[fleet.Incarnation]failureRecord
 }
 
-// Change is a change of the state of a data centre, with the evidence for it.
-type Change struct {
-	DataCentre string
-	State      State
-	// Failed is the number of upstreams that failed since the last answer, and Listed that of all
-	// upstreams.
-	Failed int
-	Listed int
-	// Kind is the last failure; meaningless for Reached.
-	Kind Failure
-	// AnswerAge is the time since an upstream last answered before this change; -1 for never.
-	AnswerAge clock.Millis
-	// Lasted is how long the previous state lasted.
-	Lasted clock.Millis
-}
-
 // New returns a table without evidence.
 func New() *Table {
 	return &Table{centres: make(map[string]*centre), answeredAt: clock.Never}
@@ -189,21 +172,3 @@
 	c.state, c.changedAt = state, now
 	return change, true
 }
-
-// Summary is the evidence about a data centre, for metrics.
-type Summary struct {
-	DataCentre  string `json:"data_centre"`
-	State       string `json:"state"`
-	Failed      int    `json:"failed"`
-	AnswerAgeMS int64  `json:"answer_age_ms"`
-}
-
-// Summaries returns the evidence about all data centres, ordered by name.
-func (t *Table) Summaries(now clock.Millis) []Summary {
-	list := make([]Summary, 0, len(t.centres))
-	for name, c := range t.centres {
-		list = append(list, Summary{DataCentre: name, State: c.state.String(), Failed: len(c.failures), AnswerAgeMS: int64(clock.AgeOf(c.answeredAt, now))})
-	}
-	slices.SortFunc(list, func(a, b Summary) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
-	return list
-}
--- /dev/null
+++ b/reachability/table_test.go
@@ -0,0 +1,69 @@
+package reachability_test
+
+import (
+	"testing"
+
+	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/reachability"
+)
+
+// link returns the link to an upstream of a data centre.
+func link(id fleet.ID, dataCentre string) reachability.Link {
+	return reachability.Link{Upstream: fleet.IncarnationByID(id), DataCentre: dataCentre}
+}
+
+// Guards against a cut that is found too soon or never, by the number of upstreams that are listed.
+func TestFailuresUntilCut(t *testing.T) {
+	tests := []struct {
+		listed int
+		want   []reachability.State
+	}{
+		{1, []reachability.State{reachability.Reached}},
+		{2, []reachability.State{reachability.Reached, reachability.Cut}},
+		{3, []reachability.State{reachability.Reached, reachability.Doubtful, reachability.Cut}},
+		{100, []reachability.State{reachability.Reached, reachability.Doubtful, reachability.Doubtful, reachability.Cut}},
+	}
+	for _, tt := range tests {
+		table := reachability.New()
+		for i, want := range tt.want {
+			id := fleet.ID(rune('a' + i))
+			// The same upstream twice is one failure.
+			table.RecordFailure(clock.Millis(i), link(id, "dc"), reachability.Silent, tt.listed)
+			table.RecordFailure(clock.Millis(i), link(id, "dc"), reachability.NotConnected, tt.listed)
+			if got := table.State("dc"); got != want {
+				t.Errorf("%d listed, %d failed: got %v, want %v", tt.listed, i+1, got, want)
+			}
+		}
+	}
+}
+
+// Guards against a cut that outlasts an answer, and against one that an old failure brings back.
+func TestOneAnswerEndsACut(t *testing.T) {
+	table := reachability.New()
+	for i := range 4 {
+		table.RecordFailure(10, link(fleet.ID(rune('a'+i)), "dc"), reachability.Silent, 10)
+	}
+	change, changed := table.RecordAnswer(700, link("z", "dc"), 10)
+	if !changed || change.State != reachability.Reached || change.Lasted != 690 || len(table.Unsettled()) != 0 {
+		t.Errorf("got %v, changed %v, unsettled %v, want reached after 690 ms", change, changed, table.Unsettled())
+	}
+	if _, changed := table.RecordFailure(710, link("a", "dc"), reachability.Silent, 10); changed {
+		t.Error("got another state after one failure, want none")
+	}
+}
+
+// Guards against doubt about a data centre that has just answered.
+func TestDoubtSparesRecentAnswers(t *testing.T) {
+	table := reachability.New()
+	table.RecordAnswer(1000, link("a", "near"), 5)
+	if _, changed := table.Doubt(1200, "near", 5); changed {
+		t.Error("got doubt 200 ms after an answer, want none")
+	}
+	if change, changed := table.Doubt(1400, "near", 5); !changed || change.State != reachability.Doubtful {
+		t.Errorf("got %v, changed %v, want doubt 400 ms after an answer", change, changed)
+	}
+	if _, changed := table.Doubt(1400, "never", 5); !changed {
+		t.Error("got no doubt about a data centre that never answered, want doubt")
+	}
+}
