--- a/dispatch/peer_findings.go
+++ b/dispatch/peer_findings.go
@@ -28,9 +28,10 @@
 }
 
 // refuteLoss tells other nodes that an upstream has named itself if one of them has just reported a loss
-// at it: nodes that are cut from several upstreams would take the request for one that crashes them.
+// at it: nodes that are cut from several upstreams would take the request for one that crashes them. The
+// name of an upstream that keeps it when it starts again proves nothing about the process before.
 func (m *Model) refuteLoss(u *upstream) []Cmd {
-	if u == nil || m.usageAggregated || m.now > u.peerLostAt.Add(peerReportWindow) {
+	if u == nil || u.entry.ID.StartedAt() != 0 || m.usageAggregated || m.now > u.peerLostAt.Add(peerReportWindow) {
 		return nil
 	}
 	u.peerLostAt = clock.Never
