Review: two further findings in the stand-in program

They are reported beside the cases, and run as target/review/stand start-in-entry FOLDER and failed-though-ran FOLDER.

--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -54,8 +54,10 @@
 	servers      []*server
 	nodes        []*node
 	clients      sync.WaitGroup
-	ctx          context.Context
-	cancel       context.CancelFunc
+	// runs holds the ids of the requests that servers have run.
+	runs   sync.Map
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func newBed(recordPath string, trouble bool) (*bed, error) {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -40,8 +40,10 @@
 // cases holds the cases by name.
 var cases = map[string]func(*bed) (verdict, error){
 	"number-in-entry": runNumberInEntry,
-	"start-in-entry":  runStartInEntry,
 	"revoked-at-copy": runRevokedAtCopy,
+	// Further findings, which are no cases of their own.
+	"start-in-entry":    runStartInEntry,
+	"failed-though-ran": runFailedThoughRan,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -22,6 +22,9 @@
 	address string
 	born    int64
 	beats   atomic.Int64
+	// failing makes the server answer requests that it has run with 503 and without
+	// Not-Executed.
+	failing atomic.Bool
 }
 
 // workTime is the time that a server takes for a request.
@@ -92,10 +95,15 @@
 		return
 	}
 	id := r.Header.Get("Attempt-Id")
+	s.bed.runs.Store(id, true)
 	s.bed.record("run id=%s path=%s tenant=%s server=%s", id, r.URL.Path, r.Header.Get("Tenant-Id"), s.id)
 	time.Sleep(workTime)
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Response-Seal", "seal."+id)
+	if s.failing.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	_, _ = io.WriteString(w, answerBody(r.URL.Path, len(body)))
 }
 
