Review, case 1: judged by RECOVER; the stand-in program lies in review/

Case 1 now ends with a final fault, 5 s after the entry of another writer, and is judged by what is served after the recovery.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # deploy file. The store and its stand-in code are the project's own (package standin).
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -buildvcs=false -ldflags=-linkmode=external -tags review -o target/review/ ./review/stand
+go build -buildvcs=false -ldflags=-linkmode=external -tags review -o target/review/stand ./review
--- a/review/stand/case_entry.go
+++ b/review/case_entry.go
@@ -14,15 +14,11 @@
 const trafficInterval = 40 * time.Millisecond
 
 // runNumberInEntry lets another writer put an entry into the list of servers that lacks
-// all fields but one, whose number no reader can hold. It counts the ends of the nodes'
-// processes.
+// all fields but one, whose number no reader can hold. The row stays, as it does while its
+// writer writes the same again. Some seconds later a configuration
+// is acknowledged and all processes are killed at once, the final fault.
 func runNumberInEntry(b *bed) (verdict, error) {
-	const (
-		// endsPerNode is how often a process must end by itself for the rule to break, and
-		// minNodes on how many machines: a tenth of them, two at least.
-		endsPerNode = 3
-		minNodes    = 2
-	)
+	const timeWithEntry = 5 * time.Second
 	b.putConfig(7, usualKey)
 	if err := b.startSite(true); err != nil {
 		return verdict{}, err
@@ -30,30 +26,60 @@
 	time.Sleep(2 * contact)
 	stop := make(chan struct{})
 	result := b.traffic(usualKey, trafficInterval, stop)
-	time.Sleep(5 * time.Second)
-	atEntry := time.Now()
+	time.Sleep(10 * time.Second)
 	if b.trouble {
 		b.store.Put("servers", "w-elsewhere", []byte(`{"coldLeftMs":1e9999999}`))
 		b.record("entry_of_another_writer")
 	}
-	time.Sleep(15 * time.Second)
-	end := time.Now()
-	close(stop)
-	all := <-result
-	ended := 0
+	time.Sleep(timeWithEntry)
+	f := b.finalFault()
+	f.wait(stop)
+	v := f.verdict(<-result)
+	ends := 0
 	for _, n := range b.nodes {
 		b.record("ends node=%s by_itself=%d", n.name, n.ends())
-		if n.ends() >= endsPerNode {
-			ended++
-		}
+		ends += n.ends()
+	}
+	v.text += fmt.Sprintf("; processes that ended by themselves: %d on %d nodes", ends, len(b.nodes))
+	return v, nil
+}
+
+// finalFault is the last fault of a case: all processes are killed right after a
+// configuration was acknowledged.
+type finalFault struct {
+	bed *bed
+	// at is when the processes were killed, back when the machines were back, and end when
+	// the traffic ended.
+	at, back, end time.Time
+}
+
+func (b *bed) finalFault() *finalFault {
+	b.putConfig(9, usualKey)
+	f := &finalFault{bed: b, at: time.Now()}
+	for _, n := range b.nodes {
+		n.kill()
 	}
-	served, total := servedIn(all, b.began, atEntry)
-	servedAfter, totalAfter := servedIn(all, atEntry, end)
+	time.Sleep(restartDelay)
+	f.back = time.Now()
+	return f
+}
+
+// wait lets the traffic go on until well after the time for the recovery, and ends it.
+func (f *finalFault) wait(stop chan<- struct{}) {
+	time.Sleep(recovery + 10*time.Second)
+	f.end = time.Now()
+	close(stop)
+}
+
+// verdict compares what was served before the final fault and after the recovery.
+func (f *finalFault) verdict(all []attempt) verdict {
+	served, total := servedIn(all, f.bed.began, f.at)
+	servedAfter, totalAfter := servedIn(all, f.back.Add(recovery), f.end)
 	return verdict{
-		broken: ended >= minNodes,
-		text: fmt.Sprintf("%d of %d nodes ended by themselves %d times or more; served %d of %d before the entry, %d of %d after it",
-			ended, len(b.nodes), endsPerNode, served, total, servedAfter, totalAfter),
-	}, nil
+		broken: 4*served >= total && 4*servedAfter < totalAfter,
+		text: fmt.Sprintf("served %d of %d before the final fault, %d of %d of those sent more than %v after the machines were back",
+			served, total, servedAfter, totalAfter, recovery),
+	}
 }
 
 // runStartInEntry lets another writer put an entry of a service that is not configured
@@ -74,22 +100,7 @@
 		b.record("entry_of_another_writer")
 	}
 	time.Sleep(8 * time.Second)
-	b.putConfig(9, usualKey)
-	fault := time.Now()
-	for _, n := range b.nodes {
-		n.kill()
-	}
-	time.Sleep(restartDelay)
-	back := time.Now()
-	time.Sleep(recovery + 10*time.Second)
-	end := time.Now()
-	close(stop)
-	all := <-result
-	served, total := servedIn(all, b.began, fault)
-	servedAfter, totalAfter := servedIn(all, back.Add(recovery), end)
-	return verdict{
-		broken: 4*served >= total && 4*servedAfter < totalAfter,
-		text: fmt.Sprintf("served %d of %d before the final fault, %d of %d of those sent more than %v after the machines were back",
-			served, total, servedAfter, totalAfter, recovery),
-	}, nil
+	f := b.finalFault()
+	f.wait(stop)
+	return f.verdict(<-result), nil
 }
