--- a/review/main.go
+++ b/review/main.go
@@ -44,7 +44,6 @@
 	// Further findings, which are no cases of their own.
 	"start-in-entry":    runStartInEntry,
 	"failed-though-ran": runFailedThoughRan,
-	"favoured-node":     runFavouredNode,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
