admission: random variation of a few streams is no surge

Cause: the pressure extrapolates the slope of the use over 2.2 s. Change: while the pressure is 0 the use is smoothed by what the number of streams makes of its random variation (use/sqrt(n)); above some 500 streams it is taken as it is, and a use that stays is believed within 3 s also where one request makes it. Under pressure it is never smoothed, since the loop of all nodes needs it without a delay. Test: it now plays 50 seeds in place of one, each with the bound of none, and its load has the number of streams, as the load of a node always has (dispatch.serviceLoad); without it no observer can tell 20 streams from 2,000. Ruled out by trials (docs/design/load-admission.md): the variation estimated from the uses alone, and smoothing under pressure.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -75,7 +75,7 @@
 		return
 	}
 	s.newestReport, s.oldestReport = load.NewestReport, load.OldestReport
-	s.observe(now, use, load.capacity(), c.hysteresis)
+	s.observe(now, observation{use: use, capacity: load.capacity(), streams: load.streams()}, c.hysteresis)
 }
 
 // Contention returns the use of a service that is under contention: its pressure is or was recently
@@ -85,7 +85,7 @@
 	if s == nil || !s.active(now) || !s.pressed || now > s.pressedAt.Add(contentionTime) {
 		return 0, false
 	}
-	return s.pressure.use, true
+	return s.pressure.last.use, true
 }
 
 // Admit decides whether a new request of a priority proceeds. The draw of the request, from 0 up to
@@ -101,7 +101,7 @@
 	if !ok {
 		return d
 	}
-	d.Use, d.Pressure, d.Level, d.Threshold = s.pressure.use, s.pressure.value, s.level, threshold
+	d.Use, d.Pressure, d.Level, d.Threshold = s.pressure.last.use, s.pressure.value, s.level, threshold
 	d.Age = clock.AgeOf(s.oldestReport, now)
 	// A level of 0 holds nothing back, not even a request whose threshold is 0.
 	d.Admitted = s.level == 0 || s.level < threshold
--- a/admission/load.go
+++ b/admission/load.go
@@ -55,6 +55,22 @@
 	return sum
 }
 
+// streams returns the number of streams on the pipeline, which each begin at an engine with the first
+// layer; 0 if unknown.
+func (l Load) streams() float64 {
+	sum := 0.0
+	for _, e := range l.Engines {
+		if e.Held.From <= 0 && e.Held.To > 0 {
+			sum += max(e.UsedSlots, 0)
+		}
+	}
+	return sum
+}
+
+// observation is what is observed of a service's load: the use of its scarcest layer, the memory of its
+// engines, and the number of its streams.
+type observation struct{ use, capacity, streams float64 }
+
 // share is a used amount of a total.
 type share struct{ used, total float64 }
 
--- a/admission/loop_test.go
+++ b/admission/loop_test.go
@@ -96,7 +96,7 @@
 	reported := l.history[max(0, len(l.history)-1-age/int(loopStep))]
 	n.controller.Observe(l.now, "writer", admission.Load{
 		Layers: 1, NewestReport: l.now, OldestReport: l.now,
-		Engines: []admission.Engine{{Held: fleet.LayerRange{From: 0, To: 1}, Memory: l.capacity, UsedMemory: reported}},
+		Engines: []admission.Engine{{Held: fleet.LayerRange{From: 0, To: 1}, Memory: l.capacity, UsedMemory: reported, UsedSlots: reported}},
 	})
 	for i := range n.held {
 		draw := (float64(i) + 0.5) / sampledDraws
--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -46,42 +46,60 @@
 type pressure struct {
 	// value is at least 0 and at most 1.
 	value float64
-	// use and capacity are those of the last observation.
-	use        float64
-	capacity   float64
+	// last is the last observation, and smoothed its use without most of the random variation.
+	last       observation
+	smoothed   smoothed
 	observedAt clock.Millis
 	begun      bool
 }
 
 // begin starts a series of observations at the pressure that the use leads to in the long run, so that
 // a node that starts has about the same pressure as the others.
-func (p *pressure) begin(now clock.Millis, use, capacity float64) {
+func (p *pressure) begin(now clock.Millis, o observation) {
+	use := p.smooth(o)
 	value := min(max((use-lowUse)/(highUse-lowUse), 0), 1)
-	*p = pressure{value: value, use: use, capacity: capacity, observedAt: now, begun: true}
+	*p = pressure{value: value, last: o, smoothed: p.smoothed, observedAt: now, begun: true}
 }
 
 // observe adds an observation. The pressure rises while the expected use exceeds the one that
 // corresponds to the pressure, and falls while it is below.
-func (p *pressure) observe(now clock.Millis, use, capacity float64) {
+func (p *pressure) observe(now clock.Millis, o observation) {
 	elapsed := float64(now.Sub(p.observedAt))
 	if elapsed <= 0 {
 		return
 	}
-	expected := p.expectedUse(use, capacity, elapsed)
+	use, expected := p.use(o, elapsed)
 	rate := pressureRate*(expected-p.sustainedUse()) + excessRate*(max(0, use-highUse)-max(0, idleUse-use)) +
 		surgeRate*(1-p.value)*max(0, expected-surgeUse)
 	p.value = min(max(p.value+rate*elapsed, 0), 1)
-	p.use, p.capacity, p.observedAt = use, capacity, now
+	p.last, p.observedAt = o, now
 }
 
-// expectedUse returns the use that results if the rate of new streams stays the same: the use plus
-// streamTime times its slope. The slope counts only while the capacity is unchanged, since engines
-// that appear or vanish change the use at once.
-func (p *pressure) expectedUse(use, capacity, elapsed float64) float64 {
-	if capacity != p.capacity {
-		return use
+// use returns the use that an observation counts with, and the use that results if the rate of new
+// streams stays the same: the use plus streamTime times its slope. Without pressure both are smoothed,
+// since random variation must not begin it; under pressure the loop of all nodes needs the use without
+// a delay. The slope counts only while the capacity is unchanged, since engines that appear or vanish
+// change the use at once.
+func (p *pressure) use(o observation, elapsed float64) (use, expected float64) {
+	smoothedBefore := p.smoothed.use
+	smoothed := p.smooth(o)
+	before := p.last.use
+	use = o.use
+	if p.value == 0 {
+		before, use = smoothedBefore, smoothed
 	}
-	return min(use+streamTime*(use-p.use)/elapsed, maxExpectedUse)
+	if o.capacity != p.last.capacity {
+		return use, use
+	}
+	return use, min(use+streamTime*(use-before)/elapsed, maxExpectedUse)
+}
+
+// smooth adds an observation to the smoothed use and returns it.
+func (p *pressure) smooth(o observation) float64 {
+	if o.capacity != p.last.capacity {
+		p.smoothed = smoothed{}
+	}
+	return p.smoothed.add(o.use, o.streams)
 }
 
 // sustainedUse returns the use at which the pressure stays at its value.
@@ -89,6 +107,6 @@
 
 // timeToFall estimates the time until the pressure has fallen to a lower value.
 func (p *pressure) timeToFall(to float64) clock.Millis {
-	rate := pressureRate * max(p.sustainedUse()-p.use, assumedFall)
+	rate := pressureRate * max(p.sustainedUse()-p.last.use, assumedFall)
 	return clock.Millis(max(0, p.value-to) / rate)
 }
--- a/admission/service.go
+++ b/admission/service.go
@@ -33,15 +33,15 @@
 }
 
 // observe adds an observation of the use.
-func (s *service) observe(now clock.Millis, use, capacity, hysteresis float64) {
+func (s *service) observe(now clock.Millis, o observation, hysteresis float64) {
 	if !s.pressure.begun {
 		s.observedSince = now
 	}
 	if now <= s.observedSince.Add(warmUp) {
 		// The use rises as further nodes report, which is not a rise of the demand.
-		s.pressure.begin(now, use, capacity)
+		s.pressure.begin(now, o)
 	} else {
-		s.pressure.observe(now, use, capacity)
+		s.pressure.observe(now, o)
 	}
 	// The hysteresis is at most the pressure itself, so that no threshold is in force at pressure 0.
 	if s.pressure.value > 0 {
--- a/admission/sparse_test.go
+++ b/admission/sparse_test.go
@@ -12,12 +12,23 @@
 // Guards against holding requests back without a shortage: a service with room for few streams, less
 // than half of which are in use on average, must hold nothing back.
 func TestSparseServiceHoldsNothingBack(t *testing.T) {
+	const seeds = 50
+	for seed := uint64(1); seed <= seeds; seed++ {
+		if heldBack := playSparseService(seed); heldBack > 0 {
+			t.Errorf("seed %d: got %d of 6000 requests held back, want none", seed, heldBack)
+		}
+	}
+}
+
+// playSparseService offers a minute of requests to a service with room for 20 streams, and returns how
+// many are held back.
+func playSparseService(seed uint64) (heldBack int) {
 	const room, arrivals, duration = 20, 0.2, 45
-	random := rand.New(rand.NewPCG(1, 1))
+	random := rand.New(rand.NewPCG(seed, 1))
 	c := admission.New()
 	c.SetPriorities(map[string][]int{"writer": {0, 2}})
 	ends := make(map[clock.Millis]int)
-	inUse, heldBack := 0, 0
+	inUse := 0
 	for now := clock.Millis(0); now < 60_000; now += 10 {
 		inUse -= ends[now]
 		if random.Float64() < arrivals {
@@ -26,7 +37,7 @@
 		}
 		if now%reportInterval == 0 {
 			load := admission.Load{Layers: 8, NewestReport: now, OldestReport: now, Engines: []admission.Engine{
-				{Held: fleet.LayerRange{From: 0, To: 8}, Memory: room, UsedMemory: float64(inUse)},
+				{Held: fleet.LayerRange{From: 0, To: 8}, Memory: room, UsedMemory: float64(inUse), UsedSlots: float64(inUse)},
 			}}
 			c.Observe(now, "writer", load)
 		}
@@ -34,7 +45,5 @@
 			heldBack++
 		}
 	}
-	if heldBack > 0 {
-		t.Errorf("got %d of 6000 requests held back, want none", heldBack)
-	}
+	return heldBack
 }
--- a/admission/summary.go
+++ b/admission/summary.go
@@ -31,7 +31,7 @@
 	var list []Summary
 	for _, name := range c.Services() {
 		s := c.services[name]
-		summary := Summary{Service: name, Use: s.pressure.use, Pressure: s.pressure.value, Level: s.level, AgeMillis: -1, Active: s.active(now)}
+		summary := Summary{Service: name, Use: s.pressure.last.use, Pressure: s.pressure.value, Level: s.level, AgeMillis: -1, Active: s.active(now)}
 		if s.pressure.begun {
 			summary.AgeMillis = int64(clock.AgeOf(s.oldestReport, now))
 		}
