--- a/node/foreign_entries_test.go
+++ b/node/foreign_entries_test.go
@@ -76,3 +76,61 @@
 		}
 	}
 }
+
+// Guards against a judgement of entries by how many others say what: other writers may have written any
+// number of them, with or without a start time, before a node starts.
+func TestForeignEntriesOutvoteNoServer(t *testing.T) {
+	t.Parallel()
+	const engines = 4
+	for _, serversTell := range []bool{true, false} {
+		for _, service := range []string{"billing"} {
+			for _, count := range []int{0, 1, engines + 1, 10 * (engines + 1)} {
+				t.Run(fmt.Sprintf("servers tell %v, %d of %s", serversTell, count, service), func(t *testing.T) {
+					t.Parallel()
+					var opts []standin.ServerOption
+					if !serversTell {
+						opts = append(opts, standin.WithoutStartTime())
+					}
+					s := newSite(t, engines, opts...)
+					running := s.startNode("n1", s.storeAddress)
+					running.awaitServing(t)
+					for i := range count {
+						s.store.Put("servers", fmt.Sprint("x", i), foreignEntry(service, !serversTell))
+					}
+					started := s.startNode("n2", s.storeAddress, running.peerAddress)
+					started.awaitServing(t)
+					running.stop()
+					last := s.startNode("n3", s.storeAddress)
+					last.awaitServing(t)
+					for i, n := range []*testNode{started, last} {
+						n.checkServes(t, fmt.Sprint("r", i))
+					}
+				})
+			}
+		}
+	}
+}
+
+// foreignEntry returns an entry that is as valid as a server's, at an address where nobody listens.
+func foreignEntry(service string, tellsStart bool) []byte {
+	start := ""
+	if tellsStart {
+		start = `"born":1764720000123,`
+	}
+	return fmt.Appendf(nil, `{%s"service":%q,"address":"127.0.0.1:9","zone":"dc","version":"v1","slots":4,"state":"ready","coldLeftMs":0,"sequence":1}`, start, service)
+}
+
+// checkServes checks that a node serves streams and calls of the plain service.
+func (n *testNode) checkServes(t *testing.T, prefix string) {
+	t.Helper()
+	const requests = 20
+	for i := range requests {
+		id := fmt.Sprint(prefix, i)
+		if got := n.do(http.MethodPost, "/write/"+id, id, "k1"); got.status != http.StatusOK || got.body != wholeStream("/write/"+id) {
+			t.Errorf("got status %d, %v, want a whole stream", got.status, got.err)
+		}
+		if got := n.do(http.MethodPost, "/once/a", "o"+id, "k2"); got.status != http.StatusOK || got.body != standin.PlainAnswer("/once/a") {
+			t.Errorf("got status %d, %v, want the plain service's answer", got.status, got.err)
+		}
+	}
+}
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -26,6 +26,8 @@
 	storeAddress string
 	engines      map[string]*engineProcess
 	plainService *standin.PlainServer
+	// serverOptions are the options of all upstreams.
+	serverOptions []standin.ServerOption
 	// stopPlainService stops the plain service, and waits until its entry is removed.
 	stopPlainService func()
 }
@@ -37,9 +39,10 @@
 	stopHeartbeat context.CancelFunc
 }
 
-// newSite starts a store, a plain service and engines in one data centre.
-func newSite(t *testing.T, engines int) *site {
-	s := &site{t: t, store: standin.NewRowStore(), engines: make(map[string]*engineProcess)}
+// newSite starts a store, a plain service and engines in one data centre. The options are those of the
+// plain service and the engines.
+func newSite(t *testing.T, engines int, opts ...standin.ServerOption) *site {
+	s := &site{t: t, store: standin.NewRowStore(), engines: make(map[string]*engineProcess), serverOptions: opts}
 	server := httptest.NewServer(s.store.Handler())
 	t.Cleanup(server.Close)
 	s.storeAddress = server.Listener.Addr().String()
@@ -60,7 +63,7 @@
 
 func (s *site) startEngine(id string) {
 	server := httptest.NewUnstartedServer(nil)
-	engine := standin.NewChainEngine(id, server.Listener.Addr().String())
+	engine := standin.NewChainEngine(id, server.Listener.Addr().String(), s.serverOptions...)
 	server.Config.Handler = engine.Handler()
 	server.Start()
 	s.engines[id] = &engineProcess{engine: engine, server: server, stopHeartbeat: s.startHeartbeat(id, func() *platformpb.Server { return engine.Entry("dc") })}
@@ -69,7 +72,7 @@
 
 func (s *site) startPlainService() {
 	server := httptest.NewUnstartedServer(nil)
-	s.plainService = standin.NewPlainServer("desk1", server.Listener.Addr().String(), time.Millisecond)
+	s.plainService = standin.NewPlainServer("desk1", server.Listener.Addr().String(), time.Millisecond, s.serverOptions...)
 	server.Config.Handler = s.plainService.Handler()
 	server.Start()
 	stop := s.startHeartbeat("desk1", func() *platformpb.Server { return s.plainService.Entry("dc") })
