Upstreams that never answered are weak evidence about a node's links

Callers saw (our test): 50 entries of another writer, valid in all but that nobody listens at their address, of the plain service of a site with five upstreams. Nodes that start count as cut from their data centre after four refused connections: 503 for streams too, whose engines are sound, one probe each 0.5 s to any of 55. Cause: reachability counted failures whoever failed. "Four upstreams fail and none answered" is a count over entries that anybody may write; and a request tried eight upstreams, of which more may not exist. Change: a data centre is cut if four failed of which one has answered this node before, or all that are listed; before that its links are doubtful, which passes requests on and probes two upstreams at each tick. Those that have answered are probed first. A plain request that could not be sent to an upstream that never answered goes next to one that has, and such attempts, up to 64, are not counted among its eight.

--- a/dispatch/cut_off.go
+++ b/dispatch/cut_off.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -123,30 +124,28 @@
 	}
 }
 
-// confirmDoubt probes upstreams of a data centre that have not failed.
+// confirmDoubt probes upstreams of a data centre that have not failed, first those that have answered
+// before.
 func (m *Model) confirmDoubt(dataCentre string) {
-	list := m.upstreamsIn(dataCentre)
-	if len(list) == 0 {
-		return
-	}
-	wanted := confirmingProbes
-	start := m.random.IntN(len(list))
-	for i := range list {
-		u := list[(start+i)%len(list)]
-		if wanted == 0 {
-			return
-		}
-		if m.reach.HasFailed(u.link()) {
-			continue
-		}
-		wanted--
+	list := slices.DeleteFunc(m.upstreamsIn(dataCentre), func(u *upstream) bool { return m.reach.HasFailed(u.link()) })
+	m.shuffleAnsweredFirst(list)
+	for _, u := range list[:min(confirmingProbes, len(list))] {
 		if !u.probeInFlight {
 			u.wantReachProbe()
 		}
 	}
 }
 
-// probeCutCentre probes one upstream of a data centre at a time.
+// shuffleAnsweredFirst puts a list in random order, with the upstreams that have answered before first.
+func (m *Model) shuffleAnsweredFirst(list []*upstream) {
+	m.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b *upstream) int {
+		return cmp.Compare(answerRank(m, a), answerRank(m, b))
+	})
+}
+
+// probeCutCentre probes one upstream of a data centre at a time: in turn one that has answered before, and
+// any, since those may all have ended.
 func (m *Model) probeCutCentre(dataCentre string) {
 	if m.now < m.cutProbedAt[dataCentre].Add(cutProbeInterval) {
 		return
@@ -156,6 +155,10 @@
 		return
 	}
 	u := list[m.random.IntN(len(list))]
+	if m.random.IntN(2) == 0 {
+		m.shuffleAnsweredFirst(list)
+		u = list[0]
+	}
 	if u.probeInFlight {
 		return
 	}
@@ -163,6 +166,14 @@
 	u.wantReachProbe()
 }
 
+// answerRank is 0 for an upstream that has answered this node, and 1 for any other.
+func answerRank(m *Model, u *upstream) int {
+	if m.hasAnswered(u) {
+		return 0
+	}
+	return 1
+}
+
 // upstreamsIn returns the upstreams of a data centre, sorted by ID. It visits all upstreams, and is
 // only called while links are doubtful or cut.
 func (m *Model) upstreamsIn(dataCentre string) []*upstream {
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -126,6 +126,11 @@
 	return most
 }
 
+// countedAttempts returns the attempts that maxAttempts bounds.
+func (r *request) countedAttempts() int {
+	return r.attempts - r.slotRefusals - r.nodeRefusals - min(r.unsentAttempts, maxUnsentAttempts)
+}
+
 // mayExecuteAgain reports whether the operator's bound allows another attempt. A stream may
 // always be sent again to an upstream that executed it, within maxAttempts and the retry budget.
 // A repeatable plain request may be sent once more to an upstream that failed it.
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -27,6 +27,9 @@
 	if msg.Cause == CauseFull && r.service.Pipeline == nil {
 		r.slotRefusals++
 	}
+	if msg.Cause == CauseNotSent && !m.hasAnswered(r.firstUpstream) {
+		r.unsentAttempts++
+	}
 	r.capacity.admitted, r.capacity.hasFailure = false, msg.Cause == CauseUpstreamFailed
 	r.deliveredEvents, r.delivered = msg.Events, msg.Delivered
 	r.recordPause(m.now, msg.LastEventAt, msg.Events)
@@ -96,7 +99,7 @@
 		return ReasonAnswerLost
 	case cause == CauseUpstreamFailed && r.route.Kind == 0:
 		return ReasonAnswerLost
-	case !r.mayExecuteAgain(), r.attempts-r.slotRefusals-r.nodeRefusals >= maxAttempts:
+	case !r.mayExecuteAgain(), r.countedAttempts() >= maxAttempts:
 		return ReasonRefused
 	case r.timeLeft(m.now) < minTimeLeft:
 		return ReasonTimeout
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -56,6 +56,9 @@
 	// does not try the whole fleet. A long stream may outlive several engines during a rolling
 	// replacement.
 	maxAttempts = 8
+	// maxUnsentAttempts bounds, for one request, the further attempts that could not be sent to
+	// upstreams which never answered this node, and may not exist.
+	maxUnsentAttempts = 64
 	// minSuspicion is how long an upstream is avoided after its first failure. The time doubles
 	// with each further failure, up to maxSuspicion.
 	minSuspicion clock.Millis = 400
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -18,6 +18,9 @@
 	return reachability.Link{Upstream: u.entry.ID, DataCentre: u.entry.DataCentre}
 }
 
+// hasAnswered reports whether an upstream has ever answered this node.
+func (m *Model) hasAnswered(u *upstream) bool { return u != nil && m.reach.HasAnswered(u.link()) }
+
 // recordAnswered records that an upstream answered this node in any way.
 func (m *Model) recordAnswered(u *upstream) []Cmd {
 	if u == nil {
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -67,6 +67,9 @@
 	position      queuePosition
 	waitedForSlot bool
 	capacity      capacityWait
+	// unsentAttempts counts the attempts that could not be sent to an upstream that has never answered
+	// this node.
+	unsentAttempts int
 	// slotRefusals counts the attempts that found no slot. They are bounded by the request's time
 	// and by the retry budget, not by maxAttempts.
 	slotRefusals int
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -134,9 +134,16 @@
 		// New requests queue behind those that already wait for a slot.
 		return SendCmd{}, ReasonNoSlot
 	}
-	best := m.cheapest(r, func(u *upstream) bool {
+	sound := func(u *upstream) bool {
 		return r.mayExecuteOn(u) && !r.triedUpstreams[u.entry.ID] && u.available(m.now) && u.failureRate <= maxFailureRate
-	})
+	}
+	var best *upstream
+	if r.unsentAttempts > 0 {
+		best = m.cheapest(r, func(u *upstream) bool { return sound(u) && m.hasAnswered(u) })
+	}
+	if best == nil {
+		best = m.cheapest(r, sound)
+	}
 	if best == nil && leaveSuspects && m.lacksOnlyReach(r) {
 		return SendCmd{}, ReasonNoUpstream
 	}
--- a/reachability/table.go
+++ b/reachability/table.go
@@ -12,7 +12,8 @@
 	// doubtfulFailures is the number of upstreams of a data centre that must fail, without an
 	// answer of any other, for its state to be Doubtful.
 	doubtfulFailures = 2
-	// cutFailures is the same number for Cut. It is lower where fewer upstreams are listed.
+	// cutFailures is the same number for Cut, if one of them has answered before. Those that never did may
+	// be listed by mistake: without one that has answered, all that are listed must fail.
 	cutFailures = 4
 	// recentAnswer is how long an answer says that a data centre is reached although another is cut.
 	recentAnswer clock.Millis = 300
@@ -35,8 +36,9 @@
 	// changedAt is when the state was entered, and answeredAt when an upstream last answered.
 	changedAt  clock.Millis
 	answeredAt clock.Millis
-	// failures holds the upstreams that failed since answeredAt.
+	// failures holds the upstreams that failed since answeredAt, and answered those that have ever answered.
 	failures map[fleet.Incarnation]failureRecord
+	answered map[fleet.Incarnation]bool
 }
 
 // New returns a table without evidence.
@@ -78,11 +80,18 @@
 	return failed
 }
 
+// HasAnswered reports whether an upstream has ever answered.
+func (t *Table) HasAnswered(l Link) bool {
+	c := t.centres[l.DataCentre]
+	return c != nil && c.answered[l.Upstream]
+}
+
 // RecordAnswer records that an upstream answered. It returns the change of state, if any.
 func (t *Table) RecordAnswer(now clock.Millis, l Link, listed int) (Change, bool) {
 	c := t.centre(l.DataCentre)
 	previous := c.answeredAt
 	c.answeredAt, t.answeredAt = now, now
+	c.answered[l.Upstream] = true
 	if len(c.failures) > 0 {
 		clear(c.failures)
 	}
@@ -95,7 +104,7 @@
 	c := t.centre(l.DataCentre)
 	maps.DeleteFunc(c.failures, func(_ fleet.Incarnation, f failureRecord) bool { return now > f.at.Add(failureWindow) })
 	c.failures[l.Upstream] = failureRecord{kind: kind, at: now}
-	state := max(c.state, stateFor(len(c.failures), listed))
+	state := max(c.state, c.stateByFailures(listed))
 	if state == Reached && t.failuresSinceAnswer() >= doubtfulFailures {
 		state = Doubtful
 	}
@@ -133,25 +142,37 @@
 func (t *Table) Forget(l Link) {
 	if c := t.centres[l.DataCentre]; c != nil {
 		delete(c.failures, l.Upstream)
+		delete(c.answered, l.Upstream)
 	}
 }
 
-// stateFor returns the state of a data centre in which a number of the listed upstreams failed.
-func stateFor(failed, listed int) State {
+// stateByFailures returns the state that the failures of a data centre's listed upstreams lead to.
+func (c *centre) stateByFailures(listed int) State {
+	failed := len(c.failures)
 	switch {
 	case failed < doubtfulFailures:
 		return Reached
-	case failed >= min(cutFailures, listed):
+	case failed >= listed, failed >= cutFailures && c.answeredBeforeFailing():
 		return Cut
 	default:
 		return Doubtful
 	}
 }
 
+// answeredBeforeFailing reports whether any of the upstreams that failed has answered before.
+func (c *centre) answeredBeforeFailing() bool {
+	for id := range c.failures {
+		if c.answered[id] {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) centre(name string) *centre {
 	c := t.centres[name]
 	if c == nil {
-		c = &centre{answeredAt: clock.Never, failures: make(map[fleet.Incarnation]failureRecord)}
+		c = &centre{answeredAt: clock.Never, failures: make(map[fleet.Incarnation]failureRecord), answered: make(map[fleet.Incarnation]bool)}
 		t.centres[name] = c
 	}
 	return c
