Entries of other writers hide no service that is configured later

Found by reading for "judgements by count" (docs/design/foreign-bytes.md): of entries whose service is not configured the first 1,024 are kept, for the case that a configuration adds it. With that many rows of another writer the servers of a new service were unknown until their entries changed, which they do not while their servers are sound: 404-like refusals ("no_upstream") for a route that exists, for as long as the rows stand. Change: a view that has dropped such an entry says so when a service is added, and the follower of the store reads the complete list once; followers of other nodes get the entries from these.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -43,7 +43,10 @@
 	// unknownServiceEntries the entries that name other services.
 	knownServices         map[string]bool
 	unknownServiceEntries map[Incarnation]Upstream
-	storeDown             bool
+	// droppedEntries reports whether there were more of these than are kept since the last complete list,
+	// and lacksEntries whether a service has been added since.
+	droppedEntries, lacksEntries bool
+	storeDown                    bool
 	// recoveredAt is when the store last recovered.
 	recoveredAt clock.Millis
 }
@@ -96,6 +99,7 @@
 func (v *View) ReplaceList(now clock.Millis, list []Change, afterOutage bool) []Change {
 	clear(v.unknownServiceEntries)
 	clear(v.staleSuspects)
+	v.droppedEntries, v.lacksEntries = false, false
 	changes := slices.DeleteFunc(slices.Clone(list), func(c Change) bool { return v.holdBackStale(now, c) })
 	listed := make(map[Incarnation]bool, len(changes))
 	for _, c := range changes {
--- a/fleet/view_services.go
+++ b/fleet/view_services.go
@@ -14,10 +14,14 @@
 // one of them. Entries of unknown services are not applied: no route uses them, and they may
 // come from another writer and must not take the address of an upstream in use.
 func (v *View) SetServices(now clock.Millis, names []string) []Change {
+	added := false
+	former := v.knownServices
 	v.knownServices = make(map[string]bool, len(names))
 	for _, name := range names {
 		v.knownServices[name] = true
+		added = added || !former[name]
 	}
+	v.lacksEntries = v.lacksEntries || added && v.droppedEntries
 	var known []Change
 	for id, u := range v.unknownServiceEntries {
 		if v.knownServices[u.Service] {
@@ -29,6 +33,10 @@
 	return v.Apply(now, known, false)
 }
 
+// LacksEntries reports whether entries of a service that was added to the configuration may have been
+// dropped before, so that a complete list is needed.
+func (v *View) LacksEntries() bool { return v.lacksEntries }
+
 // setAsideUnknownService keeps an entry that names an unknown service for later, and reports
 // whether the change was such an entry.
 func (v *View) setAsideUnknownService(c Change) bool {
@@ -39,9 +47,11 @@
 	if !v.hasUnknownService(c) {
 		return false
 	}
-	if len(v.unknownServiceEntries) < maxUnknownServiceEntries {
-		v.unknownServiceEntries[c.ID] = c.Upstream
+	if len(v.unknownServiceEntries) >= maxUnknownServiceEntries {
+		v.droppedEntries = true
+		return true
 	}
+	v.unknownServiceEntries[c.ID] = c.Upstream
 	return true
 }
 
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -100,6 +100,7 @@
 			continue
 		}
 		p.setReader(reader, f.clock.Now())
+		p.needsFull = p.needsFull || reader == nil && f.lacksEntries()
 		sent := f.clock.Now()
 		reading, err := f.request(ctx, reader, p)
 		if err != nil {
--- a/follow/fleet_apply.go
+++ b/follow/fleet_apply.go
@@ -209,3 +209,10 @@
 		f.notify(changes, f.publishedAsOf)
 	}
 }
+
+// lacksEntries reports whether the list must be read again for a service that has been added.
+func (f *Fleet) lacksEntries() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view.LacksEntries()
+}
