--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,9 @@
 	go test ./platform -run xxx -fuzz FuzzReport -fuzztime 30s
 	go test ./platform -run xxx -fuzz FuzzConfig -fuzztime 30s
 	go test ./platform -run xxx -fuzz FuzzHeaders -fuzztime 30s
+	go test ./platform -run xxx -fuzz FuzzRows -fuzztime 30s
+	go test ./platform -run xxx -fuzz FuzzQuarantineRow -fuzztime 30s
+	go test ./usage -run xxx -fuzz . -fuzztime 30s
 
 .PHONY: models
 models: ## Checks the models and their variants with spin.
--- a/fleet/incarnation.go
+++ b/fleet/incarnation.go
@@ -14,6 +14,13 @@
 // same ID.
 type StartTime int64
 
+// maxStartAhead bounds how far a reported start time may lie ahead of the clock that it is checked by. The
+// clocks of VMs differ by seconds.
+const maxStartAhead StartTime = 24 * 60 * 60 * 1000
+
+// Credible reports whether an upstream may have started at a time, by a clock in ms since 1970.
+func (s StartTime) Credible(now int64) bool { return s >= 0 && s <= StartTime(now)+maxStartAhead }
+
 // Incarnation identifies one process of an upstream. All state about upstreams is keyed by it,
 // so that state of an earlier process is never applied to a later one. The zero value means
 // none.
--- a/node/node.go
+++ b/node/node.go
@@ -53,8 +53,10 @@
 	relay    *relay.Relay
 	overload *overload.Monitor
 	placer   *placer.Placer
-	// orderResults counts the orders to engines by result.
+	// orderResults counts the orders to engines by result, and implausible the start times in messages of
+	// other nodes that can't be true.
 	orderResults    *expvar.Map
+	implausible     expvar.Int
 	fleetFollower   *follow.Fleet
 	catalogFollower *follow.Catalog
 	peers           *peering.Peering
@@ -149,11 +151,11 @@
 	listAge := func() clock.Millis { return n.fleetFollower.ListAge() }
 	n.relay = relay.New(n.ctx, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(n.dialUpstream), relay.WithForwarding(s.Name, platform.Dialer().DialContext), relay.WithMaxConfigAge(s.keysMaxAge()),
-		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()),
+		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()), relay.WithCounters("rows_unreadable", n.store.UnreadableRows()),
 		relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)), relay.WithCounters("quarantined_parts", expvar.Func(n.quarantined.parts)),
 		relay.WithCounters("overload", expvar.Func(func() any { return n.overload.Summary() })), relay.WithOwnDelay(n.overload.Delay), relay.WithOverload(n.overload.Overloaded),
-		relay.WithCounters("peers", expvar.Func(func() any { return n.PeerCount() })),
+		relay.WithCounters("start_times_not_credible", &n.implausible), relay.WithCounters("peers", expvar.Func(func() any { return n.PeerCount() })),
 		relay.WithListAge(listAge), relay.WithResponsivenessHandler(n.reportUnresponsive), relay.WithPeerFindingHandler(n.usage.Responsive), relay.WithUsageSharing(n.sendUsage), relay.WithLeavingHandler(n.markLeaving), relay.WithReplacedHandler(n.markReplaced), relay.WithQuarantine(n.handleQuarantineEvent),
 		relay.WithPermitExchange(n.usage.SendPermitRequest, n.usage.SendPermitGrant))
 	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%provisionalRanks))), placement.WithStart(n.clock.Now()))
@@ -211,6 +213,9 @@
 // PeerAddress returns the address that accepts queries of other nodes.
 func (n *Node) PeerAddress() string { return n.peerListener.Addr().String() }
 
+// UsageAddress returns the address that receives datagrams of other nodes.
+func (n *Node) UsageAddress() string { return n.usage.Address() }
+
 func (n *Node) listen() error {
 	config := net.ListenConfig{Control: platform.SetAckTimeout}
 	for _, l := range []struct {
--- a/node/updates.go
+++ b/node/updates.go
@@ -153,8 +153,14 @@
 }
 
 // observeIncarnation records the incarnation of an upstream in a message of another node, since
-// it may be newer than the one in this node's list.
+// it may be newer than the one in this node's list. A start time that can't be true ends no incarnation: no
+// later one would ever replace it.
 func (n *Node) observeIncarnation(upstream fleet.Incarnation) {
+	if !upstream.StartedAt().Credible(n.clock.Wall()) {
+		n.implausible.Add(1)
+		n.log.Info("start_time_not_credible", zap.Stringer("upstream", upstream))
+		return
+	}
 	if upstream.StartedAt() != 0 {
 		n.fleetFollower.Supersede(upstream)
 	}
--- a/peering/quarantined.go
+++ b/peering/quarantined.go
@@ -40,7 +40,7 @@
 	var list []dispatch.Quarantined
 	for _, w := range msgs {
 		if id, ok := work.FromBytes(w.GetWork()); ok {
-			list = append(list, dispatch.Quarantined{Work: id, Age: clock.Millis(w.GetAgeMs()), Ended: fleetwire.IncarnationsOf(w.GetEnded())})
+			list = append(list, dispatch.Quarantined{Work: id, Age: clock.Millis(max(w.GetAgeMs(), 0)), Ended: fleetwire.IncarnationsOf(w.GetEnded())})
 		}
 	}
 	return list
