A request that is passed on to another node takes its admittance along

Callers would see: a stream that has begun at a node which loses its upstreams is cut if its key was taken away since: the other node asked the key again (docs/design/admittance.md had it as open). Change: the message with which nodes pass requests on carries the client account, if the sender has admitted the request and an attempt may have reached an upstream. The other node then asks neither key nor age of its configuration. A request that has reached nothing is not marked, and asks the key there. A node of before ignores the field and asks. Only the listener for nodes reads the message; on that for callers it changes nothing.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -129,6 +129,17 @@
 	return a, nil
 }
 
+// AccountNamed returns the client account with a name, or one that has only the name if no key belongs to
+// it any more.
+func (c *Catalog) AccountNamed(name string) Account {
+	for _, a := range c.accounts {
+		if a.Name == name {
+			return a
+		}
+	}
+	return Account{Name: name}
+}
+
 // Priorities returns the most and the least urgent priority of the requests of a service. The most
 // urgent is the lowest number.
 func (c *Catalog) Priorities(service string) (most, least int) {
--- a/dispatch/admittance.go
+++ b/dispatch/admittance.go
@@ -16,6 +16,12 @@
 	at      clock.Millis
 }
 
+// takeAdmittance records that another node has admitted a request for a client account.
+func (m *Model) takeAdmittance(r *request, account string) {
+	r.account = m.catalog.AccountNamed(account)
+	r.admittance = admittance{settled: true, edition: m.catalog.Edition(), at: m.now}
+}
+
 // admit records that an attempt of a request was let through.
 func (m *Model) admit(r *request) {
 	if !r.admittance.settled {
--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -94,6 +94,10 @@
 	if !r.requiresKey {
 		return nil
 	}
+	if by := r.arrival.Forwarded; by != nil && by.Admitted {
+		m.takeAdmittance(r, by.Account)
+		return nil
+	}
 	if !m.configFresh(m.now) {
 		return m.refuse(r.arrival.Request, http.StatusServiceUnavailable, ReasonStaleConfig, staleConfigRetryAfter)
 	}
--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -28,6 +28,9 @@
 	// upstream. UpstreamsLeft is the number of upstreams that may execute the request there.
 	Node          string
 	UpstreamsLeft int
+	// Admitted reports whether the other node takes the request without its key, which belonged to
+	// Account when the request was admitted.
+	Admitted bool
 	// Chain is the chain of engines; nil for plain services.
 	Chain []chain.Stage
 	Route *catalog.Route
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -17,6 +17,10 @@
 	// UpstreamsLeft is the number of upstreams that may still execute the request; 0 for as many
 	// as its route allows.
 	UpstreamsLeft int
+	// Admitted reports that the node has admitted the request and that an attempt may have reached an
+	// upstream, and Account is the name of the client account that its key belonged to.
+	Admitted bool
+	Account  string
 	// Overloaded reports that this node has more to do than its processor bears.
 	Overloaded bool
 }
@@ -92,7 +96,7 @@
 	r.forwardedTo = node.Name
 	r.forwardedUpstreams = m.forwardedUpstreams(r)
 	m.nodes.RecordBegun(node.Name)
-	cmd := SendCmd{Node: node.Name, Address: node.Address, UpstreamsLeft: r.forwardedUpstreams}
+	cmd := SendCmd{Node: node.Name, Address: node.Address, UpstreamsLeft: r.forwardedUpstreams, Admitted: r.admittance.settled}
 	m.beginAttempt(r, &cmd)
 	return []Cmd{cmd}
 }
--- a/forwardwire/header.go
+++ b/forwardwire/header.go
@@ -48,6 +48,10 @@
 	// UpstreamsLeft is the number of upstreams that may still execute the request; 0 for as many
 	// as its route allows.
 	UpstreamsLeft int
+	// Admitted reports that the sender has admitted the request for a client account and that an attempt
+	// may have reached an upstream. Account is the name of that account.
+	Admitted bool
+	Account  string
 }
 
 // Answer describes the answer to a forwarded request.
@@ -77,7 +81,11 @@
 
 // SetRequest sets the header of a forwarded request.
 func SetRequest(h http.Header, r Request) error {
-	return set(h, requestHeader, &wire.ForwardedRequest{Version: version, From: r.From, Hops: 1, UpstreamsLeft: uint32(max(r.UpstreamsLeft, 0))})
+	msg := &wire.ForwardedRequest{Version: version, From: r.From, Hops: 1, UpstreamsLeft: uint32(max(r.UpstreamsLeft, 0))}
+	if r.Admitted {
+		msg.Admittance = &wire.Admittance{Account: r.Account}
+	}
+	return set(h, requestHeader, msg)
 }
 
 // TakeRequest reads and removes the header of a forwarded request.
@@ -94,7 +102,10 @@
 	case msg.GetHops() > maxHops:
 		return Request{}, errors.Wrapf(ErrTooFar, "%d hops", msg.GetHops())
 	}
-	return Request{From: msg.GetFrom(), UpstreamsLeft: int(msg.GetUpstreamsLeft())}, nil
+	return Request{
+		From: msg.GetFrom(), UpstreamsLeft: int(msg.GetUpstreamsLeft()),
+		Admitted: msg.GetAdmittance() != nil, Account: msg.GetAdmittance().GetAccount(),
+	}, nil
 }
 
 // SetAnswer sets the header of the answer to a forwarded request.
--- a/lab/forward.go
+++ b/lab/forward.go
@@ -51,7 +51,7 @@
 	s := &session{node: n, id: n.lastRequestID, caller: c, origin: origin, originAttempt: cmd.Attempt, receivedEvents: origin.receivedEvents, resumedFrom: origin.receivedEvents, reachedEngine: origin.reachedEngine}
 	origin.taken = s
 	n.sessions[s.id] = s
-	n.update(c.arrival(s.id, &dispatch.Forwarded{From: origin.node.name, UpstreamsLeft: cmd.UpstreamsLeft}))
+	n.update(c.arrival(s.id, &dispatch.Forwarded{From: origin.node.name, UpstreamsLeft: cmd.UpstreamsLeft, Admitted: cmd.Admitted, Account: cmd.Account}))
 }
 
 // reportToOrigin reports the end of a forwarded request to the node that passed it on.
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -35,7 +35,7 @@
 	a.blocked, a.ownConnection = func() bool { return false }, s.unanswered
 	a.req = outgoing(ctx, s.request, cmd.Address, s.body)
 	s.relay.protocol.SetForwarded(a.req.Header, ForwardHead{Remaining: remaining, LastEventID: s.lastEventID})
-	err := forwardwire.SetRequest(a.req.Header, forwardwire.Request{From: s.relay.nodeName, UpstreamsLeft: cmd.UpstreamsLeft})
+	err := forwardwire.SetRequest(a.req.Header, forwardwire.Request{From: s.relay.nodeName, UpstreamsLeft: cmd.UpstreamsLeft, Admitted: cmd.Admitted, Account: cmd.Account})
 	return a, err
 }
 
@@ -80,7 +80,7 @@
 func (s *session) logForward(cmd dispatch.SendCmd, remaining clock.Millis) {
 	s.relay.stats.count("forwarded")
 	s.log.Info("forwarded", zap.String("id", s.head.ID), zap.Stringer("work", cmd.Work), zap.Int("attempt", cmd.Attempt), zap.String("route", cmd.Route.Name),
-		zap.String("account", cmd.Account), zap.String("node", cmd.Node), zap.String("address", cmd.Address), zap.Int("upstreams_left", cmd.UpstreamsLeft),
+		zap.String("account", cmd.Account), zap.String("node", cmd.Node), zap.String("address", cmd.Address), zap.Int("upstreams_left", cmd.UpstreamsLeft), zap.Bool("admitted", cmd.Admitted),
 		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEventID))
 }
 
@@ -93,8 +93,8 @@
 	}
 	r.stats.count("taken_over")
 	r.log.Info("taken_over", zap.String("id", r.protocol.CallerHead(req.Header).ID), zap.String("from", forwarded.From),
-		zap.Int("upstreams_left", forwarded.UpstreamsLeft), zap.Int64("open", r.openRequests.Load()))
-	r.handle(w, req, &dispatch.Forwarded{From: forwarded.From, UpstreamsLeft: forwarded.UpstreamsLeft, Overloaded: r.overloaded()})
+		zap.Int("upstreams_left", forwarded.UpstreamsLeft), zap.Bool("admitted", forwarded.Admitted), zap.Int64("open", r.openRequests.Load()))
+	r.handle(w, req, &dispatch.Forwarded{From: forwarded.From, UpstreamsLeft: forwarded.UpstreamsLeft, Admitted: forwarded.Admitted, Account: forwarded.Account, Overloaded: r.overloaded()})
 }
 
 // refuseMalformed refuses a forwarded request whose header can't be used.
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -13,12 +13,14 @@
 
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/forwarding"
 	"github.com/hoistjunction/hoistjunction/forwardwire"
 	"github.com/hoistjunction/hoistjunction/limit"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 // newCutRelay runs a relay that reaches no upstream, in front of nodes that share a handler. It
@@ -185,6 +187,35 @@
 	}
 }
 
+// Guards against a stream that another node refuses for its key, which was taken away after it had begun, and
+// against a caller who spares itself the key with the header that nodes send.
+func TestAdmittanceIsTakenFromNodesOnly(t *testing.T) {
+	r, _ := newTestRelay(t, &scriptedUpstreams{script: []outcome{plainTextAnswer}})
+	route := &catalog.Route{Name: "read", Host: "h", Prefix: "/read/", Kind: catalog.Repeatable, Targets: []catalog.Target{{Service: "desk", Weight: 1}}, MaxAttempts: 1, Timeout: 10_000}
+	r.SetCatalog(catalog.New(2, catalog.WithSource([]byte("2"), moment.At(0, 2)), catalog.WithRoutes(route), catalog.WithServices(&catalog.Service{Name: "desk"}),
+		catalog.WithAccount(catalog.Account{Name: "clinic"}, "k")), r.clock.Now())
+	for _, tt := range []struct {
+		name     string
+		handler  http.Handler
+		admitted bool
+		want     int
+	}{
+		{"node, admitted", http.HandlerFunc(r.ServeForwarded), true, http.StatusOK},
+		{"node, not admitted", http.HandlerFunc(r.ServeForwarded), false, http.StatusUnauthorized},
+		{"caller", r, true, http.StatusUnauthorized},
+	} {
+		req := httptest.NewRequest(http.MethodPost, "http://h/read/a", strings.NewReader("x"))
+		if err := forwardwire.SetRequest(req.Header, forwardwire.Request{From: "other", Admitted: tt.admitted, Account: "clinic"}); err != nil {
+			t.Fatal(err)
+		}
+		w := httptest.NewRecorder()
+		tt.handler.ServeHTTP(w, req)
+		if w.Code != tt.want {
+			t.Errorf("%s: got status %d, want %d", tt.name, w.Code, tt.want)
+		}
+	}
+}
+
 // Guards against a caller that is never answered, or answered as if its request had run, when no other
 // node takes it.
 func TestNoNodeTakesTheRequest(t *testing.T) {
