soak: another writer beside all other harm

Batches of up to 40 entries of one kind in the list of upstreams: a huge number, a service that is not configured with and without a start time, a field of another type, an unknown state, nested text, bytes that are no text. They lapse after three heartbeats.

--- a/soak/run.go
+++ b/soak/run.go
@@ -123,6 +123,7 @@
 	group.Go(func() { r.backOffSeries(ctx, rand.New(rand.NewPCG(r.Seed, backOffSeed))) })
 	group.Go(func() { r.burstSeries(ctx, rand.New(rand.NewPCG(r.Seed, burstSeed))) })
 	group.Go(func() { r.restoreSeries(ctx, rand.New(rand.NewPCG(r.Seed, restoreSeed))) })
+	group.Go(func() { r.foreignSeries(ctx, rand.New(rand.NewPCG(r.Seed, foreignSeed))) })
 	for i := range len(r.cluster.engines) + 1 {
 		group.Go(func() { r.limitSeries(ctx, i, rand.New(rand.NewPCG(r.Seed, limitSeed+uint64(i)))) })
 	}
