All nodes started after a return of the store: no key that may have been taken away

Cause: where nobody remembers, the copy is obeyed after 0.6 s or as soon as all have answered that they have started. Ruled out: that the copy tells it by itself. It is whole; a row of ours that names the newest edition goes back with it. What can be told is that there was a return: registrations name now the era in which their node vouched for its configuration, and are written again after each return. If all name earlier eras, requests with keys are refused (503) until the operator writes a newer edition, a node answers that remembers, or for 5 s (known_within_ms). Until its first configuration has been compared a node takes what the store shows for no proof of freshness. Not done: models/starts.pml with the doubt; figures from start to first answer at 1, 7, 30 and 300 nodes.

--- a/node/local_state.go
+++ b/node/local_state.go
@@ -8,6 +8,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/logging"
+	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
@@ -39,6 +40,9 @@
 // Fleet implements peering.LocalState.
 func (s *localState) Fleet() ([]fleet.Upstream, bool) { return s.node.fleetFollower.ConfirmedList() }
 
+// StoreEra implements peering.LocalState.
+func (s *localState) StoreEra() moment.Moment { return s.node.store.Era() }
+
 // HasList implements peering.LocalState.
 func (s *localState) HasList() bool { return s.node.fleetFollower.HasList() }
 
--- a/node/node.go
+++ b/node/node.go
@@ -165,7 +165,7 @@
 	n.wakes.OnResume(n.handleWake)
 	n.follow(self, platform.NewPeerTransport(), n.applyConfig, n.applyFleet)
 	n.peers = peering.New(self, s.PeerSeeds, n.store, n.local, n.local, n.clock, n.log, platform.NewOneShotTransport(), hash(s.Name),
-		peering.WithFirstStart(s.FirstStart), peering.WithComparison(n.relay.HandleConfigCompared))
+		peering.WithFirstStart(s.FirstStart), peering.WithComparison(n.handleConfigCompared), peering.WithRestoreDoubt(s.keysMaxAge()))
 	return n, nil
 }
 
--- a/node/updates.go
+++ b/node/updates.go
@@ -29,16 +29,33 @@
 			n.log.Warn("config_outdated", zap.Stringer("version", p.Edition), zap.Stringer("in_force", active.Edition), age)
 		}
 	case follow.Renewed:
-		n.relay.SetCatalog(nil, active.Confirmed)
+		n.relay.SetCatalog(nil, n.provenAt(active))
 	case follow.Replaced:
 		n.log.Info("config", zap.Stringer("version", p.Edition), zap.Stringer("written", p.Edition.Written()), age)
-		n.relay.SetCatalog(p.Catalog, p.Confirmed)
+		n.relay.SetCatalog(p.Catalog, n.provenAt(active))
 		n.placer.Send(placement.CatalogMsg{Catalog: p.Catalog})
 		n.fleetFollower.SetServices(serviceNames(p.Catalog))
 	}
 	return active
 }
 
+// provenAt returns when the active configuration was proven to be the newest. As long as it has not been
+// compared with those of other nodes, what the store shows proves nothing.
+func (n *Node) provenAt(active follow.ActiveConfig) clock.Millis {
+	if n.peers != nil && !n.peers.Compared() {
+		return clock.Never
+	}
+	return active.Confirmed
+}
+
+// handleConfigCompared handles the end of the comparison of the first configuration.
+func (n *Node) handleConfigCompared() {
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
+	n.relay.SetCatalog(nil, n.provenAt(n.local.Config()))
+	n.relay.HandleConfigCompared()
+}
+
 // queryNewerConfig queries a node that has a newer configuration because it has seen a store
 // restore that this node has missed. One query runs at a time.
 func (n *Node) queryNewerConfig(address string) {
--- a/peering/comparison.go
+++ b/peering/comparison.go
@@ -62,8 +62,11 @@
 	covers                bool
 	// inRow is the number of rounds in a row in which all have.
 	inRow int
-	// began is when the node had its first configuration; 0 before. Only Run uses it.
+	// began is when the node had its first configuration, first; 0 before. Only Run uses them.
 	began clock.Millis
+	first catalog.Edition
+	// doubt is how long the configuration may be in doubt, and whether it is.
+	doubt doubt
 	// onEnd is called at the end; nil for nobody.
 	onEnd func()
 }
@@ -113,9 +116,13 @@
 	}
 	now := p.clock.Now()
 	if c.began == 0 {
-		c.began = max(now, 1)
+		c.began, c.first = max(now, 1), p.local.Config().Edition
 	}
 	switch {
+	case c.doubt.about(p.local.StoreEra()) && now < c.began.Add(c.doubt.limit):
+		if p.local.Config().Edition.Supersedes(c.first) {
+			p.endComparison("written_again")
+		}
 	case c.registryRead.Load() && len(p.directory.others()) == 0:
 		p.endComparison("no_peers")
 	case now >= c.began.Add(maxComparison):
@@ -128,6 +135,7 @@
 	if p.comparison.done.Swap(true) {
 		return
 	}
+	p.vouchAgain()
 	p.log.Info("config_compared", zap.String("by", reason), zap.Stringer("version", p.local.Config().Edition), zap.Int64("after_ms", int64(p.clock.Now())))
 	if p.comparison.onEnd != nil {
 		p.comparison.onEnd()
--- a/peering/doc.go
+++ b/peering/doc.go
@@ -46,6 +46,9 @@
 	HasList() bool
 	// Quarantined returns the requests known to be quarantined.
 	Quarantined() []dispatch.Quarantined
+	// StoreEra returns the begin of the newest known era of the store; the zero moment if none is
+	// known.
+	StoreEra() moment.Moment
 }
 
 // Receiver applies what a peer has sent.
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -212,6 +212,7 @@
 	for _, err := range unreadable {
 		p.log.Warn("member_unreadable", logging.Err(err))
 	}
+	p.readVouched(list)
 	p.comparison.registryRead.Store(true)
 	status := statusIn(list, p.directory.self)
 	changed, expired := p.directory.applyRegistrations(p.clock.Now(), list)
@@ -303,7 +304,7 @@
 	p.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(ask, len(peers))] {
 		go func() {
-			if p.query(ctx, peer, active.Edition, wantFleet) == answeredStarted && p.comparison.recordStarted(round) {
+			if p.query(ctx, peer, active.Edition, wantFleet) == answeredStarted && p.comparison.recordStarted(round) && !p.comparison.doubt.about(p.local.StoreEra()) {
 				p.endComparison("all_started")
 			}
 		}()
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -15,6 +15,7 @@
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
+	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -40,8 +41,12 @@
 	others              int
 	memberReports       int
 	rank                int
+	// era is the begin of the newest known era of the store.
+	era moment.Moment
 }
 
+func (f *fakeNode) StoreEra() moment.Moment { return f.era }
+
 func (f *fakeNode) Config() follow.ActiveConfig {
 	return follow.ActiveConfig{Edition: edition(f.version), Raw: f.raw, Confirmed: f.confirmed}
 }
--- a/peering/stalled_connections_test.go
+++ b/peering/stalled_connections_test.go
@@ -20,6 +20,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/internal/pipenet"
+	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/peering"
 	"github.com/hoistjunction/hoistjunction/platform"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -55,6 +56,7 @@
 	return []fleet.Upstream{{ID: fleet.IncarnationByID("u")}}, true
 }
 func (*testNode) HasList() bool                      { return true }
+func (*testNode) StoreEra() moment.Moment            { return moment.Moment{} }
 func (*testNode) ReceiveFleet([]fleet.Upstream)      {}
 func (*testNode) ReceiveMembers([]*wire.Member, int) {}
 
