--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -462,15 +462,20 @@
 	return string(script.Incarnation(s.Arg(0)).ID()) + ":80"
 }
 
+// showForward formats the command to pass a request on to another node.
+func showForward(c dispatch.SendCmd) string {
+	text := fmt.Sprintf("forward %d.%d to %s upstreams_left=%d", c.Request, c.Attempt, c.Node, c.UpstreamsLeft)
+	if c.Admitted {
+		text += " admitted=" + c.Account
+	}
+	return text
+}
+
 func show(cmd dispatch.Cmd) string {
 	switch c := cmd.(type) {
 	case dispatch.SendCmd:
 		if c.Node != "" {
-			text := fmt.Sprintf("forward %d.%d to %s upstreams_left=%d", c.Request, c.Attempt, c.Node, c.UpstreamsLeft)
-			if c.Admitted {
-				text += " admitted=" + c.Account
-			}
-			return text
+			return showForward(c)
 		}
 		text := fmt.Sprintf("send %d.%d to %s", c.Request, c.Attempt, c.Upstream)
 		if len(c.Chain) > 0 {
