A node vouches for an era once the store has shown its configuration there

Found by writing the doubt after a return into a model: nodes that lived through the return vouched for the new era at once, also while the store still lacked the configuration that they know. If they were all killed before the operator had written again, the nodes that started took that for a proof and served by the copy. Change: a registration names a moment at which the store has shown the node's own configuration; the node registers again when that is in a later era. Test: the case "4s after the return" of TestAllNodesStartedAfterRestoreServeNoRevokedKey.

--- a/node/all_started_after_restore_test.go
+++ b/node/all_started_after_restore_test.go
@@ -18,22 +18,34 @@
 // written again, and the others are served then.
 func TestAllNodesStartedAfterRestoreServeNoRevokedKey(t *testing.T) {
 	t.Parallel()
-	s := newSite(t, 4)
-	nodes := s.startNodes(3)
-	awaitDiscovery(t, nodes)
-	for _, n := range nodes {
-		n.awaitServing(t)
+	// The nodes end before the return, or some time after it, when they have noticed it.
+	for _, survived := range []time.Duration{0, 4 * time.Second} {
+		t.Run(fmt.Sprintf("%v after the return", survived), func(t *testing.T) {
+			t.Parallel()
+			testNoRevokedKeyIsServed(t, survived)
+		})
 	}
-	await(t, "registrations that vouch", func() bool { return s.registrationsVouch(t, len(nodes)) })
+}
+
+func testNoRevokedKeyIsServed(t *testing.T, survived time.Duration) {
+	t.Helper()
+	s := newSite(t, 4)
+	nodes := s.startVouchingNodes(t)
 	s.store.Backup()
 	s.store.Put("op", "config", standin.SiteConfig(9, "k2"))
 	for _, n := range nodes {
 		await(t, "new key in force", func() bool { return n.do(http.MethodPost, "/write/a", "probe", "k2").status == http.StatusOK })
 	}
+	if survived > 0 {
+		s.store.Restore()
+		time.Sleep(survived)
+	}
 	for _, n := range nodes {
 		n.stop()
 	}
-	s.store.Restore()
+	if survived == 0 {
+		s.store.Restore()
+	}
 	started := s.startNodes(3)
 	for i := range 40 {
 		n := started[i%len(started)]
@@ -58,12 +70,7 @@
 func TestDoubtAfterRestoreEnds(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 4)
-	nodes := s.startNodes(3)
-	awaitDiscovery(t, nodes)
-	for _, n := range nodes {
-		n.awaitServing(t)
-	}
-	await(t, "registrations that vouch", func() bool { return s.registrationsVouch(t, len(nodes)) })
+	nodes := s.startVouchingNodes(t)
 	s.store.Backup()
 	s.store.Restore()
 	for _, n := range nodes {
@@ -88,6 +95,19 @@
 	}
 }
 
+// startVouchingNodes starts three nodes and waits until all serve and their registrations vouch for the era
+// of the store.
+func (s *site) startVouchingNodes(t *testing.T) []*testNode {
+	t.Helper()
+	nodes := s.startNodes(3)
+	awaitDiscovery(t, nodes)
+	for _, n := range nodes {
+		n.awaitServing(t)
+	}
+	await(t, "registrations that vouch", func() bool { return s.registrationsVouch(t, len(nodes)) })
+	return nodes
+}
+
 // registrationsVouch reports whether a number of registrations vouch for the present era of the store.
 func (s *site) registrationsVouch(t *testing.T, count int) bool {
 	t.Helper()
--- a/node/foreign_entries_test.go
+++ b/node/foreign_entries_test.go
@@ -28,10 +28,7 @@
 	asked := reports.Load()
 	await(t, "queries for the report by both nodes", func() bool { return reports.Load() >= asked+2 })
 	for i, n := range []*testNode{running, started} {
-		id := fmt.Sprint("s", i)
-		if got := n.do(http.MethodPost, "/write/"+id, id, "k1"); got.status != http.StatusOK || got.body != wholeStream("/write/"+id) {
-			t.Errorf("node %d: got status %d, %v, want a whole stream", i+1, got.status, got.err)
-		}
+		n.checkServesOnce(t, fmt.Sprint("s", i))
 	}
 }
 
@@ -67,13 +64,7 @@
 	for i := range 20 {
 		s.store.Put("servers", fmt.Sprintf("x%d", i), fmt.Appendf(nil, `{"state":%d}`, i))
 		s.store.Remove("servers", fmt.Sprintf("x%d", many-1-i))
-		id := fmt.Sprint("s", i)
-		if got := n.do(http.MethodPost, "/write/"+id, id, "k1"); got.status != http.StatusOK || got.body != wholeStream("/write/"+id) {
-			t.Errorf("got status %d, %v, want a whole stream", got.status, got.err)
-		}
-		if got := n.do(http.MethodPost, "/once/a", "o"+id, "k2"); got.status != http.StatusOK || got.body != standin.PlainAnswer("/once/a") {
-			t.Errorf("got status %d, %v, want the plain service's answer", got.status, got.err)
-		}
+		n.checkServesOnce(t, fmt.Sprint("s", i))
 	}
 }
 
@@ -125,12 +116,17 @@
 	t.Helper()
 	const requests = 20
 	for i := range requests {
-		id := fmt.Sprint(prefix, i)
-		if got := n.do(http.MethodPost, "/write/"+id, id, "k1"); got.status != http.StatusOK || got.body != wholeStream("/write/"+id) {
-			t.Errorf("got status %d, %v, want a whole stream", got.status, got.err)
-		}
-		if got := n.do(http.MethodPost, "/once/a", "o"+id, "k2"); got.status != http.StatusOK || got.body != standin.PlainAnswer("/once/a") {
-			t.Errorf("got status %d, %v, want the plain service's answer", got.status, got.err)
-		}
+		n.checkServesOnce(t, fmt.Sprint(prefix, i))
+	}
+}
+
+// checkServesOnce checks that a node serves a stream and a call of the plain service.
+func (n *testNode) checkServesOnce(t *testing.T, id string) {
+	t.Helper()
+	if got := n.do(http.MethodPost, "/write/"+id, id, "k1"); got.status != http.StatusOK || got.body != wholeStream("/write/"+id) {
+		t.Errorf("got status %d, %v, want a whole stream", got.status, got.err)
+	}
+	if got := n.do(http.MethodPost, "/once/a", "o"+id, "k2"); got.status != http.StatusOK || got.body != standin.PlainAnswer("/once/a") {
+		t.Errorf("got status %d, %v, want the plain service's answer", got.status, got.err)
 	}
 }
--- a/node/local_state.go
+++ b/node/local_state.go
@@ -19,6 +19,9 @@
 	node   *Node
 	mu     sync.Mutex
 	active follow.ActiveConfig
+	// provenIn is the latest moment at which the store was told the active configuration. Its era is that
+	// of the reading.
+	provenIn moment.Moment
 }
 
 // apply applies a proof of the store's configuration, and returns its result and the active
@@ -27,9 +30,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	result := s.active.Apply(p)
+	if result != follow.Outdated {
+		s.provenIn = moment.Latest(s.provenIn, p.Edition.Written())
+	}
 	return result, s.active
 }
 
+// ProvenIn implements peering.LocalState.
+func (s *localState) ProvenIn() moment.Moment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.provenIn
+}
+
 // Config implements peering.LocalState.
 func (s *localState) Config() follow.ActiveConfig {
 	s.mu.Lock()
--- a/node/updates.go
+++ b/node/updates.go
@@ -21,6 +21,9 @@
 	n.configMu.Lock()
 	defer n.configMu.Unlock()
 	result, active := n.local.apply(p)
+	if n.peers != nil {
+		n.peers.Vouch()
+	}
 	age := zap.Int64("age_ms", int64(clock.AgeOf(p.Confirmed, n.clock.Now())))
 	switch result {
 	case follow.Outdated:
--- a/peering/comparison.go
+++ b/peering/comparison.go
@@ -135,7 +135,7 @@
 	if p.comparison.done.Swap(true) {
 		return
 	}
-	p.vouchAgain()
+	p.Vouch()
 	p.log.Info("config_compared", zap.String("by", reason), zap.Stringer("version", p.local.Config().Edition), zap.Int64("after_ms", int64(p.clock.Now())))
 	if p.comparison.onEnd != nil {
 		p.comparison.onEnd()
--- a/peering/doc.go
+++ b/peering/doc.go
@@ -49,6 +49,9 @@
 	// StoreEra returns the begin of the newest known era of the store; the zero moment if none is
 	// known.
 	StoreEra() moment.Moment
+	// ProvenIn returns a moment of the newest era in which the store has shown the active configuration;
+	// the zero moment if it has not.
+	ProvenIn() moment.Moment
 }
 
 // Receiver applies what a peer has sent.
--- a/peering/doubt.go
+++ b/peering/doubt.go
@@ -13,9 +13,9 @@
 
 // doubt tells whether the store may show a configuration that is older than one which was acknowledged. It
 // may after a return from a backup that no node has lived through: where all have started since, nobody
-// remembers more. Registrations name the era of the store in which their node vouched for its
-// configuration. If those that name one name earlier eras only, no such node has registered since the
-// return.
+// remembers more. Registrations name the era of the store in which it had shown the configuration that
+// their node knew. If those that name one name earlier eras only, none has vouched for what the store shows
+// since the return.
 type doubt struct {
 	// limit is how long a configuration may be in doubt; 0 for never.
 	limit clock.Millis
@@ -52,11 +52,11 @@
 	return !d.own.IsZero()
 }
 
-// vouchesFor reports whether this node's registration names an era.
-func (d *doubt) vouchesFor(era moment.Moment) bool {
+// vouchesFor reports whether this node's registration names the era of a moment, or a later one.
+func (d *doubt) vouchesFor(m moment.Moment) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return era.IsZero() || !era.After(d.own)
+	return m.IsZero() || m.SameEra(d.own) || d.own.After(m)
 }
 
 // WithRestoreDoubt sets how long a node that has just started neither serves nor vouches for a configuration
@@ -73,8 +73,8 @@
 // registration returns what the node registers: itself, and the era for which it vouches.
 func (p *Peering) registration() *wire.Member {
 	m := proto.CloneOf(p.directory.self)
-	if era := p.local.StoreEra(); p.comparison.done.Load() && !era.IsZero() {
-		m.Vouched = momentwire.Moment(era)
+	if proven := p.local.ProvenIn(); p.comparison.done.Load() && !proven.IsZero() {
+		m.Vouched = momentwire.Moment(proven)
 	}
 	return m
 }
@@ -93,9 +93,10 @@
 	p.comparison.doubt.setVouched(newest, own)
 }
 
-// vouchAgain makes the node register again if its registration names an earlier era than the present one.
-func (p *Peering) vouchAgain() {
-	if !p.comparison.doubt.vouchesFor(p.local.StoreEra()) {
+// Vouch makes a node whose configuration has been compared register again if its registration names an
+// earlier era than the one in which the store has shown that configuration.
+func (p *Peering) Vouch() {
+	if p.comparison.done.Load() && !p.comparison.doubt.vouchesFor(p.local.ProvenIn()) {
 		p.StoreRestored()
 	}
 }
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -41,11 +41,12 @@
 	others              int
 	memberReports       int
 	rank                int
-	// era is the begin of the newest known era of the store.
+	// era is the begin of the newest known era of the store, which has shown the configuration.
 	era moment.Moment
 }
 
 func (f *fakeNode) StoreEra() moment.Moment { return f.era }
+func (f *fakeNode) ProvenIn() moment.Moment { return f.era }
 
 func (f *fakeNode) Config() follow.ActiveConfig {
 	return follow.ActiveConfig{Edition: edition(f.version), Raw: f.raw, Confirmed: f.confirmed}
--- a/peering/restore_registration.go
+++ b/peering/restore_registration.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		inBackup := p.clock.Now() >= clock.Millis(p.registeredAt.Load()).Add(moment.MaxBackupAge)
-		if inBackup && p.comparison.doubt.vouchesFor(p.local.StoreEra()) {
+		if inBackup && p.comparison.doubt.vouchesFor(p.local.ProvenIn()) {
 			continue
 		}
 		clock.Sleep(ctx, (p.registrationDelay % spreadFor(p.directory.self.GetStrength())).Duration())
--- a/peering/stalled_connections_test.go
+++ b/peering/stalled_connections_test.go
@@ -57,6 +57,7 @@
 }
 func (*testNode) HasList() bool                      { return true }
 func (*testNode) StoreEra() moment.Moment            { return moment.Moment{} }
+func (*testNode) ProvenIn() moment.Moment            { return moment.Moment{} }
 func (*testNode) ReceiveFleet([]fleet.Upstream)      {}
 func (*testNode) ReceiveMembers([]*wire.Member, int) {}
 
