--- a/models/check.sh
+++ b/models/check.sh
@@ -55,6 +55,8 @@
 check starts fails EARLY
 check starts fails ENDLESS
 check starts fails ALLDOWN
+check starts holds DOUBT
+check starts fails BLINDVOUCH
 check config holds
 check config fails BLIND
 check config fails BACK
--- a/models/starts.pml
+++ b/models/starts.pml
@@ -13,18 +13,32 @@
  * version 1, although an answer is lost in each but the last round. No node waits for
  * more than ROUNDS rounds, also where all have started.
  *
+ * With DOUBT, the promise holds also where no node is left: registrations name the era in which
+ * the store had shown the configuration of their node, and go back with the store. Where none
+ * names the present era, a started node waits until the store shows a newer version. That the
+ * wait ends after some seconds, also where the operator has nothing to write, is left out: from
+ * then on the promise does not hold.
+ *
  * Variants, each of which must fail:
  *   SENT     a comparison counts when it has been sent
  *   VOUCH    a node that has not compared vouches for what it has read
  *   EARLY    a started node serves before it has compared
  *   ENDLESS  a node without an answer waits for one
  *   ALLDOWN  the promise is asked for also where no node is left that has compared
+ *   BLINDVOUCH  DOUBT, and a node vouches for an era whatever the store shows
  */
+#ifdef BLINDVOUCH
+#define DOUBT
+#endif
+#ifdef DOUBT
+#define ALLDOWN
+#endif
 #define NODES 3
 #define ROUNDS 3
 
 byte storeVersion = 2;
 bool returned = false;
+bool vouched = true;            /* a registration names the present era */
 byte have[NODES] = 2;
 byte state[NODES] = 2;          /* 0 down, 1 started, 2 compared */
 byte rounds[NODES];
@@ -59,14 +73,24 @@
 	:: else -> break
 	od;
 	j = 0;
-	rounds[n]++;
+	if :: rounds[n] < ROUNDS -> rounds[n]++ :: else -> skip fi;
 #ifdef SENT
 	state[n] = 2;
 #endif
+#ifdef DOUBT
+	/* The store's feed tells a newer version before a registration can tell that it was seen. */
+	if
+	:: state[n] == 1 && storeVersion > have[n] -> have[n] = storeVersion; state[n] = 2
+	:: state[n] == 1 && storeVersion <= have[n] && rounds[n] >= ROUNDS && vouched -> state[n] = 2
+	:: else -> skip
+	fi;
+	assert(state[n] == 2 || rounds[n] < ROUNDS || !vouched)
+#else
 #ifndef ENDLESS
 	if :: state[n] == 1 && rounds[n] >= ROUNDS -> state[n] = 2 :: else -> skip fi;
 #endif
 	assert(state[n] == 2 || rounds[n] < ROUNDS)
+#endif
 }
 
 #define COMPARED(n) (state[n] == 2)
@@ -74,7 +98,7 @@
 
 init {
 	do
-	:: atomic { !returned -> returned = true; storeVersion = 1 }
+	:: atomic { !returned -> returned = true; storeVersion = 1; vouched = false }
 	:: atomic { returned -> storeVersion = 2 }
 	:: atomic { select (i : 0 .. 2);
 		if
@@ -86,6 +110,13 @@
 		:: state[i] == 0 -> have[i] = storeVersion; state[i] = 1
 		:: state[i] == 1 -> ask(i)
 		:: state[i] > 0 -> serve(i)
+#ifdef DOUBT
+#ifdef BLINDVOUCH
+		:: state[i] == 2 -> vouched = true
+#else
+		:: state[i] == 2 && have[i] == storeVersion -> vouched = true
+#endif
+#endif
 		fi;
 		i = 0 }
 	:: break
