Known to be red: forged registrations put off the first plan

Found by reading for judgements by count: a planner waits 0.3 s for each registered name before its own.

--- a/node/foreign_entries_test.go
+++ b/node/foreign_entries_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/hoistjunction/hoistjunction/platform/platformpb"
 	"github.com/hoistjunction/hoistjunction/standin"
+	"github.com/hoistjunction/hoistjunction/wire"
 )
 
 // hugeNumber is a JSON number that no field can hold.
@@ -130,3 +131,23 @@
 		t.Errorf("got status %d, %v, want the plain service's answer", got.status, got.err)
 	}
 }
+
+// Guards against registrations of nodes that do not exist, which other writers may have made in any number:
+// the nodes that do must still have engines load layers, and serve.
+func TestForgedRegistrationsDelayNoService(t *testing.T) {
+	t.Parallel()
+	for _, count := range []int{4, 40, 400} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 4)
+			for i := range count {
+				name := fmt.Sprintf("a%03d", i)
+				s.putRow(t, "relay_nodes", name, &wire.Member{Name: name, DataCentre: "dc", Address: "127.0.0.1:9", UsageAddress: "127.0.0.1:9", Strength: 8})
+			}
+			for _, n := range s.startNodes(2) {
+				n.awaitServing(t)
+				n.checkServes(t, "f")
+			}
+		})
+	}
+}
