--- a/peering/doubt.go
+++ b/peering/doubt.go
@@ -13,9 +13,9 @@
 
 // doubt tells whether the store may show a configuration that is older than one which was acknowledged. It
 // may after a return from a backup that no node has lived through: where all have started since, nobody
-// remembers more. Registrations name the era of the store in which it had shown the configuration that
-// their node knew. If those that name one name earlier eras only, none has vouched for what the store shows
-// since the return.
+// remembers more. A registration names the last era in which the store had shown the configuration of its
+// node. If all that name an era name earlier ones, no node has vouched for what the store shows since the
+// return.
 type doubt struct {
 	// limit is how long a configuration may be in doubt; 0 for never.
 	limit clock.Millis
