An engine's layers that a message told, and the list never shows, do not count for ever

Callers were refused with a_layer_has_no_engine for as long as the test looked.

Cause: a message about an engine's layers (an order, or that it was carried out) replaces what the list says. The list passes on changes alone, so if the message is not true, or the order is never carried out, nothing puts the entry back: dispatch goes on without the layers, placement believes a completed order the same way. The logs of three failed runs show it (lacks=6-12 holders=0 at the relay, while the planner's coverage has missing=none again after its 9 s). Whether the test failed depended on the moment of the datagrams: before the list's own change after the first load (0.5 s), that change mended it.

Ruled out: the datagrams that are too long to send (the same ones in runs that pass), quarantine, reachability, start times (each is logged, in passing runs too).

Change: the view remembers what was told; a list confirmed after the time within which it must show it (3 s for loaded layers, 9 s for an order, and 0.5 s) makes the entry apply again, logged as layers_not_shown. The two times stand once, in fleet, instead of in dispatch and placement each.

--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -120,14 +120,10 @@
 	return &upstream{entry: entry, meanLatency: initialLatency, slowdown: 1, reportedAt: clock.Never, probeAnsweredAt: clock.Never, peerReportedAt: clock.Never, answersPeersAt: clock.Never, peerLostAt: clock.Never}
 }
 
-// layersReportWindow is how long reported layers override an entry without layers: the lag of the
-// list plus a heartbeat.
-const layersReportWindow clock.Millis = 3000
-
-// update applies a new entry. A change of the layers ends the time for which the engine counts as
-// full.
+// update applies a new entry. Reported layers override an entry without layers that may be older. A change
+// of the layers ends the time for which the engine counts as full.
 func (u *upstream) update(now clock.Millis, entry fleet.Upstream) {
-	if entry.Held.Empty() && u.layersReportedAt > 0 && now < u.layersReportedAt.Add(layersReportWindow) {
+	if entry.Held.Empty() && u.layersReportedAt > 0 && now < u.layersReportedAt.Add(fleet.LayersShownWithin) {
 		entry.Held = u.entry.Held
 	}
 	if entry.Held != u.entry.Held {
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -39,6 +39,8 @@
 	prunedAt      clock.Millis
 	restoredAt    clock.Millis
 	staleSuspects map[Incarnation]Upstream
+	// awaited holds the layers of engines that messages told, until the list must show them.
+	awaited map[Incarnation]awaitedLayers
 	// knownServices holds the services in the configuration, nil until known, and
 	// unknownServiceEntries the entries that name other services.
 	knownServices         map[string]bool
@@ -66,6 +68,7 @@
 		prunedAt:              clock.Never,
 		restoredAt:            clock.Never,
 		staleSuspects:         make(map[Incarnation]Upstream),
+		awaited:               make(map[Incarnation]awaitedLayers),
 	}
 }
 
@@ -223,6 +226,7 @@
 	}
 	delete(v.upstreams, id)
 	delete(v.missingUntil, id)
+	delete(v.awaited, id)
 }
 
 // Expire removes upstreams whose missing entries did not reappear in time, adds entries that
--- a/follow/fleet_apply.go
+++ b/follow/fleet_apply.go
@@ -40,6 +40,27 @@
 	f.publishFull = f.publishFull || f.falseRemovalsChanged(held) || slices.ContainsFunc(expired, isEntry)
 	f.publish(reading, changes, expired, uncertain)
 	f.notify(append(changes, expired...), reading.AsOf)
+	f.restoreLayers(now, reading.AsOf)
+}
+
+// AwaitLayers records a message about the layers of an engine. Its entry applies again if the list does not
+// show them in time.
+func (f *Fleet) AwaitLayers(id fleet.Incarnation, told fleet.ToldLayers) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.AwaitLayers(f.clock.Now(), id, told)
+}
+
+// restoreLayers passes on the entries of engines again that do not show the layers that a message told.
+func (f *Fleet) restoreLayers(now clock.Millis, asOf moment.Moment) {
+	changes := f.view.LayersNotShown(now)
+	for _, c := range changes {
+		f.log.Info("layers_not_shown", zap.Stringer("upstream", c.ID), zap.Int("held_from", c.Upstream.Held.From), zap.Int("held_to", c.Upstream.Held.To),
+			zap.Stringer("revision", asOf))
+	}
+	if len(changes) > 0 {
+		f.onChanges(changes)
+	}
 }
 
 // falseRemovalsChanged reports whether the set of held entries differs from before: an entry is
--- a/node/foreign_datagrams_test.go
+++ b/node/foreign_datagrams_test.go
@@ -22,6 +22,8 @@
 	s := newSite(t, 4)
 	n := s.startNode("n1", s.storeAddress)
 	n.awaitServing(t)
+	// By the end of these requests the list shows the layers of all engines.
+	n.checkServes(t, "b")
 	conn, err := net.Dial("udp", n.UsageAddress())
 	if err != nil {
 		t.Fatal(err)
@@ -130,12 +132,17 @@
 	return list
 }
 
-// eachField calls f for each field that a message has, with the path of the messages that lead to it. Of a
-// list of messages it visits the first.
+// eachField calls f for each field that a message has, in the order of the schema, with the path of the
+// messages that lead to it. Of a list of messages it visits the first.
 func eachField(msg protoreflect.Message, path []protoreflect.FieldDescriptor, f func(path []protoreflect.FieldDescriptor, field protoreflect.FieldDescriptor)) {
-	msg.Range(func(field protoreflect.FieldDescriptor, value protoreflect.Value) bool {
+	fields := msg.Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		if !msg.Has(field) {
+			continue
+		}
 		f(path, field)
-		inner := append(path[:len(path):len(path)], field)
+		value, inner := msg.Get(field), append(path[:len(path):len(path)], field)
 		switch {
 		case field.Kind() != protoreflect.MessageKind:
 		case field.IsList():
@@ -143,8 +150,7 @@
 		default:
 			eachField(value.Message(), inner, f)
 		}
-		return true
-	})
+	}
 }
 
 // manyTimes is how often a value is repeated in a list that is too long.
--- a/placement/model.go
+++ b/placement/model.go
@@ -18,9 +18,6 @@
 	populatedListStableFor clock.Millis = 1500
 	// maxListWait bounds the wait for a list that keeps changing.
 	maxListWait clock.Millis = 5000
-	// orderTimeout is how long an accepted order may take to appear in the list: loading a quarter
-	// of the layers while other engines load too, plus the delay of the list.
-	orderTimeout clock.Millis = 9000
 	// busyRetryDelay is how long an engine that executes another node's order gets no order.
 	busyRetryDelay clock.Millis = 3000
 	// orderRetryDelay is the delay before an unanswered order is sent again. The engine may still
@@ -33,9 +30,6 @@
 	// Servers of a service are replaced about one second apart, and the old server announces that
 	// it is leaving after the new one has started.
 	reserveDuration clock.Millis = 4000
-	// heldReportLifetime is how long a report that an engine holds its ordered layers takes
-	// precedence over the list: the delay of the list plus one heartbeat.
-	heldReportLifetime clock.Millis = 3000
 	// withheldGracePeriod is how long an engine with an unusable entry still counts as a holder of
 	// its layers. The engine rewrites its entry within a heartbeat of 1.2 s, and the list shows it
 	// up to 0.8 s late. Moving other engines instead would take them out of service for seconds.
@@ -201,7 +195,7 @@
 	case msg.Completed:
 		u.Held = msg.Layers
 		m.upstreams[msg.Upstream] = u
-		m.heldReportedUntil[msg.Upstream] = now.Add(heldReportLifetime)
+		m.heldReportedUntil[msg.Upstream] = now.Add(fleet.LayersShownWithin)
 		delete(m.pending, msg.Upstream)
 	case u.Held != msg.Layers:
 		if m.pending[msg.Upstream].layers != msg.Layers {
@@ -209,7 +203,7 @@
 			// orders.
 			m.dueSince = 0
 		}
-		m.pending[msg.Upstream] = pendingOrder{layers: msg.Layers, until: now.Add(orderTimeout)}
+		m.pending[msg.Upstream] = pendingOrder{layers: msg.Layers, until: now.Add(fleet.OrderShownWithin)}
 	}
 }
 
@@ -245,7 +239,7 @@
 	}
 	switch msg.Result {
 	case Taken:
-		p.until = now.Add(orderTimeout)
+		p.until = now.Add(fleet.OrderShownWithin)
 	case Busy:
 		p.until = now.Add(busyRetryDelay)
 	case Refused, Unanswered:
--- a/placement/tick.go
+++ b/placement/tick.go
@@ -5,6 +5,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // tick returns the orders of a plan if the list is settled and the delay of this node has passed.
@@ -102,7 +103,7 @@
 	}
 	for _, c := range cmds {
 		m.changeCount++
-		m.pending[c.Upstream] = pendingOrder{layers: c.Layers, until: now.Add(orderTimeout)}
+		m.pending[c.Upstream] = pendingOrder{layers: c.Layers, until: now.Add(fleet.OrderShownWithin)}
 	}
 	slices.SortFunc(cmds, func(a, b OrderCmd) int { return a.Upstream.Compare(b.Upstream) })
 	return cmds
