Registrations of nodes that don't exist delay the first plan and the hubs by a bounded time

The planner waits 0.3 s for each name before its own. And in a group of more than 24 names the hubs are the first by capacity that answer, where one that was never heard gets 1.5 s from when it is first considered; six are considered at a time, so 400 names of higher capacity hold a group without hubs, and hubs alone plan, for 100 s. A large data centre whose VMs were all replaced under new names has the same rows, for up to 5 min.

Ruled out: a rank among nodes that are heard, since those of other data centres are not heard by name in larger meshes, and all nodes would plan at once.

Change: ranks from the tenth on share 3 s more by the hashes of their names. A group considers as many more names at a time as it has passed over that never sent a status, so each round passes over twice as many.

--- a/node/node.go
+++ b/node/node.go
@@ -158,7 +158,7 @@
 		relay.WithCounters("start_times_not_credible", &n.implausible), relay.WithCounters("peers", expvar.Func(func() any { return n.PeerCount() })),
 		relay.WithListAge(listAge), relay.WithResponsivenessHandler(n.reportUnresponsive), relay.WithPeerFindingHandler(n.usage.Responsive), relay.WithUsageSharing(n.sendUsage), relay.WithLeavingHandler(n.markLeaving), relay.WithReplacedHandler(n.markReplaced), relay.WithQuarantine(n.handleQuarantineEvent),
 		relay.WithPermitExchange(n.usage.SendPermitRequest, n.usage.SendPermitGrant))
-	planner := placement.New(placement.WithDelay(plannerDelay(int(hash(s.Name)%provisionalRanks))), placement.WithStart(n.clock.Now()))
+	planner := placement.New(placement.WithDelay(provisionalDelay(s.Name)), placement.WithStart(n.clock.Now()))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.publishPlacement, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge),
 		placer.WithResults(n.orderResults))
 	n.wakes = n.clock.Suspensions()
@@ -183,16 +183,6 @@
 	n.fleetFollower = follow.NewFleet(n.store, n.clock, n.log, n.outage, setFleet, share, bound)
 }
 
-// Nodes wait for different times before they order an engine to load layers, so that two nodes
-// seldom give the same order: an order shows in the engine's report at once. A node's wait
-// follows from its rank by name, or from a hash of its own name while other nodes are unknown.
-const (
-	provisionalRanks              = 32
-	plannerDelayStep clock.Millis = 300
-)
-
-func plannerDelay(rank int) clock.Millis { return clock.Millis(rank) * plannerDelayStep }
-
 func hash(name string) uint64 {
 	h := fnv.New64a()
 	// Writing to a hash cannot fail.
--- a/node/topology.go
+++ b/node/topology.go
@@ -83,12 +83,12 @@
 		msg.UsagePeers = len(near)
 		n.usage.SetPeers(usageAddresses(near), usageAddresses(far))
 		n.relay.SetPeers(msg)
-		n.placer.Send(placement.RankMsg{Delay: plannerDelay(rank)})
+		n.placer.Send(placement.RankMsg{Delay: plannerDelay(rank, n.settings.Name)})
 		return
 	}
 	n.usage.SetRecipients(hubRecipients(topology, others, here))
 	n.relay.SetPeers(msg)
-	n.placer.Send(placement.RankMsg{Delay: plannerDelay(topology.HubIndex), Standby: !topology.IsHub, ExcludedDataCentres: otherDataCentres(others, here)})
+	n.placer.Send(placement.RankMsg{Delay: plannerDelay(topology.HubIndex, n.settings.Name), Standby: !topology.IsHub, ExcludedDataCentres: otherDataCentres(others, here)})
 }
 
 // peersMsg returns the known nodes for the relay. If a data centre is so large that some of its
--- a/reading/hubs.go
+++ b/reading/hubs.go
@@ -61,16 +61,20 @@
 func (r *Roster) fullMesh() bool { return len(r.ranked) <= maxMeshNodes }
 
 // hubs returns the names of the hubs: the first responsive nodes by rank. If none of the first
-// hubCount can be followed, it adds nodes until one can, up to maxHubs. The caller holds the
-// lock.
+// hubCount can be followed, it adds nodes until one can, up to maxHubs and as many as have been
+// passed over without ever having sent a status: of hundreds that do not exist, each round then
+// passes over twice as many as the one before. The caller holds the lock.
 func (r *Roster) hubs(now clock.Millis) []string {
 	var hubs []string
-	followable := false
+	followable, neverHeard := false, 0
 	for _, name := range r.ranked {
-		if len(hubs) >= maxHubs || len(hubs) >= hubCount && followable {
+		if len(hubs) >= maxHubs+neverHeard || len(hubs) >= hubCount && followable {
 			break
 		}
 		if !r.responsive(now, name) {
+			if _, heard := r.wasFollowable[name]; !heard {
+				neverHeard++
+			}
 			continue
 		}
 		hubs = append(hubs, name)
