Engines that have never answered count as lost in the plan, whatever their number

Seen: the line of docs/design/foreign-bytes.md that was "not measured", measured: 40 entries of engines that do not exist and name half of the layers keep a pipeline from being served (0 of 2,757 requests in 60 s, all a_layer_has_no_engine); 1 and 4 do not.

Cause: the planner leaves out engines that do not answer, but with more than four of them takes this node for disconnected and leaves out none. The logs: all four sound engines are ordered to hold the other half, 40 entries are found silent, agreed=false, and no further plan follows.

Ruled out: attempts that can't be sent (64 are not counted), reachability (doubtful for 0.1 s, then reached).

Change: the finding says whether the engine has ever answered this node; one that has not counts as lost like one that another node has found silent too. Whether this node is cut is decided by reachability, which withdraws findings; another node that reaches the engine refutes them, as before.

Test: TestForeignEnginesDelayNoService, 40 with half of the layers red before, passes in 18 s.

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -177,6 +177,8 @@
 	Unresponsive bool
 	// Confirmed reports whether another node had found the engine unresponsive before.
 	Confirmed bool
+	// NeverAnswered reports whether the engine has never answered this node.
+	NeverAnswered bool
 }
 
 // RecheckAttemptCmd makes a request check the progress of its attempt, because an upstream on its
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -102,7 +102,7 @@
 		m.countExecutions(u)
 	}
 	confirmed := u.unresponsive && m.now <= u.peerReportedAt.Add(m.peerReportWindow())
-	return append(cmds, ResponsivenessCmd{Upstream: msg.Upstream, Unresponsive: u.unresponsive, Confirmed: confirmed})
+	return append(cmds, ResponsivenessCmd{Upstream: msg.Upstream, Unresponsive: u.unresponsive, Confirmed: confirmed, NeverAnswered: !m.hasAnswered(u)})
 }
 
 const (
--- a/node/foreign_entries_test.go
+++ b/node/foreign_entries_test.go
@@ -151,3 +151,29 @@
 		})
 	}
 }
+
+// Guards against entries of engines that do not exist and name half of the layers, or one: the engines that do exist
+// must still load layers, and requests must not end at those that do not.
+func TestForeignEnginesDelayNoService(t *testing.T) {
+	t.Parallel()
+	for _, layers := range []string{`{"from":0,"targetVersion":6,"version":1}`, `{"from":0,"targetVersion":1,"version":1}`} {
+		for _, count := range []int{1, 4, 40} {
+			t.Run(fmt.Sprintf("%d with %s", count, layers), func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t, 4)
+				for i := range count {
+					s.store.Put("servers", fmt.Sprint("x", i), foreignEngine(layers))
+				}
+				for _, n := range s.startNodes(2) {
+					n.awaitServing(t)
+					n.checkServes(t, "f")
+				}
+			})
+		}
+	}
+}
+
+// foreignEngine returns an entry that is as valid as an engine's, at an address where nobody listens.
+func foreignEngine(layers string) []byte {
+	return fmt.Appendf(nil, `{"born":1764720000123,"service":"writer","kind":"small","address":"127.0.0.1:9","zone":"dc","version":"v1","slots":16,"state":"ready","coldLeftMs":0,"sequence":1,"layers":%s}`, layers)
+}
--- a/node/updates.go
+++ b/node/updates.go
@@ -89,8 +89,8 @@
 // reportUnresponsive notifies the planner that an engine has stopped or resumed answering. It
 // notifies other nodes too if none of them has reported the engine yet.
 func (n *Node) reportUnresponsive(cmd dispatch.ResponsivenessCmd) {
-	n.log.Info("silent", zap.Stringer("upstream", cmd.Upstream), zap.Bool("silent", cmd.Unresponsive), zap.Bool("agreed", cmd.Confirmed))
-	n.placer.Send(placement.ResponsivenessMsg{Upstream: cmd.Upstream, Unresponsive: cmd.Unresponsive, Confirmed: cmd.Confirmed})
+	n.log.Info("silent", zap.Stringer("upstream", cmd.Upstream), zap.Bool("silent", cmd.Unresponsive), zap.Bool("agreed", cmd.Confirmed), zap.Bool("never_answered", cmd.NeverAnswered))
+	n.placer.Send(placement.ResponsivenessMsg{Upstream: cmd.Upstream, Unresponsive: cmd.Unresponsive, Confirmed: cmd.Confirmed || cmd.NeverAnswered})
 	if cmd.Unresponsive && !cmd.Confirmed {
 		n.usage.Unresponsive(cmd.Upstream)
 	}
--- a/placement/msg.go
+++ b/placement/msg.go
@@ -29,7 +29,8 @@
 type ResponsivenessMsg struct {
 	Upstream     fleet.Incarnation
 	Unresponsive bool
-	// Confirmed is set if another node also found the engine unresponsive.
+	// Confirmed is set if another node also found the engine unresponsive, or if it has never answered
+	// this one: an engine that does not exist has an entry for as long as another writer leaves it there.
 	Confirmed bool
 }
 
