A begun stream that waited once waits again as long: its client's patience begins with each event

Seen: by reading (docs/FINDINGS.md, hard load): the end of a stream's wait was set once and never again, so one that had waited, was resumed and lost its engine again was cut at once, though its client still waited.

Change: the first event of an attempt resets it. A client disconnects after a pause, not after a sum of pauses.

Test: dispatch/testdata/waiting_stream_again.txt, cut at 3000 before, kept until 5600 now. waiting_stream.txt holds unchanged: there the second attempt has sent no event.

--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -47,6 +47,8 @@
 		return nil
 	}
 	r.awaitsFirstEvent = false
+	// The client's patience begins again with each event.
+	r.waitUntil = 0
 	m.clearMissingFirstEvent(r)
 	for i := range r.reservations {
 		h := &r.reservations[i]
