--- a/cmd/hoistsoak/main.go
+++ b/cmd/hoistsoak/main.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 
@@ -52,12 +51,12 @@
 }
 
 func runSeed(ctx context.Context, args arguments, seed uint64) bool {
-	dir := args.Logs
-	if dir == "" {
-		dir = filepath.Join(os.TempDir(), "hoistsoak")
+	dir, err := runDir(args.Logs, seed)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hoistsoak:", err)
+		return false
 	}
-	dir = filepath.Join(dir, fmt.Sprint(seed))
-	err := soak.Run(ctx, soak.Options{
+	err = soak.Run(ctx, soak.Options{
 		Seed: seed, FaultDuration: args.For, BinDir: args.Bin, LogDir: dir, Out: os.Stdout,
 		Size: soak.Size{Nodes: args.Nodes, Engines: args.Engines, Callers: args.Callers},
 	})
@@ -72,3 +71,14 @@
 	}
 	return true
 }
+
+// runDir creates a folder of its own for a run of a seed, so that two runs of one seed at a time do not read
+// each other's settings. An empty parent stands for the folder of temporary files.
+func runDir(parent string, seed uint64) (string, error) {
+	if parent != "" {
+		if err := os.MkdirAll(parent, 0o755); err != nil {
+			return "", err
+		}
+	}
+	return os.MkdirTemp(parent, fmt.Sprintf("hoistsoak-%d-", seed))
+}
