--- a/fleet/view_told_layers.go
+++ b/fleet/view_told_layers.go
@@ -10,8 +10,8 @@
 	// LayersShownWithin is how long the list may take to show the layers that an engine holds: the delay of
 	// the list plus a heartbeat.
 	LayersShownWithin clock.Millis = 3000
-	// OrderShownWithin is how long the list may take to show an order that an engine has accepted: loading a
-	// quarter of the layers takes up to 8 s, and the engine's entry follows.
+	// OrderShownWithin is how long an accepted order may take to appear in the list: loading a quarter of the
+	// layers while other engines load too, plus the delay of the list.
 	OrderShownWithin clock.Millis = 9000
 	// messageDelay bounds how much later than the view the other parts of the node handle a message.
 	messageDelay clock.Millis = 500
