--- a/budget/exchange_test.go
+++ b/budget/exchange_test.go
@@ -71,32 +71,45 @@
 	}
 }
 
-// step delivers datagrams in random order, and lets the nodes whose turn it is send reports.
-func (w *network) step(now clock.Millis) {
+// arrived removes the datagrams that have arrived, and returns them in random order.
+func (w *network) arrived(now clock.Millis) []datagram {
 	w.random.Shuffle(len(w.inFlight), func(i, j int) { w.inFlight[i], w.inFlight[j] = w.inFlight[j], w.inFlight[i] })
-	late := w.inFlight[:0]
+	var arrived, late []datagram
 	for _, d := range w.inFlight {
 		if d.at > now {
 			late = append(late, d)
 			continue
 		}
+		arrived = append(arrived, d)
+	}
+	w.inFlight = late
+	return arrived
+}
+
+// sendReports sends the reports of a node: to all others, or between the hub and its leaves.
+func (w *network) sendReports(now clock.Millis, from int, own, toLeaves budget.Report) {
+	for to := range w.nodes {
+		switch {
+		case !w.hub || from > 0 && to == 0:
+			w.send(now, from, to, own)
+		case from == 0:
+			w.send(now, from, to, toLeaves)
+		}
+	}
+}
+
+// step delivers datagrams, and lets the nodes whose turn it is send reports.
+func (w *network) step(now clock.Millis) {
+	for _, d := range w.arrived(now) {
 		n := w.nodes[d.to]
 		n.exchange.Receive(now.Sub(n.startedAt), d.from, d.msg)
 	}
-	w.inFlight = late
 	for i, n := range w.nodes {
 		if (now+clock.Millis(i)*simStep)%reportInterval != 0 {
 			continue
 		}
 		own, toLeaves := n.exchange.Report(now.Sub(n.startedAt), true)
-		for to := range w.nodes {
-			switch {
-			case !w.hub || i > 0 && to == 0:
-				w.send(now, i, to, own)
-			case i == 0:
-				w.send(now, i, to, toLeaves)
-			}
-		}
+		w.sendReports(now, i, own, toLeaves)
 	}
 }
 
--- a/budget/faults_property_test.go
+++ b/budget/faults_property_test.go
@@ -93,7 +93,9 @@
 
 // step handles what has arrived at the nodes that run, and lets them send reports.
 func (w *faultyNetwork) step(now clock.Millis) {
-	w.deliver(now)
+	for _, d := range w.arrived(now) {
+		w.states[d.to].waiting = append(w.states[d.to].waiting, d)
+	}
 	for i, n := range w.nodes {
 		s := &w.states[i]
 		if now < s.frozen {
@@ -122,33 +124,8 @@
 		s.waiting = nil
 		if now >= s.reportedAt.Add(reportInterval) {
 			s.reportedAt = now
-			w.sendReports(now, i, local)
-		}
-	}
-}
-
-// deliver moves datagrams that have arrived to their nodes.
-func (w *faultyNetwork) deliver(now clock.Millis) {
-	w.random.Shuffle(len(w.inFlight), func(i, j int) { w.inFlight[i], w.inFlight[j] = w.inFlight[j], w.inFlight[i] })
-	late := w.inFlight[:0]
-	for _, d := range w.inFlight {
-		if d.at > now {
-			late = append(late, d)
-			continue
-		}
-		w.states[d.to].waiting = append(w.states[d.to].waiting, d)
-	}
-	w.inFlight = late
-}
-
-func (w *faultyNetwork) sendReports(now clock.Millis, i int, local clock.Millis) {
-	own, toLeaves := w.nodes[i].exchange.Report(local, now >= w.states[i].startedAt.Add(firstWindow))
-	for to := range w.nodes {
-		switch {
-		case !w.hub || i > 0 && to == 0:
-			w.send(now, i, to, own)
-		case i == 0:
-			w.send(now, i, to, toLeaves)
+			own, toLeaves := n.exchange.Report(local, now >= s.startedAt.Add(firstWindow))
+			w.sendReports(now, i, own, toLeaves)
 		}
 	}
 }
