--- a/node/start_bench_test.go
+++ b/node/start_bench_test.go
@@ -1,12 +1,15 @@
 package node_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // registeredNodes is how many registrations must vouch before the nodes are ended: of hundreds not all
@@ -33,10 +36,10 @@
 	s := newSite(b, 4)
 	before := s.startMembers(count)
 	for _, n := range before {
-		awaitAnswer(b, n)
+		awaitAnswer(n)
 	}
 	await(b, "registrations that vouch", func() bool { return s.registrationsVouch(b, min(count, registeredNodes)) })
-	stopAll(before)
+	stopAll(b, before)
 	if restored {
 		s.store.Backup()
 		s.store.Restore()
@@ -47,7 +50,7 @@
 	var answers sync.WaitGroup
 	for i, n := range nodes {
 		answers.Go(func() {
-			awaitAnswer(b, n)
+			awaitAnswer(n)
 			took[i] = time.Since(started)
 		})
 	}
@@ -55,16 +58,18 @@
 	slices.Sort(took)
 	b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "median-ms")
 	b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "last-ms")
-	stopAll(nodes)
+	stopAll(b, nodes)
 }
 
 // stopAll stops nodes at once and waits until they have ended.
-func stopAll(nodes []*testNode) {
+func stopAll(b *testing.B, nodes []*testNode) {
 	for _, n := range nodes {
 		n.stop()
 	}
 	for _, n := range nodes {
-		<-n.done
+		if err := <-n.done; !errors.Is(err, context.Canceled) {
+			b.Errorf("got %v, want a node that was stopped", err)
+		}
 	}
 }
 
@@ -78,7 +83,7 @@
 }
 
 // awaitAnswer waits until a node answers a request with a key.
-func awaitAnswer(b *testing.B, n *testNode) {
+func awaitAnswer(n *testNode) {
 	for n.do(http.MethodPost, "/once/a", "first", "k1").status != http.StatusOK {
 		time.Sleep(5 * time.Millisecond)
 	}
