--- a/fleet/view.go
+++ b/fleet/view.go
@@ -39,7 +39,7 @@
 	prunedAt      clock.Millis
 	restoredAt    clock.Millis
 	staleSuspects map[Incarnation]Upstream
-	// awaited holds the layers of engines that messages told, until the list must show them.
+	// awaited holds the layers of engines that messages reported, until the list must show them.
 	awaited map[Incarnation]awaitedLayers
 	// knownServices holds the services in the configuration, nil until known, and
 	// unknownServiceEntries the entries that name other services.
--- a/fleet/view_told_layers.go
+++ b/fleet/view_reported_layers.go
@@ -17,15 +17,16 @@
 	messageDelay clock.Millis = 500
 )
 
-// ToldLayers are the layers of an engine according to a message: ordered, or held if Completed is set.
-type ToldLayers struct {
+// ReportedLayers are the layers of an engine according to a message of a node: ordered, or held if Completed
+// is set.
+type ReportedLayers struct {
 	Layers    LayerRange
 	Completed bool
 }
 
 // shownWithin returns how long the list may take to show the layers.
-func (t ToldLayers) shownWithin() clock.Millis {
-	if t.Completed {
+func (r ReportedLayers) shownWithin() clock.Millis {
+	if r.Completed {
 		return LayersShownWithin
 	}
 	return OrderShownWithin
@@ -33,21 +34,22 @@
 
 // awaitedLayers are layers that the list is expected to show by a time.
 type awaitedLayers struct {
-	told ToldLayers
-	by   clock.Millis
+	reported ReportedLayers
+	by       clock.Millis
 }
 
 // AwaitLayers records a message about the layers of an engine. A repetition of the last message has no
 // effect.
-func (v *View) AwaitLayers(now clock.Millis, id Incarnation, told ToldLayers) {
-	if !v.Contains(id) || v.awaited[id].told == told && v.awaited[id].by > 0 {
+func (v *View) AwaitLayers(now clock.Millis, id Incarnation, reported ReportedLayers) {
+	last, awaited := v.awaited[id]
+	if !v.Contains(id) || awaited && last.reported == reported {
 		return
 	}
-	v.awaited[id] = awaitedLayers{told: told, by: now.Add(told.shownWithin() + messageDelay)}
+	v.awaited[id] = awaitedLayers{reported: reported, by: now.Add(reported.shownWithin() + messageDelay)}
 }
 
-// LayersNotShown returns the entries of engines that do not show in time the layers that a message told, so
-// that the entries apply again. The list was confirmed at the given time.
+// LayersNotShown returns the entries of engines that do not show in time the layers that a message reported,
+// so that the entries apply again. The list was confirmed at the given time.
 func (v *View) LayersNotShown(confirmedAt clock.Millis) []Change {
 	var changes []Change
 	for id, a := range v.awaited {
@@ -55,7 +57,7 @@
 			continue
 		}
 		delete(v.awaited, id)
-		if u, ok := v.Get(id); ok && u.Held != a.told.Layers {
+		if u, ok := v.Get(id); ok && u.Held != a.reported.Layers {
 			changes = append(changes, Change{ID: id, Upstream: u})
 		}
 	}
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -52,8 +52,8 @@
 		return v.MarkLeaving(script.Incarnation(s.Arg(0)))
 	case "expire":
 		return v.Expire(now)
-	case "told":
-		v.AwaitLayers(now, script.Incarnation(s.Arg(0)), fleet.ToldLayers{Layers: fleet.LayerRange{To: s.Int("held", 0)}, Completed: s.Params["completed"] == "yes"})
+	case "reported":
+		v.AwaitLayers(now, script.Incarnation(s.Arg(0)), fleet.ReportedLayers{Layers: fleet.LayerRange{To: s.Int("held", 0)}, Completed: s.Params["completed"] == "yes"})
 		return nil
 	case "confirmed":
 		return v.LayersNotShown(now)
--- a/follow/fleet_apply.go
+++ b/follow/fleet_apply.go
@@ -45,13 +45,13 @@
 
 // AwaitLayers records a message about the layers of an engine. Its entry applies again if the list does not
 // show them in time.
-func (f *Fleet) AwaitLayers(id fleet.Incarnation, told fleet.ToldLayers) {
+func (f *Fleet) AwaitLayers(id fleet.Incarnation, reported fleet.ReportedLayers) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.AwaitLayers(f.clock.Now(), id, told)
+	f.view.AwaitLayers(f.clock.Now(), id, reported)
 }
 
-// restoreLayers passes on the entries of engines again that do not show the layers that a message told.
+// restoreLayers passes on the entries of engines again that do not show the layers that a message reported.
 func (f *Fleet) restoreLayers(now clock.Millis, asOf moment.Moment) {
 	changes := f.view.LayersNotShown(now)
 	for _, c := range changes {
--- a/node/updates.go
+++ b/node/updates.go
@@ -196,7 +196,7 @@
 func (n *Node) applyPlacement(upstream fleet.Incarnation, layers fleet.LayerRange, holds bool) {
 	n.relay.HandlePlacement(upstream, layers, holds)
 	n.placer.Send(placement.PlacedMsg{Upstream: upstream, Layers: layers, Completed: holds})
-	n.fleetFollower.AwaitLayers(upstream, fleet.ToldLayers{Layers: layers, Completed: holds})
+	n.fleetFollower.AwaitLayers(upstream, fleet.ReportedLayers{Layers: layers, Completed: holds})
 }
 
 func (n *Node) applyFleet(changes []fleet.Change) {
