moment: one question for a later era, asked in four places in two ways

InLaterEra is the era's order itself, and all four call it. No behaviour changes: TestAfter holds it to After and SameEra on each of its cases, and no test was changed otherwise. The zero moment is in no later era, so vouchesFor needs no case for it. One comment line of RestoreRegistration is wrapped.

--- a/follow/outage.go
+++ b/follow/outage.go
@@ -89,7 +89,7 @@
 func (o *Outage) RecordEra(now clock.Millis, asOf moment.Moment) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if asOf.SameEra(o.era) || !asOf.After(o.era) {
+	if !asOf.InLaterEra(o.era) {
 		return false
 	}
 	o.era = asOf
--- a/moment/moment.go
+++ b/moment/moment.go
@@ -36,6 +36,9 @@
 // SameEra reports whether no store restore happened between m and o.
 func (m Moment) SameEra(o Moment) bool { return m.era == o.era }
 
+// InLaterEra reports whether a store restore happened between o and a later m.
+func (m Moment) InLaterEra(o Moment) bool { return m.era > o.era }
+
 // After reports whether m is later than o: in a later era, or in the same era with a higher
 // revision.
 func (m Moment) After(o Moment) bool {
--- a/moment/moment_test.go
+++ b/moment/moment_test.go
@@ -28,6 +28,9 @@
 		if got := tt.m.SameEra(tt.o); got != tt.sameEra {
 			t.Errorf("%s: got sameEra=%v, want %v", tt.name, got, tt.sameEra)
 		}
+		if got, want := tt.m.InLaterEra(tt.o), tt.after && !tt.sameEra; got != want {
+			t.Errorf("%s: got inLaterEra=%v, want %v", tt.name, got, want)
+		}
 		if got, want := moment.Latest(tt.m, tt.o) == tt.m, !tt.o.After(tt.m); got != want {
 			t.Errorf("%s: got Latest %v, want m returned: %v", tt.name, moment.Latest(tt.m, tt.o), want)
 		}
--- a/peering/doubt.go
+++ b/peering/doubt.go
@@ -28,7 +28,7 @@
 func (d *doubt) about(era moment.Moment) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.limit > 0 && !d.vouched.IsZero() && era.After(d.vouched) && !era.SameEra(d.vouched)
+	return d.limit > 0 && !d.vouched.IsZero() && era.InLaterEra(d.vouched)
 }
 
 // setVouched records the eras that registrations name.
@@ -56,7 +56,7 @@
 func (d *doubt) vouchesFor(m moment.Moment) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return m.IsZero() || m.SameEra(d.own) || d.own.After(m)
+	return !m.InLaterEra(d.own)
 }
 
 // WithRestoreDoubt sets how long a node that has just started neither serves nor vouches for a configuration
--- a/peering/restore_registration.go
+++ b/peering/restore_registration.go
@@ -35,7 +35,8 @@
 
 // RestoreRegistration registers the node again after each restore of the store that may have
 // lost its registration, or whose era its registration does not vouch for. Backups contain the
-// registrations of nodes that registered longer ago than a backup may date back. The other nodes are few, and take the same turns as at a start.
+// registrations of nodes that registered longer ago than a backup may date back. The other nodes
+// are few, and take the same turns as at a start.
 func (p *Peering) RestoreRegistration(ctx context.Context) error {
 	for {
 		select {
--- a/reading/log.go
+++ b/reading/log.go
@@ -282,7 +282,7 @@
 		switch {
 		case !l.hasList:
 			return false, ErrStale
-		case after.After(l.asOf) && !after.SameEra(l.asOf):
+		case after.InLaterEra(l.asOf):
 			return false, ErrBehind
 		case l.historyStart.After(after), have == 0 && l.clock.Now() < l.restoredAt.Add(restoreGrace):
 			reading.Whole, reading.Changes, reading.Token = true, l.fullList(), l.listToken
