dispatch: what makes a finding certain stands once

The node and the lab each spelled out that an unresponsive engine counts as lost if another node has found it so or if it has never answered. ResponsivenessCmd.Certain says it for both. No behaviour changes; no test was changed.

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -181,6 +181,9 @@
 	NeverAnswered bool
 }
 
+// Certain reports whether the finding holds however many engines this node finds unresponsive.
+func (c ResponsivenessCmd) Certain() bool { return c.Confirmed || c.NeverAnswered }
+
 // RecheckAttemptCmd makes a request check the progress of its attempt, because an upstream on its
 // path is suspected.
 type RecheckAttemptCmd struct {
--- a/lab/node.go
+++ b/lab/node.go
@@ -196,7 +196,7 @@
 	case dispatch.ShareUsageCmd:
 		n.shareUsage(cmd)
 	case dispatch.ResponsivenessCmd:
-		n.updatePlanner(placement.ResponsivenessMsg{Upstream: cmd.Upstream, Unresponsive: cmd.Unresponsive, Confirmed: cmd.Confirmed || cmd.NeverAnswered})
+		n.updatePlanner(placement.ResponsivenessMsg{Upstream: cmd.Upstream, Unresponsive: cmd.Unresponsive, Confirmed: cmd.Certain()})
 		if cmd.Unresponsive && !cmd.Confirmed && !n.world.variant.NoUnresponsiveReports {
 			n.broadcast(func(o *node) {
 				if o.dataCentre == n.dataCentre || len(n.world.nodes) < fullMeshBelow {
--- a/node/updates.go
+++ b/node/updates.go
@@ -90,7 +90,7 @@
 // notifies other nodes too if none of them has reported the engine yet.
 func (n *Node) reportUnresponsive(cmd dispatch.ResponsivenessCmd) {
 	n.log.Info("silent", zap.Stringer("upstream", cmd.Upstream), zap.Bool("silent", cmd.Unresponsive), zap.Bool("agreed", cmd.Confirmed), zap.Bool("never_answered", cmd.NeverAnswered))
-	n.placer.Send(placement.ResponsivenessMsg{Upstream: cmd.Upstream, Unresponsive: cmd.Unresponsive, Confirmed: cmd.Confirmed || cmd.NeverAnswered})
+	n.placer.Send(placement.ResponsivenessMsg{Upstream: cmd.Upstream, Unresponsive: cmd.Unresponsive, Confirmed: cmd.Certain()})
 	if cmd.Unresponsive && !cmd.Confirmed {
 		n.usage.Unresponsive(cmd.Upstream)
 	}
