--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -18,7 +18,7 @@
 )
 
 // errUsage is returned for unknown arguments.
-var errUsage = errors.New("usage: review-2 store CONFIG | server FLAGS | case NAME RECORD")
+var errUsage = errors.New("usage: review-2 store CONFIG | server FLAGS | engine FLAGS | case NAME RECORD")
 
 func main() {
 	if err := run(os.Args[1:]); err != nil {
@@ -36,6 +36,8 @@
 		return serveStore(args[1])
 	case "server":
 		return serveServer(args[1:])
+	case "engine":
+		return serveEngine(args[1:])
 	case "case":
 		if len(args) != 3 {
 			return errUsage
@@ -48,6 +50,7 @@
 // cases holds the cases by name.
 var cases = map[string]func(*bed) (bool, error){
 	"cut-stream": cutStream,
+	"waiting":    waiting,
 }
 
 // playCase plays a case, writes what happened to a record and exits with the outcome.
