--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -89,11 +90,12 @@
 
 // start starts a process of the build of the deploy file.
 func (b *bed) start(name, program string, args ...string) (*process, error) {
-	p := &process{name: name, log: filepath.Join(b.dir, name+".log"), done: make(chan struct{})}
-	out, err := os.Create(p.log)
+	p := &process{name: name, done: make(chan struct{})}
+	out, err := os.CreateTemp(b.dir, name+"-*.log")
 	if err != nil {
 		return nil, err
 	}
+	p.log = out.Name()
 	p.cmd = exec.Command(filepath.Join("target", program), args...)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	b.mu.Lock()
@@ -143,7 +145,7 @@
 		<-p.done
 		if to := os.Getenv("BED_LOGS"); to != "" {
 			if raw, err := os.ReadFile(p.log); err == nil {
-				_ = os.WriteFile(filepath.Join(to, p.name+".log"), raw, 0o600)
+				_ = os.WriteFile(filepath.Join(to, filepath.Base(p.log)), raw, 0o600)
 			}
 		}
 	}
@@ -207,9 +209,24 @@
 	return a, nil
 }
 
-// startNode starts a relay node with the settings of the deploy file, filled in with the figures of
-// the small site, and waits until it is ready.
+// startNode starts a relay node of a system that starts for the first time, and waits until it is ready.
 func (b *bed) startNode(name, zone, store string, a nodeAddresses, seeds []string, more string) (*process, error) {
+	p, err := b.launchNode(name, zone, store, a, seeds, true, more)
+	if err != nil {
+		return nil, err
+	}
+	for deadline := time.Now().Add(startWait); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if ready(a.readiness) {
+			return p, nil
+		}
+	}
+	raw, _ := os.ReadFile(p.log)
+	return nil, fmt.Errorf("%s: %w: %s", name, errNotStarted, raw[:min(len(raw), 2000)])
+}
+
+// launchNode starts a relay node with the settings of the deploy file, filled in with the figures of the
+// small site. firstStart says whether the whole system starts for the first time.
+func (b *bed) launchNode(name, zone, store string, a nodeAddresses, seeds []string, firstStart bool, more string) (*process, error) {
 	template, err := os.ReadFile(filepath.Join("deploy", "relay.ini.tmpl"))
 	if err != nil {
 		return nil, err
@@ -218,7 +235,7 @@
 	_, metricsPort, _ := net.SplitHostPort(a.metrics)
 	text := string(template)
 	for field, value := range map[string]string{
-		"nodeName": name, "zone": zone, "bootstrap": "true", "bounds.graceS": "8", "limits.cores": "1", "limits.cpuShare": "0.4",
+		"nodeName": name, "zone": zone, "bootstrap": strconv.FormatBool(firstStart), "bounds.graceS": "8", "limits.cores": "1", "limits.cpuShare": "0.4",
 		"limits.linkMbps": "1000.0", "limits.memoryMb": "284", "listen.front": a.caller, "listen.readiness": a.readiness,
 		"listen.control": a.peer, "seeds": strings.Join(seeds, ","), "ip": udpHost, "portRange.1": udpPort, "portRange.0": metricsPort,
 		"platform.address": store, "bounds.revokeFailClosed": "true", "bounds.revokeMs": "5000", "bounds.configApplyMs": "2000",
@@ -233,17 +250,7 @@
 	if err := os.WriteFile(path, append([]byte(text), more...), 0o600); err != nil {
 		return nil, err
 	}
-	p, err := b.start(name, "hoistrelay", "--settings", path)
-	if err != nil {
-		return nil, err
-	}
-	for deadline := time.Now().Add(startWait); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
-		if ready(a.readiness) {
-			return p, nil
-		}
-	}
-	raw, _ := os.ReadFile(p.log)
-	return nil, fmt.Errorf("%s: %w: %s", name, errNotStarted, raw[:min(len(raw), 2000)])
+	return b.start(name, "hoistrelay", "--settings", path)
 }
 
 // ready asks a node whether it is ready, as the platform does.
--- a/review/bed2/client.go
+++ b/review/bed2/client.go
@@ -44,9 +44,14 @@
 
 // send sends a request for a stream over a connection and reads the answer in the background.
 func send(conn net.Conn, id, path string, deadline time.Duration) *attempt {
+	return sendWithKey(conn, id, path, siteKey, deadline)
+}
+
+// sendWithKey is like send, with a key of its own.
+func sendWithKey(conn net.Conn, id, path, key string, deadline time.Duration) *attempt {
 	a := &attempt{id: id, path: path, sentAt: time.Now(), done: make(chan struct{})}
 	request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nModel: m0\r\nToken-Count: 800,154\r\nDeadline-Remaining-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: 1\r\n\r\nx",
-		path, siteHost, id, deadline.Milliseconds(), siteKey)
+		path, siteHost, id, deadline.Milliseconds(), key)
 	go a.exchange(conn, request)
 	return a
 }
--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -51,6 +51,7 @@
 var cases = map[string]func(*bed) (bool, error){
 	"cut-stream": cutStream,
 	"waiting":    waiting,
+	"old-copy":   oldCopy,
 }
 
 // playCase plays a case, writes what happened to a record and exits with the outcome.
--- a/review/bed2/server.go
+++ b/review/bed2/server.go
@@ -28,7 +28,19 @@
 	}
 	store := standin.NewRowStore()
 	store.Put("op", "config", config)
-	return standin.Serve("127.0.0.1:0", store.Handler(), os.Stdout)
+	mux := http.NewServeMux()
+	mux.Handle("/", store.Handler())
+	mux.HandleFunc("POST /drill/copy", func(http.ResponseWriter, *http.Request) { store.Backup() })
+	mux.HandleFunc("POST /drill/return", func(http.ResponseWriter, *http.Request) { store.Restore() })
+	mux.HandleFunc("POST /operator", func(w http.ResponseWriter, r *http.Request) {
+		config, err := io.ReadAll(r.Body)
+		if err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		store.Put("op", "config", config)
+	})
+	return standin.Serve("127.0.0.1:0", mux, os.Stdout)
 }
 
 // server is a sound server of a service that answers with streams of events.
