--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -49,9 +49,10 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(*bed) (bool, error){
-	"cut-stream": cutStream,
-	"waiting":    waiting,
-	"old-copy":   oldCopy,
+	"foreign-layers": foreignLayers,
+	"cut-stream":     cutStream,
+	"waiting":        waiting,
+	"old-copy":       oldCopy,
 }
 
 // playCase plays a case, writes what happened to a record and exits with the outcome.
