--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -260,11 +260,14 @@
 }
 
 // runs returns the ids of the requests that a server has run, in order.
-func (p *process) runs() []string {
+func (p *process) runs() []string { return p.logged("runs") }
+
+// logged returns the ids of the requests that a server has logged with a word, in order.
+func (p *process) logged(word string) []string {
 	raw, _ := os.ReadFile(p.log)
 	var ids []string
 	for line := range bytes.Lines(raw) {
-		if id, ok := strings.CutPrefix(strings.TrimSpace(string(line)), "runs "); ok {
+		if id, ok := strings.CutPrefix(strings.TrimSpace(string(line)), word+" "); ok {
 			ids = append(ids, id)
 		}
 	}
--- a/review/bed2/case_cut_stream.go
+++ b/review/bed2/case_cut_stream.go
@@ -17,21 +17,26 @@
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
 "tenants":[{"name":"hule930","apiKeys":["` + siteKey + `"],"priority":1}]}`
 
-// cutStream kills a server while it answers with streams. Half of them have chunks, half have neither
-// a length nor chunks and end with their connection. A stream whose server has died must be resumed at
-// another server or be broken off; it must not end as complete before its last event.
+// cutStream kills a server while it answers with streams. At half of the servers one answer of 40 has
+// neither a length nor chunks and ends with its connection. A stream whose server has died must be resumed
+// at another server or be broken off; it must not end as complete before its last event.
 func cutStream(b *bed) (broken bool, err error) {
-	const serverCount, events, streams = 8, 77, 32
+	const serverCount, events, streams = 8, 77, 320
 	store, err := b.startStore(streamConfig)
 	if err != nil {
 		return false, err
 	}
-	servers := map[string]*process{}
+	var servers []*process
 	for i := range serverCount {
-		name := fmt.Sprintf("i-7f3a91c%d", i)
-		if servers[name], err = b.startServer(name, store, "-pause", "30ms"); err != nil {
+		flags := []string{"-pause", "50ms"}
+		if i < serverCount/2 {
+			flags = append(flags, "-unframed-every", "40")
+		}
+		s, err := b.startServer(fmt.Sprintf("i-7f3a91c%d", i), store, flags...)
+		if err != nil {
 			return false, err
 		}
+		servers = append(servers, s)
 	}
 	a, err := newNodeAddresses()
 	if err != nil {
@@ -47,9 +52,8 @@
 		if err != nil {
 			return false, err
 		}
-		path := fmt.Sprintf("/pufi791/%s/%d", []string{"chunks", "unframed"}[(i+i/serverCount)%2], i)
-		attempts = append(attempts, send(conn, fmt.Sprintf("9c41d07be2a3%04x", i), path, 20*time.Second))
-		time.Sleep(20 * time.Millisecond)
+		attempts = append(attempts, send(conn, fmt.Sprintf("9c41d07be2a3%04x", i), fmt.Sprintf("/pufi791/streams/%d", i), 20*time.Second))
+		time.Sleep(5 * time.Millisecond)
 	}
 	const before = 15
 	for deadline := time.Now().Add(startWait); slices.ContainsFunc(attempts, func(a *attempt) bool { return a.events.Load() < before }); time.Sleep(5 * time.Millisecond) {
@@ -57,35 +61,38 @@
 			return false, fmt.Errorf("the streams did not begin")
 		}
 	}
-	victim := servers["i-7f3a91c0"]
+	victim := servers[0]
 	for _, s := range servers {
-		b.note("server %s runs %d streams", s.name, len(s.runs()))
-		if count(s, attempts, "/unframed/") > count(victim, attempts, "/unframed/") {
+		b.note("server %s has run %d streams, of which without length and chunks: %v", s.name, len(s.runs()), s.logged("unframed"))
+		if len(s.logged("unframed")) > len(victim.logged("unframed")) {
 			victim = s
 		}
 	}
 	hit := victim.runs()
+	killedAt := time.Now()
 	if b.trouble {
 		victim.signal(syscall.SIGKILL)
 		b.note("server %s is killed", victim.name)
 	}
+	complete, wholeAtVictim := 0, 0
 	for _, at := range attempts {
 		<-at.done
 		lost := slices.Contains(hit, at.id)
 		got := at.body
 		switch {
 		case at.err == nil && got == whole(at.path, events):
-			b.note("%s %s (at the victim: %v): whole", at.id, at.path, lost)
+			complete++
+			if lost {
+				wholeAtVictim++
+			}
 		case at.err == nil && at.status == 200:
 			broken = true
-			b.note("%s %s (at the victim: %v): status 200, ends as complete after %d of %d events", at.id, at.path, lost, strings.Count(got, "\n\n"), events)
+			b.note("%s (at the victim: %v; without length and chunks: %v): status 200, ends as complete after %d of %d events", at.id, lost, slices.Contains(victim.logged("unframed"), at.id), strings.Count(got, "\n\n"), events)
 		default:
-			b.note("%s %s (at the victim: %v): status %d, broken off after %d events: %v", at.id, at.path, lost, at.status, strings.Count(got, "\n\n"), at.err)
+			b.note("%s (at the victim: %v): status %d, broken off after %d events: %v", at.id, lost, at.status, strings.Count(got, "\n\n"), at.err)
 		}
 	}
-	for _, s := range servers {
-		b.note("server %s has run %v", s.name, s.runs())
-	}
+	b.note("%d of %d streams are whole, of them %d of the %d that %s had; the last ended %.1f s after the kill", complete, streams, wholeAtVictim, len(hit), victim.name, time.Since(killedAt).Seconds())
 	return broken, nil
 }
 
--- a/review/bed2/server.go
+++ b/review/bed2/server.go
@@ -13,7 +13,7 @@
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/platform/platformpb"
@@ -50,6 +50,9 @@
 	born              float64
 	events            int
 	pause             time.Duration
+	// Of each unframedEvery answers, the one in the middle has neither a length nor chunks; none if zero.
+	unframedEvery int64
+	answers       atomic.Int64
 }
 
 // serveServer serves streams until the process ends.
@@ -61,6 +64,7 @@
 	flags.StringVar(&s.zone, "zone", "suwon-hall", "zone")
 	flags.IntVar(&s.events, "events", 77, "events of a stream")
 	flags.DurationVar(&s.pause, "pause", 20*time.Millisecond, "pause between two events")
+	flags.Int64Var(&s.unframedEvery, "unframed-every", 0, "one of so many answers has neither a length nor chunks")
 	store := flags.String("store", "", "address of the store")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -102,7 +106,8 @@
 		return
 	}
 	fmt.Printf("runs %s\n", r.Header.Get("Attempt-Id"))
-	if strings.Contains(r.URL.Path, "/unframed/") {
+	if n := s.answers.Add(1); s.unframedEvery > 0 && n%s.unframedEvery == s.unframedEvery/2 {
+		fmt.Printf("unframed %s\n", r.Header.Get("Attempt-Id"))
 		s.streamUnframed(w, r)
 		return
 	}
