--- a/node/drain.go
+++ b/node/drain.go
@@ -23,10 +23,10 @@
 // requests are done or when its grace period is over.
 func (n *Node) Drain() {
 	n.log.Info("drain", zap.Int64("in_progress", n.relay.InProgress()), zap.Int64("grace_ms", int64(n.settings.grace())))
-	n.relay.Stop()
 	began := n.clock.Now()
-	n.relay.Drain(began.Add(n.settings.grace() - cutoffMargin))
+	n.relay.Stop(began.Add(n.settings.grace() - cutoffMargin))
 	n.clock.WaitUntil(n.ctx, began.Add(min(deregistrationDelay, n.settings.grace()-cutoffMargin)))
+	n.log.Info("listeners_closing", zap.Int64("in_progress", n.relay.InProgress()))
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	go func() {
--- a/relay/log.go
+++ b/relay/log.go
@@ -57,7 +57,15 @@
 		zap.String("chain", chainText(cmd.Chain)), zap.Int("in_flight", cmd.InFlight), zap.Int("priority", cmd.Priority),
 		zap.Stringer("config", cmd.Config), zap.Int64("config_age_ms", int64(cmd.ConfigAge)),
 		zap.Int64("list_age_ms", int64(s.relay.listAge())),
-		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEventID), zap.Bool("suspected", !cmd.SuspectedBy.IsZero()), suspectedByField(cmd.SuspectedBy), rateLimitField(cmd.Limit), predictionField(cmd), recoveryField(cmd.Recovery))
+		zap.Int64("remaining_ms", int64(remaining)), zap.String("resume_after", s.lastEventID), zap.Bool("suspected", !cmd.SuspectedBy.IsZero()), suspectedByField(cmd.SuspectedBy), rateLimitField(cmd.Limit), predictionField(cmd), recoveryField(cmd.Recovery), s.relay.stopField())
+}
+
+// stopField returns the log field for the time that a stopping node has left.
+func (r *Relay) stopField() zap.Field {
+	if !r.Stopping() {
+		return zap.Skip()
+	}
+	return zap.Int64("node_ends_in_ms", int64(clock.Millis(r.endsAt.Load()).Sub(r.clock.Now())))
 }
 
 // partsField returns the log field for the parts of the prompt that other requests may share.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -37,6 +37,8 @@
 	nextID       atomic.Uint64
 	openRequests atomic.Int64
 	stopping     atomic.Bool
+	// endsAt is when a stopping node ends the requests that are still in progress.
+	endsAt atomic.Int64
 	// lifetime ends when the node stops; it is the context of work that must outlast a request.
 	lifetime context.Context
 	// extraMetrics are metrics of other parts of the node, by name.
@@ -250,13 +252,14 @@
 	r.decider.notify(r.lifetime, dispatch.PlacedMsg{Upstream: upstream, Layers: layers, Completed: loaded})
 }
 
-// Stop makes Ready report false and closes each connection after its answer. Requests in
-// progress continue.
-func (r *Relay) Stop() { r.stopping.Store(true) }
-
-// Drain refuses the waiting requests that cannot be served before a time, at which the node ends
-// the requests that are still in progress.
-func (r *Relay) Drain(end clock.Millis) { r.decider.notify(r.lifetime, dispatch.DrainMsg{End: end}) }
+// Stop begins a planned stop: Ready reports false, each connection is closed after its answer, and the
+// waiting requests that cannot be served before end are refused. At end the node ends the requests that are
+// still in progress.
+func (r *Relay) Stop(end clock.Millis) {
+	r.endsAt.Store(int64(end))
+	r.stopping.Store(true)
+	r.decider.notify(r.lifetime, dispatch.DrainMsg{End: end})
+}
 
 // Stopping reports whether Stop has been called.
 func (r *Relay) Stopping() bool { return r.stopping.Load() }
