--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -75,6 +75,9 @@
 	})
 }
 
+// TestStoppingScripts runs the scripts about a planned stop of the node.
+func TestStoppingScripts(t *testing.T) { runScripts(t, "testdata/stopping", scriptPolicy) }
+
 // TestReachScripts runs the scripts about lost links to upstreams.
 func TestReachScripts(t *testing.T) {
 	runScriptsWith(t, "testdata/reach", scriptPolicy, func(p *scriptRunner) { p.showsReach = true })
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -30,6 +30,8 @@
 	serverOptions []standin.ServerOption
 	// stopPlainService stops the plain service, and waits until its entry is removed.
 	stopPlainService func()
+	// graceSeconds is how long a planned stop of a node may take.
+	graceSeconds float64
 }
 
 // engineProcess is an engine that can be killed.
@@ -42,7 +44,7 @@
 // newSite starts a store, a plain service and engines in one data centre. The options are those of the
 // plain service and the engines.
 func newSite(t testing.TB, engines int, opts ...standin.ServerOption) *site {
-	s := &site{t: t, store: standin.NewRowStore(), engines: make(map[string]*engineProcess), serverOptions: opts}
+	s := &site{t: t, store: standin.NewRowStore(), engines: make(map[string]*engineProcess), serverOptions: opts, graceSeconds: 8}
 	server := httptest.NewServer(s.store.Handler())
 	t.Cleanup(server.Close)
 	s.storeAddress = server.Listener.Addr().String()
@@ -86,8 +88,13 @@
 
 // addPlainService starts another plain service.
 func (s *site) addPlainService(id string) *standin.PlainServer {
+	return s.addSlowPlainService(id, time.Millisecond)
+}
+
+// addSlowPlainService starts another plain service that works on each request for a time.
+func (s *site) addSlowPlainService(id string, work time.Duration) *standin.PlainServer {
 	server := httptest.NewUnstartedServer(nil)
-	service := standin.NewPlainServer(id, server.Listener.Addr().String(), time.Millisecond)
+	service := standin.NewPlainServer(id, server.Listener.Addr().String(), work)
 	server.Config.Handler = service.Handler()
 	server.Start()
 	s.startHeartbeat(id, func() *platformpb.Server { return service.Entry("dc") })
@@ -156,7 +163,7 @@
 func (s *site) startNodeWith(name, storeAddress string, opts []node.Option, seeds ...string) *testNode {
 	s.t.Helper()
 	settings := &node.Settings{
-		Name: name, DataCentre: "dc", LogLevel: "info", GraceSeconds: 8, Cores: 1, MemoryMB: 256,
+		Name: name, DataCentre: "dc", LogLevel: "info", GraceSeconds: s.graceSeconds, Cores: 1, MemoryMB: 256,
 		CallerListen: anyPort, ReadinessListen: anyPort, PeerListen: anyPort,
 		MetricsListen: anyPort, UsageListen: anyPort, PeerSeeds: seeds, PlatformAddress: storeAddress,
 		KeysFailClosed: true, KeysMaxAge: 5000, ConfigDeadline: 2000, LeavingDeadline: 2000, RetryWindowSeconds: 10, RetryShare: 0.2, RetrySlack: 200, ForwardedRequests: 128,
