dispatch: a stopping node refuses at once what it cannot finish

Cause: a stopping node decided on new requests as if it went on; only requests that wait for capacity were compared with its end. Class: a decision on new work that does not ask how long this node still lives.

A new request is taken if its own time ends before the node does, or, until the platform has deregistered the node, if it is expected to end by then: a plain one in twice its latency objective, a stream in 1.5 times the mean duration of streams, scaled by its expected length. Anything else gets 503 at once, not run, with a short Retry-After: another node serves it from the start. Ruled out: passing it on to another node, whose answer would come through this one.

--- a/dispatch/arrive.go
+++ b/dispatch/arrive.go
@@ -48,6 +48,9 @@
 	if r.service == nil {
 		return m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonNoUpstream, coverageGapRetryAfter)
 	}
+	if refusal := m.refuseAtStop(r); refusal != nil {
+		return refusal
+	}
 	r.memoryTokens = expectedMemoryTokens(msg)
 	r.capacity.returned = m.returnsAfterRefusal(r)
 	m.requests[msg.Request] = r
@@ -175,6 +178,11 @@
 // expectedMemoryTokens returns the average memory that a generation is expected to use while it
 // runs, in tokens.
 func expectedMemoryTokens(msg ArriveMsg) float64 {
+	return float64(msg.PromptTokens) + answerMemoryShare*msg.expectedAnswerTokens()
+}
+
+// expectedAnswerTokens returns the expected length of the answer in tokens; zero if it is unknown.
+func (msg ArriveMsg) expectedAnswerTokens() float64 {
 	answer := float64(msg.AnswerTokens) * expectedAnswerShare
 	if msg.HintTokens > 0 {
 		answer = float64(msg.HintTokens)
@@ -182,5 +190,5 @@
 	if msg.AnswerTokens > 0 {
 		answer = min(answer, float64(msg.AnswerTokens))
 	}
-	return float64(msg.PromptTokens) + answerMemoryShare*answer
+	return answer
 }
--- a/dispatch/capacity_time.go
+++ b/dispatch/capacity_time.go
@@ -68,8 +68,8 @@
 // leaves and, during a planned stop, so long before the node ends that the answer is complete.
 func (m *Model) latestSend(r *request) clock.Millis {
 	latest := m.latestSendForClient(r)
-	if m.draining {
-		latest = min(latest, m.drainEnd.Sub(clock.Millis(m.meanStreamTime)))
+	if m.stop.begun {
+		latest = min(latest, m.stop.end.Sub(m.expectedDuration(r)))
 	}
 	return latest
 }
@@ -112,15 +112,8 @@
 
 // expiryReason returns the reason for refusing a waiting request whose time is up.
 func (m *Model) expiryReason(r *request) Reason {
-	if m.draining && m.now.Add(capacityReviewInterval) <= m.latestSendForClient(r) {
+	if m.stop.begun && m.now.Add(capacityReviewInterval) <= m.latestSendForClient(r) {
 		return ReasonStopping
 	}
 	return r.capacity.reason
 }
-
-// drain begins a planned stop: the waiting requests that cannot be served before the node ends
-// are refused, so that their clients reach other nodes in time.
-func (m *Model) drain(msg DrainMsg) []Cmd {
-	m.draining, m.drainEnd = true, msg.End
-	return m.reviewCapacityWaiters()
-}
--- a/dispatch/deferred.go
+++ b/dispatch/deferred.go
@@ -64,7 +64,7 @@
 // deferArrival defers a request while the node lacks its initial state, and reports whether it
 // did. It does not defer a request that the configuration refuses whatever the list contains.
 func (m *Model) deferArrival(msg ArriveMsg) bool {
-	if msg.Forwarded != nil || !m.lacksInitialState() || !m.mayBeAccepted(msg) {
+	if msg.Forwarded != nil || m.stop.begun || !m.lacksInitialState() || !m.mayBeAccepted(msg) {
 		return false
 	}
 	if len(m.deferred) >= maxDeferred || m.deferredBytes+msg.BodyBytes > maxDeferredBytes {
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -218,7 +218,7 @@
 		first.refusals = 0
 	}
 	if r.route.Kind == catalog.Streaming {
-		m.recordStreamTime(msg.Took)
+		m.recordStream(msg.Took, r.arrival.expectedAnswerTokens())
 	}
 	for _, p := range r.chain {
 		if u := m.upstreams[p.ID]; u != nil {
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -141,7 +141,7 @@
 		return nil
 	case msg.Forwarded.From == m.limits.Self():
 		return m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonNoPath, coverageGapRetryAfter)
-	case m.draining:
+	case m.stop.begun:
 		return m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonStopping, shortRetryAfter)
 	case m.awaitsComparison(m.now) || msg.Forwarded.Overloaded || m.forwardedRequests >= m.policy.MaxForwarded:
 		return m.refuse(msg.Request, http.StatusServiceUnavailable, ReasonNodeBusy, shortRetryAfter)
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -82,8 +82,10 @@
 	peerUsage         map[string]nodeUsage
 	oldestPeerUsageAt clock.Millis
 	sharedUsage       map[fleet.Incarnation]fleet.EngineUsage
-	// meanStreamTime is the moving average of stream durations, in ms.
-	meanStreamTime float64
+	// meanStreamTime is the moving average of stream durations, in ms, and meanAnswerTokens that of
+	// the expected lengths of their answers; zero before the first.
+	meanStreamTime   float64
+	meanAnswerTokens float64
 	// outages holds, by service, the current span of refusals. coverageGaps holds the spans in
 	// which some layers had no engine.
 	outages      map[string]*outage
@@ -112,9 +114,8 @@
 	capacityWaits  CapacityWaits
 	// refusedWorks holds the times of recent refusals of requests that may return.
 	refusedWorks *simplelru.LRU[work.ID, clock.Millis]
-	// draining reports whether a planned stop has begun, which ends at drainEnd.
-	draining bool
-	drainEnd clock.Millis
+	// stop is the planned stop of this node.
+	stop plannedStop
 	// lastTicket numbers the waits of requests in queues.
 	lastTicket uint64
 	// admission holds back less urgent requests under pressure. loadObservedAt is when it was last
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -188,9 +188,14 @@
 // VMResumedMsg reports that the VM resumed after a suspension.
 type VMResumedMsg struct{}
 
-// DrainMsg reports that a planned stop has begun. End is when the node ends the requests that are
-// still in progress.
-type DrainMsg struct{ End clock.Millis }
+// DrainMsg reports that a planned stop has begun.
+type DrainMsg struct {
+	// LateFrom is when the platform has deregistered the node: a request that comes later does so on
+	// an older connection, and its client's next connection leads to another node.
+	LateFrom clock.Millis
+	// End is when the node ends the requests that are still in progress.
+	End clock.Millis
+}
 
 // TickMsg triggers the periodic work.
 type TickMsg struct{}
--- /dev/null
+++ b/dispatch/planned_stop.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"net/http"
+
+	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/clock"
+)
+
+const (
+	// streamTimeMargin is the factor by which a stream may last longer than expected before the
+	// node ends: the clients' length hints are right at the median only.
+	streamTimeMargin = 1.5
+	// plainTimeMargin is the same for the latency objective of a plain request.
+	plainTimeMargin = 2
+	// stopRetryAfter is the Retry-After time of a stopping node. Its client can be served by another
+	// node at once.
+	stopRetryAfter clock.Millis = 50
+)
+
+// plannedStop is the state of a planned stop of this node.
+type plannedStop struct {
+	begun bool
+	// lateFrom is when new requests no longer come from the platform's balancer, and end is when the
+	// node ends the requests that are still in progress.
+	lateFrom, end clock.Millis
+}
+
+// drain begins a planned stop: the waiting requests that cannot be served before the node ends
+// are refused, so that their clients reach other nodes in time.
+func (m *Model) drain(msg DrainMsg) []Cmd {
+	m.stop = plannedStop{begun: true, lateFrom: msg.LateFrom, end: msg.End}
+	return m.reviewCapacityWaiters()
+}
+
+// refuseAtStop refuses a new request that a stopping node may not be able to finish. One whose own
+// time ends before the node does is answered in any case.
+func (m *Model) refuseAtStop(r *request) []Cmd {
+	if !m.stop.begun || m.now.Add(r.timeLeft(m.now)) <= m.stop.end {
+		return nil
+	}
+	if m.now < m.stop.lateFrom && m.now.Add(m.expectedDuration(r)) <= m.stop.end {
+		return nil
+	}
+	return m.refuse(r.arrival.Request, http.StatusServiceUnavailable, ReasonStopping, stopRetryAfter)
+}
+
+// expectedDuration returns how long a request may be in progress, with a margin.
+func (m *Model) expectedDuration(r *request) clock.Millis {
+	if r.route.Kind != catalog.Streaming {
+		return plainTimeMargin * r.route.LatencyTarget
+	}
+	duration := m.meanStreamTime
+	if tokens := r.arrival.expectedAnswerTokens(); tokens > 0 && m.meanAnswerTokens > 0 {
+		duration *= tokens / m.meanAnswerTokens
+	}
+	return clock.Millis(streamTimeMargin * duration)
+}
--- a/dispatch/prompt_load.go
+++ b/dispatch/prompt_load.go
@@ -5,16 +5,21 @@
 const (
 	// initialStreamTime is the assumed mean duration of streams before the first one ends, in ms.
 	initialStreamTime = 3000.0
-	// streamTimeWeight is the weight of a new sample in the moving average of stream durations.
+	// streamTimeWeight is the weight of a new sample in the moving averages of stream durations and
+	// lengths.
 	streamTimeWeight = 0.05
 	// batchShare is the share of an engine's streams that are in its batch at a time; the others
 	// are at other stages of their chains.
 	batchShare = 0.5
 )
 
-// recordStreamTime adds a sample to the moving average of stream durations.
-func (m *Model) recordStreamTime(duration clock.Millis) {
+// recordStream adds a stream to the moving averages of durations and of expected lengths.
+func (m *Model) recordStream(duration clock.Millis, answerTokens float64) {
 	m.meanStreamTime += streamTimeWeight * (float64(duration) - m.meanStreamTime)
+	if m.meanAnswerTokens == 0 {
+		m.meanAnswerTokens = answerTokens
+	}
+	m.meanAnswerTokens += streamTimeWeight * (answerTokens - m.meanAnswerTokens)
 }
 
 // promptLoad estimates the ratio of the prompts that an engine receives to those that it can read
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -172,7 +172,7 @@
 	case "quarantined":
 		return dispatch.QuarantinedMsg{Works: []dispatch.Quarantined{{Work: clinicWork(s.Arg(0)), Age: clock.Millis(s.Int("age", 0)), Ended: parseIncarnations(s.Params["ended"])}}}
 	case "drain":
-		return dispatch.DrainMsg{End: clock.Millis(s.Int("end", 0))}
+		return dispatch.DrainMsg{LateFrom: clock.Millis(s.Int("late", s.Int("end", 0))), End: clock.Millis(s.Int("end", 0))}
 	case "woke":
 		return dispatch.VMResumedMsg{}
 	case "tick":
@@ -338,7 +338,7 @@
 	answerTokens, _ := strconv.Atoi(answer)
 	return dispatch.ArriveMsg{
 		Request: request, CallerID: s.Arg(0), Work: requestedWork(s), Host: "h", Path: s.Params["path"], Key: key, HasKey: hasKey, PromptParts: parseParts(s),
-		Remaining: clock.Millis(s.Int("remaining", 20000)), PromptTokens: promptTokens, AnswerTokens: answerTokens,
+		Remaining: clock.Millis(s.Int("remaining", 20000)), PromptTokens: promptTokens, AnswerTokens: answerTokens, HintTokens: s.Int("hint", 0),
 		BodyBytes: s.Int("body", 0), Forwarded: forwardedBy(s),
 	}
 }
--- a/node/drain.go
+++ b/node/drain.go
@@ -13,6 +13,9 @@
 	// deregistrationDelay is how long a stopping node still accepts connections. The platform
 	// checks readiness each second and deregisters a node at the second failed check.
 	deregistrationDelay clock.Millis = 3000
+	// lateDelay is when the platform has made two readiness checks and deregistered the node. New
+	// requests come only on older connections from then on.
+	lateDelay clock.Millis = 2500
 	// cutoffMargin is how long before the end of the grace period a node cuts off requests in
 	// progress, so that its process exits by itself.
 	cutoffMargin clock.Millis = 500
@@ -24,7 +27,7 @@
 func (n *Node) Drain() {
 	n.log.Info("drain", zap.Int64("in_progress", n.relay.InProgress()), zap.Int64("grace_ms", int64(n.settings.grace())))
 	began := n.clock.Now()
-	n.relay.Stop(began.Add(n.settings.grace() - cutoffMargin))
+	n.relay.Stop(began.Add(lateDelay), began.Add(n.settings.grace()-cutoffMargin))
 	n.clock.WaitUntil(n.ctx, began.Add(min(deregistrationDelay, n.settings.grace()-cutoffMargin)))
 	n.log.Info("listeners_closing", zap.Int64("in_progress", n.relay.InProgress()))
 	ctx, cancel := context.WithCancel(n.ctx)
--- a/relay/capacity_wait_test.go
+++ b/relay/capacity_wait_test.go
@@ -24,7 +24,7 @@
 		waits  dispatch.CapacityWaits
 	}{
 		{"loaded", func(r *Relay, engine fleet.Incarnation) { r.HandlePlacement(engine, fleet.LayerRange{To: 4}, true) }, http.StatusOK, dispatch.CapacityWaits{Begun: 1, Sent: 1}},
-		{"drained", func(r *Relay, _ fleet.Incarnation) { r.Stop(r.clock.Now()) }, http.StatusServiceUnavailable, dispatch.CapacityWaits{Begun: 1, Refused: 1}},
+		{"drained", func(r *Relay, _ fleet.Incarnation) { r.Stop(r.clock.Now(), r.clock.Now()) }, http.StatusServiceUnavailable, dispatch.CapacityWaits{Begun: 1, Refused: 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			upstreams := &scriptedUpstreams{script: []outcome{wholeStream}}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -252,13 +252,12 @@
 	r.decider.notify(r.lifetime, dispatch.PlacedMsg{Upstream: upstream, Layers: layers, Completed: loaded})
 }
 
-// Stop begins a planned stop: Ready reports false, each connection is closed after its answer, and the
-// waiting requests that cannot be served before end are refused. At end the node ends the requests that are
-// still in progress.
-func (r *Relay) Stop(end clock.Millis) {
+// Stop begins a planned stop: Ready reports false, each connection is closed after its answer, and
+// requests that the node may not be able to finish are refused. DrainMsg describes the times.
+func (r *Relay) Stop(lateFrom, end clock.Millis) {
 	r.endsAt.Store(int64(end))
 	r.stopping.Store(true)
-	r.decider.notify(r.lifetime, dispatch.DrainMsg{End: end})
+	r.decider.notify(r.lifetime, dispatch.DrainMsg{LateFrom: lateFrom, End: end})
 }
 
 // Stopping reports whether Stop has been called.
