node: a stopping node answers every request that it has read

What callers saw (LOST): connections that closed without a byte after their whole request had been read, or at the end of the grace period. Three causes of one class, a stop that ends connections instead of requests: - http.Server.Shutdown closes a connection if it reads a request on it later (net/http looks at shuttingDown after readRequest): on connections from before the stop, 3 s after SIGTERM, neither an answer nor a refusal. The caller of a request that may run once cannot tell that it did not run. node/server.go stops accepting by itself and keeps on serving what is open. - What was in progress at the end of the grace period ended with the process. Found by reading, no test.

--- a/cmd/hoistrelay/main.go
+++ b/cmd/hoistrelay/main.go
@@ -63,12 +63,13 @@
 	if err != nil {
 		return err
 	}
+	// The node accepts connections from New on, and a signal must not end it without a drain.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	n, err := node.New(s, log)
 	if err != nil {
 		return err
 	}
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	go drainOn(stop, n, log)
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -252,6 +252,8 @@
 		return m.vmResumed()
 	case DrainMsg:
 		return m.drain(msg)
+	case NodeEndMsg:
+		return m.endRequests()
 	case TickMsg:
 		return m.tick()
 	}
--- a/dispatch/msg.go
+++ b/dispatch/msg.go
@@ -197,6 +197,9 @@
 	End clock.Millis
 }
 
+// NodeEndMsg reports that the node ends: a planned stop has no time left.
+type NodeEndMsg struct{}
+
 // TickMsg triggers the periodic work.
 type TickMsg struct{}
 
@@ -232,4 +235,5 @@
 func (ProbedMsg) dispatchMsg()          {}
 func (VMResumedMsg) dispatchMsg()       {}
 func (DrainMsg) dispatchMsg()           {}
+func (NodeEndMsg) dispatchMsg()         {}
 func (TickMsg) dispatchMsg()            {}
--- a/dispatch/planned_stop.go
+++ b/dispatch/planned_stop.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -18,6 +20,12 @@
 	stopRetryAfter clock.Millis = 50
 )
 
+// EndRequestCmd ends a request because the node ends. Answer is what the client gets if its answer has
+// not begun; otherwise the answer is broken off.
+type EndRequestCmd struct{ Answer RespondCmd }
+
+func (EndRequestCmd) dispatchCmd() {}
+
 // plannedStop is the state of a planned stop of this node.
 type plannedStop struct {
 	begun bool
@@ -56,3 +64,25 @@
 	}
 	return clock.Millis(streamTimeMargin * duration)
 }
+
+// endRequests ends the requests that are still in progress, so that each client learns whether its
+// request may have been executed.
+func (m *Model) endRequests() []Cmd {
+	var cmds []Cmd
+	for _, d := range m.deferred {
+		cmds = append(cmds, EndRequestCmd{Answer: m.response(d.arrival.Request, http.StatusServiceUnavailable, ReasonStopping, stopRetryAfter)})
+	}
+	m.deferred, m.deferredBytes = nil, 0
+	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
+		r := m.requests[id]
+		if r.firstUpstream != nil || r.forwardedTo != "" {
+			r.executions++
+		}
+		answer := m.response(id, http.StatusServiceUnavailable, ReasonStopping, stopRetryAfter)
+		answer.Reason = ReasonStopping
+		cmds = append(cmds, m.endCapacityWait(r, WaitRefused)...)
+		m.dropRequest(id)
+		cmds = append(cmds, EndRequestCmd{Answer: answer})
+	}
+	return cmds
+}
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -173,6 +173,8 @@
 		return dispatch.QuarantinedMsg{Works: []dispatch.Quarantined{{Work: clinicWork(s.Arg(0)), Age: clock.Millis(s.Int("age", 0)), Ended: parseIncarnations(s.Params["ended"])}}}
 	case "drain":
 		return dispatch.DrainMsg{LateFrom: clock.Millis(s.Int("late", s.Int("end", 0))), End: clock.Millis(s.Int("end", 0))}
+	case "nodeends":
+		return dispatch.NodeEndMsg{}
 	case "woke":
 		return dispatch.VMResumedMsg{}
 	case "tick":
@@ -500,6 +502,8 @@
 			text += fmt.Sprintf(" account=%s use=%.0f share=%.0f age=%d", o.Account, o.Use, o.Share, o.Age)
 		}
 		return text
+	case dispatch.EndRequestCmd:
+		return fmt.Sprintf("end %d %d %s back=%d", c.Answer.Request, c.Answer.Status, c.Answer.Reason, c.Answer.RetryAfter)
 	case dispatch.RelayFailureCmd:
 		return fmt.Sprintf("relay %d.%d", c.Request, c.Attempt)
 	case dispatch.AbortResponseCmd:
--- a/node/drain.go
+++ b/node/drain.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"context"
-
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -16,9 +14,13 @@
 	// lateDelay is when the platform has made two readiness checks and deregistered the node. New
 	// requests come only on older connections from then on.
 	lateDelay clock.Millis = 2500
-	// cutoffMargin is how long before the end of the grace period a node cuts off requests in
+	// cutoffMargin is how long before the end of the grace period a node ends the requests in
 	// progress, so that its process exits by itself.
 	cutoffMargin clock.Millis = 500
+	// lastAnswerTime is the time for writing the answers of requests that the node ends.
+	lastAnswerTime clock.Millis = 300
+	// drainPollInterval is the time between two looks at what is in progress.
+	drainPollInterval clock.Millis = 20
 )
 
 // Drain begins a planned stop. The node reports that it is not ready at once. After the platform
@@ -29,19 +31,43 @@
 	began := n.clock.Now()
 	n.relay.Stop(began.Add(lateDelay), began.Add(n.settings.grace()-cutoffMargin))
 	n.clock.WaitUntil(n.ctx, began.Add(min(deregistrationDelay, n.settings.grace()-cutoffMargin)))
-	n.log.Info("listeners_closing", zap.Int64("in_progress", n.relay.InProgress()))
-	ctx, cancel := context.WithCancel(n.ctx)
-	defer cancel()
-	go func() {
-		n.clock.WaitUntil(ctx, began.Add(n.settings.grace()-cutoffMargin))
-		cancel()
-	}()
-	for _, server := range n.servers {
-		// Shutdown closes the listener and idle connections, and waits for requests in progress.
-		if err := server.Shutdown(ctx); err != nil {
-			n.log.Info("drain_cut_short", zap.Int64("in_progress", n.relay.InProgress()), logging.Err(err))
+	n.log.Info("listeners_closing", zap.Int64("in_progress", n.relay.InProgress()), zap.Int64("connections", n.callers.connections()))
+	for _, s := range []*server{n.callers, n.peerServer} {
+		if err := s.stopAccepting(); err != nil {
+			n.log.Info("listener_not_closed", logging.Err(err))
 		}
 	}
+	end := began.Add(n.settings.grace() - cutoffMargin)
+	if !n.awaitIdle(end) {
+		n.log.Info("drain_cut_short", zap.Int64("in_progress", n.relay.InProgress()), zap.Int64("connections", n.callers.connections()))
+		n.relay.End()
+		n.awaitAnswered(end.Add(lastAnswerTime))
+	}
 	n.log.Info("drained", zap.Int64("in_progress", n.relay.InProgress()))
 	close(n.drained)
 }
+
+// awaitIdle waits until no client has a connection and no request is in progress, and reports whether
+// that is so before a time.
+func (n *Node) awaitIdle(until clock.Millis) bool {
+	return n.poll(until, func() bool { return n.callers.connections() == 0 && n.relay.InProgress() == 0 })
+}
+
+// awaitAnswered waits until no request is in progress.
+func (n *Node) awaitAnswered(until clock.Millis) {
+	if !n.poll(until, func() bool { return n.relay.InProgress() == 0 }) {
+		n.log.Warn("requests_not_ended", zap.Int64("in_progress", n.relay.InProgress()))
+	}
+}
+
+// poll waits for a condition and reports whether it holds before a time.
+func (n *Node) poll(until clock.Millis, condition func() bool) bool {
+	for !condition() {
+		now := n.clock.Now()
+		if now >= until || n.ctx.Err() != nil {
+			return false
+		}
+		n.clock.WaitUntil(n.ctx, min(until, now.Add(drainPollInterval)))
+	}
+	return true
+}
--- a/node/node.go
+++ b/node/node.go
@@ -34,17 +34,6 @@
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
-// Limits of the HTTP listeners.
-const (
-	// readHeaderTimeout bounds the time for reading a request's header.
-	readHeaderTimeout = 5 * time.Second
-	// idleTimeout is how long an idle client connection is kept. It must exceed the idle time
-	// that the operator promises to clients, 15 s on the users' sites.
-	idleTimeout = 60 * time.Second
-	// maxHeaderBytes bounds a request's header; the operator allows 16 KB.
-	maxHeaderBytes = 32 << 10
-)
-
 // Node is a relay node.
 type Node struct {
 	settings *Settings
@@ -92,8 +81,9 @@
 	readinessListener net.Listener
 	metricsListener   net.Listener
 	peerListener      net.Listener
-	servers           []*http.Server
-	drained           chan struct{}
+	// callers serves clients, and peerServer other nodes.
+	callers, peerServer *server
+	drained             chan struct{}
 }
 
 // Option configures a Node.
@@ -166,6 +156,8 @@
 	n.follow(self, platform.NewPeerTransport(), n.applyConfig, n.applyFleet)
 	n.peers = peering.New(self, s.PeerSeeds, n.store, n.local, n.local, n.clock, n.log, platform.NewOneShotTransport(), hash(s.Name),
 		peering.WithFirstStart(s.FirstStart), peering.WithComparison(n.handleConfigCompared), peering.WithRestoreDoubt(s.keysMaxAge()))
+	n.callers = newServer(overload.NewListener(n.callerListener, n.overload), n.relay, n.log)
+	n.peerServer = newServer(n.peerListener, n.peerHandler(), n.log)
 	return n, nil
 }
 
@@ -247,10 +239,10 @@
 	n.addLoop(&g, n.wakes.Run)
 	n.addLoop(&g, n.logStoreCalls)
 	n.addLoop(&g, n.watchList)
-	n.addServer(&g, overload.NewListener(n.callerListener, n.overload), n.relay)
-	n.addServer(&g, n.readinessListener, http.HandlerFunc(n.relay.Readiness))
-	n.addServer(&g, n.peerListener, n.peerHandler())
-	n.addServer(&g, n.metricsListener, http.HandlerFunc(n.relay.Metrics))
+	for _, s := range []*server{n.callers, n.peerServer, newServer(n.readinessListener, http.HandlerFunc(n.relay.Readiness), n.log),
+		newServer(n.metricsListener, http.HandlerFunc(n.relay.Metrics), n.log)} {
+		n.addServer(&g, s)
+	}
 	err := g.Run()
 	n.store.Close()
 	n.engines.Close()
@@ -280,24 +272,9 @@
 	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
 
-func (n *Node) addServer(g *run.Group, l net.Listener, h http.Handler) {
-	server := &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(n.log),
-	}
-	n.servers = append(n.servers, server)
-	stopped, stop := context.WithCancel(context.Background())
-	g.Add(func() error {
-		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			// Drain closes the listeners first; the server must not end before the requests in
-			// progress are done.
-			<-stopped.Done()
-		}
-		return err
-	}, func(error) {
-		stop()
-		if err := server.Close(); err != nil {
+func (n *Node) addServer(g *run.Group, s *server) {
+	g.Add(s.serve, func(error) {
+		if err := s.close(); err != nil {
 			n.log.Info("listener_not_closed", logging.Err(err))
 		}
 	})
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -168,6 +168,8 @@
 		d.deliver(cmd.Request, cmd)
 	case dispatch.AbortResponseCmd:
 		d.deliver(cmd.Request, cmd)
+	case dispatch.EndRequestCmd:
+		d.deliver(cmd.Answer.Request, cmd)
 	case dispatch.MigrateCmd:
 		d.deliver(cmd.Request, cmd)
 	case dispatch.AbandonCmd:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -260,6 +260,9 @@
 	r.decider.notify(r.lifetime, dispatch.DrainMsg{LateFrom: lateFrom, End: end})
 }
 
+// End ends the requests that are still in progress after a planned stop.
+func (r *Relay) End() { r.decider.notify(r.lifetime, dispatch.NodeEndMsg{}) }
+
 // Stopping reports whether Stop has been called.
 func (r *Relay) Stopping() bool { return r.stopping.Load() }
 
--- a/relay/session.go
+++ b/relay/session.go
@@ -166,6 +166,9 @@
 		s.logRefusal(cmd)
 		s.respondError(cmd.Status, cmd.Reason, cmd.RetryAfter)
 		return true
+	case dispatch.EndRequestCmd:
+		s.endAtStop(cmd.Answer)
+		return true
 	case dispatch.RelayFailureCmd:
 		return s.relayUpstreamFailure()
 	case dispatch.AbortResponseCmd:
--- a/relay/session_end.go
+++ b/relay/session_end.go
@@ -24,6 +24,16 @@
 	return true
 }
 
+// endAtStop ends the request because the node ends.
+func (s *session) endAtStop(answer dispatch.RespondCmd) {
+	if s.answer.started() {
+		s.abortAnswer(answer.Reason)
+		return
+	}
+	s.logRefusal(answer)
+	s.respondError(answer.Status, answer.Reason, answer.RetryAfter)
+}
+
 // respondError answers the request with an error of this node.
 func (s *session) respondError(status int, reason dispatch.Reason, retryAfter clock.Millis) {
 	s.relay.stats.count("own_" + string(reason))
