--- a/dispatch/planned_stop.go
+++ b/dispatch/planned_stop.go
@@ -41,18 +41,22 @@
 	return m.reviewCapacityWaiters()
 }
 
-// refuseAtStop refuses a new request that a stopping node may not be able to finish. One whose own
-// time ends before the node does is answered in any case.
+// refuseAtStop refuses a new request that a stopping node may not be able to finish. A stream that can
+// be resumed at another node is taken until the platform has deregistered this one: where many nodes
+// stop, a refused client may meet one of them again.
 func (m *Model) refuseAtStop(r *request) []Cmd {
-	if !m.stop.begun || m.now.Add(r.timeLeft(m.now)) <= m.stop.end {
-		return nil
-	}
-	if m.now < m.stop.lateFrom && m.now.Add(m.expectedDuration(r)) <= m.stop.end {
+	if !m.stop.begun || m.endsInTime(r) || m.now < m.stop.lateFrom && r.route.Kind == catalog.Streaming && r.route.MayRepeat() {
 		return nil
 	}
 	return m.refuse(r.arrival.Request, http.StatusServiceUnavailable, ReasonStopping, stopRetryAfter)
 }
 
+// endsInTime reports whether a new request ends before a stopping node does: by its own deadline or,
+// until the platform has deregistered the node, as expected.
+func (m *Model) endsInTime(r *request) bool {
+	return m.now.Add(r.timeLeft(m.now)) <= m.stop.end || m.now < m.stop.lateFrom && m.now.Add(m.expectedDuration(r)) <= m.stop.end
+}
+
 // expectedDuration returns how long a request may be in progress, with a margin.
 func (m *Model) expectedDuration(r *request) clock.Millis {
 	if r.route.Kind != catalog.Streaming {
