dispatch: a call that its upstream works on is not given up without another to make

What callers saw: 502 answer_lost while the upstream was working. Two causes: attemptTimeout compared the executions before this attempt with the bound, so the only or last attempt had a timeout too; and an upstream without history counted as answering in 30 ms. Now the last attempt has none, and at an upstream that has never answered this node the timeout is at least 0.4 of the time left. TestOnlyAttemptHasNoTimeout (got 120 ms) and TestAttemptTimeoutWithoutHistory (got 120 ms of 3,000) failed before. Not done: keeping the first attempt while a second runs.

--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -106,11 +106,13 @@
 	maxFailureRate = 0.55
 	// initialLatency is the assumed latency of an upstream before its first answer, in ms.
 	initialLatency = 30.0
-	// attemptTimeoutFactor and attemptTimeoutAimShare set the timeout of the first attempt of a
+	// attemptTimeoutFactor and attemptTimeoutAimShare set the timeout of an attempt of a
 	// repeatable request: a multiple of the mean latency, and at least a share of the route's
-	// latency objective.
+	// latency objective. At an upstream that has never answered this node it is at least
+	// unknownLatencyShare of the time left, which leaves more for the next attempt.
 	attemptTimeoutFactor   = 4.0
 	attemptTimeoutAimShare = 0.6
+	unknownLatencyShare    = 0.4
 	// minTimeLeft is the least remaining time for which another attempt is sent.
 	minTimeLeft clock.Millis = 20
 	// expectedAnswerShare is the share of the maximum answer length that is expected if the
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -185,17 +185,21 @@
 // tieSpread is the random variation of the cost that mixes upstreams of about equal cost.
 const tieSpread = 0.3
 
-// attemptTimeout returns the timeout of the first attempt of a repeatable request, so that an
-// unresponsive upstream does not use up the client's time; zero for no timeout.
+// attemptTimeout returns the timeout of an attempt of a repeatable request, so that an unresponsive
+// upstream does not use up the client's time; zero for no timeout. The last attempt has none: its end
+// would only drop an answer that is on its way.
 func (m *Model) attemptTimeout(r *request, u *upstream) clock.Millis {
-	if r.route.Kind != catalog.Repeatable || r.executions >= r.maxUpstreams() || !m.hasAlternative(r, u) {
+	if r.route.Kind != catalog.Repeatable || m.isLastUpstream(r) || !m.hasAlternative(r, u) {
 		return 0
 	}
-	return max(clock.Millis(u.meanLatency*attemptTimeoutFactor), clock.Millis(float64(r.route.LatencyTarget)*attemptTimeoutAimShare))
+	timeout := max(clock.Millis(u.meanLatency*attemptTimeoutFactor), clock.Millis(float64(r.route.LatencyTarget)*attemptTimeoutAimShare))
+	if !m.hasAnswered(u) {
+		timeout = max(timeout, clock.Millis(unknownLatencyShare*float64(r.timeLeft(m.now))))
+	}
+	return timeout
 }
 
 // hasAlternative reports whether another upstream of a plain service may get the request instead.
-// Without one, a timeout would only drop an answer that is on its way.
 func (m *Model) hasAlternative(r *request, u *upstream) bool {
 	return slices.ContainsFunc(m.byService[r.service.Name], func(other *upstream) bool {
 		return other != u && r.mayExecuteOn(other) && other.available(m.now) && !other.inBackOff(m.now)
