--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -215,9 +215,10 @@
 	return nil
 }
 
-// nodesMsg returns a message with the named nodes as those that may serve requests of this one.
+// nodesMsg returns a message with the named nodes as those that may serve requests of this one. They are
+// all other nodes unless the line contains all=.
 func nodesMsg(s script.Step) dispatch.PeersMsg {
-	msg := dispatch.PeersMsg{TotalNodes: len(s.Args) + 1}
+	msg := dispatch.PeersMsg{TotalNodes: s.Int("all", len(s.Args)+1)}
 	for _, name := range s.Args {
 		msg.ForwardTargets = append(msg.ForwardTargets, forwarding.Node{Name: name, DataCentre: "a", Address: name + ":1"})
 	}
