dispatch: where a request stands is one fact, changed in one place each

Cause: that a request had left this node was inferred from its first upstream, which a request that is passed on never has. It stayed in the queue with an attempt in progress, was sent again at the next review, or refused with 503 as one that had not run, and the outcome of its attempt was ignored, since attemptFailed and attemptDone ignored what waits.

The type progress says where a request stands, which function may change it from what to what, and what is inferred from it. beginAttempt alone lets a request leave, ends its wait for capacity, and does so only for one without an attempt in progress; reports of sessions are taken only for the attempt in progress (inAttempt). The choice of a path no longer touches the request's first upstream. Also changed to ask progress: the end of the node, the client's leaving, recovery of streams (a resumed stream no longer takes the command of another one for its own), executions, findings about other nodes. A request that waits for a permit leaves the queue at once if this node must ask another one, and keeps its place if the answer is known at once, as before.

Ruled out: ending the wait in sendCapacityWaiter for forwarded requests too, which leaves the inference in place.

--- a/dispatch/capacity_send.go
+++ b/dispatch/capacity_send.go
@@ -74,14 +74,11 @@
 		r.capacity.owesRetry = false
 	}
 	cmds = m.resend(r)
-	sent = r.firstUpstream != nil || !r.permitUpstream.IsZero()
+	sent = r.sentOrAwaitsPermit()
 	if charged && !sent {
 		m.budget(service).Refund(m.now)
 		r.capacity.owesRetry = true
 	}
-	if sent {
-		cmds = append(m.endCapacityWait(r, WaitSent), cmds...)
-	}
 	return cmds, sent
 }
 
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -23,10 +23,10 @@
 		return
 	}
 	r.executions++
-	if r.forwardedTo != "" {
+	if r.progress == atNode {
 		r.executedElsewhere += r.forwardedUpstreams
 	}
-	if r.firstUpstream == nil {
+	if r.progress != atUpstream {
 		return
 	}
 	u := r.firstUpstream
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -10,12 +10,12 @@
 // attemptFailed decides what follows a failed attempt: another attempt, the upstream's error
 // response, or an answer of the node.
 func (m *Model) attemptFailed(msg AttemptFailedMsg) []Cmd {
-	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts || r.waits() {
+	r := m.inAttempt(msg.Request, msg.Attempt)
+	if r == nil {
 		return nil
 	}
 	m.recordForwardFailure(r, msg)
-	wasForwarded := r.forwardedTo != ""
+	wasForwarded := r.progress == atNode
 	cmds := slices.Concat(m.recordAttemptReach(r, msg), m.recordFault(r, msg), m.recordLoss(r, msg))
 	m.recordExecution(r, msg)
 	if msg.Cause.reachedUpstream() {
@@ -62,10 +62,10 @@
 		m.budget(r.service.Name).Refund(m.now)
 		r.capacity.owesRetry = true
 	}
-	if slices.ContainsFunc(cmds, isSendCmd) || !r.permitUpstream.IsZero() || r.waits() {
+	if r.sentOrAwaitsPermit() || r.waits() {
 		return cmds
 	}
-	if m.requests[r.arrival.Request] == nil && msg.Cause.spendsRetryBudget() {
+	if r.progress == ended && msg.Cause.spendsRetryBudget() {
 		// The retry was not sent, because no upstream was available.
 		m.budget(r.service.Name).Refund(m.now)
 	}
@@ -84,11 +84,6 @@
 // if the request reached an upstream.
 func (c Cause) spendsRetryBudget() bool { return c.reachedUpstream() }
 
-func isSendCmd(cmd Cmd) bool {
-	_, ok := cmd.(SendCmd)
-	return ok
-}
-
 // retryDenial returns the reason why a request may not be sent again; empty if it may.
 func (m *Model) retryDenial(r *request, cause Cause) Reason {
 	executed := cause == CauseUnknown || cause == CauseNoProgress || cause == CauseUpstreamFailed
@@ -204,11 +199,11 @@
 }
 
 func (m *Model) attemptDone(msg AttemptDoneMsg) []Cmd {
-	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts || r.waits() {
+	r := m.inAttempt(msg.Request, msg.Attempt)
+	if r == nil {
 		return nil
 	}
-	if r.forwardedTo != "" {
+	if r.progress == atNode {
 		m.nodes.RecordServed(m.now, r.forwardedTo, r.service.Name)
 	}
 	first := r.firstUpstream
--- a/dispatch/first_event.go
+++ b/dispatch/first_event.go
@@ -42,8 +42,8 @@
 
 // recordFirstEvent records that the engines of an attempt have read its prompt.
 func (m *Model) recordFirstEvent(msg FirstEventMsg) []Cmd {
-	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts {
+	r := m.inAttempt(msg.Request, msg.Attempt)
+	if r == nil {
 		return nil
 	}
 	r.awaitsFirstEvent = false
@@ -55,7 +55,7 @@
 		h.upstream.promptTokens -= h.promptTokens
 		h.promptTokens = 0
 	}
-	if r.forwardedTo != "" {
+	if r.progress == atNode {
 		m.nodes.RecordServed(m.now, r.forwardedTo, r.service.Name)
 	}
 	return append(m.recordAnswered(r.firstUpstream), m.quarantineCmds(m.quarantine.Answered(m.now, r.work))...)
@@ -63,8 +63,8 @@
 
 // firstEventOverdue abandons an attempt without a first event if another one can be made.
 func (m *Model) firstEventOverdue(msg FirstEventOverdueMsg) []Cmd {
-	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts {
+	r := m.inAttempt(msg.Request, msg.Attempt)
+	if r == nil {
 		return nil
 	}
 	m.recordMissingFirstEvent(r)
@@ -82,7 +82,7 @@
 // request, its time and its part of the retry budget allow it, another chain exists, and no waiting
 // request would be sent before it.
 func (m *Model) canReplaceAttempt(r *request) bool {
-	if r.firstUpstream == nil || m.isLastUpstream(r) || r.timeLeft(m.now) < r.route.LatencyTarget {
+	if r.progress != atUpstream || m.isLastUpstream(r, r.firstUpstream) || r.timeLeft(m.now) < r.route.LatencyTarget {
 		return false
 	}
 	holders := m.holders(r, m.byService[r.service.Name], (*upstream).healthy, r.firstUpstream.entry.ID)
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -93,12 +93,10 @@
 		r.askedNodes = make(map[string]bool)
 	}
 	r.askedNodes[node.Name] = true
-	r.forwardedTo = node.Name
 	r.forwardedUpstreams = m.forwardedUpstreams(r)
 	m.nodes.RecordBegun(node.Name)
 	cmd := SendCmd{Node: node.Name, Address: node.Address, UpstreamsLeft: r.forwardedUpstreams, Admitted: r.admittance.settled}
-	m.beginAttempt(r, &cmd)
-	return []Cmd{cmd}
+	return m.beginAttempt(r, cmd, nil)
 }
 
 // endForward ends the attempt at another node, if there is one.
@@ -112,7 +110,7 @@
 // recordForwardFailure records what a failed attempt at another node shows about that node.
 func (m *Model) recordForwardFailure(r *request, msg AttemptFailedMsg) {
 	switch {
-	case r.forwardedTo == "":
+	case r.progress != atNode:
 	case msg.Cause == CauseNodeRefused && msg.Refusal.Reason.concernsNode():
 		r.nodeRefusals++
 		m.nodes.RecordRefused(m.now, r.forwardedTo, r.service.Name)
--- a/dispatch/limit.go
+++ b/dispatch/limit.go
@@ -167,16 +167,14 @@
 // awaitPermit requests a permit for a request. This node itself may be the one that grants it.
 func (m *Model) awaitPermit(r *request, u *upstream) []Cmd {
 	id := u.entry.ID
-	if r.permitUpstream.IsZero() {
-		r.permitWaitUntil = m.now.Add(maxPermitWait)
+	cmds := requestPermitsCmds(m.limits.RequestPermits(m.now, id, len(m.permitWaiters[id])+1))
+	if m.limits.State(m.now, id) != limit.RequestPending {
+		return slices.Concat(cmds, m.resumePermitWaiters(id), m.resend(r))
 	}
-	r.permitUpstream = id
+	cmds = append(m.endCapacityWait(r, WaitSent), cmds...)
+	r.progress, r.permitUpstream, r.permitWaitUntil = awaitingPermit, id, m.now.Add(maxPermitWait)
 	m.permitWaiters[id] = append(m.permitWaiters[id], r.arrival.Request)
-	cmds := requestPermitsCmds(m.limits.RequestPermits(m.now, id, len(m.permitWaiters[id])))
-	if m.limits.State(m.now, id) == limit.RequestPending {
-		return cmds
-	}
-	return append(cmds, m.resumePermitWaiters(id)...)
+	return cmds
 }
 
 // resumePermitWaiters sends the requests that waited for a permit of an upstream, by priority and
@@ -184,8 +182,8 @@
 func (m *Model) resumePermitWaiters(upstream fleet.Incarnation) []Cmd {
 	var waiting []*request
 	for _, id := range m.permitWaiters[upstream] {
-		if r := m.requests[id]; r != nil && r.permitUpstream == upstream {
-			r.permitUpstream = fleet.Incarnation{}
+		if r := m.requests[id]; r != nil && r.progress == awaitingPermit && r.permitUpstream == upstream {
+			r.progress = undecided
 			waiting = append(waiting, r)
 		}
 	}
@@ -221,7 +219,7 @@
 func (m *Model) expirePermitWaits(upstream fleet.Incarnation) bool {
 	found := false
 	for _, id := range m.permitWaiters[upstream] {
-		if r := m.requests[id]; r != nil && r.permitUpstream == upstream && m.now >= r.permitWaitUntil {
+		if r := m.requests[id]; r != nil && r.progress == awaitingPermit && r.permitUpstream == upstream && m.now >= r.permitWaitUntil {
 			r.permitWaitExpired, found = true, true
 		}
 	}
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -131,7 +131,7 @@
 func (m *Model) requestEnded(msg RequestEndedMsg) []Cmd {
 	r := m.requests[msg.Request]
 	var cmds []Cmd
-	if r != nil && r.firstUpstream != nil && !r.answerBegun() && !r.firstUpstream.entry.Leaving && !m.cutFrom(r.firstUpstream) {
+	if r != nil && r.progress == atUpstream && !r.answerBegun() && !r.firstUpstream.entry.Leaving && !m.cutFrom(r.firstUpstream) {
 		cmds = m.recordOwnLoss(r, r.firstUpstream.entry.ID, canceledLossWindow)
 	}
 	if r == nil {
--- a/dispatch/migrate.go
+++ b/dispatch/migrate.go
@@ -11,8 +11,8 @@
 // stalled migrates a stream away from the engine that stalls it. Unless the engine is merely
 // slow, it becomes suspected, and the other streams through it check their progress.
 func (m *Model) stalled(msg StalledMsg) []Cmd {
-	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts {
+	r := m.inAttempt(msg.Request, msg.Attempt)
+	if r == nil {
 		return nil
 	}
 	engine, ok := r.upstreamAt(msg.FaultyAddress)
@@ -86,8 +86,8 @@
 // migrated handles the result of a migration. A stream that could not migrate is sent again
 // elsewhere once its session cancels the attempt.
 func (m *Model) migrated(msg MigratedMsg) []Cmd {
-	r := m.requests[msg.Request]
-	if r == nil || msg.Attempt != r.attempts {
+	r := m.inAttempt(msg.Request, msg.Attempt)
+	if r == nil {
 		return nil
 	}
 	r.migrating = false
--- a/dispatch/planned_stop.go
+++ b/dispatch/planned_stop.go
@@ -75,7 +75,7 @@
 	m.deferred, m.deferredBytes = nil, 0
 	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
 		r := m.requests[id]
-		if r.firstUpstream != nil || r.forwardedTo != "" {
+		if r.hasLeft() {
 			r.executions++
 		}
 		answer := m.response(id, http.StatusServiceUnavailable, ReasonStopping, stopRetryAfter)
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -104,6 +104,7 @@
 // awaitResume queues a stream whose attempt has failed. Its retry is charged already and refunded
 // if it is never sent.
 func (m *Model) awaitResume(r *request) []Cmd {
+	r.progress = awaitingTurn
 	r.hasUnsentRetry, r.unsentRetry = true, m.budget(r.service.Name).LastWithdrawal(m.now)
 	m.recoveries.Add(recovery.Stream{
 		ID: uint64(r.arrival.Request), Attempt: r.attempts, Priority: r.priority(),
@@ -137,7 +138,7 @@
 	var cmds []Cmd
 	for _, s := range m.recoveries.Ordered(m.now) {
 		r := m.requests[RequestID(s.ID)]
-		if r == nil || r.attempts != s.Attempt || s.Avoided.IsZero() != (r.firstUpstream == nil) {
+		if r == nil || r.attempts != s.Attempt || r.progress != awaitedProgress(s) {
 			// The request has ended, or its attempt has failed or been replaced meanwhile.
 			m.recoveries.Remove(s.ID)
 			continue
@@ -150,6 +151,15 @@
 	return cmds
 }
 
+// awaitedProgress returns where a request stands as long as its place among the streams that wait to
+// leave engines holds: without an attempt if that has failed, or else at the engine that it is to leave.
+func awaitedProgress(s recovery.Stream) progress {
+	if s.Avoided.IsZero() {
+		return awaitingTurn
+	}
+	return atUpstream
+}
+
 // recoverStream moves one stream, unless all engines that could take it over are too busy with
 // prompts moved before.
 func (m *Model) recoverStream(r *request, s recovery.Stream) []Cmd {
@@ -184,16 +194,15 @@
 
 // resumeRecovered sends a stream whose attempt has failed again.
 func (m *Model) resumeRecovered(r *request, report *Recovery) []Cmd {
-	r.hasUnsentRetry = false
+	r.progress, r.hasUnsentRetry = undecided, false
 	cmds := m.resend(r)
-	sent := false
 	for i, cmd := range cmds {
-		if send, ok := cmd.(SendCmd); ok {
+		if send, ok := cmd.(SendCmd); ok && send.Request == r.arrival.Request {
 			send.Recovery = report
-			cmds[i], sent = send, true
+			cmds[i] = send
 		}
 	}
-	if !sent && m.requests[r.arrival.Request] == nil {
+	if r.progress == ended {
 		m.budget(r.service.Name).Return(m.now, r.unsentRetry)
 	}
 	return cmds
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -32,6 +32,8 @@
 	// by which the current attempt was decided.
 	admittance admittance
 	decidedBy  catalog.Edition
+	// progress is where the request stands.
+	progress progress
 	// work identifies the content of the request together with its client account, and the parts
 	// of its prompt.
 	work work.Request
@@ -53,12 +55,12 @@
 	// number of stream events in it.
 	delivered       Delivered
 	deliveredEvents int
-	// waitReason is why a stream that has begun waits to be resumed, until waitUntil; empty if it
-	// does not wait.
+	// waitReason is why a stream that has begun waits to be resumed, until waitUntil. It holds only
+	// while the stream is interrupted.
 	waitReason Reason
 	waitUntil  clock.Millis
 	// permitUpstream is the upstream for which the request waits for a permit, until
-	// permitWaitUntil. permitWaitExpired reports whether it no longer waits for any permit.
+	// permitWaitUntil; both hold only while it is awaitingPermit. permitWaitExpired reports whether it no longer waits for any permit.
 	permitUpstream    fleet.Incarnation
 	permitWaitUntil   clock.Millis
 	permitWaitExpired bool
@@ -73,7 +75,7 @@
 	// slotRefusals counts the attempts that found no slot. They are bounded by the request's time
 	// and by the retry budget, not by maxAttempts.
 	slotRefusals int
-	// forwardedTo is the node to which the current attempt passes the request on; empty for none.
+	// forwardedTo is the node to which the current attempt passes the request on; set only atNode.
 	// askedNodes holds the nodes that were asked to serve it, nil for none, and nodeRefusals counts the attempts
 	// that they did not execute, which maxAttempts does not bound.
 	forwardedTo  string
@@ -93,6 +95,7 @@
 	afterBackOff bool
 
 	// The current attempt, which was sent at sentAt with a prediction for its first event.
+	// firstUpstream is set only atUpstream.
 	sentAt              clock.Millis
 	predictedFirstEvent clock.Millis
 	firstUpstream       *upstream
@@ -209,8 +212,11 @@
 	r.chain = nil
 }
 
-// endAttempt releases the resources of the current attempt.
+// endAttempt releases the resources of the current attempt, if there is one.
 func (m *Model) endAttempt(r *request) {
+	if r.hasLeft() {
+		r.progress = undecided
+	}
 	m.release(r)
 	if r.firstUpstream != nil {
 		r.firstUpstream.inFlight--
@@ -227,6 +233,7 @@
 	}
 	m.endAttempt(r)
 	r.dequeue()
+	r.progress = ended
 	if r.arrival.Forwarded != nil {
 		m.forwardedRequests--
 	}
--- a/dispatch/request_queue.go
+++ b/dispatch/request_queue.go
@@ -29,9 +29,6 @@
 	return &requestQueue{entries: fairqueue.New[waitEntry]()}
 }
 
-// waits reports whether the request waits in a queue.
-func (r *request) waits() bool { return r.position.queue != nil }
-
 // queueLevel returns the priority level of a request in queues. Operators may configure any
 // priority.
 func (r *request) queueLevel() int { return min(max(r.priority(), 0), fairqueue.Priorities-1) }
@@ -39,6 +36,7 @@
 // enqueue adds a request to a queue.
 func (m *Model) enqueue(q *requestQueue, r *request) {
 	m.lastTicket++
+	r.progress = queued
 	r.position = queuePosition{queue: q, level: r.queueLevel(), account: r.account.Name, ticket: m.lastTicket}
 	q.waiting[r.position.level]++
 	q.entries.Push(waitEntry{request: r.arrival.Request, ticket: m.lastTicket},
@@ -50,6 +48,7 @@
 	if r.waits() {
 		r.position.queue.waiting[r.position.level]--
 		r.position = queuePosition{}
+		r.progress = undecided
 	}
 }
 
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -14,6 +14,9 @@
 // send chooses the upstream or chain for the next attempt of a request. Without one, the request
 // is passed on to another node, waits or ends.
 func (m *Model) send(r *request) []Cmd {
+	if !r.mayBeSent() {
+		return nil
+	}
 	if by, remaining, quarantined := m.quarantine.QuarantinedBy(m.now, r.work); quarantined {
 		return m.refuseQuarantined(r, by, remaining)
 	}
@@ -23,13 +26,13 @@
 	if m.overFairShare(r) {
 		return m.giveUp(r, ReasonOverFairShare)
 	}
-	cmd, reason := m.choosePath(r, m.leavesSuspects(r))
+	cmd, first, reason := m.choosePath(r, m.leavesSuspects(r))
 	if reason.isPathLoss() && m.lacksOnlyReach(r) {
 		if cmds := m.forward(r); len(cmds) > 0 {
 			return cmds
 		}
 		r.trustsLinks = true
-		cmd, reason = m.choosePath(r, r.arrival.Forwarded != nil)
+		cmd, first, reason = m.choosePath(r, r.arrival.Forwarded != nil)
 		r.trustsLinks = false
 		if reason.isPathLoss() && m.cutFromService(r) {
 			reason = ReasonNoPath
@@ -42,27 +45,30 @@
 		return m.awaitSlot(r)
 	}
 	if reason == awaitsPermit {
-		first := r.firstUpstream
-		r.firstUpstream = nil
 		return m.awaitPermit(r, first)
 	}
 	if reason != "" {
 		return m.giveUp(r, reason)
 	}
-	r.firstUpstream.inFlight++
-	m.limits.RecordSent(m.now, r.firstUpstream.entry.ID)
-	advertised, _ := m.limits.Limit(r.firstUpstream.entry.ID)
+	first.inFlight++
+	m.limits.RecordSent(m.now, first.entry.ID)
+	advertised, _ := m.limits.Limit(first.entry.ID)
 	cmd.Limit = advertised.Rate
-	cmd.Upstream, cmd.Address = r.firstUpstream.entry.ID, r.firstUpstream.entry.Address
-	cmd.LastUpstream = m.isLastUpstream(r)
-	cmd.InFlight = r.firstUpstream.inFlight
-	m.beginAttempt(r, &cmd)
-	return []Cmd{cmd}
+	cmd.Upstream, cmd.Address = first.entry.ID, first.entry.Address
+	cmd.LastUpstream = m.isLastUpstream(r, first)
+	cmd.InFlight = first.inFlight
+	return m.beginAttempt(r, cmd, first)
 }
 
-// beginAttempt counts an attempt of a request and sets the fields of its command that do not depend
-// on where the request is sent.
-func (m *Model) beginAttempt(r *request, cmd *SendCmd) {
+// beginAttempt begins an attempt of a request at an upstream, or at the node of its command if that is
+// nil, and sets the fields of the command that do not depend on where the request is sent. Nothing
+// else lets a request leave this node, so its wait for capacity ends here too.
+func (m *Model) beginAttempt(r *request, cmd SendCmd, first *upstream) []Cmd {
+	cmds := m.endCapacityWait(r, WaitSent)
+	r.progress, r.firstUpstream, r.forwardedTo = atUpstream, first, ""
+	if first == nil {
+		r.progress, r.forwardedTo = atNode, cmd.Node
+	}
 	r.attempts++
 	cmd.Request, cmd.Attempt = r.arrival.Request, r.attempts
 	cmd.Route, cmd.Account, cmd.RequiresKey, cmd.Priority = r.route, r.account.Name, r.requiresKey && !r.admittance.settled, r.priority()
@@ -73,11 +79,12 @@
 	}
 	cmd.Config, cmd.ConfigAge = m.catalog.Edition(), clock.AgeOf(m.configConfirmedAt, m.now)
 	r.decidedBy = cmd.Config
+	return append(cmds, cmd)
 }
 
-// choosePath chooses the upstream or chain for the next attempt. With leaveSuspects, a plain
+// choosePath chooses the upstream or chain for the next attempt, and its first upstream. With leaveSuspects, a plain
 // service of which this node reaches no upstream gives no path.
-func (m *Model) choosePath(r *request, leaveSuspects bool) (SendCmd, Reason) {
+func (m *Model) choosePath(r *request, leaveSuspects bool) (SendCmd, *upstream, Reason) {
 	if r.service.Pipeline != nil {
 		return m.sendPipeline(r)
 	}
@@ -85,10 +92,10 @@
 }
 
 // isLastUpstream reports whether no upstream may execute the request besides those that have
-// executed it and the one it is being sent to.
-func (m *Model) isLastUpstream(r *request) bool {
+// executed it and the one that it is sent to.
+func (m *Model) isLastUpstream(r *request, u *upstream) bool {
 	n := m.countedExecutions(r)
-	if !r.executedBy(r.firstUpstream) {
+	if !r.executedBy(u) {
 		n++
 	}
 	return n >= r.maxUpstreams()
@@ -129,10 +136,10 @@
 
 // sendPlain chooses the upstream that is expected to answer first, by its mean latency and the
 // number of this node's requests on it.
-func (m *Model) sendPlain(r *request, leaveSuspects bool) (SendCmd, Reason) {
+func (m *Model) sendPlain(r *request, leaveSuspects bool) (SendCmd, *upstream, Reason) {
 	if q := m.slotQueues[r.service.Name]; q != nil && q.len() > 0 && !r.waitedForSlot && m.lacksOnlySlot(r) {
 		// New requests queue behind those that already wait for a slot.
-		return SendCmd{}, ReasonNoSlot
+		return SendCmd{}, nil, ReasonNoSlot
 	}
 	sound := func(u *upstream) bool {
 		return r.mayExecuteOn(u) && !r.triedUpstreams[u.entry.ID] && u.available(m.now) && u.failureRate <= maxFailureRate
@@ -145,7 +152,7 @@
 		best = m.cheapest(r, sound)
 	}
 	if best == nil && leaveSuspects && m.lacksOnlyReach(r) {
-		return SendCmd{}, ReasonNoUpstream
+		return SendCmd{}, nil, ReasonNoUpstream
 	}
 	if best == nil {
 		best = m.cheapest(r, func(u *upstream) bool { return r.mayExecuteOn(u) && !r.triedUpstreams[u.entry.ID] && !u.full(m.now) })
@@ -154,13 +161,12 @@
 		best = m.cheapest(r, func(u *upstream) bool { return r.mayExecuteOn(u) && u.available(m.now) })
 	}
 	if best == nil {
-		return SendCmd{}, ReasonNoUpstream
+		return SendCmd{}, nil, ReasonNoUpstream
 	}
-	r.firstUpstream = best
 	if m.needsPermit(best) {
-		return SendCmd{}, awaitsPermit
+		return SendCmd{}, best, awaitsPermit
 	}
-	return SendCmd{AttemptTimeout: m.attemptTimeout(r, best)}, ""
+	return SendCmd{AttemptTimeout: m.attemptTimeout(r, best)}, best, ""
 }
 
 func (m *Model) cheapest(r *request, allowed func(*upstream) bool) *upstream {
@@ -204,24 +210,23 @@
 
 // sendPipeline builds a chain of engines. Suspected engines are excluded unless a layer has no
 // other engine.
-func (m *Model) sendPipeline(r *request) (SendCmd, Reason) {
+func (m *Model) sendPipeline(r *request) (SendCmd, *upstream, Reason) {
 	if reason := m.mustQueue(r, engineLane); reason != "" {
-		return SendCmd{}, reason
+		return SendCmd{}, nil, reason
 	}
 	r.capacity.admitted = true
 	parts, err := m.chainFor(r)
 	if err != nil && m.upstreamBoundReached(r) {
 		// A client can resume an aborted stream elsewhere at once, while this node would have to
 		// wait for the engines that have executed it.
-		return SendCmd{}, ReasonRefused
+		return SendCmd{}, nil, ReasonRefused
 	}
 	if err != nil {
-		return SendCmd{}, chainErrorReason(err)
+		return SendCmd{}, nil, chainErrorReason(err)
 	}
 	first := m.upstreams[parts[0].ID]
-	r.firstUpstream = first
 	if m.needsPermit(first) {
-		return SendCmd{}, awaitsPermit
+		return SendCmd{}, first, awaitsPermit
 	}
 	predicted := m.predict(r, parts)
 	r.sentAt, r.predictedFirstEvent = m.now, predicted.firstEvent
@@ -231,7 +236,7 @@
 	m.recordShareSent(r)
 	return SendCmd{
 		Chain: parts, PredictedFirstEvent: predicted.firstEvent, PredictionInputAge: predicted.inputAge, FirstEventLimit: m.firstEventLimit(r),
-	}, ""
+	}, first, ""
 }
 
 // chainFor builds the chain of a request. Engines of other data centres are only considered if
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -43,7 +43,7 @@
 		r.waitUntil = m.now.Add(clientPatience(r.route))
 	}
 	if waitsForCapacity(reason) && m.now < r.waitUntil {
-		r.waitReason = reason
+		r.progress, r.waitReason = interrupted, reason
 		clear(r.askedNodes)
 		r.afterBackOff = len(m.backOffEnds(r)) > 0
 		return nil
@@ -60,13 +60,13 @@
 			continue
 		}
 		reason := r.waitReason
-		r.waitReason = ""
+		r.progress = undecided
 		if reason == ReasonNoRetryBudget && !m.takeRetry(r) {
 			cmds = append(cmds, m.waitOrAbort(r, reason)...)
 			continue
 		}
 		next := m.resend(r)
-		if r.afterBackOff && slices.ContainsFunc(next, isSendCmd) {
+		if r.afterBackOff && r.hasLeft() {
 			remaining--
 		}
 		cmds = append(cmds, next...)
@@ -78,7 +78,7 @@
 func (m *Model) waitingStreams() []*request {
 	var list []*request
 	for _, id := range slices.Sorted(maps.Keys(m.requests)) {
-		if r := m.requests[id]; r.waitReason != "" {
+		if r := m.requests[id]; r.progress == interrupted {
 			list = append(list, r)
 		}
 	}
@@ -86,7 +86,7 @@
 	return list
 }
 
-// resend sends a request again. One that has been let in is not asked for its key again.
+// resend tries to send a request. One that has been let in is not asked for its key again.
 func (m *Model) resend(r *request) []Cmd {
 	if !r.admittance.settled {
 		if cmds := m.checkKey(r); cmds != nil {
