dispatch: a retry from the slot queue that is passed on stays charged

Cause: sendSlotWaiters took a request without a first upstream for one that was not sent, and refunded its retry although it was passed on to another node (BUDGET). It asks progress now.

--- a/dispatch/slot_queue.go
+++ b/dispatch/slot_queue.go
@@ -124,7 +124,7 @@
 			return append(cmds, m.awaitSlot(r)...)
 		}
 		cmds = append(cmds, m.resend(r)...)
-		if charged && r.progress != atUpstream && r.progress != awaitingPermit {
+		if charged && !r.sentOrAwaitsPermit() {
 			// The request was not sent: it waits again or has ended.
 			m.budget(service).Refund(m.now)
 		}
