dispatch: an unreached node is no upstream that has never answered

Cause: an attempt at another node has no first upstream, and none counts as one that has never answered. Such an attempt was taken out of the bounded attempts twice, as nodeRefusals and as unsentAttempts, so that each unreached node allowed one further attempt that upstreams refuse, and the request was kept away from upstreams without an answer.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -27,7 +27,7 @@
 	if msg.Cause == CauseFull && r.service.Pipeline == nil {
 		r.slotRefusals++
 	}
-	if msg.Cause == CauseNotSent && !m.hasAnswered(r.firstUpstream) {
+	if msg.Cause == CauseNotSent && r.progress == atUpstream && !m.hasAnswered(r.firstUpstream) {
 		r.unsentAttempts++
 	}
 	r.capacity.admitted, r.capacity.hasFailure = false, msg.Cause == CauseUpstreamFailed
