dispatch: a waiting request that was admitted keeps its admittance

Cause: requeueWaiters asked every waiting request for its key again, also one whose last attempt may have reached an upstream. That one was told 401, which says that it has not run, and docs/design/admittance.md says that it was admitted with that attempt.

--- a/dispatch/capacity_config.go
+++ b/dispatch/capacity_config.go
@@ -17,9 +17,9 @@
 	}
 }
 
-// requeueWaiters applies a new configuration to the requests that wait for capacity. Those whose
-// keys have become invalid are refused, and the others are ordered by their present accounts and
-// priorities.
+// requeueWaiters applies a new configuration to the requests that wait for capacity. Those that have
+// not been admitted are refused if their keys have become invalid. The others are ordered by their
+// present accounts and priorities.
 func (m *Model) requeueWaiters() []Cmd {
 	var waiting []*request
 	for _, r := range m.requests {
@@ -32,7 +32,9 @@
 	changed := false
 	for _, r := range waiting {
 		m.updateWaiter(r)
-		cmds = append(cmds, m.checkKey(r)...)
+		if !r.admittance.settled {
+			cmds = append(cmds, m.checkKey(r)...)
+		}
 		changed = changed || r.waits() && (r.queueLevel() != r.position.level || r.account.Name != r.position.account)
 	}
 	if !changed {
