dispatch: the driver of the model draws rare events rarely and checks more

rapid draws small numbers more often than large ones, so that rare events drawn as zero were common: of 31,000 requests most were refused for a key or a route that was gone.

--- a/dispatch/request_driver_input_test.go
+++ b/dispatch/request_driver_input_test.go
@@ -16,11 +16,19 @@
 // driverPaths are the paths of the driver's routes, and one without a route.
 var driverPaths = []string{"/write/a", "/write/a", "/unresumed/a", "/steady/a", "/steady/a", "/feed/a", "/read/a", "/read/a", "/once/a", "/once/a", "/open/a", "/write/a", "/read/a", "/none"}
 
+// driverServices holds the services of the routes.
+var driverServices = map[string]string{
+	"write": "writer", "unresumed": "writer", "steady": "writer", "feed": "desk", "read": "desk", "once": "desk", "open": "desk",
+}
+
 func driverWork(n int) work.ID { return work.ID{}.ForAccount(fmt.Sprint("work", n)) }
 
+// oneIn draws true in less than one of n cases: small numbers are drawn more often.
+func oneIn(t *rapid.T, n int, name string) bool { return rapid.IntRange(1, n).Draw(t, name) == n }
+
 // driverPolicy draws the operator's settings: those of the template, or any.
 func driverPolicy(t *rapid.T) dispatch.Policy {
-	if rapid.IntRange(0, 3).Draw(t, "template") == 0 {
+	if oneIn(t, 4, "template") {
 		return dispatch.Policy{MaxConfigAge: 5000, RetryWindow: driverRetryWindow, RetryShare: 0.2, RetrySlack: 200, MaxForwarded: 128, SpreadCost: dispatch.DefaultSpreadCost}
 	}
 	return dispatch.Policy{
@@ -44,20 +52,16 @@
 		{Name: "write", Kind: catalog.Streaming, Resumable: true}, {Name: "unresumed", Kind: catalog.Streaming}, {Name: "steady", Kind: catalog.Streaming, Resumable: true, EventGapTarget: 250},
 		{Name: "feed", Kind: catalog.Streaming, Resumable: true}, {Name: "read", Kind: catalog.Repeatable}, {Name: "once"}, {Name: "open", Anonymous: true},
 	} {
-		if rapid.IntRange(0, 29).Draw(d.t, "dropped") == 0 {
+		if oneIn(d.t, 30, "dropped") {
 			continue
 		}
-		service := "writer"
-		if r.Kind != catalog.Streaming || r.Name == "feed" {
-			service = "desk"
-		}
-		r.Host, r.Prefix, r.Targets = "h", "/"+r.Name+"/", []catalog.Target{{Service: service, Weight: 1}}
+		r.Host, r.Prefix, r.Targets = "h", "/"+r.Name+"/", []catalog.Target{{Service: driverServices[r.Name], Weight: 1}}
 		r.MaxAttempts, r.Priority = rapid.SampledFrom([]int{0, 1, 2, 2, 9}).Draw(d.t, "attempts"), rapid.IntRange(0, 3).Draw(d.t, "priority")
 		r.Timeout, r.LatencyTarget = millis("timeout", 0, 800, 20_000), millis("latency", 0, 100, 500)
 		routes = append(routes, &r)
 	}
 	services := []*catalog.Service{{Name: "desk", HealthPath: "/health"}}
-	if rapid.IntRange(0, 19).Draw(d.t, "no writer") > 0 {
+	if !oneIn(d.t, 20, "no writer") {
 		services = append(services, &catalog.Service{Name: "writer", HealthPath: "/health", Pipeline: &catalog.Pipeline{
 			Layers: driverLayers, LayerMB: 1000, TokenBytes: 8_000_000, StepMS: 1, LoadMS: rapid.SampledFrom([]float64{0, 100}).Draw(d.t, "load"), ReadRate: rapid.SampledFrom([]float64{0, 10}).Draw(d.t, "read"),
 			Accelerators: map[string]catalog.Accelerator{"fast": {Name: "fast", MemoryMB: 5000, StepFactor: 1, ReadFactor: 1}, "slow": {Name: "slow", MemoryMB: 9000, StepFactor: 10, ReadFactor: 10}},
@@ -65,7 +69,7 @@
 	}
 	opts := []catalog.Option{catalog.WithRoutes(routes...), catalog.WithServices(services...)}
 	for _, name := range []string{"k", "shop", "radio"} {
-		if rapid.IntRange(0, 9).Draw(d.t, "revoked") > 0 {
+		if !oneIn(d.t, 10, "revoked") {
 			opts = append(opts, catalog.WithAccount(catalog.Account{Name: name, Priority: rapid.IntRange(0, 3).Draw(d.t, "account priority"), HasPriority: rapid.Bool().Draw(d.t, "has priority")}, name))
 		}
 	}
@@ -80,13 +84,13 @@
 func driverChange(t *rapid.T, i int) fleet.Change {
 	u := fleet.Upstream{
 		ID: driverUpstream(i), Address: fmt.Sprintf("u%d:80", i), Service: "desk", DataCentre: rapid.SampledFrom([]string{"a", "a", "b"}).Draw(t, "centre"),
-		Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0, Withheld: rapid.IntRange(0, 14).Draw(t, "withheld") == 0, Slots: rapid.SampledFrom([]int{0, 2}).Draw(t, "slots"),
+		Leaving: oneIn(t, 10, "leaving"), Withheld: oneIn(t, 15, "withheld"), Slots: rapid.SampledFrom([]int{0, 2}).Draw(t, "slots"),
 	}
 	if i >= 3 {
 		u.Service, u.Accelerator = "writer", rapid.SampledFrom([]string{"fast", "fast", "slow"}).Draw(t, "kind")
 		u.Held = []fleet.LayerRange{{To: 4}, {From: 4, To: 8}, {To: 8}, {From: 2, To: 8}, {To: 4}}[i-3]
 	}
-	gone := rapid.IntRange(0, 7).Draw(t, "gone") == 0
+	gone := oneIn(t, 8, "gone")
 	return fleet.Change{ID: u.ID, Upstream: u, Gone: gone, Ended: gone && rapid.Bool().Draw(t, "ended")}
 }
 
@@ -111,7 +115,7 @@
 	case 7:
 		d.update(dispatch.BackOffMsg{Upstream: upstream, For: clock.Millis(rapid.SampledFrom([]int{50, 1000, 100_000}).Draw(d.t, "back off"))})
 	case 8:
-		if d.stopAt == 0 && rapid.IntRange(0, 3).Draw(d.t, "stops") == 0 {
+		if d.stops && d.stopAt == 0 {
 			d.stopAt = d.now.Add(clock.Millis(rapid.SampledFrom([]int{0, 500, 7500}).Draw(d.t, "grace")))
 			d.update(dispatch.DrainMsg{LateFrom: d.now.Add(clock.Millis(rapid.IntRange(0, 3000).Draw(d.t, "late from"))), End: d.stopAt})
 		}
@@ -143,7 +147,7 @@
 
 // finding reports what this node or another one has found about an upstream.
 func (d *driver) finding(upstream fleet.Incarnation) {
-	report := dispatch.Report{FreeMemory: float64(rapid.SampledFrom([]int{0, 4000}).Draw(d.t, "free")), TotalMemory: 5000, Queued: rapid.IntRange(0, 3).Draw(d.t, "queued"), Slowdown: rapid.SampledFrom([]float64{0, 1, 5}).Draw(d.t, "slowdown"), Empty: rapid.IntRange(0, 9).Draw(d.t, "empty") == 0}
+	report := dispatch.Report{FreeMemory: float64(rapid.SampledFrom([]int{0, 4000}).Draw(d.t, "free")), TotalMemory: 5000, Queued: rapid.IntRange(0, 3).Draw(d.t, "queued"), Slowdown: rapid.SampledFrom([]float64{0, 1, 5}).Draw(d.t, "slowdown"), Empty: oneIn(d.t, 10, "empty")}
 	answered := rapid.Bool().Draw(d.t, "answers")
 	switch rapid.IntRange(0, 6).Draw(d.t, "finding") {
 	case 0, 1:
--- a/dispatch/request_driver_test.go
+++ b/dispatch/request_driver_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -19,10 +21,15 @@
 const (
 	driverLayers    = 8
 	driverUpstreams = 8
+	driverRounding  = 1e-6
 
 	driverTick clock.Millis = 100
 	// driverRetryWindow exceeds the length of a run, so that the bound on retries holds for all of it.
 	driverRetryWindow clock.Millis = 1_000_000
+	// driverShares exceeds the pause between two reports of the use of engines.
+	driverShares clock.Millis = 1000
+	// driverComparison bounds the comparison of the first configuration with those of other nodes.
+	driverComparison clock.Millis = 3000
 	// driverSettles bounds the time in which the model ends what is open: the longest deadline of a
 	// client is a minute after the arrival.
 	driverSettles clock.Millis = 70_000
@@ -38,9 +45,9 @@
 	nextAt  clock.Millis
 	version uint64
 	clients []*driverClient
-	// own counts the requests that no other node has passed on, and retries the attempts after one
-	// that has reached an upstream.
-	own, retries int
+	// own counts the requests that no other node has passed on by service, and retries the attempts after
+	// one that has reached an upstream.
+	own, retries map[string]int
 	probes       []fleet.Incarnation
 	permits      []limit.PermitRequestCmd
 	// recoverAt is when a RecoverMsg is due; 0 for none. stopAt is when the node ends; 0 while no stop
@@ -48,14 +55,24 @@
 	recoverAt clock.Millis
 	stopAt    clock.Millis
 	nodeEnded bool
-	// confirms reports whether the configuration is confirmed at each tick.
-	confirms bool
+	// compares reports whether the first configuration is compared with those of other nodes.
+	compares bool
+	// confirms reports whether the configuration is confirmed at each tick, and stops whether a planned stop
+	// may begin.
+	confirms, stops bool
+	// used is the use of engines by this node's requests as it was shared last.
+	used map[fleet.Incarnation]fleet.EngineUsage
 }
 
 // driverClient is a request as its client and its session see it.
 type driverClient struct {
-	id     dispatch.RequestID
-	passed bool
+	id dispatch.RequestID
+	// forwarded describes a request that another node has passed on.
+	forwarded *dispatch.Forwarded
+	// ranOn holds the upstreams that may have executed the request for this node, and ranElsewhere counts those
+	// of other nodes.
+	ranOn        map[fleet.Incarnation]bool
+	ranElsewhere int
 	// attempt is the last attempt; live reports whether it is in progress.
 	attempt dispatch.SendCmd
 	live    bool
@@ -73,6 +90,14 @@
 	return fmt.Sprintf("request %d: attempt=%d live=%v run=%v delivered=%d waiting=%v end=%q", c.id, c.attempt.Attempt, c.live, c.mayHaveRun, c.delivered, c.waiting, c.end)
 }
 
+// maxUpstreams returns how many upstreams may execute the request.
+func (c *driverClient) maxUpstreams(route *catalog.Route) int {
+	if c.forwarded != nil && c.forwarded.UpstreamsLeft > 0 {
+		return min(max(route.MaxAttempts, 1), c.forwarded.UpstreamsLeft)
+	}
+	return max(route.MaxAttempts, 1)
+}
+
 func (d *driver) update(msg dispatch.Msg) {
 	for _, cmd := range d.model.Update(d.now, msg) {
 		d.apply(cmd)
@@ -94,6 +119,20 @@
 
 func (d *driver) client(id dispatch.RequestID) *driverClient { return d.clients[id-1] }
 
+// openForwarded counts the open requests that other nodes have passed on.
+func (d *driver) openForwarded() int {
+	n := 0
+	for _, c := range d.clients {
+		if c.forwarded != nil && c.end == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// comparing reports whether the configuration may not have been compared with those of other nodes.
+func (d *driver) comparing() bool { return d.compares && d.now < driverComparison }
+
 // require fails unless a command is allowed in the state of its request.
 func (d *driver) require(allowed bool, cmd dispatch.Cmd, c *driverClient) {
 	if !allowed {
@@ -106,10 +145,7 @@
 	case dispatch.SendCmd:
 		d.send(cmd)
 	case dispatch.RespondCmd:
-		c := d.client(cmd.Request)
-		// Whatever a client is told but 502 says that its request has not run.
-		d.require(c.end == "" && !c.live && !c.waiting && c.delivered == dispatch.DeliveredNothing && (!c.mayHaveRun || cmd.Status == http.StatusBadGateway), cmd, c)
-		c.end = "answered: " + string(cmd.Reason)
+		d.respond(cmd)
 	case dispatch.EndRequestCmd:
 		c := d.client(cmd.Answer.Request)
 		d.require(c.end == "" && !c.waiting && (!c.mayHaveRun && !c.live || cmd.Answer.Status == http.StatusBadGateway), cmd, c)
@@ -135,6 +171,17 @@
 	}
 }
 
+// respond checks an answer of the node's own.
+func (d *driver) respond(cmd dispatch.RespondCmd) {
+	c := d.client(cmd.Request)
+	// Whatever a client is told but 502 says that its request has not run.
+	d.require(c.end == "" && !c.live && !c.waiting && c.delivered == dispatch.DeliveredNothing && (!c.mayHaveRun || cmd.Status == http.StatusBadGateway), cmd, c)
+	c.end = "answered: " + string(cmd.Reason)
+	if cmd.Reason == dispatch.ReasonNodeBusy {
+		d.require(c.forwarded.Overloaded || d.comparing() || d.openForwarded() >= d.policy.MaxForwarded, cmd, c)
+	}
+}
+
 // applyToAttempt applies the commands about attempts in progress, and those about no request.
 func (d *driver) applyToAttempt(cmd dispatch.Cmd) {
 	inAttempt := func(id dispatch.RequestID, attempt int) {
@@ -159,6 +206,8 @@
 		d.recoverAt = d.now.Add(cmd.After)
 	case dispatch.ProbeCmd:
 		d.probes = append(d.probes, cmd.Upstream)
+	case dispatch.ShareUsageCmd:
+		d.used = cmd.Used
 	case dispatch.RequestPermitsCmd:
 		d.permits = append(d.permits, cmd.PermitRequestCmd)
 	}
@@ -169,21 +218,25 @@
 	c := d.client(cmd.Request)
 	d.require(c.end == "" && !c.live && !c.waiting && !d.nodeEnded, cmd, c)
 	d.require(c.delivered != dispatch.DeliveredPartial && (!c.mayHaveRun || cmd.Route.MayRepeat()), cmd, c)
-	d.require(cmd.Node == "" || !c.passed, cmd, c)
+	d.require(cmd.Node == "" || c.forwarded == nil, cmd, c)
+	if len(cmd.Chain) == 0 && cmd.Node == "" {
+		d.require(c.ranOn[cmd.Upstream] || len(c.ranOn)+c.ranElsewhere < c.maxUpstreams(cmd.Route), cmd, c)
+	}
+	service := driverServices[cmd.Route.Name]
 	if c.charged {
-		d.retries++
+		d.retries[service]++
 		c.charged = false
 	}
 	// A node rounds its part up or down at random, so that the parts of all nodes add up.
-	if allowed := d.policy.RetryShare*float64(d.own) + d.policy.RetrySlack + 1; float64(d.retries) > allowed {
-		d.t.Fatalf("got %d retries for %d requests, want at most %v", d.retries, d.own, allowed)
+	if allowed := d.policy.RetryShare*float64(d.own[service]) + d.policy.RetrySlack + 1; float64(d.retries[service]) > allowed {
+		d.t.Fatalf("got %d retries for %d requests, want at most %v", d.retries[service], d.own[service], allowed)
 	}
 	c.attempt, c.live, c.relayable, c.migrating = cmd, true, false, false
 }
 
 // arrive adds a request.
 func (d *driver) arrive() {
-	c := &driverClient{id: dispatch.RequestID(len(d.clients) + 1)}
+	c := &driverClient{id: dispatch.RequestID(len(d.clients) + 1), ranOn: make(map[fleet.Incarnation]bool)}
 	d.clients = append(d.clients, c)
 	msg := dispatch.ArriveMsg{
 		Request: c.id, CallerID: fmt.Sprint(c.id), Host: "h",
@@ -192,13 +245,13 @@
 		Remaining: clock.Millis(rapid.SampledFrom([]int{1, 150, 1500, 20_000, 20_000, 20_000, 0}).Draw(d.t, "remaining")), BodyBytes: rapid.IntRange(0, 900).Draw(d.t, "body"),
 	}
 	msg.Work = driverWork(rapid.IntRange(0, 9).Draw(d.t, "work"))
-	if rapid.IntRange(0, 5).Draw(d.t, "passed") == 0 {
-		c.passed = true
+	if oneIn(d.t, 6, "passed") {
 		msg.Forwarded = &dispatch.Forwarded{
-			From: "n9", UpstreamsLeft: rapid.IntRange(0, 2).Draw(d.t, "left"), Admitted: rapid.Bool().Draw(d.t, "admitted"), Account: "shop", Overloaded: rapid.IntRange(0, 9).Draw(d.t, "overloaded") == 0,
+			From: "n9", UpstreamsLeft: rapid.IntRange(0, 2).Draw(d.t, "left"), Admitted: rapid.Bool().Draw(d.t, "admitted"), Account: "shop", Overloaded: oneIn(d.t, 10, "overloaded"),
 		}
+		c.forwarded = msg.Forwarded
 	} else {
-		d.own++
+		d.own[driverServices[strings.Split(msg.Path, "/")[1]]]++
 	}
 	d.update(msg)
 }
@@ -221,7 +274,7 @@
 
 // endAttempt ends an attempt, or lets a client leave.
 func (d *driver) endAttempt() {
-	if rapid.IntRange(0, 7).Draw(d.t, "leaves") == 0 {
+	if oneIn(d.t, 8, "leaves") {
 		if c := d.open(func(*driverClient) bool { return true }); c != nil {
 			d.leave(c)
 		}
@@ -239,7 +292,7 @@
 }
 
 func (d *driver) endAttemptOf(c *driverClient) {
-	if rapid.IntRange(0, 2).Draw(d.t, "answered") == 0 {
+	if oneIn(d.t, 3, "answered") {
 		c.end, c.live = "served", false
 		d.update(dispatch.AttemptDoneMsg{Request: c.id, Attempt: c.attempt.Attempt, Took: 50, UpstreamFailed: rapid.Bool().Draw(d.t, "error")})
 		d.update(dispatch.RequestEndedMsg{Request: c.id})
@@ -299,6 +352,12 @@
 	}
 	ran := msg.Cause == dispatch.CauseUnknown || msg.Cause == dispatch.CauseNoProgress || msg.Cause == dispatch.CauseUpstreamFailed
 	c.mayHaveRun = c.mayHaveRun || ran
+	switch {
+	case ran && c.attempt.Node != "":
+		c.ranElsewhere += c.attempt.UpstreamsLeft
+	case ran:
+		c.ranOn[c.attempt.Upstream] = true
+	}
 	c.relayable = msg.Cause == dispatch.CauseUpstreamFailed
 	c.charged = c.charged || ran || msg.Cause == dispatch.CauseFull || msg.Cause == dispatch.CauseMisdirected
 	d.update(msg)
@@ -410,22 +469,31 @@
 		}
 	}
 	d.requireClosed("the last deadline")
+	d.update(dispatch.PeersMsg{TotalNodes: 2, UsagePeers: 1})
+	d.used = nil
+	d.pass(driverShares)
+	for id, use := range d.used {
+		// Sums of what was added and subtracted are rounded.
+		if use.Streams != 0 || math.Abs(use.Memory) > driverRounding || math.Abs(use.PromptTokens) > driverRounding {
+			d.t.Fatalf("got %+v in use at %v, want nothing: no request is open", use, id)
+		}
+	}
 }
 
 func newDriver(t *rapid.T) *driver {
-	d := &driver{t: t, now: 10, nextAt: 100, policy: driverPolicy(t)}
+	d := &driver{t: t, own: make(map[string]int), retries: make(map[string]int), now: 10, nextAt: 100, policy: driverPolicy(t)}
 	opts := []dispatch.Option{
 		dispatch.WithDataCentre("a"), dispatch.WithPolicy(d.policy), dispatch.WithLimits(limit.New(limit.WithSelf("n1"))), dispatch.WithSeed(rapid.Uint64Range(1, 1000).Draw(t, "seed")),
 	}
-	if rapid.IntRange(0, 7).Draw(t, "stored") == 0 {
+	if oneIn(t, 8, "stored") {
 		opts = append(opts, dispatch.WithStoredQuarantine())
 	}
-	if rapid.IntRange(0, 7).Draw(t, "compares") == 0 {
+	if d.compares = oneIn(t, 8, "compares"); d.compares {
 		opts = append(opts, dispatch.WithConfigComparison())
 	}
 	d.model = dispatch.New(opts...)
-	d.confirms = rapid.IntRange(0, 4).Draw(t, "unconfirmed") > 0
-	if rapid.IntRange(0, 9).Draw(t, "late") > 0 {
+	d.confirms, d.stops = !oneIn(t, 5, "unconfirmed"), oneIn(t, 4, "may stop")
+	if !oneIn(t, 10, "late") {
 		d.update(d.peers())
 		d.update(d.configuration())
 		for i := range driverUpstreams {
@@ -444,19 +512,19 @@
 	passed, waits := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
 		d := newDriver(rt)
-		for range rapid.IntRange(1, 200).Draw(rt, "steps") {
+		for range rapid.SampledFrom([]int{1, 10, 100, 400}).Draw(rt, "steps") {
 			d.pass(clock.Millis(rapid.SampledFrom([]int{0, 0, 0, 5, 30, 100, 300}).Draw(rt, "pause")))
-			switch what := rapid.IntRange(0, 19).Draw(rt, "what"); {
-			case what < 6:
+			switch rapid.IntRange(0, 9).Draw(rt, "what") {
+			case 0, 4:
 				d.arrive()
-			case what < 12:
+			case 1, 5, 8:
 				d.endAttempt()
-			case what < 14:
+			case 2, 7:
+				d.change()
+			case 3, 9:
 				d.progress()
-			case what < 15:
+			case 6:
 				d.repeat()
-			default:
-				d.change()
 			}
 		}
 		d.settle()
