dispatch: only a request that an upstream has seen owes a retry for a slot

Cause: sendSlotWaiters took every request with an attempt for a retry, also one whose attempts could not be sent or were refused by other nodes. Without a retry in the budget it waited although a slot was free, and else used up a retry. What waits for capacity has had the fact as a field, owesRetry; it is the request's now, for both queues, set where the failed attempt is decided on.

--- a/dispatch/capacity_queue.go
+++ b/dispatch/capacity_queue.go
@@ -44,7 +44,7 @@
 		return nil, false
 	}
 	if reason == ReasonNoRetryBudget {
-		r.capacity.owesRetry = true
+		r.owesRetry = true
 	}
 	target := m.capacityQueue(r.service.Name).lanes[laneOf(reason)].queueFor(r)
 	if r.waits() {
--- a/dispatch/capacity_send.go
+++ b/dispatch/capacity_send.go
@@ -66,18 +66,18 @@
 // sendCapacityWaiter sends a waiting request if its key is still valid, and reports whether it
 // was sent or waits for a permit. Retries are charged to the budget at this point.
 func (m *Model) sendCapacityWaiter(r *request, service string) (cmds []Cmd, sent bool) {
-	charged := r.capacity.owesRetry
+	charged := r.owesRetry
 	if charged {
 		if !m.takeRetry(r) {
 			return m.giveUp(r, ReasonNoRetryBudget), false
 		}
-		r.capacity.owesRetry = false
+		r.owesRetry = false
 	}
 	cmds = m.resend(r)
 	sent = r.sentOrAwaitsPermit()
 	if charged && !sent {
 		m.budget(service).Refund(m.now)
-		r.capacity.owesRetry = true
+		r.owesRetry = true
 	}
 	return cmds, sent
 }
--- a/dispatch/capacity_wait.go
+++ b/dispatch/capacity_wait.go
@@ -16,8 +16,6 @@
 	admitted bool
 	// returned reports whether this node refused the same work shortly before.
 	returned bool
-	// owesRetry reports whether the next attempt is charged to the retry budget.
-	owesRetry bool
 	// hasFailure reports whether the last attempt ended with an error response of the upstream,
 	// which is relayed at once.
 	hasFailure bool
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -48,6 +48,7 @@
 	reason := m.retryDenial(r, msg.Cause)
 	if reason == ReasonNoRetryBudget && msg.Cause == CauseFull && r.service.Pipeline == nil {
 		// The request is sent again once a slot is free and the retry budget allows it.
+		r.owesRetry = true
 		return m.awaitSlot(r)
 	}
 	if reason != "" {
@@ -60,7 +61,7 @@
 	if r.waits() && msg.Cause.spendsRetryBudget() {
 		// The retry is charged when the request is sent again.
 		m.budget(r.service.Name).Refund(m.now)
-		r.capacity.owesRetry = true
+		r.owesRetry = true
 	}
 	if r.sentOrAwaitsPermit() || r.waits() {
 		return cmds
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -118,6 +118,9 @@
 	skipsBusyEngines bool
 	// backlogEngines holds the engines to whose backlog the stream's last move added its tokens.
 	backlogEngines []fleet.Incarnation
+	// owesRetry reports whether the attempt for which the request waits in a queue is charged to the retry budget
+	// when it begins: an attempt before has reached an upstream.
+	owesRetry bool
 	// hasUnsentRetry reports whether a retry was charged to the budget and is not sent yet, and
 	// unsentRetry is that withdrawal.
 	hasUnsentRetry bool
--- a/dispatch/slot_queue.go
+++ b/dispatch/slot_queue.go
@@ -119,14 +119,16 @@
 		if r == nil {
 			break
 		}
-		charged := r.attempts > 0
+		charged := r.owesRetry
 		if charged && !m.takeRetry(r) {
 			return append(cmds, m.awaitSlot(r)...)
 		}
+		r.owesRetry = false
 		cmds = append(cmds, m.resend(r)...)
 		if charged && !r.sentOrAwaitsPermit() {
 			// The request was not sent: it waits again or has ended.
 			m.budget(service).Refund(m.now)
+			r.owesRetry = true
 		}
 	}
 	return cmds
