--- a/dispatch/request_driver_input_test.go
+++ b/dispatch/request_driver_input_test.go
@@ -8,6 +8,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
+	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/work"
@@ -62,10 +63,7 @@
 	}
 	services := []*catalog.Service{{Name: "desk", HealthPath: "/health"}}
 	if !oneIn(d.t, 20, "no writer") {
-		services = append(services, &catalog.Service{Name: "writer", HealthPath: "/health", Pipeline: &catalog.Pipeline{
-			Layers: driverLayers, LayerMB: 1000, TokenBytes: 8_000_000, StepMS: 1, LoadMS: rapid.SampledFrom([]float64{0, 100}).Draw(d.t, "load"), ReadRate: rapid.SampledFrom([]float64{0, 10}).Draw(d.t, "read"),
-			Accelerators: map[string]catalog.Accelerator{"fast": {Name: "fast", MemoryMB: 5000, StepFactor: 1, ReadFactor: 1}, "slow": {Name: "slow", MemoryMB: 9000, StepFactor: 10, ReadFactor: 10}},
-		}})
+		services = append(services, d.writer())
 	}
 	opts := []catalog.Option{catalog.WithRoutes(routes...), catalog.WithServices(services...)}
 	for _, name := range []string{"k", "shop", "radio"} {
@@ -76,6 +74,18 @@
 	return dispatch.CatalogMsg{Catalog: catalog.New(d.version, opts...), ConfirmedAt: d.now}
 }
 
+// writer draws the service of engines. The operator may make it a plain one and back.
+func (d *driver) writer() *catalog.Service {
+	s := &catalog.Service{Name: "writer", HealthPath: "/health"}
+	if !oneIn(d.t, 12, "plain") {
+		s.Pipeline = &catalog.Pipeline{
+			Layers: driverLayers, LayerMB: 1000, TokenBytes: 8_000_000, StepMS: 1, LoadMS: rapid.SampledFrom([]float64{0, 100}).Draw(d.t, "load"), ReadRate: rapid.SampledFrom([]float64{0, 10}).Draw(d.t, "read"),
+			Accelerators: map[string]catalog.Accelerator{"fast": {Name: "fast", MemoryMB: 5000, StepFactor: 1, ReadFactor: 1}, "slow": {Name: "slow", MemoryMB: 9000, StepFactor: 10, ReadFactor: 10}},
+		}
+	}
+	return s
+}
+
 func driverUpstream(n int) fleet.Incarnation {
 	return fleet.IncarnationByID(fleet.ID(fmt.Sprint("u", n)))
 }
@@ -97,7 +107,7 @@
 // change changes what the node knows about upstreams, other nodes or the configuration.
 func (d *driver) change() {
 	upstream := driverUpstream(rapid.IntRange(0, driverUpstreams-1).Draw(d.t, "upstream"))
-	switch rapid.IntRange(0, 12).Draw(d.t, "change") {
+	switch rapid.IntRange(0, 13).Draw(d.t, "change") {
 	case 0:
 		d.update(dispatch.FleetMsg{Changes: []fleet.Change{driverChange(d.t, rapid.IntRange(0, driverUpstreams-1).Draw(d.t, "changed"))}})
 	case 1:
@@ -121,11 +131,22 @@
 		}
 	case 9:
 		d.changeLimits(upstream)
+	case 10:
+		d.contended = !d.contended
 	default:
 		d.finding(upstream)
 	}
 }
 
+// driverContention returns the report of another node that uses all engines for one account.
+func driverContention() dispatch.UsageMsg {
+	used := make(map[fleet.Incarnation]fleet.EngineUsage)
+	for i := range driverUpstreams {
+		used[driverUpstream(i)] = fleet.EngineUsage{Memory: 400, Streams: 2}
+	}
+	return dispatch.UsageMsg{Node: "n2", DataCentre: "a", Used: used, Accounts: []fairshare.AccountUse{{Service: "writer", Account: "shop", Amount: 3000}, {Service: "writer", Account: "k", Amount: 100}}}
+}
+
 // changeLimits changes the rate limit of an upstream, or answers a permit request.
 func (d *driver) changeLimits(upstream fleet.Incarnation) {
 	switch rapid.IntRange(0, 3).Draw(d.t, "limit") {
@@ -149,10 +170,10 @@
 func (d *driver) finding(upstream fleet.Incarnation) {
 	report := dispatch.Report{FreeMemory: float64(rapid.SampledFrom([]int{0, 4000}).Draw(d.t, "free")), TotalMemory: 5000, Queued: rapid.IntRange(0, 3).Draw(d.t, "queued"), Slowdown: rapid.SampledFrom([]float64{0, 1, 5}).Draw(d.t, "slowdown"), Empty: oneIn(d.t, 10, "empty")}
 	answered := rapid.Bool().Draw(d.t, "answers")
-	switch rapid.IntRange(0, 6).Draw(d.t, "finding") {
+	switch rapid.IntRange(0, 8).Draw(d.t, "finding") {
 	case 0, 1:
 		for _, id := range d.probes {
-			d.update(dispatch.ProbedMsg{Upstream: id, Answered: answered, Identified: true, Report: report})
+			d.update(dispatch.ProbedMsg{Upstream: id, Answered: answered, Identified: rapid.Bool().Draw(d.t, "identified"), Report: report})
 		}
 		d.probes = nil
 	case 2:
@@ -171,5 +192,16 @@
 	case 6:
 		d.update(dispatch.QuarantinedMsg{})
 		d.update(dispatch.ConfigComparedMsg{})
+	case 7:
+		quarantined := dispatch.Quarantined{Work: driverWork(rapid.IntRange(0, 9).Draw(d.t, "lost")).ForAccount("shop")}
+		if answered {
+			quarantined.Ended = []fleet.Incarnation{upstream}
+		}
+		d.update(dispatch.QuarantinedMsg{Works: []dispatch.Quarantined{quarantined}})
+	case 8:
+		for _, id := range d.identifies {
+			d.update(dispatch.IdentifiedMsg{Upstream: id, Presence: rapid.SampledFrom([]fleet.Presence{fleet.Present, fleet.Replaced}).Draw(d.t, "presence")})
+		}
+		d.identifies = nil
 	}
 }
--- a/dispatch/request_driver_test.go
+++ b/dispatch/request_driver_test.go
@@ -49,6 +49,7 @@
 	// one that has reached an upstream.
 	own, retries map[string]int
 	probes       []fleet.Incarnation
+	identifies   []fleet.Incarnation
 	permits      []limit.PermitRequestCmd
 	// recoverAt is when a RecoverMsg is due; 0 for none. stopAt is when the node ends; 0 while no stop
 	// has begun.
@@ -60,6 +61,8 @@
 	// confirms reports whether the configuration is confirmed at each tick, and stops whether a planned stop
 	// may begin.
 	confirms, stops bool
+	// contended reports whether another node reports at each tick that it uses all engines for one account.
+	contended bool
 	// used is the use of engines by this node's requests as it was shared last.
 	used map[fleet.Incarnation]fleet.EngineUsage
 }
@@ -204,6 +207,8 @@
 		d.require(c.end == "", cmd, c)
 	case dispatch.RecoverCmd:
 		d.recoverAt = d.now.Add(cmd.After)
+	case dispatch.IdentifyCmd:
+		d.identifies = append(d.identifies, cmd.Upstream)
 	case dispatch.ProbeCmd:
 		d.probes = append(d.probes, cmd.Upstream)
 	case dispatch.ShareUsageCmd:
@@ -365,12 +370,17 @@
 
 // progress reports what a session sees of an attempt that goes on.
 func (d *driver) progress() {
+	if c := d.open(func(c *driverClient) bool { return c.live && c.migrating }); c != nil && rapid.Bool().Draw(d.t, "migrates") {
+		c.migrating = false
+		d.update(dispatch.MigratedMsg{Request: c.id, Attempt: c.attempt.Attempt, Result: dispatch.MigrationResult(rapid.IntRange(0, 3).Draw(d.t, "result")), FaultyAddress: d.faultyAddress(c)})
+		return
+	}
 	c := d.open(isLive)
 	if c == nil {
 		return
 	}
 	number := c.attempt.Attempt
-	switch rapid.IntRange(0, 4).Draw(d.t, "progress") {
+	switch rapid.IntRange(0, 3).Draw(d.t, "progress") {
 	case 0:
 		d.update(dispatch.FirstEventMsg{Request: c.id, Attempt: number})
 	case 1:
@@ -380,12 +390,6 @@
 			d.update(dispatch.FirstEventOverdueMsg{Request: c.id, Attempt: number})
 		}
 	case 3:
-		if !c.migrating {
-			return
-		}
-		c.migrating = false
-		d.update(dispatch.MigratedMsg{Request: c.id, Attempt: number, Result: dispatch.MigrationResult(rapid.IntRange(0, 3).Draw(d.t, "result")), FaultyAddress: d.faultyAddress(c)})
-	case 4:
 		var ids []fleet.Incarnation
 		for _, p := range c.attempt.Chain {
 			ids = append(ids, p.ID)
@@ -430,6 +434,9 @@
 			if d.confirms {
 				d.update(dispatch.CatalogMsg{ConfirmedAt: d.now})
 			}
+			if d.contended {
+				d.update(driverContention())
+			}
 		}
 		if d.stopAt > 0 && d.now >= d.stopAt && !d.nodeEnded {
 			d.update(dispatch.NodeEndMsg{})
