--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -195,7 +195,7 @@
 // upstream does not use up the client's time; zero for no timeout. The last attempt has none: its end
 // would only drop an answer that is on its way.
 func (m *Model) attemptTimeout(r *request, u *upstream) clock.Millis {
-	if r.route.Kind != catalog.Repeatable || m.isLastUpstream(r) || !m.hasAlternative(r, u) {
+	if r.route.Kind != catalog.Repeatable || m.isLastUpstream(r, u) || !m.hasAlternative(r, u) {
 		return 0
 	}
 	timeout := max(clock.Millis(u.meanLatency*attemptTimeoutFactor), clock.Millis(float64(r.route.LatencyTarget)*attemptTimeoutAimShare))
