Failing tests: the end of a connection counts as the end of an answer when its upstream has ended

A process that is killed closes its connections as one does that has finished its answer. Where an answer has neither a length nor chunks, the node takes that close for the end, also between two events of a stream.

--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -248,11 +248,22 @@
 
 // newLoggingTestRelay is newTestRelay with a log.
 func newLoggingTestRelay(t *testing.T, upstreams http.Handler, log *zap.Logger) (r *Relay, address string) {
+	t.Helper()
+	return newTestRelayWithRetries(t, upstreams, 1e9, log)
+}
+
+// newTestRelayWithRetries is newTestRelay with the given slack of the retry budget, a log and further
+// options.
+func newTestRelayWithRetries(t *testing.T, upstreams http.Handler, retrySlack float64, log *zap.Logger, opts ...Option) (r *Relay, address string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9, MaxWaiting: 8, MaxWaitingBytes: 1 << 20, MaxForwarded: 8}))
+	retryShare := 1.0
+	if retrySlack == 0 {
+		retryShare = 0
+	}
+	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: retryShare, RetrySlack: retrySlack, MaxWaiting: 8, MaxWaitingBytes: 1 << 20, MaxForwarded: 8}))
 	r = New(ctx, sealedProtocol{}, model, clocktest.NewClock(), log,
-		WithDialer((&net.Dialer{}).DialContext), WithEngines(unresponsiveEngines{}))
+		append([]Option{WithDialer((&net.Dialer{}).DialContext), WithEngines(unresponsiveEngines{})}, opts...)...)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
--- a/relay/lost_engine_test.go
+++ b/relay/lost_engine_test.go
@@ -100,8 +100,12 @@
 }
 
 func (s *blackholeSite) startHandler(id string, held fleet.LayerRange, handler http.Handler) {
+	s.startServer(id, held, &http.Server{Handler: handler})
+}
+
+// startServer starts a server as an engine that holds a range of layers.
+func (s *blackholeSite) startServer(id string, held fleet.LayerRange, server *http.Server) {
 	address := id + ":80"
-	server := &http.Server{Handler: handler}
 	listener := s.network.Listen(address)
 	go func() { _ = server.Serve(listener) }()
 	s.t.Cleanup(func() { _ = server.Close() })
