platform: a probe that another upstream rejects is no answer of the probed one

Cause: Probe sends Expect-Instance and looked at the body alone, so that a 421 counted as an answer of the upstream that was meant: its body is no report, and plain services may answer in any format. Who asks whether a process still runs was told that it does, after another one had taken its address.

Probe returns relay.ErrOtherUpstream then. Ruled out: to count such a probe as unanswered in dispatch. The answer shows that the links work, and a missing one would be evidence against them; who has the address is found out by Identify. The decider is told the same as before.

--- a/relay/probe.go
+++ b/relay/probe.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/dispatch"
@@ -20,7 +21,8 @@
 		} else {
 			err = r.engines.Probe(r.lifetime, cmd.Address, cmd.Upstream)
 		}
-		msg.Answered = err == nil
+		// Another upstream at the address shows that the links work; who it is, identify finds out.
+		msg.Answered = err == nil || errors.Is(err, ErrOtherUpstream)
 		r.log.Info("probe", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
 			zap.Float64("pace", msg.Report.Slowdown), zap.Float64("free", msg.Report.FreeMemory), zap.Float64("all", msg.Report.TotalMemory), logging.Err(err))
 		r.decider.notify(r.lifetime, msg)
--- a/relay/protocol.go
+++ b/relay/protocol.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
@@ -99,8 +101,11 @@
 	dispatch.Report
 }
 
-// Engines queries upstreams and sends them orders. Identify asks which upstream uses an
-// address.
+// ErrOtherUpstream is the error of a probe that another upstream than the probed one has rejected.
+var ErrOtherUpstream = errors.New("relay: another upstream has the address")
+
+// Engines queries upstreams and sends them orders. Probe checks whether an upstream answers; its error is
+// ErrOtherUpstream if another one rejects the probe. Identify asks which upstream uses an address.
 type Engines interface {
 	Report(ctx context.Context, address string, upstream fleet.Incarnation) (EngineReport, error)
 	Move(ctx context.Context, address, callerID string, parts []chain.Stage) (result dispatch.MigrationResult, at string)
