relay: a stream that ends with its connection is complete only if its upstream outlives the end

Cause: readEvents took the end of a connection between two events for the end of the stream. The kernel closes the connections of a killed process as the process itself closes one after its last event; no event says that it is the last one.

Such an end now counts if the upstreams of the attempt answer a probe that was sent after it: the first one, and all engines of a chain, since the first engine ends streams for which it has lost a later one. A process that has been killed answers none, so it can't have written its last event after all. Otherwise the attempt has failed for an unknown cause, and what follows is decided as for a reset: a route with streamResume goes on at another upstream with Last-Event-Id within its retry budget and its upstreams, any other answer is broken off (for HTTP/1.0 by a reset). A resumed stream may bring no event: with a frame, or without one from an upstream that lives, that is the end.

Ruled out: - Asking the same upstream at once, or another one, what follows: each sound stream of this form would be executed again, its prompt read again and the retry budget charged; streams that may not be resumed can't ask; the answer may have this form too, which needs the same judgement. - Waiting for the upstream's next sign of life: its entry changes each 1.2 s, and the store may be away. - What arrives on other connections: it may have been written before the end. Not covered: an upstream that lives on and closes the connection of a broken stream as if it were whole.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
+	"github.com/hoistjunction/hoistjunction/chain"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -86,6 +87,11 @@
 	// resuming reports that part of the answer has been written to the caller. Only an event
 	// stream can resume it; any other answer fails the attempt.
 	resuming bool
+	// chain holds the engines of the stream, which change when it is migrated; empty for a plain service.
+	chain atomic.Pointer[[]chain.Stage]
+	// checkEnd is called for an answer that ends with its connection. It returns nil if all upstreams of the
+	// attempt outlived that end, or else the address of one that may not have.
+	checkEnd func(ctx context.Context, a *attempt) (faultyAddress string, err error)
 	req      *http.Request
 	// status is the upstream status in the headers of the answer.
 	status  UpstreamStatus
@@ -241,23 +247,18 @@
 	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
 }
 
-// readEvents forwards the events of a stream. A stream with neither Content-Length nor chunked
-// encoding ends when the upstream closes the connection, and such a close counts as a complete
-// stream. An upstream that aborts the stream resets the connection, which is a read error, and
-// a stream that ends inside an event is an error too. A close between two events cannot be told
-// from a complete stream, because no event is marked as the last one; asking another upstream
-// for further events would execute every such stream twice. A close before the first event is no
-// complete stream, since upstreams crash between the headers and the first event.
+// readEvents forwards the events of a stream. An upstream that aborts the stream resets the connection,
+// which is a read error, and a stream that ends inside an event is an error too. No event is marked as the
+// last one, so confirmEnd judges an end between two events that nothing but the end of the connection
+// marks. Such an end before the first event is no complete stream, unless the stream resumes another one
+// after its last event.
 func (a *attempt) readEvents(ctx context.Context, resp *http.Response) {
 	events := newEventReader(resp.Body)
 	head := resp
 	for {
 		ev, err := events.next()
-		if errors.Is(err, io.EOF) && head != nil && endsWithConnection(resp) {
-			err = errNoEvent
-		}
 		if errors.Is(err, io.EOF) {
-			a.emit(ctx, attemptUpdate{head: head, end: true})
+			a.endEvents(ctx, resp, head)
 			return
 		}
 		if err != nil {
@@ -271,9 +272,17 @@
 	}
 }
 
-// endsWithConnection reports whether nothing but the end of the connection marks the end of an answer.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+// endEvents ends a stream after its last event. The head is nil if an event has been forwarded.
+func (a *attempt) endEvents(ctx context.Context, resp, head *http.Response) {
+	if head != nil && !a.resuming && endsWithConnection(resp) {
+		a.fail(ctx, dispatch.CauseUnknown, "", errNoEvent)
+		return
+	}
+	if faulty, err := a.confirmEnd(ctx, resp); err != nil {
+		a.fail(ctx, dispatch.CauseUnknown, faulty, err)
+		return
+	}
+	a.emit(ctx, attemptUpdate{head: head, end: true})
 }
 
 // readBuffered buffers an answer until it is complete, up to maxBufferedAnswer.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,7 @@
 	protocol  Protocol
 	engines   Engines
 	reports   *reportCache
+	liveness  *livenessChecks
 	clock     *clock.Clock
 	log       *zap.Logger
 	decider   *decider
@@ -60,7 +61,9 @@
 
 // WithEngines sets the client that queries engines and other upstreams.
 func WithEngines(e Engines) Option {
-	return func(r *Relay) { r.engines, r.reports = e, newReportCache(e, r.clock) }
+	return func(r *Relay) {
+		r.engines, r.reports, r.liveness = e, newReportCache(e, r.clock), newLivenessChecks(r.lifetime, e.Probe)
+	}
 }
 
 // WithCounters adds the counters of another part of the node to the metrics.
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -68,11 +68,14 @@
 
 // newAttempt returns an attempt over the given connections. Its request is not set yet.
 func (s *session) newAttempt(cmd dispatch.SendCmd, conns *upstreamConns) *attempt {
-	return &attempt{
+	a := &attempt{
 		protocol: s.relay.protocol, conns: conns, handleStatus: s.relay.HandleUpstreamStatus, handleNoLimit: s.relay.handleNoLimit,
 		startedAt: s.relay.clock.Now(), handlePresence: s.relay.handlePresence, gate: s.relay.gate, cmd: cmd,
 		callerID: s.head.ID, resuming: s.answer.started(), updates: make(chan attemptUpdate, maxQueuedUpdates),
+		checkEnd: s.checkEnd,
 	}
+	a.chain.Store(&cmd.Chain)
+	return a
 }
 
 // newSend returns an attempt that sends the request to an upstream.
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -191,6 +191,7 @@
 		return
 	}
 	s.attempt.cmd.Chain = cmd.Chain
+	s.attempt.chain.Store(&cmd.Chain)
 	address := s.attempt.cmd.Address
 	go func() {
 		result, refusedBy := s.relay.engines.Move(s.relay.lifetime, address, s.head.ID, cmd.Chain)
