relay: a plain answer that ends with its connection is whole only if its upstream outlives the end

Otherwise a request that may be repeated is sent again while nothing of it has been passed on, one that may not gets 502, which promises nothing, and a large answer that has begun is broken off.

Answers with a length or chunks are not probed for (TestMarkedEndsNeedNoProbe).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -293,25 +293,38 @@
 		return
 	}
 	if len(data) < maxBufferedAnswer {
-		a.emit(ctx, attemptUpdate{head: resp, data: data, end: true})
+		a.endBody(ctx, resp, attemptUpdate{head: resp, data: data, end: true})
 		return
 	}
 	if a.emit(ctx, attemptUpdate{head: resp, data: data}) {
-		a.readRemaining(ctx, resp.Body)
+		a.readRemaining(ctx, resp)
 	}
 }
 
+// endBody ends an answer that is no event stream with its last update, or fails the attempt if the answer
+// may be incomplete.
+func (a *attempt) endBody(ctx context.Context, resp *http.Response, last attemptUpdate) {
+	if faulty, err := a.confirmEnd(ctx, resp); err != nil {
+		a.fail(ctx, dispatch.CauseUnknown, faulty, err)
+		return
+	}
+	a.emit(ctx, last)
+}
+
 // readRemaining forwards the remaining body of an answer that exceeds maxBufferedAnswer.
-func (a *attempt) readRemaining(ctx context.Context, body io.Reader) {
+func (a *attempt) readRemaining(ctx context.Context, resp *http.Response) {
 	for {
 		data := make([]byte, chunkSize)
-		n, err := body.Read(data)
-		end := errors.Is(err, io.EOF)
-		if err != nil && !end {
+		n, err := resp.Body.Read(data)
+		if errors.Is(err, io.EOF) {
+			a.endBody(ctx, resp, attemptUpdate{data: data[:n], end: true})
+			return
+		}
+		if err != nil {
 			a.fail(ctx, dispatch.CauseUnknown, "", err)
 			return
 		}
-		if !a.emit(ctx, attemptUpdate{data: data[:n], end: end}) || end {
+		if !a.emit(ctx, attemptUpdate{data: data[:n]}) {
 			return
 		}
 	}
