relay: an answer of another node without length and chunks is not whole

Nodes mark the end of each answer that they pass on, whatever their upstreams do, and break off what is not whole. So an answer of a node that ends with its connection has lost its end or its head; no upstream can be asked about it by the node that received it, since the other one has chosen it. Such an answer counted as whole. It fails the attempt now, for an unknown cause: streams that may be resumed go on at another node, other answers end as for a reset.

--- a/relay/answer_end.go
+++ b/relay/answer_end.go
@@ -10,6 +10,10 @@
 	"github.com/hoistjunction/hoistjunction/logging"
 )
 
+// errUnframedByNode is the error of an answer of another node that ends with its connection. Nodes send a
+// length or chunks with each answer, whatever their upstreams do.
+var errUnframedByNode = errors.New("relay: answer of another node has neither a length nor chunks")
+
 // endsWithConnection reports whether nothing but the end of the connection marks the end of an answer.
 func endsWithConnection(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
@@ -26,6 +30,9 @@
 	if !endsWithConnection(resp) {
 		return "", nil
 	}
+	if a.cmd.Node != "" {
+		return "", errUnframedByNode
+	}
 	return a.checkEnd(ctx, a)
 }
 
