--- a/relay/answer_end_test.go
+++ b/relay/answer_end_test.go
@@ -298,3 +298,29 @@
 		})
 	}
 }
+
+// Guards against an answer to HEAD that counts as one that ends with its connection, since its head has
+// neither a length nor chunks. It has no body whose end must be marked. The head of a stream failed, and
+// its request was sent to every upstream.
+func TestAnswersToHEADNeedNoProbe(t *testing.T) {
+	for _, path := range []string{"/write/a", "/read/a"} {
+		upstreams := &mortalUpstreams{version: "HTTP/1.1", answers: []unframedAnswer{{plain: path == "/read/a"}}}
+		_, address := newTestRelayWithRetries(t, upstreams, 1e9, zap.NewNop(), WithEngines(upstreams))
+		req, err := http.NewRequest(http.MethodHead, "http://"+address+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h"
+		resp, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			t.Errorf("%s: got status %d, want 200", path, resp.StatusCode)
+		}
+		if attempts, probes := upstreams.counts(); attempts != 1 || probes != 0 {
+			t.Errorf("%s: got %d attempts and %d probes, want 1 and none", path, attempts, probes)
+		}
+	}
+}
