relay: an answer to HEAD has no body whose end must be marked

The head of such an answer may have neither a length nor chunks, and the node took it for one that ends with its connection: a stream's counted as broken off before its first event, was sent to every upstream and ended 502; a plain one cost a probe. An answer without a body ends with its head.

--- a/relay/answer_end.go
+++ b/relay/answer_end.go
@@ -14,9 +14,10 @@
 // length or chunks with each answer, whatever their upstreams do.
 var errUnframedByNode = errors.New("relay: answer of another node has neither a length nor chunks")
 
-// endsWithConnection reports whether nothing but the end of the connection marks the end of an answer.
+// endsWithConnection reports whether nothing but the end of the connection marks the end of an answer. An
+// answer to HEAD may have neither a length nor chunks too, but has no body.
 func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 }
 
 // confirmEnd decides whether an answer whose body has been read to its end is complete. An upstream that
