peering: a node writes no registration over one that it has not read

Cause: registerInitially takes a failed reading for one without a registration of its own and registers; the registry is read 2.5 s after that. And registration() forgets the era that the replaced row names until the node has compared.

The registry is read as one value with the moment of the reading. Ruled out: a conditional write, which keeps the row but tells the node nothing of the others.

--- a/node/all_started_after_restore_test.go
+++ b/node/all_started_after_restore_test.go
@@ -113,12 +113,12 @@
 	t.Helper()
 	store := platform.NewStore(s.storeAddress, zap.NewNop())
 	defer store.Close()
-	list, _, err := store.Registrations(t.Context())
+	reading, err := store.Registrations(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
 	vouching := 0
-	for _, r := range list {
+	for _, r := range reading.List {
 		if vouched := momentwire.MomentOf(r.Member.GetVouched()); !vouched.IsZero() && vouched.SameEra(store.Era()) {
 			vouching++
 		}
--- a/peering/doc.go
+++ b/peering/doc.go
@@ -23,12 +23,21 @@
 type Registry interface {
 	// Register writes a node's registration, or renews it.
 	Register(ctx context.Context, m *wire.Member) error
-	// Registrations returns all readable registrations, and an error for each unreadable one.
-	Registrations(ctx context.Context) (list []Registration, unreadable []error, err error)
+	// Registrations reads all registrations.
+	Registrations(ctx context.Context) (RegistryReading, error)
 	// Remove deletes registrations, except those that have changed since they were read.
 	Remove(ctx context.Context, list []Registration) error
 }
 
+// RegistryReading is a complete reading of the registry.
+type RegistryReading struct {
+	// List holds the readable registrations, and Unreadable an error for each other one.
+	List       []Registration
+	Unreadable []error
+	// AsOf is the moment of the store at which the registry was read.
+	AsOf moment.Moment
+}
+
 // Registration is a node's entry in the registry.
 type Registration struct {
 	Member *wire.Member
--- a/peering/doubt.go
+++ b/peering/doubt.go
@@ -45,11 +45,11 @@
 	d.own = own
 }
 
-// hasOwn reports whether this node's registration names an era.
-func (d *doubt) hasOwn() bool {
+// ownEra returns the era that this node's registration names.
+func (d *doubt) ownEra() moment.Moment {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.own.IsZero()
+	return d.own
 }
 
 // vouchesFor reports whether this node's registration names the era of a moment, or a later one.
@@ -70,11 +70,17 @@
 // longer in doubt.
 func (p *Peering) Compared() bool { return p.comparison.done.Load() }
 
-// registration returns what the node registers: itself, and the era for which it vouches.
+// registration returns what the node registers: itself, and the era for which it vouches. Until it vouches
+// for one itself it names that of the registration which it replaces: a node that has vouched for an era
+// and been started again is no reason to doubt that era.
 func (p *Peering) registration() *wire.Member {
 	m := proto.CloneOf(p.directory.self)
-	if proven := p.local.ProvenIn(); p.comparison.done.Load() && !proven.IsZero() {
-		m.Vouched = momentwire.Moment(proven)
+	vouched := p.comparison.doubt.ownEra()
+	if p.comparison.done.Load() {
+		vouched = moment.Latest(vouched, p.local.ProvenIn())
+	}
+	if !vouched.IsZero() {
+		m.Vouched = momentwire.Moment(vouched)
 	}
 	return m
 }
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -52,8 +52,10 @@
 	// readsPerRenewal is the number of reads of the registry after which a node renews its own
 	// registration.
 	readsPerRenewal = 2
-	// registryRetryPause is the pause after a failed call of the registry, and
+	// minRegistryRetryPause is the pause after a failed reading of the registry, which doubles up to
+	// registryRetryPause. registryRetryPause is also the pause after a failed registration, and
 	// othersRegisteredAfter the time after which all nodes of a common start have registered.
+	minRegistryRetryPause = 100 * time.Millisecond
 	registryRetryPause    = time.Second
 	othersRegisteredAfter = 2500 * time.Millisecond
 	// registrationSpread is the time over which the nodes of a new system register. The store
@@ -151,8 +153,10 @@
 }
 
 // registerInitially registers the node at its start, unless its earlier registration still
-// exists or it is not needed. In a system that starts for the first time, nodes take turns. It
-// reports whether the node is registered.
+// exists or it is not needed. The registry is read first, for as long as that takes: the earlier
+// registration may vouch for an era, which an unread one that is written over would lose. In a
+// system that starts for the first time there is none, and nodes take turns. It reports whether
+// the node is registered.
 func (p *Peering) registerInitially(ctx context.Context) (registered bool) {
 	delay, lowCapacity := startDelay(p.directory.self.GetStrength())
 	switch {
@@ -163,10 +167,7 @@
 	case p.firstStart:
 		clock.Sleep(ctx, (delay + p.registrationDelay%lowCapacitySpread).Duration())
 	}
-	status, err := p.readRegistry(ctx)
-	if err != nil {
-		p.log.Info("members_not_read", logging.Err(err))
-	}
+	status := p.readUntilSuccess(ctx)
 	switch {
 	case status.registered:
 		return true
@@ -182,10 +183,20 @@
 func (p *Peering) registerAndRead(ctx context.Context) {
 	p.retry(ctx, "not_registered", func() error { return p.register(ctx) })
 	clock.Sleep(ctx, othersRegisteredAfter)
-	p.retry(ctx, "members_not_read", func() error {
-		_, err := p.readRegistry(ctx)
-		return err
-	})
+	p.readUntilSuccess(ctx)
+}
+
+// readUntilSuccess reads the registry until that succeeds or the context ends.
+func (p *Peering) readUntilSuccess(ctx context.Context) registryStatus {
+	for pause := minRegistryRetryPause; ctx.Err() == nil; pause = min(2*pause, registryRetryPause) {
+		status, err := p.readRegistry(ctx)
+		if err == nil {
+			return status
+		}
+		p.log.Info("members_not_read", logging.Err(err))
+		clock.Sleep(ctx, pause)
+	}
+	return registryStatus{}
 }
 
 // retry repeats a call until it succeeds or the context ends, and logs each failure as the
@@ -205,17 +216,17 @@
 // the same time; each removes only registrations that have not changed since it read them. It
 // returns the status of this node in the registry.
 func (p *Peering) readRegistry(ctx context.Context) (registryStatus, error) {
-	list, unreadable, err := p.registry.Registrations(ctx)
+	reading, err := p.registry.Registrations(ctx)
 	if err != nil {
 		return registryStatus{}, err
 	}
-	for _, err := range unreadable {
+	for _, err := range reading.Unreadable {
 		p.log.Warn("member_unreadable", logging.Err(err))
 	}
-	p.readVouched(list)
+	p.readVouched(reading.List)
 	p.comparison.registryRead.Store(true)
-	status := statusIn(list, p.directory.self)
-	changed, expired := p.directory.applyRegistrations(p.clock.Now(), list)
+	status := statusIn(reading.List, p.directory.self)
+	changed, expired := p.directory.applyRegistrations(p.clock.Now(), reading.List)
 	if changed || !p.membersReported {
 		p.membersReported = true
 		p.memberUpdates.trigger()
--- a/peering/register_test.go
+++ b/peering/register_test.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/moment"
+	"github.com/hoistjunction/hoistjunction/momentwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 )
 
@@ -40,8 +42,8 @@
 	return r.recordCall("register")
 }
 
-func (r *scriptedRegistry) Registrations(context.Context) ([]Registration, []error, error) {
-	return r.list, nil, r.recordCall("read")
+func (r *scriptedRegistry) Registrations(context.Context) (RegistryReading, error) {
+	return RegistryReading{List: r.list}, r.recordCall("read")
 }
 
 func (r *scriptedRegistry) Remove(context.Context, []Registration) error {
@@ -89,3 +91,53 @@
 		})
 	}
 }
+
+// failingRegistry fails the first reads, and records the order of calls and what was registered.
+type failingRegistry struct {
+	scriptedRegistry
+	failures int
+	asOf     moment.Moment
+	written  []*wire.Member
+}
+
+func (r *failingRegistry) Register(ctx context.Context, m *wire.Member) error {
+	r.written = append(r.written, m)
+	return r.scriptedRegistry.Register(ctx, m)
+}
+
+func (r *failingRegistry) Registrations(ctx context.Context) (RegistryReading, error) {
+	reading, err := r.scriptedRegistry.Registrations(ctx)
+	reading.AsOf = r.asOf
+	if r.failures--; r.failures >= 0 {
+		return RegistryReading{}, errors.New("away")
+	}
+	return reading, err
+}
+
+// Guards against a started node that registers although it could not read the registry: its registration
+// replaced the one of its earlier process, which vouched for an era, by one that vouches for nothing. The
+// node has moved to another address, so that it has to register.
+func TestRegistrationReplacesOnlyWhatWasRead(t *testing.T) {
+	const failures = 4
+	vouched := moment.At(2, 9)
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		registry := &failingRegistry{failures: failures, asOf: moment.At(3, 1)}
+		registry.cancel, registry.maxCalls = cancel, failures+2
+		earlier := &wire.Member{Name: "me", Address: "elsewhere:1", Vouched: momentwire.Moment(vouched)}
+		registry.list = []Registration{{Member: earlier, Renewed: moment.At(3, 1)}}
+		node := &fakeNode{}
+		p := New(member("me"), nil, registry, node, node, clocktest.NewClock(), zap.NewNop(), http.DefaultTransport, 1)
+		if err := p.MaintainRegistration(ctx); !errors.Is(err, context.Canceled) {
+			t.Errorf("got error %v, want %v", err, context.Canceled)
+		}
+		for i, call := range registry.calls[:failures+1] {
+			if call != "read" {
+				t.Errorf("call %d: got %q before the registry was read", i+1, call)
+			}
+		}
+		if len(registry.written) != 1 || momentwire.MomentOf(registry.written[0].GetVouched()) != vouched {
+			t.Errorf("got registrations %v, want one that names the era %v", registry.written, vouched)
+		}
+	})
+}
--- a/peering/restore_registration.go
+++ b/peering/restore_registration.go
@@ -22,7 +22,7 @@
 // isRegistered reports whether this node has registered, or a registration of an earlier start that names
 // an era exists.
 func (p *Peering) isRegistered() bool {
-	return p.registeredAt.Load() != int64(clock.Never) || p.comparison.doubt.hasOwn()
+	return p.registeredAt.Load() != int64(clock.Never) || !p.comparison.doubt.ownEra().IsZero()
 }
 
 // StoreRestored notifies RestoreRegistration that the store was restored from a backup.
