peering: a registry that has not been read is no empty one

Cause: the doubt about the configuration keeps the eras that registrations name as plain moments, whose zero value means both that no registration names one and that the registry was not read. With nothing read there is no doubt, and the comparison ends after 0.6 s. The class: a zero value that stands for what was not read and for what is not there.

known.Value has three states, not read, read and empty, known, with the time of the reading; its content is reached by Match alone, so that each user says what follows in each state. The doubt keeps what registrations name as such a value with the era of the reading. In an era after the first the configuration is in doubt until the registry has been read in that era, without a bound of its own: it ends with a peer that has compared, with a newer edition of the operator's, or with the reading, from which known_within_ms counts. The registry is read at once when the first configuration shows an era in which it has not been. In the first era nothing can have been lost, and nothing waits. An era that the store has not reached counts for nothing in a registration. Ruled out: a bound for the unread registry too, after which the key works again although a moment later the reading would have told.

--- a/moment/moment.go
+++ b/moment/moment.go
@@ -45,6 +45,12 @@
 	return m.era > o.era || m.era == o.era && m.revision > o.revision
 }
 
+// firstEra is the number of the era of a store that has never been restored.
+const firstEra = 1
+
+// AfterFirstEra reports whether the store has been restored at least once before m.
+func (m Moment) AfterFirstEra() bool { return m.era > firstEra }
+
 // Latest returns the later of a and b.
 func Latest(a, b Moment) Moment {
 	if b.After(a) {
--- a/peering/comparison.go
+++ b/peering/comparison.go
@@ -9,6 +9,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/moment"
 )
 
 const (
@@ -55,16 +56,20 @@
 	// none.
 	registryRead atomic.Bool
 	done         atomic.Bool
-	mu           sync.Mutex
+	// began is when the node had its first configuration, as a clock.Millis; 0 before.
+	began atomic.Int64
+	mu    sync.Mutex
 	// round is the current round of queries, asked how many peers it queries, covers whether these are all
 	// and started how many have answered that they have just started.
 	round, asked, started int
 	covers                bool
 	// inRow is the number of rounds in a row in which all have.
 	inRow int
-	// began is when the node had its first configuration, first; 0 before. Only Run uses them.
-	began clock.Millis
-	first catalog.Edition
+	// first is the configuration that the node had first. requested reports whether a reading of the registry
+	// was requested, and requestedIn for which era last. Only Run uses them.
+	first       catalog.Edition
+	requested   bool
+	requestedIn moment.Moment
 	// doubt is how long the configuration may be in doubt, and whether it is.
 	doubt doubt
 	// onEnd is called at the end; nil for nobody.
@@ -115,21 +120,48 @@
 		return
 	}
 	now := p.clock.Now()
-	if c.began == 0 {
-		c.began, c.first = max(now, 1), p.local.Config().Edition
+	if c.began.Load() == 0 {
+		c.began.Store(int64(max(now, 1)))
+		c.first = p.local.Config().Edition
 	}
+	p.requestRegistry()
 	switch {
-	case c.doubt.about(p.local.StoreEra()) && now < c.began.Add(c.doubt.limit):
+	case p.inDoubt(now):
 		if p.local.Config().Edition.Supersedes(c.first) {
 			p.endComparison("written_again")
 		}
 	case c.registryRead.Load() && len(p.directory.others()) == 0:
 		p.endComparison("no_peers")
-	case now >= c.began.Add(maxComparison):
+	case now >= clock.Millis(c.began.Load()).Add(maxComparison):
 		p.endComparison("time_is_up")
 	}
 }
 
+// inDoubt reports whether the first configuration of the node is in doubt.
+func (p *Peering) inDoubt(now clock.Millis) bool {
+	return p.comparison.doubt.holds(now, clock.Millis(p.comparison.began.Load()), p.storeEra())
+}
+
+// storeEra returns the newest known era of the store. A node that has its configuration from a reader may
+// not have reached the store itself.
+func (p *Peering) storeEra() moment.Moment {
+	return moment.Latest(p.local.StoreEra(), p.local.ProvenIn())
+}
+
+// requestRegistry has the registry read at once if it has not been read in the present era of the store,
+// one time for each era. Further readings after a failed one have their pauses.
+func (p *Peering) requestRegistry() {
+	c, era := &p.comparison, p.storeEra()
+	if c.doubt.isRead(era) || c.requested && !era.InLaterEra(c.requestedIn) {
+		return
+	}
+	c.requested, c.requestedIn = true, era
+	select {
+	case p.registryRequested <- struct{}{}:
+	default:
+	}
+}
+
 // endComparison ends the comparison, for a reason.
 func (p *Peering) endComparison(reason string) {
 	if p.comparison.done.Swap(true) {
--- a/peering/doubt.go
+++ b/peering/doubt.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/known"
 	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/momentwire"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -14,28 +15,69 @@
 // doubt tells whether the store may show a configuration that is older than one which was acknowledged. It
 // may after a return from a backup that no node has lived through: where all have started since, nobody
 // remembers more. A registration names the last era in which the store had shown the configuration of its
-// node. If all that name an era name earlier ones, no node has vouched for what the store shows since the
-// return.
+// node. The configuration is in doubt until the registry has been read in the present era of the store, and
+// for a bounded time longer if all registrations that name an era name earlier ones.
 type doubt struct {
-	// limit is how long a configuration may be in doubt; 0 for never.
+	// limit is how long a configuration may be in doubt once the registry has been read; 0 for never.
 	limit clock.Millis
 	mu    sync.Mutex
-	// vouched is the newest era that a registration names, and own the one that this node's names.
-	vouched, own moment.Moment
+	// vouched is the newest era that a registration names; empty if none names one. readIn is the moment
+	// of the store of the reading.
+	vouched known.Value[moment.Moment]
+	readIn  moment.Moment
+	// own is the era that this node's registration names.
+	own moment.Moment
 }
 
-// about reports whether the configuration is in doubt in an era of the store.
-func (d *doubt) about(era moment.Moment) bool {
+// holds reports whether a configuration that the node has had since a time is in doubt in an era of the
+// store.
+func (d *doubt) holds(now, since clock.Millis, era moment.Moment) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.limit > 0 && !d.vouched.IsZero() && era.InLaterEra(d.vouched)
+	if d.limit == 0 {
+		return false
+	}
+	withinLimit := func(readAt clock.Millis) bool { return now < max(readAt, since).Add(d.limit) }
+	return known.Match(d.vouchedIn(era),
+		func() bool { return era.AfterFirstEra() },
+		func(clock.Millis) bool { return false },
+		func(vouched moment.Moment, readAt clock.Millis) bool {
+			return era.InLaterEra(vouched) && withinLimit(readAt)
+		})
+}
+
+// vouchedIn returns the newest era that a registration names, as it was read in an era of the store: what
+// was read before a return of the store says nothing of the registrations after it. The caller holds the
+// lock.
+func (d *doubt) vouchedIn(era moment.Moment) known.Value[moment.Moment] {
+	if era.InLaterEra(d.readIn) {
+		return known.Value[moment.Moment]{}
+	}
+	return d.vouched
+}
+
+// isRead reports whether the registry has been read in an era of the store.
+func (d *doubt) isRead(era moment.Moment) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.vouchedIn(era).IsRead()
 }
 
-// setVouched records the eras that registrations name.
-func (d *doubt) setVouched(newest, own moment.Moment) {
+// setVouched records a reading of the registry: the newest era that a registration names, and the one that
+// this node's names. The time of the first reading in an era is kept, so that later ones do not prolong the
+// doubt.
+func (d *doubt) setVouched(now clock.Millis, readIn, newest, own moment.Moment) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.vouched, d.own = moment.Latest(d.vouched, newest), own
+	readAt := known.Match(d.vouchedIn(readIn),
+		func() clock.Millis { return now },
+		func(first clock.Millis) clock.Millis { return first },
+		func(_ moment.Moment, first clock.Millis) clock.Millis { return first })
+	d.vouched, d.readIn = known.Empty[moment.Moment](readAt), readIn
+	if !newest.IsZero() {
+		d.vouched = known.Of(newest, readAt)
+	}
+	d.own = own
 }
 
 // setOwn records the era that this node's registration names.
@@ -53,11 +95,7 @@
 }
 
 // vouchesFor reports whether this node's registration names the era of a moment, or a later one.
-func (d *doubt) vouchesFor(m moment.Moment) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !m.InLaterEra(d.own)
-}
+func (d *doubt) vouchesFor(m moment.Moment) bool { return !m.InLaterEra(d.ownEra()) }
 
 // WithRestoreDoubt sets how long a node that has just started neither serves nor vouches for a configuration
 // that no registered node has vouched for since the store returned from a backup; 0 for not at all. It ends
@@ -85,18 +123,22 @@
 	return m
 }
 
-// readVouched takes the eras that nodes vouch for out of their registrations.
-func (p *Peering) readVouched(list []Registration) {
+// readVouched takes the eras that nodes vouch for out of their registrations. An era that the store has
+// not reached is passed over: no node can have seen it.
+func (p *Peering) readVouched(reading RegistryReading) {
 	var newest, own moment.Moment
-	for _, r := range list {
+	for _, r := range reading.List {
 		vouched := momentwire.MomentOf(r.Member.GetVouched())
+		if vouched.InLaterEra(reading.AsOf) {
+			vouched = moment.Moment{}
+		}
 		newest = moment.Latest(newest, vouched)
 		if r.Member.GetName() == p.directory.self.GetName() {
 			own = vouched
 		}
 		r.Member.Vouched = nil
 	}
-	p.comparison.doubt.setVouched(newest, own)
+	p.comparison.doubt.setVouched(p.clock.Now(), reading.AsOf, newest, own)
 }
 
 // Vouch makes a node whose configuration has been compared register again if its registration names an
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -86,6 +86,8 @@
 	// restore of the store from a backup.
 	registeredAt  atomic.Int64
 	storeRestored chan struct{}
+	// registryRequested signals that the registry must be read at once.
+	registryRequested chan struct{}
 	// membersReported is set once the registry was read and the known nodes were passed to the
 	// receiver. A node without peers has to be notified too. Only MaintainRegistration uses the
 	// field.
@@ -118,7 +120,7 @@
 		registrationDelay: clock.Millis(seed % uint64(registrationSpread)),
 	}
 	p.registeredAt.Store(int64(clock.Never))
-	p.storeRestored = make(chan struct{}, 1)
+	p.storeRestored, p.registryRequested = make(chan struct{}, 1), make(chan struct{}, 1)
 	p.memberUpdates = coalescer{run: p.reportMembers, pause: memberUpdatePause}
 	p.startupWait = startupWait
 	for _, opt := range opts {
@@ -136,7 +138,7 @@
 func (p *Peering) MaintainRegistration(ctx context.Context) error {
 	registered := p.registerInitially(ctx)
 	for reads := 1; ctx.Err() == nil; reads++ {
-		clock.Sleep(ctx, registryReadInterval)
+		p.sleepReading(ctx, registryReadInterval)
 		status, err := p.readRegistry(ctx)
 		if err != nil {
 			p.log.Info("members_not_read", logging.Err(err))
@@ -182,11 +184,30 @@
 // registered, and reads the registry.
 func (p *Peering) registerAndRead(ctx context.Context) {
 	p.retry(ctx, "not_registered", func() error { return p.register(ctx) })
-	clock.Sleep(ctx, othersRegisteredAfter)
+	p.sleepReading(ctx, othersRegisteredAfter)
 	p.readUntilSuccess(ctx)
 }
 
-// readUntilSuccess reads the registry until that succeeds or the context ends.
+// sleepReading sleeps, and reads the registry meanwhile if that is requested.
+func (p *Peering) sleepReading(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-p.registryRequested:
+			if !p.comparison.doubt.isRead(p.storeEra()) {
+				p.readUntilSuccess(ctx)
+			}
+		}
+	}
+}
+
+// readUntilSuccess reads the registry until that succeeds or the context ends. A request for a
+// reading ends the pause after a failed one.
 func (p *Peering) readUntilSuccess(ctx context.Context) registryStatus {
 	for pause := minRegistryRetryPause; ctx.Err() == nil; pause = min(2*pause, registryRetryPause) {
 		status, err := p.readRegistry(ctx)
@@ -194,7 +215,13 @@
 			return status
 		}
 		p.log.Info("members_not_read", logging.Err(err))
-		clock.Sleep(ctx, pause)
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-p.registryRequested:
+		}
+		timer.Stop()
 	}
 	return registryStatus{}
 }
@@ -223,7 +250,7 @@
 	for _, err := range reading.Unreadable {
 		p.log.Warn("member_unreadable", logging.Err(err))
 	}
-	p.readVouched(reading.List)
+	p.readVouched(reading)
 	p.comparison.registryRead.Store(true)
 	status := statusIn(reading.List, p.directory.self)
 	changed, expired := p.directory.applyRegistrations(p.clock.Now(), reading.List)
@@ -315,7 +342,7 @@
 	p.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(ask, len(peers))] {
 		go func() {
-			if p.query(ctx, peer, active.Edition, wantFleet) == answeredStarted && p.comparison.recordStarted(round) && !p.comparison.doubt.about(p.local.StoreEra()) {
+			if p.query(ctx, peer, active.Edition, wantFleet) == answeredStarted && p.comparison.recordStarted(round) && !p.inDoubt(p.clock.Now()) {
 				p.endComparison("all_started")
 			}
 		}()
