Failing test: no doubt where no registration vouches for an era

TestDoubtWhereNoRegistrationVouches fails for an era after the first, before and after the limit counted from the configuration.

--- a/peering/doubt_test.go
+++ b/peering/doubt_test.go
@@ -96,3 +96,31 @@
 		}
 	})
 }
+
+// Guards against a node that takes registrations which vouch for no era as no sign of a return, where the
+// era of the store itself says that there was one: those that vouched may have expired, or be missing in
+// the copy.
+func TestDoubtWhereNoRegistrationVouches(t *testing.T) {
+	const limit = 5000
+	second := moment.At(2, 7)
+	tests := []struct {
+		name          string
+		era           moment.Moment
+		readAt, since clock.Millis
+		now           clock.Millis
+		want          bool
+	}{
+		{"first era", moment.At(1, 40), 10, 10, 20, false},
+		{"store without eras", moment.At(0, 40), 10, 10, 20, false},
+		{"later era", second, 10, 10, 20, true},
+		{"later era, time over", second, 10, 10, 10 + limit, false},
+		{"later era, configuration later than the reading", second, 10, 900, 10 + limit, true},
+	}
+	for _, tt := range tests {
+		d := doubt{limit: limit}
+		d.setVouched(tt.readAt, tt.era, moment.Moment{}, moment.Moment{})
+		if got := d.holds(tt.now, tt.since, tt.era); got != tt.want {
+			t.Errorf("%s: got %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
