peering: a store in a later era is in doubt where no registration vouches

Those that named one may have expired, or be missing in the copy; the era itself tells that the store has returned at least once. The zero value was taken for "nobody has seen an earlier era".

Where the registry has been read in an era after the first and no registration names one, the configuration is in doubt for known_within_ms from the reading, or from the first configuration if that is later. Stores that name no era, and the first one, cost nothing.

--- a/peering/doubt.go
+++ b/peering/doubt.go
@@ -16,7 +16,7 @@
 // may after a return from a backup that no node has lived through: where all have started since, nobody
 // remembers more. A registration names the last era in which the store had shown the configuration of its
 // node. The configuration is in doubt until the registry has been read in the present era of the store, and
-// for a bounded time longer if all registrations that name an era name earlier ones.
+// for a bounded time longer if no registration vouches for that era.
 type doubt struct {
 	// limit is how long a configuration may be in doubt once the registry has been read; 0 for never.
 	limit clock.Millis
@@ -40,7 +40,7 @@
 	withinLimit := func(readAt clock.Millis) bool { return now < max(readAt, since).Add(d.limit) }
 	return known.Match(d.vouchedIn(era),
 		func() bool { return era.AfterFirstEra() },
-		func(clock.Millis) bool { return false },
+		func(readAt clock.Millis) bool { return era.AfterFirstEra() && withinLimit(readAt) },
 		func(vouched moment.Moment, readAt clock.Millis) bool {
 			return era.InLaterEra(vouched) && withinLimit(readAt)
 		})
