--- a/node/registry_unread_test.go
+++ b/node/registry_unread_test.go
@@ -90,3 +90,32 @@
 		})
 	}
 }
+
+// Guards against nodes that take themselves for the only one because the registry could not be read: each
+// of them granted itself the whole limit of an upstream, and three sent three times as much.
+func TestNodesWithoutRegistryKeepAdvertisedLimit(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 2)
+	gate := &registryGate{store: s.store.Handler()}
+	gate.closed.Store(true)
+	server := httptest.NewServer(gate)
+	t.Cleanup(server.Close)
+	var nodes []*testNode
+	for i := range 3 {
+		nodes = append(nodes, s.startNode(fmt.Sprintf("n%d", i+1), server.Listener.Addr().String()))
+	}
+	for _, n := range nodes {
+		n.awaitServing(t)
+	}
+	s.plainService.SetAdvertisedLimit(standin.LimitFaults{Advertised: fmt.Sprint(advertisedLimit)})
+	sendRequests(t, nodes, http.MethodPost, "/once/")
+	for _, b := range standin.LimitBreaches(s.plainService.ReceivedRequests(), nodeOfAttempt, limitGrace, noExemption) {
+		t.Errorf("got %d requests in 4 s at an upstream that advertises %v a second, nodes %v, want at most %d", b.Count, b.Limit, b.RequestsByNode, b.Allowed)
+	}
+	gate.closed.Store(false)
+	for i, n := range nodes {
+		await(t, "answer once the registry is read", func() bool {
+			return n.do(http.MethodPost, fmt.Sprint("/once/late", i), fmt.Sprint("late-", i), "k1").status == http.StatusOK
+		})
+	}
+}
