limit: a node that does not know the other nodes grants itself no permits

A node gets its list with the first reading of the registry or the first message of another node; until then it granted itself the whole limit, and with a part of the nodes known a larger share than it owns. At a start beside a store that refuses the registry three nodes sent 28 requests in 4 s where 23 are allowed.

The list of nodes now says whether the registry has been read. Until it has, the limiter has no candidates: requests to limited upstreams wait or are refused as if no owner answered, for 0.5 s at a time, and others who take the node for a candidate get the smallest fraction. With the first complete list an owner takes its upstreams over like any new one, at 0.45 for 2 s. Ruled out: the fraction of a cut-off node, a quarter, which seven nodes exceed together. At the first start of a whole system the list counts as complete, as before.

The tests of limit, peering and dispatch pass.

--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -295,7 +295,9 @@
 		m.usageAggregated = msg.Aggregated
 		m.dropPeerUsage()
 	}
-	m.limits.SetMembers(m.now, msg.Members)
+	if !msg.Incomplete {
+		m.limits.SetMembers(m.now, msg.Members)
+	}
 	m.nodes.Set(msg.ForwardTargets)
 	m.retryLoans.SetPeers(msg.UsagePeers, msg.LocalNodes > 0)
 	m.updateRetryBudgets()
--- a/dispatch/peer_msg.go
+++ b/dispatch/peer_msg.go
@@ -25,6 +25,9 @@
 	Aggregated bool
 	// Members lists the nodes.
 	Members []limit.Member
+	// Incomplete reports whether the registry of nodes has not been read yet, so that any number of
+	// nodes may be missing in Members and in the counts.
+	Incomplete bool
 	// ForwardTargets lists the other nodes that may serve requests of this one.
 	ForwardTargets []forwarding.Node
 }
--- a/limit/fraction.go
+++ b/limit/fraction.go
@@ -31,6 +31,9 @@
 	rank := slices.Index(candidates, l.self)
 	fraction, cmds := 0.0, []PermitRequestCmd(nil)
 	switch {
+	case l.unknownMembers:
+		// Others know this node as a candidate, of which rank can't be told.
+		fraction = fractionByRank[maxCandidates-1]
 	case rank == 0:
 		fraction = 1
 		if now < s.ownerSince.Add(handoverPeriod) && len(l.members.names) > 1 {
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -34,11 +34,13 @@
 // Limiter enforces the advertised limits of upstreams at one node, and grants permits for the
 // upstreams that it owns. It is not safe for concurrent use.
 type Limiter struct {
-	self      string
-	bootID    uint64
-	members   *members
-	owner     *owner
-	upstreams map[fleet.Incarnation]*upstreamState
+	self    string
+	bootID  uint64
+	members *members
+	// unknownMembers is set until SetMembers is called, if the node may not be the only one.
+	unknownMembers bool
+	owner          *owner
+	upstreams      map[fleet.Incarnation]*upstreamState
 	// limited is the number of upstreams with a limit. It is mostly zero, and then all lookups
 	// are skipped.
 	limited int
@@ -54,6 +56,10 @@
 // processes.
 func WithBootID(id uint64) Option { return func(l *Limiter) { l.bootID = id } }
 
+// WithUnknownMembers makes the limiter request and grant no permits of the node's own until SetMembers is
+// called. Without it a limiter takes its node for the only one until then.
+func WithUnknownMembers() Option { return func(l *Limiter) { l.unknownMembers = true } }
+
 // Self returns the name of the node, and BootID the number of its process.
 func (l *Limiter) Self() string { return l.self }
 
@@ -75,6 +81,9 @@
 // all nodes. It may contain this node.
 func (l *Limiter) SetMembers(now clock.Millis, list []Member) {
 	l.members.set(now, list)
+	if l.unknownMembers {
+		l.becomeKnown(now)
+	}
 	for _, s := range l.upstreams {
 		// Compute the candidates for every list. Otherwise a node that loses an upstream and
 		// gets it back would seem to have owned it in between.
@@ -82,6 +91,16 @@
 	}
 }
 
+// becomeKnown ends the time in which the nodes were unknown. Until now others granted the permits, so a
+// node that owns an upstream takes it over from them.
+func (l *Limiter) becomeKnown(now clock.Millis) {
+	l.unknownMembers = false
+	l.members.changedAt = now
+	for _, s := range l.upstreams {
+		s.candidates, s.nextPermitAt = nil, min(s.nextPermitAt, now)
+	}
+}
+
 // RecordSeen records a message from a node.
 func (l *Limiter) RecordSeen(now clock.Millis, name string) { l.members.recordSeen(now, name) }
 
--- a/limit/request.go
+++ b/limit/request.go
@@ -53,8 +53,12 @@
 	return []PermitRequestCmd{{To: to, PermitRequest: req}}
 }
 
-// firstCandidate returns the first of an upstream's candidates that is not skipped.
+// firstCandidate returns the first of an upstream's candidates that is not skipped. There is none while
+// the nodes are unknown.
 func (l *Limiter) firstCandidate(now clock.Millis, s *upstreamState) (string, bool) {
+	if l.unknownMembers {
+		return "", false
+	}
 	for _, name := range l.candidates(s) {
 		if name == l.self || !l.members.isSkipped(now, name) {
 			return name, true
--- a/node/local_state.go
+++ b/node/local_state.go
@@ -84,7 +84,7 @@
 const maxMeshUsageNodes = 24
 
 // ReceiveMembers implements peering.Receiver.
-func (s *localState) ReceiveMembers(others []*wire.Member, rank int) {
+func (s *localState) ReceiveMembers(others []*wire.Member, rank int, complete bool) {
 	s.node.roster.SetGroup(readingGroup(others, s.node.settings.DataCentre))
-	s.node.members.set(others, rank)
+	s.node.members.set(others, rank, complete)
 }
--- a/node/members.go
+++ b/node/members.go
@@ -14,24 +14,26 @@
 	// of set.
 	rank    int
 	changes int
+	// complete is false until the registry has been read; others may be missing until then.
+	complete bool
 	// ready is closed by the first call of set.
 	ready chan struct{}
 }
 
 func newMembers() *members { return &members{ready: make(chan struct{})} }
 
-func (m *members) set(others []*wire.Member, rank int) {
+func (m *members) set(others []*wire.Member, rank int, complete bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.changes == 0 {
 		close(m.ready)
 	}
-	m.others, m.rank = others, rank
+	m.others, m.rank, m.complete = others, rank, complete
 	m.changes++
 }
 
-func (m *members) get() (others []*wire.Member, rank, changes int) {
+func (m *members) get() (others []*wire.Member, rank, changes int, complete bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.others, m.rank, m.changes
+	return m.others, m.rank, m.changes, m.complete
 }
--- a/node/node.go
+++ b/node/node.go
@@ -125,7 +125,7 @@
 			MaxWaiting: s.WaitingRequests, MaxWaitingBytes: s.waitingBytes(), MaxForwarded: s.ForwardedRequests, DisableAdmission: !s.Admission, AccountPriorities: s.AccountPriorities, DisableFairShares: !s.FairShares,
 		}),
 		dispatch.WithStoredQuarantine(),
-		dispatch.WithLimits(limit.New(limit.WithSelf(s.Name), limit.WithBootID(uint64(time.Now().UnixNano())))),
+		dispatch.WithLimits(limit.New(limit.WithSelf(s.Name), limit.WithUnknownMembers(), limit.WithBootID(uint64(time.Now().UnixNano())))),
 	}
 	if !s.FirstStart {
 		modelOptions = append(modelOptions, dispatch.WithConfigComparison())
--- a/node/topology.go
+++ b/node/topology.go
@@ -40,7 +40,7 @@
 	lastKey, lastChanges := "", 0
 	for ctx.Err() == nil {
 		topology := n.roster.Topology(n.clock.Now())
-		others, rank, changes := n.members.get()
+		others, rank, changes, complete := n.members.get()
 		key := topologyKey(&topology)
 		if key != lastKey {
 			n.log.Info("circle", zap.Bool("meshed", topology.FullMesh), zap.Bool("hub", topology.IsHub), zap.Int("place", topology.HubIndex),
@@ -48,7 +48,7 @@
 		}
 		if changes > lastChanges || key != lastKey {
 			lastKey, lastChanges = key, changes
-			n.applyTopology(&topology, others, rank)
+			n.applyTopology(&topology, others, rank, complete)
 		}
 		clock.Sleep(ctx, topologyInterval)
 	}
@@ -73,9 +73,10 @@
 
 // applyTopology sets the recipients of this node's usage messages, the peers of the relay and
 // the rank of the planner.
-func (n *Node) applyTopology(topology *reading.Topology, others []*wire.Member, rank int) {
+func (n *Node) applyTopology(topology *reading.Topology, others []*wire.Member, rank int, complete bool) {
 	here := n.settings.DataCentre
 	msg := peersMsg(topology, append(others[:len(others):len(others)], n.roster.Self()))
+	msg.Incomplete = !complete
 	msg.ForwardTargets = forwardTargets(others)
 	n.usage.SetAddresses(usageAddressesByName(others))
 	if topology.FullMesh {
--- a/peering/doc.go
+++ b/peering/doc.go
@@ -72,6 +72,7 @@
 	ReceiveFleet(list []fleet.Upstream)
 	// ReceiveQuarantined adds quarantined requests.
 	ReceiveQuarantined(list []dispatch.Quarantined)
-	// ReceiveMembers sets the other known nodes, and this node's rank by name among all.
-	ReceiveMembers(others []*wire.Member, rank int)
+	// ReceiveMembers sets the other known nodes, and this node's rank by name among all. As long as
+	// complete is false the registry has not been read, and any number of others may be missing.
+	ReceiveMembers(others []*wire.Member, rank int, complete bool)
 }
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -297,7 +297,7 @@
 func (p *Peering) reportMembers() {
 	others, rank := p.directory.others(), p.directory.rank()
 	p.log.Info("members", zap.Int("others", len(others)), zap.Int("rank", rank))
-	p.receiver.ReceiveMembers(others, rank)
+	p.receiver.ReceiveMembers(others, rank, p.firstStart || p.comparison.registryRead.Load())
 }
 
 // Run queries peers while the store does not confirm that the configuration is fresh.
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -69,7 +69,7 @@
 func (f *fakeNode) Quarantined() []dispatch.Quarantined            { return f.quarantined }
 func (f *fakeNode) ReceiveQuarantined(list []dispatch.Quarantined) { f.receivedQuarantined = list }
 func (f *fakeNode) ReceiveFleet(list []fleet.Upstream)             { f.receivedList = list }
-func (f *fakeNode) ReceiveMembers(others []*wire.Member, rank int) {
+func (f *fakeNode) ReceiveMembers(others []*wire.Member, rank int, _ bool) {
 	f.others, f.rank = len(others), rank
 	f.memberReports++
 }
--- a/peering/stalled_connections_test.go
+++ b/peering/stalled_connections_test.go
@@ -55,11 +55,11 @@
 func (*testNode) Fleet() ([]fleet.Upstream, bool) {
 	return []fleet.Upstream{{ID: fleet.IncarnationByID("u")}}, true
 }
-func (*testNode) HasList() bool                      { return true }
-func (*testNode) StoreEra() moment.Moment            { return moment.Moment{} }
-func (*testNode) ProvenIn() moment.Moment            { return moment.Moment{} }
-func (*testNode) ReceiveFleet([]fleet.Upstream)      {}
-func (*testNode) ReceiveMembers([]*wire.Member, int) {}
+func (*testNode) HasList() bool                            { return true }
+func (*testNode) StoreEra() moment.Moment                  { return moment.Moment{} }
+func (*testNode) ProvenIn() moment.Moment                  { return moment.Moment{} }
+func (*testNode) ReceiveFleet([]fleet.Upstream)            {}
+func (*testNode) ReceiveMembers([]*wire.Member, int, bool) {}
 
 func (*testNode) Quarantined() []dispatch.Quarantined       { return nil }
 func (*testNode) ReceiveQuarantined([]dispatch.Quarantined) {}
