peering: a peer that has read the registry completes the known nodes

A node that has read the registry names the era of its own registration in its answers (the field is that of registrations); the node that has asked takes the nodes in such an answer for all, if the peer has compared its configuration. A peer that has just started, or has not read the registry, completes nothing. No message is new.

--- a/dispatch/peer_msg.go
+++ b/dispatch/peer_msg.go
@@ -25,8 +25,8 @@
 	Aggregated bool
 	// Members lists the nodes.
 	Members []limit.Member
-	// Incomplete reports whether the registry of nodes has not been read yet, so that any number of
-	// nodes may be missing in Members and in the counts.
+	// Incomplete reports that neither this node nor a peer that has answered has read the registry, so
+	// that any number of nodes may be missing in Members and in the counts.
 	Incomplete bool
 	// ForwardTargets lists the other nodes that may serve requests of this one.
 	ForwardTargets []forwarding.Node
--- a/node/members.go
+++ b/node/members.go
@@ -14,7 +14,8 @@
 	// of set.
 	rank    int
 	changes int
-	// complete is false until the registry has been read; others may be missing until then.
+	// complete is false until this node or a peer that has answered has read the registry; others may be
+	// missing until then.
 	complete bool
 	// ready is closed by the first call of set.
 	ready chan struct{}
--- a/peering/doc.go
+++ b/peering/doc.go
@@ -73,6 +73,7 @@
 	// ReceiveQuarantined adds quarantined requests.
 	ReceiveQuarantined(list []dispatch.Quarantined)
 	// ReceiveMembers sets the other known nodes, and this node's rank by name among all. As long as
-	// complete is false the registry has not been read, and any number of others may be missing.
+	// complete is false, neither this node nor a peer that has answered has read the registry, and any
+	// number of others may be missing.
 	ReceiveMembers(others []*wire.Member, rank int, complete bool)
 }
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -92,6 +92,8 @@
 	// receiver. A node without peers has to be notified too. Only MaintainRegistration uses the
 	// field.
 	membersReported bool
+	// toldMembers is set once a peer that has read the registry has named the other nodes.
+	toldMembers atomic.Bool
 	// comparison is the comparison of the first configuration with those of peers.
 	comparison comparison
 	// nextQueryAt, queryPause and newestProof time the rounds of queries. Only Run uses them.
@@ -297,7 +299,7 @@
 func (p *Peering) reportMembers() {
 	others, rank := p.directory.others(), p.directory.rank()
 	p.log.Info("members", zap.Int("others", len(others)), zap.Int("rank", rank))
-	p.receiver.ReceiveMembers(others, rank, p.firstStart || p.comparison.registryRead.Load())
+	p.receiver.ReceiveMembers(others, rank, p.knowsMembers())
 }
 
 // Run queries peers while the store does not confirm that the configuration is fresh.
@@ -394,7 +396,7 @@
 		p.log.Debug("peer_silent", zap.String("peer", peer.GetName()), zap.String("address", peer.GetAddress()), logging.Err(err))
 		return noAnswer
 	}
-	p.addMembers(resp.Msg.GetMembers()...)
+	p.takeMembers(resp.Msg)
 	p.applyAnswer(sent, peer, resp.Msg)
 	if resp.Msg.GetAgeMs() < 0 {
 		return answeredStarted
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -40,6 +40,7 @@
 	receivedQuarantined []dispatch.Quarantined
 	others              int
 	memberReports       int
+	membersComplete     bool
 	rank                int
 	// era is the begin of the newest known era of the store, which has shown the configuration.
 	era moment.Moment
@@ -69,8 +70,8 @@
 func (f *fakeNode) Quarantined() []dispatch.Quarantined            { return f.quarantined }
 func (f *fakeNode) ReceiveQuarantined(list []dispatch.Quarantined) { f.receivedQuarantined = list }
 func (f *fakeNode) ReceiveFleet(list []fleet.Upstream)             { f.receivedList = list }
-func (f *fakeNode) ReceiveMembers(others []*wire.Member, rank int, _ bool) {
-	f.others, f.rank = len(others), rank
+func (f *fakeNode) ReceiveMembers(others []*wire.Member, rank int, complete bool) {
+	f.others, f.rank, f.membersComplete = len(others), rank, complete
 	f.memberReports++
 }
 
