--- a/peering/peering.go
+++ b/peering/peering.go
@@ -52,8 +52,10 @@
 	// readsPerRenewal is the number of reads of the registry after which a node renews its own
 	// registration.
 	readsPerRenewal = 2
-	// registryRetryPause is the pause after a failed call of the registry, and
+	// minRegistryRetryPause is the pause after a failed reading of the registry, which doubles up to
+	// registryRetryPause. registryRetryPause is also the pause after a failed registration, and
 	// othersRegisteredAfter the time after which all nodes of a common start have registered.
+	minRegistryRetryPause = 100 * time.Millisecond
 	registryRetryPause    = time.Second
 	othersRegisteredAfter = 2500 * time.Millisecond
 	// registrationSpread is the time over which the nodes of a new system register. The store
@@ -84,10 +86,14 @@
 	// restore of the store from a backup.
 	registeredAt  atomic.Int64
 	storeRestored chan struct{}
+	// registryRequested signals that the registry must be read at once.
+	registryRequested chan struct{}
 	// membersReported is set once the registry was read and the known nodes were passed to the
 	// receiver. A node without peers has to be notified too. Only MaintainRegistration uses the
 	// field.
 	membersReported bool
+	// toldMembers is set once a peer that has read the registry has named the other nodes.
+	toldMembers atomic.Bool
 	// comparison is the comparison of the first configuration with those of peers.
 	comparison comparison
 	// nextQueryAt, queryPause and newestProof time the rounds of queries. Only Run uses them.
@@ -116,7 +122,7 @@
 		registrationDelay: clock.Millis(seed % uint64(registrationSpread)),
 	}
 	p.registeredAt.Store(int64(clock.Never))
-	p.storeRestored = make(chan struct{}, 1)
+	p.storeRestored, p.registryRequested = make(chan struct{}, 1), make(chan struct{}, 1)
 	p.memberUpdates = coalescer{run: p.reportMembers, pause: memberUpdatePause}
 	p.startupWait = startupWait
 	for _, opt := range opts {
@@ -134,7 +140,7 @@
 func (p *Peering) MaintainRegistration(ctx context.Context) error {
 	registered := p.registerInitially(ctx)
 	for reads := 1; ctx.Err() == nil; reads++ {
-		clock.Sleep(ctx, registryReadInterval)
+		p.sleepReading(ctx, registryReadInterval)
 		status, err := p.readRegistry(ctx)
 		if err != nil {
 			p.log.Info("members_not_read", logging.Err(err))
@@ -151,8 +157,10 @@
 }
 
 // registerInitially registers the node at its start, unless its earlier registration still
-// exists or it is not needed. In a system that starts for the first time, nodes take turns. It
-// reports whether the node is registered.
+// exists or it is not needed. The registry is read first, for as long as that takes: the earlier
+// registration may vouch for an era, which an unread one that is written over would lose. In a
+// system that starts for the first time there is none, and nodes take turns. It reports whether
+// the node is registered.
 func (p *Peering) registerInitially(ctx context.Context) (registered bool) {
 	delay, lowCapacity := startDelay(p.directory.self.GetStrength())
 	switch {
@@ -163,10 +171,7 @@
 	case p.firstStart:
 		clock.Sleep(ctx, (delay + p.registrationDelay%lowCapacitySpread).Duration())
 	}
-	status, err := p.readRegistry(ctx)
-	if err != nil {
-		p.log.Info("members_not_read", logging.Err(err))
-	}
+	status := p.readUntilSuccess(ctx)
 	switch {
 	case status.registered:
 		return true
@@ -181,11 +186,46 @@
 // registered, and reads the registry.
 func (p *Peering) registerAndRead(ctx context.Context) {
 	p.retry(ctx, "not_registered", func() error { return p.register(ctx) })
-	clock.Sleep(ctx, othersRegisteredAfter)
-	p.retry(ctx, "members_not_read", func() error {
-		_, err := p.readRegistry(ctx)
-		return err
-	})
+	p.sleepReading(ctx, othersRegisteredAfter)
+	p.readUntilSuccess(ctx)
+}
+
+// sleepReading sleeps, and reads the registry meanwhile if that is requested.
+func (p *Peering) sleepReading(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-p.registryRequested:
+			if !p.comparison.doubt.isRead(p.storeEra()) {
+				p.readUntilSuccess(ctx)
+			}
+		}
+	}
+}
+
+// readUntilSuccess reads the registry until that succeeds or the context ends. A request for a
+// reading ends the pause after a failed one.
+func (p *Peering) readUntilSuccess(ctx context.Context) registryStatus {
+	for pause := minRegistryRetryPause; ctx.Err() == nil; pause = min(2*pause, registryRetryPause) {
+		status, err := p.readRegistry(ctx)
+		if err == nil {
+			return status
+		}
+		p.log.Info("members_not_read", logging.Err(err))
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-p.registryRequested:
+		}
+		timer.Stop()
+	}
+	return registryStatus{}
 }
 
 // retry repeats a call until it succeeds or the context ends, and logs each failure as the
@@ -205,17 +245,17 @@
 // the same time; each removes only registrations that have not changed since it read them. It
 // returns the status of this node in the registry.
 func (p *Peering) readRegistry(ctx context.Context) (registryStatus, error) {
-	list, unreadable, err := p.registry.Registrations(ctx)
+	reading, err := p.registry.Registrations(ctx)
 	if err != nil {
 		return registryStatus{}, err
 	}
-	for _, err := range unreadable {
+	for _, err := range reading.Unreadable {
 		p.log.Warn("member_unreadable", logging.Err(err))
 	}
-	p.readVouched(list)
+	p.readVouched(reading)
 	p.comparison.registryRead.Store(true)
-	status := statusIn(list, p.directory.self)
-	changed, expired := p.directory.applyRegistrations(p.clock.Now(), list)
+	status := statusIn(reading.List, p.directory.self)
+	changed, expired := p.directory.applyRegistrations(p.clock.Now(), reading.List)
 	if changed || !p.membersReported {
 		p.membersReported = true
 		p.memberUpdates.trigger()
@@ -259,7 +299,7 @@
 func (p *Peering) reportMembers() {
 	others, rank := p.directory.others(), p.directory.rank()
 	p.log.Info("members", zap.Int("others", len(others)), zap.Int("rank", rank))
-	p.receiver.ReceiveMembers(others, rank)
+	p.receiver.ReceiveMembers(others, rank, p.knowsMembers())
 }
 
 // Run queries peers while the store does not confirm that the configuration is fresh.
@@ -304,7 +344,7 @@
 	p.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(ask, len(peers))] {
 		go func() {
-			if p.query(ctx, peer, active.Edition, wantFleet) == answeredStarted && p.comparison.recordStarted(round) && !p.comparison.doubt.about(p.local.StoreEra()) {
+			if p.query(ctx, peer, active.Edition, wantFleet) == answeredStarted && p.comparison.recordStarted(round) && !p.inDoubt(p.clock.Now()) {
 				p.endComparison("all_started")
 			}
 		}()
@@ -356,7 +396,7 @@
 		p.log.Debug("peer_silent", zap.String("peer", peer.GetName()), zap.String("address", peer.GetAddress()), logging.Err(err))
 		return noAnswer
 	}
-	p.addMembers(resp.Msg.GetMembers()...)
+	p.takeMembers(resp.Msg)
 	p.applyAnswer(sent, peer, resp.Msg)
 	if resp.Msg.GetAgeMs() < 0 {
 		return answeredStarted
