fleet: an upstream becomes an engine only if it fits its service

The planner used them as indexes (moveGain, countHolders; addHolders clamped them), so that one entry of another writer ended the process of every node, again after each start. Layers in reports of engines, in datagrams of nodes and in orders from before a change of the configuration took the same way. Ruled out: a clamp in moveGain and countHolders (the engine would count as a holder of layers that it cannot hold, and the next index would have the fault again); a check in the decoder alone (it knows no configuration, and the configuration changes).

fleet.EngineOf compares kind, model, layers and their memory with the service. Only the type that it returns gives layers to the planner (Engine.held is not settable from outside) and to the decider. The view keeps entries that do not fit out of use and for a later configuration, asks again for all engines when the configuration changes, counts by field (entries_unfit) and logs once (entry_unfit), at most 1,024. Kept entries now have the key of their row, so that a later version of the row replaces or removes them; before, a kept one could be applied over its successor. Messages about layers that do not fit are passed over. The stage is not compared: the configuration has none.

Tests: retry_after, retry_after_cap and three scripts of reach had engines with eight layers of 1,000 MB in 5,000 MB; they now have a kind whose memory the layers fill. Their expectations are as they were.

--- a/catalog/service.go
+++ b/catalog/service.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "math"
+import (
+	"maps"
+	"math"
+	"slices"
+)
 
 // Service is a group of upstreams that answer the same requests.
 type Service struct {
@@ -43,6 +47,8 @@
 	MeanAnswerTokens float64
 	// Accelerators are the kinds of accelerator by name.
 	Accelerators map[string]Accelerator
+	// Models are the names of the models that engines may have; empty for any.
+	Models []string
 }
 
 // Accelerator is a kind of accelerator.
@@ -68,6 +74,28 @@
 // MaxLayers returns how many whole layers an accelerator can hold.
 func (p *Pipeline) MaxLayers(a Accelerator) int { return min(int(p.MemoryInLayers(a)), p.Layers) }
 
+// memoryRounding is the relative error that a memory size may have from its decimal notation.
+const memoryRounding = 1e-9
+
+// Fits reports whether a number of layers fits into an accelerator's memory. Without a size of the layers, any
+// number does.
+func (p *Pipeline) Fits(a Accelerator, layers int) bool {
+	return float64(layers)*p.LayerMB <= a.MemoryMB*(1+memoryRounding) || p.LayerMB <= 0
+}
+
+// HasModel reports whether engines may have a model. An engine that names none may be one of any.
+func (p *Pipeline) HasModel(name string) bool {
+	return name == "" || len(p.Models) == 0 || slices.Contains(p.Models, name)
+}
+
+// SameEngines reports whether the same engines fit both pipelines.
+func (p *Pipeline) SameEngines(other *Pipeline) bool {
+	if p == nil || other == nil {
+		return p == other
+	}
+	return p.Layers == other.Layers && p.LayerMB == other.LayerMB && maps.Equal(p.Accelerators, other.Accelerators) && slices.Equal(p.Models, other.Models)
+}
+
 // bytesPerMB is the platform's definition of MB.
 const bytesPerMB = 1e6
 
--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		load.Engines = append(load.Engines, admission.Engine{
-			Held: u.entry.Held, Memory: u.memory, UsedMemory: u.reserved + u.peerUse.Memory,
+			Held: u.held(), Memory: u.memory, UsedMemory: u.reserved + u.peerUse.Memory,
 			Slots: float64(u.entry.Slots), UsedSlots: float64(u.inFlight + u.peerUse.Streams),
 		})
 	}
--- a/dispatch/depart.go
+++ b/dispatch/depart.go
@@ -44,14 +44,14 @@
 	if kept == u.entry.Held {
 		return nil
 	}
-	u.entry.Held = kept
+	u.setHeld(kept)
 	m.departingSince[msg.Upstream] = m.now.Sub(departDelay)
 	return nil
 }
 
 // layersLoaded records the layers that an engine holds before the list shows them.
 func (m *Model) layersLoaded(u *upstream, layers fleet.LayerRange) {
-	u.entry.Held = layers
+	u.setHeld(layers)
 	u.layersReportedAt = m.now
 	u.fullUntil = 0
 	u.loading = loadOrder{}
--- a/dispatch/holders.go
+++ b/dispatch/holders.go
@@ -28,7 +28,7 @@
 	holders := make([]chain.Holder, 0, len(candidates))
 	bounded := m.upstreamBoundReached(r)
 	for _, u := range candidates {
-		if u.inBackOff(conditions.backOffsUntil) || !allowed(u) || slices.Contains(excluded, u.entry.ID) || u.entry.Held.Empty() || u.pipeline == nil || m.tooBusyToRecover(r, u) {
+		if u.inBackOff(conditions.backOffsUntil) || !allowed(u) || slices.Contains(excluded, u.entry.ID) || u.held().Empty() || u.pipeline == nil || m.tooBusyToRecover(r, u) {
 			continue
 		}
 		if u.sharesAddress && slices.ContainsFunc(holders, func(h chain.Holder) bool { return h.Address == u.entry.Address }) {
@@ -69,7 +69,7 @@
 
 func (m *Model) newHolder(r *request, u *upstream) chain.Holder {
 	h := chain.Holder{
-		ID: u.entry.ID, Address: u.entry.Address, DataCentre: u.entry.DataCentre, Held: u.entry.Held,
+		ID: u.entry.ID, Address: u.entry.Address, DataCentre: u.entry.DataCentre, Held: u.held(),
 		LayerTime: u.layerTime * max(u.slowdown, 1), TotalMemory: u.memory, FreeMemory: m.freeMemory(u),
 	}
 	h.PromptLoad = m.promptLoad(u, h.FreeMemory)
--- a/dispatch/load_order.go
+++ b/dispatch/load_order.go
@@ -18,7 +18,7 @@
 	if u.pipeline == nil || u.loading.layers == layers {
 		return
 	}
-	added := layers.Len() - u.entry.Held.Overlap(layers).Len()
+	added := layers.Len() - u.held().Overlap(layers).Len()
 	load := u.pipeline.LoadMS * float64(added) / float64(max(u.pipeline.Layers, 1))
 	u.loading = loadOrder{layers: layers, doneAt: m.now.Add(clock.Millis(load))}
 }
@@ -42,7 +42,7 @@
 		if !u.acceptsWork() || u.unresponsive {
 			continue
 		}
-		mark(u.entry.Held, m.now)
+		mark(u.held(), m.now)
 		if u.loading.doneAt > m.now {
 			mark(u.loading.layers, u.loading.doneAt)
 		}
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -68,7 +68,7 @@
 	if msg.Answered && msg.Report.Empty {
 		// The engine has restarted, and the list shows its former layers for some seconds. Each
 		// node that relied on the list would have a request refused.
-		u.entry.Held = fleet.LayerRange{}
+		u.setHeld(fleet.LayerRange{})
 	}
 	cmds := m.recordProbeReach(u, msg.Answered)
 	if !msg.Answered && m.cutFrom(u) {
--- a/dispatch/prompt_load.go
+++ b/dispatch/prompt_load.go
@@ -25,7 +25,7 @@
 // promptLoad estimates the ratio of the prompts that an engine receives to those that it can read
 // in time. The rate of prompts follows from the memory in use and the mean duration of streams.
 func (m *Model) promptLoad(u *upstream, free float64) float64 {
-	layers := u.entry.Held.Len()
+	layers := u.held().Len()
 	streams := u.streams(u.memory - free)
 	accelerator, known := u.pipeline.Accelerators[u.entry.Accelerator]
 	if !known || streams <= 0 {
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -210,7 +210,7 @@
 
 // readRate returns how many prompt tokens an engine reads per ms; infinite if unknown.
 func (m *Model) readRate(u *upstream) float64 {
-	layers := u.entry.Held.Len()
+	layers := u.held().Len()
 	accelerator, known := u.pipeline.Accelerators[u.entry.Accelerator]
 	if !known || layers == 0 {
 		return math.Inf(1)
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -418,6 +418,8 @@
 		Accelerators: map[string]catalog.Accelerator{
 			"fast": {Name: "fast", MemoryMB: 5000, StepFactor: 1, ReadFactor: 1},
 			"slow": {Name: "slow", MemoryMB: 5000, StepFactor: 10, ReadFactor: 10},
+			// All layers fit, and fill its memory.
+			"full": {Name: "full", MemoryMB: 8000, StepFactor: 1, ReadFactor: 1},
 		},
 	}}
 	key := "k"
--- a/dispatch/upstream.go
+++ b/dispatch/upstream.go
@@ -8,8 +8,15 @@
 
 // upstream is the state that the node keeps for one upstream besides its entry.
 type upstream struct {
-	entry    fleet.Upstream
+	entry fleet.Upstream
+	// service is the configuration of the upstream's service, nil if there is none, and pipeline its pipeline,
+	// nil for plain services.
+	service  *catalog.Service
 	pipeline *catalog.Pipeline
+	// engine is the zero value for plain services, and if the entry does not fit the service. unfit reports the
+	// latter.
+	engine fleet.Engine
+	unfit  bool
 	// layerTime is the time of one token through one layer, and readTime the time to read one
 	// prompt token through it, in ms. memory is the memory for requests, in tokens times layers.
 	layerTime float64
@@ -134,18 +141,37 @@
 
 // applyService derives an engine's layer time and memory from the configuration of its service.
 func (u *upstream) applyService(s *catalog.Service) {
-	u.pipeline, u.memory, u.layerTime, u.readTime = nil, 0, 0, 0
-	if s == nil || s.Pipeline == nil {
-		return
+	u.service, u.pipeline, u.memory, u.layerTime, u.readTime = s, nil, 0, 0, 0
+	if s != nil {
+		u.pipeline = s.Pipeline
 	}
-	u.pipeline = s.Pipeline
-	accelerator, ok := s.Pipeline.Accelerators[u.entry.Accelerator]
-	if !ok {
+	u.checkFit()
+	if u.pipeline == nil || u.unfit {
 		return
 	}
+	accelerator := u.engine.Accelerator()
 	u.layerTime = s.Pipeline.StepTime(accelerator, 1)
 	u.readTime = s.Pipeline.ReadTime(accelerator, 1)
-	u.memory = s.Pipeline.RequestMemory(accelerator, u.entry.Held.Len())
+	u.memory = s.Pipeline.RequestMemory(accelerator, u.held().Len())
+}
+
+// checkFit derives the engine from the entry and the service.
+func (u *upstream) checkFit() {
+	u.engine, u.unfit = fleet.Engine{}, false
+	if u.pipeline == nil {
+		return
+	}
+	engine, err := fleet.EngineOf(u.service, u.entry)
+	u.engine, u.unfit = engine, err != nil
+}
+
+// held returns the layers that the engine holds.
+func (u *upstream) held() fleet.LayerRange { return u.engine.Held() }
+
+// setHeld records layers that the engine holds before its entry shows them.
+func (u *upstream) setHeld(layers fleet.LayerRange) {
+	u.entry.Held = layers
+	u.checkFit()
 }
 
 // ownUse returns the usage of the upstream by this node's requests.
@@ -155,7 +181,7 @@
 
 // streams estimates the number of streams that use some memory of an engine.
 func (u *upstream) streams(usedMemory float64) float64 {
-	layers := u.entry.Held.Len()
+	layers := u.held().Len()
 	if layers == 0 || usedMemory <= 0 {
 		return 0
 	}
@@ -174,8 +200,8 @@
 // healthy reports whether the upstream accepts work and is not suspected. It may still be full.
 func (u *upstream) healthy() bool { return u.acceptsWork() && !u.suspected }
 
-// acceptsWork reports whether the upstream's entry allows new work.
-func (u *upstream) acceptsWork() bool { return !u.entry.Leaving && !u.entry.Withheld }
+// acceptsWork reports whether the upstream's entry and its service allow new work.
+func (u *upstream) acceptsWork() bool { return !u.entry.Leaving && !u.entry.Withheld && !u.unfit }
 
 // full reports whether the upstream has refused work recently for lack of capacity.
 func (u *upstream) full(now clock.Millis) bool { return now < u.fullUntil }
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -19,7 +19,10 @@
 	Leaving bool
 	// Accelerator is the kind of accelerator; empty for plain services.
 	Accelerator string
-	// Held is the range of layers that the engine holds; empty for none.
+	// Model is the name of the engine's model; empty if its entry names none, and in lists of other nodes.
+	Model string
+	// Held is the range of layers that the entry names; empty for none. Nothing says that the model has them:
+	// EngineOf checks that.
 	Held LayerRange
 	// Lapsed is set if the upstream had an entry before an outage of the store and has
 	// had none since the recovery. A view that contains the upstream keeps it for a grace
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
@@ -41,12 +42,13 @@
 	staleSuspects map[Incarnation]Upstream
 	// awaited holds the layers of engines that messages reported, until the list must show them.
 	awaited map[Incarnation]awaitedLayers
-	// knownServices holds the services in the configuration, nil until known, and
-	// unknownServiceEntries the entries that name other services.
-	knownServices         map[string]bool
-	unknownServiceEntries map[Incarnation]Upstream
+	// catalog is the configuration, nil until known. unfitEntries holds the entries that name other services,
+	// or do not fit theirs, by the key of their row.
+	catalog      *catalog.Catalog
+	unfitEntries map[ID]Upstream
+	misfits      misfitLog
 	// droppedEntries reports whether there were more of these than are kept since the last complete list,
-	// and lacksEntries whether a service has been added since.
+	// and lacksEntries whether a service has been added or changed since.
 	droppedEntries, lacksEntries bool
 	storeDown                    bool
 	// recoveredAt is when the store last recovered.
@@ -56,19 +58,20 @@
 // NewView returns a view without upstreams.
 func NewView() *View {
 	return &View{
-		upstreams:             make(map[Incarnation]*Upstream),
-		seenLeaving:           make(map[Incarnation]bool),
-		terminated:            make(map[Incarnation]bool),
-		replacedAt:            make(map[Incarnation]string),
-		newestStarts:          make(latestStarts),
-		byAddress:             make(map[string]Incarnation),
-		missingUntil:          make(map[Incarnation]clock.Millis),
-		unknownServiceEntries: make(map[Incarnation]Upstream),
-		removedAt:             make(map[Incarnation]clock.Millis),
-		prunedAt:              clock.Never,
-		restoredAt:            clock.Never,
-		staleSuspects:         make(map[Incarnation]Upstream),
-		awaited:               make(map[Incarnation]awaitedLayers),
+		upstreams:     make(map[Incarnation]*Upstream),
+		seenLeaving:   make(map[Incarnation]bool),
+		terminated:    make(map[Incarnation]bool),
+		replacedAt:    make(map[Incarnation]string),
+		newestStarts:  make(latestStarts),
+		byAddress:     make(map[string]Incarnation),
+		missingUntil:  make(map[Incarnation]clock.Millis),
+		unfitEntries:  make(map[ID]Upstream),
+		misfits:       newMisfitLog(),
+		removedAt:     make(map[Incarnation]clock.Millis),
+		prunedAt:      clock.Never,
+		restoredAt:    clock.Never,
+		staleSuspects: make(map[Incarnation]Upstream),
+		awaited:       make(map[Incarnation]awaitedLayers),
 	}
 }
 
@@ -100,7 +103,7 @@
 // is set if the list follows an outage. A listed earlier incarnation does not affect the latest
 // one.
 func (v *View) ReplaceList(now clock.Millis, list []Change, afterOutage bool) []Change {
-	clear(v.unknownServiceEntries)
+	clear(v.unfitEntries)
 	clear(v.staleSuspects)
 	v.droppedEntries, v.lacksEntries = false, false
 	changes := slices.DeleteFunc(slices.Clone(list), func(c Change) bool { return v.holdBackStale(now, c) })
@@ -139,7 +142,7 @@
 	effective = append(effective, v.terminateAtReusedAddress(changes)...)
 	for _, c := range changes {
 		c.ID = v.IncarnationOf(c)
-		if v.setAsideUnknownService(c) {
+		if v.setAsideUnfit(c) {
 			c.Unreadable = true
 		}
 		if c.Unreadable {
@@ -182,6 +185,9 @@
 		v.seenLeaving[u.ID] = true
 	}
 	known, found := v.upstreams[u.ID]
+	if found && u.Model == "" {
+		u.Model = known.Model
+	}
 	if found && *known == u {
 		return false
 	}
@@ -227,6 +233,9 @@
 	delete(v.upstreams, id)
 	delete(v.missingUntil, id)
 	delete(v.awaited, id)
+	if v.unfitEntries[id.ID()].ID == id {
+		delete(v.unfitEntries, id.ID())
+	}
 }
 
 // Expire removes upstreams whose missing entries did not reappear in time, adds entries that
--- a/fleet/view_incarnations.go
+++ b/fleet/view_incarnations.go
@@ -49,7 +49,7 @@
 func (v *View) terminateEarlier(changes []Change) []Change {
 	var removed []Change
 	for _, c := range changes {
-		if !c.Gone && !v.hasUnknownService(c) {
+		if !c.Gone && v.check(c) == nil {
 			removed = append(removed, v.NoteIncarnation(c.ID)...)
 		}
 	}
@@ -78,7 +78,7 @@
 	var removed []Change
 	for _, c := range changes {
 		old := v.byAddress[c.Upstream.Address]
-		if v.hasUnknownService(c) || v.HasEntry(old) && !v.upstreams[old].Leaving && !leavingOrGone[old] {
+		if v.check(c) != nil || v.HasEntry(old) && !v.upstreams[old].Leaving && !leavingOrGone[old] {
 			continue
 		}
 		if c.Gone || c.Unreadable || c.Upstream.Lapsed || c.Upstream.Address == "" || old.IsZero() || old == c.ID || v.upstreams[c.ID] != nil || v.isTerminated(c.ID) {
--- a/fleet/view_reported_layers.go
+++ b/fleet/view_reported_layers.go
@@ -38,14 +38,23 @@
 	by       clock.Millis
 }
 
-// AwaitLayers records a message about the layers of an engine. A repetition of the last message has no
-// effect.
-func (v *View) AwaitLayers(now clock.Millis, id Incarnation, reported ReportedLayers) {
-	last, awaited := v.awaited[id]
-	if !v.Contains(id) || awaited && last.reported == reported {
-		return
+// AwaitLayers records a message about the layers of an engine, and reports whether the engine's service allows
+// them. A repetition of the last message has no effect, nor has a message about layers that do not fit.
+func (v *View) AwaitLayers(now clock.Millis, id Incarnation, reported ReportedLayers) bool {
+	known := v.upstreams[id]
+	if known == nil {
+		return true
 	}
-	v.awaited[id] = awaitedLayers{reported: reported, by: now.Add(reported.shownWithin() + messageDelay)}
+	u := *known
+	u.Held = reported.Layers
+	if err := v.check(Change{ID: id, Upstream: u}); err != nil {
+		v.misfits.record(u, err)
+		return false
+	}
+	if last, awaited := v.awaited[id]; !awaited || last.reported != reported {
+		v.awaited[id] = awaitedLayers{reported: reported, by: now.Add(reported.shownWithin() + messageDelay)}
+	}
+	return true
 }
 
 // LayersNotShown returns the entries of engines that do not show in time the layers that a message reported,
--- a/follow/fleet.go
+++ b/follow/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"sync"
 	"sync/atomic"
 
@@ -45,6 +46,8 @@
 	// may lack falsely removed entries.
 	publishFull bool
 	incomplete  bool
+	// misfits counts entries that do not fit the configuration, by field.
+	misfits expvar.Map
 }
 
 // NewFleet returns a follower of the list of upstreams, which passes changes to onChanges.
--- a/follow/fleet_apply.go
+++ b/follow/fleet_apply.go
@@ -1,10 +1,12 @@
 package follow
 
 import (
+	"expvar"
 	"slices"
 
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/logging"
@@ -38,19 +40,36 @@
 	}
 	expired := f.view.Expire(now)
 	f.publishFull = f.publishFull || f.falseRemovalsChanged(held) || slices.ContainsFunc(expired, isEntry)
+	f.reportMisfits()
 	f.publish(reading, changes, expired, uncertain)
 	f.notify(append(changes, expired...), reading.AsOf)
 	f.restoreLayers(now, reading.AsOf)
 }
 
-// AwaitLayers records a message about the layers of an engine. Its entry applies again if the list does not
-// show them in time.
-func (f *Fleet) AwaitLayers(id fleet.Incarnation, reported fleet.ReportedLayers) {
+// AwaitLayers records a message about the layers of an engine, and reports whether the engine's service allows
+// them. Its entry applies again if the list does not show them in time.
+func (f *Fleet) AwaitLayers(id fleet.Incarnation, reported fleet.ReportedLayers) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.view.AwaitLayers(f.clock.Now(), id, reported)
+	defer f.reportMisfits()
+	return f.view.AwaitLayers(f.clock.Now(), id, reported)
 }
 
+// reportMisfits counts the entries and messages that do not fit the configuration, and logs new ones.
+func (f *Fleet) reportMisfits() {
+	counts, fresh := f.view.TakeMisfits()
+	for field, n := range counts {
+		f.misfits.Add(string(field), int64(n))
+	}
+	for _, m := range fresh {
+		f.log.Warn("entry_unfit", zap.Stringer("upstream", m.ID), zap.String("service", m.Service), zap.String("field", string(m.Err.Field)), logging.Err(m.Err))
+	}
+}
+
+// Misfits returns the counters of entries, and of messages about layers, that do not fit the configuration of
+// their service, by field. Each counts each time it is read.
+func (f *Fleet) Misfits() *expvar.Map { return &f.misfits }
+
 // restoreLayers passes on the entries of engines again that do not show the layers that a message reported.
 func (f *Fleet) restoreLayers(now clock.Millis, asOf moment.Moment) {
 	changes := f.view.LayersNotShown(now)
@@ -219,19 +238,19 @@
 	return slices.DeleteFunc(slices.Clone(changes), func(c fleet.Change) bool { return c.Gone })
 }
 
-// SetServices sets the services in the configuration. Entries of other services are withheld
-// until the configuration includes them.
-func (f *Fleet) SetServices(names []string) {
+// SetCatalog sets the configuration. Entries that do not fit it are withheld until it changes.
+func (f *Fleet) SetCatalog(c *catalog.Catalog) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if changes := f.view.SetServices(f.clock.Now(), names); len(changes) > 0 {
+	defer f.reportMisfits()
+	if changes := f.view.SetCatalog(f.clock.Now(), c); len(changes) > 0 {
 		// Followers have the list without these entries.
 		f.publishFull = true
 		f.notify(changes, f.publishedAsOf)
 	}
 }
 
-// lacksEntries reports whether the list must be read again for a service that has been added.
+// lacksEntries reports whether the list must be read again for a service that has been added or changed.
 func (f *Fleet) lacksEntries() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/follow/services_test.go
+++ b/follow/services_test.go
@@ -8,10 +8,20 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
+// plainServices returns a configuration with plain services.
+func plainServices(names ...string) *catalog.Catalog {
+	var services []*catalog.Service
+	for _, name := range names {
+		services = append(services, &catalog.Service{Name: name})
+	}
+	return catalog.New(1, catalog.WithServices(services...))
+}
+
 // Guards against thousands of entries of other writers that hide the upstreams of a service which is
 // configured later: the list is read again then, and only then.
 func TestManyForeignEntriesHideNoLaterService(t *testing.T) {
@@ -32,11 +42,11 @@
 		for _, c := range changes {
 			known[c.ID.ID()] = !c.Gone && !c.Upstream.Withheld
 			if c.ID.ID() == "d2" {
-				go f.SetServices([]string{"desk", "chess"})
+				go f.SetCatalog(plainServices("desk", "chess"))
 			}
 		}
 	})
-	f.SetServices([]string{"desk"})
+	f.SetCatalog(plainServices("desk"))
 	if err := f.Run(ctx); !errors.Is(err, context.Canceled) {
 		t.Fatalf("got error %v, want %v", err, context.Canceled)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"expvar"
 	"hash/fnv"
 	"net"
@@ -141,7 +142,7 @@
 	listAge := func() clock.Millis { return n.fleetFollower.ListAge() }
 	n.relay = relay.New(n.ctx, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(n.dialUpstream), relay.WithForwarding(s.Name, platform.Dialer().DialContext), relay.WithMaxConfigAge(s.keysMaxAge()),
-		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()), relay.WithCounters("rows_unreadable", n.store.UnreadableRows()),
+		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()), relay.WithCounters("rows_unreadable", n.store.UnreadableRows()), relay.WithCounters("entries_unfit", expvar.Func(func() any { return json.RawMessage(n.fleetFollower.Misfits().String()) })),
 		relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)), relay.WithCounters("quarantined_parts", expvar.Func(n.quarantined.parts)),
 		relay.WithCounters("overload", expvar.Func(func() any { return n.overload.Summary() })), relay.WithOwnDelay(n.overload.Delay), relay.WithOverload(n.overload.Overloaded),
--- a/node/updates.go
+++ b/node/updates.go
@@ -3,7 +3,6 @@
 import (
 	"go.uber.org/zap"
 
-	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -37,7 +36,7 @@
 		n.log.Info("config", zap.Stringer("version", p.Edition), zap.Stringer("written", p.Edition.Written()), age)
 		n.relay.SetCatalog(p.Catalog, n.provenAt(active))
 		n.placer.Send(placement.CatalogMsg{Catalog: p.Catalog})
-		n.fleetFollower.SetServices(serviceNames(p.Catalog))
+		n.fleetFollower.SetCatalog(p.Catalog)
 	}
 	return active
 }
@@ -79,13 +78,6 @@
 	n.fleetFollower.MarkReplaced(upstream, address)
 }
 
-// serviceNames returns the names of the services of a configuration.
-func serviceNames(c *catalog.Catalog) []string {
-	var names []string
-	c.EachService(func(s *catalog.Service) { names = append(names, s.Name) })
-	return names
-}
-
 // reportUnresponsive notifies the planner that an engine has stopped or resumed answering. It
 // notifies other nodes too if none of them has reported the engine yet.
 func (n *Node) reportUnresponsive(cmd dispatch.ResponsivenessCmd) {
@@ -192,11 +184,14 @@
 	n.usage.SendPlacement(upstream, layers, holds)
 }
 
-// applyPlacement applies an order that this node or another node has given.
+// applyPlacement applies an order that this node or another node has given. Layers that the model does not have,
+// or that the engine has no memory for, are no order.
 func (n *Node) applyPlacement(upstream fleet.Incarnation, layers fleet.LayerRange, holds bool) {
+	if !n.fleetFollower.AwaitLayers(upstream, fleet.ReportedLayers{Layers: layers, Completed: holds}) {
+		return
+	}
 	n.relay.HandlePlacement(upstream, layers, holds)
 	n.placer.Send(placement.PlacedMsg{Upstream: upstream, Layers: layers, Completed: holds})
-	n.fleetFollower.AwaitLayers(upstream, fleet.ReportedLayers{Layers: layers, Completed: holds})
 }
 
 func (n *Node) applyFleet(changes []fleet.Change) {
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -18,7 +18,7 @@
 		engines[i] = placement.Engine{ID: fleet.IncarnationByID(fleet.ID(fmt.Sprintf("e%04d", i))), DataCentre: fmt.Sprintf("dc-%d", i/33), LayerCapacity: 10, MemoryLayers: 10.5, LayerTime: 0.1, ReadTime: 0.0005}
 		if placed {
 			from := (i * 8) % 80
-			engines[i].Held = fleet.LayerRange{From: from, To: from + 8}
+			engines[i] = engines[i].Holding(fleet.LayerRange{From: from, To: from + 8})
 		}
 	}
 	return engines
@@ -44,7 +44,7 @@
 	var changes []fleet.Change
 	for _, e := range benchEngines(n, true) {
 		changes = append(changes, fleet.Change{ID: e.ID, Upstream: fleet.Upstream{
-			ID: e.ID, Service: "writer", DataCentre: e.DataCentre, Accelerator: "big", Held: e.Held,
+			ID: e.ID, Service: "writer", DataCentre: e.DataCentre, Accelerator: "big", Held: e.Held(),
 		}})
 	}
 	m.Update(0, placement.FleetMsg{Changes: changes})
--- a/placement/heal.go
+++ b/placement/heal.go
@@ -63,7 +63,7 @@
 	most := 0.0
 	for i := range p.engines {
 		e := &p.engines[i]
-		if e.DataCentre != centre || e.Fixed || !e.Ordered.Empty() || e.Held.Empty() {
+		if e.DataCentre != centre || e.Fixed || !e.ordered.Empty() || e.held.Empty() {
 			continue
 		}
 		for size := layersAtFill(e, fill); size <= p.maxHealLayers(e, fill); size++ {
@@ -90,7 +90,7 @@
 	counts := p.holderCounts[e.DataCentre]
 	gain := 0.0
 	for layer := r.From; layer < r.To; layer++ {
-		if e.Held.Holds(layer) {
+		if e.held.Holds(layer) {
 			continue
 		}
 		gain -= loadCost
@@ -98,7 +98,7 @@
 			gain += coverGain
 		}
 	}
-	for layer := e.Held.From; layer < e.Held.To; layer++ {
+	for layer := e.held.From; layer < e.held.To; layer++ {
 		if r.Holds(layer) {
 			continue
 		}
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -5,6 +5,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
 // cachedPlan is a plan with the pipeline and engines for which it was computed. The same input is
@@ -60,18 +61,26 @@
 func (m *Model) engines(now clock.Millis, s *catalog.Service) []Engine {
 	var engines []Engine
 	for id, u := range m.upstreams {
-		kind, ok := s.Pipeline.Accelerators[u.Accelerator]
-		if u.Service != s.Name || u.Leaving || !ok || m.isLost(id) || m.withheldTooLong(now, id) || slices.Contains(m.excludedDataCentres, u.DataCentre) {
+		if u.Service != s.Name || u.Leaving || m.isLost(id) || m.withheldTooLong(now, id) || slices.Contains(m.excludedDataCentres, u.DataCentre) {
 			continue
 		}
+		fitting, err := fleet.EngineOf(s, u)
+		if err != nil {
+			continue
+		}
+		kind := fitting.Accelerator()
 		e := Engine{
 			ID: id, DataCentre: u.DataCentre, LayerCapacity: s.Pipeline.MaxLayers(kind), MemoryLayers: s.Pipeline.MemoryInLayers(kind),
-			LayerTime: s.Pipeline.StepTime(kind, 1), ReadTime: s.Pipeline.ReadTime(kind, 1), Held: u.Held,
+			LayerTime: s.Pipeline.StepTime(kind, 1), ReadTime: s.Pipeline.ReadTime(kind, 1), held: fitting.Held(),
 		}
 		e.Reserved = m.ready && m.firstSeen[id] > m.readyAt && now < m.firstSeen[id].Add(reserveDuration)
 		e.Fixed = u.Withheld
 		if p, ordered := m.pending[id]; ordered {
-			e.Ordered, e.Fixed = p.layers, true
+			e.Fixed = true
+			// An order may be older than the configuration.
+			if after, err := fitting.Holding(p.layers); err == nil {
+				e.ordered = after.Held()
+			}
 		}
 		engines = append(engines, e)
 	}
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -32,9 +32,11 @@
 	// one prompt token in one layer, in milliseconds.
 	LayerTime float64
 	ReadTime  float64
-	// Held is the range that the engine holds, and Ordered the range of a pending order.
-	Held    fleet.LayerRange
-	Ordered fleet.LayerRange
+	// held is the range that the engine holds, and ordered the range of a pending order. Both are ranges of
+	// the shape's layers: only ranges that a fleet.Engine of the same pipeline has checked get here, since
+	// plans use them as indexes.
+	held    fleet.LayerRange
+	ordered fleet.LayerRange
 	// Fixed engines get no orders at present.
 	Fixed bool
 	// Reserved engines are new and only used for layers without a holder.
@@ -47,10 +49,10 @@
 
 // assigned returns the range of the pending order or, without one, the held range.
 func (e *Engine) assigned() fleet.LayerRange {
-	if !e.Ordered.Empty() {
-		return e.Ordered
+	if !e.ordered.Empty() {
+		return e.ordered
 	}
-	return e.Held
+	return e.held
 }
 
 // Order assigns a range of layers to an engine.
@@ -110,7 +112,7 @@
 }
 
 func (p *plan) addHolders(centre string, r fleet.LayerRange, delta int) {
-	for layer := max(r.From, 0); layer < min(r.To, p.shape.Layers); layer++ {
+	for layer := r.From; layer < r.To; layer++ {
 		p.holderCounts[centre][layer] += delta
 	}
 }
@@ -244,7 +246,7 @@
 	o := Order{ID: e.ID, Layers: r, Missing: p.missingLayers(e.DataCentre, r)}
 	p.addHolders(e.DataCentre, e.assigned(), -1)
 	p.addHolders(e.DataCentre, r, 1)
-	e.Ordered = r
+	e.ordered = r
 	return o
 }
 
--- a/placement/refill_test.go
+++ b/placement/refill_test.go
@@ -40,7 +40,7 @@
 		for _, o := range Plan(shape, list) {
 			for i := range list {
 				if list[i].ID == o.ID {
-					list[i].Held = o.Layers
+					list[i].held = o.Layers
 				}
 			}
 		}
@@ -56,7 +56,7 @@
 	}
 	fresh := capacityAfter(build())
 	partial := build()
-	partial[5].Held = fleet.LayerRange{From: 0, To: 9}
+	partial[5].held = fleet.LayerRange{From: 0, To: 9}
 	if got, want := capacityAfter(partial), requiredShare*fresh; got < want {
 		t.Errorf("got memory for %.0f request tokens, want at least %.0f; an initial plan has %.0f", got, want, fresh)
 	}
--- a/placement/size_bench_test.go
+++ b/placement/size_bench_test.go
@@ -23,7 +23,7 @@
 	for _, n := range []int{13, 38, 73, 100, 333} {
 		list := mixedEngines(n)
 		partial := slices.Clone(list)
-		partial[0].Held = fleet.LayerRange{To: partial[0].LayerCapacity / 2}
+		partial[0] = partial[0].Holding(fleet.LayerRange{To: partial[0].LayerCapacity / 2})
 		for name, list := range map[string][]placement.Engine{"first": list, "partial": partial} {
 			b.Run(fmt.Sprintf("%s-%d", name, n), func(b *testing.B) {
 				for b.Loop() {
--- a/placement/size_test.go
+++ b/placement/size_test.go
@@ -47,7 +47,7 @@
 func TestPlanCostPerEngineIsBounded(t *testing.T) {
 	partial := func(n int) []Engine {
 		list := sizeEngines(n)
-		list[0].Held = fleet.LayerRange{To: 12}
+		list[0].held = fleet.LayerRange{To: 12}
 		return list
 	}
 	for name, list := range map[string]func(int) []Engine{"first": sizeEngines, "partial": partial} {
