--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -125,7 +125,7 @@
 	if msg.Cause == CauseStaleConfig {
 		return nil
 	}
-	if r.firstUpstream != nil {
+	if r.progress == atUpstream {
 		r.triedUpstreams[r.firstUpstream.entry.ID] = true
 	}
 	faulty := m.faultyUpstream(r, msg)
--- a/dispatch/forward.go
+++ b/dispatch/forward.go
@@ -99,14 +99,6 @@
 	return m.beginAttempt(r, cmd, nil)
 }
 
-// endForward ends the attempt at another node, if there is one.
-func (m *Model) endForward(r *request) {
-	if r.forwardedTo != "" {
-		m.nodes.RecordEnded(r.forwardedTo)
-		r.forwardedTo = ""
-	}
-}
-
 // recordForwardFailure records what a failed attempt at another node shows about that node.
 func (m *Model) recordForwardFailure(r *request, msg AttemptFailedMsg) {
 	switch {
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -40,10 +40,10 @@
 // recordAttemptReach records what a failed attempt shows about the link to its upstream. An
 // attempt that was canceled because of a later engine of its chain shows nothing.
 func (m *Model) recordAttemptReach(r *request, msg AttemptFailedMsg) []Cmd {
-	u := r.firstUpstream
-	if u == nil {
+	if r.progress != atUpstream {
 		return nil
 	}
+	u := r.firstUpstream
 	switch msg.Cause {
 	case CauseFull, CauseMisdirected, CauseUpstreamFailed:
 		return m.recordAnswered(u)
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -130,7 +130,7 @@
 // upstreamAt returns the incarnation that the current attempt uses at an address. Another
 // incarnation may have the address by now.
 func (r *request) upstreamAt(address string) (fleet.Incarnation, bool) {
-	if r.firstUpstream != nil && r.firstUpstream.entry.Address == address {
+	if r.progress == atUpstream && r.firstUpstream.entry.Address == address {
 		return r.firstUpstream.entry.ID, true
 	}
 	for _, p := range r.chain {
@@ -217,15 +217,16 @@
 
 // endAttempt releases the resources of the current attempt, if there is one.
 func (m *Model) endAttempt(r *request) {
-	if r.hasLeft() {
-		r.progress = undecided
-	}
-	m.release(r)
-	if r.firstUpstream != nil {
+	switch r.progress {
+	case atUpstream:
 		r.firstUpstream.inFlight--
-		r.firstUpstream = nil
+	case atNode:
+		m.nodes.RecordEnded(r.forwardedTo)
+	case undecided, queued, awaitingPermit, interrupted, awaitingTurn, ended:
+		return
 	}
-	m.endForward(r)
+	m.release(r)
+	r.progress, r.firstUpstream, r.forwardedTo = undecided, nil, ""
 	r.migrating, r.awaitsFirstEvent = false, false
 }
 
