dispatch: the error of an upstream replaces one refusal, not the commands beside it

Cause: where a retry found no upstream, afterFailure returned the relaying of the upstream's error instead of all that the retry had led to, also the answers to requests that had waited for the same permits. Such a client got no answer: its session has no deadline before its first attempt. The relaying takes the place of the request's own refusal now.

--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -70,8 +70,19 @@
 		// The retry was not sent, because no upstream was available.
 		m.budget(r.service.Name).Refund(m.now)
 	}
-	if msg.Cause == CauseUpstreamFailed && !r.answerBegun() {
-		return m.relayFailure(r, msg)
+	if msg.Cause == CauseUpstreamFailed {
+		return relayInstead(cmds, msg)
+	}
+	return cmds
+}
+
+// relayInstead replaces the refusal of a request among commands by the error response of its upstream.
+// The others may concern other requests.
+func relayInstead(cmds []Cmd, msg AttemptFailedMsg) []Cmd {
+	for i, cmd := range cmds {
+		if refusal, ok := cmd.(RespondCmd); ok && refusal.Request == msg.Request {
+			cmds[i] = RelayFailureCmd{Request: msg.Request, Attempt: msg.Attempt}
+		}
 	}
 	return cmds
 }
