relay: a request on which no decision is made is refused at its caller's deadline

What a caller saw: nothing, until it left. Now the caller's deadline holds from the arrival on, and the request gets 503: it was not sent. TestUndecidedRequestIsRefused hung before (test time-out of 10 s).

--- a/relay/session.go
+++ b/relay/session.go
@@ -98,6 +98,10 @@
 	s.firstEventTimer = stoppedTimer()
 	s.stallReports, s.migrationResults = make(chan stallReport, 1), make(chan dispatch.MigratedMsg, mailboxSize)
 	defer s.release()
+	if s.head.Remaining > 0 {
+		// The first attempt sets the timer anew. Until then the decider ends the request earlier, if it decides.
+		s.deadlineTimer.Reset(s.head.Remaining.Duration())
+	}
 	if !s.relay.decider.offerArrival(s.arrival(), s.commands) {
 		s.respondError(http.StatusServiceUnavailable, dispatch.ReasonNoMemory, overloadRetryAfter)
 		return
