--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -248,14 +248,21 @@
 	case RequestEndedMsg:
 		m.dropDeferred(msg.Request)
 		return m.requestEnded(msg)
+	case TickMsg:
+		return m.tick()
+	}
+	return m.updateNodeState(msg)
+}
+
+// updateNodeState handles messages about the node itself.
+func (m *Model) updateNodeState(msg Msg) []Cmd {
+	switch msg := msg.(type) {
 	case VMResumedMsg:
 		return m.vmResumed()
 	case DrainMsg:
 		return m.drain(msg)
 	case NodeEndMsg:
 		return m.endRequests()
-	case TickMsg:
-		return m.tick()
 	}
 	return m.updateUpstreamState(msg)
 }
--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -481,23 +481,27 @@
 	return text
 }
 
+func showSend(c dispatch.SendCmd) string {
+	if c.Node != "" {
+		return showForward(c)
+	}
+	text := fmt.Sprintf("send %d.%d to %s", c.Request, c.Attempt, c.Upstream)
+	if len(c.Chain) > 0 {
+		text += " over " + showChain(c.Chain)
+	}
+	if c.Account != "" {
+		text += " for " + c.Account
+	}
+	if c.Priority != 0 {
+		text += fmt.Sprintf(" priority=%d", c.Priority)
+	}
+	return text
+}
+
 func show(cmd dispatch.Cmd) string {
 	switch c := cmd.(type) {
 	case dispatch.SendCmd:
-		if c.Node != "" {
-			return showForward(c)
-		}
-		text := fmt.Sprintf("send %d.%d to %s", c.Request, c.Attempt, c.Upstream)
-		if len(c.Chain) > 0 {
-			text += " over " + showChain(c.Chain)
-		}
-		if c.Account != "" {
-			text += " for " + c.Account
-		}
-		if c.Priority != 0 {
-			text += fmt.Sprintf(" priority=%d", c.Priority)
-		}
-		return text
+		return showSend(c)
 	case dispatch.RespondCmd:
 		text := fmt.Sprintf("finish %d %d %s back=%d", c.Request, c.Status, c.Reason, c.RetryAfter)
 		if h := c.HeldBack; h != nil {
