Failing tests: last answers of a stopping node, a short grace period, a hangup during the start

- Drain takes a request for done when its handler returns, but net/http writes the end of an answer, or all of a short one, after that.
The process may end in between.
- After the end of the requests it waits for their answers until a fixed time after the end of the grace period's use.
A node that runs late by 300 ms, here after a suspension, waits for none of them.
- With a grace period under 3 s the node ends before the platform has deregistered it, and it goes on taking streams that can be resumed, also after it has ended its requests.
- SIGHUP is handled only after the ports are open; before, it ends the process.

The listener of the node's tests holds back a write, and the clocks stop meanwhile, so that no limit passes on a slow machine.

--- a/node/export_test.go
+++ b/node/export_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"net"
+
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/quarantine"
 	"github.com/hoistjunction/hoistjunction/work"
@@ -18,3 +20,11 @@
 
 // HasCertainVerdict reports whether a request or a part is in quarantine and confirmed.
 func (n *Node) HasCertainVerdict(id work.ID) bool { return n.quarantined.isConfirmed(id) }
+
+// WrapCallerListener replaces the listener for clients. It is called before Run.
+func (n *Node) WrapCallerListener(wrap func(net.Listener) net.Listener) {
+	n.callers.listener = wrap(n.callers.listener)
+}
+
+// Drained is closed when a planned stop has ended.
+func (n *Node) Drained() <-chan struct{} { return n.drained }
--- a/node/site_test.go
+++ b/node/site_test.go
@@ -161,6 +161,14 @@
 
 // startNodeWith starts a node with options.
 func (s *site) startNodeWith(name, storeAddress string, opts []node.Option, seeds ...string) *testNode {
+	s.t.Helper()
+	n := s.newNode(name, storeAddress, opts, seeds...)
+	n.run(s.t)
+	return n
+}
+
+// newNode returns a node that listens and does not run yet.
+func (s *site) newNode(name, storeAddress string, opts []node.Option, seeds ...string) *testNode {
 	s.t.Helper()
 	settings := &node.Settings{
 		Name: name, DataCentre: "dc", LogLevel: "info", GraceSeconds: s.graceSeconds, Cores: 1, MemoryMB: 256,
@@ -172,12 +180,15 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	tn := &testNode{Node: n, callerAddress: n.CallerAddress(), readinessAddress: n.ReadinessAddress(), peerAddress: n.PeerAddress(), done: make(chan error, 1)}
+	return &testNode{Node: n, callerAddress: n.CallerAddress(), readinessAddress: n.ReadinessAddress(), peerAddress: n.PeerAddress(), done: make(chan error, 1)}
+}
+
+// run runs the node until it stops or the test ends.
+func (n *testNode) run(t testing.TB) {
 	ctx, cancel := context.WithCancel(context.Background())
-	tn.stop = cancel
-	go func() { tn.done <- n.Run(ctx) }()
-	s.t.Cleanup(cancel)
-	return tn
+	n.stop = cancel
+	go func() { n.done <- n.Run(ctx) }()
+	t.Cleanup(cancel)
 }
 
 func (n *testNode) ready() bool {
