node: a planned stop ends after its last answers are written

Cause: a request was taken for done when its handler had returned, but net/http writes a short answer, and the end of a longer one, after that; the process may end in between. Ruled out: the wait for idle clients, which already asks for closed connections.

The server now knows the connections with a request whose answer is not written, and the wait for the last answers includes them. Other nodes' connections are not included: what is passed on by another node can still lose its last answer this way.

--- a/node/drain.go
+++ b/node/drain.go
@@ -53,10 +53,10 @@
 	return n.poll(until, func() bool { return n.callers.connections() == 0 && n.relay.InProgress() == 0 })
 }
 
-// awaitAnswered waits until no request is in progress.
+// awaitAnswered waits until no request is in progress and all answers to clients are written.
 func (n *Node) awaitAnswered(until clock.Millis) {
-	if !n.poll(until, func() bool { return n.relay.InProgress() == 0 }) {
-		n.log.Warn("requests_not_ended", zap.Int64("in_progress", n.relay.InProgress()))
+	if !n.poll(until, func() bool { return n.relay.InProgress() == 0 && n.callers.answering() == 0 }) {
+		n.log.Warn("requests_not_ended", zap.Int64("in_progress", n.relay.InProgress()), zap.Int("answering", n.callers.answering()))
 	}
 }
 
--- a/node/server.go
+++ b/node/server.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,12 +28,15 @@
 	listener net.Listener
 	// open counts the connections.
 	open atomic.Int64
+	mu   sync.Mutex
+	// active contains the connections with a request whose answer is not written yet.
+	active map[net.Conn]struct{}
 	// stopping is closed when the server stops accepting connections, and closed by close.
 	stopping, closed chan struct{}
 }
 
 func newServer(l net.Listener, h http.Handler, log *zap.Logger) *server {
-	s := &server{listener: l, stopping: make(chan struct{}), closed: make(chan struct{})}
+	s := &server{listener: l, active: make(map[net.Conn]struct{}), stopping: make(chan struct{}), closed: make(chan struct{})}
 	s.http = &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(log), ConnState: s.countConnection,
@@ -41,7 +45,14 @@
 }
 
 // countConnection counts a connection that has changed its state.
-func (s *server) countConnection(_ net.Conn, state http.ConnState) {
+func (s *server) countConnection(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	if state == http.StateActive {
+		s.active[conn] = struct{}{}
+	} else {
+		delete(s.active, conn)
+	}
+	s.mu.Unlock()
 	switch state {
 	case http.StateNew:
 		s.open.Add(1)
@@ -74,6 +85,14 @@
 // connections returns the number of open connections.
 func (s *server) connections() int64 { return s.open.Load() }
 
+// answering returns the number of connections with a request whose answer is not written yet: net/http
+// writes the last part of an answer after its handler has returned.
+func (s *server) answering() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.active)
+}
+
 // close closes all connections. It is called once.
 func (s *server) close() error {
 	close(s.closed)
