node: a late stopping node gives its last answers their time

What callers saw in the test: a connection that closes without an answer. Ruled out: the clock, which counts suspensions as it should. The time now begins when the node ends the requests.

--- a/node/drain.go
+++ b/node/drain.go
@@ -41,7 +41,7 @@
 	if !n.awaitIdle(end) {
 		n.log.Info("drain_cut_short", zap.Int64("in_progress", n.relay.InProgress()), zap.Int64("connections", n.callers.connections()))
 		n.relay.End()
-		n.awaitAnswered(end.Add(lastAnswerTime))
+		n.awaitAnswered(n.clock.Now().Add(lastAnswerTime))
 	}
 	n.log.Info("drained", zap.Int64("in_progress", n.relay.InProgress()))
 	close(n.drained)
