dispatch: a stopping node with a short grace period takes nothing after its end

What callers would see: a stream that is taken and ends without an answer. Now nothing is taken on that ground after the end. The users' sites have 8 s.

TestStoppingScripts/short_grace failed before and passes after, with the other tests of the package.

--- a/dispatch/planned_stop.go
+++ b/dispatch/planned_stop.go
@@ -37,7 +37,8 @@
 // drain begins a planned stop: the waiting requests that cannot be served before the node ends
 // are refused, so that their clients reach other nodes in time.
 func (m *Model) drain(msg DrainMsg) []Cmd {
-	m.stop = plannedStop{begun: true, lateFrom: msg.LateFrom, end: msg.End}
+	// A short grace period ends before the platform has deregistered the node.
+	m.stop = plannedStop{begun: true, lateFrom: min(msg.LateFrom, msg.End), end: msg.End}
 	return m.reviewCapacityWaiters()
 }
 
