hoistrelay: a SIGHUP during the start does not end the process

Ruled out: SIGTERM, which is handled before the ports are open. SIGHUP is now handled before the settings are read.

--- a/cmd/hoistrelay/main.go
+++ b/cmd/hoistrelay/main.go
@@ -48,6 +48,9 @@
 const bytesPerMB = 1 << 20
 
 func start(args arguments) error {
+	// A SIGHUP that is not handled ends the process, also while it starts.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	s, set, err := node.Load(args.Settings)
 	if err != nil {
 		return err
@@ -71,8 +74,6 @@
 		return err
 	}
 	go drainOn(stop, n, log)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go reloadOn(reload, args.Settings, log)
 	if err := n.Run(context.Background()); err != nil && !errors.Is(err, context.Canceled) {
 		return err
