--- a/node/last_answers_test.go
+++ b/node/last_answers_test.go
@@ -1,6 +1,9 @@
 package node_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -162,3 +165,70 @@
 		t.Errorf("got status %d and error %v, want %d", got.status, got.err, http.StatusBadGateway)
 	}
 }
+
+// Guards against a node that ends while the client of an HTTP/1.0 stream does not read: the node closes the
+// connection in the regular way, and the client takes the part that it has for the whole stream.
+func TestStoppingNodeCutsHTTP10Stream(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 4)
+	s.graceSeconds = 1
+	n := s.newNode("n1", s.storeAddress, nil)
+	var blocked atomic.Bool
+	n.WrapCallerListener(func(l net.Listener) net.Listener { return &blockingListener{Listener: l, blocked: &blocked} })
+	n.run(t)
+	n.awaitServing(t)
+	for _, e := range s.engines {
+		e.engine.SetSlowdown(20)
+	}
+	conn := n.dial(t)
+	req := n.request(http.MethodPost, longPath, "old", "k1")
+	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: %s\r\nAttempt-Id: old\r\nDeadline-Remaining-Ms: 20000\r\nToken-Count: 40,40\r\nAuthorization: Bearer k1\r\nContent-Length: 1\r\n\r\nx",
+		req.URL.RequestURI(), req.Host); err != nil {
+		t.Fatal(err)
+	}
+	answer := bufio.NewReader(conn)
+	if _, err := answer.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	blocked.Store(true)
+	go n.Drain()
+	if got, err := io.ReadAll(answer); err == nil {
+		t.Errorf("got the regular end of a stream that was cut after %d bytes, want a reset", len(got))
+	}
+}
+
+// blockingListener accepts connections whose writes block, while blocked is set, until they are closed.
+type blockingListener struct {
+	net.Listener
+	blocked *atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *blockingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &blockingConn{TCPConn: conn.(*net.TCPConn), blocked: l.blocked, closed: make(chan struct{})}, nil
+}
+
+type blockingConn struct {
+	*net.TCPConn
+	blocked *atomic.Bool
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Write implements net.Conn.
+func (c *blockingConn) Write(data []byte) (int, error) {
+	if c.blocked.Load() {
+		<-c.closed
+	}
+	return c.TCPConn.Write(data)
+}
+
+// Close implements net.Conn.
+func (c *blockingConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.TCPConn.Close()
+}
