node: an answer that is not written when the node ends is reset

What callers could see: an HTTP/1.0 stream that ends early and looks whole. Ruled out: sessions that are not writing; they reset the connection themselves (relay/answer.go). The server now resets the connections on which an answer is not written.

--- a/node/server.go
+++ b/node/server.go
@@ -93,8 +93,17 @@
 	return len(s.active)
 }
 
-// close closes all connections. It is called once.
+// close closes all connections. Those with an answer that is not written are reset: a regular close would
+// make the beginning of an HTTP/1.0 answer look complete. It is called once.
 func (s *server) close() error {
 	close(s.closed)
+	s.mu.Lock()
+	for conn := range s.active {
+		if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+			// This fails only for a connection that is closed.
+			_ = tcp.SetLinger(0)
+		}
+	}
+	s.mu.Unlock()
 	return s.http.Close()
 }
