--- a/node/drain.go
+++ b/node/drain.go
@@ -41,7 +41,7 @@
 	if !n.awaitIdle(end) {
 		n.log.Info("drain_cut_short", zap.Int64("in_progress", n.relay.InProgress()), zap.Int64("connections", n.callers.connections()))
 		n.relay.End()
-		n.awaitAnswered(end.Add(lastAnswerTime))
+		n.awaitAnswered(n.clock.Now().Add(lastAnswerTime))
 	}
 	n.log.Info("drained", zap.Int64("in_progress", n.relay.InProgress()))
 	close(n.drained)
@@ -53,10 +53,10 @@
 	return n.poll(until, func() bool { return n.callers.connections() == 0 && n.relay.InProgress() == 0 })
 }
 
-// awaitAnswered waits until no request is in progress.
+// awaitAnswered waits until no request is in progress and all answers to clients are written.
 func (n *Node) awaitAnswered(until clock.Millis) {
-	if !n.poll(until, func() bool { return n.relay.InProgress() == 0 }) {
-		n.log.Warn("requests_not_ended", zap.Int64("in_progress", n.relay.InProgress()))
+	if !n.poll(until, func() bool { return n.relay.InProgress() == 0 && n.callers.answering() == 0 }) {
+		n.log.Warn("requests_not_ended", zap.Int64("in_progress", n.relay.InProgress()), zap.Int("answering", n.callers.answering()))
 	}
 }
 
