--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
-
+	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -248,11 +248,17 @@
 
 // newLoggingTestRelay is newTestRelay with a log.
 func newLoggingTestRelay(t *testing.T, upstreams http.Handler, log *zap.Logger) (r *Relay, address string) {
+	t.Helper()
+	return newDialingTestRelay(t, upstreams, log, (&net.Dialer{}).DialContext)
+}
+
+// newDialingTestRelay is newLoggingTestRelay with a function that connects to the upstreams.
+func newDialingTestRelay(t *testing.T, upstreams http.Handler, log *zap.Logger, dial dialFunc) (r *Relay, address string) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9, MaxWaiting: 8, MaxWaitingBytes: 1 << 20, MaxForwarded: 8}))
 	r = New(ctx, sealedProtocol{}, model, clocktest.NewClock(), log,
-		WithDialer((&net.Dialer{}).DialContext), WithEngines(unresponsiveEngines{}))
+		WithDialer(dial), WithEngines(unresponsiveEngines{}))
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -280,17 +286,20 @@
 }
 
 // testCatalog returns a catalog with a route of each kind.
-func testCatalog() *catalog.Catalog {
+func testCatalog() *catalog.Catalog { return testCatalogWithin(1, 10_000) }
+
+// testCatalogWithin returns a version of the catalog whose routes have a time limit.
+func testCatalogWithin(version uint64, timeout clock.Millis) *catalog.Catalog {
 	route := func(name string, kind catalog.Kind, resumable bool) *catalog.Route {
 		return &catalog.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, Anonymous: true,
 			Targets: []catalog.Target{{Service: "desk", Weight: 1}}, MaxAttempts: testUpstreams,
-			Timeout: 10_000, LatencyTarget: 10_000,
+			Timeout: timeout, LatencyTarget: 10_000,
 		}
 	}
 	few := route("few", catalog.Streaming, true)
 	few.MaxAttempts = fewUpstreams
-	return catalog.New(1,
+	return catalog.New(version,
 		catalog.WithRoutes(few,
 			route("write", catalog.Streaming, true), route("tell", catalog.Streaming, false),
 			route("read", catalog.Repeatable, false), route("once", catalog.AtMostOnce, false),
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -26,12 +26,18 @@
 // newCutRelay runs a relay that reaches no upstream, in front of nodes that share a handler. It
 // returns the address for callers.
 func newCutRelay(t *testing.T, nodes ...http.Handler) string {
+	t.Helper()
+	return newDialingCutRelay(t, zap.NewNop(), (&net.Dialer{}).DialContext, nodes...)
+}
+
+// newDialingCutRelay is newCutRelay with a log and a function that connects to the nodes.
+func newDialingCutRelay(t *testing.T, log *zap.Logger, dial dialFunc, nodes ...http.Handler) string {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9}))
-	r := New(ctx, sealedProtocol{}, model, clocktest.NewClock(), zap.NewNop(),
+	r := New(ctx, sealedProtocol{}, model, clocktest.NewClock(), log,
 		WithDialer(func(context.Context, string, string) (net.Conn, error) { return nil, errAttemptAbandoned }),
-		WithEngines(unresponsiveEngines{}), WithForwarding("cut", (&net.Dialer{}).DialContext))
+		WithEngines(unresponsiveEngines{}), WithForwarding("cut", dial))
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -70,15 +76,21 @@
 	err    error
 }
 
-// ask sends a request to a node.
-func ask(t *testing.T, address, path string) reply {
+// newRequest returns a request to a node.
+func newRequest(t *testing.T, address, path string) *http.Request {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("x"))
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h"
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	return req
+}
+
+// ask sends a request to a node.
+func ask(t *testing.T, address, path string) reply {
+	t.Helper()
+	resp, err := http.DefaultTransport.RoundTrip(newRequest(t, address, path))
 	if err != nil {
 		return reply{err: err}
 	}
