--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -23,6 +23,9 @@
 	// under 1 KB.
 	readBuffer  = 4 << 10
 	writeBuffer = 2 << 10
+	// MaxAnswerHeadBytes bounds the head of an answer, together with the 1xx answers before it. By
+	// default, net/http reads 10 MiB of each.
+	MaxAnswerHeadBytes = 32 << 10
 )
 
 // dialFunc connects to a network address.
@@ -78,7 +81,7 @@
 	conns.Transport = &http.Transport{
 		DialContext:        guardDialer(dial, func() { conns.lastReadAt.Store(int64(c.Now())) }),
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout,
-		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: MaxAnswerHeadBytes,
 	}
 	conns.singleUse = conns.Clone()
 	conns.singleUse.DisableKeepAlives = true
