relay: an attempt that is answered with 101 fails

Cause: as for the platform's calls: the end of an attempt does not close the connection of a 101. One with a seal was read for as long as the upstream wanted, after the caller had its 504; one that sent fast ended the caller's connection without a status.

Ruled out: 101 without the headers of a switch, which has no body.

Change: a 101 fails the attempt, as after no answer, so that another upstream serves a request that may be repeated.

Before: the connection was open 30 s after the caller's answer, of a route with a limit of 1.5 s.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -27,6 +27,7 @@
 	errAnswerNotSealed = errors.New("relay: answer has no upstream seal")
 	errAnswerEncoded   = errors.New("relay: answer has a content encoding")
 	errNotResumable    = errors.New("relay: answer cannot resume the event stream")
+	errOtherProtocol   = errors.New("relay: answer switches to another protocol")
 )
 
 const (
@@ -176,8 +177,14 @@
 	}
 }
 
-// readAnswer checks the headers of an answer and forwards the answer to the session.
+// readAnswer checks the headers of an answer and forwards the answer to the session. A switch to another
+// protocol is no answer: net/http leaves such a connection to its caller, and no longer closes it when the
+// context ends.
 func (a *attempt) readAnswer(ctx context.Context, resp *http.Response) {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		a.fail(ctx, dispatch.CauseUnknown, "", errOtherProtocol)
+		return
+	}
 	if a.cmd.Node != "" && !a.acceptForwarded(ctx, resp) {
 		return
 	}
