relay: a failure without end is not passed on while others may serve

Cause: an answer above 512 KiB is passed on as it comes, whatever its status. A 500 whose body has no end reached the caller of a request that might have been repeated, and was broken off at the route's limit.

Ruled out: 5xx below the bound, which are held already (holdUpstreamFailure); requests that may be executed once, whose failure goes back without change, also a long one.

Change: a longer 5xx fails the attempt if the request may be repeated.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -27,12 +27,14 @@
 	errAnswerNotSealed = errors.New("relay: answer has no upstream seal")
 	errAnswerEncoded   = errors.New("relay: answer has a content encoding")
 	errNotResumable    = errors.New("relay: answer cannot resume the event stream")
+	errFailureTooLong  = errors.New("relay: failure of the upstream exceeds the size limit")
 	errOtherProtocol   = errors.New("relay: answer switches to another protocol")
 )
 
 const (
 	// maxBufferedAnswer bounds, in bytes, the answers that are buffered until complete. A
-	// larger answer is forwarded while it is received.
+	// larger answer is forwarded while it is received; a larger failure only if the request may
+	// not be repeated.
 	maxBufferedAnswer = 512 << 10
 	// chunkSize is the size in bytes of the chunks in which a large answer is forwarded.
 	chunkSize = 32 << 10
@@ -294,6 +296,11 @@
 		a.emit(ctx, attemptUpdate{head: resp, data: data, end: true})
 		return
 	}
+	if resp.StatusCode >= http.StatusInternalServerError && a.cmd.Route.MayRepeat() {
+		// Forwarding a failure as it comes would keep another upstream from serving the request.
+		a.fail(ctx, dispatch.CauseUpstreamFailed, "", errors.Wrapf(errFailureTooLong, "status %d", resp.StatusCode))
+		return
+	}
 	if a.emit(ctx, attemptUpdate{head: resp, data: data}) {
 		a.readRemaining(ctx, resp.Body)
 	}
