relay: empty lines and comments are no events

Cause: the reader ended an event at each empty line, also where no field had come before. Empty lines or comments without end counted as events: they reset the stall check, held the stream to its limit and reached the caller. Since they have no id, a single one made the stream impossible to resume.

Ruled out: one event without end, and lines of an event, which have had their bound of 256 KiB.

Change: empty lines and comments belong to the next event, byte for byte, and so count toward its size; those after the last event go out with the end of the stream. FuzzEventReader checks that no byte of a whole stream is lost.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -266,7 +266,7 @@
 			err = errNoEvent
 		}
 		if errors.Is(err, io.EOF) {
-			a.emit(ctx, attemptUpdate{head: head, end: true})
+			a.emit(ctx, attemptUpdate{head: head, data: ev.raw, end: true})
 			return
 		}
 		if err != nil {
--- a/relay/events.go
+++ b/relay/events.go
@@ -23,8 +23,10 @@
 // event is one complete event of a stream.
 type event struct {
 	raw []byte
-	// raw is the event as received, including the empty line that ends it. id is the event's
+	// raw is the event as received, including the empty line that ends it, and the empty lines and
+	// comments before it. hasField reports whether it has a line that is neither. id is the event's
 	// id, and number its numeric value; hasNumber reports whether the id is numeric.
+	hasField  bool
 	id        string
 	number    int64
 	hasNumber bool
@@ -39,26 +41,29 @@
 	return &eventReader{r: bufio.NewReaderSize(r, readBuffer)}
 }
 
-// next returns the next event. At the end of the stream it returns io.EOF, or errPartialEvent
-// if the stream ends inside an event.
+// next returns the next event. Empty lines and comments are no event; they are part of the next one,
+// and so count toward its size and bring no progress. At the end of the stream next returns io.EOF and,
+// as raw, the empty lines and comments after the last event; or errPartialEvent if the stream ends
+// inside an event.
 func (e *eventReader) next() (event, error) {
 	var ev event
 	for {
 		line, err := e.readLine(&ev)
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(ev.raw) > 0 {
+			if errors.Is(err, io.EOF) && (ev.hasField || len(line) > 0) {
 				return event{}, errPartialEvent
 			}
-			return event{}, err
+			return event{raw: ev.raw}, err
 		}
-		if len(line) == 0 {
+		if len(line) == 0 && ev.hasField {
 			return ev, nil
 		}
 		ev.parseLine(line)
 	}
 }
 
-// readLine appends one line to the event and returns it without the line ending.
+// readLine appends one line to the event and returns it without the line ending. At the end of the
+// stream it also returns what there is of a last line.
 func (e *eventReader) readLine(ev *event) ([]byte, error) {
 	start := len(ev.raw)
 	for {
@@ -70,15 +75,13 @@
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
-		if err != nil {
-			return nil, err
-		}
-		return bytes.TrimRight(ev.raw[start:], "\r\n"), nil
+		return bytes.TrimRight(ev.raw[start:], "\r\n"), err
 	}
 }
 
-// parseLine sets the event's id if the line is an id field.
+// parseLine records whether the line is a field, and sets the event's id if it is an id field.
 func (ev *event) parseLine(line []byte) {
+	ev.hasField = ev.hasField || len(line) > 0 && line[0] != ':'
 	value, ok := bytes.CutPrefix(line, []byte("id:"))
 	if !ok {
 		return
--- a/relay/events_test.go
+++ b/relay/events_test.go
@@ -21,6 +21,12 @@
 		{"line before the id", "versions: 2\nid: 4\n\n", []string{"versions: 2\nid: 4\n\n"}, []string{"4"}, io.EOF},
 		{"end inside an event", "id: 1\n\nid: 2\nda", []string{"id: 1\n\n"}, []string{"1"}, errPartialEvent},
 		{"long line", "data: " + strings.Repeat("x", 3*readBuffer) + "\n\n", []string{"data: " + strings.Repeat("x", 3*readBuffer) + "\n\n"}, []string{""}, io.EOF},
+		{"empty lines before an event", "\n\r\nid: 1\ndata: a\n\n", []string{"\n\r\nid: 1\ndata: a\n\n"}, []string{"1"}, io.EOF},
+		{"comment before an event", ": x\n\nid: 1\n\n", []string{": x\n\nid: 1\n\n"}, []string{"1"}, io.EOF},
+		{"comment in an event", "id: 1\n: x\n\n", []string{"id: 1\n: x\n\n"}, []string{"1"}, io.EOF},
+		{"lines after the last event", "id: 1\n\n\n: x\n\n", []string{"id: 1\n\n"}, []string{"1"}, io.EOF},
+		{"end inside the first line", "da", nil, nil, errPartialEvent},
+		{"empty lines too long", strings.Repeat("\n", maxEventBytes+2), nil, nil, errEventTooLong},
 		{"event too long", strings.Repeat("y", maxEventBytes+2), nil, nil, errEventTooLong},
 	}
 	for _, tt := range tests {
@@ -53,10 +59,13 @@
 		read := ""
 		for {
 			ev, err := r.next()
+			read += string(ev.raw)
+			if errors.Is(err, io.EOF) && read != stream {
+				t.Errorf("got %q at the end, want %q", read, stream)
+			}
 			if err != nil {
 				break
 			}
-			read += string(ev.raw)
 		}
 		if !strings.HasPrefix(stream, read) {
 			t.Errorf("got %q, want a prefix of %q", read, stream)
