peering: an answer of another node is at most 16 MiB

Cause: the library reads a message to its end unless it is given a limit, and none was: whatever another node sent within the 500 ms of a query was kept in memory.

Ruled out: the library's own limit alone.

Change: a transport that ends a body at 16 MiB (internal/boundedhttp), and the library's limit for what is decompressed.

--- a/peering/peering.go
+++ b/peering/peering.go
@@ -10,6 +10,7 @@
 	"connectrpc.com/connect"
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/internal/boundedhttp"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/momentwire"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -36,6 +37,9 @@
 	// queryTimeout bounds a query. Between data centres an answer takes a few ms; a frozen peer
 	// does not answer.
 	queryTimeout = 500 * time.Millisecond
+	// maxAnswerBytes bounds an answer, as it is sent and after decompression. A configuration has at most
+	// 4 MiB, and the entry of an upstream some 200 bytes.
+	maxAnswerBytes = 16 << 20
 	// listQueryAfter is how old the proof of freshness may become before peers are also queried
 	// for the list of upstreams: by then the store counts as lost.
 	listQueryAfter clock.Millis = 4200
@@ -112,7 +116,7 @@
 	p := &Peering{
 		clock: c, log: log, registry: registry, local: local, receiver: receiver,
 		directory: newDirectory(self, seeds), rng: rand.New(rand.NewPCG(seed, seed)), newestProof: clock.Never,
-		httpClient:        &http.Client{Transport: transport, Timeout: queryTimeout},
+		httpClient:        &http.Client{Transport: boundedhttp.NewTransport(transport, maxAnswerBytes), Timeout: queryTimeout},
 		registrationDelay: clock.Millis(seed % uint64(registrationSpread)),
 	}
 	p.registeredAt.Store(int64(clock.Never))
@@ -345,9 +349,14 @@
 	p.query(ctx, &wire.Member{Address: address}, p.local.Config().Edition, false)
 }
 
+// newClient returns a client that queries a peer.
+func (p *Peering) newClient(peer *wire.Member) wireconnect.FreshnessClient {
+	return wireconnect.NewFreshnessClient(p.httpClient, "http://"+peer.GetAddress(), connect.WithReadMaxBytes(maxAnswerBytes))
+}
+
 // query queries one peer, applies its answer and returns what it was.
 func (p *Peering) query(ctx context.Context, peer *wire.Member, have catalog.Edition, wantFleet bool) answerKind {
-	client := wireconnect.NewFreshnessClient(p.httpClient, "http://"+peer.GetAddress())
+	client := p.newClient(peer)
 	sent := p.clock.Now()
 	resp, err := client.Ask(ctx, connect.NewRequest(&wire.AskRequest{
 		Asker: p.directory.self, Have: momentwire.Edition(have), WantFleet: wantFleet,
--- a/peering/quarantined.go
+++ b/peering/quarantined.go
@@ -11,14 +11,12 @@
 	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/wire"
-	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 	"github.com/hoistjunction/hoistjunction/work"
 )
 
 // QueryQuarantined queries a peer for the requests that are quarantined there.
 func (p *Peering) QueryQuarantined(ctx context.Context, peer *wire.Member) {
-	client := wireconnect.NewFreshnessClient(p.httpClient, "http://"+peer.GetAddress())
-	resp, err := client.Ask(ctx, connect.NewRequest(&wire.AskRequest{Asker: p.directory.self, WantQuarantined: true}))
+	resp, err := p.newClient(peer).Ask(ctx, connect.NewRequest(&wire.AskRequest{Asker: p.directory.self, WantQuarantined: true}))
 	if err != nil {
 		p.log.Info("quarantine_not_told", zap.String("peer", peer.GetName()), logging.Err(err))
 		return
