reading: an answer of the followed node is at most 16 MiB

Cause: as for queries of nodes: no limit was given to the library, so that whatever the followed node sent within a call's time was kept in memory.

Ruled out: the library's own limit alone, as there.

Change: the transport of internal/boundedhttp and the library's limit, for each source.

--- a/reading/endless_test.go
+++ b/reading/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,8 +19,8 @@
 func TestEndlessAnswersOfReaders(t *testing.T) {
 	const (
 		maxHeadRead = 64 << 10
-		// maxBodyRead is the limit of an answer, what the library reads after it, and a buffer more.
-		maxBodyRead = 20<<20 + 128<<10
+		// maxBodyRead is the limit of an answer, and a buffer more.
+		maxBodyRead = 16<<20 + 128<<10
 		head        = "HTTP/1.1 200 OK\r\nContent-Type: application/proto\r\n"
 		// unknownField is a field that the message does not have, which the library passes over.
 		unknownField = "\xa0\x06\x01"
@@ -33,7 +34,7 @@
 		{"answers 1xx", endless.Answer{Repeat: "HTTP/1.1 103 Early Hints\r\n\r\n"}, maxHeadRead},
 		{"body without length", endless.Answer{Head: head + "\r\n", Repeat: unknownField}, maxBodyRead},
 		{"body with length", endless.Answer{Head: head + "Content-Length: 99999999999\r\n\r\n", Repeat: unknownField}, maxBodyRead},
-		{"chunks", endless.Answer{Head: head + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "3\r\n" + unknownField + "\r\n"}, maxBodyRead},
+		{"chunks", endless.Answer{Head: head + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "c00\r\n" + strings.Repeat(unknownField, 1<<10) + "\r\n"}, maxBodyRead},
 		{"slow body", endless.Answer{Head: head + "\r\n", Repeat: unknownField, Pause: time.Millisecond}, maxBodyRead},
 		{"error", endless.Answer{Head: "HTTP/1.1 500 Internal Server Error\r\nContent-Type: application/json\r\n\r\n{\"message\":\"", Repeat: "x"}, maxBodyRead},
 		{"switched protocol", endless.Answer{Head: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"}, maxHeadRead},
--- a/reading/source.go
+++ b/reading/source.go
@@ -13,12 +13,17 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleetwire"
 	"github.com/hoistjunction/hoistjunction/follow"
+	"github.com/hoistjunction/hoistjunction/internal/boundedhttp"
 	"github.com/hoistjunction/hoistjunction/moment"
 	"github.com/hoistjunction/hoistjunction/momentwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
 )
 
+// maxAnswerBytes bounds an answer of the followed node, as it is sent and after decompression. A
+// configuration has at most 4 MiB, and the entry of an upstream some 200 bytes.
+const maxAnswerBytes = 16 << 20
+
 // Source follows the log of another node. It implements follow.Reader.
 type Source struct {
 	client     wireconnect.ReadingClient
@@ -37,7 +42,8 @@
 // that node may hold the first request, and selfAddress the address at which this node serves
 // requests.
 func NewSource(client *http.Client, address, selfAddress string, firstRequestWait clock.Millis) *Source {
-	return &Source{client: wireconnect.NewReadingClient(client, "http://"+address), httpClient: client, selfAddress: selfAddress, firstRequestWait: firstRequestWait}
+	bounded := &http.Client{Transport: boundedhttp.NewTransport(client.Transport, maxAnswerBytes)}
+	return &Source{client: wireconnect.NewReadingClient(bounded, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes)), httpClient: client, selfAddress: selfAddress, firstRequestWait: firstRequestWait}
 }
 
 // callTimeout returns the timeout of a call. A first request has no wait of its own, but the
