Failing test: an engine that repeats an event holds its stream

Events that the caller has already are not passed on, but each counts as progress. The caller of an engine that repeats one without end gets nothing more, until its stream is broken off at the deadline.

Seen, in virtual time: 311 of 631 bytes of events, broken off after 19.98 s. The fixture lets an answer that is broken off end its handler as net/http demands; the check of the whole stream is the same.

--- a/relay/silent_streams_test.go
+++ b/relay/silent_streams_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/standin"
 )
@@ -89,8 +91,14 @@
 
 // startEngine starts an engine that holds a range of layers.
 func (s *blackholeSite) startEngine(id string, held fleet.LayerRange) *streamEngine {
-	address := id + ":80"
 	engine := &streamEngine{}
+	s.serveEngine(id, held, engine)
+	return engine
+}
+
+// serveEngine adds an engine that holds a range of layers and is served by a handler.
+func (s *blackholeSite) serveEngine(id string, held fleet.LayerRange, engine http.Handler) {
+	address := id + ":80"
 	server := &http.Server{Handler: engine}
 	listener := s.network.Listen(address)
 	go func() { _ = server.Serve(listener) }()
@@ -98,7 +106,6 @@
 	s.relay.UpdateFleet([]fleet.Change{{ID: fleet.IncarnationByID(fleet.ID(id)), Upstream: fleet.Upstream{
 		ID: fleet.IncarnationByID(fleet.ID(id)), Service: standin.SiteStreamService, Address: address, Slots: 64, Accelerator: standin.SiteAccelerator, Held: held,
 	}}})
-	return engine
 }
 
 // pauseRecorder records the longest time between two writes of an answer.
@@ -125,8 +132,15 @@
 	done := make(chan *pauseRecorder, 1)
 	go func() {
 		answer := &pauseRecorder{ResponseRecorder: httptest.NewRecorder(), last: time.Now()}
+		defer func() {
+			// An answer that is broken off ends its handler so, as net/http demands.
+			r := recover()
+			if err, ok := r.(error); r != nil && (!ok || !errors.Is(err, http.ErrAbortHandler)) {
+				panic(r)
+			}
+			done <- answer
+		}()
 		s.relay.ServeHTTP(answer, req)
-		done <- answer
 	}()
 	return done
 }
