relay: events that the caller has already are no progress

Cause: each update of an attempt set the time from which a pause counts and reset the stall check, also an event that was then dropped because the caller has it.

Ruled out: the beginning of a resumed stream, which may hold such events: they come within the time that a first event may take, and the check goes on from the start of the attempt.

Change: such an event changes nothing but the check of silent connections. Plain services have no such check; there the deadline ends it, as before.

--- a/relay/session_answer.go
+++ b/relay/session_answer.go
@@ -10,10 +10,14 @@
 
 // handleUpdate handles an update of the attempt and reports whether the request has ended.
 func (s *session) handleUpdate(update attemptUpdate) bool {
+	s.silenceTimer.Stop()
+	if s.isRepeated(update.event) {
+		// The caller receives nothing, so the pause that counts for stall checks goes on.
+		return false
+	}
 	s.lastUpdateAt = s.relay.clock.Now()
 	s.quietSince = s.lastUpdateAt
 	s.suspectedAddress = ""
-	s.silenceTimer.Stop()
 	switch {
 	case update.failed:
 		msg := dispatch.AttemptFailedMsg{Cause: update.cause, FaultyAddress: update.faultyAddress, Refusal: update.refusal}
@@ -91,14 +95,14 @@
 	return s.writeEvent(update.event)
 }
 
-// writeEvent writes an event to the caller unless the caller has it already: a resumed stream
-// may begin with events sent before.
+// isRepeated reports whether the caller has an event already: a resumed stream may begin with events sent
+// before.
+func (s *session) isRepeated(ev event) bool {
+	return ev.hasNumber && s.hasEventNumber && ev.number <= s.lastEventNumber
+}
+
+// writeEvent writes an event to the caller.
 func (s *session) writeEvent(ev event) error {
-	if ev.hasNumber && s.hasEventNumber {
-		if ev.number <= s.lastEventNumber {
-			return nil
-		}
-	}
 	if err := s.answer.writeBody(ev.raw); err != nil {
 		return err
 	}
