--- a/internal/endless/endless.go
+++ b/internal/endless/endless.go
@@ -27,8 +27,7 @@
 
 // Server gives an endless answer to each request, or to the first ones.
 type Server struct {
-	answer   Answer
-	idHeader string
+	answer Answer
 	// limited bounds the number of endless answers if it is set; then gives the answers after them.
 	limited bool
 	then    http.Handler
@@ -42,9 +41,6 @@
 	closed   atomic.Int64
 }
 
-// ID is the part of an answer's head that is replaced by a header of the request.
-const ID = "{ID}"
-
 // Serve starts a server that gives the answer to each request. It is stopped at the end of the test.
 func Serve(t testing.TB, answer Answer) *Server {
 	t.Helper()
@@ -59,10 +55,10 @@
 }
 
 // Handler returns a handler that gives the answer to the first count requests, and leaves later ones
-// to another handler. ID is replaced by the header named idHeader.
-func Handler(t testing.TB, answer Answer, idHeader string, count int, then http.Handler) *Server {
+// to another handler.
+func Handler(t testing.TB, answer Answer, count int, then http.Handler) *Server {
 	t.Helper()
-	s := &Server{answer: answer, idHeader: idHeader, limited: true, then: then, stopped: make(chan struct{})}
+	s := &Server{answer: answer, limited: true, then: then, stopped: make(chan struct{})}
 	s.begun.Store(-int64(count))
 	t.Cleanup(s.stop)
 	return s
@@ -105,7 +101,7 @@
 		_ = conn.Close()
 	}()
 	defer close(ended)
-	s.write(conn, r.Header.Get(s.idHeader))
+	s.write(conn)
 	select {
 	case <-s.stopped:
 	default:
@@ -114,8 +110,8 @@
 }
 
 // write writes the answer until the caller closes the connection.
-func (s *Server) write(conn net.Conn, id string) {
-	if _, err := io.WriteString(conn, strings.ReplaceAll(s.answer.Head, ID, id)); err != nil {
+func (s *Server) write(conn net.Conn) {
+	if _, err := io.WriteString(conn, s.answer.Head); err != nil {
 		return
 	}
 	if s.answer.Repeat == "" {
--- a/relay/endless_test.go
+++ b/relay/endless_test.go
@@ -138,7 +138,7 @@
 func newEndlessRelay(t *testing.T, answer endless.Answer, then outcome) *endlessRelay {
 	t.Helper()
 	core, logs := observer.New(zap.InfoLevel)
-	server := endless.Handler(t, answer, "", 1, &scriptedUpstreams{script: []outcome{then}})
+	server := endless.Handler(t, answer, 1, &scriptedUpstreams{script: []outcome{then}})
 	meter := &endless.Meter{}
 	r, address := newDialingTestRelay(t, server, zap.New(core), meter.Dialer())
 	r.SetCatalog(testCatalogWithin(2, endlessTimeout), r.clock.Now())
@@ -263,24 +263,27 @@
 // time is up, and a single one makes a stream impossible to resume.
 func TestEndlessLinesBetweenEvents(t *testing.T) { checkEndlessStreams(t, endlessBlankCases()) }
 
+// described returns the rest of a head with what a node says of its answer.
+func described(t *testing.T, answer forwardwire.Answer) string {
+	t.Helper()
+	header := http.Header{}
+	if err := forwardwire.SetAnswer(header, answer); err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	if err := header.Write(&text); err != nil {
+		t.Fatal(err)
+	}
+	return text.String() + "\r\n"
+}
+
 // endlessNodeCases returns answers of another node without an end. What the node says of its answer is
 // in the last header.
 func endlessNodeCases(t *testing.T) []endlessCase {
 	t.Helper()
-	described := func(answer forwardwire.Answer) string {
-		header := http.Header{}
-		if err := forwardwire.SetAnswer(header, answer); err != nil {
-			t.Fatal(err)
-		}
-		var text strings.Builder
-		if err := header.Write(&text); err != nil {
-			t.Fatal(err)
-		}
-		return text.String() + "\r\n"
-	}
-	answered := "HTTP/1.1 200 OK\r\n" + sealedHead + described(forwardwire.Answer{Outcome: forwardwire.Answered, Upstream: fleet.IncarnationByID("u0")})
-	refused := "HTTP/1.1 503 Service Unavailable\r\n" + described(forwardwire.Answer{Outcome: forwardwire.Refused, Reason: "no_capacity"})
-	failed := "HTTP/1.1 502 Bad Gateway\r\n" + described(forwardwire.Answer{Outcome: forwardwire.Failed, Reason: "answer_lost"})
+	answered := "HTTP/1.1 200 OK\r\n" + sealedHead + described(t, forwardwire.Answer{Outcome: forwardwire.Answered, Upstream: fleet.IncarnationByID("u0")})
+	refused := "HTTP/1.1 503 Service Unavailable\r\n" + described(t, forwardwire.Answer{Outcome: forwardwire.Refused, Reason: "no_capacity"})
+	failed := "HTTP/1.1 502 Bad Gateway\r\n" + described(t, forwardwire.Answer{Outcome: forwardwire.Failed, Reason: "answer_lost"})
 	return []endlessCase{
 		{"body of an answer", endless.Answer{Head: answered, Repeat: "x"}, 0, noRequests},
 		{"slow body of an answer", endless.Answer{Head: answered, Repeat: "x", Pause: trickle}, maxBufferedAnswer, requestsInTime},
@@ -297,13 +300,33 @@
 		for path, mayRepeat := range map[string]bool{"/read/a": true, "/once/a": false} {
 			t.Run(c.name+", "+path, func(t *testing.T) {
 				t.Parallel()
-				core, logs := observer.New(zap.InfoLevel)
-				upstreams := &scriptedUpstreams{script: []outcome{plainTextAnswer}}
-				server := endless.Handler(t, c.answer, "", 1, newServingNode(t, upstreams))
-				meter := &endless.Meter{}
-				e := &endlessRelay{server: server, meter: meter, logs: logs, address: newDialingCutRelay(t, zap.New(core), meter.Dialer(), server, server)}
-				e.check(t, c, path, wholeBody(plainTextAnswer, 1), mayRepeat)
+				newEndlessNode(t, c.answer, plainTextAnswer).check(t, c, path, wholeBody(plainTextAnswer, 1), mayRepeat)
 			})
 		}
 	}
 }
+
+// Guards against a stream without end of another node that costs memory without bound, looks complete to
+// its caller, or keeps a third node from taking the stream up.
+func TestEndlessStreamsOfNodes(t *testing.T) {
+	answered := described(t, forwardwire.Answer{Outcome: forwardwire.Answered, Upstream: fleet.IncarnationByID("u0")})
+	for _, c := range append(endlessEventCases(), endlessBlankCases()...) {
+		c.answer.Head = strings.Replace(c.answer.Head, "\r\n\r\n", "\r\n"+answered, 1)
+		for path, mayRepeat := range map[string]bool{"/write/a": true, "/tell/a": false} {
+			t.Run(c.name+", "+path, func(t *testing.T) {
+				t.Parallel()
+				newEndlessNode(t, c.answer, wholeStream).check(t, c, path, eventsText(0, lastStreamEvent), mayRepeat)
+			})
+		}
+	}
+}
+
+// newEndlessNode returns a relay that reaches no upstream, and passes its requests on to nodes. The first
+// of them answers without end, and the others as they should.
+func newEndlessNode(t *testing.T, answer endless.Answer, then outcome) *endlessRelay {
+	t.Helper()
+	core, logs := observer.New(zap.InfoLevel)
+	server := endless.Handler(t, answer, 1, newServingNode(t, &scriptedUpstreams{script: []outcome{then}}))
+	meter := &endless.Meter{}
+	return &endlessRelay{server: server, meter: meter, logs: logs, address: newDialingCutRelay(t, testCatalogWithin(1, endlessTimeout), zap.New(core), meter.Dialer(), server, server)}
+}
--- a/relay/forward_test.go
+++ b/relay/forward_test.go
@@ -27,11 +27,11 @@
 // returns the address for callers.
 func newCutRelay(t *testing.T, nodes ...http.Handler) string {
 	t.Helper()
-	return newDialingCutRelay(t, zap.NewNop(), (&net.Dialer{}).DialContext, nodes...)
+	return newDialingCutRelay(t, testCatalog(), zap.NewNop(), (&net.Dialer{}).DialContext, nodes...)
 }
 
-// newDialingCutRelay is newCutRelay with a log and a function that connects to the nodes.
-func newDialingCutRelay(t *testing.T, log *zap.Logger, dial dialFunc, nodes ...http.Handler) string {
+// newDialingCutRelay is newCutRelay with a catalog, a log and a function that connects to the nodes.
+func newDialingCutRelay(t *testing.T, c *catalog.Catalog, log *zap.Logger, dial dialFunc, nodes ...http.Handler) string {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	model := dispatch.New(dispatch.WithPolicy(dispatch.Policy{RetryWindow: 10_000, RetryShare: 1, RetrySlack: 1e9}))
@@ -47,7 +47,7 @@
 		cancel()
 		<-stopped
 	})
-	r.SetCatalog(testCatalog(), r.clock.Now())
+	r.SetCatalog(c, r.clock.Now())
 	msg := dispatch.PeersMsg{TotalNodes: 1 + len(nodes), Members: []limit.Member{{}}}
 	for i, node := range nodes {
 		server := httptest.NewServer(node)
