--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,11 +28,14 @@
 	errAnswerNotSealed = errors.New("relay: answer has no upstream seal")
 	errAnswerEncoded   = errors.New("relay: answer has a content encoding")
 	errNotResumable    = errors.New("relay: answer cannot resume the event stream")
+	errFailureTooLong  = errors.New("relay: failure of the upstream exceeds the size limit")
+	errOtherProtocol   = errors.New("relay: answer switches to another protocol")
 )
 
 const (
 	// maxBufferedAnswer bounds, in bytes, the answers that are buffered until complete. A
-	// larger answer is forwarded while it is received.
+	// larger answer is forwarded while it is received; a larger failure only if the request may
+	// not be repeated.
 	maxBufferedAnswer = 512 << 10
 	// chunkSize is the size in bytes of the chunks in which a large answer is forwarded.
 	chunkSize = 32 << 10
@@ -182,8 +185,14 @@
 	}
 }
 
-// readAnswer checks the headers of an answer and forwards the answer to the session.
+// readAnswer checks the headers of an answer and forwards the answer to the session. A switch to another
+// protocol is no answer: net/http leaves such a connection to its caller, and no longer closes it when the
+// context ends.
 func (a *attempt) readAnswer(ctx context.Context, resp *http.Response) {
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		a.fail(ctx, dispatch.CauseUnknown, "", errOtherProtocol)
+		return
+	}
 	if a.cmd.Node != "" && !a.acceptForwarded(ctx, resp) {
 		return
 	}
@@ -258,7 +267,7 @@
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
-			a.endEvents(ctx, resp, head)
+			a.endEvents(ctx, resp, attemptUpdate{head: head, data: ev.raw, end: true})
 			return
 		}
 		if err != nil {
@@ -272,17 +281,14 @@
 	}
 }
 
-// endEvents ends a stream after its last event. The head is nil if an event has been forwarded.
-func (a *attempt) endEvents(ctx context.Context, resp, head *http.Response) {
-	if head != nil && !a.resuming && endsWithConnection(resp) {
+// endEvents ends a stream with its last update. The head of the update is nil if an event has been
+// forwarded.
+func (a *attempt) endEvents(ctx context.Context, resp *http.Response, last attemptUpdate) {
+	if last.head != nil && !a.resuming && endsWithConnection(resp) {
 		a.fail(ctx, dispatch.CauseUnknown, "", errNoEvent)
 		return
 	}
-	if faulty, err := a.confirmEnd(ctx, resp); err != nil {
-		a.fail(ctx, dispatch.CauseUnknown, faulty, err)
-		return
-	}
-	a.emit(ctx, attemptUpdate{head: head, end: true})
+	a.endBody(ctx, resp, last)
 }
 
 // readBuffered buffers an answer until it is complete, up to maxBufferedAnswer.
@@ -296,6 +302,11 @@
 		a.endBody(ctx, resp, attemptUpdate{head: resp, data: data, end: true})
 		return
 	}
+	if resp.StatusCode >= http.StatusInternalServerError && a.cmd.Route.MayRepeat() {
+		// Forwarding a failure as it comes would keep another upstream from serving the request.
+		a.fail(ctx, dispatch.CauseUpstreamFailed, "", errors.Wrapf(errFailureTooLong, "status %d", resp.StatusCode))
+		return
+	}
 	if a.emit(ctx, attemptUpdate{head: resp, data: data}) {
 		a.readRemaining(ctx, resp)
 	}
--- a/relay/fixture_test.go
+++ b/relay/fixture_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/chain"
-
+	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
@@ -252,6 +252,12 @@
 	return newTestRelayWithRetries(t, upstreams, 1e9, log)
 }
 
+// newDialingTestRelay is newLoggingTestRelay with a function that connects to the upstreams.
+func newDialingTestRelay(t *testing.T, upstreams http.Handler, log *zap.Logger, dial dialFunc) (r *Relay, address string) {
+	t.Helper()
+	return newTestRelayWithRetries(t, upstreams, 1e9, log, WithDialer(dial))
+}
+
 // newTestRelayWithRetries is newTestRelay with the given slack of the retry budget, a log and further
 // options.
 func newTestRelayWithRetries(t *testing.T, upstreams http.Handler, retrySlack float64, log *zap.Logger, opts ...Option) (r *Relay, address string) {
@@ -291,17 +297,20 @@
 }
 
 // testCatalog returns a catalog with a route of each kind.
-func testCatalog() *catalog.Catalog {
+func testCatalog() *catalog.Catalog { return testCatalogWithin(1, 10_000) }
+
+// testCatalogWithin returns a version of the catalog whose routes have a time limit.
+func testCatalogWithin(version uint64, timeout clock.Millis) *catalog.Catalog {
 	route := func(name string, kind catalog.Kind, resumable bool) *catalog.Route {
 		return &catalog.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Resumable: resumable, Anonymous: true,
 			Targets: []catalog.Target{{Service: "desk", Weight: 1}}, MaxAttempts: testUpstreams,
-			Timeout: 10_000, LatencyTarget: 10_000,
+			Timeout: timeout, LatencyTarget: 10_000,
 		}
 	}
 	few := route("few", catalog.Streaming, true)
 	few.MaxAttempts = fewUpstreams
-	return catalog.New(1,
+	return catalog.New(version,
 		catalog.WithRoutes(few,
 			route("write", catalog.Streaming, true), route("tell", catalog.Streaming, false),
 			route("read", catalog.Repeatable, false), route("once", catalog.AtMostOnce, false),
