dispatch: a node count from incomplete membership is none

A count that is not known was told apart already (no slack), an incomplete one was not; it was also passed on to others in reports.

An incomplete membership gives no count; a hub's count still does. The share that a node earns with its own requests is not touched.

--- a/dispatch/node_count.go
+++ b/dispatch/node_count.go
@@ -23,8 +23,12 @@
 	countedAt clock.Millis
 }
 
-// setPeers updates the count from the membership.
+// setPeers updates the count from the membership. An incomplete one gives none: each node would divide the
+// shared budgets by the few others that it has met so far.
 func (c *nodeCount) setPeers(now clock.Millis, msg PeersMsg) {
+	if msg.Incomplete {
+		return
+	}
 	c.local = msg.LocalNodes
 	if msg.LocalNodes == 0 && !msg.Aggregated {
 		// All nodes are known by name; a lost node is removed after minutes.
