models: started nodes read the registry, and nothing tells what a copy lacks

models/starts.pml took for granted that a started node knows whether a registration names the present era. Three variants fail as they must: UNREAD (what has not been read counts as vouching), STALE (not read anew after a return) and BLANK (an uncompared node replaces registrations by ones that name no era). The first form of STALE held, since the model read the configuration at the start.

--- a/models/check.sh
+++ b/models/check.sh
@@ -57,6 +57,11 @@
 check starts fails ALLDOWN
 check starts holds DOUBT
 check starts fails BLINDVOUCH
+check starts fails UNREAD
+check starts fails STALE
+check starts fails BLANK
+check starts fails TELLSERVE
+check starts fails TELLWAIT
 check config holds
 check config fails BLIND
 check config fails BACK
--- a/models/starts.pml
+++ b/models/starts.pml
@@ -14,10 +14,17 @@
  * more than ROUNDS rounds, also where all have started.
  *
  * With DOUBT, the promise holds also where no node is left: registrations name the era in which
- * the store had shown the configuration of their node, and go back with the store. Where none
- * names the present era, a started node waits until the store shows a newer version. That the
- * wait ends after some seconds, also where the operator has nothing to write, is left out: from
- * then on the promise does not hold.
+ * the store had shown the configuration of their node, and go back with the store. A started node
+ * reads them at some time, and anew after a return. It waits until it has read them in the present
+ * era; where none names that era, it waits until the store shows a newer version. That this wait
+ * ends after some seconds, also where the operator has nothing to write, is left out: from then on
+ * the promise does not hold.
+ *
+ * With FORGOTTEN, no node is left and all start after a return; the backup has a row of ours that
+ * names the newest version in force. Either version 2 was in force and is lost, or there never was
+ * one. What a started node can read is the same in both: the store's version, the row and the era.
+ * So whatever it decides by these is wrong in one of them: to serve serves by a version that was
+ * replaced, to wait waits for a version that nobody writes.
  *
  * Variants, each of which must fail:
  *   SENT     a comparison counts when it has been sent
@@ -26,19 +33,50 @@
  *   ENDLESS  a node without an answer waits for one
  *   ALLDOWN  the promise is asked for also where no node is left that has compared
  *   BLINDVOUCH  DOUBT, and a node vouches for an era whatever the store shows
+ *   UNREAD   DOUBT, and registrations that have not been read are taken for ones that vouch
+ *   STALE    DOUBT, and registrations are not read anew after a return
+ *   BLANK    DOUBT, and a node that has not compared replaces the registrations by ones that name
+ *            no era, which put nothing in doubt
+ *   TELLSERVE  FORGOTTEN, and a started node serves
+ *   TELLWAIT   FORGOTTEN, and a started node waits for a newer version
  */
-#ifdef BLINDVOUCH
+#if defined(BLINDVOUCH) || defined(UNREAD) || defined(STALE) || defined(BLANK)
 #define DOUBT
 #endif
+#if defined(TELLSERVE) || defined(TELLWAIT)
+#define FORGOTTEN
+#endif
 #ifdef DOUBT
 #define ALLDOWN
 #endif
+#ifdef FORGOTTEN
+bool lost;                      /* version 2 was in force before the return */
+byte storeVersion, row;         /* what a started node reads, beside the era */
+bool serves, waits;
+
+init {
+	if :: lost = true :: lost = false fi;
+	/* The backup is older than version 2, so neither the store nor the row has it. */
+	storeVersion = 1; row = 1;
+	/* The decision follows from storeVersion and row, which are 1 and 1 in either case. */
+#ifdef TELLSERVE
+	serves = (storeVersion == row);
+#endif
+#ifdef TELLWAIT
+	waits = (storeVersion == row);
+#endif
+	assert(!(serves && lost));              /* no key that was taken away */
+	assert(!(waits && !lost))               /* nobody writes: no wait without an end */
+}
+#else
 #define NODES 3
 #define ROUNDS 3
 
 byte storeVersion = 2;
 bool returned = false;
 bool vouched = true;            /* a registration names the present era */
+bool named = true;              /* a registration names any era */
+byte registry[NODES];           /* 0 not read in the present era, 1 none names it, 2 one does */
 byte have[NODES] = 2;
 byte state[NODES] = 2;          /* 0 down, 1 started, 2 compared */
 byte rounds[NODES];
@@ -46,6 +84,16 @@
 byte i, j;
 bool remembered = true;         /* a node that has compared has lived at all times */
 
+#ifdef UNREAD
+#define TRUSTED(n) (registry[n] != 1)
+#else
+#ifdef BLANK
+#define TRUSTED(n) (registry[n] == 2 || (registry[n] == 1 && !named))
+#else
+#define TRUSTED(n) (registry[n] == 2)
+#endif
+#endif
+
 inline serve(n) {
 #ifdef EARLY
 	assert(state[n] == 0 || have[n] == 2 || !remembered)
@@ -81,10 +129,10 @@
 	/* The store's feed tells a newer version before a registration can tell that it was seen. */
 	if
 	:: state[n] == 1 && storeVersion > have[n] -> have[n] = storeVersion; state[n] = 2
-	:: state[n] == 1 && storeVersion <= have[n] && rounds[n] >= ROUNDS && vouched -> state[n] = 2
+	:: state[n] == 1 && storeVersion <= have[n] && rounds[n] >= ROUNDS && TRUSTED(n) -> state[n] = 2
 	:: else -> skip
 	fi;
-	assert(state[n] == 2 || rounds[n] < ROUNDS || !vouched)
+	assert(state[n] == 2 || rounds[n] < ROUNDS || registry[n] != 2)
 #else
 #ifndef ENDLESS
 	if :: state[n] == 1 && rounds[n] >= ROUNDS -> state[n] = 2 :: else -> skip fi;
@@ -98,19 +146,34 @@
 
 init {
 	do
-	:: atomic { !returned -> returned = true; storeVersion = 1; vouched = false }
+	:: atomic { !returned -> returned = true; storeVersion = 1; vouched = false;
+#ifndef STALE
+		registry[0] = 0; registry[1] = 0; registry[2] = 0
+#endif
+		}
 	:: atomic { returned -> storeVersion = 2 }
 	:: atomic { select (i : 0 .. 2);
 		if
 		:: state[i] > 0 && kills < 4 ->
-			state[i] = 0; rounds[i] = 0; kills++;
+			state[i] = 0; rounds[i] = 0; registry[i] = 0; kills++;
 #ifndef ALLDOWN
 			remembered = remembered && OTHERS(i)
 #endif
+#ifdef DOUBT
+		/* The configuration and the registrations are read in either order. */
+		:: state[i] == 0 -> have[i] = 0; state[i] = 1
+		:: state[i] == 1 && have[i] == 0 -> have[i] = storeVersion
+		:: state[i] == 1 && have[i] > 0 -> ask(i)
+#else
 		:: state[i] == 0 -> have[i] = storeVersion; state[i] = 1
 		:: state[i] == 1 -> ask(i)
+#endif
 		:: state[i] > 0 -> serve(i)
 #ifdef DOUBT
+		:: state[i] == 1 && registry[i] != 2 -> if :: vouched -> registry[i] = 2 :: else -> registry[i] = 1 fi
+#ifdef BLANK
+		:: state[i] == 1 && registry[i] == 0 -> named = false
+#endif
 #ifdef BLINDVOUCH
 		:: state[i] == 2 -> vouched = true
 #else
@@ -122,3 +185,4 @@
 	:: break
 	od
 }
+#endif
