dispatch, keeper: the stored quarantine is awaited after an outage at the start too

Where the store is away at the start the time is over before there is a list, and what has not been read counts as empty; the keeper reads it up to 3 s later, the pause of its retries. Until then requests run that are known to crash upstreams.

The 0.4 s count from the first entry of the list, and a change of the list ends the keeper's pause while it reads. A node whose list comes at once waits as before, for some 10 ms longer where the quarantine cannot be read. Ruled out: shorter pauses, which cost calls during an outage.

--- a/dispatch/deferred.go
+++ b/dispatch/deferred.go
@@ -12,8 +12,9 @@
 	// arrives with the start can wait for as long as its caller does. A node that lacks both then
 	// probably cannot reach the store, and a caller that is refused can retry at another node.
 	maxStartDeferral clock.Millis = 3000
-	// maxQuarantineDeferral bounds the same for the stored quarantine, without which requests can
-	// be served. It is below the latency objective of streams.
+	// maxQuarantineDeferral bounds the time after the first list for which requests wait for the stored
+	// quarantine, without which they can be served. It is below the latency objective of streams. The
+	// store may have been away at the start, so the time does not count from there.
 	maxQuarantineDeferral clock.Millis = 400
 	// serviceTime is the part of a caller's patience that is left for serving a deferred request:
 	// latency objectives are up to 0.5 s.
@@ -39,7 +40,17 @@
 	if m.catalog == nil || len(m.upstreams) == 0 {
 		return m.now < maxStartDeferral
 	}
-	return m.awaitsComparison(m.now) || m.awaitsStoredQuarantine && m.now < maxQuarantineDeferral
+	return m.awaitsComparison(m.now) || m.awaitsStoredQuarantine && m.now < m.firstListAt.Add(maxQuarantineDeferral)
+}
+
+// recordFleet applies changes of the list of upstreams, and records when it first has an entry.
+func (m *Model) recordFleet(msg FleetMsg) []Cmd {
+	hadNone := len(m.upstreams) == 0
+	cmds := m.setFleet(msg)
+	if hadNone && len(m.upstreams) > 0 && !m.hasHadList {
+		m.hasHadList, m.firstListAt = true, m.now
+	}
+	return cmds
 }
 
 // ConfigComparedMsg reports that the configuration that the node has first was compared with those of
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -137,6 +137,9 @@
 	// configUncompared reports whether the configuration has not been compared with those of other
 	// nodes since the start.
 	configUncompared bool
+	// firstListAt is when the list of upstreams first had an entry, if hasHadList is set.
+	firstListAt clock.Millis
+	hasHadList  bool
 	// awaitsStoredQuarantine reports whether the stored quarantine has not been loaded yet.
 	awaitsStoredQuarantine bool
 }
@@ -218,7 +221,7 @@
 	case ConfigComparedMsg:
 		return m.configCompared()
 	case FleetMsg:
-		return append(m.setFleet(msg), m.processDeferred()...)
+		return append(m.recordFleet(msg), m.processDeferred()...)
 	case PeersMsg:
 		m.setPeers(msg)
 	case UsageMsg:
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -67,6 +67,10 @@
 	// from a backup.
 	recentWrites map[work.ID]change
 	restored     chan struct{}
+	// storeBack signals that the store has answered another call. reading is set while Run reads the stored
+	// requests, and is only used by it.
+	storeBack chan struct{}
+	reading   bool
 	// refused counts the changes that the store has permanently refused.
 	refused expvar.Int
 }
@@ -76,6 +80,7 @@
 	return &Keeper{
 		store: store, clock: c, log: log, onRead: onRead, firstStart: firstStart, pending: ring.New[change](maxPending),
 		recentWrites: make(map[work.ID]change), restored: make(chan struct{}, 1),
+		storeBack: make(chan struct{}, 1),
 	}
 }
 
@@ -124,6 +129,15 @@
 	}
 }
 
+// StoreAnswered ends the pause after a failed reading at the start: requests wait for the reading for a
+// short time only once the node has all else.
+func (k *Keeper) StoreAnswered() {
+	select {
+	case k.storeBack <- struct{}{}:
+	default:
+	}
+}
+
 // rememberWrites adds changes to recentWrites and removes the expired ones.
 func (k *Keeper) rememberWrites(changes map[work.ID]change) {
 	now := k.clock.Now()
@@ -157,6 +171,8 @@
 		k.onRead(nil)
 		return
 	}
+	k.reading = true
+	defer func() { k.reading = false }()
 	err := k.retry(ctx, "quarantine_not_read", func() error {
 		list, unreadable, err := k.store.Quarantined(ctx)
 		if err != nil {
@@ -224,6 +240,22 @@
 	}
 }
 
+// pause waits for a time or until the context is cancelled. While the stored requests are read, it ends
+// when the store has answered another call.
+func (k *Keeper) pause(ctx context.Context, d time.Duration) {
+	if !k.reading {
+		clock.Sleep(ctx, d)
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-k.storeBack:
+	}
+}
+
 // retry repeats a call until it succeeds or the context is cancelled. If the store permanently
 // refuses the call, retry returns an error that wraps ErrRefused.
 func (k *Keeper) retry(ctx context.Context, event string, call func() error) error {
@@ -233,7 +265,7 @@
 			return err
 		}
 		k.log.Info(event, logging.Err(err))
-		clock.Sleep(ctx, pause)
+		k.pause(ctx, pause)
 	}
 	return nil
 }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -160,3 +160,32 @@
 		t.Errorf("got age %d in the repeated write, want about %d", got, want)
 	}
 }
+
+// Guards against a stored quarantine that stays unread for seconds after an outage at the start, while the
+// node serves already: the pause after a failed reading ends when the store answers another call.
+func TestReadingIsRetriedWhenStoreAnswers(t *testing.T) {
+	const outage = 10 * time.Second
+	store := &fakeStore{failures: 1000}
+	var readAt time.Duration
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		k := New(store, clocktest.NewClock(), zap.NewNop(), false, func([]dispatch.Quarantined) { readAt = time.Since(began) })
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- k.Run(ctx) }()
+		time.Sleep(outage)
+		synctest.Wait()
+		store.mu.Lock()
+		store.failures = 0
+		store.mu.Unlock()
+		k.StoreAnswered()
+		synctest.Wait()
+		cancel()
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("got error %v, want %v", err, context.Canceled)
+		}
+	})
+	if readAt != outage {
+		t.Errorf("got the reading after %v, want it with the end of the outage after %v", readAt, outage)
+	}
+}
--- a/node/updates.go
+++ b/node/updates.go
@@ -201,5 +201,6 @@
 
 func (n *Node) applyFleet(changes []fleet.Change) {
 	n.relay.UpdateFleet(changes)
+	n.keeper.StoreAnswered()
 	n.placer.Send(placement.FleetMsg{Changes: changes})
 }
