platform: a pipeline with numbers out of range is left out of the configuration

Cause: the decoder takes any number for the layers, the memory and the times of a pipeline, and the planner and the decider make slices with as many layers. Run on from bytes to effects: "layers":-1 panics (index out of range [0] with length 0), 1e18 panics (makeslice: len out of range), 1e8 did not end within 40 s. In a node that is the end of the process, at the next request or plan.

Ruled out: refusing the whole configuration, since the same version may revoke a key; taking the service for a plain one. The service is left out as if it were not configured: its requests get 503, not run, and service_unservable says which number is wrong. MaxLayers compares before it converts: memory of 1e300 layers had no defined number of whole layers.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -32,6 +32,8 @@
 	// hasAccounts is set if there are client accounts, even if they have no keys.
 	hasAccounts bool
 	limits      Limits
+	// unservable holds the services that are left out because of their configuration.
+	unservable map[string]error
 }
 
 // Option configures a Catalog.
@@ -55,6 +57,11 @@
 	}
 }
 
+// WithUnservable records a service that is left out because of its configuration. Requests for it are refused.
+func WithUnservable(service string, reason error) Option {
+	return func(c *Catalog) { c.unservable[service] = reason }
+}
+
 // WithAccount adds a client account with its keys.
 func WithAccount(a Account, keys ...string) Option {
 	return func(c *Catalog) {
@@ -77,10 +84,11 @@
 // New returns a Catalog with the given version number.
 func New(version uint64, opts ...Option) *Catalog {
 	c := &Catalog{
-		edition:  Edition{version: version},
-		hosts:    make(map[string]*host),
-		services: make(map[string]*Service),
-		accounts: make(map[string]Account),
+		edition:    Edition{version: version},
+		hosts:      make(map[string]*host),
+		services:   make(map[string]*Service),
+		accounts:   make(map[string]Account),
+		unservable: make(map[string]error),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -104,6 +112,13 @@
 	}
 }
 
+// EachUnservable calls f for each service that is left out because of its configuration, in no particular order.
+func (c *Catalog) EachUnservable(f func(service string, reason error)) {
+	for service, reason := range c.unservable {
+		f(service, reason)
+	}
+}
+
 // EachRoute calls f for each route, in no particular order.
 func (c *Catalog) EachRoute(f func(*Route)) {
 	for _, h := range c.hosts {
--- a/catalog/service.go
+++ b/catalog/service.go
@@ -72,7 +72,9 @@
 }
 
 // MaxLayers returns how many whole layers an accelerator can hold.
-func (p *Pipeline) MaxLayers(a Accelerator) int { return min(int(p.MemoryInLayers(a)), p.Layers) }
+func (p *Pipeline) MaxLayers(a Accelerator) int {
+	return int(min(p.MemoryInLayers(a), float64(p.Layers)))
+}
 
 // memoryRounding is the relative error that a memory size may have from its decimal notation.
 const memoryRounding = 1e-9
--- a/node/updates.go
+++ b/node/updates.go
@@ -8,6 +8,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/limit"
+	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/placement"
 	"github.com/hoistjunction/hoistjunction/usage"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -34,6 +35,9 @@
 		n.relay.SetCatalog(nil, n.provenAt(active))
 	case follow.Replaced:
 		n.log.Info("config", zap.Stringer("version", p.Edition), zap.Stringer("written", p.Edition.Written()), age)
+		p.Catalog.EachUnservable(func(service string, reason error) {
+			n.log.Error("service_unservable", zap.Stringer("version", p.Edition), zap.String("service", service), logging.Err(reason))
+		})
 		n.relay.SetCatalog(p.Catalog, n.provenAt(active))
 		n.placer.Send(placement.CatalogMsg{Catalog: p.Catalog})
 		n.fleetFollower.SetCatalog(p.Catalog)
