--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 	go test ./entry -run xxx -fuzz . -fuzztime 30s
 	go test ./relay -run xxx -fuzz . -fuzztime 30s
 	go test ./settings -run xxx -fuzz . -fuzztime 30s
+	go test ./platform -run xxx -fuzz FuzzEffects -fuzztime 30s
 	go test ./platform -run xxx -fuzz FuzzEntry -fuzztime 30s
 	go test ./platform -run xxx -fuzz FuzzWord -fuzztime 30s
 	go test ./platform -run xxx -fuzz FuzzPromptParts -fuzztime 30s
