placement, placer: a panic costs one plan, message or order

What is computed from the list is pure, so nothing half-changed remains: needs, plan and coverage of a service are contained one by one, and so are each message to the planner and each order.

While a plan can't be computed, the orders of the last one that could are given where they still apply: the engine is there, fits the layers and has no order. The same input is not computed again. Ruled out: containment around a whole tick, since the panic would come again at each tick and no order would ever be given.

In tests of the bare model panics are not contained, so that fuzzing sees them.

--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/forwardwire"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 	"github.com/hoistjunction/hoistjunction/keeper"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
@@ -43,6 +44,8 @@
 	relay    *relay.Relay
 	overload *overload.Monitor
 	placer   *placer.Placer
+	// panics contains panics in the work on values that others wrote.
+	panics *contain.Panics
 	// orderResults counts the orders to engines by result, and implausible the start times in messages of
 	// other nodes that can't be true.
 	orderResults    *expvar.Map
@@ -104,6 +107,7 @@
 	for _, opt := range opts {
 		opt(n)
 	}
+	n.panics = contain.New(n.log)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -143,15 +147,15 @@
 	n.relay = relay.New(n.ctx, platform.Headers{}, model, n.clock, n.log,
 		relay.WithEngines(n.engines), relay.WithDialer(n.dialUpstream), relay.WithForwarding(s.Name, platform.Dialer().DialContext), relay.WithMaxConfigAge(s.keysMaxAge()),
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()), relay.WithCounters("rows_unreadable", n.store.UnreadableRows()), relay.WithCounters("entries_unfit", expvar.Func(func() any { return json.RawMessage(n.fleetFollower.Misfits().String()) })),
-		relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
+		relay.WithCounters("panics_contained", n.panics.Counts()), relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)), relay.WithCounters("quarantined_parts", expvar.Func(n.quarantined.parts)),
 		relay.WithCounters("overload", expvar.Func(func() any { return n.overload.Summary() })), relay.WithOwnDelay(n.overload.Delay), relay.WithOverload(n.overload.Overloaded),
 		relay.WithCounters("start_times_not_credible", &n.implausible), relay.WithCounters("peers", expvar.Func(func() any { return n.PeerCount() })),
 		relay.WithListAge(listAge), relay.WithResponsivenessHandler(n.reportUnresponsive), relay.WithPeerFindingHandler(n.usage.Responsive), relay.WithUsageSharing(n.sendUsage), relay.WithLeavingHandler(n.markLeaving), relay.WithReplacedHandler(n.markReplaced), relay.WithQuarantine(n.handleQuarantineEvent),
 		relay.WithPermitExchange(n.usage.SendPermitRequest, n.usage.SendPermitGrant))
-	planner := placement.New(placement.WithDelay(provisionalDelay(s.Name)), placement.WithStart(n.clock.Now()))
+	planner := placement.New(placement.WithDelay(provisionalDelay(s.Name)), placement.WithStart(n.clock.Now()), placement.WithContainment(n.panics.Run))
 	n.placer = placer.New(planner, n.engines, n.clock, n.log, n.publishPlacement, placer.WithSeed(hash(s.Name)), placer.WithListAge(listAge),
-		placer.WithResults(n.orderResults))
+		placer.WithResults(n.orderResults), placer.WithContainment(n.panics.Run))
 	n.wakes = n.clock.Suspensions()
 	n.wakes.OnResume(n.handleWake)
 	n.follow(self, platform.NewPeerTransport(), n.applyConfig, n.applyFleet)
--- a/placement/coverage.go
+++ b/placement/coverage.go
@@ -34,21 +34,29 @@
 		if s.Pipeline == nil {
 			return
 		}
-		p := newPlan(ShapeOf(s.Pipeline), m.engines(now, s))
-		empty := make(map[string]int)
-		for _, e := range p.engines {
-			if e.assigned().Empty() {
-				empty[e.DataCentre]++
-			}
-		}
-		for _, centre := range p.dataCentres {
-			lines = append(lines, fmt.Sprintf("%s %s missing=%s empty=%d", s.Name, centre, p.missingRanges(centre), empty[centre]))
-		}
+		engines := m.engines(now, s)
+		m.contain("coverage", planInput(s, engines), func() { lines = append(lines, coverageOf(s, engines)...) })
 	})
 	slices.Sort(lines)
 	return lines
 }
 
+// coverageOf returns the lines of a service.
+func coverageOf(s *catalog.Service, engines []Engine) []string {
+	p := newPlan(ShapeOf(s.Pipeline), engines)
+	empty := make(map[string]int)
+	for _, e := range p.engines {
+		if e.assigned().Empty() {
+			empty[e.DataCentre]++
+		}
+	}
+	var lines []string
+	for _, centre := range p.dataCentres {
+		lines = append(lines, fmt.Sprintf("%s %s missing=%s empty=%d", s.Name, centre, p.missingRanges(centre), empty[centre]))
+	}
+	return lines
+}
+
 // missingRanges formats the ranges of layers that have no holder in a data centre.
 func (p *plan) missingRanges(centre string) string {
 	var gaps []string
--- a/placement/model.go
+++ b/placement/model.go
@@ -4,6 +4,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 )
 
 // Time limits and bounds of the planner.
@@ -79,6 +80,9 @@
 	uncoveredSince map[string]clock.Millis
 	// plans holds the last plan of each service.
 	plans map[string]cachedPlan
+	// contain runs what computes from values that others wrote, and compute computes a plan.
+	contain contain.Func
+	compute func(Shape, []Engine) []Order
 	// dueSince is the time since which orders have been needed and no other node has given any.
 	dueSince clock.Millis
 	// idleUntil is the time of the next check if no message arrives.
@@ -101,6 +105,9 @@
 // different delays rarely give the same order twice.
 func WithDelay(d clock.Millis) Option { return func(m *Model) { m.delay = d } }
 
+// WithContainment sets the function that contains panics while plans are computed. Without it they end the process.
+func WithContainment(f contain.Func) Option { return func(m *Model) { m.contain = f } }
+
 // WithStart sets the start time of the planner.
 func WithStart(now clock.Millis) Option {
 	return func(m *Model) { m.startedAt, m.listChangedAt = now, now }
@@ -109,6 +116,7 @@
 // New returns a planner without engines and configuration.
 func New(opts ...Option) *Model {
 	m := &Model{
+		contain: contain.Direct, compute: Plan,
 		upstreams:             make(map[fleet.Incarnation]fleet.Upstream),
 		unresponsive:          make(map[fleet.Incarnation]bool),
 		confirmedUnresponsive: make(map[fleet.Incarnation]bool),
--- a/placement/orders.go
+++ b/placement/orders.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/hoistjunction/hoistjunction/catalog"
@@ -14,13 +15,19 @@
 	shape   Shape
 	engines []Engine
 	orders  []Order
+	// failed reports whether the plan for this input could not be computed. The orders are then those of the last
+	// plan that could.
+	failed bool
 }
 
 // needsOrders reports whether a service has empty engines that may get layers, or layers that have
 // been without a holder for healDelay. It is cheap compared with a plan.
 func (m *Model) needsOrders(now clock.Millis, s *catalog.Service) bool {
-	p := newPlan(ShapeOf(s.Pipeline), m.engines(now, s))
-	missing, empty := p.needs()
+	shape, engines := ShapeOf(s.Pipeline), m.engines(now, s)
+	var missing, empty bool
+	if !m.contain("needs", planInput(s, engines), func() { missing, empty = newPlan(shape, engines).needs() }) {
+		return len(m.remainingOrders(s, m.plans[s.Name].orders)) > 0
+	}
 	if !missing {
 		delete(m.uncoveredSince, s.Name)
 		return empty
@@ -43,11 +50,17 @@
 	shape, engines := ShapeOf(s.Pipeline), m.engines(now, s)
 	cached := m.plans[s.Name]
 	if shape != cached.shape || !slices.Equal(engines, cached.engines) {
-		cached = cachedPlan{shape: shape, engines: engines, orders: Plan(shape, engines)}
+		orders := cached.orders
+		ok := m.contain("plan", planInput(s, engines), func() { orders = m.compute(shape, engines) })
+		cached = cachedPlan{shape: shape, engines: engines, orders: orders, failed: !ok}
 		m.plans[s.Name] = cached
 	}
+	orders := cached.orders
+	if cached.failed {
+		orders = m.remainingOrders(s, orders)
+	}
 	var cmds []OrderCmd
-	for _, o := range cached.orders {
+	for _, o := range orders {
 		u := m.upstreams[o.ID]
 		if !u.Held.Empty() && !m.canHeal(now, s.Name) {
 			continue
@@ -57,6 +70,31 @@
 	return cmds
 }
 
+// remainingOrders returns the orders of an earlier plan that still apply: the engine exists, fits them, and neither holds
+// the layers nor has an order.
+func (m *Model) remainingOrders(s *catalog.Service, orders []Order) []Order {
+	var remaining []Order
+	for _, o := range orders {
+		u, known := m.upstreams[o.ID]
+		_, pending := m.pending[o.ID]
+		if !known || pending || u.Leaving || u.Withheld || u.Held == o.Layers || m.isLost(o.ID) {
+			continue
+		}
+		u.Held = o.Layers
+		if _, err := fleet.EngineOf(s, u); err == nil {
+			remaining = append(remaining, o)
+		}
+	}
+	return remaining
+}
+
+// planInput returns the text of a plan's input, for the log.
+func planInput(s *catalog.Service, engines []Engine) func() string {
+	return func() string {
+		return fmt.Sprintf("service %s, %d layers, engines %+v", s.Name, s.Pipeline.Layers, engines)
+	}
+}
+
 // engines returns the planner's input for the engines of a service that may hold layers.
 func (m *Model) engines(now clock.Millis, s *catalog.Service) []Engine {
 	var engines []Engine
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"slices"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/placement"
 )
@@ -93,6 +95,8 @@
 	loggedCoverage []string
 	// results counts the orders by result.
 	results *expvar.Map
+	// contain runs the work on one message or one order.
+	contain contain.Func
 }
 
 // Option configures a Placer.
@@ -106,6 +110,10 @@
 // list. By default the list always counts as confirmed.
 func WithListAge(age func() clock.Millis) Option { return func(p *Placer) { p.listAge = age } }
 
+// WithContainment sets the function that contains panics in the work on one message or one order. Without it they end the
+// process.
+func WithContainment(f contain.Func) Option { return func(p *Placer) { p.contain = f } }
+
 // WithResults sets the map in which orders are counted by result.
 func WithResults(counts *expvar.Map) Option { return func(p *Placer) { p.results = counts } }
 
@@ -116,7 +124,7 @@
 ) *Placer {
 	p := &Placer{
 		model: model, engines: engines, clock: c, log: log, notifyPlaced: placed,
-		listAge: func() clock.Millis { return 0 }, inbox: newInbox(), orders: make(chan placement.OrderCmd), results: new(expvar.Map),
+		listAge: func() clock.Millis { return 0 }, inbox: newInbox(), orders: make(chan placement.OrderCmd), results: new(expvar.Map), contain: contain.Direct,
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -161,7 +169,7 @@
 		if placed, ok := msg.(placement.PlacedMsg); ok {
 			p.queued.markOrdered(placed.Upstream)
 		}
-		p.model.Update(p.clock.Now(), msg)
+		p.contain("planner_message", func() string { return fmt.Sprintf("%T%+v", msg, msg) }, func() { p.model.Update(p.clock.Now(), msg) })
 	}
 }
 
@@ -204,11 +212,18 @@
 		case <-ctx.Done():
 			return
 		case cmd := <-p.orders:
-			p.Send(p.giveOrder(ctx, cmd))
+			msg := placement.OrderResultMsg{Upstream: cmd.Upstream, Result: Unanswered}
+			p.contain("order", orderInput(cmd), func() { msg = p.giveOrder(ctx, cmd) })
+			p.Send(msg)
 		}
 	}
 }
 
+// orderInput returns the text of an order, for the log.
+func orderInput(cmd placement.OrderCmd) func() string {
+	return func() string { return fmt.Sprintf("%+v", cmd) }
+}
+
 // giveOrder requests the state of an engine and sends it the order if it is idle and still holds
 // the range that the planner expected.
 func (p *Placer) giveOrder(ctx context.Context, cmd placement.OrderCmd) placement.OrderResultMsg {
@@ -227,7 +242,7 @@
 		zap.Int("held_to", state.Held.To), zap.Stringer("result", msg.Result), logging.Err(err))
 	p.results.Add(msg.Result.String(), 1)
 	if msg.Result == Taken {
-		go p.watchOrder(ctx, cmd)
+		go p.contain("order_watch", orderInput(cmd), func() { p.watchOrder(ctx, cmd) })
 	}
 	if msg.Result == Rejected {
 		p.log.Error("order_rejected", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address), logging.Err(err))
