--- a/node/node.go
+++ b/node/node.go
@@ -137,7 +137,7 @@
 	}
 	model := dispatch.New(modelOptions...)
 	self := &wire.Member{Name: s.Name, DataCentre: s.DataCentre, Address: n.peerListener.Addr().String(), Strength: s.capacity()}
-	sharing, err := usage.New(n.ctx, self, s.UsageListen, n.log, n.isFollowable, usageListener{n}, usage.WithQuarantine(n.quarantined.digest), usage.WithClock(n.clock))
+	sharing, err := usage.New(n.ctx, self, s.UsageListen, n.log, n.isFollowable, usageListener{n}, usage.WithQuarantine(n.quarantined.digest), usage.WithClock(n.clock), usage.WithContainment(n.panics.Run))
 	if err != nil {
 		return nil, err
 	}
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -234,7 +234,7 @@
 // or two.
 func (n *Node) compareQuarantine(from *wire.Member, digest uint64) {
 	if n.quarantined.shouldQuery(digest) {
-		go n.peers.QueryQuarantined(n.ctx, from)
+		go n.panics.Run("quarantine_query", from.String, func() { n.peers.QueryQuarantined(n.ctx, from) })
 	}
 }
 
--- a/node/updates.go
+++ b/node/updates.go
@@ -68,10 +68,10 @@
 	if n.queryingConfig.Swap(true) {
 		return
 	}
-	go func() {
+	go n.panics.Run("config_query", func() string { return address }, func() {
 		defer n.queryingConfig.Store(false)
 		n.peers.QueryAddress(n.ctx, address)
-	}()
+	})
 }
 
 // markLeaving records that an upstream has reported that it is leaving.
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"net"
 	"sync/atomic"
 
@@ -31,6 +32,7 @@
 	"github.com/hoistjunction/hoistjunction/fairshare"
 	"github.com/hoistjunction/hoistjunction/fleet"
 	"github.com/hoistjunction/hoistjunction/fleetwire"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -49,6 +51,8 @@
 	// followable reports whether other nodes may follow this one.
 	followable func() bool
 	listener   Listener
+	// contain runs the work on one datagram.
+	contain contain.Func
 	// unresponsive batches unresponsive engines, and placements the placement orders.
 	unresponsive *batcher[fleet.Incarnation]
 	// responsive batches engines that answered after another node had found them unresponsive.
@@ -133,6 +137,9 @@
 	return func(x *Exchange) { x.quarantine = digest }
 }
 
+// WithContainment sets the function that contains panics in the work on one datagram. Without it they end the process.
+func WithContainment(f contain.Func) Option { return func(x *Exchange) { x.contain = f } }
+
 // WithClock sets the node's clock.
 func WithClock(c *clock.Clock) Option { return func(x *Exchange) { x.clock = c } }
 
@@ -144,7 +151,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "usage: listen at %s", address)
 	}
-	x := &Exchange{self: self, conn: conn, log: log, followable: followable, listener: listener, quarantine: func() uint64 { return 0 }, clock: clock.New()}
+	x := &Exchange{self: self, conn: conn, log: log, followable: followable, listener: listener, quarantine: func() uint64 { return 0 }, clock: clock.New(), contain: contain.Direct}
 	x.recipients.Store(&recipients{})
 	if x.permitRequesters, err = lru.New[string, net.Addr](maxPermitRequesters); err != nil {
 		return nil, errors.Wrap(err, "usage: create cache of permit requesters")
@@ -238,7 +245,8 @@
 			x.log.Debug("usage_not_read", logging.Err(err))
 			continue
 		}
-		x.receive(buffer[:n])
+		datagram := buffer[:n]
+		x.contain("datagram", func() string { return hex.EncodeToString(datagram) }, func() { x.receive(datagram) })
 	}
 }
 
