relay: a request that was only refused is told so when its time is up

Cause: at the deadline a session answered 504 for any request that had been sent, also where every upstream had said that it did not execute it. The session keeps whether a failed attempt may have been executed, by the same question that the decider asks (Cause.MayHaveExecuted). TestTimeoutTellsWhetherExecuted failed for full and not_sent before (504, want 503).

--- a/dispatch/cause.go
+++ b/dispatch/cause.go
@@ -34,5 +34,10 @@
 	CauseUnknown: "unknown", CauseNoProgress: "slow", CauseUpstreamFailed: "upstream_failed", CauseNodeRefused: "node_refused",
 }
 
+// MayHaveExecuted reports whether an upstream may have executed a request whose attempt failed with this cause.
+func (c Cause) MayHaveExecuted() bool {
+	return c == CauseUnknown || c == CauseNoProgress || c == CauseUpstreamFailed
+}
+
 // String returns the name of the cause in logs.
 func (c Cause) String() string { return causeNames[c] }
--- a/dispatch/execution.go
+++ b/dispatch/execution.go
@@ -19,7 +19,7 @@
 // recordExecution records a failed attempt that the upstream may have executed. A stream that was
 // canceled for lack of events counts too, since a hung engine does not report what it executes.
 func (m *Model) recordExecution(r *request, msg AttemptFailedMsg) {
-	if msg.Cause != CauseUnknown && msg.Cause != CauseNoProgress && msg.Cause != CauseUpstreamFailed {
+	if !msg.Cause.MayHaveExecuted() {
 		return
 	}
 	r.executions++
--- a/dispatch/fail.go
+++ b/dispatch/fail.go
@@ -98,11 +98,10 @@
 
 // retryDenial returns the reason why a request may not be sent again; empty if it may.
 func (m *Model) retryDenial(r *request, cause Cause) Reason {
-	executed := cause == CauseUnknown || cause == CauseNoProgress || cause == CauseUpstreamFailed
 	switch {
 	case r.delivered == DeliveredPartial:
 		return ReasonAnswerLost
-	case executed && !r.route.MayRepeat():
+	case cause.MayHaveExecuted() && !r.route.MayRepeat():
 		return ReasonAnswerLost
 	case cause == CauseUpstreamFailed && r.route.Kind == 0:
 		return ReasonAnswerLost
--- a/relay/session.go
+++ b/relay/session.go
@@ -33,6 +33,8 @@
 	// unanswered reports that an attempt was abandoned because no answer, or no further part of
 	// it, arrived.
 	unanswered bool
+	// mayHaveExecuted reports whether an upstream may have executed a failed attempt.
+	mayHaveExecuted bool
 	// sentTo contains the upstream incarnations to which the request was sent.
 	sentTo map[fleet.Incarnation]bool
 	// upstreamFailure is the last 5xx answer of an upstream, kept for a RelayCmd.
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -124,6 +124,7 @@
 // request, to the decider.
 func (s *session) endFailedAttempt(msg dispatch.AttemptFailedMsg, status UpstreamStatus, err error) {
 	s.logFailure(msg.Cause, msg.FaultyAddress, status, err)
+	s.mayHaveExecuted = s.mayHaveExecuted || msg.Cause.MayHaveExecuted()
 	msg.Request, msg.Attempt = s.id, s.attempt.cmd.Attempt
 	msg.Events, msg.Delivered, msg.LastEventAt = s.events, s.delivered(), s.lastEventAt
 	s.cancelAttempt()
--- a/relay/session_end.go
+++ b/relay/session_end.go
@@ -16,7 +16,7 @@
 		return true
 	}
 	status, retryAfter := http.StatusGatewayTimeout, clock.Millis(0)
-	if s.attempt == nil && s.attempts == 0 {
+	if s.attempt == nil && !s.mayHaveExecuted {
 		status, retryAfter = http.StatusServiceUnavailable, overloadRetryAfter
 	}
 	s.logRefusal(dispatch.RespondCmd{Request: s.id, Status: status, Reason: dispatch.ReasonTimeout, RetryAfter: retryAfter})
