--- a/relay/session_answer.go
+++ b/relay/session_answer.go
@@ -75,7 +75,7 @@
 // decider, which may try another upstream.
 func (s *session) holdUpstreamFailure(update attemptUpdate) bool {
 	s.upstreamFailure = &update
-	s.failAttempt(dispatch.CauseUpstreamFailed, "", update.status, nil)
+	s.failAttempt(dispatch.CauseUpstreamFailed, update.status, nil)
 	return false
 }
 
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -49,7 +49,7 @@
 	a.cancel = cancel
 	s.attempt, s.sentAt, s.lastUpdateAt, s.quietSince = a, now, now, now
 	if err != nil {
-		s.failAttempt(dispatch.CauseNotSent, "", UpstreamStatus{}, err)
+		s.failAttempt(dispatch.CauseNotSent, UpstreamStatus{}, err)
 		return
 	}
 	s.resetFirstStallTimer()
@@ -116,8 +116,8 @@
 }
 
 // failAttempt ends the attempt and reports the failure to the decider.
-func (s *session) failAttempt(cause dispatch.Cause, faultyAddress string, status UpstreamStatus, err error) {
-	s.endFailedAttempt(dispatch.AttemptFailedMsg{Cause: cause, FaultyAddress: faultyAddress}, status, err)
+func (s *session) failAttempt(cause dispatch.Cause, status UpstreamStatus, err error) {
+	s.endFailedAttempt(dispatch.AttemptFailedMsg{Cause: cause}, status, err)
 }
 
 // endFailedAttempt ends the attempt and reports the failure, completed with the state of the
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -168,7 +168,7 @@
 // neither start nor continue.
 func (s *session) abandonCrashed() {
 	s.unanswered = true
-	s.failAttempt(dispatch.CauseNoProgress, "", UpstreamStatus{}, errUpstreamCrashed)
+	s.failAttempt(dispatch.CauseNoProgress, UpstreamStatus{}, errUpstreamCrashed)
 }
 
 // leaveEngine asks the decider to migrate the stream off an engine, or abandons the attempt if
--- a/relay/timeout_test.go
+++ b/relay/timeout_test.go
@@ -30,7 +30,7 @@
 				deadlineTimer: stoppedTimer(), attemptTimer: stoppedTimer(), silenceTimer: stoppedTimer(), stallTimer: stoppedTimer(), firstEventTimer: stoppedTimer(),
 				attempts: 1, attempt: &attempt{cmd: dispatch.SendCmd{Attempt: 1}, cancel: func(error) {}},
 			}
-			s.failAttempt(tt.cause, "", UpstreamStatus{}, nil)
+			s.failAttempt(tt.cause, UpstreamStatus{}, nil)
 			s.handleTimeout()
 			if answer.Code != tt.status {
 				t.Errorf("got status %d, want %d", answer.Code, tt.status)
