relay: an answer that has arrived is delivered before its attempt is given up

Cause: a session takes one of the messages that are ready at random. Where the node's end, the caller's deadline, the end of an attempt's time or an overdue first event is ready together with the answer, one of two took the failure. Ruled out: taking answers first in each turn, since a body without an end would then keep the deadline from ever being noticed. Change: whatever gives up an attempt first handles what has arrived of it, at most as many updates as an attempt queues.

--- a/relay/session.go
+++ b/relay/session.go
@@ -139,8 +139,11 @@
 	case update := <-updates:
 		return s.handleUpdate(update)
 	case <-s.deadlineTimer.C:
-		return s.handleTimeout()
+		return s.deliverReady() || s.handleTimeout()
 	case <-s.attemptTimer.C:
+		if s.deliverReady() {
+			return true
+		}
 		s.handleAttemptTimeout()
 	case <-s.silenceTimer.C:
 		s.handleSilence()
@@ -163,6 +166,9 @@
 
 // handleCommand carries out a command of the decider and reports whether the request has ended.
 func (s *session) handleCommand(cmd dispatch.Cmd) bool {
+	if endsAttempt(cmd) && s.deliverReady() {
+		return true
+	}
 	switch cmd := cmd.(type) {
 	case dispatch.SendCmd:
 		s.startAttempt(cmd)
@@ -192,6 +198,15 @@
 	return false
 }
 
+// endsAttempt reports whether a command gives up the current attempt.
+func endsAttempt(cmd dispatch.Cmd) bool {
+	switch cmd.(type) {
+	case dispatch.RespondCmd, dispatch.EndRequestCmd, dispatch.AbortResponseCmd, dispatch.AbandonCmd:
+		return true
+	}
+	return false
+}
+
 // relayUpstreamFailure forwards the 5xx answer of an upstream to the caller.
 func (s *session) relayUpstreamFailure() bool {
 	if s.upstreamFailure == nil {
--- a/relay/session_answer.go
+++ b/relay/session_answer.go
@@ -48,6 +48,25 @@
 	return false
 }
 
+// deliverReady handles the updates that have arrived from the attempt, and reports whether the request has
+// ended. It comes before whatever gives up the attempt: a whole answer may have arrived at the same time.
+func (s *session) deliverReady() bool {
+	for range maxQueuedUpdates {
+		if s.attempt == nil {
+			return false
+		}
+		select {
+		case update := <-s.attempt.updates:
+			if s.handleUpdate(update) {
+				return true
+			}
+		default:
+			return false
+		}
+	}
+	return false
+}
+
 // promisesNotExecuted reports whether a status tells a caller that its request was not executed and
 // never will be.
 func promisesNotExecuted(status int) bool {
