relay: attempts and ends of requests have room of their own in a session's mailbox

Cause: one channel of eight commands for all; migrations and checks of the attempt fill it, and what comes then is dropped with a line. Ruled out: a larger channel (the number of checks has no bound), an unbounded queue. Change: a mailbox with two lanes. A request has at most one attempt that is to start and one end waiting, so two places suffice for these; advice on the attempt in progress is still dropped when eight wait, since the model repeats it. The line names the command.

--- a/relay/decider.go
+++ b/relay/decider.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -22,9 +23,6 @@
 	// maxQueuedMessages bounds the messages that wait for the decider. While the queue is full,
 	// the node rejects new requests.
 	maxQueuedMessages = 4096
-	// mailboxSize bounds the commands queued for a session: its one response and the migrations
-	// of its stream.
-	mailboxSize = 8
 	// tickInterval is the interval of the ticks sent to the model, which also drive the probes
 	// of suspected upstreams.
 	tickInterval = 100 * time.Millisecond
@@ -33,21 +31,21 @@
 	limitLogInterval clock.Millis = 1000
 )
 
-// envelope is a message with the channel for the commands of its request; the channel is set
-// for arrivals only.
+// envelope is a message with the mailbox of its request, which is set for arrivals only.
 type envelope struct {
-	msg      dispatch.Msg
-	commands chan dispatch.Cmd
+	msg     dispatch.Msg
+	mailbox *mailbox
 }
 
 // decider runs the model in a single goroutine and executes the commands it returns.
 type decider struct {
-	model    *dispatch.Model
-	clock    *clock.Clock
-	log      *zap.Logger
-	inbox    *ring.Ring[envelope]
-	commands map[dispatch.RequestID]chan dispatch.Cmd
-	probe    func(dispatch.ProbeCmd)
+	model *dispatch.Model
+	clock *clock.Clock
+	log   *zap.Logger
+	inbox *ring.Ring[envelope]
+	// mailboxes holds the mailboxes of the requests in progress.
+	mailboxes map[dispatch.RequestID]*mailbox
+	probe     func(dispatch.ProbeCmd)
 	// identify asks which upstream uses an address.
 	identify func(dispatch.IdentifyCmd)
 	// onResponsiveness is called when an engine becomes unresponsive or responsive again; the
@@ -97,14 +95,14 @@
 		grantPermits:   func(string, limit.Grant) {},
 		onLimitChanged: func(fleet.Incarnation, bool) {},
 		onQuarantine:   func(quarantine.Event) {},
-		inbox:          ring.New[envelope](maxQueuedMessages), commands: make(map[dispatch.RequestID]chan dispatch.Cmd),
+		inbox:          ring.New[envelope](maxQueuedMessages), mailboxes: make(map[dispatch.RequestID]*mailbox),
 		limitLoggedAt: make(map[fleet.Incarnation]clock.Millis), recovery: stoppedTimer(),
 	}
 }
 
 // offerArrival queues a new request and reports whether the queue had space for it.
-func (d *decider) offerArrival(msg dispatch.ArriveMsg, commands chan dispatch.Cmd) bool {
-	return d.inbox.Offer(envelope{msg: msg, commands: commands})
+func (d *decider) offerArrival(msg dispatch.ArriveMsg, box *mailbox) bool {
+	return d.inbox.Offer(envelope{msg: msg, mailbox: box})
 }
 
 // notify queues a message for the model and waits for queue space until ctx ends.
@@ -145,13 +143,13 @@
 
 func (d *decider) decide(e envelope) {
 	if arrival, ok := e.msg.(dispatch.ArriveMsg); ok {
-		d.commands[arrival.Request] = e.commands
+		d.mailboxes[arrival.Request] = e.mailbox
 	}
 	for _, cmd := range d.model.Update(d.clock.Now(), e.msg) {
 		d.execute(cmd)
 	}
 	if ended, ok := e.msg.(dispatch.RequestEndedMsg); ok {
-		delete(d.commands, ended.Request)
+		delete(d.mailboxes, ended.Request)
 	}
 }
 
@@ -264,13 +262,7 @@
 }
 
 func (d *decider) deliver(id dispatch.RequestID, cmd dispatch.Cmd) {
-	commands, ok := d.commands[id]
-	if !ok {
-		return
-	}
-	select {
-	case commands <- cmd:
-	default:
-		d.log.Error("mailbox_full", zap.Uint64("request", uint64(id)))
+	if box := d.mailboxes[id]; box != nil && !box.put(cmd) {
+		d.log.Error("mailbox_full", zap.Uint64("request", uint64(id)), zap.String("command", fmt.Sprintf("%T", cmd)))
 	}
 }
--- a/relay/ready_answer_test.go
+++ b/relay/ready_answer_test.go
@@ -23,11 +23,11 @@
 		happen func(*session)
 	}{
 		{"node ends", func(s *session) {
-			s.commands <- dispatch.EndRequestCmd{Answer: dispatch.RespondCmd{Request: s.id, Status: http.StatusBadGateway, Reason: dispatch.ReasonStopping}}
+			s.mailbox.put(dispatch.EndRequestCmd{Answer: dispatch.RespondCmd{Request: s.id, Status: http.StatusBadGateway, Reason: dispatch.ReasonStopping}})
 		}},
 		{"deadline", func(s *session) { s.deadlineTimer.Reset(0) }},
 		{"attempt time is up", func(s *session) { s.attemptTimer.Reset(0) }},
-		{"first event is overdue", func(s *session) { s.commands <- dispatch.AbandonCmd{Request: s.id, Attempt: 1} }},
+		{"first event is overdue", func(s *session) { s.mailbox.put(dispatch.AbandonCmd{Request: s.id, Attempt: 1}) }},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			for range rounds {
@@ -55,7 +55,7 @@
 	a.updates <- attemptUpdate{head: &http.Response{StatusCode: http.StatusOK, Header: http.Header{}}, data: []byte("whole"), end: true}
 	return &session{
 		relay: r, log: zap.NewNop(), answer: newAnswerWriter(w, &r.stopping), request: httptest.NewRequest(http.MethodPost, "/once/a", nil),
-		commands: make(chan dispatch.Cmd, mailboxSize), sentTo: make(map[fleet.Incarnation]bool),
+		mailbox: newMailbox(), sentTo: make(map[fleet.Incarnation]bool),
 		deadlineTimer: stoppedTimer(), attemptTimer: stoppedTimer(), silenceTimer: stoppedTimer(), stallTimer: stoppedTimer(), firstEventTimer: stoppedTimer(),
 		attempts: 1, attempt: a, route: &catalog.Route{},
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -345,7 +345,7 @@
 	r.setWriteDeadline(w, head)
 	s := &session{
 		relay: r, id: dispatch.RequestID(r.nextID.Add(1)), head: head, body: body, answer: answer, request: req,
-		commands: make(chan dispatch.Cmd, mailboxSize), log: r.log, startedAt: startedAt,
+		mailbox: newMailbox(), log: r.log, startedAt: startedAt,
 		sentTo: make(map[fleet.Incarnation]bool), forwarded: forwarded,
 	}
 	s.run()
--- a/relay/session.go
+++ b/relay/session.go
@@ -15,13 +15,13 @@
 
 // session handles one request of a caller.
 type session struct {
-	relay    *Relay
-	id       dispatch.RequestID
-	head     CallerHead
-	body     []byte
-	answer   *answerWriter
-	request  *http.Request
-	commands chan dispatch.Cmd
+	relay   *Relay
+	id      dispatch.RequestID
+	head    CallerHead
+	body    []byte
+	answer  *answerWriter
+	request *http.Request
+	mailbox *mailbox
 	// forwarded describes a request that another node has passed on; nil for a caller's own.
 	forwarded *dispatch.Forwarded
 	log       *zap.Logger
@@ -98,13 +98,13 @@
 func (s *session) run() {
 	s.deadlineTimer, s.attemptTimer, s.silenceTimer, s.stallTimer = stoppedTimer(), stoppedTimer(), stoppedTimer(), stoppedTimer()
 	s.firstEventTimer = stoppedTimer()
-	s.stallReports, s.migrationResults = make(chan stallReport, 1), make(chan dispatch.MigratedMsg, mailboxSize)
+	s.stallReports, s.migrationResults = make(chan stallReport, 1), make(chan dispatch.MigratedMsg, maxAdvice)
 	defer s.release()
 	if s.head.Remaining > 0 {
 		// The first attempt sets the timer anew. Until then the decider ends the request earlier, if it decides.
 		s.deadlineTimer.Reset(s.head.Remaining.Duration())
 	}
-	if !s.relay.decider.offerArrival(s.arrival(), s.commands) {
+	if !s.relay.decider.offerArrival(s.arrival(), s.mailbox) {
 		s.respondError(http.StatusServiceUnavailable, dispatch.ReasonNoMemory, overloadRetryAfter)
 		return
 	}
@@ -134,7 +134,9 @@
 		updates = s.attempt.updates
 	}
 	select {
-	case cmd := <-s.commands:
+	case cmd := <-s.mailbox.decisions:
+		return s.handleCommand(cmd)
+	case cmd := <-s.mailbox.advice:
 		return s.handleCommand(cmd)
 	case update := <-updates:
 		return s.handleUpdate(update)
