entry: an ending node answers every request that it has read

Cause: the end of the stop interrupted the model's loop and the servers together, and http.Server.Shutdown closes each connection on which it reads a request afterwards, the same as in the relay node before. Ruled out: Shutdown first and the loop later (the connections are closed all the same); Close for all at the end, since HTTP/2 clients learn from Shutdown which of their requests were read. Change: the server that the relay node has, which stops accepting and goes on answering, is a package (internal/httpserver). The entry node stops accepting callers when its model has exited, waits for their connections, 2 s at the most, and only then ends its loop. A model that has exited refuses also what other nodes relay: the new test for that found that such a call was made after the keys were handed over.

--- a/core/submit.go
+++ b/core/submit.go
@@ -31,7 +31,7 @@
 	if m.tracker.Version() == 0 {
 		return nil, ReasonNotReady
 	}
-	if m.drain.refusesNew(m.now) && !msg.Relayed {
+	if m.drain.refusesNew(m.now) && !msg.Relayed || m.drain.exited {
 		return nil, ReasonDraining
 	}
 	a := m.accounts[msg.KeyHash]
--- a/entry/kept_connection_test.go
+++ b/entry/kept_connection_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/hoistjunction/hoistjunction/callkey"
+	"github.com/hoistjunction/hoistjunction/outcome"
 	"github.com/hoistjunction/hoistjunction/testbed"
 )
 
@@ -45,4 +47,10 @@
 		t.Fatalf("got error %v, want an answer", err)
 	}
 	_ = resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusServiceUnavailable; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+	if got, want := resp.Header.Get(callkey.Outcome), outcome.NotExecuted.String(); got != want {
+		t.Errorf("got outcome %q, want %q", got, want)
+	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -25,6 +25,8 @@
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
 	shutdownTimeout   = 2 * time.Second
+	// finishPollInterval is the time between two looks at the connections of a drained node.
+	finishPollInterval = 20 * time.Millisecond
 )
 
 // Node is an entry node: the decision model, its event loop, and the servers and
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -23,12 +23,12 @@
 
 // WrapCallerListener replaces the listener for clients. It is called before Run.
 func (n *Node) WrapCallerListener(wrap func(net.Listener) net.Listener) {
-	n.callers.listener = wrap(n.callers.listener)
+	n.callers.SetListener(wrap(n.callers.Listener()))
 }
 
 // AcceptAllConnections makes a node read whatever connects, also while it runs late. It is called before
 // Run.
-func (n *Node) AcceptAllConnections() { n.callers.listener = n.callerListener }
+func (n *Node) AcceptAllConnections() { n.callers.SetListener(n.callerListener) }
 
 // Drained is closed when a planned stop has ended.
 func (n *Node) Drained() <-chan struct{} { return n.drained }
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/hoistjunction/hoistjunction/follow"
 	"github.com/hoistjunction/hoistjunction/forwardwire"
 	"github.com/hoistjunction/hoistjunction/internal/contain"
+	"github.com/hoistjunction/hoistjunction/internal/httpserver"
 	"github.com/hoistjunction/hoistjunction/keeper"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
@@ -86,7 +87,7 @@
 	metricsListener   net.Listener
 	peerListener      net.Listener
 	// callers serves clients, and peerServer other nodes.
-	callers, peerServer *server
+	callers, peerServer *httpserver.Server
 	drained             chan struct{}
 }
 
@@ -244,7 +245,7 @@
 	n.addLoop(&g, n.wakes.Run)
 	n.addLoop(&g, n.logStoreCalls)
 	n.addLoop(&g, n.watchList)
-	for _, s := range []*server{n.callers, n.peerServer, newServer(n.readinessListener, http.HandlerFunc(n.relay.Readiness), n.log),
+	for _, s := range []*httpserver.Server{n.callers, n.peerServer, newServer(n.readinessListener, http.HandlerFunc(n.relay.Readiness), n.log),
 		newServer(n.metricsListener, http.HandlerFunc(n.relay.Metrics), n.log)} {
 		n.addServer(&g, s)
 	}
@@ -277,9 +278,9 @@
 	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
 }
 
-func (n *Node) addServer(g *run.Group, s *server) {
-	g.Add(s.serve, func(error) {
-		if err := s.close(); err != nil {
+func (n *Node) addServer(g *run.Group, s *httpserver.Server) {
+	g.Add(s.Serve, func(error) {
+		if err := s.Close(); err != nil {
 			n.log.Info("listener_not_closed", logging.Err(err))
 		}
 	})
