dispatch: a new configuration also reaches the requests that wait for a slot

Cause: only waiters for capacity were looked at again. Ruled out: asking at each resend, which leaves the late refusal. Requests that were sent and refused for want of a slot stay admitted (docs/design/admittance.md). Change: requeueWaiters takes all that wait. A first form also gave a request that waits for a slot the pipeline that its service had become; the random driver found that after some 1,000 runs (a wait for capacity that had never begun). Such a request keeps its service.

Before: key_required.txt fails in three lines (no refusal at version 2 nor at 3). After: passes; ./dispatch passes, and its random driver in 4,000 runs more.

--- a/dispatch/script_test.go
+++ b/dispatch/script_test.go
@@ -438,7 +438,7 @@
 				Targets: to("writer"), MaxAttempts: 2, Timeout: 20000, LatencyTarget: 500},
 			&catalog.Route{Name: "once", Host: "h", Prefix: "/once/", Kind: catalog.AtMostOnce, Targets: to("desk"), MaxAttempts: 2, Timeout: 1500, LatencyTarget: 100},
 			&catalog.Route{Name: "read", Host: "h", Prefix: "/read/", Kind: catalog.Repeatable, Targets: to("desk"), MaxAttempts: 2, Timeout: 1500, LatencyTarget: 100},
-			&catalog.Route{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.AtMostOnce, Targets: to("desk"), MaxAttempts: 1, Anonymous: true},
+			&catalog.Route{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.AtMostOnce, Targets: to("desk"), MaxAttempts: 1, Anonymous: s.Params["open"] != "keyed"},
 		),
 		catalog.WithServices(writer, &catalog.Service{Name: "desk", HealthPath: "/health"}),
 		catalog.WithAccount(catalog.Account{Name: "clinic"}, key),
--- a/dispatch/capacity_config.go
+++ b/dispatch/waiters_config.go
@@ -12,18 +12,18 @@
 		r.route = route
 		r.requiresKey = m.catalog.HasAccounts() && !route.Anonymous
 	}
-	if s := m.catalog.Service(r.service.Name); s != nil && s.Pipeline != nil {
+	if s := m.catalog.Service(r.service.Name); s != nil && s.Pipeline != nil && r.service.Pipeline != nil {
 		r.service = s
 	}
 }
 
-// requeueWaiters applies a new configuration to the requests that wait for capacity. Those that have
-// not been admitted are refused if their keys have become invalid. The others are ordered by their
+// requeueWaiters applies a new configuration to the requests that wait for capacity or for a slot. Those that
+// have not been admitted are refused if their keys have become invalid. The others are ordered by their
 // present accounts and priorities.
 func (m *Model) requeueWaiters() []Cmd {
 	var waiting []*request
 	for _, r := range m.requests {
-		if r.waits() && r.service.Pipeline != nil {
+		if r.waits() {
 			waiting = append(waiting, r)
 		}
 	}
