relay: a panic over an upstream's answer fails that attempt

Cause: heads and events of answers are read in the goroutine of the attempt, which ran without containment. Ruled out: recovering around the session, whose state may be half changed. Change: the exchange of an attempt is contained. A panic is counted and logged with id, upstream and address, and fails the attempt as an answer that was lost: what may run once gets 502, anything else is sent elsewhere.

--- a/node/goroutines_test.go
+++ b/node/goroutines_test.go
@@ -101,7 +101,7 @@
 // Reasons for which a goroutine runs without containment. What is open ends the process (issue 84, part 2).
 const (
 	ownValues  = "works on this node's own values"
-	itemByItem = "contains each plan, message, order or datagram by itself"
+	itemByItem = "contains each plan, message, order, datagram or attempt by itself"
 	byNetHTTP  = "net/http contains a panic of a request"
 	open       = "open: what others wrote is decoded with containment, its use is not contained"
 )
@@ -140,7 +140,7 @@
 	"relay/probe.go probe: func":                     open,
 	"relay/probe.go identify: func":                  open,
 	"relay/report_wait.go getWithin: func":           open,
-	"relay/session_attempt.go startAttempt: a.run":   open,
+	"relay/session_attempt.go startAttempt: a.run":   itemByItem,
 	"relay/stall.go checkStall: func":                open,
 	"relay/stall.go migrate: func":                   open,
 }
--- a/node/node.go
+++ b/node/node.go
@@ -150,7 +150,7 @@
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()), relay.WithCounters("rows_unreadable", n.store.UnreadableRows()), relay.WithCounters("entries_unfit", expvar.Func(func() any { return json.RawMessage(n.fleetFollower.Misfits().String()) })),
 		relay.WithCounters("panics_contained", n.panics.Counts()), relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)), relay.WithCounters("quarantined_parts", expvar.Func(n.quarantined.parts)),
-		relay.WithCounters("overload", expvar.Func(func() any { return n.overload.Summary() })), relay.WithOwnDelay(n.overload.Delay), relay.WithOverload(n.overload.Overloaded),
+		relay.WithCounters("overload", expvar.Func(func() any { return n.overload.Summary() })), relay.WithOwnDelay(n.overload.Delay), relay.WithOverload(n.overload.Overloaded), relay.WithContainment(n.panics.Run),
 		relay.WithCounters("start_times_not_credible", &n.implausible), relay.WithCounters("peers", expvar.Func(func() any { return n.PeerCount() })),
 		relay.WithListAge(listAge), relay.WithResponsivenessHandler(n.reportUnresponsive), relay.WithPeerFindingHandler(n.usage.Responsive), relay.WithUsageSharing(n.sendUsage), relay.WithLeavingHandler(n.markLeaving), relay.WithReplacedHandler(n.markReplaced), relay.WithQuarantine(n.handleQuarantineEvent),
 		relay.WithPermitExchange(n.usage.SendPermitRequest, n.usage.SendPermitGrant))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -17,6 +18,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 )
 
 // Errors that end an attempt.
@@ -30,6 +32,7 @@
 	errNotResumable    = errors.New("relay: answer cannot resume the event stream")
 	errFailureTooLong  = errors.New("relay: failure of the upstream exceeds the size limit")
 	errOtherProtocol   = errors.New("relay: answer switches to another protocol")
+	errAttemptPanicked = errors.New("relay: panic while an answer was read")
 )
 
 const (
@@ -95,7 +98,9 @@
 	// checkEnd is called for an answer that ends with its connection. It returns nil if all upstreams of the
 	// attempt outlived that end, or else the address of one that may not have.
 	checkEnd func(ctx context.Context, a *attempt) (faultyAddress string, err error)
-	req      *http.Request
+	// contain limits what a panic over the upstream's bytes costs.
+	contain contain.Func
+	req     *http.Request
 	// status is the upstream status in the headers of the answer.
 	status  UpstreamStatus
 	updates chan attemptUpdate
@@ -126,8 +131,18 @@
 	return out
 }
 
-// run sends the request and reads the answer until it is complete or the attempt is cancelled.
+// run makes the attempt. A panic over the bytes of an upstream fails it and costs no other request.
 func (a *attempt) run(ctx context.Context) {
+	input := func() string {
+		return fmt.Sprintf("id=%s attempt=%d upstream=%s address=%s", a.callerID, a.cmd.Attempt, a.cmd.Upstream, a.cmd.Address)
+	}
+	if !a.contain("attempt", input, func() { a.exchange(ctx) }) {
+		a.fail(ctx, a.failureCause(ctx), "", errAttemptPanicked)
+	}
+}
+
+// exchange sends the request and reads the answer until it is complete or the attempt is cancelled.
+func (a *attempt) exchange(ctx context.Context) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(*guardedConn); ok {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 	"github.com/hoistjunction/hoistjunction/limit"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/quarantine"
@@ -54,6 +55,8 @@
 	ownDelay func() clock.Millis
 	// overloaded reports whether this node has more to do than its processor bears.
 	overloaded func() bool
+	// contain limits what a panic of an attempt costs.
+	contain contain.Func
 }
 
 // Option configures a Relay.
@@ -85,6 +88,9 @@
 	return func(r *Relay) { r.overloaded = overloaded }
 }
 
+// WithContainment sets the function that limits what a panic of an attempt costs.
+func WithContainment(f contain.Func) Option { return func(r *Relay) { r.contain = f } }
+
 // WithResponsivenessHandler sets the function that is called when an engine becomes
 // unresponsive or responsive again.
 func WithResponsivenessHandler(handle func(dispatch.ResponsivenessCmd)) Option {
@@ -131,6 +137,7 @@
 	r := &Relay{
 		protocol: protocol, clock: c, log: log, gate: newConfigGate(c, 0), stats: newStats(), lifetime: lifetime,
 		extraMetrics: make(map[string]expvar.Var), listAge: unknownListAge, ownDelay: noOwnDelay, overloaded: func() bool { return false }, onLeaving: func(fleet.Incarnation) {}, onReplaced: func(fleet.Incarnation, string) {},
+		contain: contain.Direct,
 	}
 	r.decider = newDecider(model, c, log, r.probe, r.identify)
 	WithForwarding("", (&net.Dialer{}).DialContext)(r)
