node, relay: a panic ends requests before it ends the node

A panic in a request's own handler closed that connection alike: net/http does that. No value that leads to one is known. Cause: eighteen goroutines of the relay, the followers, the registry, the keeper and the engines' client ran without containment. Ruled out: going on after a panic in the decider or a follower, whose state may be half changed (a request could run twice); the planned stop, which asks the decider. Change: these run guarded (internal/contain). A panic is logged, each session ends its own request by what it knows of it (503 if it has not left the node, 502 otherwise, a begun answer is broken off; an answer that has arrived is delivered first), the answers are written, and the process ends with an error. A handler's panic answers its request with 502. The table of TestGoroutinesContainPanics has no open row any more.

Before: the process ends (TestPanicCostsOneAttempt without containment shows the form).

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -266,6 +266,7 @@
 	ReasonAnswerLost    Reason = "answer_lost"
 	ReasonTimeout       Reason = "time_is_up"
 	ReasonStopping      Reason = "node_is_stopping"
+	ReasonNodeFailed    Reason = "node_has_failed"
 	ReasonQuarantined   Reason = "request_ends_upstreams"
 	ReasonNoPath        Reason = "no_path_to_upstreams"
 	ReasonNodeBusy      Reason = "node_is_busy"
--- a/follow/catalog.go
+++ b/follow/catalog.go
@@ -166,7 +166,7 @@
 		reading, err := f.source.ReadCatalog(ctx)
 		results <- catalogResult{reading: reading, err: err}
 	}
-	go send()
+	go f.guard("catalog_read", send)
 	retry := time.NewTimer(max(retryPause(failures), minHang).Duration())
 	defer retry.Stop()
 	select {
@@ -175,7 +175,7 @@
 	case <-retry.C:
 	}
 	f.lastRequest = f.clock.Now()
-	go send()
+	go f.guard("catalog_read", send)
 	result := <-results
 	return result.reading, result.err
 }
--- a/follow/reader.go
+++ b/follow/reader.go
@@ -10,6 +10,7 @@
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/moment"
 )
@@ -98,6 +99,7 @@
 	readers   Readers
 	publisher Publisher
 	limits    limits
+	guard     contain.GuardFunc
 }
 
 // Option configures a follower.
@@ -114,8 +116,11 @@
 	return func(s *base) { s.limits = limitsFor(deadline) }
 }
 
+// WithGuard sets the function that runs goroutines which are not loops of the node.
+func WithGuard(guard contain.GuardFunc) Option { return func(s *base) { s.guard = guard } }
+
 func newBase(c *clock.Clock, log *zap.Logger, outage *Outage, opts []Option) base {
-	s := base{clock: c, log: log, outage: outage, readers: standalone{}, publisher: standalone{}, limits: limitsFor(defaultChangeDeadline)}
+	s := base{clock: c, log: log, outage: outage, readers: standalone{}, publisher: standalone{}, limits: limitsFor(defaultChangeDeadline), guard: contain.Unguarded}
 	for _, opt := range opts {
 		opt(&s)
 	}
--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -22,6 +22,13 @@
 // Func runs f, the work of a place, and reports whether it ended without a panic. The input is what the work was about.
 type Func func(place string, input func() string, f func()) bool
 
+// GuardFunc runs f, the work of a place that can't be contained, since its state may be half changed after a panic.
+// A panic ends the process in a way that tells callers what became of their requests.
+type GuardFunc func(place string, f func())
+
+// Unguarded is a GuardFunc that only runs f.
+func Unguarded(_ string, f func()) { f() }
+
 // Direct runs the work without containment.
 func Direct(_ string, _ func() string, f func()) bool {
 	f()
@@ -44,16 +51,30 @@
 
 // Run implements Func.
 func (p *Panics) Run(place string, input func() string, f func()) (ok bool) {
+	return p.run("panic_contained", place, input, f)
+}
+
+// Guard runs f, the work of a place whose state may be half changed after a panic. The panic is counted and
+// logged, and fatal is then called. Guard reports whether f ended without a panic.
+func (p *Panics) Guard(place string, f func(), fatal func()) (ok bool) {
+	if p.run("panic", place, func() string { return "" }, f) {
+		return true
+	}
+	fatal()
+	return false
+}
+
+func (p *Panics) run(event, place string, input func() string, f func()) (ok bool) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			p.record(place, input, cause, debug.Stack())
+			p.record(event, place, input, cause, debug.Stack())
 		}
 	}()
 	f()
 	return true
 }
 
-func (p *Panics) record(place string, input func() string, cause any, stack []byte) {
+func (p *Panics) record(event, place string, input func() string, cause any, stack []byte) {
 	p.counts.Add(place, 1)
 	key := fmt.Sprint(place, ": ", cause)
 	p.mu.Lock()
@@ -66,6 +87,6 @@
 		return
 	}
 	text := input()
-	p.log.Error("panic_contained", zap.String("place", place), zap.String("cause", fmt.Sprint(cause)),
+	p.log.Error(event, zap.String("place", place), zap.String("cause", fmt.Sprint(cause)),
 		zap.String("input", text[:min(len(text), maxInputBytes)]), zap.String("stack", string(stack[:min(len(stack), maxStackBytes)])))
 }
--- a/node/export_test.go
+++ b/node/export_test.go
@@ -32,3 +32,9 @@
 
 // Drained is closed when a planned stop has ended.
 func (n *Node) Drained() <-chan struct{} { return n.drained }
+
+// Panic runs a duty of the node that panics.
+func (n *Node) Panic() { n.guard("test", func() { panic("a value of others") }) }
+
+// ErrFailed is the error of a node that has ended after a panic.
+var ErrFailed = errFailed
--- a/node/goroutines_test.go
+++ b/node/goroutines_test.go
@@ -83,7 +83,7 @@
 		return false
 	}
 	of, ok := s.X.(*ast.SelectorExpr)
-	return s.Sel.Name == "contain" || s.Sel.Name == "Run" && ok && of.Sel.Name == "panics"
+	return s.Sel.Name == "contain" || s.Sel.Name == "guard" || s.Sel.Name == "Run" && ok && of.Sel.Name == "panics"
 }
 
 // nameOf returns the name of a function, "func" for a literal.
@@ -98,12 +98,12 @@
 	}
 }
 
-// Reasons for which a goroutine runs without containment. What is open ends the process (issue 84, part 2).
+// Reasons for which a goroutine runs without containment.
 const (
 	ownValues  = "works on this node's own values"
 	itemByItem = "contains each plan, message, order, datagram or attempt by itself"
 	byNetHTTP  = "net/http contains a panic of a request"
-	open       = "open: what others wrote is decoded with containment, its use is not contained"
+	guarded    = "runs guarded: a panic ends the requests in progress, and then the node"
 )
 
 // uncontained holds the goroutines that run without containment, and why.
@@ -121,26 +121,15 @@
 	"node/node.go Run: n.usage.Run":                  itemByItem,
 	"placer/placer.go Run: p.processOrders":          itemByItem,
 	"node/node.go Run: s":                            byNetHTTP,
-	"node/node.go Run: n.relay.Run":                  open,
-	"node/node.go Run: n.catalogFollower.Run":        open,
-	"node/node.go Run: n.fleetFollower.Run":          open,
-	"node/node.go Run: n.peers.MaintainRegistration": open,
-	"node/node.go Run: n.peers.RestoreRegistration":  open,
-	"node/node.go Run: n.peers.Run":                  open,
-	"node/node.go Run: n.followTopology":             open,
-	"node/node.go Run: n.keeper.Run":                 open,
-	"node/node.go Run: n.watchList":                  open,
-	"follow/catalog.go readFull: send":               open,
-	"peering/coalescer.go start: c.endPause":         open,
-	"peering/peering.go queryIfNeeded: func":         open,
-	"platform/engines.go query: e.queryOnce":         open,
-	"relay/answer_end.go checkAlive: func":           open,
-	"relay/chain_query.go queryChain: func":          open,
-	"relay/liveness.go check: c.run":                 open,
-	"relay/probe.go probe: func":                     open,
-	"relay/probe.go identify: func":                  open,
-	"relay/report_wait.go getWithin: func":           open,
+	"node/node.go Run: n.relay.Run":                  guarded,
+	"node/node.go Run: n.catalogFollower.Run":        guarded,
+	"node/node.go Run: n.fleetFollower.Run":          guarded,
+	"node/node.go Run: n.peers.MaintainRegistration": guarded,
+	"node/node.go Run: n.peers.RestoreRegistration":  guarded,
+	"node/node.go Run: n.peers.Run":                  guarded,
+	"node/node.go Run: n.followTopology":             guarded,
+	"node/node.go Run: n.keeper.Run":                 guarded,
+	"node/node.go Run: n.watchList":                  guarded,
+	"peering/coalescer.go start: func":               guarded,
 	"relay/session_attempt.go startAttempt: a.run":   itemByItem,
-	"relay/stall.go checkStall: func":                open,
-	"relay/stall.go migrate: func":                   open,
 }
--- a/node/node.go
+++ b/node/node.go
@@ -89,6 +89,9 @@
 	// callers serves clients, and peerServer other nodes.
 	callers, peerServer *httpserver.Server
 	drained             chan struct{}
+	// failed is closed when the node has ended its requests after a panic.
+	failed   chan struct{}
+	failOnce sync.Once
 }
 
 // Option configures a Node.
@@ -104,7 +107,7 @@
 
 // New binds the ports of a node and builds the node. Run starts it.
 func New(s *Settings, log *logging.Log, opts ...Option) (*Node, error) {
-	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), members: newMembers(), unresponsive: newEngineReports(), responsive: newEngineReports(), orderResults: new(expvar.Map), dialUpstream: platform.Dialer().DialContext}
+	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), failed: make(chan struct{}), members: newMembers(), unresponsive: newEngineReports(), responsive: newEngineReports(), orderResults: new(expvar.Map), dialUpstream: platform.Dialer().DialContext}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -117,7 +120,7 @@
 	n.store = platform.NewStore(s.PlatformAddress, n.log)
 	n.quarantined = newQuarantineSet(n.clock, s.quarantineDuration())
 	n.keeper = keeper.New(n.store, n.clock, n.log, s.FirstStart, n.applyQuarantined)
-	n.engines = platform.NewEngines(platform.WithEngineDialer(n.dialUpstream), platform.WithExtendedLimits(func(limit clock.Millis) clock.Millis { return n.relay.ExtendedLimit(limit) }), platform.WithIncarnationHandler(func(upstream fleet.Incarnation) { n.fleetFollower.Supersede(upstream) }),
+	n.engines = platform.NewEngines(platform.WithEngineDialer(n.dialUpstream), platform.WithEngineGuard(n.guard), platform.WithExtendedLimits(func(limit clock.Millis) clock.Millis { return n.relay.ExtendedLimit(limit) }), platform.WithIncarnationHandler(func(upstream fleet.Incarnation) { n.fleetFollower.Supersede(upstream) }),
 		platform.WithStatusHandler(func(upstream fleet.Incarnation, status relay.UpstreamStatus) {
 			n.relay.HandleUpstreamStatus(upstream, status)
 		}))
@@ -150,7 +153,7 @@
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()), relay.WithCounters("rows_unreadable", n.store.UnreadableRows()), relay.WithCounters("entries_unfit", expvar.Func(func() any { return json.RawMessage(n.fleetFollower.Misfits().String()) })),
 		relay.WithCounters("panics_contained", n.panics.Counts()), relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)), relay.WithCounters("quarantined_parts", expvar.Func(n.quarantined.parts)),
-		relay.WithCounters("overload", expvar.Func(func() any { return n.overload.Summary() })), relay.WithOwnDelay(n.overload.Delay), relay.WithOverload(n.overload.Overloaded), relay.WithContainment(n.panics.Run),
+		relay.WithCounters("overload", expvar.Func(func() any { return n.overload.Summary() })), relay.WithOwnDelay(n.overload.Delay), relay.WithOverload(n.overload.Overloaded), relay.WithContainment(n.panics.Run), relay.WithGuard(n.guard),
 		relay.WithCounters("start_times_not_credible", &n.implausible), relay.WithCounters("peers", expvar.Func(func() any { return n.PeerCount() })),
 		relay.WithListAge(listAge), relay.WithResponsivenessHandler(n.reportUnresponsive), relay.WithPeerFindingHandler(n.usage.Responsive), relay.WithUsageSharing(n.sendUsage), relay.WithLeavingHandler(n.markLeaving), relay.WithReplacedHandler(n.markReplaced), relay.WithQuarantine(n.handleQuarantineEvent),
 		relay.WithPermitExchange(n.usage.SendPermitRequest, n.usage.SendPermitGrant))
@@ -161,7 +164,7 @@
 	n.wakes.OnResume(n.handleWake)
 	n.follow(self, platform.NewPeerTransport(), n.applyConfig, n.applyFleet)
 	n.peers = peering.New(self, s.PeerSeeds, n.store, n.local, n.local, n.clock, n.log, platform.NewOneShotTransport(), hash(s.Name),
-		peering.WithFirstStart(s.FirstStart), peering.WithComparison(n.handleConfigCompared), peering.WithRestoreDoubt(s.keysMaxAge()))
+		peering.WithFirstStart(s.FirstStart), peering.WithComparison(n.handleConfigCompared), peering.WithRestoreDoubt(s.keysMaxAge()), peering.WithGuard(n.guard))
 	n.callers = newServer(overload.NewListener(n.callerListener, n.overload), n.relay, n.log)
 	n.peerServer = newServer(n.peerListener, n.peerHandler(), n.log)
 	return n, nil
@@ -176,9 +179,9 @@
 	n.local = &localState{node: n, active: follow.ActiveConfig{Confirmed: clock.Never}}
 	n.readers = &readers{node: n, client: &http.Client{Transport: peerTransport}}
 	share := follow.WithReaders(n.readers, n.readLog)
-	bound := follow.WithChangeDeadline(within)
-	n.catalogFollower = follow.NewCatalog(n.store, n.clock, n.log, n.outage, setCatalog, share, bound)
-	n.fleetFollower = follow.NewFleet(n.store, n.clock, n.log, n.outage, setFleet, share, bound)
+	bound, guard := follow.WithChangeDeadline(within), follow.WithGuard(n.guard)
+	n.catalogFollower = follow.NewCatalog(n.store, n.clock, n.log, n.outage, setCatalog, share, bound, guard)
+	n.fleetFollower = follow.NewFleet(n.store, n.clock, n.log, n.outage, setFleet, share, bound, guard)
 }
 
 func hash(name string) uint64 {
@@ -259,8 +262,12 @@
 	return err
 }
 
-// errDrained stops the node after a planned stop.
-var errDrained = errors.New("node: drained")
+var (
+	// errDrained stops the node after a planned stop.
+	errDrained = errors.New("node: drained")
+	// errFailed stops the node after a panic that is not contained.
+	errFailed = errors.New("node: failed after a panic")
+)
 
 func (n *Node) waitDrained(ctx, loop context.Context) error {
 	select {
@@ -270,12 +277,18 @@
 		return loop.Err()
 	case <-n.drained:
 		return errDrained
+	case <-n.failed:
+		return errFailed
 	}
 }
 
 func (n *Node) addLoop(g *run.Group, loop func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+	g.Add(func() error {
+		err := errFailed
+		n.guard("loop", func() { err = loop(ctx) })
+		return err
+	}, func(error) { cancel() })
 }
 
 func (n *Node) addServer(g *run.Group, s *httpserver.Server) {
--- a/peering/coalescer.go
+++ b/peering/coalescer.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 )
 
 // coalescer runs a function when triggered, but not again during the pause that follows.
@@ -10,6 +12,7 @@
 type coalescer struct {
 	run   func()
 	pause time.Duration
+	guard contain.GuardFunc
 
 	mu sync.Mutex
 	// pausing is set during the pause after a run, and pending if a run is due after the pause.
@@ -33,7 +36,7 @@
 // start runs the function, and then starts a pause.
 func (c *coalescer) start() {
 	c.run()
-	time.AfterFunc(c.pause, c.endPause)
+	time.AfterFunc(c.pause, func() { c.guard("end_of_pause", c.endPause) })
 }
 
 // endPause ends the pause, and runs the function if it was triggered meanwhile.
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -8,14 +8,16 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
 	"github.com/hoistjunction/hoistjunction/catalog"
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/internal/boundedhttp"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/momentwire"
 	"github.com/hoistjunction/hoistjunction/wire"
 	"github.com/hoistjunction/hoistjunction/wire/wireconnect"
-	"go.uber.org/zap"
 )
 
 const (
@@ -78,6 +80,8 @@
 	directory  *directory
 	rng        *rand.Rand
 	httpClient *http.Client
+	// guard runs the goroutines that are not loops of the node.
+	guard contain.GuardFunc
 	// firstStart is set if the whole system starts for the first time. registrationDelay is
 	// this node's offset in registrationSpread.
 	firstStart        bool
@@ -111,6 +115,9 @@
 // Option configures a Peering.
 type Option func(*Peering)
 
+// WithGuard sets the function that runs goroutines which are not loops of the node.
+func WithGuard(guard contain.GuardFunc) Option { return func(p *Peering) { p.guard = guard } }
+
 // WithFirstStart sets whether the whole system starts for the first time, so that no node is
 // registered yet.
 func WithFirstStart(first bool) Option { return func(p *Peering) { p.firstStart = first } }
@@ -123,11 +130,11 @@
 		clock: c, log: log, registry: registry, local: local, receiver: receiver,
 		directory: newDirectory(self, seeds), rng: rand.New(rand.NewPCG(seed, seed)), newestProof: clock.Never,
 		httpClient:        &http.Client{Transport: boundedhttp.NewTransport(transport, maxAnswerBytes), Timeout: queryTimeout},
-		registrationDelay: clock.Millis(seed % uint64(registrationSpread)),
+		registrationDelay: clock.Millis(seed % uint64(registrationSpread)), guard: contain.Unguarded,
 	}
 	p.registeredAt.Store(int64(clock.Never))
 	p.storeRestored, p.registryRequested = make(chan struct{}, 1), make(chan struct{}, 1)
-	p.memberUpdates = coalescer{run: p.reportMembers, pause: memberUpdatePause}
+	p.memberUpdates = coalescer{run: p.reportMembers, pause: memberUpdatePause, guard: func(place string, f func()) { p.guard(place, f) }}
 	p.startupWait = startupWait
 	for _, opt := range opts {
 		opt(p)
@@ -347,11 +354,11 @@
 	wantFleet := needs && p.needsList(now, age)
 	p.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(ask, len(peers))] {
-		go func() {
+		go p.guard("peer_query", func() {
 			if p.query(ctx, peer, active.Edition, wantFleet) == answeredStarted && p.comparison.recordStarted(round) && !p.inDoubt(p.clock.Now()) {
 				p.endComparison("all_started")
 			}
-		}()
+		})
 	}
 }
 
--- a/relay/answer_end.go
+++ b/relay/answer_end.go
@@ -75,7 +75,7 @@
 	checks := make([]chan error, len(targets))
 	for i, target := range targets {
 		checks[i] = make(chan error, 1)
-		go func() { checks[i] <- r.liveness.check(ctx, target) }()
+		go r.guard("liveness_check", func() { checks[i] <- r.liveness.check(ctx, target) })
 	}
 	for i, target := range targets {
 		if err := <-checks[i]; err != nil {
--- a/relay/chain_query.go
+++ b/relay/chain_query.go
@@ -32,7 +32,9 @@
 	reports := make([]cachedReport, len(parts))
 	var group sync.WaitGroup
 	for i, part := range parts {
-		group.Go(func() {
+		group.Add(1)
+		go r.guard("chain_query", func() {
+			defer group.Done()
 			reports[i].report, reports[i].err = r.reports.getWithin(r.lifetime, part.Address, part.ID, wait, func(late cachedReport) { r.settleReport(part.ID, late) })
 		})
 	}
--- a/relay/liveness.go
+++ b/relay/liveness.go
@@ -10,6 +10,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 )
 
 const (
@@ -40,6 +41,7 @@
 type livenessChecks struct {
 	lifetime context.Context
 	probe    func(ctx context.Context, address string, upstream fleet.Incarnation) error
+	guard    contain.GuardFunc
 
 	mu sync.Mutex
 	// next holds a key for each upstream whose check runs, with the check that follows; nil if nobody waits
@@ -47,8 +49,8 @@
 	next map[livenessTarget]*livenessCheck
 }
 
-func newLivenessChecks(lifetime context.Context, probe func(ctx context.Context, address string, upstream fleet.Incarnation) error) *livenessChecks {
-	return &livenessChecks{lifetime: lifetime, probe: probe, next: make(map[livenessTarget]*livenessCheck)}
+func newLivenessChecks(lifetime context.Context, probe func(ctx context.Context, address string, upstream fleet.Incarnation) error, guard contain.GuardFunc) *livenessChecks {
+	return &livenessChecks{lifetime: lifetime, probe: probe, guard: guard, next: make(map[livenessTarget]*livenessCheck)}
 }
 
 // check returns nil if the upstream's process has run after the call began.
@@ -61,7 +63,7 @@
 	}
 	c.mu.Unlock()
 	if !running {
-		go c.run(target)
+		go c.guard("liveness_probe", func() { c.run(target) })
 	}
 	select {
 	case <-check.done:
--- a/relay/liveness_test.go
+++ b/relay/liveness_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 )
 
 // errProbeLost is the error of a probe without an answer.
@@ -26,7 +27,7 @@
 				return nil
 			}
 			return syscall.ECONNREFUSED
-		})
+		}, contain.Unguarded)
 		target := livenessTarget{upstream: fleet.IncarnationByID("u1"), address: "u1:80"}
 		first := make(chan error, 1)
 		go func() { first <- checks.check(context.Background(), target) }()
@@ -75,7 +76,7 @@
 				checks := newLivenessChecks(context.Background(), func(context.Context, string, fleet.Incarnation) error {
 					probes++
 					return tt.errs[min(probes, len(tt.errs))-1]
-				})
+				}, contain.Unguarded)
 				err := checks.check(context.Background(), livenessTarget{address: "u1:80"})
 				if !errors.Is(err, tt.want) || probes != tt.probes {
 					t.Errorf("got error %v after %d probes, want %v after %d", err, probes, tt.want, tt.probes)
@@ -88,7 +89,7 @@
 		checks := newLivenessChecks(context.Background(), func(context.Context, string, fleet.Incarnation) error {
 			<-release
 			return nil
-		})
+		}, contain.Unguarded)
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		if err := checks.check(ctx, livenessTarget{address: "u1:80"}); !errors.Is(err, context.Canceled) {
--- a/relay/panicking_attempt_test.go
+++ b/relay/panicking_attempt_test.go
@@ -50,3 +50,23 @@
 		})
 	}
 }
+
+// panickingRequests is a protocol that panics when a request is sent.
+type panickingRequests struct{ sealedProtocol }
+
+// SetAttempt implements Protocol.
+func (panickingRequests) SetAttempt(http.Header, AttemptHead) { panic("fields of a request") }
+
+// Guards against a request that ends without an answer, since its handler panics: net/http then closes the
+// connection. It may have been executed.
+func TestPanickingRequestIsAnswered(t *testing.T) {
+	panics := contain.New(zap.NewNop())
+	r, address := newTestRelayWithRetries(t, &scriptedUpstreams{script: []outcome{plainTextAnswer}}, 1e9, zap.NewNop(), WithContainment(panics.Run))
+	r.protocol = panickingRequests{}
+	if got, want := statusOf(t, "http://"+address+"/once/a"), http.StatusBadGateway; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+	if got, want := panics.Counts().String(), `{"request": 1}`; got != want {
+		t.Errorf("got panics %s, want %s", got, want)
+	}
+}
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -11,7 +11,7 @@
 
 // probe checks an upstream on behalf of the decider.
 func (r *Relay) probe(cmd dispatch.ProbeCmd) {
-	go func() {
+	go r.guard("probe", func() {
 		msg := dispatch.ProbedMsg{Upstream: cmd.Upstream}
 		var err error
 		if cmd.Engine {
@@ -26,18 +26,18 @@
 		r.log.Info("probe", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
 			zap.Float64("pace", msg.Report.Slowdown), zap.Float64("free", msg.Report.FreeMemory), zap.Float64("all", msg.Report.TotalMemory), logging.Err(err))
 		r.decider.notify(r.lifetime, msg)
-	}()
+	})
 }
 
 // identify asks which upstream uses an address, on behalf of the decider.
 func (r *Relay) identify(cmd dispatch.IdentifyCmd) {
-	go func() {
+	go r.guard("identification", func() {
 		presence, err := r.engines.Identify(r.lifetime, cmd.Address, cmd.Path, cmd.Upstream)
 		r.log.Info("identified", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
 			zap.Stringer("as", presence), logging.Err(err))
 		r.handlePresence(cmd.Upstream, cmd.Address, presence)
 		r.decider.notify(r.lifetime, dispatch.IdentifiedMsg{Upstream: cmd.Upstream, Presence: presence})
-	}()
+	})
 }
 
 // handlePresence handles the result of an identification. Another incarnation at the address
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 
 	"go.uber.org/zap"
@@ -41,6 +42,9 @@
 	stopping     atomic.Bool
 	// endsAt is when a stopping node ends the requests that are still in progress.
 	endsAt atomic.Int64
+	// aborted is closed when the node ends all requests without the decider.
+	aborted   chan struct{}
+	abortOnce sync.Once
 	// lifetime ends when the node stops; it is the context of work that must outlast a request.
 	lifetime context.Context
 	// extraMetrics are metrics of other parts of the node, by name.
@@ -57,15 +61,20 @@
 	overloaded func() bool
 	// contain limits what a panic of an attempt costs.
 	contain contain.Func
+	// runGuarded is the function of guard.
+	runGuarded contain.GuardFunc
 }
 
+// guard runs the work of a place, and ends the node if it panics.
+func (r *Relay) guard(place string, f func()) { r.runGuarded(place, f) }
+
 // Option configures a Relay.
 type Option func(*Relay)
 
 // WithEngines sets the client that queries engines and other upstreams.
 func WithEngines(e Engines) Option {
 	return func(r *Relay) {
-		r.engines, r.reports, r.liveness = e, newReportCache(e, r.clock), newLivenessChecks(r.lifetime, e.Probe)
+		r.engines, r.reports, r.liveness = e, newReportCache(e, r.clock, r.guard), newLivenessChecks(r.lifetime, e.Probe, r.guard)
 	}
 }
 
@@ -91,6 +100,9 @@
 // WithContainment sets the function that limits what a panic of an attempt costs.
 func WithContainment(f contain.Func) Option { return func(r *Relay) { r.contain = f } }
 
+// WithGuard sets the function that ends the node, with Abort, if its work panics.
+func WithGuard(guard contain.GuardFunc) Option { return func(r *Relay) { r.runGuarded = guard } }
+
 // WithResponsivenessHandler sets the function that is called when an engine becomes
 // unresponsive or responsive again.
 func WithResponsivenessHandler(handle func(dispatch.ResponsivenessCmd)) Option {
@@ -135,9 +147,9 @@
 // New returns a relay that follows the decisions of a model. Run starts it.
 func New(lifetime context.Context, protocol Protocol, model *dispatch.Model, c *clock.Clock, log *zap.Logger, opts ...Option) *Relay {
 	r := &Relay{
-		protocol: protocol, clock: c, log: log, gate: newConfigGate(c, 0), stats: newStats(), lifetime: lifetime,
+		protocol: protocol, clock: c, log: log, gate: newConfigGate(c, 0), stats: newStats(), lifetime: lifetime, aborted: make(chan struct{}),
 		extraMetrics: make(map[string]expvar.Var), listAge: unknownListAge, ownDelay: noOwnDelay, overloaded: func() bool { return false }, onLeaving: func(fleet.Incarnation) {}, onReplaced: func(fleet.Incarnation, string) {},
-		contain: contain.Direct,
+		contain: contain.Direct, runGuarded: contain.Unguarded,
 	}
 	r.decider = newDecider(model, c, log, r.probe, r.identify)
 	WithForwarding("", (&net.Dialer{}).DialContext)(r)
@@ -355,6 +367,9 @@
 		mailbox: newMailbox(), log: r.log, startedAt: startedAt,
 		sentTo: make(map[fleet.Incarnation]bool), forwarded: forwarded,
 	}
-	s.run()
+	if !r.contain("request", func() string { return "id=" + head.ID }, s.run) {
+		s.mayHaveExecuted = true
+		s.endUndecided(dispatch.ReasonNodeFailed, http.StatusBadGateway)
+	}
 	return s.outcomeLogged
 }
--- a/relay/report_wait.go
+++ b/relay/report_wait.go
@@ -45,11 +45,11 @@
 		return r.get(ctx, address, upstream)
 	}
 	results := make(chan cachedReport, 1)
-	go func() {
+	go r.guard("report_query", func() {
 		var result cachedReport
 		result.report, result.err = r.get(ctx, address, upstream)
 		results <- result
-	}()
+	})
 	for {
 		waitedSince := r.clock.Now()
 		timer := time.NewTimer(wait.Duration())
@@ -64,11 +64,11 @@
 		}
 	}
 	if r.markOverdue(upstream) {
-		go func() {
+		go r.guard("late_report", func() {
 			result := <-results
 			r.clearOverdue(upstream)
 			settle(result)
-		}()
+		})
 	}
 	return EngineReport{}, errReportOverdue
 }
--- a/relay/report_wait_test.go
+++ b/relay/report_wait_test.go
@@ -11,6 +11,7 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 )
 
 // slowReporter is an engine whose reports take a time or fail after it.
@@ -69,7 +70,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				vm := clocktest.NewVM()
 				engines := &slowReporter{delay: tt.delay, err: tt.err}
-				reports := newReportCache(engines, clock.New(clock.WithVM(vm)))
+				reports := newReportCache(engines, clock.New(clock.WithVM(vm)), contain.Unguarded)
 				var group sync.WaitGroup
 				settled := 0
 				for range 3 {
--- a/relay/reports.go
+++ b/relay/reports.go
@@ -8,6 +8,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 )
 
 // reportTTL is the time in ms for which a report is reused. When an engine crashes, all its
@@ -19,6 +20,7 @@
 type reportCache struct {
 	engines Engines
 	clock   *clock.Clock
+	guard   contain.GuardFunc
 	group   singleflight.Group
 	mu      sync.Mutex
 	entries map[fleet.Incarnation]cachedReport
@@ -33,8 +35,8 @@
 	err       error
 }
 
-func newReportCache(engines Engines, c *clock.Clock) *reportCache {
-	return &reportCache{engines: engines, clock: c, entries: make(map[fleet.Incarnation]cachedReport), overdue: make(map[fleet.Incarnation]bool)}
+func newReportCache(engines Engines, c *clock.Clock, guard contain.GuardFunc) *reportCache {
+	return &reportCache{engines: engines, clock: c, guard: guard, entries: make(map[fleet.Incarnation]cachedReport), overdue: make(map[fleet.Incarnation]bool)}
 }
 
 // get returns an engine's report, which may be up to reportTTL old.
--- a/relay/session.go
+++ b/relay/session.go
@@ -157,6 +157,8 @@
 		s.handleStallReport(report)
 	case msg := <-s.migrationResults:
 		s.handleMigrationResult(msg)
+	case <-s.relay.aborted:
+		return s.handleAbort()
 	case <-s.request.Context().Done():
 		s.logCallerLeft()
 		return true
--- a/relay/session_end.go
+++ b/relay/session_end.go
@@ -11,17 +11,7 @@
 
 // handleTimeout ends a request whose deadline has passed.
 func (s *session) handleTimeout() bool {
-	if s.answer.started() {
-		s.abortAnswer(dispatch.ReasonTimeout)
-		return true
-	}
-	status, retryAfter := http.StatusGatewayTimeout, clock.Millis(0)
-	if s.attempt == nil && !s.mayHaveExecuted {
-		status, retryAfter = http.StatusServiceUnavailable, overloadRetryAfter
-	}
-	s.logRefusal(dispatch.RespondCmd{Request: s.id, Status: status, Reason: dispatch.ReasonTimeout, RetryAfter: retryAfter})
-	s.respondError(status, dispatch.ReasonTimeout, retryAfter)
-	return true
+	return s.endUndecided(dispatch.ReasonTimeout, http.StatusGatewayTimeout)
 }
 
 // endAtStop ends the request because the node ends.
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -81,7 +81,7 @@
 	}
 	s.queryingChain = true
 	a, parts, wait := s.attempt, s.attempt.cmd.Chain, s.reportWait()
-	go func() { s.stallReports <- s.relay.queryChain(a, parts, wait) }()
+	go s.relay.guard("stall_query", func() { s.stallReports <- s.relay.queryChain(a, parts, wait) })
 }
 
 // pause returns the length of the pause that counts for stall checks.
@@ -193,12 +193,12 @@
 	s.attempt.cmd.Chain = cmd.Chain
 	s.attempt.chain.Store(&cmd.Chain)
 	address := s.attempt.cmd.Address
-	go func() {
+	go s.relay.guard("migration", func() {
 		result, refusedBy := s.relay.engines.Move(s.relay.lifetime, address, s.head.ID, cmd.Chain)
 		s.log.Info("move", zap.String("id", s.head.ID), zap.Stringer("away_from", cmd.FromEngine),
 			zap.String("chain", chainText(cmd.Chain)), zap.Int("result", int(result)), zap.String("at", refusedBy), recoveryField(cmd.Recovery))
 		s.migrationResults <- dispatch.MigratedMsg{Request: s.id, Attempt: cmd.Attempt, Result: result, FaultyAddress: refusedBy}
-	}()
+	})
 }
 
 // handleMigrationResult reports the result of a migration to the decider. A stream whose first
