--- a/node/stop_times.go
+++ b/node/stop_times.go
@@ -13,12 +13,14 @@
 	// progress, so that its process exits by itself. It is at most 1/cutoffShare of the grace period,
 	// the part in which requests may be ended.
 	cutoffMargin clock.Millis = 500
-	cutoffShare               = 6
 	// lastAnswerTime is the time for writing the answers of requests that the node ends. A grace period
 	// under cutoffShare times as long ends within it.
 	lastAnswerTime clock.Millis = 300
 )
 
+// cutoffShare is the part of the grace period in which requests may be ended: a sixth.
+const cutoffShare = 6
+
 // stopTimes are the times of a planned stop.
 type stopTimes struct {
 	// late is when new requests no longer come from the platform's balancer, and closing when the node
