overload: connections under the least rate are taken, also when they come at once

Cause: in overload a node takes 0.1 s of its rate at once, at a least rate of 20 a second two connections; others that come within the same moment are closed unread, although the least rate is what it always bears. Clients come together when a node that they use stops. Ruled out: not counting the work of a configuration as delay. While it lasts everything is late, whatever the cause, and a node that excused itself in a storm of configurations would have no limit there. Change: whatever keeps the connections of the last second under the least rate is taken. Above it the limit is as before.

Before: TestLimiterTakesFewConnectionsAtOnce fails (the third of 19 is left unread).

--- a/overload/limiter.go
+++ b/overload/limiter.go
@@ -88,12 +88,15 @@
 // Admit reports whether a new connection is taken.
 func (l *Limiter) Admit(now clock.Millis) bool {
 	l.roll(now)
-	if l.limited {
-		if l.tokens < 1 {
-			l.leftAt = now
-			return false
-		}
+	switch {
+	case !l.limited:
+	case l.tokens >= 1:
 		l.tokens--
+	case l.recentRate(now) < l.least:
+		// So few are not what delays the node, even if they come at once.
+	default:
+		l.leftAt = now
+		return false
 	}
 	l.taken++
 	return true
--- a/overload/limiter_test.go
+++ b/overload/limiter_test.go
@@ -68,3 +68,29 @@
 		}
 	}
 }
+
+// Guards against a node that leaves connections unread although they are not what delays it: a new
+// configuration keeps it busy, and a few clients whose node stops connect within a moment.
+func TestLimiterTakesFewConnectionsAtOnce(t *testing.T) {
+	const cores, late = 0.4, 2 * maxTypical
+	least := int(minRatePerCore * cores)
+	l, now := NewLimiter(cores), clock.Millis(0)
+	play(l, &now, 1, 3000, func(float64) clock.Millis { return late })
+	if !l.Overloaded() {
+		t.Fatal("got no overload at a node that runs late")
+	}
+	for i := range least - 1 {
+		if !l.Admit(now) {
+			t.Fatalf("got connection %d of %d within a moment left unread", i+1, least-1)
+		}
+	}
+	taken := 0
+	for range 10 * least {
+		if l.Admit(now) {
+			taken++
+		}
+	}
+	if taken > least/2 {
+		t.Errorf("got %d more connections taken within the same moment, want at most %d", taken, least/2)
+	}
+}
