overload: a connection over the limit gets a refusal that says "not run", unread

Ruled out: reading and discarding the request before closing (a node that is favoured by the platform would read what it can't serve); holding refused connections without a bound. Change: such a connection gets a fixed 503 with Retry-After, one write without parsing or decision, and is closed 250 ms later, so that its client reads the refusal; none of its bytes is read. At most 128 are held, further ones are closed at once as before. Metrics and the line `overload` tell both counts.

--- a/node/goroutines_test.go
+++ b/node/goroutines_test.go
@@ -114,6 +114,7 @@
 	"usage/usage.go Run: func":                       ownValues,
 	"node/readers.go initialReadContext: func":       ownValues,
 	"node/node.go Run: func":                         ownValues,
+	"node/node.go Run: n.limited.Run":                ownValues,
 	"node/node.go Run: n.overload.Run":               ownValues,
 	"node/node.go Run: n.wakes.Run":                  ownValues,
 	"node/node.go Run: n.logStoreCalls":              ownValues,
--- a/node/node.go
+++ b/node/node.go
@@ -82,7 +82,9 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 
-	callerListener    net.Listener
+	callerListener net.Listener
+	// limited takes the connections of callerListener that the node bears.
+	limited           *overload.Listener
 	readinessListener net.Listener
 	metricsListener   net.Listener
 	peerListener      net.Listener
@@ -165,7 +167,8 @@
 	n.follow(self, platform.NewPeerTransport(), n.applyConfig, n.applyFleet)
 	n.peers = peering.New(self, s.PeerSeeds, n.store, n.local, n.local, n.clock, n.log, platform.NewOneShotTransport(), hash(s.Name),
 		peering.WithFirstStart(s.FirstStart), peering.WithComparison(n.handleConfigCompared), peering.WithRestoreDoubt(s.keysMaxAge()), peering.WithGuard(n.guard))
-	n.callers = newServer(overload.NewListener(n.callerListener, n.overload), n.relay, n.log)
+	n.limited = overload.NewListener(n.callerListener, n.overload)
+	n.callers = newServer(n.limited, n.relay, n.log)
 	n.peerServer = newServer(n.peerListener, n.peerHandler(), n.log)
 	return n, nil
 }
@@ -236,6 +239,7 @@
 	n.addLoop(&g, func(loop context.Context) error { return n.waitDrained(ctx, loop) })
 	n.addLoop(&g, n.relay.Run)
 	n.addLoop(&g, n.overload.Run)
+	n.addLoop(&g, n.limited.Run)
 	n.addLoop(&g, n.placer.Run)
 	n.addLoop(&g, n.catalogFollower.Run)
 	n.addLoop(&g, n.fleetFollower.Run)
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -19,9 +19,10 @@
 	mu      sync.Mutex
 	meter   Meter
 	limiter *Limiter
-	// longest is the longest delay, and taken and left count the connections, since the start.
-	longest     clock.Millis
-	taken, left int64
+	// longest is the longest delay since the start. taken, refused and left count the connections that were
+	// taken, refused, and closed without a refusal.
+	longest              clock.Millis
+	taken, refused, left int64
 }
 
 // Summary is a snapshot of a Monitor for metrics. Delays are in ms.
@@ -30,9 +31,10 @@
 	Typical clock.Millis `json:"typical_ms"`
 	Longest clock.Millis `json:"longest_ms"`
 	// Rate is the limit in connections a second; zero for none.
-	Rate  float64 `json:"rate"`
-	Taken int64   `json:"connections_taken"`
-	Left  int64   `json:"connections_left_unread"`
+	Rate    float64 `json:"rate"`
+	Taken   int64   `json:"connections_taken"`
+	Refused int64   `json:"connections_refused"`
+	Left    int64   `json:"connections_left_unread"`
 }
 
 // NewMonitor returns a monitor for a node with a number of cores, which may be a fraction. Run
@@ -71,7 +73,7 @@
 func (m *Monitor) logLimit(now clock.Millis) {
 	m.log.Info("overload", zap.Bool("overloaded", m.limiter.Overloaded()), zap.Int64("delay_ms", int64(m.meter.Delay(now))),
 		zap.Int64("typical_ms", int64(m.meter.Typical())), zap.Float64("connections_a_second", m.limiter.Rate()),
-		zap.Int64("taken", m.taken), zap.Int64("left_unread", m.left))
+		zap.Int64("taken", m.taken), zap.Int64("refused", m.refused), zap.Int64("left_unread", m.left))
 }
 
 // Delay returns how late the node's goroutines ran at the most in the last moments.
@@ -96,14 +98,27 @@
 		m.taken++
 		return true
 	}
-	m.left++
 	return false
 }
 
+// recordRefused records that a connection was refused.
+func (m *Monitor) recordRefused() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refused++
+}
+
+// recordLeft records that a connection was closed without a refusal.
+func (m *Monitor) recordLeft() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.left++
+}
+
 // Summary returns a snapshot for metrics.
 func (m *Monitor) Summary() Summary {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.clock.Now()
-	return Summary{Delay: m.meter.Delay(now), Typical: m.meter.Typical(), Longest: m.longest, Rate: m.limiter.Rate(), Taken: m.taken, Left: m.left}
+	return Summary{Delay: m.meter.Delay(now), Typical: m.meter.Typical(), Longest: m.longest, Rate: m.limiter.Rate(), Taken: m.taken, Refused: m.refused, Left: m.left}
 }
