--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -61,24 +62,27 @@
 	answers := bufio.NewReader(conn)
 	exchange(t, conn, answers, func() {})
 	l.armed.Store(true)
-	resp := exchange(t, conn, answers, func() {
+	closes := exchange(t, conn, answers, func() {
 		<-l.read
 		if err := s.StopAccepting(); err != nil {
 			t.Error(err)
 		}
 		close(l.goOn)
 	})
-	if !resp.Close {
+	if !closes {
 		t.Error("got an answer that keeps the connection, want one that closes it")
 	}
 	if err := s.Close(); err != nil {
 		t.Error(err)
 	}
-	<-served
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		t.Errorf("got error %v, want %v", err, http.ErrServerClosed)
+	}
 }
 
-// exchange sends a request and reads the answer. The function is called between the two.
-func exchange(t *testing.T, conn net.Conn, answers *bufio.Reader, between func()) *http.Response {
+// exchange sends a request and reads the answer, and reports whether that ends the connection. The function
+// is called between the two.
+func exchange(t *testing.T, conn net.Conn, answers *bufio.Reader, between func()) (closes bool) {
 	t.Helper()
 	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
 		t.Fatal(err)
@@ -92,7 +96,7 @@
 	if body, err := io.ReadAll(resp.Body); err != nil || string(body) != "ok" {
 		t.Fatalf("got %q and error %v, want the answer", body, err)
 	}
-	return resp
+	return resp.Close
 }
 
 // Guards against a stopping server that keeps connections without a request open until it is closed.
@@ -117,11 +121,13 @@
 	if err := s.StopAccepting(); err != nil {
 		t.Error(err)
 	}
-	if _, err := answers.ReadByte(); err != io.EOF {
+	if _, err := answers.ReadByte(); !errors.Is(err, io.EOF) {
 		t.Errorf("got error %v, want the end of the connection", err)
 	}
 	if err := s.Close(); err != nil {
 		t.Error(err)
 	}
-	<-served
+	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+		t.Errorf("got error %v, want %v", err, http.ErrServerClosed)
+	}
 }
--- a/overload/listener_test.go
+++ b/overload/listener_test.go
@@ -118,7 +118,7 @@
 			refused++
 		}
 	}
-	_ = l.Listener.Close()
+	_ = l.Close()
 	got := <-taken
 	if got == 0 || got > connections/4 {
 		t.Errorf("got %d of %d connections taken at once by a node that runs late, want some and at most a quarter", got, connections)
@@ -152,7 +152,7 @@
 		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
 		_, _ = conn.Read(make([]byte, 1))
 	}
-	_ = l.Listener.Close()
+	_ = l.Close()
 	if got := l.refused.Len(); got != maxRefused {
 		t.Errorf("got %d refused connections that are open, want %d", got, maxRefused)
 	}
