core: a request that each engine of a stage has failed once goes on

Callers of an entry node saw streams stand still to the end of their patience although the engines were well, and with them all streams that waited behind them (KNOWN-RED.txt: TestTwoEnginesKilledAndOneRestarted, untraced until now). Cause: engines that have failed a request are avoided "unless the group has no others", and any second engine of a group with a limit counted as another, also one that had failed the request. Evidence: recordings of the nodes, which a failing test of ./entry now leaves behind (go test -artifacts): seven requests resuming from 1.8 s to 30.6 s, the first after a time-out at both middle engines. Ruled out: a lost reply, the engines' limits, a stalled link (docs/incidents/engines-that-failed-once.md). Change: failed engines are avoided only while another is available (pool.Group.HasAvailable), full or not.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -107,14 +107,14 @@
 }
 
 // pickUpstream avoids upstreams that have failed the request before, unless the group has no
-// others.
+// others that are available: these may be full, and the request waits for them.
 func (m *Model) pickUpstream(g *pool.Group, r *request) (*pool.Upstream, bool) {
 	pick := m.pool.Pick
 	if r.phase == phaseResuming {
 		pick = m.pool.PickOverLimit
 	}
 	u, ok := pick(g.Name(), m.rng, r.failed...)
-	if ok || len(r.failed) == 0 || g.Limit() > 0 && g.Len() > 1 {
+	if ok || len(r.failed) == 0 || g.HasAvailable(r.failed...) {
 		return u, ok
 	}
 	return pick(g.Name(), m.rng)
--- a/entry/testbed_test.go
+++ b/entry/testbed_test.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"go.uber.org/goleak"
 
 	"github.com/hoistjunction/hoistjunction/load"
 	"github.com/hoistjunction/hoistjunction/standin"
 	"github.com/hoistjunction/hoistjunction/testbed"
+	"github.com/hoistjunction/hoistjunction/wire"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -40,12 +44,33 @@
 		t.Fatalf("start testbed: got error %v, want none", err)
 	}
 	t.Cleanup(bed.Close)
+	t.Cleanup(func() { saveRecordings(t, bed) })
 	if err := bed.Configure(testbed.ChangesWithBounds(first, token)...); err != nil {
 		t.Fatalf("configure testbed: got error %v, want none", err)
 	}
 	return bed
 }
 
+// saveRecordings writes the recordings of the nodes of a test that has failed to its artifacts, which go test
+// keeps with -artifacts.
+func saveRecordings(t *testing.T, bed *testbed.Bed) {
+	t.Helper()
+	if !t.Failed() {
+		return
+	}
+	for i, n := range bed.Nodes {
+		reply, err := bed.Admin(n).Recording(context.Background(), connect.NewRequest(&wire.RecordingRequest{}))
+		if err != nil {
+			t.Logf("no recording of node %d: %v", i, err)
+			continue
+		}
+		path := filepath.Join(t.ArtifactDir(), fmt.Sprintf("node%d.jsonl", i))
+		if err := os.WriteFile(path, reply.Msg.GetLines(), 0o600); err != nil {
+			t.Logf("recording of node %d: %v", i, err)
+		}
+	}
+}
+
 // slowEngine returns an engine configuration with a token time long enough for a test
 // to inject a fault during a stream.
 func slowEngine() standin.EngineConfig {
--- a/pool/group.go
+++ b/pool/group.go
@@ -1,5 +1,7 @@
 package pool
 
+import "slices"
+
 // Group is a set of interchangeable upstreams: engines of the same stage or
 // instances of the same plain service.
 type Group struct {
@@ -21,3 +23,9 @@
 
 // InFlight returns the number of requests that this node has in flight at the group.
 func (g *Group) InFlight() int { return g.inFlight }
+
+// HasAvailable reports whether an upstream besides the excluded ones may get work, now or when it is no longer
+// full.
+func (g *Group) HasAvailable(exclude ...*Upstream) bool {
+	return slices.ContainsFunc(g.members, func(u *Upstream) bool { return u.available() && !slices.Contains(exclude, u) })
+}
