core: an engine that is tried again has more time for each step

Beside load a stream could end as `upstream_lost` within seconds although its engines were well: since engines that have failed a request are tried again, a VM that runs late finds one after the other silent after 0.4 s and uses up the six generations of a request. Cause: the limit of a step is the same however often the engine has missed it. Ruled out: a higher limit for all (it decides how soon a frozen engine is left); more generations (they bound what a request may cost). Change: each failure of the request at an engine doubles the time of its next step there, five times at the most. Its first failure at each engine is found as soon as before.

--- a/core/step.go
+++ b/core/step.go
@@ -47,10 +47,26 @@
 	r.step.Upstream = u.Name()
 	r.step.Address = u.Listing().Address
 	r.sentAt = m.now
-	r.timeoutAt = m.now.Add(m.stepTimeout(u, r.positions))
+	r.timeoutAt = m.now.Add(m.stepTimeout(u, r.positions) << min(r.failuresAt(u), maxStepTimeoutDoublings))
 	m.addCmd(r.step)
 }
 
+// maxStepTimeoutDoublings bounds the time of a step at an engine that has failed the request before. Each
+// failure doubles it: what is slow for all of a group's engines, such as this VM, must not use up the
+// request's generations.
+const maxStepTimeoutDoublings = 5
+
+// failuresAt returns how often an upstream has failed the request.
+func (r *request) failuresAt(u *pool.Upstream) int {
+	n := 0
+	for _, failed := range r.failed {
+		if failed == u {
+			n++
+		}
+	}
+	return n
+}
+
 // stepTimeout returns how long a step may stay unanswered before its stage counts as failed.
 func (m *Model) stepTimeout(u *pool.Upstream, positions int) clock.Millis {
 	if u.StepMillis() == 0 {
