relay: a newer configuration holds back only requests whose key it no longer accepts

Cause: the gate before a write compared editions. Ruled out: no gate for keys that were checked a moment ago (a suspended process writes minutes later). Change: the gate holds the configuration in force and asks it for the key: it must belong to the same account, and the configuration must be fresh. What is revoked, moved to another account or stale is held back as before. Requests without a key were never held back.

Before: TestConfigGate "superseded, which has the key" would be refused. After: ./relay passes (102 s).

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -24,7 +24,7 @@
 // Errors that end an attempt.
 var (
 	errUpstreamBlocked = errors.New("relay: upstream requests a back-off or is leaving")
-	errConfigTooOld    = errors.New("relay: configuration is stale or superseded, request with a client key is not written")
+	errConfigTooOld    = errors.New("relay: configuration is stale or no longer accepts the client key, request is not written")
 	errAlreadyWritten  = errors.New("relay: request has already been written")
 	errAnswerMismatch  = errors.New("relay: answer belongs to another request")
 	errAnswerNotSealed = errors.New("relay: answer has no upstream seal")
@@ -90,6 +90,8 @@
 	// servedBy is the upstream that answers at another node, which is known with the answer.
 	servedBy fleet.Incarnation
 	callerID string
+	// key is the client key of the request.
+	key string
 	// resuming reports that part of the answer has been written to the caller. Only an event
 	// stream can resume it; any other answer fails the attempt.
 	resuming bool
@@ -162,7 +164,7 @@
 // beforeWrite implements writeGuard. An attempt is written at most once, since only the decider
 // decides on retries.
 func (a *attempt) beforeWrite() error {
-	if a.cmd.RequiresKey && !a.gate.allows(a.cmd.Config) {
+	if a.cmd.RequiresKey && !a.gate.allows(a.cmd.Config, a.key, a.cmd.Account) {
 		a.cancel(errConfigTooOld)
 		return errConfigTooOld
 	}
--- a/relay/attempt_test.go
+++ b/relay/attempt_test.go
@@ -17,6 +17,7 @@
 	"github.com/hoistjunction/hoistjunction/clock/clocktest"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/contain"
 )
 
 // plainProtocol is a protocol in which every answer is sealed and carries no attempt id.
@@ -89,7 +90,7 @@
 		t.Fatal(err)
 	}
 	a := &attempt{
-		protocol: plainProtocol{}, blocked: func() bool { return ta.pool.blocked(ta.pool.get(ta.upstream)) }, handleStatus: func(fleet.Incarnation, UpstreamStatus) {}, handleNoLimit: func(fleet.Incarnation, clock.Millis) {}, handlePresence: func(fleet.Incarnation, string, fleet.Presence) {}, conns: ta.pool.get(ta.upstream), gate: ta.gate, cancel: cancel,
+		protocol: plainProtocol{}, blocked: func() bool { return ta.pool.blocked(ta.pool.get(ta.upstream)) }, handleStatus: func(fleet.Incarnation, UpstreamStatus) {}, handleNoLimit: func(fleet.Incarnation, clock.Millis) {}, handlePresence: func(fleet.Incarnation, string, fleet.Presence) {}, conns: ta.pool.get(ta.upstream), gate: ta.gate, cancel: cancel, contain: contain.Direct,
 		cmd:     dispatch.SendCmd{Route: &catalog.Route{Kind: ta.kind}, RequiresKey: true, Config: catalog.New(1).Edition()},
 		updates: make(chan attemptUpdate, maxQueuedUpdates),
 	}
@@ -127,7 +128,7 @@
 func TestAttemptIsNotWrittenWithStaleConfig(t *testing.T) {
 	u := newOneAnswerUpstream(t)
 	g := newConfigGate(clocktest.NewClock(), 5000)
-	g.confirm(catalog.New(1).Edition(), 0)
+	g.confirm(catalog.New(1), 0)
 	pool := newUpstreamPool(func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		g.mu.Lock()
--- a/relay/gate.go
+++ b/relay/gate.go
@@ -7,18 +7,17 @@
 	"github.com/hoistjunction/hoistjunction/clock"
 )
 
-// configGate allows requests with a client key to be written while the configuration that
-// accepted the key is active and fresh. It is checked immediately before the write, since the
-// process may have been suspended after the decision and the key may have been revoked
-// meanwhile.
+// configGate allows requests with a client key to be written while the active configuration is fresh
+// and accepts the key for the same client account. It is checked immediately before the write, since
+// the process may have been suspended after the decision and the key may have been revoked meanwhile.
 type configGate struct {
 	clock  *clock.Clock
 	maxAge clock.Millis
 
 	mu sync.Mutex
-	// active is the active edition, and confirmedAt the time at which it was last known to be
-	// the newest one.
-	active      catalog.Edition
+	// active is the active configuration, nil if there is none, and confirmedAt the time at which it
+	// was last known to be the newest one.
+	active      *catalog.Catalog
 	confirmedAt clock.Millis
 }
 
@@ -26,13 +25,13 @@
 	return &configGate{clock: c, maxAge: maxAge, confirmedAt: clock.Never}
 }
 
-// confirm records that an edition was the newest one at a time. A zero edition updates only the
-// time.
-func (g *configGate) confirm(edition catalog.Edition, confirmedAt clock.Millis) {
+// confirm records that a configuration was the newest one at a time. If it is nil, only the time is
+// updated.
+func (g *configGate) confirm(c *catalog.Catalog, confirmedAt clock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if edition.Supersedes(g.active) {
-		g.active, g.confirmedAt = edition, confirmedAt
+	if c != nil && (g.active == nil || c.Edition().Supersedes(g.active.Edition())) {
+		g.active, g.confirmedAt = c, confirmedAt
 		return
 	}
 	g.confirmedAt = max(g.confirmedAt, confirmedAt)
@@ -46,13 +45,20 @@
 	return clock.AgeOf(g.confirmedAt, g.clock.Now())
 }
 
-// allows reports whether a request with a client key accepted by an edition may be written now.
-// An edition that the gate has not received yet is newer than the active one and is allowed.
-func (g *configGate) allows(edition catalog.Edition) bool {
+// allows reports whether a request with a client key that an edition has accepted for a client account may be
+// written now. An edition that the gate has not received yet is newer than the active one and is allowed.
+func (g *configGate) allows(edition catalog.Edition, key, account string) bool {
 	if g.maxAge == 0 {
 		return true
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.active.Supersedes(edition) && g.clock.Now().Sub(g.confirmedAt) <= g.maxAge
+	if g.clock.Now().Sub(g.confirmedAt) > g.maxAge {
+		return false
+	}
+	if g.active == nil || !g.active.Edition().Supersedes(edition) {
+		return true
+	}
+	now, err := g.active.Account(key)
+	return err == nil && now.Name == account
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -182,16 +182,14 @@
 // SetCatalog activates a configuration that was the newest one at the confirmed time. If c is
 // nil, only the time is updated.
 func (r *Relay) SetCatalog(c *catalog.Catalog, confirmed clock.Millis) {
-	var edition catalog.Edition
 	if c != nil {
 		limits := c.Limits()
 		r.limits.Store(&limits)
-		edition = c.Edition()
 	}
 	// The decider is notified first: a request that the gate rejects is decided again, which
 	// must not happen with the old configuration.
 	r.decider.notify(r.lifetime, dispatch.CatalogMsg{Catalog: c, ConfirmedAt: confirmed})
-	r.gate.confirm(edition, confirmed)
+	r.gate.confirm(c, confirmed)
 }
 
 // UpdateFleet applies changes to the list of upstreams.
--- a/relay/session_attempt.go
+++ b/relay/session_attempt.go
@@ -71,7 +71,7 @@
 	a := &attempt{
 		protocol: s.relay.protocol, conns: conns, handleStatus: s.relay.HandleUpstreamStatus, handleNoLimit: s.relay.handleNoLimit,
 		startedAt: s.relay.clock.Now(), handlePresence: s.relay.handlePresence, gate: s.relay.gate, cmd: cmd,
-		callerID: s.head.ID, resuming: s.answer.started(), updates: make(chan attemptUpdate, maxQueuedUpdates),
+		callerID: s.head.ID, key: s.head.Key, resuming: s.answer.started(), updates: make(chan attemptUpdate, maxQueuedUpdates),
 		checkEnd: s.checkEnd, contain: s.relay.contain,
 	}
 	a.chain.Store(&cmd.Chain)
