httpserver, node: tests share how they begin

Read once more: two tests of httpserver began a server and a connection in the same way, and three of node a request that outlasts the node. serveIdle and startLateRequest serve them now. Assertions as before; the end of Serve is checked for both servers in one place, at the end of the test.

--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -48,19 +48,7 @@
 		t.Fatal(err)
 	}
 	l := &pausingListener{Listener: base, read: make(chan struct{}), goOn: make(chan struct{})}
-	s := New(l, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }), ReadHeaderTimeout: time.Minute})
-	served := make(chan error, 1)
-	go func() { served <- s.Serve() }()
-	conn, err := net.Dial("tcp", base.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(time.Minute)); err != nil {
-		t.Fatal(err)
-	}
-	answers := bufio.NewReader(conn)
-	exchange(t, conn, answers, func() {})
+	s, conn, answers := serveIdle(t, l)
 	l.armed.Store(true)
 	closes := exchange(t, conn, answers, func() {
 		<-l.read
@@ -72,12 +60,34 @@
 	if !closes {
 		t.Error("got an answer that keeps the connection, want one that closes it")
 	}
-	if err := s.Close(); err != nil {
-		t.Error(err)
+}
+
+// serveIdle starts a server on a listener and returns it with a connection that has had one answer. The server
+// is closed at the end of the test.
+func serveIdle(t *testing.T, l net.Listener) (s *Server, conn net.Conn, answers *bufio.Reader) {
+	t.Helper()
+	s = New(l, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }), ReadHeaderTimeout: time.Minute})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve() }()
+	t.Cleanup(func() {
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+		if err := <-served; !errors.Is(err, http.ErrServerClosed) {
+			t.Errorf("got error %v, want %v", err, http.ErrServerClosed)
+		}
+	})
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
 	}
-	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
-		t.Errorf("got error %v, want %v", err, http.ErrServerClosed)
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
 	}
+	answers = bufio.NewReader(conn)
+	exchange(t, conn, answers, func() {})
+	return s, conn, answers
 }
 
 // exchange sends a request and reads the answer, and reports whether that ends the connection. The function
@@ -105,29 +115,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := New(l, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })})
-	served := make(chan error, 1)
-	go func() { served <- s.Serve() }()
-	conn, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	if err := conn.SetDeadline(time.Now().Add(time.Minute)); err != nil {
-		t.Fatal(err)
-	}
-	answers := bufio.NewReader(conn)
-	exchange(t, conn, answers, func() {})
+	s, _, answers := serveIdle(t, l)
 	if err := s.StopAccepting(); err != nil {
 		t.Error(err)
 	}
 	if _, err := answers.ReadByte(); !errors.Is(err, io.EOF) {
 		t.Errorf("got error %v, want the end of the connection", err)
 	}
-	if err := s.Close(); err != nil {
-		t.Error(err)
-	}
-	if err := <-served; !errors.Is(err, http.ErrServerClosed) {
-		t.Errorf("got error %v, want %v", err, http.ErrServerClosed)
-	}
 }
--- a/node/last_answers_test.go
+++ b/node/last_answers_test.go
@@ -125,10 +125,7 @@
 		return slow
 	})
 	n.run(t)
-	await(t, "answer", func() bool { return n.do(http.MethodPost, "/once/a", "warm", "k1").status == http.StatusOK })
-	answers := make(chan response, 1)
-	go func() { answers <- n.do(http.MethodPost, "/once/b", "late", "k1") }()
-	await(t, "execution", func() bool { return service.Executions()["late"].Executions == 1 })
+	answers := n.startLateRequest(t, service)
 	slow.armed.Store(true)
 	go n.Drain()
 	whileStopping(n, vm)
--- a/node/panic_test.go
+++ b/node/panic_test.go
@@ -17,10 +17,7 @@
 	s.stopPlainService()
 	service := s.addSlowPlainService("desk2", 1500*time.Millisecond)
 	n := s.startNode("n1", s.storeAddress)
-	await(t, "answer", func() bool { return n.do(http.MethodPost, "/once/a", "warm", "k1").status == http.StatusOK })
-	answers := make(chan response, 1)
-	go func() { answers <- n.do(http.MethodPost, "/once/b", "late", "k1") }()
-	await(t, "execution", func() bool { return service.Executions()["late"].Executions == 1 })
+	answers := n.startLateRequest(t, service)
 	n.Panic()
 	if got := <-answers; got.err != nil || got.status != http.StatusBadGateway {
 		t.Errorf("got status %d and error %v, want %d", got.status, got.err, http.StatusBadGateway)
--- a/node/planned_stop_test.go
+++ b/node/planned_stop_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/hoistjunction/hoistjunction/standin"
 )
 
 // dial opens a connection to a node that has not been used.
@@ -70,12 +72,20 @@
 	s.graceSeconds = 1
 	service := s.addSlowPlainService("desk2", 1500*time.Millisecond)
 	n := s.startNode("n1", s.storeAddress)
-	await(t, "answer", func() bool { return n.do(http.MethodPost, "/once/a", "warm", "k1").status == http.StatusOK })
-	answers := make(chan response, 1)
-	go func() { answers <- n.do(http.MethodPost, "/once/b", "late", "k1") }()
-	await(t, "execution", func() bool { return service.Executions()["late"].Executions == 1 })
+	answers := n.startLateRequest(t, service)
 	n.Drain()
 	if got := <-answers; got.err != nil || got.status != http.StatusBadGateway {
 		t.Errorf("got status %d and error %v, want %d", got.status, got.err, http.StatusBadGateway)
 	}
 }
+
+// startLateRequest waits until a node serves, sends it a request that may run once, and returns when the service runs
+// it. The answer comes over the channel.
+func (n *testNode) startLateRequest(t *testing.T, service *standin.PlainServer) <-chan response {
+	t.Helper()
+	await(t, "answer", func() bool { return n.do(http.MethodPost, "/once/a", "warm", "k1").status == http.StatusOK })
+	answers := make(chan response, 1)
+	go func() { answers <- n.do(http.MethodPost, "/once/b", "late", "k1") }()
+	await(t, "execution", func() bool { return service.Executions()["late"].Executions == 1 })
+	return answers
+}
