Probes say why they are sent, and how late the node ran

Change: ProbeCmd has a reason; it is logged with own_delay_ms and counted in the metrics, as are unanswered probes. No decision changes. Tests of dispatch and relay pass.

--- a/dispatch/cmd.go
+++ b/dispatch/cmd.go
@@ -200,6 +200,7 @@
 	Upstream fleet.Incarnation
 	Address  string
 	Engine   bool
+	Reason   ProbeReason
 }
 
 // SuspectCmd logs that an upstream is suspected and gets no work for a while.
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -21,11 +21,12 @@
 			continue
 		}
 		if u.probeDue(m.now) {
+			reason := u.probeReason(m.now)
 			u.reachProbeOnly = u.reachProbeWanted && !u.suspected
 			u.reachProbeWanted = false
 			u.crashCheckOnly = u.crashCheckWanted && !u.earlyProbeWanted && m.now < u.avoidUntil
 			u.probeInFlight, u.reportWanted, u.earlyProbeWanted, u.crashCheckWanted = true, false, false, false
-			cmds = append(cmds, ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil})
+			cmds = append(cmds, ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil, Reason: reason})
 		}
 	}
 	slices.SortFunc(cmds, func(a, b Cmd) int {
--- a/relay/log.go
+++ b/relay/log.go
@@ -251,8 +251,10 @@
 const minLoggedDelay clock.Millis = 5
 
 // ownDelayField returns the log field for how late this node's own goroutines run.
-func (s *session) ownDelayField() zap.Field {
-	delay := s.relay.ownDelay()
+func (s *session) ownDelayField() zap.Field { return s.relay.ownDelayField() }
+
+func (r *Relay) ownDelayField() zap.Field {
+	delay := r.ownDelay()
 	if delay < minLoggedDelay {
 		return zap.Skip()
 	}
--- a/relay/probe.go
+++ b/relay/probe.go
@@ -23,7 +23,11 @@
 		}
 		// Another upstream at the address shows that the links work; who it is, identify finds out.
 		msg.Answered = err == nil || errors.Is(err, ErrOtherUpstream)
-		r.log.Info("probe", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address),
+		r.stats.count("probe_" + cmd.Reason.String())
+		if err != nil {
+			r.stats.count("probe_unanswered")
+		}
+		r.log.Info("probe", zap.Stringer("upstream", cmd.Upstream), zap.String("address", cmd.Address), zap.Stringer("reason", cmd.Reason), r.ownDelayField(),
 			zap.Float64("pace", msg.Report.Slowdown), zap.Float64("free", msg.Report.FreeMemory), zap.Float64("all", msg.Report.TotalMemory), logging.Err(err))
 		r.decider.notify(r.lifetime, msg)
 	})
