dispatch: all nodes together probe an engine a bounded number of times a second

Callers saw nothing served after all nodes had returned, on machines short of processor time. Cause: each node probed each late engine by itself, again and again and on each word of another node, whatever the number of nodes. The probes took the time in which engines would have answered; they went on for a minute after the load had ended.

--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -116,6 +116,7 @@
 	refusedWorks *simplelru.LRU[work.ID, clock.Millis]
 	// stop is the planned stop of this node.
 	stop plannedStop
+	probeBudget probeBudget
 	// lastTicket numbers the waits of requests in queues.
 	lastTicket uint64
 	// admission holds back less urgent requests under pressure. loadObservedAt is when it was last
@@ -177,6 +178,7 @@
 	m := &Model{
 		upstreams:         make(map[fleet.Incarnation]*upstream),
 		probeCandidates:   make(probeSet),
+		probeBudget:       newProbeBudget(),
 		byService:         make(map[string][]*upstream),
 		localByService:    make(map[string][]*upstream),
 		listedIn:          make(map[string]int),
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -1,15 +1,34 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
 )
 
-// sendProbes probes the upstreams whose probe is due.
+// sendProbes probes the upstreams whose probe is due, as far as the budget allows.
 func (m *Model) sendProbes() []Cmd {
+	due := m.dueProbes()
+	if len(due) == 0 {
+		return nil
+	}
+	m.probeBudget.setShare(m.now, len(m.upstreams), m.recoveringNodes())
 	var cmds []Cmd
+	for _, u := range due[:m.probeBudget.take(m.now, len(due))] {
+		cmds = append(cmds, u.beginProbe(m.now))
+	}
+	slices.SortFunc(cmds, func(a, b Cmd) int {
+		return a.(ProbeCmd).Upstream.Compare(b.(ProbeCmd).Upstream)
+	})
+	return cmds
+}
+
+// dueProbes returns the upstreams whose probe is due, the most important first, and among equal ones the
+// longest due.
+func (m *Model) dueProbes() []*upstream {
+	var due []*upstream
 	for id, u := range m.probeCandidates {
 		u.expireSlowdown(m.now)
 		if m.upstreams[id] != u || !u.mayNeedProbe() {
@@ -21,18 +40,23 @@
 			continue
 		}
 		if u.probeDue(m.now) {
-			reason := u.probeReason(m.now)
-			u.reachProbeOnly = u.reachProbeWanted && !u.suspected
-			u.reachProbeWanted = false
-			u.crashCheckOnly = u.crashCheckWanted && !u.earlyProbeWanted && m.now < u.avoidUntil
-			u.probeInFlight, u.reportWanted, u.earlyProbeWanted, u.crashCheckWanted = true, false, false, false
-			cmds = append(cmds, ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil, Reason: reason})
+			due = append(due, u)
 		}
 	}
-	slices.SortFunc(cmds, func(a, b Cmd) int {
-		return a.(ProbeCmd).Upstream.Compare(b.(ProbeCmd).Upstream)
+	slices.SortFunc(due, func(a, b *upstream) int {
+		return cmp.Or(cmp.Compare(a.probeReason(m.now), b.probeReason(m.now)), cmp.Compare(a.avoidUntil, b.avoidUntil), compareByID(a, b))
 	})
-	return cmds
+	return due
+}
+
+// beginProbe records that a probe of the upstream is sent.
+func (u *upstream) beginProbe(now clock.Millis) ProbeCmd {
+	cmd := ProbeCmd{Upstream: u.entry.ID, Address: u.entry.Address, Engine: u.pipeline != nil, Reason: u.probeReason(now)}
+	u.reachProbeOnly = u.reachProbeWanted && !u.suspected
+	u.reachProbeWanted = false
+	u.crashCheckOnly = u.crashCheckWanted && !u.earlyProbeWanted && now < u.avoidUntil
+	u.probeInFlight, u.reportWanted, u.earlyProbeWanted, u.crashCheckWanted = true, false, false, false
+	return cmd
 }
 
 // reported handles an engine's report of its state.
--- a/dispatch/probe_reason.go
+++ b/dispatch/probe_reason.go
@@ -5,16 +5,16 @@
 // ProbeReason is why an upstream is probed.
 type ProbeReason uint8
 
-// Reasons of probes.
+// Reasons of probes, the most important first.
 const (
-	// ProbeSuspected means that requests of this node have failed at the upstream, or earlier probes.
-	ProbeSuspected ProbeReason = iota
-	// ProbeReported means that another node found the upstream unresponsive.
-	ProbeReported
 	// ProbeLinks means that the probe tells whether this node's links to a data centre work.
-	ProbeLinks
+	ProbeLinks ProbeReason = iota
 	// ProbeLoss means that the upstream may have ended under a request.
 	ProbeLoss
+	// ProbeSuspected means that requests of this node have failed at the upstream, or earlier probes.
+	ProbeSuspected
+	// ProbeReported means that another node found the upstream unresponsive.
+	ProbeReported
 	// ProbeLoad means that the upstream was slow or refused requests.
 	ProbeLoad
 )
