dispatch: what an overloaded node does not hear is no evidence about others

Cause: limits of silence are extended by the delay of the moment, but what a probe or an attempt shows was believed whatever state the node was in. Change: the model is told when the node's overload begins and ends (OverloadMsg). While it lasts an unanswered probe finds nothing, silence neither counts as a loss nor against the node's links, probes are one a second, and a doubt that rests on silence is withdrawn. Broken and refused connections count as before.

--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -40,7 +40,7 @@
 // have crashed, the request may be the cause. A request whose attempt delivered further events is
 // cleared instead, since the upstream read it without crashing.
 func (m *Model) recordLoss(r *request, msg AttemptFailedMsg) []Cmd {
-	if msg.Cause != CauseUnknown && msg.Cause != CauseNoProgress {
+	if msg.Cause != CauseUnknown && (msg.Cause != CauseNoProgress || m.overloaded) {
 		return nil
 	}
 	if msg.Events > r.deliveredEvents {
--- a/dispatch/model.go
+++ b/dispatch/model.go
@@ -116,6 +116,8 @@
 	refusedWorks *simplelru.LRU[work.ID, clock.Millis]
 	// stop is the planned stop of this node.
 	stop plannedStop
+	// overloaded reports whether this node has more to do than its processor bears.
+	overloaded  bool
 	probeBudget probeBudget
 	// lastTicket numbers the waits of requests in queues.
 	lastTicket uint64
--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -14,7 +14,7 @@
 	if len(due) == 0 {
 		return nil
 	}
-	m.probeBudget.setShare(m.now, len(m.upstreams), m.recoveringNodes())
+	m.probeBudget.setShare(m.now, len(m.upstreams), m.recoveringNodes(), m.overloaded)
 	var cmds []Cmd
 	for _, u := range due[:m.probeBudget.take(m.now, len(due))] {
 		cmds = append(cmds, u.beginProbe(m.now))
@@ -89,6 +89,10 @@
 		return nil
 	}
 	u.probeInFlight = false
+	if !msg.Answered && m.overloaded {
+		m.probeInconclusive(u)
+		return nil
+	}
 	m.recordReport(msg.Upstream, msg.Report)
 	if msg.Answered && msg.Report.Empty {
 		// The engine has restarted, and the list shows its former layers for some seconds. Each
--- a/dispatch/probe_budget.go
+++ b/dispatch/probe_budget.go
@@ -13,8 +13,10 @@
 	// Each node finds out about each upstream by itself, so without a bound they would grow with the
 	// product of both, and take from upstreams and nodes the time in which they would answer.
 	fleetProbesPerUpstream = 4.0
-	// minProbeRate is the least rate of a node, in probes a second.
-	minProbeRate = 2.0
+	// minProbeRate is the least rate of a node, in probes a second, and overloadedProbeRate that of a node
+	// which has more to do than its processor bears.
+	minProbeRate        = 2.0
+	overloadedProbeRate = 1.0
 	// probeBurstTime is the time in seconds for which an unused rate is kept, so that the loss of
 	// a rack is found out at once.
 	probeBurstTime = 5.0
@@ -28,8 +30,11 @@
 }
 
 // setShare sets the budget of one of several nodes that probe upstreams.
-func (b probeBudget) setShare(now clock.Millis, upstreams, nodes int) {
+func (b probeBudget) setShare(now clock.Millis, upstreams, nodes int, overloaded bool) {
 	perSecond := max(minProbeRate, fleetProbesPerUpstream*float64(upstreams)/float64(max(nodes, 1)))
+	if overloaded {
+		perSecond = overloadedProbeRate
+	}
 	b.limiter.SetLimitAt(probeTime(now), rate.Limit(perSecond))
 	b.limiter.SetBurstAt(probeTime(now), int(perSecond*probeBurstTime))
 }
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -31,7 +31,7 @@
 
 // recordUnreached records that this node failed to reach an upstream.
 func (m *Model) recordUnreached(u *upstream, kind reachability.Failure) []Cmd {
-	if u == nil {
+	if u == nil || m.overloaded && kind.IsSilence() {
 		return nil
 	}
 	return m.reachChanged(m.reach.RecordFailure(m.now, u.link(), kind, m.listedIn[u.entry.DataCentre]))
--- a/dispatch/update.go
+++ b/dispatch/update.go
@@ -54,6 +54,8 @@
 		return m.vmResumed()
 	case DrainMsg:
 		return m.drain(msg)
+	case OverloadMsg:
+		return m.setOverloaded(msg)
 	case NodeEndMsg:
 		return m.endRequests()
 	}
--- a/reachability/failure.go
+++ b/reachability/failure.go
@@ -24,6 +24,9 @@
 // String returns the name of the failure in logs.
 func (f Failure) String() string { return failureNames[f] }
 
+// IsSilence reports whether the failure is only that nothing was heard in time.
+func (f Failure) IsSilence() bool { return f == Silent || f == ProbeUnanswered }
+
 // Link identifies an upstream and the data centre in which it runs.
 type Link struct {
 	Upstream   fleet.Incarnation
--- a/reachability/table.go
+++ b/reachability/table.go
@@ -138,6 +138,15 @@
 	return t.enter(c, now, Doubtful, Change{DataCentre: dataCentre, Failed: len(c.failures), Listed: listed, Kind: Silent, AnswerAge: clock.AgeOf(c.answeredAt, now)})
 }
 
+// WithdrawSilence drops the evidence that a data centre's upstreams were silent, and returns the change of
+// state, if any: the node itself was too late to hear them.
+func (t *Table) WithdrawSilence(now clock.Millis, dataCentre string, listed int) (Change, bool) {
+	c := t.centre(dataCentre)
+	maps.DeleteFunc(c.failures, func(_ fleet.Incarnation, f failureRecord) bool { return f.kind.IsSilence() })
+	state := min(c.state, c.stateByFailures(listed))
+	return t.enter(c, now, state, Change{DataCentre: dataCentre, Failed: len(c.failures), Listed: listed, Kind: Silent, AnswerAge: clock.AgeOf(c.answeredAt, now)})
+}
+
 // Forget drops the evidence about an upstream that is no longer listed.
 func (t *Table) Forget(l Link) {
 	if c := t.centres[l.DataCentre]; c != nil {
--- a/reachability/table_test.go
+++ b/reachability/table_test.go
@@ -1,6 +1,7 @@
 package reachability_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -81,3 +82,26 @@
 		t.Error("got no doubt about a data centre that never answered, want doubt")
 	}
 }
+
+// Guards against an overloaded node that goes on doubting its links by what it was too late to hear.
+func TestWithdrawSilence(t *testing.T) {
+	for _, tt := range []struct {
+		kind reachability.Failure
+		want reachability.State
+	}{{reachability.Silent, reachability.Reached}, {reachability.ProbeUnanswered, reachability.Reached}, {reachability.BrokenOff, reachability.Cut}, {reachability.NotConnected, reachability.Cut}} {
+		table := reachability.New()
+		for i := range 4 {
+			table.RecordFailure(100, link(fleet.ID(fmt.Sprint("e", i)), "a"), tt.kind, 4)
+		}
+		if got, want := table.State("a"), reachability.Cut; got != want {
+			t.Fatalf("%s: got %s before, want %s", tt.kind, got, want)
+		}
+		table.WithdrawSilence(200, "a", 4)
+		if got := table.State("a"); got != tt.want {
+			t.Errorf("%s: got %s, want %s", tt.kind, got, tt.want)
+		}
+		if got, want := len(table.Unsettled()) == 0, tt.want == reachability.Reached; got != want {
+			t.Errorf("%s: got settled %v, want %v", tt.kind, got, want)
+		}
+	}
+}
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -65,7 +65,11 @@
 	onLimitChanged func(upstream fleet.Incarnation, limited bool)
 	// onQuarantine is called with news of requests suspected of crashing upstreams.
 	onQuarantine func(quarantine.Event)
-	ready        atomic.Bool
+	// overloaded reports whether this node has more to do than its processor bears.
+	overloaded func() bool
+	// overloadReported is what the model was last told of it.
+	overloadReported bool
+	ready            atomic.Bool
 	// limitLoggedAt is the time of the last log line on an upstream's limit, and unloggedLimits
 	// counts the changes that were not logged since.
 	limitLoggedAt  map[fleet.Incarnation]clock.Millis
@@ -90,6 +94,7 @@
 	return &decider{
 		model: model, clock: c, log: log, probe: probe, identify: identify, onResponsiveness: func(dispatch.ResponsivenessCmd) {},
 		onAnswersHere:  func(fleet.Incarnation) {},
+		overloaded:     func() bool { return false },
 		shareUsage:     func(dispatch.ShareUsageCmd) {},
 		requestPermits: func(limit.PermitRequestCmd) {},
 		grantPermits:   func(string, limit.Grant) {},
@@ -123,6 +128,7 @@
 		case <-d.recovery.C:
 			d.decide(envelope{msg: dispatch.RecoverMsg{}})
 		case <-tick.C:
+			d.reportOverload()
 			d.decide(envelope{msg: dispatch.TickMsg{}})
 			d.ready.Store(d.model.Ready(d.clock.Now()))
 			limits := d.model.Limits(d.clock.Now())
@@ -141,6 +147,14 @@
 	}
 }
 
+// reportOverload tells the model when an overload of this node begins or ends.
+func (d *decider) reportOverload() {
+	if overloaded := d.overloaded(); overloaded != d.overloadReported {
+		d.overloadReported = overloaded
+		d.decide(envelope{msg: dispatch.OverloadMsg{Overloaded: overloaded}})
+	}
+}
+
 func (d *decider) decide(e envelope) {
 	if arrival, ok := e.msg.(dispatch.ArriveMsg); ok {
 		d.mailboxes[arrival.Request] = e.mailbox
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -156,6 +156,7 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.decider.overloaded = r.overloaded
 	r.decider.onLimitChanged = r.upstreams.recordLimit
 	r.extraMetrics["capacity_waits"] = expvar.Func(func() any { return r.decider.capacityWaits.Load() })
 	r.extraMetrics["fair_shares"] = expvar.Func(func() any { return r.decider.fairShares.Load() })
