overload, node: limits of calls to the store, readers, peers and engines follow the node's own delay

Cause: these limits were fixed, and those for engines were extended by the delay at the beginning of the wait. Change: overload.Monitor.WithTimeout ends a wait when the limit has passed and the delay of now does not explain it, looked at again each 0.3 s, so that a single long delay does not hold it up. It bounds calls to the store, to readers, to peers, to engines and the opening of connections; hubs and statuses wait as much longer; a stream leaves an engine that another node suspects only after an extended pause. Without delay nothing changes.

--- a/node/goroutines_test.go
+++ b/node/goroutines_test.go
@@ -110,6 +110,7 @@
 var uncontained = map[string]string{
 	"internal/httpserver/server.go StopAccepting: s.endIdle": ownValues,
 	"logging/async.go NewAsync: a.run":                       ownValues,
+	"overload/timeout.go WithTimeout: func":                  ownValues,
 	"usage/batcher.go add: b.flush":                          ownValues,
 	"usage/batcher.go take: b.flush":                         ownValues,
 	"usage/usage.go Run: func":                               ownValues,
--- a/node/node.go
+++ b/node/node.go
@@ -109,7 +109,7 @@
 
 // New binds the ports of a node and builds the node. Run starts it.
 func New(s *Settings, log *logging.Log, opts ...Option) (*Node, error) {
-	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), failed: make(chan struct{}), members: newMembers(), unresponsive: newEngineReports(), responsive: newEngineReports(), orderResults: new(expvar.Map), dialUpstream: platform.Dialer().DialContext}
+	n := &Node{settings: s, log: log.Logger, clock: clock.New(), drained: make(chan struct{}), failed: make(chan struct{}), members: newMembers(), unresponsive: newEngineReports(), responsive: newEngineReports(), orderResults: new(expvar.Map)}
 	for _, opt := range opts {
 		opt(n)
 	}
@@ -119,10 +119,14 @@
 		return nil, err
 	}
 	n.overload = overload.NewMonitor(n.clock, n.log, s.CoreShare*float64(s.Cores))
-	n.store = platform.NewStore(s.PlatformAddress, n.log)
+	dial := platform.NewDialFunc(n.overload.WithTimeout)
+	if n.dialUpstream == nil {
+		n.dialUpstream = dial
+	}
+	n.store = platform.NewStore(s.PlatformAddress, n.log, platform.WithStoreTimeouts(n.overload.WithTimeout), platform.WithStoreDialer(dial))
 	n.quarantined = newQuarantineSet(n.clock, s.quarantineDuration())
 	n.keeper = keeper.New(n.store, n.clock, n.log, s.FirstStart, n.applyQuarantined)
-	n.engines = platform.NewEngines(platform.WithEngineDialer(n.dialUpstream), platform.WithEngineGuard(n.guard), platform.WithExtendedLimits(func(limit clock.Millis) clock.Millis { return n.relay.ExtendedLimit(limit) }), platform.WithIncarnationHandler(func(upstream fleet.Incarnation) { n.fleetFollower.Supersede(upstream) }),
+	n.engines = platform.NewEngines(platform.WithEngineDialer(n.dialUpstream), platform.WithEngineGuard(n.guard), platform.WithExtendedLimits(n.overload.Extend), platform.WithEngineTimeouts(n.overload.WithTimeout), platform.WithIncarnationHandler(func(upstream fleet.Incarnation) { n.fleetFollower.Supersede(upstream) }),
 		platform.WithStatusHandler(func(upstream fleet.Incarnation, status relay.UpstreamStatus) {
 			n.relay.HandleUpstreamStatus(upstream, status)
 		}))
@@ -151,7 +155,7 @@
 	self.UsageAddress = sharing.Address()
 	listAge := func() clock.Millis { return n.fleetFollower.ListAge() }
 	n.relay = relay.New(n.ctx, platform.Headers{}, model, n.clock, n.log,
-		relay.WithEngines(n.engines), relay.WithDialer(n.dialUpstream), relay.WithForwarding(s.Name, platform.Dialer().DialContext), relay.WithMaxConfigAge(s.keysMaxAge()),
+		relay.WithEngines(n.engines), relay.WithDialer(n.dialUpstream), relay.WithForwarding(s.Name, dial), relay.WithMaxConfigAge(s.keysMaxAge()),
 		relay.WithCounters("store_calls", n.store.Calls()), relay.WithCounters("store", expvar.Func(n.storeView)), relay.WithCounters("entries_refused", n.store.EntriesRefused()), relay.WithCounters("rows_unreadable", n.store.UnreadableRows()), relay.WithCounters("entries_unfit", expvar.Func(func() any { return json.RawMessage(n.fleetFollower.Misfits().String()) })),
 		relay.WithCounters("panics_contained", n.panics.Counts()), relay.WithCounters("quarantine_refused", n.keeper.Refused()), relay.WithCounters("orders", n.orderResults),
 		relay.WithCounters("quarantined", expvar.Func(n.quarantined.count)), relay.WithCounters("quarantined_parts", expvar.Func(n.quarantined.parts)),
@@ -164,9 +168,9 @@
 		placer.WithResults(n.orderResults), placer.WithContainment(n.panics.Run))
 	n.wakes = n.clock.Suspensions()
 	n.wakes.OnResume(n.handleWake)
-	n.follow(self, platform.NewPeerTransport(), n.applyConfig, n.applyFleet)
-	n.peers = peering.New(self, s.PeerSeeds, n.store, n.local, n.local, n.clock, n.log, platform.NewOneShotTransport(), hash(s.Name),
-		peering.WithFirstStart(s.FirstStart), peering.WithComparison(n.handleConfigCompared), peering.WithRestoreDoubt(s.keysMaxAge()), peering.WithGuard(n.guard))
+	n.follow(self, platform.NewPeerTransport(platform.WithDialer(dial)), n.applyConfig, n.applyFleet)
+	n.peers = peering.New(self, s.PeerSeeds, n.store, n.local, n.local, n.clock, n.log, platform.NewOneShotTransport(platform.WithDialer(dial)), hash(s.Name),
+		peering.WithFirstStart(s.FirstStart), peering.WithComparison(n.handleConfigCompared), peering.WithRestoreDoubt(s.keysMaxAge()), peering.WithGuard(n.guard), peering.WithTimeouts(n.overload.WithTimeout))
 	n.limited = overload.NewListener(n.callerListener, n.overload)
 	n.callers = newServer(n.limited, n.relay, n.log)
 	n.peerServer = newServer(n.peerListener, n.peerHandler(), n.log)
@@ -176,7 +180,7 @@
 // follow builds the followers of the store and the state that they use about other nodes.
 func (n *Node) follow(self *wire.Member, peerTransport http.RoundTripper, setCatalog func(follow.Proof) follow.ActiveConfig, setFleet func([]fleet.Change)) {
 	within := n.settings.changeDeadline()
-	n.roster = reading.NewRoster(self, n.clock.Now(), follow.FailoverWait(within), reading.WithStartWait(n.settings.startWait()))
+	n.roster = reading.NewRoster(self, n.clock.Now(), follow.FailoverWait(within), reading.WithStartWait(n.settings.startWait()), reading.WithExtendedLimits(n.overload.Extend))
 	n.readLog = reading.NewLog(n.clock, follow.ProofLifetime, follow.FirstRequestWait(within))
 	n.outage = &follow.Outage{}
 	n.local = &localState{node: n, active: follow.ActiveConfig{Confirmed: clock.Never}}
--- a/node/readers.go
+++ b/node/readers.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -78,7 +77,7 @@
 	// initialConnectTimeout bounds the opening of a connection. While a VM is starting, the first
 	// packet to it is lost and repeated only after a second. It exceeds the longest pause of a
 	// throttled node, which may see late that the connection is open.
-	initialConnectTimeout = 100 * time.Millisecond
+	initialConnectTimeout clock.Millis = 100
 )
 
 // initialReader reads from another node at the start. The other node may not have discovered
@@ -89,11 +88,12 @@
 	// unreachable whether it failed because no connection could be opened in time.
 	starting    bool
 	unreachable bool
+	timeout     clock.TimeoutFunc
 }
 
 // AwaitCatalog implements follow.Reader.
 func (r *initialReader) AwaitCatalog(ctx context.Context, have catalog.Edition, _ clock.Millis) (follow.CatalogReading, error) {
-	ctx, cancel := initialReadContext(ctx)
+	ctx, cancel := initialReadContext(ctx, r.timeout)
 	defer cancel()
 	reading, err := r.namedSource.AwaitCatalog(ctx, have, initialReadWait)
 	return reading, r.recordError(ctx, err)
@@ -101,7 +101,7 @@
 
 // AwaitUpstreams implements follow.Reader.
 func (r *initialReader) AwaitUpstreams(ctx context.Context, after moment.Moment, _ clock.Millis) (follow.FleetReading, error) {
-	ctx, cancel := initialReadContext(ctx)
+	ctx, cancel := initialReadContext(ctx, r.timeout)
 	defer cancel()
 	reading, err := r.namedSource.AwaitUpstreams(ctx, after, initialReadWait)
 	return reading, r.recordError(ctx, err)
@@ -112,13 +112,19 @@
 
 // initialReadContext returns the context of a read, which ends after initialReadTimeout, and
 // after initialConnectTimeout unless there is a connection.
-func initialReadContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, initialReadTimeout.Duration())
+func initialReadContext(ctx context.Context, timeout clock.TimeoutFunc) (context.Context, context.CancelFunc) {
+	ctx, cancel := timeout(ctx, initialReadTimeout)
 	ctx, abort := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(initialConnectTimeout, func() { abort(errNotConnected) })
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { timer.Stop() }})
+	connecting, connected := timeout(context.Background(), initialConnectTimeout)
+	stop := context.AfterFunc(connecting, func() {
+		if errors.Is(context.Cause(connecting), context.DeadlineExceeded) {
+			abort(errNotConnected)
+		}
+	})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected() }})
 	return ctx, func() {
-		timer.Stop()
+		stop()
+		connected()
 		cancel()
 	}
 }
@@ -142,13 +148,13 @@
 	if m == nil {
 		return nil, wait
 	}
-	return &initialReader{namedSource: r.newSource(m)}, false
+	return &initialReader{namedSource: r.newSource(m), timeout: r.node.overload.WithTimeout}, false
 }
 
 // newSource returns a source that reads from a node.
 func (r *readers) newSource(m *wire.Member) *namedSource {
 	requestWait := follow.FirstRequestWait(r.node.settings.changeDeadline())
-	return &namedSource{Source: reading.NewSource(r.client, m.GetAddress(), r.node.roster.Self().GetAddress(), requestWait), name: m.GetName()}
+	return &namedSource{Source: reading.NewSource(r.client, m.GetAddress(), r.node.roster.Self().GetAddress(), requestWait, reading.WithTimeouts(r.node.overload.WithTimeout)), name: m.GetName()}
 }
 
 // ReaderFailed implements follow.Readers.
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -38,7 +38,7 @@
 	peersPerQuery = 3
 	// queryTimeout bounds a query. Between data centres an answer takes a few ms; a frozen peer
 	// does not answer.
-	queryTimeout = 500 * time.Millisecond
+	queryTimeout clock.Millis = 500
 	// maxAnswerBytes bounds an answer, as it is sent and after decompression. A configuration has at most
 	// 4 MiB, and the entry of an upstream some 200 bytes.
 	maxAnswerBytes = 16 << 20
@@ -80,6 +80,8 @@
 	directory  *directory
 	rng        *rand.Rand
 	httpClient *http.Client
+	// timeout bounds the queries.
+	timeout clock.TimeoutFunc
 	// guard runs the goroutines that are not loops of the node.
 	guard contain.GuardFunc
 	// firstStart is set if the whole system starts for the first time. registrationDelay is
@@ -118,6 +120,9 @@
 // WithGuard sets the function that runs goroutines which are not loops of the node.
 func WithGuard(guard contain.GuardFunc) Option { return func(p *Peering) { p.guard = guard } }
 
+// WithTimeouts sets the function that bounds the queries of peers.
+func WithTimeouts(timeout clock.TimeoutFunc) Option { return func(p *Peering) { p.timeout = timeout } }
+
 // WithFirstStart sets whether the whole system starts for the first time, so that no node is
 // registered yet.
 func WithFirstStart(first bool) Option { return func(p *Peering) { p.firstStart = first } }
@@ -129,7 +134,7 @@
 	p := &Peering{
 		clock: c, log: log, registry: registry, local: local, receiver: receiver,
 		directory: newDirectory(self, seeds), rng: rand.New(rand.NewPCG(seed, seed)), newestProof: clock.Never,
-		httpClient:        &http.Client{Transport: boundedhttp.NewTransport(transport, maxAnswerBytes), Timeout: queryTimeout},
+		httpClient: &http.Client{Transport: boundedhttp.NewTransport(transport, maxAnswerBytes)}, timeout: clock.WithTimeout,
 		registrationDelay: clock.Millis(seed % uint64(registrationSpread)), guard: contain.Unguarded,
 	}
 	p.registeredAt.Store(int64(clock.Never))
@@ -404,6 +409,8 @@
 // query queries one peer, applies its answer and returns what it was.
 func (p *Peering) query(ctx context.Context, peer *wire.Member, have catalog.Edition, wantFleet bool) answerKind {
 	client := p.newClient(peer)
+	ctx, cancel := p.timeout(ctx, queryTimeout)
+	defer cancel()
 	sent := p.clock.Now()
 	resp, err := client.Ask(ctx, connect.NewRequest(&wire.AskRequest{
 		Asker: p.directory.self, Have: momentwire.Edition(have), WantFleet: wantFleet,
--- a/peering/quarantined.go
+++ b/peering/quarantined.go
@@ -16,6 +16,8 @@
 
 // QueryQuarantined queries a peer for the requests that are quarantined there.
 func (p *Peering) QueryQuarantined(ctx context.Context, peer *wire.Member) {
+	ctx, cancel := p.timeout(ctx, queryTimeout)
+	defer cancel()
 	resp, err := p.newClient(peer).Ask(ctx, connect.NewRequest(&wire.AskRequest{Asker: p.directory.self, WantQuarantined: true}))
 	if err != nil {
 		p.log.Info("quarantine_not_told", zap.String("peer", peer.GetName()), logging.Err(err))
--- a/reading/group_state.go
+++ b/reading/group_state.go
@@ -50,8 +50,9 @@
 	if !r.storeLost {
 		consider(r.self.GetName(), r.recoveringUntil)
 	}
+	timeout := r.extend(statusTimeout)
 	for name, status := range r.statuses {
-		if now > status.receivedAt.Add(statusTimeout) {
+		if now > status.receivedAt.Add(timeout) {
 			delete(r.statuses, name)
 			continue
 		}
--- a/reading/hubs.go
+++ b/reading/hubs.go
@@ -92,7 +92,7 @@
 	if _, known := r.lastSeen[name]; !known {
 		r.lastSeen[name] = now
 	}
-	return now <= r.lastSeen[name].Add(hubTimeout)
+	return now <= r.lastSeen[name].Add(r.extend(hubTimeout))
 }
 
 // Topology describes the hubs of a group and the role of this node.
--- a/reading/roster.go
+++ b/reading/roster.go
@@ -112,6 +112,8 @@
 	noReaderSince clock.Millis
 	// pausedUntil is until when this node does not probe the store.
 	pausedUntil clock.Millis
+	// extend returns how long to wait for a status that is due within a limit.
+	extend func(limit clock.Millis) clock.Millis
 }
 
 // Option configures a Roster.
@@ -121,6 +123,12 @@
 // the other nodes of its group to become known.
 func WithStartWait(d clock.Millis) Option { return func(r *Roster) { r.startWait = d } }
 
+// WithExtendedLimits sets the function that returns how long to wait for a status that is due within a
+// limit.
+func WithExtendedLimits(extend func(limit clock.Millis) clock.Millis) Option {
+	return func(r *Roster) { r.extend = extend }
+}
+
 // NewRoster returns the roster of a node that starts now. failoverWait is the longest time that
 // the node may wait for another one to reach the store after its reader has failed.
 func NewRoster(self *wire.Member, now, failoverWait clock.Millis, opts ...Option) *Roster {
@@ -130,6 +138,7 @@
 		lastSeen:     make(map[string]clock.Millis),
 		backoffUntil: make(map[string]clock.Millis), startedAt: now,
 		initialReadSince: clock.Never,
+		extend:           func(limit clock.Millis) clock.Millis { return limit },
 		enoughSince:      clock.Never, noReaderSince: clock.Never, recoveringUntil: clock.Never,
 	}
 	for _, opt := range opts {
--- a/reading/source.go
+++ b/reading/source.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -32,27 +31,41 @@
 	firstRequestWait clock.Millis
 	// selfAddress is the address at which this node serves requests.
 	selfAddress string
+	// timeout bounds the calls.
+	timeout clock.TimeoutFunc
 
 	mu sync.Mutex
 	// lastFullList is the last full list that the other node sent.
 	lastFullList follow.FleetReading
 }
 
+// SourceOption configures a Source.
+type SourceOption func(*Source)
+
+// WithTimeouts sets the function that bounds the calls to the other node.
+func WithTimeouts(timeout clock.TimeoutFunc) SourceOption {
+	return func(s *Source) { s.timeout = timeout }
+}
+
 // NewSource returns a source that follows the node at address. firstRequestWait is how long
 // that node may hold the first request, and selfAddress the address at which this node serves
 // requests.
-func NewSource(client *http.Client, address, selfAddress string, firstRequestWait clock.Millis) *Source {
+func NewSource(client *http.Client, address, selfAddress string, firstRequestWait clock.Millis, opts ...SourceOption) *Source {
 	bounded := &http.Client{Transport: boundedhttp.NewTransport(client.Transport, maxAnswerBytes)}
-	return &Source{client: wireconnect.NewReadingClient(bounded, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes)), httpClient: client, selfAddress: selfAddress, firstRequestWait: firstRequestWait}
+	s := &Source{client: wireconnect.NewReadingClient(bounded, "http://"+address, connect.WithReadMaxBytes(maxAnswerBytes)), httpClient: client, selfAddress: selfAddress, firstRequestWait: firstRequestWait, timeout: clock.WithTimeout}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // callTimeout returns the timeout of a call. A first request has no wait of its own, but the
 // other node may hold it.
-func (s *Source) callTimeout(wait clock.Millis) time.Duration {
+func (s *Source) callTimeout(wait clock.Millis) clock.Millis {
 	if wait == 0 {
 		wait = s.firstRequestWait
 	}
-	return (wait + follow.ReaderMargin).Duration()
+	return wait + follow.ReaderMargin
 }
 
 // handleError wraps the error of a failed call. If no response arrived, it closes all idle
@@ -72,7 +85,7 @@
 
 // AwaitCatalog implements follow.Reader.
 func (s *Source) AwaitCatalog(ctx context.Context, have catalog.Edition, wait clock.Millis) (follow.CatalogReading, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.callTimeout(wait))
+	ctx, cancel := s.timeout(ctx, s.callTimeout(wait))
 	defer cancel()
 	resp, err := s.client.AwaitConfig(ctx, connect.NewRequest(&wire.AwaitConfigRequest{Have: momentwire.Edition(have), WaitMs: int64(wait), Address: s.selfAddress}))
 	if err != nil {
@@ -90,7 +103,7 @@
 
 // AwaitUpstreams implements follow.Reader.
 func (s *Source) AwaitUpstreams(ctx context.Context, after moment.Moment, wait clock.Millis) (follow.FleetReading, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.callTimeout(wait))
+	ctx, cancel := s.timeout(ctx, s.callTimeout(wait))
 	defer cancel()
 	previous := s.previousList()
 	resp, err := s.client.AwaitFleet(ctx, connect.NewRequest(&wire.AwaitFleetRequest{After: momentwire.Moment(after), WaitMs: int64(wait), Have: previous.Token}))
--- a/relay/own_delay.go
+++ b/relay/own_delay.go
@@ -4,17 +4,13 @@
 	"time"
 
 	"github.com/hoistjunction/hoistjunction/clock"
+	"github.com/hoistjunction/hoistjunction/overload"
 )
 
-// ownDelayHops is the number of this node's goroutines through which an answer passes before the
-// session knows of it: the one that reads the connection, the one that reads the events, and the
-// session's own. Each runs late by the node's own delay.
-const ownDelayHops = 3
-
 // ExtendedLimit returns the time for which this node waits for what is due within a limit. What has
 // arrived may lie unread for as long as the node itself is late.
 func (r *Relay) ExtendedLimit(limit clock.Millis) clock.Millis {
-	return limit.Add(ownDelayHops * r.ownDelay())
+	return overload.Extend(limit, r.ownDelay())
 }
 
 // postpone sets a timer anew if what is awaited since a time may have arrived within its limit, and
--- a/relay/stall.go
+++ b/relay/stall.go
@@ -156,7 +156,7 @@
 	switch {
 	case cmd.Crashed && cmd.SuspectedAddress == s.attempt.cmd.Address:
 		s.abandonCrashed()
-	case cmd.Crashed || s.pause() >= flowingWithin:
+	case cmd.Crashed || s.pause() >= s.relay.ExtendedLimit(flowingWithin):
 		s.leaveEngine(cmd.SuspectedAddress, !cmd.Crashed && s.pauseIsBounded())
 	case s.pauseIsBounded():
 		s.suspectedAddress = cmd.SuspectedAddress
