overload: a calm node measures its delay ten times a second

Cause: 130 nodes without requests used 1.1 processors, and each measurement woke the process, 40 times a second. Change: while the last delay was under 5 ms the next measurement comes after 100 ms; in overload, and after a longer delay, after 25 ms as before.

--- a/overload/meter.go
+++ b/overload/meter.go
@@ -7,8 +7,11 @@
 )
 
 const (
-	// Interval is the time between two measurements of the delay.
-	Interval clock.Millis = 25
+	// Interval is the time between two measurements of the delay, and calmInterval that while the last
+	// delay was shorter than calmDelay: each measurement wakes the process.
+	Interval     clock.Millis = 25
+	calmInterval clock.Millis = 100
+	calmDelay    clock.Millis = 5
 	// window is how long a measurement counts as one of the last moments.
 	window clock.Millis = 300
 	// typicalOf is the number of measurements of which the typical delay is the median, so that
@@ -28,6 +31,14 @@
 	samples []sample
 }
 
+// Next returns the time until the next measurement.
+func (m *Meter) Next() clock.Millis {
+	if len(m.samples) < typicalOf || m.samples[len(m.samples)-1].delay >= calmDelay {
+		return Interval
+	}
+	return calmInterval
+}
+
 // Record records that a goroutine ran at a time, late by a delay.
 func (m *Meter) Record(now, delay clock.Millis) {
 	old := 0
@@ -43,7 +54,7 @@
 	if len(m.samples) == 0 {
 		return 0
 	}
-	longest := now.Sub(m.samples[len(m.samples)-1].at.Add(Interval))
+	longest := now.Sub(m.samples[len(m.samples)-1].at.Add(m.Next()))
 	for _, s := range m.samples {
 		if s.at >= now.Sub(window) {
 			longest = max(longest, s.delay)
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -48,8 +48,9 @@
 	timer, waits := time.NewTimer(0), newWaits()
 	defer timer.Stop()
 	for {
-		due := m.clock.Now().Add(Interval)
-		timer.Reset(Interval.Duration())
+		pause := m.pause()
+		due := m.clock.Now().Add(pause)
+		timer.Reset(pause.Duration())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -59,6 +60,16 @@
 	}
 }
 
+// pause returns the time until the next measurement.
+func (m *Monitor) pause() clock.Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.limiter.Overloaded() {
+		return Interval
+	}
+	return m.meter.Next()
+}
+
 func (m *Monitor) record(delay clock.Millis) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
