--- a/node/foreign_entries_test.go
+++ b/node/foreign_entries_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -33,6 +34,35 @@
 	}
 }
 
+// Guards against one odd entry of another writer that ends the nodes which read the list, again and again, or stops
+// their following it: deeply nested, with a number too large, or with a port out of range.
+func TestOddEntriesEndNoNode(t *testing.T) {
+	t.Parallel()
+	const nesting = 30_000
+	at := func(address, slots string) string {
+		return `{"service":"` + standin.SitePlainService + `","address":"` + address + `","zone":"dc","version":"v","slots":` + slots + `,"state":"ready","coldLeftMs":0,"sequence":1}`
+	}
+	for name, entry := range map[string]string{
+		"nested": `{"a":` + strings.Repeat("[", nesting) + strings.Repeat("]", nesting) + `}`, "nested objects": strings.Repeat(`{"a":`, nesting),
+		"number": at("127.0.0.1:80", hugeNumber), "long number": at("127.0.0.1:80", strings.Repeat("9", nesting)), "negative": at("127.0.0.1:80", "-9223372036854775809"),
+		"port": at("127.0.0.1:70000", "6"), "port 0": at("127.0.0.1:0", "6"), "longer port": at("127.0.0.1:99999", "6"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, 4)
+			running := s.startNode("n1", s.storeAddress)
+			running.awaitServing(t)
+			s.store.Put("servers", "x1", []byte(entry))
+			started := s.startNode("n2", s.storeAddress, running.peerAddress)
+			started.awaitServing(t)
+			s.store.Put("servers", "x2", []byte(entry))
+			for i, n := range []*testNode{running, started} {
+				n.checkServes(t, fmt.Sprint("s", i))
+			}
+		})
+	}
+}
+
 // startEngineWithReport starts an engine that answers every query for its report with a body, and
 // returns the number of these queries.
 func (s *site) startEngineWithReport(id, body string) *atomic.Int64 {
