clock: periodic work of a node meets, and wakes the process together

Cause: an idle node was woken some 60 times a second by six loops at phases of their own (suspensions each 50 ms, ticks, the age of the list and its own delay each 100, the topology and peers each 150); what the runtime does at each wake was two thirds of an idle node's processor time, and 130 nodes on one machine left too little for the store and the engines to answer after a common return (docs/incidents/service-not-back-after-restart.md). Change: these loops wait for multiples of their intervals in the VM's running time (clock.UntilMultiple), so that they wake the process 20 times a second. Intervals are as before; nodes start at different times, so the fleet does not wake at once.

--- a/clock/suspensions.go
+++ b/clock/suspensions.go
@@ -39,15 +39,16 @@
 
 // Run checks for suspensions until the context ends.
 func (s *Suspensions) Run(ctx context.Context) error {
-	tick := time.NewTicker(suspensionCheckInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(untilMultiple(s.vm, suspensionCheckInterval))
+	defer timer.Stop()
 	before := s.suspended()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-tick.C:
+		case <-timer.C:
 		}
+		timer.Reset(untilMultiple(s.vm, suspensionCheckInterval))
 		now := s.suspended()
 		if now-before >= minSuspension {
 			s.notify(FromDuration(now - before))
--- a/node/list_age.go
+++ b/node/list_age.go
@@ -37,14 +37,11 @@
 // watchList logs when the list becomes too old and when it is confirmed again. In between, the
 // node may send requests to an upstream that has long announced that it leaves.
 func (n *Node) watchList(ctx context.Context) error {
-	tick := time.NewTicker(listWatchInterval)
-	defer tick.Stop()
 	w := listWatch{maxAge: n.settings.LeavingDeadline}
 	for {
-		select {
-		case <-ctx.Done():
+		n.clock.SleepToMultiple(ctx, listWatchInterval)
+		if ctx.Err() != nil {
 			return ctx.Err()
-		case <-tick.C:
 		}
 		switch changed, stale, peakAge := w.observe(n.fleetFollower.ListAge()); {
 		case changed && stale:
--- a/node/topology.go
+++ b/node/topology.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/dispatch"
 	"github.com/hoistjunction/hoistjunction/forwarding"
 	"github.com/hoistjunction/hoistjunction/limit"
@@ -50,7 +49,7 @@
 			lastKey, lastChanges = key, changes
 			n.applyTopology(&topology, others, rank, complete)
 		}
-		clock.Sleep(ctx, topologyInterval)
+		n.clock.SleepToMultiple(ctx, topologyInterval)
 	}
 	return ctx.Err()
 }
--- a/overload/monitor.go
+++ b/overload/monitor.go
@@ -48,9 +48,9 @@
 	timer, waits := time.NewTimer(0), newWaits()
 	defer timer.Stop()
 	for {
-		pause := m.pause()
-		due := m.clock.Now().Add(pause)
-		timer.Reset(pause.Duration())
+		pause := m.clock.UntilMultiple(m.pause().Duration())
+		due := m.clock.Now().Add(clock.FromDuration(pause))
+		timer.Reset(pause)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -321,7 +321,7 @@
 // Run queries peers while the store does not confirm that the configuration is fresh.
 func (p *Peering) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		clock.Sleep(ctx, p.checkPause())
+		p.clock.SleepToMultiple(ctx, p.checkPause())
 		p.queryIfNeeded(ctx)
 		p.reviewComparison()
 	}
--- a/relay/decider.go
+++ b/relay/decider.go
@@ -117,7 +117,7 @@
 
 // run processes messages until ctx ends.
 func (d *decider) run(ctx context.Context) error {
-	tick := time.NewTicker(tickInterval)
+	tick := time.NewTimer(d.clock.UntilMultiple(tickInterval))
 	defer tick.Stop()
 	for {
 		select {
@@ -128,6 +128,7 @@
 		case <-d.recovery.C:
 			d.decide(envelope{msg: dispatch.RecoverMsg{}})
 		case <-tick.C:
+			tick.Reset(d.clock.UntilMultiple(tickInterval))
 			d.reportOverload()
 			d.decide(envelope{msg: dispatch.TickMsg{}})
 			d.ready.Store(d.model.Ready(d.clock.Now()))
