overload: the timer of an extended limit is set before it is used

Found in reading: WithTimeout's function could run before its timer variable was assigned, and set the timer again after the wait had been cancelled. recoveringNodes, which the budget of probes uses too, is called assumedNodes. No decision changes. Checked by the race detector (./overload) and the linter.

--- a/dispatch/probe.go
+++ b/dispatch/probe.go
@@ -14,7 +14,7 @@
 	if len(due) == 0 {
 		return nil
 	}
-	m.probeBudget.setShare(m.now, len(m.upstreams), m.recoveringNodes(), m.overloaded)
+	m.probeBudget.setShare(m.now, len(m.upstreams), m.assumedNodes(), m.overloaded)
 	var cmds []Cmd
 	for _, u := range due[:m.probeBudget.take(m.now, len(due))] {
 		cmds = append(cmds, u.beginProbe(m.now))
--- a/dispatch/recovery.go
+++ b/dispatch/recovery.go
@@ -174,7 +174,7 @@
 		}
 	}
 	m.recoveries.Remove(s.ID)
-	report := &Recovery{LateIn: s.LateAt.Sub(m.now), Held: m.now.Sub(s.WaitingSince), ReadTime: m.readTime(r, parts), Nodes: m.recoveringNodes()}
+	report := &Recovery{LateIn: s.LateAt.Sub(m.now), Held: m.now.Sub(s.WaitingSince), ReadTime: m.readTime(r, parts), Nodes: m.assumedNodes()}
 	if s.Avoided.IsZero() {
 		return m.resumeRecovered(r, report)
 	}
@@ -208,13 +208,13 @@
 	return cmds
 }
 
-// recoveringNodes returns the number of nodes that are assumed to move streams too. A node that
-// has no count yet uses the number of nodes that report their usage to it.
-func (m *Model) recoveringNodes() int { return max(m.nodeCount.total, m.usagePeers+1) }
+// assumedNodes returns the number of nodes that are assumed to do as this one does. A node that has no
+// count yet uses the number of nodes that report their usage to it.
+func (m *Model) assumedNodes() int { return max(m.nodeCount.total, m.usagePeers+1) }
 
 // recoveryEngine returns the values of an engine that the backlog needs.
 func (m *Model) recoveryEngine(u *upstream) recovery.Engine {
-	return recovery.Engine{ID: u.entry.ID, Rate: m.readRate(u), Nodes: m.recoveringNodes()}
+	return recovery.Engine{ID: u.entry.ID, Rate: m.readRate(u), Nodes: m.assumedNodes()}
 }
 
 // readRate returns how many prompt tokens an engine reads per ms; infinite if unknown.
--- a/overload/timeout.go
+++ b/overload/timeout.go
@@ -24,14 +24,19 @@
 // Extend returns the time for which the node waits now for what is due within a limit.
 func (m *Monitor) Extend(limit clock.Millis) clock.Millis { return Extend(limit, m.Delay()) }
 
-// WithTimeout returns a context that ends when what is due within a limit has not arrived, though the
-// node's own delay would explain it. It implements clock.TimeoutFunc. Unlike a limit that is extended when
+// WithTimeout returns a context that ends when a limit has passed and the node's own delay does not
+// explain that nothing has arrived. It implements clock.TimeoutFunc. Unlike a limit that is extended when
 // the wait begins, it follows the delay during the wait.
 func (m *Monitor) WithTimeout(ctx context.Context, limit clock.Millis) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	startedAt := m.clock.Now()
 	var timer *time.Timer
+	begun := make(chan struct{})
 	timer = time.AfterFunc(limit.Duration(), func() {
+		<-begun
+		if ctx.Err() != nil {
+			return
+		}
 		left := startedAt.Add(m.Extend(limit)).Sub(m.clock.Now())
 		if left <= 0 {
 			cancel(context.DeadlineExceeded)
@@ -39,6 +44,7 @@
 		}
 		timer.Reset(min(left, reviewInterval).Duration())
 	})
+	close(begun)
 	return ctx, func() {
 		timer.Stop()
 		cancel(context.Canceled)
--- a/overload/timeout_test.go
+++ b/overload/timeout_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/hoistjunction/hoistjunction/clock"
@@ -51,7 +52,7 @@
 				if ended < tt.min || ended > tt.max {
 					t.Errorf("got an end after %v, want from %v to %v", ended, tt.min, tt.max)
 				}
-				if got, want := context.Cause(ctx), context.DeadlineExceeded; got != want {
+				if got, want := context.Cause(ctx), context.DeadlineExceeded; !errors.Is(got, want) {
 					t.Errorf("got the cause %v, want %v", got, want)
 				}
 			})
