--- a/relay/cut_head_test.go
+++ b/relay/cut_head_test.go
@@ -64,7 +64,14 @@
 func askCutHead(t *testing.T, kind, beginning string) (status int, body string) {
 	t.Helper()
 	_, address := newTestRelay(t, cutHeadUpstream{answer: beginning})
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader("b"))
+	return askWith(t, address, kind, "b")
+}
+
+// askWith sends a request with a body on a route of some kind. It returns the status and the body of the answer; zero if the
+// answer was broken off.
+func askWith(t *testing.T, address, kind, request string) (status int, body string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+kind+"/x", strings.NewReader(request))
 	if err != nil {
 		t.Fatal(err)
 	}
