Broken answers: tests of invalid statuses, red

What callers saw (of systems like ours): an upstream in trouble sends an answer whose status is 000, and the caller gets it.

The relay takes such an answer and can't write it: http.ResponseWriter panics, the caller's connection is closed without an answer (a request that may be repeated is not sent elsewhere), and panics_contained rises. The entry node passes 000 of a plain service on as 200 with the outcome done, and panics at the others. As the answer of an engine, of the table store or of a node it counts. 600 and 999 are passed on to callers; HTTP has no such statuses. The store's client already takes any status that it does not know for no answer; kept as a test.

--- a/entry/broken_answer_test.go
+++ b/entry/broken_answer_test.go
@@ -34,3 +34,10 @@
 		callBroken(t, brokenanswer.Reset("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart of the body"), upload)
 	}
 }
+
+// Guards against an answer with an invalid status: 000 reached the caller of a plain service as 200.
+func TestServiceAnswerWithInvalidStatusIsNone(t *testing.T) {
+	for name, answer := range brokenanswer.InvalidStatuses("body", "X-Line: x") {
+		t.Run(name, func(t *testing.T) { callBroken(t, answer, []byte("{}")) })
+	}
+}
--- a/tablestore/broken_answer_test.go
+++ b/tablestore/broken_answer_test.go
@@ -25,6 +25,11 @@
 	}
 }
 
+func readObject(c *tablestore.Client) error {
+	_, err := c.Object(context.Background(), "o")
+	return err
+}
+
 // Guards against a write that counts as done although the store has reset the connection, while the request
 // was being written.
 func TestTableAnswerResetDuringUploadIsNone(t *testing.T) {
@@ -36,3 +41,10 @@
 		})
 	}
 }
+
+// Guards against an answer with an invalid status that counts as an object of the store.
+func TestTableAnswerWithInvalidStatusIsNone(t *testing.T) {
+	for name, answer := range brokenanswer.InvalidStatuses("object", "X-Line: x") {
+		t.Run(name, func(t *testing.T) { callBroken(t, answer, readObject) })
+	}
+}
