Broken answers: tests of field names that are none, red

What callers saw (of systems like ours): an upstream in trouble sends an answer in whose head the name of a field holds a blank or a control byte, and the caller gets it, with that line passed on or with a body that was not the upstream's.

A line that begins with a blank or tab is joined to the line before: the seal became "s Content-Length: 4". Already refused by net/http, kept as tests: a control byte or tab in a name, no name, a blank at the start of the first line.

--- a/entry/broken_answer_test.go
+++ b/entry/broken_answer_test.go
@@ -41,3 +41,11 @@
 		t.Run(name, func(t *testing.T) { callBroken(t, answer, []byte("{}")) })
 	}
 }
+
+// Guards against an answer in whose head the name of a field is none: the caller of a plain service got its
+// body, whose length that line might have named.
+func TestServiceAnswerWithInvalidFieldNameIsNone(t *testing.T) {
+	for name, answer := range brokenanswer.InvalidFieldNames("body", "X-Line: x") {
+		t.Run(name, func(t *testing.T) { callBroken(t, answer, []byte("{}")) })
+	}
+}
--- a/relay/broken_head_test.go
+++ b/relay/broken_head_test.go
@@ -17,6 +17,13 @@
 	checkBrokenHeads(t, brokenanswer.InvalidStatuses(brokenBody, "Test-Seal: s"))
 }
 
+// Guards against an answer in whose head the name of a field is none. net/http accepts names with a blank, and
+// joins a line that begins with one to the line before. Callers got the answer without the broken line, with a
+// changed one, or with a body whose length that line might have named.
+func TestAnswerWithInvalidFieldNameIsNone(t *testing.T) {
+	checkBrokenHeads(t, brokenanswer.InvalidFieldNames(brokenBody, "Test-Seal: s"))
+}
+
 // checkBrokenHeads checks that callers get none of the answers, and that another upstream serves a request that
 // may be repeated, but no other.
 func checkBrokenHeads(t *testing.T, answers map[string]brokenanswer.Answer) {
--- a/tablestore/broken_answer_test.go
+++ b/tablestore/broken_answer_test.go
@@ -48,3 +48,10 @@
 		t.Run(name, func(t *testing.T) { callBroken(t, answer, readObject) })
 	}
 }
+
+// Guards against an answer in whose head the name of a field is none and that counts as an object of the store.
+func TestTableAnswerWithInvalidFieldNameIsNone(t *testing.T) {
+	for name, answer := range brokenanswer.InvalidFieldNames("object", "X-Line: x") {
+		t.Run(name, func(t *testing.T) { callBroken(t, answer, readObject) })
+	}
+}
