httpanswer: the end of a connection ends an answer only after its request

Cause: the kernel reports a reset once. A write in progress gets it, and the read that follows returns the regular end of the connection, which ends an answer without a length. The check of such ends (relay/answer_end.go) asks whether the upstream lives, which it does.

Change: internal/httpanswer wraps the transports and connections of the relay, of the clients of engines, store and nodes, of the entry node's calls to plain services and of the table store. After part of an answer, the end of a connection is an error if a write has failed, the connection was reset, or the other side has not acknowledged the whole request. That is exact for a sound upstream: one that has read the request acknowledges it with the end at the latest. While the last write returns, it waits. Requests in chunks, whose length is unknown, can't have an answer of this form; only calls between nodes are in chunks, and nodes mark every end.

Ruled out: failing on every write error alone, which leaves the second form (what fits in the kernel's buffers has been written without one); httptrace.WroteRequest as the mark of a written request, which comes before the last write.

Not seen by this: a request that the other side's kernel has acknowledged and its process never reads, if the reset comes after the end.

The tests of peering set their dialer by an option, since the transport no longer shows its fields.

--- a/entry/service_caller.go
+++ b/entry/service_caller.go
@@ -14,6 +14,7 @@
 
 	"github.com/hoistjunction/hoistjunction/callkey"
 	"github.com/hoistjunction/hoistjunction/core"
+	"github.com/hoistjunction/hoistjunction/internal/httpanswer"
 	"github.com/hoistjunction/hoistjunction/logging"
 )
 
@@ -53,17 +54,16 @@
 	for _, opt := range opts {
 		opt(transport)
 	}
-	c.keepAliveClient = withoutRedirects(transport)
 	single := transport.Clone()
 	single.DisableKeepAlives = true
-	c.singleUseClient = withoutRedirects(single)
+	c.keepAliveClient, c.singleUseClient = withoutRedirects(transport), withoutRedirects(single)
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	return c
 }
 
 func withoutRedirects(transport *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     transport,
+		Transport:     httpanswer.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/brokenanswer/answer.go
+++ b/internal/brokenanswer/answer.go
@@ -9,9 +9,9 @@
 	"time"
 )
 
-// resetDelay is the time between the last byte of an answer and the reset of its connection, in which the
-// caller reads what has been sent.
-const resetDelay = 2 * time.Millisecond
+// resetDelay is the time between the last byte of an answer, or the end that follows it, and the reset of its
+// connection, in which the caller reads what has been sent.
+const resetDelay = 5 * time.Millisecond
 
 // Answer is the text of an answer, head and body, that is written as it is. Afterwards the connection is
 // closed.
@@ -32,6 +32,24 @@
 func (a Reset) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	conn := Answer(a).write(w)
 	time.Sleep(resetDelay)
+	reset(conn)
+}
+
+// ShutDown is an answer that is written before the request has been read. Afterwards the sending direction of
+// the connection is shut down, and later the connection is reset.
+type ShutDown Answer
+
+// ServeHTTP implements http.Handler.
+func (a ShutDown) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	conn := Answer(a).write(w)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	time.Sleep(resetDelay)
+	reset(conn)
+}
+
+func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- /dev/null
+++ b/internal/httpanswer/transport.go
@@ -0,0 +1,56 @@
+// Package httpanswer keeps net/http from taking bytes for an answer of HTTP/1 that are none, or that may be
+// only a part of one.
+package httpanswer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport returns only answers that are whole and well-formed. It is for HTTP/1 without TLS.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a transport that checks the answers of another one, whose connections it wraps. The
+// other transport must not be used by itself.
+func NewTransport(base *http.Transport) *Transport {
+	base.DialContext = wrapConns(base.DialContext)
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper. The body of an answer that ends with its connection, because it has
+// neither a length nor chunks, fails with ErrReset or ErrRequestUnread if it may not be whole.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	length := bodyLength(req)
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				c.beginRequest(length)
+			}
+		},
+	})
+	return t.base.RoundTrip(req.WithContext(ctx))
+}
+
+// CloseIdleConnections closes the idle connections.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// wrapConns returns a function that opens connections as dial does, or as net/http does by default if dial is
+// nil.
+func wrapConns(dial dialFunc) dialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c}, nil
+	}
+}
--- a/peering/endless_test.go
+++ b/peering/endless_test.go
@@ -67,8 +67,7 @@
 			// The queries run one after another, since each read without bound before.
 			t.Run(name+", "+tt.name, func(t *testing.T) {
 				server, meter, node := endless.Serve(t, tt.answer), &endless.Meter{}, &answerCounter{}
-				transport := platform.NewOneShotTransport()
-				transport.DialContext = meter.Dialer()
+				transport := platform.NewOneShotTransport(platform.WithDialer(meter.Dialer()))
 				p := peering.New(&wire.Member{Name: "asker", Address: "asker:80"}, nil, nil, node, node, clocktest.NewClock(), zap.NewNop(), transport, 1)
 				endless.Await(t, func() bool { query(p, server.Address()); return true })
 				server.AwaitClosed(t, 1)
--- a/peering/stalled_connections_test.go
+++ b/peering/stalled_connections_test.go
@@ -104,8 +104,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := clocktest.NewClock()
 		peers := startSlowPeers(t, c, 3)
-		transport := platform.NewOneShotTransport()
-		transport.DialContext = peers.network.DialContext
+		transport := platform.NewOneShotTransport(platform.WithDialer(peers.network.DialContext))
 		t.Cleanup(transport.CloseIdleConnections)
 		node := &testNode{}
 		p := peering.New(&wire.Member{Name: "asker", Address: "asker:80"}, peers.seeds, nil, node, node, c, zap.NewNop(), transport, 1)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -147,7 +147,7 @@
 func (a *attempt) exchange(ctx context.Context) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if conn, ok := info.Conn.(*guardedConn); ok {
+			if conn := guardedConnOf(info.Conn); conn != nil {
 				conn.setGuard(a)
 			}
 		},
--- a/relay/guarded_conn.go
+++ b/relay/guarded_conn.go
@@ -25,6 +25,23 @@
 	onRead func()
 }
 
+// guardedConnOf returns the guarded connection that a connection is or wraps; nil if there is none.
+func guardedConnOf(c net.Conn) *guardedConn {
+	for {
+		switch inner := c.(type) {
+		case *guardedConn:
+			return inner
+		case interface{ NetConn() net.Conn }:
+			c = inner.NetConn()
+		default:
+			return nil
+		}
+	}
+}
+
+// NetConn returns the wrapped connection.
+func (c *guardedConn) NetConn() net.Conn { return c.Conn }
+
 // setGuard sets the guard for the next request on the connection.
 func (c *guardedConn) setGuard(g writeGuard) { c.guard.Store(&g) }
 
--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -10,6 +10,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/fleet"
+	"github.com/hoistjunction/hoistjunction/internal/httpanswer"
 )
 
 const (
@@ -42,9 +43,9 @@
 
 // upstreamConns holds the connections to one upstream.
 type upstreamConns struct {
-	*http.Transport
+	*httpanswer.Transport
 	// singleUse opens a new connection for each attempt.
-	singleUse *http.Transport
+	singleUse *httpanswer.Transport
 	// backOffUntil is the time until which the upstream accepts no request, in ms of the pool's
 	// clock, and leaving reports that it accepts no request any more.
 	backOffUntil atomic.Int64
@@ -78,13 +79,14 @@
 // newUpstreamConns returns connections that are opened by a function.
 func newUpstreamConns(dial dialFunc, c *clock.Clock) *upstreamConns {
 	conns := &upstreamConns{}
-	conns.Transport = &http.Transport{
+	pooled := &http.Transport{
 		DialContext:        guardDialer(dial, func() { conns.lastReadAt.Store(int64(c.Now())) }),
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout,
 		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: MaxAnswerHeadBytes,
 	}
-	conns.singleUse = conns.Clone()
-	conns.singleUse.DisableKeepAlives = true
+	singleUse := pooled.Clone()
+	singleUse.DisableKeepAlives = true
+	conns.Transport, conns.singleUse = httpanswer.NewTransport(pooled), httpanswer.NewTransport(singleUse)
 	return conns
 }
 
--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/internal/httpanswer"
 )
 
 // Errors that callers match with errors.Is.
@@ -67,7 +69,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.http = &http.Client{Transport: c.transport}
+	c.http = &http.Client{Transport: httpanswer.NewTransport(c.transport)}
 	return c
 }
 
