httpanswer: an answer without a valid status line is none

What callers saw: a connection closed without any answer where an upstream in trouble had sent status 000, 007, 099, -00 or +20 (relay; a request that may be repeated was not sent elsewhere), 600 and 999 passed on, and 000 of a plain service as 200 with the outcome done (entry node).

Cause: net/http takes three characters that strconv.Atoi reads for a status, and any version. Whoever read an answer trusted it: the relay wrote it with http.ResponseWriter, which panics below 100; for the entry node 0 means that there is no answer of a service; a probe or an order to an engine counted as answered.

Change: the connections of internal/httpanswer check each line of a head before net/http gets the end of the head. The status line must be one of HTTP/1 with a status from 100 to 599. What is read up to the broken line is passed on, so that net/http doesn't take a reused connection for one that failed before the answer, and sends a GET again by itself. The attempt fails as one without an answer: what may be repeated is served elsewhere, the rest gets 502. For the store, another node, an engine or a probe it is no answer as well.

Ruled out: a check of http.Response after net/http has parsed it; two blanks before the status are gone there. Also a check in each reader.

--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -37,25 +37,37 @@
 	writing bool
 	// writeErr is the error of the first write that failed.
 	writeErr error
-	// answering reports that part of the answer has been read.
+	// answering reports that part of the answer has been read, and head checks its head; headErr is set if that
+	// is broken.
 	answering bool
+	head      head
+	headErr   error
 	closed    bool
 }
 
 // NetConn returns the wrapped connection.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
-// beginRequest is called before a request is written, with the length of its body.
-func (c *conn) beginRequest(length int64) {
+// beginRequest is called before a request is written, with the length of its body. A connection is reused if it
+// has served a request before.
+func (c *conn) beginRequest(length int64, reused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.request, c.answering = newRequestMeter(length), false
+	if reused {
+		c.head = head{}
+	}
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A broken head is read up to the line that is broken, so that net/http doesn't take it
+// for a connection that failed before the answer, and sends the request again.
 func (c *conn) Read(data []byte) (int, error) {
+	if err := c.brokenHead(); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Read(data)
-	if !c.recordRead(n) || !errors.Is(err, io.EOF) {
+	n, answering := c.recordRead(data[:n])
+	if !answering || !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	if requestErr := c.awaitRequest(); requestErr != nil {
@@ -64,12 +76,20 @@
 	return n, err
 }
 
-// recordRead records that a number of bytes were read, and reports whether part of an answer has been read.
-func (c *conn) recordRead(n int) (answering bool) {
+func (c *conn) brokenHead() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headErr
+}
+
+// recordRead records that bytes were read. It returns how many of them may be passed on, and whether part of an
+// answer has been read.
+func (c *conn) recordRead(data []byte) (n int, answering bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answering = c.answering || n > 0
-	return c.answering
+	c.answering = c.answering || len(data) > 0
+	n, c.headErr = c.head.check(data)
+	return n, c.answering
 }
 
 // Write implements net.Conn.
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -21,14 +21,14 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip implements http.RoundTripper. The body of an answer that ends with its connection, because it has
+// RoundTrip implements http.RoundTripper. It fails with ErrBrokenHead if the head of the answer is not well-formed. The body of an answer that ends with its connection, because it has
 // neither a length nor chunks, fails with ErrReset or ErrRequestUnread if it may not be whole.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	length := bodyLength(req)
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
-				c.beginRequest(length)
+				c.beginRequest(length, info.Reused)
 			}
 		},
 	})
