httpanswer: an answer with a field whose name is none is none

What callers saw: an answer without one of its lines, with a changed one ("Test-Seal: s Content-Length: 4"), or with a body that was not the upstream's (the marks of chunks in it, or all that followed up to the end of the connection).

Cause: net/http takes names with a blank inside or before the colon, but passes them by where it looks for Content-Length or Transfer-Encoding and where it writes an answer; and it joins a line that begins with a blank or tab to the line before.

Change: the check of heads demands a token and a colon at the start of each line, in interim answers too. A line that begins with a blank is refused as well; RFC 9112 (5.2) leaves a gateway the choice.

Ruled out: a check of http.Response.Header by golang.org/x/net/http/httpguts, which can't see joined lines.

Control bytes and tabs in a name, an empty name, and a blank or tab at the start of the first line were refused already (tests kept).

--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -16,6 +16,9 @@
 // interimPrefix begins the status line of an interim answer, behind the version.
 const interimPrefix = '1'
 
+// fieldNameChars are the characters of a field's name (RFC 9110, section 5.6.2).
+const fieldNameChars = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
 // statusIndex is the index of the status in a status line.
 const statusIndex = len("HTTP/1.1 ")
 
@@ -61,6 +64,15 @@
 	case len(line) == 0:
 		h.inFields, h.ended = false, !h.interim
 		h.line = nil
+	case !isField(line):
+		return errors.Wrapf(ErrBrokenHead, "field %.80q", line)
 	}
 	return nil
 }
+
+// isField reports whether a line is a field with a valid name. net/http checks values, but accepts names with
+// blanks, and joins a line that begins with one to the line before.
+func isField(line []byte) bool {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	return found && len(name) > 0 && len(bytes.Trim(name, fieldNameChars)) == 0
+}
