httpanswer: heads of answers are bounded wherever answers are read

Report of other operators: a faulty server sent bytes that were no answer, without end; the machine kept them all and ran out of memory. In hoistrelay each reader has a bound (docs/design/foreign-bytes.md); that page names the clients of the entry node as open.

What was seen on: the entry node's calls to plain services and the table store's client kept 10,485,760 bytes of a head without end for each connection (status line, no status line, one line, lines; 9,256,652 of interim answers in half a second).

Cause: net/http's default limit. After: under 128 KiB for each. Bodies of plain services were bounded already (4 MiB), kept as tests.

--- /dev/null
+++ b/entry/endless_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hoistjunction/hoistjunction/core"
+	"github.com/hoistjunction/hoistjunction/internal/endless"
+	"github.com/hoistjunction/hoistjunction/logging"
+)
+
+const (
+	// maxHeadRead and maxBodyRead bound what is read from a connection whose answer has no end in its head or in
+	// its body: the limits of the client and buffers more.
+	maxHeadRead = 128 << 10
+	maxBodyRead = maxServiceResponseBytes + 128<<10
+	// endlessCallTime bounds a call, in ms.
+	endlessCallTime = 500
+)
+
+// Guards against an answer of a plain service without an end that costs memory without bound, or is taken
+// for a whole one. Up to 10 MiB of a head were kept.
+func TestEndlessServiceAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+	const trickle = 2 * time.Millisecond
+	for _, tt := range []struct {
+		name    string
+		answer  endless.Answer
+		maxRead int64
+	}{
+		{"status line", endless.Answer{Head: "HTTP/1.1 200 ", Repeat: "O"}, maxHeadRead},
+		{"no status line", endless.Answer{Repeat: "\x00"}, maxHeadRead},
+		{"header line", endless.Answer{Head: head + "X: ", Repeat: "x"}, maxHeadRead},
+		{"header lines", endless.Answer{Head: head, Repeat: "X-Line: x\r\n"}, maxHeadRead},
+		{"slow header lines", endless.Answer{Head: head, Repeat: "X-Line: x\r\n", Pause: trickle}, maxHeadRead},
+		{"answers 1xx", endless.Answer{Repeat: "HTTP/1.1 103 Early Hints\r\nX: x\r\n\r\n"}, maxHeadRead},
+		{"body with length", endless.Answer{Head: head + "Content-Length: 99999999999\r\n\r\n", Repeat: "x"}, maxBodyRead},
+		{"body without length", endless.Answer{Head: head + "\r\n", Repeat: "x"}, maxBodyRead},
+		{"slow body without length", endless.Answer{Head: head + "\r\n", Repeat: "x", Pause: trickle}, maxBodyRead},
+		{"chunks", endless.Answer{Head: head + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"}, maxBodyRead},
+		{"trailers", endless.Answer{Head: head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeat: "X: x\r\n"}, maxBodyRead},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			server, meter := endless.Serve(t, tt.answer), &endless.Meter{}
+			c := newServiceCaller(logging.Nop(), func(core.Msg) {}, withServiceDialer(meter.Dialer()))
+			defer c.close()
+			cmd := &core.CallCmd{Request: 1, Attempt: 1, Address: server.Address(), Path: "/confirm", NoRepeat: true, Timeout: endlessCallTime}
+			got := endless.Await(t, func() core.Msg { return c.attempt(cmd) })
+			if want := (core.CallFailedMsg{Request: 1, Attempt: 1}); got != core.Msg(want) {
+				t.Errorf("got %T, want %#v", got, want)
+			}
+			server.AwaitClosed(t, server.Requests())
+			if got := meter.Most(); got > tt.maxRead {
+				t.Errorf("got %d bytes read from one connection, want at most %d", got, tt.maxRead)
+			}
+		})
+	}
+}
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -9,14 +9,19 @@
 	"net/http/httptrace"
 )
 
+// maxHeadBytes bounds the head of an answer, together with the interim answers before it. By default, net/http
+// reads 10 MiB of each.
+const maxHeadBytes = 32 << 10
+
 // Transport returns only answers that are whole and well-formed. It is for HTTP/1 without TLS.
 type Transport struct {
 	base *http.Transport
 }
 
-// NewTransport returns a transport that checks the answers of another one, whose connections it wraps. The
-// other transport must not be used by itself.
+// NewTransport returns a transport that checks the answers of another one, whose connections it wraps and whose
+// limit of heads it sets. The other transport must not be used by itself.
 func NewTransport(base *http.Transport) *Transport {
+	base.MaxResponseHeaderBytes = maxHeadBytes
 	base.DialContext = wrapConns(base.DialContext)
 	return &Transport{base: base}
 }
--- a/relay/upstreams.go
+++ b/relay/upstreams.go
@@ -24,9 +24,6 @@
 	// under 1 KB.
 	readBuffer  = 4 << 10
 	writeBuffer = 2 << 10
-	// MaxAnswerHeadBytes bounds the head of an answer, together with the 1xx answers before it. By
-	// default, net/http reads 10 MiB of each.
-	MaxAnswerHeadBytes = 32 << 10
 )
 
 // dialFunc connects to a network address.
@@ -82,7 +79,7 @@
 	pooled := &http.Transport{
 		DialContext:        guardDialer(dial, func() { conns.lastReadAt.Store(int64(c.Now())) }),
 		DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout,
-		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: MaxAnswerHeadBytes,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
 	}
 	singleUse := pooled.Clone()
 	singleUse.DisableKeepAlives = true
--- /dev/null
+++ b/tablestore/endless_test.go
@@ -0,0 +1,39 @@
+package tablestore_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hoistjunction/hoistjunction/internal/endless"
+	"github.com/hoistjunction/hoistjunction/tablestore"
+)
+
+// Guards against an answer of the store without an end that costs memory without bound.
+func TestEndlessAnswers(t *testing.T) {
+	const maxHeadRead = 128 << 10
+	const callTime = 2 * time.Second
+	const head = "HTTP/1.1 200 OK\r\n"
+	for _, tt := range []struct {
+		name    string
+		answer  endless.Answer
+		maxRead int64
+	}{
+		{"status line", endless.Answer{Head: "HTTP/1.1 200 ", Repeat: "O"}, maxHeadRead},
+		{"header lines", endless.Answer{Head: head, Repeat: "X-Line: x\r\n"}, maxHeadRead},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			server, meter := endless.Serve(t, tt.answer), &endless.Meter{}
+			client := tablestore.NewClient(server.Address(), tablestore.WithDialer(meter.Dialer()), tablestore.WithTimeout(callTime))
+			defer client.Close()
+			if err := endless.Await(t, func() error { return readObject(client) }); !errors.Is(err, tablestore.ErrNoResponse) {
+				t.Errorf("got error %v, want ErrNoResponse", err)
+			}
+			server.AwaitClosed(t, server.Requests())
+			if got := meter.Most(); got > tt.maxRead {
+				t.Errorf("got %d bytes read from one connection, want at most %d", got, tt.maxRead)
+			}
+		})
+	}
+}
