httpanswer: an answer that switches to another protocol is none anywhere

Cause: net/http leaves the connection of such an answer to its caller and no longer closes it when the context ends. The relay and the clients of engines and store each knew that; the entry node and the table store did not.

--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -19,10 +19,12 @@
 	endlessCallTime = 500
 )
 
-// Guards against an answer of a plain service without an end that costs memory without bound, or is taken
-// for a whole one. Up to 10 MiB of a head were kept.
+// Guards against an answer of a plain service without an end that costs memory without bound, is taken for a
+// whole one, or keeps its call beyond the call's time. A head of up to 10 MiB was kept, and an answer that switches
+// to another protocol for as long as the service kept the connection.
 func TestEndlessServiceAnswers(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+	const switched = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
 	const trickle = 2 * time.Millisecond
 	for _, tt := range []struct {
 		name    string
@@ -40,6 +42,9 @@
 		{"slow body without length", endless.Answer{Head: head + "\r\n", Repeat: "x", Pause: trickle}, maxBodyRead},
 		{"chunks", endless.Answer{Head: head + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"}, maxBodyRead},
 		{"trailers", endless.Answer{Head: head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", Repeat: "X: x\r\n"}, maxBodyRead},
+		{"switched protocol", endless.Answer{Head: switched, Repeat: "x"}, maxHeadRead},
+		{"slow switched protocol", endless.Answer{Head: switched, Repeat: "x", Pause: trickle}, maxHeadRead},
+		{"switched protocol that stays open", endless.Answer{Head: switched}, maxHeadRead},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -7,8 +7,14 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+
+	"github.com/cockroachdb/errors"
 )
 
+// ErrProtocolSwitched means that an answer switches to another protocol. net/http leaves the connection of such an
+// answer to its caller, and no longer closes it when the context ends.
+var ErrProtocolSwitched = errors.New("httpanswer: answer switches to another protocol")
+
 // maxHeadBytes bounds the head of an answer, together with the interim answers before it. By default, net/http
 // reads 10 MiB of each.
 const maxHeadBytes = 32 << 10
@@ -26,7 +32,8 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip implements http.RoundTripper. It fails with ErrBrokenHead if the head of the answer is not well-formed. The body of an answer that ends with its connection, because it has
+// RoundTrip implements http.RoundTripper. It fails with ErrBrokenHead if the head of the answer is not well-formed, and
+// with ErrProtocolSwitched. The body of an answer that ends with its connection, because it has
 // neither a length nor chunks, fails with ErrReset or ErrRequestUnread if it may not be whole.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	length := bodyLength(req)
@@ -37,7 +44,14 @@
 			}
 		},
 	})
-	return t.base.RoundTrip(req.WithContext(ctx))
+	resp, err := t.base.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errors.CombineErrors(ErrProtocolSwitched, resp.Body.Close())
+	}
+	return resp, nil
 }
 
 // CloseIdleConnections closes the idle connections.
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -31,7 +31,6 @@
 	errAnswerEncoded   = errors.New("relay: answer has a content encoding")
 	errNotResumable    = errors.New("relay: answer cannot resume the event stream")
 	errFailureTooLong  = errors.New("relay: failure of the upstream exceeds the size limit")
-	errOtherProtocol   = errors.New("relay: answer switches to another protocol")
 	errAttemptPanicked = errors.New("relay: panic while an answer was read")
 )
 
@@ -202,14 +201,8 @@
 	}
 }
 
-// readAnswer checks the headers of an answer and forwards the answer to the session. A switch to another
-// protocol is no answer: net/http leaves such a connection to its caller, and no longer closes it when the
-// context ends.
+// readAnswer checks the headers of an answer and forwards the answer to the session.
 func (a *attempt) readAnswer(ctx context.Context, resp *http.Response) {
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		a.fail(ctx, dispatch.CauseUnknown, "", errOtherProtocol)
-		return
-	}
 	if a.cmd.Node != "" && !a.acceptForwarded(ctx, resp) {
 		return
 	}
--- a/tablestore/endless_test.go
+++ b/tablestore/endless_test.go
@@ -10,11 +10,13 @@
 	"github.com/hoistjunction/hoistjunction/tablestore"
 )
 
-// Guards against an answer of the store without an end that costs memory without bound.
+// Guards against an answer of the store without an end that costs memory without bound, or keeps a call beyond
+// its time.
 func TestEndlessAnswers(t *testing.T) {
 	const maxHeadRead = 128 << 10
 	const callTime = 2 * time.Second
 	const head = "HTTP/1.1 200 OK\r\n"
+	const switched = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
 	for _, tt := range []struct {
 		name    string
 		answer  endless.Answer
@@ -22,6 +24,8 @@
 	}{
 		{"status line", endless.Answer{Head: "HTTP/1.1 200 ", Repeat: "O"}, maxHeadRead},
 		{"header lines", endless.Answer{Head: head, Repeat: "X-Line: x\r\n"}, maxHeadRead},
+		{"slow switched protocol", endless.Answer{Head: switched, Repeat: "x", Pause: time.Millisecond}, maxHeadRead},
+		{"switched protocol that stays open", endless.Answer{Head: switched}, maxHeadRead},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			server, meter := endless.Serve(t, tt.answer), &endless.Meter{}
