tablestore: the beginning of a response that is too long is no object

Found beside the report of bytes without end: a response of over 64 MiB was cut there, and its beginning returned as the whole object (TestEndlessAnswers, "body without length" and "chunks": no error on the commit before). Now it counts as no response.

--- a/tablestore/client.go
+++ b/tablestore/client.go
@@ -29,6 +29,8 @@
 	// ErrUnchanged means that the list of VMs has not changed since the given
 	// version.
 	ErrUnchanged = errors.New("tablestore: unchanged")
+
+	errResponseTooLong = errors.New("tablestore: response is too long")
 )
 
 // DefaultTimeout is the default timeout of a call.
@@ -140,7 +142,10 @@
 		return errors.Mark(errors.Wrap(err, "tablestore: send request"), ErrNoResponse)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		err = errResponseTooLong
+	}
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, "tablestore: read response"), ErrNoResponse)
 	}
--- a/tablestore/endless_test.go
+++ b/tablestore/endless_test.go
@@ -1,6 +1,7 @@
 package tablestore_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -10,10 +11,10 @@
 	"github.com/hoistjunction/hoistjunction/tablestore"
 )
 
-// Guards against an answer of the store without an end that costs memory without bound, or keeps a call beyond
-// its time.
+// Guards against an answer of the store without an end that costs memory without bound, keeps a call beyond its
+// time, or whose beginning counts as a whole object.
 func TestEndlessAnswers(t *testing.T) {
-	const maxHeadRead = 128 << 10
+	const maxHeadRead, maxBodyRead = 128 << 10, 64<<20 + 1<<20
 	const callTime = 2 * time.Second
 	const head = "HTTP/1.1 200 OK\r\n"
 	const switched = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
@@ -24,6 +25,8 @@
 	}{
 		{"status line", endless.Answer{Head: "HTTP/1.1 200 ", Repeat: "O"}, maxHeadRead},
 		{"header lines", endless.Answer{Head: head, Repeat: "X-Line: x\r\n"}, maxHeadRead},
+		{"body without length", endless.Answer{Head: head + "\r\n", Repeat: "x"}, maxBodyRead},
+		{"chunks", endless.Answer{Head: head + "Transfer-Encoding: chunked\r\n\r\n", Repeat: "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"}, maxBodyRead},
 		{"slow switched protocol", endless.Answer{Head: switched, Repeat: "x", Pause: time.Millisecond}, maxHeadRead},
 		{"switched protocol that stays open", endless.Answer{Head: switched}, maxHeadRead},
 	} {
