engine, entry: messages of engines and of other entry nodes are bounded

A peer that answers a fetch of the configuration without end: 539,837,992 bytes read in the call's second; the answer to a relayed request: 1,078,824,313 in its two seconds (TestEndlessPeerAnswers). Each ends the process, and with it the requests of other callers.

Cause: connect-go's clients have no limit unless they are given one. Change: a reply of an engine and a message of a peer have 16 MiB at most, a response of a peer 64 MiB in all, heads 32 KiB. connect-go discards what is left of a reply that is too long, up to the length that it names, before it ends the stream: that costs time and no memory.

After: under 32 MiB of the heap, and under 80 MiB read.

--- a/engine/link.go
+++ b/engine/link.go
@@ -23,6 +23,13 @@
 	pingTimeout  = 2 * time.Second
 )
 
+const (
+	// maxReplyBytes bounds a reply. Its outputs take eight bytes for each position of a prompt.
+	maxReplyBytes = 16 << 20
+	// maxHeadBytes bounds the head of a stream's response.
+	maxHeadBytes = 32 << 10
+)
+
 // outgoing is a message in the send ring: a step, or the end of a generation.
 type outgoing struct {
 	step *core.StepCmd
@@ -57,8 +64,8 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		Protocols: protocols,
-		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
+		Protocols: protocols, MaxResponseHeaderBytes: maxHeadBytes,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err == nil {
@@ -75,7 +82,7 @@
 func (l *link) run() {
 	t := l.transport()
 	defer t.CloseIdleConnections()
-	client := wireconnect.NewEngineClient(&http.Client{Transport: t}, "http://"+l.address, connect.WithGRPC())
+	client := wireconnect.NewEngineClient(&http.Client{Transport: t}, "http://"+l.address, connect.WithGRPC(), connect.WithReadMaxBytes(maxReplyBytes))
 	steps := client.Steps(l.ctx)
 	var unsent *outgoing
 	if err := steps.Send(nil); err == nil {
--- a/entry/endless_test.go
+++ b/entry/endless_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +17,8 @@
 	// its body: the limits of the client and buffers more.
 	maxHeadRead = 128 << 10
 	maxBodyRead = maxServiceResponseBytes + 128<<10
+	// maxAhead bounds what the buffers of a connection hold beyond what has been taken from them.
+	maxAhead = 16 << 20
 	// endlessCallTime bounds a call, in ms.
 	endlessCallTime = 500
 )
@@ -63,3 +67,47 @@
 		})
 	}
 }
+
+// Guards against an answer of another entry node without an end that costs memory without bound, in a message
+// or after it.
+func TestEndlessPeerAnswers(t *testing.T) {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	for _, tt := range []struct {
+		name, contentType, begin string
+	}{
+		{"fetch", "application/proto", ""},
+		{"relay", "application/connect+proto", "\x00\xff\xff\xff\xff"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", tt.contentType)
+				data := []byte(tt.begin + strings.Repeat("x", 32<<10))
+				for {
+					if _, err := w.Write(data); err != nil {
+						return
+					}
+				}
+			}))
+			server.Config.Protocols = protocols
+			server.Start()
+			defer server.Close()
+			meter := &endless.Meter{}
+			messages := make(chan core.Msg, 1)
+			p := newPeerCaller(nil, "", logging.Nop(), func(m core.Msg) { messages <- m }, withPeerDialer(meter.Dialer()))
+			defer p.close()
+			address := server.Listener.Addr().String()
+			endless.Await(t, func() core.Msg {
+				if tt.name == "fetch" {
+					p.fetchChanges(&core.FetchChangesCmd{Address: address})
+				} else {
+					p.relay(&core.RelayCmd{Request: 1, Address: address, Deadline: 2000})
+				}
+				return <-messages
+			})
+			if got, want := meter.Most(), int64(maxPeerResponseBytes+maxAhead); got > want {
+				t.Errorf("got %d bytes read from one connection, want at most %d", got, want)
+			}
+		})
+	}
+}
--- a/entry/peer_caller.go
+++ b/entry/peer_caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/hoistjunction/hoistjunction/clock"
 	"github.com/hoistjunction/hoistjunction/core"
+	"github.com/hoistjunction/hoistjunction/internal/boundedhttp"
 	"github.com/hoistjunction/hoistjunction/logging"
 	"github.com/hoistjunction/hoistjunction/outcome"
 	"github.com/hoistjunction/hoistjunction/wire"
@@ -33,6 +34,15 @@
 	peerPingTimeout = 2 * time.Second
 )
 
+const (
+	// maxPeerMessageBytes bounds a message of a peer, and maxPeerResponseBytes a response, which may have several.
+	// The largest message holds the whole configuration.
+	maxPeerMessageBytes  = 16 << 20
+	maxPeerResponseBytes = 64 << 20
+	// maxPeerHeadBytes bounds the head of a response.
+	maxPeerHeadBytes = 32 << 10
+)
+
 // maxHeartbeatsInFlight bounds concurrent heartbeats. A heartbeat above the limit is
 // skipped; the next round sends to other peers.
 const maxHeartbeatsInFlight = 16
@@ -66,7 +76,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	t := &http.Transport{
-		Protocols: protocols, IdleConnTimeout: 30 * time.Second,
+		Protocols: protocols, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: maxPeerHeadBytes,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: peerPingIdle, PingTimeout: peerPingTimeout},
 	}
 	t.DialContext = (&net.Dialer{Timeout: peerTimeout}).DialContext
@@ -78,7 +88,7 @@
 	for _, opt := range opts {
 		opt(t)
 	}
-	p.http = &http.Client{Transport: t}
+	p.http = &http.Client{Transport: boundedhttp.NewTransport(t, maxPeerResponseBytes)}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p
 }
@@ -90,7 +100,7 @@
 }
 
 func (p *peerCaller) client(address string) wireconnect.PeerClient {
-	return wireconnect.NewPeerClient(p.http, p.scheme+address, connect.WithInterceptors(newBearerInterceptor(p.secret)))
+	return wireconnect.NewPeerClient(p.http, p.scheme+address, connect.WithReadMaxBytes(maxPeerMessageBytes), connect.WithInterceptors(newBearerInterceptor(p.secret)))
 }
 
 // heartbeat sends a heartbeat to a peer and posts the peer's reply to the model loop.
