dispatch: bytes that are no answer say nothing against a node's links

What is seen: where four upstreams of a data centre send broken answers at once, a node took its links to that data centre for cut (`reach state=cut failed=4`; 357 changes of state in a trial of six seconds with nine of ten broken). Requests of other callers then go through other nodes, also those that a sound upstream of its own could serve (testdata/reach/broken_answers.txt with cause=unknown: `forward 5.1 to n2`), and nothing counts against the upstreams.

Cause: since the heads are checked, such an attempt fails as one that was broken off, which is evidence about links. What arrives shows that they work.

Change: a cause of its own, broken_answer. It counts against the upstream as before, as an answer for the links, and not as a loss by which a request may be suspected of crashing upstreams. httpanswer marks the error where net/http has refused the broken line itself.

--- a/dispatch/cause.go
+++ b/dispatch/cause.go
@@ -18,6 +18,8 @@
 	CauseMisdirected
 	// CauseUnknown means that the request was sent and no valid answer arrived.
 	CauseUnknown
+	// CauseBrokenAnswer means that the request was sent and what arrived begins as no answer does.
+	CauseBrokenAnswer
 	// CauseNoProgress means that the request was sent and the attempt was canceled because no
 	// answer arrived in time.
 	CauseNoProgress
@@ -31,12 +33,12 @@
 
 var causeNames = map[Cause]string{
 	CauseNotSent: "not_sent", CauseStaleConfig: "held_back", CauseFull: "full", CauseMisdirected: "misdirected",
-	CauseUnknown: "unknown", CauseNoProgress: "slow", CauseUpstreamFailed: "upstream_failed", CauseNodeRefused: "node_refused",
+	CauseUnknown: "unknown", CauseBrokenAnswer: "broken_answer", CauseNoProgress: "slow", CauseUpstreamFailed: "upstream_failed", CauseNodeRefused: "node_refused",
 }
 
 // MayHaveExecuted reports whether an upstream may have executed a request whose attempt failed with this cause.
 func (c Cause) MayHaveExecuted() bool {
-	return c == CauseUnknown || c == CauseNoProgress || c == CauseUpstreamFailed
+	return c == CauseUnknown || c == CauseBrokenAnswer || c == CauseNoProgress || c == CauseUpstreamFailed
 }
 
 // String returns the name of the cause in logs.
--- a/dispatch/reach.go
+++ b/dispatch/reach.go
@@ -45,7 +45,7 @@
 	}
 	u := r.firstUpstream
 	switch msg.Cause {
-	case CauseFull, CauseMisdirected, CauseUpstreamFailed:
+	case CauseFull, CauseMisdirected, CauseUpstreamFailed, CauseBrokenAnswer:
 		return m.recordAnswered(u)
 	case CauseNotSent:
 		return m.recordUnreached(u, reachability.NotConnected)
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -273,7 +273,7 @@
 }
 
 // answersProbes reports whether an engine may get work if no other engine holds its layers: it is
-// healthy, it breaks off connections but has just answered a probe, or only another node found it
+// healthy, it breaks off connections or answers but has just answered a probe, or only another node found it
 // unresponsive, which may be cut from it.
 func (m *Model) answersProbes(u *upstream) bool {
 	if u.healthy() {
@@ -282,7 +282,8 @@
 	if !u.acceptsWork() || u.unresponsive {
 		return false
 	}
-	return u.suspectedByPeer || u.suspicionCause == CauseUnknown && m.now <= u.probeAnsweredAt.Add(probeAnswerWindow)
+	breaksOff := u.suspicionCause == CauseUnknown || u.suspicionCause == CauseBrokenAnswer
+	return u.suspectedByPeer || breaksOff && m.now <= u.probeAnsweredAt.Add(probeAnswerWindow)
 }
 
 func chainErrorReason(err error) Reason {
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -37,14 +38,20 @@
 // neither a length nor chunks, fails with ErrReset or ErrRequestUnread if it may not be whole.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	length := bodyLength(req)
+	var current atomic.Pointer[conn]
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
 				c.beginRequest(length, info.Reused)
+				current.Store(c)
 			}
 		},
 	})
 	resp, err := t.base.RoundTrip(req.WithContext(ctx))
+	if c := current.Load(); err != nil && c != nil && c.brokenHead() != nil {
+		// net/http may have refused the broken line itself.
+		return nil, errors.Mark(err, ErrBrokenHead)
+	}
 	if err != nil {
 		return nil, err
 	}
