--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -37,12 +37,12 @@
 	writing bool
 	// writeErr is the error of the first write that failed.
 	writeErr error
-	// answering reports that part of the answer has been read, and head checks its head; headErr is set if that
-	// is broken.
+	// answering reports that part of the answer has been read.
 	answering bool
-	head      head
-	headErr   error
-	closed    bool
+	// head checks the head of the answer, and headErr is set if that is broken.
+	head    head
+	headErr error
+	closed  bool
 }
 
 // NetConn returns the wrapped connection.
@@ -137,8 +137,8 @@
 	}
 }
 
-// requestReceived reports whether the other side has received the whole request. An error means that it never
-// will have.
+// requestReceived reports whether the other side has received the whole request, after the connection has
+// ended. An error means that it never will have.
 func (c *conn) requestReceived() (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/httpanswer/conn_test.go
+++ b/internal/httpanswer/conn_test.go
@@ -81,7 +81,7 @@
 				}})
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
-				got, err := call(ctx, transport, "http://upstream/", strings.NewReader("request"))
+				got, err := call(ctx, transport, http.MethodPost, "http://upstream/", strings.NewReader("request"))
 				if !errors.Is(err, tt.want) {
 					t.Errorf("got error %v, want %v", err, tt.want)
 				}
@@ -100,15 +100,15 @@
 	defer server.Close()
 	transport := NewTransport(&http.Transport{})
 	defer transport.CloseIdleConnections()
-	got, err := call(t.Context(), transport, server.URL, io.MultiReader(strings.NewReader("request")))
+	got, err := call(t.Context(), transport, http.MethodPost, server.URL, io.MultiReader(strings.NewReader("request")))
 	if !errors.Is(err, ErrRequestUnread) {
 		t.Errorf("got %q and error %v, want %v", got, err, ErrRequestUnread)
 	}
 }
 
 // call sends a request and returns the body of its answer.
-func call(ctx context.Context, transport http.RoundTripper, url string, request io.Reader) (string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, request)
+func call(ctx context.Context, transport http.RoundTripper, method, url string, request io.Reader) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, request)
 	if err != nil {
 		return "", err
 	}
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -33,9 +33,10 @@
 	return &Transport{base: base}
 }
 
-// RoundTrip implements http.RoundTripper. It fails with ErrBrokenHead if the head of the answer is not well-formed, and
-// with ErrProtocolSwitched. The body of an answer that ends with its connection, because it has
-// neither a length nor chunks, fails with ErrReset or ErrRequestUnread if it may not be whole.
+// RoundTrip implements http.RoundTripper. It fails with ErrBrokenHead if the head of the answer is not
+// well-formed, and with ErrProtocolSwitched if it is one of another protocol. The body of an answer that ends
+// with its connection, because it has neither a length nor chunks, fails with ErrReset or ErrRequestUnread if it
+// may not be whole.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	length := bodyLength(req)
 	var current atomic.Pointer[conn]
@@ -48,12 +49,8 @@
 		},
 	})
 	resp, err := t.base.RoundTrip(req.WithContext(ctx))
-	if c := current.Load(); err != nil && c != nil && c.brokenHead() != nil {
-		// net/http may have refused the broken line itself.
-		return nil, errors.Mark(err, ErrBrokenHead)
-	}
 	if err != nil {
-		return nil, err
+		return nil, markBrokenHead(err, current.Load())
 	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return nil, errors.CombineErrors(ErrProtocolSwitched, resp.Body.Close())
@@ -61,6 +58,15 @@
 	return resp, nil
 }
 
+// markBrokenHead marks the error of a request with ErrBrokenHead if its connection has read a broken head, of which
+// net/http may have refused a line itself. The connection is nil if there was none.
+func markBrokenHead(err error, c *conn) error {
+	if c != nil && c.brokenHead() != nil {
+		return errors.Mark(err, ErrBrokenHead)
+	}
+	return err
+}
+
 // CloseIdleConnections closes the idle connections.
 func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
 
--- a/internal/httpanswer/transport_test.go
+++ b/internal/httpanswer/transport_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -98,15 +98,5 @@
 }
 
 func get(transport http.RoundTripper, address string) (string, error) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+address, strings.NewReader(""))
-	if err != nil {
-		return "", err
-	}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return string(body), err
+	return call(context.Background(), transport, http.MethodGet, "http://"+address, http.NoBody)
 }
