--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,7 @@
 	go test ./platform -run xxx -fuzz FuzzQuarantineRow -fuzztime 30s
 	go test ./usage -run xxx -fuzz . -fuzztime 30s
 	go test ./peering -run xxx -fuzz . -fuzztime 30s
+	go test ./internal/httpanswer -run xxx -fuzz . -fuzztime 30s
 
 .PHONY: models
 models: ## Checks the models and their variants with spin.
