--- a/node/broken_answers_test.go
+++ b/node/broken_answers_test.go
@@ -56,8 +56,7 @@
 }
 
 // Guards against upstreams that answer their probes and break all their other answers, and that go on getting
-// their share of the requests: those that may be executed once fail there. Where several did so at once, the node took
-// its own links for cut, and nothing counted against them.
+// their share of the requests: those that may be executed once fail there. Each of them ended without an answer.
 func TestUpstreamsWithBrokenAnswersLoseTheirPlace(t *testing.T) {
 	t.Parallel()
 	for _, breaking := range []int{1, 4, 9} {
